Lay out the workspace with the interfaces between its crates

Cause: the crates are to be built side by side, so what they say to each other has to stand first. Conclusion: each crate can now be filled in on its own.

--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,76 @@
+//! Time, passed in as an interface.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Reads the time. Decision cores take `now` as an argument and never read a clock themselves.
+pub trait Clock: Send + Sync + std::fmt::Debug {
+    /// The steady time, for durations. It never goes back.
+    fn now(&self) -> Instant;
+    /// The time of day, which may jump and differs between machines.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The machine's own clocks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to, for tests and measurements.
+///
+/// ```
+/// use std::time::Duration;
+/// use nutmegsail_base::{Clock, ManualClock};
+///
+/// let clock = ManualClock::default();
+/// let start = clock.now();
+/// clock.advance(Duration::from_millis(250));
+/// assert_eq!(clock.now() - start, Duration::from_millis(250));
+/// ```
+#[derive(Debug)]
+pub struct ManualClock {
+    start: Instant,
+    wall_start: SystemTime,
+    elapsed: Mutex<Duration>,
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        let wall_start = SystemTime::UNIX_EPOCH + Duration::from_secs(1_700_000_000);
+        Self {
+            start: Instant::now(),
+            wall_start,
+            elapsed: Mutex::default(),
+        }
+    }
+}
+
+impl ManualClock {
+    /// Moves both times forward by `by`.
+    pub fn advance(&self, by: Duration) {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner) += by;
+    }
+
+    fn elapsed(&self) -> Duration {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.wall_start + self.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,24 @@
+//! The vocabulary that every crate of nutmegsail shares: names, the clock, result codes and the
+//! load reports of engines.
+//!
+//! This crate decides nothing and does no I/O. Start at [`AdapterRef`] for what a caller asks for,
+//! at [`ResultCode`] for what a caller is told, and at [`Clock`] for how time is passed in.
+
+mod adapter_ref;
+mod class;
+mod clock;
+mod engine_report;
+mod names;
+mod result_code;
+mod run_state;
+
+pub use adapter_ref::{AdapterRef, AdapterRefError};
+pub use class::Class;
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use engine_report::{AdapterState, EngineReport, HeldAdapter};
+pub use names::{
+    AdapterName, AdapterVersion, CallName, CallerId, FailureDomain, Incarnation, NodeId, RequestId,
+    ServiceName, UpstreamId,
+};
+pub use result_code::ResultCode;
+pub use run_state::RunState;
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and the upstreams; never published.
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' HTTP interface of a node.
--- /dev/null
+++ b/crates/idempotency/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls that run at most once: claims, tickets, recorded answers.
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy measurements that drive the decision code with a passed-in clock.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which nodes and upstreams are there, by failure domain.
--- /dev/null
+++ b/crates/nutmegsaild/src/main.rs
@@ -0,0 +1,3 @@
+//! See the README of this crate.
+
+fn main() {}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events, metrics and spans of a node.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between nodes, over nng.
