Log numbered events through slog

Every record names an event of one table (NE number, name, severity, sentence), so that operators can search and alarm by number.

--- /dev/null
+++ b/crates/telemetry/src/event.rs
@@ -0,0 +1,144 @@
+//! The catalogue of log events.
+
+use derive_more::Display;
+
+/// How severe an event is.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display(rename_all = "lowercase")]
+pub enum Severity {
+    /// A fault of the node itself.
+    Error,
+    /// An operator may have to act.
+    Warning,
+    /// A change of state.
+    Info,
+    /// One request or message.
+    Debug,
+}
+
+macro_rules! events {
+    ($($number:literal $variant:ident $severity:ident $text:literal;)*) => {
+        /// A numbered log event. `docs/EVENTS.md` lists them all; a test compares it with this
+        /// table.
+        ///
+        /// 1xxx: the node. 2xxx: requests. 3xxx: upstreams and adapters. 4xxx: other nodes and
+        /// failure domains. 5xxx: the operators' text. 6xxx: the platform. 7xxx: messages between
+        /// nodes. 8xxx: calls that run once.
+        ///
+        /// ```
+        /// use nutmegsail_telemetry::Event;
+        /// assert_eq!(Event::NodeStarted.to_string(), "NE1001");
+        /// assert_eq!(Event::NodeStarted.name(), "NodeStarted");
+        /// ```
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum Event {
+            $(#[doc = $text] $variant,)*
+        }
+
+        impl Event {
+            /// Every event, in order of its number.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// The number, stable over releases.
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$variant => $number,)* }
+            }
+
+            /// The name, stable over releases.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$variant => stringify!($variant),)* }
+            }
+
+            /// How severe it is.
+            pub const fn severity(self) -> Severity {
+                match self { $(Self::$variant => Severity::$severity,)* }
+            }
+
+            /// What happened, in a sentence.
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$variant => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    1001 NodeStarted Info "The node's process started.";
+    1002 NodeReady Info "The node answers callers.";
+    1003 NodeLeaving Info "The node is shutting down and takes no new work.";
+    1004 NodeStopped Info "The node has finished everything and ends.";
+    1005 NodeResumed Warning "The node did not run for a while and goes on with old knowledge.";
+    1006 SettingsRead Info "The node read its settings.";
+    1007 ListenerOpened Info "The node listens on an address.";
+    1008 TaskFailed Error "A task of the node ended by a fault.";
+    1009 DrainTimedOut Warning "The shutdown's time is over while requests are still running.";
+    2001 RequestRefused Debug "A request was refused and did not run.";
+    2002 RequestEnded Debug "A request ended.";
+    2003 AnswerCut Warning "An answer broke off before its end.";
+    2004 AnswerResumed Info "A caller resumed an answer.";
+    2005 RequestRetried Debug "A request was sent to another upstream.";
+    2006 RequestShed Debug "A request was given up before it was sent.";
+    2007 WrongAdapterDiscarded Error "An engine answered with another adapter; the answer was discarded.";
+    2008 CallerGone Debug "A caller went away; its run was cancelled.";
+    3001 UpstreamEjected Warning "An upstream failed too often and gets no work for a while.";
+    3002 UpstreamRestored Info "An upstream gets work again.";
+    3003 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
+    3004 UpstreamRestarted Warning "An upstream runs as a new incarnation.";
+    3005 UpstreamReportStale Warning "No load report came from an upstream for a while.";
+    3006 LoadOrdered Info "An engine was ordered to load an adapter.";
+    3007 LoadFinished Info "An engine has loaded an adapter.";
+    3008 LoadFailed Warning "An engine could not load an adapter.";
+    3009 UnloadOrdered Info "An engine was ordered to unload an adapter.";
+    3010 OrderRefused Warning "An engine refused an order.";
+    3011 EngineOwned Info "The node now owns an engine.";
+    3012 EngineReleased Info "The node no longer owns an engine.";
+    3013 PinsLapsed Warning "Pins lapsed without being given back.";
+    4001 PeerJoined Info "Another node was heard for the first time.";
+    4002 PeerUnreachable Warning "Another node has not been heard for a while.";
+    4003 PeerReturned Info "An unreachable node was heard again.";
+    4004 PeerRemoved Info "An unreachable node was given up.";
+    4005 PeerRestarted Info "Another node runs as a new incarnation.";
+    4006 PeerLeaving Info "Another node is shutting down.";
+    4007 DomainUnreachable Warning "No node of a failure domain has been heard for a while.";
+    4008 DomainReturned Info "A failure domain was heard again.";
+    4009 RemovalHeld Warning "Most nodes vanished at once; they are kept as unreachable.";
+    5001 TextInForce Info "A generation of the operators' text is in force on the node.";
+    5002 TextSeen Info "A newer generation of the operators' text was heard of.";
+    5003 OlderTextIgnored Warning "The platform showed an older generation than the one in force.";
+    5004 TextPutBack Warning "The generation in force was written back to the platform.";
+    5005 TextFetchFailed Warning "Pieces of a generation could not be fetched.";
+    5006 TextRejected Error "A published text has faults and is not put in force.";
+    6001 PlatformUnavailable Warning "The platform's key-value service cannot be reached.";
+    6002 PlatformReturned Info "The platform's key-value service answers again.";
+    6003 WriteAmbiguous Warning "No answer came after a write; it is read back.";
+    6004 VmListUnavailable Warning "The platform's VM list cannot be read.";
+    6005 VmListReturned Info "The platform's VM list can be read again.";
+    7001 MessageUndecodable Warning "Bytes from another node could not be decoded.";
+    7002 MessageDropped Debug "A message was dropped because a queue was full.";
+    7003 LinkFailed Error "The link between nodes failed.";
+    8001 ClaimRecorded Debug "A call that runs once was claimed.";
+    8002 ClaimRefused Debug "A claim was refused; the call did not run.";
+    8003 ClaimRepeated Debug "A call came again with the same key.";
+    8004 OutcomeUnknown Warning "A call that runs once may have run and is never sent again.";
+    8005 ShardTaken Info "The node now writes a shard of claims.";
+    8006 ShardReleased Info "The node no longer writes a shard of claims.";
+    8007 TicketIssued Debug "A ticket was issued while the platform could not be reached.";
+}
+
+impl Event {
+    /// The severity as slog names it.
+    pub const fn level(self) -> slog::Level {
+        match self.severity() {
+            Severity::Error => slog::Level::Error,
+            Severity::Warning => slog::Level::Warning,
+            Severity::Info => slog::Level::Info,
+            Severity::Debug => slog::Level::Debug,
+        }
+    }
+}
+
+impl std::fmt::Display for Event {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "NE{}", self.number())
+    }
+}
