Read and check the operators' text

Cause: nothing read the text; the other crates build against its structs only. Change: Deployment::parse walks the spanned TOML by hand and gathers every fault with file, line, column and what to write instead. A derived reader would stop at the first one. Adapters are written as patterns, lists and included files; find_adapter goes by hash over all services.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,10 +4,17 @@
 //! of those. This crate is told texts and store answers, decides which generation is in force, and
 //! never touches a request.
 
+mod adapter_index;
 mod deployment;
+mod fault;
 mod generation;
+mod operators_text;
 mod service;
+mod text;
 
+pub use adapter_index::AdapterIndex;
 pub use deployment::{AdapterLookup, Deployment, Limits, Weights};
+pub use fault::{Fault, FaultKind, Faults};
 pub use generation::{Digest, Generation, InForce};
+pub use operators_text::{OperatorsText, TEXT_BYTES_MAX};
 pub use service::{AdapterSet, Call, Service, ServiceKind, UpstreamEntry};
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -51,7 +51,7 @@
     pub method: Option<String>,
     /// The path below the service, for a plain service; a trailing `/*` matches what follows.
     pub path: Option<String>,
-    /// The class after inheritance along the dependency graph.
+    /// The class as declared; calls made on another service's behalf may inherit a more urgent one.
     pub class: Class,
     /// The whole time a caller waits.
     pub deadline: Duration,
@@ -72,7 +72,7 @@
     pub kind: ServiceKind,
     /// The services it calls.
     pub depends_on: Vec<ServiceName>,
-    /// The class of calls that name no call, after inheritance.
+    /// The class of calls that name no call, as declared.
     pub class: Class,
     /// The deadline of calls that name no call.
     pub deadline: Duration,
--- /dev/null
+++ b/crates/config/src/text/adapters.rs
@@ -0,0 +1,217 @@
+//! Reads lists and patterns of adapters, in the text and in included files.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::sync::Arc;
+
+use nutmegsail_base::{AdapterName, AdapterVersion};
+use serde_spanned::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use super::gather::{Gather, did_you_mean};
+use super::service::check_name;
+use super::table::{Table, integer, list, string, strings, table};
+use crate::{AdapterSet, FaultKind};
+
+/// The most adapters that one service may have, so that a typing slip in a pattern cannot fill the
+/// memory of every node.
+const ADAPTERS_MAX: usize = 100_000;
+const EXAMPLE: &str = "adapters = [{ names = \"note-{0001..1500}\", versions = [1] }]";
+
+/// A service's adapters and where its text names them.
+pub(super) struct ReadAdapters {
+    pub(super) adapters: AdapterSet,
+    pub(super) at: Range<usize>,
+}
+
+/// Reads `adapters` and `include` of a service.
+pub(super) fn read(
+    section: &mut Table<'_, '_>,
+    includes: &BTreeMap<Arc<str>, Arc<str>>,
+    gather: &mut Gather<'_>,
+) -> ReadAdapters {
+    let mut found = BTreeMap::new();
+    let mut at = section.span.clone();
+    if let Some(value) = section.read("adapters") {
+        at = value.span();
+        read_list(value, &mut found, gather);
+    }
+    if let Some(value) = section.read("include") {
+        let names = match value.get_ref() {
+            DeValue::Array(_) => strings("include", value, gather),
+            _ => string("include", value, gather)
+                .map(|name| Spanned::new(value.span(), name))
+                .into_iter()
+                .collect(),
+        };
+        for name in names {
+            read_include(&name, includes, &mut found, gather);
+        }
+    }
+    if found.is_empty() {
+        let message = format!("{} has no adapters", section.label);
+        let fix = format!("write `{EXAMPLE}`");
+        gather.add(at.clone(), FaultKind::MissingKey, message, fix);
+    }
+    let adapters = AdapterSet {
+        entries: found.into_iter().collect(),
+    };
+    ReadAdapters { adapters, at }
+}
+
+type Found = BTreeMap<AdapterName, Vec<AdapterVersion>>;
+
+fn read_include(
+    name: &Spanned<&str>,
+    includes: &BTreeMap<Arc<str>, Arc<str>>,
+    found: &mut Found,
+    gather: &mut Gather<'_>,
+) {
+    let Some(text) = includes.get(*name.get_ref()) else {
+        let message = format!("the included file `{}` was not given", name.get_ref());
+        let given = includes.keys().map(|name| name.as_ref());
+        let fix = match includes.len() {
+            0 => "put it beside this file".to_owned(),
+            _ => did_you_mean(name.get_ref(), given),
+        };
+        gather.add(name.span(), FaultKind::MissingInclude, message, fix);
+        return;
+    };
+    let mut inner = Gather::new(name.get_ref(), text);
+    let (entries, syntax_errors) = DeTable::parse_recoverable(text);
+    for error in &syntax_errors {
+        inner.add_syntax(error);
+    }
+    if syntax_errors.is_empty() {
+        let label = format!("the included file `{}`", name.get_ref());
+        let mut section = Table::new(label, 0..0, entries.get_ref());
+        if let Some(value) = section.require("adapters", EXAMPLE, &mut inner) {
+            read_list(value, found, &mut inner);
+        }
+        section.finish(&mut inner);
+    }
+    gather.absorb(inner);
+}
+
+fn read_list(value: &Spanned<DeValue<'_>>, found: &mut Found, gather: &mut Gather<'_>) {
+    for entry in list("adapters", value, gather) {
+        let Some(entries) = table("adapters", entry, gather) else {
+            continue;
+        };
+        let mut section = Table::new("an entry of `adapters`".to_owned(), entry.span(), entries);
+        let versions = read_versions(&mut section, gather);
+        if let Some(names) = section.require("names", "names = [\"my-adapter\"]", gather) {
+            let names = match names.get_ref() {
+                DeValue::Array(_) => strings("names", names, gather),
+                _ => string("names", names, gather)
+                    .map(|name| Spanned::new(names.span(), name))
+                    .into_iter()
+                    .collect(),
+            };
+            for pattern in names {
+                add_pattern(&pattern, &versions, found, gather);
+            }
+        }
+        section.finish(gather);
+    }
+}
+
+fn read_versions(section: &mut Table<'_, '_>, gather: &mut Gather<'_>) -> Vec<AdapterVersion> {
+    let mut versions = Vec::new();
+    let Some(value) = section.read("versions") else {
+        no_versions(section.span.clone(), gather);
+        return versions;
+    };
+    let entries = list("versions", value, gather);
+    if entries.is_empty() {
+        no_versions(value.span(), gather);
+    }
+    for entry in entries {
+        let version = integer("versions", entry, 1..=u64::from(u32::MAX), gather)
+            .and_then(|version| u32::try_from(version).ok())
+            .map(AdapterVersion);
+        let Some(version) = version else {
+            continue;
+        };
+        if versions.contains(&version) {
+            let message = format!("version {version} stands here twice");
+            gather.add(
+                entry.span(),
+                FaultKind::DuplicateName,
+                message,
+                "remove one of the two",
+            );
+        } else {
+            versions.push(version);
+        }
+    }
+    versions.sort_unstable();
+    versions
+}
+
+fn no_versions(at: Range<usize>, gather: &mut Gather<'_>) {
+    let message = "these adapters have no versions";
+    gather.add(at, FaultKind::NoVersions, message, "write `versions = [1]`");
+}
+
+fn add_pattern(
+    pattern: &Spanned<&str>,
+    versions: &[AdapterVersion],
+    found: &mut Found,
+    gather: &mut Gather<'_>,
+) {
+    let Some(expanded) = expand(pattern.get_ref(), ADAPTERS_MAX - found.len()) else {
+        let message = format!("the pattern `{}` cannot be read", pattern.get_ref());
+        let fix = format!(
+            "write one range of equal widths and at most {ADAPTERS_MAX} names, such as \"note-{{0001..1500}}\""
+        );
+        gather.add(pattern.span(), FaultKind::BadPattern, message, fix);
+        return;
+    };
+    if let Some(first) = expanded.first() {
+        check_name("adapter", first, pattern.span(), gather);
+    }
+    let mut twice = expanded
+        .into_iter()
+        .map(AdapterName::from)
+        .filter(|name| found.insert(name.clone(), versions.to_vec()).is_some());
+    if let Some(first) = twice.next() {
+        let others = twice.count();
+        let message = match others {
+            0 => format!("the adapter `{first}` stands in this service twice"),
+            _ => format!("`{first}` and {others} more adapters stand in this service twice"),
+        };
+        let fix = "name each adapter once, with all its versions";
+        gather.add(pattern.span(), FaultKind::DuplicateName, message, fix);
+    }
+}
+
+/// The names that `pattern` stands for; `None` if it cannot be read or stands for more than `most`.
+///
+/// `note-{0001..1500}` stands for `note-0001` to `note-1500`. The low end's width, zeros included, is
+/// the least width of every name's number.
+fn expand(pattern: &str, most: usize) -> Option<Vec<String>> {
+    let Some((prefix, rest)) = pattern.split_once('{') else {
+        let is_name = !pattern.contains('}') && most > 0;
+        return is_name.then(|| vec![pattern.to_owned()]);
+    };
+    let (range, suffix) = rest.split_once('}')?;
+    let (low, high) = range.split_once("..")?;
+    if suffix.contains(['{', '}']) || (low.starts_with('0') && low.len() != high.len()) {
+        return None;
+    }
+    let digits = |text: &str| text.chars().all(|c| c.is_ascii_digit());
+    if !digits(low) || !digits(high) {
+        return None;
+    }
+    let (first, last): (u32, u32) = (low.parse().ok()?, high.parse().ok()?);
+    let count = usize::try_from(last.checked_sub(first)?)
+        .ok()?
+        .checked_add(1)?;
+    if count > most {
+        return None;
+    }
+    let width = low.len();
+    let name = |number| format!("{prefix}{number:0width$}{suffix}");
+    Some((first..=last).map(name).collect())
+}
--- /dev/null
+++ b/crates/config/src/text/service.rs
@@ -0,0 +1,329 @@
+//! Reads one `[services.NAME]` table.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegsail_base::{Class, FailureDomain, ServiceName, UpstreamId};
+use serde_spanned::Spanned;
+use toml::de::{DeString, DeValue};
+
+use super::adapters::ReadAdapters;
+use super::gather::{Gather, did_you_mean};
+use super::table::{Table, string, strings, table};
+use super::{adapters, calls};
+use crate::{FaultKind, Service, ServiceKind, UpstreamEntry};
+
+/// A deadline that stands in for one that could not be read, so that reading can go on.
+const FALLBACK_DEADLINE: Duration = Duration::from_secs(30);
+/// Without a target, operators aim for a tenth of the deadline.
+const TARGETS_PER_DEADLINE: u32 = 10;
+/// Requests that a plain upstream takes at a time unless the text says otherwise.
+const PLAIN_IN_FLIGHT: u32 = 32;
+const ADAPTER_SLOTS: u32 = 4;
+const BATCH_SLOTS: u32 = 16;
+const QUEUE_PER_CLASS: u32 = 256;
+const URGENT_HEADROOM: f64 = 0.25;
+const ROUTINE_FLOOR: f64 = 0.1;
+const RETRY_BUDGET: f64 = 0.1;
+const COUNT_MAX: u32 = 100_000;
+
+/// What a service's table refers to.
+pub(super) struct ServiceContext<'c> {
+    pub(super) failure_domains: &'c [FailureDomain],
+    pub(super) includes: &'c BTreeMap<Arc<str>, Arc<str>>,
+}
+
+/// A service with the places that checks across services point at.
+pub(super) struct ReadService {
+    pub(super) service: Service,
+    pub(super) name_at: Range<usize>,
+    pub(super) depends_on: Vec<(ServiceName, Range<usize>)>,
+    pub(super) upstreams_at: Vec<Range<usize>>,
+    pub(super) adapters_at: Range<usize>,
+}
+
+pub(super) fn read(
+    name: &Spanned<DeString<'_>>,
+    value: &Spanned<DeValue<'_>>,
+    context: &ServiceContext<'_>,
+    gather: &mut Gather<'_>,
+) -> Option<ReadService> {
+    let entries = table(name.get_ref(), value, gather)?;
+    let label = format!("service `{}`", name.get_ref());
+    let mut section = Table::new(label, name.span(), entries);
+    check_name("service", name.get_ref(), name.span(), gather);
+    let is_engine = read_is_engine(&mut section, gather);
+    let depends_on = read_depends_on(&mut section, gather);
+    let class = read_class(&mut section, Class::default(), gather);
+    let deadline = read_deadline(&mut section, gather);
+    let target = section.millis("target_ms", deadline / TARGETS_PER_DEADLINE, gather);
+    check_target(&section, deadline, target, gather);
+    let (upstreams, upstreams_at) = read_upstreams(&mut section, context, gather);
+    let (kind, adapters_at) = read_kind(&mut section, is_engine, context, gather);
+    let defaults = calls::CallDefaults {
+        is_engine,
+        class,
+        deadline,
+        target,
+    };
+    let calls = calls::read(&mut section, defaults, gather);
+    let in_flight = match &kind {
+        ServiceKind::Engine { batch_slots, .. } => *batch_slots,
+        ServiceKind::Plain => PLAIN_IN_FLIGHT,
+    };
+    let service = Service {
+        name: ServiceName::from(name.get_ref().as_ref()),
+        kind,
+        depends_on: depends_on.iter().map(|(name, _)| name.clone()).collect(),
+        class,
+        deadline,
+        target,
+        calls,
+        upstreams,
+        in_flight_per_upstream: section.integer_u32(
+            "in_flight_per_upstream",
+            1..=COUNT_MAX,
+            in_flight,
+            gather,
+        ),
+        urgent_headroom: section.number("urgent_headroom", 0.0..=1.0, URGENT_HEADROOM, gather),
+        queue_per_class: section.integer_u32(
+            "queue_per_class",
+            1..=COUNT_MAX,
+            QUEUE_PER_CLASS,
+            gather,
+        ),
+        routine_floor: section.number("routine_floor", 0.0..=1.0, ROUTINE_FLOOR, gather),
+        retry_budget: section.number("retry_budget", 0.0..=1.0, RETRY_BUDGET, gather),
+    };
+    check_headroom(&service, name.span(), gather);
+    section.finish(gather);
+    Some(ReadService {
+        service,
+        name_at: name.span(),
+        depends_on,
+        upstreams_at,
+        adapters_at,
+    })
+}
+
+/// Names appear in headers, paths and metrics, so they keep to letters that mean nothing there.
+pub(super) fn check_name(what: &str, name: &str, at: Range<usize>, gather: &mut Gather<'_>) {
+    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !name.is_empty() && name.len() <= 100 && name.chars().all(fits) {
+        return;
+    }
+    let message = format!("`{name}` cannot be the name of a {what}");
+    let fix = "write 1 to 100 of the letters a-z, A-Z, 0-9, `-`, `_` and `.`";
+    gather.add(at, FaultKind::BadValue, message, fix);
+}
+
+fn read_is_engine(section: &mut Table<'_, '_>, gather: &mut Gather<'_>) -> bool {
+    let Some(value) = section.require("kind", "kind = \"engine\"", gather) else {
+        // Whichever kind is meant, the keys that stand here tell it.
+        return section.read("base_model").is_some();
+    };
+    match string("kind", value, gather) {
+        Some("engine") => true,
+        Some("plain") | None => false,
+        Some(other) => {
+            let message = format!("there is no kind `{other}`");
+            let fix = did_you_mean(other, ["engine", "plain"]);
+            gather.add(value.span(), FaultKind::BadValue, message, fix);
+            false
+        }
+    }
+}
+
+fn read_depends_on(
+    section: &mut Table<'_, '_>,
+    gather: &mut Gather<'_>,
+) -> Vec<(ServiceName, Range<usize>)> {
+    let Some(value) = section.read("depends_on") else {
+        return Vec::new();
+    };
+    let mut names: Vec<(ServiceName, Range<usize>)> = Vec::new();
+    for entry in strings("depends_on", value, gather) {
+        let name = ServiceName::from(*entry.get_ref());
+        if names.iter().any(|(other, _)| *other == name) {
+            let message = format!("`depends_on` names `{name}` twice");
+            let fix = "remove one of the two";
+            gather.add(entry.span(), FaultKind::DuplicateName, message, fix);
+        } else {
+            names.push((name, entry.span()));
+        }
+    }
+    names
+}
+
+pub(super) fn read_class(
+    section: &mut Table<'_, '_>,
+    default: Class,
+    gather: &mut Gather<'_>,
+) -> Class {
+    let Some(value) = section.read("class") else {
+        return default;
+    };
+    match string("class", value, gather) {
+        Some("urgent") => Class::Urgent,
+        Some("routine") => Class::Routine,
+        Some(other) => {
+            let message = format!("there is no class `{other}`");
+            let fix = did_you_mean(other, ["urgent", "routine"]);
+            gather.add(value.span(), FaultKind::BadValue, message, fix);
+            default
+        }
+        None => default,
+    }
+}
+
+fn read_deadline(section: &mut Table<'_, '_>, gather: &mut Gather<'_>) -> Duration {
+    if section
+        .require("deadline_ms", "deadline_ms = 30000", gather)
+        .is_none()
+    {
+        return FALLBACK_DEADLINE;
+    }
+    section.millis("deadline_ms", FALLBACK_DEADLINE, gather)
+}
+
+/// A caller who waits no longer than the target would see most answers shed.
+pub(super) fn check_target(
+    section: &Table<'_, '_>,
+    deadline: Duration,
+    target: Duration,
+    gather: &mut Gather<'_>,
+) {
+    if target <= deadline {
+        return;
+    }
+    let message = format!(
+        "{} has a deadline of {} ms, below its target of {} ms",
+        section.label,
+        deadline.as_millis(),
+        target.as_millis()
+    );
+    let fix = format!("write `deadline_ms = {}` or more", target.as_millis());
+    gather.add(
+        section.span.clone(),
+        FaultKind::ImpossibleLimit,
+        message,
+        fix,
+    );
+}
+
+fn read_upstreams(
+    section: &mut Table<'_, '_>,
+    context: &ServiceContext<'_>,
+    gather: &mut Gather<'_>,
+) -> (Vec<UpstreamEntry>, Vec<Range<usize>>) {
+    let example = "upstreams.my-domain = [\"10.0.0.1:9001\"]";
+    let Some(value) = section.require("upstreams", example, gather) else {
+        return (Vec::new(), Vec::new());
+    };
+    let Some(entries) = table("upstreams", value, gather) else {
+        return (Vec::new(), Vec::new());
+    };
+    let mut upstreams = Vec::new();
+    let mut places = Vec::new();
+    for (domain, addresses) in entries {
+        let known = context.failure_domains.iter().map(FailureDomain::as_str);
+        let name = domain.get_ref().as_ref();
+        if !known.clone().any(|other| other == name) {
+            let message = format!("`{name}` is not one of the `failure_domains`");
+            let fix = did_you_mean(name, known);
+            gather.add(domain.span(), FaultKind::DanglingName, message, fix);
+        }
+        for address in strings(name, addresses, gather) {
+            check_address(&address, gather);
+            places.push(address.span());
+            upstreams.push(UpstreamEntry {
+                upstream: UpstreamId::from(*address.get_ref()),
+                failure_domain: FailureDomain::from(name),
+            });
+        }
+    }
+    if upstreams.is_empty() {
+        let message = format!("{} has no upstream", section.label);
+        gather.add(
+            value.span(),
+            FaultKind::MissingKey,
+            message,
+            format!("write `{example}`"),
+        );
+    }
+    (upstreams, places)
+}
+
+fn check_address(address: &Spanned<&str>, gather: &mut Gather<'_>) {
+    let written = address.get_ref();
+    if written
+        .parse::<SocketAddr>()
+        .is_ok_and(|address| address.port() != 0)
+    {
+        return;
+    }
+    let message = format!("`{written}` is not an address");
+    let fix = "write an IP number and a port, such as \"10.0.0.1:9001\"";
+    gather.add(address.span(), FaultKind::BadValue, message, fix);
+}
+
+fn read_kind(
+    section: &mut Table<'_, '_>,
+    is_engine: bool,
+    context: &ServiceContext<'_>,
+    gather: &mut Gather<'_>,
+) -> (ServiceKind, Range<usize>) {
+    if !is_engine {
+        return (ServiceKind::Plain, section.span.clone());
+    }
+    let base_model = section
+        .require("base_model", "base_model = \"the-model\"", gather)
+        .and_then(|value| string("base_model", value, gather))
+        .unwrap_or_default()
+        .to_owned();
+    let checks_fencing = section
+        .require("checks_fencing", "checks_fencing = false", gather)
+        .is_some_and(|_| section.boolean("checks_fencing", false, gather));
+    let adapter_slots = section.integer_u32("adapter_slots", 1..=10_000, ADAPTER_SLOTS, gather);
+    let batch_slots = section.integer_u32("batch_slots", 1..=10_000, BATCH_SLOTS, gather);
+    let ReadAdapters { adapters, at } = adapters::read(section, context.includes, gather);
+    let kind = ServiceKind::Engine {
+        base_model,
+        checks_fencing,
+        adapter_slots,
+        batch_slots,
+        adapters,
+    };
+    (kind, at)
+}
+
+/// Headroom is kept free for urgent work on every upstream. If it takes all places, routine work
+/// never runs, and callers see it wait until its deadline.
+fn check_headroom(service: &Service, at: Range<usize>, gather: &mut Gather<'_>) {
+    let name = &service.name;
+    let places = f64::from(service.in_flight_per_upstream);
+    if (places * (1.0 - service.urgent_headroom)).floor() < 1.0 {
+        let message = format!(
+            "service `{name}`: an urgent_headroom of {} over {places} places leaves routine work nothing",
+            service.urgent_headroom
+        );
+        let highest = ((places - 1.0) / places * 100.0).floor() / 100.0;
+        let fix = format!("write `urgent_headroom = {highest}` or less");
+        gather.add(at.clone(), FaultKind::ImpossibleLimit, message, fix);
+    }
+    if service.urgent_headroom + service.routine_floor > 1.0 {
+        let message = format!(
+            "service `{name}`: urgent_headroom {} and routine_floor {} are over 1 together",
+            service.urgent_headroom, service.routine_floor
+        );
+        let fix = format!(
+            "write `routine_floor = {:.2}` or less",
+            1.0 - service.urgent_headroom
+        );
+        gather.add(at, FaultKind::ImpossibleLimit, message, fix);
+    }
+}
