Speak HTTP to the platform and the upstreams, each request once

The traits of the platform and of the upstreams had no client that speaks to real ones. One small pool of kept HTTP/1.1 connections now carries both. It tells a request of which no byte was written from one that may have arrived, and never sends one again: hyper hands a request back only if it never left the queue in front of a closed connection.

--- /dev/null
+++ b/crates/http-pool/src/connection.rs
@@ -0,0 +1,111 @@
+//! One connection with the task that drives it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
+
+use crate::SendError;
+
+/// The largest read from a connection, in bytes, and with it all that is buffered of an answer.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// How long a kept connection may take to note that its last answer has ended.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(5);
+
+/// A request that was given to a connection and came to nothing.
+pub(crate) enum Failed {
+    /// No byte of it was written; here it is again.
+    Unsent(Box<Request<Full<Bytes>>>),
+    /// Bytes may have been written.
+    MaybeSent,
+}
+
+/// An open connection. Dropping it closes the socket at once, also in the midst of an answer.
+pub(crate) struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    /// When the last answer on it ended.
+    pub(crate) idle_since: Instant,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    pub(crate) async fn open(
+        address: &str,
+        connect_timeout: Duration,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<Self, SendError> {
+        let open = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            http1::Builder::new()
+                .max_buf_size(READ_BUFFER_BYTES)
+                .handshake(TokioIo::new(stream))
+                .await
+                .ok()
+        };
+        let (sender, driver) = timeout(connect_timeout, open)
+            .await
+            .ok()
+            .flatten()
+            .ok_or(SendError::NotSent)?;
+        Ok(Self {
+            sender,
+            driver: tokio::spawn(async move {
+                // A failure reaches whoever waits for the answer; nobody else needs it.
+                let _ = driver.await;
+            }),
+            idle_since: Instant::now(),
+            _permit: permit,
+        })
+    }
+
+    /// Whether the other end has closed, as far as is known.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Whether a kept connection can carry the next request.
+    ///
+    /// Its driver may still be about to note that the last answer has ended; that takes one turn of
+    /// the scheduler, so it is waited for, within bounds.
+    pub(crate) async fn is_usable(&mut self) -> bool {
+        matches!(
+            timeout(SETTLE_TIMEOUT, self.sender.ready()).await,
+            Ok(Ok(()))
+        )
+    }
+
+    /// Sends `request` once.
+    ///
+    /// A kept connection may have been closed by the other end without our knowing. It shows as an
+    /// error on the next request, and a client that then sends again by itself runs a booking
+    /// twice when only the answer was lost. hyper hands the request back only if it never left the
+    /// queue in front of the connection, so not a byte of it was written; that alone is reported
+    /// as [`Failed::Unsent`].
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failed> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| match error.take_message() {
+            Some(request) => Failed::Unsent(Box::new(request)),
+            None => Failed::MaybeSent,
+        })
+    }
+}
--- /dev/null
+++ b/crates/http-pool/src/lib.rs
@@ -0,0 +1,15 @@
+//! Kept HTTP/1.1 connections, shared by the clients of the platform and of the upstreams.
+//!
+//! [`Pool::send`] decides which connection a request takes and says, when it fails, whether a byte
+//! of the request may have been sent ([`SendError`]). It never sends a request a second time, never
+//! makes one wait for a connection, and knows nothing about what the requests mean.
+//! Start at [`Pool`].
+
+mod connection;
+mod pool;
+mod pooled_body;
+mod send_error;
+
+pub use pool::{Pool, PoolSettings};
+pub use pooled_body::PooledBody;
+pub use send_error::SendError;
--- /dev/null
+++ b/crates/http-pool/src/pool.rs
@@ -0,0 +1,211 @@
+//! The pool of connections.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+use crate::connection::{Connection, Failed};
+use crate::{PooledBody, SendError};
+
+/// How a [`Pool`] keeps connections.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// How long opening a connection may take.
+    pub connect_timeout: Duration,
+    /// How long a connection is kept without use.
+    pub idle_timeout: Duration,
+    /// How many connections without use are kept for one address.
+    pub idle_per_address: usize,
+    /// How many connections one address may have, in use or kept.
+    pub connections_per_address: usize,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            idle_timeout: Duration::from_secs(30),
+            idle_per_address: 16,
+            connections_per_address: 1024,
+        }
+    }
+}
+
+/// Kept HTTP/1.1 connections by address.
+///
+/// A request takes a kept connection or opens one; it never waits for another request's connection.
+///
+/// ```no_run
+/// # async fn example() -> Result<(), nutmegsail_http_pool::SendError> {
+/// use nutmegsail_http_pool::{Pool, PoolSettings};
+///
+/// let pool = Pool::new(PoolSettings::default());
+/// let request = http::Request::get("/v1/vms").body(Default::default()).unwrap();
+/// let answer = pool.send("127.0.0.1:7000", request).await?;
+/// assert_eq!(answer.status(), 200);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+/// What the pool's handles and the answers under way share.
+pub(crate) struct Shared {
+    settings: PoolSettings,
+    hosts: Mutex<HashMap<Arc<str>, Host>>,
+}
+
+/// The connections of one address.
+struct Host {
+    idle: Vec<Connection>,
+    free: Arc<Semaphore>,
+}
+
+impl std::fmt::Debug for Pool {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Pool")
+            .field("settings", &self.shared.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Pool {
+    /// An empty pool. Connections are driven by the tokio runtime that [`send`](Self::send) runs in.
+    ///
+    /// ```
+    /// use nutmegsail_http_pool::{Pool, PoolSettings};
+    /// let pool = Pool::new(PoolSettings { idle_per_address: 2, ..PoolSettings::default() });
+    /// assert!(format!("{pool:?}").contains("idle_per_address: 2"));
+    /// ```
+    pub fn new(settings: PoolSettings) -> Self {
+        let hosts = Mutex::default();
+        Self {
+            shared: Arc::new(Shared { settings, hosts }),
+        }
+    }
+
+    /// Sends `request` to `address` (`host:port`) once and returns the head of the answer.
+    ///
+    /// The `host` header is added. Dropping the future, or the answer before its end, closes the
+    /// connection. How long the answer may take is the caller's to bound.
+    ///
+    /// # Errors
+    ///
+    /// See [`SendError`]: only [`SendError::Broken`] may have reached the other end.
+    pub async fn send(
+        &self,
+        address: &str,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>, SendError> {
+        if let Ok(host) = address.parse() {
+            request
+                .headers_mut()
+                .entry(http::header::HOST)
+                .or_insert(host);
+        }
+        while let Some(mut connection) = self.shared.take_idle(address) {
+            if !connection.is_usable().await {
+                continue;
+            }
+            match self.send_on(connection, address, request).await {
+                Ok(answer) => return Ok(answer),
+                Err(Failed::Unsent(unsent)) => request = *unsent,
+                Err(Failed::MaybeSent) => return Err(SendError::Broken),
+            }
+        }
+        let permit = self.shared.permit(address)?;
+        let connect_timeout = self.shared.settings.connect_timeout;
+        let connection = Connection::open(address, connect_timeout, permit).await?;
+        let answer = self.send_on(connection, address, request).await;
+        answer.map_err(|failed| match failed {
+            Failed::Unsent(_) => SendError::NotSent,
+            Failed::MaybeSent => SendError::Broken,
+        })
+    }
+
+    async fn send_on(
+        &self,
+        mut connection: Connection,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>, Failed> {
+        let answer = connection.send(request).await?;
+        let home = Home {
+            shared: Arc::downgrade(&self.shared),
+            address: address.into(),
+        };
+        Ok(answer.map(|body| PooledBody::new(body, connection, home)))
+    }
+}
+
+impl Shared {
+    fn take_idle(&self, address: &str) -> Option<Connection> {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        let host = hosts.get_mut(address)?;
+        host.drop_unusable(self.settings.idle_timeout);
+        // The one used last is the least likely to have been closed meanwhile.
+        host.idle.pop()
+    }
+
+    fn permit(&self, address: &str) -> Result<OwnedSemaphorePermit, SendError> {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        let limit = self.settings.connections_per_address;
+        if !hosts.contains_key(address) {
+            // VMs come and go all day; addresses without a connection are forgotten.
+            hosts.retain(|_, host| host.is_connected(&self.settings));
+            let host = Host {
+                idle: Vec::new(),
+                free: Arc::new(Semaphore::new(limit)),
+            };
+            hosts.insert(address.into(), host);
+        }
+        let free = Arc::clone(&hosts[address].free);
+        free.try_acquire_owned().map_err(|_| SendError::AtLimit)
+    }
+
+    fn keep(&self, address: &str, mut connection: Connection) {
+        connection.idle_since = Instant::now();
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(host) = hosts.get_mut(address) else {
+            return;
+        };
+        if host.idle.len() < self.settings.idle_per_address {
+            host.idle.push(connection);
+        }
+    }
+}
+
+impl Host {
+    fn drop_unusable(&mut self, idle_timeout: Duration) {
+        let oldest = Instant::now().checked_sub(idle_timeout);
+        let is_fresh = |kept: &Connection| oldest.is_none_or(|at| kept.idle_since >= at);
+        self.idle.retain(|kept| !kept.is_closed() && is_fresh(kept));
+    }
+
+    fn is_connected(&mut self, settings: &PoolSettings) -> bool {
+        self.drop_unusable(settings.idle_timeout);
+        self.free.available_permits() < settings.connections_per_address
+    }
+}
+
+/// Where a connection goes back to when its answer has ended.
+pub(crate) struct Home {
+    shared: Weak<Shared>,
+    address: Arc<str>,
+}
+
+impl Home {
+    pub(crate) fn keep(&self, connection: Connection) {
+        if let Some(shared) = self.shared.upgrade() {
+            shared.keep(&self.address, connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http_call.rs
@@ -0,0 +1,86 @@
+//! One HTTP call to the platform, with what is known when it fails.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use nutmegsail_http_pool::{Pool, SendError};
+use tokio::time::timeout;
+
+/// The largest answer that is read, in bytes. A page of values is far below.
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// Nothing was sent.
+    NotSent,
+    /// The call may have arrived; no whole answer came back.
+    NoAnswer,
+}
+
+/// A whole answer.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// A call to be made.
+pub(crate) struct Call {
+    method: Method,
+    path_and_query: String,
+    body: Bytes,
+}
+
+impl Call {
+    pub(crate) fn new(method: Method, path_and_query: impl Into<String>) -> Self {
+        Self {
+            method,
+            path_and_query: path_and_query.into(),
+            body: Bytes::new(),
+        }
+    }
+
+    pub(crate) fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Makes the call once, within `deadline` from sending to the last byte of the answer.
+    ///
+    /// A frozen service keeps its connections open and says nothing, so only the timeout ends such
+    /// a call; what it may have done is unknown then.
+    pub(crate) async fn send(
+        self,
+        pool: &Pool,
+        address: &str,
+        deadline: Duration,
+    ) -> Result<Answer, CallError> {
+        let request = Request::builder()
+            .method(self.method)
+            .uri(self.path_and_query)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(self.body))
+            .map_err(|_| CallError::NotSent)?;
+        let exchange = async {
+            let answer = pool
+                .send(address, request)
+                .await
+                .map_err(|error| match error {
+                    SendError::NotSent | SendError::AtLimit => CallError::NotSent,
+                    SendError::Broken => CallError::NoAnswer,
+                })?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), ANSWER_LIMIT_BYTES)
+                .collect()
+                .await
+                .map_err(|_| CallError::NoAnswer)?
+                .to_bytes();
+            Ok(Answer { status, body })
+        };
+        timeout(deadline, exchange)
+            .await
+            .unwrap_or(Err(CallError::NoAnswer))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/key_value_json.rs
@@ -0,0 +1,139 @@
+//! The JSON that the key-value service speaks.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{Change, Changes, Item, LeaseId, Page, Revision, Txn};
+
+#[derive(Deserialize)]
+pub(crate) struct ItemJson {
+    key: Arc<str>,
+    value: String,
+    revision: Revision,
+    #[serde(default)]
+    lease: LeaseId,
+}
+
+impl From<ItemJson> for Item {
+    fn from(json: ItemJson) -> Self {
+        Self {
+            key: json.key,
+            value: Bytes::from(json.value),
+            revision: json.revision,
+            lease: json.lease,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct PageJson {
+    items: Vec<ItemJson>,
+    has_more: bool,
+    revision: Revision,
+}
+
+impl From<PageJson> for Page {
+    fn from(json: PageJson) -> Self {
+        Self {
+            items: json.items.into_iter().map(Item::from).collect(),
+            has_more: json.has_more,
+            revision: json.revision,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ChangeJson {
+    Put(ItemJson),
+    Removed { key: Arc<str>, revision: Revision },
+}
+
+impl From<ChangeJson> for Change {
+    fn from(json: ChangeJson) -> Self {
+        match json {
+            ChangeJson::Put(item) => Self::Put(item.into()),
+            ChangeJson::Removed { key, revision } => Self::Removed { key, revision },
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ChangesJson {
+    changes: Vec<ChangeJson>,
+    revision: Revision,
+}
+
+impl From<ChangesJson> for Changes {
+    fn from(json: ChangesJson) -> Self {
+        Self {
+            changes: json.changes.into_iter().map(Change::from).collect(),
+            revision: json.revision,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ConflictJson {
+    pub(crate) current: Vec<ItemJson>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct CommittedJson {
+    pub(crate) revision: Revision,
+}
+
+#[derive(Serialize)]
+pub(crate) struct GrantJson {
+    pub(crate) ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct GrantedJson {
+    pub(crate) lease: LeaseId,
+    pub(crate) ttl_ms: u64,
+}
+
+#[derive(Serialize)]
+struct ExpectJson<'a> {
+    key: &'a str,
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct PutJson<'a> {
+    key: &'a str,
+    value: &'a str,
+    lease: LeaseId,
+}
+
+#[derive(Serialize)]
+pub(crate) struct TxnJson<'a> {
+    expects: Vec<ExpectJson<'a>>,
+    puts: Vec<PutJson<'a>>,
+    removes: &'a [Arc<str>],
+}
+
+impl<'a> TxnJson<'a> {
+    /// The transaction as JSON; an error if a value is not UTF-8, since values travel as text.
+    pub(crate) fn new(txn: &'a Txn) -> Result<Self, std::str::Utf8Error> {
+        let expects = txn.expects.iter().map(|expect| ExpectJson {
+            key: &expect.key,
+            revision: expect.revision,
+        });
+        let puts = txn.puts.iter().map(|put| {
+            Ok(PutJson {
+                key: &put.key,
+                value: std::str::from_utf8(&put.value)?,
+                lease: put.lease,
+            })
+        });
+        Ok(Self {
+            expects: expects.collect(),
+            puts: puts.collect::<Result<_, _>>()?,
+            removes: &txn.removes,
+        })
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,13 +1,23 @@
 //! The platform as nutmegsail sees it: the key-value service and the VM list.
 //!
-//! [`KeyValue`] and [`VmList`] are the traits that everything else uses.
-//! This crate translates and decides nothing.
+//! [`KeyValue`] and [`VmList`] are the traits that everything else uses; [`HttpKeyValue`] and
+//! [`HttpVmList`] speak to the platform. This crate translates and decides nothing; above all it
+//! never sends a write a second time by itself. Start at [`KeyValue`].
 
+mod http_call;
+mod http_key_value;
+mod http_vm_list;
 mod key_value;
+mod key_value_json;
+mod platform_settings;
 mod vm_list;
 
+pub use http_key_value::HttpKeyValue;
+pub use http_vm_list::HttpVmList;
+
 pub use key_value::{
     Change, Changes, Expect, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Put,
     Revision, Txn,
 };
+pub use platform_settings::PlatformSettings;
 pub use vm_list::{Vm, VmDuty, VmList, VmListError, VmState};
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -55,7 +55,8 @@
     pub reason: String,
 }
 
-/// An answer under way. Dropping it cancels the run at the engine.
+/// An answer under way. Dropping it closes the connection; the engine then ends the run, at once or,
+/// if it was asked to keep runs for a resume, after a while. [`Engine::cancel`] ends it for certain.
 pub struct EngineStream {
     /// The engine's incarnation that runs the request.
     pub incarnation: Incarnation,
