--- /dev/null
+++ b/crates/fakes/src/http_server.rs
@@ -0,0 +1,156 @@
+//! A small HTTP/1.1 server on loopback, shared by the stand-ins.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use nutmegsail_upstream::UpstreamError;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+
+/// The body type of every answer.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, UpstreamError>;
+
+/// What a handler does with a request.
+#[derive(Debug)]
+pub enum HttpReply {
+    /// It answers.
+    Answer(Response<UnsyncBoxBody<Bytes, UpstreamError>>),
+    /// It closes the connection unanswered.
+    Cut,
+}
+
+impl HttpReply {
+    pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Self {
+        let bytes = serde_json::to_vec(body).unwrap_or_default();
+        let mut response = Response::new(full_body(bytes));
+        *response.status_mut() = status;
+        let json = http::HeaderValue::from_static("application/json");
+        response
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, json);
+        Self::Answer(response)
+    }
+
+    pub(crate) fn status(status: StatusCode) -> Self {
+        let mut response = Response::new(full_body(Bytes::new()));
+        *response.status_mut() = status;
+        Self::Answer(response)
+    }
+
+    /// Refuses with 503 and states that the request did not run.
+    pub(crate) fn not_run(reason: &'static str) -> Self {
+        let mut response = Response::new(full_body(Bytes::new()));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let headers = response.headers_mut();
+        headers.insert("x-not-run", http::HeaderValue::from_static("true"));
+        headers.insert("x-reason", http::HeaderValue::from_static(reason));
+        Self::Answer(response)
+    }
+}
+
+pub(crate) fn full_body(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+/// A running server. Dropping it closes the listener and all connections.
+#[derive(Debug)]
+pub struct HttpServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    accepting: JoinHandle<()>,
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+/// A listener on a free port of loopback.
+///
+/// # Errors
+///
+/// When no port can be bound.
+pub async fn loopback() -> std::io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
+}
+
+/// Serves `handler` on `listener`.
+///
+/// # Errors
+///
+/// When the listener's address can't be read.
+pub fn serve<H, F>(listener: TcpListener, handler: H) -> std::io::Result<HttpServer>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = HttpReply> + Send + 'static,
+{
+    let address = listener.local_addr()?;
+    let accepting = tokio::spawn(accept_loop(listener, Arc::new(handler)));
+    Ok(HttpServer { address, accepting })
+}
+
+async fn accept_loop<H, F>(listener: TcpListener, handler: Arc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = HttpReply> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                connections.spawn(serve_connection(stream, Arc::clone(&handler)));
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: Arc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = HttpReply> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let reply = handler(request);
+        async move {
+            match reply.await {
+                HttpReply::Answer(response) => Ok(response),
+                HttpReply::Cut => Err(UpstreamError::Broken),
+            }
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // A broken connection is the client's to notice.
+    let _ = connection.await;
+}
+
+/// Reads a whole body; a sender that breaks off gives none.
+pub(crate) async fn read_body(body: Incoming) -> Option<Bytes> {
+    body.collect().await.ok().map(|whole| whole.to_bytes())
+}
+
+pub(crate) fn query_value(query: Option<&str>, name: &str) -> Option<String> {
+    form_urlencoded::parse(query?.as_bytes())
+        .find(|(key, _)| key == name)
+        .map(|(_, value)| value.into_owned())
+}
+
+pub(crate) fn header<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
--- /dev/null
+++ b/crates/fakes/src/vm_list.rs
@@ -0,0 +1,136 @@
+//! The stand-in for the platform's list of VMs.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use nutmegsail_base::Clock;
+use nutmegsail_platform::{Vm, VmList, VmListError, VmState};
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::Knobs;
+use crate::http_server::{HttpReply, HttpServer, serve};
+
+/// How long a caller in memory waits on a silent platform before it gives up.
+const GIVES_UP_AFTER: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct VmListState {
+    knobs: Knobs,
+    lag: Duration,
+    /// The lists over time, the oldest that may still be shown first.
+    versions: VecDeque<(Instant, Vec<Vm>)>,
+}
+
+/// A list of VMs whose changes appear only after a lag.
+#[derive(Debug)]
+pub struct FakeVmList {
+    clock: Arc<dyn Clock>,
+    state: Mutex<VmListState>,
+}
+
+impl FakeVmList {
+    /// A list that has shown `vms` for ever.
+    pub fn new(clock: Arc<dyn Clock>, lag: Duration, vms: Vec<Vm>) -> Self {
+        let versions = VecDeque::from([(clock.now(), vms)]);
+        let state = Mutex::new(VmListState {
+            knobs: Knobs::default(),
+            lag,
+            versions,
+        });
+        Self { clock, state }
+    }
+
+    /// Replaces the failures to show.
+    pub fn set_knobs(&self, knobs: Knobs) {
+        self.lock().knobs = knobs;
+    }
+
+    /// Replaces the list; readers see it after the lag.
+    pub fn set(&self, vms: Vec<Vm>) {
+        let now = self.clock.now();
+        self.lock().versions.push_back((now, vms));
+    }
+
+    /// Changes one VM, or takes it away with no state; readers see it after the lag.
+    pub fn set_state(&self, id: &str, vm_state: Option<VmState>) {
+        let mut vms = self.newest();
+        vms.retain(|vm| vm_state.is_some() || vm.id.as_str() != id);
+        for vm in vms.iter_mut().filter(|vm| vm.id.as_str() == id) {
+            vm.state = vm_state.unwrap_or(vm.state);
+        }
+        self.set(vms);
+    }
+
+    /// The list as it really is.
+    pub fn newest(&self) -> Vec<Vm> {
+        let state = self.lock();
+        let newest = state.versions.back();
+        newest.map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+
+    /// Serves the list over HTTP.
+    ///
+    /// # Errors
+    ///
+    /// When the listener's address can't be read.
+    pub fn serve_http(self: &Arc<Self>, listener: TcpListener) -> std::io::Result<HttpServer> {
+        let list = Arc::clone(self);
+        serve(listener, move |request| handle(Arc::clone(&list), request))
+    }
+
+    fn shown(&self) -> Vec<Vm> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let lag = state.lag;
+        while state
+            .versions
+            .get(1)
+            .is_some_and(|(at, _)| *at + lag <= now)
+        {
+            state.versions.pop_front();
+        }
+        let shown = state.versions.front();
+        shown.map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VmListState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl VmList for FakeVmList {
+    async fn list(&self) -> Result<Vec<Vm>, VmListError> {
+        let knobs = self.lock().knobs.clone();
+        if knobs.silent {
+            tokio::time::sleep(GIVES_UP_AFTER).await;
+        }
+        if knobs.silent || knobs.outage {
+            return Err(VmListError::Unavailable);
+        }
+        if knobs.delay_ms > 0 {
+            tokio::time::sleep(knobs.delay()).await;
+        }
+        Ok(self.shown())
+    }
+}
+
+pub(crate) async fn handle(list: Arc<FakeVmList>, request: Request<Incoming>) -> HttpReply {
+    if request.method() != Method::GET || request.uri().path() != "/v1/vms" {
+        return HttpReply::status(StatusCode::NOT_FOUND);
+    }
+    let is_silent = list.lock().knobs.silent;
+    if is_silent {
+        // Hangs until the client closes the connection.
+        std::future::pending::<()>().await;
+    }
+    match list.list().await {
+        Ok(vms) => HttpReply::json(StatusCode::OK, &json!({ "vms": vms })),
+        Err(_) => HttpReply::status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
