--- /dev/null
+++ b/crates/config/src/derivation.rs
@@ -0,0 +1,165 @@
+//! How a call came to its class, deadline and slack.
+
+use std::time::Duration;
+
+use nutmegsail_base::{CallName, Class, ServiceName};
+use serde::Serialize;
+
+use crate::millis;
+
+/// A call's class, deadline and slack, with each step that led there.
+///
+/// [`std::fmt::Display`] prints one line a step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Derivation {
+    /// The service that is called.
+    pub service: ServiceName,
+    /// The call, or none for requests that name no call.
+    pub call: Option<CallName>,
+    /// The steps in order.
+    pub steps: Vec<DerivationStep>,
+    /// The class that routing uses.
+    pub class: Class,
+    /// The whole time that the caller waits.
+    #[serde(rename = "deadline_ms", serialize_with = "millis::serialize")]
+    pub deadline: Duration,
+    /// The time to first token or first byte to aim for.
+    #[serde(rename = "target_ms", serialize_with = "millis::serialize")]
+    pub target: Duration,
+    /// How long the request may wait if everything after it meets its target. Queues order by it.
+    #[serde(rename = "slack_ms", serialize_with = "millis::serialize")]
+    pub slack: Duration,
+}
+
+/// One step of a [`Derivation`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "step", rename_all = "snake_case")]
+pub enum DerivationStep {
+    /// What the text says of the call itself.
+    Declared {
+        /// The class.
+        class: Class,
+        /// The deadline.
+        #[serde(rename = "deadline_ms", serialize_with = "millis::serialize")]
+        deadline: Duration,
+        /// The target.
+        #[serde(rename = "target_ms", serialize_with = "millis::serialize")]
+        target: Duration,
+    },
+    /// The call is made on behalf of this service, whose class and deadline are passed down.
+    OnBehalfOf {
+        /// The service where the chain begins.
+        service: ServiceName,
+        /// Its class.
+        class: Class,
+        /// Its deadline.
+        #[serde(rename = "deadline_ms", serialize_with = "millis::serialize")]
+        deadline: Duration,
+    },
+    /// The chain passes this service, which spends its target.
+    Spends {
+        /// The service.
+        service: ServiceName,
+        /// Its class.
+        class: Class,
+        /// Its target.
+        #[serde(rename = "target_ms", serialize_with = "millis::serialize")]
+        target: Duration,
+        /// What is left of the deadline after it.
+        #[serde(rename = "left_ms", serialize_with = "millis::serialize")]
+        left: Duration,
+    },
+    /// The longest chain of targets below the called service.
+    ChainBelow {
+        /// The services of the chain, the nearest first.
+        services: Vec<ServiceName>,
+        /// The sum of their targets.
+        #[serde(rename = "targets_ms", serialize_with = "millis::serialize")]
+        targets: Duration,
+    },
+    /// What a call on behalf of this service would inherit.
+    WouldInherit {
+        /// A service that depends on the called one.
+        service: ServiceName,
+        /// The class that it passes down.
+        class: Class,
+        /// The deadline that it passes down.
+        #[serde(rename = "deadline_ms", serialize_with = "millis::serialize")]
+        deadline: Duration,
+    },
+}
+
+impl std::fmt::Display for DerivationStep {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Declared {
+                class,
+                deadline,
+                target,
+            } => write!(
+                f,
+                "declared: {class}, deadline {} ms, target {} ms",
+                millis::of(*deadline),
+                millis::of(*target)
+            ),
+            Self::OnBehalfOf {
+                service,
+                class,
+                deadline,
+            } => write!(
+                f,
+                "on behalf of {service}: {class}, deadline {} ms",
+                millis::of(*deadline)
+            ),
+            Self::Spends {
+                service,
+                class,
+                target,
+                left,
+            } => write!(
+                f,
+                "through {service} ({class}): spends its target of {} ms, {} ms left",
+                millis::of(*target),
+                millis::of(*left)
+            ),
+            Self::ChainBelow { services, targets } => {
+                let names: Vec<&str> = services.iter().map(ServiceName::as_str).collect();
+                let names = names.join(" -> ");
+                write!(
+                    f,
+                    "below it: {names}, targets of {} ms",
+                    millis::of(*targets)
+                )
+            }
+            Self::WouldInherit {
+                service,
+                class,
+                deadline,
+            } => write!(
+                f,
+                "called on behalf of {service} it would be {class}, deadline {} ms",
+                millis::of(*deadline)
+            ),
+        }
+    }
+}
+
+impl std::fmt::Display for Derivation {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.call {
+            Some(call) => writeln!(f, "{} / {call}", self.service)?,
+            None => writeln!(f, "{}", self.service)?,
+        }
+        for step in &self.steps {
+            writeln!(f, "  {step}")?;
+        }
+        write!(
+            f,
+            "  so: {}, deadline {} ms, target {} ms, slack {} ms",
+            self.class,
+            millis::of(self.deadline),
+            millis::of(self.target),
+            millis::of(self.slack)
+        )
+    }
+}
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -14,7 +14,7 @@
     /// The text is not TOML.
     Syntax,
     /// The text is not UTF-8.
-    BadUtf8,
+    Encoding,
     /// The text is larger than the platform's values allow.
     TooLarge,
     /// A key that nothing reads.
@@ -47,7 +47,7 @@
     /// Every kind, for the operators' reference.
     pub const ALL: [Self; 15] = [
         Self::Syntax,
-        Self::BadUtf8,
+        Self::Encoding,
         Self::TooLarge,
         Self::UnknownKey,
         Self::MissingKey,
--- a/crates/config/src/operators_text.rs
+++ b/crates/config/src/operators_text.rs
@@ -51,7 +51,7 @@
     /// Takes bytes as they came from a file or a caller.
     ///
     /// # Errors
-    /// [`FaultKind::BadUtf8`] with the line and column of the first byte that is not UTF-8.
+    /// [`FaultKind::Encoding`] with the line and column of the first byte that is not UTF-8.
     pub fn from_bytes(file: &str, bytes: &[u8]) -> Result<Self, Faults> {
         match std::str::from_utf8(bytes) {
             Ok(text) => Ok(Self::new(file, text)),
@@ -119,7 +119,7 @@
     let line = before.matches('\n').count() + 1;
     let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
     Faults(vec![Fault {
-        kind: FaultKind::BadUtf8,
+        kind: FaultKind::Encoding,
         file: file.into(),
         line: u32::try_from(line).unwrap_or(u32::MAX),
         column: u32::try_from(column).unwrap_or(u32::MAX),
--- a/crates/config/src/text/adapters.rs
+++ b/crates/config/src/text/adapters.rs
@@ -32,6 +32,7 @@
 ) -> ReadAdapters {
     let mut found = BTreeMap::new();
     let mut at = section.span.clone();
+    let faults_before = gather.count();
     if let Some(value) = section.read("adapters") {
         at = value.span();
         read_list(value, &mut found, gather);
@@ -48,7 +49,7 @@
             read_include(&name, includes, &mut found, gather);
         }
     }
-    if found.is_empty() {
+    if found.is_empty() && gather.count() == faults_before {
         let message = format!("{} has no adapters", section.label);
         let fix = format!("write `{EXAMPLE}`");
         gather.add(at.clone(), FaultKind::MissingKey, message, fix);
--- a/crates/config/src/text/gather.rs
+++ b/crates/config/src/text/gather.rs
@@ -52,6 +52,10 @@
         self.faults.is_empty()
     }
 
+    pub(super) fn count(&self) -> usize {
+        self.faults.len()
+    }
+
     /// Takes over the faults of an included file.
     pub(super) fn absorb(&mut self, other: Gather<'_>) {
         self.faults.extend(other.faults);
--- a/crates/config/src/text/top.rs
+++ b/crates/config/src/text/top.rs
@@ -162,7 +162,10 @@
         retention.as_millis(),
         skew.as_millis()
     );
-    let fix = "write a retention well above the skew, such as 86400000";
+    let fix = format!(
+        "write `claim_retention_ms = {}` or more",
+        2 * skew.as_millis()
+    );
     gather.add(at..at, FaultKind::ImpossibleLimit, message, fix);
 }
 
