Add the router: scores, classes, queues, limits and retries

A pure core that turns arrivals, outcomes, reports and plans into dispatches, refusals and wishes for adapters. Each service and class has its own queue with a lane for each adapter; a few candidates are drawn at random and scored in seconds of expected wait; second sends are paid from a budget.

--- /dev/null
+++ b/crates/routing/benches/decision.rs
@@ -0,0 +1,3 @@
+//! Time of one decision at the two-year size.
+
+fn main() {}
--- /dev/null
+++ b/crates/routing/src/replan.rs
@@ -0,0 +1,128 @@
+//! A new generation of the operators' text.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use nutmegsail_base::{Class, RequestId, ResultCode};
+use rand::Rng;
+
+use crate::service_state::ServiceState;
+use crate::upstream_state::UpstreamState;
+use crate::{Router, RoutingAction, RoutingPlan, ServicePlan};
+
+impl Router {
+    pub(crate) fn replan(
+        &mut self,
+        plan: Arc<RoutingPlan>,
+        now: Instant,
+        rng: &mut dyn Rng,
+        actions: &mut Vec<RoutingAction>,
+    ) {
+        // Against a late message that would bring back a former text.
+        if plan.generation < self.plan.generation {
+            return;
+        }
+        self.unlist();
+        for service in &plan.services {
+            self.list(service, &plan);
+        }
+        self.plan = plan;
+        self.drop_idle();
+        for service in 0..self.services.len() {
+            self.count_reachable(service);
+        }
+        self.refuse_unlisted(rng, actions);
+        for upstream in 0..self.upstreams.len() {
+            self.fill(upstream, now, actions);
+        }
+    }
+
+    fn unlist(&mut self) {
+        for service in &mut self.services {
+            service.is_listed = false;
+            service.own.clear();
+            service.foreign.clear();
+        }
+        for upstream in &mut self.upstreams {
+            upstream.is_listed = false;
+        }
+    }
+
+    fn list(&mut self, service: &ServicePlan, plan: &RoutingPlan) {
+        let known = self.service_by_name.get(&service.name).copied();
+        let index = known.unwrap_or(self.services.len());
+        if known.is_none() {
+            let state = ServiceState::new(service.name.clone(), &self.settings);
+            self.services.push(state);
+            self.service_by_name.insert(service.name.clone(), index);
+        }
+        let ratio = service.retry_budget.min(self.settings.retry_ratio_max);
+        let state = &mut self.services[index];
+        state.is_listed = true;
+        state.budget.set_ratio(ratio);
+        state.plan = ServicePlan {
+            upstreams: Vec::new(),
+            ..service.clone()
+        };
+        for upstream in &service.upstreams {
+            let is_own = upstream.failure_domain == plan.own_domain;
+            let member = self.list_upstream(&upstream.upstream, index);
+            let target = &mut self.upstreams[member];
+            target.is_listed = true;
+            target.is_own = is_own;
+            target.places = service.in_flight_per_upstream.max(1);
+            target.headroom = service.headroom_places();
+            let state = &mut self.services[index];
+            let members = if is_own {
+                &mut state.own
+            } else {
+                &mut state.foreign
+            };
+            members.push(member as u32);
+        }
+    }
+
+    fn list_upstream(&mut self, id: &nutmegsail_base::UpstreamId, service: usize) -> usize {
+        if let Some(index) = self.upstream_by_id.get(id).copied() {
+            self.upstreams[index].service = service;
+            return index;
+        }
+        let state = UpstreamState::new(id.clone(), service);
+        let idle = self.upstreams.iter().position(UpstreamState::is_unused);
+        let index = idle.unwrap_or(self.upstreams.len());
+        match idle {
+            Some(index) => self.upstreams[index] = state,
+            None => self.upstreams.push(state),
+        }
+        self.upstream_by_id.insert(id.clone(), index);
+        index
+    }
+
+    /// Frees what is known of upstreams that are not listed any more and have nothing in flight.
+    fn drop_idle(&mut self) {
+        for index in 0..self.upstreams.len() {
+            let state = &mut self.upstreams[index];
+            if state.is_listed || state.own_in_flight() > 0 {
+                continue;
+            }
+            let id = state.id.clone();
+            for held in std::mem::take(&mut state.held) {
+                self.adapters.set(&held.adapter, index, None);
+            }
+            if self.upstream_by_id.get(&id) == Some(&index) {
+                self.upstream_by_id.remove(&id);
+            }
+            self.upstreams[index].is_dropped = true;
+        }
+    }
+
+    fn refuse_unlisted(&mut self, rng: &mut dyn Rng, actions: &mut Vec<RoutingAction>) {
+        let unlisted = self.services.iter().filter(|service| !service.is_listed);
+        let queues = unlisted.flat_map(|s| Class::ALL.map(|class| s.queue(class)));
+        let requests: Vec<RequestId> = queues.flat_map(|q| q.requests()).cloned().collect();
+        for request in &requests {
+            let retry_after = self.retry_after(self.settings.retry_after_max, rng);
+            self.finish(request, ResultCode::NoUpstream, retry_after, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/service_state.rs
@@ -0,0 +1,130 @@
+//! What the router knows of one service.
+
+use std::time::Duration;
+
+use nutmegsail_base::{Class, ServiceName};
+
+use crate::class_queue::ClassQueue;
+use crate::retry_budget::RetryBudget;
+use crate::routine_floor::RoutineFloor;
+use crate::{RouterSettings, ServicePlan};
+
+/// A duration's mean and mean deviation, both decaying.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Expected {
+    mean_s: f64,
+    deviation_s: f64,
+    is_known: bool,
+}
+
+impl Expected {
+    pub(crate) fn observe(&mut self, duration: Duration) {
+        const MEAN_WEIGHT: f64 = 0.05;
+        const DEVIATION_WEIGHT: f64 = 0.1;
+        let seen_s = duration.as_secs_f64();
+        if !self.is_known {
+            *self = Self {
+                mean_s: seen_s,
+                deviation_s: seen_s / 2.0,
+                is_known: true,
+            };
+            return;
+        }
+        let off = seen_s - self.mean_s;
+        self.mean_s += MEAN_WEIGHT * off;
+        self.deviation_s += DEVIATION_WEIGHT * (off.abs() - self.deviation_s);
+    }
+
+    pub(crate) fn mean_s(&self) -> f64 {
+        self.mean_s
+    }
+
+    /// What a quick one takes: requests are shed by this, so none is shed that could be in time.
+    pub(crate) fn quick(&self) -> Duration {
+        Duration::from_secs_f64((self.mean_s - self.deviation_s).max(0.0))
+    }
+}
+
+/// What the router knows of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) plan: ServicePlan,
+    pub(crate) is_listed: bool,
+    /// Upstreams in this node's failure domain, then those in others.
+    pub(crate) own: Vec<u32>,
+    pub(crate) foreign: Vec<u32>,
+    pub(crate) queues: [ClassQueue; 2],
+    pub(crate) budget: RetryBudget,
+    pub(crate) floor: RoutineFloor,
+    pub(crate) first_byte: [Expected; 2],
+    pub(crate) whole: [Expected; 2],
+    pub(crate) reachable_own: u32,
+    pub(crate) reachable: u32,
+    /// Other nodes' requests on one upstream, on average.
+    pub(crate) usual_others: f64,
+}
+
+/// The time to first byte that is assumed before one has been seen, in seconds.
+const FIRST_BYTE_S: f64 = 0.1;
+
+impl ServiceState {
+    pub(crate) fn new(name: ServiceName, settings: &RouterSettings) -> Self {
+        Self {
+            plan: ServicePlan::new(name),
+            is_listed: true,
+            own: Vec::new(),
+            foreign: Vec::new(),
+            queues: [ClassQueue::default(), ClassQueue::default()],
+            budget: RetryBudget::new(0.0, settings.retry_burst),
+            floor: RoutineFloor::default(),
+            first_byte: [Expected::default(); 2],
+            whole: [Expected::default(); 2],
+            reachable_own: 0,
+            reachable: 0,
+            usual_others: 0.0,
+        }
+    }
+
+    pub(crate) fn queue(&self, class: Class) -> &ClassQueue {
+        &self.queues[class as usize]
+    }
+
+    pub(crate) fn queue_mut(&mut self, class: Class) -> &mut ClassQueue {
+        &mut self.queues[class as usize]
+    }
+
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.queues.iter().any(|queue| !queue.is_empty())
+    }
+
+    /// Seconds to first byte on an upstream without load.
+    pub(crate) fn first_byte_s(&self, class: Class) -> f64 {
+        let seen_s = self.first_byte[class as usize].mean_s();
+        if seen_s > 0.0 { seen_s } else { FIRST_BYTE_S }
+    }
+
+    pub(crate) fn quick_whole(&self, class: Class) -> Duration {
+        self.whole[class as usize].quick()
+    }
+
+    /// Requests that the reachable upstreams finish in a second; `None` before any has finished.
+    pub(crate) fn rate_per_s(&self, class: Class) -> Option<f64> {
+        let mean_s = self.whole[class as usize].mean_s();
+        let reachable = self.reachable_own.max(1);
+        let places = f64::from(reachable) * f64::from(self.plan.in_flight_per_upstream.max(1));
+        (mean_s > 0.0).then(|| places / mean_s)
+    }
+
+    /// How long a new request of `class` is expected to wait for a place.
+    pub(crate) fn expected_wait(&self, class: Class) -> Duration {
+        let urgent = self.queue(Class::Urgent).len();
+        let ahead = match class {
+            Class::Urgent => urgent,
+            Class::Routine => urgent + self.queue(Class::Routine).len(),
+        };
+        let Some(rate_per_s) = self.rate_per_s(class) else {
+            return Duration::ZERO;
+        };
+        Duration::from_secs_f64((ahead as f64 / rate_per_s).min(3_600.0))
+    }
+}
