Serve callers and operators over HTTP

Every refusal is a numbered JSON error. log_event! without key-values recursed without end; its first arm now takes no trailing comma.

--- /dev/null
+++ b/crates/front/src/front.rs
@@ -0,0 +1,196 @@
+//! The listeners of a node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use nutmegsail_base::ResultCode;
+use nutmegsail_telemetry::{Event, log_event};
+use slog::Logger;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::callers_service::CallersService;
+use crate::connection::{Audience, serve};
+use crate::operators_service::OperatorsService;
+use crate::request_fault::RequestFault;
+use crate::watched_io::closing_error;
+use crate::{FrontError, FrontSettings, Handler};
+
+/// How long accepting rests after the operating system refused, such as for want of descriptors.
+const ACCEPT_REST: Duration = Duration::from_millis(20);
+
+/// The listeners of a node, for callers and for operators.
+pub struct Front {
+    callers: Listener,
+    operators: Listener,
+    is_leaving: Arc<AtomicBool>,
+    stop_accepting_after: Duration,
+    log: Logger,
+}
+
+impl Front {
+    /// Listens on both addresses and serves until [`Front::shutdown`].
+    pub async fn bind(
+        settings: FrontSettings,
+        handler: Arc<dyn Handler>,
+        log: Logger,
+    ) -> Result<Self, FrontError> {
+        settings.validate()?;
+        let settings = Arc::new(settings);
+        let is_leaving = Arc::new(AtomicBool::new(false));
+        let callers = Audience::Callers(Arc::new(CallersService {
+            handler: Arc::clone(&handler),
+            settings: Arc::clone(&settings),
+            is_leaving: Arc::clone(&is_leaving),
+            log: log.clone(),
+        }));
+        let operators = Audience::Operators(Arc::new(OperatorsService { handler }));
+        let callers = Listener::bind(settings.callers_address, callers, &settings, &log).await?;
+        let operators =
+            Listener::bind(settings.operators_address, operators, &settings, &log).await?;
+        Ok(Self {
+            callers,
+            operators,
+            is_leaving,
+            stop_accepting_after: settings.stop_accepting_after(),
+            log,
+        })
+    }
+
+    /// Where callers connect; the port is the real one if the settings said 0.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers.address
+    }
+
+    /// Where operators connect.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address
+    }
+
+    /// Leaves without cutting an answer, and says whether everything was finished within `grace`.
+    ///
+    /// `/readyz` fails at once and answers carry `Connection: close`. After
+    /// `stop_accepting_after_ms`, when the balancer has noticed, no connection is taken any more.
+    /// Requests in progress go on to their end, also those that outlast `grace`: then this returns
+    /// false, and may be called again to go on waiting.
+    pub async fn shutdown(&self, grace: Duration) -> bool {
+        if !self.is_leaving.swap(true, Ordering::AcqRel) {
+            log_event!(self.log, Event::NodeLeaving);
+            sleep(self.stop_accepting_after).await;
+        }
+        self.callers.stop();
+        if timeout(grace, self.callers.connections.wait())
+            .await
+            .is_err()
+        {
+            let left = self.callers.connections.len();
+            log_event!(self.log, Event::DrainTimedOut, "connections" => left);
+            return false;
+        }
+        self.operators.stop();
+        timeout(grace, self.operators.connections.wait())
+            .await
+            .is_ok()
+    }
+}
+
+impl Drop for Front {
+    /// Stops accepting. Connections still finish what is in progress.
+    fn drop(&mut self) {
+        self.callers.stop();
+        self.operators.stop();
+    }
+}
+
+struct Listener {
+    address: SocketAddr,
+    stop: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl Listener {
+    async fn bind(
+        address: SocketAddr,
+        audience: Audience,
+        settings: &Arc<FrontSettings>,
+        log: &Logger,
+    ) -> Result<Self, FrontError> {
+        let bind_error = |cause| FrontError::Bind { address, cause };
+        let socket = TcpListener::bind(address).await.map_err(bind_error)?;
+        let address = socket.local_addr().map_err(bind_error)?;
+        log_event!(log, Event::ListenerOpened, "address" => address.to_string());
+        let listener = Self {
+            address,
+            stop: CancellationToken::new(),
+            connections: TaskTracker::new(),
+        };
+        let accepting = Accepting {
+            socket,
+            audience,
+            settings: Arc::clone(settings),
+            stop: listener.stop.clone(),
+            connections: listener.connections.clone(),
+        };
+        listener.connections.spawn(accepting.run());
+        Ok(listener)
+    }
+
+    fn stop(&self) {
+        self.stop.cancel();
+        self.connections.close();
+    }
+}
+
+struct Accepting {
+    socket: TcpListener,
+    audience: Audience,
+    settings: Arc<FrontSettings>,
+    stop: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl Accepting {
+    async fn run(self) {
+        let places = Arc::new(Semaphore::new(self.settings.max_connections));
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.socket.accept() => accepted,
+                () = self.stop.cancelled() => return,
+            };
+            let Ok((stream, peer)) = accepted else {
+                sleep(ACCEPT_REST).await;
+                continue;
+            };
+            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+                self.connections
+                    .spawn(refuse(stream, self.settings.linger()));
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let settings = Arc::clone(&self.settings);
+            let audience = self.audience.clone();
+            let serving = serve(stream, peer.ip(), audience, settings, self.stop.clone());
+            self.connections.spawn(async move {
+                serving.await;
+                drop(place);
+            });
+        }
+    }
+}
+
+/// Refuses a connection that is one too many.
+async fn refuse(mut stream: TcpStream, linger: Duration) {
+    let fault = RequestFault::new(ResultCode::QueueFull, "the node has too many connections");
+    let bytes = closing_error(fault);
+    let _ = timeout(linger, async {
+        let _ = stream.write_all(&bytes).await;
+        stream.shutdown().await
+    })
+    .await;
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -27,7 +27,7 @@
 /// ```
 #[macro_export]
 macro_rules! log_event {
-    ($logger:expr, $event:expr $(,)?) => {
+    ($logger:expr, $event:expr) => {
         $crate::log_event!($logger, $event,)
     };
     ($logger:expr, $event:expr, $($pairs:tt)*) => {{
