Claim the key of a once-only call by compare-and-swap before it runs

Cause: a call declared once must run at most once over all nodes, whatever the store, the network and the processes do. Change: keys with age checks, claim records in bounded chains, group commit by a shard's writer, ambiguous writes read back, recorded answers, tickets, collection.

--- /dev/null
+++ b/crates/idempotency/src/lane.rs
@@ -0,0 +1,316 @@
+//! One chain with the operations that wait for it and the store call under way.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use crate::chain::Chain;
+use crate::queued::{QueuedOperation, Reply};
+use crate::{
+    ChainPlace, ClaimAction, ClaimRecord, ClaimSettings, ClaimToken, OperationResult, StoreFault,
+    StoredRecord, SwapFault,
+};
+
+/// About the size of a stored claim without its answer, in bytes.
+const CLAIM_BYTES: usize = 230;
+
+/// A store call under way.
+#[derive(Debug)]
+struct InFlight {
+    token: ClaimToken,
+    since: Instant,
+    call: StoreCall,
+}
+
+#[derive(Debug)]
+enum StoreCall {
+    Read { segment: usize },
+    Swap(Commit),
+}
+
+/// A record on its way into the store, with what becomes of each operation once it is there.
+#[derive(Debug)]
+struct Commit {
+    segment: usize,
+    record: ClaimRecord,
+    operations: Vec<(QueuedOperation, OperationResult)>,
+}
+
+/// One chain at work: at most one store call at a time.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    chain: Chain,
+    queue: VecDeque<QueuedOperation>,
+    in_flight: Option<InFlight>,
+    retry_at: Instant,
+    last_used: Instant,
+}
+
+impl Lane {
+    /// A lane for a chain of which nothing is known.
+    pub fn new(place: ChainPlace, now: Instant) -> Self {
+        Self {
+            chain: Chain::new(place),
+            queue: VecDeque::new(),
+            in_flight: None,
+            retry_at: now,
+            last_used: now,
+        }
+    }
+
+    /// Adds an operation at the end.
+    pub fn push(&mut self, operation: QueuedOperation, now: Instant) {
+        self.last_used = now;
+        self.queue.push_back(operation);
+    }
+
+    /// How many operations wait, without those in a store call.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether nothing waits and nothing is under way.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.in_flight.is_none()
+    }
+
+    /// When it last had work.
+    pub fn last_used(&self) -> Instant {
+        self.last_used
+    }
+
+    /// When the lane next wants a store call; `None` while one is under way or nothing waits.
+    pub fn due(&self) -> Option<Instant> {
+        if self.in_flight.is_some() {
+            return None;
+        }
+        let earliest = self.queue.iter().map(|operation| operation.due).min()?;
+        Some(earliest.max(self.retry_at))
+    }
+
+    /// When an operation fails or the store call under way counts as lost.
+    pub fn next_expiry(&self, settings: &ClaimSettings) -> Option<Instant> {
+        let call = self.in_flight.as_ref();
+        let call = call.map(|call| call.since + settings.store_timeout);
+        let queued = self.queue.iter().filter_map(|operation| operation.expires);
+        queued.chain(call).min()
+    }
+
+    /// Whether the lane must read before it can write.
+    pub fn must_read(&self) -> bool {
+        self.chain.next_read().is_some()
+    }
+
+    /// Reads the next record that must be known.
+    pub fn start_read(&mut self, token: ClaimToken, now: Instant) -> Option<ClaimAction> {
+        let segment = self.chain.next_read()?;
+        self.in_flight = Some(InFlight {
+            token,
+            since: now,
+            call: StoreCall::Read { segment },
+        });
+        let key = self.chain.place().record_key(segment);
+        Some(ClaimAction::Read { token, key })
+    }
+
+    /// Writes the record that the most urgent operation belongs to, with all others of that record.
+    ///
+    /// Operations that change nothing are answered at once, without a write.
+    pub fn start_commit(
+        &mut self,
+        token: ClaimToken,
+        settings: &ClaimSettings,
+        now: Instant,
+        replies: &mut Vec<Reply>,
+    ) -> Option<ClaimAction> {
+        let most_urgent = self.queue.iter().min_by_key(|operation| operation.due)?;
+        let segment = self.chain.segment_for(&most_urgent.entry.key);
+        let mut commit = self.take_commit(segment, settings);
+        if commit.record == *self.chain.record(segment) {
+            replies.extend(replies_of(commit.operations));
+            return None;
+        }
+        let value = commit.seal_if_full(settings);
+        let action = ClaimAction::Swap {
+            token,
+            key: self.chain.place().record_key(segment),
+            expected_revision: self.chain.revision(segment),
+            value,
+        };
+        self.in_flight = Some(InFlight {
+            token,
+            since: now,
+            call: StoreCall::Swap(commit),
+        });
+        Some(action)
+    }
+
+    fn take_commit(&mut self, segment: usize, settings: &ClaimSettings) -> Commit {
+        let mut commit = Commit {
+            segment,
+            record: self.chain.record(segment).clone(),
+            operations: Vec::new(),
+        };
+        let mut kept = VecDeque::new();
+        for operation in self.queue.drain(..) {
+            let key = &operation.entry.key;
+            let is_here = self.chain.segment_for(key) == segment;
+            // One fits always: a record that was left open by larger settings is sealed with it.
+            let has_room = commit.operations.is_empty()
+                || !commit.is_full(settings)
+                || commit.record.find(key).is_some();
+            if is_here && has_room {
+                commit.add(operation);
+            } else {
+                kept.push_back(operation);
+            }
+        }
+        self.queue = kept;
+        commit
+    }
+
+    /// Takes in a read's result. Returns whether the token was this lane's.
+    pub fn read_done(
+        &mut self,
+        token: ClaimToken,
+        result: &Result<Option<StoredRecord>, StoreFault>,
+        settings: &ClaimSettings,
+        now: Instant,
+    ) -> bool {
+        let Some(StoreCall::Read { segment }) = self.take_call(token) else {
+            return false;
+        };
+        let adopted = match result {
+            Ok(stored) => self.chain.adopt(segment, stored.clone()).is_ok(),
+            Err(StoreFault) => false,
+        };
+        if !adopted {
+            self.retry_at = now + settings.store_backoff;
+        }
+        true
+    }
+
+    /// Takes in a write's result. Returns whether the token was this lane's.
+    pub fn swap_done(
+        &mut self,
+        token: ClaimToken,
+        result: Result<u64, SwapFault>,
+        settings: &ClaimSettings,
+        now: Instant,
+        replies: &mut Vec<Reply>,
+    ) -> bool {
+        let Some(StoreCall::Swap(commit)) = self.take_call(token) else {
+            return false;
+        };
+        match result {
+            Ok(revision) => {
+                let Commit {
+                    segment,
+                    record,
+                    operations,
+                } = commit;
+                self.chain.committed(segment, record, revision);
+                replies.extend(replies_of(operations));
+            }
+            Err(fault) => self.commit_failed(commit, fault, settings, now),
+        }
+        true
+    }
+
+    fn commit_failed(
+        &mut self,
+        commit: Commit,
+        fault: SwapFault,
+        settings: &ClaimSettings,
+        now: Instant,
+    ) {
+        let segment = commit.segment;
+        self.put_back(commit);
+        match fault {
+            SwapFault::Conflict {
+                current: Some(current),
+            } => {
+                if self.chain.adopt(segment, Some(current)).is_err() {
+                    self.chain.distrust(segment);
+                    self.retry_at = now + settings.store_backoff;
+                }
+            }
+            SwapFault::Conflict { current: None } => self.chain.distrust(segment),
+            SwapFault::NotDone => self.retry_at = now + settings.store_backoff,
+            // The write may have taken effect, or the store may carry it out later, while the
+            // record still has the revision it expects. Read back first: if the claims are there,
+            // they hold. If not, the operations are written again at the same revision; of the two
+            // writes the store carries out one, and the other's condition fails.
+            SwapFault::Ambiguous => self.chain.distrust(segment),
+        }
+    }
+
+    fn put_back(&mut self, commit: Commit) {
+        for (operation, _) in commit.operations.into_iter().rev() {
+            self.queue.push_front(operation);
+        }
+    }
+
+    fn take_call(&mut self, token: ClaimToken) -> Option<StoreCall> {
+        self.in_flight
+            .take_if(|call| call.token == token)
+            .map(|call| call.call)
+    }
+
+    /// Fails operations that waited too long, and gives up on a store call without an answer.
+    pub fn expire(&mut self, settings: &ClaimSettings, now: Instant, replies: &mut Vec<Reply>) {
+        let lost = self
+            .in_flight
+            .take_if(|call| call.since + settings.store_timeout <= now);
+        match lost.map(|call| call.call) {
+            Some(StoreCall::Swap(commit)) => {
+                self.commit_failed(commit, SwapFault::Ambiguous, settings, now);
+            }
+            Some(StoreCall::Read { .. }) => self.retry_at = now,
+            None => {}
+        }
+        let is_expired =
+            |operation: &QueuedOperation| operation.expires.is_some_and(|at| at <= now);
+        if !self.queue.iter().any(is_expired) {
+            return;
+        }
+        let (expired, kept): (VecDeque<_>, _) = self.queue.drain(..).partition(is_expired);
+        self.queue = kept;
+        let failed = expired.into_iter();
+        replies.extend(failed.map(|operation| operation.reply(OperationResult::Failed)));
+    }
+}
+
+impl Commit {
+    fn is_full(&self, settings: &ClaimSettings) -> bool {
+        self.record.entries.len() >= (settings.record_bytes / CLAIM_BYTES).max(1)
+    }
+
+    fn add(&mut self, operation: QueuedOperation) {
+        let applied = operation
+            .entry
+            .apply(self.record.find(&operation.entry.key));
+        if let Some(entry) = applied.write {
+            self.record.put(entry);
+        }
+        self.operations.push((operation, applied.result));
+    }
+
+    fn seal_if_full(&mut self, settings: &ClaimSettings) -> Bytes {
+        let value = self.record.encode();
+        if self.record.is_sealed
+            || !(self.is_full(settings) || value.len() >= settings.record_bytes)
+        {
+            return value;
+        }
+        self.record.is_sealed = true;
+        self.record.encode()
+    }
+}
+
+fn replies_of(operations: Vec<(QueuedOperation, OperationResult)>) -> impl Iterator<Item = Reply> {
+    operations
+        .into_iter()
+        .map(|(operation, result)| operation.reply(result))
+}
