--- /dev/null
+++ b/crates/platform/tests/http_key_value.rs
@@ -0,0 +1,221 @@
+//! What each answer of the key-value service means, and what a missing one means.
+
+#[path = "../../http-pool/tests/scripted_server/mod.rs"]
+mod scripted_server;
+
+use std::time::Duration;
+
+use nutmegsail_platform::{
+    Change, Expect, HttpKeyValue, HttpVmList, KeyValue, KeyValueError, LeaseId, PlatformSettings,
+    Put, Revision, Txn, VmDuty, VmList, VmListError, VmState,
+};
+use rstest::rstest;
+use scripted_server::{ScriptedServer, Turn, answer};
+
+fn store_at(address: &str) -> HttpKeyValue {
+    HttpKeyValue::new(PlatformSettings::at(address))
+}
+
+/// A store that gives up on an answer soon, for servers that never give one.
+fn impatient_store_at(address: &str) -> HttpKeyValue {
+    HttpKeyValue::new(PlatformSettings {
+        call_timeout: Duration::from_millis(100),
+        ..PlatformSettings::at(address)
+    })
+}
+
+fn claim() -> Txn {
+    Txn::swap("nutmegsail/claim/1", Revision(0), r#"{"node":"n1"}"#)
+}
+
+async fn commit(turn: Turn) -> Result<Revision, KeyValueError> {
+    let server = ScriptedServer::start([turn]).await;
+    let result = store_at(&server.address).commit(claim()).await;
+    assert_eq!(server.seen().len(), 1, "a write goes out once");
+    result
+}
+
+async fn get(turn: Turn) -> Result<(), KeyValueError> {
+    let server = ScriptedServer::start([turn]).await;
+    store_at(&server.address).get("k").await.map(|_| ())
+}
+
+#[rstest]
+#[case::over_the_rate(429, "", KeyValueError::Refused)]
+#[case::outage(503, "", KeyValueError::Unavailable)]
+#[case::lease_gone(404, "", KeyValueError::LeaseGone)]
+#[case::too_large(413, "", KeyValueError::TooLarge)]
+#[case::failed_half_way(500, "", KeyValueError::Ambiguous)]
+#[case::gateway_gave_up(504, "", KeyValueError::Ambiguous)]
+#[case::unreadable(200, "{", KeyValueError::Ambiguous)]
+#[case::unreadable_conflict(412, "{", KeyValueError::Ambiguous)]
+#[tokio::test]
+async fn a_write_is_told_what_is_known(
+    #[case] status: u16,
+    #[case] body: &str,
+    #[case] expected: KeyValueError,
+) {
+    let result = commit(Turn::Answer(answer(status, "", body))).await;
+    assert_eq!(result, Err(expected));
+}
+
+#[rstest]
+#[case::over_the_rate(429, "", KeyValueError::Refused)]
+#[case::outage(503, "", KeyValueError::Unavailable)]
+#[case::history_gone(410, "", KeyValueError::Compacted)]
+#[case::failed(500, "", KeyValueError::Unavailable)]
+#[tokio::test]
+async fn a_read_is_never_ambiguous(
+    #[case] status: u16,
+    #[case] body: &str,
+    #[case] expected: KeyValueError,
+) {
+    let result = get(Turn::Answer(answer(status, "", body))).await;
+    assert_eq!(result, Err(expected));
+}
+
+#[tokio::test]
+async fn an_unreadable_read_is_malformed() {
+    let result = get(Turn::Answer(answer(200, "", "{"))).await;
+    assert!(
+        matches!(result, Err(KeyValueError::Malformed(_))),
+        "{result:?}"
+    );
+}
+
+/// Two nodes claim one booking. The first claim is written, its answer is lost with the connection.
+/// Told "not available", the first node would claim again, lose to itself and refuse the guest.
+#[rstest]
+#[case::no_answer(Vec::new())]
+#[case::half_a_head(b"HTTP/1.1 200 O".to_vec())]
+#[case::half_a_body(b"HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"revi".to_vec())]
+#[tokio::test]
+async fn a_lost_answer_is_ambiguous_for_a_write_only(#[case] bytes: Vec<u8>) {
+    let written = commit(Turn::AnswerAndClose(bytes.clone())).await;
+    assert_eq!(written, Err(KeyValueError::Ambiguous));
+    let read = get(Turn::AnswerAndClose(bytes)).await;
+    assert_eq!(read, Err(KeyValueError::Unavailable));
+}
+
+/// A frozen service keeps its connections and says nothing: each call must end by itself.
+#[tokio::test]
+async fn a_silent_service_ends_by_the_timeout() {
+    let hang = || Turn::AnswerAndHang(Vec::new());
+    let server = ScriptedServer::start([hang(), hang(), hang()]).await;
+    let store = impatient_store_at(&server.address);
+    assert_eq!(store.commit(claim()).await, Err(KeyValueError::Ambiguous));
+    let ttl = Duration::from_secs(5);
+    assert_eq!(store.grant_lease(ttl).await, Err(KeyValueError::Ambiguous));
+    assert_eq!(store.get("k").await, Err(KeyValueError::Unavailable));
+}
+
+#[tokio::test]
+async fn nothing_was_written_if_no_connection_was_made() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let result = store_at(&address).commit(claim()).await;
+    assert_eq!(result, Err(KeyValueError::Unavailable));
+}
+
+#[tokio::test]
+async fn a_conflict_shows_what_is_there() {
+    let body = r#"{"current":[{"key":"k","value":"v","revision":7,"lease":0}]}"#;
+    let result = commit(Turn::Answer(answer(412, "", body))).await;
+    let Err(KeyValueError::Conflict { current }) = result else {
+        panic!("{result:?}");
+    };
+    assert_eq!(current[0].revision, Revision(7));
+    assert_eq!(current[0].value, "v");
+}
+
+#[tokio::test]
+async fn calls_are_spelled_as_the_service_expects() {
+    let item = r#"{"key":"a/b","value":"{}","revision":3,"lease":9}"#;
+    let turns = [
+        item.to_owned(),
+        format!(r#"{{"items":[{item}],"has_more":true,"revision":4}}"#),
+        format!(
+            r#"{{"changes":[{{"put":{item}}},{{"removed":{{"key":"a/c","revision":5}}}}],"revision":5}}"#
+        ),
+        r#"{"revision":6}"#.to_owned(),
+        r#"{"lease":9,"ttl_ms":1500}"#.to_owned(),
+        String::new(),
+        String::new(),
+    ];
+    let turns = turns.map(|body| Turn::Answer(answer(200, "", &body)));
+    let server = ScriptedServer::start(turns).await;
+    let store = store_at(&server.address);
+
+    let got = store.get("a/b&c=d%").await.unwrap().unwrap();
+    assert_eq!((got.revision, got.lease), (Revision(3), LeaseId(9)));
+    let page = store.range("a/", Some("a/a")).await.unwrap();
+    assert!(page.has_more);
+    let wait = Duration::from_millis(250);
+    let seen = store.watch("a/", Revision(4), wait).await.unwrap();
+    assert!(matches!(
+        &seen.changes[1],
+        Change::Removed {
+            revision: Revision(5),
+            ..
+        }
+    ));
+    let txn = Txn {
+        expects: vec![Expect {
+            key: "a/b".into(),
+            revision: Revision(3),
+        }],
+        puts: vec![Put {
+            key: "a/b".into(),
+            value: r#"{"x":1}"#.into(),
+            lease: LeaseId(9),
+        }],
+        removes: vec!["a/c".into()],
+    };
+    assert_eq!(store.commit(txn).await, Ok(Revision(6)));
+    let grant = store
+        .grant_lease(Duration::from_millis(1500))
+        .await
+        .unwrap();
+    assert_eq!(grant.ttl, Duration::from_millis(1500));
+    store.keep_lease(grant.lease).await.unwrap();
+    store.end_lease(grant.lease).await.unwrap();
+
+    let calls: Vec<String> = server
+        .seen()
+        .iter()
+        .map(|call| {
+            format!("{} {}", call.line(), call.body)
+                .trim_end()
+                .to_owned()
+        })
+        .collect();
+    insta::assert_snapshot!(calls.join("\n"), @r###"
+    GET /v1/kv/item?key=a%2Fb%26c%3Dd%25
+    GET /v1/kv/range?prefix=a%2F&after=a%2Fa
+    GET /v1/kv/watch?prefix=a%2F&after_revision=4&wait_ms=250
+    POST /v1/kv/txn {"expects":[{"key":"a/b","revision":3}],"puts":[{"key":"a/b","value":"{\"x\":1}","lease":9}],"removes":["a/c"]}
+    POST /v1/kv/lease {"ttl_ms":1500}
+    POST /v1/kv/lease/9/keep
+    DELETE /v1/kv/lease/9
+    "###);
+}
+
+#[tokio::test]
+async fn the_list_of_vms_is_read() {
+    let vm = r#"{"id":"n1","address":"10.0.0.1:7","failure_domain":"moka","duty":"entry","state":"leaving"}"#;
+    let turns = [
+        Turn::Answer(answer(200, "", &format!(r#"{{"vms":[{vm}]}}"#))),
+        Turn::Answer(answer(200, "", "[]")),
+        Turn::Answer(answer(503, "", "")),
+    ];
+    let server = ScriptedServer::start(turns).await;
+    let vms = HttpVmList::new(PlatformSettings::at(&server.address));
+    let list = vms.list().await.unwrap();
+    assert_eq!(
+        (list[0].duty, list[0].state),
+        (VmDuty::Entry, VmState::Leaving)
+    );
+    assert!(matches!(vms.list().await, Err(VmListError::Malformed(_))));
+    assert_eq!(vms.list().await, Err(VmListError::Unavailable));
+}
--- a/crates/upstream/src/http_plain_service.rs
+++ b/crates/upstream/src/http_plain_service.rs
@@ -8,7 +8,7 @@
     CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, HeaderName, Request, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use nutmegsail_base::UpstreamId;
 use nutmegsail_http_pool::{Pool, PooledBody};
@@ -104,19 +104,18 @@
 }
 
 fn http_request(request: PlainRequest) -> Result<Request<Full<Bytes>>, UpstreamError> {
+    // What cannot be written as HTTP was not sent.
+    let request_id =
+        HeaderValue::from_str(request.request.as_str()).map_err(|_| UpstreamError::Unreachable)?;
+    let mut headers = without_connection_headers(request.headers);
+    headers.insert("x-request-id", request_id);
+    headers.insert("x-deadline-ms", millis(request.deadline).into());
     let mut http = Request::builder()
         .method(request.method)
         .uri(request.path)
-        .header("x-request-id", request.request.as_str())
-        .header("x-deadline-ms", millis(request.deadline))
         .body(Full::new(request.body))
-        // What cannot be written as HTTP was not sent.
         .map_err(|_| UpstreamError::Unreachable)?;
-    for (name, value) in &without_connection_headers(request.headers) {
-        if !http.headers().contains_key(name) || !name.as_str().starts_with("x-") {
-            http.headers_mut().append(name, value.clone());
-        }
-    }
+    *http.headers_mut() = headers;
     Ok(http)
 }
 
