Let the wire's pin messages say what placement decides

Cause: placement grants a pin by the ask's number and refuses with a time to come back; the wire had pin numbers of its own and outcomes that no core gives. Change: PinAnswer is granted or refused, PinReturn names the ask, Placement carries load messages. Conclusion: the node passes these messages on without a table of its own.

--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use derive_more::Display;
-use nutmegsail_base::{AdapterRef, Class, NodeId, RequestId, UpstreamId};
+use nutmegsail_base::{AdapterRef, Class, RequestId, UpstreamId};
 use nutmegsail_membership::{DomainSummary, Heartbeat};
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,8 @@
     PinAnswer(PinAnswer),
     /// Gives a pin back to the owner.
     PinReturn(PinReturn),
+    /// Between two nodes' placement, about loads.
+    Placement(Payload),
     /// Asks for pieces of an operators' text.
     PiecesAsk {
         /// Names the ask in its answer.
@@ -95,8 +97,6 @@
     pub adapter: AdapterRef,
     /// The class of the work that waits for it.
     pub class: Class,
-    /// How many requests wait for it on the asking node.
-    pub waiting: u32,
 }
 
 /// The owner's answer to a [`PinAsk`].
@@ -117,30 +117,21 @@
 pub enum PinOutcome {
     /// The adapter is ready and stays for the pin's life.
     Granted {
-        /// The pin.
-        pin_id: u64,
         /// How long it lives from the ask's sending, in milliseconds.
         ttl_ms: u32,
     },
-    /// The adapter is on its way; ask again.
-    Loading {
-        /// When asking again may pay, in milliseconds.
+    /// The adapter is not there, or the asked node cannot speak for the engine.
+    Refused {
+        /// When asking again may help, in milliseconds.
         retry_after_ms: u32,
     },
-    /// There is no room for the adapter on this engine.
-    Refused,
-    /// The asked node does not own the engine.
-    NotOwner {
-        /// Who owns it, as far as the asked node knows.
-        owner: Option<NodeId>,
-    },
 }
 
 /// Gives a pin back before its life is over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PinReturn {
-    /// The pin.
-    pub pin_id: u64,
+    /// The last ask that was granted; a pin of a later ask stays.
+    pub ask_id: u64,
     /// The engine.
     pub engine: UpstreamId,
     /// Which adapter and version.
@@ -217,7 +208,9 @@
         match self {
             Self::Heartbeat(_) => MessageKind::Heartbeat,
             Self::Summary(_) => MessageKind::Summary,
-            Self::PinAsk(_) | Self::PinAnswer(_) | Self::PinReturn(_) => MessageKind::Pin,
+            Self::PinAsk(_) | Self::PinAnswer(_) | Self::PinReturn(_) | Self::Placement(_) => {
+                MessageKind::Pin
+            }
             Self::PiecesAsk { .. }
             | Self::PiecesAnswer { .. }
             | Self::HeadAsk { .. }
