--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -9,15 +9,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::net::TcpListener;
 
 use crate::Knobs;
-use crate::http_server::{HttpReply, HttpServer, read_body, serve};
+use crate::http_server::{HttpReply, HttpServer, listen, read_body, serve};
 use crate::stand_ins::StandInsState;
 
 /// The targets that are not addresses.
 const KEY_VALUE: &str = "kv";
 const VM_LIST: &str = "vms";
+const WEIGHT_STORE: &str = "weights";
 
 /// Sets the failures that one stand-in shows; those not named are turned off.
 ///
@@ -29,7 +29,7 @@
 /// ```
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KnobsOrder {
-    /// `kv`, `vms` or an upstream's `host:port`.
+    /// `kv`, `vms`, `weights` or an upstream's `host:port`.
     pub target: String,
     /// The failures.
     #[serde(flatten)]
@@ -57,11 +57,11 @@
     state: Option<VmState>,
 }
 
-pub(crate) async fn serve_control(
+pub(crate) fn serve_control(
     state: &StandInsState,
     address: SocketAddr,
 ) -> std::io::Result<HttpServer> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen(address)?;
     let state = state.clone();
     serve(listener, move |request| handle(state.clone(), request))
 }
@@ -106,6 +106,7 @@
     match target.as_str() {
         KEY_VALUE => state.key_value.set_knobs(order.knobs),
         VM_LIST => state.vm_list.set_knobs(order.knobs),
+        WEIGHT_STORE => state.weight_store.set_knobs(order.knobs),
         _ => {
             if let Some(engine) = state.fleet.engines.get(&target) {
                 engine.set_knobs(order.knobs);
--- a/crates/fakes/src/engine_settings.rs
+++ b/crates/fakes/src/engine_settings.rs
@@ -9,7 +9,7 @@
     pub step: Duration,
     /// Requests in one step.
     pub batch_slots: usize,
-    /// Requests that may wait; more are refused as full.
+    /// Requests that may wait while the batch is full; more are refused as full.
     pub queue_slots: usize,
     /// Adapters that fit.
     pub adapter_slots: usize,
--- a/crates/fakes/src/http_server.rs
+++ b/crates/fakes/src/http_server.rs
@@ -15,9 +15,12 @@
 use hyper_util::rt::TokioIo;
 use nutmegsail_upstream::UpstreamError;
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+
 /// The body type of every answer.
 pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, UpstreamError>;
 
@@ -85,7 +88,19 @@
 ///
 /// When no port can be bound.
 pub async fn loopback() -> std::io::Result<TcpListener> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await
+    listen((Ipv4Addr::LOCALHOST, 0).into())
+}
+
+/// A listener with room for a burst of connections; with less, the system drops some of a few
+/// hundred at once and their clients try again only after a second.
+pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
 }
 
 /// Serves `handler` on `listener`.
