--- a/crates/upstream/src/http_engine.rs
+++ b/crates/upstream/src/http_engine.rs
@@ -249,10 +249,11 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The engine's priority; lower goes first.
 fn priority(class: Class) -> u16 {
     match class {
-        Class::Urgent => 9,
-        Class::Routine => 0,
+        Class::Urgent => 0,
+        Class::Routine => 5,
     }
 }
 
