Compare texts and publish them by compare-and-swap of a head

Cause: a checked text could be neither compared nor accepted. Change: diff shows fields, services, adapters and upstreams that differ. A text is cut by content into at most 13 pieces, so that one transaction writes the head with the missing pieces and removes the ones that only the head before used: a change costs one read and one write, and the store never holds pieces of no text. An ambiguous answer is settled by sending the same swap again and looking for the writer id in the head's history of 32. Guards taken out, once each: treating an ambiguous answer as a refusal, then racing_operators_are_told_the_truth fails (an accepted change was told not accepted); looking at the head's writer only in place of its history, then that test and a_lost_answer_is_found_in_the_history_though_another_writer_overtook fail.

--- a/crates/config/src/generation.rs
+++ b/crates/config/src/generation.rs
@@ -26,7 +26,7 @@
 pub struct Generation(pub u64);
 
 /// The SHA-256 of a text, in hexadecimal.
-#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Digest(pub Arc<str>);
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,21 +5,32 @@
 //! never touches a request.
 
 mod adapter_index;
+mod changes;
 mod deployment;
 mod derivation;
 mod fault;
+mod fields;
 mod generation;
+mod head;
 mod inheritance;
 mod millis;
 mod operators_text;
+mod piece;
+mod publisher;
 mod service;
 mod text;
+mod text_store;
 
 pub use adapter_index::AdapterIndex;
+pub use changes::{Changes, FieldChange, NameCount, ServiceChange, UpstreamChange, diff};
 pub use deployment::{AdapterLookup, Deployment, Limits, Weights};
 pub use derivation::{Derivation, DerivationStep};
 pub use fault::{Fault, FaultKind, Faults};
 pub use generation::{Digest, Generation, InForce};
+pub use head::{HEAD_KEY, Head, PIECE_PREFIX, RECENT_WRITERS, RecentWrite, WriterId};
 pub use inheritance::{InheritanceError, Inherited};
 pub use operators_text::{OperatorsText, TEXT_BYTES_MAX};
+pub use piece::{JoinError, Piece, join, split};
+pub use publisher::{Accepted, Conflict, PublishError, Publisher, RetryPolicy};
 pub use service::{AdapterSet, Call, Service, ServiceKind, UpstreamEntry};
+pub use text_store::{FetchError, Fetched, StoredHead, TextStore};
--- a/crates/config/src/operators_text.rs
+++ b/crates/config/src/operators_text.rs
@@ -70,7 +70,7 @@
     }
 
     /// One string that holds all files: a line of JSON with names and lengths, then the contents.
-    pub fn encode(&self) -> String {
+    pub(crate) fn encode(&self) -> String {
         let mut header = vec![(Arc::clone(&self.file), self.text.len())];
         let mut contents = self.text.to_string();
         for (name, text) in &self.includes {
@@ -82,7 +82,7 @@
     }
 
     /// Reads what [`OperatorsText::encode`] wrote; `None` for anything else.
-    pub fn decode(encoded: &str) -> Option<Self> {
+    pub(crate) fn decode(encoded: &str) -> Option<Self> {
         let (header, mut rest) = encoded.split_once('\n')?;
         let header: Vec<(Arc<str>, usize)> = serde_json::from_str(header).ok()?;
         let mut files = Vec::new();
