--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -188,7 +188,7 @@
             load_s: unit_s * fullness * (1.0 + weights.load_stalls),
             domain_s: hop_s,
             prefix_s: if has_prefix { -saving_s } else { 0.0 },
-            batch_s: -unit_s * self.batch_gain(upstream, class, fullness),
+            batch_s: 0.0 - unit_s * self.batch_gain(upstream, class, fullness),
         }
     }
 
--- a/crates/routing/src/replan.rs
+++ b/crates/routing/src/replan.rs
@@ -87,7 +87,8 @@
             self.upstreams[index].service = service;
             return index;
         }
-        let state = UpstreamState::new(id.clone(), service);
+        let mut state = UpstreamState::new(id.clone(), service);
+        state.is_leaving = self.leaving_unlisted.remove(id);
         let idle = self.upstreams.iter().position(UpstreamState::is_unused);
         let index = idle.unwrap_or(self.upstreams.len());
         match idle {
@@ -102,17 +103,18 @@
     fn drop_idle(&mut self) {
         for index in 0..self.upstreams.len() {
             let state = &mut self.upstreams[index];
-            if state.is_listed || state.own_in_flight() > 0 {
+            if state.is_listed || state.is_dropped || state.own_in_flight() > 0 {
                 continue;
             }
+            state.is_dropped = true;
             let id = state.id.clone();
+            if state.is_leaving && !state.is_gone {
+                self.leaving_unlisted.insert(id.clone());
+            }
             for held in std::mem::take(&mut state.held) {
                 self.adapters.set(&held.adapter, index, None);
             }
-            if self.upstream_by_id.get(&id) == Some(&index) {
-                self.upstream_by_id.remove(&id);
-            }
-            self.upstreams[index].is_dropped = true;
+            self.upstream_by_id.remove(&id);
         }
     }
 
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -1,6 +1,6 @@
 //! The router itself.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -63,6 +63,8 @@
     pub(crate) service_by_name: HashMap<ServiceName, usize>,
     pub(crate) upstreams: Vec<UpstreamState>,
     pub(crate) upstream_by_id: HashMap<UpstreamId, usize>,
+    /// Upstreams that are leaving and that the plan does not list (yet).
+    pub(crate) leaving_unlisted: HashSet<UpstreamId>,
     pub(crate) adapters: AdapterIndex,
     pub(crate) requests: HashMap<RequestId, RequestState>,
     pub(crate) prefixes: PrefixTable,
@@ -83,6 +85,7 @@
             service_by_name: HashMap::new(),
             upstreams: Vec::new(),
             upstream_by_id: HashMap::new(),
+            leaving_unlisted: HashSet::new(),
             adapters: AdapterIndex::default(),
             requests: HashMap::new(),
             callers: HashMap::new(),
--- a/crates/routing/src/upstream_events.rs
+++ b/crates/routing/src/upstream_events.rs
@@ -171,6 +171,7 @@
     }
 
     pub(crate) fn upstream_gone(&mut self, upstream: &UpstreamId) {
+        self.leaving_unlisted.remove(upstream);
         if let Some(index) = self.upstream_by_id.get(upstream).copied() {
             self.upstreams[index].is_gone = true;
             self.count_reachable(self.upstreams[index].service);
@@ -181,6 +182,9 @@
         if let Some(index) = self.upstream_by_id.get(upstream).copied() {
             self.upstreams[index].is_leaving = true;
             self.count_reachable(self.upstreams[index].service);
+        } else {
+            // The plan that lists it may arrive later than the news that it leaves.
+            self.leaving_unlisted.insert(upstream.clone());
         }
     }
 
--- /dev/null
+++ b/crates/routing/tests/explanations.rs
@@ -0,0 +1,38 @@
+//! What operators read when they ask why.
+
+mod support;
+
+use nutmegsail_base::{AdapterRef, Class};
+use nutmegsail_routing::{AdapterAvailability, RoutingEvent};
+use support::{Bench, service};
+
+#[test]
+fn an_explanation_names_candidates_scores_limits_and_the_reason() {
+    let adapter = AdapterRef::new("summary", 3);
+    let mut bench = Bench::new(service(4).with_upstream("far1", "b").with_batch_slots(16));
+    bench.set_adapter("u1", &adapter, AdapterAvailability::Ready);
+    bench.set_adapter("u2", &adapter, AdapterAvailability::Loading);
+    bench.tell(RoutingEvent::Leaving {
+        upstream: "u3".into(),
+    });
+    let mut call = bench.call(Class::Routine);
+    call.adapter = Some(adapter.clone());
+    bench.arrive(&call);
+
+    let explanation =
+        bench
+            .router
+            .explain(&"svc".into(), Some(&adapter), Class::Routine, bench.now);
+
+    insta::assert_snapshot!(explanation, @r"
+    routine svc summary@3, generation 1: goes to the best of a few like u1
+    weights: load stalls 0.5, batch efficiency 0.5
+    waiting 0 of 1000, expected wait 0 ms, retries left 4.0, routine owed: no
+    upstreams: 5, best first
+      u1 score 0.002 s (adapter 0.000, load 0.005, domain 0.000, prefix 0.000, batch -0.003), load 1.0 of 32, own domain: can start it now
+      u2 score 1.000 s (adapter 1.000, load 0.000, domain 0.000, prefix 0.000, batch 0.000), load 0.0 of 32, own domain: adapter loading
+      u3 score 2.000 s (adapter 2.000, load 0.000, domain 0.000, prefix 0.000, batch 0.000), load 0.0 of 32, own domain: leaving
+      u4 score 2.000 s (adapter 2.000, load 0.000, domain 0.000, prefix 0.000, batch 0.000), load 0.0 of 32, own domain: adapter absent
+      far1 score 2.002 s (adapter 2.000, load 0.000, domain 0.002, prefix 0.000, batch 0.000), load 0.0 of 32, other domain: adapter absent
+    ");
+}
