--- a/crates/front/src/callers_service.rs
+++ b/crates/front/src/callers_service.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Request as HttpRequest, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use nutmegsail_base::{RequestId, ResultCode};
+use nutmegsail_base::{AdapterRef, RequestId, ResultCode};
 use nutmegsail_config::{AdapterLookup, InForce, Service, ServiceKind};
 use nutmegsail_request::{Accepted, AnswerHandle, Refusal, Request};
 use nutmegsail_telemetry::{Event, log_event};
@@ -22,7 +22,7 @@
 use crate::call_choice::Terms;
 use crate::generation_body::GenerationBody;
 use crate::request_fault::RequestFault;
-use crate::request_head::{ADAPTER, ANSWER, RequestHead, end_to_end};
+use crate::request_head::{ADAPTER, ANSWER, RequestHead, end_to_end, request_headers};
 use crate::response::{AnswerBody, BrokenOff, json_response, refusal_response, set_allow};
 use crate::route::{Route, RouteFault};
 use crate::service_path::ServicePath;
@@ -133,7 +133,7 @@
             && answer.handle.adapter == asked
             && answer.handle.request == id;
         if !is_asked {
-            return Err(not_the_answer(&answer, &asked.to_string()));
+            return Err(not_the_answer(&answer, &asked));
         }
         if is_stream {
             return Ok(self.stream(answer, id, 0));
@@ -171,7 +171,8 @@
         // Text of two generations must never be joined. Another request, engine or run of the
         // engine's process would show here as another handle.
         if answer.handle != handle || answer.adapter != handle.adapter {
-            return Err(not_the_answer(&answer, &handle.adapter.to_string()));
+            let detail = "the engine no longer holds this answer";
+            return Err(Refusal::ran(ResultCode::UnknownAnswer, detail));
         }
         log_event!(self.log, Event::AnswerResumed, "request" => handle.request.as_str(),
             "after" => after);
@@ -198,13 +199,18 @@
             let detail = format!("the upstream answered with status {}", answer.status);
             Refusal::ran(ResultCode::UpstreamFailed, detail)
         })?;
-        let pieces = answer.body.map(|piece| match piece {
+        let pieces = answer.body.then(async |piece| match piece {
             Ok(bytes) => Ok(Frame::data(bytes)),
-            Err(_) => Err(BrokenOff),
+            Err(_) => {
+                // The HTTP library drops what it has not yet written when a body fails. It writes
+                // while the body waits, so the caller gets the head and what came before the cut.
+                tokio::task::yield_now().await;
+                Err(BrokenOff)
+            }
         });
         let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
         *response.status_mut() = status;
-        *response.headers_mut() = answer.headers;
+        *response.headers_mut() = end_to_end(&answer.headers);
         Ok(response)
     }
 
@@ -230,7 +236,7 @@
                 return Err(unknown(ResultCode::UnknownAdapter, &adapter.to_string()));
             }
         };
-        let terms = Terms::of_generation(service, &head)?;
+        let terms = Terms::of_generation(&in_force.deployment, service, &head)?;
         let deadline = time_left(&terms, began)?;
         Ok(Generate {
             request: accepted.id().clone(),
@@ -262,14 +268,15 @@
         let in_force = self.in_force()?;
         let service = find_plain(&in_force, service)?;
         let method = request.method().clone();
-        let terms = Terms::of_plain(service, &method, &ServicePath::read(path)?, &head)?;
+        let below = ServicePath::read(path)?;
+        let terms = Terms::of_plain(&in_force.deployment, service, &method, &below, &head)?;
         if terms.once_only && head.idempotency_key.is_none() {
             let detail = "send a new UUID version 7 with each new call, the same with its repeats";
             return Err(RequestFault::new(ResultCode::KeyMissing, detail));
         }
         let query = request.uri().query();
         let path = query.map_or_else(|| path.to_owned(), |query| format!("{path}?{query}"));
-        let headers = end_to_end(request.headers());
+        let headers = request_headers(request.headers());
         let body = self.read_body(&in_force, request).await?;
         let deadline = time_left(&terms, began)?;
         Ok(PlainCall {
@@ -358,7 +365,7 @@
     Ok(left)
 }
 
-fn not_the_answer(answer: &Answer, asked: &str) -> Refusal {
+fn not_the_answer(answer: &Answer, asked: &AdapterRef) -> Refusal {
     let detail = format!("asked for {asked}, got an answer of {}", answer.adapter);
     Refusal::may_have_run(ResultCode::WrongAdapter, detail)
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -9,7 +9,7 @@
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -25,6 +25,9 @@
 /// How long accepting rests after the operating system refused, such as for want of descriptors.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// The listeners of a node, for callers and for operators.
 pub struct Front {
     callers: Listener,
@@ -51,9 +54,8 @@
             log: log.clone(),
         }));
         let operators = Audience::Operators(Arc::new(OperatorsService { handler }));
-        let callers = Listener::bind(settings.callers_address, callers, &settings, &log).await?;
-        let operators =
-            Listener::bind(settings.operators_address, operators, &settings, &log).await?;
+        let callers = Listener::bind(settings.callers_address, callers, &settings, &log)?;
+        let operators = Listener::bind(settings.operators_address, operators, &settings, &log)?;
         Ok(Self {
             callers,
             operators,
@@ -115,14 +117,14 @@
 }
 
 impl Listener {
-    async fn bind(
+    fn bind(
         address: SocketAddr,
         audience: Audience,
         settings: &Arc<FrontSettings>,
         log: &Logger,
     ) -> Result<Self, FrontError> {
         let bind_error = |cause| FrontError::Bind { address, cause };
-        let socket = TcpListener::bind(address).await.map_err(bind_error)?;
+        let socket = listen(address, settings).map_err(bind_error)?;
         let address = socket.local_addr().map_err(bind_error)?;
         log_event!(log, Event::ListenerOpened, "address" => address.to_string());
         let listener = Self {
@@ -147,6 +149,20 @@
     }
 }
 
+/// Accepted connections take over the listener's buffer size. Left to itself, the operating system
+/// grows the buffer of a slow reader to megabytes.
+fn listen(address: SocketAddr, settings: &FrontSettings) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(settings.socket_buffer_bytes)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 struct Accepting {
     socket: TcpListener,
     audience: Audience,
--- a/crates/front/src/watched_io.rs
+++ b/crates/front/src/watched_io.rs
@@ -203,10 +203,11 @@
 /// the front names its request.
 fn is_bare_error(bytes: &[u8]) -> bool {
     let is_error = bytes.starts_with(b"HTTP/1.1 4") || bytes.starts_with(b"HTTP/1.0 4");
-    let names_request = bytes
-        .windows(REQUEST_ID.len())
-        .any(|window| window.eq_ignore_ascii_case(REQUEST_ID.as_bytes()));
-    is_error && bytes.ends_with(b"\r\n\r\n") && !names_request
+    if !is_error || !bytes.ends_with(b"\r\n\r\n") {
+        return false;
+    }
+    let mut windows = bytes.windows(REQUEST_ID.len());
+    !windows.any(|window| window.eq_ignore_ascii_case(REQUEST_ID.as_bytes()))
 }
 
 fn numbered_error(bare: &[u8]) -> Bytes {
