--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -16,7 +16,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::callers_service::CallersService;
-use crate::connection::{Audience, serve};
+use crate::connection::{Audience, Connection};
 use crate::operators_service::OperatorsService;
 use crate::request_fault::RequestFault;
 use crate::watched_io::closing_error;
@@ -132,11 +132,15 @@
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
         };
-        let accepting = Accepting {
-            socket,
+        let connection = Connection {
             audience,
             settings: Arc::clone(settings),
             stop: listener.stop.clone(),
+            log: log.clone(),
+        };
+        let accepting = Accepting {
+            socket,
+            connection,
             connections: listener.connections.clone(),
         };
         listener.connections.spawn(accepting.run());
@@ -165,33 +169,29 @@
 
 struct Accepting {
     socket: TcpListener,
-    audience: Audience,
-    settings: Arc<FrontSettings>,
-    stop: CancellationToken,
+    connection: Connection,
     connections: TaskTracker,
 }
 
 impl Accepting {
     async fn run(self) {
-        let places = Arc::new(Semaphore::new(self.settings.max_connections));
+        let settings = Arc::clone(&self.connection.settings);
+        let places = Arc::new(Semaphore::new(settings.max_connections));
         loop {
             let accepted = tokio::select! {
                 accepted = self.socket.accept() => accepted,
-                () = self.stop.cancelled() => return,
+                () = self.connection.stop.cancelled() => return,
             };
             let Ok((stream, peer)) = accepted else {
                 sleep(ACCEPT_REST).await;
                 continue;
             };
             let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-                self.connections
-                    .spawn(refuse(stream, self.settings.linger()));
+                self.connections.spawn(refuse(stream, settings.linger()));
                 continue;
             };
             let _ = stream.set_nodelay(true);
-            let settings = Arc::clone(&self.settings);
-            let audience = self.audience.clone();
-            let serving = serve(stream, peer.ip(), audience, settings, self.stop.clone());
+            let serving = self.connection.clone().serve(stream, peer.ip());
             self.connections.spawn(async move {
                 serving.await;
                 drop(place);
