--- a/crates/base/src/result_code.rs
+++ b/crates/base/src/result_code.rs
@@ -91,6 +91,7 @@
     6003 PlatformAmbiguous 503 true "No answer came after a write; it may have taken effect.";
     7001 SettingsInvalid 500 false "The node's settings have faults.";
     7002 Internal 500 false "The node broke one of its own assertions.";
+    7003 NodeUnreachable 503 true "The node's operators' listener cannot be reached.";
 }
 
 impl std::fmt::Display for ResultCode {
