Spread accepted texts from a few watchers by gossip

Cause: an accepted text reached no node. Change: Spread, a pure core: two nodes of a failure domain, chosen by rendezvous hashing, watch the store; the others hear of generation and digest by heartbeats, fetch head and pieces from peers, and tell three peers at once when a text takes effect. The generation in force never falls; a store with an older head is reported and the newer one is put back by a swap.

--- a/crates/config/src/head.rs
+++ b/crates/config/src/head.rs
@@ -116,11 +116,13 @@
         is_whole || oldest.is_some_and(|oldest| oldest <= base.unwrap_or_default())
     }
 
-    /// Whether `older` is one of the changes that led to this head.
-    pub fn descends_from(&self, older: &Self) -> bool {
-        let same = |write: &RecentWrite| {
-            write.generation == older.generation && write.writer == older.writer
+    /// Whether `older` may be a head that led to this one: it is older, and no generation that both
+    /// remember was written by two writers.
+    pub fn may_descend_from(&self, older: &Self) -> bool {
+        let is_other = |mine: &RecentWrite, theirs: &RecentWrite| {
+            mine.generation == theirs.generation && mine.writer != theirs.writer
         };
-        self.recent.iter().any(same)
+        let differs = |theirs: &RecentWrite| self.recent.iter().any(|mine| is_other(mine, theirs));
+        older.generation < self.generation && !older.recent.iter().any(differs)
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,6 +18,7 @@
 mod piece;
 mod publisher;
 mod service;
+mod spread;
 mod text;
 mod text_store;
 
@@ -33,4 +34,8 @@
 pub use piece::{JoinError, Piece, join, split};
 pub use publisher::{Accepted, Conflict, PublishError, Publisher, RetryPolicy};
 pub use service::{AdapterSet, Call, Service, ServiceKind, UpstreamEntry};
+pub use spread::{
+    LiveNodes, Spread, SpreadAction, SpreadEvent, SpreadReport, SpreadSettings, TextSource,
+    watchers,
+};
 pub use text_store::{FetchError, Fetched, StoredHead, TextStore};
