Measure routing beside baselines in simulated time

The real routers of every node run on a passed-in clock against fake engines (slots, step batching, priorities, lagging reports) and a weight store with one load at full speed. Round robin, least in flight and consistent hashing meet the same open-loop arrivals in the same run.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,13 @@
 //! Policy measurements that drive the decision code with a passed-in clock.
+//!
+//! A study runs the real decision cores against small fakes of engines and of the weight store, in
+//! simulated time, with several seeds, beside baselines in the same run. This crate decides nothing
+//! and nothing of it runs in a node. Start at [`studies`] and [`run`].
+
+mod report;
+mod sim;
+mod studies;
+mod study;
+
+pub use report::{Measure, Report, Row};
+pub use study::{Study, UnknownStudy, run, studies};
--- /dev/null
+++ b/crates/measure/src/studies/mod.rs
@@ -0,0 +1,19 @@
+//! The studies, a file each.
+
+mod compare;
+mod lagging_reports;
+mod overload;
+mod retries;
+mod steady;
+mod weights_turned;
+
+use crate::Study;
+
+/// Every study.
+pub(crate) const ALL: &[Study] = &[
+    steady::STUDY,
+    overload::STUDY,
+    lagging_reports::STUDY,
+    retries::STUDY,
+    weights_turned::STUDY,
+];
