Load an adapter here when its places elsewhere are taken

Cause: a copy in another domain counted as a holder, so no load was asked for, though this node's share of places there was used up. Copies elsewhere no longer count, and the time that the first of a lane has waited does. The cost of load is now quadratic, so that the weights set a fullness up to which engines are filled instead of switching between all and nothing.

--- a/crates/measure/src/sim/router_policy.rs
+++ b/crates/measure/src/sim/router_policy.rs
@@ -80,7 +80,8 @@
             request: request_id(request),
             caller: format!("caller-{}", what.caller).into(),
             service: SERVICE.into(),
-            adapter: Some(adapter_ref(what.adapter)),
+            // An adapter that is ready everywhere is as good as none.
+            adapter: (!self.scenario.has_all_adapters).then(|| adapter_ref(what.adapter)),
             class: what.class,
             deadline: self.start + now + deadline,
             target: deadline / 10,
--- a/crates/routing/src/arrive.rs
+++ b/crates/routing/src/arrive.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{Class, RequestId, ResultCode, RunState};
+use nutmegsail_base::{AdapterRef, Class, RequestId, ResultCode, RunState};
 use rand::Rng;
 use smallvec::SmallVec;
 
@@ -145,6 +145,7 @@
                 tried: SmallVec::new(),
                 may_have_run: false,
                 was_cancelled: false,
+                arrived: now,
                 place,
             },
         );
@@ -210,7 +211,7 @@
         };
         let (service, class) = (state.service, state.arrival.class);
         if let Some(adapter) = state.arrival.adapter.clone()
-            && self.needs_load(service, &adapter, class)
+            && self.needs_load(service, &adapter, class, now)
         {
             self.want(service, &adapter, class, now, rng, actions);
         }
@@ -219,25 +220,36 @@
         }
     }
 
-    /// Whether another copy of `adapter` would pay: nobody holds it, or those who do are so full
-    /// that a load is quicker than the wait. The weight of load stalls lowers the bar.
+    /// Whether another copy of `adapter` in this failure domain would pay: it has none, or those it
+    /// has are so full that a load is quicker than the wait. The weight of load stalls lowers the
+    /// bar.
+    ///
+    /// Copies in other failure domains do not count: their places for this node are few, and a
+    /// request that had found one there would not wait.
     pub(crate) fn needs_load(
         &self,
         service: usize,
-        adapter: &nutmegsail_base::AdapterRef,
+        adapter: &AdapterRef,
         class: Class,
+        now: Instant,
     ) -> bool {
-        let reachable = |upstream: u32| self.upstreams[upstream as usize].is_reachable();
-        let holders = self.adapters.holders(adapter).iter();
-        let holders = holders.filter(|holder| reachable(holder.upstream)).count();
+        let state = &self.services[service];
+        let has_own = state.reachable_own > 0;
+        let holders = self.adapters.holders(adapter).iter().filter(|holder| {
+            let upstream = &self.upstreams[holder.upstream as usize];
+            upstream.is_reachable() && (upstream.is_own || !has_own)
+        });
+        let holders = holders.count();
         if holders == 0 {
             return true;
         }
-        let state = &self.services[service];
-        let waiting = state.queue(class).lane(&Some(adapter.clone())).count();
+        let wanted = Some(adapter.clone());
+        let lane = || state.queue(class).lane(&wanted);
+        let first = lane().next().and_then(|(_, id)| self.requests.get(id));
+        let waited = first.map_or(Duration::ZERO, |request| now - request.arrived);
         let places = holders as f64 * f64::from(state.plan.in_flight_per_upstream.max(1));
-        let wait_s = waiting as f64 / places * state.whole[class as usize].mean_s();
-        let bar_s = self.expected_load(self.adapters.wants()).as_secs_f64();
-        wait_s > bar_s * (1.5 - self.plan.weights.load_stalls)
+        let wait_s = lane().count() as f64 / places * state.whole[class as usize].mean_s();
+        let load_s = self.expected_load(self.adapters.wants()).as_secs_f64();
+        wait_s.max(waited.as_secs_f64()) > load_s * (1.5 - self.plan.weights.load_stalls)
     }
 }
--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -185,7 +185,7 @@
         let saving_s = self.settings.prefix_saving.as_secs_f64();
         Score {
             adapter_s: self.adapter_wait_s(upstream, adapter) * (0.5 + weights.load_stalls),
-            load_s: unit_s * fullness * (1.0 + weights.load_stalls),
+            load_s: unit_s * fullness * fullness * (1.0 + weights.load_stalls),
             domain_s: hop_s,
             prefix_s: if has_prefix { -saving_s } else { 0.0 },
             batch_s: 0.0 - unit_s * self.batch_gain(upstream, class, fullness),
@@ -204,9 +204,12 @@
     }
 
     /// How much a fuller engine is preferred, by the operators' weight. An engine step costs about
-    /// the same full or not, so routine work goes where steps already run, up to the batch limit.
+    /// the same full or not, so routine work goes where steps already run.
+    ///
+    /// The gain rises with the fullness and the cost of load with its square, so their sum is least
+    /// at a fullness that the weights set: engines are filled up to it, and past it work spreads.
     fn batch_gain(&self, upstream: usize, class: Class, fullness: f64) -> f64 {
-        const STRENGTH: f64 = 2.0;
+        const STRENGTH: f64 = 3.0;
         let state = &self.upstreams[upstream];
         let service = &self.services[state.service];
         if class == Class::Urgent || service.plan.batch_slots == 0 {
--- a/crates/routing/src/request_state.rs
+++ b/crates/routing/src/request_state.rs
@@ -32,6 +32,7 @@
     pub(crate) tried: SmallVec<[u32; 4]>,
     pub(crate) may_have_run: bool,
     pub(crate) was_cancelled: bool,
+    pub(crate) arrived: Instant,
     /// Its place in the queue whenever it waits.
     pub(crate) place: QueuePlace,
 }
--- a/crates/routing/src/tick.rs
+++ b/crates/routing/src/tick.rs
@@ -89,7 +89,7 @@
             let waited = self.services[service].queue(class).adapters();
             let waited: Vec<AdapterRef> = waited.cloned().collect();
             for adapter in &waited {
-                if self.needs_load(service, adapter, class) {
+                if self.needs_load(service, adapter, class, now) {
                     self.want(service, adapter, class, now, rng, actions);
                 }
             }
--- a/crates/routing/tests/failure_domains.rs
+++ b/crates/routing/tests/failure_domains.rs
@@ -6,7 +6,8 @@
 
 use nutmegsail_base::{AdapterRef, Class, ResultCode};
 use nutmegsail_routing::{
-    AdapterAvailability, Outcome, RouterSettings, RoutingEvent, RoutingPlan, ServicePlan,
+    AdapterAvailability, Outcome, RouterSettings, RoutingAction, RoutingEvent, RoutingPlan,
+    ServicePlan,
 };
 use support::{Bench, dispatched, refused, service};
 
@@ -70,6 +71,28 @@
     assert_eq!(dispatched(&bench.arrive(&call)).as_deref(), Some("u1"));
 }
 
+/// An adapter is ready in another failure domain, but this node's few places there are taken. The
+/// request would wait for one of them until its deadline while engines here stand idle.
+#[test]
+fn an_adapter_whose_places_elsewhere_are_taken_is_loaded_here() {
+    let adapter = AdapterRef::new("summary", 1);
+    let mut bench = Bench::new(two_domains().with_in_flight_per_upstream(4));
+    bench.set_adapter("far1", &adapter, AdapterAvailability::Ready);
+    let mut call = bench.call(Class::Routine);
+    call.adapter = Some(adapter.clone());
+    assert_eq!(dispatched(&bench.arrive(&call)).as_deref(), Some("far1"));
+
+    let mut call = bench.call(Class::Routine);
+    call.adapter = Some(adapter.clone());
+    let actions = bench.arrive(&call);
+
+    let is_here = |action: &RoutingAction| {
+        matches!(action, RoutingAction::WantAdapter { upstream, .. }
+        if upstream.starts_with('u'))
+    };
+    assert!(actions.iter().any(is_here), "{actions:?}");
+}
+
 /// Operators take a service out of the text while requests wait for it. Nobody will ever answer
 /// them, so they are told now; what runs is left to finish.
 #[test]
