Let stand-ins be closed and opened, and answer in typed JSON

Cause: nothing over HTTP could show an upstream that refuses connections; the order of JSON fields hung on a feature that another package may turn on; two checks of the engine had no test that fails without them. Change: POST /v1/close and /v1/open on the control address; answers are structs; tests for a resume with an old incarnation and a second run of one request.

--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -1,6 +1,8 @@
 //! The control address of the stand-ins' process.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
@@ -8,11 +10,10 @@
 use nutmegsail_platform::{Vm, VmState};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 
-use crate::Knobs;
 use crate::http_server::{HttpReply, HttpServer, listen, read_body, serve};
 use crate::stand_ins::StandInsState;
+use crate::{CallCounts, Knobs};
 
 /// The targets that are not addresses.
 const KEY_VALUE: &str = "kv";
@@ -57,16 +58,31 @@
     state: Option<VmState>,
 }
 
+#[derive(Serialize)]
+struct CountsJson {
+    kv: CallCounts,
+    loads_begun: u64,
+    loads_refused: u64,
+}
+
 pub(crate) fn serve_control(
     state: &StandInsState,
+    servers: &Arc<BTreeMap<String, HttpServer>>,
     address: SocketAddr,
 ) -> std::io::Result<HttpServer> {
     let listener = listen(address)?;
     let state = state.clone();
-    serve(listener, move |request| handle(state.clone(), request))
+    let servers = Arc::clone(servers);
+    serve(listener, move |request| {
+        handle(state.clone(), Arc::clone(&servers), request)
+    })
 }
 
-async fn handle(state: StandInsState, request: Request<Incoming>) -> HttpReply {
+async fn handle(
+    state: StandInsState,
+    servers: Arc<BTreeMap<String, HttpServer>>,
+    request: Request<Incoming>,
+) -> HttpReply {
     let (parts, body) = request.into_parts();
     let Some(body) = read_body(body).await else {
         return HttpReply::Cut;
@@ -83,6 +99,12 @@
             state.vm_list.set_state(&vm.id, vm.state);
             true
         }),
+        (&Method::POST, "/v1/close") => on_json(&body, |order: ControlOrder| {
+            servers.get(&order.target).map(HttpServer::close).is_some()
+        }),
+        (&Method::POST, "/v1/open") => on_json(&body, |order: ControlOrder| {
+            servers.get(&order.target).map(HttpServer::open).is_some()
+        }),
         (&Method::POST, action) => on_json(&body, |order| act(&state, action, &order)),
         _ => StatusCode::NOT_FOUND,
     };
@@ -156,11 +178,11 @@
 }
 
 fn counts(state: &StandInsState) -> HttpReply {
-    let counts = json!({
-        "kv": state.key_value.counts(),
-        "loads_begun": state.weight_store.begun(),
-        "loads_refused": state.weight_store.refused(),
-    });
+    let counts = CountsJson {
+        kv: state.key_value.counts(),
+        loads_begun: state.weight_store.begun(),
+        loads_refused: state.weight_store.refused(),
+    };
     HttpReply::json(StatusCode::OK, &counts)
 }
 
@@ -168,7 +190,7 @@
 fn ledgers(state: &StandInsState) -> HttpReply {
     let engines = state.fleet.engines.values();
     let plains = state.fleet.plains.values();
-    let ledgers: std::collections::BTreeMap<_, _> = engines
+    let ledgers: BTreeMap<_, _> = engines
         .map(|engine| (engine.id().clone(), engine.ledger()))
         .chain(plains.map(|plain| (plain.id().clone(), plain.ledger())))
         .collect();
--- a/crates/fakes/src/engine_http.rs
+++ b/crates/fakes/src/engine_http.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Frame, Incoming};
 use nutmegsail_base::{AdapterRef, Incarnation, RequestId};
 use nutmegsail_upstream::{LoadOrder, OrderAnswer, OrderError, StreamEvent, UpstreamError};
-use serde_json::json;
+use serde::Serialize;
 use tokio::net::TcpListener;
 
 use crate::engine::{events_asked, stream_of};
@@ -18,6 +18,11 @@
 /// The priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 5;
 
+#[derive(Serialize)]
+struct ConflictJson {
+    reason: &'static str,
+}
+
 impl FakeEngine {
     /// Serves the engine over HTTP. Start its steps besides.
     ///
@@ -134,7 +139,7 @@
             format!("id: {id}\ndata: {}\n\n", String::from_utf8_lossy(json))
         }
         StreamEvent::End(end) => {
-            let data = json!({ "count": end.count, "reason": end.reason });
+            let data = serde_json::to_string(end).unwrap_or_default();
             format!("event: end\ndata: {data}\n\n")
         }
     };
@@ -148,11 +153,10 @@
     let Ok(order) = serde_json::from_slice::<LoadOrder>(&body) else {
         return HttpReply::status(StatusCode::BAD_REQUEST);
     };
-    let conflict =
-        |reason: &str| HttpReply::json(StatusCode::CONFLICT, &json!({ "reason": reason }));
+    let conflict = |reason| HttpReply::json(StatusCode::CONFLICT, &ConflictJson { reason });
     match engine.take_order(&order) {
-        Ok(OrderAnswer::Accepted) => HttpReply::json(StatusCode::ACCEPTED, &json!({})),
-        Ok(OrderAnswer::AlreadyDone) => HttpReply::json(StatusCode::OK, &json!({})),
+        Ok(OrderAnswer::Accepted) => HttpReply::status(StatusCode::ACCEPTED),
+        Ok(OrderAnswer::AlreadyDone) => HttpReply::status(StatusCode::OK),
         Err(OrderError::Stale) => conflict("stale"),
         Err(OrderError::NoSlot) => conflict("no_slot"),
         Err(OrderError::InUse) => conflict("in_use"),
--- a/crates/fakes/src/engine_run.rs
+++ b/crates/fakes/src/engine_run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use nutmegsail_base::{AdapterRef, Incarnation, RequestId};
 use nutmegsail_upstream::{AnswerEnd, StreamEvent, UpstreamError};
-use serde_json::json;
+use serde::Serialize;
 use tokio::sync::watch;
 
 use crate::engine::EngineShared;
@@ -46,12 +46,25 @@
     pub(crate) progress: watch::Sender<Progress>,
 }
 
+#[derive(Serialize)]
+struct EventJson {
+    choices: [ChoiceJson; 1],
+}
+
+#[derive(Serialize)]
+struct ChoiceJson {
+    index: u32,
+    text: String,
+}
+
 /// The text of one event. It names request, adapter and place, so that a test can prove that
 /// streams never mix.
 pub(crate) fn event_json(request: &RequestId, adapter: &AdapterRef, id: u64) -> Bytes {
     let text = format!("{request}/{adapter}/{id} ");
-    let event = json!({ "choices": [{ "index": 0, "text": text }] });
-    Bytes::from(event.to_string())
+    let event = EventJson {
+        choices: [ChoiceJson { index: 0, text }],
+    };
+    Bytes::from(serde_json::to_vec(&event).unwrap_or_default())
 }
 
 /// A reader of one run's answer. Dropping it leaves the run, which is cancelled unless it is
--- a/crates/fakes/src/http_server.rs
+++ b/crates/fakes/src/http_server.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -16,10 +17,13 @@
 use nutmegsail_upstream::UpstreamError;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
 /// Connections that may wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
+/// How long to wait for an address that something else has taken meanwhile.
+const LISTENS_AGAIN_AFTER: Duration = Duration::from_millis(50);
 
 /// The body type of every answer.
 pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, UpstreamError>;
@@ -73,9 +77,22 @@
 pub struct HttpServer {
     /// Where it listens.
     pub address: SocketAddr,
+    is_open: watch::Sender<bool>,
     accepting: JoinHandle<()>,
 }
 
+impl HttpServer {
+    /// Closes all connections and refuses new ones, as a VM that died would, until it is opened.
+    pub fn close(&self) {
+        self.is_open.send_replace(false);
+    }
+
+    /// Listens again on the same address.
+    pub fn open(&self) {
+        self.is_open.send_replace(true);
+    }
+}
+
 impl Drop for HttpServer {
     fn drop(&mut self) {
         self.accepting.abort();
@@ -114,8 +131,40 @@
     F: Future<Output = HttpReply> + Send + 'static,
 {
     let address = listener.local_addr()?;
-    let accepting = tokio::spawn(accept_loop(listener, Arc::new(handler)));
-    Ok(HttpServer { address, accepting })
+    let (is_open, gate) = watch::channel(true);
+    let accepting = tokio::spawn(listen_loop(listener, gate, Arc::new(handler)));
+    Ok(HttpServer {
+        address,
+        is_open,
+        accepting,
+    })
+}
+
+/// Serves while the gate is open; closing it drops the listener with all connections.
+async fn listen_loop<H, F>(first: TcpListener, mut gate: watch::Receiver<bool>, handler: Arc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = HttpReply> + Send + 'static,
+{
+    let Ok(address) = first.local_addr() else {
+        return;
+    };
+    let mut listener = Some(first);
+    loop {
+        if let Some(listener) = listener.take() {
+            tokio::select! {
+                () = accept_loop(listener, Arc::clone(&handler)) => {}
+                _ = gate.wait_for(|is_open| !is_open) => {}
+            }
+        }
+        if gate.wait_for(|is_open| *is_open).await.is_err() {
+            return;
+        }
+        listener = listen(address).ok();
+        if listener.is_none() {
+            tokio::time::sleep(LISTENS_AGAIN_AFTER).await;
+        }
+    }
 }
 
 async fn accept_loop<H, F>(listener: TcpListener, handler: Arc<H>)
--- a/crates/fakes/src/key_value_http.rs
+++ b/crates/fakes/src/key_value_http.rs
@@ -10,7 +10,6 @@
     Change, Expect, Item, KeyValue, KeyValueError, LeaseId, Put, Revision, Txn,
 };
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 use tokio::net::TcpListener;
 
 use crate::FakeKeyValue;
@@ -101,6 +100,35 @@
     ttl_ms: u64,
 }
 
+#[derive(Serialize)]
+struct CommittedJson {
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct ConflictJson {
+    current: Vec<ItemJson>,
+}
+
+#[derive(Serialize)]
+struct PageJson {
+    items: Vec<ItemJson>,
+    has_more: bool,
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct ChangesJson {
+    changes: Vec<ChangeJson>,
+    revision: Revision,
+}
+
+#[derive(Serialize)]
+struct GrantJson {
+    lease: LeaseId,
+    ttl_ms: u64,
+}
+
 impl FakeKeyValue {
     /// Serves the store over HTTP.
     ///
@@ -138,7 +166,7 @@
         (&Method::POST, "/v1/kv/txn") => {
             let txn: TxnJson = read_json(body).await?;
             let revision = store.commit(txn.into()).await?;
-            Ok(ok(&json!({ "revision": revision })))
+            Ok(ok(&CommittedJson { revision }))
         }
         (&Method::POST, "/v1/kv/lease") => {
             let lease: LeaseJson = read_json(body).await?;
@@ -146,7 +174,10 @@
                 .grant_lease(Duration::from_millis(lease.ttl_ms))
                 .await?;
             let ttl_ms = u64::try_from(grant.ttl.as_millis()).unwrap_or(u64::MAX);
-            Ok(ok(&json!({ "lease": grant.lease, "ttl_ms": ttl_ms })))
+            Ok(ok(&GrantJson {
+                lease: grant.lease,
+                ttl_ms,
+            }))
         }
         (&Method::POST | &Method::DELETE, path) => lease_call(store, &parts.method, path).await,
         _ => Ok(HttpReply::status(StatusCode::NOT_FOUND)),
@@ -167,9 +198,11 @@
     let after = query_value(query, "after").filter(|after| !after.is_empty());
     let page = store.range(&prefix, after.as_deref()).await?;
     let items: Vec<ItemJson> = page.items.iter().map(ItemJson::from).collect();
-    Ok(ok(&json!({
-        "items": items, "has_more": page.has_more, "revision": page.revision,
-    })))
+    Ok(ok(&PageJson {
+        items,
+        has_more: page.has_more,
+        revision: page.revision,
+    }))
 }
 
 async fn watch(store: &FakeKeyValue, query: Option<&str>) -> Result<HttpReply, KeyValueError> {
@@ -183,9 +216,10 @@
     let wait = Duration::from_millis(number("wait_ms"));
     let seen = store.watch(&prefix, after, wait).await?;
     let changes: Vec<ChangeJson> = seen.changes.iter().map(ChangeJson::from).collect();
-    Ok(ok(
-        &json!({ "changes": changes, "revision": seen.revision }),
-    ))
+    Ok(ok(&ChangesJson {
+        changes,
+        revision: seen.revision,
+    }))
 }
 
 async fn lease_call(
@@ -203,7 +237,7 @@
         (Ok(lease), &Method::DELETE, false) => store.end_lease(lease).await?,
         _ => return Ok(HttpReply::status(StatusCode::NOT_FOUND)),
     }
-    Ok(ok(&json!({})))
+    Ok(HttpReply::status(StatusCode::OK))
 }
 
 async fn read_json<T: serde::de::DeserializeOwned>(body: Incoming) -> Result<T, KeyValueError> {
@@ -222,10 +256,7 @@
     match error {
         KeyValueError::Conflict { current } => {
             let current: Vec<ItemJson> = current.iter().map(ItemJson::from).collect();
-            HttpReply::json(
-                StatusCode::PRECONDITION_FAILED,
-                &json!({ "current": current }),
-            )
+            HttpReply::json(StatusCode::PRECONDITION_FAILED, &ConflictJson { current })
         }
         KeyValueError::Refused => HttpReply::status(StatusCode::TOO_MANY_REQUESTS),
         KeyValueError::Unavailable => HttpReply::status(StatusCode::SERVICE_UNAVAILABLE),
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -12,7 +12,7 @@
 use nutmegsail_upstream::{PlainRequest, PlainResponse, PlainService, UpstreamError};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
+use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
@@ -86,6 +86,15 @@
     json: Bytes,
 }
 
+#[derive(Serialize)]
+struct AnswerJson<'a> {
+    request: &'a RequestId,
+    path: &'a str,
+    /// Which run of this request id it is; a second one is a fault of whoever sent it.
+    run: u32,
+    body_bytes: usize,
+}
+
 impl FakePlainService {
     /// An idle service.
     pub fn new(id: impl Into<UpstreamId>, settings: PlainSettings, seed: u64) -> Self {
@@ -208,12 +217,15 @@
         if is_lost {
             return Err(UpstreamError::Broken);
         }
-        let answer = json!({
-            "request": request, "path": path, "run": run, "body_bytes": body.len(),
-        });
+        let answer = AnswerJson {
+            request,
+            path,
+            run,
+            body_bytes: body.len(),
+        };
         Ok(Answer {
             incarnation,
-            json: Bytes::from(answer.to_string()),
+            json: Bytes::from(serde_json::to_vec(&answer).unwrap_or_default()),
         })
     }
 }
--- a/crates/fakes/src/stand_ins.rs
+++ b/crates/fakes/src/stand_ins.rs
@@ -1,5 +1,6 @@
 //! A whole set of stand-ins in one process.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,9 @@
     vm_list,
 };
 
+/// The name of the platform's server: key-value service and VM list.
+const PLATFORM: &str = "kv";
+
 /// An engine to start.
 #[derive(Clone, Debug)]
 pub struct EngineEntry {
@@ -123,7 +127,8 @@
     pub addresses: StandInsAddresses,
     /// The same stand-ins in memory.
     pub state: StandInsState,
-    _servers: Vec<HttpServer>,
+    _servers: Arc<BTreeMap<String, HttpServer>>,
+    _control: HttpServer,
 }
 
 impl StandIns {
@@ -148,20 +153,23 @@
             fleet: upstreams.fleet,
         };
         let platform = serve_platform(&state, settings.platform)?;
-        let control = control::serve_control(&state, settings.control)?;
+        let mut servers = upstreams.servers;
+        let platform_address = platform.address;
+        servers.insert(PLATFORM.to_owned(), platform);
+        let servers = Arc::new(servers);
+        let control = control::serve_control(&state, &servers, settings.control)?;
         let addresses = StandInsAddresses {
-            kv: platform.address,
-            vms: platform.address,
+            kv: platform_address,
+            vms: platform_address,
             engines: upstreams.engines,
             plains: upstreams.plains,
             control: control.address,
         };
-        let mut servers = upstreams.servers;
-        servers.extend([platform, control]);
         Ok(Self {
             addresses,
             state,
             _servers: servers,
+            _control: control,
         })
     }
 }
@@ -174,7 +182,7 @@
     vms: Vec<Vm>,
     engines: Vec<UpstreamAddress>,
     plains: Vec<UpstreamAddress>,
-    servers: Vec<HttpServer>,
+    servers: BTreeMap<String, HttpServer>,
     next_seed: u64,
 }
 
@@ -191,7 +199,7 @@
             vms: Vec::new(),
             engines: Vec::new(),
             plains: Vec::new(),
-            servers: Vec::new(),
+            servers: BTreeMap::new(),
             next_seed: settings.seed.wrapping_mul(1_000),
         }
     }
@@ -207,7 +215,8 @@
                 self.draw_seed(),
             );
             engine.start_stepping();
-            self.servers.push(engine.serve_http(listener)?);
+            let server = engine.serve_http(listener)?;
+            self.servers.insert(id.to_string(), server);
             self.fleet.engines.insert(id.clone(), engine);
             self.vms.push(upstream_vm(&id, &entry.failure_domain));
             self.engines
@@ -221,7 +230,8 @@
             let (listener, id) = bind(entry.address)?;
             let seed = self.draw_seed();
             let plain = FakePlainService::new(id.clone(), settings.plain.clone(), seed);
-            self.servers.push(plain.serve_http(listener)?);
+            let server = plain.serve_http(listener)?;
+            self.servers.insert(id.to_string(), server);
             self.fleet.plains.insert(id.clone(), plain);
             self.vms.push(upstream_vm(&id, &entry.failure_domain));
             self.plains
--- a/crates/fakes/src/vm_list.rs
+++ b/crates/fakes/src/vm_list.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use nutmegsail_base::Clock;
 use nutmegsail_platform::{Vm, VmList, VmListError, VmState};
-use serde_json::json;
+use serde::Serialize;
 use tokio::net::TcpListener;
 
 use crate::Knobs;
@@ -18,6 +18,11 @@
 /// How long a caller in memory waits on a silent platform before it gives up.
 const GIVES_UP_AFTER: Duration = Duration::from_secs(5);
 
+#[derive(Serialize)]
+struct VmsJson {
+    vms: Vec<Vm>,
+}
+
 #[derive(Debug)]
 struct VmListState {
     knobs: Knobs,
@@ -116,7 +121,7 @@
         std::future::pending::<()>().await;
     }
     match list.list().await {
-        Ok(vms) => HttpReply::json(StatusCode::OK, &json!({ "vms": vms })),
+        Ok(vms) => HttpReply::json(StatusCode::OK, &VmsJson { vms }),
         Err(_) => HttpReply::status(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -228,6 +228,37 @@
     assert_eq!(bench.engine.ledger().runs_of("r1"), 1);
 }
 
+/// An engine restarts while a caller reads, and the same request runs there anew. A resume with
+/// the old incarnation would splice two generations into one answer.
+#[tokio::test]
+async fn a_resume_never_reaches_the_run_of_another_incarnation() {
+    let bench = bench(EngineSettings::default());
+    let old = bench.engine.incarnation();
+    let first = bench.routine("r1").await;
+    bench.engine.restart();
+    bench.engine.preload(adapter("a"));
+    let _second = bench.routine("r1").await;
+    let request = RequestId::from("r1");
+    let resumed = bench.engine.resume(&bench.id, old, &request, 0).await;
+    assert_eq!(resumed.unwrap_err(), UpstreamError::Failed { status: 404 });
+    drop(first);
+    assert_eq!(bench.engine.ledger().runs_of("r1"), 2);
+}
+
+/// A node sends a request a second time to the same engine. The ledger shows both runs, and the
+/// reader of the first one does not cancel the second when it goes away.
+#[tokio::test]
+async fn a_second_run_of_one_request_is_counted_and_displaces_the_first() {
+    let bench = bench(EngineSettings::default());
+    let first = bench.routine("r1").await;
+    bench.engine.step();
+    let mut second = bench.routine("r1").await;
+    drop(first);
+    bench.engine.step();
+    assert_eq!(read_now(&mut second), ["r1/a@1/1"]);
+    assert_eq!(bench.engine.ledger().runs_of("r1"), 2);
+}
+
 #[tokio::test]
 async fn a_load_takes_its_time_and_a_failing_one_frees_its_slot_half_way() {
     let bench = bench(EngineSettings::default());
--- a/crates/fakes/tests/stand_ins.rs
+++ b/crates/fakes/tests/stand_ins.rs
@@ -69,6 +69,23 @@
     assert!(ledger.line().contains(engine.as_str()));
 }
 
+#[tokio::test]
+async fn a_closed_address_refuses_connections_until_it_is_opened() {
+    let stand_ins = stand_ins().await;
+    let control = stand_ins.addresses.control;
+    let kv = stand_ins.addresses.kv;
+    let connects = async || tokio::net::TcpStream::connect(kv).await.is_ok();
+    let order = r#"{"target":"kv"}"#;
+    for (path, is_open) in [("/v1/close", false), ("/v1/open", true)] {
+        let done = call(control, "POST", path, &[], order).await;
+        assert_eq!(done.status, Some(200));
+        // The listener changes in a task of its own; the test ends only once it has.
+        while connects().await != is_open {}
+    }
+    let vms = call(kv, "GET", "/v1/vms", &[], "").await;
+    assert_eq!(vms.status, Some(200));
+}
+
 #[tokio::test]
 async fn changes_of_the_vm_list_appear_after_the_lag() {
     let clock = Arc::new(ManualClock::default());
