--- a/crates/front/src/activity.rs
+++ b/crates/front/src/activity.rs
@@ -1,13 +1,14 @@
-//! Whether a connection has a request in progress.
+//! What the socket and the service of one connection tell each other.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 /// Counts the requests in progress on one connection, from the end of the head to the last byte
 /// of the answer. Its clones count the same connection.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Activity {
     in_progress: Arc<AtomicUsize>,
+    has_two_framings: Arc<AtomicBool>,
 }
 
 /// Counts one request until it is dropped.
@@ -23,6 +24,15 @@
         InProgress { counted }
     }
 
+    /// Tells that the head that has just come has both a length and a transfer encoding.
+    pub fn report_two_framings(&self) {
+        self.has_two_framings.store(true, Ordering::Release);
+    }
+
+    pub fn take_two_framings(&self) -> bool {
+        self.has_two_framings.swap(false, Ordering::AcqRel)
+    }
+
     pub fn has_request(&self) -> bool {
         self.in_progress.load(Ordering::Acquire) > 0
     }
--- a/crates/front/src/call_choice.rs
+++ b/crates/front/src/call_choice.rs
@@ -4,7 +4,7 @@
 
 use http::Method;
 use nutmegsail_base::{CallName, Class, ResultCode};
-use nutmegsail_config::{Call, Service};
+use nutmegsail_config::{Call, Deployment, Service};
 
 use crate::request_fault::RequestFault;
 use crate::request_head::RequestHead;
@@ -23,12 +23,17 @@
 
 impl Terms {
     /// The terms of a generation: those of the call that the caller names, or the service's own.
-    pub fn of_generation(service: &Service, head: &RequestHead) -> Result<Self, RequestFault> {
+    pub fn of_generation(
+        deployment: &Deployment,
+        service: &Service,
+        head: &RequestHead,
+    ) -> Result<Self, RequestFault> {
         let call = match &head.call {
             None => None,
             Some(name) => Some(find_named(service, name)?),
         };
-        Ok(Self::of(service, call).shortened(head))
+        let terms = Self::of(service, call).inherited(deployment, service, head)?;
+        Ok(terms.shortened(head))
     }
 
     /// The terms of a call to a plain service, chosen by method and path alone.
@@ -36,6 +41,7 @@
     /// A caller who could choose the call by its name would send a booking confirmation under the
     /// name of a lookup and have it repeated. So a name is only checked against the choice.
     pub fn of_plain(
+        deployment: &Deployment,
         service: &Service,
         method: &Method,
         path: &ServicePath,
@@ -51,9 +57,28 @@
         }
         let mut terms = Self::of(service, call);
         terms.idempotent |= call.is_none() && method.is_safe();
+        let terms = terms.inherited(deployment, service, head)?;
         Ok(terms.shortened(head))
     }
 
+    /// What the call inherits from the service on whose behalf it is made.
+    fn inherited(
+        mut self,
+        deployment: &Deployment,
+        service: &Service,
+        head: &RequestHead,
+    ) -> Result<Self, RequestFault> {
+        let Some(caller) = &head.on_behalf_of else {
+            return Ok(self);
+        };
+        let derivation = deployment
+            .derive(&service.name, self.call.as_ref(), Some(caller))
+            .map_err(|fault| RequestFault::new(fault.code(), fault.to_string()))?;
+        self.class = derivation.class;
+        self.deadline = derivation.deadline;
+        Ok(self)
+    }
+
     fn of(service: &Service, call: Option<&Call>) -> Self {
         match call {
             Some(call) => Self {
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -2,15 +2,20 @@
 
 use std::convert::Infallible;
 use std::net::IpAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::{Request as HttpRequest, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use nutmegsail_base::ResultCode;
+use nutmegsail_base::{RequestId, ResultCode};
+use nutmegsail_request::{Refusal, Request};
+use nutmegsail_telemetry::{Event, log_event};
+use slog::Logger;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -22,7 +27,7 @@
 use crate::operators_service::OperatorsService;
 use crate::request_fault::RequestFault;
 use crate::request_head::new_request_id;
-use crate::response::{AnswerBody, CountedBody, echo_request};
+use crate::response::{AnswerBody, CountedBody, close_after, echo_request, refusal_response};
 use crate::watched_io::{SocketTimeouts, WatchedIo, closing_error};
 
 /// Bytes of an ended connection that are read and thrown away.
@@ -36,6 +41,66 @@
 }
 
 impl Audience {
+    async fn answer(
+        &self,
+        id: &RequestId,
+        peer: IpAddr,
+        request: HttpRequest<Incoming>,
+    ) -> Response<AnswerBody> {
+        match self {
+            Self::Callers(service) => service.answer(id, peer, request).await,
+            Self::Operators(service) => {
+                let uri = request.uri();
+                let (path, query) = (uri.path(), uri.query());
+                service.answer(id, request.method(), path, query).await
+            }
+        }
+    }
+}
+
+/// What every connection of a listener is served with.
+#[derive(Clone)]
+pub(crate) struct Connection {
+    pub audience: Audience,
+    pub settings: Arc<FrontSettings>,
+    /// Cancelled once no further request is read.
+    pub stop: CancellationToken,
+    pub log: Logger,
+}
+
+impl Connection {
+    /// Serves `stream` until it ends. A request in progress is always finished.
+    pub async fn serve(self, stream: TcpStream, peer: IpAddr) {
+        let activity = Activity::default();
+        let timeouts = SocketTimeouts {
+            header: self.settings.header_timeout(),
+            idle: self.settings.idle_timeout(),
+            write: self.settings.write_timeout(),
+        };
+        let max_header_bytes = self.settings.max_header_bytes;
+        let io = WatchedIo::new(stream, activity.clone(), timeouts, max_header_bytes);
+        let this = &self;
+        let service = service_fn(|request| {
+            let activity = activity.clone();
+            async move { Ok::<_, Infallible>(this.answer(request, peer, activity).await) }
+        });
+        let builder = http_builder(&self.settings);
+        let mut connection = builder.serve_connection(TokioIo::new(io), service);
+        let mut is_stopping = false;
+        let served = loop {
+            tokio::select! {
+                served = &mut connection => break served,
+                () = self.stop.cancelled(), if !is_stopping => {
+                    is_stopping = true;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+        };
+        let io = connection.into_parts().io.into_inner();
+        let has_stalled = served.is_err() && io.has_stalled_in_head();
+        close(io.into_stream(), has_stalled, self.settings.linger()).await;
+    }
+
     async fn answer(
         &self,
         request: HttpRequest<Incoming>,
@@ -44,54 +109,40 @@
     ) -> Response<CountedBody> {
         let in_progress = activity.begin();
         let id = new_request_id(request.headers());
-        let mut response: Response<AnswerBody> = match self {
-            Self::Callers(service) => service.answer(&id, peer, request).await,
-            Self::Operators(service) => {
-                let uri = request.uri();
-                let (path, query) = (uri.path(), uri.query());
-                service.answer(&id, request.method(), path, query).await
-            }
+        let mut response = if activity.take_two_framings() {
+            refuse_two_framings(&id)
+        } else {
+            self.guarded(&id, peer, request).await
         };
         echo_request(response.headers_mut(), &id);
         response.map(|body| CountedBody::new(body, in_progress))
     }
+
+    /// Turns a panic, such as a broken assertion, into the refusal of this one request.
+    async fn guarded(
+        &self,
+        id: &RequestId,
+        peer: IpAddr,
+        request: HttpRequest<Incoming>,
+    ) -> Response<AnswerBody> {
+        let answering = AssertUnwindSafe(self.audience.answer(id, peer, request));
+        answering.catch_unwind().await.unwrap_or_else(|_| {
+            log_event!(self.log, Event::TaskFailed, "task" => "request",
+                "request" => id.as_str());
+            let detail = "the request's task failed";
+            let refusal = Refusal::may_have_run(ResultCode::Internal, detail);
+            refusal_response(&refusal, id)
+        })
+    }
 }
 
-/// Serves `stream` until it ends. Once `stop` is cancelled, the request in progress is finished and
-/// no further one is read.
-pub(crate) async fn serve(
-    stream: TcpStream,
-    peer: IpAddr,
-    audience: Audience,
-    settings: Arc<FrontSettings>,
-    stop: CancellationToken,
-) {
-    let activity = Activity::default();
-    let timeouts = SocketTimeouts {
-        header: settings.header_timeout(),
-        idle: settings.idle_timeout(),
-        write: settings.write_timeout(),
-    };
-    let io = WatchedIo::new(stream, activity.clone(), timeouts);
-    let service = service_fn(|request| {
-        let audience = audience.clone();
-        let activity = activity.clone();
-        async move { Ok::<_, Infallible>(audience.answer(request, peer, activity).await) }
-    });
-    let mut connection = http_builder(&settings).serve_connection(TokioIo::new(io), service);
-    let mut stop_seen = false;
-    let served = loop {
-        tokio::select! {
-            served = &mut connection => break served,
-            () = stop.cancelled(), if !stop_seen => {
-                stop_seen = true;
-                std::pin::Pin::new(&mut connection).graceful_shutdown();
-            }
-        }
-    };
-    let io = connection.into_parts().io.into_inner();
-    let has_stalled = served.is_err() && io.has_stalled_in_head();
-    close(io.into_stream(), has_stalled, settings.linger()).await;
+fn refuse_two_framings(id: &RequestId) -> Response<AnswerBody> {
+    let detail = "the request has both a Content-Length and a Transfer-Encoding";
+    let fault = RequestFault::new(ResultCode::BadHeader, detail);
+    let refusal = fault.refuse(Request::accept(id.clone()));
+    let mut response = refusal_response(&refusal, id);
+    close_after(response.headers_mut());
+    response
 }
 
 fn http_builder(settings: &FrontSettings) -> http1::Builder {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -9,14 +9,14 @@
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::callers_service::CallersService;
-use crate::connection::{Audience, serve};
+use crate::connection::{Audience, Connection};
 use crate::operators_service::OperatorsService;
 use crate::request_fault::RequestFault;
 use crate::watched_io::closing_error;
@@ -25,6 +25,9 @@
 /// How long accepting rests after the operating system refused, such as for want of descriptors.
 const ACCEPT_REST: Duration = Duration::from_millis(20);
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// The listeners of a node, for callers and for operators.
 pub struct Front {
     callers: Listener,
@@ -51,9 +54,8 @@
             log: log.clone(),
         }));
         let operators = Audience::Operators(Arc::new(OperatorsService { handler }));
-        let callers = Listener::bind(settings.callers_address, callers, &settings, &log).await?;
-        let operators =
-            Listener::bind(settings.operators_address, operators, &settings, &log).await?;
+        let callers = Listener::bind(settings.callers_address, callers, &settings, &log)?;
+        let operators = Listener::bind(settings.operators_address, operators, &settings, &log)?;
         Ok(Self {
             callers,
             operators,
@@ -115,14 +117,14 @@
 }
 
 impl Listener {
-    async fn bind(
+    fn bind(
         address: SocketAddr,
         audience: Audience,
         settings: &Arc<FrontSettings>,
         log: &Logger,
     ) -> Result<Self, FrontError> {
         let bind_error = |cause| FrontError::Bind { address, cause };
-        let socket = TcpListener::bind(address).await.map_err(bind_error)?;
+        let socket = listen(address, settings).map_err(bind_error)?;
         let address = socket.local_addr().map_err(bind_error)?;
         log_event!(log, Event::ListenerOpened, "address" => address.to_string());
         let listener = Self {
@@ -130,11 +132,15 @@
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
         };
-        let accepting = Accepting {
-            socket,
+        let connection = Connection {
             audience,
             settings: Arc::clone(settings),
             stop: listener.stop.clone(),
+            log: log.clone(),
+        };
+        let accepting = Accepting {
+            socket,
+            connection,
             connections: listener.connections.clone(),
         };
         listener.connections.spawn(accepting.run());
@@ -147,35 +153,45 @@
     }
 }
 
+/// Accepted connections take over the listener's buffer size. Left to itself, the operating system
+/// grows the buffer of a slow reader to megabytes.
+fn listen(address: SocketAddr, settings: &FrontSettings) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(settings.socket_buffer_bytes)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 struct Accepting {
     socket: TcpListener,
-    audience: Audience,
-    settings: Arc<FrontSettings>,
-    stop: CancellationToken,
+    connection: Connection,
     connections: TaskTracker,
 }
 
 impl Accepting {
     async fn run(self) {
-        let places = Arc::new(Semaphore::new(self.settings.max_connections));
+        let settings = Arc::clone(&self.connection.settings);
+        let places = Arc::new(Semaphore::new(settings.max_connections));
         loop {
             let accepted = tokio::select! {
                 accepted = self.socket.accept() => accepted,
-                () = self.stop.cancelled() => return,
+                () = self.connection.stop.cancelled() => return,
             };
             let Ok((stream, peer)) = accepted else {
                 sleep(ACCEPT_REST).await;
                 continue;
             };
             let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-                self.connections
-                    .spawn(refuse(stream, self.settings.linger()));
+                self.connections.spawn(refuse(stream, settings.linger()));
                 continue;
             };
             let _ = stream.set_nodelay(true);
-            let settings = Arc::clone(&self.settings);
-            let audience = self.audience.clone();
-            let serving = serve(stream, peer.ip(), audience, settings, self.stop.clone());
+            let serving = self.connection.clone().serve(stream, peer.ip());
             self.connections.spawn(async move {
                 serving.await;
                 drop(place);
--- a/crates/front/src/generation_body.rs
+++ b/crates/front/src/generation_body.rs
@@ -23,8 +23,11 @@
 impl GenerationBody {
     /// Reads a whole body. All of it must be JSON, also the parts that the node does not need.
     pub fn read(body: &[u8]) -> Result<Self, RequestFault> {
-        let fields: Fields = serde_json::from_slice(body)
-            .map_err(|fault| RequestFault::new(ResultCode::MalformedBody, fault.to_string()))?;
+        let malformed = |fault: String| RequestFault::new(ResultCode::MalformedBody, fault);
+        // The JSON library checks no UTF-8 in the parts that it skips.
+        let text = std::str::from_utf8(body).map_err(|fault| malformed(fault.to_string()))?;
+        let fields: Fields =
+            serde_json::from_str(text).map_err(|fault| malformed(fault.to_string()))?;
         let adapter = fields.model.parse().map_err(|fault| {
             let detail = format!("{fault}");
             RequestFault::new(ResultCode::BadModelName, detail)
--- a/crates/front/src/request_head.rs
+++ b/crates/front/src/request_head.rs
@@ -3,8 +3,8 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use http::header::{CONNECTION, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
-use http::{HeaderMap, HeaderName};
+use http::HeaderMap;
+use http::header::CONNECTION;
 use nutmegsail_base::{CallName, CallerId, RequestId, ResultCode, ServiceName};
 use uuid::Uuid;
 
@@ -30,15 +30,27 @@
 const MAX_TRACEPARENT_BYTES: usize = 128;
 
 /// Headers that concern one connection and are not passed on.
-const CONNECTION_HEADERS: [HeaderName; 6] =
-    [CONNECTION, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
-const MORE_CONNECTION_HEADERS: [&str; 6] = [
+const CONNECTION_HEADERS: [&str; 10] = [
+    "connection",
+    "host",
     "keep-alive",
-    "proxy-connection",
     "proxy-authenticate",
     "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Headers of a request that hold only between the caller and this node. The last three would
+/// make a lookup a confirmation at an upstream that reads them, past the check of once-only calls.
+const HOP_HEADERS: [&str; 5] = [
     "content-length",
     "expect",
+    "x-http-method",
+    "x-http-method-override",
+    "x-method-override",
 ];
 
 /// What the headers of a request say to the node.
@@ -83,13 +95,20 @@
     }
 }
 
+/// The headers of a request that are passed on to an upstream.
+pub(crate) fn request_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    for name in HOP_HEADERS {
+        kept.remove(name);
+    }
+    kept
+}
+
 /// Leaves out the headers that concern one connection.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = headers.clone();
     for listed in headers.get_all(CONNECTION) {
-        let Ok(listed) = listed.to_str() else {
-            continue;
-        };
+        let listed = listed.to_str().unwrap_or_default();
         for name in listed.split(',') {
             kept.remove(name.trim());
         }
@@ -97,9 +116,6 @@
     for name in CONNECTION_HEADERS {
         kept.remove(name);
     }
-    for name in MORE_CONNECTION_HEADERS {
-        kept.remove(name);
-    }
     kept
 }
 
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use http::header::{ALLOW, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -103,3 +103,8 @@
 pub(crate) fn set_allow(headers: &mut HeaderMap, methods: &'static str) {
     headers.insert(ALLOW, HeaderValue::from_static(methods));
 }
+
+/// Ends the connection after the response.
+pub(crate) fn close_after(headers: &mut HeaderMap) {
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -35,6 +35,8 @@
     pub max_whole_answer_bytes: usize,
     /// Answer bytes that wait for a slow reader before no more are taken from the engine.
     pub write_buffer_bytes: usize,
+    /// Answer bytes that the operating system holds for one connection.
+    pub socket_buffer_bytes: u32,
     /// The time from the first byte of a request to the end of its head.
     pub header_timeout_ms: u64,
     /// The longest gap in the body of a request.
@@ -63,6 +65,7 @@
             max_body_bytes: 4 * 1024 * 1024,
             max_whole_answer_bytes: 8 * 1024 * 1024,
             write_buffer_bytes: 64 * 1024,
+            socket_buffer_bytes: 256 * 1024,
             header_timeout_ms: 10_000,
             body_timeout_ms: 10_000,
             whole_body_timeout_ms: 60_000,
@@ -113,6 +116,11 @@
                 self.write_buffer_bytes,
                 MIN_BUFFER_BYTES,
             ),
+            (
+                "socket_buffer_bytes",
+                self.socket_buffer_bytes as usize,
+                MIN_BUFFER_BYTES,
+            ),
             ("max_connections", self.max_connections, 1),
         ];
         for (name, size, least) in sizes {
--- a/crates/front/src/sse.rs
+++ b/crates/front/src/sse.rs
@@ -55,13 +55,13 @@
     }
 
     fn piece(&mut self, id: u64, json: &[u8]) -> Result<Bytes, Refusal> {
-        self.pieces
-            .observe(id)
-            .map_err(|fault| Refusal::ran(fault.code(), fault.to_string()))?;
         // A line break inside the data would start a field or an event of the engine's choosing.
         if json.iter().any(|byte| matches!(byte, b'\n' | b'\r')) {
             return Err(cut("a piece has a line break"));
         }
+        self.pieces
+            .observe(id)
+            .map_err(|fault| Refusal::ran(fault.code(), fault.to_string()))?;
         let mut text = BytesMut::with_capacity(json.len() + 40);
         text.put_slice(format!("id: {id}\ndata: ").as_bytes());
         text.put_slice(json);
--- a/crates/front/src/watched_io.rs
+++ b/crates/front/src/watched_io.rs
@@ -14,6 +14,7 @@
 
 use crate::ErrorBody;
 use crate::activity::Activity;
+use crate::head_scan::HeadScan;
 use crate::request_fault::RequestFault;
 use crate::request_head::{REQUEST_ID, new_request_id};
 
@@ -39,6 +40,8 @@
     read_timer: Option<Pin<Box<Sleep>>>,
     write_timer: Option<Pin<Box<Sleep>>>,
     replacement: Option<Replacement>,
+    head_scan: HeadScan,
+    max_header_bytes: usize,
     has_ended: bool,
 }
 
@@ -56,7 +59,12 @@
 }
 
 impl WatchedIo {
-    pub fn new(stream: TcpStream, activity: Activity, timeouts: SocketTimeouts) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        activity: Activity,
+        timeouts: SocketTimeouts,
+        max_header_bytes: usize,
+    ) -> Self {
         Self {
             stream,
             activity,
@@ -65,6 +73,8 @@
             read_timer: None,
             write_timer: None,
             replacement: None,
+            head_scan: HeadScan::default(),
+            max_header_bytes,
             has_ended: false,
         }
     }
@@ -83,6 +93,7 @@
         if self.read_state != state {
             self.read_state = state;
             self.read_timer = None;
+            self.head_scan.reset();
         }
     }
 
@@ -164,9 +175,16 @@
         if polled.is_pending() {
             return self.poll_silence(context);
         }
-        let is_head = buffer.filled().len() > before && !self.activity.has_request();
-        if is_head {
+        if self.activity.has_request() {
+            self.enter(ReadState::InRequest);
+            return polled;
+        }
+        if buffer.filled().len() > before {
             self.enter(ReadState::InHead);
+            let max_bytes = self.max_header_bytes;
+            if self.head_scan.take(&buffer.filled()[before..], max_bytes) {
+                self.activity.report_two_framings();
+            }
         }
         polled
     }
@@ -203,10 +221,11 @@
 /// the front names its request.
 fn is_bare_error(bytes: &[u8]) -> bool {
     let is_error = bytes.starts_with(b"HTTP/1.1 4") || bytes.starts_with(b"HTTP/1.0 4");
-    let names_request = bytes
-        .windows(REQUEST_ID.len())
-        .any(|window| window.eq_ignore_ascii_case(REQUEST_ID.as_bytes()));
-    is_error && bytes.ends_with(b"\r\n\r\n") && !names_request
+    if !is_error || !bytes.ends_with(b"\r\n\r\n") {
+        return false;
+    }
+    let mut windows = bytes.windows(REQUEST_ID.len());
+    !windows.any(|window| window.eq_ignore_ascii_case(REQUEST_ID.as_bytes()))
 }
 
 fn numbered_error(bare: &[u8]) -> Bytes {
