--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -31,7 +31,7 @@
 use crate::watched_io::{SocketTimeouts, WatchedIo, closing_error};
 
 /// Bytes of an ended connection that are read and thrown away.
-const LINGER_BYTES: usize = 1024 * 1024;
+const LINGER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Whom a listener serves.
 #[derive(Clone)]
--- a/crates/front/tests/front/bad_input.rs
+++ b/crates/front/tests/front/bad_input.rs
@@ -54,6 +54,7 @@
 #[case::unknown_adapter(model("no-such@1"), 404, 1005)]
 #[case::unknown_version(model("treatment-summary-0042@9"), 404, 1006)]
 #[case::body_too_large(completion(&[b' '; 70_000]), 413, 1002)]
+#[case::body_much_too_large(completion(&[b' '; 8_000_000]), 413, 1002)]
 #[case::chunked_too_large(
     request("POST", "/v1/completions", &["transfer-encoding: chunked"],
         format!("11170\r\n{}\r\n0\r\n\r\n", " ".repeat(70_000)).as_bytes()),
