--- a/crates/http-pool/tests/scripted_server/mod.rs
+++ b/crates/http-pool/tests/scripted_server/mod.rs
@@ -109,7 +109,14 @@
             stream.write_all(bytes).await.expect("a reader");
             match turn {
                 Turn::Answer(_) => {}
-                Turn::AnswerAndClose(_) => stream.shutdown().await.expect("an open connection"),
+                Turn::AnswerAndClose(_) => {
+                    stream.shutdown().await.expect("an open connection");
+                    // What still comes has arrived, though nobody answers it.
+                    while let Some(request) = read_request(&mut stream).await {
+                        log.requests.lock().expect("no panic").push(request);
+                    }
+                    break;
+                }
                 Turn::AnswerAndHang(_) => {
                     hanging.push(stream);
                     break;
