--- a/crates/config/src/spread/ask.rs
+++ b/crates/config/src/spread/ask.rs
@@ -6,6 +6,7 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{Rng, RngExt};
 
+use super::fetch::Fetch;
 use super::{Spread, SpreadAction, TextSource};
 use crate::{Digest, Generation};
 
@@ -68,6 +69,7 @@
 
     pub(super) fn on_tick(&mut self, now: Instant, rng: &mut impl Rng) {
         self.put_back(now);
+        self.give_up_fetch(now);
         if let Some(fetch) = &self.fetch {
             if now - fetch.asked_at >= self.settings.retry_after {
                 self.fetch_elsewhere(now, rng);
@@ -88,6 +90,21 @@
         }
     }
 
+    /// A head may name pieces that nobody holds any more, as when the store was restored from a copy
+    /// in the middle of a fetch. A node that waited for them for ever would take up no other text,
+    /// so it gives up and asks anew what there is.
+    fn give_up_fetch(&mut self, now: Instant) {
+        let give_up_after = self.settings.give_up_after;
+        let is_old = |fetch: &Fetch| now - fetch.begun_at >= give_up_after;
+        if !self.fetch.as_ref().is_some_and(is_old) {
+            return;
+        }
+        self.fetch = None;
+        if self.rank.is_some() {
+            self.actions.push(SpreadAction::WatchStore);
+        }
+    }
+
     /// The last one asked for pieces did not send all of them: asks another one.
     fn fetch_elsewhere(&mut self, now: Instant, rng: &mut impl Rng) {
         let is_store_usable = self.rank.is_some() && self.is_store_up;
--- a/crates/config/src/spread/fetch.rs
+++ b/crates/config/src/spread/fetch.rs
@@ -13,6 +13,7 @@
     pub(super) head: Head,
     pub(super) pieces: BTreeMap<Digest, Arc<str>>,
     pub(super) source: TextSource,
+    pub(super) begun_at: Instant,
     pub(super) asked_at: Instant,
 }
 
@@ -22,6 +23,7 @@
             head,
             pieces: BTreeMap::new(),
             source,
+            begun_at: now,
             asked_at: now,
         }
     }
--- a/crates/config/src/spread/settings.rs
+++ b/crates/config/src/spread/settings.rs
@@ -13,6 +13,8 @@
     pub watch_wait: Duration,
     /// How long a question to a peer or the store stays unanswered before another one is asked.
     pub retry_after: Duration,
+    /// How long a text is fetched before it is given up.
+    pub give_up_after: Duration,
     /// How long a watcher waits, times its rank, before it puts a newer head back, and between two
     /// tries.
     pub restore_after: Duration,
@@ -26,6 +28,7 @@
             watchers: 2,
             watch_wait: Duration::from_secs(1),
             retry_after: Duration::from_millis(200),
+            give_up_after: Duration::from_secs(5),
             restore_after: Duration::from_secs(1),
             tell_at_once: 3,
         }
--- a/crates/config/tests/changes.rs
+++ b/crates/config/tests/changes.rs
@@ -2,7 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use nutmegsail_config::{Deployment, Digest, OperatorsText, diff, split};
+use nutmegsail_config::{
+    Deployment, Digest, Generation, Head, OperatorsText, WriterId, diff, split,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const OLD: &str = include_str!("../../../examples/jm-west.toml");
 
@@ -82,3 +86,29 @@
     assert!(pieces.len() <= 13);
     assert!(pieces.iter().all(|piece| piece.text.len() < 256 * 1024));
 }
+
+#[test]
+fn a_head_stays_small_and_remembers_the_last_32_writers() {
+    let text = OperatorsText::new("large.toml", "\"client-00000\",\n".repeat(20_000));
+    let pieces = split(&text);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut head: Option<Head> = None;
+    for _ in 0..100 {
+        let writer = WriterId::random(&mut rng);
+        let next = Head::following(head.as_ref(), Generation(0), &text, &pieces, &writer);
+        assert_eq!(next.generation_of(&writer), Some(next.generation));
+        head = Some(next);
+    }
+    let head = head.expect("written");
+    println!(
+        "{} pieces, a head of {} bytes",
+        pieces.len(),
+        head.to_json().len()
+    );
+    assert_eq!(head.recent.len(), 32);
+    assert!(head.to_json().len() < 4_096, "{}", head.to_json().len());
+    assert_eq!(
+        Head::from_json(head.to_json().as_bytes()).expect("reads"),
+        head
+    );
+}
