--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,11 @@
 //! The operators' text: parse, validate, compare, publish and spread.
 //!
-//! [`Deployment`] is a text that has passed every check; the rest of nutmegsail only ever sees one
-//! of those. This crate is told texts and store answers, decides which generation is in force, and
-//! never touches a request.
+//! It decides what a text means, which text is accepted, and which generation is in force on a node.
+//! It is told texts, answers of the key-value service and messages of peers. It never touches a
+//! request, reads no file and no clock, and sends nothing but calls to the key-value service.
+//!
+//! Start at [`Deployment::parse`] for a text, [`Deployment::derive`] for a call's class and deadline,
+//! [`Publisher`] for how a text is accepted, and [`Spread`] for how it comes into force.
 
 mod adapter_index;
 mod changes;
--- a/crates/config/src/operators_text.rs
+++ b/crates/config/src/operators_text.rs
@@ -59,6 +59,32 @@
         }
     }
 
+    /// Adds every file that the text includes and that `read` finds. One that it does not find is a
+    /// fault of the text later on.
+    ///
+    /// # Errors
+    /// An included file is not UTF-8.
+    ///
+    /// ```
+    /// use nutmegsail_config::OperatorsText;
+    /// let text = OperatorsText::new("main.toml", "services.a.include = \"more.toml\"");
+    /// let text = text.with_includes(|name| (name == "more.toml").then(|| b"adapters = []".to_vec()))?;
+    /// assert_eq!(text.includes.len(), 1);
+    /// # Ok::<(), nutmegsail_config::Faults>(())
+    /// ```
+    pub fn with_includes(
+        mut self,
+        mut read: impl FnMut(&str) -> Option<Vec<u8>>,
+    ) -> Result<Self, Faults> {
+        for name in crate::text::included_names(&self.text) {
+            if let Some(bytes) = read(&name) {
+                let included = Self::from_bytes(&name, &bytes)?;
+                self.includes.insert(included.file, included.text);
+            }
+        }
+        Ok(self)
+    }
+
     /// The size of all files in bytes.
     pub fn bytes(&self) -> usize {
         self.text.len() + self.includes.values().map(|text| text.len()).sum::<usize>()
--- a/crates/config/src/text/adapters.rs
+++ b/crates/config/src/text/adapters.rs
@@ -60,6 +60,32 @@
     ReadAdapters { adapters, at }
 }
 
+/// The files that the services of `text` include, whatever else is wrong with it.
+pub(crate) fn included_names(text: &str) -> Vec<String> {
+    let (top, _) = DeTable::parse_recoverable(text);
+    let Some(DeValue::Table(services)) = top.get_ref().get("services").map(Spanned::get_ref) else {
+        return Vec::new();
+    };
+    let mut names = Vec::new();
+    for service in services.values() {
+        let DeValue::Table(service) = service.get_ref() else {
+            continue;
+        };
+        match service.get("include").map(Spanned::get_ref) {
+            Some(DeValue::String(name)) => names.push(name.to_string()),
+            Some(DeValue::Array(list)) => {
+                let list = list.iter().map(Spanned::get_ref);
+                names.extend(list.filter_map(|name| match name {
+                    DeValue::String(name) => Some(name.to_string()),
+                    _ => None,
+                }));
+            }
+            _ => {}
+        }
+    }
+    names
+}
+
 type Found = BTreeMap<AdapterName, Vec<AdapterVersion>>;
 
 fn read_include(
--- a/crates/config/src/text/mod.rs
+++ b/crates/config/src/text/mod.rs
@@ -11,6 +11,7 @@
 mod table;
 mod top;
 
+pub(crate) use adapters::included_names;
 use gather::Gather;
 use toml::de::DeTable;
 
