--- a/crates/idempotency/src/asks.rs
+++ b/crates/idempotency/src/asks.rs
@@ -6,7 +6,7 @@
 use nutmegsail_base::NodeId;
 
 use crate::token_source::TokenSource;
-use crate::{ClaimAction, ClaimToken, WriterEntry, WriterResult};
+use crate::{ClaimAction, ClaimSettings, ClaimToken, WriterEntry, WriterResult};
 
 #[derive(Debug)]
 struct Ask {
@@ -14,30 +14,46 @@
     entries: Vec<WriterEntry>,
 }
 
+/// Claims and outcomes go apart, for a caller waits for a claim alone.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Addressee {
+    writer: NodeId,
+    is_claim: bool,
+}
+
 /// Operations handed to other nodes and not answered yet.
 #[derive(Debug, Default)]
 pub(crate) struct Asks {
-    outbox: BTreeMap<NodeId, Vec<WriterEntry>>,
+    outbox: BTreeMap<Addressee, Vec<WriterEntry>>,
     open: BTreeMap<ClaimToken, Ask>,
 }
 
 impl Asks {
     /// Adds an operation to the next message to `writer`.
     pub fn add(&mut self, writer: NodeId, entry: WriterEntry) {
-        self.outbox.entry(writer).or_default().push(entry);
+        let is_claim = entry.is_claim();
+        let addressee = Addressee { writer, is_claim };
+        self.outbox.entry(addressee).or_default().push(entry);
     }
 
     /// Sends one message to each writer that something was added for.
     pub fn send(
         &mut self,
-        deadline: Instant,
+        settings: &ClaimSettings,
+        now: Instant,
         tokens: &mut TokenSource,
         actions: &mut Vec<ClaimAction>,
     ) {
-        for (to, entries) in std::mem::take(&mut self.outbox) {
+        for (addressee, entries) in std::mem::take(&mut self.outbox) {
             let token = tokens.next();
+            let to = addressee.writer;
+            let timeout = if addressee.is_claim {
+                settings.ask_timeout
+            } else {
+                settings.outcome_timeout
+            };
             let ask = Ask {
-                deadline,
+                deadline: now + timeout,
                 entries: entries.clone(),
             };
             self.open.insert(token, ask);
@@ -66,17 +82,17 @@
 
     /// Takes what is left of questions that were not answered in time.
     pub fn take_expired(&mut self, now: Instant) -> Vec<WriterEntry> {
-        let (expired, open) = std::mem::take(&mut self.open)
-            .into_iter()
-            .partition(|(_, ask)| ask.deadline <= now);
+        if self.next_expiry().is_none_or(|expiry| expiry > now) {
+            return Vec::new();
+        }
+        let open = std::mem::take(&mut self.open).into_iter();
+        let (expired, open): (BTreeMap<_, _>, _) = open.partition(|(_, ask)| ask.deadline <= now);
         self.open = open;
-        let expired: BTreeMap<ClaimToken, Ask> = expired;
         expired.into_values().flat_map(|ask| ask.entries).collect()
     }
 
     /// When the next question runs out.
     pub fn next_expiry(&self) -> Option<Instant> {
-        // Tokens rise with time and every question waits equally long.
-        self.open.first_key_value().map(|(_, ask)| ask.deadline)
+        self.open.values().map(|ask| ask.deadline).min()
     }
 }
--- a/crates/idempotency/src/claims.rs
+++ b/crates/idempotency/src/claims.rs
@@ -125,7 +125,12 @@
                 self.forwarded(request, result, actions);
             }
             ClaimEvent::StoreDown => self.is_store_down = true,
-            ClaimEvent::StoreUp => self.is_store_down = false,
+            ClaimEvent::StoreUp => {
+                self.is_store_down = false;
+                for writer in &mut self.writers {
+                    writer.retry_now(now);
+                }
+            }
             ClaimEvent::Tick => {}
         }
         self.pump(now, wall, actions);
@@ -240,8 +245,8 @@
             }
             self.deliver(now, wall, actions);
         }
-        let deadline = now + self.settings.ask_timeout;
-        self.asks.send(deadline, &mut self.tokens, actions);
+        self.asks
+            .send(&self.settings, now, &mut self.tokens, actions);
         self.collect(now, wall, actions);
     }
 
--- a/crates/idempotency/src/lane.rs
+++ b/crates/idempotency/src/lane.rs
@@ -15,6 +15,9 @@
 /// About the size of a stored claim without its answer, in bytes.
 const CLAIM_BYTES: usize = 230;
 
+/// How often the pause after a failure doubles at most.
+const MAX_DOUBLINGS: u32 = 10;
+
 /// A store call under way.
 #[derive(Debug)]
 struct InFlight {
@@ -44,6 +47,8 @@
     queue: VecDeque<QueuedOperation>,
     in_flight: Option<InFlight>,
     retry_at: Instant,
+    /// Store calls that failed one after the other.
+    failures: u32,
     last_used: Instant,
 }
 
@@ -55,13 +60,18 @@
             queue: VecDeque::new(),
             in_flight: None,
             retry_at: now,
+            failures: 0,
             last_used: now,
         }
     }
 
     /// Adds an operation at the end.
-    pub fn push(&mut self, operation: QueuedOperation, now: Instant) {
+    pub fn push(&mut self, operation: QueuedOperation, settings: &ClaimSettings, now: Instant) {
         self.last_used = now;
+        if operation.entry.is_claim() {
+            // A caller waits: don't sit out a long pause that outcomes can bear.
+            self.retry_at = self.retry_at.min(now + settings.store_backoff);
+        }
         self.queue.push_back(operation);
     }
 
@@ -185,8 +195,10 @@
             Ok(stored) => self.chain.adopt(segment, stored.clone()).is_ok(),
             Err(StoreFault) => false,
         };
-        if !adopted {
-            self.retry_at = now + settings.store_backoff;
+        if adopted {
+            self.failures = 0;
+        } else {
+            self.back_off(settings, now);
         }
         true
     }
@@ -205,6 +217,7 @@
         };
         match result {
             Ok(revision) => {
+                self.failures = 0;
                 let Commit {
                     segment,
                     record,
@@ -233,11 +246,11 @@
             } => {
                 if self.chain.adopt(segment, Some(current)).is_err() {
                     self.chain.distrust(segment);
-                    self.retry_at = now + settings.store_backoff;
+                    self.back_off(settings, now);
                 }
             }
             SwapFault::Conflict { current: None } => self.chain.distrust(segment),
-            SwapFault::NotDone => self.retry_at = now + settings.store_backoff,
+            SwapFault::NotDone => self.back_off(settings, now),
             // The write may have taken effect, or the store may carry it out later, while the
             // record still has the revision it expects. Read back first: if the claims are there,
             // they hold. If not, the operations are written again at the same revision; of the two
@@ -246,6 +259,20 @@
         }
     }
 
+    /// Waits twice as long after each failure, so that a store in trouble is not flooded.
+    fn back_off(&mut self, settings: &ClaimSettings, now: Instant) {
+        let factor = 1 << self.failures.min(MAX_DOUBLINGS);
+        let pause = settings.store_backoff * factor;
+        self.retry_at = now + pause.min(settings.store_backoff_max);
+        self.failures += 1;
+    }
+
+    /// Tries again now: the store is said to be back.
+    pub fn retry_now(&mut self, now: Instant) {
+        self.retry_at = now;
+        self.failures = 0;
+    }
+
     fn put_back(&mut self, commit: Commit) {
         for (operation, _) in commit.operations.into_iter().rev() {
             self.queue.push_front(operation);
--- a/crates/idempotency/src/settings.rs
+++ b/crates/idempotency/src/settings.rs
@@ -21,14 +21,18 @@
     pub claim_wait: Duration,
     /// How long the shard's writer may take before a node writes the claim itself.
     pub ask_timeout: Duration,
+    /// How long the shard's writer may take to record an outcome before a node does it itself.
+    pub outcome_timeout: Duration,
     /// The shortest time between two writes for one shard.
     pub commit_interval: Duration,
     /// How long an outcome waits for others to share its write.
     pub outcome_delay: Duration,
     /// How long a store call may take before its result counts as unknown.
     pub store_timeout: Duration,
-    /// The pause after a failed store call.
+    /// The pause after a failed store call; it doubles with each further failure.
     pub store_backoff: Duration,
+    /// The longest pause after failed store calls.
+    pub store_backoff_max: Duration,
     /// The size at which a record is closed for new claims, in bytes.
     pub record_bytes: usize,
     /// The largest answer that is kept, headers and body, in bytes.
@@ -50,10 +54,12 @@
             skew: Duration::from_secs(30),
             claim_wait: Duration::from_secs(2),
             ask_timeout: Duration::from_millis(250),
+            outcome_timeout: Duration::from_secs(5),
             commit_interval: Duration::from_millis(16),
             outcome_delay: Duration::from_millis(500),
             store_timeout: Duration::from_secs(2),
             store_backoff: Duration::from_millis(100),
+            store_backoff_max: Duration::from_secs(5),
             record_bytes: 16 * 1024,
             answer_bytes: 1024,
             max_tickets: 100_000,
--- a/crates/idempotency/src/shard_writer.rs
+++ b/crates/idempotency/src/shard_writer.rs
@@ -49,7 +49,7 @@
         let place = ChainPlace::of(&operation.entry.key);
         let lane = self.lanes.entry(place);
         lane.or_insert_with(|| Lane::new(place, now))
-            .push(operation, now);
+            .push(operation, settings, now);
     }
 
     /// Takes in a read's result. Returns whether the token was this shard's.
@@ -79,6 +79,13 @@
             .any(|lane| lane.swap_done(token, result.clone(), settings, now, replies))
     }
 
+    /// Tries again what failed before: the store is said to be back.
+    pub fn retry_now(&mut self, now: Instant) {
+        for lane in self.lanes.values_mut() {
+            lane.retry_now(now);
+        }
+    }
+
     /// Starts what is due.
     pub fn pump(
         &mut self,
--- a/crates/idempotency/tests/world/mod.rs
+++ b/crates/idempotency/tests/world/mod.rs
@@ -217,6 +217,27 @@
         uuid::Builder::from_unix_timestamp_millis(ms, &random).into_uuid()
     }
 
+    /// The node that writes for the key's shard, and one that does not.
+    pub fn writer_and_other(&self, key: &IdempotencyKey) -> (usize, usize) {
+        let live = self.nodes.iter().map(|node| LiveNode {
+            node: node.id.clone(),
+            incarnation: Incarnation(node.incarnation),
+        });
+        let live: Vec<LiveNode> = live.collect();
+        let writer = writer_of(ChainPlace::of(key).shard, &live).unwrap();
+        let at = self
+            .nodes
+            .iter()
+            .position(|node| node.id == *writer)
+            .unwrap();
+        (at, (at + 1) % self.nodes.len())
+    }
+
+    /// How many dispatches of `key` may have reached the upstream.
+    pub fn runs(&self, key: &IdempotencyKey) -> usize {
+        self.ran.get(key).map_or(0, Vec::len)
+    }
+
     pub fn wall(&self) -> SystemTime {
         self.clock.wall()
     }
@@ -267,6 +288,7 @@
     }
 
     pub fn restart(&mut self, node: usize) {
+        self.wakes.remove(&node);
         let incarnation = self.nodes[node].incarnation + 1;
         let fresh = Node::new(node, incarnation, &self.settings);
         let old = std::mem::replace(&mut self.nodes[node], fresh);
@@ -395,8 +417,11 @@
             }
             Item::Dispatch { node, request, .. } => self.dispatch(node, request),
             Item::Wake { node, .. } => {
-                self.wakes.remove(&node);
-                self.tell_node(node, ClaimEvent::Tick);
+                // An earlier wake was planned after this one: that one has done the work.
+                if self.wakes.get(&node).is_some_and(|at| *at <= self.elapsed) {
+                    self.wakes.remove(&node);
+                    self.tell_node(node, ClaimEvent::Tick);
+                }
             }
         }
     }
@@ -431,11 +456,7 @@
             .saturating_duration_since(now)
             .max(Duration::from_millis(1));
         let at = self.elapsed + after;
-        if self
-            .wakes
-            .get(&node)
-            .is_none_or(|planned| *planned > at || *planned < self.elapsed)
-        {
+        if self.wakes.get(&node).is_none_or(|planned| *planned > at) {
             self.wakes.insert(node, at);
             let incarnation = self.nodes[node].incarnation;
             self.put(after, Item::Wake { node, incarnation });
