--- a/crates/nutmegsail/src/apply_report.rs
+++ b/crates/nutmegsail/src/apply_report.rs
@@ -4,9 +4,10 @@
 
 use nutmegsail_base::{FailureDomain, ResultCode};
 use nutmegsail_config::{Accepted, Digest, Generation};
+use nutmegsail_membership::DomainStatus;
 use serde::Serialize;
 
-use crate::fleet_status::DomainLine;
+use crate::domain_view::DomainView;
 use crate::{ExitCode, FleetStatus};
 
 /// An accepted text and what nodes say of it.
@@ -52,11 +53,11 @@
         let silent = domains.iter().filter(|name| !is_known(name));
         self.silent_domains = silent.cloned().collect();
         let mut known = fleet.domains.iter();
-        let all_run_it = known.all(|domain| domain.is_in_force(self.generation));
+        let all_run_it = known.all(|domain| self.view(domain).is_in_force());
         let runs_other = fleet
             .nodes
             .iter()
-            .any(|node| node.generation == self.generation && node.digest != self.digest);
+            .any(|node| node.generation == self.generation.0 && node.digest != self.digest.0);
         self.is_in_force = all_run_it
             && !runs_other
             && self.silent_domains.is_empty()
@@ -77,13 +78,18 @@
         let domains = self.fleet.iter().flat_map(|fleet| &fleet.domains);
         let (mut there, mut all) = (0, 0);
         for domain in domains {
-            there += domain.nodes_at(self.generation);
+            there += self.view(domain).nodes_there();
             all += domain.nodes;
         }
         let generation = self.generation;
         format!("waiting: {there} of {all} nodes run generation {generation}")
     }
 
+    fn view<'a>(&self, domain: &'a DomainStatus) -> DomainView<'a> {
+        let generation = self.generation;
+        DomainView { domain, generation }
+    }
+
     fn verdict(&self) -> String {
         let generation = self.generation;
         let accepted = if self.is_new {
@@ -106,8 +112,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.verdict())?;
         for domain in self.fleet.iter().flat_map(|fleet| &fleet.domains) {
-            let newest = self.generation;
-            write!(f, "\n{}", DomainLine { domain, newest })?;
+            write!(f, "\n{}", self.view(domain))?;
         }
         for domain in &self.silent_domains {
             write!(f, "\n{domain}: no node that was asked knows of it")?;
--- a/crates/nutmegsail/src/fleet_status.rs
+++ b/crates/nutmegsail/src/fleet_status.rs
@@ -6,15 +6,17 @@
 use futures_util::future::join_all;
 use nutmegsail_base::FailureDomain;
 use nutmegsail_config::Generation;
+use nutmegsail_membership::{DomainStatus, StatusReport};
 use serde::Serialize;
 
-use crate::{CommandError, DomainStatus, NodeClient, NodeStatus};
+use crate::domain_view::DomainView;
+use crate::{CommandError, NodeClient};
 
 /// The answers of the nodes that were asked, and one view of each failure domain.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct FleetStatus {
     /// The nodes that answered.
-    pub nodes: Vec<NodeStatus>,
+    pub nodes: Vec<StatusReport>,
     /// Each failure domain, as the node that knows most of it sees it.
     pub domains: Vec<DomainStatus>,
     /// The nodes that were asked and gave no answer.
@@ -57,7 +59,7 @@
         let of_nodes = self.nodes.iter().map(|node| node.generation);
         let of_domains = self.domains.iter();
         let of_domains = of_domains.filter_map(|domain| domain.at_generation.keys().max().copied());
-        of_nodes.chain(of_domains).max().unwrap_or_default()
+        Generation(of_nodes.chain(of_domains).max().unwrap_or_default())
     }
 }
 
@@ -91,7 +93,7 @@
 /// A node hears of its own failure domain by heartbeats and of others by summaries, which come
 /// later and stop when the domains are cut off. So a view from inside goes first, then the one that
 /// knows of most nodes.
-fn merged(nodes: &[NodeStatus]) -> Vec<DomainStatus> {
+fn merged(nodes: &[StatusReport]) -> Vec<DomainStatus> {
     let mut views: BTreeMap<&FailureDomain, (bool, &DomainStatus)> = BTreeMap::new();
     for node in nodes {
         for view in &node.domains {
@@ -125,35 +127,14 @@
         let newest = self.newest_generation();
         write!(f, "newest generation: {newest}")?;
         for domain in &self.domains {
-            write!(f, "\n{}", DomainLine { domain, newest })?;
-        }
-        Ok(())
-    }
-}
-
-/// A failure domain in a line: how many nodes run `newest`, and which cannot be reached.
-pub(crate) struct DomainLine<'a> {
-    pub(crate) domain: &'a DomainStatus,
-    pub(crate) newest: Generation,
-}
-
-impl fmt::Display for DomainLine<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { domain, newest } = self;
-        let (there, all) = (domain.nodes_at(*newest), domain.nodes);
-        let name = &domain.failure_domain;
-        write!(f, "{name}: {there} of {all} nodes run generation {newest}")?;
-        let older = domain.at_generation.range(..*newest);
-        for (generation, nodes) in older.filter(|(_, nodes)| **nodes > 0) {
-            write!(f, ", {nodes} run {generation}")?;
-        }
-        if !domain.unreachable.is_empty() {
-            let names: Vec<&str> = domain
-                .unreachable
-                .iter()
-                .map(|node| node.as_str())
-                .collect();
-            write!(f, "; cannot be reached: {}", names.join(", "))?;
+            write!(
+                f,
+                "\n{}",
+                DomainView {
+                    domain,
+                    generation: newest
+                }
+            )?;
         }
         Ok(())
     }
--- a/crates/nutmegsail/src/node_client.rs
+++ b/crates/nutmegsail/src/node_client.rs
@@ -6,10 +6,11 @@
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
 use nutmegsail_http_pool::{Pool, PoolSettings};
+use nutmegsail_membership::StatusReport;
 use serde::Deserialize;
 use tokio::time::timeout;
 
-use crate::{CommandError, NodeStatus};
+use crate::CommandError;
 
 /// How long a node may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -58,7 +59,7 @@
     /// # Errors
     ///
     /// The node cannot be reached, or refuses.
-    pub async fn status(&self, address: &str) -> Result<NodeStatus, CommandError> {
+    pub async fn status(&self, address: &str) -> Result<StatusReport, CommandError> {
         let body = self.get(address, "/operators/status").await?;
         serde_json::from_slice(&body).map_err(|error| unreadable(address, &error))
     }
--- a/crates/nutmegsail/src/text_file.rs
+++ b/crates/nutmegsail/src/text_file.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
-use nutmegsail_config::{Deployment, Faults, OperatorsText};
+use nutmegsail_config::{Deployment, OperatorsText};
 
 use crate::CommandError;
 
@@ -23,17 +23,10 @@
     ///
     /// [`CommandError::File`] if the text cannot be read, [`CommandError::Text`] with every fault.
     pub fn read(path: &Path) -> Result<Self, CommandError> {
-        let mut text = read_file(path)?;
-        for name in included(&text.text) {
-            let beside = path.with_file_name(&*name);
-            // A file that is missing is a fault of the text, with the line that includes it.
-            if let Ok(bytes) = std::fs::read(&beside) {
-                let file = beside.display().to_string();
-                let include = OperatorsText::from_bytes(&file, &bytes);
-                let include = include.map_err(CommandError::Text)?;
-                text = text.include(name, include.text);
-            }
-        }
+        // An included file that is missing is a fault of the text, with the line that includes it.
+        let text = read_file(path)?
+            .with_includes(|name| std::fs::read(path.with_file_name(name)).ok())
+            .map_err(CommandError::Text)?;
         let deployment = Deployment::parse_text(&text).map_err(CommandError::Text)?;
         Ok(Self { text, deployment })
     }
@@ -56,30 +49,5 @@
         path: file.clone(),
         why: error.to_string(),
     })?;
-    OperatorsText::from_bytes(&file, &bytes).map_err(|faults: Faults| CommandError::Text(faults))
-}
-
-/// The names that the text's services include. A text that is no TOML includes nothing; its faults
-/// are found when it is parsed.
-fn included(text: &str) -> Vec<Arc<str>> {
-    let Ok(table) = text.parse::<toml::Table>() else {
-        return Vec::new();
-    };
-    let services = table.get("services").and_then(toml::Value::as_table);
-    let includes = services
-        .into_iter()
-        .flat_map(toml::Table::values)
-        .filter_map(|service| service.get("include"));
-    let mut names = Vec::new();
-    for include in includes {
-        match include {
-            toml::Value::String(name) => names.push(name.as_str().into()),
-            toml::Value::Array(list) => {
-                let list = list.iter().filter_map(toml::Value::as_str);
-                names.extend(list.map(Arc::from));
-            }
-            _ => {}
-        }
-    }
-    names
+    OperatorsText::from_bytes(&file, &bytes).map_err(CommandError::Text)
 }
--- a/crates/nutmegsail/tests/apply_report.rs
+++ b/crates/nutmegsail/tests/apply_report.rs
@@ -1,34 +1,29 @@
 //! When a text counts as in force everywhere, from what nodes say.
 
-use std::collections::BTreeMap;
-
-use nutmegsail::{ApplyReport, CommandError, DomainStatus, FleetStatus, NodeStatus, Unanswered};
+use nutmegsail::{ApplyReport, CommandError, FleetStatus, Unanswered};
 use nutmegsail_base::{FailureDomain, NodeId};
 use nutmegsail_config::{Accepted, Digest, Generation};
+use nutmegsail_membership::{DomainStatus, StatusReport};
 use rstest::rstest;
 
 /// The text that was applied.
 const APPLIED: u64 = 5;
 
 fn domain(name: &str, at_generation: &[(u64, u32)]) -> DomainStatus {
-    let at_generation: BTreeMap<Generation, u32> = at_generation
-        .iter()
-        .map(|(generation, nodes)| (Generation(*generation), *nodes))
-        .collect();
     DomainStatus {
         failure_domain: FailureDomain::from(name),
         nodes: 3,
-        at_generation,
+        at_generation: at_generation.iter().copied().collect(),
         unreachable: Vec::new(),
     }
 }
 
-fn node(generation: u64, digest: &str) -> NodeStatus {
-    NodeStatus {
+fn node(generation: u64, digest: &str) -> StatusReport {
+    StatusReport {
         node: NodeId::from("hall-1"),
         failure_domain: FailureDomain::from("hall"),
-        generation: Generation(generation),
-        digest: Digest(digest.into()),
+        generation,
+        digest: digest.into(),
         is_ready: true,
         is_leaving: false,
         domains: Vec::new(),
