--- a/crates/idempotency/tests/randomised.rs
+++ b/crates/idempotency/tests/randomised.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use nutmegsail_base::RunState;
+use nutmegsail_idempotency::ClaimSettings;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use rstest::rstest;
 use world::{Faults, Told, World};
 
 const NODES: usize = 4;
@@ -32,7 +34,7 @@
             .prop_map(|(node, key, body)| Step::Call { node, key, body }),
         4 => (key, prop::bool::weighted(0.3))
             .prop_map(|(key, ticket)| Step::NewKey { key, ticket }),
-        8 => prop_oneof![1u64..30, 30u64..600, 600u64..6000].prop_map(|ms| Step::Wait { ms }),
+        8 => prop_oneof![8 => 1u64..30, 8 => 30u64..600, 8 => 600u64..6000, 1 => 30_000u64..120_000].prop_map(|ms| Step::Wait { ms }),
         2 => (node.clone(), 10u64..8000).prop_map(|(node, ms)| Step::Pause { node, ms }),
         1 => node.clone().prop_map(|node| Step::Restart { node }),
         1 => (node, any::<bool>()).prop_map(|(node, is_cut)| Step::Cut { node, is_cut }),
@@ -68,7 +70,18 @@
 }
 
 fn play(seed: u64, faults: Faults, steps: &[Step]) -> World {
-    let mut world = World::new(NODES, seed);
+    // Short enough that claims are collected and keys grow too old within a run.
+    let settings = ClaimSettings {
+        retention: Duration::from_secs(60),
+        skew: Duration::from_secs(2),
+        collect_interval: Duration::from_secs(1),
+        record_bytes: 700,
+        ..ClaimSettings::default()
+    };
+    let mut world = World::with_settings(NODES, seed, settings);
+    for (node, error_s) in [2, -2, 0, -2].into_iter().enumerate() {
+        world.nodes[node].clock_error_s = error_s;
+    }
     world.faults = faults;
     let mut keys: Vec<_> = (0..KEYS).map(|_| world.key()).collect();
     for step in steps {
@@ -149,12 +162,19 @@
     assert!(counts.ran > 0 && counts.answered > 0 && counts.not_run > 0 && counts.may_have_run > 0);
 }
 
-/// Without faults and outages every key runs, whatever the order of calls.
-#[test]
-fn without_outages_every_first_call_runs() {
+/// Without outages every key runs, whatever the order of calls; with faults at least half do.
+#[rstest]
+#[case::no_faults(Faults::default(), 100)]
+#[case::faults(
+    Faults { swap_not_done: 5, swap_lost: 5, read_fails: 5, message_lost: 5, message_twice: 5,
+        message_late: 5, ..Faults::default() },
+    50
+)]
+fn outside_outages_calls_run(#[case] faults: Faults, #[case] least_percent: usize) {
     let calls = prop::collection::vec((0..NODES, 0..KEYS, 0u64..200), 20..80);
     let verdict = runner(100, 4007).run(&(any::<u64>(), calls), |(seed, calls)| {
         let mut world = World::new(NODES, seed);
+        world.faults = faults;
         let keys: Vec<_> = (0..KEYS).map(|_| world.key()).collect();
         let mut called = std::collections::BTreeSet::new();
         for (node, key, wait_ms) in calls {
@@ -163,9 +183,9 @@
             world.run_for(Duration::from_millis(wait_ms));
         }
         world.run_for(Duration::from_secs(3));
-        for key in called {
-            prop_assert_eq!(world.runs(&keys[key]), 1);
-        }
+        let ran = called.iter().filter(|key| world.runs(&keys[**key]) == 1);
+        let ran_percent = ran.count() * 100 / called.len();
+        prop_assert!(ran_percent >= least_percent, "{ran_percent}% ran");
         Ok(())
     });
     verdict.unwrap();
