Tell an idle connection from a stalled head, and finish heads at shutdown

Cause: a request that began and ended between two reads of its socket went unseen, so the kept connection after it counted as stalled in a head: it was closed after header_timeout_ms, and two framings in its second request were not looked at. On a kept connection a shutdown closed a request whose head had half come. Change: the socket follows how many requests have begun; a connection with a head on its way is closed by its answer.

--- a/crates/front/src/activity.rs
+++ b/crates/front/src/activity.rs
@@ -3,44 +3,66 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-/// Counts the requests in progress on one connection, from the end of the head to the last byte
-/// of the answer. Its clones count the same connection.
+/// What happens on one connection. A request is in progress from the end of its head to the last
+/// byte of its answer. Clones tell of the same connection.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Activity {
-    in_progress: Arc<AtomicUsize>,
-    has_two_framings: Arc<AtomicBool>,
+    shared: Arc<Shared>,
 }
 
-/// Counts one request until it is dropped.
+#[derive(Debug, Default)]
+struct Shared {
+    begun: AtomicUsize,
+    ended: AtomicUsize,
+    is_in_head: AtomicBool,
+    has_two_framings: AtomicBool,
+}
+
+/// A request in progress, until this is dropped.
 #[derive(Debug)]
 pub(crate) struct InProgress {
-    counted: Arc<AtomicUsize>,
+    shared: Arc<Shared>,
 }
 
 impl Activity {
     pub fn begin(&self) -> InProgress {
-        let counted = Arc::clone(&self.in_progress);
-        counted.fetch_add(1, Ordering::AcqRel);
-        InProgress { counted }
+        self.shared.begun.fetch_add(1, Ordering::AcqRel);
+        let shared = Arc::clone(&self.shared);
+        InProgress { shared }
+    }
+
+    /// How many requests have begun.
+    pub fn begun(&self) -> usize {
+        self.shared.begun.load(Ordering::Acquire)
+    }
+
+    pub fn has_request(&self) -> bool {
+        self.begun() > self.shared.ended.load(Ordering::Acquire)
+    }
+
+    /// Tells whether a part of a request's head has come, and its end has not.
+    pub fn set_in_head(&self, is_in_head: bool) {
+        self.shared.is_in_head.store(is_in_head, Ordering::Release);
+    }
+
+    pub fn is_in_head(&self) -> bool {
+        self.shared.is_in_head.load(Ordering::Acquire) && !self.has_request()
     }
 
     /// Tells that the head that has just come has both a length and a transfer encoding.
     pub fn report_two_framings(&self) {
-        self.has_two_framings.store(true, Ordering::Release);
+        self.shared.has_two_framings.store(true, Ordering::Release);
     }
 
     pub fn take_two_framings(&self) -> bool {
-        self.has_two_framings.swap(false, Ordering::AcqRel)
-    }
-
-    pub fn has_request(&self) -> bool {
-        self.in_progress.load(Ordering::Acquire) > 0
+        self.shared.has_two_framings.swap(false, Ordering::AcqRel)
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        let before = self.counted.fetch_sub(1, Ordering::AcqRel);
-        debug_assert!(before > 0, "a request ended twice");
+        let ended = self.shared.ended.fetch_add(1, Ordering::AcqRel) + 1;
+        let begun = self.shared.begun.load(Ordering::Acquire);
+        debug_assert!(ended <= begun, "a request ended twice");
     }
 }
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -92,12 +92,15 @@
                 served = &mut connection => break served,
                 () = self.stop.cancelled(), if !is_stopping => {
                     is_stopping = true;
-                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                    // A request whose head is on its way is answered, and closes the connection.
+                    if !activity.is_in_head() {
+                        std::pin::Pin::new(&mut connection).graceful_shutdown();
+                    }
                 }
             }
         };
         let io = connection.into_parts().io.into_inner();
-        let has_stalled = served.is_err() && io.has_stalled_in_head();
+        let has_stalled = served.is_err() && io.was_silent();
         close(io.into_stream(), has_stalled, self.settings.linger()).await;
     }
 
@@ -115,6 +118,9 @@
             self.guarded(&id, peer, request).await
         };
         echo_request(response.headers_mut(), &id);
+        if self.stop.is_cancelled() {
+            close_after(response.headers_mut());
+        }
         response.map(|body| CountedBody::new(body, in_progress))
     }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -39,6 +39,28 @@
 
 impl Front {
     /// Listens on both addresses and serves until [`Front::shutdown`].
+    ///
+    /// # Errors
+    /// The settings have faults, or an address cannot be listened on.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use std::time::Duration;
+    /// use nutmegsail_front::{Front, FrontSettings, Handler};
+    /// use nutmegsail_telemetry::discard_logger;
+    /// # async fn serve(handler: Arc<dyn Handler>) -> Result<(), nutmegsail_front::FrontError> {
+    /// let any_port = ([127, 0, 0, 1], 0).into();
+    /// let settings = FrontSettings::default()
+    ///     .with_callers_address(any_port)
+    ///     .with_operators_address(any_port);
+    /// let front = Front::bind(settings, handler, discard_logger()).await?;
+    /// println!("callers connect to {}", front.callers_address());
+    /// while !front.shutdown(Duration::from_secs(60)).await {
+    ///     println!("requests are still in progress");
+    /// }
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn bind(
         settings: FrontSettings,
         handler: Arc<dyn Handler>,
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -91,7 +91,10 @@
         self
     }
 
-    /// Checks the settings and reports all faults at once.
+    /// Checks the settings.
+    ///
+    /// # Errors
+    /// All faults at once, each with what would be right.
     pub fn validate(&self) -> Result<(), FrontError> {
         let mut faults = Vec::new();
         let timeouts = [
--- a/crates/front/src/watched_io.rs
+++ b/crates/front/src/watched_io.rs
@@ -36,13 +36,14 @@
     stream: TcpStream,
     activity: Activity,
     timeouts: SocketTimeouts,
+    requests_seen: usize,
     read_state: ReadState,
     read_timer: Option<Pin<Box<Sleep>>>,
     write_timer: Option<Pin<Box<Sleep>>>,
     replacement: Option<Replacement>,
     head_scan: HeadScan,
     max_header_bytes: usize,
-    has_ended: bool,
+    was_silent: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,19 +70,20 @@
             stream,
             activity,
             timeouts,
+            requests_seen: 0,
             read_state: ReadState::Idle,
             read_timer: None,
             write_timer: None,
             replacement: None,
             head_scan: HeadScan::default(),
             max_header_bytes,
-            has_ended: false,
+            was_silent: false,
         }
     }
 
-    /// Whether the sender stalled inside the head of a request.
-    pub fn has_stalled_in_head(&self) -> bool {
-        self.has_ended && self.read_state == ReadState::InHead
+    /// Whether the connection was ended because its sender was silent.
+    pub fn was_silent(&self) -> bool {
+        self.was_silent
     }
 
     /// The socket itself, to be closed.
@@ -94,27 +96,34 @@
             self.read_state = state;
             self.read_timer = None;
             self.head_scan.reset();
+            self.activity.set_in_head(state == ReadState::InHead);
         }
     }
 
-    /// Ends a silent connection once its time is over.
-    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.activity.has_request() {
+    /// Learns which requests have begun and ended since the last read. A short one does both.
+    fn follow_requests(&mut self) {
+        let begun = self.activity.begun();
+        if begun != self.requests_seen {
+            self.requests_seen = begun;
             self.enter(ReadState::InRequest);
-            return Poll::Pending;
         }
-        if self.read_state == ReadState::InRequest {
+        if self.read_state == ReadState::InRequest && !self.activity.has_request() {
             self.enter(ReadState::Idle);
         }
+    }
+
+    /// Ends a silent connection once its time is over.
+    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let timeout = match self.read_state {
             ReadState::InHead => self.timeouts.header,
-            ReadState::Idle | ReadState::InRequest => self.timeouts.idle,
+            ReadState::Idle => self.timeouts.idle,
+            ReadState::InRequest => return Poll::Pending,
         };
         let timer = self
             .read_timer
             .get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + timeout)));
         ready!(timer.as_mut().poll(context));
-        self.has_ended = true;
+        self.was_silent = true;
         if self.read_state == ReadState::InHead {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
@@ -170,16 +179,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.follow_requests();
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         if polled.is_pending() {
             return self.poll_silence(context);
         }
-        if self.activity.has_request() {
-            self.enter(ReadState::InRequest);
-            return polled;
-        }
-        if buffer.filled().len() > before {
+        let is_head = self.read_state != ReadState::InRequest;
+        if is_head && buffer.filled().len() > before {
             self.enter(ReadState::InHead);
             let max_bytes = self.max_header_bytes;
             if self.head_scan.take(&buffer.filled()[before..], max_bytes) {
--- a/crates/front/tests/front/bad_input.rs
+++ b/crates/front/tests/front/bad_input.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
@@ -12,12 +13,15 @@
 use rstest::rstest;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 use crate::support::{
     ADAPTER, FakeNode, end, generation, piece, request, send, serve, serve_with, settings,
     without_ids,
 };
 
+/// How long a test waits before a hang counts as a failure.
+const HANG: Duration = Duration::from_secs(30);
 const RANDOM_BODIES: usize = 10_000;
 
 fn completion(body: &[u8]) -> Vec<u8> {
@@ -64,6 +68,16 @@
     request("POST", "/v1/completions", &["transfer-encoding: chunked"], b"zz\r\n"), 400, 1001
 )]
 #[case::unknown_call(completion_with("nutmegsail-call: no-such"), 404, 1010)]
+#[case::two_callers(
+    completion_with("nutmegsail-caller: a\r\nnutmegsail-caller: b"),
+    400,
+    1008
+)]
+#[case::two_keys(
+    request("POST", "/svc/spa-desk/bookings/confirm",
+        &["idempotency-key: a", "idempotency-key: b"], b"{}"),
+    400, 1008
+)]
 #[case::bad_deadline(completion_with("nutmegsail-deadline-ms: soon"), 400, 1008)]
 #[case::no_time_left(completion_with("nutmegsail-deadline-ms: 0"), 503, 2002)]
 #[case::caller_not_ascii(completion_with("nutmegsail-caller: caf\u{e9}"), 400, 1008)]
@@ -152,6 +166,29 @@
     assert_eq!(refused.run_state(), "not_run");
 }
 
+/// A sender that gives a byte now and then never leaves a gap, so the whole body has its own limit.
+#[tokio::test]
+async fn a_body_that_takes_too_long_is_refused() {
+    let node = Arc::new(FakeNode::new());
+    let mut settings = settings();
+    settings.whole_body_timeout_ms = 20;
+    settings.body_timeout_ms = 3_600_000;
+    let front = serve_with(&node, settings).await;
+    let bytes = request("POST", "/v1/completions", &["content-length: 90"], b"{");
+    let refused = timeout(HANG, send(front.callers_address(), &bytes)).await;
+    let refused = refused.expect("a refusal");
+    assert_eq!((refused.status, refused.number()), (408, 1009));
+}
+
+#[tokio::test]
+async fn without_a_text_nothing_runs() {
+    let node = Arc::new(FakeNode::without_text());
+    let front = serve(&node).await;
+    let refused = send(front.callers_address(), &generation(true)).await;
+    assert_eq!((refused.status, refused.number()), (503, 5004));
+    assert_eq!(refused.run_state(), "not_run");
+}
+
 /// A broken client floods a node with random bodies while an editor's stream is on its way. A fault
 /// in the parser would show as a dead node or as a broken stream.
 #[tokio::test]
--- a/crates/front/tests/front/connections.rs
+++ b/crates/front/tests/front/connections.rs
@@ -28,6 +28,32 @@
     assert!(bytes.is_empty());
 }
 
+/// A tablet keeps its connection between two bookings. Taken for a sender that stalled in a head, it
+/// would find its connection closed under the second one. Here another sender does stall, after the
+/// first booking; once that one is refused, the kept connection must still answer.
+#[tokio::test]
+async fn a_connection_between_requests_is_idle() {
+    let node = Arc::new(FakeNode::new());
+    let mut settings = settings();
+    settings.header_timeout_ms = 20;
+    let front = serve_with(&node, settings).await;
+    let mut kept = TcpStream::connect(front.callers_address()).await.unwrap();
+    probe(&mut kept).await;
+    let stalled = send(front.callers_address(), b"GET /hea").await;
+    assert_eq!(stalled.number(), 1009);
+    probe(&mut kept).await;
+}
+
+/// Asks whether the node is healthy, and leaves the connection open.
+async fn probe(socket: &mut TcpStream) {
+    let sent = socket.write_all(PROBE.as_bytes()).await;
+    sent.expect("an open connection");
+    let mut answer = Vec::new();
+    while !answer.ends_with(br#"{"healthy":true}"#) {
+        answer.push(socket.read_u8().await.expect("an open connection"));
+    }
+}
+
 #[tokio::test]
 async fn one_connection_too_many_is_told_so() {
     let node = Arc::new(FakeNode::new());
@@ -95,6 +121,19 @@
 const CHUNKED: &str = "transfer-encoding: chunked";
 const PROBE: &str = "GET /healthz HTTP/1.1\r\n\r\n";
 
+/// The second request of a connection must be looked at like the first.
+#[tokio::test]
+async fn two_framings_are_seen_on_a_kept_connection() {
+    let node = Arc::new(FakeNode::new());
+    let front = serve(&node).await;
+    let mut socket = TcpStream::connect(front.callers_address()).await.unwrap();
+    probe(&mut socket).await;
+    let second = format!("POST /svc/spa-desk/rooms HTTP/1.1\r\n{LENGTH_LAST}\r\n\r\n0\r\n\r\n");
+    socket.write_all(second.as_bytes()).await.unwrap();
+    let reply = read_reply(&mut socket).await;
+    assert_eq!((reply.status, reply.number()), (400, 1008));
+}
+
 /// A request with two framings hides a second one in its body. A balancer that reads the framing
 /// differently would hand the second one's answer to another caller.
 #[rstest]
--- a/crates/front/tests/front/shutdown.rs
+++ b/crates/front/tests/front/shutdown.rs
@@ -11,7 +11,8 @@
 use tokio::task::JoinHandle;
 
 use crate::support::{
-    FakeNode, Reply, end, generation, piece, request, send, serve_with, settings, signalled,
+    FakeNode, Reply, end, generation, piece, read_reply, request, send, serve_with, settings,
+    signalled,
 };
 
 const LONG: Duration = Duration::from_secs(30);
@@ -106,3 +107,32 @@
     );
     assert!(TcpStream::connect(address).await.is_err());
 }
+
+/// A tablet sends its second request, half of the head has come, and the node shuts down. The clerk
+/// must get the answer, not a closed connection.
+#[tokio::test]
+async fn a_request_whose_head_is_on_its_way_is_answered() {
+    let node = Arc::new(FakeNode::new());
+    let front = serve_with(&node, settings()).await;
+    let mut socket = TcpStream::connect(front.callers_address()).await.unwrap();
+    let bytes = String::from_utf8(generation(false)).unwrap();
+    let bytes = bytes.replace("connection: close\r\n", "");
+    let (first, second) = bytes.split_at(30);
+    socket.write_all(bytes.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(br#""count":3}"#) {
+        answer.push(socket.read_u8().await.unwrap());
+    }
+    socket.write_all(first.as_bytes()).await.unwrap();
+    for _ in 0..1_000 {
+        tokio::task::yield_now().await;
+    }
+    assert!(!front.shutdown(Duration::ZERO).await);
+    socket.write_all(second.as_bytes()).await.unwrap();
+    let reply = read_reply(&mut socket).await;
+    assert_eq!(
+        (reply.status, reply.header("connection")),
+        (200, Some("close"))
+    );
+    assert!(front.shutdown(LONG).await);
+}
--- a/crates/front/tests/front/support.rs
+++ b/crates/front/tests/front/support.rs
@@ -38,7 +38,7 @@
     pub called: Mutex<Vec<PlainCall>>,
     pub resumed: Mutex<Vec<(AnswerHandle, u64)>>,
     pub asked: Mutex<Vec<OperatorsQuery>>,
-    in_force: Arc<InForce>,
+    in_force: Option<Arc<InForce>>,
     generate: GenerateFn,
     call: CallFn,
 }
@@ -49,6 +49,13 @@
         Self::answering(|_| whole(&["a", "b", "c"]))
     }
 
+    /// A node that has just started and knows no text yet.
+    pub fn without_text() -> Self {
+        let mut node = Self::new();
+        node.in_force = None;
+        node
+    }
+
     /// A node whose engines answer with `events`.
     pub fn answering(events: impl Fn(&Generate) -> Events + Send + Sync + 'static) -> Self {
         Self::with_generate(move |request| {
@@ -72,11 +79,11 @@
             called: Mutex::default(),
             resumed: Mutex::default(),
             asked: Mutex::default(),
-            in_force: Arc::new(InForce {
+            in_force: Some(Arc::new(InForce {
                 generation: Generation(1),
                 digest: Digest("d1".into()),
                 deployment: Arc::new(deployment),
-            }),
+            })),
             generate: Box::new(generate),
             call: Box::new(|_| Ok(plain_answer(vec![Ok(Bytes::from("done"))]))),
         }
@@ -94,7 +101,7 @@
 #[async_trait]
 impl Handler for FakeNode {
     fn in_force(&self) -> Option<Arc<InForce>> {
-        Some(Arc::clone(&self.in_force))
+        self.in_force.clone()
     }
 
     fn is_ready(&self) -> bool {
--- a/crates/request/src/piece_count.rs
+++ b/crates/request/src/piece_count.rs
@@ -67,6 +67,9 @@
     ///
     /// An engine that restarted, or a resume that went on at the wrong place, shows as text that
     /// is missing or doubled. The ids give it away before the piece reaches the caller.
+    ///
+    /// # Errors
+    /// The id is not the one that is due.
     pub fn observe(&mut self, id: u64) -> Result<(), PieceFault> {
         let expected = self.last_id.saturating_add(1);
         if id != expected || id == u64::MAX {
@@ -79,6 +82,9 @@
     }
 
     /// Checks the count of the end event.
+    ///
+    /// # Errors
+    /// Pieces are missing, or there are more than counted.
     pub fn end(&self, counted: u64) -> Result<(), PieceFault> {
         let last_id = self.last_id;
         if counted != last_id {
--- a/crates/request/src/request.rs
+++ b/crates/request/src/request.rs
@@ -239,11 +239,17 @@
     }
 
     /// Takes the piece `id` of the answer.
+    ///
+    /// # Errors
+    /// The id is not the one that is due; the answer must then be cut.
     pub fn piece(&mut self, id: u64) -> Result<(), PieceFault> {
         self.state.pieces.observe(id)
     }
 
     /// Ends the request with a whole answer, or with a visible cut if the count does not match.
+    ///
+    /// # Errors
+    /// The request, ended with the refusal of the rest of its answer.
     pub fn end(self, counted: u64) -> Result<Request<Ended>, Request<Ended>> {
         match self.state.pieces.end(counted) {
             Ok(()) => Ok(self.into_state(Ended {
