Keep the headroom free, damp lagging reports, carry the floor into the engine

Nodes that see each other late fill the same upstream, and urgent work in the headroom used it up. The place that the floor keeps was lost again inside the engine, which starts urgent work first.

--- a/crates/measure/src/sim/baseline.rs
+++ b/crates/measure/src/sim/baseline.rs
@@ -76,7 +76,12 @@
         self.own[what.node][engine] += 1;
         self.since[what.node][engine] += 1;
         self.assigned.insert(request, engine);
-        out.push(Order::Send { request, engine });
+        let class = what.class;
+        out.push(Order::Send {
+            request,
+            engine,
+            class,
+        });
     }
 }
 
--- a/crates/measure/src/sim/engine.rs
+++ b/crates/measure/src/sim/engine.rs
@@ -23,7 +23,9 @@
 pub(crate) struct Job {
     pub(crate) request: usize,
     pub(crate) adapter: usize,
+    /// How urgent it is here; a routine request may have been sent as an urgent one.
     pub(crate) class: Class,
+    pub(crate) own_class: Class,
     pub(crate) tokens_left: u32,
     pub(crate) has_first: bool,
 }
@@ -114,6 +116,11 @@
             .map(|slot| slot.adapter)
     }
 
+    /// Whether another adapter can be loaded.
+    pub(crate) fn has_room(&self) -> bool {
+        self.slots.len() < self.adapter_slots || self.evictable().is_some()
+    }
+
     /// Starts a step if there is work; says how long it takes and who was admitted.
     pub(crate) fn start_step(&mut self, now: Duration) -> Option<(Duration, Vec<usize>)> {
         if self.is_stepping {
@@ -167,7 +174,7 @@
                 end.first_tokens.push(job.request);
             }
             job.tokens_left = job.tokens_left.saturating_sub(1);
-            self.tokens[job.class as usize] += 1;
+            self.tokens[job.own_class as usize] += 1;
             if job.tokens_left == 0 {
                 end.finished.push(job.request);
             }
--- a/crates/measure/src/sim/policy.rs
+++ b/crates/measure/src/sim/policy.rs
@@ -10,8 +10,12 @@
 /// What a policy wants done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Order {
-    /// Send the request to the engine.
-    Send { request: usize, engine: usize },
+    /// Send the request to the engine, with this class there.
+    Send {
+        request: usize,
+        engine: usize,
+        class: Class,
+    },
     /// The caller is refused.
     Shed { request: usize },
     /// Take the request back from its engine.
--- a/crates/measure/src/sim/router_policy.rs
+++ b/crates/measure/src/sim/router_policy.rs
@@ -49,6 +49,7 @@
         let batch_slots = scenario.batch_slots as u32;
         let mut service = ServicePlan::new(SERVICE)
             .with_in_flight_per_upstream(batch_slots)
+            .with_urgent_headroom(scenario.urgent_headroom)
             .with_batch_slots(batch_slots);
         for engine in 0..scenario.engines() {
             let domain = format!("domain-{}", scenario.domain_of_engine(engine));
@@ -176,10 +177,14 @@
 fn order(action: &RoutingAction) -> Order {
     match action {
         RoutingAction::Dispatch {
-            request, upstream, ..
+            request,
+            upstream,
+            class,
+            ..
         } => Order::Send {
             request: number(request.as_str()),
             engine: number(upstream.as_str()),
+            class: *class,
         },
         RoutingAction::Refuse { request, .. } | RoutingAction::GiveUp { request, .. } => {
             Order::Shed {
--- a/crates/measure/src/sim/scenario.rs
+++ b/crates/measure/src/sim/scenario.rs
@@ -17,6 +17,7 @@
     pub(crate) adapter_slots: usize,
     pub(crate) batch_slots: usize,
     pub(crate) weights: RoutingWeights,
+    pub(crate) urgent_headroom: f64,
     pub(crate) requests_per_s: f64,
     pub(crate) urgent_share: f64,
     /// Mean tokens of an urgent answer.
@@ -53,6 +54,7 @@
                 load_stalls: 0.8,
                 batch_efficiency: 0.2,
             },
+            urgent_headroom: 0.25,
             requests_per_s: 20.0,
             urgent_share: 0.5,
             urgent_tokens: 40.0,
@@ -86,6 +88,7 @@
                 load_stalls: 0.3,
                 batch_efficiency: 0.7,
             },
+            urgent_headroom: 0.2,
             urgent_share: 0.25,
             routine_tokens: 240.0,
             ..Self::default()
--- a/crates/routing/src/action.rs
+++ b/crates/routing/src/action.rs
@@ -15,7 +15,8 @@
         upstream: UpstreamId,
         /// 1 for the first attempt.
         attempt: u32,
-        /// The class to give to the upstream.
+        /// The class to give to the upstream: the request's own, or urgent for a routine request
+        /// that takes a place kept by the routine floor.
         class: Class,
     },
     /// Final: the request did not run and never will.
--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -12,9 +12,11 @@
 impl Router {
     /// Whether `upstream` has a place for one more request of `class`.
     ///
-    /// The headroom is the urgent class's own: routine work never takes it, and urgent work may
-    /// take it even when the others' lagging load says that the upstream is full, since engines
-    /// start urgent requests first. A place owed to the routine floor needs only to be free.
+    /// Routine work starts only where the headroom stays free after it, whatever urgent work runs
+    /// there: kept as a number of free places, it takes in a burst of urgent requests even when
+    /// other nodes, seen late, fill the same upstream. Urgent work may take the headroom also when
+    /// the others' lagging load says that the upstream is full, since engines start urgent requests
+    /// first. A place owed to the routine floor needs only to be free.
     pub(crate) fn has_place(
         &self,
         upstream: usize,
@@ -35,10 +37,7 @@
             Class::Urgent => load + 1.0 <= f64::from(places) || urgent < headroom,
             Class::Routine if state.in_flight(class) + headroom >= places => false,
             Class::Routine if is_floor_owed => true,
-            Class::Routine => {
-                let kept = headroom.saturating_sub(urgent);
-                load + 1.0 <= f64::from(places - kept)
-            }
+            Class::Routine => load + 1.0 <= f64::from(places - headroom),
         }
     }
 
@@ -56,6 +55,15 @@
         state.load(now, usual, self.settings.report_stale_after)
     }
 
+    /// The load by which upstreams are compared.
+    fn damped_load(&self, upstream: usize, now: Instant) -> f64 {
+        let state = &self.upstreams[upstream];
+        let usual = self.services[state.service].usual_others;
+        let own = f64::from(state.own_in_flight());
+        let others = self.load(upstream, now) - own;
+        own + usual + self.settings.trust_in_reports * (others - usual)
+    }
+
     /// Whether requests of `class` may leave this failure domain.
     ///
     /// Only for what the own domain cannot serve: it has no upstream, or none with the adapter, or
@@ -174,7 +182,7 @@
         let service = &self.services[state.service];
         let weights = &self.plan.weights;
         let places = f64::from(state.places_now(now, &self.settings));
-        let fullness = self.load(upstream, now) / places;
+        let fullness = self.damped_load(upstream, now) / places;
         let unit_s = service.first_byte_s(class);
         let has_prefix = prefix.is_some_and(|p| self.prefixes.upstream_of(p) == Some(upstream));
         let hop_s = if state.is_own {
@@ -209,7 +217,7 @@
     /// The gain rises with the fullness and the cost of load with its square, so their sum is least
     /// at a fullness that the weights set: engines are filled up to it, and past it work spreads.
     fn batch_gain(&self, upstream: usize, class: Class, fullness: f64) -> f64 {
-        const STRENGTH: f64 = 3.0;
+        const STRENGTH: f64 = 2.0;
         let state = &self.upstreams[upstream];
         let service = &self.services[state.service];
         if class == Class::Urgent || service.plan.batch_slots == 0 {
--- a/crates/routing/src/dispatch.rs
+++ b/crates/routing/src/dispatch.rs
@@ -61,6 +61,8 @@
         if state.attempts == 1 {
             service.budget.first_send();
         }
+        // Against starvation inside the engine: urgent work would keep it waiting there as well.
+        let is_kept = class == Class::Routine && service.floor.is_owed();
         let routine_waits = !service.queue(Class::Routine).is_empty();
         let floor = service.plan.routine_floor;
         match class {
@@ -71,7 +73,7 @@
             request: request.clone(),
             upstream: target.id.clone(),
             attempt: state.attempts,
-            class,
+            class: if is_kept { Class::Urgent } else { class },
         });
     }
 
@@ -142,10 +144,11 @@
         let wanted = Some(adapter.clone());
         let scored = few.take(self.settings.choices.max(1)).map(|upstream| {
             let score = self.score(upstream, &wanted, class, None, now);
-            (upstream, score.total_s())
+            // An engine without a place would let the request wait again after the load.
+            let is_full = !self.has_place(upstream, class, false, now);
+            (upstream, (is_full, score.total_s()))
         });
-        scored
-            .min_by(|a, b| a.1.total_cmp(&b.1))
-            .map(|(upstream, _)| upstream)
+        let best = scored.min_by(|(_, a), (_, b)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(upstream, _)| upstream)
     }
 }
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -9,6 +9,8 @@
     pub choices: usize,
     /// How old an engine's report usually is when it arrives.
     pub report_lag: Duration,
+    /// How much of the difference between engines' reported loads counts when they are compared.
+    pub trust_in_reports: f64,
     /// From this age on, a report is no longer trusted to show a less than usual load.
     pub report_stale_after: Duration,
     /// How long a load is expected to take before one has been seen.
@@ -56,6 +58,7 @@
         Self {
             choices: 3,
             report_lag: Duration::from_secs(1),
+            trust_in_reports: 0.25,
             report_stale_after: Duration::from_secs(3),
             load_time: Duration::from_secs(2),
             hop: Duration::from_millis(2),
--- a/crates/routing/src/upstream_state.rs
+++ b/crates/routing/src/upstream_state.rs
@@ -125,7 +125,7 @@
     /// nodes sent is the report less what this node had in flight at the report's time; own
     /// requests count by the node's own books, at once.
     pub(crate) fn reported(&mut self, total: u32, now: Instant, lag: Duration) {
-        const WEIGHT: f64 = 0.5;
+        const WEIGHT: f64 = 0.1;
         self.age_lagged(now, lag);
         let others = (f64::from(total) - self.lagged_own).max(0.0);
         let others = match self.last_report {
--- a/crates/routing/tests/classes.rs
+++ b/crates/routing/tests/classes.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use nutmegsail_base::{Class, ResultCode};
-use nutmegsail_routing::Outcome;
+use nutmegsail_routing::{Outcome, RoutingAction};
 use support::{Bench, dispatched, refused, service};
 
 /// Routine passes flood a service. A guest's request comes in and must start at once: the headroom
@@ -88,6 +88,56 @@
     })
 }
 
+/// Urgent work fills the engine and its queue. A routine request that takes the place kept by the
+/// floor, but enters the engine as routine, would wait inside it for ever.
+#[test]
+fn a_place_kept_by_the_floor_counts_as_urgent_inside_the_engine() {
+    let plan = service(1)
+        .with_in_flight_per_upstream(2)
+        .with_routine_floor(0.5);
+    let mut bench = Bench::new(plan);
+    let running = [bench.send(Class::Urgent).0, bench.send(Class::Urgent).0];
+    bench.send(Class::Routine);
+    bench.send(Class::Urgent);
+    let actions = bench.end(&running[0], Outcome::Succeeded);
+    assert!(matches!(
+        &actions[..],
+        [RoutingAction::Dispatch {
+            class: Class::Urgent,
+            ..
+        }]
+    ));
+
+    let actions = bench.end(&running[1], Outcome::Succeeded);
+
+    let [RoutingAction::Dispatch { class, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(*class, Class::Urgent);
+    assert_eq!(bench.router.waiting(&"svc".into(), Class::Routine), 0);
+}
+
+/// Urgent requests run and take up the headroom, routine ones wait. The next burst of urgent
+/// requests must find free places again.
+#[test]
+fn the_headroom_stays_free_while_urgent_work_runs() {
+    let plan = service(1)
+        .with_in_flight_per_upstream(10)
+        .with_urgent_headroom(0.3);
+    let mut bench = Bench::new(plan);
+    for _ in 0..3 {
+        bench.send(Class::Urgent);
+    }
+    let routine = (0..20)
+        .filter(|_| bench.send(Class::Routine).1.is_some())
+        .count();
+    let urgent = (0..20)
+        .filter(|_| bench.send(Class::Urgent).1.is_some())
+        .count();
+
+    assert_eq!((routine, urgent), (4, 3));
+}
+
 /// A queue that would take longer than the deadline allows only makes the caller wait for a
 /// refusal. It is told at once, and when to come back.
 #[test]
