Export metrics and a span for each hop, and list codes and events

Exporters are off by default and need no collector. opentelemetry exports from threads of its own, where hyper finds no tokio runtime: the collector's client carries the runtime's handle.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,15 +2,26 @@
 //!
 //! This crate is told what happened and writes it down; it decides nothing and never blocks a
 //! request: logs leave through a bounded queue, and exporters are off unless the settings name one.
-//! Start at [`logger`] and [`log_event!`].
+//! Start at [`logger`] with [`log_event!`], and at [`Telemetry`].
 
+mod collector_client;
+mod error;
 mod event;
 mod log_settings;
 mod logger;
+mod metrics;
+mod spans;
+mod telemetry;
+mod telemetry_settings;
 
+pub use error::TelemetryError;
 pub use event::{Event, Severity};
 pub use log_settings::{LogFormat, LogLevel, LogSettings};
 pub use logger::{discard_logger, logger};
+pub use metrics::{ClaimResult, Direction, Metrics, StoreCall};
+pub use spans::{Hop, HopSpan, Spans};
+pub use telemetry::Telemetry;
+pub use telemetry_settings::{Exporter, TelemetrySettings};
 
 #[doc(hidden)]
 pub use slog;
