Wire the slices into a node that serves the whole path

Cause: the cores and clients stood alone; nothing served a caller. Change: the node crate runs each core in an xtra actor on one control thread and moves bytes on traffic threads: admit, pin, dispatch, stream with backpressure, cancel when the caller goes away; claims before once-only calls; engine ownership under one lease a node; the text spread by watch and peers; heartbeats over nng. nutmegsaild starts it from TOML settings. Pins on engines of another failure domain are asked for through any node there.

--- /dev/null
+++ b/crates/node/src/claims_keeper.rs
@@ -0,0 +1,369 @@
+//! The actor that owns the claims of calls that run at most once.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use nutmegsail_base::{Clock, Incarnation, NodeId, RequestId, ResultCode, RunState};
+use nutmegsail_idempotency::{
+    ClaimAction, ClaimEvent, ClaimOutcome, ClaimSettings, ClaimToken, Claims, ForwardResult,
+    IdempotencyKey, LiveNode, RecordedAnswer, RequestDigest, StoreFault, StoredRecord, SwapFault,
+    WriterEntry, WriterResult,
+};
+use nutmegsail_platform::{Item, KeyValue, KeyValueError, Revision, Txn};
+use nutmegsail_telemetry::{Event, log_event};
+use nutmegsail_wire::{NodeMessage, Payload};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use slog::Logger;
+use tokio::sync::oneshot;
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+use crate::peers::{Peers, SendTo};
+
+/// What a once-only call is told.
+#[derive(Debug)]
+pub(crate) enum ClaimVerdict {
+    /// Dispatch it now, once.
+    Run,
+    /// Answer it with what an earlier call with its key got.
+    Answer(RecordedAnswer),
+    /// Refuse it.
+    Refuse {
+        /// Why.
+        code: ResultCode,
+        /// Whether it may have run.
+        run_state: RunState,
+        /// When to come back.
+        retry_after: Option<std::time::Duration>,
+    },
+}
+
+/// A once-only call has arrived.
+pub(crate) struct BeginClaim {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// Its key.
+    pub(crate) key: IdempotencyKey,
+    /// What it asks for.
+    pub(crate) digest: RequestDigest,
+    /// Told what becomes of it.
+    pub(crate) verdict: oneshot::Sender<ClaimVerdict>,
+}
+
+/// Bytes of a claimed request are about to be sent.
+pub(crate) struct ClaimDispatched(pub(crate) RequestId);
+
+/// A claimed request has ended.
+pub(crate) struct ClaimFinished {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// How it ended.
+    pub(crate) outcome: ClaimOutcome,
+}
+
+/// Something the claims are told by the node's own tasks.
+pub(crate) struct ClaimTold(pub(crate) ClaimEvent);
+
+/// The live nodes of the own failure domain.
+pub(crate) struct ClaimNodes(pub(crate) Vec<nutmegsail_membership::LiveNode>);
+
+/// A message of another node about claims.
+pub(crate) struct ClaimsFromPeer {
+    /// The node.
+    pub(crate) from: NodeId,
+    /// The message.
+    pub(crate) message: NodeMessage,
+}
+
+/// What the actor is made of.
+pub(crate) struct ClaimsParts {
+    /// This node.
+    pub(crate) node: NodeId,
+    /// The run of its process.
+    pub(crate) incarnation: Incarnation,
+    /// The clock.
+    pub(crate) clock: Arc<dyn Clock>,
+    /// The key-value service.
+    pub(crate) store: Arc<dyn KeyValue>,
+    /// Other nodes.
+    pub(crate) peers: Address<Peers>,
+    /// The log.
+    pub(crate) log: Logger,
+}
+
+/// Owns [`Claims`].
+#[derive(xtra::Actor)]
+pub(crate) struct ClaimsKeeper {
+    claims: Claims,
+    parts: ClaimsParts,
+    waiting: HashMap<RequestId, oneshot::Sender<ClaimVerdict>>,
+}
+
+impl ClaimsKeeper {
+    /// An actor without claims.
+    pub(crate) fn new(parts: ClaimsParts) -> Self {
+        let settings = ClaimSettings::default();
+        let claims = Claims::new(settings, parts.node.clone(), parts.incarnation);
+        Self {
+            claims,
+            parts,
+            waiting: HashMap::new(),
+        }
+    }
+
+    async fn tell(&mut self, event: ClaimEvent, this: &WeakAddress<Self>) {
+        let mut actions = Vec::new();
+        let clock = &self.parts.clock;
+        self.claims
+            .handle(event, clock.now(), clock.wall(), &mut actions);
+        for action in actions {
+            self.carry_out(action, this).await;
+        }
+    }
+
+    async fn carry_out(&mut self, action: ClaimAction, this: &WeakAddress<Self>) {
+        match action {
+            ClaimAction::Run { request } => self.verdict(&request, ClaimVerdict::Run, this),
+            ClaimAction::Answer { request, recorded } => {
+                log_event!(self.parts.log, Event::ClaimRepeated, "request" => request.to_string());
+                self.verdict(&request, ClaimVerdict::Answer(recorded), this);
+            }
+            ClaimAction::Refuse {
+                request,
+                code,
+                run_state,
+                retry_after,
+            } => {
+                let refuse = ClaimVerdict::Refuse {
+                    code,
+                    run_state,
+                    retry_after,
+                };
+                self.verdict(&request, refuse, this);
+            }
+            // TODO: pass the call on over the wire. Until then a ticket of another node is answered
+            // as sent without an answer, which is never called "not run".
+            ClaimAction::Forward { request, .. } => {
+                let event = ClaimEvent::Forwarded {
+                    request,
+                    result: ForwardResult::NoAnswer,
+                };
+                tell_later(this, event);
+            }
+            ClaimAction::Read { .. }
+            | ClaimAction::Swap { .. }
+            | ClaimAction::List { .. }
+            | ClaimAction::Delete { .. } => self.call_store(action, this),
+            ClaimAction::AskWriter { to, token, entries } => {
+                let entries = encode(&entries);
+                let message = NodeMessage::ClaimAsk {
+                    token: token.0,
+                    entries,
+                };
+                let _ = self.parts.peers.send(SendTo { to, message }).detach().await;
+            }
+            ClaimAction::AnswerAsked { to, token, results } => {
+                let results = encode(&results);
+                let message = NodeMessage::ClaimAnswer {
+                    token: token.0,
+                    results,
+                };
+                let _ = self.parts.peers.send(SendTo { to, message }).detach().await;
+            }
+        }
+    }
+
+    fn verdict(&mut self, request: &RequestId, verdict: ClaimVerdict, this: &WeakAddress<Self>) {
+        let Some(waiting) = self.waiting.remove(request) else {
+            return;
+        };
+        if let Err(ClaimVerdict::Run) = waiting.send(verdict) {
+            // The caller's task is gone before anything was sent, so the call surely did not run.
+            let outcome = ClaimOutcome::NotRun;
+            tell_later(
+                this,
+                ClaimEvent::Finished {
+                    request: request.clone(),
+                    outcome,
+                },
+            );
+        }
+    }
+
+    fn call_store(&self, action: ClaimAction, this: &WeakAddress<Self>) {
+        let Some(this) = this.try_upgrade() else {
+            return;
+        };
+        let store = Arc::clone(&self.parts.store);
+        tokio::spawn(async move {
+            if let Some(event) = store_call(&*store, action).await {
+                let _ = this.send(ClaimTold(event)).detach().await;
+            }
+        });
+    }
+}
+
+fn tell_later(this: &WeakAddress<ClaimsKeeper>, event: ClaimEvent) {
+    let Some(this) = this.try_upgrade() else {
+        return;
+    };
+    tokio::spawn(async move { this.send(ClaimTold(event)).detach().await });
+}
+
+async fn store_call(store: &dyn KeyValue, action: ClaimAction) -> Option<ClaimEvent> {
+    match action {
+        ClaimAction::Read { token, key } => {
+            let read = store.get(&key).await;
+            let result = read.map(|item| item.map(record)).map_err(|_| StoreFault);
+            Some(ClaimEvent::ReadDone { token, result })
+        }
+        ClaimAction::Swap {
+            token,
+            key,
+            expected_revision,
+            value,
+        } => {
+            let txn = Txn::swap(key, Revision(expected_revision), value);
+            let result = store.commit(txn).await;
+            let result = result.map(|revision| revision.0).map_err(swap_fault);
+            Some(ClaimEvent::SwapDone { token, result })
+        }
+        ClaimAction::List { token, prefix } => {
+            let page = store.range(&prefix, None).await;
+            let keys = page.map(|page| page.items.into_iter().map(|item| item.key).collect());
+            Some(ClaimEvent::ListDone {
+                token,
+                result: keys.map_err(|_| StoreFault),
+            })
+        }
+        ClaimAction::Delete { key } => {
+            let txn = Txn {
+                removes: vec![key],
+                ..Txn::default()
+            };
+            // A record that stays is found again by the next collection.
+            let _ = store.commit(txn).await;
+            None
+        }
+        _ => None,
+    }
+}
+
+fn record(item: Item) -> StoredRecord {
+    StoredRecord {
+        value: item.value,
+        revision: item.revision.0,
+    }
+}
+
+/// Only an answer that says so counts as "nothing was written".
+fn swap_fault(error: KeyValueError) -> SwapFault {
+    match error {
+        KeyValueError::Conflict { current } => SwapFault::Conflict {
+            current: current.into_iter().next().map(record),
+        },
+        KeyValueError::Refused
+        | KeyValueError::Unavailable
+        | KeyValueError::TooLarge
+        | KeyValueError::LeaseGone
+        | KeyValueError::Compacted => SwapFault::NotDone,
+        KeyValueError::Ambiguous | KeyValueError::Malformed(_) => SwapFault::Ambiguous,
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Payload {
+    Payload(postcard::to_stdvec(value).unwrap_or_default().into())
+}
+
+fn decode<T: DeserializeOwned>(payload: &Payload) -> Option<T> {
+    postcard::from_bytes(&payload.0).ok()
+}
+
+impl Handler<BeginClaim> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: BeginClaim, context: &mut Context<Self>) {
+        let BeginClaim {
+            request,
+            key,
+            digest,
+            verdict,
+        } = message;
+        self.waiting.insert(request.clone(), verdict);
+        let event = ClaimEvent::Begin {
+            request,
+            key,
+            digest,
+        };
+        self.tell(event, &context.mailbox().address()).await;
+    }
+}
+
+impl Handler<ClaimDispatched> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: ClaimDispatched, context: &mut Context<Self>) {
+        let event = ClaimEvent::Dispatched { request: message.0 };
+        self.tell(event, &context.mailbox().address()).await;
+    }
+}
+
+impl Handler<ClaimFinished> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: ClaimFinished, context: &mut Context<Self>) {
+        let ClaimFinished { request, outcome } = message;
+        let event = ClaimEvent::Finished { request, outcome };
+        self.tell(event, &context.mailbox().address()).await;
+    }
+}
+
+impl Handler<ClaimTold> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: ClaimTold, context: &mut Context<Self>) {
+        self.tell(message.0, &context.mailbox().address()).await;
+    }
+}
+
+impl Handler<ClaimNodes> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: ClaimNodes, context: &mut Context<Self>) {
+        let live = message.0.into_iter().map(|live| LiveNode {
+            node: live.node,
+            incarnation: live.incarnation,
+        });
+        let event = ClaimEvent::LiveNodes {
+            nodes: live.collect(),
+        };
+        self.tell(event, &context.mailbox().address()).await;
+    }
+}
+
+impl Handler<ClaimsFromPeer> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: ClaimsFromPeer, context: &mut Context<Self>) {
+        let from = message.from;
+        let event = match message.message {
+            NodeMessage::ClaimAsk { token, entries } => {
+                decode::<Vec<WriterEntry>>(&entries).map(|entries| ClaimEvent::WriterAsked {
+                    from,
+                    token: ClaimToken(token),
+                    entries,
+                })
+            }
+            NodeMessage::ClaimAnswer { token, results } => decode::<Vec<WriterResult>>(&results)
+                .map(|results| ClaimEvent::WriterAnswered {
+                    token: ClaimToken(token),
+                    results,
+                }),
+            _ => None,
+        };
+        if let Some(event) = event {
+            self.tell(event, &context.mailbox().address()).await;
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,31 @@
 //! One node: its actors, its threads, and how the slices are wired together.
+//!
+//! This crate decides nothing. It owns the sockets and the clock, runs each decision core in an
+//! actor on the control thread, and moves bytes on the traffic threads. Start a node with
+//! [`Node::start`] from [`NodeSettings`]; end it with [`Node::shutdown`].
+
+mod attempt;
+mod claims_keeper;
+mod control;
+mod dispatcher;
+mod engine_watch;
+mod generation;
+mod loader;
+mod node;
+mod outside;
+mod owners;
+mod ownership;
+mod peers;
+mod pin_hold;
+mod plain_calls;
+mod plans;
+mod serving;
+mod settings;
+mod text_keeper;
+mod text_watch;
+
+pub use node::{Node, NodeError};
+pub use outside::Outside;
+pub use settings::{
+    ControlSettings, NodeSettings, PlatformAddresses, SettingsFault, SettingsFaults,
+};
--- /dev/null
+++ b/crates/node/src/plain_calls.rs
@@ -0,0 +1,340 @@
+//! One call to a plain service: claim it if it runs once, wait for an upstream, send, pass on.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream::{self, StreamExt};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use nutmegsail_base::{Clock, RequestId, ResultCode, RunState, UpstreamId};
+use nutmegsail_front::{PlainAnswer, PlainCall};
+use nutmegsail_idempotency::{
+    ClaimOutcome, IdempotencyKey, RecordedAnswer, RecordedHeader, RequestDigest,
+};
+use nutmegsail_request::{AfterFailure, Queued, Refusal, Request, Uncertain};
+use nutmegsail_routing::{Arrival, Outcome};
+use nutmegsail_upstream::{PlainRequest, PlainResponse, PlainService, UpstreamError};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+use xtra::Address;
+
+use crate::attempt::{Attempt, deadline};
+use crate::claims_keeper::{
+    BeginClaim, ClaimDispatched, ClaimFinished, ClaimVerdict, ClaimsKeeper,
+};
+use crate::dispatcher::{Dispatcher, Verdict};
+use crate::generation::outcome_of;
+
+/// The largest answer of a once-only call, in bytes: it is read whole so that it can be recorded.
+const ONCE_ONLY_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// What calls to plain services need of their node.
+#[derive(Clone)]
+pub(crate) struct PlainCalls {
+    /// The router's actor.
+    pub(crate) dispatcher: Address<Dispatcher>,
+    /// The claims.
+    pub(crate) claims: Address<ClaimsKeeper>,
+    /// The upstreams.
+    pub(crate) plain: Arc<dyn PlainService>,
+    /// The clock.
+    pub(crate) clock: Arc<dyn Clock>,
+    /// Once-only calls under way; a shutdown waits for them even if their callers have gone.
+    pub(crate) once_only: TaskTracker,
+}
+
+enum Pending {
+    Clean(Request<Queued>),
+    Doubtful(Request<Uncertain>),
+}
+
+/// A response with what is needed to end the request when its body has been passed on.
+struct Begun {
+    response: PlainResponse,
+    attempt: Attempt,
+}
+
+/// Why a call got no answer, and whether the router still waits to hear of it.
+struct Stopped {
+    refusal: Refusal,
+}
+
+impl PlainCalls {
+    /// Answers a call.
+    pub(crate) async fn call(&self, call: PlainCall) -> Result<PlainAnswer, Refusal> {
+        if !call.once_only {
+            let begun = self.send(&call).await.map_err(|stopped| stopped.refusal)?;
+            return Ok(passed_on(begun));
+        }
+        // The task goes on when the caller hangs up: a booking that was sent must be recorded, or
+        // its caller's next try could only be told "may have run".
+        let (calls, (answered, answer)) = (self.clone(), oneshot::channel());
+        let request = call.request.clone();
+        self.once_only.spawn(async move {
+            let _ = answered.send(calls.call_once(call).await);
+        });
+        answer.await.unwrap_or_else(|_| {
+            let detail = format!("the task of {request} ended early");
+            Err(Refusal::may_have_run(ResultCode::Internal, detail))
+        })
+    }
+
+    async fn call_once(&self, call: PlainCall) -> Result<PlainAnswer, Refusal> {
+        let request = Request::accept(call.request.clone());
+        let key = call.idempotency_key.as_deref().unwrap_or_default();
+        let key = match IdempotencyKey::parse(key) {
+            Ok(key) => key,
+            Err(error) => {
+                return Err(Refusal::not_run(
+                    request.not_run(),
+                    error.code(),
+                    error.to_string(),
+                ));
+            }
+        };
+        let verdict = self.claim(&call, key).await;
+        match verdict {
+            Some(ClaimVerdict::Run) => self.run_claimed(call).await,
+            Some(ClaimVerdict::Answer(recorded)) => Ok(recorded_answer(recorded)),
+            Some(ClaimVerdict::Refuse {
+                code,
+                run_state,
+                retry_after,
+            }) => {
+                let refusal = match run_state {
+                    RunState::NotRun => Refusal::not_run(request.not_run(), code, code.text()),
+                    RunState::MayHaveRun => Refusal::may_have_run(code, code.text()),
+                    RunState::Ran => Refusal::ran(code, code.text()),
+                };
+                Err(match retry_after {
+                    Some(retry_after) => refusal.with_retry_after(retry_after),
+                    None => refusal,
+                })
+            }
+            None => {
+                let code = ResultCode::ClaimUnavailable;
+                Err(Refusal::not_run(
+                    request.not_run(),
+                    code,
+                    "the node is going down",
+                ))
+            }
+        }
+    }
+
+    async fn claim(&self, call: &PlainCall, key: IdempotencyKey) -> Option<ClaimVerdict> {
+        let digest = RequestDigest::of(call.method.as_str(), &call.path, &call.service, &call.body);
+        let (verdict, told) = oneshot::channel();
+        let request = call.request.clone();
+        let begin = BeginClaim {
+            request,
+            key,
+            digest,
+            verdict,
+        };
+        // The verdict comes over the channel, not as the message's answer.
+        drop(self.claims.send(begin).detach().await.ok()?);
+        told.await.ok()
+    }
+
+    /// Runs a call whose claim is this node's, and records how it ended.
+    async fn run_claimed(&self, call: PlainCall) -> Result<PlainAnswer, Refusal> {
+        let request = call.request.clone();
+        let result = match self.send(&call).await {
+            Ok(begun) => self.read_whole(begun).await,
+            Err(stopped) => Err(stopped.refusal),
+        };
+        let outcome = match &result {
+            Ok(recorded) => ClaimOutcome::Answered(recorded.clone()),
+            Err(refusal) if refusal.run_state() == RunState::NotRun => ClaimOutcome::NotRun,
+            Err(_) => ClaimOutcome::Unknown,
+        };
+        let _ = self
+            .claims
+            .send(ClaimFinished { request, outcome })
+            .detach()
+            .await;
+        result.map(recorded_answer)
+    }
+
+    async fn read_whole(&self, begun: Begun) -> Result<RecordedAnswer, Refusal> {
+        let Begun {
+            mut response,
+            attempt,
+        } = begun;
+        let mut body = BytesMut::new();
+        while let Some(chunk) = response.body.next().await {
+            match chunk {
+                Ok(chunk) if body.len() + chunk.len() <= ONCE_ONLY_ANSWER_BYTES => {
+                    body.extend_from_slice(&chunk);
+                }
+                Ok(_) => {
+                    attempt.end(Outcome::Succeeded).await;
+                    let detail = "the answer of a once-only call is larger than 4 MiB";
+                    return Err(Refusal::ran(ResultCode::UpstreamFailed, detail));
+                }
+                Err(error) => {
+                    attempt.end(Outcome::Failed).await;
+                    return Err(Refusal::may_have_run(error.code(), error.to_string()));
+                }
+            }
+        }
+        attempt.end(Outcome::Succeeded).await;
+        let mut recorded = RecordedAnswer::new(response.status, body.freeze());
+        recorded.headers = recorded_headers(&response.headers);
+        Ok(recorded)
+    }
+
+    async fn send(&self, call: &PlainCall) -> Result<Begun, Stopped> {
+        let until = deadline(&self.clock, call.deadline);
+        let mut pending = Pending::Clean(Request::accept(call.request.clone()).queue());
+        let mut attempt = Attempt::admit(&self.dispatcher, arrival(call, until)).await;
+        loop {
+            let left = until.saturating_duration_since(self.clock.now());
+            let upstream = match timeout(left, attempt.verdict()).await.ok().flatten() {
+                Some(Verdict::Send { upstream }) => upstream,
+                Some(Verdict::Cancel) => continue,
+                Some(Verdict::Refuse { code, retry_after }) => {
+                    return Err(stopped(pending, code, Some(retry_after)));
+                }
+                Some(Verdict::GiveUp { code }) => return Err(stopped(pending, code, None)),
+                None => return Err(stopped(pending, ResultCode::DeadlineUnreachable, None)),
+            };
+            let request = match pending {
+                Pending::Clean(request) => request.dispatch(upstream.clone()),
+                Pending::Doubtful(request) => request.dispatch_again(upstream.clone()),
+            };
+            match self.try_at(&upstream, call, until).await {
+                Ok(response) => {
+                    attempt.first_byte().await;
+                    return Ok(Begun { response, attempt });
+                }
+                Err(error) => {
+                    pending = match request.failed(&error) {
+                        AfterFailure::NotRun(request) => Pending::Clean(request),
+                        AfterFailure::MayHaveRun(request) => Pending::Doubtful(request),
+                    };
+                    attempt.failed(outcome_of(&error)).await;
+                }
+            }
+        }
+    }
+
+    async fn try_at(
+        &self,
+        upstream: &UpstreamId,
+        call: &PlainCall,
+        until: Instant,
+    ) -> Result<PlainResponse, UpstreamError> {
+        if call.once_only {
+            self.note_dispatch(&call.request).await;
+        }
+        let left = until.saturating_duration_since(self.clock.now());
+        let sent = self.plain.call(upstream, plain_request(call, left));
+        timeout(left, sent)
+            .await
+            .unwrap_or(Err(UpstreamError::Broken))
+    }
+
+    async fn note_dispatch(&self, request: &RequestId) {
+        let _ = self
+            .claims
+            .send(ClaimDispatched(request.clone()))
+            .detach()
+            .await;
+    }
+}
+
+fn stopped(pending: Pending, code: ResultCode, retry_after: Option<Duration>) -> Stopped {
+    let refusal = match pending {
+        Pending::Clean(request) => Refusal::not_run(request.not_run(), code, code.text()),
+        Pending::Doubtful(_) => Refusal::may_have_run(code, code.text()),
+    };
+    let refusal = match retry_after {
+        Some(retry_after) => refusal.with_retry_after(retry_after),
+        None => refusal,
+    };
+    Stopped { refusal }
+}
+
+/// Passes the body on as the caller takes it, and ends the request when it is through.
+fn passed_on(begun: Begun) -> PlainAnswer {
+    let Begun { response, attempt } = begun;
+    let PlainResponse {
+        status,
+        headers,
+        body,
+    } = response;
+    let state = (body, Some(attempt));
+    let body = stream::unfold(state, |(mut body, mut attempt)| async move {
+        let chunk = body.next().await;
+        let outcome = match &chunk {
+            None => Some(Outcome::Succeeded),
+            Some(Err(_)) => Some(Outcome::Failed),
+            Some(Ok(_)) => None,
+        };
+        if let (Some(outcome), Some(ended)) = (outcome, attempt.take_if(|_| outcome.is_some())) {
+            ended.end(outcome).await;
+        }
+        chunk.map(|chunk| (chunk, (body, attempt)))
+    });
+    PlainAnswer {
+        status,
+        headers,
+        body: body.boxed(),
+    }
+}
+
+fn recorded_answer(recorded: RecordedAnswer) -> PlainAnswer {
+    let mut headers = HeaderMap::new();
+    for header in &recorded.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(&header.value)) {
+            headers.append(name, value);
+        }
+    }
+    let body: Bytes = recorded.body;
+    let body = stream::once(async move { Ok(body) });
+    PlainAnswer {
+        status: recorded.status,
+        headers,
+        body: body.boxed(),
+    }
+}
+
+fn recorded_headers(headers: &HeaderMap) -> Vec<RecordedHeader> {
+    let kept = headers.iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(RecordedHeader {
+            name: name.as_str().to_owned(),
+            value,
+        })
+    });
+    kept.collect()
+}
+
+fn arrival(call: &PlainCall, until: Instant) -> Arrival {
+    Arrival {
+        request: call.request.clone(),
+        caller: call.caller.clone(),
+        service: call.service.clone(),
+        adapter: None,
+        class: call.class,
+        deadline: until,
+        target: call.target,
+        prefix: None,
+        idempotent: call.idempotent && !call.once_only,
+    }
+}
+
+fn plain_request(call: &PlainCall, deadline: Duration) -> PlainRequest {
+    PlainRequest {
+        request: call.request.clone(),
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers: call.headers.clone(),
+        body: call.body.clone(),
+        deadline,
+    }
+}
--- a/crates/nutmegsaild/src/main.rs
+++ b/crates/nutmegsaild/src/main.rs
@@ -1,3 +1,64 @@
-//! See the README of this crate.
+//! The node: one process an entry VM. See the README of this crate.
 
-fn main() {}
+use std::path::Path;
+
+use eyre::{WrapErr, eyre};
+use nutmegsail_node::{Node, NodeSettings, Outside};
+use nutmegsail_telemetry::{Event, log_event, logger};
+use tokio::signal::unix::{SignalKind, signal};
+
+mod flags {
+    #![allow(
+        missing_docs,
+        reason = "the macro generates items without documentation"
+    )]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs one node of nutmegsail until SIGTERM or SIGINT.
+        cmd nutmegsaild {
+            /// The node's settings, in TOML.
+            required settings: PathBuf
+        }
+    }
+}
+
+fn main() -> eyre::Result<()> {
+    let flags = flags::Nutmegsaild::from_env_or_exit();
+    let settings = read_settings(&flags.settings)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .wrap_err("the traffic threads could not be started")?;
+    runtime.block_on(run(settings))
+}
+
+fn read_settings(path: &Path) -> eyre::Result<NodeSettings> {
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("the settings {} cannot be read", path.display()))?;
+    NodeSettings::parse(&text).map_err(|faults| eyre!("{}: {faults}", path.display()))
+}
+
+async fn run(settings: NodeSettings) -> eyre::Result<()> {
+    let log = logger(&settings.log);
+    let outside = Outside::over_http(&settings.platform);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let node = Node::start(settings, outside, log.clone()).await?;
+    log_event!(
+        log, Event::NodeReady,
+        "callers" => node.callers_address().to_string(),
+        "operators" => node.operators_address().to_string(),
+        "nodes" => node.nodes_address().to_string()
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = node.drain_asked() => {}
+    }
+    node.shutdown().await;
+    Ok(())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,7 +16,8 @@
 pub use error::WireError;
 pub use link::Link;
 pub use message::{
-    Forward, ForwardAnswer, MessageKind, NodeMessage, PinAnswer, PinAsk, PinOutcome, PinReturn,
+    Forward, ForwardAnswer, MessageKind, NodeMessage, PinAnswer, PinAsk, PinOutcome, PinRecall,
+    PinReturn,
 };
 pub use payload::Payload;
 pub use traffic::{Traffic, TrafficCount};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use derive_more::Display;
-use nutmegsail_base::{AdapterRef, Class, RequestId, UpstreamId};
+use nutmegsail_base::{AdapterRef, Class, NodeId, RequestId, UpstreamId};
 use nutmegsail_membership::{DomainSummary, Heartbeat};
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,8 @@
     PinAnswer(PinAnswer),
     /// Gives a pin back to the owner.
     PinReturn(PinReturn),
+    /// Asks a holder to give a pin back once its requests are over.
+    PinRecall(PinRecall),
     /// Between two nodes' placement, about loads.
     Placement(Payload),
     /// Asks for pieces of an operators' text.
@@ -91,6 +93,12 @@
 pub struct PinAsk {
     /// Names the ask in its answer.
     pub ask_id: u64,
+    /// The node that wants the pin; not the sender, if another node passed the ask on.
+    pub asker: NodeId,
+    /// Where the asker hears answers.
+    pub reply_to: Arc<str>,
+    /// Whether another node passed the ask on. It is passed on once at most.
+    pub is_passed_on: bool,
     /// The engine.
     pub engine: UpstreamId,
     /// Which adapter and version.
@@ -132,6 +140,19 @@
 pub struct PinReturn {
     /// The last ask that was granted; a pin of a later ask stays.
     pub ask_id: u64,
+    /// The node that held the pin; not the sender, if another node passed the return on.
+    pub asker: NodeId,
+    /// Whether another node passed the return on.
+    pub is_passed_on: bool,
+    /// The engine.
+    pub engine: UpstreamId,
+    /// Which adapter and version.
+    pub adapter: AdapterRef,
+}
+
+/// Asks the holder of a pin to use it no more and to give it back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PinRecall {
     /// The engine.
     pub engine: UpstreamId,
     /// Which adapter and version.
@@ -208,9 +229,11 @@
         match self {
             Self::Heartbeat(_) => MessageKind::Heartbeat,
             Self::Summary(_) => MessageKind::Summary,
-            Self::PinAsk(_) | Self::PinAnswer(_) | Self::PinReturn(_) | Self::Placement(_) => {
-                MessageKind::Pin
-            }
+            Self::PinAsk(_)
+            | Self::PinAnswer(_)
+            | Self::PinReturn(_)
+            | Self::PinRecall(_)
+            | Self::Placement(_) => MessageKind::Pin,
             Self::PiecesAsk { .. }
             | Self::PiecesAnswer { .. }
             | Self::HeadAsk { .. }
