--- a/crates/placement/src/action.rs
+++ b/crates/placement/src/action.rs
@@ -91,6 +91,16 @@
         /// When asking again may help.
         retry_after: Duration,
     },
+    /// Ask a holder to stop using its pin and to give it back when its requests are over. Repeated
+    /// while it matters; ends by itself.
+    RecallPin {
+        /// The holder.
+        to: NodeId,
+        /// The engine.
+        engine: UpstreamId,
+        /// The adapter.
+        adapter: AdapterRef,
+    },
     /// Tell routing, here and on peers, whether an engine holds an adapter.
     AdapterState {
         /// The engine.
--- a/crates/placement/src/domain_view.rs
+++ b/crates/placement/src/domain_view.rs
@@ -121,10 +121,10 @@
         report.map_or(0, |report| report.fence)
     }
 
-    pub fn has_report(&self, engine: &UpstreamId) -> bool {
-        self.engines
-            .get(engine)
-            .is_some_and(|view| view.report.is_some())
+    /// The last report and when it was asked for.
+    pub fn last_report(&self, engine: &UpstreamId) -> Option<(&EngineReport, Instant)> {
+        let view = self.engines.get(engine)?;
+        Some((view.report.as_ref()?, view.taken_at?))
     }
 
     /// Takes a report, unless it is older than the one known.
--- a/crates/placement/src/engine_owner.rs
+++ b/crates/placement/src/engine_owner.rs
@@ -5,6 +5,7 @@
 use nutmegsail_base::{AdapterRef, Class, EngineReport, NodeId, UpstreamId};
 use nutmegsail_upstream::{OrderAnswer, OrderError, OrderOp};
 
+use crate::eviction::Eviction;
 use crate::ownership::Ownership;
 use crate::pin_table::PinTable;
 use crate::slot_map::{SlotChanges, SlotMap, SlotState};
@@ -15,6 +16,8 @@
 
 /// How soon a refused pin is worth asking for again.
 const PIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// How often the pins of an adapter that is drained are recalled.
+const RECALL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// What the owner wants done, gathered over one event.
 #[derive(Debug, Default)]
@@ -64,6 +67,7 @@
     report_needed_after: Option<Instant>,
     outstanding: Option<OutstandingOrder>,
     permits: Vec<Permit>,
+    recalled_at: Option<Instant>,
 }
 
 impl EngineOwner {
@@ -78,6 +82,7 @@
             report_needed_after: None,
             outstanding: None,
             permits: Vec::new(),
+            recalled_at: None,
         }
     }
 
@@ -116,19 +121,17 @@
         if self.is_stale(&report, taken_at) {
             return;
         }
-        if self.plan.checks_fencing {
-            if report.fence > self.ownership.fence {
-                out.disowned = Some(DisownCause::Fenced);
-                return;
-            }
-            self.ownership.saw_no_higher_fence(taken_at);
-            if report.fence == self.ownership.fence {
-                self.ownership.confirmed(now);
-            }
+        if self.plan.checks_fencing && report.fence > self.ownership.fence {
+            out.disowned = Some(DisownCause::Fenced);
+            return;
         }
         if self.is_other_incarnation(&report) {
             self.restarted_cold(out);
         }
+        self.ownership.saw_no_higher_fence(taken_at);
+        if report.fence == self.ownership.fence {
+            self.ownership.confirmed(now);
+        }
         self.settle(&report, taken_at, settings);
         self.take_over_slots(&report, taken_at, now, out);
         self.seen = Some(SeenReport { report, taken_at });
@@ -217,7 +220,8 @@
         }
     }
 
-    /// Answers a node that wants to use an adapter.
+    /// Answers a node that wants to use an adapter. While it is drained, only pins that are held
+    /// are renewed: requests may be running under them.
     pub fn pin_asked(
         &mut self,
         from: &NodeId,
@@ -227,12 +231,14 @@
         now: Instant,
         out: &mut OwnerOutput,
     ) {
-        let is_ready = self
-            .slots
-            .get(adapter)
-            .is_some_and(|slot| slot.state == SlotState::Ready);
+        let state = self.slots.get(adapter).map(|slot| slot.state);
+        let is_usable = match state {
+            Some(SlotState::Ready) => true,
+            Some(SlotState::Draining) => self.pins.is_held_by(from, adapter, now),
+            Some(SlotState::Loading | SlotState::Unloading) | None => false,
+        };
         let (to, engine, adapter) = (from.clone(), self.plan.upstream.clone(), adapter.clone());
-        if !is_ready || !self.ownership.may_grant(settings, now) {
+        if !is_usable || !self.ownership.may_grant(settings, now) {
             out.actions.push(refuse_pin(to, ask_id, engine, adapter));
             return;
         }
@@ -376,7 +382,10 @@
         if let Some(order) = self.outstanding.take_if(is_overdue) {
             self.order_unsettled(order, out);
         }
-        let is_spent = |permit: &mut Permit| now > permit.since + settings.victim_patience;
+        self.tick_drain(settings, now, out);
+        let drain = self.slots.is_draining();
+        let is_spent =
+            |permit: &mut Permit| !drain && now > permit.since + settings.victim_patience;
         for permit in self.permits.extract_if(.., is_spent) {
             out.outcomes.push((permit.adapter, LoadOutcome::NoVictim));
         }
@@ -400,14 +409,70 @@
             self.order(OrderOp::Load, &adapter, settings, next_order, now, out);
             return;
         }
-        let Some((adapter, class)) = self.next_permit() else {
+        let Some(permit) = self.permits.iter().min_by_key(|p| (p.class, p.since)) else {
             return;
         };
+        let (adapter, class, since) = (permit.adapter.clone(), permit.class, permit.since);
         if self.slots.len() < self.adapter_slots() as usize {
             self.permits.retain(|permit| permit.adapter != adapter);
             self.order_load(&adapter, settings, next_order, now, out);
-        } else if let Some(victim) = self.victim(&adapter, class, settings, value, now) {
+            return;
+        }
+        let eviction = self.eviction(settings, now);
+        if let Some(victim) = eviction.victim(&adapter, class, value) {
+            self.extend_permit(&adapter, now);
             self.order_unload(&victim, settings, next_order, now, out);
+        } else if now >= since + settings.drain_after && !self.slots.is_draining() {
+            let in_use = eviction.victim_in_use(&adapter, class, value);
+            if let Some(victim) = in_use {
+                self.drain(&victim, now, out);
+            }
+        }
+    }
+
+    /// Stops new use of an adapter that is in use all the time, so that it can be evicted.
+    ///
+    /// Guards against adapters that hold every slot for ever: each is used again before its pins
+    /// come back, and a request for another adapter waits until its deadline.
+    fn drain(&mut self, adapter: &AdapterRef, now: Instant, out: &mut OwnerOutput) {
+        self.slots.begin_drain(adapter, now);
+        self.announce(adapter, Presence::Absent, out);
+        self.recall(adapter, now, out);
+    }
+
+    /// The load that an eviction makes room for gets the slot, also if it waited long for it.
+    fn extend_permit(&mut self, adapter: &AdapterRef, now: Instant) {
+        for permit in self.permits.iter_mut().filter(|p| p.adapter == *adapter) {
+            permit.since = now;
+        }
+    }
+
+    fn recall(&mut self, adapter: &AdapterRef, now: Instant, out: &mut OwnerOutput) {
+        self.recalled_at = Some(now);
+        for to in self.pins.holders(adapter, now) {
+            out.actions.push(PlacementAction::RecallPin {
+                to: to.clone(),
+                engine: self.plan.upstream.clone(),
+                adapter: adapter.clone(),
+            });
+        }
+    }
+
+    /// Recalls pins again, since a recall may be lost and ends by itself; gives up on an adapter
+    /// whose requests run too long.
+    fn tick_drain(&mut self, settings: &PlacementSettings, now: Instant, out: &mut OwnerOutput) {
+        let Some(adapter) = self.slots.draining().cloned() else {
+            return;
+        };
+        let is_over = self.slots.drain_is_over(settings.drain_patience, now);
+        if is_over || self.permits.is_empty() {
+            self.slots.end_drain(&adapter, now);
+            self.announce(&adapter, Presence::Ready, out);
+        } else if self
+            .recalled_at
+            .is_none_or(|at| now >= at + RECALL_INTERVAL)
+        {
+            self.recall(&adapter, now, out);
         }
     }
 
@@ -436,75 +501,21 @@
         self.slots.iter().next().map(|slot| slot.adapter.clone())
     }
 
-    fn next_permit(&self) -> Option<(AdapterRef, Class)> {
-        let first = self.permits.iter().min_by_key(|p| (p.class, p.since))?;
-        Some((first.adapter.clone(), first.class))
-    }
-
     fn adapter_slots(&self) -> u32 {
         let reported = self.seen.as_ref().map_or(0, |s| s.report.adapter_slots);
         reported.min(self.plan.adapter_slots)
     }
 
-    /// The adapter that is worth least among those that nobody uses. Another version of the
-    /// adapter that is to be loaded comes last: it serves until the new one is ready.
-    fn victim(
-        &self,
-        wanted: &AdapterRef,
-        class: Class,
-        settings: &PlacementSettings,
-        value: &dyn Fn(&AdapterRef) -> f64,
-        now: Instant,
-    ) -> Option<AdapterRef> {
-        let residency = match class {
-            Class::Urgent => settings.min_residency / 2,
-            Class::Routine => settings.min_residency,
-        };
-        self.slots
-            .iter()
-            .filter(|slot| now >= slot.since + residency)
-            .filter(|slot| self.is_evictable(&slot.adapter, settings, now))
-            .map(|slot| {
-                (
-                    slot.adapter.name == wanted.name,
-                    value(&slot.adapter),
-                    &slot.adapter,
-                )
-            })
-            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)))
-            .map(|(_, _, adapter)| adapter.clone())
-    }
-
-    /// Whether nobody can be using the adapter.
-    ///
-    /// Guards against evicting an adapter that serves a request, which shows as an answer cut
-    /// short. Holds since no node may send without a pin; a node whose pin lapsed may have
-    /// requests in flight, which the engine's report, asked for after the lapse, would show as
-    /// running or queued; and pins of a former owner have lapsed when the quiet time is over.
-    fn is_evictable(
-        &self,
-        adapter: &AdapterRef,
-        settings: &PlacementSettings,
-        now: Instant,
-    ) -> bool {
-        let (Some(seen), Some(slot)) = (&self.seen, self.slots.get(adapter)) else {
-            return false;
-        };
-        let is_quiet_over = |until: Instant| now >= until;
-        if slot.state != SlotState::Ready
-            || self.pins.is_pinned(adapter, now)
-            || !self
-                .ownership
-                .quiet_until(settings)
-                .is_some_and(is_quiet_over)
-        {
-            return false;
+    fn eviction<'a>(&'a self, settings: &'a PlacementSettings, now: Instant) -> Eviction<'a> {
+        let seen = self.seen.as_ref();
+        Eviction {
+            slots: &self.slots,
+            pins: &self.pins,
+            ownership: &self.ownership,
+            report: seen.map(|seen| (&seen.report, seen.taken_at)),
+            settings,
+            now,
         }
-        let history = self.pins.history(adapter);
-        let proof_after = history.free_since.max(Some(slot.idle_proof_after));
-        let is_recent = proof_after.is_none_or(|at| seen.taken_at >= at + settings.report_lag);
-        let may_be_queued = history.has_lapsed && seen.report.queued > 0;
-        is_recent && !may_be_queued && running_on(&seen.report, adapter) == Some(0)
     }
 
     fn order_load(
@@ -528,24 +539,7 @@
         now: Instant,
         out: &mut OwnerOutput,
     ) {
-        assert!(
-            !self.pins.is_pinned(adapter, now),
-            "{adapter} is pinned and must not be evicted"
-        );
-        let quiet_until = self.ownership.quiet_until(settings);
-        assert!(
-            quiet_until.is_some_and(|until| now >= until),
-            "{adapter} must not be evicted before a former owner's pins have lapsed"
-        );
-        let running = self
-            .seen
-            .as_ref()
-            .and_then(|s| running_on(&s.report, adapter));
-        assert_eq!(
-            running,
-            Some(0),
-            "{adapter} serves requests and must not be evicted"
-        );
+        self.eviction(settings, now).assert_evictable(adapter);
         if let Some(slot) = self.slots.get_mut(adapter) {
             slot.state = SlotState::Unloading;
         }
@@ -601,14 +595,6 @@
     }
 }
 
-fn running_on(report: &EngineReport, adapter: &AdapterRef) -> Option<u32> {
-    let held = report
-        .adapters
-        .iter()
-        .find(|held| held.adapter == *adapter)?;
-    Some(held.running)
-}
-
 pub(crate) fn refuse_pin(
     to: NodeId,
     ask_id: u64,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,6 +12,7 @@
 mod domain_view;
 mod engine_owner;
 mod event;
+mod eviction;
 mod load_scheduler;
 mod message;
 mod note;
--- a/crates/placement/src/load_scheduler.rs
+++ b/crates/placement/src/load_scheduler.rs
@@ -19,6 +19,11 @@
 /// After so many failures in a row a want is dropped until it is repeated.
 const MAX_ATTEMPTS: u32 = 6;
 
+/// How long a load is taken to last before any was seen.
+const FIRST_LOAD_ESTIMATE: Duration = Duration::from_secs(1);
+/// By how much the fastest load is taken to grow with each load, so that it follows a change.
+const FASTEST_LOAD_DRIFT: f64 = 1.02;
+
 /// Why an adapter is wanted. The order is that of loading.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum WantOrigin {
@@ -91,6 +96,8 @@
     pub budget: StoreBudget,
     wants: HashMap<AdapterRef, Want>,
     in_flight: Vec<LoadInFlight>,
+    /// The shortest time of late until a load was seen to have ended.
+    fastest_load: Duration,
     urgent_in_a_row: u32,
     prefetched_at: Option<Instant>,
 }
@@ -101,6 +108,7 @@
             budget: StoreBudget::new(settings),
             wants: HashMap::new(),
             in_flight: Vec::new(),
+            fastest_load: FIRST_LOAD_ESTIMATE,
             urgent_in_a_row: 0,
             prefetched_at: None,
         }
@@ -114,7 +122,7 @@
         engine: Option<UpstreamId>,
         inputs: &SchedulerInputs<'_>,
     ) {
-        self.add(adapter, WantOrigin::of(class), engine, inputs);
+        self.add(adapter, WantOrigin::of(class), 1.0, engine, inputs);
     }
 
     /// Notes that an adapter should be loaded although no request waits for it yet.
@@ -124,13 +132,15 @@
         engine: Option<UpstreamId>,
         inputs: &SchedulerInputs<'_>,
     ) {
-        self.add(adapter, WantOrigin::Background, engine, inputs);
+        let rate_per_s = inputs.demand.rate_per_s(adapter, inputs.now);
+        self.add(adapter, WantOrigin::Background, rate_per_s, engine, inputs);
     }
 
     fn add(
         &mut self,
         adapter: &AdapterRef,
         origin: WantOrigin,
+        asked: f64,
         engine: Option<UpstreamId>,
         inputs: &SchedulerInputs<'_>,
     ) {
@@ -140,7 +150,7 @@
         if let Some(want) = self.wants.get_mut(adapter) {
             want.origin = want.origin.min(origin);
             want.engine = engine.or(want.engine.take());
-            want.asked += 1.0;
+            want.asked += asked;
             want.last_at = inputs.now;
             return;
         }
@@ -150,7 +160,7 @@
         let want = Want {
             origin,
             engine,
-            asked: 1.0,
+            asked,
             first_at: inputs.now,
             last_at: inputs.now,
             attempts: 0,
@@ -206,7 +216,11 @@
         };
         let load = self.in_flight.swap_remove(at);
         match outcome {
-            LoadOutcome::Ready => self.budget.succeeded(),
+            LoadOutcome::Ready => {
+                self.budget.succeeded();
+                let took = inputs.now.saturating_duration_since(load.since);
+                self.fastest_load = took.min(self.fastest_load.mul_f64(FASTEST_LOAD_DRIFT));
+            }
             LoadOutcome::StoreRefused => {
                 self.budget
                     .refused(spread(adapter, load.attempts), inputs.now);
@@ -306,12 +320,25 @@
     /// Whether rate and loads under way leave room for a load of this class. An urgent one does
     /// not wait for a routine one to end.
     fn may_load(&mut self, class: Class, inputs: &SchedulerInputs<'_>) -> bool {
-        let limit = inputs.plan.loads_at_full_speed.max(1) as usize;
+        if self.budget.is_refused() {
+            // One load finds out whether the store takes loads again, not all that wait.
+            return self.in_flight.is_empty() && self.budget.allows(class, inputs.now);
+        }
+        let limit = self.in_flight_limit(inputs);
         let counts = |load: &&LoadInFlight| class == Class::Routine || load.origin.class() == class;
         let in_flight = self.in_flight.iter().filter(counts).count();
         in_flight < limit && self.budget.allows(class, inputs.now)
     }
 
+    /// Loads under way that the rate needs: the rate times the time until a load is seen to have
+    /// ended. One at a time would leave the store idle while reports lag. The fastest load of late
+    /// counts, so that loads which slow each other down don't raise the limit.
+    fn in_flight_limit(&self, inputs: &SchedulerInputs<'_>) -> usize {
+        let needed = self.budget.rate_per_s(inputs.now) * self.fastest_load.as_secs_f64();
+        let at_full_speed = inputs.plan.loads_at_full_speed.max(1) as usize;
+        at_full_speed.max(needed.round() as usize)
+    }
+
     fn best_want(
         &self,
         is_eligible: impl Fn(WantOrigin) -> bool,
@@ -415,7 +442,8 @@
         }
         self.prefetched_at = Some(now);
         for (adapter, rate) in inputs.demand.top(PREFETCH_CANDIDATES, now) {
-            if self.has_enough(&adapter, None, inputs) {
+            let is_retried = self.wants.contains_key(&adapter);
+            if is_retried || self.has_enough(&adapter, None, inputs) {
                 continue;
             }
             let Some(chosen) = self.choose_engine(&adapter, None, inputs) else {
--- a/crates/placement/src/pin_cache.rs
+++ b/crates/placement/src/pin_cache.rs
@@ -5,6 +5,9 @@
 
 use nutmegsail_base::{AdapterRef, UpstreamId};
 
+/// How long a recall holds without being repeated.
+const RECALL_TTL: Duration = Duration::from_secs(1);
+
 /// Whether a request may be sent to an adapter on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PinUse {
@@ -77,6 +80,8 @@
     granted_ask: u64,
     pending: Option<PendingAsk>,
     wait_until: Option<Instant>,
+    /// The owner wants the pin back; nothing new is sent until then.
+    recalled_until: Option<Instant>,
     in_use: u32,
     last_used: Instant,
 }
@@ -89,11 +94,16 @@
             granted_ask: 0,
             pending: None,
             wait_until: None,
+            recalled_until: None,
             in_use: 0,
             last_used: now,
         }
     }
 
+    fn is_recalled(&self, now: Instant) -> bool {
+        self.recalled_until.is_some_and(|until| now < until)
+    }
+
     fn held_until(&self, now: Instant) -> Option<Instant> {
         self.until.filter(|until| *until > now)
     }
@@ -138,6 +148,9 @@
         let Some(pin) = self.pin(engine, adapter) else {
             return PinUse::Ask;
         };
+        if pin.is_recalled(now) {
+            return PinUse::Wait;
+        }
         if let Some(until) = pin.held_until(now) {
             return PinUse::Held { until };
         }
@@ -204,6 +217,14 @@
         }
     }
 
+    /// The owner wants the pin back: nothing new is sent under it for a while, and
+    /// [`PinCache::tick`] returns it once its requests are over.
+    pub fn recalled(&mut self, engine: &UpstreamId, adapter: &AdapterRef, now: Instant) {
+        if let Some(pin) = self.pin_mut(engine, adapter) {
+            pin.recalled_until = Some(now + RECALL_TTL);
+        }
+    }
+
     /// Counts a request that is sent now. False: the pin has lapsed since it was checked, and
     /// nothing may be sent.
     #[must_use]
@@ -211,7 +232,7 @@
         let Some(pin) = self.pin_mut(engine, adapter) else {
             return false;
         };
-        if pin.held_until(now).is_none() {
+        if pin.held_until(now).is_none() || pin.is_recalled(now) {
             return false;
         }
         pin.in_use += 1;
@@ -243,6 +264,9 @@
         self.pins.is_empty()
     }
 
+    /// A pin given back on a recall is remembered as long as the recall holds: asked for again at
+    /// once, it would be granted if the ask overtook the return.
+    ///
     /// Renews pins in use, gives idle ones back and forgets lapsed ones. Call it several times a
     /// second; asks and returns of one call to one owner go into one message.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<PinCacheAction>) {
@@ -252,7 +276,9 @@
             pins.retain(|adapter, pin| {
                 if is_finished(pin, &settings, now) {
                     push_return(actions, engine, adapter, pin, now);
-                    return false;
+                    pin.until = None;
+                    pin.renew_at = None;
+                    return pin.is_recalled(now);
                 }
                 if needs_renewal(pin, &settings, now) {
                     renew.push((engine.clone(), adapter.clone()));
@@ -301,7 +327,8 @@
         .as_ref()
         .is_some_and(|ask| now < ask.asked_at + settings.ask_timeout);
     let is_waiting = pin.wait_until.is_some_and(|at| now < at);
-    pin.in_use == 0 && !is_asking && !is_waiting && now >= pin.last_used + settings.idle_return
+    let is_idle = now >= pin.last_used + settings.idle_return;
+    pin.in_use == 0 && !is_asking && !is_waiting && (is_idle || pin.is_recalled(now))
 }
 
 /// A request in flight keeps its pin alive, also one whose pin has lapsed meanwhile.
--- a/crates/placement/src/pin_table.rs
+++ b/crates/placement/src/pin_table.rs
@@ -97,6 +97,20 @@
         self.adapters.get(adapter).is_some_and(is_honoured)
     }
 
+    /// Whether `node` holds a pin at `now`.
+    pub fn is_held_by(&self, node: &NodeId, adapter: &AdapterRef, now: Instant) -> bool {
+        self.holders(adapter, now).any(|holder| holder == node)
+    }
+
+    /// The nodes that hold a pin at `now`.
+    pub fn holders(&self, adapter: &AdapterRef, now: Instant) -> impl Iterator<Item = &NodeId> {
+        let pins = self.adapters.get(adapter);
+        pins.into_iter()
+            .flat_map(|pins| &pins.granted)
+            .filter(move |pin| pin.honoured_until > now)
+            .map(|pin| &pin.node)
+    }
+
     /// How the adapter became free. Call [`PinTable::expire`] first.
     pub fn history(&self, adapter: &AdapterRef) -> PinHistory {
         self.adapters
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -266,7 +266,10 @@
             .view
             .plan_of(engine)
             .is_some_and(|plan| plan.checks_fencing);
-        if !checks_fencing || !self.view.has_report(engine) || self.owned.contains_key(engine) {
+        if !checks_fencing
+            || self.view.last_report(engine).is_none()
+            || self.owned.contains_key(engine)
+        {
             return;
         }
         let fence = next_fence(self.view.seen_fence(engine), &self.settings.node);
@@ -295,6 +298,13 @@
             fence,
             by_engine,
         }));
+        let Some((report, taken_at)) = self.view.last_report(engine) else {
+            return;
+        };
+        let report = report.clone();
+        self.with_owner(engine, now, actions, |owner, settings, out| {
+            owner.report(report, taken_at, settings, now, out);
+        });
     }
 
     fn disown(
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -55,6 +55,10 @@
     pub prefetch_advantage: f64,
     /// How long an owner looks for a victim before the load goes elsewhere.
     pub victim_patience: Duration,
+    /// How long a load waits for an adapter that nobody uses before one in use is drained.
+    pub drain_after: Duration,
+    /// How long an adapter is drained before it goes back into service.
+    pub drain_patience: Duration,
     /// After this time a load that nobody saw end counts as failed.
     pub load_timeout: Duration,
     /// The first wait after a load failed or the weight store refused; it doubles.
@@ -91,6 +95,8 @@
             urgent_weight: 3.0,
             prefetch_advantage: 2.0,
             victim_patience: Duration::from_secs(1),
+            drain_after: Duration::from_millis(300),
+            drain_patience: Duration::from_secs(3),
             load_timeout: Duration::from_secs(30),
             first_backoff: Duration::from_millis(500),
             longest_backoff: Duration::from_secs(16),
--- a/crates/placement/src/slot_map.rs
+++ b/crates/placement/src/slot_map.rs
@@ -1,9 +1,12 @@
 //! The adapter slots of one engine, as its owner sees them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nutmegsail_base::{AdapterRef, AdapterState, EngineReport, HeldAdapter};
 
+/// How long an adapter that could not be drained is left alone.
+const DRAIN_PAUSE: Duration = Duration::from_secs(10);
+
 /// How far an adapter is on its way into or out of its slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SlotState {
@@ -11,6 +14,8 @@
     Ready,
     /// A load was ordered or is under way.
     Loading,
+    /// It serves what runs; nobody may start to use it.
+    Draining,
     /// An unload was ordered; nobody may start to use it.
     Unloading,
 }
@@ -24,6 +29,23 @@
     pub since: Instant,
     /// A report on it counts only if taken after this time.
     pub idle_proof_after: Instant,
+    /// Since when it is drained.
+    pub draining_since: Option<Instant>,
+    /// It ran too long to be drained and is left alone until then.
+    pub no_drain_before: Option<Instant>,
+}
+
+impl Slot {
+    fn new(adapter: &AdapterRef, state: SlotState, now: Instant) -> Self {
+        Self {
+            adapter: adapter.clone(),
+            state,
+            since: now,
+            idle_proof_after: now,
+            draining_since: None,
+            no_drain_before: None,
+        }
+    }
 }
 
 /// What a report changed.
@@ -69,12 +91,42 @@
             "a load of {adapter} would oversubscribe the engine's {adapter_slots} slots"
         );
         assert!(self.get(adapter).is_none(), "{adapter} has a slot already");
-        self.slots.push(Slot {
-            adapter: adapter.clone(),
-            state: SlotState::Loading,
-            since: now,
-            idle_proof_after: now,
-        });
+        let slot = Slot::new(adapter, SlotState::Loading, now);
+        self.slots.push(slot);
+    }
+
+    /// Stops new use of an adapter.
+    pub fn begin_drain(&mut self, adapter: &AdapterRef, now: Instant) {
+        if let Some(slot) = self.get_mut(adapter) {
+            slot.state = SlotState::Draining;
+            slot.draining_since = Some(now);
+        }
+    }
+
+    /// Puts an adapter back into service that could not be drained.
+    pub fn end_drain(&mut self, adapter: &AdapterRef, now: Instant) {
+        if let Some(slot) = self.get_mut(adapter) {
+            slot.state = SlotState::Ready;
+            slot.draining_since = None;
+            slot.no_drain_before = Some(now + DRAIN_PAUSE);
+        }
+    }
+
+    /// The adapter that is drained; one at a time.
+    pub fn draining(&self) -> Option<&AdapterRef> {
+        let draining = self.slots.iter().find(|s| s.state == SlotState::Draining)?;
+        Some(&draining.adapter)
+    }
+
+    pub fn is_draining(&self) -> bool {
+        self.draining().is_some()
+    }
+
+    /// Whether the drain under way has taken longer than `patience`.
+    pub fn drain_is_over(&self, patience: Duration, now: Instant) -> bool {
+        let is_over = |since: Instant| now >= since + patience;
+        let mut slots = self.slots.iter();
+        slots.any(|s| s.state == SlotState::Draining && s.draining_since.is_some_and(is_over))
     }
 
     /// Empties the map and returns what was in it, as after a cold restart.
@@ -139,11 +191,6 @@
             SlotState::Ready => changes.became_ready.push(held.adapter.clone()),
             _ => changes.became_loading.push(held.adapter.clone()),
         }
-        self.slots.push(Slot {
-            adapter: held.adapter.clone(),
-            state,
-            since: now,
-            idle_proof_after: now,
-        });
+        self.slots.push(Slot::new(&held.adapter, state, now));
     }
 }
--- a/crates/placement/src/store_budget.rs
+++ b/crates/placement/src/store_budget.rs
@@ -139,6 +139,11 @@
         self.closed_until = Some(now + wait);
     }
 
+    /// Whether the last load that ended was refused by the store.
+    pub fn is_refused(&self) -> bool {
+        self.refusals > 0
+    }
+
     pub fn succeeded(&mut self) {
         self.refusals = 0;
     }
