Pass recalled pins on to their holders

An owner that drains an adapter asks its holders for their pins. The node sends the wire's PinRecall to the holder, whose cache takes no new request under the pin and gives it back when the last one ends.

--- a/crates/node/src/loader.rs
+++ b/crates/node/src/loader.rs
@@ -12,7 +12,7 @@
 use nutmegsail_routing::{AdapterAvailability, RoutingEvent};
 use nutmegsail_telemetry::{Event, log_event};
 use nutmegsail_upstream::{Engine, LoadOrder, OrderAnswer, OrderError};
-use nutmegsail_wire::{NodeMessage, Payload, PinAnswer, PinAsk, PinOutcome, PinReturn};
+use nutmegsail_wire::{NodeMessage, Payload, PinAnswer, PinAsk, PinOutcome, PinRecall, PinReturn};
 use slog::Logger;
 use tokio::sync::oneshot;
 use xtra::WeakAddress;
@@ -195,6 +195,11 @@
                 )
                 .await;
             }
+            PlacementAction::RecallPin {
+                to,
+                engine,
+                adapter,
+            } => self.recall_pin(to, PinRecall { engine, adapter }).await,
             PlacementAction::AdapterState {
                 engine,
                 adapter,
@@ -260,6 +265,19 @@
         }
     }
 
+    async fn recall_pin(&mut self, to: NodeId, recall: PinRecall) {
+        if to == self.parts.node {
+            self.pin_recalled(&recall);
+        } else {
+            self.send(to, NodeMessage::PinRecall(recall)).await;
+        }
+    }
+
+    fn pin_recalled(&mut self, recall: &PinRecall) {
+        let now = self.parts.clock.now();
+        self.pins.recalled(&recall.engine, &recall.adapter, now);
+    }
+
     async fn adapter_state(&self, engine: UpstreamId, adapter: AdapterRef, state: Presence) {
         let state = match state {
             Presence::Ready => AdapterAvailability::Ready,
@@ -628,6 +646,7 @@
             NodeMessage::PinAsk(ask) => self.pin_asked(ask).await,
             NodeMessage::PinAnswer(answer) => self.pin_answered(answer),
             NodeMessage::PinReturn(give_back) => self.pin_returned(give_back).await,
+            NodeMessage::PinRecall(recall) => self.pin_recalled(&recall),
             NodeMessage::Placement(bytes) => {
                 if let Ok(message) = postcard::from_bytes(&bytes.0) {
                     self.tell(PlacementEvent::Received { from, message }).await;
