Take each guard of the router out once and see a test fail

Late reports of a gone upstream are held off twice; the new story passes without the first guard, because only a health check resets the mark.

--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -91,12 +91,14 @@
         /// Whether it takes work.
         is_ready: bool,
     },
-    /// The upstream cannot be reached any more.
+    /// The upstream cannot be reached any more. A health check brings it back, or a report of
+    /// another incarnation; a late report of the same one does not.
     UpstreamGone {
         /// The upstream.
         upstream: UpstreamId,
     },
-    /// The upstream is leaving: no new work from now on.
+    /// The upstream is leaving: no new work from now on. Only another incarnation, or a health check
+    /// after it was gone, takes that back.
     Leaving {
         /// The upstream.
         upstream: UpstreamId,
--- a/crates/routing/tests/retries.rs
+++ b/crates/routing/tests/retries.rs
@@ -23,6 +23,17 @@
     assert_eq!(given_up(&actions), Some(ResultCode::UpstreamFailed));
 }
 
+/// The message that a confirmation arrived is given to the router twice. A second dispatch would
+/// book the slot twice.
+#[test]
+fn a_doubled_arrival_is_sent_once() {
+    let mut bench = Bench::new(service(3));
+    let (call, sent) = bench.send(Class::Urgent);
+    assert!(sent.is_some());
+
+    assert_eq!(bench.arrive(&call), []);
+}
+
 /// An upstream refuses a call and says that it did not run. Another one may take it; the one that
 /// refused is not asked again, and when all have refused the caller is told "not run".
 #[test]
--- a/crates/routing/tests/upstreams.rs
+++ b/crates/routing/tests/upstreams.rs
@@ -49,6 +49,27 @@
     assert_eq!(bench.send(Class::Urgent).1.as_deref(), Some("u1"));
 }
 
+/// An upstream's VM is gone. A report that it sent before is still under way; sending work by it
+/// would cost each caller a connection timeout. Only a health check shows that it is back.
+#[test]
+fn a_late_report_does_not_bring_back_a_gone_upstream() {
+    let mut bench = Bench::new(service(1));
+    bench.report("u1", report(&[], 0));
+    bench.tell(RoutingEvent::UpstreamGone {
+        upstream: "u1".into(),
+    });
+    bench.report("u1", report(&[], 0));
+    let call = bench.call(Class::Urgent);
+    assert_eq!(refused(&bench.arrive(&call)), Some(ResultCode::NoUpstream));
+
+    bench.tell(RoutingEvent::Health {
+        upstream: "u1".into(),
+        is_ready: true,
+    });
+
+    assert_eq!(bench.send(Class::Urgent).1.as_deref(), Some("u1"));
+}
+
 /// An engine restarts cold. A report of its former run, still under way, arrives after the first
 /// report of the new one. Believing it would send requests for adapters that are not there.
 #[test]
