Shed by the rate at which a queue really moves, and copy adapters less readily

The expected wait was worked out from all places of an engine, which this node shares with others. The weight store was busy with further copies of hot adapters, each of which evicted an adapter that others then waited for.

--- a/crates/measure/src/sim/engine.rs
+++ b/crates/measure/src/sim/engine.rs
@@ -105,6 +105,15 @@
         self.waiting.iter()
     }
 
+    /// Ends a request that gave no token yet; says whether it was here.
+    pub(crate) fn cancel(&mut self, request: usize) -> bool {
+        let before = self.in_flight();
+        self.waiting.retain(|job| job.request != request);
+        self.running
+            .retain(|job| job.request != request || job.has_first);
+        self.in_flight() < before
+    }
+
     /// The adapter that could make room: idle for longest.
     pub(crate) fn evictable(&self) -> Option<usize> {
         let idle = self.slots.iter().filter(|slot| {
--- a/crates/measure/src/sim/simulation.rs
+++ b/crates/measure/src/sim/simulation.rs
@@ -192,7 +192,7 @@
                     what.is_shed = true;
                     end_stall(what, self.now);
                 }
-                Order::Cancel { .. } => {}
+                Order::Cancel { request } => self.cancel(request, &mut more),
                 Order::Want {
                     engine,
                     adapter,
@@ -270,6 +270,14 @@
         self.start_step(engine);
     }
 
+    fn cancel(&mut self, request: usize, orders: &mut Vec<Order>) {
+        if let Some(engine) = self.assigned[request]
+            && self.engines[engine].cancel(request)
+        {
+            self.end(request, engine, Outcome::Cancelled, orders);
+        }
+    }
+
     fn start_step(&mut self, engine: usize) {
         if let Some((took, _)) = self.engines[engine].start_step(self.now) {
             self.timeline
--- a/crates/measure/src/studies/overload.rs
+++ b/crates/measure/src/studies/overload.rs
@@ -1,5 +1,7 @@
 //! Twice as much routine work as the engines can do.
 
+use nutmegsail_routing::RouterSettings;
+
 use super::compare::{median, row};
 use crate::sim::{PolicyKind, Scenario};
 use crate::{Report, Study};
@@ -38,6 +40,13 @@
         ..scenario(URGENT_PER_S, 2.0 * FULL_ROUTINE_PER_S)
     };
     let router = PolicyKind::router();
+    let cancelling = PolicyKind::Router {
+        name: "cancelling",
+        settings: Box::new(RouterSettings {
+            cancels_routine: true,
+            ..RouterSettings::default()
+        }),
+    };
     let first_come = PolicyKind::LeastInFlight;
     let rows = vec![
         row(&alone, &router, "nutmegsail, urgent alone", seeds),
@@ -60,6 +69,12 @@
             "nutmegsail, 2x routine, headroom 0.5",
             seeds,
         ),
+        row(
+            &overload,
+            &cancelling,
+            "nutmegsail, 2x routine, cancelling routine",
+            seeds,
+        ),
     ];
     let ratio = |index: usize, name: &str| median(&rows[index], name) / median(&rows[0], name);
     let notes = [
--- a/crates/routing/src/arrive.rs
+++ b/crates/routing/src/arrive.rs
@@ -11,6 +11,10 @@
 use crate::router::CallerState;
 use crate::{Arrival, Router, RoutingAction};
 
+/// How many times a load's time requests wait for a full engine before another copy is asked for.
+/// The copy evicts an adapter that others then wait for, so it must be worth several loads.
+const COPY_BAR: f64 = 6.0;
+
 /// Why a request is refused at arrival.
 struct Refusal {
     code: ResultCode,
@@ -63,10 +67,10 @@
         if caller.is_some_and(|caller| caller.requests >= self.plan.in_flight_per_caller) {
             return refusal(
                 ResultCode::CallerLimit,
-                service.expected_wait(arrival.class),
+                service.expected_wait(arrival.class, now),
             );
         }
-        let wait = service.expected_wait(arrival.class);
+        let wait = service.expected_wait(arrival.class, now);
         if service.queue(arrival.class).len() >= service.plan.queue_per_class as usize {
             return refusal(ResultCode::QueueFull, wait);
         }
@@ -157,7 +161,7 @@
     /// time in which every waiting caller would get one dispatch. A caller that keeps to its share
     /// is never put back; one that sends a burst competes with others from its due time on.
     fn fairness_penalty(&mut self, arrival: &Arrival, service: usize, now: Instant) -> Duration {
-        let rate_per_s = self.services[service].rate_per_s(arrival.class);
+        let rate_per_s = self.services[service].rate_per_s(arrival.class, now);
         let share = self.callers.len().max(1) as f64;
         let spacing_s = rate_per_s.map_or(0.001, |rate_per_s| share / rate_per_s);
         let caller = self
@@ -221,8 +225,8 @@
     }
 
     /// Whether another copy of `adapter` in this failure domain would pay: it has none, or those it
-    /// has are so full that a load is quicker than the wait. The weight of load stalls lowers the
-    /// bar.
+    /// has are so full that the wait is many times that for a load. The weight of load stalls lowers
+    /// the bar.
     ///
     /// Copies in other failure domains do not count: their places for this node are few, and a
     /// request that had found one there would not wait.
@@ -250,6 +254,6 @@
         let places = holders as f64 * f64::from(state.plan.in_flight_per_upstream.max(1));
         let wait_s = lane().count() as f64 / places * state.whole[class as usize].mean_s();
         let load_s = self.expected_load(self.adapters.wants()).as_secs_f64();
-        wait_s.max(waited.as_secs_f64()) > load_s * (1.5 - self.plan.weights.load_stalls)
+        wait_s.max(waited.as_secs_f64()) > load_s * (COPY_BAR - self.plan.weights.load_stalls)
     }
 }
--- a/crates/routing/src/dispatch.rs
+++ b/crates/routing/src/dispatch.rs
@@ -62,6 +62,7 @@
             service.budget.first_send();
         }
         // Against starvation inside the engine: urgent work would keep it waiting there as well.
+        service.drain[class as usize].dispatched();
         let is_kept = class == Class::Routine && service.floor.is_owed();
         let routine_waits = !service.queue(Class::Routine).is_empty();
         let floor = service.plan.routine_floor;
--- a/crates/routing/src/ended.rs
+++ b/crates/routing/src/ended.rs
@@ -78,6 +78,17 @@
             }
         }
         self.fill(upstream, now, actions);
+        self.note_limited(upstream, now);
+    }
+
+    /// Notes which classes go on waiting for a place after one fell free.
+    fn note_limited(&mut self, upstream: usize, now: Instant) {
+        for class in Class::ALL {
+            if self.first_for(upstream, class, now).is_some() {
+                let service = self.upstreams[upstream].service;
+                self.services[service].drain[class as usize].limited(now);
+            }
+        }
     }
 
     fn free_place(&mut self, request: &RequestId, upstream: usize, class: Class, now: Instant) {
--- a/crates/routing/src/explain.rs
+++ b/crates/routing/src/explain.rs
@@ -31,7 +31,7 @@
         let state = &self.services[index];
         explanation.waiting = state.queue(class).len();
         explanation.queue_limit = state.plan.queue_per_class;
-        explanation.expected_wait_ms = state.expected_wait(class).as_millis() as u64;
+        explanation.expected_wait_ms = state.expected_wait(class, now).as_millis() as u64;
         explanation.retries_left = state.budget.tokens();
         explanation.is_routine_owed = state.floor.is_owed();
         explanation.upstreams = state.own.len() + state.foreign.len();
--- a/crates/routing/src/fill.rs
+++ b/crates/routing/src/fill.rs
@@ -89,16 +89,22 @@
         now: Instant,
         actions: &mut Vec<RoutingAction>,
     ) {
-        let Some(adapter) = (self.requests.get(request)).and_then(|r| r.arrival.adapter.clone())
-        else {
+        let Some(state) = self.requests.get(request) else {
             return;
         };
-        let state = &self.requests[request];
-        let holders = self.adapters.holders(&adapter).iter();
-        let runnable = holders
-            .map(|holder| holder.upstream as usize)
-            .filter(|upstream| self.may_run(state, *upstream, now));
-        let mut with_victim = runnable.filter(|u| !self.upstreams[*u].cancellable.is_empty());
+        let holders = match &state.arrival.adapter {
+            Some(adapter) => self.adapters.holders(adapter),
+            None => &[],
+        };
+        let own = match &state.arrival.adapter {
+            Some(_) => &[],
+            None => self.services[state.service].own.as_slice(),
+        };
+        let holders = holders.iter().map(|holder| holder.upstream);
+        let mut with_victim = holders
+            .chain(own.iter().copied())
+            .map(|u| u as usize)
+            .filter(|u| !self.upstreams[*u].cancellable.is_empty() && self.may_run(state, *u, now));
         let Some(upstream) = with_victim.next() else {
             return;
         };
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod candidate;
 mod class_queue;
 mod dispatch;
+mod drain_rate;
 mod ended;
 mod event;
 mod explain;
--- a/crates/routing/src/service_state.rs
+++ b/crates/routing/src/service_state.rs
@@ -1,10 +1,11 @@
 //! What the router knows of one service.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nutmegsail_base::{Class, ServiceName};
 
 use crate::class_queue::ClassQueue;
+use crate::drain_rate::DrainRate;
 use crate::retry_budget::RetryBudget;
 use crate::routine_floor::RoutineFloor;
 use crate::{RouterSettings, ServicePlan};
@@ -56,6 +57,7 @@
     pub(crate) queues: [ClassQueue; 2],
     pub(crate) budget: RetryBudget,
     pub(crate) floor: RoutineFloor,
+    pub(crate) drain: [DrainRate; 2],
     pub(crate) first_byte: [Expected; 2],
     pub(crate) whole: [Expected; 2],
     pub(crate) reachable_own: u32,
@@ -77,6 +79,7 @@
             queues: [ClassQueue::default(), ClassQueue::default()],
             budget: RetryBudget::new(0.0, settings.retry_burst),
             floor: RoutineFloor::default(),
+            drain: [DrainRate::default(); 2],
             first_byte: [Expected::default(); 2],
             whole: [Expected::default(); 2],
             reachable_own: 0,
@@ -107,22 +110,22 @@
         self.whole[class as usize].quick()
     }
 
-    /// Requests that the reachable upstreams finish in a second; `None` before any has finished.
-    pub(crate) fn rate_per_s(&self, class: Class) -> Option<f64> {
-        let mean_s = self.whole[class as usize].mean_s();
-        let reachable = self.reachable_own.max(1);
-        let places = f64::from(reachable) * f64::from(self.plan.in_flight_per_upstream.max(1));
-        (mean_s > 0.0).then(|| places / mean_s)
+    /// Requests of `class` that this node can start in a second: as seen while requests waited for a
+    /// place, or else what the reachable upstreams finish. `None` before any has finished.
+    pub(crate) fn rate_per_s(&self, class: Class, now: Instant) -> Option<f64> {
+        let seen_per_s = self.drain[class as usize].per_s(now);
+        seen_per_s.or_else(|| {
+            let mean_s = self.whole[class as usize].mean_s();
+            let reachable = f64::from(self.reachable_own.max(1));
+            let places = reachable * f64::from(self.plan.in_flight_per_upstream.max(1));
+            (mean_s > 0.0).then(|| places / mean_s)
+        })
     }
 
     /// How long a new request of `class` is expected to wait for a place.
-    pub(crate) fn expected_wait(&self, class: Class) -> Duration {
-        let urgent = self.queue(Class::Urgent).len();
-        let ahead = match class {
-            Class::Urgent => urgent,
-            Class::Routine => urgent + self.queue(Class::Routine).len(),
-        };
-        let Some(rate_per_s) = self.rate_per_s(class) else {
+    pub(crate) fn expected_wait(&self, class: Class, now: Instant) -> Duration {
+        let ahead = self.queue(class).len();
+        let Some(rate_per_s) = self.rate_per_s(class, now) else {
             return Duration::ZERO;
         };
         Duration::from_secs_f64((ahead as f64 / rate_per_s).min(3_600.0))
--- a/crates/routing/src/tick.rs
+++ b/crates/routing/src/tick.rs
@@ -43,7 +43,7 @@
         for class in Class::ALL {
             while let Some(request) = self.services[service].queue(class).expired(now).cloned() {
                 let code = self.code_of_wait(&request);
-                let wait = self.services[service].expected_wait(class);
+                let wait = self.services[service].expected_wait(class, now);
                 let retry_after = self.retry_after(wait, rng);
                 self.finish(&request, code, retry_after, actions);
             }
