Cancel a run only for the reader that took it last

Cause: engines keep a run whose connection closed, so that another node can resume it. A node that was frozen wakes, sees its caller gone and cancels the run, although another node streams it to the caller by then: the answer was lost. In the same way a late cancellation of a request's first send could end its second one at the same engine.

Change: the engine counts the readers of a run (`x-attachment`); a cancellation names the attachment that it is meant for and the engine refuses it for an earlier one. A resumed answer now ends its run too when its caller goes away (it kept its place until its end before), and an answer that breaks off between node and engine leaves its run to the engine, since the caller may resume. A request that the router takes back reports its end only after the engine has freed the place. The class that the router gives to a send (urgent for the routine floor) reaches the engine; it was dropped.

Guard taken out: the comparison of attachments in the stand-in. Then `a_node_that_wakes_does_not_cancel_what_another_node_has_resumed` failed (NS3005 in the resumed answer) and `a_cancellation_for_an_earlier_reader_ends_nothing` failed. Both pass with it.

Conclusion: what remains is an engine that counts no attachments; there a frozen node can still end a resumed run, which the caller sees as a cut that it can resume again.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -7,7 +7,8 @@
 use futures_util::StreamExt;
 use nutmegsail_base::{AdapterRef, Class, Clock, EngineReport, Incarnation, RequestId, UpstreamId};
 use nutmegsail_upstream::{
-    Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer, OrderError, UpstreamError,
+    Attachment, CancelAnswer, Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer,
+    OrderError, UpstreamError,
 };
 use serde::Deserialize;
 use tokio::sync::Notify;
@@ -114,6 +115,11 @@
         self.lock().ledger.clone()
     }
 
+    /// Requests that run or wait inside the engine now, whatever its report's lag.
+    pub fn running(&self) -> usize {
+        self.lock().running()
+    }
+
     /// Restarts cold: no adapters, no runs, a new incarnation. Streams break.
     pub fn restart(&self) {
         self.lock().restart(self.shared.clock.now());
@@ -190,6 +196,7 @@
             adapter: joined.adapter,
             request,
             run_number: joined.run_number,
+            attachment: joined.attachment,
             sent,
             breaks_after: joined.breaks_after,
             cuts: joined.cuts,
@@ -200,8 +207,9 @@
         }
     }
 
-    pub(crate) fn cancel_run(&self, request: &RequestId) {
-        self.lock().cancel(request, self.shared.clock.now());
+    pub(crate) fn cancel_run(&self, request: &RequestId, attachment: Attachment) -> CancelAnswer {
+        let now = self.shared.clock.now();
+        self.lock().cancel(request, attachment, now)
     }
 
     pub(crate) fn read_report(&self) -> EngineReport {
@@ -276,13 +284,14 @@
 }
 
 pub(crate) fn stream_of(subscription: EngineSubscription) -> EngineStream {
-    let incarnation = subscription.incarnation;
+    let (incarnation, attachment) = (subscription.incarnation, subscription.attachment);
     let events = futures_util::stream::unfold(subscription, |mut subscription| async move {
         let event = subscription.next().await?;
         Some((event, subscription))
     });
     EngineStream {
         incarnation,
+        attachment,
         events: events.boxed(),
     }
 }
@@ -331,10 +340,10 @@
         &self,
         upstream: &UpstreamId,
         request: &RequestId,
-    ) -> Result<(), UpstreamError> {
+        attachment: Attachment,
+    ) -> Result<CancelAnswer, UpstreamError> {
         self.travel(upstream).await?;
-        self.cancel_run(request);
-        Ok(())
+        Ok(self.cancel_run(request, attachment))
     }
 
     async fn report(&self, upstream: &UpstreamId) -> Result<EngineReport, UpstreamError> {
--- a/crates/fakes/src/engine_http.rs
+++ b/crates/fakes/src/engine_http.rs
@@ -6,7 +6,9 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use nutmegsail_base::{AdapterRef, Incarnation, RequestId};
-use nutmegsail_upstream::{LoadOrder, OrderAnswer, OrderError, StreamEvent, UpstreamError};
+use nutmegsail_upstream::{
+    Attachment, CancelAnswer, LoadOrder, OrderAnswer, OrderError, StreamEvent, UpstreamError,
+};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
@@ -62,10 +64,7 @@
             None => HttpReply::status(StatusCode::NOT_FOUND),
         },
         (&Method::DELETE, path) => match path.strip_prefix("/v1/runs/") {
-            Some(run) => {
-                engine.cancel_run(&run.into());
-                HttpReply::status(StatusCode::OK)
-            }
+            Some(run) => cancel(&engine, &run.into(), &request),
             None => HttpReply::status(StatusCode::NOT_FOUND),
         },
         _ => HttpReply::status(StatusCode::NOT_FOUND),
@@ -103,6 +102,20 @@
     reply(engine.resume_run(Incarnation(incarnation), run, after.unwrap_or(0)))
 }
 
+/// A cancellation that names no attachment is meant for whoever reads.
+fn cancel(engine: &FakeEngine, run: &RequestId, request: &Request<Incoming>) -> HttpReply {
+    let named = header(request.headers(), "x-attachment").and_then(|text| text.parse().ok());
+    match engine.cancel_run(run, Attachment(named.unwrap_or(u64::MAX))) {
+        CancelAnswer::Ended => HttpReply::status(StatusCode::OK),
+        CancelAnswer::TakenOver => HttpReply::json(
+            StatusCode::CONFLICT,
+            &ConflictJson {
+                reason: "taken_over",
+            },
+        ),
+    }
+}
+
 fn reply(subscription: Result<EngineSubscription, UpstreamError>) -> HttpReply {
     match subscription {
         Ok(subscription) => event_stream(subscription),
@@ -119,7 +132,7 @@
 
 fn event_stream(subscription: EngineSubscription) -> HttpReply {
     let adapter = subscription.adapter.to_string();
-    let incarnation = subscription.incarnation;
+    let (incarnation, attachment) = (subscription.incarnation, subscription.attachment);
     let events = stream_of(subscription).events;
     let frames = events.map(|event| event.map(|event| Frame::data(event_bytes(&event))));
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
@@ -127,6 +140,7 @@
     let event_stream = HeaderValue::from_static("text/event-stream");
     headers.insert(http::header::CONTENT_TYPE, event_stream);
     headers.insert("x-incarnation", HeaderValue::from(incarnation.0));
+    headers.insert("x-attachment", HeaderValue::from(attachment.0));
     if let Ok(adapter) = HeaderValue::from_str(&adapter) {
         headers.insert("x-adapter", adapter);
     }
--- a/crates/fakes/src/engine_run.rs
+++ b/crates/fakes/src/engine_run.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use nutmegsail_base::{AdapterRef, Incarnation, RequestId};
-use nutmegsail_upstream::{AnswerEnd, StreamEvent, UpstreamError};
+use nutmegsail_upstream::{AnswerEnd, Attachment, StreamEvent, UpstreamError};
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -42,6 +42,8 @@
     pub(crate) phase: RunPhase,
     pub(crate) is_resumable: bool,
     pub(crate) readers: u32,
+    /// The latest reader's.
+    pub(crate) attachment: Attachment,
     pub(crate) unread_since: Option<Instant>,
     pub(crate) progress: watch::Sender<Progress>,
 }
@@ -75,6 +77,8 @@
     pub incarnation: Incarnation,
     /// The adapter that makes the answer.
     pub adapter: AdapterRef,
+    /// Which reader of the run this is.
+    pub attachment: Attachment,
     pub(crate) request: RequestId,
     pub(crate) run_number: u64,
     pub(crate) sent: u64,
--- a/crates/fakes/src/engine_state.rs
+++ b/crates/fakes/src/engine_state.rs
@@ -5,7 +5,9 @@
 use std::time::{Instant, SystemTime};
 
 use nutmegsail_base::{AdapterRef, AdapterVersion, EngineReport, Incarnation, RequestId};
-use nutmegsail_upstream::{LoadOrder, OrderAnswer, OrderError, UpstreamError};
+use nutmegsail_upstream::{
+    Attachment, CancelAnswer, LoadOrder, OrderAnswer, OrderError, UpstreamError,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::watch;
@@ -35,6 +37,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) adapter: AdapterRef,
     pub(crate) run_number: u64,
+    pub(crate) attachment: Attachment,
     pub(crate) breaks_after: Option<u64>,
     pub(crate) cuts: u32,
     pub(crate) progress: watch::Receiver<Progress>,
@@ -150,6 +153,8 @@
         }
         // A second run of one request id is what a test looks for; it displaces the first.
         self.take_out(&asked.request);
+        let displaced = self.runs.get(&asked.request);
+        let attachment = displaced.map_or(Attachment(0), |run| run.attachment);
         let mut adapter = asked.adapter;
         if happens(&mut self.rng, self.knobs.wrong_adapter_share) {
             adapter.version = AdapterVersion(adapter.version.0.wrapping_add(1));
@@ -170,6 +175,7 @@
             phase: RunPhase::Waiting,
             is_resumable: asked.is_resumable,
             readers: 0,
+            attachment,
             unread_since: None,
             progress: watch::Sender::new(progress),
         };
@@ -181,9 +187,13 @@
         joined.ok_or(UpstreamError::Broken)
     }
 
+    pub(crate) fn running(&self) -> usize {
+        self.batch.len() + self.waiting.len()
+    }
+
     fn is_full(&self) -> bool {
         let places = self.settings.batch_slots + self.settings.queue_slots;
-        self.knobs.full || self.batch.len() + self.waiting.len() >= places
+        self.knobs.full || self.running() >= places
     }
 
     fn draw_number(&mut self) -> u64 {
@@ -238,6 +248,7 @@
     fn join(&mut self, request: &RequestId, after: u64) -> Option<Joined> {
         let run = self.runs.get_mut(request)?;
         run.readers += 1;
+        run.attachment.0 += 1;
         run.unread_since = None;
         let breaks = happens(&mut self.rng, self.knobs.broken_share);
         let breaks_after = breaks.then(|| self.rng.random_range(after..=run.total.max(after)));
@@ -245,6 +256,7 @@
             incarnation: self.incarnation,
             adapter: run.adapter.clone(),
             run_number: run.number,
+            attachment: run.attachment,
             breaks_after,
             cuts: self.cuts,
             progress: run.progress.subscribe(),
@@ -272,10 +284,21 @@
         }
     }
 
-    /// Ends a run; its slot is free at once. What it made is kept for a resume.
-    pub(crate) fn cancel(&mut self, request: &RequestId, now: Instant) {
+    /// Ends a run; its slot is free at once. What it made is kept for a resume. A cancellation for
+    /// an earlier reader than the latest ends nothing.
+    pub(crate) fn cancel(
+        &mut self,
+        request: &RequestId,
+        attachment: Attachment,
+        now: Instant,
+    ) -> CancelAnswer {
+        let run = self.runs.get(request);
+        if run.is_some_and(|run| attachment < run.attachment) {
+            return CancelAnswer::TakenOver;
+        }
         self.take_out(request);
         self.note_report(now);
+        CancelAnswer::Ended
     }
 
     fn take_out(&mut self, request: &RequestId) {
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -5,8 +5,8 @@
 use async_trait::async_trait;
 use nutmegsail_base::{EngineReport, Incarnation, RequestId, UpstreamId};
 use nutmegsail_upstream::{
-    Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer, OrderError, PlainRequest,
-    PlainResponse, PlainService, UpstreamError,
+    Attachment, CancelAnswer, Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer,
+    OrderError, PlainRequest, PlainResponse, PlainService, UpstreamError,
 };
 
 use crate::{FakeEngine, FakePlainService};
@@ -69,8 +69,10 @@
         &self,
         upstream: &UpstreamId,
         request: &RequestId,
-    ) -> Result<(), UpstreamError> {
-        self.engine(upstream)?.cancel(upstream, request).await
+        attachment: Attachment,
+    ) -> Result<CancelAnswer, UpstreamError> {
+        let engine = self.engine(upstream)?;
+        engine.cancel(upstream, request, attachment).await
     }
 
     async fn report(&self, upstream: &UpstreamId) -> Result<EngineReport, UpstreamError> {
--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -13,8 +13,8 @@
     EngineSettings, FakeEngine, FakeWeightStore, Knobs, TokioClock, WeightStoreSettings,
 };
 use nutmegsail_upstream::{
-    Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer, OrderError, OrderOp, StreamEvent,
-    UpstreamError,
+    Attachment, CancelAnswer, Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer,
+    OrderError, OrderOp, StreamEvent, UpstreamError,
 };
 use rstest::rstest;
 
@@ -153,13 +153,43 @@
     let dropped = bench.routine("dropped").await;
     bench.engine.step();
     let request = RequestId::from("cancelled");
-    bench.engine.cancel(&bench.id, &request).await.unwrap();
+    let attachment = Attachment::FIRST;
+    bench
+        .engine
+        .cancel(&bench.id, &request, attachment)
+        .await
+        .unwrap();
     drop(dropped);
     let report = bench.engine.report(&bench.id).await.unwrap();
     assert_eq!((report.in_flight, report.adapters[0].running), (0, 0));
     assert_eq!(read_now(&mut cancelled), ["cancelled/a@1/1", "Broken"]);
 }
 
+/// A node freezes; the caller resumes through another one. The first node wakes, sees its caller
+/// gone and cancels the run, which is no longer its own.
+#[tokio::test]
+async fn a_cancellation_for_an_earlier_reader_ends_nothing() {
+    let bench = bench(EngineSettings::default());
+    let first = bench.routine("r1").await;
+    bench.engine.step();
+    let request = RequestId::from("r1");
+    let resume = bench
+        .engine
+        .resume(&bench.id, first.incarnation, &request, 1);
+    let mut second = resume.await.unwrap();
+    assert_eq!(
+        (first.attachment, second.attachment),
+        (Attachment(1), Attachment(2))
+    );
+    let cancel = async |attachment| bench.engine.cancel(&bench.id, &request, attachment).await;
+    assert_eq!(cancel(first.attachment).await, Ok(CancelAnswer::TakenOver));
+    drop(first);
+    bench.engine.step();
+    assert_eq!(read_now(&mut second), ["r1/a@1/2"]);
+    assert_eq!(cancel(second.attachment).await, Ok(CancelAnswer::Ended));
+    assert_eq!(read_now(&mut second), ["Broken"]);
+}
+
 /// A node that reads an answer dies. The caller comes back through another node, which resumes
 /// at the engine after the last event that the caller saw.
 #[tokio::test]
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,9 +1,11 @@
 //! A request's place in the router: admitted, sent on, and ended exactly once.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
-use nutmegsail_base::{Clock, RequestId};
+use nutmegsail_base::{Clock, RequestId, UpstreamId};
 use nutmegsail_routing::{Arrival, Outcome, RoutingEvent};
+use nutmegsail_upstream::Attachment;
 use tokio::sync::mpsc;
 use xtra::Address;
 
@@ -15,6 +17,8 @@
     dispatcher: Address<Dispatcher>,
     verdicts: mpsc::Receiver<Verdict>,
     is_ended: bool,
+    /// How often the request was sent to each engine.
+    sends: HashMap<UpstreamId, u64>,
 }
 
 impl Attempt {
@@ -32,6 +36,7 @@
             dispatcher: dispatcher.clone(),
             verdicts,
             is_ended: false,
+            sends: HashMap::new(),
         }
     }
 
@@ -59,6 +64,14 @@
         }
     }
 
+    /// Which attachment a send to `engine` gets there, as far as this node knows: an engine counts
+    /// on when the request comes again. A cancellation of an earlier send then ends no later one.
+    pub(crate) fn next_attachment(&mut self, engine: &UpstreamId) -> Attachment {
+        let sends = self.sends.entry(engine.clone()).or_default();
+        *sends += 1;
+        Attachment(*sends)
+    }
+
     /// Tells the router that the answer began.
     pub(crate) async fn first_byte(&self) {
         let event = RoutingEvent::FirstByte {
--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -20,6 +20,8 @@
     Send {
         /// Where to.
         upstream: UpstreamId,
+        /// The class to give to the engine; see [`RoutingAction::Dispatch`].
+        class: Class,
     },
     /// It did not run and never will.
     Refuse {
@@ -98,9 +100,12 @@
     async fn carry_out(&mut self, action: RoutingAction) {
         match action {
             RoutingAction::Dispatch {
-                request, upstream, ..
+                request,
+                upstream,
+                class,
+                ..
             } => {
-                self.verdict(&request, Verdict::Send { upstream });
+                self.verdict(&request, Verdict::Send { upstream, class });
             }
             RoutingAction::Refuse {
                 request,
--- a/crates/node/src/generation.rs
+++ b/crates/node/src/generation.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::stream::{self, BoxStream, StreamExt};
-use nutmegsail_base::{AdapterRef, Clock, ResultCode, RunState, UpstreamId};
+use nutmegsail_base::{AdapterRef, Class, Clock, ResultCode, RunState, UpstreamId};
 use nutmegsail_front::{Answer, Generate};
 use nutmegsail_request::{
     AfterFailure, AnswerHandle, Answering, Queued, Refusal, Request, Uncertain,
@@ -18,6 +18,7 @@
 use crate::dispatcher::{Dispatcher, Verdict};
 use crate::loader::Loader;
 use crate::pin_hold::PinHold;
+use crate::run_hold::RunHold;
 
 /// What a generation needs of its node.
 #[derive(Clone)]
@@ -49,6 +50,14 @@
     }
 }
 
+/// What is asked of an engine.
+struct Ask<'a> {
+    generate: &'a Generate,
+    upstream: &'a UpstreamId,
+    class: Class,
+    until: Instant,
+}
+
 /// One try at an engine.
 enum Tried {
     /// The answer begins.
@@ -69,23 +78,26 @@
         let mut attempt = Attempt::admit(&self.dispatcher, arrival(&generate, until)).await;
         let mut pending = Pending::Clean(request);
         loop {
-            let (upstream, code) = match self.next_verdict(&mut attempt, until).await {
-                Some(Verdict::Send { upstream }) => (upstream, None),
+            let (upstream, class) = match self.next_verdict(&mut attempt, until).await {
+                Some(Verdict::Send { upstream, class }) => (upstream, class),
                 Some(Verdict::Cancel) => continue,
                 Some(Verdict::Refuse { code, retry_after }) => {
                     let refusal = pending.refuse(code, code.text());
                     return Err(refusal.with_retry_after(retry_after));
                 }
                 Some(Verdict::GiveUp { code }) => return Err(pending.refuse(code, code.text())),
-                None => (UpstreamId::from(""), Some(ResultCode::DeadlineUnreachable)),
+                None => {
+                    let detail = "the deadline passed before the answer began";
+                    return Err(pending.refuse(ResultCode::DeadlineUnreachable, detail));
+                }
             };
-            if let Some(code) = code {
-                return Err(pending.refuse(code, "the deadline passed before the answer began"));
-            }
-            match self
-                .try_at(&mut attempt, &upstream, &generate, pending, until)
-                .await
-            {
+            let ask = Ask {
+                generate: &generate,
+                upstream: &upstream,
+                class,
+                until,
+            };
+            match self.try_at(&mut attempt, &ask, pending).await {
                 Tried::Began {
                     stream,
                     request,
@@ -128,12 +140,15 @@
             // The run itself is known to have begun, so nothing here says "not run".
             Refusal::ran(ResultCode::UnknownAnswer, error.to_string())
         })?;
+        let engines = Arc::clone(&self.engines);
+        let (id, attachment) = (request.clone(), stream.attachment);
+        let run = RunHold::new(engines, upstream.clone(), id, attachment);
         let request = Request::resume(request, upstream, incarnation, after);
         let handle = handle_of(&adapter, &request);
         let rest = Rest {
             stream,
             request: Some(request),
-            pin: None,
+            held: Held::Run(run),
             attempt: None,
             until: None,
         };
@@ -149,15 +164,14 @@
         timeout(left, attempt.verdict()).await.ok().flatten()
     }
 
-    async fn try_at(
-        &self,
-        attempt: &mut Attempt,
-        upstream: &UpstreamId,
-        generate: &Generate,
-        pending: Pending,
-        until: Instant,
-    ) -> Tried {
-        let pin = PinHold::take(&self.loader, upstream, &generate.adapter, generate.class).await;
+    async fn try_at(&self, attempt: &mut Attempt, ask: &Ask<'_>, pending: Pending) -> Tried {
+        let Ask {
+            generate,
+            upstream,
+            class,
+            until,
+        } = *ask;
+        let pin = PinHold::take(&self.loader, upstream, &generate.adapter, class).await;
         let Some(mut pin) = pin else {
             return Tried::Failed {
                 pending,
@@ -169,11 +183,19 @@
             Pending::Doubtful(request) => request.dispatch_again(upstream.clone()),
         };
         let left = until.saturating_duration_since(self.clock.now());
-        pin.runs(generate.request.clone(), Arc::clone(&self.engines));
-        let started = self.engines.start(upstream, engine_request(generate, left));
+        let engines = Arc::clone(&self.engines);
+        let id = generate.request.clone();
+        let attachment = attempt.next_attachment(upstream);
+        pin.runs(RunHold::new(engines, upstream.clone(), id, attachment));
+        let started = self
+            .engines
+            .start(upstream, engine_request(generate, class, left));
         let (error, outcome) = tokio::select! {
             started = timeout(left, started) => match started {
                 Ok(Ok(stream)) => {
+                    if let Some(run) = pin.run_mut() {
+                        run.attached(stream.attachment);
+                    }
                     let request = request.answer(stream.incarnation);
                     return Tried::Began { stream, request, pin };
                 }
@@ -183,7 +205,12 @@
             () = attempt.cancelled() => (UpstreamError::Broken, Outcome::Cancelled),
         };
         if error.run_state() == RunState::NotRun {
-            pin.run_ended();
+            pin.leave_run();
+        }
+        if outcome == Outcome::Cancelled {
+            // The router sends an urgent request into the slot as soon as it hears of the end, and
+            // this request anew later: a cancellation still under way would meet its second run.
+            pin.end_run().await;
         }
         let pending = match request.failed(&error) {
             AfterFailure::NotRun(request) => Pending::Clean(request),
@@ -205,7 +232,7 @@
         let rest = Rest {
             stream,
             request: Some(request),
-            pin: Some(pin),
+            held: Held::Pin(pin),
             attempt: Some(attempt),
             until: Some(until),
         };
@@ -236,11 +263,21 @@
 struct Rest {
     stream: EngineStream,
     request: Option<Request<Answering>>,
-    pin: Option<PinHold>,
+    held: Held,
     attempt: Option<Attempt>,
     until: Option<Instant>,
 }
 
+/// What ends the run at the engine when the caller goes away.
+enum Held {
+    /// The pin that the request was sent under.
+    Pin(PinHold),
+    /// A resumed run has no pin; the engine's report shows it, and nothing that runs is evicted.
+    Run(RunHold),
+    /// The answer is over here.
+    Nothing,
+}
+
 impl Rest {
     async fn next(&mut self, clock: &dyn Clock) -> Result<StreamEvent, Refusal> {
         let left = self
@@ -250,9 +287,11 @@
         let event = match timeout(left.unwrap_or(Duration::MAX), next).await {
             Ok(Some(Ok(event))) => event,
             Ok(Some(Err(error))) => {
+                self.leave_run();
                 return Err(self.cut(ResultCode::AnswerCut, &error.to_string()).await);
             }
             Ok(None) => {
+                self.leave_run();
                 return Err(self
                     .cut(ResultCode::AnswerCut, "the engine ended without an end")
                     .await);
@@ -276,15 +315,21 @@
                     let detail = "the engine's count differs from the pieces it sent";
                     return Err(Refusal::ran(ResultCode::AnswerCut, detail));
                 }
-                if let Some(pin) = &mut self.pin {
-                    pin.run_ended();
-                }
+                self.leave_run();
                 self.finish(Outcome::Succeeded).await;
             }
         }
         Ok(event)
     }
 
+    fn leave_run(&mut self) {
+        match std::mem::replace(&mut self.held, Held::Nothing) {
+            Held::Pin(mut pin) => pin.leave_run(),
+            Held::Run(run) => run.leave(),
+            Held::Nothing => {}
+        }
+    }
+
     async fn cut(&mut self, code: ResultCode, detail: &str) -> Refusal {
         self.request = None;
         self.finish(Outcome::Failed).await;
@@ -292,7 +337,7 @@
     }
 
     async fn finish(&mut self, outcome: Outcome) {
-        self.pin = None;
+        self.held = Held::Nothing;
         if let Some(attempt) = self.attempt.take() {
             attempt.end(outcome).await;
         }
@@ -327,11 +372,11 @@
     }
 }
 
-fn engine_request(generate: &Generate, deadline: Duration) -> EngineRequest {
+fn engine_request(generate: &Generate, class: Class, deadline: Duration) -> EngineRequest {
     EngineRequest {
         request: generate.request.clone(),
         adapter: generate.adapter.clone(),
-        class: generate.class,
+        class,
         deadline,
         body: generate.body.clone(),
         path: generate.path,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod pin_hold;
 mod plain_calls;
 mod plans;
+mod run_hold;
 mod serving;
 mod settings;
 mod text_keeper;
--- a/crates/node/src/pin_hold.rs
+++ b/crates/node/src/pin_hold.rs
@@ -1,13 +1,11 @@
 //! A pin in use: while it is there, its adapter stays on its engine.
 
-use std::sync::Arc;
-
-use nutmegsail_base::{AdapterRef, Class, RequestId, UpstreamId};
-use nutmegsail_upstream::Engine;
+use nutmegsail_base::{AdapterRef, Class, UpstreamId};
 use tokio::sync::oneshot;
 use xtra::Address;
 
 use crate::loader::{Loader, ReturnPin, TakePin};
+use crate::run_hold::RunHold;
 
 /// A pin held for one request. Dropping it ends the run at the engine, if it may still be going on,
 /// and only then gives the pin back.
@@ -15,12 +13,7 @@
     engine: UpstreamId,
     adapter: AdapterRef,
     loader: Address<Loader>,
-    running: Option<Running>,
-}
-
-struct Running {
-    request: RequestId,
-    engines: Arc<dyn Engine>,
+    run: Option<RunHold>,
 }
 
 impl PinHold {
@@ -45,18 +38,33 @@
             engine: engine.clone(),
             adapter: adapter.clone(),
             loader: loader.clone(),
-            running: None,
+            run: None,
         })
     }
 
-    /// Notes that the engine runs `request` on this pin.
-    pub(crate) fn runs(&mut self, request: RequestId, engines: Arc<dyn Engine>) {
-        self.running = Some(Running { request, engines });
+    /// Notes that the engine runs a request on this pin.
+    pub(crate) fn runs(&mut self, run: RunHold) {
+        self.run = Some(run);
+    }
+
+    /// The run on this pin, if it may still be going on.
+    pub(crate) fn run_mut(&mut self) -> Option<&mut RunHold> {
+        self.run.as_mut()
+    }
+
+    /// Leaves the run to its engine; what it still runs is in its report.
+    pub(crate) fn leave_run(&mut self) {
+        if let Some(run) = self.run.take() {
+            run.leave();
+        }
     }
 
-    /// Notes that the run has ended at the engine.
-    pub(crate) fn run_ended(&mut self) {
-        self.running = None;
+    /// Ends the run, and gives the pin back once the engine has said so. Dropping the future does
+    /// not stop the cancellation.
+    pub(crate) async fn end_run(mut self) {
+        if let Some(run) = self.run.take() {
+            let _ = tokio::spawn(run.end()).await;
+        }
     }
 }
 
@@ -66,13 +74,13 @@
             return;
         };
         let (engine, adapter) = (self.engine.clone(), self.adapter.clone());
-        let (loader, running) = (self.loader.clone(), self.running.take());
+        let (loader, run) = (self.loader.clone(), self.run.take());
         runtime.spawn(async move {
             // A pin given back while the run goes on would let the adapter be evicted under it. The
             // engine frees the run's slot before it answers; if it does not answer, its own report
             // still shows the run, and the owner evicts nothing that runs.
-            if let Some(running) = running {
-                let _ = running.engines.cancel(&engine, &running.request).await;
+            if let Some(run) = run {
+                run.end().await;
             }
             let _ = loader.send(ReturnPin { engine, adapter }).detach().await;
         });
--- a/crates/node/src/plain_calls.rs
+++ b/crates/node/src/plain_calls.rs
@@ -193,7 +193,7 @@
         loop {
             let left = until.saturating_duration_since(self.clock.now());
             let upstream = match timeout(left, attempt.verdict()).await.ok().flatten() {
-                Some(Verdict::Send { upstream }) => upstream,
+                Some(Verdict::Send { upstream, .. }) => upstream,
                 Some(Verdict::Cancel) => continue,
                 Some(Verdict::Refuse { code, retry_after }) => {
                     return Err(stopped(pending, code, Some(retry_after)));
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -12,10 +12,13 @@
 use hyper_util::rt::TokioIo;
 use nutmegsail_config::{OperatorsText, Publisher};
 use nutmegsail_fakes::{EngineEntry, PlainEntry, StandIns, StandInsSettings};
-use nutmegsail_node::{Node, NodeSettings, Outside, PlatformAddresses};
+use nutmegsail_node::{Node, NodeSettings, Outside};
 use nutmegsail_platform::{HttpKeyValue, PlatformSettings};
 use tokio::net::TcpStream;
 
+pub mod caller;
+pub mod mortal_node;
+
 /// Stand-ins with the text of [`text`] accepted.
 pub struct World {
     pub stand_ins: StandIns,
@@ -132,11 +135,16 @@
 
     /// Starts a node and waits until a text is in force on it.
     pub async fn node(&self, name: &str, domain: &str, seeds: &[&Node]) -> Node {
+        let seeds: Vec<_> = seeds.iter().map(|seed| seed.nodes_address()).collect();
+        let node = start_node(self.node_settings(name, domain, &seeds)).await;
+        until_ready(&node).await;
+        node
+    }
+
+    /// The settings of a node.
+    pub fn node_settings(&self, name: &str, domain: &str, seeds: &[SocketAddr]) -> NodeSettings {
         let platform = self.platform();
-        let seeds: Vec<_> = seeds
-            .iter()
-            .map(|seed| seed.nodes_address().to_string())
-            .collect();
+        let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
         let settings = format!(
             r#"
 node = "{name}"
@@ -156,23 +164,22 @@
 report_interval_ms = 50
 "#
         );
-        let settings = NodeSettings::parse(&settings).expect("settings");
-        let addresses = PlatformAddresses {
-            key_value: platform,
-            vm_list: platform,
-        };
-        let log = nutmegsail_telemetry::logger(&settings.log);
-        let node = Node::start(settings, Outside::over_http(&addresses), log)
-            .await
-            .expect("starts");
-        while send(node.callers_address(), Method::GET, "/readyz", &[], "")
-            .await
-            .status()
-            != 200
-        {
-            tokio::task::yield_now().await;
-        }
-        node
+        NodeSettings::parse(&settings).expect("settings")
+    }
+}
+
+/// Starts a node; it may not be ready yet.
+pub async fn start_node(settings: NodeSettings) -> Node {
+    let outside = Outside::over_http(&settings.platform);
+    let log = nutmegsail_telemetry::logger(&settings.log);
+    Node::start(settings, outside, log).await.expect("starts")
+}
+
+/// Waits until a text is in force on the node.
+pub async fn until_ready(node: &Node) {
+    let ready = async || send(node.callers_address(), Method::GET, "/readyz", &[], "").await;
+    while ready().await.status() != 200 {
+        tokio::task::yield_now().await;
     }
 }
 
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::UpstreamError;
+use crate::{Attachment, CancelAnswer, UpstreamError};
 
 /// A generation that an engine is asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +60,8 @@
 pub struct EngineStream {
     /// The engine's incarnation that runs the request.
     pub incarnation: Incarnation,
+    /// Which reader of the run this is; a cancellation names it.
+    pub attachment: Attachment,
     /// Events as they arrive. After an error nothing follows.
     pub events: BoxStream<'static, Result<StreamEvent, UpstreamError>>,
 }
@@ -68,6 +70,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("EngineStream")
             .field("incarnation", &self.incarnation)
+            .field("attachment", &self.attachment)
             .finish_non_exhaustive()
     }
 }
@@ -154,9 +157,14 @@
         request: &RequestId,
         after: u64,
     ) -> Result<EngineStream, UpstreamError>;
-    /// Ends a run. Its slot is free once this returns.
-    async fn cancel(&self, upstream: &UpstreamId, request: &RequestId)
-    -> Result<(), UpstreamError>;
+    /// Ends a run, unless a later attachment has taken its stream. Its slot is free once this
+    /// returns [`CancelAnswer::Ended`].
+    async fn cancel(
+        &self,
+        upstream: &UpstreamId,
+        request: &RequestId,
+        attachment: Attachment,
+    ) -> Result<CancelAnswer, UpstreamError>;
     /// Reads the engine's report on itself.
     async fn report(&self, upstream: &UpstreamId) -> Result<EngineReport, UpstreamError>;
     /// Gives the engine an order.
--- a/crates/upstream/src/http_engine.rs
+++ b/crates/upstream/src/http_engine.rs
@@ -16,8 +16,8 @@
 use crate::engine_events::engine_events;
 use crate::refusal::{Refusal, failed, send_failed};
 use crate::{
-    Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer, OrderError, UpstreamError,
-    UpstreamSettings,
+    Attachment, CancelAnswer, Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer,
+    OrderError, UpstreamError, UpstreamSettings,
 };
 
 /// The largest report or answer to an order, in bytes.
@@ -102,9 +102,11 @@
         after: u64,
     ) -> Result<EngineStream, UpstreamError> {
         let incarnation = incarnation_of(answer.headers())?;
+        let attachment = attachment_of(answer.headers())?;
         let silence_timeout = self.settings.silence_timeout;
         Ok(EngineStream {
             incarnation,
+            attachment,
             events: engine_events(answer.into_body(), after, silence_timeout),
         })
     }
@@ -163,14 +165,19 @@
         &self,
         upstream: &UpstreamId,
         request: &RequestId,
-    ) -> Result<(), UpstreamError> {
-        let cancel = Request::delete(format!("/v1/runs/{request}"));
+        attachment: Attachment,
+    ) -> Result<CancelAnswer, UpstreamError> {
+        let cancel =
+            Request::delete(format!("/v1/runs/{request}")).header("x-attachment", attachment.0);
         let answer = self
             .control_call(upstream, with_body(cancel, Bytes::new())?)
             .await?;
         match answer.status() {
             // A run that is not known does not run.
-            StatusCode::OK | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(()),
+            StatusCode::OK | StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => {
+                Ok(CancelAnswer::Ended)
+            }
+            StatusCode::CONFLICT => Ok(CancelAnswer::TakenOver),
             status => Err(UpstreamError::Failed {
                 status: status.as_u16(),
             }),
@@ -288,6 +295,17 @@
         .ok_or_else(|| UpstreamError::Malformed("the answer names no incarnation".to_owned()))
 }
 
+/// An engine that counts no attachments names none, and ignores them in a cancellation.
+fn attachment_of(headers: &HeaderMap) -> Result<Attachment, UpstreamError> {
+    let Some(named) = headers.get("x-attachment") else {
+        return Ok(Attachment::FIRST);
+    };
+    let number = named.to_str().ok().and_then(|text| text.parse().ok());
+    number
+        .map(Attachment)
+        .ok_or_else(|| UpstreamError::Malformed("the attachment is no number".to_owned()))
+}
+
 fn order_answer(answer: &Response<Bytes>) -> Result<OrderAnswer, OrderError> {
     match answer.status() {
         StatusCode::ACCEPTED => Ok(OrderAnswer::Accepted),
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 //! never sends a request a second time by itself. Start at [`Engine`] and [`UpstreamError`].
 
 mod answer_body;
+mod attachment;
 mod engine;
 mod engine_events;
 mod error;
@@ -15,6 +16,7 @@
 mod refusal;
 mod upstream_settings;
 
+pub use attachment::{Attachment, CancelAnswer};
 pub use engine::{
     AnswerEnd, Engine, EngineRequest, EngineStream, LoadOrder, OrderAnswer, OrderError, OrderOp,
     StreamEvent,
--- a/crates/upstream/tests/against_stand_ins.rs
+++ b/crates/upstream/tests/against_stand_ins.rs
@@ -11,8 +11,8 @@
     PlainSettings, WeightStoreSettings, loopback,
 };
 use nutmegsail_upstream::{
-    Engine, EngineRequest, EngineStream, HttpEngine, HttpPlainService, PlainRequest, PlainService,
-    StreamEvent, UpstreamError, UpstreamSettings,
+    Attachment, Engine, EngineRequest, EngineStream, HttpEngine, HttpPlainService, PlainRequest,
+    PlainService, StreamEvent, UpstreamError, UpstreamSettings,
 };
 
 /// An engine that holds `summary@3` and moves only when the test steps it.
@@ -134,7 +134,10 @@
     let mut stream = client.start(&upstream, ask(3)).await.unwrap();
     engine.step();
     next_text(&mut stream).await.unwrap();
-    client.cancel(&upstream, &"r1".into()).await.unwrap();
+    client
+        .cancel(&upstream, &"r1".into(), Attachment::FIRST)
+        .await
+        .unwrap();
     assert_eq!(client.report(&upstream).await.unwrap().in_flight, 0);
     assert_eq!(next_text(&mut stream).await, Err(UpstreamError::Broken));
 }
--- a/crates/upstream/tests/http_engine.rs
+++ b/crates/upstream/tests/http_engine.rs
@@ -8,8 +8,8 @@
 use futures_util::StreamExt;
 use nutmegsail_base::{AdapterRef, Class, Incarnation, NodeId, RequestId, RunState, UpstreamId};
 use nutmegsail_upstream::{
-    Engine, EngineRequest, EngineStream, HttpEngine, LoadOrder, OrderAnswer, OrderError, OrderOp,
-    StreamEvent, UpstreamError, UpstreamSettings,
+    Attachment, CancelAnswer, Engine, EngineRequest, EngineStream, HttpEngine, LoadOrder,
+    OrderAnswer, OrderError, OrderOp, StreamEvent, UpstreamError, UpstreamSettings,
 };
 use rstest::rstest;
 use scripted_server::{ScriptedServer, Turn, answer};
@@ -262,12 +262,17 @@
 
 #[tokio::test]
 async fn a_cancelled_run_is_over() {
-    let turns = [200, 404, 500].map(|status| Turn::Answer(answer(status, "", "")));
+    let turns = [200, 404, 409, 500].map(|status| Turn::Answer(answer(status, "", "")));
     let server = ScriptedServer::start(turns).await;
     let engine = engine();
-    let cancel = async || engine.cancel(&upstream(&server), &"r1".into()).await;
-    assert_eq!(cancel().await, Ok(()));
-    assert_eq!(cancel().await, Ok(()));
+    let cancel = async || {
+        engine
+            .cancel(&upstream(&server), &"r1".into(), Attachment::FIRST)
+            .await
+    };
+    assert_eq!(cancel().await, Ok(CancelAnswer::Ended));
+    assert_eq!(cancel().await, Ok(CancelAnswer::Ended));
+    assert_eq!(cancel().await, Ok(CancelAnswer::TakenOver));
     assert_eq!(cancel().await, Err(UpstreamError::Failed { status: 500 }));
 }
 
