--- a/crates/config/src/derivation.rs
+++ b/crates/config/src/derivation.rs
@@ -5,7 +5,7 @@
 use nutmegsail_base::{CallName, Class, ServiceName};
 use serde::Serialize;
 
-use crate::millis;
+use crate::millis::{self, Millis};
 
 /// A call's class, deadline and slack, with each step that led there.
 ///
@@ -96,50 +96,46 @@
                 class,
                 deadline,
                 target,
-            } => write!(
-                f,
-                "declared: {class}, deadline {} ms, target {} ms",
-                millis::of(*deadline),
-                millis::of(*target)
-            ),
+            } => {
+                let (deadline, target) = (Millis(*deadline), Millis(*target));
+                write!(f, "declared: {class}, deadline {deadline}, target {target}")
+            }
             Self::OnBehalfOf {
                 service,
                 class,
                 deadline,
-            } => write!(
-                f,
-                "on behalf of {service}: {class}, deadline {} ms",
-                millis::of(*deadline)
-            ),
+            } => {
+                let deadline = Millis(*deadline);
+                write!(f, "on behalf of {service}: {class}, deadline {deadline}")
+            }
             Self::Spends {
                 service,
                 class,
                 target,
                 left,
-            } => write!(
-                f,
-                "through {service} ({class}): spends its target of {} ms, {} ms left",
-                millis::of(*target),
-                millis::of(*left)
-            ),
-            Self::ChainBelow { services, targets } => {
-                let names: Vec<&str> = services.iter().map(ServiceName::as_str).collect();
-                let names = names.join(" -> ");
+            } => {
+                let (target, left) = (Millis(*target), Millis(*left));
                 write!(
                     f,
-                    "below it: {names}, targets of {} ms",
-                    millis::of(*targets)
+                    "through {service} ({class}): spends its target of {target}, {left} left"
                 )
             }
+            Self::ChainBelow { services, targets } => {
+                let names: Vec<&str> = services.iter().map(ServiceName::as_str).collect();
+                let targets = Millis(*targets);
+                write!(f, "below it: {}, targets of {targets}", names.join(" -> "))
+            }
             Self::WouldInherit {
                 service,
                 class,
                 deadline,
-            } => write!(
-                f,
-                "called on behalf of {service} it would be {class}, deadline {} ms",
-                millis::of(*deadline)
-            ),
+            } => {
+                let deadline = Millis(*deadline);
+                write!(
+                    f,
+                    "called on behalf of {service} it would be {class}, deadline {deadline}"
+                )
+            }
         }
     }
 }
@@ -153,13 +149,11 @@
         for step in &self.steps {
             writeln!(f, "  {step}")?;
         }
+        let [deadline, target, slack] = [self.deadline, self.target, self.slack].map(Millis);
         write!(
             f,
-            "  so: {}, deadline {} ms, target {} ms, slack {} ms",
-            self.class,
-            millis::of(self.deadline),
-            millis::of(self.target),
-            millis::of(self.slack)
+            "  so: {}, deadline {deadline}, target {target}, slack {slack}",
+            self.class
         )
     }
 }
--- a/crates/config/src/text/service.rs
+++ b/crates/config/src/text/service.rs
@@ -70,10 +70,7 @@
         target,
     };
     let calls = calls::read(&mut section, defaults, gather);
-    let in_flight = match &kind {
-        ServiceKind::Engine { batch_slots, .. } => *batch_slots,
-        ServiceKind::Plain => PLAIN_IN_FLIGHT,
-    };
+    let limits = read_service_limits(&mut section, &kind, gather);
     let service = Service {
         name: ServiceName::from(name.get_ref().as_ref()),
         kind,
@@ -83,21 +80,11 @@
         target,
         calls,
         upstreams,
-        in_flight_per_upstream: section.integer_u32(
-            "in_flight_per_upstream",
-            1..=COUNT_MAX,
-            in_flight,
-            gather,
-        ),
-        urgent_headroom: section.number("urgent_headroom", 0.0..=1.0, URGENT_HEADROOM, gather),
-        queue_per_class: section.integer_u32(
-            "queue_per_class",
-            1..=COUNT_MAX,
-            QUEUE_PER_CLASS,
-            gather,
-        ),
-        routine_floor: section.number("routine_floor", 0.0..=1.0, ROUTINE_FLOOR, gather),
-        retry_budget: section.number("retry_budget", 0.0..=1.0, RETRY_BUDGET, gather),
+        in_flight_per_upstream: limits.in_flight_per_upstream,
+        urgent_headroom: limits.urgent_headroom,
+        queue_per_class: limits.queue_per_class,
+        routine_floor: limits.routine_floor,
+        retry_budget: limits.retry_budget,
     };
     check_headroom(&service, name.span(), gather);
     section.finish(gather);
@@ -110,6 +97,36 @@
     })
 }
 
+struct ServiceLimits {
+    in_flight_per_upstream: u32,
+    urgent_headroom: f64,
+    queue_per_class: u32,
+    routine_floor: f64,
+    retry_budget: f64,
+}
+
+fn read_service_limits(
+    section: &mut Table<'_, '_>,
+    kind: &ServiceKind,
+    gather: &mut Gather<'_>,
+) -> ServiceLimits {
+    let in_flight = match kind {
+        ServiceKind::Engine { batch_slots, .. } => *batch_slots,
+        ServiceKind::Plain => PLAIN_IN_FLIGHT,
+    };
+    let counts = 1..=COUNT_MAX;
+    let key = "in_flight_per_upstream";
+    let in_flight = section.integer_u32(key, counts.clone(), in_flight, gather);
+    let queue = section.integer_u32("queue_per_class", counts, QUEUE_PER_CLASS, gather);
+    ServiceLimits {
+        in_flight_per_upstream: in_flight,
+        urgent_headroom: section.share("urgent_headroom", URGENT_HEADROOM, gather),
+        queue_per_class: queue,
+        routine_floor: section.share("routine_floor", ROUTINE_FLOOR, gather),
+        retry_budget: section.share("retry_budget", RETRY_BUDGET, gather),
+    }
+}
+
 /// Names appear in headers, paths and metrics, so they keep to letters that mean nothing there.
 pub(super) fn check_name(what: &str, name: &str, at: Range<usize>, gather: &mut Gather<'_>) {
     let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
@@ -230,13 +247,8 @@
     let mut upstreams = Vec::new();
     let mut places = Vec::new();
     for (domain, addresses) in entries {
-        let known = context.failure_domains.iter().map(FailureDomain::as_str);
         let name = domain.get_ref().as_ref();
-        if !known.clone().any(|other| other == name) {
-            let message = format!("`{name}` is not one of the `failure_domains`");
-            let fix = did_you_mean(name, known);
-            gather.add(domain.span(), FaultKind::DanglingName, message, fix);
-        }
+        check_domain(name, domain.span(), context, gather);
         for address in strings(name, addresses, gather) {
             check_address(&address, gather);
             places.push(address.span());
@@ -258,6 +270,21 @@
     (upstreams, places)
 }
 
+fn check_domain(
+    name: &str,
+    at: Range<usize>,
+    context: &ServiceContext<'_>,
+    gather: &mut Gather<'_>,
+) {
+    let known = context.failure_domains.iter().map(FailureDomain::as_str);
+    if known.clone().any(|other| other == name) {
+        return;
+    }
+    let message = format!("`{name}` is not one of the `failure_domains`");
+    let fix = did_you_mean(name, known);
+    gather.add(at, FaultKind::DanglingName, message, fix);
+}
+
 fn check_address(address: &Spanned<&str>, gather: &mut Gather<'_>) {
     let written = address.get_ref();
     if written
--- a/crates/config/src/text/table.rs
+++ b/crates/config/src/text/table.rs
@@ -124,6 +124,16 @@
         }
     }
 
+    /// A number from 0 to 1, or `default` if the key is not there.
+    pub(super) fn share(
+        &mut self,
+        key: &'static str,
+        default: f64,
+        gather: &mut Gather<'_>,
+    ) -> f64 {
+        self.number(key, 0.0..=1.0, default, gather)
+    }
+
     /// `true` or `false`, or `default` if the key is not there.
     pub(super) fn boolean(
         &mut self,
--- a/crates/config/src/text/top.rs
+++ b/crates/config/src/text/top.rs
@@ -101,15 +101,10 @@
         return default;
     };
     let mut section = Table::new("[weights]".to_owned(), value.span(), entries);
-    let range = 0.0..=1.0;
+    let batch_efficiency = default.batch_efficiency;
     let weights = Weights {
-        load_stalls: section.number("load_stalls", range.clone(), default.load_stalls, gather),
-        batch_efficiency: section.number(
-            "batch_efficiency",
-            range,
-            default.batch_efficiency,
-            gather,
-        ),
+        load_stalls: section.share("load_stalls", default.load_stalls, gather),
+        batch_efficiency: section.share("batch_efficiency", batch_efficiency, gather),
     };
     section.finish(gather);
     if weights.load_stalls + weights.batch_efficiency <= 0.0 {
