--- a/crates/idempotency/src/chain.rs
+++ b/crates/idempotency/src/chain.rs
@@ -82,12 +82,8 @@
     }
 
     fn adopt_stored(&mut self, segment: usize, stored: &StoredRecord) -> Result<(), RecordError> {
-        let known = self.segments.get(segment).map_or(0, |known| known.revision);
-        // An older revision than one already seen is a stale read, and says nothing new.
-        if stored.revision > known {
-            let record = ClaimRecord::decode(&stored.value)?;
-            self.set(segment, record, stored.revision);
-        }
+        let record = ClaimRecord::decode(&stored.value)?;
+        self.set(segment, record, stored.revision);
         self.find_tail();
         Ok(())
     }
--- a/crates/idempotency/tests/stories.rs
+++ b/crates/idempotency/tests/stories.rs
@@ -240,28 +240,68 @@
     }
 }
 
+/// The service refused the first booking, and the tablet's program uses its key for another one.
+/// The record still says what the key stands for.
+#[test]
+fn a_released_key_stands_for_the_same_call() {
+    let mut world = World::new(3, 22);
+    world.next_calls = vec![CallFate::Refused];
+    let key = world.key();
+    world.begin(0, &key, 0);
+    world.run_for(2 * S);
+    let other = world.begin(1, &key, 1);
+    world.run_for(S);
+    assert_eq!(world.told[&other], not_run(ResultCode::KeyReused));
+}
+
+/// A node's first attempt is given up and its second is refused by the service. Only then does the
+/// message with the first claim arrive at another node. Were it taken, the key would be claimed by
+/// nobody who runs it, and the caller would wait for ever.
+#[test]
+fn a_late_claim_of_an_earlier_attempt_does_not_block_its_key() {
+    let mut world = World::new(2, 23);
+    let key = world.key();
+    let (writer, other) = world.writer_and_other(&key);
+    world.pause(writer, 20 * S);
+    world.store_down = true;
+    world.begin(other, &key, 0);
+    world.run_for(MS);
+    world.faults.message_lost = 100;
+    world.run_for(3 * S);
+    world.store_down = false;
+    world.run_for(3 * S);
+    world.next_calls = vec![CallFate::Refused];
+    world.begin(other, &key, 0);
+    world.run_for(30 * S);
+    world.faults.message_lost = 0;
+    let third = world.begin(writer, &key, 0);
+    world.run_for(S);
+    assert_eq!(world.told[&third], RAN);
+}
+
 /// A call sent a day ago is repeated. Its claim is gone from the store, so nothing would stop a
 /// second run but the key's age. A node whose clock is slow must not let it through either.
 #[test]
 fn a_key_whose_claim_is_gone_is_refused() {
     let mut world = World::new(3, 13);
     let skew_s = world.settings.skew.as_secs() as i64;
-    world.nodes[0].clock_error_s = skew_s;
-    world.nodes[1].clock_error_s = -skew_s;
-    world.nodes[2].clock_error_s = skew_s;
+    // The node that removes old records has the fastest clock that is allowed.
+    let collector = world.collector();
+    world.nodes[collector].clock_error_s = skew_s;
+    let slow = (collector + 1) % 3;
+    world.nodes[slow].clock_error_s = -skew_s;
     let key = world.key();
     let first = world.begin(0, &key, 0);
-    let kept = world.settings.retention + 30 * S;
-    world.run_for(kept);
+    world.run_for(world.settings.retention - 120 * S);
     assert_eq!(world.told[&first], RAN);
     while !world.store.is_empty() {
-        let repeat = world.begin(1, &key, 0);
+        let repeat = world.begin(slow, &key, 0);
         world.run_for(S);
         let told = &world.told[&repeat];
         let is_refused = *told == not_run(ResultCode::KeyTooOld);
         assert!(is_refused || matches!(told, Told::Answer(_)));
     }
-    let repeat = world.begin(1, &key, 0);
+    let repeat = world.begin(slow, &key, 0);
     world.run_for(S);
     assert_eq!(world.told[&repeat], not_run(ResultCode::KeyTooOld));
 }
--- a/crates/idempotency/tests/world/mod.rs
+++ b/crates/idempotency/tests/world/mod.rs
@@ -219,18 +219,24 @@
 
     /// The node that writes for the key's shard, and one that does not.
     pub fn writer_and_other(&self, key: &IdempotencyKey) -> (usize, usize) {
+        let writer = self.writer(ChainPlace::of(key).shard);
+        (writer, (writer + 1) % self.nodes.len())
+    }
+
+    /// The node that removes old records.
+    pub fn collector(&self) -> usize {
+        self.writer(0)
+    }
+
+    fn writer(&self, shard: u8) -> usize {
         let live = self.nodes.iter().map(|node| LiveNode {
             node: node.id.clone(),
             incarnation: Incarnation(node.incarnation),
         });
         let live: Vec<LiveNode> = live.collect();
-        let writer = writer_of(ChainPlace::of(key).shard, &live).unwrap();
-        let at = self
-            .nodes
-            .iter()
-            .position(|node| node.id == *writer)
-            .unwrap();
-        (at, (at + 1) % self.nodes.len())
+        let writer = writer_of(shard, &live).unwrap();
+        let mut nodes = self.nodes.iter();
+        nodes.position(|node| node.id == *writer).unwrap()
     }
 
     /// How many dispatches of `key` may have reached the upstream.
