--- a/crates/nutmegsail/src/apply.rs
+++ b/crates/nutmegsail/src/apply.rs
@@ -67,14 +67,22 @@
     request: &ApplyRequest,
     output: &mut Output<'_>,
 ) -> Result<ExitCode, CommandError> {
+    let report = apply_text(request, output).await?;
+    output.print(&report);
+    Ok(report.exit_code())
+}
+
+/// Like [`apply`], but returns the report in place of printing it.
+pub(crate) async fn apply_text(
+    request: &ApplyRequest,
+    output: &mut Output<'_>,
+) -> Result<ApplyReport, CommandError> {
     let file = TextFile::read(&request.text)?;
     let client = NodeClient::default();
     let accepted = publish(request, &file, &client, output).await?;
     output.progress(&format!("accepted as generation {}", accepted.generation));
     let domains = &file.deployment.failure_domains;
-    let report = wait_in_force(request, accepted, domains, &client, output).await;
-    output.print(&report);
-    Ok(report.exit_code())
+    Ok(wait_in_force(request, accepted, domains, &client, output).await)
 }
 
 async fn publish(
--- a/crates/nutmegsail/src/exit_code.rs
+++ b/crates/nutmegsail/src/exit_code.rs
@@ -25,4 +25,6 @@
     OutcomeUnknown = 6,
     /// A node cannot be reached or refused to answer.
     NodeUnreachable = 7,
+    /// The demonstration saw a promise broken.
+    PromiseBroken = 8,
 }
--- a/crates/nutmegsail/src/flags.rs
+++ b/crates/nutmegsail/src/flags.rs
@@ -10,7 +10,8 @@
     ///
     /// Exit codes: 0 done; 1 the text has faults; 2 the command line is wrong, or a file cannot be
     /// read; 3 another operator changed the text first; 4 accepted, but not in force everywhere in
-    /// time; 5 the platform is not available; 6 the outcome is unknown; 7 a node cannot be reached.
+    /// time; 5 the platform is not available; 6 the outcome is unknown; 7 a node cannot be reached;
+    /// 8 the demonstration saw a promise broken.
     cmd nutmegsail {
         /// Print one JSON document, for scripts.
         optional --json
@@ -71,8 +72,22 @@
 
         /// Show the product at work against nodes that `scripts/demo` starts.
         cmd demo {
-            /// Arguments of the demonstration.
-            repeated args: String
+            /// The text to begin with.
+            required text: PathBuf
+            /// The text that replaces it under load.
+            required changed_text: PathBuf
+            /// The platform's key-value service, as HOST:PORT.
+            required --platform address: String
+            /// The stand-ins' control address, as HOST:PORT.
+            required --stand-ins address: String
+            /// A node's callers' listener, as HOST:PORT.
+            repeated --callers address: String
+            /// A node's operators' listener, as HOST:PORT.
+            repeated --node address: String
+            /// How long callers begin requests, in milliseconds (16000).
+            optional --duration-ms ms: u64
+            /// When the text is changed, in milliseconds after the first request (4500).
+            optional --change-after-ms ms: u64
         }
 
         /// Measure the policy against baselines.
@@ -154,7 +169,15 @@
 
 #[derive(Debug)]
 pub struct Demo {
-    pub args: Vec<String>,
+    pub text: PathBuf,
+    pub changed_text: PathBuf,
+
+    pub platform: String,
+    pub stand_ins: String,
+    pub callers: Vec<String>,
+    pub node: Vec<String>,
+    pub duration_ms: Option<u64>,
+    pub change_after_ms: Option<u64>,
 }
 
 #[derive(Debug)]
--- a/crates/nutmegsail/src/lib.rs
+++ b/crates/nutmegsail/src/lib.rs
@@ -29,7 +29,11 @@
 pub use apply_report::ApplyReport;
 pub use check::{CheckReport, check};
 pub use command_error::CommandError;
-pub use demo::demo;
+pub use demo::{
+    BookingRecord, CallerRefusal, DemoCheck, DemoEvidence, DemoReport, DemoRequest, EventReader,
+    Ledgers, NodePolls, Outcome, Piece, Poll, SentEvent, StreamRecord, TextChange, UpstreamLedger,
+    UpstreamRuns, check_evidence, demo,
+};
 pub use diff::{DiffReport, diff_accepted, diff_files};
 pub use drain::{DrainReport, drain};
 pub use exit_code::ExitCode;
--- a/crates/nutmegsail/src/run.rs
+++ b/crates/nutmegsail/src/run.rs
@@ -9,10 +9,10 @@
 use nutmegsail_config::{Generation, WriterId};
 use serde::Serialize;
 
-use crate::flags::{Apply, Diff, Explain, Measure, Nutmegsail, NutmegsailCmd};
+use crate::flags::{Apply, Demo, Diff, Explain, Measure, Nutmegsail, NutmegsailCmd};
 use crate::{
-    ApplyRequest, CommandError, ExitCode, ExplainQuery, MeasureRequest, Output, apply, check, demo,
-    diff_accepted, diff_files, drain, explain_at_node, explain_text, measure, status,
+    ApplyRequest, CommandError, DemoRequest, ExitCode, ExplainQuery, MeasureRequest, Output, apply,
+    check, demo, diff_accepted, diff_files, drain, explain_at_node, explain_text, measure, status,
 };
 
 /// Runs the command line `args`, without the program's name.
@@ -61,7 +61,7 @@
         NutmegsailCmd::Status(flags) => status(&flags.node, output).await,
         NutmegsailCmd::Explain(flags) => explain(flags, output).await,
         NutmegsailCmd::Drain(flags) => print(drain(flags.node).await, output),
-        NutmegsailCmd::Demo(flags) => demo(&flags.args, output).await,
+        NutmegsailCmd::Demo(flags) => demo(&demo_request(flags), output).await,
         NutmegsailCmd::Measure(flags) => measure(&measure_request(flags), output),
     }
 }
@@ -135,6 +135,21 @@
     }
 }
 
+fn demo_request(flags: Demo) -> DemoRequest {
+    let duration_ms = flags.duration_ms.unwrap_or(16_000);
+    let change_after_ms = flags.change_after_ms.unwrap_or(4_500);
+    DemoRequest {
+        text: flags.text,
+        changed_text: flags.changed_text,
+        platform: flags.platform,
+        stand_ins: flags.stand_ins,
+        callers_addresses: flags.callers,
+        operators_addresses: flags.node,
+        duration: Duration::from_millis(duration_ms),
+        change_after: Duration::from_millis(change_after_ms),
+    }
+}
+
 fn measure_request(flags: Measure) -> MeasureRequest {
     MeasureRequest {
         study: flags.study,
