--- a/crates/nutmegsail/src/demo/generation_watch.rs
+++ b/crates/nutmegsail/src/demo/generation_watch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use nutmegsail_config::Generation;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -51,7 +52,7 @@
         let status = client.status(&seen.node).await;
         seen.polls.push(Poll {
             asked_at,
-            generation: status.ok().map(|status| status.generation),
+            generation: status.ok().map(|status| Generation(status.generation)),
         });
         sleep(ASK_EVERY).await;
     }
--- a/crates/nutmegsail/src/demo/report.rs
+++ b/crates/nutmegsail/src/demo/report.rs
@@ -217,14 +217,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let outcomes = counted(&self.outcomes);
         let (median, max) = (self.first_token_median_ms, self.first_token_max_ms);
-        write!(
-            f,
-            "{:<9} {:<15} {outcomes:<32} {median:>5} / {max:<5} resumed {:>3}  {}",
+        let line = format!(
+            "{:<9} {:<15} {outcomes:<26} {median:>5} / {max:<5} resumed {:>3}  {}",
             self.caller,
             self.asks_for,
             self.resumed,
             counted(&self.codes)
-        )
+        );
+        f.write_str(line.trim_end())
     }
 }
 
@@ -237,8 +237,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let first = self.first_token_ms;
         let first = first.map_or_else(|| "-".to_owned(), |time_ms| format!("{time_ms} ms"));
-        write!(
-            f,
+        let line = format!(
             "{:<9} {:<36} {:<9} first token {first:>8}, sent {}, resumed {}  {}",
             self.caller,
             self.asked_for,
@@ -246,7 +245,8 @@
             self.tries,
             self.resumed,
             self.codes.join(" ")
-        )
+        );
+        f.write_str(line.trim_end())
     }
 }
 
