Let urgent work overshoot only in its own failure domain

Cause: under urgent overload every node could put its share of the headroom on every engine, however full, so engines held about twice their places and first tokens came after the deadline (p99 10.7 s of 10 s).

--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -14,9 +14,9 @@
     ///
     /// Routine work starts only where the headroom stays free after it, whatever urgent work runs
     /// there: kept as a number of free places, it takes in a burst of urgent requests even when
-    /// other nodes, seen late, fill the same upstream. Urgent work may take the headroom also when
-    /// the others' lagging load says that the upstream is full, since engines start urgent requests
-    /// first. A place owed to the routine floor needs only to be free.
+    /// other nodes, seen late, fill the same upstream. In its own failure domain urgent work may take
+    /// the headroom also when the others' lagging load says that the upstream is full, since engines
+    /// start urgent requests first. A place owed to the routine floor needs only to be free.
     pub(crate) fn has_place(
         &self,
         upstream: usize,
@@ -34,7 +34,7 @@
         let urgent = state.in_flight(Class::Urgent);
         let headroom = state.headroom.min(places.saturating_sub(1));
         match class {
-            Class::Urgent => load + 1.0 <= f64::from(places) || urgent < headroom,
+            Class::Urgent => load + 1.0 <= f64::from(places) || (state.is_own && urgent < headroom),
             Class::Routine if state.in_flight(class) + headroom >= places => false,
             Class::Routine if is_floor_owed => true,
             Class::Routine => load + 1.0 <= f64::from(places - headroom),
