--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -4,10 +4,12 @@
 //! simulated time, with several seeds, beside baselines in the same run. This crate decides nothing
 //! and nothing of it runs in a node. Start at [`studies`] and [`run`].
 
+mod page;
 mod report;
 mod sim;
 mod studies;
 mod study;
 
+pub use page::report_page;
 pub use report::{Measure, Report, Row};
 pub use study::{Study, UnknownStudy, run, studies};
