Use nng's Pub and Sub sockets between nodes, as Push aborts the process

Cause: nng 1.4 keeps a closed connection among the ready ones of a Push socket if the close meets the end of a send (push0_pipe_ready after push0_pipe_close); the next send uses freed memory and nng aborts. Besides, a link that was dropped during a receive left nng's thread waiting for itself. Ruled out: our own use of a send after close (the trace shows the pipe's own send, not ours).

Change: each peer has a Pub socket that dials the receiver's Sub socket; Pub checks whether the connection is closed.

--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use nng::options::{LocalAddr, Options, RecvMaxSize};
+use nng::options::protocol::pubsub::Subscribe;
+use nng::options::{LocalAddr, Options, RecvBufferSize, RecvMaxSize};
 use nng::{Aio, AioResult, Listener, Protocol, Socket};
 use nutmegsail_base::{Incarnation, NodeId};
 use tokio::sync::mpsc;
@@ -15,6 +16,9 @@
 /// Messages that wait for the control thread before more are dropped.
 const RECEIVE_QUEUE_MESSAGES: usize = 4096;
 
+/// Messages that wait inside nng while one is being decoded.
+const SOCKET_QUEUE_MESSAGES: i32 = 1024;
+
 /// The link between this node and all others: one listener, and a sender for each peer.
 ///
 /// Messages go one way and at most once. One that is lost, late or out of order is normal, so
@@ -25,7 +29,7 @@
     address: SocketAddr,
     listener: Socket,
     /// Receives for as long as it is kept.
-    _receiver: Aio,
+    receiver: Aio,
     peers: Mutex<HashMap<Box<str>, Peer>>,
     traffic: Arc<Traffic>,
 }
@@ -57,7 +61,9 @@
     ) -> Result<(Self, mpsc::Receiver<Envelope>), WireError> {
         let traffic = Arc::new(Traffic::default());
         let (sender, receiver) = mpsc::channel(RECEIVE_QUEUE_MESSAGES);
-        let socket = Socket::new(Protocol::Pull0)?;
+        let socket = Socket::new(Protocol::Sub0)?;
+        socket.set_opt::<Subscribe>(Vec::new())?;
+        socket.set_opt::<RecvBufferSize>(SOCKET_QUEUE_MESSAGES)?;
         socket.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
         let listener = Listener::new(&socket, &url_of(address)?)?;
         let address = bound_address(&listener)?;
@@ -67,7 +73,7 @@
             incarnation,
             address,
             listener: socket,
-            _receiver: receiver_aio,
+            receiver: receiver_aio,
             peers: Mutex::default(),
             traffic,
         };
@@ -133,8 +139,11 @@
 }
 
 impl Drop for Link {
+    /// nng tells the end of the last receive on a thread of its own. If that thread dropped the last
+    /// handle of the receive, it would wait for itself; so this one waits until it is through.
     fn drop(&mut self) {
         self.listener.close();
+        self.receiver.wait();
     }
 }
 
