Split placement's owner and core by duty, drop a type that the node has

OwnerRecord stood twice, here and in the node, which alone uses it. No change in behaviour: the same tests pass.

--- a/crates/placement/src/engine_owner.rs
+++ b/crates/placement/src/engine_owner.rs
@@ -3,21 +3,23 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{AdapterRef, Class, EngineReport, NodeId, UpstreamId};
-use nutmegsail_upstream::{OrderAnswer, OrderError, OrderOp};
+use nutmegsail_upstream::OrderOp;
 
+use self::orders::OutstandingOrder;
 use crate::eviction::Eviction;
 use crate::ownership::Ownership;
 use crate::pin_table::PinTable;
 use crate::slot_map::{SlotChanges, SlotMap, SlotState};
+mod draining;
+mod orders;
+
 use crate::{
-    DisownCause, EnginePlan, LoadOutcome, OrderId, PlacementAction, PlacementNote,
-    PlacementSettings, Presence,
+    DisownCause, EnginePlan, LoadOutcome, PlacementAction, PlacementNote, PlacementSettings,
+    Presence,
 };
 
 /// How soon a refused pin is worth asking for again.
 const PIN_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// How often the pins of an adapter that is drained are recalled.
-const RECALL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// What the owner wants done, gathered over one event.
 #[derive(Debug, Default)]
@@ -35,18 +37,6 @@
     since: Instant,
 }
 
-/// The one order that is under way. A second one would rest on an unknown `order_seq`.
-#[derive(Debug)]
-struct OutstandingOrder {
-    id: OrderId,
-    op: OrderOp,
-    adapter: AdapterRef,
-    made_at: Instant,
-    expected_seq: u64,
-    /// No answer came: it may be carried out until it ends.
-    is_unsettled: bool,
-}
-
 #[derive(Debug)]
 struct SeenReport {
     report: EngineReport,
@@ -171,20 +161,6 @@
         self.known_seq = 0;
     }
 
-    /// Guards against an order whose answer was lost and that is carried out late: until a report
-    /// shows that it was, or its time has passed, its slot counts as taken and nothing else is
-    /// ordered. A report that may be as old as `report_lag` must be that much younger.
-    fn settle(&mut self, report: &EngineReport, taken_at: Instant, settings: &PlacementSettings) {
-        let Some(order) = self.outstanding.as_ref().filter(|order| order.is_unsettled) else {
-            return;
-        };
-        let ended = order.made_at + settings.order_valid_for + settings.pin_margin;
-        let was_carried_out = report.order_seq > order.expected_seq;
-        if was_carried_out || taken_at >= ended + settings.report_lag {
-            self.outstanding = None;
-        }
-    }
-
     fn take_over_slots(
         &mut self,
         report: &EngineReport,
@@ -257,107 +233,6 @@
         self.pins.returned(from, ask_id, adapter, now);
     }
 
-    /// Takes the engine's answer to an order.
-    pub fn order_answered(
-        &mut self,
-        id: OrderId,
-        result: Result<OrderAnswer, OrderError>,
-        now: Instant,
-        out: &mut OwnerOutput,
-    ) {
-        let Some(order) = self.outstanding.take_if(|order| order.id == id) else {
-            return;
-        };
-        match result {
-            Ok(answer) => self.order_taken(&order, answer, now, out),
-            Err(OrderError::Ambiguous) => self.order_unsettled(order, out),
-            Err(OrderError::Fenced) => out.disowned = Some(DisownCause::Fenced),
-            Err(refusal) => self.order_refused(&order, &refusal, now, out),
-        }
-    }
-
-    fn order_taken(
-        &mut self,
-        order: &OutstandingOrder,
-        answer: OrderAnswer,
-        now: Instant,
-        out: &mut OwnerOutput,
-    ) {
-        self.ownership.confirmed(now);
-        match answer {
-            OrderAnswer::Accepted => self.known_seq = self.known_seq.max(order.expected_seq + 1),
-            OrderAnswer::AlreadyDone => self.report_needed_after = Some(now),
-        }
-        if order.op == OrderOp::Unload {
-            self.slots.remove(&order.adapter);
-            self.announce(&order.adapter, Presence::Absent, out);
-        }
-    }
-
-    fn order_unsettled(&mut self, mut order: OutstandingOrder, out: &mut OwnerOutput) {
-        out.actions
-            .push(PlacementAction::Report(PlacementNote::OrderUnsettled {
-                engine: self.plan.upstream.clone(),
-                adapter: order.adapter.clone(),
-            }));
-        order.is_unsettled = true;
-        self.outstanding = Some(order);
-    }
-
-    fn order_refused(
-        &mut self,
-        order: &OutstandingOrder,
-        refusal: &OrderError,
-        now: Instant,
-        out: &mut OwnerOutput,
-    ) {
-        self.report_needed_after = Some(now);
-        match order.op {
-            OrderOp::Unload => self.keep_slot(&order.adapter, now, out),
-            OrderOp::Load => self.drop_load(order, refusal, now, out),
-        }
-    }
-
-    fn keep_slot(&mut self, adapter: &AdapterRef, now: Instant, out: &mut OwnerOutput) {
-        let Some(slot) = self.slots.get_mut(adapter) else {
-            return;
-        };
-        slot.state = SlotState::Ready;
-        slot.idle_proof_after = now;
-        self.announce(adapter, Presence::Ready, out);
-    }
-
-    fn drop_load(
-        &mut self,
-        order: &OutstandingOrder,
-        refusal: &OrderError,
-        now: Instant,
-        out: &mut OwnerOutput,
-    ) {
-        let is_loading = |s: &crate::slot_map::Slot| s.state == SlotState::Loading;
-        if !self.slots.get(&order.adapter).is_some_and(is_loading) {
-            return;
-        }
-        self.slots.remove(&order.adapter);
-        self.announce(&order.adapter, Presence::Absent, out);
-        match refusal {
-            OrderError::StoreRefused => {
-                self.load_ended(&order.adapter, LoadOutcome::StoreRefused, out);
-            }
-            OrderError::Unreachable => self.load_ended(&order.adapter, LoadOutcome::Failed, out),
-            _ => self.permit_again(order, now),
-        }
-    }
-
-    /// The load goes first among what waits: its share of the weight store's rate is spent.
-    fn permit_again(&mut self, order: &OutstandingOrder, now: Instant) {
-        self.permits.push(Permit {
-            adapter: order.adapter.clone(),
-            class: Class::Urgent,
-            since: now,
-        });
-    }
-
     /// Takes the scheduler's permission to load an adapter.
     pub fn permitted(&mut self, adapter: AdapterRef, class: Class, now: Instant) {
         match self.permits.iter_mut().find(|p| p.adapter == adapter) {
@@ -430,52 +305,6 @@
         }
     }
 
-    /// Stops new use of an adapter that is in use all the time, so that it can be evicted.
-    ///
-    /// Guards against adapters that hold every slot for ever: each is used again before its pins
-    /// come back, and a request for another adapter waits until its deadline.
-    fn drain(&mut self, adapter: &AdapterRef, now: Instant, out: &mut OwnerOutput) {
-        self.slots.begin_drain(adapter, now);
-        self.announce(adapter, Presence::Absent, out);
-        self.recall(adapter, now, out);
-    }
-
-    /// The load that an eviction makes room for gets the slot, also if it waited long for it.
-    fn extend_permit(&mut self, adapter: &AdapterRef, now: Instant) {
-        for permit in self.permits.iter_mut().filter(|p| p.adapter == *adapter) {
-            permit.since = now;
-        }
-    }
-
-    fn recall(&mut self, adapter: &AdapterRef, now: Instant, out: &mut OwnerOutput) {
-        self.recalled_at = Some(now);
-        for to in self.pins.holders(adapter, now) {
-            out.actions.push(PlacementAction::RecallPin {
-                to: to.clone(),
-                engine: self.plan.upstream.clone(),
-                adapter: adapter.clone(),
-            });
-        }
-    }
-
-    /// Recalls pins again, since a recall may be lost and ends by itself; gives up on an adapter
-    /// whose requests run too long.
-    fn tick_drain(&mut self, settings: &PlacementSettings, now: Instant, out: &mut OwnerOutput) {
-        let Some(adapter) = self.slots.draining().cloned() else {
-            return;
-        };
-        let is_over = self.slots.drain_is_over(settings.drain_patience, now);
-        if is_over || self.permits.is_empty() {
-            self.slots.end_drain(&adapter, now);
-            self.announce(&adapter, Presence::Ready, out);
-        } else if self
-            .recalled_at
-            .is_none_or(|at| now >= at + RECALL_INTERVAL)
-        {
-            self.recall(&adapter, now, out);
-        }
-    }
-
     fn drop_settled_permits(&mut self, out: &mut OwnerOutput) {
         let slots = &self.slots;
         let is_held = |permit: &mut Permit| {
@@ -518,70 +347,6 @@
         }
     }
 
-    fn order_load(
-        &mut self,
-        adapter: &AdapterRef,
-        settings: &PlacementSettings,
-        next_order: &mut u64,
-        now: Instant,
-        out: &mut OwnerOutput,
-    ) {
-        self.slots.begin_load(adapter, self.adapter_slots(), now);
-        self.announce(adapter, Presence::Loading, out);
-        self.order(OrderOp::Load, adapter, settings, next_order, now, out);
-    }
-
-    fn order_unload(
-        &mut self,
-        adapter: &AdapterRef,
-        settings: &PlacementSettings,
-        next_order: &mut u64,
-        now: Instant,
-        out: &mut OwnerOutput,
-    ) {
-        self.eviction(settings, now).assert_evictable(adapter);
-        if let Some(slot) = self.slots.get_mut(adapter) {
-            slot.state = SlotState::Unloading;
-        }
-        self.announce(adapter, Presence::Absent, out);
-        self.order(OrderOp::Unload, adapter, settings, next_order, now, out);
-    }
-
-    fn order(
-        &mut self,
-        op: OrderOp,
-        adapter: &AdapterRef,
-        settings: &PlacementSettings,
-        next_order: &mut u64,
-        now: Instant,
-        out: &mut OwnerOutput,
-    ) {
-        let Some(seen) = &self.seen else { return };
-        assert!(self.outstanding.is_none(), "one order at a time");
-        *next_order += 1;
-        let id = OrderId(*next_order);
-        let expected_seq = self.known_seq;
-        out.actions.push(PlacementAction::Order {
-            engine: self.plan.upstream.clone(),
-            order: id,
-            op,
-            adapter: adapter.clone(),
-            fence: self.ownership.fence,
-            expected_seq,
-            incarnation: seen.report.incarnation,
-            made_at: now,
-            valid_for: settings.order_valid_for,
-        });
-        self.outstanding = Some(OutstandingOrder {
-            id,
-            op,
-            adapter: adapter.clone(),
-            made_at: now,
-            expected_seq,
-            is_unsettled: false,
-        });
-    }
-
     fn announce(&self, adapter: &AdapterRef, state: Presence, out: &mut OwnerOutput) {
         out.actions.push(PlacementAction::AdapterState {
             engine: self.plan.upstream.clone(),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -25,13 +25,14 @@
 mod settings;
 mod slot_map;
 mod store_budget;
+mod want;
 
 pub use action::{OrderId, PlacementAction, Presence};
 pub use demand::DemandEstimate;
 pub use event::PlacementEvent;
 pub use message::{LoadOutcome, PlacementMessage};
 pub use note::{DisownCause, PlacementNote};
-pub use owner_choice::{OwnerRecord, first_choice, next_fence};
+pub use owner_choice::{first_choice, next_fence};
 pub use pin_cache::{PinCache, PinCacheAction, PinCacheSettings, PinUse};
 pub use placement::Placement;
 pub use plan::{EnginePlan, PlacementPlan};
--- a/crates/placement/src/load_scheduler.rs
+++ b/crates/placement/src/load_scheduler.rs
@@ -8,6 +8,7 @@
 
 use crate::domain_view::{ChosenEngine, DomainView, LoadPlace};
 use crate::store_budget::StoreBudget;
+use crate::want::{Want, WantOrigin};
 use crate::{DemandEstimate, LoadOutcome, PlacementPlan, PlacementSettings, StoreUse};
 
 /// How often adapters without waiting requests are considered.
@@ -24,45 +25,6 @@
 /// By how much the fastest load is taken to grow with each load, so that it follows a change.
 const FASTEST_LOAD_DRIFT: f64 = 1.02;
 
-/// Why an adapter is wanted. The order is that of loading.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum WantOrigin {
-    /// Urgent requests wait.
-    Urgent,
-    /// Routine requests wait.
-    Routine,
-    /// An engine lost it by a restart, or it is the new version of an adapter in demand.
-    Background,
-}
-
-impl WantOrigin {
-    fn class(self) -> Class {
-        match self {
-            Self::Urgent => Class::Urgent,
-            Self::Routine | Self::Background => Class::Routine,
-        }
-    }
-
-    fn of(class: Class) -> Self {
-        match class {
-            Class::Urgent => Self::Urgent,
-            Class::Routine => Self::Routine,
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Want {
-    origin: WantOrigin,
-    engine: Option<UpstreamId>,
-    asked: f64,
-    first_at: Instant,
-    last_at: Instant,
-    attempts: u32,
-    not_before: Option<Instant>,
-    avoid: Option<UpstreamId>,
-}
-
 #[derive(Debug)]
 struct LoadInFlight {
     adapter: AdapterRef,
@@ -352,7 +314,7 @@
             .filter(|(_, want)| is_eligible(want.origin) && is_due(want))
             .max_by(|a, b| {
                 let by_origin = b.1.origin.cmp(&a.1.origin);
-                let by_weight = pressure(a.1, now).total_cmp(&pressure(b.1, now));
+                let by_weight = a.1.pressure(now).total_cmp(&b.1.pressure(now));
                 by_origin.then(by_weight).then_with(|| b.0.cmp(a.0))
             })?;
         let chosen = self.place(adapter, want, inputs)?;
@@ -466,12 +428,6 @@
     }
 }
 
-/// How pressing a want is: requests that wait, and more the longer they do.
-fn pressure(want: &Want, now: Instant) -> f64 {
-    let age_s = now.saturating_duration_since(want.first_at).as_secs_f64();
-    want.asked * (1.0 + age_s)
-}
-
 /// A number from 0 to 1 that differs between adapters and attempts, to spread retries.
 fn spread(adapter: &AdapterRef, attempts: u32) -> f64 {
     let hash = xxh3_64(format!("{adapter}/{attempts}").as_bytes());
--- a/crates/placement/src/owner_choice.rs
+++ b/crates/placement/src/owner_choice.rs
@@ -1,21 +1,8 @@
 //! Which node should own an engine, and with which fencing number.
 
-use nutmegsail_base::{Incarnation, NodeId};
-use serde::{Deserialize, Serialize};
+use nutmegsail_base::NodeId;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// The owner record in the key-value service, at `nutmegsail/owner/ENGINE`. It has no lease, so
-/// its fence is never forgotten; the holder's liveness is the leased key of its node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OwnerRecord {
-    /// The owner, or none after it gave the engine up.
-    pub node: Option<NodeId>,
-    /// The run of the owner's process.
-    pub incarnation: Incarnation,
-    /// The fencing number. It only rises.
-    pub fence: u64,
-}
-
 /// The first choice among `nodes` for the key `key`, by rendezvous hashing: when a node joins or
 /// leaves, only the keys that it wins or held move.
 ///
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,19 +1,21 @@
 //! The decision core: events in, actions out.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
-use nutmegsail_base::{AdapterName, AdapterRef, Class, EngineReport, NodeId, UpstreamId};
+use nutmegsail_base::{AdapterRef, Class, EngineReport, NodeId, UpstreamId};
 
-use crate::claims::{ClaimStep, Claims};
+mod loads;
+mod owning;
+
+use crate::claims::Claims;
 use crate::domain_view::DomainView;
 use crate::engine_owner::{EngineOwner, OwnerOutput, refuse_pin};
-use crate::load_scheduler::{LoadPermit, LoadScheduler, SchedulerInputs};
-use crate::ownership::Ownership;
+use crate::load_scheduler::{LoadScheduler, SchedulerInputs};
 use crate::{
-    DemandEstimate, DisownCause, LoadOutcome, PlacementAction, PlacementEvent, PlacementMessage,
-    PlacementNote, PlacementPlan, PlacementSettings, StoreUse, first_choice, next_fence,
+    DemandEstimate, DisownCause, PlacementAction, PlacementEvent, PlacementPlan, PlacementSettings,
+    StoreUse, first_choice,
 };
 
 /// The key whose first choice among the live nodes schedules the failure domain's loads.
@@ -193,149 +195,11 @@
         self.schedule(now, actions);
     }
 
-    /// Loads the new version of an adapter in demand before the first request for it. The old one
-    /// keeps its slot while it is in demand, so callers of neither stall.
-    fn prepare_new_versions(&mut self, former: &PlacementPlan, now: Instant) {
-        if former.adapters.is_empty() {
-            return;
-        }
-        let is_new = |adapter: &&AdapterRef| !former.adapters.contains_key(*adapter);
-        let mut newest: HashMap<&AdapterName, &AdapterRef> = HashMap::new();
-        for adapter in self.plan.adapters.keys().filter(is_new) {
-            let known = newest.entry(&adapter.name).or_insert(adapter);
-            *known = (*known).max(adapter);
-        }
-        let mut heirs: Vec<(AdapterRef, AdapterRef)> = self
-            .view
-            .held()
-            .filter_map(|held| Some((held.clone(), (*newest.get(&held.name)?).clone())))
-            .collect();
-        heirs.sort_unstable();
-        for (held, heir) in heirs {
-            self.demand.inherit(&heir, &held, now);
-            let (scheduler, inputs) = self.scheduling(now);
-            scheduler.want_in_background(&heir, None, &inputs);
-        }
-    }
-
     fn live_nodes(&mut self, nodes: Vec<NodeId>, now: Instant) {
         self.nodes = nodes;
         self.choose_owners(now);
     }
 
-    fn choose_owners(&mut self, now: Instant) {
-        let engines = self.view.plans().map(|plan| &plan.upstream);
-        self.claims
-            .choose(engines, &self.nodes, &self.settings.node, now);
-    }
-
-    fn ownership_granted(
-        &mut self,
-        engine: &UpstreamId,
-        fence: u64,
-        valid_until: Instant,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        self.claims.answered(engine);
-        let Some(plan) = self.view.plan_of(engine).cloned() else {
-            return;
-        };
-        match self.owned.get_mut(engine) {
-            Some(owner) if owner.fence() == fence => owner.renewed(valid_until),
-            Some(owner) if owner.fence() > fence => {}
-            _ => {
-                let ownership = Ownership::new(fence, plan.checks_fencing, Some(valid_until), now);
-                self.own(engine, ownership, false, now, actions);
-            }
-        }
-    }
-
-    /// The key-value service is out. An engine that checks fencing numbers decides in its place:
-    /// the first order with the higher number takes the engine over. For an engine that ignores
-    /// them nobody could refuse the former owner, so it keeps what it has until the service is
-    /// back.
-    fn claim_unanswered(
-        &mut self,
-        engine: &UpstreamId,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        self.claims.wait(engine, self.settings.claim_retry, now);
-        let checks_fencing = self
-            .view
-            .plan_of(engine)
-            .is_some_and(|plan| plan.checks_fencing);
-        if !checks_fencing
-            || self.view.last_report(engine).is_none()
-            || self.owned.contains_key(engine)
-        {
-            return;
-        }
-        let fence = next_fence(self.view.seen_fence(engine), &self.settings.node);
-        let ownership = Ownership::new(fence, true, None, now);
-        self.own(engine, ownership, true, now, actions);
-    }
-
-    fn own(
-        &mut self,
-        engine: &UpstreamId,
-        ownership: Ownership,
-        by_engine: bool,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        let Some(plan) = self.view.plan_of(engine).cloned() else {
-            return;
-        };
-        let fence = ownership.fence;
-        let owner = EngineOwner::new(plan, ownership);
-        if let Some(former) = self.owned.insert(engine.clone(), owner) {
-            self.give_back(engine, former, now, actions);
-        }
-        actions.push(PlacementAction::Report(PlacementNote::Owned {
-            engine: engine.clone(),
-            fence,
-            by_engine,
-        }));
-        let Some((report, taken_at)) = self.view.last_report(engine) else {
-            return;
-        };
-        let report = report.clone();
-        self.with_owner(engine, now, actions, |owner, settings, out| {
-            owner.report(report, taken_at, settings, now, out);
-        });
-    }
-
-    fn disown(
-        &mut self,
-        engine: &UpstreamId,
-        cause: DisownCause,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        let Some(owner) = self.owned.remove(engine) else {
-            return;
-        };
-        self.give_back(engine, owner, now, actions);
-        actions.push(PlacementAction::Report(PlacementNote::Disowned {
-            engine: engine.clone(),
-            cause,
-        }));
-    }
-
-    fn give_back(
-        &mut self,
-        engine: &UpstreamId,
-        owner: EngineOwner,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        for adapter in owner.into_unfinished() {
-            self.load_ended(engine, &adapter, LoadOutcome::NotOwner, now, actions);
-        }
-    }
-
     fn report(
         &mut self,
         engine: &UpstreamId,
@@ -357,17 +221,6 @@
         self.schedule(now, actions);
     }
 
-    /// After a cold restart the engine's adapters are loaded again, those in demand first.
-    fn reload(&mut self, engine: &UpstreamId, mut lost: Vec<AdapterRef>, now: Instant) {
-        let rate = |adapter: &AdapterRef| self.demand.rate_per_s(adapter, now);
-        lost.sort_by(|a, b| rate(b).total_cmp(&rate(a)).then_with(|| a.cmp(b)));
-        lost.retain(|adapter| rate(adapter) > 0.0);
-        for adapter in lost {
-            let (scheduler, inputs) = self.scheduling(now);
-            scheduler.want_in_background(&adapter, Some(engine.clone()), &inputs);
-        }
-    }
-
     fn engine_gone(
         &mut self,
         engine: &UpstreamId,
@@ -380,31 +233,6 @@
         self.schedule(now, actions);
     }
 
-    fn want(
-        &mut self,
-        engine: Option<UpstreamId>,
-        adapter: AdapterRef,
-        class: Class,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        match self.scheduler_node() {
-            Some(node) if *node != self.settings.node => actions.push(PlacementAction::Send {
-                to: node.clone(),
-                message: PlacementMessage::Want {
-                    engine,
-                    adapter,
-                    class,
-                },
-            }),
-            _ => {
-                let (scheduler, inputs) = self.scheduling(now);
-                scheduler.want(&adapter, class, engine, &inputs);
-                self.schedule(now, actions);
-            }
-        }
-    }
-
     #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
     fn pin_asked(
         &mut self,
@@ -428,39 +256,6 @@
         }
     }
 
-    fn received(
-        &mut self,
-        message: PlacementMessage,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        match message {
-            PlacementMessage::Want {
-                engine,
-                adapter,
-                class,
-            } => {
-                let (scheduler, inputs) = self.scheduling(now);
-                scheduler.want(&adapter, class, engine, &inputs);
-                self.schedule(now, actions);
-            }
-            PlacementMessage::Permit {
-                engine,
-                adapter,
-                class,
-            } => self.permitted(&engine, adapter, class, now, actions),
-            PlacementMessage::Outcome {
-                engine,
-                adapter,
-                outcome,
-            } => {
-                let (scheduler, inputs) = self.scheduling(now);
-                scheduler.ended(&engine, &adapter, outcome, &inputs);
-                self.schedule(now, actions);
-            }
-        }
-    }
-
     fn tick(&mut self, now: Instant, actions: &mut Vec<PlacementAction>) {
         self.tick_claims(now, actions);
         let engines: Vec<UpstreamId> = self.owned.keys().cloned().collect();
@@ -474,116 +269,6 @@
         self.schedule(now, actions);
     }
 
-    fn tick_claims(&mut self, now: Instant, actions: &mut Vec<PlacementAction>) {
-        let owned = &self.owned;
-        let is_owned = |engine: &UpstreamId| owned.contains_key(engine);
-        for (engine, step) in self.claims.steps(&self.settings, is_owned, now) {
-            match step {
-                ClaimStep::Claim => actions.push(PlacementAction::Claim {
-                    seen_fence: self.view.seen_fence(&engine),
-                    may_replace_live_holder: self
-                        .view
-                        .plan_of(&engine)
-                        .is_some_and(|plan| plan.checks_fencing),
-                    engine,
-                }),
-                ClaimStep::Overdue => self.claim_unanswered(&engine, now, actions),
-                ClaimStep::Release => {
-                    actions.push(PlacementAction::Release {
-                        engine: engine.clone(),
-                    });
-                    self.disown(&engine, DisownCause::HandedOver, now, actions);
-                }
-            }
-        }
-    }
-
-    /// Permits what the weight store's budget allows.
-    fn schedule(&mut self, now: Instant, actions: &mut Vec<PlacementAction>) {
-        let (scheduler, inputs) = self.scheduling(now);
-        let permits = scheduler.next_permits(&inputs);
-        for permit in permits {
-            self.send_permit(permit, now, actions);
-        }
-    }
-
-    fn send_permit(
-        &mut self,
-        permit: LoadPermit,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        let LoadPermit {
-            engine,
-            adapter,
-            class,
-        } = permit;
-        if self.owned.contains_key(&engine) {
-            self.permitted(&engine, adapter, class, now, actions);
-            return;
-        }
-        match self.owner_of(&engine, now) {
-            Some(node) if *node != self.settings.node => actions.push(PlacementAction::Send {
-                to: node.clone(),
-                message: PlacementMessage::Permit {
-                    engine,
-                    adapter,
-                    class,
-                },
-            }),
-            _ => self.load_ended(&engine, &adapter, LoadOutcome::NotOwner, now, actions),
-        }
-    }
-
-    fn permitted(
-        &mut self,
-        engine: &UpstreamId,
-        adapter: AdapterRef,
-        class: Class,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        if !self.owned.contains_key(engine) {
-            self.load_ended(engine, &adapter, LoadOutcome::NotOwner, now, actions);
-            return;
-        }
-        self.with_owner(engine, now, actions, |owner, _, _| {
-            owner.permitted(adapter, class, now);
-        });
-    }
-
-    /// Tells the load scheduler, here or on another node, how a load ended.
-    fn load_ended(
-        &mut self,
-        engine: &UpstreamId,
-        adapter: &AdapterRef,
-        outcome: LoadOutcome,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        if outcome != LoadOutcome::Ready {
-            actions.push(PlacementAction::Report(PlacementNote::LoadEnded {
-                engine: engine.clone(),
-                adapter: adapter.clone(),
-                outcome,
-            }));
-        }
-        match self.scheduler_node() {
-            Some(node) if *node != self.settings.node => actions.push(PlacementAction::Send {
-                to: node.clone(),
-                message: PlacementMessage::Outcome {
-                    engine: engine.clone(),
-                    adapter: adapter.clone(),
-                    outcome,
-                },
-            }),
-            _ => {
-                let (scheduler, inputs) = self.scheduling(now);
-                scheduler.ended(engine, adapter, outcome, &inputs);
-            }
-        }
-    }
-
     /// Runs `step` on an owned engine, then orders what follows from it.
     fn with_owner(
         &mut self,
@@ -611,21 +296,6 @@
         }
     }
 
-    /// Another node took the engine. It is not claimed back before that owner could have evicted
-    /// anything; two nodes that see each other as gone would otherwise take it in turns, and
-    /// nothing would ever be evicted.
-    fn fenced_out(
-        &mut self,
-        engine: &UpstreamId,
-        cause: DisownCause,
-        now: Instant,
-        actions: &mut Vec<PlacementAction>,
-    ) {
-        let quiet = self.settings.pin_lease + self.settings.pin_margin;
-        self.claims.wait(engine, quiet * 2, now);
-        self.disown(engine, cause, now, actions);
-    }
-
     fn scheduling(&mut self, now: Instant) -> (&mut LoadScheduler, SchedulerInputs<'_>) {
         let inputs = SchedulerInputs {
             settings: &self.settings,
--- /dev/null
+++ b/crates/placement/src/placement/loads.rs
@@ -0,0 +1,192 @@
+//! What is loaded: wants, permits and their outcomes.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use nutmegsail_base::{AdapterName, AdapterRef, Class, UpstreamId};
+
+use super::Placement;
+use crate::load_scheduler::LoadPermit;
+use crate::{LoadOutcome, PlacementAction, PlacementMessage, PlacementNote, PlacementPlan};
+
+impl Placement {
+    /// Loads the new version of an adapter in demand before the first request for it. The old one
+    /// keeps its slot while it is in demand, so callers of neither stall.
+    pub(super) fn prepare_new_versions(&mut self, former: &PlacementPlan, now: Instant) {
+        if former.adapters.is_empty() {
+            return;
+        }
+        let is_new = |adapter: &&AdapterRef| !former.adapters.contains_key(*adapter);
+        let mut newest: HashMap<&AdapterName, &AdapterRef> = HashMap::new();
+        for adapter in self.plan.adapters.keys().filter(is_new) {
+            let known = newest.entry(&adapter.name).or_insert(adapter);
+            *known = (*known).max(adapter);
+        }
+        let mut heirs: Vec<(AdapterRef, AdapterRef)> = self
+            .view
+            .held()
+            .filter_map(|held| Some((held.clone(), (*newest.get(&held.name)?).clone())))
+            .collect();
+        heirs.sort_unstable();
+        for (held, heir) in heirs {
+            self.demand.inherit(&heir, &held, now);
+            let (scheduler, inputs) = self.scheduling(now);
+            scheduler.want_in_background(&heir, None, &inputs);
+        }
+    }
+
+    /// After a cold restart the engine's adapters are loaded again, those in demand first.
+    pub(super) fn reload(&mut self, engine: &UpstreamId, mut lost: Vec<AdapterRef>, now: Instant) {
+        let rate = |adapter: &AdapterRef| self.demand.rate_per_s(adapter, now);
+        lost.sort_by(|a, b| rate(b).total_cmp(&rate(a)).then_with(|| a.cmp(b)));
+        lost.retain(|adapter| rate(adapter) > 0.0);
+        for adapter in lost {
+            let (scheduler, inputs) = self.scheduling(now);
+            scheduler.want_in_background(&adapter, Some(engine.clone()), &inputs);
+        }
+    }
+
+    pub(super) fn want(
+        &mut self,
+        engine: Option<UpstreamId>,
+        adapter: AdapterRef,
+        class: Class,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        match self.scheduler_node() {
+            Some(node) if *node != self.settings.node => actions.push(PlacementAction::Send {
+                to: node.clone(),
+                message: PlacementMessage::Want {
+                    engine,
+                    adapter,
+                    class,
+                },
+            }),
+            _ => {
+                let (scheduler, inputs) = self.scheduling(now);
+                scheduler.want(&adapter, class, engine, &inputs);
+                self.schedule(now, actions);
+            }
+        }
+    }
+
+    pub(super) fn received(
+        &mut self,
+        message: PlacementMessage,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        match message {
+            PlacementMessage::Want {
+                engine,
+                adapter,
+                class,
+            } => {
+                let (scheduler, inputs) = self.scheduling(now);
+                scheduler.want(&adapter, class, engine, &inputs);
+                self.schedule(now, actions);
+            }
+            PlacementMessage::Permit {
+                engine,
+                adapter,
+                class,
+            } => self.permitted(&engine, adapter, class, now, actions),
+            PlacementMessage::Outcome {
+                engine,
+                adapter,
+                outcome,
+            } => {
+                let (scheduler, inputs) = self.scheduling(now);
+                scheduler.ended(&engine, &adapter, outcome, &inputs);
+                self.schedule(now, actions);
+            }
+        }
+    }
+
+    /// Permits what the weight store's budget allows.
+    pub(super) fn schedule(&mut self, now: Instant, actions: &mut Vec<PlacementAction>) {
+        let (scheduler, inputs) = self.scheduling(now);
+        let permits = scheduler.next_permits(&inputs);
+        for permit in permits {
+            self.send_permit(permit, now, actions);
+        }
+    }
+
+    pub(super) fn send_permit(
+        &mut self,
+        permit: LoadPermit,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        let LoadPermit {
+            engine,
+            adapter,
+            class,
+        } = permit;
+        if self.owned.contains_key(&engine) {
+            self.permitted(&engine, adapter, class, now, actions);
+            return;
+        }
+        match self.owner_of(&engine, now) {
+            Some(node) if *node != self.settings.node => actions.push(PlacementAction::Send {
+                to: node.clone(),
+                message: PlacementMessage::Permit {
+                    engine,
+                    adapter,
+                    class,
+                },
+            }),
+            _ => self.load_ended(&engine, &adapter, LoadOutcome::NotOwner, now, actions),
+        }
+    }
+
+    pub(super) fn permitted(
+        &mut self,
+        engine: &UpstreamId,
+        adapter: AdapterRef,
+        class: Class,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        if !self.owned.contains_key(engine) {
+            self.load_ended(engine, &adapter, LoadOutcome::NotOwner, now, actions);
+            return;
+        }
+        self.with_owner(engine, now, actions, |owner, _, _| {
+            owner.permitted(adapter, class, now);
+        });
+    }
+
+    /// Tells the load scheduler, here or on another node, how a load ended.
+    pub(super) fn load_ended(
+        &mut self,
+        engine: &UpstreamId,
+        adapter: &AdapterRef,
+        outcome: LoadOutcome,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        if outcome != LoadOutcome::Ready {
+            actions.push(PlacementAction::Report(PlacementNote::LoadEnded {
+                engine: engine.clone(),
+                adapter: adapter.clone(),
+                outcome,
+            }));
+        }
+        match self.scheduler_node() {
+            Some(node) if *node != self.settings.node => actions.push(PlacementAction::Send {
+                to: node.clone(),
+                message: PlacementMessage::Outcome {
+                    engine: engine.clone(),
+                    adapter: adapter.clone(),
+                    outcome,
+                },
+            }),
+            _ => {
+                let (scheduler, inputs) = self.scheduling(now);
+                scheduler.ended(engine, adapter, outcome, &inputs);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/placement/owning.rs
@@ -0,0 +1,165 @@
+//! Which engines this node owns.
+
+use std::time::Instant;
+
+use nutmegsail_base::UpstreamId;
+
+use super::Placement;
+use crate::claims::ClaimStep;
+use crate::engine_owner::EngineOwner;
+use crate::ownership::Ownership;
+use crate::{DisownCause, LoadOutcome, PlacementAction, PlacementNote, next_fence};
+
+impl Placement {
+    pub(super) fn choose_owners(&mut self, now: Instant) {
+        let engines = self.view.plans().map(|plan| &plan.upstream);
+        self.claims
+            .choose(engines, &self.nodes, &self.settings.node, now);
+    }
+
+    pub(super) fn ownership_granted(
+        &mut self,
+        engine: &UpstreamId,
+        fence: u64,
+        valid_until: Instant,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        self.claims.answered(engine);
+        let Some(plan) = self.view.plan_of(engine).cloned() else {
+            return;
+        };
+        match self.owned.get_mut(engine) {
+            Some(owner) if owner.fence() == fence => owner.renewed(valid_until),
+            Some(owner) if owner.fence() > fence => {}
+            _ => {
+                let ownership = Ownership::new(fence, plan.checks_fencing, Some(valid_until), now);
+                self.own(engine, ownership, false, now, actions);
+            }
+        }
+    }
+
+    /// The key-value service is out. An engine that checks fencing numbers decides in its place:
+    /// the first order with the higher number takes the engine over. For an engine that ignores
+    /// them nobody could refuse the former owner, so it keeps what it has until the service is
+    /// back.
+    pub(super) fn claim_unanswered(
+        &mut self,
+        engine: &UpstreamId,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        self.claims.wait(engine, self.settings.claim_retry, now);
+        let checks_fencing = self
+            .view
+            .plan_of(engine)
+            .is_some_and(|plan| plan.checks_fencing);
+        if !checks_fencing
+            || self.view.last_report(engine).is_none()
+            || self.owned.contains_key(engine)
+        {
+            return;
+        }
+        let fence = next_fence(self.view.seen_fence(engine), &self.settings.node);
+        let ownership = Ownership::new(fence, true, None, now);
+        self.own(engine, ownership, true, now, actions);
+    }
+
+    pub(super) fn own(
+        &mut self,
+        engine: &UpstreamId,
+        ownership: Ownership,
+        by_engine: bool,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        let Some(plan) = self.view.plan_of(engine).cloned() else {
+            return;
+        };
+        let fence = ownership.fence;
+        let owner = EngineOwner::new(plan, ownership);
+        if let Some(former) = self.owned.insert(engine.clone(), owner) {
+            self.give_back(engine, former, now, actions);
+        }
+        actions.push(PlacementAction::Report(PlacementNote::Owned {
+            engine: engine.clone(),
+            fence,
+            by_engine,
+        }));
+        let Some((report, taken_at)) = self.view.last_report(engine) else {
+            return;
+        };
+        let report = report.clone();
+        self.with_owner(engine, now, actions, |owner, settings, out| {
+            owner.report(report, taken_at, settings, now, out);
+        });
+    }
+
+    pub(super) fn disown(
+        &mut self,
+        engine: &UpstreamId,
+        cause: DisownCause,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        let Some(owner) = self.owned.remove(engine) else {
+            return;
+        };
+        self.give_back(engine, owner, now, actions);
+        actions.push(PlacementAction::Report(PlacementNote::Disowned {
+            engine: engine.clone(),
+            cause,
+        }));
+    }
+
+    pub(super) fn give_back(
+        &mut self,
+        engine: &UpstreamId,
+        owner: EngineOwner,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        for adapter in owner.into_unfinished() {
+            self.load_ended(engine, &adapter, LoadOutcome::NotOwner, now, actions);
+        }
+    }
+
+    pub(super) fn tick_claims(&mut self, now: Instant, actions: &mut Vec<PlacementAction>) {
+        let owned = &self.owned;
+        let is_owned = |engine: &UpstreamId| owned.contains_key(engine);
+        for (engine, step) in self.claims.steps(&self.settings, is_owned, now) {
+            match step {
+                ClaimStep::Claim => actions.push(PlacementAction::Claim {
+                    seen_fence: self.view.seen_fence(&engine),
+                    may_replace_live_holder: self
+                        .view
+                        .plan_of(&engine)
+                        .is_some_and(|plan| plan.checks_fencing),
+                    engine,
+                }),
+                ClaimStep::Overdue => self.claim_unanswered(&engine, now, actions),
+                ClaimStep::Release => {
+                    actions.push(PlacementAction::Release {
+                        engine: engine.clone(),
+                    });
+                    self.disown(&engine, DisownCause::HandedOver, now, actions);
+                }
+            }
+        }
+    }
+
+    /// Another node took the engine. It is not claimed back before that owner could have evicted
+    /// anything; two nodes that see each other as gone would otherwise take it in turns, and
+    /// nothing would ever be evicted.
+    pub(super) fn fenced_out(
+        &mut self,
+        engine: &UpstreamId,
+        cause: DisownCause,
+        now: Instant,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        let quiet = self.settings.pin_lease + self.settings.pin_margin;
+        self.claims.wait(engine, quiet * 2, now);
+        self.disown(engine, cause, now, actions);
+    }
+}
