Measure what claims cost, and read a chain's records ahead

Cause: a record of 16 KB is rewritten with each commit; a new writer read a long chain one record after the other. Change: records close at 8 KB; each round of reads asks for twice as many records; a measurement over the pure core with a virtual clock.

--- a/crates/idempotency/src/chain.rs
+++ b/crates/idempotency/src/chain.rs
@@ -45,6 +45,11 @@
         self.next_read
     }
 
+    /// Whether the record has been seen.
+    pub fn knows(&self, segment: usize) -> bool {
+        segment < self.segments.len()
+    }
+
     /// The record that holds `key`, or else the one that takes new keys.
     pub fn segment_for(&self, key: &IdempotencyKey) -> usize {
         let tail = self.segments.len().saturating_sub(1);
--- a/crates/idempotency/src/lane.rs
+++ b/crates/idempotency/src/lane.rs
@@ -1,46 +1,45 @@
 //! One chain with the operations that wait for it and the store call under way.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
-use bytes::Bytes;
-
 use crate::chain::Chain;
+use crate::commit::{Commit, replies_of};
 use crate::queued::{QueuedOperation, Reply};
+use crate::token_source::TokenSource;
 use crate::{
-    ChainPlace, ClaimAction, ClaimRecord, ClaimSettings, ClaimToken, OperationResult, StoreFault,
-    StoredRecord, SwapFault,
+    ChainPlace, ClaimAction, ClaimSettings, ClaimToken, OperationResult, StoreFault, StoredRecord,
+    SwapFault,
 };
 
-/// About the size of a stored claim without its answer, in bytes.
-const CLAIM_BYTES: usize = 230;
-
 /// How often the pause after a failure doubles at most.
 const MAX_DOUBLINGS: u32 = 10;
 
-/// A store call under way.
+/// How many records a chain's reader asks for at a time at most.
+const MAX_READ_AHEAD: usize = 64;
+
+/// Store calls under way.
 #[derive(Debug)]
 struct InFlight {
-    token: ClaimToken,
     since: Instant,
     call: StoreCall,
 }
 
 #[derive(Debug)]
 enum StoreCall {
-    Read { segment: usize },
-    Swap(Commit),
+    Read(ReadRound),
+    Swap { token: ClaimToken, commit: Commit },
 }
 
-/// A record on its way into the store, with what becomes of each operation once it is there.
-#[derive(Debug)]
-struct Commit {
-    segment: usize,
-    record: ClaimRecord,
-    operations: Vec<(QueuedOperation, OperationResult)>,
+/// Reads of records that follow each other in a chain.
+#[derive(Debug, Default)]
+struct ReadRound {
+    open: BTreeMap<ClaimToken, usize>,
+    answers: BTreeMap<usize, Option<StoredRecord>>,
+    has_failed: bool,
 }
 
-/// One chain at work: at most one store call at a time.
+/// One chain at work: at most one write or one round of reads at a time.
 #[derive(Debug)]
 pub(crate) struct Lane {
     chain: Chain,
@@ -49,6 +48,8 @@
     retry_at: Instant,
     /// Store calls that failed one after the other.
     failures: u32,
+    /// How many records the next round of reads asks for.
+    read_ahead: usize,
     last_used: Instant,
 }
 
@@ -61,6 +62,7 @@
             in_flight: None,
             retry_at: now,
             failures: 0,
+            read_ahead: 1,
             last_used: now,
         }
     }
@@ -112,16 +114,35 @@
         self.chain.next_read().is_some()
     }
 
-    /// Reads the next record that must be known.
-    pub fn start_read(&mut self, token: ClaimToken, now: Instant) -> Option<ClaimAction> {
-        let segment = self.chain.next_read()?;
+    /// Reads the next records that must be known.
+    ///
+    /// A new writer may find a chain of a hundred records. Each round of reads asks for twice as
+    /// many as the last, so that it knows them all after a few store answers.
+    pub fn start_read(
+        &mut self,
+        tokens: &mut TokenSource,
+        now: Instant,
+        actions: &mut Vec<ClaimAction>,
+    ) {
+        let Some(first) = self.chain.next_read() else {
+            return;
+        };
+        let count = if self.chain.knows(first) {
+            1
+        } else {
+            self.read_ahead
+        };
+        let mut round = ReadRound::default();
+        for segment in first..first + count {
+            let token = tokens.next();
+            round.open.insert(token, segment);
+            let key = self.chain.place().record_key(segment);
+            actions.push(ClaimAction::Read { token, key });
+        }
         self.in_flight = Some(InFlight {
-            token,
             since: now,
-            call: StoreCall::Read { segment },
+            call: StoreCall::Read(round),
         });
-        let key = self.chain.place().record_key(segment);
-        Some(ClaimAction::Read { token, key })
     }
 
     /// Writes the record that the most urgent operation belongs to, with all others of that record.
@@ -149,9 +170,8 @@
             value,
         };
         self.in_flight = Some(InFlight {
-            token,
             since: now,
-            call: StoreCall::Swap(commit),
+            call: StoreCall::Swap { token, commit },
         });
         Some(action)
     }
@@ -188,19 +208,47 @@
         settings: &ClaimSettings,
         now: Instant,
     ) -> bool {
-        let Some(StoreCall::Read { segment }) = self.take_call(token) else {
+        let Some(InFlight {
+            call: StoreCall::Read(round),
+            ..
+        }) = &mut self.in_flight
+        else {
             return false;
         };
-        let adopted = match result {
-            Ok(stored) => self.chain.adopt(segment, stored.clone()).is_ok(),
-            Err(StoreFault) => false,
+        let Some(segment) = round.open.remove(&token) else {
+            return false;
         };
-        if adopted {
+        match result {
+            Ok(stored) => {
+                round.answers.insert(segment, stored.clone());
+            }
+            Err(StoreFault) => round.has_failed = true,
+        }
+        if round.open.is_empty() {
+            let round = std::mem::take(round);
+            self.in_flight = None;
+            self.round_done(round, settings, now);
+        }
+        true
+    }
+
+    fn round_done(&mut self, round: ReadRound, settings: &ClaimSettings, now: Instant) {
+        let mut is_whole = !round.has_failed;
+        for (segment, stored) in round.answers {
+            // Only the next record in order says something; after the open one come none.
+            if self.chain.next_read() == Some(segment) {
+                is_whole &= self.chain.adopt(segment, stored).is_ok();
+            }
+        }
+        self.read_ahead = match self.chain.next_read() {
+            Some(_) => (self.read_ahead * 2).min(MAX_READ_AHEAD),
+            None => 1,
+        };
+        if is_whole {
             self.failures = 0;
         } else {
             self.back_off(settings, now);
         }
-        true
     }
 
     /// Takes in a write's result. Returns whether the token was this lane's.
@@ -212,7 +260,7 @@
         now: Instant,
         replies: &mut Vec<Reply>,
     ) -> bool {
-        let Some(StoreCall::Swap(commit)) = self.take_call(token) else {
+        let Some(commit) = self.take_commit_of(token) else {
             return false;
         };
         match result {
@@ -279,10 +327,14 @@
         }
     }
 
-    fn take_call(&mut self, token: ClaimToken) -> Option<StoreCall> {
-        self.in_flight
-            .take_if(|call| call.token == token)
-            .map(|call| call.call)
+    fn take_commit_of(&mut self, swap: ClaimToken) -> Option<Commit> {
+        let in_flight = self.in_flight.take_if(
+            |in_flight| matches!(&in_flight.call, StoreCall::Swap { token, .. } if *token == swap),
+        )?;
+        match in_flight.call {
+            StoreCall::Swap { commit, .. } => Some(commit),
+            StoreCall::Read(_) => None,
+        }
     }
 
     /// Fails operations that waited too long, and gives up on a store call without an answer.
@@ -291,10 +343,10 @@
             .in_flight
             .take_if(|call| call.since + settings.store_timeout <= now);
         match lost.map(|call| call.call) {
-            Some(StoreCall::Swap(commit)) => {
+            Some(StoreCall::Swap { commit, .. }) => {
                 self.commit_failed(commit, SwapFault::Ambiguous, settings, now);
             }
-            Some(StoreCall::Read { .. }) => self.retry_at = now,
+            Some(StoreCall::Read(_)) => self.retry_at = now,
             None => {}
         }
         let is_expired =
@@ -308,36 +360,3 @@
         replies.extend(failed.map(|operation| operation.reply(OperationResult::Failed)));
     }
 }
-
-impl Commit {
-    fn is_full(&self, settings: &ClaimSettings) -> bool {
-        self.record.entries.len() >= (settings.record_bytes / CLAIM_BYTES).max(1)
-    }
-
-    fn add(&mut self, operation: QueuedOperation) {
-        let applied = operation
-            .entry
-            .apply(self.record.find(&operation.entry.key));
-        if let Some(entry) = applied.write {
-            self.record.put(entry);
-        }
-        self.operations.push((operation, applied.result));
-    }
-
-    fn seal_if_full(&mut self, settings: &ClaimSettings) -> Bytes {
-        let value = self.record.encode();
-        if self.record.is_sealed
-            || !(self.is_full(settings) || value.len() >= settings.record_bytes)
-        {
-            return value;
-        }
-        self.record.is_sealed = true;
-        self.record.encode()
-    }
-}
-
-fn replies_of(operations: Vec<(QueuedOperation, OperationResult)>) -> impl Iterator<Item = Reply> {
-    operations
-        .into_iter()
-        .map(|(operation, result)| operation.reply(result))
-}
--- a/crates/idempotency/src/lib.rs
+++ b/crates/idempotency/src/lib.rs
@@ -12,6 +12,7 @@
 mod chain;
 mod claims;
 mod collector;
+mod commit;
 mod digest;
 mod entry;
 mod event;
--- a/crates/idempotency/src/settings.rs
+++ b/crates/idempotency/src/settings.rs
@@ -60,7 +60,7 @@
             store_timeout: Duration::from_secs(2),
             store_backoff: Duration::from_millis(100),
             store_backoff_max: Duration::from_secs(5),
-            record_bytes: 16 * 1024,
+            record_bytes: 8 * 1024,
             answer_bytes: 1024,
             max_tickets: 100_000,
             max_queued: 4096,
--- a/crates/idempotency/src/shard_writer.rs
+++ b/crates/idempotency/src/shard_writer.rs
@@ -99,7 +99,7 @@
             lane.expire(settings, now, replies);
             let is_due = lane.due().is_some_and(|due| due <= now);
             if is_due && lane.must_read() {
-                actions.extend(lane.start_read(tokens.next(), now));
+                lane.start_read(tokens, now, actions);
             }
         }
         while self.next_commit_at.is_none_or(|at| at <= now) {
--- a/crates/idempotency/tests/world/mod.rs
+++ b/crates/idempotency/tests/world/mod.rs
@@ -499,7 +499,7 @@
                 self.store.remove(&*key);
             }
             ClaimAction::AskWriter { to, token, entries } => {
-                self.asked_bytes += entries.len() as u64 * 300;
+                self.asked_bytes += postcard::to_allocvec(&entries).unwrap().len() as u64;
                 let from = self.nodes[node].id.clone();
                 self.send(
                     node,
@@ -512,7 +512,7 @@
                 );
             }
             ClaimAction::AnswerAsked { to, token, results } => {
-                self.asked_bytes += results.len() as u64 * 150;
+                self.asked_bytes += postcard::to_allocvec(&results).unwrap().len() as u64;
                 self.send(node, &to, ClaimEvent::WriterAnswered { token, results });
             }
             call @ (ClaimAction::Read { .. }
