Read the head anew each 3 s, beside the watch

Cause: the spread asked for its whole watch again each 10 s. A node then took the store for newly returned each time, and for 10 s a restored store could be published to with a generation that was in use already. Change: SpreadAction::ReadHead, carried out by the node beside its watch, each 3 s. The fleet's stand-in store keeps its revision when it is restored, as when other keys' writes lift it again at once, and a read beside a watch no longer sets the watch again.

--- a/crates/config/src/spread/action.rs
+++ b/crates/config/src/spread/action.rs
@@ -24,9 +24,11 @@
     },
     /// Swaps the text in force.
     PutInForce(InForce),
-    /// Reads the store's head, now and each time that this comes again, and watches it, in place of a watch that is there, [`super::SpreadSettings::watch_wait`] at a time,
+    /// Reads the store's head and then watches it, [`super::SpreadSettings::watch_wait`] at a time,
     /// until [`SpreadAction::StopWatch`].
     WatchStore,
+    /// Reads the store's head once, beside the watch.
+    ReadHead,
     /// Stops watching.
     StopWatch,
     /// Puts a newer head back by [`crate::TextStore::put_head`], and reads the head afterwards.
--- a/crates/config/src/spread/ask.rs
+++ b/crates/config/src/spread/ask.rs
@@ -102,7 +102,7 @@
         }
         self.fetch = None;
         if self.rank.is_some() {
-            self.watch_store(now);
+            self.read_head(now);
         }
     }
 
--- a/crates/config/src/spread/mod.rs
+++ b/crates/config/src/spread/mod.rs
@@ -49,8 +49,8 @@
     live: LiveNodes,
     /// This node's place among its domain's watchers, if it is one.
     rank: Option<u32>,
-    /// When this watcher last read the head anew.
-    watch_set_at: Option<Instant>,
+    /// When this watcher last read the head, apart from its watch.
+    head_read_at: Option<Instant>,
     is_store_up: bool,
     behind: Option<StoreBehind>,
     /// A text that was fetched whole but cannot be read here.
@@ -87,7 +87,7 @@
             known: BTreeMap::new(),
             live: LiveNodes::default(),
             rank: None,
-            watch_set_at: None,
+            head_read_at: None,
             is_store_up: false,
             behind: None,
             unreadable: None,
@@ -310,7 +310,10 @@
         let rank = watchers.iter().position(|watcher| *watcher == self.node);
         let rank = rank.and_then(|rank| u32::try_from(rank).ok());
         match (self.rank, rank) {
-            (None, Some(_)) => self.watch_store(now),
+            (None, Some(_)) => {
+                self.head_read_at = Some(now);
+                self.actions.push(SpreadAction::WatchStore);
+            }
             (Some(_), None) => self.actions.push(SpreadAction::StopWatch),
             _ => {}
         }
--- a/crates/config/src/spread/settings.rs
+++ b/crates/config/src/spread/settings.rs
@@ -29,7 +29,7 @@
         Self {
             watchers: 2,
             watch_wait: Duration::from_secs(1),
-            read_again_after: Duration::from_secs(10),
+            read_again_after: Duration::from_secs(3),
             retry_after: Duration::from_millis(200),
             give_up_after: Duration::from_secs(5),
             restore_after: Duration::from_secs(1),
--- a/crates/config/src/spread/store_behind.rs
+++ b/crates/config/src/spread/store_behind.rs
@@ -75,15 +75,15 @@
     /// stays behind and refuses the operators' next text. So watchers read the head anew at times.
     pub(super) fn read_again(&mut self, now: Instant) {
         let read_again_after = self.settings.read_again_after;
-        let is_due = |set_at: Instant| now - set_at >= read_again_after;
-        if self.rank.is_some() && self.watch_set_at.is_none_or(is_due) {
-            self.watch_store(now);
+        let is_due = |read_at: Instant| now - read_at >= read_again_after;
+        if self.rank.is_some() && self.head_read_at.is_none_or(is_due) {
+            self.read_head(now);
         }
     }
 
-    pub(super) fn watch_store(&mut self, now: Instant) {
-        self.watch_set_at = Some(now);
-        self.actions.push(SpreadAction::WatchStore);
+    pub(super) fn read_head(&mut self, now: Instant) {
+        self.head_read_at = Some(now);
+        self.actions.push(SpreadAction::ReadHead);
     }
 
     pub(super) fn put_back(&mut self, now: Instant) {
--- a/crates/config/tests/spread.rs
+++ b/crates/config/tests/spread.rs
@@ -314,9 +314,7 @@
     assert_eq!(node.name_in_force(), None);
     let actions = node.wait(SpreadSettings::default().give_up_after);
     assert!(
-        actions
-            .iter()
-            .any(|a| matches!(a, SpreadAction::WatchStore)),
+        actions.iter().any(|a| matches!(a, SpreadAction::ReadHead)),
         "reads the head anew"
     );
     node.take(&heads[0]);
--- a/crates/config/tests/spread_fleet/faults.rs
+++ b/crates/config/tests/spread_fleet/faults.rs
@@ -12,7 +12,7 @@
 const PER_DOMAIN: usize = 4;
 const FAULTS: usize = 60;
 /// How long everything takes to agree after it healed, in steps of 10 ms: a watcher reads the store
-/// anew after 10 s at the latest, puts the newer head back within 2 s, and peers take 3 s.
+/// anew after 3 s at the latest, puts the newer head back within 2 s, and peers take 3 s.
 const HEALED_STEPS: u64 = 2_000;
 
 /// Checks that no node's generation falls and that a generation is one text everywhere.
--- a/crates/config/tests/spread_fleet/fleet.rs
+++ b/crates/config/tests/spread_fleet/fleet.rs
@@ -48,6 +48,11 @@
         from: usize,
         digests: Vec<Digest>,
     },
+    /// The answer to a read of the head beside the watch.
+    HeadRead {
+        to: usize,
+        event: SpreadEvent,
+    },
     Restore {
         from: usize,
         found: Option<Revision>,
@@ -58,7 +63,6 @@
 
 /// A copy of the store.
 struct Copy {
-    revision: u64,
     stored: Option<StoredHead>,
     pieces: BTreeMap<Digest, Arc<str>>,
 }
@@ -155,16 +159,15 @@
 
     pub fn take_copy(&mut self) {
         self.copy = Some(Copy {
-            revision: self.revision,
             stored: self.stored.clone(),
             pieces: self.stored_pieces.clone(),
         });
     }
 
-    /// Goes back to the copy last taken, revisions included.
+    /// Goes back to the copy last taken. Other keys' writes have lifted the store's revision again
+    /// before any watch could see that it fell.
     pub fn restore_copy(&mut self) {
         if let Some(copy) = self.copy.take() {
-            self.revision = copy.revision;
             self.stored = copy.stored;
             self.stored_pieces = copy.pieces;
         }
@@ -220,8 +223,11 @@
                         self.tell(node, &peer);
                     }
                 }
-                SpreadAction::WatchStore => {
-                    self.set_watch(node, Revision(0));
+                SpreadAction::WatchStore => self.set_watch(node, Revision(0)),
+                SpreadAction::ReadHead => {
+                    self.store_calls += 1;
+                    let event = SpreadEvent::StoreHead(self.stored.clone());
+                    self.ask_store(node, Message::HeadRead { to: node, event });
                 }
                 SpreadAction::RestoreHead {
                     found,
@@ -324,6 +330,7 @@
                 }
                 self.give(to, event);
             }
+            Message::HeadRead { to, event } => self.give(to, event),
             Message::AskHead { to, from } => {
                 if let Some(head) = self.nodes[to].head().cloned() {
                     let peer = self.ids[to].clone();
@@ -359,7 +366,7 @@
                     self.store(head);
                 }
                 let event = SpreadEvent::StoreHead(self.stored.clone());
-                self.ask_store(from, Message::Event { to: from, event });
+                self.ask_store(from, Message::HeadRead { to: from, event });
             }
         }
     }
--- a/crates/node/src/text_keeper.rs
+++ b/crates/node/src/text_keeper.rs
@@ -25,7 +25,7 @@
 use crate::loader::{Loader, Placed};
 use crate::peers::{Peers, SendTo, Told};
 use crate::plans::routing_plan;
-use crate::text_watch::{fetch_pieces, follow, restore};
+use crate::text_watch::{fetch_pieces, follow, read_head, restore};
 
 /// Another node runs a newer generation.
 pub(crate) struct TextSeen {
@@ -132,6 +132,12 @@
             }
             SpreadAction::PutInForce(text) => self.put_in_force(text).await,
             SpreadAction::WatchStore => self.watch_store(this),
+            SpreadAction::ReadHead => {
+                let Some(this) = this.try_upgrade() else {
+                    return;
+                };
+                tokio::spawn(read_head(self.parts.store.clone(), this));
+            }
             SpreadAction::StopWatch => self.following.abort_all(),
             SpreadAction::RestoreHead {
                 found,
--- a/crates/node/src/text_watch.rs
+++ b/crates/node/src/text_watch.rs
@@ -87,6 +87,11 @@
 ) {
     // A swap that fails is made again by the spread, after it has seen the head anew.
     let _ = store.put_head(found.as_ref(), &head, &pieces).await;
+    read_head(store, keeper).await;
+}
+
+/// Reads the head once, beside the watch.
+pub(crate) async fn read_head(store: TextStore, keeper: Address<TextKeeper>) {
     if let Ok(stored) = store.read_head().await {
         tell(&keeper, SpreadEvent::StoreHead(stored)).await;
     }
