Keep records for a fixed time, and let a refused call be sent on

Cause: raising the retention in the operators' text accepted keys again whose claims had been removed; and a call that one upstream surely refused goes to the next one, which tripped the assertion against a second dispatch. Change: records are kept by a node setting, keys are accepted up to that less twice the skew; Limits carries the text's values; Dispatched may come again while the request has the right to run. Conclusion: no text can open a second run.

--- a/crates/idempotency/src/claims.rs
+++ b/crates/idempotency/src/claims.rs
@@ -90,7 +90,14 @@
                 key,
                 digest,
             } => self.begin(request, key, digest, now, wall, actions),
-            ClaimEvent::Dispatched { request } => self.own.dispatched(&request),
+            ClaimEvent::Dispatched { request } => assert!(
+                self.own.is_running(&request) || self.tickets.is_running(&request),
+                "request {request} is sent without the right to run"
+            ),
+            ClaimEvent::Limits { retention, skew } => {
+                self.settings.retention = retention;
+                self.settings.skew = skew;
+            }
             ClaimEvent::Finished { request, outcome } => self.finished(&request, outcome, now),
             ClaimEvent::ReadDone { token, result } => {
                 let mut writers = self.writers.iter_mut();
--- a/crates/idempotency/src/claims/begin.rs
+++ b/crates/idempotency/src/claims/begin.rs
@@ -21,7 +21,7 @@
         actions: &mut Vec<ClaimAction>,
     ) {
         let settings = &self.settings;
-        if let Err(error) = key.check_age(settings.retention, settings.skew, wall) {
+        if let Err(error) = key.check_age(settings.accepted_age(), settings.skew, wall) {
             self.tell(request, Verdict::not_run(error.code()), actions);
         } else if key.ticket().is_some() {
             self.begin_with_ticket(request, &key, digest, actions);
@@ -44,7 +44,7 @@
             return Some(Verdict::not_run(ResultCode::KeyReused));
         }
         Some(match &claim.phase {
-            OwnPhase::Waiting(_) | OwnPhase::Running { .. } => {
+            OwnPhase::Waiting(_) | OwnPhase::Running => {
                 Verdict::may_have_run(ResultCode::InProgress)
             }
             OwnPhase::Recording(state) => Verdict::of_ended(state),
--- a/crates/idempotency/src/claims/settle.rs
+++ b/crates/idempotency/src/claims/settle.rs
@@ -113,7 +113,7 @@
         // retention, and an earlier claim for the key may have been removed from the store
         // meanwhile. It shows as a second run days later. The check after the claim is durable
         // holds: whoever removed the earlier one did it when every clock refused the key.
-        let (retention, skew) = (self.settings.retention, self.settings.skew);
+        let (retention, skew) = (self.settings.accepted_age(), self.settings.skew);
         if let Err(error) = key.check_age(retention, skew, wall) {
             self.give_up(key, number, error.code(), now, actions);
             return;
--- a/crates/idempotency/src/event.rs
+++ b/crates/idempotency/src/event.rs
@@ -97,6 +97,8 @@
         digest: RequestDigest,
     },
     /// Bytes of a request that was let run are about to be sent.
+    ///
+    /// Comes again when an upstream surely did not run the request and it goes to another one.
     Dispatched {
         /// The request.
         request: RequestId,
@@ -162,6 +164,13 @@
         /// What came of it.
         result: ForwardResult,
     },
+    /// Another operators' text is in force.
+    Limits {
+        /// How old a key may be.
+        retention: Duration,
+        /// How far a clock may be from the true time.
+        skew: Duration,
+    },
     /// The store can't be reached.
     StoreDown,
     /// The store can be reached again.
--- a/crates/idempotency/src/place.rs
+++ b/crates/idempotency/src/place.rs
@@ -58,9 +58,10 @@
 
 /// Whether the record `record_key` may be removed: nobody accepts its keys any more.
 ///
-/// A node accepts a key until `retention` after its issue time by the node's own clock. This
+/// A node accepts a key until `accepted_age` after its issue time by the node's own clock. This
 /// node's clock and that one's are each within `skew` of the true time, so they differ by at most
-/// twice the skew, and after retention plus that everyone refuses every key of the bucket.
+/// twice the skew, and `kept` is longer than the accepted age by that much: by now everyone
+/// refuses every key of the bucket.
 ///
 /// ```
 /// use std::time::{Duration, SystemTime};
@@ -69,9 +70,9 @@
 /// let settings = ClaimSettings::default();
 /// let bucket_end = SystemTime::UNIX_EPOCH + Duration::from_secs(60);
 /// let key = "nutmegsail/claims/0000000000/0/000000";
-/// let kept = settings.retention + settings.skew * 2;
-/// assert!(!is_past_retention(key, &settings, bucket_end + kept));
-/// assert!(is_past_retention(key, &settings, bucket_end + kept + Duration::from_secs(1)));
+/// let kept_until = bucket_end + settings.kept;
+/// assert!(!is_past_retention(key, &settings, kept_until));
+/// assert!(is_past_retention(key, &settings, kept_until + Duration::from_secs(1)));
 /// ```
 pub fn is_past_retention(record_key: &str, settings: &ClaimSettings, wall: SystemTime) -> bool {
     let Some(bucket) = bucket_of(record_key) else {
@@ -81,7 +82,7 @@
     let wall = wall
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default();
-    bucket_end + settings.retention + settings.skew * 2 < wall
+    bucket_end + settings.kept < wall
 }
 
 fn bucket_of(record_key: &str) -> Option<u64> {
--- a/crates/idempotency/src/settings.rs
+++ b/crates/idempotency/src/settings.rs
@@ -11,10 +11,13 @@
 /// ```
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClaimSettings {
-    /// How old a key may be. Claims are kept for this and twice the skew.
-    ///
-    /// Raising it is safe only for keys issued after the raise: see `docs/design/claims.md`.
+    /// How old a key may be, by the operators' text. [`ClaimSettings::accepted_age`] bounds it.
     pub retention: Duration,
+    /// How long after a bucket's end its records are removed. The same on every node.
+    ///
+    /// Not taken from the operators' text: were the retention raised there, keys would be accepted
+    /// again whose claims are gone.
+    pub kept: Duration,
     /// How far a caller's or a node's clock may be from the true time.
     pub skew: Duration,
     /// How long a call waits for its claim before it is refused as not run.
@@ -51,6 +54,7 @@
     fn default() -> Self {
         Self {
             retention: Duration::from_secs(24 * 3600),
+            kept: Duration::from_secs(25 * 3600),
             skew: Duration::from_secs(30),
             claim_wait: Duration::from_secs(2),
             ask_timeout: Duration::from_millis(250),
@@ -69,3 +73,20 @@
         }
     }
 }
+
+impl ClaimSettings {
+    /// How old a key may be: the retention, but never so old that its claim may have been removed
+    /// by a node whose clock differs by twice the skew.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use nutmegsail_idempotency::ClaimSettings;
+    ///
+    /// let week = Duration::from_secs(7 * 24 * 3600);
+    /// let settings = ClaimSettings { retention: week, ..ClaimSettings::default() };
+    /// assert_eq!(settings.accepted_age(), settings.kept - settings.skew * 2);
+    /// ```
+    pub fn accepted_age(&self) -> Duration {
+        self.retention.min(self.kept.saturating_sub(self.skew * 2))
+    }
+}
--- a/crates/idempotency/src/tickets.rs
+++ b/crates/idempotency/src/tickets.rs
@@ -93,10 +93,9 @@
         let wall = wall
             .duration_since(SystemTime::UNIX_EPOCH)
             .unwrap_or_default();
-        let kept = settings.retention + settings.skew * 2;
         self.calls.retain(|key, call| {
             let issued = Duration::from_millis(key.issued_unix_ms());
-            issued + kept >= wall || matches!(call.phase, TicketPhase::Running(_))
+            issued + settings.kept >= wall || matches!(call.phase, TicketPhase::Running(_))
         });
     }
 }
--- a/crates/idempotency/tests/stories.rs
+++ b/crates/idempotency/tests/stories.rs
@@ -313,6 +313,7 @@
 fn a_claim_that_comes_past_the_retention_does_not_run() {
     let settings = ClaimSettings {
         retention: 3600 * S,
+        kept: 3660 * S,
         claim_wait: 1000 * S,
         store_timeout: 1000 * S,
         ..ClaimSettings::default()
@@ -331,6 +332,26 @@
     assert_eq!(world.runs(&key), 1);
 }
 
+/// The operators raise the retention in their text. Claims older than the old retention are gone,
+/// and their keys must not be accepted again.
+#[test]
+fn a_raised_retention_accepts_no_key_whose_claim_is_gone() {
+    let mut world = World::new(1, 24);
+    let key = world.key();
+    let first = world.begin(0, &key, 0);
+    world.run_for(3800 * S);
+    assert_eq!(world.told[&first], RAN);
+    assert!(world.store.is_empty());
+    let limits = ClaimEvent::Limits {
+        retention: 24 * 3600 * S,
+        skew: 30 * S,
+    };
+    world.tell_node(0, limits);
+    let repeat = world.begin(0, &key, 0);
+    world.run_for(S);
+    assert_eq!(world.told[&repeat], not_run(ResultCode::KeyTooOld));
+}
+
 /// A caller's clock is minutes ahead. Its keys would outlive their claims; they are refused.
 #[test]
 fn a_key_from_the_future_is_refused() {
