--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -41,6 +41,13 @@
     late: Vec<MembershipEvent>,
 }
 
+impl Node {
+    /// Whether its process is there and not paused.
+    pub fn runs(&self) -> bool {
+        !self.is_dead && self.paused_until.is_none()
+    }
+}
+
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Due {
     at: Duration,
@@ -144,7 +151,10 @@
         node.membership = core;
         node.incarnation = incarnation;
         node.is_dead = false;
+        node.paused_until = None;
+        node.late.clear();
         node.live.clear();
+        node.generation = (0, self.now);
         self.boot(at);
     }
 
