--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -116,7 +116,7 @@
                 && self.has_place(upstream, class, false, now)
         };
         [true, false].into_iter().find_map(|is_own| {
-            let mut drawn = self.draw(request, &|upstream| can_take(upstream, is_own), rng);
+            let mut drawn = self.draw(request, is_own, &|upstream| can_take(upstream, is_own), rng);
             if let Some(upstream) = self.prefix_holder(request)
                 && can_take(upstream, is_own)
             {
@@ -129,6 +129,7 @@
     fn draw(
         &self,
         request: &RequestState,
+        is_own: bool,
         can_take: &dyn Fn(usize) -> bool,
         rng: &mut dyn Rng,
     ) -> SmallVec<[usize; 4]> {
@@ -141,13 +142,13 @@
             }
             None => {
                 let service = &self.services[request.service];
-                let own = service.own.len();
-                let at = |index: usize| match index.checked_sub(own) {
-                    Some(foreign) => service.foreign[foreign] as usize,
-                    None => service.own[index] as usize,
+                let members = if is_own {
+                    &service.own
+                } else {
+                    &service.foreign
                 };
-                let len = own + service.foreign.len();
-                draw(len, &at, can_take, choices, rng)
+                let at = |index: usize| members[index] as usize;
+                draw(members.len(), &at, can_take, choices, rng)
             }
         }
     }
