Choose a shard's writer among the nodes of all failure domains

Cause: nodes hear heartbeats of their own failure domain only. Change: writers are chosen among the entry VMs of the VM list, which the node tells as WriterCandidates; a writer that does not answer is not asked for 5 s, one of the own domain is. A claimant of which nothing is known counts as at work until its key is 10 minutes old. Guard taken out (suspicion): a_silent_writer_delays_one_call_and_not_all fails. Conclusion: the VM list's lag costs time and never safety.

--- a/crates/idempotency/src/asks.rs
+++ b/crates/idempotency/src/asks.rs
@@ -10,6 +10,7 @@
 
 #[derive(Debug)]
 struct Ask {
+    to: NodeId,
     deadline: Instant,
     entries: Vec<WriterEntry>,
 }
@@ -53,6 +54,7 @@
                 settings.outcome_timeout
             };
             let ask = Ask {
+                to: to.clone(),
                 deadline: now + timeout,
                 entries: entries.clone(),
             };
@@ -61,6 +63,11 @@
         }
     }
 
+    /// The node that was asked with `token`, while an answer is awaited.
+    pub fn asked(&self, token: ClaimToken) -> Option<&NodeId> {
+        self.open.get(&token).map(|ask| &ask.to)
+    }
+
     /// Takes the operation that `result` answers out of its question.
     pub fn take(&mut self, token: ClaimToken, result: &WriterResult) -> Option<WriterEntry> {
         let ask = self.open.get_mut(&token)?;
@@ -80,15 +87,11 @@
         ask.map(|ask| ask.entries).unwrap_or_default()
     }
 
-    /// Takes what is left of questions that were not answered in time.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<WriterEntry> {
-        if self.next_expiry().is_none_or(|expiry| expiry > now) {
-            return Vec::new();
-        }
-        let open = std::mem::take(&mut self.open).into_iter();
-        let (expired, open): (BTreeMap<_, _>, _) = open.partition(|(_, ask)| ask.deadline <= now);
-        self.open = open;
-        expired.into_values().flat_map(|ask| ask.entries).collect()
+    /// A question that was not answered in time.
+    pub fn next_expired(&self, now: Instant) -> Option<ClaimToken> {
+        let mut open = self.open.iter();
+        let expired = open.find(|(_, ask)| ask.deadline <= now);
+        expired.map(|(token, _)| *token)
     }
 
     /// When the next question runs out.
--- a/crates/idempotency/src/claims.rs
+++ b/crates/idempotency/src/claims.rs
@@ -15,9 +15,10 @@
 use crate::tickets::Tickets;
 use crate::token_source::TokenSource;
 use crate::verdict::Verdict;
+use crate::writers::Writers;
 use crate::{
     ChainPlace, ClaimAction, ClaimEvent, ClaimOperation, ClaimSettings, ClaimToken, Claimant,
-    IdempotencyKey, LiveNode, RequestDigest, SHARDS, WriterEntry, WriterResult, writer_of,
+    IdempotencyKey, RequestDigest, SHARDS, WriterEntry, WriterResult,
 };
 
 /// One node's part in running calls at most once: it claims keys for its own callers, and writes
@@ -44,7 +45,7 @@
     settings: ClaimSettings,
     node: NodeId,
     incarnation: Incarnation,
-    live: Vec<LiveNode>,
+    nodes: Writers,
     is_store_down: bool,
     tokens: TokenSource,
     own: OwnClaims,
@@ -62,7 +63,7 @@
             settings,
             node,
             incarnation,
-            live: Vec::new(),
+            nodes: Writers::default(),
             is_store_down: false,
             tokens: TokenSource::default(),
             own: OwnClaims::default(),
@@ -122,12 +123,9 @@
             ClaimEvent::WriterAnswered { token, results } => {
                 self.answered(token, results, now, wall, actions);
             }
-            ClaimEvent::WriterUnreachable { token } => {
-                for entry in self.asks.take_all(token) {
-                    self.write_here(entry, now);
-                }
-            }
-            ClaimEvent::LiveNodes { nodes } => self.live = nodes,
+            ClaimEvent::WriterUnreachable { token } => self.not_answered(token, now),
+            ClaimEvent::LiveNodes { nodes } => self.nodes.live = nodes,
+            ClaimEvent::WriterCandidates { nodes } => self.nodes.candidates = nodes,
             ClaimEvent::Forwarded { request, result } => {
                 self.forwarded(request, result, actions);
             }
@@ -177,7 +175,8 @@
     /// The other node that writes for the key's shard.
     fn remote_writer(&self, key: &IdempotencyKey) -> Option<&NodeId> {
         let shard = ChainPlace::of(key).shard;
-        writer_of(shard, &self.live).filter(|writer| **writer != self.node)
+        let writer = self.nodes.writer(shard);
+        writer.filter(|writer| **writer != self.node)
     }
 
     fn write(
@@ -205,6 +204,16 @@
         }
     }
 
+    /// A writer could not be asked or did not answer. What it was asked may still be done.
+    fn not_answered(&mut self, token: ClaimToken, now: Instant) {
+        if let Some(writer) = self.asks.asked(token) {
+            self.nodes.suspect(writer, now);
+        }
+        for entry in self.asks.take_all(token) {
+            self.write_here(entry, now);
+        }
+    }
+
     /// Writes an operation of an own claim without the shard's writer.
     ///
     /// The writer may still carry it out, or already has. That does no harm: operations can be
@@ -239,8 +248,9 @@
                 self.give_up(&key, number, ResultCode::ClaimUnavailable, now, actions);
             }
         }
-        for entry in self.asks.take_expired(now) {
-            self.write_here(entry, now);
+        self.nodes.forget_old(now);
+        while let Some(token) = self.asks.next_expired(now) {
+            self.not_answered(token, now);
         }
         loop {
             for writer in &mut self.writers {
@@ -275,7 +285,10 @@
             return;
         }
         self.tickets.forget_old(&self.settings, wall);
-        let is_collector = writer_of(0, &self.live).is_none_or(|writer| *writer == self.node);
+        let is_collector = self
+            .nodes
+            .writer(0)
+            .is_none_or(|writer| *writer == self.node);
         if is_collector {
             let list = self.collector.list_oldest(self.tokens.next());
             actions.push(list);
--- a/crates/idempotency/src/claims/begin.rs
+++ b/crates/idempotency/src/claims/begin.rs
@@ -60,7 +60,9 @@
     ) {
         let ticket = key.ticket().expect("the caller has looked");
         if ticket.node != self.node {
-            let is_known = self.live.iter().any(|live| live.node == ticket.node);
+            let nodes = &self.nodes;
+            let is_known = nodes.candidates.contains(&ticket.node)
+                || nodes.live.iter().any(|live| live.node == ticket.node);
             if is_known {
                 // The other node compares the incarnation: it knows its own, our list lags.
                 actions.push(ClaimAction::Forward {
--- a/crates/idempotency/src/claims/settle.rs
+++ b/crates/idempotency/src/claims/settle.rs
@@ -43,6 +43,9 @@
         wall: SystemTime,
         actions: &mut Vec<ClaimAction>,
     ) {
+        if let Some(writer) = self.asks.asked(token) {
+            self.nodes.trust(writer);
+        }
         for result in results {
             let asked = self.asks.take(token, &result);
             if result.result != OperationResult::Failed {
@@ -84,7 +87,7 @@
             OperationResult::Claimed => self.claimed(&key, claimant.number, now, wall, actions),
             OperationResult::Existing(entry) => {
                 let claim = self.own.give_up(&key, claimant.number);
-                let is_live = self.is_live(&entry);
+                let is_live = self.is_live(&entry, wall);
                 let verdict = Verdict::of_entry(&entry, claim.digest, is_live);
                 self.tell(claim.request, verdict, actions);
             }
@@ -140,7 +143,8 @@
         self.write(key.clone(), claim.digest, number, release, now);
     }
 
-    fn is_live(&self, entry: &ClaimEntry) -> bool {
+    /// Whether the claimant of `entry` may still be at work, for all that is known.
+    fn is_live(&self, entry: &ClaimEntry, wall: SystemTime) -> bool {
         let Claimant {
             node, incarnation, ..
         } = &entry.claimant;
@@ -148,7 +152,16 @@
             // A claim of this incarnation that it no longer remembers will not go on.
             return *incarnation == self.incarnation && self.own.get(&entry.key).is_some();
         }
-        let mut live = self.live.iter();
-        live.any(|live| live.node == *node && live.incarnation == *incarnation)
+        let mut live = self.nodes.live.iter();
+        match live.find(|live| live.node == *node) {
+            Some(live) => live.incarnation == *incarnation,
+            // Another failure domain's node, or one that is cut off or gone: the call's age says
+            // how long it is worth coming back for.
+            None => {
+                let longest = self.settings.in_progress_for;
+                let skew = self.settings.skew;
+                entry.key.check_age(longest, skew, wall).is_ok()
+            }
+        }
     }
 }
--- a/crates/idempotency/src/event.rs
+++ b/crates/idempotency/src/event.rs
@@ -152,7 +152,14 @@
         /// The token of the question.
         token: ClaimToken,
     },
-    /// The nodes that the membership takes for live, this one among them.
+    /// The nodes that may write for a shard: the entry VMs of every failure domain that the VM list
+    /// holds, this one among them. Without it the live nodes take that place.
+    WriterCandidates {
+        /// Every entry VM.
+        nodes: Vec<NodeId>,
+    },
+    /// The nodes that the membership takes for live, this one among them; those of the own failure
+    /// domain are enough.
     LiveNodes {
         /// Every live node.
         nodes: Vec<LiveNode>,
--- a/crates/idempotency/src/lib.rs
+++ b/crates/idempotency/src/lib.rs
@@ -28,6 +28,7 @@
 mod tickets;
 mod token_source;
 mod verdict;
+mod writers;
 
 pub use answer::{ClaimOutcome, RecordedAnswer, RecordedHeader};
 pub use claims::Claims;
--- a/crates/idempotency/src/place.rs
+++ b/crates/idempotency/src/place.rs
@@ -6,7 +6,7 @@
 use nutmegsail_base::NodeId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{ClaimSettings, IdempotencyKey, LiveNode};
+use crate::{ClaimSettings, IdempotencyKey};
 
 /// The prefix of every claim record's key.
 pub const CLAIMS_PREFIX: &str = "nutmegsail/claims/";
@@ -90,22 +90,21 @@
     rest.split('/').next()?.parse().ok()
 }
 
-/// The node that writes for `shard`, by rendezvous hashing over the live nodes.
+/// The node that writes for `shard`, by rendezvous hashing over `nodes`.
 ///
 /// Nodes may disagree about it for a while. That costs conflicts and nothing else, for every
 /// write is a compare-and-swap.
 ///
 /// ```
-/// use nutmegsail_base::Incarnation;
-/// use nutmegsail_idempotency::{LiveNode, writer_of};
+/// use nutmegsail_base::NodeId;
+/// use nutmegsail_idempotency::writer_of;
 ///
-/// let nodes = ["a", "b"].map(|node| LiveNode { node: node.into(), incarnation: Incarnation(1) });
+/// let nodes = ["a", "b"].map(NodeId::from);
 /// assert!(writer_of(0, &nodes).is_some());
 /// assert!(writer_of(0, &[]).is_none());
 /// ```
-pub fn writer_of(shard: u8, nodes: &[LiveNode]) -> Option<&NodeId> {
+pub fn writer_of<'a>(shard: u8, nodes: impl IntoIterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
     nodes
-        .iter()
-        .map(|live| &live.node)
+        .into_iter()
         .max_by_key(|node| xxh3_64_with_seed(node.as_str().as_bytes(), u64::from(shard) + 1))
 }
--- a/crates/idempotency/src/settings.rs
+++ b/crates/idempotency/src/settings.rs
@@ -44,6 +44,9 @@
     pub max_tickets: usize,
     /// How many operations one shard's queue holds before claims are refused.
     pub max_queued: usize,
+    /// How old a key may be for its call to count as in progress when its claimant is a node of
+    /// which nothing is known.
+    pub in_progress_for: Duration,
     /// When a caller that is told "in progress" or "unavailable" should come back.
     pub retry_after: Duration,
     /// How often records past their retention are looked for.
@@ -68,6 +71,7 @@
             answer_bytes: 1024,
             max_tickets: 100_000,
             max_queued: 4096,
+            in_progress_for: Duration::from_secs(600),
             retry_after: Duration::from_secs(1),
             collect_interval: Duration::from_secs(10),
         }
--- a/crates/idempotency/tests/cost.rs
+++ b/crates/idempotency/tests/cost.rs
@@ -17,6 +17,9 @@
 /// The load of the two-year peak: a fifth of 1,800 requests a second.
 const PEAK_PER_S: f64 = 360.0;
 
+/// Nodes know each other's heartbeats only inside a failure domain.
+const DOMAINS: usize = 6;
+
 #[derive(Debug, derive_more::Display)]
 #[display(
     "{claims} claims, {writes_per_s:.0} writes/s, {reads_per_s:.1} reads/s, wait p50 {wait_p50_ms:.1} \
@@ -38,6 +41,10 @@
 fn measure(nodes: usize, calls_per_s: f64, call: Duration, seed: u64) -> Cost {
     let mut world = World::with_settings(nodes, seed, ClaimSettings::default());
     world.delays.call = call;
+    for node in 0..nodes {
+        world.nodes[node].domain = node % DOMAINS;
+    }
+    world.spread_live_nodes();
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
     let mut draw = || f64::from(rng.next_u32()) / f64::from(u32::MAX);
     while world.elapsed < RUN {
--- a/crates/idempotency/tests/stories.rs
+++ b/crates/idempotency/tests/stories.rs
@@ -148,6 +148,49 @@
     assert!(matches!(world.told[&repeat], Told::Answer(_)));
 }
 
+/// The VM of a shard's writer has died and is still on the VM list. The first call waits for its
+/// answer in vain; the next ones must not.
+#[test]
+fn a_silent_writer_delays_one_call_and_not_all() {
+    let mut world = World::new(3, 25);
+    let keys: Vec<_> = (0..40).map(|_| world.key()).collect();
+    let (writer, other) = world.writer_and_other(&keys[0]);
+    let is_same_writer = |key: &&_| world.writer_and_other(key).0 == writer;
+    let keys: Vec<_> = keys.iter().filter(is_same_writer).cloned().collect();
+    // Within the five seconds after which the writer is tried again.
+    let keys = &keys[..12];
+    world.pause(writer, 60 * S);
+    for key in keys {
+        world.begin(other, key, 0);
+        world.run_for(300 * MS);
+    }
+    let (first, others) = world.claim_waits.split_first().unwrap();
+    assert!(*first >= 250 * MS, "{first:?}");
+    assert!(others.iter().all(|wait| *wait < 40 * MS), "{others:?}");
+}
+
+/// A call runs at a node of another failure domain, of which this one hears no heartbeats. The
+/// repeat is told to come back; only when the call is far too old is it given up.
+#[test]
+fn a_call_of_another_failure_domain_is_in_progress() {
+    let mut world = World::new(2, 26);
+    world.nodes[1].domain = 1;
+    world.spread_live_nodes();
+    world.delays.call = 700 * S;
+    let key = world.key();
+    world.begin(0, &key, 0);
+    world.run_for(S);
+    for (wait, code) in [
+        (300 * S, ResultCode::InProgress),
+        (350 * S, ResultCode::OutcomeUnknown),
+    ] {
+        world.run_for(wait);
+        let repeat = world.begin(1, &key, 0);
+        world.run_for(S);
+        assert_eq!(world.told[&repeat], may_have_run(code));
+    }
+}
+
 /// Writer and claimant are cut off from the store, the caller is told "not run" and goes away.
 /// Later the writer still has the claim in its queue and writes it. The caller comes back with the
 /// same key: the call runs, since the release that followed the claim says that it was given up.
--- a/crates/idempotency/tests/world/mod.rs
+++ b/crates/idempotency/tests/world/mod.rs
@@ -97,6 +97,7 @@
     pub claims: Claims,
     pub paused_until: Duration,
     pub is_cut: bool,
+    pub domain: usize,
     pub clock_error_s: i64,
 }
 
@@ -230,12 +231,8 @@
     }
 
     fn writer(&self, shard: u8) -> usize {
-        let live = self.nodes.iter().map(|node| LiveNode {
-            node: node.id.clone(),
-            incarnation: Incarnation(node.incarnation),
-        });
-        let live: Vec<LiveNode> = live.collect();
-        let writer = writer_of(shard, &live).unwrap();
+        let ids = self.nodes.iter().map(|node| &node.id);
+        let writer = writer_of(shard, ids).unwrap();
         let mut nodes = self.nodes.iter();
         nodes.position(|node| node.id == *writer).unwrap()
     }
@@ -300,6 +297,7 @@
         let fresh = Node::new(node, incarnation, &self.settings);
         let old = std::mem::replace(&mut self.nodes[node], fresh);
         self.nodes[node].is_cut = old.is_cut;
+        self.nodes[node].domain = old.domain;
         self.nodes[node].clock_error_s = old.clock_error_s;
         self.spread_live_nodes();
     }
@@ -307,7 +305,8 @@
     /// Tells every node which others it can reach.
     pub fn spread_live_nodes(&mut self) {
         for to in 0..self.nodes.len() {
-            let reachable = |from: &Node| from.is_cut == self.nodes[to].is_cut;
+            let own = &self.nodes[to];
+            let reachable = |from: &Node| from.is_cut == own.is_cut && from.domain == own.domain;
             let nodes = self.nodes.iter().filter(|from| reachable(from));
             let nodes = nodes
                 .map(|node| LiveNode {
@@ -316,6 +315,14 @@
                 })
                 .collect();
             let incarnation = self.nodes[to].incarnation;
+            let all = self.nodes.iter().map(|node| node.id.clone()).collect();
+            let event = ClaimEvent::WriterCandidates { nodes: all };
+            let candidates = Item::Event {
+                node: to,
+                incarnation,
+                event,
+            };
+            self.put(Duration::ZERO, candidates);
             let event = ClaimEvent::LiveNodes { nodes };
             self.put(
                 Duration::ZERO,
@@ -838,6 +845,7 @@
             incarnation,
             paused_until: Duration::ZERO,
             is_cut: false,
+            domain: 0,
             clock_error_s: 0,
         }
     }
