Give work again to an engine that answers again, and take back Leaving

Cause: a node reads each engine's report itself, one after the other. One read that failed made the engine gone, and since reports of the same incarnation did not bring it back and nothing else is sent for engines, a cut of a moment cost this node the engine until its process restarted. A report now brings it back, slowly; one that was leaving stays so.

Membership's news that an upstream stays after all reached the router as a health check, which does not take back Leaving (a leaving upstream may be healthy). It has its own event now, RoutingEvent::Staying.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -122,10 +122,7 @@
             MembershipAction::AskVmList => self.read_vms(this),
             MembershipAction::UpstreamLeaving { upstream, .. } => self.leaving(upstream).await,
             MembershipAction::UpstreamStaying { upstream } => {
-                let event = RoutingEvent::Health {
-                    upstream,
-                    is_ready: true,
-                };
+                let event = RoutingEvent::Staying { upstream };
                 let _ = self.parts.dispatcher.send(Routed(event)).detach().await;
             }
             MembershipAction::GenerationSeen {
--- a/crates/routing/src/event.rs
+++ b/crates/routing/src/event.rs
@@ -91,18 +91,22 @@
         /// Whether it takes work.
         is_ready: bool,
     },
-    /// The upstream cannot be reached any more. A health check brings it back, or a report of
-    /// another incarnation; a late report of the same one does not.
+    /// The upstream cannot be reached any more. A health check or a report brings it back.
     UpstreamGone {
         /// The upstream.
         upstream: UpstreamId,
     },
-    /// The upstream is leaving: no new work from now on. Only another incarnation, or a health check
-    /// after it was gone, takes that back.
+    /// The upstream is leaving: no new work from now on. Only [`Self::Staying`], another
+    /// incarnation, or a health check after it was gone takes that back.
     Leaving {
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// The upstream is not leaving after all, as membership knows.
+    Staying {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// A new generation of the operators' text is in force.
     Plan(Arc<RoutingPlan>),
     /// What placement knows sooner than the reports.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -120,6 +120,7 @@
             }
             RoutingEvent::UpstreamGone { upstream } => self.upstream_gone(&upstream),
             RoutingEvent::Leaving { upstream } => self.leaving(&upstream),
+            RoutingEvent::Staying { upstream } => self.staying(&upstream, now, actions),
             RoutingEvent::Plan(plan) => self.replan(plan, now, rng, actions),
             RoutingEvent::AdapterState {
                 upstream,
--- a/crates/routing/src/upstream_events.rs
+++ b/crates/routing/src/upstream_events.rs
@@ -54,8 +54,12 @@
             }
             return true;
         }
-        // A late report does not bring back who is gone; a health check does.
-        !state.is_gone
+        if state.is_gone {
+            // It could not be reached and answers again. If it was leaving, it still is.
+            state.is_gone = false;
+            state.outlier.returned(now);
+        }
+        true
     }
 
     /// Takes over the adapters of a report, but for those that were told of more lately than a
@@ -188,6 +192,20 @@
         }
     }
 
+    pub(crate) fn staying(
+        &mut self,
+        upstream: &UpstreamId,
+        now: Instant,
+        actions: &mut Vec<RoutingAction>,
+    ) {
+        self.leaving_unlisted.remove(upstream);
+        if let Some(index) = self.upstream_by_id.get(upstream).copied() {
+            self.upstreams[index].is_leaving = false;
+            self.count_reachable(self.upstreams[index].service);
+            self.fill(index, now, actions);
+        }
+    }
+
     pub(crate) fn count_reachable(&mut self, service: usize) {
         let state = &mut self.services[service];
         let reachable = |members: &[u32]| {
