Load what is new and wanted by many first; measure it against LRU eviction

Cause: where more is wanted than the weight store loads, loading by waiting requests times age comes too late for requests that give up. And routine loads starved under urgent backlog, since urgent ones took each part of the rate before the routine turn could go (routine_loads_progress_under_urgent_backlog failed with 1 of 2 once more loads were under way).

Change: within a class, waiting requests squared over the cube of the age, every eighth load for the oldest; the routine turn may go whenever an urgent load could; a margin of 1.25 on the loads under way.

--- a/crates/measure/src/sim/mod.rs
+++ b/crates/measure/src/sim/mod.rs
@@ -16,3 +16,4 @@
 pub(crate) use scenario::Scenario;
 pub(crate) use simulation::simulate;
 pub(crate) use tally::Tally;
+pub(crate) use workload::arrivals;
--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -3,6 +3,7 @@
 mod compare;
 mod lagging_reports;
 mod overload;
+mod placement;
 mod retries;
 mod steady;
 mod weights_turned;
@@ -16,4 +17,8 @@
     lagging_reports::STUDY,
     retries::STUDY,
     weights_turned::STUDY,
+    placement::EVICTION,
+    placement::POPULARITY_SHIFT,
+    placement::COLD_RESTART,
+    placement::WEIGHT_STORE_FAILING,
 ];
--- a/crates/placement/src/load_scheduler.rs
+++ b/crates/placement/src/load_scheduler.rs
@@ -24,6 +24,10 @@
 const FIRST_LOAD_ESTIMATE: Duration = Duration::from_secs(1);
 /// By how much the fastest load is taken to grow with each load, so that it follows a change.
 const FASTEST_LOAD_DRIFT: f64 = 1.02;
+/// Every so many loads the one that was wanted longest ago goes first, so that none starves.
+const OLDEST_EVERY: u64 = 8;
+/// By how much the loads under way exceed what the rate needs on average.
+const LOADS_UNDER_WAY_MARGIN: f64 = 1.25;
 
 #[derive(Debug)]
 struct LoadInFlight {
@@ -60,6 +64,7 @@
     in_flight: Vec<LoadInFlight>,
     /// The shortest time of late until a load was seen to have ended.
     fastest_load: Duration,
+    permits: u64,
     urgent_in_a_row: u32,
     prefetched_at: Option<Instant>,
 }
@@ -71,6 +76,7 @@
             wants: HashMap::new(),
             in_flight: Vec::new(),
             fastest_load: FIRST_LOAD_ESTIMATE,
+            permits: 0,
             urgent_in_a_row: 0,
             prefetched_at: None,
         }
@@ -265,7 +271,9 @@
         let may_routine = self.may_load(Class::Routine, inputs);
         let may_urgent = self.may_load(Class::Urgent, inputs);
         let routine_turn = self.urgent_in_a_row + 1 >= inputs.settings.routine_every;
-        let first = if routine_turn && may_routine {
+        // On its turn a routine load may go when an urgent one may: the urgent ones take each part of
+        // the rate before a routine one could.
+        let first = if routine_turn && may_urgent {
             self.best_want(|origin| origin == WantOrigin::Routine, inputs)
         } else {
             None
@@ -298,7 +306,7 @@
     fn in_flight_limit(&self, inputs: &SchedulerInputs<'_>) -> usize {
         let needed = self.budget.rate_per_s(inputs.now) * self.fastest_load.as_secs_f64();
         let at_full_speed = inputs.plan.loads_at_full_speed.max(1) as usize;
-        at_full_speed.max(needed.round() as usize)
+        at_full_speed.max((needed * LOADS_UNDER_WAY_MARGIN).ceil() as usize)
     }
 
     fn best_want(
@@ -307,6 +315,7 @@
         inputs: &SchedulerInputs<'_>,
     ) -> Option<(AdapterRef, ChosenEngine)> {
         let now = inputs.now;
+        let oldest_turn = (self.permits + 1).is_multiple_of(OLDEST_EVERY);
         let is_due = |want: &Want| want.not_before.is_none_or(|at| now >= at);
         let (adapter, want) = self
             .wants
@@ -314,8 +323,10 @@
             .filter(|(_, want)| is_eligible(want.origin) && is_due(want))
             .max_by(|a, b| {
                 let by_origin = b.1.origin.cmp(&a.1.origin);
-                let by_weight = a.1.pressure(now).total_cmp(&b.1.pressure(now));
-                by_origin.then(by_weight).then_with(|| b.0.cmp(a.0))
+                let by_age = b.1.first_at.cmp(&a.1.first_at);
+                let by_pressure = a.1.pressure(now).total_cmp(&b.1.pressure(now));
+                let by_turn = if oldest_turn { by_age } else { by_pressure };
+                by_origin.then(by_turn).then_with(|| b.0.cmp(a.0))
             })?;
         let chosen = self.place(adapter, want, inputs)?;
         Some((adapter.clone(), chosen))
@@ -374,6 +385,7 @@
             Class::Urgent => self.urgent_in_a_row + 1,
             Class::Routine => 0,
         };
+        self.permits += 1;
         self.budget.spend(inputs.now);
         self.in_flight.push(LoadInFlight {
             adapter: adapter.clone(),
--- a/crates/placement/src/want.rs
+++ b/crates/placement/src/want.rs
@@ -4,6 +4,9 @@
 
 use nutmegsail_base::{Class, UpstreamId};
 
+/// A want younger than this is not more pressing for being new.
+const NEW_WANT_S: f64 = 0.1;
+
 /// Why an adapter is wanted. The order is that of loading.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum WantOrigin {
@@ -44,9 +47,13 @@
 }
 
 impl Want {
-    /// How pressing a want is: requests that wait, and more the longer they do.
+    /// How pressing a want is: requests that wait for it, and less the longer they have waited.
+    ///
+    /// Where more is wanted than the weight store can load, some requests give up. Loading what was
+    /// wanted longest ago first comes too late for most of them, and each new want then waits as
+    /// long as the last one.
     pub fn pressure(&self, now: Instant) -> f64 {
         let age_s = now.saturating_duration_since(self.first_at).as_secs_f64();
-        self.asked * (1.0 + age_s)
+        self.asked.powi(2) / (NEW_WANT_S + age_s).powi(3)
     }
 }
