--- a/crates/node/src/claims_keeper.rs
+++ b/crates/node/src/claims_keeper.rs
@@ -68,6 +68,9 @@
 /// The live nodes of the own failure domain.
 pub(crate) struct ClaimNodes(pub(crate) Vec<nutmegsail_membership::LiveNode>);
 
+/// The entry VMs of all failure domains, any of which may write claims.
+pub(crate) struct ClaimWriters(pub(crate) Vec<NodeId>);
+
 /// A message of another node about claims.
 pub(crate) struct ClaimsFromPeer {
     /// The node.
@@ -342,6 +345,15 @@
     }
 }
 
+impl Handler<ClaimWriters> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: ClaimWriters, context: &mut Context<Self>) {
+        let event = ClaimEvent::WriterCandidates { nodes: message.0 };
+        self.tell(event, &context.mailbox().address()).await;
+    }
+}
+
 impl Handler<ClaimsFromPeer> for ClaimsKeeper {
     type Return = ();
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,7 +19,7 @@
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
-use crate::claims_keeper::{ClaimNodes, ClaimsFromPeer, ClaimsKeeper};
+use crate::claims_keeper::{ClaimNodes, ClaimWriters, ClaimsFromPeer, ClaimsKeeper};
 use crate::dispatcher::{Dispatcher, Routed};
 use crate::loader::{FromPeer, LivePeers, Loader};
 use crate::text_keeper::{TextFromPeer, TextKeeper, TextSeen};
@@ -168,6 +168,18 @@
         let _ = self.parts.claims.send(ClaimNodes(nodes)).detach().await;
     }
 
+    /// Any entry VM of any failure domain may write claims, so its node must be reachable by name.
+    async fn claim_writers(&mut self, entry: &[Vm]) {
+        let live = entry.iter().filter(|vm| vm.state == VmState::Live);
+        let mut nodes = Vec::new();
+        for vm in live {
+            let address = vm.address.as_str().into();
+            self.addresses.entry(vm.id.clone()).or_insert(address);
+            nodes.push(vm.id.clone());
+        }
+        let _ = self.parts.claims.send(ClaimWriters(nodes)).detach().await;
+    }
+
     async fn leaving(&self, upstream: UpstreamId) {
         log_event!(self.parts.log, Event::UpstreamLeaving, "upstream" => upstream.to_string());
         let event = RoutingEvent::Leaving { upstream };
@@ -366,6 +378,7 @@
             .0
             .into_iter()
             .partition(|vm| vm.duty == VmDuty::Entry);
+        self.claim_writers(&entry).await;
         let vms = entry.into_iter().map(hint).collect();
         self.tell(MembershipEvent::VmListRead { vms }, &this).await;
         for vm in upstreams
