Show that no want starves behind newer ones

Story: three requests wait for each new adapter, one for an old one. Guard taken out: every eighth load for what was wanted longest ago; then a_want_of_one_request_is_not_starved_by_newer_wants_of_many failed. Also taken out: the routine turn in the urgent ones' place; then routine_loads_progress_under_urgent_backlog failed.

--- a/crates/placement/tests/load_scheduling.rs
+++ b/crates/placement/tests/load_scheduling.rs
@@ -66,6 +66,26 @@
     assert!(routine >= 2, "{routine} routine loads");
 }
 
+/// More is wanted than the weight store can load, and each new want has more requests behind it
+/// than an old one. The editor behind the old one must not wait until her deadline for that.
+#[test]
+fn a_want_of_one_request_is_not_starved_by_newer_wants_of_many() {
+    let mut world = world(plan(1, 400, 400, false));
+    for n in 1..100 {
+        if n == 20 {
+            world.request(0, &adapter(0), Class::Routine, ms(500));
+        }
+        for _ in 0..3 {
+            world.request(0, &adapter(n), Class::Routine, ms(500));
+        }
+        if n > 20 {
+            world.run(ms(100));
+        }
+    }
+    let loaded = loads(&world).iter().any(|load| load.2 == adapter(0));
+    assert!(loaded, "not among {} loads", loads(&world).len());
+}
+
 /// The weight store refuses loads for a while, whatever the adapter. Orders at the full rate of
 /// 3/s would keep it from recovering.
 #[test]
