Tell the claims the text's retention and skew

Cause: the node ran claims with the default limits whatever the text said; one key of another shape below the claims' prefix would have ended the removal of records. Change: each text in force sends Limits; removal filters the page; an entry VM that gives no heartbeats here is written to at the address that the VM list has now. Conclusion: claim_retention_ms and clock_skew_ms take effect with their text.

--- a/crates/idempotency/src/collector.rs
+++ b/crates/idempotency/src/collector.rs
@@ -51,7 +51,7 @@
             return;
         }
         let keys = result.unwrap_or_default().into_iter();
-        let old = keys.take_while(|key| is_past_retention(key, settings, wall));
+        let old = keys.filter(|key| is_past_retention(key, settings, wall));
         actions.extend(old.map(|key| ClaimAction::Delete { key }));
     }
 
--- a/crates/idempotency/src/place.rs
+++ b/crates/idempotency/src/place.rs
@@ -78,7 +78,7 @@
     let Some(bucket) = bucket_of(record_key) else {
         return false;
     };
-    let bucket_end = Duration::from_millis((bucket + 1) * BUCKET_MS);
+    let bucket_end = Duration::from_millis(bucket.saturating_add(1).saturating_mul(BUCKET_MS));
     let wall = wall
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -166,6 +166,7 @@
             watch,
             dispatcher: control.dispatcher.clone(),
             loader: control.loader.clone(),
+            claims: control.claims.clone(),
             peers: control.peers.clone(),
             log: self.log.clone(),
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -173,8 +173,11 @@
         let live = entry.iter().filter(|vm| vm.state == VmState::Live);
         let mut nodes = Vec::new();
         for vm in live {
-            let address = vm.address.as_str().into();
-            self.addresses.entry(vm.id.clone()).or_insert(address);
+            // Heartbeats know better where a live node is; of the others only the list tells.
+            if !self.live.contains(&vm.id) {
+                let address = vm.address.as_str().into();
+                self.addresses.insert(vm.id.clone(), address);
+            }
             nodes.push(vm.id.clone());
         }
         let _ = self.parts.claims.send(ClaimWriters(nodes)).detach().await;
--- a/crates/node/src/text_keeper.rs
+++ b/crates/node/src/text_keeper.rs
@@ -9,6 +9,7 @@
     Digest, Generation, Head, InForce, LiveNodes, Spread, SpreadAction, SpreadEvent, SpreadReport,
     TextSource, TextStore,
 };
+use nutmegsail_idempotency::ClaimEvent;
 use nutmegsail_membership::MembershipEvent;
 use nutmegsail_placement::{PlacementEvent, PlacementPlan};
 use nutmegsail_routing::RoutingEvent;
@@ -20,6 +21,7 @@
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
+use crate::claims_keeper::{ClaimTold, ClaimsKeeper};
 use crate::dispatcher::{Dispatcher, Routed};
 use crate::engine_watch::EngineWatch;
 use crate::loader::{Loader, Placed};
@@ -70,6 +72,8 @@
     pub(crate) dispatcher: Address<Dispatcher>,
     /// The loader.
     pub(crate) loader: Address<Loader>,
+    /// The claims.
+    pub(crate) claims: Address<ClaimsKeeper>,
     /// Other nodes.
     pub(crate) peers: Address<Peers>,
     /// The log.
@@ -201,6 +205,12 @@
         let plan = Arc::new(PlacementPlan::from_deployment(&text.deployment));
         let placed = Placed(PlacementEvent::Plan(plan));
         let _ = self.parts.loader.send(placed).detach().await;
+        let limits = &text.deployment.limits;
+        let limits = ClaimEvent::Limits {
+            retention: limits.claim_retention,
+            skew: limits.clock_skew,
+        };
+        let _ = self.parts.claims.send(ClaimTold(limits)).detach().await;
         let event = MembershipEvent::OwnGeneration { generation, digest };
         let _ = self.parts.peers.send(Told(event)).detach().await;
         self.watching = self.parts.watch.watch(&text.deployment);
