Let routine work leave a failure domain whose upstreams are all paused

Cause: upstreams that are paused or ejected still counted as reachable, so routine work was kept home and waited. The earliest end of the pauses is now kept for each service; until then work may leave. routine_work_leaves_a_domain_whose_upstreams_all_refuse fails without it.

--- a/crates/measure/src/sim/baseline.rs
+++ b/crates/measure/src/sim/baseline.rs
@@ -130,6 +130,8 @@
     ) {
     }
 
+    fn gone(&mut self, _: usize, _: Duration, _: &mut Vec<Order>) {}
+
     fn tick(&mut self, _: Duration, _: &mut Vec<Order>) {}
 
     fn sends_before_ready(&self) -> bool {
--- a/crates/measure/src/sim/engine.rs
+++ b/crates/measure/src/sim/engine.rs
@@ -114,6 +114,12 @@
         self.in_flight() < before
     }
 
+    /// Loses every request.
+    pub(crate) fn drop_all(&mut self) {
+        self.running.clear();
+        self.waiting.clear();
+    }
+
     /// The adapter that could make room: idle for longest.
     pub(crate) fn evictable(&self) -> Option<usize> {
         let idle = self.slots.iter().filter(|slot| {
--- a/crates/measure/src/sim/policy.rs
+++ b/crates/measure/src/sim/policy.rs
@@ -50,6 +50,8 @@
         now: Duration,
         out: &mut Vec<Order>,
     );
+    /// The engine cannot be reached any more.
+    fn gone(&mut self, engine: usize, now: Duration, out: &mut Vec<Order>);
     fn tick(&mut self, now: Duration, out: &mut Vec<Order>);
     /// Whether requests are sent to engines that do not hold their adapter, and wait there.
     fn sends_before_ready(&self) -> bool;
--- a/crates/measure/src/sim/router_policy.rs
+++ b/crates/measure/src/sim/router_policy.rs
@@ -155,6 +155,13 @@
         }
     }
 
+    fn gone(&mut self, engine: usize, now: Duration, out: &mut Vec<Order>) {
+        for node in 0..self.routers.len() {
+            let upstream = upstream(engine);
+            self.tell(node, RoutingEvent::UpstreamGone { upstream }, now, out);
+        }
+    }
+
     fn tick(&mut self, now: Duration, out: &mut Vec<Order>) {
         for node in 0..self.routers.len() {
             self.tell(node, RoutingEvent::Tick, now, out);
--- a/crates/measure/src/sim/scenario.rs
+++ b/crates/measure/src/sim/scenario.rs
@@ -35,6 +35,8 @@
     pub(crate) measured: Duration,
     /// The share of attempts that fail while measured.
     pub(crate) failing_share: f64,
+    /// Whether the first failure domain loses its engines once the run is measured.
+    pub(crate) loses_domain: bool,
     /// Whether every adapter is ready everywhere, to look at load alone.
     pub(crate) has_all_adapters: bool,
 }
@@ -67,6 +69,7 @@
             warm_up: Duration::from_secs(60),
             measured: Duration::from_secs(120),
             failing_share: 0.0,
+            loses_domain: false,
             has_all_adapters: false,
         }
     }
--- a/crates/measure/src/sim/simulation.rs
+++ b/crates/measure/src/sim/simulation.rs
@@ -36,6 +36,7 @@
     engines: Vec<FakeEngine>,
     /// By request: the engine that has it.
     assigned: Vec<Option<usize>>,
+    is_lost: Vec<bool>,
     loader: Loader,
     timeline: Timeline,
     rng: ChaCha8Rng,
@@ -66,6 +67,7 @@
             policy,
             engines: (0..scenario.engines()).map(engine).collect(),
             assigned: vec![None; requests.len()],
+            is_lost: vec![false; scenario.engines()],
             loader: Loader::new(kind.is_first_come()),
             timeline: Timeline::default(),
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0xfa11),
@@ -94,7 +96,9 @@
             }
             if !is_warm && at >= self.scenario.warm_up {
                 is_warm = true;
+                self.now = at;
                 self.reset_counters();
+                self.lose_domain();
             }
             self.now = at;
             self.take(event);
@@ -102,6 +106,25 @@
         self.now = end;
     }
 
+    /// Takes the first failure domain's engines away, with what runs on them.
+    fn lose_domain(&mut self) {
+        if !self.scenario.loses_domain {
+            return;
+        }
+        let mut orders = Vec::new();
+        for engine in self.engines_of(0) {
+            self.is_lost[engine] = true;
+            self.policy.gone(engine, self.now, &mut orders);
+        }
+        for request in 0..self.requests.len() {
+            if let Some(engine) = self.assigned[request].filter(|engine| self.is_lost[*engine]) {
+                self.engines[engine].drop_all();
+                self.end(request, engine, Outcome::Failed, &mut orders);
+            }
+        }
+        self.carry_out(orders);
+    }
+
     fn reset_counters(&mut self) {
         for engine in &mut self.engines {
             engine.steps = 0;
@@ -117,7 +140,8 @@
             .iter()
             .filter(|r| r.at >= self.scenario.warm_up);
         for request in measured {
-            self.tally.count(request, self.now);
+            let domain = self.scenario.domain_of_node(request.node);
+            self.tally.count(request, domain, self.now);
         }
         for engine in &self.engines {
             self.tally.steps += engine.steps;
@@ -138,6 +162,8 @@
                 self.end(request, engine, Outcome::Failed, &mut orders);
             }
             SimEvent::Sample(engine) => self.sample(engine),
+            // What a lost engine said before does not overtake the news of its loss.
+            SimEvent::Report { engine, .. } if self.is_lost[engine] => {}
             SimEvent::Report { engine, report } => {
                 self.policy.report(engine, &report, self.now, &mut orders);
             }
@@ -236,6 +262,10 @@
         let what = &mut self.requests[request];
         what.sends += 1;
         self.assigned[request] = Some(engine);
+        if self.is_lost[engine] {
+            self.end(request, engine, Outcome::RefusedByUpstream, orders);
+            return;
+        }
         let fails = self.now >= self.scenario.warm_up
             && self.rng.random::<f64>() < self.scenario.failing_share;
         if fails {
@@ -307,6 +337,9 @@
     }
 
     fn sample(&mut self, engine: usize) {
+        if self.is_lost[engine] {
+            return;
+        }
         let report = self.engines[engine].report();
         let at = self.now + self.scenario.report_lag;
         self.timeline.add(at, SimEvent::Report { engine, report });
--- a/crates/measure/src/sim/tally.rs
+++ b/crates/measure/src/sim/tally.rs
@@ -25,6 +25,8 @@
     sent: u64,
     unanswered: u64,
     first_token: [Histogram<u64>; 2],
+    /// First tokens of urgent requests that arrived outside the first failure domain.
+    urgent_elsewhere: Histogram<u64>,
     pub(crate) steps: u64,
     pub(crate) step_requests: u64,
     pub(crate) batch_slots: u64,
@@ -51,6 +53,7 @@
             sent: 0,
             unanswered: 0,
             first_token: [histogram(), histogram()],
+            urgent_elsewhere: histogram(),
             steps: 0,
             step_requests: 0,
             batch_slots: scenario.batch_slots as u64,
@@ -66,7 +69,7 @@
     ///
     /// One without a first token counts with the time it has waited, so that a policy does not look
     /// better for what it left waiting.
-    pub(crate) fn count(&mut self, request: &SimRequest, end: Duration) {
+    pub(crate) fn count(&mut self, request: &SimRequest, domain: usize, end: Duration) {
         self.requests += 1;
         self.shed += u64::from(request.is_shed);
         self.sends += u64::from(request.sends);
@@ -83,7 +86,11 @@
             .first_token
             .unwrap_or(end)
             .saturating_sub(request.at);
-        self.first_token[request.class as usize].saturating_record(first.as_micros() as u64);
+        let first_us = first.as_micros() as u64;
+        self.first_token[request.class as usize].saturating_record(first_us);
+        if request.class == Class::Urgent && domain > 0 {
+            self.urgent_elsewhere.saturating_record(first_us);
+        }
     }
 
     pub(crate) fn load_stall_s_per_request(&self) -> f64 {
@@ -102,6 +109,10 @@
         self.first_token[class as usize].value_at_quantile(quantile) as f64 / 1_000.0
     }
 
+    pub(crate) fn urgent_elsewhere_ms(&self, quantile: f64) -> f64 {
+        self.urgent_elsewhere.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
     pub(crate) fn retries_per_request(&self) -> f64 {
         (self.sends - self.sent) as f64 / self.sent.max(1) as f64
     }
--- a/crates/measure/src/studies/compare.rs
+++ b/crates/measure/src/studies/compare.rs
@@ -11,7 +11,7 @@
     pub(crate) read: fn(&Tally) -> f64,
 }
 
-const fn column(name: &'static str, read: fn(&Tally) -> f64) -> Column {
+pub(crate) const fn column(name: &'static str, read: fn(&Tally) -> f64) -> Column {
     Column { name, read }
 }
 
@@ -40,6 +40,17 @@
 
 /// Runs `kind` on `scenario` once for each seed.
 pub(crate) fn row(scenario: &Scenario, kind: &PolicyKind, label: &str, seeds: &[u64]) -> Row {
+    row_of(COLUMNS, scenario, kind, label, seeds)
+}
+
+/// Runs `kind` on `scenario` once for each seed, for these measures.
+pub(crate) fn row_of(
+    columns: &[Column],
+    scenario: &Scenario,
+    kind: &PolicyKind,
+    label: &str,
+    seeds: &[u64],
+) -> Row {
     let tallies: Vec<Tally> = std::thread::scope(|scope| {
         let spawn = |seed: &u64| {
             let seed = *seed;
@@ -58,7 +69,7 @@
     Row {
         deployment: scenario.deployment.to_owned(),
         policy: label.to_owned(),
-        measures: COLUMNS.iter().map(measure).collect(),
+        measures: columns.iter().map(measure).collect(),
     }
 }
 
--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -1,6 +1,7 @@
 //! The studies, a file each.
 
 mod compare;
+mod domain_lost;
 mod lagging_reports;
 mod overload;
 mod placement;
@@ -16,6 +17,7 @@
     overload::STUDY,
     lagging_reports::STUDY,
     retries::STUDY,
+    domain_lost::STUDY,
     weights_turned::STUDY,
     placement::EVICTION,
     placement::POPULARITY_SHIFT,
--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -66,15 +66,17 @@
 
     /// Whether requests of `class` may leave this failure domain.
     ///
-    /// Only for what the own domain cannot serve: it has no upstream, or none with the adapter, or
+    /// Only for what the own domain cannot serve: it has no upstream that takes work, or none with the
+    /// adapter, or
     /// the request is urgent and waits, which shows that the own domain had no place.
     pub(crate) fn may_spill(
         &self,
         service: usize,
         adapter: &Option<AdapterRef>,
         class: Class,
+        now: Instant,
     ) -> bool {
-        if class == Class::Urgent || self.services[service].reachable_own == 0 {
+        if class == Class::Urgent || self.services[service].is_own_out(now) {
             return true;
         }
         let Some(adapter) = adapter else {
@@ -95,7 +97,8 @@
             && state.is_usable(now)
             && !request.has_tried(upstream)
             && (adapter.as_ref()).is_none_or(|adapter| state.holds(adapter) == Some(true))
-            && (state.is_own || self.may_spill(request.service, adapter, request.arrival.class))
+            && (state.is_own
+                || self.may_spill(request.service, adapter, request.arrival.class, now))
     }
 
     /// The best of a few upstreams drawn at random that may start `request` now.
--- a/crates/routing/src/ended.rs
+++ b/crates/routing/src/ended.rs
@@ -125,6 +125,8 @@
                     .outlier
                     .refused(now, &self.settings);
                 state.tried.push(upstream as u32);
+                let service = state.service;
+                self.count_reachable(service);
                 (ResultCode::UpstreamRefused, true)
             }
             Outcome::AdapterAbsent if !has_first_byte => {
@@ -172,6 +174,7 @@
         let at_least = if members.len() > 1 { 1.0 } else { 0.0 };
         if (ejected as f64) + 1.0 <= allowed.max(at_least) {
             self.upstreams[upstream].outlier.eject(now, &self.settings);
+            self.count_reachable(self.upstreams[upstream].service);
         }
     }
 
--- a/crates/routing/src/explain.rs
+++ b/crates/routing/src/explain.rs
@@ -123,7 +123,7 @@
             Standing::AdapterAbsent
         } else if held == Some(Some(false)) {
             Standing::AdapterLoading
-        } else if !state.is_own && !self.may_spill(state.service, adapter, class) {
+        } else if !state.is_own && !self.may_spill(state.service, adapter, class, now) {
             Standing::OwnDomainServes
         } else if !self.has_place(upstream, class, false, now) {
             Standing::NoPlace
--- a/crates/routing/src/outlier.rs
+++ b/crates/routing/src/outlier.rs
@@ -73,6 +73,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// When the upstream gets work again, if it gets none now or got none lately.
+    pub(crate) fn paused_until(&self) -> Option<Instant> {
+        self.ejected_until.max(self.refused_until)
+    }
+
     pub(crate) fn is_paused(&self, now: Instant) -> bool {
         self.is_ejected(now) || self.refused_until.is_some_and(|until| now < until)
     }
--- a/crates/routing/src/service_state.rs
+++ b/crates/routing/src/service_state.rs
@@ -68,6 +68,8 @@
     pub(crate) whole: [Expected; 2],
     pub(crate) reachable_own: u32,
     pub(crate) reachable: u32,
+    /// Until when every reachable upstream of the own failure domain is ejected or paused.
+    pub(crate) own_paused_until: Option<Instant>,
     /// Other nodes' requests on one upstream, on average.
     pub(crate) usual_others: f64,
 }
@@ -90,6 +92,7 @@
             whole: [Expected::default(); 2],
             reachable_own: 0,
             reachable: 0,
+            own_paused_until: None,
             usual_others: 0.0,
         }
     }
@@ -102,6 +105,11 @@
         &mut self.queues[class as usize]
     }
 
+    /// Whether this node's failure domain has nobody to give work to.
+    pub(crate) fn is_own_out(&self, now: Instant) -> bool {
+        self.reachable_own == 0 || self.own_paused_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn has_waiting(&self) -> bool {
         self.queues.iter().any(|queue| !queue.is_empty())
     }
--- a/crates/routing/src/upstream_events.rs
+++ b/crates/routing/src/upstream_events.rs
@@ -216,5 +216,13 @@
         };
         state.reachable_own = reachable(&state.own);
         state.reachable = state.reachable_own + reachable(&state.foreign);
+        let own = state
+            .own
+            .iter()
+            .map(|upstream| &self.upstreams[*upstream as usize]);
+        let own = own.filter(|upstream| upstream.is_reachable());
+        // The earliest end of a pause; one that never paused sorts first.
+        let paused = own.map(|upstream| upstream.outlier.paused_until()).min();
+        state.own_paused_until = paused.flatten();
     }
 }
--- a/crates/routing/tests/failure_domains.rs
+++ b/crates/routing/tests/failure_domains.rs
@@ -93,6 +93,20 @@
     assert!(actions.iter().any(is_here), "{actions:?}");
 }
 
+/// A failure domain's upstreams cannot be reached, and nothing but refused connections shows it yet.
+/// While all of them are paused, routine work would wait here though other domains could serve it.
+#[test]
+fn routine_work_leaves_a_domain_whose_upstreams_all_refuse() {
+    let mut bench = Bench::new(two_domains().with_retry_budget(0.2));
+    let (call, _) = bench.send(Class::Routine);
+    let second = bench.end(&call, Outcome::RefusedByUpstream);
+    assert!(dispatched(&second).is_some_and(|upstream| upstream.starts_with('u')));
+
+    let third = bench.end(&call, Outcome::RefusedByUpstream);
+
+    assert!(dispatched(&third).is_some_and(|upstream| upstream.starts_with("far")));
+}
+
 /// Operators take a service out of the text while requests wait for it. Nobody will ever answer
 /// them, so they are told now; what runs is left to finish.
 #[test]
