--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -13,6 +13,7 @@
 mod heartbeat;
 mod membership;
 mod own_account;
+mod peer;
 mod peers;
 mod ranking;
 mod settings;
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{Incarnation, NodeId};
+use nutmegsail_base::NodeId;
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 
+use crate::peer::{Peer, Reach, Sighting};
 use crate::{
     BeatKey, Contact, KeyedBeat, LiveNode, MembershipAction, MembershipNote, MembershipSettings,
-    NodeState, PeerBeat,
+    PeerBeat,
 };
 
 /// How many nodes must vanish at once for it to look like a fault of the path to them.
@@ -20,51 +21,11 @@
 const INTRODUCED_FOR: Duration = Duration::from_secs(10);
 /// How many introductions go with a heartbeat.
 const INTRODUCTIONS: usize = 16;
-/// How long a node that came back stays out of the live nodes; doubles with each return.
-const RETURN_WAIT: Duration = Duration::from_millis(500);
-const RETURN_WAIT_MAX: Duration = Duration::from_secs(30);
 /// How long a node must be reachable for its earlier returns to be forgotten.
 const RETURNS_FORGOTTEN: Duration = Duration::from_secs(60);
 /// How many times `removed_after_ms` a node that was given up is remembered.
 const GONE_KEPT: u32 = 10;
 
-/// What was learned of a node, by itself or through another one.
-pub(crate) struct Sighting {
-    pub(crate) beat: PeerBeat,
-    pub(crate) is_direct: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Peer {
-    incarnation: Incarnation,
-    beat: u64,
-    /// When the highest beat was learned of.
-    heard_at: Instant,
-    /// Since when this incarnation is known.
-    known_since: Instant,
-    state: NodeState,
-    is_listed_leaving: bool,
-    generation: u64,
-    address: Option<Arc<str>>,
-    reach: Reach,
-    returns: u32,
-    live_from: Instant,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reach {
-    Reachable,
-    Unreachable {
-        since: Instant,
-        /// Set while a mass loss is held: the node still counts as live until then.
-        live_until: Option<Instant>,
-    },
-    /// Given up. Remembered, so that a late message does not bring it back.
-    Gone {
-        since: Instant,
-    },
-}
-
 /// The other nodes of the own failure domain.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peers {
@@ -86,112 +47,6 @@
     VmList,
 }
 
-impl Peer {
-    fn new(beat: PeerBeat, now: Instant) -> Self {
-        Self {
-            incarnation: beat.incarnation,
-            beat: beat.beat,
-            heard_at: now,
-            known_since: now,
-            state: beat.state,
-            is_listed_leaving: false,
-            generation: beat.generation,
-            address: beat.address,
-            reach: Reach::Reachable,
-            returns: 0,
-            live_from: now,
-        }
-    }
-
-    fn is_live(&self, now: Instant) -> bool {
-        let counts = match self.reach {
-            Reach::Reachable => now >= self.live_from,
-            Reach::Unreachable { live_until, .. } => live_until.is_some_and(|until| now < until),
-            Reach::Gone { .. } => false,
-        };
-        counts && self.state == NodeState::Ready && !self.is_listed_leaving
-    }
-
-    /// Whether a sighting is newer than what is known.
-    ///
-    /// Incarnations of one node rise. The exception is a VM whose clock was set back: it is
-    /// believed if it speaks for itself while its former incarnation is silent.
-    fn is_news(&self, sighting: &Sighting) -> bool {
-        let seen = (sighting.beat.incarnation, sighting.beat.beat);
-        let is_set_back = sighting.is_direct && self.reach != Reach::Reachable;
-        seen > (self.incarnation, self.beat)
-            || (is_set_back && sighting.beat.incarnation != self.incarnation)
-    }
-
-    fn take_in(&mut self, beat: PeerBeat, now: Instant) -> Option<MembershipNote> {
-        let note = self.note_of(&beat);
-        if beat.incarnation != self.incarnation {
-            self.known_since = now;
-        }
-        if self.reach != Reach::Reachable {
-            self.delay_return(now);
-        }
-        self.incarnation = beat.incarnation;
-        self.beat = beat.beat;
-        self.heard_at = now;
-        self.state = beat.state;
-        self.generation = beat.generation;
-        self.address = beat.address.or_else(|| self.address.take());
-        note
-    }
-
-    fn note_of(&self, beat: &PeerBeat) -> Option<MembershipNote> {
-        let node = beat.node.clone();
-        if beat.incarnation != self.incarnation {
-            return Some(MembershipNote::PeerRestarted(node));
-        }
-        if self.reach != Reach::Reachable {
-            return Some(MembershipNote::PeerReturned(node));
-        }
-        let starts_leaving = beat.state == NodeState::Leaving && self.state != NodeState::Leaving;
-        starts_leaving.then_some(MembershipNote::PeerLeaving(node))
-    }
-
-    /// A node that comes and goes would move the ownership of engines with each flap, and every
-    /// move keeps evictions waiting for a pin's whole life. So each return counts later than the
-    /// one before.
-    fn delay_return(&mut self, now: Instant) {
-        if let Reach::Unreachable {
-            live_until: Some(until),
-            ..
-        } = self.reach
-            && now < until
-        {
-            self.reach = Reach::Reachable;
-            return;
-        }
-        let wait = RETURN_WAIT * 2u32.saturating_pow(self.returns.min(8));
-        self.reach = Reach::Reachable;
-        self.returns += 1;
-        self.live_from = now + wait.min(RETURN_WAIT_MAX);
-    }
-
-    fn to_beat(&self, node: &NodeId) -> PeerBeat {
-        PeerBeat {
-            node: node.clone(),
-            incarnation: self.incarnation,
-            beat: self.beat,
-            state: self.state,
-            generation: self.generation,
-            address: self.address.clone(),
-        }
-    }
-
-    fn to_keyed(&self, node: &NodeId) -> KeyedBeat {
-        KeyedBeat {
-            key: BeatKey::new(node, self.incarnation),
-            beat: self.beat,
-            state: self.state,
-            generation: self.generation,
-        }
-    }
-}
-
 impl Peers {
     /// Takes in what was learned of a node. Returns whether it was new, with a note if it matters.
     pub(crate) fn sight(&mut self, sighting: Sighting, now: Instant) -> Option<MembershipNote> {
