Hand ticket calls to their node, and prove once-only calls on sockets

Cause: a call whose ticket names another node was answered "may have run" without being sent, no caller could get a ticket, and the claims kept their default retention and skew whatever the text said.

Change: a call with another node's ticket travels there (Forward, ForwardAnswer) and runs as one of that node's own calls; only a message that the link did not take counts as not sent. POST /v1/tickets gives a key that names this run of the node.

--- a/crates/base/src/result_code.rs
+++ b/crates/base/src/result_code.rs
@@ -81,6 +81,7 @@
     4006 InProgress 409 true "The call with this key is still running.";
     4007 OutcomeUnknown 409 false "The call with this key may have run; it is never sent again.";
     4008 ClaimUnavailable 503 true "The claim could not be recorded; the call did not run.";
+    4009 AnswerNotKept 409 false "The call with this key ran; its answer was too large to be kept.";
     5001 TextInvalid 400 false "The operators' text has faults.";
     5002 TextConflict 409 true "Another operator changed the text first.";
     5003 TextTooLarge 413 false "The operators' text does not fit the platform's limits.";
--- a/crates/front/src/callers_service.rs
+++ b/crates/front/src/callers_service.rs
@@ -83,6 +83,7 @@
         match route {
             Route::Healthz => Ok(json_response(StatusCode::OK, r#"{"healthy":true}"#)),
             Route::Readyz => self.readyz(accepted),
+            Route::Ticket => self.ticket(accepted),
             Route::Resume(handle) => self.resume(handle, accepted, request.headers(), peer).await,
             Route::Generate(path) => match reader.generation(path, request).await {
                 Ok(generate) => self.generate(accepted, generate).await,
@@ -109,6 +110,15 @@
         Ok(json_response(StatusCode::OK, r#"{"ready":true}"#))
     }
 
+    fn ticket(&self, accepted: Request<Accepted>) -> Reply {
+        let Some(ticket) = self.handler.ticket() else {
+            let fault = RequestFault::new(ResultCode::NodeLeaving, "another node gives tickets");
+            return Err(fault.refuse(accepted));
+        };
+        let body = serde_json::json!({ "idempotency_key": ticket });
+        Ok(json_response(StatusCode::CREATED, body.to_string()))
+    }
+
     async fn generate(&self, accepted: Request<Accepted>, generate: Generate) -> Reply {
         let id = accepted.hand_over();
         let path = generate.path;
--- a/crates/front/src/handler.rs
+++ b/crates/front/src/handler.rs
@@ -25,6 +25,9 @@
     async fn resume(&self, handle: AnswerHandle, after: u64) -> Result<Answer, Refusal>;
     /// Calls a plain service.
     async fn call(&self, request: PlainCall) -> Result<PlainAnswer, Refusal>;
+    /// A new key for one call that runs once, which only this run of the node may ever run; `None`
+    /// while the node is leaving.
+    fn ticket(&self) -> Option<String>;
     /// Answers an operator, in JSON.
     async fn operators(&self, query: OperatorsQuery) -> Result<Bytes, Refusal>;
 }
--- a/crates/front/src/route.rs
+++ b/crates/front/src/route.rs
@@ -14,6 +14,8 @@
     Resume(&'a str),
     /// A plain service, with the path below it.
     Plain { service: &'a str, path: &'a str },
+    /// A new ticket.
+    Ticket,
     /// Whether the process runs.
     Healthz,
     /// Whether the node takes requests.
@@ -38,6 +40,9 @@
         if let Some(handle) = path.strip_prefix("/v1/answers/") {
             return only(method, &[Method::GET], "GET", Self::Resume(handle));
         }
+        if path == "/v1/tickets" {
+            return only(method, &[Method::POST], "POST", Self::Ticket);
+        }
         if let Some(rest) = path.strip_prefix("/svc/") {
             let (service, path) = rest
                 .find('/')
--- a/crates/front/tests/front/support.rs
+++ b/crates/front/tests/front/support.rs
@@ -139,6 +139,10 @@
         answer
     }
 
+    fn ticket(&self) -> Option<String> {
+        Some("ticket.node-1.7.018bcfe5-6800-7000-8000-000000000001".to_owned())
+    }
+
     async fn operators(&self, query: OperatorsQuery) -> Result<Bytes, Refusal> {
         self.asked.lock().expect("not poisoned").push(query);
         Ok(Bytes::from("{}"))
--- a/crates/node/src/claims_keeper.rs
+++ b/crates/node/src/claims_keeper.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use arc_swap::ArcSwapOption;
 use nutmegsail_base::{Clock, Incarnation, NodeId, RequestId, ResultCode, RunState};
+use nutmegsail_config::{Generation, InForce};
 use nutmegsail_idempotency::{
     ClaimAction, ClaimEvent, ClaimOutcome, ClaimSettings, ClaimToken, Claims, ForwardResult,
     IdempotencyKey, LiveNode, RecordedAnswer, RequestDigest, StoreFault, StoredRecord, SwapFault,
@@ -15,10 +17,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use slog::Logger;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
+use crate::forwards::ForwardArrived;
 use crate::peers::{Peers, SendTo};
 
 /// What a once-only call is told.
@@ -26,6 +29,11 @@
 pub(crate) enum ClaimVerdict {
     /// Dispatch it now, once.
     Run,
+    /// Hand it to the node that its ticket names, and ask with [`ClaimForwarded`] what to say.
+    Forward {
+        /// The node.
+        to: NodeId,
+    },
     /// Answer it with what an earlier call with its key got.
     Answer(RecordedAnswer),
     /// Refuse it.
@@ -51,6 +59,22 @@
     pub(crate) verdict: oneshot::Sender<ClaimVerdict>,
 }
 
+/// A call was handed to the node that its ticket names.
+pub(crate) struct ClaimForwarded {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// What came of it.
+    pub(crate) result: ForwardResult,
+    /// Told what to say to the caller.
+    pub(crate) verdict: oneshot::Sender<ClaimVerdict>,
+}
+
+/// From now on messages about forwarded calls go here.
+pub(crate) struct TakeForwards(pub(crate) mpsc::Sender<ForwardArrived>);
+
+/// Asks how many calls run or have an outcome that the store does not know yet.
+pub(crate) struct AskUnsettled;
+
 /// Bytes of a claimed request are about to be sent.
 pub(crate) struct ClaimDispatched(pub(crate) RequestId);
 
@@ -91,6 +115,8 @@
     pub(crate) store: Arc<dyn KeyValue>,
     /// Other nodes.
     pub(crate) peers: Address<Peers>,
+    /// The text in force.
+    pub(crate) in_force: Arc<ArcSwapOption<InForce>>,
     /// The log.
     pub(crate) log: Logger,
 }
@@ -101,6 +127,9 @@
     claims: Claims,
     parts: ClaimsParts,
     waiting: HashMap<RequestId, oneshot::Sender<ClaimVerdict>>,
+    forwards: Option<mpsc::Sender<ForwardArrived>>,
+    /// The text whose limits hold for keys.
+    judged_by: Option<Generation>,
 }
 
 impl ClaimsKeeper {
@@ -112,6 +141,8 @@
             claims,
             parts,
             waiting: HashMap::new(),
+            forwards: None,
+            judged_by: None,
         }
     }
 
@@ -145,14 +176,9 @@
                 };
                 self.verdict(&request, refuse, this);
             }
-            // TODO: pass the call on over the wire. Until then a ticket of another node is answered
-            // as sent without an answer, which is never called "not run".
-            ClaimAction::Forward { request, .. } => {
-                let event = ClaimEvent::Forwarded {
-                    request,
-                    result: ForwardResult::NoAnswer,
-                };
-                tell_later(this, event);
+            ClaimAction::Forward { request, to, .. } => {
+                // The key carries the incarnation, which the other node compares with its own.
+                self.verdict(&request, ClaimVerdict::Forward { to }, this);
             }
             ClaimAction::Read { .. }
             | ClaimAction::Swap { .. }
@@ -164,7 +190,7 @@
                     token: token.0,
                     entries,
                 };
-                let _ = self.parts.peers.send(SendTo { to, message }).detach().await;
+                self.ask_writer(SendTo { to, message }, token, this);
             }
             ClaimAction::AnswerAsked { to, token, results } => {
                 let results = encode(&results);
@@ -194,6 +220,35 @@
         }
     }
 
+    /// A writer without a known address is not waited for.
+    fn ask_writer(&self, ask: SendTo, token: ClaimToken, this: &WeakAddress<Self>) {
+        let Some(this) = this.try_upgrade() else {
+            return;
+        };
+        let peers = self.parts.peers.clone();
+        tokio::spawn(async move {
+            if !peers.send(ask).await.unwrap_or(false) {
+                let event = ClaimEvent::WriterUnreachable { token };
+                let _ = this.send(ClaimTold(event)).detach().await;
+            }
+        });
+    }
+
+    /// Keys are judged by the text in force when their call arrives.
+    async fn take_limits(&mut self, this: &WeakAddress<Self>) {
+        let text = self.parts.in_force.load_full();
+        let Some(text) = text.filter(|text| self.judged_by < Some(text.generation)) else {
+            return;
+        };
+        self.judged_by = Some(text.generation);
+        let limits = &text.deployment.limits;
+        let event = ClaimEvent::Limits {
+            retention: limits.claim_retention,
+            skew: limits.clock_skew,
+        };
+        self.tell(event, this).await;
+    }
+
     fn call_store(&self, action: ClaimAction, this: &WeakAddress<Self>) {
         let Some(this) = this.try_upgrade() else {
             return;
@@ -293,6 +348,7 @@
             digest,
             verdict,
         } = message;
+        self.take_limits(&context.mailbox().address()).await;
         self.waiting.insert(request.clone(), verdict);
         let event = ClaimEvent::Begin {
             request,
@@ -303,6 +359,37 @@
     }
 }
 
+impl Handler<ClaimForwarded> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: ClaimForwarded, context: &mut Context<Self>) {
+        let ClaimForwarded {
+            request,
+            result,
+            verdict,
+        } = message;
+        self.waiting.insert(request.clone(), verdict);
+        let event = ClaimEvent::Forwarded { request, result };
+        self.tell(event, &context.mailbox().address()).await;
+    }
+}
+
+impl Handler<TakeForwards> for ClaimsKeeper {
+    type Return = ();
+
+    async fn handle(&mut self, message: TakeForwards, _: &mut Context<Self>) {
+        self.forwards = Some(message.0);
+    }
+}
+
+impl Handler<AskUnsettled> for ClaimsKeeper {
+    type Return = usize;
+
+    async fn handle(&mut self, _: AskUnsettled, _: &mut Context<Self>) -> usize {
+        self.claims.unsettled()
+    }
+}
+
 impl Handler<ClaimDispatched> for ClaimsKeeper {
     type Return = ();
 
@@ -358,8 +445,15 @@
     type Return = ();
 
     async fn handle(&mut self, message: ClaimsFromPeer, context: &mut Context<Self>) {
-        let from = message.from;
-        let event = match message.message {
+        let ClaimsFromPeer { from, message } = message;
+        let event = match message {
+            NodeMessage::Forward(_) | NodeMessage::ForwardAnswer(_) => {
+                // A message that finds the queue full is lost, as any message between nodes may be.
+                if let Some(forwards) = &self.forwards {
+                    let _ = forwards.try_send(ForwardArrived { from, message });
+                }
+                return;
+            }
             NodeMessage::ClaimAsk { token, entries } => {
                 decode::<Vec<WriterEntry>>(&entries).map(|entries| ClaimEvent::WriterAsked {
                     from,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,10 +5,13 @@
 //! [`Node::start`] from [`NodeSettings`]; end it with [`Node::shutdown`].
 
 mod attempt;
+mod claimed_run;
 mod claims_keeper;
 mod control;
 mod dispatcher;
 mod engine_watch;
+mod forwarded_call;
+mod forwards;
 mod generation;
 mod loader;
 mod node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,16 +8,19 @@
 use arc_swap::ArcSwapOption;
 use nutmegsail_base::{Clock, Incarnation, ResultCode};
 use nutmegsail_front::{Front, FrontError};
+use nutmegsail_idempotency::Ticket;
 use nutmegsail_membership::MembershipEvent;
 use nutmegsail_telemetry::{Event, log_event};
 use nutmegsail_wire::{Link, WireError};
 use slog::Logger;
 use thiserror::Error;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::claims_keeper::{AskUnsettled, TakeForwards};
 use crate::control::{Control, ControlParts};
+use crate::forwards::{FORWARDS_QUEUE, Forwards};
 use crate::generation::Generations;
 use crate::peers::Told;
 use crate::plain_calls::PlainCalls;
@@ -52,6 +55,13 @@
 /// How long a shutdown waits before it looks again whether everything has finished.
 const DRAIN_STEP: Duration = Duration::from_secs(5);
 
+/// How long a shutdown waits for the store to take the outcomes of once-only calls. Without them
+/// repeats are told "may have run", which is safe.
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
+
+/// How often a shutdown looks whether the store has taken them.
+const SETTLE_STEP: Duration = Duration::from_millis(20);
+
 /// A running node. Its actors run on a thread of their own; its callers are served on the runtime
 /// that [`Node::start`] was called in.
 pub struct Node {
@@ -100,12 +110,18 @@
         let is_leaving = Arc::new(AtomicBool::new(false));
         let drain = CancellationToken::new();
         let once_only = TaskTracker::new();
+        let ticket = Ticket {
+            node: settings.node.clone(),
+            incarnation,
+        };
+        let plain_calls = plain_calls(&control, &outside, ticket, once_only.clone());
+        take_forwards(&control, plain_calls.clone()).await;
         let serving = Serving {
             in_force,
             is_leaving: Arc::clone(&is_leaving),
             drain: drain.clone(),
             generations: generations(&control, &outside),
-            plain_calls: plain_calls(&control, &outside, once_only.clone()),
+            plain_calls,
             dispatcher: control.dispatcher.clone(),
             peers: control.peers.clone(),
         };
@@ -170,6 +186,15 @@
         while !self.front.shutdown(DRAIN_STEP).await {}
         self.once_only.close();
         self.once_only.wait().await;
+        let _ = tokio::time::timeout(SETTLE_LIMIT, self.settle_claims()).await;
+    }
+
+    /// Waits until the store knows how every once-only call ended, so that repeats find it there.
+    async fn settle_claims(&self) {
+        let mut looks = tokio::time::interval(SETTLE_STEP);
+        while self.control.claims.send(AskUnsettled).await.unwrap_or(0) > 0 {
+            looks.tick().await;
+        }
     }
 
     async fn tell_own_state(&self, is_ready: bool, is_leaving: bool) {
@@ -231,12 +256,27 @@
     }
 }
 
-fn plain_calls(control: &Control, outside: &Outside, once_only: TaskTracker) -> PlainCalls {
+fn plain_calls(
+    control: &Control,
+    outside: &Outside,
+    ticket: Ticket,
+    once_only: TaskTracker,
+) -> PlainCalls {
     PlainCalls {
         dispatcher: control.dispatcher.clone(),
         claims: control.claims.clone(),
         plain: Arc::clone(&outside.plain),
         clock: Arc::clone(&outside.clock),
+        ticket,
+        forwards: Forwards::new(control.peers.clone()),
         once_only,
     }
 }
+
+/// Serves calls that other nodes hand over, on the traffic threads.
+async fn take_forwards(control: &Control, calls: PlainCalls) {
+    let (sender, arrived) = mpsc::channel(FORWARDS_QUEUE);
+    let _ = control.claims.send(TakeForwards(sender)).detach().await;
+    let forwards = calls.forwards.clone();
+    tokio::spawn(forwards.serve(calls, arrived));
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -24,7 +24,8 @@
 use crate::loader::{FromPeer, LivePeers, Loader};
 use crate::text_keeper::{TextFromPeer, TextKeeper, TextSeen};
 
-/// Send a message to a node, by its name.
+/// Send a message to a node, by its name. Answers whether the link took it; if not, nothing of it
+/// has left this node.
 pub(crate) struct SendTo {
     /// The node.
     pub(crate) to: NodeId,
@@ -149,11 +150,14 @@
         }
     }
 
-    /// A lost message is normal between nodes, so a failed send is only logged.
-    fn send(&self, address: &str, message: &NodeMessage) {
-        if let Err(error) = self.parts.link.send(address, message) {
+    /// A lost message is normal between nodes, so a failed send is only logged. Returns whether the
+    /// link took the message.
+    fn send(&self, address: &str, message: &NodeMessage) -> bool {
+        let sent = self.parts.link.send(address, message);
+        if let Err(error) = &sent {
             log_event!(self.parts.log, Event::LinkFailed, "error" => error.to_string());
         }
+        sent.is_ok()
     }
 
     async fn live_nodes(&mut self, nodes: Vec<LiveNode>) {
@@ -257,12 +261,11 @@
 }
 
 impl Handler<SendTo> for Peers {
-    type Return = ();
+    type Return = bool;
 
-    async fn handle(&mut self, message: SendTo, _: &mut Context<Self>) {
-        if let Some(address) = self.addresses.get(&message.to) {
-            self.send(address, &message.message);
-        }
+    async fn handle(&mut self, message: SendTo, _: &mut Context<Self>) -> bool {
+        let address = self.addresses.get(&message.to);
+        address.is_some_and(|address| self.send(address, &message.message))
     }
 }
 
--- a/crates/node/src/plain_calls.rs
+++ b/crates/node/src/plain_calls.rs
@@ -1,7 +1,7 @@
 //! One call to a plain service: claim it if it runs once, wait for an upstream, send, pass on.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::{self, StreamExt};
@@ -9,21 +9,23 @@
 use nutmegsail_base::{Clock, RequestId, ResultCode, RunState, UpstreamId};
 use nutmegsail_front::{PlainAnswer, PlainCall};
 use nutmegsail_idempotency::{
-    ClaimOutcome, IdempotencyKey, RecordedAnswer, RecordedHeader, RequestDigest,
+    ClaimOutcome, ForwardResult, IdempotencyKey, RecordedAnswer, RecordedHeader, RequestDigest,
+    Ticket,
 };
-use nutmegsail_request::{AfterFailure, Queued, Refusal, Request, Uncertain};
+use nutmegsail_request::{Accepted, AfterFailure, Queued, Refusal, Request, Uncertain};
 use nutmegsail_routing::{Arrival, Outcome};
 use nutmegsail_upstream::{PlainRequest, PlainResponse, PlainService, UpstreamError};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
+use uuid::{NoContext, Timestamp, Uuid};
 use xtra::Address;
 
 use crate::attempt::{Attempt, deadline};
-use crate::claims_keeper::{
-    BeginClaim, ClaimDispatched, ClaimFinished, ClaimVerdict, ClaimsKeeper,
-};
+use crate::claimed_run::ClaimedRun;
+use crate::claims_keeper::{BeginClaim, ClaimForwarded, ClaimVerdict, ClaimsKeeper};
 use crate::dispatcher::{Dispatcher, Verdict};
+use crate::forwards::Forwards;
 use crate::generation::outcome_of;
 
 /// The largest answer of a once-only call, in bytes: it is read whole so that it can be recorded.
@@ -40,6 +42,10 @@
     pub(crate) plain: Arc<dyn PlainService>,
     /// The clock.
     pub(crate) clock: Arc<dyn Clock>,
+    /// This run of this node, which tickets name.
+    pub(crate) ticket: Ticket,
+    /// Calls handed to other nodes.
+    pub(crate) forwards: Forwards,
     /// Once-only calls under way; a shutdown waits for them even if their callers have gone.
     pub(crate) once_only: TaskTracker,
 }
@@ -64,7 +70,10 @@
     /// Answers a call.
     pub(crate) async fn call(&self, call: PlainCall) -> Result<PlainAnswer, Refusal> {
         if !call.once_only {
-            let begun = self.send(&call).await.map_err(|stopped| stopped.refusal)?;
+            let begun = self
+                .send(&call, None)
+                .await
+                .map_err(|stopped| stopped.refusal)?;
             return Ok(passed_on(begun));
         }
         // The task goes on when the caller hangs up: a booking that was sent must be recorded, or
@@ -74,51 +83,71 @@
         self.once_only.spawn(async move {
             let _ = answered.send(calls.call_once(call).await);
         });
-        answer.await.unwrap_or_else(|_| {
+        let answer = answer.await.unwrap_or_else(|_| {
             let detail = format!("the task of {request} ended early");
             Err(Refusal::may_have_run(ResultCode::Internal, detail))
-        })
+        });
+        answer.map(recorded_answer)
+    }
+
+    /// Runs a call that another node handed over for its ticket, or repeats its answer.
+    pub(crate) async fn run_forwarded(&self, call: PlainCall) -> Result<RecordedAnswer, Refusal> {
+        let key = call.idempotency_key.as_deref().unwrap_or_default();
+        let key = IdempotencyKey::parse(key).ok();
+        // Against calls that go round: a call that was handed on is not handed on again. Another
+        // node or incarnation than the one that is named knows nothing of what the named one ran.
+        if key.is_none_or(|key| key.ticket() != Some(&self.ticket)) {
+            let code = ResultCode::OutcomeUnknown;
+            return Err(Refusal::may_have_run(code, code.text()));
+        }
+        self.call_once(call).await
+    }
+
+    /// A new key that only this run of this node may ever run.
+    pub(crate) fn issue_ticket(&self) -> IdempotencyKey {
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        let wall = wall.unwrap_or_default();
+        let issued = Timestamp::from_unix(NoContext, wall.as_secs(), wall.subsec_nanos());
+        let Ticket { node, incarnation } = self.ticket.clone();
+        IdempotencyKey::with_ticket(Uuid::new_v7(issued), node, incarnation)
     }
 
-    async fn call_once(&self, call: PlainCall) -> Result<PlainAnswer, Refusal> {
+    async fn call_once(&self, call: PlainCall) -> Result<RecordedAnswer, Refusal> {
+        let until = deadline(&self.clock, call.deadline);
         let request = Request::accept(call.request.clone());
         let key = call.idempotency_key.as_deref().unwrap_or_default();
         let key = match IdempotencyKey::parse(key) {
             Ok(key) => key,
             Err(error) => {
-                return Err(Refusal::not_run(
-                    request.not_run(),
-                    error.code(),
-                    error.to_string(),
-                ));
+                let proof = request.not_run();
+                return Err(Refusal::not_run(proof, error.code(), error.to_string()));
+            }
+        };
+        let verdict = match self.claim(&call, key).await {
+            Some(ClaimVerdict::Forward { to }) => {
+                let left = until.saturating_duration_since(self.clock.now());
+                let result = self.forwards.forward(&call, to, left).await;
+                let Some(verdict) = self.forwarded(&call.request, result).await else {
+                    let code = ResultCode::OutcomeUnknown;
+                    return Err(Refusal::may_have_run(code, "the node is going down"));
+                };
+                Some(verdict)
             }
+            verdict => verdict,
         };
-        let verdict = self.claim(&call, key).await;
         match verdict {
             Some(ClaimVerdict::Run) => self.run_claimed(call).await,
-            Some(ClaimVerdict::Answer(recorded)) => Ok(recorded_answer(recorded)),
+            Some(ClaimVerdict::Answer(recorded)) if recorded.is_kept => Ok(recorded),
+            Some(ClaimVerdict::Answer(recorded)) => Err(not_kept(&recorded)),
             Some(ClaimVerdict::Refuse {
                 code,
                 run_state,
                 retry_after,
-            }) => {
-                let refusal = match run_state {
-                    RunState::NotRun => Refusal::not_run(request.not_run(), code, code.text()),
-                    RunState::MayHaveRun => Refusal::may_have_run(code, code.text()),
-                    RunState::Ran => Refusal::ran(code, code.text()),
-                };
-                Err(match retry_after {
-                    Some(retry_after) => refusal.with_retry_after(retry_after),
-                    None => refusal,
-                })
-            }
-            None => {
+            }) => Err(refusal(request, code, run_state, retry_after)),
+            Some(ClaimVerdict::Forward { .. }) | None => {
                 let code = ResultCode::ClaimUnavailable;
-                Err(Refusal::not_run(
-                    request.not_run(),
-                    code,
-                    "the node is going down",
-                ))
+                let proof = request.not_run();
+                Err(Refusal::not_run(proof, code, "the node is going down"))
             }
         }
     }
@@ -138,10 +167,21 @@
         told.await.ok()
     }
 
+    async fn forwarded(&self, request: &RequestId, result: ForwardResult) -> Option<ClaimVerdict> {
+        let (verdict, told) = oneshot::channel();
+        let forwarded = ClaimForwarded {
+            request: request.clone(),
+            result,
+            verdict,
+        };
+        drop(self.claims.send(forwarded).detach().await.ok()?);
+        told.await.ok()
+    }
+
     /// Runs a call whose claim is this node's, and records how it ended.
-    async fn run_claimed(&self, call: PlainCall) -> Result<PlainAnswer, Refusal> {
-        let request = call.request.clone();
-        let result = match self.send(&call).await {
+    async fn run_claimed(&self, call: PlainCall) -> Result<RecordedAnswer, Refusal> {
+        let run = ClaimedRun::begin(call.request.clone(), self.claims.clone());
+        let result = match self.send(&call, Some(&run)).await {
             Ok(begun) => self.read_whole(begun).await,
             Err(stopped) => Err(stopped.refusal),
         };
@@ -150,12 +190,8 @@
             Err(refusal) if refusal.run_state() == RunState::NotRun => ClaimOutcome::NotRun,
             Err(_) => ClaimOutcome::Unknown,
         };
-        let _ = self
-            .claims
-            .send(ClaimFinished { request, outcome })
-            .detach()
-            .await;
-        result.map(recorded_answer)
+        run.end(outcome).await;
+        result
     }
 
     async fn read_whole(&self, begun: Begun) -> Result<RecordedAnswer, Refusal> {
@@ -186,7 +222,7 @@
         Ok(recorded)
     }
 
-    async fn send(&self, call: &PlainCall) -> Result<Begun, Stopped> {
+    async fn send(&self, call: &PlainCall, run: Option<&ClaimedRun>) -> Result<Begun, Stopped> {
         let until = deadline(&self.clock, call.deadline);
         let mut pending = Pending::Clean(Request::accept(call.request.clone()).queue());
         let mut attempt = Attempt::admit(&self.dispatcher, arrival(call, until)).await;
@@ -203,8 +239,16 @@
             };
             let request = match pending {
                 Pending::Clean(request) => request.dispatch(upstream.clone()),
-                Pending::Doubtful(request) => request.dispatch_again(upstream.clone()),
+                Pending::Doubtful(request) => {
+                    // A booking that may have run must not be sent on, whatever the router says:
+                    // a second guest's therapist would be blocked.
+                    assert!(run.is_none(), "{} may have run already", call.request);
+                    request.dispatch_again(upstream.clone())
+                }
             };
+            if let Some(run) = run {
+                run.dispatched().await;
+            }
             match self.try_at(&upstream, call, until).await {
                 Ok(response) => {
                     attempt.first_byte().await;
@@ -227,25 +271,37 @@
         call: &PlainCall,
         until: Instant,
     ) -> Result<PlainResponse, UpstreamError> {
-        if call.once_only {
-            self.note_dispatch(&call.request).await;
-        }
         let left = until.saturating_duration_since(self.clock.now());
         let sent = self.plain.call(upstream, plain_request(call, left));
         timeout(left, sent)
             .await
             .unwrap_or(Err(UpstreamError::Broken))
     }
+}
 
-    async fn note_dispatch(&self, request: &RequestId) {
-        let _ = self
-            .claims
-            .send(ClaimDispatched(request.clone()))
-            .detach()
-            .await;
+fn refusal(
+    request: Request<Accepted>,
+    code: ResultCode,
+    run_state: RunState,
+    retry_after: Option<Duration>,
+) -> Refusal {
+    let refusal = match run_state {
+        RunState::NotRun => Refusal::not_run(request.not_run(), code, code.text()),
+        RunState::MayHaveRun => Refusal::may_have_run(code, code.text()),
+        RunState::Ran => Refusal::ran(code, code.text()),
+    };
+    match retry_after {
+        Some(retry_after) => refusal.with_retry_after(retry_after),
+        None => refusal,
     }
 }
 
+/// A status without its body would look like a whole answer.
+fn not_kept(recorded: &RecordedAnswer) -> Refusal {
+    let detail = format!("the upstream answered with status {}", recorded.status);
+    Refusal::ran(ResultCode::AnswerNotKept, detail)
+}
+
 fn stopped(pending: Pending, code: ResultCode, retry_after: Option<Duration>) -> Stopped {
     let refusal = match pending {
         Pending::Clean(request) => Refusal::not_run(request.not_run(), code, code.text()),
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -70,6 +70,11 @@
         self.plain_calls.call(request).await
     }
 
+    fn ticket(&self) -> Option<String> {
+        let is_leaving = self.is_leaving.load(Ordering::Acquire);
+        (!is_leaving).then(|| self.plain_calls.issue_ticket().to_string())
+    }
+
     async fn operators(&self, query: OperatorsQuery) -> Result<Bytes, Refusal> {
         match query {
             OperatorsQuery::Status => {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -11,7 +11,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
 use nutmegsail_config::{OperatorsText, Publisher};
-use nutmegsail_fakes::{EngineEntry, PlainEntry, StandIns, StandInsSettings};
+use nutmegsail_fakes::{
+    EngineEntry, FakePlainService, Knobs, PlainEntry, StandIns, StandInsSettings,
+};
 use nutmegsail_node::{Node, NodeSettings, Outside};
 use nutmegsail_platform::{HttpKeyValue, PlatformSettings};
 use tokio::net::TcpStream;
@@ -36,19 +38,20 @@
         Self::start_with(settings).await
     }
 
-    /// Starts two engines and a plain service in `hall-a`, and one engine in `hall-b`.
+    /// Starts two engines and two plain services in `hall-a`, and one engine in `hall-b`.
     pub async fn start_with(settings: StandInsSettings) -> Self {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let engine = |domain: &str| EngineEntry {
             address: any,
             failure_domain: domain.into(),
         };
+        let plain = PlainEntry {
+            address: any,
+            failure_domain: "hall-a".into(),
+        };
         let settings = StandInsSettings {
             engines: vec![engine("hall-a"), engine("hall-a"), engine("hall-b")],
-            plains: vec![PlainEntry {
-                address: any,
-                failure_domain: "hall-a".into(),
-            }],
+            plains: vec![plain.clone(), plain],
             ..settings
         };
         let stand_ins = StandIns::start(settings).await.expect("stand-ins start");
@@ -65,7 +68,7 @@
             .iter()
             .map(|one| one.address.clone())
             .collect();
-        let plain = &addresses.plains[0].address;
+        let plains: Vec<_> = addresses.plains.iter().map(|one| &one.address).collect();
         format!(
             r#"
 [deployment]
@@ -100,7 +103,7 @@
 deadline_ms = 3000
 target_ms = 150
 depends_on = ["scribe"]
-upstreams.hall-a = ["{plain}"]
+upstreams.hall-a = ["{}", "{}"]
 
 [[services.desk.calls]]
 name = "confirm"
@@ -113,10 +116,29 @@
 method = "GET"
 path = "/slots/*"
 "#,
-            engines[0], engines[1], engines[2]
+            engines[0], engines[1], engines[2], plains[0], plains[1]
         )
     }
 
+    /// The plain services.
+    pub fn desks(&self) -> Vec<FakePlainService> {
+        let plains = &self.stand_ins.state.fleet.plains;
+        plains.values().cloned().collect()
+    }
+
+    /// Shows these failures at every plain service.
+    pub fn set_desks(&self, knobs: &Knobs) {
+        for desk in self.desks() {
+            desk.set_knobs(knobs.clone());
+        }
+    }
+
+    /// How often a call with the idempotency key ran, wherever.
+    pub fn runs_at_all_desks(&self, key: &str) -> u32 {
+        let desks = self.desks().into_iter();
+        desks.map(|desk| desk.ledger().runs_of_key(key)).sum()
+    }
+
     /// Has `text` accepted.
     pub async fn publish(&self, text: &str) {
         let store = HttpKeyValue::new(PlatformSettings::at(self.platform().to_string()));
--- a/crates/node/tests/whole_path.rs
+++ b/crates/node/tests/whole_path.rs
@@ -56,15 +56,7 @@
         let is_refused = repeat.0 == 409 && !repeat.1.contains("not_run");
         assert!(is_recorded || is_refused, "{answers:?}");
     }
-    let plain = world
-        .stand_ins
-        .state
-        .fleet
-        .plains
-        .values()
-        .next()
-        .expect("a plain service");
-    assert_eq!(plain.ledger().runs_of_key(&key), 1);
+    assert_eq!(world.runs_at_all_desks(&key), 1);
     first.shutdown().await;
     second.shutdown().await;
 }
