Tell the load scheduler of demand at other nodes

Cause: a node counted only its own requests. In a failure domain of 60 nodes the scheduler saw a sixtieth of the demand, and an owner chose victims by that.

Not measured at 60 nodes.

--- a/crates/placement/src/engine_owner.rs
+++ b/crates/placement/src/engine_owner.rs
@@ -58,6 +58,8 @@
     outstanding: Option<OutstandingOrder>,
     permits: Vec<Permit>,
     recalled_at: Option<Instant>,
+    /// What is worth least first, as the load scheduler of another node said last.
+    victim_order: Vec<AdapterRef>,
 }
 
 impl EngineOwner {
@@ -73,6 +75,7 @@
             outstanding: None,
             permits: Vec::new(),
             recalled_at: None,
+            victim_order: Vec::new(),
         }
     }
 
@@ -234,7 +237,14 @@
     }
 
     /// Takes the scheduler's permission to load an adapter.
-    pub fn permitted(&mut self, adapter: AdapterRef, class: Class, now: Instant) {
+    pub fn permitted(
+        &mut self,
+        adapter: AdapterRef,
+        class: Class,
+        victims: Vec<AdapterRef>,
+        now: Instant,
+    ) {
+        self.victim_order = victims;
         match self.permits.iter_mut().find(|p| p.adapter == adapter) {
             Some(permit) => permit.class = permit.class.or_more_urgent(class),
             None => self.permits.push(Permit {
@@ -294,11 +304,17 @@
             return;
         }
         let eviction = self.eviction(settings, now);
-        if let Some(victim) = eviction.victim(&adapter, class, value) {
+        let order = &self.victim_order;
+        let ranked = |adapter: &AdapterRef| match order.iter().position(|a| a == adapter) {
+            Some(rank) => 1.0 + rank as f64,
+            None if order.is_empty() => value(adapter),
+            None => 1.0 + order.len() as f64,
+        };
+        if let Some(victim) = eviction.victim(&adapter, class, &ranked) {
             self.extend_permit(&adapter, now);
             self.order_unload(&victim, settings, next_order, now, out);
         } else if now >= since + settings.drain_after && !self.slots.is_draining() {
-            let in_use = eviction.victim_in_use(&adapter, class, value);
+            let in_use = eviction.victim_in_use(&adapter, class, &ranked);
             if let Some(victim) = in_use {
                 self.drain(&victim, now, out);
             }
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -52,7 +52,7 @@
         /// The engine.
         engine: UpstreamId,
     },
-    /// Requests for an adapter, seen on this node or summed up by a peer.
+    /// Requests for an adapter, seen on this node. Placement itself tells the load scheduler.
     Demand {
         /// The adapter.
         adapter: AdapterRef,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -30,7 +30,7 @@
 pub use action::{OrderId, PlacementAction, Presence};
 pub use demand::DemandEstimate;
 pub use event::PlacementEvent;
-pub use message::{LoadOutcome, PlacementMessage};
+pub use message::{DemandCount, LoadOutcome, PlacementMessage};
 pub use note::{DisownCause, PlacementNote};
 pub use owner_choice::{first_choice, next_fence};
 pub use pin_cache::{PinCache, PinCacheAction, PinCacheSettings, PinUse};
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -24,6 +24,9 @@
         adapter: AdapterRef,
         /// The class it is loaded for.
         class: Class,
+        /// What the engine holds, what is worth least to the failure domain first. The owner of a
+        /// large one sees too few requests itself to tell.
+        victims: Vec<AdapterRef>,
     },
     /// From an engine's owner to the load scheduler: how a permitted load ended.
     Outcome {
@@ -34,6 +37,22 @@
         /// How it ended.
         outcome: LoadOutcome,
     },
+    /// To the load scheduler: requests that the sender saw since its last message.
+    Demand {
+        /// A count for each adapter and class.
+        counts: Vec<DemandCount>,
+    },
+}
+
+/// Requests for one adapter that one node saw.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandCount {
+    /// The adapter.
+    pub adapter: AdapterRef,
+    /// Their class.
+    pub class: Class,
+    /// How many.
+    pub requests: u32,
 }
 
 /// How a permitted load ended.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -44,6 +44,9 @@
     scheduler: LoadScheduler,
     owned: BTreeMap<UpstreamId, EngineOwner>,
     next_order: u64,
+    /// Requests that the load scheduler has not been told of.
+    untold_demand: BTreeMap<(AdapterRef, Class), f64>,
+    told_demand_at: Option<Instant>,
 }
 
 impl Placement {
@@ -64,6 +67,8 @@
             scheduler: LoadScheduler::new(&settings),
             owned: BTreeMap::new(),
             next_order: 0,
+            untold_demand: BTreeMap::new(),
+            told_demand_at: None,
             settings,
         }
     }
@@ -100,7 +105,7 @@
                 adapter,
                 class,
                 weight,
-            } => self.demand.add(&adapter, class, weight, now),
+            } => self.note_demand(adapter, class, weight, now),
             PlacementEvent::WantAdapter {
                 engine,
                 adapter,
@@ -264,6 +269,7 @@
                 owner.tick(settings, now, out);
             });
         }
+        self.tell_demand(now, actions);
         let (scheduler, inputs) = self.scheduling(now);
         scheduler.tick(&inputs);
         self.schedule(now, actions);
--- a/crates/placement/src/placement/loads.rs
+++ b/crates/placement/src/placement/loads.rs
@@ -1,15 +1,85 @@
 //! What is loaded: wants, permits and their outcomes.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nutmegsail_base::{AdapterName, AdapterRef, Class, UpstreamId};
 
 use super::Placement;
 use crate::load_scheduler::LoadPermit;
-use crate::{LoadOutcome, PlacementAction, PlacementMessage, PlacementNote, PlacementPlan};
+use crate::{
+    DemandCount, LoadOutcome, PlacementAction, PlacementMessage, PlacementNote, PlacementPlan,
+};
+
+/// How often the load scheduler is told of requests.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(2);
+/// How many adapters and classes one message names; requests for others are not told.
+const DEMAND_COUNTS: usize = 512;
 
 impl Placement {
+    pub(super) fn note_demand(
+        &mut self,
+        adapter: AdapterRef,
+        class: Class,
+        weight: f64,
+        now: Instant,
+    ) {
+        self.demand.add(&adapter, class, weight, now);
+        let is_scheduler = self.scheduler_node() == Some(&self.settings.node);
+        if !is_scheduler && self.untold_demand.len() < DEMAND_COUNTS {
+            *self.untold_demand.entry((adapter, class)).or_default() += weight;
+        }
+    }
+
+    /// Tells the load scheduler what this node saw. A node of a large failure domain sees a small
+    /// part of its requests, so the message is small whatever the fleet's size.
+    pub(super) fn tell_demand(&mut self, now: Instant, actions: &mut Vec<PlacementAction>) {
+        let is_recent = |at: Instant| now < at + DEMAND_INTERVAL;
+        if self.untold_demand.is_empty() || self.told_demand_at.is_some_and(is_recent) {
+            return;
+        }
+        self.told_demand_at = Some(now);
+        let untold = std::mem::take(&mut self.untold_demand);
+        let Some(to) = self
+            .scheduler_node()
+            .filter(|to| **to != self.settings.node)
+        else {
+            return;
+        };
+        let counts = untold
+            .into_iter()
+            .map(|((adapter, class), weight)| DemandCount {
+                adapter,
+                class,
+                requests: weight.round() as u32,
+            });
+        actions.push(PlacementAction::Send {
+            to: to.clone(),
+            message: PlacementMessage::Demand {
+                counts: counts.collect(),
+            },
+        });
+    }
+
+    /// What the engine holds, what is worth least first.
+    fn victims_of(&self, engine: &UpstreamId, now: Instant) -> Vec<AdapterRef> {
+        let held = self
+            .view
+            .last_report(engine)
+            .map(|(report, _)| &report.adapters);
+        let value = |adapter| self.view.slot_value(adapter, &self.plan, &self.demand, now);
+        let mut valued: Vec<(f64, &AdapterRef)> = held
+            .into_iter()
+            .flatten()
+            .map(|held| (value(&held.adapter), &held.adapter))
+            .collect();
+        valued.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+        valued
+            .into_iter()
+            .map(|(_, adapter)| adapter.clone())
+            .collect()
+    }
+
     /// Loads the new version of an adapter in demand before the first request for it. The old one
     /// keeps its slot while it is in demand, so callers of neither stall.
     pub(super) fn prepare_new_versions(&mut self, former: &PlacementPlan, now: Instant) {
@@ -91,7 +161,14 @@
                 engine,
                 adapter,
                 class,
-            } => self.permitted(&engine, adapter, class, now, actions),
+                victims,
+            } => self.permitted(&engine, adapter, class, victims, now, actions),
+            PlacementMessage::Demand { counts } => {
+                for count in counts {
+                    let requests = f64::from(count.requests);
+                    self.demand.add(&count.adapter, count.class, requests, now);
+                }
+            }
             PlacementMessage::Outcome {
                 engine,
                 adapter,
@@ -125,9 +202,10 @@
             class,
         } = permit;
         if self.owned.contains_key(&engine) {
-            self.permitted(&engine, adapter, class, now, actions);
+            self.permitted(&engine, adapter, class, Vec::new(), now, actions);
             return;
         }
+        let victims = self.victims_of(&engine, now);
         match self.owner_of(&engine, now) {
             Some(node) if *node != self.settings.node => actions.push(PlacementAction::Send {
                 to: node.clone(),
@@ -135,6 +213,7 @@
                     engine,
                     adapter,
                     class,
+                    victims,
                 },
             }),
             _ => self.load_ended(&engine, &adapter, LoadOutcome::NotOwner, now, actions),
@@ -146,6 +225,7 @@
         engine: &UpstreamId,
         adapter: AdapterRef,
         class: Class,
+        victims: Vec<AdapterRef>,
         now: Instant,
         actions: &mut Vec<PlacementAction>,
     ) {
@@ -154,7 +234,7 @@
             return;
         }
         self.with_owner(engine, now, actions, |owner, _, _| {
-            owner.permitted(adapter, class, now);
+            owner.permitted(adapter, class, victims, now);
         });
     }
 
