--- a/crates/routing/src/dispatch.rs
+++ b/crates/routing/src/dispatch.rs
@@ -22,23 +22,13 @@
         now: Instant,
         actions: &mut Vec<RoutingAction>,
     ) {
-        self.assert_no_urgent_passed_over(request, upstream, now);
+        self.assert_may_dispatch(request, upstream, now);
         let Some(state) = self.requests.get_mut(request) else {
             return;
         };
         let Phase::Waiting(place) = state.phase else {
             panic!("a request was dispatched to a second upstream at a time");
         };
-        let target = &mut self.upstreams[upstream];
-        assert!(
-            !state.may_have_run || state.arrival.idempotent,
-            "a call that is not idempotent was sent again after it may have run"
-        );
-        assert!(target.is_reachable(), "work was sent to a leaving upstream");
-        assert!(
-            !state.has_tried(upstream),
-            "a retry went to the same upstream"
-        );
         let class = state.arrival.class;
         state.attempts += 1;
         state.phase = Phase::Dispatched {
@@ -47,6 +37,8 @@
             has_first_byte: false,
             is_cancelled: false,
         };
+        let attempt = state.attempts;
+        let target = &mut self.upstreams[upstream];
         target.take_place(class, now, self.settings.report_lag);
         if class == Class::Routine && state.arrival.idempotent && !state.was_cancelled {
             target.cancellable.push(request.clone());
@@ -58,26 +50,33 @@
         service
             .queue_mut(class)
             .remove(&state.arrival.adapter, place);
-        if state.attempts == 1 {
-            service.budget.first_send();
-        }
-        // Against starvation inside the engine: urgent work would keep it waiting there as well.
-        service.drain[class as usize].dispatched();
-        let is_kept = class == Class::Routine && service.floor.is_owed();
-        let routine_waits = !service.queue(Class::Routine).is_empty();
-        let floor = service.plan.routine_floor;
-        match class {
-            Class::Urgent => service.floor.urgent_dispatched(floor, routine_waits),
-            Class::Routine => service.floor.routine_dispatched(),
-        }
         actions.push(RoutingAction::Dispatch {
             request: request.clone(),
             upstream: target.id.clone(),
-            attempt: state.attempts,
-            class: if is_kept { Class::Urgent } else { class },
+            attempt,
+            class: service.count_dispatch(class, attempt),
         });
     }
 
+    fn assert_may_dispatch(&self, request: &RequestId, upstream: usize, now: Instant) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        assert!(
+            !state.may_have_run || state.arrival.idempotent,
+            "a call that is not idempotent was sent again after it may have run"
+        );
+        assert!(
+            self.upstreams[upstream].is_reachable(),
+            "work was sent to a leaving upstream"
+        );
+        assert!(
+            !state.has_tried(upstream),
+            "a retry went to the same upstream"
+        );
+        self.assert_no_urgent_passed_over(request, upstream, now);
+    }
+
     /// Against head-of-line blocking: routine work gets a place only if no urgent request could take
     /// it, or if the routine floor kept it.
     fn assert_no_urgent_passed_over(&self, request: &RequestId, upstream: usize, now: Instant) {
--- a/crates/routing/src/service_state.rs
+++ b/crates/routing/src/service_state.rs
@@ -114,6 +114,27 @@
         self.queues.iter().any(|queue| !queue.is_empty())
     }
 
+    /// Counts a dispatch and says as what class it goes to the upstream.
+    ///
+    /// Against starvation inside the engine: urgent work would keep a request that takes a place of
+    /// the routine floor waiting there as well, so it goes as an urgent one.
+    pub(crate) fn count_dispatch(&mut self, class: Class, attempt: u32) -> Class {
+        if attempt == 1 {
+            self.budget.first_send();
+        }
+        self.drain[class as usize].dispatched();
+        let is_kept = class == Class::Routine && self.floor.is_owed();
+        let routine_waits = !self.queue(Class::Routine).is_empty();
+        match class {
+            Class::Urgent => {
+                let floor = self.plan.routine_floor;
+                self.floor.urgent_dispatched(floor, routine_waits);
+            }
+            Class::Routine => self.floor.routine_dispatched(),
+        }
+        if is_kept { Class::Urgent } else { class }
+    }
+
     /// Seconds to first byte on an upstream without load.
     pub(crate) fn first_byte_s(&self, class: Class) -> f64 {
         let seen_s = self.first_byte[class as usize].mean_s();
