Measure the node's requests and pass on a span for each hop

Cause: the metrics and spans stood ready and nothing wrote them. Change: Outside carries Measures (nowhere by default); the program starts the exporters that [telemetry] names and flushes them at the end. Counted: requests by class and result, first token, queue wait (new), load stall, retries, sheds, claims, calls to the key-value service, traffic between nodes, the generation in force. Spans: caller request, queue, dispatch (the wait for the pin), upstream, forward; the upstream gets its span as traceparent. Test: with an in-memory exporter one request gives a span of each hop under the caller's trace.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use nutmegsail_base::{Clock, RequestId, UpstreamId};
 use nutmegsail_routing::{Arrival, Outcome, RoutingEvent};
@@ -10,6 +11,7 @@
 use xtra::Address;
 
 use crate::dispatcher::{Admit, Dispatcher, Routed, VERDICTS, Verdict};
+use crate::measures::{Hops, QueueWait};
 
 /// A request that the router knows. Dropping it tells the router that the caller has gone.
 pub(crate) struct Attempt {
@@ -19,11 +21,20 @@
     is_ended: bool,
     /// How often the request was sent to each engine.
     sends: HashMap<UpstreamId, u64>,
+    hops: Hops,
+    wait: Option<QueueWait>,
+    was_sent: bool,
 }
 
 impl Attempt {
     /// Asks the router for an upstream.
-    pub(crate) async fn admit(dispatcher: &Address<Dispatcher>, arrival: Arrival) -> Self {
+    pub(crate) async fn admit(
+        dispatcher: &Address<Dispatcher>,
+        arrival: Arrival,
+        hops: Hops,
+        now: Instant,
+    ) -> Self {
+        let wait = Some(hops.wait(now));
         let (sender, verdicts) = mpsc::channel(VERDICTS);
         let request = arrival.request.clone();
         let admit = Admit {
@@ -37,12 +48,16 @@
             verdicts,
             is_ended: false,
             sends: HashMap::new(),
+            hops,
+            wait,
+            was_sent: false,
         }
     }
 
     /// The router's next word. `None`: the node is going down.
-    pub(crate) async fn verdict(&mut self) -> Option<Verdict> {
+    pub(crate) async fn verdict(&mut self, clock: &dyn Clock) -> Option<Verdict> {
         let verdict = self.verdicts.recv().await;
+        self.measure(verdict.as_ref(), clock.now());
         // After its final word the router has forgotten the request.
         if matches!(
             verdict,
@@ -53,6 +68,24 @@
         verdict
     }
 
+    fn measure(&mut self, verdict: Option<&Verdict>, now: Instant) {
+        let metrics = &self.hops.measures.metrics;
+        match verdict {
+            Some(Verdict::Send { .. }) => {
+                if let Some(wait) = self.wait.take() {
+                    metrics.queue_wait(self.hops.class, wait.waited(now));
+                }
+                if std::mem::replace(&mut self.was_sent, true) {
+                    metrics.retried(&self.hops.service);
+                }
+            }
+            Some(Verdict::Refuse { .. }) if !self.was_sent => {
+                metrics.shed(&self.hops.service, self.hops.class);
+            }
+            _ => {}
+        }
+    }
+
     /// Returns when the router cancels the send under way; never otherwise.
     pub(crate) async fn cancelled(&mut self) {
         loop {
@@ -81,7 +114,8 @@
     }
 
     /// Tells the router that a send brought no answer; it says what comes next.
-    pub(crate) async fn failed(&self, outcome: Outcome) {
+    pub(crate) async fn failed(&mut self, outcome: Outcome, now: Instant) {
+        self.wait = Some(self.hops.wait(now));
         self.tell(outcome).await;
     }
 
--- /dev/null
+++ b/crates/node/src/counted_store.rs
@@ -0,0 +1,68 @@
+//! A client of the key-value service that counts its calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use nutmegsail_platform::{
+    Changes, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn,
+};
+use nutmegsail_telemetry::{Metrics, StoreCall};
+
+/// A client of the key-value service that counts its calls by kind and result.
+#[derive(Debug)]
+pub(crate) struct CountedStore {
+    /// The client.
+    pub(crate) inner: Arc<dyn KeyValue>,
+    /// Where calls are counted.
+    pub(crate) metrics: Metrics,
+}
+
+impl CountedStore {
+    fn count<T>(
+        &self,
+        call: StoreCall,
+        result: Result<T, KeyValueError>,
+    ) -> Result<T, KeyValueError> {
+        let code = result.as_ref().err().map(KeyValueError::code);
+        self.metrics.store_called(call, code);
+        result
+    }
+}
+
+#[async_trait]
+impl KeyValue for CountedStore {
+    async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
+        self.count(StoreCall::Read, self.inner.get(key).await)
+    }
+
+    async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, KeyValueError> {
+        self.count(StoreCall::Read, self.inner.range(prefix, after).await)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, KeyValueError> {
+        let changes = self.inner.watch(prefix, after, wait).await;
+        self.count(StoreCall::Watch, changes)
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Revision, KeyValueError> {
+        self.count(StoreCall::Write, self.inner.commit(txn).await)
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, KeyValueError> {
+        self.count(StoreCall::Lease, self.inner.grant_lease(ttl).await)
+    }
+
+    async fn keep_lease(&self, lease: LeaseId) -> Result<(), KeyValueError> {
+        self.count(StoreCall::Lease, self.inner.keep_lease(lease).await)
+    }
+
+    async fn end_lease(&self, lease: LeaseId) -> Result<(), KeyValueError> {
+        self.count(StoreCall::Lease, self.inner.end_lease(lease).await)
+    }
+}
--- a/crates/node/src/forwards.rs
+++ b/crates/node/src/forwards.rs
@@ -8,6 +8,7 @@
 use nutmegsail_front::PlainCall;
 use nutmegsail_idempotency::ForwardResult;
 use nutmegsail_request::Refusal;
+use nutmegsail_telemetry::{Hop, Spans};
 use nutmegsail_wire::{Forward, ForwardAnswer, NodeMessage};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
@@ -32,14 +33,16 @@
 #[derive(Clone)]
 pub(crate) struct Forwards {
     peers: Address<Peers>,
+    spans: Spans,
     waiting: Arc<Mutex<HashMap<RequestId, oneshot::Sender<ForwardResult>>>>,
 }
 
 impl Forwards {
     /// Forwards that leave through `peers`.
-    pub(crate) fn new(peers: Address<Peers>) -> Self {
+    pub(crate) fn new(peers: Address<Peers>, spans: Spans) -> Self {
         Self {
             peers,
+            spans,
             waiting: Arc::default(),
         }
     }
@@ -54,6 +57,8 @@
         to: NodeId,
         left: Duration,
     ) -> ForwardResult {
+        let span = self.spans.begin(Hop::Forward, call.traceparent.as_deref());
+        span.set("nutmegsail.node", &to);
         let Some(body) = ForwardedCall::payload(call) else {
             return ForwardResult::Refused {
                 code: ResultCode::BodyTooLarge,
@@ -63,7 +68,7 @@
         let message = NodeMessage::Forward(Forward {
             request: call.request.clone(),
             deadline_ms: millis(left),
-            traceparent: call.traceparent.clone(),
+            traceparent: span.traceparent(),
             body,
         });
         let answer = self.wait_for(&call.request);
--- a/crates/node/src/generation.rs
+++ b/crates/node/src/generation.rs
@@ -10,6 +10,7 @@
     AfterFailure, AnswerHandle, Answering, Queued, Refusal, Request, Uncertain,
 };
 use nutmegsail_routing::{Arrival, Outcome};
+use nutmegsail_telemetry::Hop;
 use nutmegsail_upstream::{Engine, EngineRequest, EngineStream, StreamEvent, UpstreamError};
 use tokio::time::timeout;
 use xtra::Address;
@@ -17,6 +18,7 @@
 use crate::attempt::{Attempt, deadline};
 use crate::dispatcher::{Dispatcher, Verdict};
 use crate::loader::Loader;
+use crate::measures::{Hops, Measures};
 use crate::pin_hold::PinHold;
 use crate::run_hold::RunHold;
 
@@ -31,6 +33,8 @@
     pub(crate) engines: Arc<dyn Engine>,
     /// The clock.
     pub(crate) clock: Arc<dyn Clock>,
+    /// Where measurements and spans go.
+    pub(crate) measures: Measures,
 }
 
 /// A request before its answer began.
@@ -75,7 +79,9 @@
     pub(crate) async fn generate(&self, generate: Generate) -> Result<Answer, Refusal> {
         let until = deadline(&self.clock, generate.deadline);
         let request = Request::accept(generate.request.clone()).queue();
-        let mut attempt = Attempt::admit(&self.dispatcher, arrival(&generate, until)).await;
+        let (hops, now) = (self.hops(&generate), self.clock.now());
+        let arrival = arrival(&generate, until);
+        let mut attempt = Attempt::admit(&self.dispatcher, arrival, hops, now).await;
         let mut pending = Pending::Clean(request);
         loop {
             let (upstream, class) = match self.next_verdict(&mut attempt, until).await {
@@ -118,7 +124,7 @@
                     outcome,
                 } => {
                     pending = left;
-                    attempt.failed(outcome).await;
+                    attempt.failed(outcome, self.clock.now()).await;
                 }
             }
         }
@@ -159,9 +165,32 @@
         })
     }
 
+    fn hops(&self, generate: &Generate) -> Hops {
+        Hops {
+            measures: self.measures.clone(),
+            traceparent: generate.traceparent.clone(),
+            service: generate.service.clone(),
+            class: generate.class,
+        }
+    }
+
+    /// Waits until the adapter may be used on the engine.
+    async fn pin(&self, ask: &Ask<'_>) -> Option<PinHold> {
+        let _span = self.hops(ask.generate).span(Hop::Dispatch);
+        let began = self.clock.now();
+        let adapter = &ask.generate.adapter;
+        let pin = PinHold::take(&self.loader, ask.upstream, adapter, ask.class).await;
+        let waited = self.clock.now().saturating_duration_since(began);
+        self.measures.metrics.load_stall(ask.class, waited);
+        pin
+    }
+
     async fn next_verdict(&self, attempt: &mut Attempt, until: Instant) -> Option<Verdict> {
         let left = until.saturating_duration_since(self.clock.now());
-        timeout(left, attempt.verdict()).await.ok().flatten()
+        timeout(left, attempt.verdict(&*self.clock))
+            .await
+            .ok()
+            .flatten()
     }
 
     async fn try_at(&self, attempt: &mut Attempt, ask: &Ask<'_>, pending: Pending) -> Tried {
@@ -171,7 +200,7 @@
             class,
             until,
         } = *ask;
-        let pin = PinHold::take(&self.loader, upstream, &generate.adapter, class).await;
+        let pin = self.pin(ask).await;
         let Some(mut pin) = pin else {
             return Tried::Failed {
                 pending,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,6 +21,7 @@
 use crate::claims_keeper::{AskUnsettled, TakeForwards};
 use crate::control::{Control, ControlParts};
 use crate::forwards::{FORWARDS_QUEUE, Forwards};
+use crate::gauges::Gauges;
 use crate::generation::Generations;
 use crate::peers::Told;
 use crate::plain_calls::PlainCalls;
@@ -87,6 +88,7 @@
         outside: Outside,
         log: Logger,
     ) -> Result<Self, NodeError> {
+        let outside = outside.observed();
         let incarnation = incarnation(&*outside.clock);
         log_event!(
             log, Event::NodeStarted,
@@ -107,6 +109,12 @@
             log: log.clone(),
         };
         let control = start_control(parts, stop_control.clone()).await?;
+        let gauges = Gauges {
+            metrics: outside.measures.metrics.clone(),
+            in_force: Arc::clone(&in_force),
+            link: Arc::clone(&link),
+        };
+        tokio::spawn(gauges.run(stop_control.clone()));
         let is_leaving = Arc::new(AtomicBool::new(false));
         let drain = CancellationToken::new();
         let once_only = TaskTracker::new();
@@ -124,6 +132,8 @@
             plain_calls,
             dispatcher: control.dispatcher.clone(),
             peers: control.peers.clone(),
+            clock: Arc::clone(&outside.clock),
+            measures: outside.measures.clone(),
         };
         let front = Front::bind(settings.front.clone(), Arc::new(serving), log.clone()).await?;
         let limit = Duration::from_millis(settings.control.shutdown_limit_ms);
@@ -253,6 +263,7 @@
         loader: control.loader.clone(),
         engines: Arc::clone(&outside.engines),
         clock: Arc::clone(&outside.clock),
+        measures: outside.measures.clone(),
     }
 }
 
@@ -267,8 +278,9 @@
         claims: control.claims.clone(),
         plain: Arc::clone(&outside.plain),
         clock: Arc::clone(&outside.clock),
+        measures: outside.measures.clone(),
         ticket,
-        forwards: Forwards::new(control.peers.clone()),
+        forwards: Forwards::new(control.peers.clone(), outside.measures.spans.clone()),
         once_only,
     }
 }
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -6,7 +6,9 @@
 use nutmegsail_platform::{HttpKeyValue, HttpVmList, KeyValue, PlatformSettings, VmList};
 use nutmegsail_upstream::{Engine, HttpEngine, HttpPlainService, PlainService, UpstreamSettings};
 
-use crate::PlatformAddresses;
+use crate::counted_store::CountedStore;
+use crate::observed_engine::ObservedEngine;
+use crate::{Measures, PlatformAddresses};
 
 /// Everything outside the node's process, as interfaces.
 #[derive(Clone, Debug)]
@@ -21,9 +23,21 @@
     pub plain: Arc<dyn PlainService>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
+    /// Where measurements and spans go.
+    pub measures: Measures,
 }
 
 impl Outside {
+    /// The same, with store calls counted and a span for each answer of an engine.
+    pub(crate) fn observed(mut self) -> Self {
+        let Measures { metrics, spans } = self.measures.clone();
+        let inner = self.store;
+        self.store = Arc::new(CountedStore { inner, metrics });
+        let inner = self.engines;
+        self.engines = Arc::new(ObservedEngine { inner, spans });
+        self
+    }
+
     /// The real ones, over HTTP.
     pub fn over_http(addresses: &PlatformAddresses) -> Self {
         let key_value = PlatformSettings::at(addresses.key_value.to_string());
@@ -34,6 +48,7 @@
             engines: Arc::new(HttpEngine::new(UpstreamSettings::default())),
             plain: Arc::new(HttpPlainService::new(UpstreamSettings::default())),
             clock: Arc::new(SystemClock),
+            measures: Measures::default(),
         }
     }
 }
--- a/crates/node/src/plain_calls.rs
+++ b/crates/node/src/plain_calls.rs
@@ -14,6 +14,7 @@
 };
 use nutmegsail_request::{Accepted, AfterFailure, Queued, Refusal, Request, Uncertain};
 use nutmegsail_routing::{Arrival, Outcome};
+use nutmegsail_telemetry::{ClaimResult, Hop};
 use nutmegsail_upstream::{PlainRequest, PlainResponse, PlainService, UpstreamError};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -27,6 +28,7 @@
 use crate::dispatcher::{Dispatcher, Verdict};
 use crate::forwards::Forwards;
 use crate::generation::outcome_of;
+use crate::measures::{Hops, Measures};
 
 /// The largest answer of a once-only call, in bytes: it is read whole so that it can be recorded.
 const ONCE_ONLY_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -42,6 +44,8 @@
     pub(crate) plain: Arc<dyn PlainService>,
     /// The clock.
     pub(crate) clock: Arc<dyn Clock>,
+    /// Where measurements and spans go.
+    pub(crate) measures: Measures,
     /// This run of this node, which tickets name.
     pub(crate) ticket: Ticket,
     /// Calls handed to other nodes.
@@ -135,6 +139,9 @@
             }
             verdict => verdict,
         };
+        if let Some(result) = verdict.as_ref().and_then(claim_result) {
+            self.measures.metrics.claimed(result);
+        }
         match verdict {
             Some(ClaimVerdict::Run) => self.run_claimed(call).await,
             Some(ClaimVerdict::Answer(recorded)) if recorded.is_kept => Ok(recorded),
@@ -225,10 +232,16 @@
     async fn send(&self, call: &PlainCall, run: Option<&ClaimedRun>) -> Result<Begun, Stopped> {
         let until = deadline(&self.clock, call.deadline);
         let mut pending = Pending::Clean(Request::accept(call.request.clone()).queue());
-        let mut attempt = Attempt::admit(&self.dispatcher, arrival(call, until)).await;
+        let (hops, now) = (self.hops(call), self.clock.now());
+        let arrival = arrival(call, until);
+        let mut attempt = Attempt::admit(&self.dispatcher, arrival, hops, now).await;
         loop {
             let left = until.saturating_duration_since(self.clock.now());
-            let upstream = match timeout(left, attempt.verdict()).await.ok().flatten() {
+            let upstream = match timeout(left, attempt.verdict(&*self.clock))
+                .await
+                .ok()
+                .flatten()
+            {
                 Some(Verdict::Send { upstream, .. }) => upstream,
                 Some(Verdict::Cancel) => continue,
                 Some(Verdict::Refuse { code, retry_after }) => {
@@ -259,23 +272,38 @@
                         AfterFailure::NotRun(request) => Pending::Clean(request),
                         AfterFailure::MayHaveRun(request) => Pending::Doubtful(request),
                     };
-                    attempt.failed(outcome_of(&error)).await;
+                    let outcome = outcome_of(&error);
+                    attempt.failed(outcome, self.clock.now()).await;
                 }
             }
         }
     }
 
+    fn hops(&self, call: &PlainCall) -> Hops {
+        Hops {
+            measures: self.measures.clone(),
+            traceparent: call.traceparent.clone(),
+            service: call.service.clone(),
+            class: call.class,
+        }
+    }
+
     async fn try_at(
         &self,
         upstream: &UpstreamId,
         call: &PlainCall,
         until: Instant,
     ) -> Result<PlainResponse, UpstreamError> {
+        let span = self.hops(call).span(Hop::Upstream);
+        span.set("nutmegsail.upstream", upstream);
         let left = until.saturating_duration_since(self.clock.now());
-        let sent = self.plain.call(upstream, plain_request(call, left));
-        timeout(left, sent)
-            .await
-            .unwrap_or(Err(UpstreamError::Broken))
+        let request = plain_request(call, left, span.traceparent());
+        let sent = timeout(left, self.plain.call(upstream, request)).await;
+        let result = sent.unwrap_or(Err(UpstreamError::Broken));
+        if let Err(error) = &result {
+            span.fail(error.code());
+        }
+        result
     }
 }
 
@@ -296,6 +324,22 @@
     }
 }
 
+/// How a verdict is counted.
+fn claim_result(verdict: &ClaimVerdict) -> Option<ClaimResult> {
+    Some(match verdict {
+        ClaimVerdict::Run => ClaimResult::Granted,
+        ClaimVerdict::Answer(_) => ClaimResult::Repeated,
+        ClaimVerdict::Refuse { code, .. } if *code == ResultCode::InProgress => {
+            ClaimResult::Repeated
+        }
+        ClaimVerdict::Refuse { run_state, .. } if *run_state == RunState::NotRun => {
+            ClaimResult::Refused
+        }
+        ClaimVerdict::Refuse { .. } => ClaimResult::Unknown,
+        ClaimVerdict::Forward { .. } => return None,
+    })
+}
+
 /// A status without its body would look like a whole answer.
 fn not_kept(recorded: &RecordedAnswer) -> Refusal {
     let detail = format!("the upstream answered with status {}", recorded.status);
@@ -384,12 +428,20 @@
     }
 }
 
-fn plain_request(call: &PlainCall, deadline: Duration) -> PlainRequest {
+fn plain_request(
+    call: &PlainCall,
+    deadline: Duration,
+    traceparent: Option<String>,
+) -> PlainRequest {
+    let mut headers = call.headers.clone();
+    if let Some(Ok(traceparent)) = traceparent.map(HeaderValue::try_from) {
+        headers.insert("traceparent", traceparent);
+    }
     PlainRequest {
         request: call.request.clone(),
         method: call.method.clone(),
         path: call.path.clone(),
-        headers: call.headers.clone(),
+        headers,
         body: call.body.clone(),
         deadline,
     }
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwapOption;
 use async_trait::async_trait;
 use bytes::Bytes;
-use nutmegsail_base::{AdapterRef, Class, ResultCode, ServiceName};
+use nutmegsail_base::{AdapterRef, Class, Clock, ResultCode, ServiceName};
 use nutmegsail_config::{AdapterLookup, InForce};
 use nutmegsail_front::{Answer, Generate, Handler, OperatorsQuery, PlainAnswer, PlainCall};
 use nutmegsail_request::{AnswerHandle, Refusal, Request};
@@ -16,8 +16,10 @@
 
 use crate::dispatcher::{Dispatcher, Explain};
 use crate::generation::Generations;
+use crate::measures::Measures;
 use crate::peers::{AskStatus, Peers};
 use crate::plain_calls::PlainCalls;
+use crate::request_trace::RequestTrace;
 
 /// Answers what the front has read and checked.
 pub(crate) struct Serving {
@@ -35,6 +37,10 @@
     pub(crate) dispatcher: Address<Dispatcher>,
     /// Membership.
     pub(crate) peers: Address<Peers>,
+    /// The clock.
+    pub(crate) clock: Arc<dyn Clock>,
+    /// Where measurements and spans go.
+    pub(crate) measures: Measures,
 }
 
 #[async_trait]
@@ -47,8 +53,17 @@
         self.in_force.load().is_some() && !self.is_leaving.load(Ordering::Acquire)
     }
 
-    async fn generate(&self, request: Generate) -> Result<Answer, Refusal> {
-        self.generations.generate(request).await
+    async fn generate(&self, mut request: Generate) -> Result<Answer, Refusal> {
+        let parent = request.traceparent.as_deref();
+        let mut trace = self.trace(&request.service, request.class, parent);
+        request.traceparent = trace.traceparent();
+        match self.generations.generate(request).await {
+            Ok(answer) => Ok(trace.follow(answer)),
+            Err(refusal) => {
+                trace.ended(Some(refusal.code));
+                Err(refusal)
+            }
+        }
     }
 
     async fn resume(&self, handle: AnswerHandle, after: u64) -> Result<Answer, Refusal> {
@@ -66,8 +81,17 @@
         self.generations.resume(handle, after).await
     }
 
-    async fn call(&self, request: PlainCall) -> Result<PlainAnswer, Refusal> {
-        self.plain_calls.call(request).await
+    async fn call(&self, mut request: PlainCall) -> Result<PlainAnswer, Refusal> {
+        let parent = request.traceparent.as_deref();
+        let mut trace = self.trace(&request.service, request.class, parent);
+        request.traceparent = trace.traceparent();
+        match self.plain_calls.call(request).await {
+            Ok(answer) => Ok(trace.follow_plain(answer)),
+            Err(refusal) => {
+                trace.ended(Some(refusal.code));
+                Err(refusal)
+            }
+        }
     }
 
     fn ticket(&self) -> Option<String> {
@@ -98,6 +122,10 @@
 }
 
 impl Serving {
+    fn trace(&self, service: &ServiceName, class: Class, parent: Option<&str>) -> RequestTrace {
+        RequestTrace::begin(&self.measures, &self.clock, service, class, parent)
+    }
+
     fn is_engine_of(&self, handle: &AnswerHandle) -> bool {
         let text = self.in_force.load();
         let Some(text) = text.as_ref() else {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -7,13 +7,13 @@
 use nutmegsail_base::{FailureDomain, NodeId, ResultCode};
 use nutmegsail_front::FrontSettings;
 use nutmegsail_membership::MembershipSettings;
-use nutmegsail_telemetry::LogSettings;
+use nutmegsail_telemetry::{LogSettings, TelemetrySettings};
 use serde::{Deserialize, Serialize};
 
 /// Everything that differs from one node to the next, and the limits that hold on it.
 ///
 /// `examples/node.toml` shows every key with its default.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// The node's id; the VM list names it by this.
@@ -33,6 +33,9 @@
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
+    /// Metrics and spans.
+    #[serde(default)]
+    pub telemetry: TelemetrySettings,
     /// Intervals and bounds of the control side.
     #[serde(default)]
     pub control: ControlSettings,
@@ -155,6 +158,12 @@
                 problem: error.to_string(),
             });
         }
+        for error in self.telemetry.validate().err().into_iter().flatten() {
+            faults.push(SettingsFault {
+                key: "telemetry".into(),
+                problem: error.to_string(),
+            });
+        }
         for error in self.membership.validate().err().into_iter().flatten() {
             faults.push(SettingsFault {
                 key: "membership".into(),
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -3,6 +3,7 @@
 use nutmegsail_front::FrontSettings;
 use nutmegsail_membership::MembershipSettings;
 use nutmegsail_node::{ControlSettings, NodeSettings};
+use nutmegsail_telemetry::TelemetrySettings;
 
 const EXAMPLE: &str = include_str!("../../../examples/node.toml");
 
@@ -15,12 +16,14 @@
     assert_eq!(settings.front, front);
     assert_eq!(settings.membership, MembershipSettings::default());
     assert_eq!(settings.control, ControlSettings::default());
+    assert_eq!(settings.telemetry, TelemetrySettings::default());
 }
 
 #[test]
 fn all_faults_are_reported_at_once() {
     let text = EXAMPLE
         .replace("tick_ms = 20", "tick_ms = 0")
+        .replace("sampled_share = 0.01", "sampled_share = 2.0")
         .replace("traffic_threads = 2", "traffic_threads = 0")
         .replace("\"127.0.0.1:7401\"", "\"nowhere\"")
         .replace(
@@ -31,7 +34,13 @@
     let keys: Vec<_> = faults.iter().map(|fault| fault.key.as_str()).collect();
     assert_eq!(
         keys,
-        ["membership", "traffic_threads", "control.tick_ms", "seeds"]
+        [
+            "telemetry",
+            "membership",
+            "traffic_threads",
+            "control.tick_ms",
+            "seeds"
+        ]
     );
 }
 
--- a/crates/nutmegsaild/src/main.rs
+++ b/crates/nutmegsaild/src/main.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 
 use eyre::{WrapErr, eyre};
-use nutmegsail_node::{Node, NodeSettings, Outside};
-use nutmegsail_telemetry::{Event, log_event, logger};
+use nutmegsail_node::{Measures, Node, NodeSettings, Outside};
+use nutmegsail_telemetry::{Event, Telemetry, log_event, logger};
 use tokio::signal::unix::{SignalKind, signal};
 
 mod flags {
@@ -44,7 +44,16 @@
 
 async fn run(settings: NodeSettings) -> eyre::Result<()> {
     let log = logger(&settings.log);
-    let outside = Outside::over_http(&settings.platform);
+    let telemetry = Telemetry::start(
+        &settings.telemetry,
+        &settings.node,
+        &settings.failure_domain,
+    )?;
+    let mut outside = Outside::over_http(&settings.platform);
+    outside.measures = Measures {
+        metrics: telemetry.metrics().clone(),
+        spans: telemetry.spans().clone(),
+    };
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let node = Node::start(settings, outside, log.clone()).await?;
@@ -60,5 +69,7 @@
         () = node.drain_asked() => {}
     }
     node.shutdown().await;
+    // What was measured up to the end still goes out, for two seconds at most.
+    tokio::task::spawn_blocking(move || telemetry.shutdown()).await?;
     Ok(())
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -70,6 +70,7 @@
     first_token_ms: Histogram<f64>,
     load_stall_s: Histogram<f64>,
     queue_length: Gauge<u64>,
+    queue_wait_ms: Histogram<f64>,
     retries: Counter<u64>,
     sheds: Counter<u64>,
     generation: Gauge<u64>,
@@ -103,6 +104,12 @@
                 .with_boundaries(LOAD_STALL_S.to_vec())
                 .build(),
             queue_length: gauge("nutmegsail.queue_length", "Requests that wait on the node."),
+            queue_wait_ms: meter
+                .f64_histogram("nutmegsail.queue_wait")
+                .with_unit("ms")
+                .with_description("Time that a request waited for its upstream to be chosen.")
+                .with_boundaries(FIRST_TOKEN_MS.to_vec())
+                .build(),
             retries: counter("nutmegsail.retries", "Second and later sends of a request."),
             sheds: counter(
                 "nutmegsail.sheds",
@@ -154,6 +161,12 @@
         self.queue_length.record(requests, &[class_of(class)]);
     }
 
+    /// A request waited this long until it was sent.
+    pub fn queue_wait(&self, class: Class, waited: Duration) {
+        let ms = waited.as_secs_f64() * 1_000.0;
+        self.queue_wait_ms.record(ms, &[class_of(class)]);
+    }
+
     /// A request was sent another time.
     pub fn retried(&self, service: &ServiceName) {
         self.retries.add(1, &[service_of(service)]);
