Load elsewhere what only a leaving engine still holds

Cause: placement counted the copies of a leaving engine as copies. With the only one there, every wish to load the adapter elsewhere was dropped as satisfied, while routing gives a leaving engine no new work: requests waited until their deadlines and got NS2002. Found by a test of whole nodes (`a_leaving_engine_finishes_and_gets_no_new_work`); routing was ruled out, its wishes were made.

Change: copies on leaving engines aren't counted.

Guard taken out (the count skips leaving engines): `an_adapter_that_only_a_leaving_engine_holds_is_ loaded_elsewhere` failed with no load at all; with it one load on the other engine.

Conclusion: open is the case of an engine that holds the only copy but fails all the time: the router has tried it and waits for another copy, which placement sees no demand for.

--- a/crates/node/tests/support/caller.rs
+++ b/crates/node/tests/support/caller.rs
@@ -1,6 +1,7 @@
 //! A caller that reads a streamed answer event by event.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request};
@@ -11,6 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+/// Prompts differ, so that an engine's cached prefix draws no request to it.
+static NEXT_PROMPT: AtomicU64 = AtomicU64::new(0);
+
 /// One server-sent event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SseEvent {
@@ -45,8 +49,9 @@
 impl Stream {
     /// Asks `node` for `tokens` tokens of `model`.
     pub async fn generate(node: SocketAddr, model: &str, tokens: u64, call: Option<&str>) -> Self {
+        let prompt = NEXT_PROMPT.fetch_add(1, Ordering::Relaxed);
         let body = serde_json::json!({
-            "model": model, "prompt": "hello", "max_tokens": tokens, "stream": true,
+            "model": model, "prompt": format!("{prompt} hello"), "max_tokens": tokens, "stream": true,
         });
         let headers = call.map(|call| ("nutmegsail-call", call.to_owned()));
         let headers: Vec<_> = headers.into_iter().collect();
--- a/crates/placement/src/domain_view.rs
+++ b/crates/placement/src/domain_view.rs
@@ -107,7 +107,7 @@
         self.engines.get(engine).map(|view| &view.plan)
     }
 
-    /// Adapters that some engine holds.
+    /// Adapters that some engine that stays holds.
     pub fn held(&self) -> impl Iterator<Item = &AdapterRef> {
         self.replicas.keys()
     }
@@ -173,7 +173,7 @@
             .is_some_and(EngineView::takes_loads)
     }
 
-    /// How many engines hold the adapter, ready or loading.
+    /// How many engines that stay hold the adapter, ready or loading.
     pub fn replicas(&self, adapter: &AdapterRef) -> u32 {
         self.replicas.get(adapter).copied().unwrap_or(0)
     }
@@ -272,14 +272,21 @@
     }
 }
 
+/// Counts what an engine holds. The copies of a leaving engine serve no new request: counted, they
+/// would keep an adapter from being loaded elsewhere, and its requests would wait in vain until
+/// their deadlines.
 fn count_in(replicas: &mut HashMap<AdapterRef, u32>, report: &EngineReport) {
+    if report.is_leaving {
+        return;
+    }
     for held in &report.adapters {
         *replicas.entry(held.adapter.clone()).or_default() += 1;
     }
 }
 
 fn count_out(replicas: &mut HashMap<AdapterRef, u32>, report: Option<&EngineReport>) {
-    for held in report.into_iter().flat_map(|report| &report.adapters) {
+    let counted = report.filter(|report| !report.is_leaving);
+    for held in counted.into_iter().flat_map(|report| &report.adapters) {
         let Some(count) = replicas.get_mut(&held.adapter) else {
             continue;
         };
--- a/crates/placement/tests/load_scheduling.rs
+++ b/crates/placement/tests/load_scheduling.rs
@@ -138,6 +138,25 @@
     assert!(later.iter().all(|load| load.1 != first), "{later:?}");
 }
 
+/// The only engine that holds an adapter is about to leave. Counted as a copy, it would keep the
+/// adapter from being loaded elsewhere, and each request for it would wait until its deadline.
+#[test]
+fn an_adapter_that_only_a_leaving_engine_holds_is_loaded_elsewhere() {
+    let mut world = world(plan(2, 4, 8, false));
+    world.request(0, &adapter(0), Class::Routine, ms(500));
+    world.run(SECOND * 10);
+    let first = loads(&world)[0].1.clone();
+    let leaving = usize::from(first == engine_name(1).as_str());
+    world.engines[leaving].is_leaving = true;
+    world.run(SECOND * 2);
+    world.request(0, &adapter(0), Class::Routine, ms(500));
+    world.run(SECOND * 5);
+    let later = loads(&world).split_off(1);
+    assert_eq!(later.len(), 1, "{later:?}");
+    assert_ne!(later[0].1, first);
+    assert_eq!(world.ran, 2);
+}
+
 /// An engine comes back empty. Adapters in demand would each stall their next request.
 #[test]
 fn after_a_cold_restart_adapters_are_loaded_again_hottest_first() {
