Let connected failure domains use what others leave of the weight store

Cause: the budget could borrow, but no node told another failure domain of its use, so each kept to its static share also when connected.

Change: the load scheduler tells each other failure domain once a second, by way of any node there, which passes it on once. The node carries the message over its existing way to another failure domain.

Each scheduler sends one short message a second to each other domain: five in six domains. Not measured over real links.

--- a/crates/measure/src/placement_sim/domain.rs
+++ b/crates/measure/src/placement_sim/domain.rs
@@ -170,6 +170,7 @@
             PlacementAction::Claim { .. }
             | PlacementAction::Release { .. }
             | PlacementAction::Send { .. }
+            | PlacementAction::SendToDomain { .. }
             | PlacementAction::Report(_) => {}
         }
         None
--- a/crates/node/src/loader.rs
+++ b/crates/node/src/loader.rs
@@ -214,6 +214,12 @@
                     self.send(to, NodeMessage::Placement(bytes)).await;
                 }
             }
+            PlacementAction::SendToDomain { domain, message } => {
+                if let Ok(bytes) = postcard_bytes(&message) {
+                    let message = NodeMessage::Placement(bytes);
+                    self.send_to_domain(domain, message).await;
+                }
+            }
             PlacementAction::Report(note) => self.log(&note),
         }
     }
@@ -387,6 +393,10 @@
         let Some(domain) = self.domains.get(engine).cloned() else {
             return;
         };
+        self.send_to_domain(domain, message).await;
+    }
+
+    async fn send_to_domain(&self, domain: FailureDomain, message: NodeMessage) {
         let _ = self
             .parts
             .peers
--- a/crates/placement/src/action.rs
+++ b/crates/placement/src/action.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use nutmegsail_base::{AdapterRef, Incarnation, NodeId, UpstreamId};
+use nutmegsail_base::{AdapterRef, FailureDomain, Incarnation, NodeId, UpstreamId};
 use nutmegsail_upstream::OrderOp;
 
 use crate::{PlacementMessage, PlacementNote};
@@ -117,6 +117,13 @@
         /// The message.
         message: PlacementMessage,
     },
+    /// Send a message to any node of another failure domain.
+    SendToDomain {
+        /// The failure domain.
+        domain: FailureDomain,
+        /// The message.
+        message: PlacementMessage,
+    },
     /// Write to the log.
     Report(PlacementNote),
 }
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -1,6 +1,6 @@
 //! What nodes of one failure domain tell each other about loads.
 
-use nutmegsail_base::{AdapterRef, Class, UpstreamId};
+use nutmegsail_base::{AdapterRef, Class, FailureDomain, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 /// A message from one node's placement to another's, to be delivered as
@@ -37,6 +37,18 @@
         /// How it ended.
         outcome: LoadOutcome,
     },
+    /// To another failure domain's load scheduler, by way of any node there: how much of the
+    /// weight store the sender's failure domain uses.
+    StoreUse {
+        /// The sender's failure domain.
+        domain: FailureDomain,
+        /// Loads in 1,000 s, of late.
+        loads_per_1000_s: u32,
+        /// How many loads wait.
+        backlog: u32,
+        /// Whether the node that was reached passed it on.
+        is_passed_on: bool,
+    },
     /// To the load scheduler: requests that the sender saw since its last message.
     Demand {
         /// A count for each adapter and class.
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -47,6 +47,7 @@
     /// Requests that the load scheduler has not been told of.
     untold_demand: BTreeMap<(AdapterRef, Class), f64>,
     told_demand_at: Option<Instant>,
+    told_store_use_at: Option<Instant>,
 }
 
 impl Placement {
@@ -69,6 +70,7 @@
             next_order: 0,
             untold_demand: BTreeMap::new(),
             told_demand_at: None,
+            told_store_use_at: None,
             settings,
         }
     }
@@ -270,6 +272,7 @@
             });
         }
         self.tell_demand(now, actions);
+        self.tell_store_use(now, actions);
         let (scheduler, inputs) = self.scheduling(now);
         scheduler.tick(&inputs);
         self.schedule(now, actions);
--- a/crates/placement/src/placement/loads.rs
+++ b/crates/placement/src/placement/loads.rs
@@ -1,9 +1,9 @@
 //! What is loaded: wants, permits and their outcomes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{AdapterName, AdapterRef, Class, UpstreamId};
+use nutmegsail_base::{AdapterName, AdapterRef, Class, FailureDomain, UpstreamId};
 
 use super::Placement;
 use crate::load_scheduler::LoadPermit;
@@ -13,6 +13,8 @@
 
 /// How often the load scheduler is told of requests.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(2);
+/// How often other failure domains are told of the use of the weight store.
+const STORE_USE_INTERVAL: Duration = Duration::from_secs(1);
 /// How many adapters and classes one message names; requests for others are not told.
 const DEMAND_COUNTS: usize = 512;
 
@@ -61,6 +63,38 @@
         });
     }
 
+    /// Tells the other failure domains how much of the weight store this one uses, so that they
+    /// may use the rest. Only the load scheduler does.
+    pub(super) fn tell_store_use(&mut self, now: Instant, actions: &mut Vec<PlacementAction>) {
+        let is_recent = |at: Instant| now < at + STORE_USE_INTERVAL;
+        let Some(store_use) = self.store_use(now) else {
+            return;
+        };
+        if self.told_store_use_at.is_some_and(is_recent) {
+            return;
+        }
+        self.told_store_use_at = Some(now);
+        let own = &self.settings.failure_domain;
+        let domains: BTreeSet<&FailureDomain> = self
+            .plan
+            .engines
+            .iter()
+            .map(|engine| &engine.failure_domain)
+            .filter(|domain| *domain != own)
+            .collect();
+        for domain in domains {
+            actions.push(PlacementAction::SendToDomain {
+                domain: domain.clone(),
+                message: PlacementMessage::StoreUse {
+                    domain: own.clone(),
+                    loads_per_1000_s: (store_use.loads_per_s * 1_000.0).round() as u32,
+                    backlog: store_use.backlog,
+                    is_passed_on: false,
+                },
+            });
+        }
+    }
+
     /// What the engine holds, what is worth least first.
     fn victims_of(&self, engine: &UpstreamId, now: Instant) -> Vec<AdapterRef> {
         let held = self
@@ -163,6 +197,31 @@
                 class,
                 victims,
             } => self.permitted(&engine, adapter, class, victims, now, actions),
+            PlacementMessage::StoreUse {
+                domain,
+                loads_per_1000_s,
+                backlog,
+                is_passed_on,
+            } => {
+                let message = PlacementMessage::StoreUse {
+                    domain: domain.clone(),
+                    loads_per_1000_s,
+                    backlog,
+                    is_passed_on: true,
+                };
+                match self.scheduler_node() {
+                    Some(to) if *to != self.settings.node && !is_passed_on => {
+                        let to = to.clone();
+                        actions.push(PlacementAction::Send { to, message });
+                    }
+                    _ => {
+                        let loads_per_s = f64::from(loads_per_1000_s) / 1_000.0;
+                        self.scheduler
+                            .budget
+                            .peer_use(domain, loads_per_s, backlog, now);
+                    }
+                }
+            }
             PlacementMessage::Demand { counts } => {
                 for count in counts {
                     let requests = f64::from(count.requests);
--- a/crates/placement/tests/demand_sharing.rs
+++ b/crates/placement/tests/demand_sharing.rs
@@ -1,10 +1,12 @@
 //! What nodes of one failure domain tell each other about demand.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use nutmegsail_base::{AdapterRef, Class, NodeId};
 use nutmegsail_placement::{
-    DemandCount, Placement, PlacementAction, PlacementEvent, PlacementMessage, PlacementSettings,
+    DemandCount, EnginePlan, Placement, PlacementAction, PlacementEvent, PlacementMessage,
+    PlacementPlan, PlacementSettings,
 };
 
 /// Callers of one node ask for an adapter again and again. The node that schedules the failure
@@ -46,3 +48,35 @@
     };
     assert_eq!(*message, PlacementMessage::Demand { counts });
 }
+
+/// One failure domain has nothing to load, another one has a backlog. Without word of each other
+/// the second one keeps to its share while the weight store stands idle.
+#[test]
+fn a_failure_domain_tells_the_others_how_much_of_the_weight_store_it_uses() {
+    let now = Instant::now();
+    let mut placement = Placement::new(PlacementSettings::new("node-1", "moka"));
+    let engine = |domain: &str| EnginePlan {
+        upstream: format!("{domain}:8000").into(),
+        service: "editlm".into(),
+        failure_domain: domain.into(),
+        adapter_slots: 8,
+        checks_fencing: true,
+    };
+    let plan = PlacementPlan {
+        engines: ["moka", "ebene-a", "port-louis"].map(engine).to_vec(),
+        failure_domains: 3,
+        ..PlacementPlan::default()
+    };
+    let mut actions = Vec::new();
+    placement.handle(PlacementEvent::Plan(Arc::new(plan)), now, &mut actions);
+    let nodes = vec!["node-1".into()];
+    placement.handle(PlacementEvent::LiveNodes { nodes }, now, &mut actions);
+    placement.handle(PlacementEvent::Tick, now, &mut actions);
+    placement.handle(PlacementEvent::Tick, now, &mut actions);
+    let to_domain = |action: &PlacementAction| match action {
+        PlacementAction::SendToDomain { domain, .. } => Some(domain.to_string()),
+        _ => None,
+    };
+    let told: Vec<String> = actions.iter().filter_map(to_domain).collect();
+    assert_eq!(told, ["ebene-a", "port-louis"]);
+}
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -358,7 +358,7 @@
                 let event = PlacementEvent::Received { from, message };
                 self.send(node_index(&to), NodeInput::Event(event));
             }
-            PlacementAction::Report(_) => {}
+            PlacementAction::SendToDomain { .. } | PlacementAction::Report(_) => {}
         }
     }
 
