--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -38,6 +38,8 @@
     settings: PlacementSettings,
     plan: Arc<PlacementPlan>,
     nodes: Vec<NodeId>,
+    /// The node that schedules the failure domain's loads; chosen once for each set of nodes.
+    scheduler_node: Option<NodeId>,
     view: DomainView,
     demand: DemandEstimate,
     claims: Claims,
@@ -62,6 +64,7 @@
         Self {
             plan: Arc::default(),
             nodes: Vec::new(),
+            scheduler_node: None,
             view: DomainView::new(settings.replica_rate_per_s),
             demand,
             claims: Claims::default(),
@@ -171,7 +174,7 @@
     }
 
     fn scheduler_node(&self) -> Option<&NodeId> {
-        first_choice(SCHEDULER_KEY, &self.nodes)
+        self.scheduler_node.as_ref()
     }
 
     fn plan(&mut self, plan: Arc<PlacementPlan>, now: Instant, actions: &mut Vec<PlacementAction>) {
@@ -203,6 +206,7 @@
     }
 
     fn live_nodes(&mut self, nodes: Vec<NodeId>, now: Instant) {
+        self.scheduler_node = first_choice(SCHEDULER_KEY, &nodes).cloned();
         self.nodes = nodes;
         self.choose_owners(now);
     }
