--- a/crates/node/tests/streams_engine_faults.rs
+++ b/crates/node/tests/streams_engine_faults.rs
@@ -67,7 +67,7 @@
         wrong_adapter_share: 1.0,
         ..Knobs::default()
     });
-    // The router may send first to either engine; both turn out as the callers' text says.
+    // The router may try either engine first; the answer is always the right one's.
     for _ in 0..4 {
         let reading = ask(&node, 5).await;
         reading.assert_whole(&reading.request, NOTE, 0, 5);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -10,12 +10,12 @@
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
-use nutmegsail_config::{OperatorsText, Publisher};
+use nutmegsail_config::{OperatorsText, Publisher, TextStore};
 use nutmegsail_fakes::{
     EngineEntry, FakePlainService, Knobs, PlainEntry, StandIns, StandInsSettings,
 };
 use nutmegsail_node::{Node, NodeSettings, Outside};
-use nutmegsail_platform::{HttpKeyValue, PlatformSettings};
+use nutmegsail_platform::{HttpKeyValue, KeyValue, PlatformSettings};
 use tokio::net::TcpStream;
 
 pub mod caller;
@@ -142,10 +142,14 @@
     /// Has `text` accepted.
     pub async fn publish(&self, text: &str) {
         let store = HttpKeyValue::new(PlatformSettings::at(self.platform().to_string()));
+        let store: Arc<dyn KeyValue> = Arc::new(store);
         let text = OperatorsText::new("test.toml", text);
-        let publisher = Publisher::new(Arc::new(store));
-        publisher
-            .publish(&text, None, "tester".into())
+        let head = TextStore::new(Arc::clone(&store)).read_head().await;
+        let base = head.expect("a head").map(|found| found.head.generation);
+        // A writer that stands in the history already has its text accepted.
+        let writer = uuid::Uuid::now_v7().to_string();
+        Publisher::new(store)
+            .publish(&text, base, writer.as_str().into())
             .await
             .expect("the text is accepted");
     }
