--- a/crates/node/src/claims_keeper.rs
+++ b/crates/node/src/claims_keeper.rs
@@ -3,9 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use arc_swap::ArcSwapOption;
 use nutmegsail_base::{Clock, Incarnation, NodeId, RequestId, ResultCode, RunState};
-use nutmegsail_config::{Generation, InForce};
 use nutmegsail_idempotency::{
     ClaimAction, ClaimEvent, ClaimOutcome, ClaimSettings, ClaimToken, Claims, ForwardResult,
     IdempotencyKey, LiveNode, RecordedAnswer, RequestDigest, StoreFault, StoredRecord, SwapFault,
@@ -115,8 +113,6 @@
     pub(crate) store: Arc<dyn KeyValue>,
     /// Other nodes.
     pub(crate) peers: Address<Peers>,
-    /// The text in force.
-    pub(crate) in_force: Arc<ArcSwapOption<InForce>>,
     /// The log.
     pub(crate) log: Logger,
 }
@@ -128,8 +124,6 @@
     parts: ClaimsParts,
     waiting: HashMap<RequestId, oneshot::Sender<ClaimVerdict>>,
     forwards: Option<mpsc::Sender<ForwardArrived>>,
-    /// The text whose limits hold for keys.
-    judged_by: Option<Generation>,
 }
 
 impl ClaimsKeeper {
@@ -142,7 +136,6 @@
             parts,
             waiting: HashMap::new(),
             forwards: None,
-            judged_by: None,
         }
     }
 
@@ -169,6 +162,10 @@
                 run_state,
                 retry_after,
             } => {
+                if code == ResultCode::OutcomeUnknown {
+                    let request = request.to_string();
+                    log_event!(self.parts.log, Event::OutcomeUnknown, "request" => request);
+                }
                 let refuse = ClaimVerdict::Refuse {
                     code,
                     run_state,
@@ -234,21 +231,6 @@
         });
     }
 
-    /// Keys are judged by the text in force when their call arrives.
-    async fn take_limits(&mut self, this: &WeakAddress<Self>) {
-        let text = self.parts.in_force.load_full();
-        let Some(text) = text.filter(|text| self.judged_by < Some(text.generation)) else {
-            return;
-        };
-        self.judged_by = Some(text.generation);
-        let limits = &text.deployment.limits;
-        let event = ClaimEvent::Limits {
-            retention: limits.claim_retention,
-            skew: limits.clock_skew,
-        };
-        self.tell(event, this).await;
-    }
-
     fn call_store(&self, action: ClaimAction, this: &WeakAddress<Self>) {
         let Some(this) = this.try_upgrade() else {
             return;
@@ -348,7 +330,6 @@
             digest,
             verdict,
         } = message;
-        self.take_limits(&context.mailbox().address()).await;
         self.waiting.insert(request.clone(), verdict);
         let event = ClaimEvent::Begin {
             request,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -140,7 +140,6 @@
             clock: Arc::clone(&self.outside.clock),
             store: Arc::clone(&self.outside.store),
             peers: control.peers.clone(),
-            in_force: Arc::clone(&self.in_force),
             log: self.log.clone(),
         }
     }
