Show that a closing desk and a lowered retention cost no second run

Test: a plain service that closes kept connections under a booking gets each key once; a key older than the retention of the text in force is refused as not run.

--- a/crates/node/tests/once_only_calls.rs
+++ b/crates/node/tests/once_only_calls.rs
@@ -9,6 +9,7 @@
 use nutmegsail_fakes::Knobs;
 use nutmegsail_node::Node;
 use rstest::rstest;
+use support::closing_desk::ClosingDesk;
 use support::{World, send, text_of};
 use uuid::{NoContext, Timestamp, Uuid};
 
@@ -256,6 +257,68 @@
     second.shutdown().await;
 }
 
+/// Operators lower the retention to a minute. A key that is two minutes old is refused from then
+/// on: its claim may be gone, and a repeat would run a second time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_are_judged_by_the_retention_of_the_text_in_force() {
+    let world = World::start().await;
+    let node = world.node("node-1", "hall-a", &[]).await;
+    let to = node.callers_address();
+    let issued = SystemTime::now() - Duration::from_secs(120);
+    let first = confirm(to, &key_issued_at(issued), BOOKING).await;
+    assert_eq!(first.status, 200, "{first:?}");
+    let text = world.text();
+    let limits = "[limits]\nclaim_retention_ms = 60000";
+    let text = text.replace("[limits]", limits);
+    world.publish(&text).await;
+    let key = key_issued_at(issued);
+    loop {
+        let got = confirm(to, &key, BOOKING).await;
+        if got.is("NS4003", "not_run") {
+            break;
+        }
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+    let fresh = confirm(to, &new_key(), BOOKING).await;
+    assert_eq!(fresh.status, 200, "{fresh:?}");
+    node.shutdown().await;
+}
+
+/// A desk closes connections that it kept, just as the next booking comes in on one. The clerk is
+/// told "may have run". A client that sent the booking again by itself, on a new connection, would
+/// book twice when only the answer was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_kept_connection_that_closes_costs_no_second_run() {
+    let world = World::start().await;
+    let desk = ClosingDesk::start().await;
+    let text = world.text();
+    let stand_ins: Vec<_> = world
+        .desks()
+        .iter()
+        .map(|desk| desk.id().to_string())
+        .collect();
+    let listed = format!(r#"upstreams.hall-a = ["{}"]"#, desk.address);
+    let text = text
+        .replace(&format!(r#"["{}", "{}"]"#, stand_ins[0], stand_ins[1]), "X")
+        .replace(&format!(r#"["{}", "{}"]"#, stand_ins[1], stand_ins[0]), "X")
+        .replace("upstreams.hall-a = X", &listed);
+    world.publish(&text).await;
+    let node = world.node("node-1", "hall-a", &[]).await;
+    let to = node.callers_address();
+    let mut closed = 0;
+    for _ in 0..6 {
+        let key = new_key();
+        let got = confirm_until(to, &key, |got| !got.text.contains("not_run")).await;
+        if got.status != 200 {
+            assert!(got.text.contains("may_have_run"), "{got:?}");
+            closed += 1;
+        }
+        assert_eq!(desk.arrivals(&key), 1);
+    }
+    assert!(closed > 0, "a kept connection was used");
+    node.shutdown().await;
+}
+
 /// A tablet's program reuses a key for another booking. It is told so, and nothing is blocked.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_key_with_another_body_is_refused() {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 pub mod caller;
+pub mod closing_desk;
 pub mod mortal_node;
 
 /// Stand-ins with the text of [`text`] accepted.
