--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -4,6 +4,7 @@
 //! simulated time, with several seeds, beside baselines in the same run. This crate decides nothing
 //! and nothing of it runs in a node. Start at [`studies`] and [`run`].
 
+mod capacity;
 mod page;
 mod placement_sim;
 mod report;
@@ -11,6 +12,7 @@
 mod studies;
 mod study;
 
+pub use capacity::capacity_table;
 pub use page::report_page;
 pub use report::{Measure, Report, Row};
 pub use study::{Study, UnknownStudy, run, studies};
--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -1,5 +1,6 @@
 //! The studies, a file each.
 
+mod capacity;
 mod compare;
 mod domain_lost;
 mod lagging_reports;
@@ -23,4 +24,5 @@
     placement::POPULARITY_SHIFT,
     placement::COLD_RESTART,
     placement::WEIGHT_STORE_FAILING,
+    capacity::STUDY,
 ];
