Split the loader by duty: messages, pins at the desk, asks on their way

Change: PinDesk keeps pins and who waits for them, loader/pins.rs brings asks to the engine's owner, loader_message.rs says what the loader is told. Behaviour is unchanged. Conclusion: each file has one duty.

--- a/crates/node/src/dispatcher.rs
+++ b/crates/node/src/dispatcher.rs
@@ -11,7 +11,8 @@
 use tokio::sync::mpsc;
 use xtra::prelude::*;
 
-use crate::loader::{Loader, Wanted};
+use crate::loader::Loader;
+use crate::loader_message::Wanted;
 
 /// What a waiting request is told. After [`Verdict::Refuse`] or [`Verdict::GiveUp`] nothing follows.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/node/src/engine_watch.rs
+++ b/crates/node/src/engine_watch.rs
@@ -13,7 +13,8 @@
 use xtra::Address;
 
 use crate::dispatcher::{Dispatcher, Routed};
-use crate::loader::{Loader, Placed};
+use crate::loader::Loader;
+use crate::loader_message::Placed;
 use crate::peers::{Peers, Told};
 
 /// Whom the watch tells, and what it reads.
--- a/crates/node/src/loader.rs
+++ b/crates/node/src/loader.rs
@@ -1,82 +1,29 @@
 //! The actor that owns placement: which adapter is on which engine, and this node's pins.
 
-use std::collections::{HashMap, HashSet};
+mod pins;
+
+use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use nutmegsail_base::{AdapterRef, AdapterState, Class, Clock, FailureDomain, NodeId, UpstreamId};
+use nutmegsail_base::{AdapterRef, Clock, FailureDomain, NodeId, UpstreamId};
 use nutmegsail_placement::{
-    LoadOutcome, OrderId, PinCache, PinCacheAction, PinCacheSettings, PinUse, Placement,
-    PlacementAction, PlacementEvent, PlacementMessage, PlacementNote, PlacementSettings, Presence,
+    LoadOutcome, OrderId, Placement, PlacementAction, PlacementEvent, PlacementMessage,
+    PlacementNote, PlacementSettings, Presence,
 };
 use nutmegsail_routing::{AdapterAvailability, RoutingEvent};
 use nutmegsail_telemetry::{Event, log_event};
 use nutmegsail_upstream::{Engine, LoadOrder, OrderAnswer, OrderError};
-use nutmegsail_wire::{NodeMessage, Payload, PinAnswer, PinAsk, PinOutcome, PinRecall, PinReturn};
+use nutmegsail_wire::{NodeMessage, Payload, PinAnswer, PinOutcome, PinRecall};
 use slog::Logger;
-use tokio::sync::oneshot;
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
 use crate::dispatcher::{Dispatcher, Routed};
+use crate::loader_message::{FromPeer, LivePeers, LoaderTick, Placed, ReturnPin, TakePin, Wanted};
 use crate::owners::{OwnerCall, Owners};
-use crate::peers::{Peers, SendTo, SendToDomain};
-
-/// Routing wants an adapter on an engine.
-pub(crate) struct Wanted {
-    /// Where it would serve best.
-    pub(crate) engine: UpstreamId,
-    /// The adapter.
-    pub(crate) adapter: AdapterRef,
-    /// The class of the most urgent request that waits for it.
-    pub(crate) class: Class,
-}
-
-/// A request asks for a pin before its bytes go out.
-pub(crate) struct TakePin {
-    /// The engine.
-    pub(crate) engine: UpstreamId,
-    /// The adapter.
-    pub(crate) adapter: AdapterRef,
-    /// The request's class.
-    pub(crate) class: Class,
-    /// Told whether the pin is held. Dropped without a word if the owner refuses.
-    pub(crate) held: oneshot::Sender<()>,
-}
-
-/// A request that held a pin has ended at its engine.
-pub(crate) struct ReturnPin {
-    /// The engine.
-    pub(crate) engine: UpstreamId,
-    /// The adapter.
-    pub(crate) adapter: AdapterRef,
-}
-
-/// Something that placement is told.
-pub(crate) struct Placed(pub(crate) PlacementEvent);
-
-/// A message of another node about pins or loads.
-pub(crate) struct FromPeer {
-    /// The node.
-    pub(crate) from: NodeId,
-    /// Its message.
-    pub(crate) message: NodeMessage,
-}
-
-/// The live nodes of the own failure domain changed.
-pub(crate) struct LivePeers(pub(crate) Vec<NodeId>);
-
-/// Time has passed.
-pub(crate) struct LoaderTick;
-
-struct Waiter {
-    held: oneshot::Sender<()>,
-    since: Instant,
-    class: Class,
-}
-
-/// How long a request waits for a pin before it is routed anew.
-const PIN_WAIT: Duration = Duration::from_secs(2);
+use crate::peers::{Peers, SendTo};
+use crate::pin_desk::PinDesk;
 
 /// What the loader is made of.
 pub(crate) struct LoaderParts {
@@ -100,16 +47,13 @@
     pub(crate) log: Logger,
 }
 
-/// Owns [`Placement`] and [`PinCache`].
+/// Owns [`Placement`] and the [`PinDesk`].
 #[derive(xtra::Actor)]
 pub(crate) struct Loader {
     placement: Placement,
-    pins: PinCache,
+    desk: PinDesk,
     parts: LoaderParts,
-    waiters: HashMap<(UpstreamId, AdapterRef), Vec<Waiter>>,
     this: Option<WeakAddress<Loader>>,
-    /// Adapters that each engine's last report shows as ready.
-    reported: HashMap<UpstreamId, HashSet<AdapterRef>>,
     /// Where each engine of the text stands.
     domains: HashMap<UpstreamId, FailureDomain>,
 }
@@ -119,11 +63,9 @@
     pub(crate) fn new(parts: LoaderParts) -> Self {
         Self {
             placement: Placement::new(parts.settings.clone()),
-            pins: PinCache::new(PinCacheSettings::default()),
+            desk: PinDesk::default(),
             parts,
-            waiters: HashMap::new(),
             this: None,
-            reported: HashMap::new(),
             domains: HashMap::new(),
         }
     }
@@ -162,18 +104,10 @@
                 adapter,
                 lease,
             } => {
-                let ttl_ms = u32::try_from(lease.as_millis()).unwrap_or(u32::MAX);
+                let ttl_ms = millis(lease);
                 let outcome = PinOutcome::Granted { ttl_ms };
-                self.answer_pin(
-                    to,
-                    PinAnswer {
-                        ask_id,
-                        engine,
-                        adapter,
-                        outcome,
-                    },
-                )
-                .await;
+                self.answer_pin(to, pin_answer(ask_id, engine, adapter, outcome))
+                    .await;
             }
             PlacementAction::RefusePin {
                 to,
@@ -182,18 +116,10 @@
                 adapter,
                 retry_after,
             } => {
-                let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+                let retry_after_ms = millis(retry_after);
                 let outcome = PinOutcome::Refused { retry_after_ms };
-                self.answer_pin(
-                    to,
-                    PinAnswer {
-                        ask_id,
-                        engine,
-                        adapter,
-                        outcome,
-                    },
-                )
-                .await;
+                self.answer_pin(to, pin_answer(ask_id, engine, adapter, outcome))
+                    .await;
             }
             PlacementAction::RecallPin {
                 to,
@@ -263,27 +189,6 @@
         tokio::spawn(give_order(engines, engine, order, load_order, this));
     }
 
-    async fn answer_pin(&mut self, to: NodeId, answer: PinAnswer) {
-        if to == self.parts.node {
-            self.pin_answered(answer);
-        } else {
-            self.send(to, NodeMessage::PinAnswer(answer)).await;
-        }
-    }
-
-    async fn recall_pin(&mut self, to: NodeId, recall: PinRecall) {
-        if to == self.parts.node {
-            self.pin_recalled(&recall);
-        } else {
-            self.send(to, NodeMessage::PinRecall(recall)).await;
-        }
-    }
-
-    fn pin_recalled(&mut self, recall: &PinRecall) {
-        let now = self.parts.clock.now();
-        self.pins.recalled(&recall.engine, &recall.adapter, now);
-    }
-
     async fn adapter_state(&self, engine: UpstreamId, adapter: AdapterRef, state: Presence) {
         let state = match state {
             Presence::Ready => AdapterAvailability::Ready,
@@ -302,159 +207,10 @@
         let _ = self.parts.peers.send(SendTo { to, message }).detach().await;
     }
 
-    /// Asks the engine's owner, which may be this node.
-    async fn ask_pin(&mut self, ask_id: u64, engine: UpstreamId, adapter: AdapterRef) {
-        let key = (engine.clone(), adapter.clone());
-        let waiting = self.waiters.get(&key);
-        let urgent = waiting.is_some_and(|all| all.iter().any(|one| one.class == Class::Urgent));
-        let class = if urgent {
-            Class::Urgent
-        } else {
-            Class::Routine
-        };
-        let ask = PinAsk {
-            ask_id,
-            asker: self.parts.node.clone(),
-            reply_to: Arc::clone(&self.parts.address),
-            is_passed_on: false,
-            engine,
-            adapter,
-            class,
-        };
-        self.pin_asked(ask).await;
-    }
-
-    /// Answers an ask for a pin, or passes it on to the node that can.
-    async fn pin_asked(&mut self, mut ask: PinAsk) {
-        match self.owner_of(&ask.engine) {
-            Some(owner) if owner != self.parts.node && !ask.is_passed_on => {
-                ask.is_passed_on = ask.asker != self.parts.node;
-                self.send(owner, NodeMessage::PinAsk(ask)).await;
-            }
-            Some(_) => {
-                let PinAsk {
-                    ask_id,
-                    asker: from,
-                    engine,
-                    adapter,
-                    class,
-                    ..
-                } = ask;
-                let event = PlacementEvent::PinAsked {
-                    from,
-                    ask_id,
-                    engine,
-                    adapter,
-                    class,
-                };
-                Box::pin(self.tell(event)).await;
-            }
-            None => {
-                let engine = ask.engine.clone();
-                self.send_to_domain_of(&engine, NodeMessage::PinAsk(ask))
-                    .await;
-            }
-        }
-    }
-
-    /// Takes a pin back, or passes the return on to the node that can.
-    async fn pin_returned(&mut self, mut give_back: PinReturn) {
-        match self.owner_of(&give_back.engine) {
-            Some(owner) if owner != self.parts.node && !give_back.is_passed_on => {
-                give_back.is_passed_on = give_back.asker != self.parts.node;
-                self.send(owner, NodeMessage::PinReturn(give_back)).await;
-            }
-            Some(_) => {
-                let PinReturn {
-                    ask_id,
-                    asker: from,
-                    engine,
-                    adapter,
-                    ..
-                } = give_back;
-                self.tell(PlacementEvent::PinReturned {
-                    from,
-                    ask_id,
-                    engine,
-                    adapter,
-                })
-                .await;
-            }
-            None => {
-                let engine = give_back.engine.clone();
-                self.send_to_domain_of(&engine, NodeMessage::PinReturn(give_back))
-                    .await;
-            }
-        }
-    }
-
-    /// An engine of another failure domain is owned there: any node of it knows by whom.
-    async fn send_to_domain_of(&self, engine: &UpstreamId, message: NodeMessage) {
-        let Some(domain) = self.domains.get(engine).cloned() else {
-            return;
-        };
-        self.send_to_domain(domain, message).await;
-    }
-
-    async fn send_to_domain(&self, domain: FailureDomain, message: NodeMessage) {
-        let _ = self
-            .parts
-            .peers
-            .send(SendToDomain { domain, message })
-            .detach()
-            .await;
-    }
-
-    fn owner_of(&self, engine: &UpstreamId) -> Option<NodeId> {
-        self.placement
-            .owner_of(engine, self.parts.clock.now())
-            .cloned()
-    }
-
-    fn pin_answered(&mut self, answer: PinAnswer) {
-        let PinAnswer {
-            ask_id,
-            engine,
-            adapter,
-            outcome,
-        } = answer;
-        let now = self.parts.clock.now();
-        match outcome {
-            PinOutcome::Granted { ttl_ms } => {
-                let lease = Duration::from_millis(u64::from(ttl_ms));
-                self.pins.granted(&engine, &adapter, ask_id, lease);
-                self.serve_waiters(engine, adapter, now);
-            }
-            PinOutcome::Refused { retry_after_ms } => {
-                let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-                self.pins
-                    .refused(&engine, &adapter, ask_id, retry_after, now);
-                // While an engine changes hands nobody can grant a pin on what it still holds.
-                // Turned away at once, its requests would use up their attempts within
-                // milliseconds; so they wait for the new owner, up to `PIN_WAIT`.
-                if !self.is_reported_ready(&engine, &adapter) {
-                    self.waiters.remove(&(engine, adapter));
-                }
-            }
-        }
-    }
-
-    fn is_reported_ready(&self, engine: &UpstreamId, adapter: &AdapterRef) -> bool {
-        let report = self.reported.get(engine);
-        report.is_some_and(|held| held.contains(adapter))
-    }
-
     fn note_event(&mut self, event: &PlacementEvent) {
         match event {
-            PlacementEvent::Report { engine, report, .. } => {
-                let held = report.adapters.iter();
-                let ready = held.filter(|held| held.state == AdapterState::Ready);
-                let ready = ready.map(|held| held.adapter.clone()).collect();
-                self.reported.insert(engine.clone(), ready);
-            }
-            PlacementEvent::EngineGone { engine } => {
-                self.reported.remove(engine);
-            }
+            PlacementEvent::Report { engine, report, .. } => self.desk.reported(engine, report),
+            PlacementEvent::EngineGone { engine } => self.desk.engine_gone(engine),
             PlacementEvent::Plan(plan) => {
                 let engines = plan.engines.iter();
                 let domains =
@@ -465,70 +221,6 @@
         }
     }
 
-    fn serve_waiters(&mut self, engine: UpstreamId, adapter: AdapterRef, now: Instant) {
-        let key = (engine, adapter);
-        let Some(waiters) = self.waiters.remove(&key) else {
-            return;
-        };
-        let (engine, adapter) = key;
-        for waiter in waiters {
-            if !self.pins.begin(&engine, &adapter, now) {
-                continue;
-            }
-            if waiter.held.send(()).is_err() {
-                self.pins.returned(&engine, &adapter, now);
-            }
-        }
-    }
-
-    async fn tick_pins(&mut self) {
-        let now = self.parts.clock.now();
-        for waiters in self.waiters.values_mut() {
-            waiters.retain(|waiter| now.saturating_duration_since(waiter.since) < PIN_WAIT);
-        }
-        self.waiters.retain(|_, waiters| !waiters.is_empty());
-        let mut actions = Vec::new();
-        self.pins.tick(now, &mut actions);
-        for action in actions {
-            self.carry_out_pin(action).await;
-        }
-        let waiting: Vec<_> = self.waiters.keys().cloned().collect();
-        for (engine, adapter) in waiting {
-            if self.pins.may_send(&engine, &adapter, now) == PinUse::Ask {
-                let ask_id = self.pins.ask(&engine, &adapter, now);
-                self.ask_pin(ask_id, engine, adapter).await;
-            }
-        }
-    }
-
-    async fn carry_out_pin(&mut self, action: PinCacheAction) {
-        match action {
-            PinCacheAction::Ask {
-                ask_id,
-                engine,
-                adapter,
-            } => {
-                self.ask_pin(ask_id, engine, adapter).await;
-            }
-            PinCacheAction::Return {
-                ask_id,
-                engine,
-                adapter,
-            } => {
-                let asker = self.parts.node.clone();
-                let is_passed_on = false;
-                let give_back = PinReturn {
-                    ask_id,
-                    asker,
-                    is_passed_on,
-                    engine,
-                    adapter,
-                };
-                self.pin_returned(give_back).await;
-            }
-        }
-    }
-
     fn log(&self, note: &PlacementNote) {
         let event = match note {
             PlacementNote::Owned { .. } => Event::EngineOwned,
@@ -549,6 +241,24 @@
     Ok(Payload(postcard::to_stdvec(message)?.into()))
 }
 
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn pin_answer(
+    ask_id: u64,
+    engine: UpstreamId,
+    adapter: AdapterRef,
+    outcome: PinOutcome,
+) -> PinAnswer {
+    PinAnswer {
+        ask_id,
+        engine,
+        adapter,
+        outcome,
+    }
+}
+
 fn unix_ms(at: std::time::SystemTime) -> u64 {
     let since = at.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
@@ -608,31 +318,14 @@
             class,
             held,
         } = message;
-        let now = self.parts.clock.now();
         let demand = PlacementEvent::Demand {
             adapter: adapter.clone(),
             class,
             weight: 1.0,
         };
         self.tell(demand).await;
-        let pin_use = self.pins.may_send(&engine, &adapter, now);
-        if matches!(pin_use, PinUse::Held { .. }) && self.pins.begin(&engine, &adapter, now) {
-            if held.send(()).is_err() {
-                self.pins.returned(&engine, &adapter, now);
-            }
-            return;
-        }
-        let waiter = Waiter {
-            held,
-            since: now,
-            class,
-        };
-        self.waiters
-            .entry((engine.clone(), adapter.clone()))
-            .or_default()
-            .push(waiter);
-        if pin_use == PinUse::Ask {
-            let ask_id = self.pins.ask(&engine, &adapter, now);
+        let now = self.parts.clock.now();
+        if let Some(ask_id) = self.desk.take(&engine, &adapter, class, held, now) {
             self.ask_pin(ask_id, engine, adapter).await;
         }
     }
@@ -642,7 +335,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: ReturnPin, _: &mut Context<Self>) {
-        self.pins
+        self.desk
             .returned(&message.engine, &message.adapter, self.parts.clock.now());
     }
 }
@@ -654,9 +347,9 @@
         let from = message.from;
         match message.message {
             NodeMessage::PinAsk(ask) => self.pin_asked(ask).await,
-            NodeMessage::PinAnswer(answer) => self.pin_answered(answer),
+            NodeMessage::PinAnswer(answer) => self.desk.answered(answer, self.parts.clock.now()),
             NodeMessage::PinReturn(give_back) => self.pin_returned(give_back).await,
-            NodeMessage::PinRecall(recall) => self.pin_recalled(&recall),
+            NodeMessage::PinRecall(recall) => self.desk.recalled(&recall, self.parts.clock.now()),
             NodeMessage::Placement(bytes) => {
                 if let Ok(message) = postcard::from_bytes(&bytes.0) {
                     self.tell(PlacementEvent::Received { from, message }).await;
@@ -682,6 +375,8 @@
     async fn handle(&mut self, _: LoaderTick, context: &mut Context<Self>) {
         self.this.get_or_insert_with(|| context.mailbox().address());
         self.tell(PlacementEvent::Tick).await;
-        self.tick_pins().await;
+        for action in self.desk.tick(self.parts.clock.now()) {
+            self.carry_out_pin(action).await;
+        }
     }
 }
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -8,7 +8,8 @@
 use nutmegsail_platform::{KeyValue, KeyValueError, LeaseId};
 use xtra::Address;
 
-use crate::loader::{Loader, Placed};
+use crate::loader::Loader;
+use crate::loader_message::Placed;
 use crate::ownership::{ClaimAnswer, EngineClaim};
 
 /// What placement wants of the key-value service.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -21,7 +21,8 @@
 
 use crate::claims_keeper::{ClaimNodes, ClaimWriters, ClaimsFromPeer, ClaimsKeeper};
 use crate::dispatcher::{Dispatcher, Routed};
-use crate::loader::{FromPeer, LivePeers, Loader};
+use crate::loader::Loader;
+use crate::loader_message::{FromPeer, LivePeers};
 use crate::text_keeper::{TextFromPeer, TextKeeper, TextSeen};
 
 /// Send a message to a node, by its name. Answers whether the link took it; if not, nothing of it
--- a/crates/node/src/pin_hold.rs
+++ b/crates/node/src/pin_hold.rs
@@ -4,7 +4,8 @@
 use tokio::sync::oneshot;
 use xtra::Address;
 
-use crate::loader::{Loader, ReturnPin, TakePin};
+use crate::loader::Loader;
+use crate::loader_message::{ReturnPin, TakePin};
 use crate::run_hold::RunHold;
 
 /// A pin held for one request. Dropping it ends the run at the engine, if it may still be going on,
