Give back a pin whose request has gone before it read the grant

Cause: the loader counted a pin as in use and told the request over a channel; a request dropped between the two left the word unread, and the pin in use for ever. An adapter so pinned is never evicted, and others wait for its slot. Change: the desk makes the hold itself and sends that; unread, it is dropped with the channel, and dropping it gives the pin back. Figures: a_pin_granted_to_a_request_that_has_gone_is_given_back sees 0 returns with the hold's return taken out (the unread word of before), 1 with it. Conclusion: a pin's count cannot outlive its request.

--- a/crates/node/src/loader.rs
+++ b/crates/node/src/loader.rs
@@ -312,20 +312,14 @@
     type Return = ();
 
     async fn handle(&mut self, message: TakePin, _: &mut Context<Self>) {
-        let TakePin {
-            engine,
-            adapter,
-            class,
-            held,
-        } = message;
         let demand = PlacementEvent::Demand {
-            adapter: adapter.clone(),
-            class,
+            adapter: message.adapter.clone(),
+            class: message.class,
             weight: 1.0,
         };
         self.tell(demand).await;
-        let now = self.parts.clock.now();
-        if let Some(ask_id) = self.desk.take(&engine, &adapter, class, held, now) {
+        let (engine, adapter) = (message.engine.clone(), message.adapter.clone());
+        if let Some(ask_id) = self.desk.take(message, self.parts.clock.now()) {
             self.ask_pin(ask_id, engine, adapter).await;
         }
     }
--- a/crates/node/src/loader_message.rs
+++ b/crates/node/src/loader_message.rs
@@ -4,6 +4,10 @@
 use nutmegsail_placement::PlacementEvent;
 use nutmegsail_wire::NodeMessage;
 use tokio::sync::oneshot;
+use xtra::Address;
+
+use crate::loader::Loader;
+use crate::pin_hold::PinHold;
 
 /// Routing wants an adapter on an engine.
 pub(crate) struct Wanted {
@@ -23,8 +27,10 @@
     pub(crate) adapter: AdapterRef,
     /// The request's class.
     pub(crate) class: Class,
-    /// Told whether the pin is held. Dropped without a word if the owner refuses.
-    pub(crate) held: oneshot::Sender<()>,
+    /// Where the pin is given back.
+    pub(crate) loader: Address<Loader>,
+    /// Gets the pin. Dropped without a word if the owner refuses.
+    pub(crate) held: oneshot::Sender<PinHold>,
 }
 
 /// A request that held a pin has ended at its engine.
--- a/crates/node/src/pin_desk.rs
+++ b/crates/node/src/pin_desk.rs
@@ -1,20 +1,40 @@
 //! Requests that wait for a pin, and the pins that this node holds.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{AdapterRef, AdapterState, Class, EngineReport, UpstreamId};
 use nutmegsail_placement::{PinCache, PinCacheAction, PinUse};
 use nutmegsail_wire::{PinAnswer, PinOutcome, PinRecall};
-use tokio::sync::oneshot;
+
+use crate::loader_message::TakePin;
+use crate::pin_hold::PinHold;
 
 /// How long a request waits for a pin before it is routed anew.
 const PIN_WAIT: Duration = Duration::from_secs(2);
 
 struct Waiter {
-    held: oneshot::Sender<()>,
+    request: TakePin,
     since: Instant,
-    class: Class,
+}
+
+impl Waiter {
+    /// Hands the pin over. The request may have gone, even after the pin was put into its channel;
+    /// the pin is dropped with the channel then, and so given back. Were the request told and left
+    /// to make the hold itself, such a pin would stay in use for ever and its adapter in its slot.
+    fn serve(self) {
+        let TakePin {
+            engine,
+            adapter,
+            loader,
+            held,
+            ..
+        } = self.request;
+        drop(held.send(PinHold::new(engine, adapter, loader)));
+    }
 }
 
 /// Requests that wait for a pin, and the pins that this node holds.
@@ -29,29 +49,21 @@
 impl PinDesk {
     /// Lets a request use a pin: at once, or once its owner grants it. Returns the number of an ask
     /// that has to be sent to the owner.
-    pub(crate) fn take(
-        &mut self,
-        engine: &UpstreamId,
-        adapter: &AdapterRef,
-        class: Class,
-        held: oneshot::Sender<()>,
-        now: Instant,
-    ) -> Option<u64> {
-        let pin_use = self.pins.may_send(engine, adapter, now);
-        if matches!(pin_use, PinUse::Held { .. }) && self.pins.begin(engine, adapter, now) {
-            if held.send(()).is_err() {
-                self.pins.returned(engine, adapter, now);
-            }
-            return None;
-        }
+    pub(crate) fn take(&mut self, request: TakePin, now: Instant) -> Option<u64> {
+        let (engine, adapter) = (request.engine.clone(), request.adapter.clone());
         let waiter = Waiter {
-            held,
+            request,
             since: now,
-            class,
         };
-        let key = (engine.clone(), adapter.clone());
-        self.waiters.entry(key).or_default().push(waiter);
-        (pin_use == PinUse::Ask).then(|| self.pins.ask(engine, adapter, now))
+        let pin_use = self.pins.may_send(&engine, &adapter, now);
+        if matches!(pin_use, PinUse::Held { .. }) && self.pins.begin(&engine, &adapter, now) {
+            waiter.serve();
+            return None;
+        }
+        let ask_id = (pin_use == PinUse::Ask).then(|| self.pins.ask(&engine, &adapter, now));
+        let waiters = self.waiters.entry((engine, adapter)).or_default();
+        waiters.push(waiter);
+        ask_id
     }
 
     /// A request no longer uses its pin.
@@ -109,7 +121,7 @@
     pub(crate) fn class_of(&self, engine: &UpstreamId, adapter: &AdapterRef) -> Class {
         let key = (engine.clone(), adapter.clone());
         let waiting = self.waiters.get(&key).into_iter().flatten();
-        let most_urgent = waiting.map(|waiter| waiter.class).min();
+        let most_urgent = waiting.map(|waiter| waiter.request.class).min();
         most_urgent.unwrap_or_default()
     }
 
@@ -145,11 +157,8 @@
         };
         let (engine, adapter) = key;
         for waiter in waiters {
-            if !self.pins.begin(&engine, &adapter, now) {
-                continue;
-            }
-            if waiter.held.send(()).is_err() {
-                self.pins.returned(&engine, &adapter, now);
+            if self.pins.begin(&engine, &adapter, now) {
+                waiter.serve();
             }
         }
     }
--- a/crates/node/src/pin_hold.rs
+++ b/crates/node/src/pin_hold.rs
@@ -30,17 +30,22 @@
             engine: engine.clone(),
             adapter: adapter.clone(),
             class,
+            loader: loader.clone(),
             held,
         };
-        // Whether the pin is held comes over the channel, not as the message's answer.
+        // The pin comes over the channel, not as the message's answer.
         drop(loader.send(take).detach().await.ok()?);
-        granted.await.ok()?;
-        Some(Self {
-            engine: engine.clone(),
-            adapter: adapter.clone(),
-            loader: loader.clone(),
+        granted.await.ok()
+    }
+
+    /// A pin that the loader has counted as in use.
+    pub(crate) fn new(engine: UpstreamId, adapter: AdapterRef, loader: Address<Loader>) -> Self {
+        Self {
+            engine,
+            adapter,
+            loader,
             run: None,
-        })
+        }
     }
 
     /// Notes that the engine runs a request on this pin.
