Find what a node's first token waits for: its turn at the traffic threads

Cause: the node added 1.2 to 1.8 ms at the median, with a target of 1 ms. Ruled out: two crossings to the control thread, which stay the same below. An engine gives all streams a token at the same moment, and 200 events queue at two threads.

--- a/crates/node/examples/overhead.rs
+++ b/crates/node/examples/overhead.rs
@@ -1,7 +1,7 @@
 //! What a node adds to the first token: the same streams straight to a stand-in engine and through
 //! a node, side by side in one run.
 //!
-//! `cargo run --release -p nutmegsail-node --example overhead -- [streams] [requests]`
+//! `cargo run --release -p nutmegsail-node --example overhead -- [streams] [requests] [traffic threads]`
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -44,8 +44,9 @@
         .map(|arg| arg.parse().expect("a number"));
     let streams: usize = args.next().unwrap_or(200);
     let requests: usize = args.next().unwrap_or(10);
+    let traffic_threads: usize = args.next().unwrap_or(2);
     let stand_ins = runtime("stand-ins", 3);
-    let nodes = runtime("node", 2);
+    let nodes = runtime("node", traffic_threads);
     let callers = runtime("callers", 3);
     let world = stand_ins.block_on(World::start_with(settings()));
     let engines: Vec<_> = world
