Keep one account of a request whose answer has not begun

Cause: generations and plain calls each had the enum of the same two states, its dispatch, its refusal and its reading of a failure; a struct wrapped a refusal and nothing else; peers sent to three actors by the same six lines in four places, and kept a flag that no line could turn. The assertion on once-only calls stands unchanged, before the dispatch. Conclusion: whether a request may be called not run is decided in one place.

--- a/crates/node/src/generation.rs
+++ b/crates/node/src/generation.rs
@@ -6,9 +6,7 @@
 use futures_util::stream::{self, BoxStream, StreamExt};
 use nutmegsail_base::{AdapterRef, Class, Clock, ResultCode, RunState, UpstreamId};
 use nutmegsail_front::{Answer, Generate};
-use nutmegsail_request::{
-    AfterFailure, AnswerHandle, Answering, Queued, Refusal, Request, Uncertain,
-};
+use nutmegsail_request::{AnswerHandle, Answering, Refusal, Request};
 use nutmegsail_routing::{Arrival, Outcome};
 use nutmegsail_telemetry::Hop;
 use nutmegsail_upstream::{Engine, EngineRequest, EngineStream, StreamEvent, UpstreamError};
@@ -19,6 +17,7 @@
 use crate::dispatcher::{Dispatcher, Verdict};
 use crate::loader::Loader;
 use crate::measures::{Hops, Measures};
+use crate::pending::Pending;
 use crate::pin_hold::PinHold;
 use crate::run_hold::RunHold;
 
@@ -37,23 +36,6 @@
     pub(crate) measures: Measures,
 }
 
-/// A request before its answer began.
-enum Pending {
-    /// It has not run.
-    Clean(Request<Queued>),
-    /// An earlier send may have run it.
-    Doubtful(Request<Uncertain>),
-}
-
-impl Pending {
-    fn refuse(self, code: ResultCode, detail: &str) -> Refusal {
-        match self {
-            Self::Clean(request) => Refusal::not_run(request.not_run(), code, detail),
-            Self::Doubtful(_) => Refusal::may_have_run(code, detail),
-        }
-    }
-}
-
 /// What is asked of an engine.
 struct Ask<'a> {
     generate: &'a Generate,
@@ -207,10 +189,7 @@
                 outcome: Outcome::AdapterAbsent,
             };
         };
-        let request = match pending {
-            Pending::Clean(request) => request.dispatch(upstream.clone()),
-            Pending::Doubtful(request) => request.dispatch_again(upstream.clone()),
-        };
+        let request = pending.dispatch(upstream.clone());
         let left = until.saturating_duration_since(self.clock.now());
         let engines = Arc::clone(&self.engines);
         let id = generate.request.clone();
@@ -241,10 +220,7 @@
             // this request anew later: a cancellation still under way would meet its second run.
             pin.end_run().await;
         }
-        let pending = match request.failed(&error) {
-            AfterFailure::NotRun(request) => Pending::Clean(request),
-            AfterFailure::MayHaveRun(request) => Pending::Doubtful(request),
-        };
+        let pending = Pending::from(request.failed(&error));
         Tried::Failed { pending, outcome }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 mod owners;
 mod ownership;
 mod peers;
+mod pending;
 mod pin_desk;
 mod pin_hold;
 mod plain_calls;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -83,7 +83,6 @@
 pub(crate) struct Peers {
     parts: PeersParts,
     addresses: HashMap<NodeId, Arc<str>>,
-    vm_list_was_read: bool,
     live: Vec<NodeId>,
     /// Nodes of other failure domains that may be written to, as those domains name them.
     contacts: HashMap<FailureDomain, Vec<Contact>>,
@@ -95,7 +94,6 @@
         Self {
             parts,
             addresses: HashMap::new(),
-            vm_list_was_read: true,
             live: Vec::new(),
             contacts: HashMap::new(),
         }
@@ -239,6 +237,21 @@
         let _ = self.parts.text.send(live).detach().await;
     }
 
+    async fn to_loader(&self, from: NodeId, message: NodeMessage) {
+        let message = FromPeer { from, message };
+        let _ = self.parts.loader.send(message).detach().await;
+    }
+
+    async fn to_text(&self, from: NodeId, message: NodeMessage) {
+        let message = TextFromPeer { from, message };
+        let _ = self.parts.text.send(message).detach().await;
+    }
+
+    async fn to_claims(&self, from: NodeId, message: NodeMessage) {
+        let message = ClaimsFromPeer { from, message };
+        let _ = self.parts.claims.send(message).detach().await;
+    }
+
     async fn note_contacts(&mut self, summary: &DomainSummary) {
         let domain = summary.failure_domain.clone();
         for contact in &summary.contacts {
@@ -318,45 +331,25 @@
                 let reply_to = Arc::clone(&ask.reply_to);
                 self.addresses.insert(ask.asker.clone(), reply_to);
                 let message = NodeMessage::PinAsk(ask);
-                let _ = self
-                    .parts
-                    .loader
-                    .send(FromPeer { from, message })
-                    .detach()
-                    .await;
+                self.to_loader(from, message).await;
             }
             NodeMessage::PinAnswer(_)
             | NodeMessage::PinReturn(_)
             | NodeMessage::PinRecall(_)
             | NodeMessage::Placement(_) => {
-                let _ = self
-                    .parts
-                    .loader
-                    .send(FromPeer { from, message })
-                    .detach()
-                    .await;
+                self.to_loader(from, message).await;
             }
             NodeMessage::PiecesAsk { .. }
             | NodeMessage::PiecesAnswer { .. }
             | NodeMessage::HeadAsk { .. }
             | NodeMessage::HeadAnswer { .. } => {
-                let _ = self
-                    .parts
-                    .text
-                    .send(TextFromPeer { from, message })
-                    .detach()
-                    .await;
+                self.to_text(from, message).await;
             }
             NodeMessage::ClaimAsk { .. }
             | NodeMessage::ClaimAnswer { .. }
             | NodeMessage::Forward(_)
             | NodeMessage::ForwardAnswer(_) => {
-                let _ = self
-                    .parts
-                    .claims
-                    .send(ClaimsFromPeer { from, message })
-                    .detach()
-                    .await;
+                self.to_claims(from, message).await;
             }
             // A caller's resume goes straight to the engine; no node asks another one for it yet.
             NodeMessage::ResumeAsk { .. } | NodeMessage::ResumeAnswer { .. } => {}
@@ -378,9 +371,6 @@
 
     async fn handle(&mut self, message: VmsRead, context: &mut Context<Self>) {
         let this = context.mailbox().address();
-        if !std::mem::replace(&mut self.vm_list_was_read, true) {
-            log_event!(self.parts.log, Event::VmListReturned);
-        }
         let (entry, upstreams): (Vec<_>, Vec<_>) = message
             .0
             .into_iter()
--- a/crates/node/src/plain_calls.rs
+++ b/crates/node/src/plain_calls.rs
@@ -12,7 +12,7 @@
     ClaimOutcome, ForwardResult, IdempotencyKey, RecordedAnswer, RecordedHeader, RequestDigest,
     Ticket,
 };
-use nutmegsail_request::{Accepted, AfterFailure, Queued, Refusal, Request, Uncertain};
+use nutmegsail_request::{Accepted, Refusal, Request};
 use nutmegsail_routing::{Arrival, Outcome};
 use nutmegsail_telemetry::{ClaimResult, Hop};
 use nutmegsail_upstream::{PlainRequest, PlainResponse, PlainService, UpstreamError};
@@ -29,6 +29,7 @@
 use crate::forwards::Forwards;
 use crate::generation::outcome_of;
 use crate::measures::{Hops, Measures};
+use crate::pending::Pending;
 
 /// The largest answer of a once-only call, in bytes: it is read whole so that it can be recorded.
 const ONCE_ONLY_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -54,30 +55,17 @@
     pub(crate) once_only: TaskTracker,
 }
 
-enum Pending {
-    Clean(Request<Queued>),
-    Doubtful(Request<Uncertain>),
-}
-
 /// A response with what is needed to end the request when its body has been passed on.
 struct Begun {
     response: PlainResponse,
     attempt: Attempt,
 }
 
-/// Why a call got no answer, and whether the router still waits to hear of it.
-struct Stopped {
-    refusal: Refusal,
-}
-
 impl PlainCalls {
     /// Answers a call.
     pub(crate) async fn call(&self, call: PlainCall) -> Result<PlainAnswer, Refusal> {
         if !call.once_only {
-            let begun = self
-                .send(&call, None)
-                .await
-                .map_err(|stopped| stopped.refusal)?;
+            let begun = self.send(&call, None).await?;
             return Ok(passed_on(begun));
         }
         // The task goes on when the caller hangs up: a booking that was sent must be recorded, or
@@ -190,7 +178,7 @@
         let run = ClaimedRun::begin(call.request.clone(), self.claims.clone());
         let result = match self.send(&call, Some(&run)).await {
             Ok(begun) => self.read_whole(begun).await,
-            Err(stopped) => Err(stopped.refusal),
+            Err(refusal) => Err(refusal),
         };
         let outcome = match &result {
             Ok(recorded) => ClaimOutcome::Answered(recorded.clone()),
@@ -229,7 +217,7 @@
         Ok(recorded)
     }
 
-    async fn send(&self, call: &PlainCall, run: Option<&ClaimedRun>) -> Result<Begun, Stopped> {
+    async fn send(&self, call: &PlainCall, run: Option<&ClaimedRun>) -> Result<Begun, Refusal> {
         let until = deadline(&self.clock, call.deadline);
         let mut pending = Pending::Clean(Request::accept(call.request.clone()).queue());
         let (hops, now) = (self.hops(call), self.clock.now());
@@ -250,15 +238,14 @@
                 Some(Verdict::GiveUp { code }) => return Err(stopped(pending, code, None)),
                 None => return Err(stopped(pending, ResultCode::DeadlineUnreachable, None)),
             };
-            let request = match pending {
-                Pending::Clean(request) => request.dispatch(upstream.clone()),
-                Pending::Doubtful(request) => {
-                    // A booking that may have run must not be sent on, whatever the router says:
-                    // a second guest's therapist would be blocked.
-                    assert!(run.is_none(), "{} may have run already", call.request);
-                    request.dispatch_again(upstream.clone())
-                }
-            };
+            // A booking that may have run must not be sent on, whatever the router says: a second
+            // guest's therapist would be blocked.
+            assert!(
+                run.is_none() || matches!(pending, Pending::Clean(_)),
+                "{} may have run already",
+                call.request
+            );
+            let request = pending.dispatch(upstream.clone());
             if let Some(run) = run {
                 run.dispatched().await;
             }
@@ -268,10 +255,7 @@
                     return Ok(Begun { response, attempt });
                 }
                 Err(error) => {
-                    pending = match request.failed(&error) {
-                        AfterFailure::NotRun(request) => Pending::Clean(request),
-                        AfterFailure::MayHaveRun(request) => Pending::Doubtful(request),
-                    };
+                    pending = Pending::from(request.failed(&error));
                     let outcome = outcome_of(&error);
                     attempt.failed(outcome, self.clock.now()).await;
                 }
@@ -346,16 +330,12 @@
     Refusal::ran(ResultCode::AnswerNotKept, detail)
 }
 
-fn stopped(pending: Pending, code: ResultCode, retry_after: Option<Duration>) -> Stopped {
-    let refusal = match pending {
-        Pending::Clean(request) => Refusal::not_run(request.not_run(), code, code.text()),
-        Pending::Doubtful(_) => Refusal::may_have_run(code, code.text()),
-    };
-    let refusal = match retry_after {
+fn stopped(pending: Pending, code: ResultCode, retry_after: Option<Duration>) -> Refusal {
+    let refusal = pending.refuse(code, code.text());
+    match retry_after {
         Some(retry_after) => refusal.with_retry_after(retry_after),
         None => refusal,
-    };
-    Stopped { refusal }
+    }
 }
 
 /// Passes the body on as the caller takes it, and ends the request when it is through.
