--- a/crates/config/src/publisher.rs
+++ b/crates/config/src/publisher.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::ResultCode;
-use nutmegsail_platform::{Item, KeyValue, KeyValueError, Revision};
+use nutmegsail_store::{Item, KeyValue, KeyValueError, Revision};
 use thiserror::Error;
 
 use crate::text_store::stored_head;
--- a/crates/config/src/text_store.rs
+++ b/crates/config/src/text_store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::ResultCode;
-use nutmegsail_platform::{
+use nutmegsail_store::{
     Change, Expect, Item, KeyValue, KeyValueError, LeaseId, Put, Revision, Txn,
 };
 use thiserror::Error;
--- a/crates/config/tests/publisher.rs
+++ b/crates/config/tests/publisher.rs
@@ -10,7 +10,7 @@
     WriterId,
 };
 use nutmegsail_fakes::{FakeKeyValue, KeyValueLimits, Knobs, TokioClock};
-use nutmegsail_platform::{Change, KeyValue, Revision};
+use nutmegsail_store::{Change, KeyValue, Revision};
 use proptest::prelude::*;
 
 fn text(name: &str) -> OperatorsText {
--- a/crates/config/tests/spread.rs
+++ b/crates/config/tests/spread.rs
@@ -10,7 +10,7 @@
     SpreadEvent, SpreadReport, SpreadSettings, StoredHead, TextSource, TextStore, WriterId, split,
 };
 use nutmegsail_fakes::FakeKeyValue;
-use nutmegsail_platform::Revision;
+use nutmegsail_store::Revision;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/crates/config/tests/spread_fleet/fleet.rs
+++ b/crates/config/tests/spread_fleet/fleet.rs
@@ -9,7 +9,7 @@
     Digest, Generation, Head, LiveNodes, OperatorsText, Piece, Spread, SpreadAction, SpreadEvent,
     SpreadSettings, StoredHead, TextSource, WriterId, split,
 };
-use nutmegsail_platform::Revision;
+use nutmegsail_store::Revision;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/fakes/examples/standins.rs
+++ b/crates/fakes/examples/standins.rs
@@ -6,7 +6,7 @@
 
 use nutmegsail_base::{FailureDomain, NodeId};
 use nutmegsail_fakes::{EngineEntry, PlainEntry, StandIns, StandInsSettings};
-use nutmegsail_platform::{Vm, VmDuty, VmState};
+use nutmegsail_store::{Vm, VmDuty, VmState};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// `ADDRESS=FAILURE_DOMAIN`.
--- a/crates/fakes/src/control.rs
+++ b/crates/fakes/src/control.rs
@@ -7,7 +7,7 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use nutmegsail_base::{AdapterRef, UpstreamId};
-use nutmegsail_platform::{Vm, VmState};
+use nutmegsail_store::{Vm, VmState};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
--- a/crates/fakes/src/key_value.rs
+++ b/crates/fakes/src/key_value.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use nutmegsail_base::Clock;
-use nutmegsail_platform::{
+use nutmegsail_store::{
     Changes, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn,
 };
 use tokio::sync::Notify;
@@ -22,14 +22,14 @@
 ///
 /// ```
 /// use nutmegsail_fakes::FakeKeyValue;
-/// use nutmegsail_platform::{KeyValue, Revision, Txn};
+/// use nutmegsail_store::{KeyValue, Revision, Txn};
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(async {
 /// let store = FakeKeyValue::default();
 /// let first = store.commit(Txn::swap("head", Revision(0), "1")).await?;
 /// assert!(store.commit(Txn::swap("head", Revision(0), "2")).await.is_err());
 /// store.commit(Txn::swap("head", first, "2")).await?;
-/// # Ok::<(), nutmegsail_platform::KeyValueError>(())
+/// # Ok::<(), nutmegsail_store::KeyValueError>(())
 /// # })?;
 /// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
--- a/crates/fakes/src/key_value_http.rs
+++ b/crates/fakes/src/key_value_http.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
-use nutmegsail_platform::{
+use nutmegsail_store::{
     Change, Expect, Item, KeyValue, KeyValueError, LeaseId, Put, Revision, Txn,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/fakes/src/key_value_state.rs
+++ b/crates/fakes/src/key_value_state.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_platform::{
+use nutmegsail_store::{
     Change, Changes, Item, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn,
 };
 use rand::SeedableRng;
@@ -268,7 +268,7 @@
             .collect();
         let key_too_long = keys.iter().any(|key| key.len() > self.limits.key_bytes);
         let value_too_large =
-            |put: &nutmegsail_platform::Put| put.value.len() > self.limits.value_bytes;
+            |put: &nutmegsail_store::Put| put.value.len() > self.limits.value_bytes;
         let too_large = keys.len() > self.limits.txn_entries
             || key_too_long
             || txn.puts.iter().any(value_too_large);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small stand-ins for the platform and the upstreams; never published.
 //!
 //! Each stand-in keeps one state that is reached two ways: in memory through the traits of
-//! `nutmegsail-platform` and `nutmegsail-upstream`, and over HTTP on loopback. [`Knobs`] turns its
+//! `nutmegsail-store` and `nutmegsail-upstream`, and over HTTP on loopback. [`Knobs`] turns its
 //! failures on and off; everything random is seeded. Nothing here is a model of load or network.
 //! Start at [`FakeKeyValue`] and [`FakeEngine`]; [`StandIns`] runs a whole set as one process.
 
--- a/crates/fakes/src/stand_ins.rs
+++ b/crates/fakes/src/stand_ins.rs
@@ -8,7 +8,7 @@
 use http::Request;
 use hyper::body::Incoming;
 use nutmegsail_base::{Clock, FailureDomain, NodeId, SystemClock, UpstreamId};
-use nutmegsail_platform::{Vm, VmDuty, VmState};
+use nutmegsail_store::{Vm, VmDuty, VmState};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
--- a/crates/fakes/src/vm_list.rs
+++ b/crates/fakes/src/vm_list.rs
@@ -7,7 +7,7 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use nutmegsail_base::Clock;
-use nutmegsail_platform::{Vm, VmList, VmListError, VmState};
+use nutmegsail_store::{Vm, VmList, VmListError, VmState};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
--- a/crates/fakes/tests/key_value.rs
+++ b/crates/fakes/tests/key_value.rs
@@ -11,7 +11,7 @@
 use http_client::call;
 use nutmegsail_base::ManualClock;
 use nutmegsail_fakes::{FakeKeyValue, KeyValueLimits, Knobs, TokioClock, loopback};
-use nutmegsail_platform::{Change, KeyValue, KeyValueError, LeaseId, Put, Revision, Txn};
+use nutmegsail_store::{Change, KeyValue, KeyValueError, LeaseId, Put, Revision, Txn};
 use rstest::rstest;
 
 fn store() -> (Arc<ManualClock>, Arc<FakeKeyValue>) {
--- a/crates/fakes/tests/stand_ins.rs
+++ b/crates/fakes/tests/stand_ins.rs
@@ -11,7 +11,7 @@
 use http_client::call;
 use nutmegsail_base::{FailureDomain, ManualClock};
 use nutmegsail_fakes::{EngineEntry, FakeVmList, PlainEntry, StandIns, StandInsSettings};
-use nutmegsail_platform::{Vm, VmDuty, VmList, VmState};
+use nutmegsail_store::{Vm, VmDuty, VmList, VmState};
 
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
--- a/crates/http-pool/src/connection.rs
+++ b/crates/http-pool/src/connection.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::SendError;
+use crate::{SendError, prepare_socket};
 
 /// The largest read from a connection, in bytes, and with it all that is buffered of an answer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -35,6 +35,8 @@
     driver: JoinHandle<()>,
     /// When the last answer on it ended.
     pub(crate) idle_since: Instant,
+    /// How long it may be kept without use, as the other end last said; none if it did not say.
+    pub(crate) keep_for: Option<Duration>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -52,7 +54,7 @@
     ) -> Result<Self, SendError> {
         let open = async {
             let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
+            prepare_socket(&stream);
             http1::Builder::new()
                 .max_buf_size(READ_BUFFER_BYTES)
                 .handshake(TokioIo::new(stream))
@@ -71,6 +73,7 @@
                 let _ = driver.await;
             }),
             idle_since: Instant::now(),
+            keep_for: None,
             _permit: permit,
         })
     }
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -9,7 +9,9 @@
 mod pool;
 mod pooled_body;
 mod send_error;
+mod socket;
 
 pub use pool::{Pool, PoolSettings};
 pub use pooled_body::PooledBody;
 pub use send_error::SendError;
+pub use socket::prepare_socket;
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -18,7 +18,7 @@
 pub struct PoolSettings {
     /// How long opening a connection may take.
     pub connect_timeout: Duration,
-    /// How long a connection is kept without use.
+    /// How long a connection is kept without use; less if the other end states a shorter time.
     pub idle_timeout: Duration,
     /// How many connections without use are kept for one address.
     pub idle_per_address: usize,
@@ -138,6 +138,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<PooledBody>, Failed> {
         let answer = connection.send(request).await?;
+        connection.keep_for = stated_keep_alive(answer.headers());
         let home = Home {
             shared: Arc::downgrade(&self.shared),
             address: address.into(),
@@ -185,9 +186,11 @@
 
 impl Host {
     fn drop_unusable(&mut self, idle_timeout: Duration) {
-        let oldest = Instant::now().checked_sub(idle_timeout);
-        let is_fresh = |kept: &Connection| oldest.is_none_or(|at| kept.idle_since >= at);
-        self.idle.retain(|kept| !kept.is_closed() && is_fresh(kept));
+        let now = Instant::now();
+        self.idle.retain(|kept| {
+            let keep_for = kept.keep_for.unwrap_or(idle_timeout).min(idle_timeout);
+            !kept.is_closed() && now.duration_since(kept.idle_since) < keep_for
+        });
     }
 
     fn is_connected(&mut self, settings: &PoolSettings) -> bool {
@@ -196,6 +199,20 @@
     }
 }
 
+/// The part of a stated keep-alive time that a connection is used in. The other end counts from
+/// before its answer arrived here, and its close takes its time to come; a request that crosses it
+/// is lost, and one that must run once cannot be sent again.
+const KEEP_ALIVE_SHARE: f64 = 0.7;
+
+/// How long the other end keeps the connection open without a request, shortened for safety.
+fn stated_keep_alive(headers: &http::HeaderMap) -> Option<Duration> {
+    let stated = headers.get("keep-alive")?.to_str().ok()?;
+    let mut fields = stated.split(',').map(str::trim);
+    let seconds = fields.find_map(|field| field.strip_prefix("timeout="))?;
+    let seconds: u32 = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds.into()).mul_f64(KEEP_ALIVE_SHARE))
+}
+
 /// Where a connection goes back to when its answer has ended.
 pub(crate) struct Home {
     shared: Weak<Shared>,
--- a/crates/node/src/claims_keeper.rs
+++ b/crates/node/src/claims_keeper.rs
@@ -9,7 +9,7 @@
     IdempotencyKey, LiveNode, RecordedAnswer, RequestDigest, StoreFault, StoredRecord, SwapFault,
     WriterEntry, WriterResult,
 };
-use nutmegsail_platform::{Item, KeyValue, KeyValueError, Revision, Txn};
+use nutmegsail_store::{Item, KeyValue, KeyValueError, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 use nutmegsail_wire::{NodeMessage, Payload};
 use serde::Serialize;
--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use nutmegsail_platform::{
+use nutmegsail_store::{
     Changes, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn,
 };
 use nutmegsail_telemetry::{Metrics, StoreCall};
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use nutmegsail_base::{Clock, SystemClock};
-use nutmegsail_platform::{HttpKeyValue, HttpVmList, KeyValue, PlatformSettings, VmList};
+use nutmegsail_store::{HttpKeyValue, HttpVmList, KeyValue, PlatformSettings, VmList};
 use nutmegsail_upstream::{Engine, HttpEngine, HttpPlainService, PlainService, UpstreamSettings};
 
 use crate::counted_store::CountedStore;
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -5,7 +5,7 @@
 
 use nutmegsail_base::{Clock, Incarnation, NodeId, UpstreamId};
 use nutmegsail_placement::PlacementEvent;
-use nutmegsail_platform::{KeyValue, KeyValueError, LeaseId};
+use nutmegsail_store::{KeyValue, KeyValueError, LeaseId};
 use xtra::Address;
 
 use crate::loader::Loader;
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -7,7 +7,7 @@
 
 use nutmegsail_base::{Incarnation, NodeId, UpstreamId};
 use nutmegsail_placement::next_fence;
-use nutmegsail_platform::{Expect, Item, KeyValue, KeyValueError, LeaseId, Put, Revision, Txn};
+use nutmegsail_store::{Expect, Item, KeyValue, KeyValueError, LeaseId, Put, Revision, Txn};
 use serde::{Deserialize, Serialize};
 
 /// Who owns an engine.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,7 +9,7 @@
     Contact, DomainSummary, LiveNode, Membership, MembershipAction, MembershipEvent,
     MembershipNote, StatusReport, VmHint,
 };
-use nutmegsail_platform::{Vm, VmDuty, VmList, VmState};
+use nutmegsail_store::{Vm, VmDuty, VmList, VmState};
 use nutmegsail_routing::RoutingEvent;
 use nutmegsail_telemetry::{Event, log_event};
 use nutmegsail_wire::{Envelope, Link, NodeMessage};
--- a/crates/node/src/text_watch.rs
+++ b/crates/node/src/text_watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use nutmegsail_config::{Digest, FetchError, Head, Piece, SpreadEvent, StoredHead, TextStore};
-use nutmegsail_platform::Revision;
+use nutmegsail_store::Revision;
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use xtra::Address;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -15,7 +15,7 @@
     EngineEntry, FakePlainService, Knobs, PlainEntry, StandIns, StandInsSettings,
 };
 use nutmegsail_node::{Node, NodeSettings, Outside};
-use nutmegsail_platform::{HttpKeyValue, KeyValue, PlatformSettings};
+use nutmegsail_store::{HttpKeyValue, KeyValue, PlatformSettings};
 use tokio::net::TcpStream;
 
 pub mod caller;
--- a/crates/nutmegsail/src/apply.rs
+++ b/crates/nutmegsail/src/apply.rs
@@ -8,7 +8,7 @@
 use nutmegsail_config::{
     Accepted, Generation, PublishError, Publisher, RetryPolicy, TextStore, WriterId,
 };
-use nutmegsail_platform::{HttpKeyValue, PlatformSettings};
+use nutmegsail_store::{HttpKeyValue, PlatformSettings};
 use tokio::time::{Instant, interval, sleep, timeout_at};
 
 use crate::{ApplyReport, CommandError, ExitCode, FleetStatus, NodeClient, Output, TextFile};
--- a/crates/nutmegsail/src/diff.rs
+++ b/crates/nutmegsail/src/diff.rs
@@ -5,7 +5,7 @@
 
 use derive_more::Display;
 use nutmegsail_config::{Changes, TextStore, diff};
-use nutmegsail_platform::{HttpKeyValue, PlatformSettings};
+use nutmegsail_store::{HttpKeyValue, PlatformSettings};
 use serde::Serialize;
 
 use crate::{CommandError, TextFile};
--- a/crates/nutmegsail/tests/apply.rs
+++ b/crates/nutmegsail/tests/apply.rs
@@ -8,7 +8,7 @@
 use nutmegsail::{ApplyRequest, CommandError, ExitCode, Output, apply};
 use nutmegsail_config::{Generation, HEAD_KEY, Head, PublishError, RetryPolicy};
 use nutmegsail_fakes::{FakeKeyValue, HttpServer, Knobs, loopback};
-use nutmegsail_platform::KeyValue;
+use nutmegsail_store::KeyValue;
 use support::{Node, TEXT, Texts, run, status_json};
 
 async fn platform() -> (Arc<FakeKeyValue>, HttpServer, String) {
--- a/crates/nutmegsaild/src/main.rs
+++ b/crates/nutmegsaild/src/main.rs
@@ -1,11 +1,11 @@
 //! The node: one process an entry VM. See the README of this crate.
 
+mod relay;
+mod serve;
+
 use std::path::Path;
 
-use eyre::{WrapErr, eyre};
-use nutmegsail_node::{Measures, Node, NodeSettings, Outside};
-use nutmegsail_telemetry::{Event, Telemetry, log_event, logger};
-use tokio::signal::unix::{SignalKind, signal};
+use eyre::WrapErr;
 
 mod flags {
     #![allow(
@@ -20,56 +20,22 @@
         cmd nutmegsaild {
             /// The node's settings, in TOML.
             required settings: PathBuf
+            /// Pass requests on unchanged, by host and path, on the users' platform.
+            optional --relay
         }
     }
 }
 
 fn main() -> eyre::Result<()> {
     let flags = flags::Nutmegsaild::from_env_or_exit();
-    let settings = read_settings(&flags.settings)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.traffic_threads)
-        .thread_name("traffic")
-        .enable_all()
-        .build()
-        .wrap_err("the traffic threads could not be started")?;
-    runtime.block_on(run(settings))
-}
-
-fn read_settings(path: &Path) -> eyre::Result<NodeSettings> {
-    let text = std::fs::read_to_string(path)
-        .wrap_err_with(|| format!("the settings {} cannot be read", path.display()))?;
-    NodeSettings::parse(&text).map_err(|faults| eyre!("{}: {faults}", path.display()))
+    let settings = read(&flags.settings)?;
+    match flags.relay {
+        true => relay::run(&flags.settings, &settings),
+        false => serve::run(&flags.settings, &settings),
+    }
 }
 
-async fn run(settings: NodeSettings) -> eyre::Result<()> {
-    let log = logger(&settings.log);
-    let telemetry = Telemetry::start(
-        &settings.telemetry,
-        &settings.node,
-        &settings.failure_domain,
-    )?;
-    let mut outside = Outside::over_http(&settings.platform);
-    outside.measures = Measures {
-        metrics: telemetry.metrics().clone(),
-        spans: telemetry.spans().clone(),
-    };
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let node = Node::start(settings, outside, log.clone()).await?;
-    log_event!(
-        log, Event::NodeReady,
-        "callers" => node.callers_address().to_string(),
-        "operators" => node.operators_address().to_string(),
-        "nodes" => node.nodes_address().to_string()
-    );
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = node.drain_asked() => {}
-    }
-    node.shutdown().await;
-    // What was measured up to the end still goes out, for two seconds at most.
-    tokio::task::spawn_blocking(move || telemetry.shutdown()).await?;
-    Ok(())
+fn read(path: &Path) -> eyre::Result<String> {
+    std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("the settings {} cannot be read", path.display()))
 }
--- /dev/null
+++ b/crates/relay-node/src/control/engine.rs
@@ -0,0 +1,157 @@
+//! An engine that this node owns.
+
+use std::cell::{Cell, RefCell};
+use std::time::Instant;
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{Holdings, ModelRef, Ownership};
+use tokio::sync::{Mutex, Notify};
+
+use crate::EngineState;
+
+/// An adapter or model on its way to an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Coming {
+    pub(crate) model: ModelRef,
+    pub(crate) version: Option<u64>,
+    /// When the order was accepted.
+    pub(crate) since: Instant,
+    /// The engine's count of orders with this one.
+    pub(crate) order_seq: u64,
+}
+
+/// What an owner keeps of its engine.
+#[derive(Debug)]
+pub(crate) struct OwnedEngine {
+    pub(crate) id: UpstreamId,
+    pub(crate) ownership: RefCell<Ownership>,
+    /// Held over the orders that bring one adapter in, so that the room is not given away twice.
+    pub(crate) orders: Mutex<()>,
+    /// Tells those who wait that the holdings changed.
+    pub(crate) changed: Notify,
+    /// Whether a task follows the loads under way.
+    pub(crate) is_followed: Cell<bool>,
+    state: RefCell<State>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct State {
+    /// What it holds; nothing until its report was read.
+    holdings: Option<Holdings>,
+    coming: Vec<Coming>,
+    /// Adapters that go when their requests have ended.
+    leaving: Vec<ModelRef>,
+}
+
+impl OwnedEngine {
+    pub(crate) fn new(id: UpstreamId, ownership: Ownership) -> Self {
+        Self {
+            id,
+            ownership: RefCell::new(ownership),
+            orders: Mutex::new(()),
+            changed: Notify::new(),
+            is_followed: Cell::new(false),
+            state: RefCell::default(),
+        }
+    }
+
+    /// What it holds, if its count of orders is known.
+    pub(crate) fn holdings(&self) -> Option<Holdings> {
+        self.state.borrow().holdings.clone()
+    }
+
+    /// Adapters on their way.
+    pub(crate) fn coming(&self) -> Vec<ModelRef> {
+        let state = self.state.borrow();
+        state.coming.iter().map(|coming| coming.model.clone()).collect()
+    }
+
+    /// When the oldest load under way was accepted.
+    pub(crate) fn oldest_coming(&self) -> Option<Instant> {
+        self.state.borrow().coming.iter().map(|coming| coming.since).min()
+    }
+
+    /// Whether `model` leaves when its requests have ended.
+    pub(crate) fn is_leaving(&self, model: &ModelRef) -> bool {
+        self.state.borrow().leaving.contains(model)
+    }
+
+    /// Whether `model` is there in `version`, or in any if none is given.
+    pub(crate) fn holds(&self, model: &ModelRef, version: Option<u64>) -> bool {
+        let state = self.state.borrow();
+        let held = state.holdings.as_ref().and_then(|held| held.version_of(model));
+        held.is_some_and(|held| version.is_none_or(|version| held >= version))
+    }
+
+    /// Whether `model` is on its way in `version`.
+    pub(crate) fn awaits(&self, model: &ModelRef, version: Option<u64>) -> bool {
+        let state = self.state.borrow();
+        let is_it = |coming: &Coming| {
+            let is_new = coming.version.is_none() || coming.version >= version;
+            coming.model == *model && is_new
+        };
+        state.coming.iter().any(is_it)
+    }
+
+    /// Forgets the count of orders: an order came back without an answer.
+    pub(crate) fn doubt(&self) {
+        self.state.borrow_mut().holdings = None;
+    }
+
+    /// Takes in that an order was accepted.
+    pub(crate) fn ordered(&self, load: Option<(ModelRef, Option<u64>)>) {
+        let mut state = self.state.borrow_mut();
+        let Some(holdings) = &mut state.holdings else {
+            return;
+        };
+        holdings.order_seq += 1;
+        let order_seq = holdings.order_seq;
+        if let Some((model, version)) = load {
+            state.coming.push(Coming {
+                model,
+                version,
+                since: Instant::now(),
+                order_seq,
+            });
+        }
+    }
+
+    /// Takes in that `model` was dropped, or will be when its requests have ended.
+    pub(crate) fn unloaded(&self, model: &ModelRef, is_gone: bool) {
+        self.ordered(None);
+        let mut state = self.state.borrow_mut();
+        if let Some(holdings) = &mut state.holdings {
+            holdings.forget(model);
+        }
+        if !is_gone {
+            state.leaving.push(model.clone());
+        }
+    }
+
+    /// How many adapters leave when their requests have ended. They take up room until then.
+    pub(crate) fn leaving_count(&self) -> usize {
+        self.state.borrow().leaving.len()
+    }
+
+    /// Takes in a report. Reports lag: one from before the last order says nothing.
+    pub(crate) fn reported(&self, report: &EngineState) {
+        let mut state = self.state.borrow_mut();
+        let known_seq = state.holdings.as_ref().map(|held| held.order_seq);
+        if known_seq.is_some_and(|known| report.holdings.order_seq < known) {
+            return;
+        }
+        let held = |model: &ModelRef| report.holdings.version_of(model);
+        state.coming.retain(|coming| {
+            let is_here = held(&coming.model)
+                .is_some_and(|version| coming.version.is_none_or(|wanted| version >= wanted));
+            let is_under_way = report.coming.contains(&coming.model)
+                || (coming.model.adapter.is_none() && report.is_busy);
+            let is_seen = report.holdings.order_seq >= coming.order_seq;
+            !is_here && (is_under_way || !is_seen)
+        });
+        state.leaving.retain(|model| held(model).is_some());
+        state.holdings = Some(report.holdings.clone());
+        drop(state);
+        self.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -0,0 +1,177 @@
+//! What the control thread knows, and how it publishes that to the traffic thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::{NodeId, ServiceName, UpstreamId};
+use nutmegsail_http_pool::{Pool, PoolSettings};
+use nutmegsail_relay::{
+    Demand, Holdings, ModelSpec, NodeRecord, OwnershipRules, RouteTable, Upstream, Versions,
+};
+use nutmegsail_store::{KeyValue, LeaseId, Revision};
+use slog::Logger;
+
+use super::ControlParts;
+use super::engine::OwnedEngine;
+use crate::shared::{Shared, View};
+use crate::{Dialect, RelaySettings};
+
+/// How long a read that showed a key of ours is relied on. Shorter costs reads of the store,
+/// longer holds up the next owner after a failure.
+const CONFIRMATION: Duration = Duration::from_millis(1_500);
+
+/// How long opening a connection to an engine or a node may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// An engine's owner as the store shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Owner {
+    pub(crate) node: NodeId,
+    pub(crate) revision: Revision,
+}
+
+/// The control thread's state.
+pub(crate) struct Knowledge {
+    pub(crate) settings: RelaySettings,
+    pub(crate) store: Arc<dyn KeyValue>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) log: Logger,
+    pub(crate) pool: Pool,
+    pub(crate) table: RefCell<Option<Arc<RouteTable>>>,
+    pub(crate) upstreams: RefCell<HashMap<UpstreamId, Arc<Upstream>>>,
+    pub(crate) versions: RefCell<Versions>,
+    pub(crate) nodes: RefCell<HashMap<NodeId, NodeRecord>>,
+    pub(crate) owners: RefCell<HashMap<UpstreamId, Owner>>,
+    pub(crate) owned: RefCell<HashMap<UpstreamId, Rc<OwnedEngine>>>,
+    pub(crate) demand: RefCell<Demand>,
+    pub(crate) lease: Cell<LeaseId>,
+    started: Instant,
+    number: Cell<u64>,
+}
+
+impl Knowledge {
+    pub(crate) fn new(parts: &ControlParts) -> Self {
+        let pool = Pool::new(PoolSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            ..PoolSettings::default()
+        });
+        Self {
+            settings: parts.settings.clone(),
+            store: Arc::clone(&parts.store),
+            dialect: Arc::clone(&parts.dialect),
+            shared: Arc::clone(&parts.shared),
+            log: parts.log.clone(),
+            pool,
+            table: RefCell::default(),
+            upstreams: RefCell::default(),
+            versions: RefCell::default(),
+            nodes: RefCell::default(),
+            owners: RefCell::default(),
+            owned: RefCell::default(),
+            demand: RefCell::default(),
+            lease: Cell::default(),
+            started: Instant::now(),
+            number: Cell::new(0),
+        }
+    }
+
+    /// Whether no engine can have had an owner before. An owner of the first start that ended at
+    /// once still holds its key for a lease, longer than this.
+    pub(crate) fn is_first_claim(&self) -> bool {
+        const FIRST_CLAIMS: Duration = Duration::from_secs(3);
+        self.settings.is_first_start && self.started.elapsed() < FIRST_CLAIMS
+    }
+
+    pub(crate) fn ownership_rules(&self) -> OwnershipRules {
+        OwnershipRules {
+            hand_over: self.settings.bounds.hand_over(),
+            confirmation: CONFIRMATION,
+        }
+    }
+
+    /// Publishes what is known now.
+    pub(crate) fn publish(&self) {
+        self.number.set(self.number.get() + 1);
+        let view = View {
+            number: self.number.get(),
+            table: self.table.borrow().clone(),
+            upstreams: self.upstreams.borrow().values().cloned().collect(),
+            versions: Arc::new(self.versions.borrow().clone()),
+            nodes: self.nodes.borrow().len().max(1),
+        };
+        let is_ready = view.table.is_some() && !view.upstreams.is_empty();
+        self.shared.view.store(Arc::new(view));
+        if is_ready {
+            self.shared.note_knowing();
+        }
+    }
+
+    /// Takes in what an engine holds, from a report or an order's answer.
+    pub(crate) fn note_holdings(&self, id: &UpstreamId, holdings: &Holdings) {
+        if let Some(upstream) = self.upstreams.borrow_mut().get_mut(id) {
+            Arc::make_mut(upstream).holdings = holdings.clone();
+        }
+        self.publish();
+    }
+
+    /// The upstream of this id.
+    pub(crate) fn upstream(&self, id: &UpstreamId) -> Option<Arc<Upstream>> {
+        self.upstreams.borrow().get(id).cloned()
+    }
+
+    /// The engine that this node owns.
+    pub(crate) fn owned(&self, id: &UpstreamId) -> Option<Rc<OwnedEngine>> {
+        self.owned.borrow().get(id).cloned()
+    }
+
+    /// The engine specification of a service.
+    pub(crate) fn engine_room(&self, service: &ServiceName) -> Option<EngineRoom> {
+        let table = self.table.borrow();
+        let engine = table.as_ref()?.service(service)?.engine.as_ref()?;
+        Some(EngineRoom {
+            adapter_slots: engine.adapter_slots as usize,
+            weights_mb: engine.weights_mb,
+            models: engine.models.clone(),
+        })
+    }
+
+    /// Takes in what the traffic thread was asked for since the last time.
+    pub(crate) fn take_asked(&self) {
+        for (model, requests) in self.shared.asked.take() {
+            self.count_demand(&model, f64::from(requests));
+        }
+    }
+
+    /// Counts requests for an adapter.
+    pub(crate) fn count_demand(&self, model: &nutmegsail_relay::ModelRef, requests: f64) {
+        let mut demand = self.demand.borrow_mut();
+        demand.add(model, requests, Instant::now());
+    }
+}
+
+/// What fits an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineRoom {
+    pub(crate) adapter_slots: usize,
+    pub(crate) weights_mb: f64,
+    pub(crate) models: Vec<ModelSpec>,
+}
+
+impl EngineRoom {
+    /// Adapters that fit beside the base models of `holdings`, by slots and by memory.
+    pub(crate) fn adapters_beside(&self, holdings: &Holdings) -> usize {
+        let held = |spec: &&ModelSpec| holdings.models.iter().any(|model| model.name == spec.name);
+        let weights_mb: f64 = self.models.iter().filter(held).map(|spec| spec.weights_mb).sum();
+        let adapter_mb = self.models.iter().filter(held).map(|spec| spec.adapter_mb);
+        let largest_mb = adapter_mb.fold(0.0, f64::max);
+        let left_mb = (self.weights_mb - weights_mb).max(0.0);
+        if largest_mb <= 0.0 {
+            return self.adapter_slots;
+        }
+        self.adapter_slots.min((left_mb / largest_mb) as usize)
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/control/mod.rs
@@ -0,0 +1,55 @@
+//! The control thread: what it knows, and the loops that keep it up to date.
+
+mod engine;
+mod knowledge;
+mod loader;
+mod operators_watch;
+mod orders;
+mod owners;
+mod peers;
+mod upstreams_watch;
+mod watch;
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use nutmegsail_store::KeyValue;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio_util::sync::CancellationToken;
+
+use crate::shared::{Shared, Want};
+use crate::{Dialect, RelaySettings};
+use knowledge::Knowledge;
+use loader::Loader;
+
+/// What the control thread is made of.
+pub(crate) struct ControlParts {
+    pub(crate) settings: RelaySettings,
+    pub(crate) store: Arc<dyn KeyValue>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) wants: mpsc::Receiver<Want>,
+    /// Where other nodes ask for loads.
+    pub(crate) nodes: TcpListener,
+    /// Ends the control thread.
+    pub(crate) stop: CancellationToken,
+    pub(crate) log: Logger,
+}
+
+/// Runs every loop until the thread is told to stop, and gives back what the node holds.
+pub(crate) async fn run(parts: ControlParts) {
+    let knowledge = Rc::new(Knowledge::new(&parts));
+    let loader = Rc::new(Loader::new(Rc::clone(&knowledge)));
+    spawn_local(operators_watch::run(Rc::clone(&knowledge)));
+    spawn_local(upstreams_watch::run(Rc::clone(&knowledge)));
+    spawn_local(owners::watch(Rc::clone(&knowledge)));
+    let keeper = spawn_local(owners::keep(Rc::clone(&knowledge)));
+    spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
+    spawn_local(loader::serve(loader, parts.wants));
+    parts.stop.cancelled().await;
+    keeper.abort();
+    owners::give_back(&knowledge).await;
+}
--- /dev/null
+++ b/crates/relay-node/src/control/operators_watch.rs
@@ -0,0 +1,81 @@
+//! Follows what operators write: the configuration and named versions.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use nutmegsail_store::{Change, Item};
+use nutmegsail_telemetry::{Event, log_event};
+
+use super::knowledge::Knowledge;
+use super::watch::{Follower, follow};
+
+/// Follows the operators' keys for ever.
+pub(crate) async fn run(knowledge: Rc<Knowledge>) {
+    let prefix = knowledge.dialect.operators_prefix();
+    let follower = OperatorsFollower(Rc::clone(&knowledge));
+    follow(&knowledge, prefix, &follower).await;
+}
+
+struct OperatorsFollower(Rc<Knowledge>);
+
+impl OperatorsFollower {
+    fn take(&self, item: &Item) {
+        let dialect = &self.0.dialect;
+        if *item.key == *dialect.configuration_key() {
+            self.take_configuration(item);
+            return;
+        }
+        match dialect.decode_version(&item.key, &item.value) {
+            Ok(Some(named)) => {
+                let mut versions = self.0.versions.borrow_mut();
+                versions.name(named.model, named.version, Instant::now());
+            }
+            Ok(None) => {}
+            Err(error) => self.log_rejected(&item.key, &error.to_string()),
+        }
+    }
+
+    fn take_configuration(&self, item: &Item) {
+        let table = match self.0.dialect.decode_configuration(&item.value) {
+            Ok(table) => table,
+            Err(error) => return self.log_rejected(&item.key, &error.to_string()),
+        };
+        let mut known = self.0.table.borrow_mut();
+        // A read that lags, or a copy of the store that was restored, shows an older version. What
+        // was accepted must not revert, so it never takes effect.
+        if known.as_ref().is_some_and(|known| table.version < known.version) {
+            log_event!(self.0.log, Event::OlderTextIgnored, "version" => table.version);
+            return;
+        }
+        if known.as_ref().is_none_or(|known| table.version > known.version) {
+            log_event!(self.0.log, Event::TextInForce, "version" => table.version);
+        }
+        *known = Some(Arc::new(table));
+    }
+
+    fn log_rejected(&self, key: &str, problem: &str) {
+        log_event!(
+            self.0.log, Event::TextRejected,
+            "key" => key.to_owned(), "problem" => problem.to_owned()
+        );
+    }
+}
+
+impl Follower for OperatorsFollower {
+    fn whole(&self, items: &[Item]) {
+        for item in items {
+            self.take(item);
+        }
+        self.0.publish();
+    }
+
+    fn changes(&self, changes: &[Change]) {
+        for change in changes {
+            if let Change::Put(item) = change {
+                self.take(item);
+            }
+        }
+        self.0.publish();
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/control/owners.rs
@@ -0,0 +1,386 @@
+//! Which nodes there are and which of them owns which engine, agreed through the store.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use nutmegsail_base::{NodeId, UpstreamId};
+use nutmegsail_relay::{ModelRef, NodeRecord, Ownership, Upstream, unowned_to_claim};
+use nutmegsail_store::{Change, Expect, Item, KeyValueError, LeaseId, Put, Revision, Txn};
+use nutmegsail_telemetry::{Event, log_event};
+use serde::{Deserialize, Serialize};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::engine::OwnedEngine;
+use super::knowledge::{Knowledge, Owner};
+use super::watch::{Follower, follow};
+use crate::clock::boot_time;
+use crate::{OrderAnswer, OrderStep};
+
+/// Keys that nodes write.
+const PREFIX: &str = "nutmegsail/";
+const NODE_PREFIX: &str = "nutmegsail/node/";
+const OWNER_PREFIX: &str = "nutmegsail/owner/";
+
+/// How long keys outlive their node. Shorter costs more renewals, longer leaves engines of a dead
+/// node without an owner.
+const LEASE_TTL: Duration = Duration::from_secs(4);
+
+/// How often the lease is renewed: two renewals may be lost.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// How often a node looks for engines to claim and models to load.
+const TICK: Duration = Duration::from_millis(400);
+
+/// How long after its start a node claims nothing: machines start within 0.3 s of each other, and
+/// engines are to be spread over all of them.
+const FIRST_CLAIM_AFTER: Duration = Duration::from_millis(900);
+
+/// Claims that go into one transaction; the store takes 32 entries.
+const CLAIMS_PER_TXN: usize = 15;
+
+/// An owner's key as it is written.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct OwnerRecord {
+    node: NodeId,
+    /// The lease of the process that wrote it, which tells two processes of a node apart.
+    lease: LeaseId,
+}
+
+pub(crate) fn owner_key(engine: &UpstreamId) -> String {
+    format!("{OWNER_PREFIX}{engine}")
+}
+
+/// Follows nodes and owners for ever.
+pub(crate) async fn watch(knowledge: Rc<Knowledge>) {
+    let follower = OwnersFollower(Rc::clone(&knowledge));
+    follow(&knowledge, PREFIX, &follower).await;
+}
+
+struct OwnersFollower(Rc<Knowledge>);
+
+impl OwnersFollower {
+    fn take(&self, item: &Item) {
+        if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
+            match serde_json::from_slice::<NodeRecord>(&item.value) {
+                Ok(record) => {
+                    self.0.nodes.borrow_mut().insert(name.into(), record);
+                }
+                Err(error) => self.log_unreadable(&item.key, &error),
+            }
+        } else if let Some(engine) = item.key.strip_prefix(OWNER_PREFIX) {
+            match serde_json::from_slice::<OwnerRecord>(&item.value) {
+                Ok(record) => self.take_owner(engine.into(), &record, item.revision),
+                Err(error) => self.log_unreadable(&item.key, &error),
+            }
+        }
+    }
+
+    fn take_owner(&self, engine: UpstreamId, record: &OwnerRecord, revision: Revision) {
+        let mine = self.0.owned(&engine);
+        if mine.is_some_and(|owned| owned.ownership.borrow().fence() < revision.0) {
+            lose(&self.0, &engine, "another claim was written");
+        }
+        let owner = Owner {
+            node: record.node.clone(),
+            revision,
+        };
+        self.0.owners.borrow_mut().insert(engine, owner);
+    }
+
+    fn remove(&self, key: &str) {
+        if let Some(name) = key.strip_prefix(NODE_PREFIX) {
+            self.0.nodes.borrow_mut().remove(name);
+        } else if let Some(engine) = key.strip_prefix(OWNER_PREFIX) {
+            let engine = UpstreamId::from(engine);
+            self.0.owners.borrow_mut().remove(&engine);
+            lose(&self.0, &engine, "the key was removed");
+        }
+    }
+
+    fn log_unreadable(&self, key: &str, error: &serde_json::Error) {
+        log_event!(
+            self.0.log, Event::MessageUndecodable,
+            "key" => key.to_owned(), "problem" => error.to_string()
+        );
+    }
+}
+
+impl Follower for OwnersFollower {
+    fn whole(&self, items: &[Item]) {
+        let listed: Vec<&str> = items.iter().map(|item| &*item.key).collect();
+        let nodes: Vec<NodeId> = self.0.nodes.borrow().keys().cloned().collect();
+        let engines: Vec<UpstreamId> = self.0.owners.borrow().keys().cloned().collect();
+        let known = nodes.iter().map(|node| format!("{NODE_PREFIX}{node}"));
+        let known = known.chain(engines.iter().map(owner_key));
+        for key in known.collect::<Vec<_>>() {
+            if !listed.contains(&key.as_str()) {
+                self.remove(&key);
+            }
+        }
+        for item in items {
+            self.take(item);
+        }
+        self.0.publish();
+    }
+
+    fn changes(&self, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Put(item) => self.take(item),
+                Change::Removed { key, .. } => self.remove(key),
+            }
+        }
+        self.0.publish();
+    }
+}
+
+/// Gives up an engine without telling the store.
+pub(crate) fn lose(knowledge: &Knowledge, engine: &UpstreamId, why: &str) {
+    if knowledge.owned.borrow_mut().remove(engine).is_some() {
+        log_event!(
+            knowledge.log, Event::EngineReleased,
+            "upstream" => engine.to_string(), "why" => why.to_owned()
+        );
+    }
+}
+
+/// Keeps the node's lease and claims engines, for ever.
+pub(crate) async fn keep(knowledge: Rc<Knowledge>) {
+    let started = Instant::now();
+    let mut renewed: Option<Instant> = None;
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        knowledge.take_asked();
+        let is_due = renewed.is_none_or(|at| at.elapsed() >= RENEW_INTERVAL);
+        if is_due && renew(&knowledge).await {
+            renewed = Some(Instant::now());
+        }
+        if knowledge.lease.get() == LeaseId::default() || started.elapsed() < FIRST_CLAIM_AFTER {
+            continue;
+        }
+        claim(&knowledge).await;
+        forget_gone(&knowledge);
+        load_models(&knowledge).await;
+    }
+}
+
+/// Renews the lease, or takes one and registers the node under it.
+async fn renew(knowledge: &Knowledge) -> bool {
+    let lease = knowledge.lease.get();
+    if lease != LeaseId::default() {
+        match knowledge.store.keep_lease(lease).await {
+            Ok(()) => return true,
+            Err(KeyValueError::LeaseGone) => {
+                knowledge.lease.set(LeaseId::default());
+                let owned: Vec<UpstreamId> = knowledge.owned.borrow().keys().cloned().collect();
+                for engine in owned {
+                    lose(knowledge, &engine, "the lease has ended");
+                }
+            }
+            Err(_) => return false,
+        }
+    }
+    register(knowledge).await.is_ok()
+}
+
+async fn register(knowledge: &Knowledge) -> Result<(), KeyValueError> {
+    let granted = knowledge.store.grant_lease(LEASE_TTL).await?;
+    let settings = &knowledge.settings;
+    let record = NodeRecord {
+        node: settings.node.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        address: settings.nodes_address,
+    };
+    let put = Put {
+        key: format!("{NODE_PREFIX}{}", settings.node).into(),
+        value: to_json(&record),
+        lease: granted.lease,
+    };
+    let txn = Txn {
+        puts: vec![put],
+        ..Txn::default()
+    };
+    knowledge.store.commit(txn).await?;
+    knowledge.lease.set(granted.lease);
+    Ok(())
+}
+
+fn to_json(value: &impl Serialize) -> Bytes {
+    // Names, numbers and addresses always serialise.
+    Bytes::from(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// Claims engines that nobody owns, and those that an earlier process of this node owned.
+async fn claim(knowledge: &Knowledge) {
+    let mut claims = own_before(knowledge);
+    let unowned = unowned(knowledge);
+    claims.extend(unowned.into_iter().map(|id| (id, Revision(0))));
+    for claims in claims.chunks(CLAIMS_PER_TXN) {
+        if commit_claims(knowledge, claims).await.is_err() && claims.len() > 1 {
+            // One claim that another node took first fails all; the others are tried alone.
+            for one in claims.chunks(1) {
+                let _ = commit_claims(knowledge, one).await;
+            }
+        }
+    }
+}
+
+fn own_before(knowledge: &Knowledge) -> Vec<(UpstreamId, Revision)> {
+    let node = &knowledge.settings.node;
+    let owners = knowledge.owners.borrow();
+    let is_before = |engine: &UpstreamId, owner: &Owner| {
+        owner.node == *node && knowledge.owned(engine).is_none()
+    };
+    owners
+        .iter()
+        .filter(|(engine, owner)| is_before(engine, owner) && knowledge.upstream(engine).is_some())
+        .map(|(engine, owner)| (engine.clone(), owner.revision))
+        .collect()
+}
+
+fn unowned(knowledge: &Knowledge) -> Vec<UpstreamId> {
+    let upstreams = knowledge.upstreams.borrow();
+    let engines: Vec<&Upstream> = upstreams
+        .values()
+        .map(|upstream| &**upstream)
+        .filter(|upstream| upstream.takes_work())
+        .filter(|upstream| knowledge.engine_room(&upstream.service).is_some())
+        .collect();
+    let nodes: Vec<NodeRecord> = knowledge.nodes.borrow().values().cloned().collect();
+    let owners = knowledge.owners.borrow();
+    let owners: HashMap<UpstreamId, NodeId> = owners
+        .iter()
+        .filter(|(engine, _)| engines.iter().any(|known| known.id == **engine))
+        .map(|(engine, owner)| (engine.clone(), owner.node.clone()))
+        .collect();
+    unowned_to_claim(&knowledge.settings.node, &nodes, &engines, &owners)
+}
+
+async fn commit_claims(
+    knowledge: &Knowledge,
+    claims: &[(UpstreamId, Revision)],
+) -> Result<(), KeyValueError> {
+    let lease = knowledge.lease.get();
+    let record = OwnerRecord {
+        node: knowledge.settings.node.clone(),
+        lease,
+    };
+    let mut txn = Txn::default();
+    for (engine, revision) in claims {
+        let key: Arc<str> = owner_key(engine).into();
+        txn.expects.push(Expect {
+            key: Arc::clone(&key),
+            revision: *revision,
+        });
+        txn.puts.push(Put {
+            key,
+            value: to_json(&record),
+            lease,
+        });
+    }
+    let asked_at = boot_time();
+    match knowledge.store.commit(txn).await {
+        Ok(fence) => {
+            for (engine, before) in claims {
+                note_taken(knowledge, engine, fence, *before, asked_at);
+            }
+            Ok(())
+        }
+        Err(error) => {
+            if error == KeyValueError::Ambiguous {
+                log_event!(knowledge.log, Event::WriteAmbiguous, "claims" => claims.len());
+            }
+            // What was written in spite of the error shows up in the watch as a claim of an
+            // earlier process of this node, and is claimed anew.
+            Err(error)
+        }
+    }
+}
+
+fn note_taken(
+    knowledge: &Knowledge,
+    engine: &UpstreamId,
+    fence: Revision,
+    before: Revision,
+    asked_at: Duration,
+) {
+    let is_own_before = before != Revision(0) || knowledge.is_first_claim();
+    let rules = knowledge.ownership_rules();
+    let now = boot_time();
+    let ownership = Ownership::taken(fence.0, is_own_before, rules, asked_at, now);
+    let owned = Rc::new(OwnedEngine::new(engine.clone(), ownership));
+    knowledge.owned.borrow_mut().insert(engine.clone(), owned);
+    let owner = Owner {
+        node: knowledge.settings.node.clone(),
+        revision: fence,
+    };
+    knowledge.owners.borrow_mut().insert(engine.clone(), owner);
+    log_event!(
+        knowledge.log, Event::EngineOwned,
+        "upstream" => engine.to_string(), "fence" => fence.0, "was_ours" => is_own_before
+    );
+}
+
+/// Drops engines that left the list; their keys go with the lease.
+fn forget_gone(knowledge: &Knowledge) {
+    let upstreams = knowledge.upstreams.borrow();
+    let mut owned = knowledge.owned.borrow_mut();
+    owned.retain(|engine, _| upstreams.contains_key(engine));
+}
+
+/// Has base models loaded by engines of ours that hold none.
+async fn load_models(knowledge: &Knowledge) {
+    let owned: Vec<Rc<OwnedEngine>> = knowledge.owned.borrow().values().cloned().collect();
+    for engine in owned {
+        let Some(upstream) = knowledge.upstream(&engine.id) else {
+            continue;
+        };
+        if upstream.takes_work() && upstream.holdings.models.is_empty() {
+            load_model(knowledge, &engine, &upstream).await;
+        }
+    }
+}
+
+async fn load_model(knowledge: &Knowledge, engine: &OwnedEngine, upstream: &Upstream) {
+    let Some(room) = knowledge.engine_room(&upstream.service) else {
+        return;
+    };
+    let Some(model) = room.models.first() else {
+        return;
+    };
+    let _orders = engine.orders.lock().await;
+    // The list of upstreams lags; the engine itself knows whether it is empty.
+    let Some(report) = knowledge.read_report(engine).await else {
+        return;
+    };
+    if report.is_busy || !report.holdings.models.is_empty() {
+        return;
+    }
+    let Some(fence) = knowledge.permit(engine).await else {
+        return;
+    };
+    let wanted = ModelRef {
+        model: Arc::clone(&model.name),
+        adapter: None,
+    };
+    let step = OrderStep::Load(wanted.clone(), None);
+    let answer = knowledge.order(engine, upstream, step, fence).await;
+    if answer == Some(OrderAnswer::Accepted) {
+        engine.ordered(Some((wanted, None)));
+    }
+}
+
+/// Ends the lease, so that the others take over at once.
+pub(crate) async fn give_back(knowledge: &Knowledge) {
+    let lease = knowledge.lease.replace(LeaseId::default());
+    knowledge.owned.borrow_mut().clear();
+    if lease != LeaseId::default() {
+        // If the call is lost, the keys go when the lease ends by itself.
+        let _ = knowledge.store.end_lease(lease).await;
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/control/peers.rs
@@ -0,0 +1,107 @@
+//! Asks between nodes: an engine's owner loads for the others.
+//!
+//! An ask has an answer that its sender waits for, and the sender must know when none will come, so
+//! it goes over kept HTTP connections like all other calls.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use nutmegsail_base::UpstreamId;
+use nutmegsail_http_pool::prepare_socket;
+use nutmegsail_relay::{Holdings, ModelRef};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use super::knowledge::Knowledge;
+use super::loader::Loader;
+use super::orders::post;
+
+/// The path of asks for loads.
+const LOADS_PATH: &str = "/loads";
+
+/// The largest ask, in bytes.
+const ASK_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Asks an engine's owner to bring an adapter into it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoadAsk {
+    pub(crate) engine: UpstreamId,
+    pub(crate) model: ModelRef,
+    pub(crate) version: Option<u64>,
+}
+
+impl LoadAsk {
+    /// Sends the ask; returns what the engine holds once the adapter is there.
+    pub(crate) async fn send(
+        &self,
+        knowledge: &Knowledge,
+        owner: SocketAddr,
+        limit: Duration,
+    ) -> Option<Holdings> {
+        let body = serde_json::to_vec(self).ok()?;
+        let request = post(LOADS_PATH, HeaderMap::new(), Bytes::from(body))?;
+        let (status, body) = knowledge.call(&owner.to_string(), request, limit).await?;
+        match status {
+            StatusCode::OK => serde_json::from_slice(&body).ok(),
+            _ => None,
+        }
+    }
+}
+
+/// Serves other nodes for ever.
+pub(crate) async fn serve(listener: TcpListener, loader: Rc<Loader>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(crate::traffic::ACCEPT_PAUSE).await;
+            continue;
+        };
+        prepare_socket(&stream);
+        let loader = Rc::clone(&loader);
+        let service = service_fn(move |request| answer(Rc::clone(&loader), request));
+        spawn_local(async move {
+            // An error is a node that went away; it asks again on another connection.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(
+    loader: Rc<Loader>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let mut answer = Response::new(Full::default());
+    match load(&loader, request).await {
+        Ok(holdings) => {
+            let body = serde_json::to_vec(&holdings).unwrap_or_default();
+            *answer.body_mut() = Full::new(Bytes::from(body));
+        }
+        Err(status) => *answer.status_mut() = status,
+    }
+    Ok(answer)
+}
+
+async fn load(loader: &Loader, request: Request<Incoming>) -> Result<Holdings, StatusCode> {
+    if request.uri().path() != LOADS_PATH {
+        return Err(StatusCode::NOT_FOUND);
+    }
+    let body = Limited::new(request.into_body(), ASK_LIMIT_BYTES);
+    let body = body.collect().await.map_err(|_| StatusCode::BAD_REQUEST)?;
+    let ask: LoadAsk =
+        serde_json::from_slice(&body.to_bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
+    loader.knowledge.count_demand(&ask.model, 1.0);
+    let engine = loader.knowledge.owned(&ask.engine).ok_or(StatusCode::CONFLICT)?;
+    let loaded = loader.load_here(&engine, &ask.model, ask.version).await;
+    loaded.ok_or(StatusCode::SERVICE_UNAVAILABLE)
+}
--- /dev/null
+++ b/crates/relay-node/src/lib.rs
@@ -0,0 +1,21 @@
+//! A node that passes requests on unchanged, by host and path.
+//!
+//! It owns sockets, threads and clocks; what to do is decided in `nutmegsail-relay`, and how the
+//! platform speaks is behind [`Dialect`]. The control thread watches the store and orders loads;
+//! the traffic thread carries requests and chooses their upstreams. Start at [`RelayNode::start`].
+
+mod clock;
+mod control;
+mod dialect;
+mod node;
+mod ready;
+mod settings;
+mod shared;
+mod traffic;
+
+pub use dialect::{
+    AnswerMeta, BadHeader, CallMeta, DecodeError, Dialect, EngineState, NamedVersion, Order,
+    OrderAnswer, OrderRequest, OrderStep, SendMeta, Verdict,
+};
+pub use node::{RelayNode, RelayNodeError};
+pub use settings::{BoundSettings, RelaySettings, RelaySettingsError, StoreSettings};
--- /dev/null
+++ b/crates/relay-node/src/node.rs
@@ -0,0 +1,202 @@
+//! A running node.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::ResultCode;
+use nutmegsail_store::KeyValue;
+use nutmegsail_telemetry::{Event, log_event};
+use slog::Logger;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::control::{self, ControlParts};
+use crate::shared::Shared;
+use crate::traffic::{self, Gateway, GatewayParts};
+use crate::{Dialect, RelaySettings, ready};
+
+/// Why a node did not start.
+#[derive(Debug, Error)]
+pub enum RelayNodeError {
+    /// An address could not be listened on.
+    #[error("{} {address} cannot be listened on: {problem}", ResultCode::SettingsInvalid)]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        problem: std::io::Error,
+    },
+    /// The control thread could not be started.
+    #[error("{} the control thread could not be started: {_0}", ResultCode::Internal)]
+    Control(std::io::Error),
+}
+
+/// How long a leaving node goes on as before, so that the platform stops sending callers: it
+/// notices after two questions, one a second.
+const OUT_OF_ROTATION: Duration = Duration::from_millis(3_200);
+
+/// The end of the grace time that is left for the process itself to end.
+const END_MARGIN: Duration = Duration::from_millis(500);
+
+/// How often a leaving node looks whether its last answers have ended.
+const LEAVING_STEP: Duration = Duration::from_millis(50);
+
+/// A running node. It lives on a `LocalSet`; its control side has a thread of its own.
+pub struct RelayNode {
+    gateway: Rc<Gateway>,
+    shared: Arc<Shared>,
+    close: CancellationToken,
+    stop_control: CancellationToken,
+    control: JoinHandle<()>,
+    callers_address: SocketAddr,
+    grace: Duration,
+    log: Logger,
+}
+
+impl RelayNode {
+    /// Opens the node's sockets and starts its threads. Call it within a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// [`RelayNodeError`] if an address cannot be listened on or a thread cannot start.
+    pub async fn start(
+        settings: RelaySettings,
+        store: Arc<dyn KeyValue>,
+        dialect: Arc<dyn Dialect>,
+        log: Logger,
+    ) -> Result<Self, RelayNodeError> {
+        log_event!(log, Event::NodeStarted, "node" => settings.node.to_string());
+        let callers = listen(settings.callers_address).await?;
+        let callers_address = callers.local_addr().unwrap_or(settings.callers_address);
+        let readiness = listen(settings.ready_address).await?;
+        let nodes = listen(settings.nodes_address).await?;
+        let nodes = nodes.into_std().map_err(RelayNodeError::Control)?;
+        let (shared, wants) = Shared::new();
+        let stop_control = CancellationToken::new();
+        let grace = settings.bounds.grace();
+        let gateway = Rc::new(Gateway::new(GatewayParts {
+            shared: Arc::clone(&shared),
+            dialect: Arc::clone(&dialect),
+            failure_domain: settings.failure_domain.clone(),
+            bounds: settings.bounds,
+        }));
+        let parts = StartControl {
+            settings,
+            store,
+            dialect: Arc::clone(&dialect),
+            shared: Arc::clone(&shared),
+            wants,
+            nodes,
+            stop: stop_control.clone(),
+            log: log.clone(),
+        };
+        let control = parts.spawn()?;
+        let close = CancellationToken::new();
+        spawn_local(traffic::serve(
+            callers,
+            Rc::clone(&gateway),
+            close.clone(),
+        ));
+        spawn_local(ready::serve(readiness, Arc::clone(&shared), dialect));
+        log_event!(log, Event::NodeReady, "callers" => callers_address.to_string());
+        Ok(Self {
+            gateway,
+            shared,
+            close,
+            stop_control,
+            control,
+            callers_address,
+            grace,
+            log,
+        })
+    }
+
+    /// Where callers connect.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// Leaves: not ready first, then no connections without a request, then everything in progress
+    /// to its end, then engines and lease back.
+    pub async fn shutdown(self) {
+        let began = Instant::now();
+        log_event!(self.log, Event::NodeLeaving, "connections" => self.gateway.connections.get());
+        self.shared.note_leaving();
+        self.gateway.leaving_since.set(Some(began));
+        sleep(OUT_OF_ROTATION.min(self.grace / 2)).await;
+        self.close.cancel();
+        let limit = self.grace.saturating_sub(END_MARGIN);
+        while self.gateway.connections.get() > 0 {
+            if began.elapsed() >= limit {
+                log_event!(
+                    self.log, Event::DrainTimedOut,
+                    "connections" => self.gateway.connections.get()
+                );
+                break;
+            }
+            sleep(LEAVING_STEP).await;
+        }
+        self.stop_control.cancel();
+        while !self.control.is_finished() && began.elapsed() < limit {
+            sleep(LEAVING_STEP).await;
+        }
+        log_event!(self.log, Event::NodeStopped);
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RelayNodeError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|problem| RelayNodeError::Listen { address, problem })
+}
+
+/// What the control thread takes with it.
+struct StartControl {
+    settings: RelaySettings,
+    store: Arc<dyn KeyValue>,
+    dialect: Arc<dyn Dialect>,
+    shared: Arc<Shared>,
+    wants: tokio::sync::mpsc::Receiver<crate::shared::Want>,
+    nodes: std::net::TcpListener,
+    stop: CancellationToken,
+    log: Logger,
+}
+
+impl StartControl {
+    fn spawn(self) -> Result<JoinHandle<()>, RelayNodeError> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(RelayNodeError::Control)?;
+        let thread = std::thread::Builder::new().name("control".to_owned());
+        let run = move || {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, async move {
+                let nodes = match TcpListener::from_std(self.nodes) {
+                    Ok(nodes) => nodes,
+                    Err(error) => {
+                        log_event!(self.log, Event::TaskFailed, "problem" => error.to_string());
+                        return;
+                    }
+                };
+                control::run(ControlParts {
+                    settings: self.settings,
+                    store: self.store,
+                    dialect: self.dialect,
+                    shared: self.shared,
+                    wants: self.wants,
+                    nodes,
+                    stop: self.stop,
+                    log: self.log,
+                })
+                .await;
+            });
+        };
+        thread.spawn(run).map_err(RelayNodeError::Control)
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/settings.rs
@@ -0,0 +1,167 @@
+//! The settings of a node that passes requests on, in TOML.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmegsail_base::{FailureDomain, NodeId, ResultCode};
+use nutmegsail_telemetry::LogSettings;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// Everything that differs from one node to the next.
+///
+/// ```
+/// use nutmegsail_relay_node::RelaySettings;
+/// let settings = RelaySettings::parse(
+///     r#"
+///     node = "negril-1"
+///     failure_domain = "negril-hall"
+///     callers_address = "10.1.0.38:8149"
+///     ready_address = "10.1.0.38:8141"
+///     nodes_address = "10.1.0.38:7380"
+///     [store]
+///     address = "10.200.1.7:8142"
+///     "#,
+/// )?;
+/// assert_eq!(settings.bounds.hand_over_ms, 3_000);
+/// # Ok::<(), nutmegsail_relay_node::RelaySettingsError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// The node's name, the same over restarts.
+    pub node: NodeId,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Where callers connect.
+    pub callers_address: SocketAddr,
+    /// Where the platform asks whether the node takes callers.
+    pub ready_address: SocketAddr,
+    /// Where other nodes connect.
+    pub nodes_address: SocketAddr,
+    /// Whether the whole system starts for the first time, so that no engine had an owner yet.
+    #[serde(default)]
+    pub is_first_start: bool,
+    /// The store.
+    pub store: StoreSettings,
+    /// Times that hold between the system and its surroundings.
+    #[serde(default)]
+    pub bounds: BoundSettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Where the store is.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Times and ratios that operators have agreed on with the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BoundSettings {
+    /// How long a process may run on after SIGTERM, in seconds.
+    pub grace_s: f64,
+    /// The distance in time between orders of two owners to one engine, in milliseconds.
+    pub hand_over_ms: u64,
+    /// How long after a new version was named requests may begin on the one before, in
+    /// milliseconds.
+    pub version_ms: u64,
+    /// Further sends of requests, in proportion to first sends.
+    pub retry_ratio: f64,
+    /// Further sends that are allowed besides in one window, over all nodes.
+    pub retry_slack: f64,
+    /// The window in which sends are counted, in seconds.
+    pub retry_window_s: f64,
+}
+
+impl Default for BoundSettings {
+    fn default() -> Self {
+        Self {
+            grace_s: 8.0,
+            hand_over_ms: 3_000,
+            version_ms: 5_000,
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window_s: 10.0,
+        }
+    }
+}
+
+/// Why settings cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{} the settings have faults: {problems}", ResultCode::SettingsInvalid)]
+pub struct RelaySettingsError {
+    /// What is wrong, and where.
+    pub problems: String,
+}
+
+impl RelaySettings {
+    /// Reads settings and reports every fault that can be seen.
+    ///
+    /// # Errors
+    ///
+    /// [`RelaySettingsError`] with the keys at fault.
+    pub fn parse(text: &str) -> Result<Self, RelaySettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|error| RelaySettingsError {
+            problems: error.to_string(),
+        })?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(RelaySettingsError {
+            problems: faults.join("; "),
+        })
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let bounds = &self.bounds;
+        let checks = [
+            (!self.node.is_empty(), "node: name the node"),
+            (
+                !self.failure_domain.is_empty(),
+                "failure_domain: name the failure domain",
+            ),
+            (
+                bounds.grace_s >= 1.0,
+                "bounds.grace_s: write 1 or more; answers need time to end",
+            ),
+            (
+                bounds.hand_over_ms >= 100,
+                "bounds.hand_over_ms: write 100 or more",
+            ),
+            (
+                (0.0..=10.0).contains(&bounds.retry_ratio),
+                "bounds.retry_ratio: write 0 to 10",
+            ),
+            (
+                bounds.retry_window_s >= 0.1,
+                "bounds.retry_window_s: write 0.1 or more",
+            ),
+        ];
+        let failed = checks.iter().filter(|(holds, _)| !holds);
+        failed.map(|(_, problem)| (*problem).to_owned()).collect()
+    }
+}
+
+impl BoundSettings {
+    /// [`BoundSettings::grace_s`] as a duration.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+
+    /// [`BoundSettings::hand_over_ms`] as a duration.
+    pub fn hand_over(&self) -> Duration {
+        Duration::from_millis(self.hand_over_ms)
+    }
+
+    /// [`BoundSettings::version_ms`] as a duration.
+    pub fn version(&self) -> Duration {
+        Duration::from_millis(self.version_ms)
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -0,0 +1,91 @@
+//! The body of an answer to a caller.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use nutmegsail_http_pool::{PooledBody, SendError};
+use thiserror::Error;
+use tokio::time::Sleep;
+
+use super::flight::Flight;
+
+/// Why an answer ends early. The caller's connection is closed, so that it does not look whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(crate) enum AnswerCut {
+    /// The upstream broke off.
+    #[error("the upstream broke off its answer")]
+    Upstream,
+    /// The time of the request is over.
+    #[error("the time of the request is over")]
+    TimedOut,
+}
+
+/// A body of our own, or an upstream's as it arrives.
+pub(crate) enum AnswerBody {
+    /// Words of our own; taken when they were sent.
+    Own(Option<Bytes>),
+    /// The bytes of an upstream.
+    Passed(Box<PassedBody>),
+}
+
+/// An upstream's body with the request's place in the books.
+pub(crate) struct PassedBody {
+    pub(crate) body: PooledBody,
+    pub(crate) flight: Flight,
+    /// Ends when the request's time is over.
+    pub(crate) cutoff: Pin<Box<Sleep>>,
+}
+
+impl PassedBody {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.flight.note_progress();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(SendError::Broken | SendError::NotSent | SendError::AtLimit))) => {
+                self.flight.note_broken();
+                Poll::Ready(Some(Err(AnswerCut::Upstream)))
+            }
+            Poll::Ready(None) => {
+                self.flight.note_whole();
+                Poll::Ready(None)
+            }
+            Poll::Pending => match self.cutoff.as_mut().poll(cx) {
+                Poll::Ready(()) => Poll::Ready(Some(Err(AnswerCut::TimedOut))),
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
+        match &mut *self {
+            Self::Own(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Passed(passed) => passed.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Own(bytes) => bytes.is_none(),
+            Self::Passed(passed) => passed.body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Own(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Passed(passed) => passed.body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/traffic/call.rs
@@ -0,0 +1,86 @@
+//! A request that was read whole.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, Request, Uri, header};
+use http_body_util::Full;
+use nutmegsail_base::ServiceName;
+use nutmegsail_relay::{Route, VersionRule};
+
+use crate::{CallMeta, Dialect, SendMeta};
+
+/// Headers that concern one connection only, beside those that `Connection` names.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// Removes what concerns one connection only.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// A caller's request with what decides its way.
+pub(crate) struct Call {
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) meta: CallMeta,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    /// The versions of the model that it may begin on.
+    pub(crate) version: VersionRule,
+    /// When its head was read.
+    pub(crate) began: Instant,
+    /// When the caller, or the route's timeout, gives it up.
+    pub(crate) due: Instant,
+}
+
+impl Call {
+    /// The time that is left.
+    pub(crate) fn remaining(&self, now: Instant) -> Duration {
+        self.due.saturating_duration_since(now)
+    }
+
+    /// The request as an upstream gets it: method, path, query and body unchanged.
+    pub(crate) fn to_upstream(
+        &self,
+        dialect: &dyn Dialect,
+        send: &SendMeta<'_>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = origin_form(&self.parts.uri);
+        let mut headers = self.parts.headers.clone();
+        strip_hop_by_hop(&mut headers);
+        // The body goes out with a length of its own, whichever way it came in.
+        headers.remove(header::CONTENT_LENGTH);
+        dialect.write_send(&mut headers, send);
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// The path and query without scheme and host.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
--- /dev/null
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -0,0 +1,96 @@
+//! A request's place in the books while it is at an upstream.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{ModelRef, Outcome};
+
+use super::gateway::Gateway;
+
+/// One send. Dropping it at any point, also because the caller went away, settles the books.
+pub(crate) struct Flight {
+    gateway: Rc<Gateway>,
+    upstream: UpstreamId,
+    in_use: Option<(UpstreamId, ModelRef)>,
+    prompt_tokens: u64,
+    expected_ms: f64,
+    sent: Instant,
+    is_read: bool,
+    is_settled: bool,
+}
+
+impl Flight {
+    pub(crate) fn begin(
+        gateway: &Rc<Gateway>,
+        upstream: &UpstreamId,
+        model: Option<&ModelRef>,
+        prompt_tokens: u64,
+        expected_ms: f64,
+    ) -> Self {
+        gateway.dispatcher.borrow_mut().sent(upstream, prompt_tokens);
+        let in_use = model.map(|model| (upstream.clone(), model.clone()));
+        if let Some(key) = &in_use {
+            gateway.shared.in_use.add(key);
+        }
+        Self {
+            gateway: Rc::clone(gateway),
+            upstream: upstream.clone(),
+            in_use,
+            prompt_tokens,
+            expected_ms,
+            sent: Instant::now(),
+            is_read: false,
+            is_settled: false,
+        }
+    }
+
+    /// Part of the answer's body came.
+    pub(crate) fn note_progress(&mut self) {
+        if self.is_read {
+            return;
+        }
+        self.is_read = true;
+        let now = Instant::now();
+        let took = now.duration_since(self.sent);
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
+        dispatcher.answer_began(&self.upstream, self.expected_ms, took, now);
+    }
+
+    /// The answer ended whole.
+    pub(crate) fn note_whole(&mut self) {
+        self.settle(Outcome::Answered);
+    }
+
+    /// The answer broke off, or was none.
+    pub(crate) fn note_broken(&mut self) {
+        self.settle(Outcome::Failed);
+    }
+
+    /// The upstream had no room.
+    pub(crate) fn note_full(&mut self) {
+        self.settle(Outcome::Full);
+    }
+
+    fn settle(&mut self, outcome: Outcome) {
+        if !self.is_settled {
+            self.is_settled = true;
+            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+            dispatcher.note_outcome(&self.upstream, outcome, Instant::now());
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        if !self.is_read {
+            dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
+        }
+        dispatcher.ended(&self.upstream);
+        if let Some(key) = &self.in_use {
+            self.gateway.shared.in_use.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -0,0 +1,343 @@
+//! Carries requests from callers to upstreams.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::Response;
+use nutmegsail_base::{FailureDomain, RequestId, ResultCode, RunState, ServiceName, UpstreamId};
+use nutmegsail_http_pool::{Pool, PoolSettings};
+use nutmegsail_relay::{
+    Choice, Dispatcher, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
+};
+use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
+use tokio::sync::oneshot;
+
+use super::answer_body::AnswerBody;
+use super::call::Call;
+use super::refuse;
+use super::send::Sent;
+use crate::shared::{Loaded, Shared, View, Want};
+use crate::{BoundSettings, Dialect, Verdict};
+
+/// How long opening a connection may take. A crossing takes some 1 ms; an upstream behind a
+/// partition never answers, and meanwhile another one could.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a connection is kept whose other end did not say how long it keeps it.
+const UNSTATED_IDLE: Duration = Duration::from_millis(800);
+
+/// How often one request may be turned away by upstreams before it is given up. Each is an arrival
+/// that draws on the retry budget.
+const REFUSALS_LIMIT: usize = 4;
+
+/// How long a request waits for its adapter at most: two loads in turn, of 250 ms each, with the
+/// queue for transfers.
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// When a caller whose request found no room is asked to return. Prompts that wait are read in
+/// some 300 ms.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(350);
+
+/// When a caller is asked to return if no upstream or no configuration is known.
+const ABSENT_RETRY_AFTER: Duration = Duration::from_millis(700);
+
+/// The least time in which an answer could still come.
+const LEAST_REMAINING: Duration = Duration::from_millis(5);
+
+/// What a [`Gateway`] is made of.
+pub(crate) struct GatewayParts {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) bounds: BoundSettings,
+}
+
+/// The traffic thread's state.
+pub(crate) struct Gateway {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) pool: Pool,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) bounds: BoundSettings,
+    /// When the node began to leave.
+    pub(crate) leaving_since: Cell<Option<Instant>>,
+    /// Open connections of callers.
+    pub(crate) connections: Cell<usize>,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    seen_view: Cell<u64>,
+}
+
+/// A request between two sends.
+enum Life {
+    /// No send can have run it.
+    NotRun(Request<Queued>),
+    /// A send may have run it.
+    MayHaveRun(Request<Uncertain>),
+}
+
+impl Life {
+    fn give_up(self, code: ResultCode, detail: &str) -> Refusal {
+        match self {
+            Self::NotRun(request) => Refusal::not_run(request.not_run(), code, detail),
+            Self::MayHaveRun(_) => {
+                // A code that callers read as "not run" would have them book a second time.
+                let code = match code {
+                    ResultCode::DeadlineUnreachable => ResultCode::DeadlinePassed,
+                    _ => ResultCode::UpstreamFailed,
+                };
+                Refusal::may_have_run(code, detail)
+            }
+        }
+    }
+
+    fn dispatch(self, upstream: &UpstreamId) -> Request<Dispatched> {
+        match self {
+            Self::NotRun(request) => request.dispatch(upstream.clone()),
+            Self::MayHaveRun(request) => request.dispatch_again(upstream.clone()),
+        }
+    }
+}
+
+impl From<AfterFailure> for Life {
+    fn from(after: AfterFailure) -> Self {
+        match after {
+            AfterFailure::NotRun(request) => Self::NotRun(request),
+            AfterFailure::MayHaveRun(request) => Self::MayHaveRun(request),
+        }
+    }
+}
+
+/// How the sends of one request went.
+#[derive(Default)]
+struct Sends {
+    /// Upstreams that it need not be sent to again.
+    tried: Vec<UpstreamId>,
+    /// Sends that arrived.
+    arrived: usize,
+    /// Sends that may have run it.
+    may_have_run: u32,
+}
+
+impl Gateway {
+    pub(crate) fn new(parts: GatewayParts) -> Self {
+        let pool = Pool::new(PoolSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: UNSTATED_IDLE,
+            ..PoolSettings::default()
+        });
+        Self {
+            shared: parts.shared,
+            dialect: parts.dialect,
+            pool,
+            dispatcher: RefCell::new(Dispatcher::new(parts.failure_domain)),
+            bounds: parts.bounds,
+            leaving_since: Cell::new(None),
+            connections: Cell::new(0),
+            budgets: RefCell::default(),
+            seen_view: Cell::new(0),
+        }
+    }
+
+    /// The newest view, with the dispatcher brought up to it.
+    pub(crate) fn view(&self) -> Arc<View> {
+        let view = self.shared.view.load_full();
+        if view.number != self.seen_view.get() {
+            self.seen_view.set(view.number);
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.set_upstreams(&view.upstreams, Instant::now());
+        }
+        view
+    }
+
+    /// Finds an answer to `call`.
+    pub(crate) async fn carry(self: &Rc<Self>, call: &Call, id: RequestId) -> Response<AnswerBody> {
+        if let Some(model) = &call.meta.model {
+            self.shared.asked.add(model);
+        }
+        let mut life = Life::NotRun(Request::accept(id.clone()).queue());
+        let mut sends = Sends::default();
+        loop {
+            let choice = match self.next_choice(call, &sends).await {
+                Ok(choice) => choice,
+                Err((code, retry_after)) => {
+                    let refusal = life.give_up(code, "").with_retry_after(retry_after);
+                    return refuse::answer(&refusal, &id);
+                }
+            };
+            let dispatched = life.dispatch(&choice.upstream.id);
+            let run_state = match self.send(call, &choice).await {
+                Sent::Answer(answer) => return answer,
+                Sent::NotArrived => RunState::NotRun,
+                Sent::Refused(verdict) => {
+                    sends.arrived += 1;
+                    if verdict == Verdict::Misdirected && call.meta.model.is_some() {
+                        // It may hold the adapter again soon, unlike one that failed.
+                        life = dispatched.refused_by_node(RunState::NotRun).into();
+                        continue;
+                    }
+                    RunState::NotRun
+                }
+                Sent::Lost => {
+                    sends.arrived += 1;
+                    sends.may_have_run += 1;
+                    RunState::MayHaveRun
+                }
+                Sent::TimedOut => {
+                    let after: Life = dispatched.refused_by_node(RunState::MayHaveRun).into();
+                    let refusal = after.give_up(ResultCode::DeadlineUnreachable, "");
+                    return refuse::answer(&refusal, &id);
+                }
+            };
+            life = dispatched.refused_by_node(run_state).into();
+            sends.tried.push(choice.upstream.id.clone());
+            let is_lost = matches!(life, Life::MayHaveRun(_));
+            let may_repeat =
+                call.route.kind.may_repeat() && sends.may_have_run < call.route.max_attempts;
+            if is_lost && !may_repeat {
+                let refusal = life.give_up(ResultCode::UpstreamFailed, "");
+                return refuse::answer(&refusal, &id);
+            }
+        }
+    }
+
+    /// The next upstream for `call`, or the code to give it up with and when to return.
+    async fn next_choice(
+        &self,
+        call: &Call,
+        sends: &Sends,
+    ) -> Result<Choice, (ResultCode, Duration)> {
+        let patience = ADAPTER_PATIENCE.min(call.remaining(Instant::now()) / 2);
+        let patient_until = Instant::now() + patience;
+        loop {
+            let now = Instant::now();
+            if call.remaining(now) < LEAST_REMAINING {
+                return Err((ResultCode::DeadlineUnreachable, BUSY_RETRY_AFTER));
+            }
+            if sends.arrived >= REFUSALS_LIMIT {
+                return Err((ResultCode::UpstreamRefused, BUSY_RETRY_AFTER));
+            }
+            self.view();
+            match self.choose(call, sends, now) {
+                Ok(choice) => {
+                    if !self.count_send(call, sends, now) {
+                        return Err((ResultCode::RetryBudgetSpent, BUSY_RETRY_AFTER));
+                    }
+                    if choice.wants_copy {
+                        self.want_copy(call, now);
+                    }
+                    return Ok(choice);
+                }
+                Err(NoChoice::NoUpstream) => {
+                    return Err((ResultCode::NoUpstream, ABSENT_RETRY_AFTER));
+                }
+                Err(NoChoice::AllBusy) => {
+                    return Err((ResultCode::UpstreamRefused, BUSY_RETRY_AFTER));
+                }
+                Err(NoChoice::AdapterAbsent) => {
+                    let wait = patient_until.saturating_duration_since(now);
+                    if !self.bring_adapter(call, wait).await {
+                        return Err((ResultCode::AdapterNotReady, BUSY_RETRY_AFTER));
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose(&self, call: &Call, sends: &Sends, now: Instant) -> Result<Choice, NoChoice> {
+        let need = need(call, &sends.tried);
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.choose(&need, now, &mut rand::rng())
+    }
+
+    /// Counts a send, if the budget allows it.
+    fn count_send(&self, call: &Call, sends: &Sends, now: Instant) -> bool {
+        let nodes = self.shared.view.load().nodes;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(call.service.clone())
+            .or_insert_with(|| RetryBudget::new(self.retry_rules()));
+        match sends.arrived {
+            0 => {
+                budget.count_first(now);
+                true
+            }
+            _ => budget.take_further(nodes, now),
+        }
+    }
+
+    fn retry_rules(&self) -> RetryBudgetRules {
+        RetryBudgetRules {
+            ratio: self.bounds.retry_ratio,
+            slack: self.bounds.retry_slack,
+            window: Duration::from_secs_f64(self.bounds.retry_window_s),
+        }
+    }
+
+    /// Has the adapter that `call` names loaded, and waits for it.
+    async fn bring_adapter(&self, call: &Call, wait: Duration) -> bool {
+        let Some(ready) = self.want(call, Instant::now()) else {
+            return false;
+        };
+        match tokio::time::timeout(wait, ready).await {
+            Ok(Ok(Some((engine, holdings)))) => {
+                let mut dispatcher = self.dispatcher.borrow_mut();
+                dispatcher.note_holdings(&engine, &holdings);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Has another copy of the adapter loaded, for later requests.
+    fn want_copy(&self, call: &Call, now: Instant) {
+        let _ = self.want(call, now);
+    }
+
+    fn want(&self, call: &Call, now: Instant) -> Option<oneshot::Receiver<Loaded>> {
+        let model = call.meta.model.clone()?;
+        let (ready, answer) = oneshot::channel();
+        let want = Want {
+            service: call.service.clone(),
+            version: call.version.wanted(),
+            engines: self.engines_for(call, now),
+            model,
+            ready,
+        };
+        self.shared.wants.try_send(want).ok()?;
+        Some(answer)
+    }
+
+    /// Engines that could take the adapter, with the time to a first event there.
+    fn engines_for(&self, call: &Call, now: Instant) -> Vec<(UpstreamId, f64)> {
+        let Some(model) = &call.meta.model else {
+            return Vec::new();
+        };
+        let dispatcher = self.dispatcher.borrow();
+        let engines = dispatcher.all().filter(|tracked| {
+            let held = tracked.holdings.version_of(model);
+            tracked.upstream.service == call.service
+                && tracked.upstream.takes_work()
+                && !tracked.health.is_paused(now)
+                && !held.is_some_and(|version| call.version.prefers(version))
+        });
+        engines
+            .map(|tracked| {
+                let expected_ms = tracked.expected_first_event_ms(call.meta.prompt_tokens, now);
+                (tracked.upstream.id.clone(), expected_ms)
+            })
+            .collect()
+    }
+}
+
+fn need<'a>(call: &'a Call, tried: &'a [UpstreamId]) -> Need<'a> {
+    Need {
+        service: &call.service,
+        model: call.meta.model.as_ref(),
+        version: call.version,
+        prompt_tokens: call.meta.prompt_tokens,
+        tried,
+    }
+}
--- /dev/null
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -0,0 +1,227 @@
+//! Callers' connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use nutmegsail_base::{RequestId, ResultCode};
+use nutmegsail_http_pool::prepare_socket;
+use nutmegsail_relay::RouteTable;
+use nutmegsail_request::{Refusal, Request as Life};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::ACCEPT_PAUSE;
+use super::answer_body::AnswerBody;
+use super::call::Call;
+use super::gateway::Gateway;
+use super::refuse;
+use crate::CallMeta;
+
+/// The longest deadline that is used where a caller states none.
+const UNSTATED_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Limits of a connection while no configuration is known; those of the configuration are taken
+/// when a connection opens.
+const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The buffer of a connection where the configuration allows less than hyper takes.
+const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+
+/// How long after a node began to leave it still passes new requests on. The platform notices
+/// after two questions, one a second; an answer that begins later may not end in time.
+const LAST_REQUESTS: Duration = Duration::from_millis(3_000);
+
+/// When a caller of a leaving node is asked to return: at once, as another node takes it.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the task is dropped; `close` closes connections without a request.
+pub(crate) async fn serve(listener: TcpListener, gateway: Rc<Gateway>, close: CancellationToken) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                prepare_socket(&stream);
+                let connection = serve_connection(stream, Rc::clone(&gateway), close.clone());
+                tokio::task::spawn_local(connection);
+            }
+            // Out of descriptors for a moment; the connection waits in the kernel's queue.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, gateway: Rc<Gateway>, close: CancellationToken) {
+    let _open = OpenConnection::new(Rc::clone(&gateway));
+    let limits = gateway.view().table.as_ref().map(|table| table.limits);
+    let idle = limits.map_or(FIRST_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let header_bytes = limits.map_or(LEAST_BUFFER_BYTES, |limits| limits.header_bytes);
+    let service = service_fn(|request| {
+        let gateway = Rc::clone(&gateway);
+        async move { Ok::<_, Infallible>(gateway.answer(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // This timer runs from the end of the answer before, so it bounds idle time as well.
+        .header_read_timeout(idle)
+        .max_buf_size(header_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // An error is a caller that went away or broke the protocol; nobody is left to tell.
+        _ = connection.as_mut() => return,
+        () = close.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Why a request goes no further than its connection.
+struct Turned {
+    code: ResultCode,
+    detail: String,
+    retry_after: Option<Duration>,
+}
+
+impl Turned {
+    fn new(code: ResultCode, detail: impl Into<String>) -> Self {
+        Self {
+            code,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+}
+
+impl Gateway {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let began = Instant::now();
+        let (parts, body) = request.into_parts();
+        let meta = self.dialect.read_call(&parts.headers);
+        let id = request_id(meta.as_ref().ok());
+        let mut answer = match self.read(parts, body, meta, began).await {
+            Ok(call) => self.carry(&call, id).await,
+            Err(turned) => {
+                let proof = Life::accept(id.clone()).not_run();
+                let refusal = Refusal::not_run(proof, turned.code, turned.detail);
+                let refusal = match turned.retry_after {
+                    Some(wait) => refusal.with_retry_after(wait),
+                    None => refusal,
+                };
+                refuse::answer(&refusal, &id)
+            }
+        };
+        if self.leaving_since.get().is_some() {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
+        answer
+    }
+
+    /// Reads the request to its end and finds its route.
+    async fn read(
+        &self,
+        parts: Parts,
+        body: Incoming,
+        meta: Result<CallMeta, crate::BadHeader>,
+        began: Instant,
+    ) -> Result<Call, Turned> {
+        let meta = meta.map_err(|bad| Turned::new(ResultCode::BadHeader, bad.to_string()))?;
+        if self.is_past_last_requests(began) {
+            return Err(Turned::new(ResultCode::NodeLeaving, "").retry_after(LEAVING_RETRY_AFTER));
+        }
+        let table = self.view().table.clone().ok_or_else(|| {
+            Turned::new(ResultCode::NoTextInForce, "").retry_after(Duration::from_millis(500))
+        })?;
+        let body = read_body(body, &table).await?;
+        // The configuration may have changed while the body came in.
+        let view = self.view();
+        let table = view.table.clone().unwrap_or(table);
+        let host = host(&parts);
+        let route = table
+            .route(host, parts.uri.path())
+            .ok_or_else(|| Turned::new(ResultCode::UnknownPath, "no route leads from here"))?;
+        let service = route.service(rand::random::<f64>()).clone();
+        let overlap = self.bounds.version().mul_f64(VERSION_OVERLAP_SHARE);
+        let version = meta.model.as_ref().map_or(
+            nutmegsail_relay::VersionRule::Any,
+            |model| view.versions.rule(model, overlap, Instant::now()),
+        );
+        let waits = meta.deadline.unwrap_or(UNSTATED_DEADLINE);
+        let due = began + waits.min(route.timeout);
+        Ok(Call {
+            route: route.clone(),
+            parts,
+            body,
+            meta,
+            service,
+            version,
+            began,
+            due,
+        })
+    }
+
+    fn is_past_last_requests(&self, now: Instant) -> bool {
+        let since = self.leaving_since.get();
+        since.is_some_and(|since| now.duration_since(since) > LAST_REQUESTS)
+    }
+}
+
+/// The part of the time in which the older version of an adapter may be begun on that is used:
+/// the news takes a while to come here, and a send a while to begin.
+const VERSION_OVERLAP_SHARE: f64 = 0.6;
+
+/// Counts a connection as open.
+struct OpenConnection(Rc<Gateway>);
+
+impl OpenConnection {
+    fn new(gateway: Rc<Gateway>) -> Self {
+        gateway.connections.set(gateway.connections.get() + 1);
+        Self(gateway)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let open = self.0.connections.get();
+        self.0.connections.set(open.saturating_sub(1));
+    }
+}
+
+async fn read_body(body: Incoming, table: &RouteTable) -> Result<Bytes, Turned> {
+    let limit = table.limits.body_bytes;
+    let collecting = Limited::new(body, limit).collect();
+    match tokio::time::timeout(table.limits.read_timeout, collecting).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("{limit} bytes are allowed");
+            Err(Turned::new(ResultCode::BodyTooLarge, detail))
+        }
+        Ok(Err(error)) => Err(Turned::new(ResultCode::MalformedBody, error.to_string())),
+        Err(_) => Err(Turned::new(ResultCode::SenderStalled, "")),
+    }
+}
+
+/// The host that a request names, without a port.
+fn host(parts: &Parts) -> &str {
+    let named = parts.headers.get(header::HOST);
+    let named = named.and_then(|host| host.to_str().ok());
+    let host = parts.uri.host().or(named).unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+fn request_id(meta: Option<&CallMeta>) -> RequestId {
+    let id = meta.and_then(|meta| meta.request_id.as_ref());
+    RequestId::from(id.and_then(|id| id.to_str().ok()).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -0,0 +1,17 @@
+//! The traffic thread: callers' connections and the requests on them.
+
+mod answer_body;
+mod call;
+mod flight;
+mod gateway;
+mod listener;
+mod refuse;
+mod send;
+
+use std::time::Duration;
+
+pub(crate) use gateway::{Gateway, GatewayParts};
+pub(crate) use listener::serve;
+
+/// How long accepting pauses when the process is out of descriptors.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/relay-node/src/traffic/refuse.rs
@@ -0,0 +1,34 @@
+//! Answers of the node's own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use nutmegsail_front::ErrorBody;
+use nutmegsail_base::RequestId;
+use nutmegsail_request::Refusal;
+
+use super::answer_body::AnswerBody;
+
+/// Puts a refusal into an answer.
+pub(crate) fn answer(refusal: &Refusal, request: &RequestId) -> Response<AnswerBody> {
+    let body = ErrorBody::new(refusal, request).to_json();
+    let mut answer = Response::new(AnswerBody::Own(Some(Bytes::from(body))));
+    *answer.status_mut() =
+        StatusCode::from_u16(refusal.code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = answer.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if let Some(wait) = refusal.retry_after {
+        headers.insert(header::RETRY_AFTER, seconds(wait));
+    }
+    answer
+}
+
+/// Seconds with a fraction, as callers here read it.
+fn seconds(wait: Duration) -> HeaderValue {
+    let text = format!("{:.2}", wait.as_secs_f64());
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
+}
--- /dev/null
+++ b/crates/relay-node/src/traffic/send.rs
@@ -0,0 +1,152 @@
+//! One send of a request to one upstream.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::{Response, header};
+use nutmegsail_http_pool::{PooledBody, SendError};
+use nutmegsail_relay::{CallKind, Choice};
+use tokio::time::sleep_until;
+
+use super::answer_body::{AnswerBody, PassedBody};
+use super::call::{Call, strip_hop_by_hop};
+use super::flight::Flight;
+use super::gateway::Gateway;
+use crate::{SendMeta, Verdict};
+
+/// What became of a send.
+pub(crate) enum Sent {
+    /// The upstream's answer, to be passed on.
+    Answer(Response<AnswerBody>),
+    /// No connection could be made; nothing arrived.
+    NotArrived,
+    /// It arrived, and the upstream said that it did not run it.
+    Refused(Verdict),
+    /// It may have run; no answer that could be passed on came.
+    Lost,
+    /// It may have run; its time is over.
+    TimedOut,
+}
+
+/// How long an idempotent plain call may take before another upstream is asked, as a multiple of
+/// its latency objective: the slowest sound answers take some 1.5 times the objective (220 ms of
+/// 150 ms); a silent upstream costs its callers the rest.
+const IDEMPOTENT_PATIENCE: u32 = 3;
+
+impl Gateway {
+    /// Sends the request once.
+    pub(crate) async fn send(self: &Rc<Self>, call: &Call, choice: &Choice) -> Sent {
+        let now = Instant::now();
+        let upstream = &choice.upstream;
+        let remaining = call.remaining(now);
+        let send = SendMeta {
+            remaining,
+            upstream: &upstream.id,
+            version: choice.version.filter(|_| call.meta.model.is_some()),
+            priority: call.meta.model.is_some().then_some(call.route.priority),
+        };
+        let request = call.to_upstream(&*self.dialect, &send);
+        let mut flight = Flight::begin(
+            self,
+            &upstream.id,
+            call.meta.model.as_ref(),
+            call.meta.prompt_tokens,
+            choice.expected_ms,
+        );
+        let address = upstream.address.to_string();
+        let patience = patience(call, remaining);
+        let sending = self.pool.send(&address, request);
+        let answer = match tokio::time::timeout(patience, sending).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(SendError::NotSent)) => {
+                let mut dispatcher = self.dispatcher.borrow_mut();
+                dispatcher.note_unreachable(&upstream.id, Instant::now());
+                return Sent::NotArrived;
+            }
+            Ok(Err(SendError::AtLimit)) => return Sent::NotArrived,
+            Ok(Err(SendError::Broken)) => {
+                flight.note_broken();
+                return Sent::Lost;
+            }
+            Err(_) => {
+                flight.note_broken();
+                return match patience < remaining {
+                    true => Sent::Lost,
+                    false => Sent::TimedOut,
+                };
+            }
+        };
+        self.take_answer(call, choice, flight, answer)
+    }
+
+    fn take_answer(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        mut flight: Flight,
+        answer: Response<PooledBody>,
+    ) -> Sent {
+        let meta = self.dialect.read_answer(answer.status(), answer.headers());
+        // A second answer to an earlier request may come late on a kept connection, where the next
+        // answer is due. Its id tells; passed on, one caller would read another's answer. The
+        // connection is dropped with the answer, so nothing else is read from it.
+        if meta.request_id != call.meta.request_id {
+            flight.note_broken();
+            return Sent::Lost;
+        }
+        match meta.verdict {
+            Verdict::Full => {
+                flight.note_full();
+                return Sent::Refused(Verdict::Full);
+            }
+            Verdict::Misdirected => {
+                let mut dispatcher = self.dispatcher.borrow_mut();
+                if let Some(model) = &call.meta.model {
+                    dispatcher.note_absent(&choice.upstream.id, model);
+                }
+                return Sent::Refused(Verdict::Misdirected);
+            }
+            Verdict::Answered => {}
+        }
+        let status = answer.status();
+        // Callers ask for bodies without any encoding, so an encoded one is not the upstream's.
+        let is_spoilt = answer.headers().contains_key(header::CONTENT_ENCODING) || !meta.is_sealed;
+        if is_spoilt {
+            flight.note_broken();
+            return Sent::Lost;
+        }
+        if status.is_server_error() {
+            flight.note_broken();
+        }
+        Sent::Answer(self.pass_on(call, flight, answer))
+    }
+
+    fn pass_on(
+        &self,
+        call: &Call,
+        flight: Flight,
+        answer: Response<PooledBody>,
+    ) -> Response<AnswerBody> {
+        let cutoff = Box::pin(sleep_until(call.due.into()));
+        let mut answer = answer.map(|body| {
+            let passed = PassedBody {
+                body,
+                flight,
+                cutoff,
+            };
+            AnswerBody::Passed(Box::new(passed))
+        });
+        strip_hop_by_hop(answer.headers_mut());
+        answer
+    }
+}
+
+/// How long this send may take to its answer's head.
+fn patience(call: &Call, remaining: Duration) -> Duration {
+    match call.route.kind {
+        CallKind::Idempotent if call.route.max_attempts > 1 => {
+            remaining.min(call.route.objective * IDEMPOTENT_PATIENCE)
+        }
+        _ => remaining,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/assignment.rs
@@ -0,0 +1,63 @@
+//! Which node claims which engine.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
+use serde::{Deserialize, Serialize};
+
+use crate::Upstream;
+
+/// A node as the others see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// The node.
+    pub node: NodeId,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+}
+
+/// The engines that `node` claims of those that nobody owns.
+///
+/// Each engine falls to the node of its failure domain that owns the fewest, in the order of their
+/// ids, so that nodes which see the same claim different engines without asking each other. Where
+/// a failure domain has no node left, any node may. What nodes see differs for some milliseconds;
+/// the store's compare-and-swap settles those cases.
+pub fn unowned_to_claim(
+    node: &NodeId,
+    nodes: &[NodeRecord],
+    engines: &[&Upstream],
+    owners: &HashMap<UpstreamId, NodeId>,
+) -> Vec<UpstreamId> {
+    let mut owned: HashMap<&NodeId, usize> =
+        nodes.iter().map(|record| (&record.node, 0)).collect();
+    for owner in owners.values() {
+        if let Some(count) = owned.get_mut(owner) {
+            *count += 1;
+        }
+    }
+    let mut unowned: Vec<&&Upstream> = engines
+        .iter()
+        .filter(|engine| !owners.contains_key(&engine.id))
+        .collect();
+    unowned.sort_by(|a, b| a.id.cmp(&b.id));
+    let mut mine = Vec::new();
+    for engine in unowned {
+        let is_near = |record: &&NodeRecord| record.failure_domain == engine.failure_domain;
+        let has_near = nodes.iter().any(|record| is_near(&record));
+        let next = nodes
+            .iter()
+            .filter(|record| !has_near || is_near(record))
+            .min_by_key(|record| (owned[&record.node], &record.node));
+        let Some(next) = next else { break };
+        if let Some(count) = owned.get_mut(&next.node) {
+            *count += 1;
+        }
+        if next.node == *node {
+            mine.push(engine.id.clone());
+        }
+    }
+    mine
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,41 @@
+//! Decisions for requests that are passed on unchanged.
+//!
+//! Told the routes, the upstreams with the adapters they hold, and what became of earlier sends,
+//! this crate decides which upstream gets a request ([`Dispatcher`]), whether it may be sent again
+//! ([`RetryBudget`]), which adapter is loaded and which makes way ([`plan_load`]), and who may order
+//! loads at an upstream ([`Ownership`]). It does no I/O, reads no clock and draws no random number
+//! that was not passed in. Start at [`RouteTable`] and [`Dispatcher`].
+
+mod assignment;
+mod call_kind;
+mod demand;
+mod dispatcher;
+mod health;
+mod holdings;
+mod load_plan;
+mod model_ref;
+mod ownership;
+mod retry_budget;
+mod route;
+mod route_table;
+mod service;
+mod tracked;
+mod upstream;
+mod versions;
+
+pub use assignment::{NodeRecord, unowned_to_claim};
+pub use call_kind::CallKind;
+pub use demand::Demand;
+pub use dispatcher::{Choice, Dispatcher, Need, Refusal};
+pub use health::{Health, Outcome};
+pub use holdings::{HeldAdapter, HeldModel, Holdings};
+pub use load_plan::{LoadPlan, LoadRefusal, LoadStep, Room, plan_load};
+pub use model_ref::ModelRef;
+pub use ownership::{OrderPermit, Ownership, OwnershipRules};
+pub use retry_budget::{RetryBudget, RetryBudgetRules};
+pub use route::{Route, WeightedService};
+pub use route_table::{CallerLimits, RouteTable};
+pub use service::{EngineSpec, ModelSpec, Service};
+pub use tracked::{Report, Tracked};
+pub use upstream::{Upstream, UpstreamState};
+pub use versions::{VersionRule, Versions};
--- /dev/null
+++ b/crates/relay/src/route_table.rs
@@ -0,0 +1,78 @@
+//! The configuration in force, as routing needs it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegsail_base::ServiceName;
+
+use crate::{Route, Service};
+
+/// What a caller may send and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// The largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// How long a request's head or body may take to arrive.
+    pub read_timeout: Duration,
+    /// How long a connection may stay idle.
+    pub idle_timeout: Duration,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteTable {
+    /// The configuration's version.
+    pub version: u64,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    services: HashMap<ServiceName, Arc<Service>>,
+    /// Routes by host, those with the longest prefix first.
+    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// Arranges routes and services for look-up.
+    pub fn new(
+        version: u64,
+        limits: CallerLimits,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+    ) -> Self {
+        let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let host = Arc::clone(&route.host);
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let named = |service: Service| (service.name.clone(), Arc::new(service));
+        Self {
+            version,
+            limits,
+            services: services.into_iter().map(named).collect(),
+            routes: by_host,
+        }
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&*route.path_prefix))
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/tracked.rs
@@ -0,0 +1,118 @@
+//! What a node knows of one upstream.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::{Health, Holdings, Upstream};
+
+/// Load of an engine as others reported it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    /// Requests that run or wait there, of all nodes.
+    pub in_flight: u32,
+    /// Prompt tokens that other nodes have sent and that were not answered yet.
+    pub unread_tokens_of_others: u64,
+    /// When it was taken.
+    pub taken: Instant,
+}
+
+/// How long a report of the load says anything: a queue of prompts is read in some 300 ms.
+const REPORT_LIFE: Duration = Duration::from_millis(600);
+
+/// How long a prompt token takes to be read at a sound engine, in milliseconds (19.2 tokens a ms).
+const PROMPT_TOKEN_MS: f64 = 0.052;
+
+/// The time to the first event of an empty prompt at an idle engine: one step and the way there.
+const FIRST_EVENT_FLOOR_MS: f64 = 18.0;
+
+/// What each running request adds to the time of a step, in milliseconds.
+const RUNNING_REQUEST_MS: f64 = 0.4;
+
+/// How much one observation moves the slowness.
+const SLOWNESS_STEP: f64 = 0.2;
+
+/// Bounds of the slowness: an upstream that is 20 times as slow as expected gets no work anyway.
+const SLOWNESS_RANGE: (f64, f64) = (0.5, 20.0);
+
+/// In this time half of what made an upstream look slow is forgotten, so that it is tried again.
+const SLOWNESS_HALF_LIFE_S: f64 = 4.0;
+
+/// One upstream with what this node sent there.
+#[derive(Clone, Debug)]
+pub struct Tracked {
+    /// The entry of the list of upstreams.
+    pub upstream: Arc<Upstream>,
+    /// What it holds, from all sources.
+    pub holdings: Holdings,
+    /// Requests that this node sent and that have not ended.
+    pub in_flight: u32,
+    /// Prompt tokens that this node sent and whose answers have not begun.
+    pub unread_tokens: u64,
+    /// Failures.
+    pub health: Health,
+    /// The last report of its load.
+    pub report: Option<Report>,
+    slowness: f64,
+    slowness_at: Instant,
+}
+
+impl Tracked {
+    /// An upstream that nothing was sent to.
+    pub fn new(upstream: Arc<Upstream>, now: Instant) -> Self {
+        Self {
+            holdings: upstream.holdings.clone(),
+            upstream,
+            in_flight: 0,
+            unread_tokens: 0,
+            health: Health::default(),
+            report: None,
+            slowness: 1.0,
+            slowness_at: now,
+        }
+    }
+
+    /// How much longer answers take than expected; 1 for a sound upstream.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        let age_s = now.duration_since(self.slowness_at).as_secs_f64();
+        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(age_s / SLOWNESS_HALF_LIFE_S)
+    }
+
+    /// Prompt tokens that are to be read before a new one, as far as is known.
+    pub fn backlog_tokens(&self, now: Instant) -> u64 {
+        let others = self.fresh_report(now);
+        self.unread_tokens + others.map_or(0, |report| report.unread_tokens_of_others)
+    }
+
+    /// Requests that run there, as far as is known.
+    pub fn running(&self, now: Instant) -> u32 {
+        let reported = self.fresh_report(now).map_or(0, |report| report.in_flight);
+        self.in_flight.max(reported)
+    }
+
+    /// How long a prompt of `tokens` is expected to wait for its first event, in milliseconds.
+    pub fn expected_first_event_ms(&self, tokens: u64, now: Instant) -> f64 {
+        self.sound_first_event_ms(tokens, now) * self.slowness(now)
+    }
+
+    fn sound_first_event_ms(&self, tokens: u64, now: Instant) -> f64 {
+        let to_read = (self.backlog_tokens(now) + tokens) as f64;
+        let running = f64::from(self.running(now));
+        FIRST_EVENT_FLOOR_MS + to_read * PROMPT_TOKEN_MS + running * RUNNING_REQUEST_MS
+    }
+
+    /// Takes in that an answer that was expected after `expected_ms` began after `took`.
+    pub fn note_first_event(&mut self, expected_ms: f64, took: Duration, now: Instant) {
+        let sound_ms = expected_ms / self.slowness(now);
+        let seen = took.as_secs_f64() * 1_000.0 / sound_ms.max(1.0);
+        let known = self.slowness(now);
+        let (least, most) = SLOWNESS_RANGE;
+        self.slowness = (known + SLOWNESS_STEP * (seen - known)).clamp(least, most);
+        self.slowness_at = now;
+    }
+
+    fn fresh_report(&self, now: Instant) -> Option<&Report> {
+        self.report
+            .as_ref()
+            .filter(|report| now.duration_since(report.taken) < REPORT_LIFE)
+    }
+}
--- a/crates/platform/src/http_call.rs
+++ b/crates/store/src/http_call.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use nutmegsail_http_pool::{Pool, SendError};
 use tokio::time::timeout;
 
+use crate::StoreRequest;
+
 /// The largest answer that is read, in bytes. A page of values is far below.
 const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 
@@ -26,27 +28,7 @@
     pub(crate) body: Bytes,
 }
 
-/// A call to be made.
-pub(crate) struct Call {
-    method: Method,
-    path_and_query: String,
-    body: Bytes,
-}
-
-impl Call {
-    pub(crate) fn new(method: Method, path_and_query: impl Into<String>) -> Self {
-        Self {
-            method,
-            path_and_query: path_and_query.into(),
-            body: Bytes::new(),
-        }
-    }
-
-    pub(crate) fn with_body(mut self, body: impl Into<Bytes>) -> Self {
-        self.body = body.into();
-        self
-    }
-
+impl StoreRequest {
     /// Makes the call once, within `deadline` from sending to the last byte of the answer.
     ///
     /// A frozen service keeps its connections open and says nothing, so only the timeout ends such
--- a/crates/platform/src/http_key_value.rs
+++ b/crates/store/src/http_key_value.rs
@@ -1,33 +1,29 @@
 //! The key-value service over HTTP.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use http::{Method, StatusCode};
+use http::StatusCode;
 use nutmegsail_http_pool::Pool;
-use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-use crate::http_call::{Answer, Call, CallError};
-use crate::key_value_json::{
-    ChangesJson, CommittedJson, ConflictJson, GrantJson, GrantedJson, ItemJson, PageJson, TxnJson,
-};
+use crate::http_call::{Answer, CallError};
 use crate::{
-    Changes, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, PlatformSettings, Revision,
-    Txn,
+    Changes, EncodingError, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, OwnEncoding, Page,
+    PlatformSettings, Revision, StoreEncoding, StoreRequest, Txn,
 };
 
 /// [`KeyValue`] over HTTP/1.1. Each call goes out at most once.
 ///
 /// ```
-/// use nutmegsail_platform::{HttpKeyValue, PlatformSettings};
+/// use nutmegsail_store::{HttpKeyValue, PlatformSettings};
 /// let store = HttpKeyValue::new(PlatformSettings::at("127.0.0.1:2400"));
 /// assert!(format!("{store:?}").contains("127.0.0.1:2400"));
 /// ```
 #[derive(Clone, Debug)]
 pub struct HttpKeyValue {
     settings: PlatformSettings,
+    encoding: Arc<dyn StoreEncoding>,
     pool: Pool,
 }
 
@@ -50,25 +46,34 @@
         }
     }
 
-    fn unreadable(self, why: &serde_json::Error) -> KeyValueError {
+    fn unreadable(self, why: EncodingError) -> KeyValueError {
         match self {
-            Self::Read => KeyValueError::Malformed(why.to_string()),
+            Self::Read => KeyValueError::Malformed(why.0),
             Self::Write => KeyValueError::Ambiguous,
         }
     }
 }
 
 impl HttpKeyValue {
-    /// A client of the service at `settings.address`. Nothing is sent yet.
+    /// A client of nutmegsail's own stand-in at `settings.address`. Nothing is sent yet.
     pub fn new(settings: PlatformSettings) -> Self {
+        Self::with_encoding(settings, Arc::new(OwnEncoding))
+    }
+
+    /// A client of a service that speaks `encoding`. Nothing is sent yet.
+    pub fn with_encoding(settings: PlatformSettings, encoding: Arc<dyn StoreEncoding>) -> Self {
         let pool = Pool::new(settings.pool());
-        Self { settings, pool }
+        Self {
+            settings,
+            encoding,
+            pool,
+        }
     }
 
     async fn call(
         &self,
         effect: Effect,
-        call: Call,
+        call: StoreRequest,
         deadline: Duration,
     ) -> Result<Answer, KeyValueError> {
         let answer = call
@@ -84,43 +89,42 @@
             StatusCode::SERVICE_UNAVAILABLE => Err(KeyValueError::Unavailable),
             StatusCode::GONE => Err(KeyValueError::Compacted),
             StatusCode::PAYLOAD_TOO_LARGE => Err(KeyValueError::TooLarge),
-            StatusCode::PRECONDITION_FAILED => Err(conflict(effect, &answer)),
+            StatusCode::PRECONDITION_FAILED => Err(self.conflict(effect, &answer)),
             _ => Err(effect.without_answer()),
         }
     }
 
-    async fn read(&self, path_and_query: String) -> Result<Answer, KeyValueError> {
-        let call = Call::new(Method::GET, path_and_query);
+    async fn read(&self, call: StoreRequest) -> Result<Answer, KeyValueError> {
         self.call(Effect::Read, call, self.settings.call_timeout)
             .await
     }
 
-    async fn write(&self, call: Call) -> Result<Answer, KeyValueError> {
+    async fn write(&self, call: StoreRequest) -> Result<Answer, KeyValueError> {
         self.call(Effect::Write, call, self.settings.call_timeout)
             .await
     }
+
+    fn conflict(&self, effect: Effect, answer: &Answer) -> KeyValueError {
+        match self.encoding.conflict(&answer.body) {
+            Ok(current) => KeyValueError::Conflict { current },
+            Err(error) => effect.unreadable(error),
+        }
+    }
 }
 
 #[async_trait]
 impl KeyValue for HttpKeyValue {
     async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
-        let answer = self
-            .read(format!("/v1/kv/item?key={}", encode(key)))
-            .await?;
+        let answer = self.read(self.encoding.get(key)).await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        let item: ItemJson = decode(Effect::Read, &answer)?;
-        Ok(Some(item.into()))
+        Ok(Some(self.encoding.item(&answer.body)?))
     }
 
     async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, KeyValueError> {
-        let mut query = format!("/v1/kv/range?prefix={}", encode(prefix));
-        if let Some(after) = after {
-            query.push_str(&format!("&after={}", encode(after)));
-        }
-        let page: PageJson = decode(Effect::Read, &found(self.read(query).await?)?)?;
-        Ok(page.into())
+        let answer = found(self.read(self.encoding.range(prefix, after)).await?)?;
+        Ok(self.encoding.page(&answer.body)?)
     }
 
     async fn watch(
@@ -129,73 +133,37 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Changes, KeyValueError> {
-        let query = format!(
-            "/v1/kv/watch?prefix={}&after_revision={after}&wait_ms={}",
-            encode(prefix),
-            wait.as_millis(),
-        );
-        let call = Call::new(Method::GET, query);
+        let call = self.encoding.watch(prefix, after, wait);
         let deadline = wait + self.settings.call_timeout;
-        let answer = self.call(Effect::Read, call, deadline).await?;
-        let changes: ChangesJson = decode(Effect::Read, &found(answer)?)?;
-        Ok(changes.into())
+        let answer = found(self.call(Effect::Read, call, deadline).await?)?;
+        Ok(self.encoding.changes(&answer.body)?)
     }
 
     async fn commit(&self, txn: Txn) -> Result<Revision, KeyValueError> {
-        let json =
-            TxnJson::new(&txn).map_err(|error| KeyValueError::Malformed(error.to_string()))?;
-        let call = Call::new(Method::POST, "/v1/kv/txn").with_body(to_json(&json)?);
+        let call = self.encoding.commit(&txn)?;
         let answer = lease_found(self.write(call).await?)?;
-        let committed: CommittedJson = decode(Effect::Write, &answer)?;
-        Ok(committed.revision)
+        let committed = self.encoding.committed(&answer.body);
+        committed.map_err(|error| Effect::Write.unreadable(error))
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, KeyValueError> {
-        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
-        let call =
-            Call::new(Method::POST, "/v1/kv/lease").with_body(to_json(&GrantJson { ttl_ms })?);
-        let granted: GrantedJson = decode(Effect::Write, &self.write(call).await?)?;
-        Ok(LeaseGrant {
-            lease: granted.lease,
-            ttl: Duration::from_millis(granted.ttl_ms),
-        })
+        let answer = self.write(self.encoding.grant_lease(ttl)).await?;
+        let granted = self.encoding.granted(&answer.body);
+        granted.map_err(|error| Effect::Write.unreadable(error))
     }
 
     async fn keep_lease(&self, lease: LeaseId) -> Result<(), KeyValueError> {
-        let call = Call::new(Method::POST, format!("/v1/kv/lease/{lease}/keep"));
-        lease_found(self.write(call).await?)?;
+        lease_found(self.write(self.encoding.keep_lease(lease)).await?)?;
         Ok(())
     }
 
     async fn end_lease(&self, lease: LeaseId) -> Result<(), KeyValueError> {
         // A lease that is gone already has ended.
-        let call = Call::new(Method::DELETE, format!("/v1/kv/lease/{lease}"));
-        self.write(call).await?;
+        self.write(self.encoding.end_lease(lease)).await?;
         Ok(())
     }
 }
 
-fn encode(text: &str) -> impl std::fmt::Display + '_ {
-    utf8_percent_encode(text, NON_ALPHANUMERIC)
-}
-
-fn to_json(value: &impl Serialize) -> Result<Vec<u8>, KeyValueError> {
-    serde_json::to_vec(value).map_err(|error| KeyValueError::Malformed(error.to_string()))
-}
-
-fn decode<T: DeserializeOwned>(effect: Effect, answer: &Answer) -> Result<T, KeyValueError> {
-    serde_json::from_slice(&answer.body).map_err(|error| effect.unreadable(&error))
-}
-
-fn conflict(effect: Effect, answer: &Answer) -> KeyValueError {
-    match decode::<ConflictJson>(effect, answer) {
-        Ok(json) => KeyValueError::Conflict {
-            current: json.current.into_iter().map(Item::from).collect(),
-        },
-        Err(error) => error,
-    }
-}
-
 fn found(answer: Answer) -> Result<Answer, KeyValueError> {
     match answer.status {
         StatusCode::NOT_FOUND => Err(KeyValueError::Unavailable),
--- a/crates/platform/src/http_vm_list.rs
+++ b/crates/store/src/http_vm_list.rs
@@ -5,13 +5,12 @@
 use nutmegsail_http_pool::Pool;
 use serde::Deserialize;
 
-use crate::http_call::Call;
-use crate::{PlatformSettings, Vm, VmList, VmListError};
+use crate::{PlatformSettings, StoreRequest, Vm, VmList, VmListError};
 
 /// [`VmList`] over HTTP/1.1.
 ///
 /// ```
-/// use nutmegsail_platform::{HttpVmList, PlatformSettings};
+/// use nutmegsail_store::{HttpVmList, PlatformSettings};
 /// let vms = HttpVmList::new(PlatformSettings::at("127.0.0.1:2401"));
 /// assert!(format!("{vms:?}").contains("127.0.0.1:2401"));
 /// ```
@@ -38,7 +37,7 @@
 impl VmList for HttpVmList {
     async fn list(&self) -> Result<Vec<Vm>, VmListError> {
         let settings = &self.settings;
-        let answer = Call::new(Method::GET, "/v1/vms")
+        let answer = StoreRequest::new(Method::GET, "/v1/vms")
             .send(&self.pool, &settings.address, settings.call_timeout)
             .await
             .map_err(|_| VmListError::Unavailable)?;
--- a/crates/platform/src/key_value.rs
+++ b/crates/store/src/key_value.rs
@@ -118,7 +118,7 @@
     /// A compare-and-swap of one key: writes `value` if the key still has `revision`.
     ///
     /// ```
-    /// use nutmegsail_platform::{Revision, Txn};
+    /// use nutmegsail_store::{Revision, Txn};
     /// let txn = Txn::swap("nutmegsail/text/head", Revision(0), "{}");
     /// assert_eq!(txn.expects[0].revision, Revision(0));
     /// ```
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,14 +4,17 @@
 //! [`HttpVmList`] speak to the platform. This crate translates and decides nothing; above all it
 //! never sends a write a second time by itself. Start at [`KeyValue`].
 
+mod encoding;
 mod http_call;
 mod http_key_value;
 mod http_vm_list;
 mod key_value;
 mod key_value_json;
+mod own_encoding;
 mod platform_settings;
 mod vm_list;
 
+pub use encoding::{EncodingError, StoreEncoding, StoreRequest};
 pub use http_key_value::HttpKeyValue;
 pub use http_vm_list::HttpVmList;
 
@@ -19,5 +22,6 @@
     Change, Changes, Expect, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Put,
     Revision, Txn,
 };
+pub use own_encoding::OwnEncoding;
 pub use platform_settings::PlatformSettings;
 pub use vm_list::{Vm, VmDuty, VmList, VmListError, VmState};
--- /dev/null
+++ b/crates/store/src/own_encoding.rs
@@ -0,0 +1,94 @@
+//! The encoding that nutmegsail's own stand-in speaks.
+
+use std::time::Duration;
+
+use http::Method;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+
+use crate::key_value_json::{
+    ChangesJson, CommittedJson, ConflictJson, GrantJson, GrantedJson, ItemJson, PageJson, TxnJson,
+};
+use crate::{
+    Changes, EncodingError, Item, LeaseGrant, LeaseId, Page, Revision, StoreEncoding, StoreRequest,
+    Txn,
+};
+
+/// JSON under `/v1/kv/`; values travel as text.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnEncoding;
+
+impl StoreEncoding for OwnEncoding {
+    fn get(&self, key: &str) -> StoreRequest {
+        StoreRequest::new(Method::GET, format!("/v1/kv/item?key={}", encode(key)))
+    }
+
+    fn range(&self, prefix: &str, after: Option<&str>) -> StoreRequest {
+        let mut query = format!("/v1/kv/range?prefix={}", encode(prefix));
+        if let Some(after) = after {
+            query.push_str(&format!("&after={}", encode(after)));
+        }
+        StoreRequest::new(Method::GET, query)
+    }
+
+    fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> StoreRequest {
+        let query = format!(
+            "/v1/kv/watch?prefix={}&after_revision={after}&wait_ms={}",
+            encode(prefix),
+            wait.as_millis(),
+        );
+        StoreRequest::new(Method::GET, query)
+    }
+
+    fn commit(&self, txn: &Txn) -> Result<StoreRequest, EncodingError> {
+        let json = TxnJson::new(txn).map_err(|error| EncodingError(error.to_string()))?;
+        let call = StoreRequest::new(Method::POST, "/v1/kv/txn");
+        Ok(call.with_body(serde_json::to_vec(&json)?))
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> StoreRequest {
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let body = serde_json::to_vec(&GrantJson { ttl_ms }).unwrap_or_default();
+        StoreRequest::new(Method::POST, "/v1/kv/lease").with_body(body)
+    }
+
+    fn keep_lease(&self, lease: LeaseId) -> StoreRequest {
+        StoreRequest::new(Method::POST, format!("/v1/kv/lease/{lease}/keep"))
+    }
+
+    fn end_lease(&self, lease: LeaseId) -> StoreRequest {
+        StoreRequest::new(Method::DELETE, format!("/v1/kv/lease/{lease}"))
+    }
+
+    fn item(&self, body: &[u8]) -> Result<Item, EncodingError> {
+        Ok(serde_json::from_slice::<ItemJson>(body)?.into())
+    }
+
+    fn page(&self, body: &[u8]) -> Result<Page, EncodingError> {
+        Ok(serde_json::from_slice::<PageJson>(body)?.into())
+    }
+
+    fn changes(&self, body: &[u8]) -> Result<Changes, EncodingError> {
+        Ok(serde_json::from_slice::<ChangesJson>(body)?.into())
+    }
+
+    fn committed(&self, body: &[u8]) -> Result<Revision, EncodingError> {
+        Ok(serde_json::from_slice::<CommittedJson>(body)?.revision)
+    }
+
+    fn conflict(&self, body: &[u8]) -> Result<Vec<Item>, EncodingError> {
+        let json: ConflictJson = serde_json::from_slice(body)?;
+        Ok(json.current.into_iter().map(Item::from).collect())
+    }
+
+    fn granted(&self, body: &[u8]) -> Result<LeaseGrant, EncodingError> {
+        let granted: GrantedJson = serde_json::from_slice(body)?;
+        Ok(LeaseGrant {
+            lease: granted.lease,
+            ttl: Duration::from_millis(granted.ttl_ms),
+        })
+    }
+}
+
+fn encode(text: &str) -> impl std::fmt::Display + '_ {
+    utf8_percent_encode(text, NON_ALPHANUMERIC)
+}
--- a/crates/platform/src/platform_settings.rs
+++ b/crates/store/src/platform_settings.rs
@@ -7,7 +7,7 @@
 /// Settings of [`HttpKeyValue`](crate::HttpKeyValue) and [`HttpVmList`](crate::HttpVmList).
 ///
 /// ```
-/// use nutmegsail_platform::PlatformSettings;
+/// use nutmegsail_store::PlatformSettings;
 /// let settings = PlatformSettings::at("10.0.0.5:2400");
 /// assert_eq!(settings.call_timeout.as_millis(), 2000);
 /// ```
--- a/crates/platform/tests/against_stand_ins.rs
+++ b/crates/store/tests/against_stand_ins.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nutmegsail_fakes::{FakeKeyValue, HttpServer, Knobs, loopback};
-use nutmegsail_platform::{
+use nutmegsail_store::{
     HttpKeyValue, KeyValue, KeyValueError, LeaseId, PlatformSettings, Revision, Txn,
 };
 
--- a/crates/platform/tests/http_key_value.rs
+++ b/crates/store/tests/http_key_value.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use nutmegsail_platform::{
+use nutmegsail_store::{
     Change, Expect, HttpKeyValue, HttpVmList, KeyValue, KeyValueError, LeaseId, PlatformSettings,
     Put, Revision, Txn, VmDuty, VmList, VmListError, VmState,
 };
