--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -133,13 +133,15 @@
         self.state.borrow().leaving.len()
     }
 
-    /// Takes in a report. Reports lag: one from before the last order says nothing.
-    pub(crate) fn reported(&self, report: &EngineState) {
+    /// Takes in a report and returns the loads that it shows as finished. Reports lag: one from
+    /// before the last order says nothing.
+    pub(crate) fn reported(&self, report: &EngineState) -> Vec<Coming> {
         let mut state = self.state.borrow_mut();
         let known_seq = state.holdings.as_ref().map(|held| held.order_seq);
         if known_seq.is_some_and(|known| report.holdings.order_seq < known) {
-            return;
+            return Vec::new();
         }
+        let mut finished = Vec::new();
         let held = |model: &ModelRef| report.holdings.version_of(model);
         state.coming.retain(|coming| {
             let is_here = held(&coming.model)
@@ -147,11 +149,15 @@
             let is_under_way = report.coming.contains(&coming.model)
                 || (coming.model.adapter.is_none() && report.is_busy);
             let is_seen = report.holdings.order_seq >= coming.order_seq;
+            if is_here {
+                finished.push(coming.clone());
+            }
             !is_here && (is_under_way || !is_seen)
         });
         state.leaving.retain(|model| held(model).is_some());
         state.holdings = Some(report.holdings.clone());
         drop(state);
         self.changed.notify_waiters();
+        finished
     }
 }
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -62,7 +62,13 @@
                 return None;
             }
         };
-        engine.reported(&report);
+        for load in engine.reported(&report) {
+            log_event!(
+                self.log, Event::LoadFinished,
+                "upstream" => engine.id.to_string(), "model" => load.model.to_string(),
+                "took_ms" => load.since.elapsed().as_millis()
+            );
+        }
         if let Some(holdings) = engine.holdings() {
             self.note_holdings(&engine.id, &holdings);
         }
