Tell owners what nodes use, and miss one adapter at one engine

Cause: owners evicted adapters that other nodes used (374 of 655 unloads refused), and nodes that missed one adapter at the same time loaded it at several engines (532 loads of 389 adapters). Change: datagrams between nodes and owners every 100 ms carry uses, queues and changed holdings; a missing adapter goes to the engine that a hash picks among those that would answer about as soon. Unloads are still refused in numbers while servers crash.

--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -1,12 +1,14 @@
 //! An engine that this node owns.
 
 use std::cell::{Cell, RefCell};
-use std::time::Instant;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
 
-use nutmegsail_base::UpstreamId;
+use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{Holdings, ModelRef, Ownership};
 use tokio::sync::{Mutex, Notify};
 
+use super::exchange::EngineUseTold;
 use crate::EngineState;
 
 /// An adapter or model on its way to an engine.
@@ -41,8 +43,24 @@
     coming: Vec<Coming>,
     /// Adapters that go when their requests have ended.
     leaving: Vec<ModelRef>,
+    /// When its holdings last changed.
+    changed: Option<Instant>,
+    /// What other nodes have there.
+    elsewhere: HashMap<NodeId, UseElsewhere>,
 }
 
+/// What another node has at an engine.
+#[derive(Clone, Debug)]
+struct UseElsewhere {
+    in_flight: u32,
+    unread_tokens: u64,
+    models: Vec<ModelRef>,
+    told: Instant,
+}
+
+/// How long what another node told counts. It tells again ten times in this span.
+const USE_LIFE: Duration = Duration::from_millis(1_000);
+
 impl OwnedEngine {
     pub(crate) fn new(id: UpstreamId, ownership: Ownership) -> Self {
         Self {
@@ -123,11 +141,50 @@
         if let Some(holdings) = &mut state.holdings {
             holdings.forget(model);
         }
+        state.changed = Some(Instant::now());
         if !is_gone {
             state.leaving.push(model.clone());
         }
     }
 
+    /// Takes in what another node has there.
+    pub(crate) fn note_use(&self, node: NodeId, used: &EngineUseTold) {
+        let elsewhere = UseElsewhere {
+            in_flight: used.in_flight,
+            unread_tokens: used.unread_tokens,
+            models: used.models.clone(),
+            told: Instant::now(),
+        };
+        let mut state = self.state.borrow_mut();
+        state.elsewhere.retain(|_, used| used.told.elapsed() < USE_LIFE);
+        state.elsewhere.insert(node, elsewhere);
+    }
+
+    /// Whether another node has requests for `model` there.
+    pub(crate) fn is_used_elsewhere(&self, model: &ModelRef) -> bool {
+        let state = self.state.borrow();
+        let mut others = state.elsewhere.values();
+        others.any(|used| used.told.elapsed() < USE_LIFE && used.models.contains(model))
+    }
+
+    /// Requests and unread prompt tokens of all other nodes but `node`.
+    pub(crate) fn load_of_others(&self, node: &NodeId) -> (u32, u64) {
+        let state = self.state.borrow();
+        let others = state.elsewhere.iter().filter(|(other, used)| {
+            *other != node && used.told.elapsed() < USE_LIFE
+        });
+        others.fold((0, 0), |(in_flight, unread), (_, used)| {
+            (in_flight + used.in_flight, unread + used.unread_tokens)
+        })
+    }
+
+    /// What it holds, if that changed within `span`.
+    pub(crate) fn changed_holdings(&self, span: Duration) -> Option<Holdings> {
+        let state = self.state.borrow();
+        let is_recent = state.changed.is_some_and(|at| at.elapsed() < span);
+        state.holdings.clone().filter(|_| is_recent)
+    }
+
     /// How many adapters leave when their requests have ended. They take up room until then.
     pub(crate) fn leaving_count(&self) -> usize {
         self.state.borrow().leaving.len()
@@ -155,6 +212,9 @@
             !is_here && (is_under_way || !is_seen)
         });
         state.leaving.retain(|model| held(model).is_some());
+        if state.holdings.as_ref() != Some(&report.holdings) {
+            state.changed = Some(Instant::now());
+        }
         state.holdings = Some(report.holdings.clone());
         drop(state);
         self.changed.notify_waiters();
--- /dev/null
+++ b/crates/relay-node/src/control/exchange.rs
@@ -0,0 +1,197 @@
+//! What nodes tell the owners of engines, and what owners tell back.
+//!
+//! A node tells an engine's owner what it has there; the owner answers with what all the others
+//! have there and what the engine holds. So each node sees the queues of engines it uses some
+//! 100 ms late, an owner evicts nothing that another node uses, and the messages grow with the
+//! requests, not with the square of the nodes. They go as datagrams: losing one costs nothing, as
+//! the next says it all again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::{NodeId, UpstreamId};
+use nutmegsail_relay::{Holdings, ModelRef, Report};
+use nutmegsail_telemetry::{Event, log_event};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::engine::OwnedEngine;
+use super::knowledge::Knowledge;
+use crate::shared::{EngineNews, EngineUse};
+
+/// How often a node tells what it has at engines. A prompt is read in some 76 ms, so older news of
+/// a queue say little; shorter intervals cost datagrams.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long a change of an engine's holdings is told: a few datagrams may be lost.
+const HOLDINGS_TOLD: Duration = Duration::from_millis(600);
+
+/// Up to this many nodes tell every owner each time, also owners whose engines they don't use.
+const FULL_EXCHANGE_NODES: usize = 16;
+
+/// The largest datagram that is read, in bytes.
+const DATAGRAM_BYTES: usize = 16 * 1024;
+
+/// What a node has at one engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EngineUseTold {
+    pub(crate) engine: UpstreamId,
+    pub(crate) in_flight: u32,
+    pub(crate) unread_tokens: u64,
+    pub(crate) models: Vec<ModelRef>,
+    pub(crate) asked: Vec<(ModelRef, u32)>,
+}
+
+/// What an owner knows of one engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct EngineLoadTold {
+    engine: UpstreamId,
+    /// Requests of all nodes but the one that is told.
+    in_flight: u32,
+    /// Prompt tokens that those have sent and whose answers have not begun.
+    unread_tokens: u64,
+    holdings: Option<Holdings>,
+}
+
+/// A datagram between nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Message {
+    /// To an owner.
+    Uses {
+        from: NodeId,
+        engines: Vec<EngineUseTold>,
+    },
+    /// From an owner.
+    Loads { engines: Vec<EngineLoadTold> },
+}
+
+/// Tells and listens for ever.
+pub(crate) async fn run(knowledge: Rc<Knowledge>, socket: UdpSocket) {
+    let mut ticks = interval(INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => tell(&knowledge, &socket),
+            received = socket.recv_from(&mut buffer) => {
+                if let Ok((length, sender)) = received {
+                    take(&knowledge, &socket, &buffer[..length], sender);
+                }
+            }
+        }
+    }
+}
+
+/// Tells each owner what this node has at its engines.
+fn tell(knowledge: &Knowledge, socket: &UdpSocket) {
+    let me = &knowledge.settings.node;
+    let mut told: HashMap<NodeId, Vec<EngineUseTold>> = HashMap::new();
+    let owners = knowledge.owners.borrow();
+    let tells_all = knowledge.nodes.borrow().len() <= FULL_EXCHANGE_NODES;
+    for (engine, owner) in owners.iter() {
+        let used = knowledge.shared.uses.take(engine);
+        if let Some(owned) = knowledge.owned(engine) {
+            note_own_use(knowledge, &owned, &used);
+        } else if owner.node != *me && (tells_all || used != EngineUse::default()) {
+            let engines = told.entry(owner.node.clone()).or_default();
+            engines.push(use_told(engine, used));
+        }
+    }
+    drop(owners);
+    for (owner, engines) in told {
+        let address = knowledge.nodes.borrow().get(&owner).map(|node| node.address);
+        let from = me.clone();
+        if let Some(address) = address {
+            send(socket, &Message::Uses { from, engines }, address);
+        }
+    }
+}
+
+fn use_told(engine: &UpstreamId, used: EngineUse) -> EngineUseTold {
+    EngineUseTold {
+        engine: engine.clone(),
+        in_flight: used.in_flight,
+        unread_tokens: used.unread_tokens,
+        models: used.models.into_keys().collect(),
+        asked: used.asked.into_iter().collect(),
+    }
+}
+
+/// Takes in what this node itself has at an engine of its own.
+fn note_own_use(knowledge: &Knowledge, owned: &OwnedEngine, used: &EngineUse) {
+    for (model, requests) in &used.asked {
+        knowledge.count_demand(model, f64::from(*requests));
+    }
+    let (in_flight, unread_tokens) = owned.load_of_others(&knowledge.settings.node);
+    knowledge.shared.news.put(EngineNews {
+        engine: owned.id.clone(),
+        report: report(in_flight, unread_tokens),
+        holdings: owned.changed_holdings(HOLDINGS_TOLD),
+    });
+}
+
+fn report(in_flight: u32, unread_tokens: u64) -> Report {
+    Report {
+        in_flight_of_others: in_flight,
+        unread_tokens_of_others: unread_tokens,
+        taken: Instant::now(),
+    }
+}
+
+/// Takes in a datagram.
+fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], sender: SocketAddr) {
+    match postcard::from_bytes(bytes) {
+        Ok(Message::Uses { from, engines }) => {
+            let loads = engines.iter().filter_map(|used| take_use(knowledge, &from, used));
+            let engines: Vec<EngineLoadTold> = loads.collect();
+            if !engines.is_empty() {
+                send(socket, &Message::Loads { engines }, sender);
+            }
+        }
+        Ok(Message::Loads { engines }) => {
+            for load in engines {
+                knowledge.shared.news.put(EngineNews {
+                    engine: load.engine,
+                    report: report(load.in_flight, load.unread_tokens),
+                    holdings: load.holdings,
+                });
+            }
+        }
+        Err(error) => {
+            log_event!(
+                knowledge.log, Event::MessageUndecodable,
+                "sender" => sender.to_string(), "problem" => error.to_string()
+            );
+        }
+    }
+}
+
+fn take_use(
+    knowledge: &Knowledge,
+    from: &NodeId,
+    used: &EngineUseTold,
+) -> Option<EngineLoadTold> {
+    let owned = knowledge.owned(&used.engine)?;
+    owned.note_use(from.clone(), used);
+    for (model, requests) in &used.asked {
+        knowledge.count_demand(model, f64::from(*requests));
+    }
+    let (others_in_flight, others_unread) = owned.load_of_others(from);
+    let mine = knowledge.shared.uses.peek(&used.engine);
+    Some(EngineLoadTold {
+        engine: used.engine.clone(),
+        in_flight: others_in_flight + mine.0,
+        unread_tokens: others_unread + mine.1,
+        holdings: owned.changed_holdings(HOLDINGS_TOLD),
+    })
+}
+
+/// Sends a datagram; one that cannot go now is left out, as the next says it all.
+fn send(socket: &UdpSocket, message: &Message, to: SocketAddr) {
+    if let Ok(bytes) = postcard::to_stdvec(message) {
+        let _ = socket.try_send_to(&bytes, to);
+    }
+}
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -139,13 +139,6 @@
         })
     }
 
-    /// Takes in what the traffic thread was asked for since the last time.
-    pub(crate) fn take_asked(&self) {
-        for (model, requests) in self.shared.asked.take() {
-            self.count_demand(&model, f64::from(requests));
-        }
-    }
-
     /// Counts requests for an adapter.
     pub(crate) fn count_demand(&self, model: &nutmegsail_relay::ModelRef, requests: f64) {
         let mut demand = self.demand.borrow_mut();
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -10,9 +10,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::engine::OwnedEngine;
-use super::knowledge::Knowledge;
+use super::knowledge::{Knowledge, Owner};
 use super::peers::LoadAsk;
 use crate::shared::{Loaded, Want};
 use crate::{OrderAnswer, OrderStep};
@@ -29,11 +30,9 @@
 /// How long a load may take, with others under way everywhere.
 const LOAD_LIMIT: Duration = Duration::from_millis(3_000);
 
-/// What a load through another node costs, in milliseconds of expected wait: the way there and back.
-const REMOTE_MS: f64 = 10.0;
-
-/// What each load under way at an engine of ours adds, in milliseconds of expected wait.
-const COMING_MS: f64 = 60.0;
+/// Engines whose expected waits differ by less than this take an adapter equally well: the time in
+/// which one prompt is read.
+const ABOUT_AS_SOON_MS: f64 = 80.0;
 
 /// Engines that are asked for one adapter.
 const ENGINES_TRIED: usize = 3;
@@ -108,7 +107,7 @@
         version: Option<u64>,
         engines: Vec<(UpstreamId, f64)>,
     ) -> Loaded {
-        for engine in self.ranked(engines).into_iter().take(ENGINES_TRIED) {
+        for engine in self.ranked(model, engines).into_iter().take(ENGINES_TRIED) {
             let holdings = match self.knowledge.owned(&engine) {
                 Some(owned) => self.load_here(&owned, model, version).await,
                 None => self.ask_owner(&engine, model, version).await,
@@ -121,26 +120,28 @@
         None
     }
 
-    /// Engines with an owner, the one that would answer first in front.
-    fn ranked(&self, engines: Vec<(UpstreamId, f64)>) -> Vec<UpstreamId> {
+    /// Engines with an owner, the one that is to take `model` in front.
+    ///
+    /// Two nodes may miss one adapter at the same time, long before either hears of the other's
+    /// load. Among engines that would answer about as soon, the order comes from a hash that is the
+    /// same everywhere, so both ask one owner, who loads it once.
+    fn ranked(&self, model: &ModelRef, engines: Vec<(UpstreamId, f64)>) -> Vec<UpstreamId> {
+        let reachable = engines.into_iter().filter(|(id, _)| self.is_reachable(id));
+        let mut ranked: Vec<(UpstreamId, f64)> = reachable.collect();
+        let least_ms = ranked.iter().map(|(_, ms)| *ms).fold(f64::INFINITY, f64::min);
+        ranked.sort_by_cached_key(|(id, expected_ms)| {
+            let steps = ((expected_ms - least_ms) / ABOUT_AS_SOON_MS) as u64;
+            (steps, xxh3_64(format!("{model} {id}").as_bytes()))
+        });
+        ranked.into_iter().map(|(id, _)| id).collect()
+    }
+
+    /// Whether the engine's owner is known.
+    fn is_reachable(&self, engine: &UpstreamId) -> bool {
         let owners = self.knowledge.owners.borrow();
         let nodes = self.knowledge.nodes.borrow();
-        let mut ranked: Vec<(UpstreamId, f64)> = engines
-            .into_iter()
-            .filter_map(|(id, expected_ms)| match self.knowledge.owned(&id) {
-                Some(owned) => {
-                    let coming_ms = owned.coming().len() as f64 * COMING_MS;
-                    Some((id, expected_ms + coming_ms))
-                }
-                None => {
-                    let owner = owners.get(&id)?;
-                    nodes.get(&owner.node)?;
-                    Some((id, expected_ms + REMOTE_MS))
-                }
-            })
-            .collect();
-        ranked.sort_by(|a, b| a.1.total_cmp(&b.1));
-        ranked.into_iter().map(|(id, _)| id).collect()
+        let is_known = |owner: &Owner| nodes.contains_key(&owner.node);
+        self.knowledge.owned(engine).is_some() || owners.get(engine).is_some_and(is_known)
     }
 
     async fn ask_owner(
@@ -195,9 +196,13 @@
         let upstream = knowledge.upstream(&engine.id)?;
         for _ in 0..VICTIMS_TRIED {
             let fence = knowledge.permit(engine).await?;
-            if engine.holdings().is_none() {
+            if engine.holdings().is_none() || engine.leaving_count() > 0 {
                 knowledge.read_report(engine).await?;
             }
+            if engine.leaving_count() > 0 {
+                // It takes no other order until an adapter in use has gone.
+                return None;
+            }
             let plan = self.plan(engine, &upstream, model, version)?;
             let mut is_done = true;
             for step in plan.steps {
@@ -250,8 +255,9 @@
             transfers: TRANSFERS_LIMIT,
         };
         let is_in_use = |adapter: &ModelRef| {
-            let key = (engine.id.clone(), adapter.clone());
-            knowledge.shared.in_use.holds(&key) || engine.is_leaving(adapter)
+            knowledge.shared.uses.holds(&engine.id, adapter)
+                || engine.is_used_elsewhere(adapter)
+                || engine.is_leaving(adapter)
         };
         let demand = knowledge.demand.borrow();
         let coming = engine.coming();
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: what it knows, and the loops that keep it up to date.
 
 mod engine;
+mod exchange;
 mod knowledge;
 mod loader;
 mod operators_watch;
@@ -15,7 +16,7 @@
 
 use nutmegsail_store::KeyValue;
 use slog::Logger;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
@@ -34,6 +35,8 @@
     pub(crate) wants: mpsc::Receiver<Want>,
     /// Where other nodes ask for loads.
     pub(crate) nodes: TcpListener,
+    /// Where other nodes tell what they use.
+    pub(crate) datagrams: UdpSocket,
     /// Ends the control thread.
     pub(crate) stop: CancellationToken,
     pub(crate) log: Logger,
@@ -48,6 +51,7 @@
     spawn_local(owners::watch(Rc::clone(&knowledge)));
     let keeper = spawn_local(owners::keep(Rc::clone(&knowledge)));
     spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
+    spawn_local(exchange::run(Rc::clone(&knowledge), parts.datagrams));
     spawn_local(loader::serve(loader, parts.wants));
     parts.stop.cancelled().await;
     keeper.abort();
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -155,7 +155,6 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        knowledge.take_asked();
         let is_due = renewed.is_none_or(|at| at.elapsed() >= RENEW_INTERVAL);
         if is_due && renew(&knowledge).await {
             renewed = Some(Instant::now());
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -11,7 +11,7 @@
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -76,6 +76,13 @@
         let callers_address = callers.local_addr().unwrap_or(settings.callers_address);
         let readiness = listen(settings.ready_address).await?;
         let nodes = listen(settings.nodes_address).await?;
+        let nodes_address = nodes.local_addr().unwrap_or(settings.nodes_address);
+        let datagrams = UdpSocket::bind(nodes_address).await;
+        let datagrams = datagrams.map_err(|problem| RelayNodeError::Listen {
+            address: nodes_address,
+            problem,
+        })?;
+        let datagrams = datagrams.into_std().map_err(RelayNodeError::Control)?;
         let nodes = nodes.into_std().map_err(RelayNodeError::Control)?;
         let (shared, wants) = Shared::new();
         let stop_control = CancellationToken::new();
@@ -93,6 +100,7 @@
             shared: Arc::clone(&shared),
             wants,
             nodes,
+            datagrams,
             stop: stop_control.clone(),
             log: log.clone(),
         };
@@ -163,6 +171,7 @@
     shared: Arc<Shared>,
     wants: tokio::sync::mpsc::Receiver<crate::shared::Want>,
     nodes: std::net::TcpListener,
+    datagrams: std::net::UdpSocket,
     stop: CancellationToken,
     log: Logger,
 }
@@ -177,9 +186,13 @@
         let run = move || {
             let local = tokio::task::LocalSet::new();
             local.block_on(&runtime, async move {
-                let nodes = match TcpListener::from_std(self.nodes) {
-                    Ok(nodes) => nodes,
-                    Err(error) => {
+                let sockets = (
+                    TcpListener::from_std(self.nodes),
+                    UdpSocket::from_std(self.datagrams),
+                );
+                let (nodes, datagrams) = match sockets {
+                    (Ok(nodes), Ok(datagrams)) => (nodes, datagrams),
+                    (Err(error), _) | (_, Err(error)) => {
                         log_event!(self.log, Event::TaskFailed, "problem" => error.to_string());
                         return;
                     }
@@ -191,6 +204,7 @@
                     shared: self.shared,
                     wants: self.wants,
                     nodes,
+                    datagrams,
                     stop: self.stop,
                     log: self.log,
                 })
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -1,11 +1,11 @@
 //! What the control thread and the traffic thread tell each other.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use nutmegsail_relay::{Holdings, ModelRef, RouteTable, Upstream, Versions};
-use nutmegsail_base::{ServiceName, UpstreamId};
+use nutmegsail_relay::{Holdings, ModelRef, Report, RouteTable, Upstream, Versions};
+use nutmegsail_base::UpstreamId;
 use tokio::sync::{mpsc, oneshot};
 
 /// Asks for loads that wait for the control thread. Each is a request that waits; more than this
@@ -30,7 +30,6 @@
 /// A request that waits for its adapter.
 #[derive(Debug)]
 pub(crate) struct Want {
-    pub(crate) service: ServiceName,
     pub(crate) model: ModelRef,
     /// The version to bring; none for the newest.
     pub(crate) version: Option<u64>,
@@ -43,48 +42,114 @@
 /// An engine that now holds what was wanted; nothing if none could be had.
 pub(crate) type Loaded = Option<(UpstreamId, Holdings)>;
 
-/// Requests that this node has at engines, by adapter, so that none of theirs is evicted.
+/// What this node has at one engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct EngineUse {
+    /// Requests that were sent and have not ended.
+    pub(crate) in_flight: u32,
+    /// Prompt tokens that were sent and whose answers have not begun.
+    pub(crate) unread_tokens: u64,
+    /// Requests in flight for each adapter.
+    pub(crate) models: HashMap<ModelRef, u32>,
+    /// Requests for each adapter since they were last taken.
+    pub(crate) asked: HashMap<ModelRef, u32>,
+}
+
+/// What this node has at engines. The traffic thread writes it, the control thread tells owners.
 #[derive(Debug, Default)]
-pub(crate) struct InUse(Mutex<HashMap<(UpstreamId, ModelRef), u32>>);
+pub(crate) struct Uses(Mutex<HashMap<UpstreamId, EngineUse>>);
+
+impl Uses {
+    /// Counts a request that is sent.
+    pub(crate) fn begin(&self, engine: &UpstreamId, model: &ModelRef, prompt_tokens: u64) {
+        let mut uses = self.lock();
+        let used = uses.entry(engine.clone()).or_default();
+        used.in_flight += 1;
+        used.unread_tokens += prompt_tokens;
+        *used.models.entry(model.clone()).or_default() += 1;
+        *used.asked.entry(model.clone()).or_default() += 1;
+    }
 
-impl InUse {
-    pub(crate) fn add(&self, key: &(UpstreamId, ModelRef)) {
-        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *counts.entry(key.clone()).or_default() += 1;
+    /// Counts a prompt as read.
+    pub(crate) fn read(&self, engine: &UpstreamId, prompt_tokens: u64) {
+        if let Some(used) = self.lock().get_mut(engine) {
+            used.unread_tokens = used.unread_tokens.saturating_sub(prompt_tokens);
+        }
     }
 
-    pub(crate) fn remove(&self, key: &(UpstreamId, ModelRef)) {
-        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = counts.get_mut(key) {
+    /// Counts a request as ended.
+    pub(crate) fn end(&self, engine: &UpstreamId, model: &ModelRef) {
+        let mut uses = self.lock();
+        let Some(used) = uses.get_mut(engine) else {
+            return;
+        };
+        used.in_flight = used.in_flight.saturating_sub(1);
+        if let Some(count) = used.models.get_mut(model) {
             *count -= 1;
             if *count == 0 {
-                counts.remove(key);
+                used.models.remove(model);
             }
         }
     }
 
-    pub(crate) fn holds(&self, key: &(UpstreamId, ModelRef)) -> bool {
-        let counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        counts.contains_key(key)
+    /// Whether this node has a request for `model` at `engine`.
+    pub(crate) fn holds(&self, engine: &UpstreamId, model: &ModelRef) -> bool {
+        let uses = self.lock();
+        uses.get(engine).is_some_and(|used| used.models.contains_key(model))
+    }
+
+    /// Requests and unread prompt tokens that this node has at `engine`.
+    pub(crate) fn peek(&self, engine: &UpstreamId) -> (u32, u64) {
+        let uses = self.lock();
+        uses.get(engine).map_or((0, 0), |used| (used.in_flight, used.unread_tokens))
+    }
+
+    /// What this node has at `engine`; what was asked counts from now on anew.
+    pub(crate) fn take(&self, engine: &UpstreamId) -> EngineUse {
+        let mut uses = self.lock();
+        let Some(used) = uses.get_mut(engine) else {
+            return EngineUse::default();
+        };
+        let asked = std::mem::take(&mut used.asked);
+        let taken = EngineUse {
+            asked,
+            in_flight: used.in_flight,
+            unread_tokens: used.unread_tokens,
+            models: used.models.clone(),
+        };
+        if used.in_flight == 0 {
+            uses.remove(engine);
+        }
+        taken
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamId, EngineUse>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Requests for each adapter since they were last taken.
+/// News of an engine from its owner.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct EngineNews {
+    pub(crate) engine: UpstreamId,
+    pub(crate) report: Report,
+    /// What it holds, if that changed lately.
+    pub(crate) holdings: Option<Holdings>,
+}
+
+/// News that the traffic thread has not taken yet, the newest of each engine.
 #[derive(Debug, Default)]
-pub(crate) struct Asked(Mutex<HashMap<ModelRef, u32>>);
-
-impl Asked {
-    pub(crate) fn add(&self, model: &ModelRef) {
-        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        match counts.get_mut(model) {
-            Some(count) => *count += 1,
-            None => {
-                counts.insert(model.clone(), 1);
-            }
-        }
+pub(crate) struct News(Mutex<HashMap<UpstreamId, EngineNews>>);
+
+impl News {
+    pub(crate) fn put(&self, news: EngineNews) {
+        let mut waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let older = waiting.remove(&news.engine);
+        let holdings = news.holdings.or(older.and_then(|older| older.holdings));
+        waiting.insert(news.engine.clone(), EngineNews { holdings, ..news });
     }
 
-    pub(crate) fn take(&self) -> HashMap<ModelRef, u32> {
+    pub(crate) fn take(&self) -> HashMap<UpstreamId, EngineNews> {
         std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
@@ -102,8 +167,8 @@
 pub(crate) struct Shared {
     pub(crate) view: ArcSwap<View>,
     readiness: Mutex<Readiness>,
-    pub(crate) in_use: InUse,
-    pub(crate) asked: Asked,
+    pub(crate) uses: Uses,
+    pub(crate) news: News,
     pub(crate) wants: mpsc::Sender<Want>,
 }
 
@@ -113,8 +178,8 @@
         let shared = Self {
             view: ArcSwap::default(),
             readiness: Mutex::default(),
-            in_use: InUse::default(),
-            asked: Asked::default(),
+            uses: Uses::default(),
+            news: News::default(),
             wants,
         };
         (Arc::new(shared), arrived)
@@ -138,7 +203,7 @@
         readiness.is_knowing && !readiness.is_leaving
     }
 
-    fn readiness(&self) -> std::sync::MutexGuard<'_, Readiness> {
+    fn readiness(&self) -> MutexGuard<'_, Readiness> {
         self.readiness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -12,7 +12,7 @@
 pub(crate) struct Flight {
     gateway: Rc<Gateway>,
     upstream: UpstreamId,
-    in_use: Option<(UpstreamId, ModelRef)>,
+    model: Option<ModelRef>,
     prompt_tokens: u64,
     expected_ms: f64,
     sent: Instant,
@@ -29,14 +29,13 @@
         expected_ms: f64,
     ) -> Self {
         gateway.dispatcher.borrow_mut().sent(upstream, prompt_tokens);
-        let in_use = model.map(|model| (upstream.clone(), model.clone()));
-        if let Some(key) = &in_use {
-            gateway.shared.in_use.add(key);
+        if let Some(model) = model {
+            gateway.shared.uses.begin(upstream, model, prompt_tokens);
         }
         Self {
             gateway: Rc::clone(gateway),
             upstream: upstream.clone(),
-            in_use,
+            model: model.cloned(),
             prompt_tokens,
             expected_ms,
             sent: Instant::now(),
@@ -53,6 +52,7 @@
         self.is_read = true;
         let now = Instant::now();
         let took = now.duration_since(self.sent);
+        self.gateway.shared.uses.read(&self.upstream, self.prompt_tokens);
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
         dispatcher.answer_began(&self.upstream, self.expected_ms, took, now);
@@ -85,12 +85,14 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let uses = &self.gateway.shared.uses;
         if !self.is_read {
             dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
+            uses.read(&self.upstream, self.prompt_tokens);
         }
         dispatcher.ended(&self.upstream);
-        if let Some(key) = &self.in_use {
-            self.gateway.shared.in_use.remove(key);
+        if let Some(model) = &self.model {
+            uses.end(&self.upstream, model);
         }
     }
 }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -149,14 +149,18 @@
             let mut dispatcher = self.dispatcher.borrow_mut();
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
         }
+        for (engine, news) in self.shared.news.take() {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.note_report(&engine, news.report);
+            if let Some(holdings) = &news.holdings {
+                dispatcher.note_holdings(&engine, holdings);
+            }
+        }
         view
     }
 
     /// Finds an answer to `call`.
     pub(crate) async fn carry(self: &Rc<Self>, call: &Call, id: RequestId) -> Response<AnswerBody> {
-        if let Some(model) = &call.meta.model {
-            self.shared.asked.add(model);
-        }
         let mut life = Life::NotRun(Request::accept(id.clone()).queue());
         let mut sends = Sends::default();
         loop {
@@ -300,7 +304,6 @@
         let model = call.meta.model.clone()?;
         let (ready, answer) = oneshot::channel();
         let want = Want {
-            service: call.service.clone(),
             version: call.version.wanted(),
             engines: self.engines_for(call, now),
             model,
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -8,8 +8,8 @@
 /// Load of an engine as others reported it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Report {
-    /// Requests that run or wait there, of all nodes.
-    pub in_flight: u32,
+    /// Requests that other nodes have there.
+    pub in_flight_of_others: u32,
     /// Prompt tokens that other nodes have sent and that were not answered yet.
     pub unread_tokens_of_others: u64,
     /// When it was taken.
@@ -85,8 +85,8 @@
 
     /// Requests that run there, as far as is known.
     pub fn running(&self, now: Instant) -> u32 {
-        let reported = self.fresh_report(now).map_or(0, |report| report.in_flight);
-        self.in_flight.max(reported)
+        let others = self.fresh_report(now);
+        self.in_flight + others.map_or(0, |report| report.in_flight_of_others)
     }
 
     /// How long a prompt of `tokens` is expected to wait for its first event, in milliseconds.
