--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -9,8 +9,8 @@
     Contact, DomainSummary, LiveNode, Membership, MembershipAction, MembershipEvent,
     MembershipNote, StatusReport, VmHint,
 };
-use nutmegsail_store::{Vm, VmDuty, VmList, VmState};
 use nutmegsail_routing::RoutingEvent;
+use nutmegsail_store::{Vm, VmDuty, VmList, VmState};
 use nutmegsail_telemetry::{Event, log_event};
 use nutmegsail_wire::{Envelope, Link, NodeMessage};
 use rand::seq::IndexedRandom;
--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -33,18 +33,38 @@
     pub(crate) changed: Notify,
     /// Whether a task follows the loads under way.
     pub(crate) is_followed: Cell<bool>,
+    /// Loads that wait for their order.
+    waiting: RefCell<Vec<ModelRef>>,
     state: RefCell<State>,
 }
 
+/// A load's place among those that wait for their order.
+pub(crate) struct QueuePlace<'a> {
+    engine: &'a OwnedEngine,
+    model: ModelRef,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.engine.waiting.borrow_mut();
+        if let Some(place) = waiting.iter().position(|model| *model == self.model) {
+            waiting.remove(place);
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct State {
-    /// What it holds; nothing until its report was read.
-    holdings: Option<Holdings>,
+    /// Orders that it has accepted; nothing until its report was read.
+    order_seq: Option<u64>,
+    holdings: Holdings,
+    /// Rises with each change of the holdings; 0 until they were read.
+    change: u64,
     coming: Vec<Coming>,
     /// Adapters that go when their requests have ended.
     leaving: Vec<ModelRef>,
-    /// When its holdings last changed.
-    changed: Option<Instant>,
+    /// Until when it takes no orders, as far as is known.
+    blocked_until: Option<Instant>,
     /// What other nodes have there.
     elsewhere: HashMap<NodeId, UseElsewhere>,
 }
@@ -58,6 +78,10 @@
     told: Instant,
 }
 
+/// How long an engine that refused an order is left alone: an adapter in use that is to go blocks
+/// all further orders until its last request ends, some seconds.
+const BLOCKED_SPAN: Duration = Duration::from_millis(250);
+
 /// How long what another node told counts. It tells again ten times in this span.
 const USE_LIFE: Duration = Duration::from_millis(1_000);
 
@@ -69,24 +93,85 @@
             orders: Mutex::new(()),
             changed: Notify::new(),
             is_followed: Cell::new(false),
+            waiting: RefCell::default(),
             state: RefCell::default(),
         }
     }
 
-    /// What it holds, if its count of orders is known.
-    pub(crate) fn holdings(&self) -> Option<Holdings> {
+    /// Orders that it has accepted, if that is known.
+    pub(crate) fn order_seq(&self) -> Option<u64> {
+        self.state.borrow().order_seq
+    }
+
+    /// What it holds.
+    pub(crate) fn holdings(&self) -> Holdings {
         self.state.borrow().holdings.clone()
     }
 
+    /// The number of the last change of the holdings; 0 if they were never read.
+    pub(crate) fn change(&self) -> u64 {
+        self.state.borrow().change
+    }
+
+    /// What it holds, if the last change is another than `known`.
+    pub(crate) fn holdings_since(&self, known: u64) -> Option<Holdings> {
+        let state = self.state.borrow();
+        (state.change != known).then(|| state.holdings.clone())
+    }
+
     /// Adapters on their way.
     pub(crate) fn coming(&self) -> Vec<ModelRef> {
         let state = self.state.borrow();
-        state.coming.iter().map(|coming| coming.model.clone()).collect()
+        state
+            .coming
+            .iter()
+            .map(|coming| coming.model.clone())
+            .collect()
+    }
+
+    /// A place among the loads that wait for their order; nothing if `limit` others wait.
+    pub(crate) fn queue(&self, model: &ModelRef, limit: usize) -> Option<QueuePlace<'_>> {
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.len() >= limit && !waiting.contains(model) {
+            return None;
+        }
+        waiting.push(model.clone());
+        let model = model.clone();
+        Some(QueuePlace {
+            engine: self,
+            model,
+        })
+    }
+
+    /// How many adapters are on their way.
+    pub(crate) fn coming_count(&self) -> u32 {
+        u32::try_from(self.state.borrow().coming.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Adapters that are on their way or wait for it.
+    pub(crate) fn loads_ahead(&self) -> Vec<ModelRef> {
+        let mut ahead = self.coming();
+        ahead.extend(self.waiting.borrow().iter().cloned());
+        ahead
+    }
+
+    /// When the load of `model` under way was accepted.
+    pub(crate) fn coming_since(&self, model: &ModelRef) -> Option<Instant> {
+        let state = self.state.borrow();
+        let mut coming = state.coming.iter();
+        coming
+            .find(|coming| coming.model == *model)
+            .map(|coming| coming.since)
     }
 
     /// When the oldest load under way was accepted.
     pub(crate) fn oldest_coming(&self) -> Option<Instant> {
-        self.state.borrow().coming.iter().map(|coming| coming.since).min()
+        self.state
+            .borrow()
+            .coming
+            .iter()
+            .map(|coming| coming.since)
+            .min()
     }
 
     /// Whether `model` leaves when its requests have ended.
@@ -96,8 +181,7 @@
 
     /// Whether `model` is there in `version`, or in any if none is given.
     pub(crate) fn holds(&self, model: &ModelRef, version: Option<u64>) -> bool {
-        let state = self.state.borrow();
-        let held = state.holdings.as_ref().and_then(|held| held.version_of(model));
+        let held = self.state.borrow().holdings.version_of(model);
         held.is_some_and(|held| version.is_none_or(|version| held >= version))
     }
 
@@ -113,17 +197,23 @@
 
     /// Forgets the count of orders: an order came back without an answer.
     pub(crate) fn doubt(&self) {
-        self.state.borrow_mut().holdings = None;
+        self.state.borrow_mut().order_seq = None;
+    }
+
+    /// Forgets the loads under way: the engine does not answer any more.
+    pub(crate) fn give_up_coming(&self) {
+        let mut state = self.state.borrow_mut();
+        state.coming.clear();
+        state.order_seq = None;
     }
 
     /// Takes in that an order was accepted.
     pub(crate) fn ordered(&self, load: Option<(ModelRef, Option<u64>)>) {
         let mut state = self.state.borrow_mut();
-        let Some(holdings) = &mut state.holdings else {
+        let Some(order_seq) = state.order_seq.map(|seq| seq + 1) else {
             return;
         };
-        holdings.order_seq += 1;
-        let order_seq = holdings.order_seq;
+        state.order_seq = Some(order_seq);
         if let Some((model, version)) = load {
             state.coming.push(Coming {
                 model,
@@ -138,15 +228,24 @@
     pub(crate) fn unloaded(&self, model: &ModelRef, is_gone: bool) {
         self.ordered(None);
         let mut state = self.state.borrow_mut();
-        if let Some(holdings) = &mut state.holdings {
-            holdings.forget(model);
-        }
-        state.changed = Some(Instant::now());
+        state.holdings.forget(model);
+        state.change += 1;
         if !is_gone {
             state.leaving.push(model.clone());
         }
     }
 
+    /// Takes in that it refused an order for what it is doing already.
+    pub(crate) fn block(&self) {
+        self.state.borrow_mut().blocked_until = Some(Instant::now() + BLOCKED_SPAN);
+    }
+
+    /// Whether it refused an order a moment ago.
+    pub(crate) fn is_blocked(&self) -> bool {
+        let until = self.state.borrow().blocked_until;
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Takes in what another node has there.
     pub(crate) fn note_use(&self, node: NodeId, used: &EngineUseTold) {
         let elsewhere = UseElsewhere {
@@ -156,7 +255,9 @@
             told: Instant::now(),
         };
         let mut state = self.state.borrow_mut();
-        state.elsewhere.retain(|_, used| used.told.elapsed() < USE_LIFE);
+        state
+            .elsewhere
+            .retain(|_, used| used.told.elapsed() < USE_LIFE);
         state.elsewhere.insert(node, elsewhere);
     }
 
@@ -170,21 +271,15 @@
     /// Requests and unread prompt tokens of all other nodes but `node`.
     pub(crate) fn load_of_others(&self, node: &NodeId) -> (u32, u64) {
         let state = self.state.borrow();
-        let others = state.elsewhere.iter().filter(|(other, used)| {
-            *other != node && used.told.elapsed() < USE_LIFE
-        });
+        let others = state
+            .elsewhere
+            .iter()
+            .filter(|(other, used)| *other != node && used.told.elapsed() < USE_LIFE);
         others.fold((0, 0), |(in_flight, unread), (_, used)| {
             (in_flight + used.in_flight, unread + used.unread_tokens)
         })
     }
 
-    /// What it holds, if that changed within `span`.
-    pub(crate) fn changed_holdings(&self, span: Duration) -> Option<Holdings> {
-        let state = self.state.borrow();
-        let is_recent = state.changed.is_some_and(|at| at.elapsed() < span);
-        state.holdings.clone().filter(|_| is_recent)
-    }
-
     /// How many adapters leave when their requests have ended. They take up room until then.
     pub(crate) fn leaving_count(&self) -> usize {
         self.state.borrow().leaving.len()
@@ -194,8 +289,10 @@
     /// before the last order says nothing.
     pub(crate) fn reported(&self, report: &EngineState) -> Vec<Coming> {
         let mut state = self.state.borrow_mut();
-        let known_seq = state.holdings.as_ref().map(|held| held.order_seq);
-        if known_seq.is_some_and(|known| report.holdings.order_seq < known) {
+        if state
+            .order_seq
+            .is_some_and(|known| report.order_seq < known)
+        {
             return Vec::new();
         }
         let mut finished = Vec::new();
@@ -205,17 +302,18 @@
                 .is_some_and(|version| coming.version.is_none_or(|wanted| version >= wanted));
             let is_under_way = report.coming.contains(&coming.model)
                 || (coming.model.adapter.is_none() && report.is_busy);
-            let is_seen = report.holdings.order_seq >= coming.order_seq;
+            let is_seen = report.order_seq >= coming.order_seq;
             if is_here {
                 finished.push(coming.clone());
             }
             !is_here && (is_under_way || !is_seen)
         });
         state.leaving.retain(|model| held(model).is_some());
-        if state.holdings.as_ref() != Some(&report.holdings) {
-            state.changed = Some(Instant::now());
+        state.order_seq = Some(report.order_seq);
+        if state.change == 0 || state.holdings != report.holdings {
+            state.holdings = report.holdings.clone();
+            state.change += 1;
         }
-        state.holdings = Some(report.holdings.clone());
         drop(state);
         self.changed.notify_waiters();
         finished
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -26,11 +26,8 @@
 /// a queue say little; shorter intervals cost datagrams.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long a change of an engine's holdings is told: a few datagrams may be lost.
-const HOLDINGS_TOLD: Duration = Duration::from_millis(600);
-
 /// Up to this many nodes tell every owner each time, also owners whose engines they don't use.
-const FULL_EXCHANGE_NODES: usize = 16;
+pub(crate) const FULL_EXCHANGE_NODES: usize = 16;
 
 /// The largest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 16 * 1024;
@@ -43,6 +40,8 @@
     pub(crate) unread_tokens: u64,
     pub(crate) models: Vec<ModelRef>,
     pub(crate) asked: Vec<(ModelRef, u32)>,
+    /// The change of the engine's holdings that the sender knows.
+    known_change: u64,
 }
 
 /// What an owner knows of one engine.
@@ -53,6 +52,11 @@
     in_flight: u32,
     /// Prompt tokens that those have sent and whose answers have not begun.
     unread_tokens: u64,
+    /// Adapters on their way to it.
+    coming: Vec<ModelRef>,
+    /// The last change of the engine's holdings.
+    change: u64,
+    /// The holdings, if the other node knows an earlier change.
     holdings: Option<Holdings>,
 }
 
@@ -65,7 +69,10 @@
         engines: Vec<EngineUseTold>,
     },
     /// From an owner.
-    Loads { engines: Vec<EngineLoadTold> },
+    Loads {
+        from: NodeId,
+        engines: Vec<EngineLoadTold>,
+    },
 }
 
 /// Tells and listens for ever.
@@ -97,12 +104,16 @@
             note_own_use(knowledge, &owned, &used);
         } else if owner.node != *me && (tells_all || used != EngineUse::default()) {
             let engines = told.entry(owner.node.clone()).or_default();
-            engines.push(use_told(engine, used));
+            engines.push(use_told(knowledge, engine, used));
         }
     }
     drop(owners);
     for (owner, engines) in told {
-        let address = knowledge.nodes.borrow().get(&owner).map(|node| node.address);
+        let address = knowledge
+            .nodes
+            .borrow()
+            .get(&owner)
+            .map(|node| node.address);
         let from = me.clone();
         if let Some(address) = address {
             send(socket, &Message::Uses { from, engines }, address);
@@ -110,8 +121,9 @@
     }
 }
 
-fn use_told(engine: &UpstreamId, used: EngineUse) -> EngineUseTold {
+fn use_told(knowledge: &Knowledge, engine: &UpstreamId, used: EngineUse) -> EngineUseTold {
     EngineUseTold {
+        known_change: knowledge.known_change(engine),
         engine: engine.clone(),
         in_flight: used.in_flight,
         unread_tokens: used.unread_tokens,
@@ -128,15 +140,17 @@
     let (in_flight, unread_tokens) = owned.load_of_others(&knowledge.settings.node);
     knowledge.shared.news.put(EngineNews {
         engine: owned.id.clone(),
-        report: report(in_flight, unread_tokens),
-        holdings: owned.changed_holdings(HOLDINGS_TOLD),
+        report: report(in_flight, unread_tokens, owned.loads_ahead()),
+        holdings: owned.holdings_since(knowledge.known_change(&owned.id)),
     });
+    knowledge.note_change(&owned.id, owned.change());
 }
 
-fn report(in_flight: u32, unread_tokens: u64) -> Report {
+fn report(in_flight: u32, unread_tokens: u64, coming: Vec<ModelRef>) -> Report {
     Report {
         in_flight_of_others: in_flight,
         unread_tokens_of_others: unread_tokens,
+        coming,
         taken: Instant::now(),
     }
 }
@@ -145,17 +159,22 @@
 fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], sender: SocketAddr) {
     match postcard::from_bytes(bytes) {
         Ok(Message::Uses { from, engines }) => {
-            let loads = engines.iter().filter_map(|used| take_use(knowledge, &from, used));
+            let loads = engines
+                .iter()
+                .filter_map(|used| take_use(knowledge, &from, used));
             let engines: Vec<EngineLoadTold> = loads.collect();
-            if !engines.is_empty() {
-                send(socket, &Message::Loads { engines }, sender);
-            }
+            let from = knowledge.settings.node.clone();
+            send(socket, &Message::Loads { from, engines }, sender);
         }
-        Ok(Message::Loads { engines }) => {
+        Ok(Message::Loads { from, engines }) => {
+            knowledge.heard.borrow_mut().insert(from, Instant::now());
             for load in engines {
+                if load.holdings.is_some() {
+                    knowledge.note_change(&load.engine, load.change);
+                }
                 knowledge.shared.news.put(EngineNews {
                     engine: load.engine,
-                    report: report(load.in_flight, load.unread_tokens),
+                    report: report(load.in_flight, load.unread_tokens, load.coming),
                     holdings: load.holdings,
                 });
             }
@@ -169,11 +188,7 @@
     }
 }
 
-fn take_use(
-    knowledge: &Knowledge,
-    from: &NodeId,
-    used: &EngineUseTold,
-) -> Option<EngineLoadTold> {
+fn take_use(knowledge: &Knowledge, from: &NodeId, used: &EngineUseTold) -> Option<EngineLoadTold> {
     let owned = knowledge.owned(&used.engine)?;
     owned.note_use(from.clone(), used);
     for (model, requests) in &used.asked {
@@ -185,7 +200,9 @@
         engine: used.engine.clone(),
         in_flight: others_in_flight + mine.0,
         unread_tokens: others_unread + mine.1,
-        holdings: owned.changed_holdings(HOLDINGS_TOLD),
+        coming: owned.loads_ahead(),
+        change: owned.change(),
+        holdings: owned.holdings_since(used.known_change),
     })
 }
 
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -23,6 +24,14 @@
 /// longer holds up the next owner after a failure.
 const CONFIRMATION: Duration = Duration::from_millis(1_500);
 
+/// How long the last owner of an address is remembered; its orders have long arrived by then.
+const LAST_OWNER_LIFE: Duration = Duration::from_secs(20);
+
+/// In this time an adapter's demand counts half for its eviction. Demand moves on within some 5 s;
+/// a longer memory keeps yesterday's favourites, a shorter one forgets the tail between two of its
+/// requests.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(10);
+
 /// How long opening a connection to an engine or a node may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -49,6 +58,14 @@
     pub(crate) owned: RefCell<HashMap<UpstreamId, Rc<OwnedEngine>>>,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) lease: Cell<LeaseId>,
+    /// How long loads take lately until a report shows them, in milliseconds.
+    pub(crate) usual_report_ms: Cell<f64>,
+    /// The last change of each engine's holdings that the traffic thread was told.
+    changes: RefCell<HashMap<UpstreamId, u64>>,
+    /// When each owner last answered.
+    pub(crate) heard: RefCell<HashMap<NodeId, Instant>>,
+    /// Which node owned the engine at each address last, and when it was seen so.
+    pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
     started: Instant,
     number: Cell<u64>,
 }
@@ -72,13 +89,43 @@
             nodes: RefCell::default(),
             owners: RefCell::default(),
             owned: RefCell::default(),
-            demand: RefCell::default(),
+            demand: RefCell::new(Demand::new(DEMAND_HALF_LIFE)),
             lease: Cell::default(),
+            usual_report_ms: Cell::new(0.0),
+            changes: RefCell::default(),
+            heard: RefCell::default(),
+            last_owners: RefCell::default(),
             started: Instant::now(),
             number: Cell::new(0),
         }
     }
 
+    /// Notes who owns the engine at each address, so that its next process finds the same owner.
+    pub(crate) fn note_last_owners(&self) {
+        let now = Instant::now();
+        let upstreams = self.upstreams.borrow();
+        let mut last = self.last_owners.borrow_mut();
+        for (engine, owner) in self.owners.borrow().iter() {
+            if let Some(upstream) = upstreams.get(engine) {
+                last.insert(upstream.address, (owner.node.clone(), now));
+            }
+        }
+        last.retain(|_, (_, seen)| now.duration_since(*seen) < LAST_OWNER_LIFE);
+    }
+
+    /// The node that last owned the engine at `address`.
+    pub(crate) fn last_owner(&self, address: &SocketAddr) -> Option<NodeId> {
+        let last = self.last_owners.borrow();
+        last.get(address).map(|(node, _)| node.clone())
+    }
+
+    /// Whether this node has watched for long enough to know of every owner that may still have
+    /// orders on their way.
+    pub(crate) fn knows_last_owners(&self) -> bool {
+        let rules = self.ownership_rules();
+        self.started.elapsed() > (rules.confirmation + rules.hand_over) * 2
+    }
+
     /// Whether no engine can have had an owner before. An owner of the first start that ended at
     /// once still holds its key for a lease, longer than this.
     pub(crate) fn is_first_claim(&self) -> bool {
@@ -110,12 +157,14 @@
         }
     }
 
-    /// Takes in what an engine holds, from a report or an order's answer.
-    pub(crate) fn note_holdings(&self, id: &UpstreamId, holdings: &Holdings) {
-        if let Some(upstream) = self.upstreams.borrow_mut().get_mut(id) {
-            Arc::make_mut(upstream).holdings = holdings.clone();
-        }
-        self.publish();
+    /// The change of an engine's holdings that the traffic thread was told; 0 if none.
+    pub(crate) fn known_change(&self, engine: &UpstreamId) -> u64 {
+        self.changes.borrow().get(engine).copied().unwrap_or(0)
+    }
+
+    /// Notes that the traffic thread was told of a change.
+    pub(crate) fn note_change(&self, engine: &UpstreamId, change: u64) {
+        self.changes.borrow_mut().insert(engine.clone(), change);
     }
 
     /// The upstream of this id.
@@ -158,7 +207,12 @@
     /// Adapters that fit beside the base models of `holdings`, by slots and by memory.
     pub(crate) fn adapters_beside(&self, holdings: &Holdings) -> usize {
         let held = |spec: &&ModelSpec| holdings.models.iter().any(|model| model.name == spec.name);
-        let weights_mb: f64 = self.models.iter().filter(held).map(|spec| spec.weights_mb).sum();
+        let weights_mb: f64 = self
+            .models
+            .iter()
+            .filter(held)
+            .map(|spec| spec.weights_mb)
+            .sum();
         let adapter_mb = self.models.iter().filter(held).map(|spec| spec.adapter_mb);
         let largest_mb = adapter_mb.fold(0.0, f64::max);
         let left_mb = (self.weights_mb - weights_mb).max(0.0);
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -2,49 +2,70 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{Holdings, LoadPlan, LoadStep, ModelRef, Room, plan_load};
+use nutmegsail_base::{NodeId, UpstreamId};
+use nutmegsail_relay::{
+    HeldAdapter, Holdings, LoadPlan, LoadStep, ModelRef, Room, Upstream, plan_load,
+};
+use nutmegsail_telemetry::{Event, log_event};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::engine::OwnedEngine;
+use super::exchange::FULL_EXCHANGE_NODES;
+use super::follow_loads::{FOLLOW_INTERVAL, LEAST_LOAD, LOAD_LIMIT, follow_loads};
 use super::knowledge::{Knowledge, Owner};
+use super::load_failure::LoadFailure;
 use super::peers::LoadAsk;
-use crate::shared::{Loaded, Want};
+use crate::shared::{Loaded, Want, Wanted};
 use crate::{OrderAnswer, OrderStep};
 
-/// Adapters that may be on their way to one engine at once.
+/// Adapters that an engine takes at once. Loads are ordered one after the other nevertheless: all
+/// engines together get eight at full speed, and beyond that every load takes longer in proportion.
+/// Of 40 at once each takes 1.3 s; in turn the median takes 0.6 s. One for each of 12 engines keeps
+/// near the eight without asking anyone.
 const TRANSFERS_LIMIT: usize = 4;
 
-/// How long a load takes at least; its end is not asked for earlier.
-const LEAST_LOAD: Duration = Duration::from_millis(240);
+/// Loads under way at one engine that should have finished, while the next one begins: their
+/// reports are yet to come.
+const OVERLAP_LIMIT: u32 = 2;
 
-/// The time between two reports while loads are under way.
-const FOLLOW_INTERVAL: Duration = Duration::from_millis(40);
+/// Loads that may wait at one engine. The fourth would come after a second, too late for any
+/// latency objective.
+const QUEUE_LIMIT: usize = 4;
 
-/// How long a load may take, with others under way everywhere.
-const LOAD_LIMIT: Duration = Duration::from_millis(3_000);
-
-/// Engines whose expected waits differ by less than this take an adapter equally well: the time in
-/// which one prompt is read.
-const ABOUT_AS_SOON_MS: f64 = 80.0;
+/// Engines whose expected waits differ by less than this take an adapter equally well: a little more
+/// than the time of one load. A finer step would have nodes with different news choose different
+/// engines, and load one adapter twice.
+const ABOUT_AS_SOON_MS: f64 = 300.0;
 
 /// Engines that are asked for one adapter.
-const ENGINES_TRIED: usize = 3;
+const ENGINES_TRIED: usize = 4;
+
+/// How long an owner that does not answer the exchange counts as reachable: five exchanges, so a
+/// few lost datagrams don't matter, and an owner behind a partition soon gets no more asks.
+const HEARD_SPAN: Duration = Duration::from_millis(500);
+
+/// How long an owner may take to answer an ask: longer than a load may take there. Given up
+/// earlier, the load would go on all the same, and another engine would load it too.
+const ASK_LIMIT: Duration = Duration::from_millis(3_200);
+
+/// A load that took its usual time is taken as finished. Reports lag some 100 ms behind, a fifth of
+/// the shortest latency objective; an engine that needs longer turns the request away unrun.
+const REPORT_LAG_MS: f64 = 110.0;
 
 /// The time between two copies of one adapter. A copy takes 250 ms, and its effect on the queues
 /// shows some time after.
 const COPY_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Victims that are tried for one load: an adapter in use by another node goes only later.
-const VICTIMS_TRIED: usize = 3;
+/// How often orders for one load are tried that come back without an answer.
+const ORDERS_TRIED: usize = 3;
 
-type Waiting = HashMap<(ModelRef, Option<u64>), Vec<oneshot::Sender<Loaded>>>;
+type Waiting = HashMap<Wanted, Vec<oneshot::Sender<Loaded>>>;
 
 /// Brings adapters into engines.
 pub(crate) struct Loader {
@@ -71,23 +92,25 @@
 
     /// Starts to bring what is wanted, or joins those who wait for the same.
     fn take(self: &Rc<Self>, want: Want) {
-        let key = (want.model.clone(), want.version);
+        let key = want.wanted.clone();
         if let Some(waiting) = self.waiting.borrow_mut().get_mut(&key) {
             waiting.push(want.ready);
             return;
         }
         let is_copy = want.ready.is_closed();
-        if is_copy && self.is_recent(&want.model) {
+        if is_copy && self.is_recent(&want.wanted.model) {
             return;
         }
         let mut last_load = self.last_load.borrow_mut();
         last_load.retain(|_, at| at.elapsed() < COPY_INTERVAL);
-        last_load.insert(want.model.clone(), Instant::now());
+        last_load.insert(want.wanted.model.clone(), Instant::now());
         drop(last_load);
-        self.waiting.borrow_mut().insert(key.clone(), vec![want.ready]);
+        self.waiting
+            .borrow_mut()
+            .insert(key.clone(), vec![want.ready]);
         let this = Rc::clone(self);
         spawn_local(async move {
-            let loaded = this.bring(&want.model, want.version, want.engines).await;
+            let loaded = this.bring(&want.wanted, want.engines).await;
             let waiting = this.waiting.borrow_mut().remove(&key);
             for ready in waiting.into_iter().flatten() {
                 // Whoever gave up meanwhile needs no answer.
@@ -98,23 +121,28 @@
 
     fn is_recent(&self, model: &ModelRef) -> bool {
         let last_load = self.last_load.borrow();
-        last_load.get(model).is_some_and(|at| at.elapsed() < COPY_INTERVAL)
+        last_load
+            .get(model)
+            .is_some_and(|at| at.elapsed() < COPY_INTERVAL)
     }
 
-    async fn bring(
-        &self,
-        model: &ModelRef,
-        version: Option<u64>,
-        engines: Vec<(UpstreamId, f64)>,
-    ) -> Loaded {
-        for engine in self.ranked(model, engines).into_iter().take(ENGINES_TRIED) {
-            let holdings = match self.knowledge.owned(&engine) {
-                Some(owned) => self.load_here(&owned, model, version).await,
-                None => self.ask_owner(&engine, model, version).await,
+    async fn bring(&self, wanted: &Wanted, engines: Vec<(UpstreamId, f64)>) -> Loaded {
+        for engine in self
+            .ranked(&wanted.model, engines)
+            .into_iter()
+            .take(ENGINES_TRIED)
+        {
+            let loaded = match self.knowledge.owned(&engine) {
+                Some(owned) => self.load_here(&owned, wanted).await,
+                None => self.ask_owner(&engine, wanted).await,
             };
-            if let Some(holdings) = holdings {
-                self.knowledge.note_holdings(&engine, &holdings);
-                return Some((engine, holdings));
+            match loaded {
+                Ok(holdings) => return Some((engine, holdings)),
+                Err(failure) => log_event!(
+                    self.knowledge.log, Event::LoadFailed,
+                    "upstream" => engine.to_string(), "model" => wanted.model.to_string(),
+                    "version" => wanted.version, "why" => failure.to_string()
+                ),
             }
         }
         None
@@ -128,7 +156,10 @@
     fn ranked(&self, model: &ModelRef, engines: Vec<(UpstreamId, f64)>) -> Vec<UpstreamId> {
         let reachable = engines.into_iter().filter(|(id, _)| self.is_reachable(id));
         let mut ranked: Vec<(UpstreamId, f64)> = reachable.collect();
-        let least_ms = ranked.iter().map(|(_, ms)| *ms).fold(f64::INFINITY, f64::min);
+        let least_ms = ranked
+            .iter()
+            .map(|(_, ms)| *ms)
+            .fold(f64::INFINITY, f64::min);
         ranked.sort_by_cached_key(|(id, expected_ms)| {
             let steps = ((expected_ms - least_ms) / ABOUT_AS_SOON_MS) as u64;
             (steps, xxh3_64(format!("{model} {id}").as_bytes()))
@@ -140,49 +171,97 @@
     fn is_reachable(&self, engine: &UpstreamId) -> bool {
         let owners = self.knowledge.owners.borrow();
         let nodes = self.knowledge.nodes.borrow();
-        let is_known = |owner: &Owner| nodes.contains_key(&owner.node);
+        let heard = self.knowledge.heard.borrow();
+        // In a large fleet only owners of engines in use are heard; the others may still answer.
+        let tells_all = nodes.len() <= FULL_EXCHANGE_NODES;
+        let is_heard = |node: &NodeId| heard.get(node).is_some_and(|at| at.elapsed() < HEARD_SPAN);
+        let is_known = |owner: &Owner| {
+            nodes.contains_key(&owner.node) && (!tells_all || is_heard(&owner.node))
+        };
         self.knowledge.owned(engine).is_some() || owners.get(engine).is_some_and(is_known)
     }
 
     async fn ask_owner(
         &self,
         engine: &UpstreamId,
-        model: &ModelRef,
-        version: Option<u64>,
-    ) -> Option<Holdings> {
-        let owner = self.knowledge.owners.borrow().get(engine)?.node.clone();
-        let address = self.knowledge.nodes.borrow().get(&owner)?.address;
+        wanted: &Wanted,
+    ) -> Result<Holdings, LoadFailure> {
+        let address = self.owner_address(engine);
+        let address = address.ok_or(LoadFailure::NoOwnerAnswer)?;
         let ask = LoadAsk {
             engine: engine.clone(),
-            model: model.clone(),
-            version,
+            wanted: wanted.clone(),
         };
-        ask.send(&self.knowledge, address, LOAD_LIMIT).await
+        ask.send(&self.knowledge, address, ASK_LIMIT).await
+    }
+
+    fn owner_address(&self, engine: &UpstreamId) -> Option<SocketAddr> {
+        let owner = self.knowledge.owners.borrow().get(engine)?.node.clone();
+        Some(self.knowledge.nodes.borrow().get(&owner)?.address)
     }
 
     /// Brings an adapter into an engine that this node owns; returns once it is there.
     pub(crate) async fn load_here(
         &self,
         engine: &Rc<OwnedEngine>,
-        model: &ModelRef,
-        version: Option<u64>,
-    ) -> Option<Holdings> {
+        wanted: &Wanted,
+    ) -> Result<Holdings, LoadFailure> {
+        let (model, version) = (&wanted.model, wanted.version);
         let limit = tokio::time::Instant::now() + LOAD_LIMIT;
         if !engine.holds(model, version) && !engine.awaits(model, version) {
+            let _place = engine
+                .queue(model, QUEUE_LIMIT)
+                .ok_or(LoadFailure::QueueFull)?;
             let _orders = engine.orders.lock().await;
             if !engine.holds(model, version) && !engine.awaits(model, version) {
+                self.wait_for_transfer(engine, limit).await?;
                 self.order_load(engine, model, version).await?;
             }
         }
-        self.follow(engine);
+        follow_loads(Rc::clone(&self.knowledge), Rc::clone(engine));
         while !engine.holds(model, version) {
-            if !engine.awaits(model, version) {
-                return None;
+            let since = engine.coming_since(model).ok_or(LoadFailure::Unfinished)?;
+            let finished = since + self.usual_load();
+            if !wanted.was_turned_away && Instant::now() >= finished {
+                return presumed(engine, wanted);
+            }
+            let until = if wanted.was_turned_away {
+                limit
+            } else {
+                limit.min(finished.into())
+            };
+            let changed = tokio::time::timeout_at(until, engine.changed.notified());
+            if changed.await.is_err() && tokio::time::Instant::now() >= limit {
+                return Err(LoadFailure::Unfinished);
             }
-            let changed = engine.changed.notified();
-            tokio::time::timeout_at(limit, changed).await.ok()?;
         }
-        engine.holdings()
+        Ok(engine.holdings())
+    }
+
+    /// Waits until `engine` can begin another transfer.
+    async fn wait_for_transfer(
+        &self,
+        engine: &OwnedEngine,
+        limit: tokio::time::Instant,
+    ) -> Result<(), LoadFailure> {
+        while let Some(oldest) = engine.oldest_coming() {
+            let finished = oldest + self.usual_load();
+            if Instant::now() >= finished && engine.coming_count() <= OVERLAP_LIMIT {
+                return Ok(());
+            }
+            let until = limit.min((finished.max(Instant::now() + FOLLOW_INTERVAL)).into());
+            let changed = tokio::time::timeout_at(until, engine.changed.notified());
+            if changed.await.is_err() && tokio::time::Instant::now() >= limit {
+                return Err(LoadFailure::Unfinished);
+            }
+        }
+        Ok(())
+    }
+
+    /// How long a load usually takes now.
+    fn usual_load(&self) -> Duration {
+        let usual_ms = self.knowledge.usual_report_ms.get() - REPORT_LAG_MS;
+        LEAST_LOAD.max(Duration::from_secs_f64(usual_ms.max(0.0) / 1_000.0))
     }
 
     /// Orders a load, with the eviction that it needs.
@@ -191,77 +270,98 @@
         engine: &OwnedEngine,
         model: &ModelRef,
         version: Option<u64>,
-    ) -> Option<()> {
-        let knowledge = &self.knowledge;
-        let upstream = knowledge.upstream(&engine.id)?;
-        for _ in 0..VICTIMS_TRIED {
-            let fence = knowledge.permit(engine).await?;
-            if engine.holdings().is_none() || engine.leaving_count() > 0 {
-                knowledge.read_report(engine).await?;
-            }
-            if engine.leaving_count() > 0 {
-                // It takes no other order until an adapter in use has gone.
-                return None;
-            }
+    ) -> Result<(), LoadFailure> {
+        let upstream = self.knowledge.upstream(&engine.id);
+        let upstream = upstream.ok_or(LoadFailure::EngineGone)?;
+        if engine.is_blocked() {
+            return Err(LoadFailure::Blocked);
+        }
+        if self.is_in_use(engine, model) {
+            // A version that is replaced waits for its requests, and with it all further orders.
+            return Err(LoadFailure::OlderInUse);
+        }
+        for _ in 0..ORDERS_TRIED {
+            let fence = self.ready_for_orders(engine).await?;
             let plan = self.plan(engine, &upstream, model, version)?;
-            let mut is_done = true;
-            for step in plan.steps {
-                let (step, load) = match step {
-                    LoadStep::Unload(victim) => (OrderStep::Unload(victim), None),
-                    LoadStep::Load(model, version) => {
-                        let load = Some((model.clone(), version));
-                        (OrderStep::Load(model, version), load)
-                    }
-                };
-                let answer = knowledge.order(engine, &upstream, step.clone(), fence).await;
-                match (answer, step) {
-                    (Some(OrderAnswer::Accepted), OrderStep::Load(..)) => engine.ordered(load),
-                    (Some(OrderAnswer::Done), OrderStep::Load(..)) => engine.doubt(),
-                    (Some(OrderAnswer::Done), OrderStep::Unload(victim)) => {
-                        engine.unloaded(&victim, true);
-                    }
-                    (Some(OrderAnswer::Accepted), OrderStep::Unload(victim)) => {
-                        // In use by another node: it goes later, so its room is not free yet.
-                        engine.unloaded(&victim, false);
-                        is_done = false;
-                        break;
-                    }
-                    _ => {
-                        is_done = false;
-                        break;
-                    }
-                }
+            match self.carry_out(engine, &upstream, plan, fence).await {
+                Err(LoadFailure::NoAnswer) => {}
+                done => return done,
             }
-            if is_done {
-                return Some(());
+        }
+        Err(LoadFailure::NoAnswer)
+    }
+
+    /// Makes sure that `engine` may be given orders and that its count of orders is known.
+    async fn ready_for_orders(&self, engine: &OwnedEngine) -> Result<u64, LoadFailure> {
+        let fence = self.knowledge.permit(engine).await;
+        let fence = fence.ok_or(LoadFailure::NotPermitted)?;
+        let is_known = engine.order_seq().is_some() && !engine.holdings().models.is_empty();
+        if !is_known || engine.leaving_count() > 0 {
+            let report = self.knowledge.read_report(engine).await;
+            report.ok_or(LoadFailure::NoReport)?;
+        }
+        match engine.leaving_count() {
+            0 => Ok(fence),
+            // It takes no other order until an adapter in use has gone.
+            _ => Err(LoadFailure::Blocked),
+        }
+    }
+
+    async fn carry_out(
+        &self,
+        engine: &OwnedEngine,
+        upstream: &Upstream,
+        plan: LoadPlan,
+        fence: u64,
+    ) -> Result<(), LoadFailure> {
+        for step in plan.steps {
+            let order = match &step {
+                LoadStep::Unload(victim) => OrderStep::Unload(victim.clone()),
+                LoadStep::Load(model, version) => OrderStep::Load(model.clone(), *version),
+            };
+            let answer = self.knowledge.order(engine, upstream, order, fence).await;
+            match (answer.ok_or(LoadFailure::NoAnswer)?, step) {
+                (OrderAnswer::Accepted, LoadStep::Load(model, version)) => {
+                    engine.ordered(Some((model, version)));
+                }
+                (OrderAnswer::Done, LoadStep::Load(..)) => engine.doubt(),
+                (OrderAnswer::Done, LoadStep::Unload(victim)) => engine.unloaded(&victim, true),
+                (OrderAnswer::Accepted, LoadStep::Unload(victim)) => {
+                    // Another node uses it: it goes later, so its room is not free yet.
+                    engine.unloaded(&victim, false);
+                    return Err(LoadFailure::Blocked);
+                }
+                (OrderAnswer::Conflict, _) => {
+                    engine.block();
+                    return Err(LoadFailure::Blocked);
+                }
+                (OrderAnswer::Fenced | OrderAnswer::Refused, _) => {
+                    return Err(LoadFailure::Refused);
+                }
             }
         }
-        None
+        Ok(())
     }
 
     fn plan(
         &self,
         engine: &OwnedEngine,
-        upstream: &nutmegsail_relay::Upstream,
+        upstream: &Upstream,
         model: &ModelRef,
         version: Option<u64>,
-    ) -> Option<LoadPlan> {
+    ) -> Result<LoadPlan, LoadFailure> {
         let knowledge = &self.knowledge;
-        let holdings = engine.holdings()?;
-        let room = knowledge.engine_room(&upstream.service)?;
-        let adapters = room.adapters_beside(&holdings);
+        let holdings = engine.holdings();
+        let room = knowledge.engine_room(&upstream.service);
+        let room = room.ok_or(LoadFailure::EngineGone)?;
         let room = Room {
-            adapter_slots: adapters.saturating_sub(engine.leaving_count()),
+            adapter_slots: room.adapters_beside(&holdings),
             transfers: TRANSFERS_LIMIT,
         };
-        let is_in_use = |adapter: &ModelRef| {
-            knowledge.shared.uses.holds(&engine.id, adapter)
-                || engine.is_used_elsewhere(adapter)
-                || engine.is_leaving(adapter)
-        };
+        let is_in_use = |adapter: &ModelRef| self.is_in_use(engine, adapter);
         let demand = knowledge.demand.borrow();
         let coming = engine.coming();
-        plan_load(
+        let plan = plan_load(
             model,
             version,
             &holdings,
@@ -270,30 +370,27 @@
             &demand,
             &is_in_use,
             Instant::now(),
-        )
-        .ok()
+        );
+        Ok(plan?)
     }
 
-    /// Reads reports until nothing is on its way to `engine`.
-    fn follow(&self, engine: &Rc<OwnedEngine>) {
-        if engine.is_followed.replace(true) {
-            return;
-        }
-        let knowledge = Rc::clone(&self.knowledge);
-        let engine = Rc::clone(engine);
-        spawn_local(async move {
-            while let Some(oldest) = engine.oldest_coming() {
-                let age = oldest.elapsed();
-                sleep(LEAST_LOAD.saturating_sub(age).max(FOLLOW_INTERVAL)).await;
-                // An engine that does not answer is asked again; its waiters have limits of their own.
-                let report = timeout(LOAD_LIMIT, knowledge.read_report(&engine)).await;
-                if age > LOAD_LIMIT && !matches!(report, Ok(Some(_))) {
-                    engine.doubt();
-                    break;
-                }
-            }
-            engine.is_followed.set(false);
-            engine.changed.notify_waiters();
-        });
+    /// Whether any node has requests for `model` at `engine`, as far as is known.
+    fn is_in_use(&self, engine: &OwnedEngine, model: &ModelRef) -> bool {
+        self.knowledge.shared.uses.holds(&engine.id, model)
+            || engine.is_used_elsewhere(model)
+            || engine.is_leaving(model)
+    }
+}
+
+/// What `engine` holds, with an adapter that is taken to be there.
+fn presumed(engine: &OwnedEngine, wanted: &Wanted) -> Result<Holdings, LoadFailure> {
+    let mut holdings = engine.holdings();
+    let mut models = holdings.models.iter_mut();
+    let model = models.find(|held| held.name == wanted.model.model);
+    let model = model.ok_or(LoadFailure::Unfinished)?;
+    if let Some(name) = wanted.model.adapter.clone() {
+        let version = wanted.version.unwrap_or(HeldAdapter::UNSTATED_VERSION);
+        model.adapters.push(HeldAdapter { name, version });
     }
+    Ok(holdings)
 }
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -2,7 +2,9 @@
 
 mod engine;
 mod exchange;
+mod follow_loads;
 mod knowledge;
+mod load_failure;
 mod loader;
 mod operators_watch;
 mod orders;
--- a/crates/relay-node/src/control/operators_watch.rs
+++ b/crates/relay-node/src/control/operators_watch.rs
@@ -44,11 +44,17 @@
         let mut known = self.0.table.borrow_mut();
         // A read that lags, or a copy of the store that was restored, shows an older version. What
         // was accepted must not revert, so it never takes effect.
-        if known.as_ref().is_some_and(|known| table.version < known.version) {
+        if known
+            .as_ref()
+            .is_some_and(|known| table.version < known.version)
+        {
             log_event!(self.0.log, Event::OlderTextIgnored, "version" => table.version);
             return;
         }
-        if known.as_ref().is_none_or(|known| table.version > known.version) {
+        if known
+            .as_ref()
+            .is_none_or(|known| table.version > known.version)
+        {
             log_event!(self.0.log, Event::TextInForce, "version" => table.version);
         }
         *known = Some(Arc::new(table));
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{OrderPermit, Upstream};
 use nutmegsail_store::KeyValueError;
 use nutmegsail_telemetry::{Event, log_event};
@@ -14,12 +15,14 @@
 use super::knowledge::Knowledge;
 use super::owners;
 use crate::clock::boot_time;
-use crate::{EngineState, Order, OrderAnswer, OrderStep};
+use crate::{EngineCall, EngineState, Order, OrderAnswer, OrderStep};
 
-/// How long a call to an engine or another node may take. Reports and orders are answered in some
-/// milliseconds; an order without an answer may be carried out later, which its expected count of
-/// orders makes harmless.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a report or an order may take. They are answered in some milliseconds; an order without
+/// an answer may be carried out later, which its expected count of orders makes harmless.
+const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How much one load moves the usual time.
+const USUAL_STEP: f64 = 0.2;
 
 /// The largest body of such an answer, in bytes.
 const BODY_LIMIT_BYTES: usize = 1024 * 1024;
@@ -45,10 +48,14 @@
     /// Reads an engine's report and takes it in.
     pub(crate) async fn read_report(&self, engine: &OwnedEngine) -> Option<EngineState> {
         let upstream = self.upstream(&engine.id)?;
-        let path = self.dialect.report_path();
-        let request = Request::get(path).body(Full::default()).ok()?;
+        let call = self.dialect.write_report_call(&engine.id);
         let address = upstream.address.to_string();
-        let (status, body) = self.call(&address, request, CALL_TIMEOUT).await?;
+        let (status, body) = self.call(&address, to_request(call)?, CALL_TIMEOUT).await?;
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            // It ended and another process has its address; what that one holds is not its own.
+            self.forget_engine(&engine.id);
+            return None;
+        }
         if status != StatusCode::OK {
             return None;
         }
@@ -63,18 +70,31 @@
             }
         };
         for load in engine.reported(&report) {
+            self.note_load_time(load.since.elapsed());
             log_event!(
                 self.log, Event::LoadFinished,
                 "upstream" => engine.id.to_string(), "model" => load.model.to_string(),
                 "took_ms" => load.since.elapsed().as_millis()
             );
         }
-        if let Some(holdings) = engine.holdings() {
-            self.note_holdings(&engine.id, &holdings);
-        }
         Some(report)
     }
 
+    /// Drops an engine whose process has ended, before the list of upstreams shows it.
+    fn forget_engine(&self, engine: &UpstreamId) {
+        owners::lose(self, engine, "another process has its address");
+        self.upstreams.borrow_mut().remove(engine);
+        self.publish();
+    }
+
+    /// Takes in how long a load took until a report showed it.
+    fn note_load_time(&self, took: Duration) {
+        let usual_ms = self.usual_report_ms.get();
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        self.usual_report_ms
+            .set(usual_ms + USUAL_STEP * (took_ms - usual_ms));
+    }
+
     /// The fencing number with which `engine` may be given orders now.
     ///
     /// The store can take the key away unseen, so what was confirmed a while ago is read again.
@@ -112,7 +132,7 @@
         step: OrderStep,
         fence: u64,
     ) -> Option<OrderAnswer> {
-        let expected_seq = engine.holdings()?.order_seq;
+        let expected_seq = engine.order_seq()?;
         let order = Order {
             step,
             upstream: &upstream.id,
@@ -120,8 +140,7 @@
             holder: &self.settings.node,
             fence,
         };
-        let written = self.dialect.write_order(&order);
-        let request = post(written.path, written.headers, written.body)?;
+        let request = to_request(self.dialect.write_order(&order))?;
         let address = upstream.address.to_string();
         let answer = self.call(&address, request, CALL_TIMEOUT).await;
         let answer = answer.and_then(|(status, _)| self.dialect.read_order_answer(status));
@@ -137,13 +156,12 @@
     }
 }
 
-/// A call with a body.
-pub(crate) fn post(path: &str, headers: HeaderMap, body: Bytes) -> Option<Request<Full<Bytes>>> {
+fn to_request(call: EngineCall) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .body(Full::new(body))
+        .method(call.method)
+        .uri(call.path)
+        .body(Full::new(call.body))
         .ok()?;
-    *request.headers_mut() = headers;
+    *request.headers_mut() = call.headers;
     Some(request)
 }
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::engine::OwnedEngine;
+use super::follow_loads::follow_loads;
 use super::knowledge::{Knowledge, Owner};
 use super::watch::{Follower, follow};
 use crate::clock::boot_time;
@@ -162,6 +163,7 @@
         if knowledge.lease.get() == LeaseId::default() || started.elapsed() < FIRST_CLAIM_AFTER {
             continue;
         }
+        knowledge.note_last_owners();
         claim(&knowledge).await;
         forget_gone(&knowledge);
         load_models(&knowledge).await;
@@ -257,7 +259,29 @@
         .filter(|(engine, _)| engines.iter().any(|known| known.id == **engine))
         .map(|(engine, owner)| (engine.clone(), owner.node.clone()))
         .collect();
-    unowned_to_claim(&knowledge.settings.node, &nodes, &engines, &owners)
+    let me = &knowledge.settings.node;
+    // The next process of an engine goes to the owner of the one before, if that still lives: it
+    // may order at once, where any other node would have to wait until its orders have arrived.
+    let (again, engines): (Vec<&Upstream>, Vec<&Upstream>) = engines
+        .into_iter()
+        .partition(|engine| has_living_last_owner(knowledge, engine, &owners));
+    let again = again
+        .into_iter()
+        .filter(|engine| knowledge.last_owner(&engine.address).as_ref() == Some(me));
+    let again: Vec<UpstreamId> = again.map(|engine| engine.id.clone()).collect();
+    let mut claims = unowned_to_claim(me, &nodes, &engines, &owners);
+    claims.extend(again);
+    claims
+}
+
+fn has_living_last_owner(
+    knowledge: &Knowledge,
+    engine: &Upstream,
+    owners: &HashMap<UpstreamId, NodeId>,
+) -> bool {
+    let last = knowledge.last_owner(&engine.address);
+    let is_living = |node: NodeId| knowledge.nodes.borrow().contains_key(&node);
+    !owners.contains_key(&engine.id) && last.is_some_and(is_living)
 }
 
 async fn commit_claims(
@@ -308,7 +332,9 @@
     before: Revision,
     asked_at: Duration,
 ) {
-    let is_own_before = before != Revision(0) || knowledge.is_first_claim();
+    let is_own_before = before != Revision(0)
+        || knowledge.is_first_claim()
+        || has_no_other_owner(knowledge, engine);
     let rules = knowledge.ownership_rules();
     let now = boot_time();
     let ownership = Ownership::taken(fence.0, is_own_before, rules, asked_at, now);
@@ -325,6 +351,18 @@
     );
 }
 
+/// Whether no other node can have orders on their way to the engine: this node owned the one at its
+/// address last, or nobody did for as long as orders may be on their way.
+fn has_no_other_owner(knowledge: &Knowledge, engine: &UpstreamId) -> bool {
+    let Some(upstream) = knowledge.upstream(engine) else {
+        return false;
+    };
+    match knowledge.last_owner(&upstream.address) {
+        Some(node) => node == knowledge.settings.node,
+        None => knowledge.knows_last_owners(),
+    }
+}
+
 /// Drops engines that left the list; their keys go with the lease.
 fn forget_gone(knowledge: &Knowledge) {
     let upstreams = knowledge.upstreams.borrow();
@@ -333,14 +371,19 @@
 }
 
 /// Has base models loaded by engines of ours that hold none.
-async fn load_models(knowledge: &Knowledge) {
+async fn load_models(knowledge: &Rc<Knowledge>) {
     let owned: Vec<Rc<OwnedEngine>> = knowledge.owned.borrow().values().cloned().collect();
     for engine in owned {
         let Some(upstream) = knowledge.upstream(&engine.id) else {
             continue;
         };
-        if upstream.takes_work() && upstream.holdings.models.is_empty() {
+        let is_unread = engine.change() == 0;
+        if is_unread {
+            knowledge.read_report(&engine).await;
+        }
+        if upstream.takes_work() && engine.change() > 0 && engine.holdings().models.is_empty() {
             load_model(knowledge, &engine, &upstream).await;
+            follow_loads(Rc::clone(knowledge), Rc::clone(&engine));
         }
     }
 }
@@ -357,7 +400,7 @@
     let Some(report) = knowledge.read_report(engine).await else {
         return;
     };
-    if report.is_busy || !report.holdings.models.is_empty() {
+    if report.is_busy || !report.holdings.models.is_empty() || engine.coming_count() > 0 {
         return;
     }
     let Some(fence) = knowledge.permit(engine).await else {
--- a/crates/relay-node/src/control/peers.rs
+++ b/crates/relay-node/src/control/peers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -17,14 +17,15 @@
 use hyper_util::rt::TokioIo;
 use nutmegsail_base::UpstreamId;
 use nutmegsail_http_pool::prepare_socket;
-use nutmegsail_relay::{Holdings, ModelRef};
+use nutmegsail_relay::Holdings;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
 use super::knowledge::Knowledge;
+use super::load_failure::LoadFailure;
 use super::loader::Loader;
-use super::orders::post;
+use crate::shared::Wanted;
 
 /// The path of asks for loads.
 const LOADS_PATH: &str = "/loads";
@@ -36,8 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LoadAsk {
     pub(crate) engine: UpstreamId,
-    pub(crate) model: ModelRef,
-    pub(crate) version: Option<u64>,
+    pub(crate) wanted: Wanted,
 }
 
 impl LoadAsk {
@@ -47,14 +47,23 @@
         knowledge: &Knowledge,
         owner: SocketAddr,
         limit: Duration,
-    ) -> Option<Holdings> {
+    ) -> Result<Holdings, LoadFailure> {
+        let answer = self.call(knowledge, owner, limit).await;
+        answer.unwrap_or(Err(LoadFailure::NoOwnerAnswer))
+    }
+
+    async fn call(
+        &self,
+        knowledge: &Knowledge,
+        owner: SocketAddr,
+        limit: Duration,
+    ) -> Option<Result<Holdings, LoadFailure>> {
         let body = serde_json::to_vec(self).ok()?;
-        let request = post(LOADS_PATH, HeaderMap::new(), Bytes::from(body))?;
-        let (status, body) = knowledge.call(&owner.to_string(), request, limit).await?;
-        match status {
-            StatusCode::OK => serde_json::from_slice(&body).ok(),
-            _ => None,
-        }
+        let request = Request::post(LOADS_PATH)
+            .body(Full::new(Bytes::from(body)))
+            .ok()?;
+        let (_, body) = knowledge.call(&owner.to_string(), request, limit).await?;
+        serde_json::from_slice(&body).ok()
     }
 }
 
@@ -83,8 +92,8 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let mut answer = Response::new(Full::default());
     match load(&loader, request).await {
-        Ok(holdings) => {
-            let body = serde_json::to_vec(&holdings).unwrap_or_default();
+        Ok(loaded) => {
+            let body = serde_json::to_vec(&loaded).unwrap_or_default();
             *answer.body_mut() = Full::new(Bytes::from(body));
         }
         Err(status) => *answer.status_mut() = status,
@@ -92,7 +101,10 @@
     Ok(answer)
 }
 
-async fn load(loader: &Loader, request: Request<Incoming>) -> Result<Holdings, StatusCode> {
+async fn load(
+    loader: &Loader,
+    request: Request<Incoming>,
+) -> Result<Result<Holdings, LoadFailure>, StatusCode> {
     if request.uri().path() != LOADS_PATH {
         return Err(StatusCode::NOT_FOUND);
     }
@@ -100,8 +112,9 @@
     let body = body.collect().await.map_err(|_| StatusCode::BAD_REQUEST)?;
     let ask: LoadAsk =
         serde_json::from_slice(&body.to_bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
-    loader.knowledge.count_demand(&ask.model, 1.0);
-    let engine = loader.knowledge.owned(&ask.engine).ok_or(StatusCode::CONFLICT)?;
-    let loaded = loader.load_here(&engine, &ask.model, ask.version).await;
-    loaded.ok_or(StatusCode::SERVICE_UNAVAILABLE)
+    loader.knowledge.count_demand(&ask.wanted.model, 1.0);
+    let Some(engine) = loader.knowledge.owned(&ask.engine) else {
+        return Ok(Err(LoadFailure::NotOwned));
+    };
+    Ok(loader.load_here(&engine, &ask.wanted).await)
 }
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -46,7 +46,7 @@
 impl UpstreamsFollower {
     fn take(&self, item: &Item) {
         let knowledge = &self.knowledge;
-        let mut upstream = match knowledge.dialect.decode_upstream(&item.key, &item.value) {
+        let upstream = match knowledge.dialect.decode_upstream(&item.key, &item.value) {
             Ok(upstream) => upstream,
             Err(error) => {
                 log_event!(
@@ -59,9 +59,6 @@
         self.missing.borrow_mut().remove(&upstream.id);
         let mut upstreams = knowledge.upstreams.borrow_mut();
         if let Some(known) = upstreams.get(&upstream.id) {
-            let mut holdings = known.holdings.clone();
-            holdings.merge(&upstream.holdings);
-            upstream.holdings = holdings;
             if known.takes_work() && !upstream.takes_work() {
                 log_event!(knowledge.log, Event::UpstreamLeaving, "upstream" => upstream.id.to_string());
             }
@@ -80,7 +77,10 @@
             return;
         }
         let gone_at = Instant::now() + RETURN_TIME;
-        self.missing.borrow_mut().entry(id.clone()).or_insert(gone_at);
+        self.missing
+            .borrow_mut()
+            .entry(id.clone())
+            .or_insert(gone_at);
         spawn_local(forget_missing(
             Rc::clone(&self.knowledge),
             Rc::clone(&self.missing),
@@ -111,7 +111,10 @@
 
 impl Follower for UpstreamsFollower {
     fn whole(&self, items: &[Item]) {
-        let listed: Vec<&str> = items.iter().filter_map(|item| self.id_of(&item.key)).collect();
+        let listed: Vec<&str> = items
+            .iter()
+            .filter_map(|item| self.id_of(&item.key))
+            .collect();
         let known: Vec<UpstreamId> = self.knowledge.upstreams.borrow().keys().cloned().collect();
         for id in known {
             if !listed.contains(&id.as_str()) {
--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use nutmegsail_relay::{Holdings, ModelRef, RouteTable, Upstream};
 use thiserror::Error;
 
@@ -61,6 +61,8 @@
 /// What an engine reports about itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineState {
+    /// Orders that it has accepted.
+    pub order_seq: u64,
     /// What it holds.
     pub holdings: Holdings,
     /// Adapters on their way to it.
@@ -97,9 +99,11 @@
     pub fence: u64,
 }
 
-/// An order as it goes out.
+/// A call to an engine as it goes out.
 #[derive(Clone, Debug, PartialEq)]
-pub struct OrderRequest {
+pub struct EngineCall {
+    /// The method.
+    pub method: Method,
     /// The path.
     pub path: &'static str,
     /// Headers.
@@ -166,8 +170,8 @@
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMeta;
     /// The path at which the platform asks whether the node takes callers.
     fn ready_path(&self) -> &'static str;
-    /// The path of an engine's report.
-    fn report_path(&self) -> &'static str;
+    /// Asks an engine for its report; another incarnation at its address refuses.
+    fn write_report_call(&self, upstream: &str) -> EngineCall;
     /// Reads an engine's report.
     ///
     /// # Errors
@@ -175,7 +179,7 @@
     /// [`DecodeError`] for a body that cannot be read, as for all that follow.
     fn decode_report(&self, body: &[u8]) -> Result<EngineState, DecodeError>;
     /// Writes an order.
-    fn write_order(&self, order: &Order<'_>) -> OrderRequest;
+    fn write_order(&self, order: &Order<'_>) -> EngineCall;
     /// Reads the answer to an order; nothing if it says neither yes nor no.
     fn read_order_answer(&self, status: StatusCode) -> Option<OrderAnswer>;
     /// The prefix of the keys that operators write.
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -14,8 +14,8 @@
 mod traffic;
 
 pub use dialect::{
-    AnswerMeta, BadHeader, CallMeta, DecodeError, Dialect, EngineState, NamedVersion, Order,
-    OrderAnswer, OrderRequest, OrderStep, SendMeta, Verdict,
+    AnswerMeta, BadHeader, CallMeta, DecodeError, Dialect, EngineCall, EngineState, NamedVersion,
+    Order, OrderAnswer, OrderStep, SendMeta, Verdict,
 };
 pub use node::{RelayNode, RelayNodeError};
 pub use settings::{BoundSettings, RelaySettings, RelaySettingsError, StoreSettings};
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -25,7 +25,10 @@
 #[derive(Debug, Error)]
 pub enum RelayNodeError {
     /// An address could not be listened on.
-    #[error("{} {address} cannot be listened on: {problem}", ResultCode::SettingsInvalid)]
+    #[error(
+        "{} {address} cannot be listened on: {problem}",
+        ResultCode::SettingsInvalid
+    )]
     Listen {
         /// The address.
         address: SocketAddr,
@@ -33,7 +36,10 @@
         problem: std::io::Error,
     },
     /// The control thread could not be started.
-    #[error("{} the control thread could not be started: {_0}", ResultCode::Internal)]
+    #[error(
+        "{} the control thread could not be started: {_0}",
+        ResultCode::Internal
+    )]
     Control(std::io::Error),
 }
 
@@ -92,6 +98,7 @@
             dialect: Arc::clone(&dialect),
             failure_domain: settings.failure_domain.clone(),
             bounds: settings.bounds,
+            log: log.clone(),
         }));
         let parts = StartControl {
             settings,
@@ -106,11 +113,7 @@
         };
         let control = parts.spawn()?;
         let close = CancellationToken::new();
-        spawn_local(traffic::serve(
-            callers,
-            Rc::clone(&gateway),
-            close.clone(),
-        ));
+        spawn_local(traffic::serve(callers, Rc::clone(&gateway), close.clone()));
         spawn_local(ready::serve(readiness, Arc::clone(&shared), dialect));
         log_event!(log, Event::NodeReady, "callers" => callers_address.to_string());
         Ok(Self {
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -4,8 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use nutmegsail_relay::{Holdings, ModelRef, Report, RouteTable, Upstream, Versions};
 use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{Holdings, ModelRef, Report, RouteTable, Upstream, Versions};
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
 /// Asks for loads that wait for the control thread. Each is a request that waits; more than this
@@ -27,13 +28,21 @@
     pub(crate) nodes: usize,
 }
 
-/// A request that waits for its adapter.
-#[derive(Debug)]
-pub(crate) struct Want {
+/// An adapter that a request waits for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct Wanted {
     pub(crate) model: ModelRef,
     /// The version to bring; none for the newest.
     pub(crate) version: Option<u64>,
-    /// Engines that could take it, with the time to a first event there in milliseconds.
+    /// Whether an engine that was taken to hold it turned the request away.
+    pub(crate) was_turned_away: bool,
+}
+
+/// A request that waits for its adapter.
+#[derive(Debug)]
+pub(crate) struct Want {
+    pub(crate) wanted: Wanted,
+    /// Engines that could take it, with what speaks against each in milliseconds of wait.
     pub(crate) engines: Vec<(UpstreamId, f64)>,
     /// Told when it is there, or that it won't be. Dropped without a word if the ask was lost.
     pub(crate) ready: oneshot::Sender<Loaded>,
@@ -95,13 +104,15 @@
     /// Whether this node has a request for `model` at `engine`.
     pub(crate) fn holds(&self, engine: &UpstreamId, model: &ModelRef) -> bool {
         let uses = self.lock();
-        uses.get(engine).is_some_and(|used| used.models.contains_key(model))
+        uses.get(engine)
+            .is_some_and(|used| used.models.contains_key(model))
     }
 
     /// Requests and unread prompt tokens that this node has at `engine`.
     pub(crate) fn peek(&self, engine: &UpstreamId) -> (u32, u64) {
         let uses = self.lock();
-        uses.get(engine).map_or((0, 0), |used| (used.in_flight, used.unread_tokens))
+        uses.get(engine)
+            .map_or((0, 0), |used| (used.in_flight, used.unread_tokens))
     }
 
     /// What this node has at `engine`; what was asked counts from now on anew.
@@ -204,6 +215,8 @@
     }
 
     fn readiness(&self) -> MutexGuard<'_, Readiness> {
-        self.readiness.lock().unwrap_or_else(PoisonError::into_inner)
+        self.readiness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -46,7 +46,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(SendError::Broken | SendError::NotSent | SendError::AtLimit))) => {
-                self.flight.note_broken();
+                self.flight.note_cut(AnswerCut::Upstream);
                 Poll::Ready(Some(Err(AnswerCut::Upstream)))
             }
             Poll::Ready(None) => {
@@ -54,7 +54,10 @@
                 Poll::Ready(None)
             }
             Poll::Pending => match self.cutoff.as_mut().poll(cx) {
-                Poll::Ready(()) => Poll::Ready(Some(Err(AnswerCut::TimedOut))),
+                Poll::Ready(()) => {
+                    self.flight.note_cut(AnswerCut::TimedOut);
+                    Poll::Ready(Some(Err(AnswerCut::TimedOut)))
+                }
                 Poll::Pending => Poll::Pending,
             },
         }
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, Uri, header};
 use http_body_util::Full;
-use nutmegsail_base::ServiceName;
+use nutmegsail_base::{RequestId, ServiceName};
 use nutmegsail_relay::{Route, VersionRule};
 
 use crate::{CallMeta, Dialect, SendMeta};
@@ -44,6 +44,8 @@
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     pub(crate) meta: CallMeta,
+    /// The id that the caller gave this attempt.
+    pub(crate) id: RequestId,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     /// The versions of the model that it may begin on.
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use nutmegsail_base::UpstreamId;
+use nutmegsail_base::{RequestId, UpstreamId};
 use nutmegsail_relay::{ModelRef, Outcome};
+use nutmegsail_telemetry::{Event, log_event};
 
+use super::answer_body::AnswerCut;
 use super::gateway::Gateway;
 
 /// One send. Dropping it at any point, also because the caller went away, settles the books.
@@ -18,6 +20,7 @@
     sent: Instant,
     is_read: bool,
     is_settled: bool,
+    request: RequestId,
 }
 
 impl Flight {
@@ -27,8 +30,12 @@
         model: Option<&ModelRef>,
         prompt_tokens: u64,
         expected_ms: f64,
+        request: RequestId,
     ) -> Self {
-        gateway.dispatcher.borrow_mut().sent(upstream, prompt_tokens);
+        gateway
+            .dispatcher
+            .borrow_mut()
+            .sent(upstream, prompt_tokens);
         if let Some(model) = model {
             gateway.shared.uses.begin(upstream, model, prompt_tokens);
         }
@@ -41,6 +48,7 @@
             sent: Instant::now(),
             is_read: false,
             is_settled: false,
+            request,
         }
     }
 
@@ -52,7 +60,10 @@
         self.is_read = true;
         let now = Instant::now();
         let took = now.duration_since(self.sent);
-        self.gateway.shared.uses.read(&self.upstream, self.prompt_tokens);
+        self.gateway
+            .shared
+            .uses
+            .read(&self.upstream, self.prompt_tokens);
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
         dispatcher.answer_began(&self.upstream, self.expected_ms, took, now);
@@ -63,6 +74,19 @@
         self.settle(Outcome::Answered);
     }
 
+    /// The answer's body ended early.
+    pub(crate) fn note_cut(&mut self, cut: AnswerCut) {
+        if cut == AnswerCut::Upstream {
+            self.note_broken();
+        }
+        log_event!(
+            self.gateway.log, Event::AnswerCut,
+            "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
+            "age_ms" => self.sent.elapsed().as_millis(), "has_begun" => self.is_read,
+            "why" => cut.to_string()
+        );
+    }
+
     /// The answer broke off, or was none.
     pub(crate) fn note_broken(&mut self) {
         self.settle(Outcome::Failed);
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -7,19 +7,21 @@
 use std::time::{Duration, Instant};
 
 use http::Response;
-use nutmegsail_base::{FailureDomain, RequestId, ResultCode, RunState, ServiceName, UpstreamId};
+use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, Dispatcher, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
+use nutmegsail_telemetry::{Event, log_event};
+use slog::Logger;
 use tokio::sync::oneshot;
 
 use super::answer_body::AnswerBody;
 use super::call::Call;
 use super::refuse;
 use super::send::Sent;
-use crate::shared::{Loaded, Shared, View, Want};
+use crate::shared::{Loaded, Shared, View, Want, Wanted};
 use crate::{BoundSettings, Dialect, Verdict};
 
 /// How long opening a connection may take. A crossing takes some 1 ms; an upstream behind a
@@ -53,6 +55,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) failure_domain: FailureDomain,
     pub(crate) bounds: BoundSettings,
+    pub(crate) log: Logger,
 }
 
 /// The traffic thread's state.
@@ -62,6 +65,7 @@
     pub(crate) pool: Pool,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) bounds: BoundSettings,
+    pub(crate) log: Logger,
     /// When the node began to leave.
     pub(crate) leaving_since: Cell<Option<Instant>>,
     /// Open connections of callers.
@@ -119,6 +123,8 @@
     arrived: usize,
     /// Sends that may have run it.
     may_have_run: u32,
+    /// Whether an engine that was taken to hold the adapter did not.
+    was_misdirected: bool,
 }
 
 impl Gateway {
@@ -134,6 +140,7 @@
             pool,
             dispatcher: RefCell::new(Dispatcher::new(parts.failure_domain)),
             bounds: parts.bounds,
+            log: parts.log,
             leaving_since: Cell::new(None),
             connections: Cell::new(0),
             budgets: RefCell::default(),
@@ -148,27 +155,29 @@
             self.seen_view.set(view.number);
             let mut dispatcher = self.dispatcher.borrow_mut();
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
+            dispatcher.set_nodes(view.nodes);
         }
         for (engine, news) in self.shared.news.take() {
             let mut dispatcher = self.dispatcher.borrow_mut();
-            dispatcher.note_report(&engine, news.report);
-            if let Some(holdings) = &news.holdings {
-                dispatcher.note_holdings(&engine, holdings);
-            }
+            dispatcher.note_told(&engine, news.holdings.as_ref(), news.report);
         }
         view
     }
 
     /// Finds an answer to `call`.
-    pub(crate) async fn carry(self: &Rc<Self>, call: &Call, id: RequestId) -> Response<AnswerBody> {
-        let mut life = Life::NotRun(Request::accept(id.clone()).queue());
+    pub(crate) async fn carry(self: &Rc<Self>, call: &Call) -> Response<AnswerBody> {
+        if let Some(model) = &call.meta.model {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.note_asked(model, call.meta.prompt_tokens, Instant::now());
+        }
+        let mut life = Life::NotRun(Request::accept(call.id.clone()).queue());
         let mut sends = Sends::default();
         loop {
             let choice = match self.next_choice(call, &sends).await {
                 Ok(choice) => choice,
                 Err((code, retry_after)) => {
                     let refusal = life.give_up(code, "").with_retry_after(retry_after);
-                    return refuse::answer(&refusal, &id);
+                    return self.give_up(call, &refusal, &sends);
                 }
             };
             let dispatched = life.dispatch(&choice.upstream.id);
@@ -178,7 +187,8 @@
                 Sent::Refused(verdict) => {
                     sends.arrived += 1;
                     if verdict == Verdict::Misdirected && call.meta.model.is_some() {
-                        // It may hold the adapter again soon, unlike one that failed.
+                        // It may hold the adapter soon, unlike one that failed.
+                        sends.was_misdirected = true;
                         life = dispatched.refused_by_node(RunState::NotRun).into();
                         continue;
                     }
@@ -192,7 +202,7 @@
                 Sent::TimedOut => {
                     let after: Life = dispatched.refused_by_node(RunState::MayHaveRun).into();
                     let refusal = after.give_up(ResultCode::DeadlineUnreachable, "");
-                    return refuse::answer(&refusal, &id);
+                    return self.give_up(call, &refusal, &sends);
                 }
             };
             life = dispatched.refused_by_node(run_state).into();
@@ -202,11 +212,27 @@
                 call.route.kind.may_repeat() && sends.may_have_run < call.route.max_attempts;
             if is_lost && !may_repeat {
                 let refusal = life.give_up(ResultCode::UpstreamFailed, "");
-                return refuse::answer(&refusal, &id);
+                return self.give_up(call, &refusal, &sends);
             }
         }
     }
 
+    /// Ends a request with a refusal, and says in the log what decided it.
+    fn give_up(&self, call: &Call, refusal: &Refusal, sends: &Sends) -> Response<AnswerBody> {
+        let tried: Vec<&str> = sends.tried.iter().map(|id| id.as_str()).collect();
+        log_event!(
+            self.log, Event::RequestRefused,
+            "request" => call.id.to_string(), "route" => call.route.name.to_string(),
+            "code" => refusal.code.to_string(), "run_state" => refusal.run_state().to_string(),
+            "age_ms" => call.began.elapsed().as_millis(),
+            "remaining_ms" => call.remaining(Instant::now()).as_millis(),
+            "model" => call.meta.model.as_ref().map(ToString::to_string),
+            "arrived" => sends.arrived, "tried" => tried.join(","),
+            "view" => self.seen_view.get()
+        );
+        refuse::answer(refusal, &call.id)
+    }
+
     /// The next upstream for `call`, or the code to give it up with and when to return.
     async fn next_choice(
         &self,
@@ -242,7 +268,7 @@
                 }
                 Err(NoChoice::AdapterAbsent) => {
                     let wait = patient_until.saturating_duration_since(now);
-                    if !self.bring_adapter(call, wait).await {
+                    if !self.bring_adapter(call, sends, wait).await {
                         return Err((ResultCode::AdapterNotReady, BUSY_RETRY_AFTER));
                     }
                 }
@@ -281,14 +307,14 @@
     }
 
     /// Has the adapter that `call` names loaded, and waits for it.
-    async fn bring_adapter(&self, call: &Call, wait: Duration) -> bool {
-        let Some(ready) = self.want(call, Instant::now()) else {
+    async fn bring_adapter(&self, call: &Call, sends: &Sends, wait: Duration) -> bool {
+        let Some(ready) = self.want(call, sends.was_misdirected, Instant::now()) else {
             return false;
         };
         match tokio::time::timeout(wait, ready).await {
             Ok(Ok(Some((engine, holdings)))) => {
                 let mut dispatcher = self.dispatcher.borrow_mut();
-                dispatcher.note_holdings(&engine, &holdings);
+                dispatcher.note_holdings(&engine, &holdings, Instant::now());
                 true
             }
             _ => false,
@@ -297,16 +323,24 @@
 
     /// Has another copy of the adapter loaded, for later requests.
     fn want_copy(&self, call: &Call, now: Instant) {
-        let _ = self.want(call, now);
+        let _ = self.want(call, false, now);
     }
 
-    fn want(&self, call: &Call, now: Instant) -> Option<oneshot::Receiver<Loaded>> {
+    fn want(
+        &self,
+        call: &Call,
+        was_turned_away: bool,
+        now: Instant,
+    ) -> Option<oneshot::Receiver<Loaded>> {
         let model = call.meta.model.clone()?;
         let (ready, answer) = oneshot::channel();
         let want = Want {
-            version: call.version.wanted(),
+            wanted: Wanted {
+                model,
+                version: call.version.wanted(),
+                was_turned_away,
+            },
             engines: self.engines_for(call, now),
-            model,
             ready,
         };
         self.shared.wants.try_send(want).ok()?;
@@ -319,19 +353,7 @@
             return Vec::new();
         };
         let dispatcher = self.dispatcher.borrow();
-        let engines = dispatcher.all().filter(|tracked| {
-            let held = tracked.holdings.version_of(model);
-            tracked.upstream.service == call.service
-                && tracked.upstream.takes_work()
-                && !tracked.health.is_paused(now)
-                && !held.is_some_and(|version| call.version.prefers(version))
-        });
-        engines
-            .map(|tracked| {
-                let expected_ms = tracked.expected_first_event_ms(call.meta.prompt_tokens, now);
-                (tracked.upstream.id.clone(), expected_ms)
-            })
-            .collect()
+        dispatcher.engines_to_load(&call.service, model, call.version, now)
     }
 }
 
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -111,7 +111,7 @@
         let meta = self.dialect.read_call(&parts.headers);
         let id = request_id(meta.as_ref().ok());
         let mut answer = match self.read(parts, body, meta, began).await {
-            Ok(call) => self.carry(&call, id).await,
+            Ok(call) => self.carry(&call).await,
             Err(turned) => {
                 let proof = Life::accept(id.clone()).not_run();
                 let refusal = Refusal::not_run(proof, turned.code, turned.detail);
@@ -154,10 +154,13 @@
             .ok_or_else(|| Turned::new(ResultCode::UnknownPath, "no route leads from here"))?;
         let service = route.service(rand::random::<f64>()).clone();
         let overlap = self.bounds.version().mul_f64(VERSION_OVERLAP_SHARE);
-        let version = meta.model.as_ref().map_or(
-            nutmegsail_relay::VersionRule::Any,
-            |model| view.versions.rule(model, overlap, Instant::now()),
-        );
+        let version = meta
+            .model
+            .as_ref()
+            .map_or(nutmegsail_relay::VersionRule::Any, |model| {
+                view.versions.rule(model, overlap, Instant::now())
+            });
+        let id = request_id(Some(&meta));
         let waits = meta.deadline.unwrap_or(UNSTATED_DEADLINE);
         let due = began + waits.min(route.timeout);
         Ok(Call {
@@ -165,6 +168,7 @@
             parts,
             body,
             meta,
+            id,
             service,
             version,
             began,
--- a/crates/relay-node/src/traffic/refuse.rs
+++ b/crates/relay-node/src/traffic/refuse.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
-use nutmegsail_front::ErrorBody;
 use nutmegsail_base::RequestId;
+use nutmegsail_front::ErrorBody;
 use nutmegsail_request::Refusal;
 
 use super::answer_body::AnswerBody;
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -5,14 +5,14 @@
 
 use http::{Response, header};
 use nutmegsail_http_pool::{PooledBody, SendError};
-use nutmegsail_relay::{CallKind, Choice};
+use nutmegsail_relay::{CallKind, Choice, HeldAdapter};
 use tokio::time::sleep_until;
 
 use super::answer_body::{AnswerBody, PassedBody};
 use super::call::{Call, strip_hop_by_hop};
 use super::flight::Flight;
 use super::gateway::Gateway;
-use crate::{SendMeta, Verdict};
+use crate::{AnswerMeta, SendMeta, Verdict};
 
 /// What became of a send.
 pub(crate) enum Sent {
@@ -42,7 +42,9 @@
         let send = SendMeta {
             remaining,
             upstream: &upstream.id,
-            version: choice.version.filter(|_| call.meta.model.is_some()),
+            version: choice
+                .version
+                .filter(|version| *version != HeldAdapter::UNSTATED_VERSION),
             priority: call.meta.model.is_some().then_some(call.route.priority),
         };
         let request = call.to_upstream(&*self.dialect, &send);
@@ -52,6 +54,7 @@
             call.meta.model.as_ref(),
             call.meta.prompt_tokens,
             choice.expected_ms,
+            call.id.clone(),
         );
         let address = upstream.address.to_string();
         let patience = patience(call, remaining);
@@ -100,10 +103,7 @@
                 return Sent::Refused(Verdict::Full);
             }
             Verdict::Misdirected => {
-                let mut dispatcher = self.dispatcher.borrow_mut();
-                if let Some(model) = &call.meta.model {
-                    dispatcher.note_absent(&choice.upstream.id, model);
-                }
+                self.note_misdirected(call, choice, &meta);
                 return Sent::Refused(Verdict::Misdirected);
             }
             Verdict::Answered => {}
@@ -121,6 +121,20 @@
         Sent::Answer(self.pass_on(call, flight, answer))
     }
 
+    /// Takes in that the upstream was not the one meant, or does not hold the model.
+    fn note_misdirected(&self, call: &Call, choice: &Choice, meta: &AnswerMeta) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let meant = choice.upstream.id.as_str();
+        let is_other = meta
+            .upstream
+            .as_ref()
+            .is_some_and(|answered| answered != meant);
+        match &call.meta.model {
+            Some(model) if !is_other => dispatcher.note_absent(&choice.upstream.id, model),
+            _ => dispatcher.note_gone(&choice.upstream.id),
+        }
+    }
+
     fn pass_on(
         &self,
         call: &Call,
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -31,8 +31,7 @@
     engines: &[&Upstream],
     owners: &HashMap<UpstreamId, NodeId>,
 ) -> Vec<UpstreamId> {
-    let mut owned: HashMap<&NodeId, usize> =
-        nodes.iter().map(|record| (&record.node, 0)).collect();
+    let mut owned: HashMap<&NodeId, usize> = nodes.iter().map(|record| (&record.node, 0)).collect();
     for owner in owners.values() {
         if let Some(count) = owned.get_mut(owner) {
             *count += 1;
--- a/crates/relay/src/call_kind.rs
+++ b/crates/relay/src/call_kind.rs
@@ -26,10 +26,7 @@
     /// assert!(!CallKind::Stream { is_resumable: false }.may_repeat());
     /// ```
     pub fn may_repeat(self) -> bool {
-        matches!(
-            self,
-            Self::Idempotent | Self::Stream { is_resumable: true }
-        )
+        matches!(self, Self::Idempotent | Self::Stream { is_resumable: true })
     }
 
     /// Whether the answer is a stream of events.
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -1,21 +1,27 @@
 //! How much each adapter is asked for.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::ModelRef;
 
-/// In this time an adapter's demand counts half. Demand moves on within some 5 s; a longer memory
-/// keeps yesterday's favourites, a shorter one forgets the tail between two of its requests.
-const HALF_LIFE_S: f64 = 10.0;
-
 /// Adapters that are remembered. Eight times what today's engines hold together (252); the least
 /// wanted are forgotten first.
 const ENTRIES_LIMIT: usize = 2_048;
 
-/// Requests for each adapter, with those of long ago counting less.
-#[derive(Clone, Debug, Default)]
+/// What each adapter was asked for, with what was long ago counting less.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use nutmegsail_relay::{Demand, ModelRef};
+/// let (mut demand, now) = (Demand::new(Duration::from_secs(10)), Instant::now());
+/// let adapter = ModelRef::parse("llama/a7");
+/// demand.add(&adapter, 4.0, now);
+/// assert_eq!(demand.score(&adapter, now + Duration::from_secs(10)), 2.0);
+/// ```
+#[derive(Clone, Debug)]
 pub struct Demand {
+    half_life_s: f64,
     entries: HashMap<ModelRef, Entry>,
 }
 
@@ -26,26 +32,35 @@
 }
 
 impl Entry {
-    fn score_at(&self, now: Instant) -> f64 {
+    fn score_at(&self, half_life_s: f64, now: Instant) -> f64 {
         let age_s = now.duration_since(self.at).as_secs_f64();
-        self.score * 0.5_f64.powf(age_s / HALF_LIFE_S)
+        self.score * 0.5_f64.powf(age_s / half_life_s)
     }
 }
 
 impl Demand {
-    /// Counts requests for `model`.
-    pub fn add(&mut self, model: &ModelRef, requests: f64, now: Instant) {
+    /// Nothing asked for yet; what is `half_life` old counts half.
+    pub fn new(half_life: Duration) -> Self {
+        Self {
+            half_life_s: half_life.as_secs_f64(),
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Counts `amount` for `model`: requests, or what they weigh.
+    pub fn add(&mut self, model: &ModelRef, amount: f64, now: Instant) {
+        let half_life_s = self.half_life_s;
         match self.entries.get_mut(model) {
             Some(entry) => {
                 *entry = Entry {
-                    score: entry.score_at(now) + requests,
+                    score: entry.score_at(half_life_s, now) + amount,
                     at: now,
                 };
             }
             None => {
                 self.make_room(now);
                 let entry = Entry {
-                    score: requests,
+                    score: amount,
                     at: now,
                 };
                 self.entries.insert(model.clone(), entry);
@@ -57,7 +72,12 @@
     pub fn score(&self, model: &ModelRef, now: Instant) -> f64 {
         self.entries
             .get(model)
-            .map_or(0.0, |entry| entry.score_at(now))
+            .map_or(0.0, |entry| entry.score_at(self.half_life_s, now))
+    }
+
+    /// What `model` is asked for in a second, if that has not changed for a few half-lives.
+    pub fn rate_per_s(&self, model: &ModelRef, now: Instant) -> f64 {
+        self.score(model, now) * std::f64::consts::LN_2 / self.half_life_s
     }
 
     fn make_room(&mut self, now: Instant) {
@@ -67,12 +87,12 @@
         let mut scores: Vec<f64> = self
             .entries
             .values()
-            .map(|entry| entry.score_at(now))
+            .map(|entry| entry.score_at(self.half_life_s, now))
             .collect();
         let middle = scores.len() / 2;
         let (_, median, _) = scores.select_nth_unstable_by(middle, f64::total_cmp);
         let median = *median;
         self.entries
-            .retain(|_, entry| entry.score_at(now) > median);
+            .retain(|_, entry| entry.score_at(self.half_life_s, now) > median);
     }
 }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -7,7 +7,8 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use rand::{Rng, RngExt as _};
 
-use crate::{Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
+use crate::tracked::PROMPT_TOKEN_MS;
+use crate::{Demand, Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
 
 /// What a request needs of an upstream.
 #[derive(Clone, Debug)]
@@ -48,9 +49,17 @@
     AllBusy,
 }
 
-/// A wait over which a further copy of an adapter is worth its load: half of the shortest latency
+/// A wait over which a further copy of an adapter is worth its load: a third of the shortest latency
 /// objective of the generations (600 ms), so that a copy comes before requests are late.
-const COPY_WAIT_MS: f64 = 300.0;
+const COPY_WAIT_MS: f64 = 200.0;
+
+/// The part of an engine's time that the prompts of one adapter may take up, before another copy
+/// is worth its load. The rest is for the engine's other adapters, of which it holds some twenty.
+const COPY_SHARE: f64 = 0.4;
+
+/// How long demand is looked at to tell how many copies an adapter needs: a popular one is asked
+/// for several times in it at each node.
+const COPIES_HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// What a way into another failure domain costs, in milliseconds of expected wait: two crossings
 /// of some 1 ms, and bytes that are charged for.
@@ -63,6 +72,15 @@
 /// What a paused upstream scores above any other: it gets work only if all are paused.
 const PAUSED_MS: f64 = 100_000.0;
 
+/// What an engine scores where an adapter is not on its way, so that one where it is goes first.
+const ELSEWHERE_MS: f64 = 1_000.0;
+
+/// Loads ahead at one engine over which it gets no more.
+const LOADS_AHEAD_LIMIT: usize = 4;
+
+/// What each load ahead at an engine adds to the wait for another, in milliseconds: its time.
+const COMING_MS: f64 = 250.0;
+
 /// What a plain upstream scores for a request that runs there, in milliseconds.
 const PLAIN_RUNNING_MS: f64 = 30.0;
 
@@ -71,6 +89,9 @@
 pub struct Dispatcher {
     failure_domain: FailureDomain,
     upstreams: HashMap<UpstreamId, Tracked>,
+    /// Prompt tokens that this node was asked for, by adapter.
+    asked_tokens: Demand,
+    nodes: usize,
 }
 
 impl Dispatcher {
@@ -79,6 +100,8 @@
         Self {
             failure_domain,
             upstreams: HashMap::new(),
+            asked_tokens: Demand::new(COPIES_HALF_LIFE),
+            nodes: 1,
         }
     }
 
@@ -88,10 +111,7 @@
             .retain(|id, _| list.iter().any(|upstream| upstream.id == *id));
         for upstream in list {
             match self.upstreams.get_mut(&upstream.id) {
-                Some(tracked) => {
-                    tracked.holdings.merge(&upstream.holdings);
-                    tracked.upstream = Arc::clone(upstream);
-                }
+                Some(tracked) => tracked.note_entry(Arc::clone(upstream), now),
                 None => {
                     let tracked = Tracked::new(Arc::clone(upstream), now);
                     self.upstreams.insert(upstream.id.clone(), tracked);
@@ -100,17 +120,17 @@
         }
     }
 
-    /// Takes in a report of what an engine holds.
-    pub fn note_holdings(&mut self, id: &UpstreamId, holdings: &Holdings) {
+    /// Takes in what an engine holds now that an adapter was brought in.
+    pub fn note_holdings(&mut self, id: &UpstreamId, holdings: &Holdings, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
-            tracked.holdings.merge(holdings);
+            tracked.note_holdings(holdings, now);
         }
     }
 
-    /// Takes in a report of an engine's load.
-    pub fn note_report(&mut self, id: &UpstreamId, report: Report) {
+    /// Takes in what an engine's owner told; `holdings` only if they changed.
+    pub fn note_told(&mut self, id: &UpstreamId, holdings: Option<&Holdings>, report: Report) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
-            tracked.report = Some(report);
+            tracked.note_told(holdings, report);
         }
     }
 
@@ -121,6 +141,13 @@
         }
     }
 
+    /// Takes in that another process has an upstream's address.
+    pub fn note_gone(&mut self, id: &UpstreamId) {
+        if let Some(tracked) = self.upstreams.get_mut(id) {
+            tracked.is_gone = true;
+        }
+    }
+
     /// What is known of one upstream.
     pub fn tracked(&self, id: &UpstreamId) -> Option<&Tracked> {
         self.upstreams.get(id)
@@ -177,16 +204,40 @@
             upstream: Arc::clone(&tracked.upstream),
             version,
             expected_ms,
-            wants_copy: need.model.is_some()
-                && (expected_ms > COPY_WAIT_MS || !preferred_exists)
-                && self.spare_engine(need, expected_ms, now),
+            wants_copy: !preferred_exists
+                || (expected_ms > COPY_WAIT_MS && self.needs_copy(need, now)),
         })
     }
 
+    /// Whether the prompts for one adapter take up more of its copies' time than they should.
+    ///
+    /// A queue alone says little: it may be another adapter's, and then a copy of this one costs a
+    /// load and evicts something for nothing.
+    fn needs_copy(&self, need: &Need<'_>, now: Instant) -> bool {
+        let Some(model) = need.model else {
+            return false;
+        };
+        let holds = |tracked: &&Tracked| tracked.holdings.version_of(model).is_some();
+        let copies = self.candidates(need).filter(holds).count();
+        let tokens_per_s = self.asked_tokens.rate_per_s(model, now) * self.nodes as f64;
+        tokens_per_s * PROMPT_TOKEN_MS / 1_000.0 > COPY_SHARE * copies as f64
+    }
+
+    /// Takes in how many nodes there are: each sees its part of the demand.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
+    /// Counts a request that was read.
+    pub fn note_asked(&mut self, model: &ModelRef, prompt_tokens: u64, now: Instant) {
+        self.asked_tokens.add(model, prompt_tokens as f64, now);
+    }
+
     fn candidates<'a>(&'a self, need: &'a Need<'_>) -> impl Iterator<Item = &'a Tracked> {
         self.upstreams.values().filter(|tracked| {
             tracked.upstream.service == *need.service
                 && tracked.upstream.takes_work()
+                && !tracked.is_gone
                 && !need.tried.contains(&tracked.upstream.id)
         })
     }
@@ -209,12 +260,44 @@
         score
     }
 
-    /// Whether an engine without the adapter would answer much sooner than `expected_ms`.
-    fn spare_engine(&self, need: &Need<'_>, expected_ms: f64, now: Instant) -> bool {
-        self.candidates(need).any(|tracked| {
-            !tracked.health.is_paused(now)
-                && tracked.expected_first_event_ms(need.prompt_tokens, now) < expected_ms / 2.0
-        })
+    /// Engines that could take `model`, each with what speaks against it in milliseconds of
+    /// expected wait.
+    ///
+    /// An engine without the base model can take no adapter. As it is also idle, it would be the
+    /// first choice of every request, and each would wait for an order that cannot be given.
+    pub fn engines_to_load(
+        &self,
+        service: &ServiceName,
+        model: &ModelRef,
+        version: VersionRule,
+        now: Instant,
+    ) -> Vec<(UpstreamId, f64)> {
+        let takes = |tracked: &&Tracked| {
+            let holdings = &tracked.holdings;
+            let has_base = holdings.has_base(model);
+            let has_it = holdings.version_of(model);
+            tracked.upstream.service == *service
+                && tracked.upstream.takes_work()
+                && !tracked.health.is_paused(now)
+                && !tracked.is_gone
+                && has_base
+                && !has_it.is_some_and(|held| version.prefers(held))
+                && (tracked.coming(now).len() < LOADS_AHEAD_LIMIT
+                    || tracked.coming(now).contains(model))
+        };
+        let engines = self.upstreams.values().filter(takes);
+        engines
+            .map(|tracked| {
+                // Where it is on its way already, it comes soonest and costs nothing more.
+                if tracked.coming(now).contains(model) {
+                    return (tracked.upstream.id.clone(), 0.0);
+                }
+                let coming_ms = tracked.coming(now).len() as f64 * COMING_MS;
+                let wait_ms = tracked.expected_first_event_ms(0, now);
+                let wait_ms = ELSEWHERE_MS + wait_ms + coming_ms;
+                (tracked.upstream.id.clone(), wait_ms)
+            })
+            .collect()
     }
 
     /// Counts a request as sent.
@@ -275,7 +358,10 @@
             Self::AdapterAbsent => 1,
             Self::AllBusy => 2,
         };
-        if rank(other) > rank(self) { other } else { self }
+        if rank(other) > rank(self) {
+            other
+        } else {
+            self
+        }
     }
 }
-
--- a/crates/relay/src/holdings.rs
+++ b/crates/relay/src/holdings.rs
@@ -1,4 +1,4 @@
-//! What an engine holds, pieced together from sources that lag by different amounts.
+//! What an engine holds.
 
 use std::sync::Arc;
 
@@ -12,10 +12,15 @@
 pub struct HeldAdapter {
     /// The adapter.
     pub name: AdapterName,
-    /// Its version.
+    /// Its version, or [`UNSTATED_VERSION`](Self::UNSTATED_VERSION).
     pub version: u64,
 }
 
+impl HeldAdapter {
+    /// Stands for a version that is not known.
+    pub const UNSTATED_VERSION: u64 = 0;
+}
+
 /// A base model in an engine's memory, with its adapters.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldModel {
@@ -27,11 +32,20 @@
     pub adapters: Vec<HeldAdapter>,
 }
 
-/// What an engine holds, as of a number of orders it had accepted.
+/// What an engine holds.
+///
+/// ```
+/// use nutmegsail_relay::{HeldAdapter, HeldModel, Holdings, ModelRef};
+/// let a7 = HeldAdapter { name: "a7".into(), version: 2 };
+/// let llama = HeldModel { name: "llama".into(), version: 1, adapters: vec![a7] };
+/// let mut holdings = Holdings { models: vec![llama] };
+/// let wanted = ModelRef::parse("llama/a7");
+/// assert_eq!(holdings.version_of(&wanted), Some(2));
+/// holdings.forget(&wanted);
+/// assert_eq!(holdings.version_of(&wanted), None);
+/// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holdings {
-    /// Orders that the engine had accepted.
-    pub order_seq: u64,
     /// The models.
     pub models: Vec<HeldModel>,
 }
@@ -58,36 +72,9 @@
         self.models.iter().map(|model| model.adapters.len()).sum()
     }
 
-    /// Takes in a report or heartbeat, which may be older than what is known.
-    ///
-    /// Each order that changes what an engine holds raises its counter, so a lower counter marks an
-    /// older picture: taken at its word, it would bring back an adapter that was unloaded since, and
-    /// the request sent for it would come back unserved. With equal counters a load may have
-    /// finished in between, so what either picture shows is kept.
-    pub fn merge(&mut self, newer: &Self) {
-        match newer.order_seq.cmp(&self.order_seq) {
-            std::cmp::Ordering::Less => {}
-            std::cmp::Ordering::Greater => *self = newer.clone(),
-            std::cmp::Ordering::Equal => {
-                for model in &newer.models {
-                    self.merge_model(model);
-                }
-            }
-        }
-    }
-
-    fn merge_model(&mut self, newer: &HeldModel) {
-        let Some(known) = self.models.iter_mut().find(|known| known.name == newer.name) else {
-            self.models.push(newer.clone());
-            return;
-        };
-        known.version = known.version.max(newer.version);
-        for adapter in &newer.adapters {
-            match known.adapters.iter_mut().find(|held| held.name == adapter.name) {
-                Some(held) => held.version = held.version.max(adapter.version),
-                None => known.adapters.push(adapter.clone()),
-            }
-        }
+    /// Whether the base model is held that `wanted` names or belongs to.
+    pub fn has_base(&self, wanted: &ModelRef) -> bool {
+        self.models.iter().any(|held| held.name == wanted.model)
     }
 
     /// Forgets what `missing` names, after the engine said that it does not hold it.
--- a/crates/relay/src/load_plan.rs
+++ b/crates/relay/src/load_plan.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use nutmegsail_base::AdapterName;
+use serde::{Deserialize, Serialize};
 
 use crate::{Demand, Holdings, ModelRef};
 
@@ -32,7 +33,7 @@
 }
 
 /// Why an adapter cannot be brought into an engine now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoadRefusal {
     /// As many adapters are on their way as the engine takes at once.
     TransfersFull,
@@ -65,7 +66,7 @@
     if coming.len() >= room.transfers {
         return Err(LoadRefusal::TransfersFull);
     }
-    if !holdings.models.iter().any(|held| held.name == wanted.model) {
+    if !holdings.has_base(wanted) {
         return Err(LoadRefusal::ModelAbsent);
     }
     let load = LoadStep::Load(wanted.clone(), version);
--- a/crates/relay/src/model_ref.rs
+++ b/crates/relay/src/model_ref.rs
@@ -15,9 +15,7 @@
 /// assert_eq!(adapter.adapter.as_ref().unwrap().as_str(), "a7");
 /// assert_eq!(adapter.to_string(), "llama/a7");
 /// ```
-#[derive(
-    Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[display("{model}{}{}", if adapter.is_some() { "/" } else { "" }, adapter.as_ref().map_or("", |name| name.as_str()))]
 pub struct ModelRef {
     /// The base model.
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -49,7 +49,13 @@
 
 impl Ownership {
     /// An engine whose key was written at revision `fence` by a call sent at `asked_at`.
-    pub fn taken(fence: u64, is_own_before: bool, rules: OwnershipRules, asked_at: Duration, now: Duration) -> Self {
+    pub fn taken(
+        fence: u64,
+        is_own_before: bool,
+        rules: OwnershipRules,
+        asked_at: Duration,
+        now: Duration,
+    ) -> Self {
         let wait = match is_own_before {
             true => Duration::ZERO,
             false => rules.confirmation + rules.hand_over + ORDER_TRAVEL,
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -3,24 +3,30 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::{Health, Holdings, Upstream};
+use crate::{Health, Holdings, ModelRef, Upstream};
 
 /// Load of an engine as others reported it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     /// Requests that other nodes have there.
     pub in_flight_of_others: u32,
     /// Prompt tokens that other nodes have sent and that were not answered yet.
     pub unread_tokens_of_others: u64,
+    /// Adapters on their way to it, or waiting for it.
+    pub coming: Vec<ModelRef>,
     /// When it was taken.
     pub taken: Instant,
 }
 
+/// How long an owner's word goes before the list of upstreams: longer than a heartbeat and the
+/// list's lag.
+const TOLD_LIFE: Duration = Duration::from_millis(2_500);
+
 /// How long a report of the load says anything: a queue of prompts is read in some 300 ms.
 const REPORT_LIFE: Duration = Duration::from_millis(600);
 
 /// How long a prompt token takes to be read at a sound engine, in milliseconds (19.2 tokens a ms).
-const PROMPT_TOKEN_MS: f64 = 0.052;
+pub(crate) const PROMPT_TOKEN_MS: f64 = 0.052;
 
 /// The time to the first event of an empty prompt at an idle engine: one step and the way there.
 const FIRST_EVENT_FLOOR_MS: f64 = 18.0;
@@ -42,14 +48,18 @@
 pub struct Tracked {
     /// The entry of the list of upstreams.
     pub upstream: Arc<Upstream>,
-    /// What it holds, from all sources.
+    /// What it holds.
     pub holdings: Holdings,
+    /// When its owner last confirmed what it holds.
+    holdings_told: Option<Instant>,
     /// Requests that this node sent and that have not ended.
     pub in_flight: u32,
     /// Prompt tokens that this node sent and whose answers have not begun.
     pub unread_tokens: u64,
     /// Failures.
     pub health: Health,
+    /// Whether another process has its address, before the list of upstreams shows it.
+    pub is_gone: bool,
     /// The last report of its load.
     pub report: Option<Report>,
     slowness: f64,
@@ -61,16 +71,49 @@
     pub fn new(upstream: Arc<Upstream>, now: Instant) -> Self {
         Self {
             holdings: upstream.holdings.clone(),
+            holdings_told: None,
             upstream,
             in_flight: 0,
             unread_tokens: 0,
             health: Health::default(),
+            is_gone: false,
             report: None,
             slowness: 1.0,
             slowness_at: now,
         }
     }
 
+    /// Takes in the entry of the list of upstreams.
+    ///
+    /// Entries lag by a heartbeat or more. Taken at their word, they would bring back an adapter
+    /// that was unloaded since, and the request sent for it would come back unserved. So what the
+    /// owner told goes first while it is fresh.
+    pub fn note_entry(&mut self, upstream: Arc<Upstream>, now: Instant) {
+        let is_told = |at| now.duration_since(at) < TOLD_LIFE;
+        if !self.holdings_told.is_some_and(is_told) {
+            self.holdings = upstream.holdings.clone();
+        }
+        self.upstream = upstream;
+    }
+
+    /// Takes in what the owner knows; `holdings` only if they changed.
+    pub fn note_told(&mut self, holdings: Option<&Holdings>, report: Report) {
+        if let Some(holdings) = holdings {
+            self.holdings = holdings.clone();
+            self.holdings_told = Some(report.taken);
+        }
+        if self.holdings_told.is_some() {
+            self.holdings_told = Some(report.taken);
+        }
+        self.report = Some(report);
+    }
+
+    /// Takes in what it holds now that an adapter was brought in.
+    pub fn note_holdings(&mut self, holdings: &Holdings, now: Instant) {
+        self.holdings = holdings.clone();
+        self.holdings_told = Some(now);
+    }
+
     /// How much longer answers take than expected; 1 for a sound upstream.
     pub fn slowness(&self, now: Instant) -> f64 {
         let age_s = now.duration_since(self.slowness_at).as_secs_f64();
@@ -89,6 +132,12 @@
         self.in_flight + others.map_or(0, |report| report.in_flight_of_others)
     }
 
+    /// Adapters on their way to it, as far as is known.
+    pub fn coming(&self, now: Instant) -> &[ModelRef] {
+        self.fresh_report(now)
+            .map_or(&[], |report| report.coming.as_slice())
+    }
+
     /// How long a prompt of `tokens` is expected to wait for its first event, in milliseconds.
     pub fn expected_first_event_ms(&self, tokens: u64, now: Instant) -> f64 {
         self.sound_first_event_ms(tokens, now) * self.slowness(now)
--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -89,6 +89,8 @@
 
     /// The models that a version was named of.
     pub fn models(&self) -> impl Iterator<Item = (&ModelRef, u64)> {
-        self.named.iter().map(|(model, named)| (model, named.version))
+        self.named
+            .iter()
+            .map(|(model, named)| (model, named.version))
     }
 }
