Follow the whole store with one watch

Change: one watch on all keys instead of three; heartbeats of upstreams pass through it all the time, so it waits for 1 s only and silence shows within 2 s.

--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -27,6 +27,10 @@
 use crate::{Dialect, RelaySettings};
 use knowledge::Knowledge;
 use loader::Loader;
+use operators_watch::OperatorsFollower;
+use owners::OwnersFollower;
+use upstreams_watch::UpstreamsFollower;
+use watch::Follower;
 
 /// What the control thread is made of.
 pub(crate) struct ControlParts {
@@ -48,9 +52,7 @@
 pub(crate) async fn run(parts: ControlParts) {
     let knowledge = Rc::new(Knowledge::new(&parts));
     let loader = Rc::new(Loader::new(Rc::clone(&knowledge)));
-    spawn_local(operators_watch::run(Rc::clone(&knowledge)));
-    spawn_local(upstreams_watch::run(Rc::clone(&knowledge)));
-    spawn_local(owners::watch(Rc::clone(&knowledge)));
+    spawn_local(watch_store(Rc::clone(&knowledge)));
     let keeper = spawn_local(owners::keep(Rc::clone(&knowledge)));
     spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
     spawn_local(exchange::run(Rc::clone(&knowledge), parts.datagrams));
@@ -59,3 +61,12 @@
     keeper.abort();
     owners::give_back(&knowledge).await;
 }
+
+async fn watch_store(knowledge: Rc<Knowledge>) {
+    let followers: [Box<dyn Follower>; 3] = [
+        Box::new(OperatorsFollower(Rc::clone(&knowledge))),
+        Box::new(UpstreamsFollower::new(Rc::clone(&knowledge))),
+        Box::new(OwnersFollower(Rc::clone(&knowledge))),
+    ];
+    watch::follow(&knowledge, &followers).await;
+}
--- a/crates/relay-node/src/control/operators_watch.rs
+++ b/crates/relay-node/src/control/operators_watch.rs
@@ -8,16 +8,10 @@
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::knowledge::Knowledge;
-use super::watch::{Follower, follow};
+use super::watch::Follower;
 
-/// Follows the operators' keys for ever.
-pub(crate) async fn run(knowledge: Rc<Knowledge>) {
-    let prefix = knowledge.dialect.operators_prefix();
-    let follower = OperatorsFollower(Rc::clone(&knowledge));
-    follow(&knowledge, prefix, &follower).await;
-}
-
-struct OperatorsFollower(Rc<Knowledge>);
+/// Takes in what operators write.
+pub(crate) struct OperatorsFollower(pub(crate) Rc<Knowledge>);
 
 impl OperatorsFollower {
     fn take(&self, item: &Item) {
@@ -69,19 +63,21 @@
 }
 
 impl Follower for OperatorsFollower {
-    fn whole(&self, items: &[Item]) {
+    fn prefix(&self) -> &str {
+        self.0.dialect.operators_prefix()
+    }
+
+    fn whole(&self, items: &[&Item]) {
         for item in items {
             self.take(item);
         }
-        self.0.publish();
     }
 
-    fn changes(&self, changes: &[Change]) {
+    fn changes(&self, changes: &[&Change]) {
         for change in changes {
             if let Change::Put(item) = change {
                 self.take(item);
             }
         }
-        self.0.publish();
     }
 }
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -16,7 +16,7 @@
 use super::engine::OwnedEngine;
 use super::follow_loads::follow_loads;
 use super::knowledge::{Knowledge, Owner};
-use super::watch::{Follower, follow};
+use super::watch::Follower;
 use crate::clock::boot_time;
 use crate::{OrderAnswer, OrderStep};
 
@@ -54,13 +54,8 @@
     format!("{OWNER_PREFIX}{engine}")
 }
 
-/// Follows nodes and owners for ever.
-pub(crate) async fn watch(knowledge: Rc<Knowledge>) {
-    let follower = OwnersFollower(Rc::clone(&knowledge));
-    follow(&knowledge, PREFIX, &follower).await;
-}
-
-struct OwnersFollower(Rc<Knowledge>);
+/// Takes in nodes and owners.
+pub(crate) struct OwnersFollower(pub(crate) Rc<Knowledge>);
 
 impl OwnersFollower {
     fn take(&self, item: &Item) {
@@ -110,7 +105,11 @@
 }
 
 impl Follower for OwnersFollower {
-    fn whole(&self, items: &[Item]) {
+    fn prefix(&self) -> &str {
+        PREFIX
+    }
+
+    fn whole(&self, items: &[&Item]) {
         let listed: Vec<&str> = items.iter().map(|item| &*item.key).collect();
         let nodes: Vec<NodeId> = self.0.nodes.borrow().keys().cloned().collect();
         let engines: Vec<UpstreamId> = self.0.owners.borrow().keys().cloned().collect();
@@ -124,17 +123,15 @@
         for item in items {
             self.take(item);
         }
-        self.0.publish();
     }
 
-    fn changes(&self, changes: &[Change]) {
+    fn changes(&self, changes: &[&Change]) {
         for change in changes {
             match change {
                 Change::Put(item) => self.take(item),
                 Change::Removed { key, .. } => self.remove(key),
             }
         }
-        self.0.publish();
     }
 }
 
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -14,28 +14,14 @@
 use tokio::time::sleep;
 
 use super::knowledge::Knowledge;
-use super::watch::{Follower, follow};
-
-/// The pause between two watches. Every heartbeat is an event, so a watch that is called again at
-/// once costs a call for each; a leaving upstream must get nothing new after 2 s.
-const PAUSE: Duration = Duration::from_millis(350);
+use super::watch::Follower;
 
 /// How long an upstream whose entry went while the store was away is kept after its return.
 /// Entries lapse with the store and are back within some 2 s if the upstream lives.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 
-/// Follows the list of upstreams for ever.
-pub(crate) async fn run(knowledge: Rc<Knowledge>) {
-    let prefix = knowledge.dialect.upstreams_prefix();
-    let follower = UpstreamsFollower {
-        knowledge: Rc::clone(&knowledge),
-        lost_at: Cell::new(None),
-        missing: Rc::default(),
-    };
-    follow(&knowledge, prefix, &follower).await;
-}
-
-struct UpstreamsFollower {
+/// Takes in the list of upstreams.
+pub(crate) struct UpstreamsFollower {
     knowledge: Rc<Knowledge>,
     /// When the store last did not answer.
     lost_at: Cell<Option<Instant>>,
@@ -44,6 +30,14 @@
 }
 
 impl UpstreamsFollower {
+    pub(crate) fn new(knowledge: Rc<Knowledge>) -> Self {
+        Self {
+            knowledge,
+            lost_at: Cell::new(None),
+            missing: Rc::default(),
+        }
+    }
+
     fn take(&self, item: &Item) {
         let knowledge = &self.knowledge;
         let upstream = match knowledge.dialect.decode_upstream(&item.key, &item.value) {
@@ -110,7 +104,11 @@
 }
 
 impl Follower for UpstreamsFollower {
-    fn whole(&self, items: &[Item]) {
+    fn prefix(&self) -> &str {
+        self.knowledge.dialect.upstreams_prefix()
+    }
+
+    fn whole(&self, items: &[&Item]) {
         let listed: Vec<&str> = items
             .iter()
             .filter_map(|item| self.id_of(&item.key))
@@ -124,10 +122,9 @@
         for item in items {
             self.take(item);
         }
-        self.knowledge.publish();
     }
 
-    fn changes(&self, changes: &[Change]) {
+    fn changes(&self, changes: &[&Change]) {
         for change in changes {
             match change {
                 Change::Put(item) => self.take(item),
@@ -138,14 +135,9 @@
                 }
             }
         }
-        self.knowledge.publish();
     }
 
     fn lost(&self) {
         self.lost_at.set(Some(Instant::now()));
     }
-
-    fn pause(&self) -> Duration {
-        PAUSE
-    }
 }
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -1,4 +1,9 @@
-//! Follows one prefix of the store.
+//! Follows all keys of the store with one watch.
+//!
+//! One watch sees what operators, upstreams and nodes write. Heartbeats of upstreams pass through
+//! it all the time, so a connection that has gone silent shows within two seconds also while nobody
+//! changes the configuration; a watch of its own for the configuration would hang unnoticed, and
+//! the node serve an old one.
 
 use std::ops::ControlFlow;
 use std::time::Duration;
@@ -9,78 +14,112 @@
 
 use super::knowledge::Knowledge;
 
-/// How long one watch waits; the store takes up to 30 s. A shorter wait shows a silent link sooner.
-const WAIT: Duration = Duration::from_secs(10);
+/// The prefix of every key.
+const ALL_KEYS: &str = "";
+
+/// How long one watch waits for a change. Heartbeats end it much sooner.
+const WAIT: Duration = Duration::from_secs(1);
+
+/// The pause between two watches. Every heartbeat is an event, so a watch that is called again at
+/// once costs a call for each; a leaving upstream must get nothing new after 2 s, and a new
+/// configuration be in force by then.
+const PAUSE: Duration = Duration::from_millis(450);
 
 /// The pause after a failed call, with up to as much again at random, so that the nodes do not
 /// all come back to the store at one moment.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// The most pages that are read of one range: 500 items each.
+/// Watches that may fail in a row before everything is read anew: events may have been lost.
+const FAILURES_LIMIT: u32 = 3;
+
+/// The most pages that are read at once: 500 items each.
 const PAGES_LIMIT: usize = 200;
 
-/// What a follower of a prefix is told.
+/// What a follower of some keys is told.
 pub(crate) trait Follower {
-    /// All items of the prefix, after start or when history was lost.
-    fn whole(&self, items: &[Item]);
+    /// The prefix of its keys.
+    fn prefix(&self) -> &str;
+    /// All its items, after start or when history was lost.
+    fn whole(&self, items: &[&Item]);
     /// Changes, oldest first.
-    fn changes(&self, changes: &[Change]);
+    fn changes(&self, changes: &[&Change]);
     /// The store did not answer.
     fn lost(&self) {}
-    /// The pause before the next watch, so that a prefix that changes all the time does not cost a
-    /// call for each change.
-    fn pause(&self) -> Duration {
-        Duration::ZERO
-    }
 }
 
-/// Follows `prefix` for ever.
-pub(crate) async fn follow(knowledge: &Knowledge, prefix: &str, follower: &dyn Follower) {
+/// Follows the store for ever.
+pub(crate) async fn follow(knowledge: &Knowledge, followers: &[Box<dyn Follower>]) {
     let mut is_lost = false;
     loop {
-        match read_all(knowledge, prefix).await {
+        match read_all(knowledge, ALL_KEYS).await {
             Ok((items, revision)) => {
                 if std::mem::take(&mut is_lost) {
-                    log_event!(knowledge.log, Event::PlatformReturned, "prefix" => prefix.to_owned());
+                    log_event!(knowledge.log, Event::PlatformReturned, "revision" => revision.0);
                 }
-                follower.whole(&items);
-                let error = follow_changes(knowledge, prefix, follower, revision).await;
-                log_lost(knowledge, prefix, &error);
+                tell_whole(knowledge, followers, &items);
+                let error = follow_changes(knowledge, followers, revision).await;
+                log_lost(knowledge, &error);
                 is_lost = true;
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
-                    log_lost(knowledge, prefix, &error);
+                    log_lost(knowledge, &error);
                 }
-                follower.lost();
+                followers.iter().for_each(|follower| follower.lost());
                 pause().await;
             }
         }
     }
 }
 
+fn tell_whole(knowledge: &Knowledge, followers: &[Box<dyn Follower>], items: &[Item]) {
+    for follower in followers {
+        let is_its = |item: &&Item| item.key.starts_with(follower.prefix());
+        let items: Vec<&Item> = items.iter().filter(is_its).collect();
+        follower.whole(&items);
+    }
+    knowledge.publish();
+}
+
+fn tell_changes(knowledge: &Knowledge, followers: &[Box<dyn Follower>], changes: &[Change]) {
+    for follower in followers {
+        let is_its = |change: &&Change| key(change).starts_with(follower.prefix());
+        let changes: Vec<&Change> = changes.iter().filter(is_its).collect();
+        if !changes.is_empty() {
+            follower.changes(&changes);
+        }
+    }
+    knowledge.publish();
+}
+
+fn key(change: &Change) -> &str {
+    match change {
+        Change::Put(item) => &item.key,
+        Change::Removed { key, .. } => key,
+    }
+}
+
 /// Follows the changes after `revision` until the history is gone.
 async fn follow_changes(
     knowledge: &Knowledge,
-    prefix: &str,
-    follower: &dyn Follower,
+    followers: &[Box<dyn Follower>],
     revision: Revision,
 ) -> KeyValueError {
     let mut after = revision;
     let mut failures = 0;
     loop {
-        match knowledge.store.watch(prefix, after, WAIT).await {
+        match knowledge.store.watch(ALL_KEYS, after, WAIT).await {
             Ok(changes) => {
                 failures = 0;
                 after = after.max(changes.revision);
                 if !changes.changes.is_empty() {
-                    follower.changes(&changes.changes);
-                    sleep(follower.pause()).await;
+                    tell_changes(knowledge, followers, &changes.changes);
                 }
+                sleep(PAUSE).await;
             }
             Err(error) => {
                 failures += 1;
-                follower.lost();
+                followers.iter().for_each(|follower| follower.lost());
                 if let ControlFlow::Break(error) = judge(error, failures) {
                     return error;
                 }
@@ -90,10 +129,8 @@
     }
 }
 
-/// Whether the watch can go on where it was. After a few failures the whole prefix is read anew:
-/// events may have been lost with the connection.
+/// Whether the watch can go on where it was.
 fn judge(error: KeyValueError, failures: u32) -> ControlFlow<KeyValueError> {
-    const FAILURES_LIMIT: u32 = 3;
     match error {
         KeyValueError::Compacted => ControlFlow::Break(error),
         _ if failures >= FAILURES_LIMIT => ControlFlow::Break(error),
@@ -126,9 +163,6 @@
     sleep(RETRY_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
 }
 
-fn log_lost(knowledge: &Knowledge, prefix: &str, error: &KeyValueError) {
-    log_event!(
-        knowledge.log, Event::PlatformUnavailable,
-        "prefix" => prefix.to_owned(), "error" => error.to_string()
-    );
+fn log_lost(knowledge: &Knowledge, error: &KeyValueError) {
+    log_event!(knowledge.log, Event::PlatformUnavailable, "error" => error.to_string());
 }
