Keep answers in the failure domain where that is cheap, and connections as long as stated

Cause: two thirds of the streams crossed failure domains and were lost when one was cut off; servers state a keep-alive of 10 s but connections were dropped after 0.8 s; failed idempotent calls were passed on though another server could answer. Change: loads and sends prefer the own failure domain, adapters asked for over twice a second get a copy there; a stated keep-alive counts; an idempotent call that failed goes to another server.

--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -20,6 +20,8 @@
     pub connect_timeout: Duration,
     /// How long a connection is kept without use; less if the other end states a shorter time.
     pub idle_timeout: Duration,
+    /// How long a connection is kept without use whose other end states no time.
+    pub unstated_idle_timeout: Duration,
     /// How many connections without use are kept for one address.
     pub idle_per_address: usize,
     /// How many connections one address may have, in use or kept.
@@ -31,6 +33,7 @@
         Self {
             connect_timeout: Duration::from_millis(500),
             idle_timeout: Duration::from_secs(30),
+            unstated_idle_timeout: Duration::from_secs(30),
             idle_per_address: 32,
             connections_per_address: 1024,
         }
@@ -101,9 +104,27 @@
     ///
     /// See [`SendError`]: only [`SendError::Broken`] may have reached the other end.
     pub async fn send(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.send_after(address, request, Duration::MAX).await
+    }
+
+    /// Sends `request` like [`send`](Self::send), on a kept connection only if that was last used
+    /// within `max_idle`.
+    ///
+    /// The other end may drop an idle connection unseen, and then what is sent on it is lost. A
+    /// request that must not be sent twice takes a connection that was used a moment ago.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_after(
         &self,
         address: &str,
         mut request: Request<Full<Bytes>>,
+        max_idle: Duration,
     ) -> Result<Response<PooledBody>, SendError> {
         if let Ok(host) = address.parse() {
             request
@@ -111,7 +132,7 @@
                 .entry(http::header::HOST)
                 .or_insert(host);
         }
-        while let Some(mut connection) = self.shared.take_idle(address) {
+        while let Some(mut connection) = self.shared.take_idle(address, max_idle) {
             if !connection.is_usable().await {
                 continue;
             }
@@ -148,12 +169,13 @@
 }
 
 impl Shared {
-    fn take_idle(&self, address: &str) -> Option<Connection> {
+    fn take_idle(&self, address: &str, max_idle: Duration) -> Option<Connection> {
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let host = hosts.get_mut(address)?;
-        host.drop_unusable(self.settings.idle_timeout);
+        host.drop_unusable(&self.settings);
         // The one used last is the least likely to have been closed meanwhile.
-        host.idle.pop()
+        host.idle
+            .pop_if(|kept| kept.idle_since.elapsed() <= max_idle)
     }
 
     fn permit(&self, address: &str) -> Result<OwnedSemaphorePermit, SendError> {
@@ -185,16 +207,17 @@
 }
 
 impl Host {
-    fn drop_unusable(&mut self, idle_timeout: Duration) {
+    fn drop_unusable(&mut self, settings: &PoolSettings) {
         let now = Instant::now();
         self.idle.retain(|kept| {
-            let keep_for = kept.keep_for.unwrap_or(idle_timeout).min(idle_timeout);
+            let stated = kept.keep_for.unwrap_or(settings.unstated_idle_timeout);
+            let keep_for = stated.min(settings.idle_timeout);
             !kept.is_closed() && now.duration_since(kept.idle_since) < keep_for
         });
     }
 
     fn is_connected(&mut self, settings: &PoolSettings) -> bool {
-        self.drop_unusable(settings.idle_timeout);
+        self.drop_unusable(settings);
         self.free.available_permits() < settings.connections_per_address
     }
 }
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -149,6 +149,7 @@
             upstreams: self.upstreams.borrow().values().cloned().collect(),
             versions: Arc::new(self.versions.borrow().clone()),
             nodes: self.nodes.borrow().len().max(1),
+            nodes_in_domain: self.nodes_in_domain(),
         };
         let is_ready = view.table.is_some() && !view.upstreams.is_empty();
         self.shared.view.store(Arc::new(view));
@@ -157,6 +158,12 @@
         }
     }
 
+    fn nodes_in_domain(&self) -> usize {
+        let nodes = self.nodes.borrow();
+        let is_here = |node: &&NodeRecord| node.failure_domain == self.settings.failure_domain;
+        nodes.values().filter(is_here).count()
+    }
+
     /// The change of an engine's holdings that the traffic thread was told; 0 if none.
     pub(crate) fn known_change(&self, engine: &UpstreamId) -> u64 {
         self.changes.borrow().get(engine).copied().unwrap_or(0)
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -26,6 +26,8 @@
     pub(crate) versions: Arc<Versions>,
     /// Nodes that are known, this one included.
     pub(crate) nodes: usize,
+    /// Those of them in this node's failure domain.
+    pub(crate) nodes_in_domain: usize,
 }
 
 /// An adapter that a request waits for.
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -1,7 +1,7 @@
 //! A request's place in the books while it is at an upstream.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nutmegsail_base::{RequestId, UpstreamId};
 use nutmegsail_relay::{ModelRef, Outcome};
@@ -18,9 +18,12 @@
     prompt_tokens: u64,
     expected_ms: f64,
     sent: Instant,
-    is_read: bool,
+    /// When the answer's body began.
+    first: Option<Instant>,
     is_settled: bool,
     request: RequestId,
+    /// How long the request had waited here before it was sent.
+    waited: Duration,
 }
 
 impl Flight {
@@ -31,6 +34,7 @@
         prompt_tokens: u64,
         expected_ms: f64,
         request: RequestId,
+        waited: Duration,
     ) -> Self {
         gateway
             .dispatcher
@@ -46,19 +50,20 @@
             prompt_tokens,
             expected_ms,
             sent: Instant::now(),
-            is_read: false,
+            first: None,
             is_settled: false,
             request,
+            waited,
         }
     }
 
     /// Part of the answer's body came.
     pub(crate) fn note_progress(&mut self) {
-        if self.is_read {
+        if self.first.is_some() {
             return;
         }
-        self.is_read = true;
         let now = Instant::now();
+        self.first = Some(now);
         let took = now.duration_since(self.sent);
         self.gateway
             .shared
@@ -82,7 +87,7 @@
         log_event!(
             self.gateway.log, Event::AnswerCut,
             "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
-            "age_ms" => self.sent.elapsed().as_millis(), "has_begun" => self.is_read,
+            "age_ms" => self.sent.elapsed().as_millis(), "has_begun" => self.first.is_some(),
             "why" => cut.to_string()
         );
     }
@@ -110,7 +115,7 @@
     fn drop(&mut self) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         let uses = &self.gateway.shared.uses;
-        if !self.is_read {
+        if self.first.is_none() {
             dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
             uses.read(&self.upstream, self.prompt_tokens);
         }
@@ -118,5 +123,14 @@
         if let Some(model) = &self.model {
             uses.end(&self.upstream, model);
         }
+        let first = self.first.map(|first| first.duration_since(self.sent));
+        log_event!(
+            self.gateway.log, Event::RequestEnded,
+            "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
+            "waited_ms" => self.waited.as_millis(), "expected_ms" => self.expected_ms,
+            "first_ms" => first.map(|first| first.as_millis()),
+            "took_ms" => self.sent.elapsed().as_millis(), "is_settled" => self.is_settled,
+            "tokens" => self.prompt_tokens
+        );
     }
 }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -10,7 +10,7 @@
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Choice, Dispatcher, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
+    Choice, CopyPlace, Dispatcher, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -131,7 +131,7 @@
     pub(crate) fn new(parts: GatewayParts) -> Self {
         let pool = Pool::new(PoolSettings {
             connect_timeout: CONNECT_TIMEOUT,
-            idle_timeout: UNSTATED_IDLE,
+            unstated_idle_timeout: UNSTATED_IDLE,
             ..PoolSettings::default()
         });
         Self {
@@ -155,7 +155,7 @@
             self.seen_view.set(view.number);
             let mut dispatcher = self.dispatcher.borrow_mut();
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
-            dispatcher.set_nodes(view.nodes);
+            dispatcher.set_nodes(view.nodes, view.nodes_in_domain);
         }
         for (engine, news) in self.shared.news.take() {
             let mut dispatcher = self.dispatcher.borrow_mut();
@@ -183,6 +183,17 @@
             let dispatched = life.dispatch(&choice.upstream.id);
             let run_state = match self.send(call, &choice).await {
                 Sent::Answer(answer) => return answer,
+                Sent::Failed(answer) => {
+                    let may_repeat = call.route.kind.may_repeat()
+                        && sends.may_have_run + 1 < call.route.max_attempts
+                        && self.has_other(call, &sends, &choice);
+                    if !may_repeat {
+                        return answer;
+                    }
+                    sends.arrived += 1;
+                    sends.may_have_run += 1;
+                    RunState::MayHaveRun
+                }
                 Sent::NotArrived => RunState::NotRun,
                 Sent::Refused(verdict) => {
                     sends.arrived += 1;
@@ -217,6 +228,16 @@
         }
     }
 
+    /// Whether an upstream is left that `call` was not sent to, and the budget for it.
+    fn has_other(&self, call: &Call, sends: &Sends, last: &Choice) -> bool {
+        let mut tried = sends.tried.clone();
+        tried.push(last.upstream.id.clone());
+        let now = Instant::now();
+        let dispatcher = self.dispatcher.borrow();
+        let choice = dispatcher.choose(&need(call, &tried), now, &mut rand::rng());
+        choice.is_ok() && self.with_budget(call, |budget, nodes| budget.has_further(nodes, now))
+    }
+
     /// Ends a request with a refusal, and says in the log what decided it.
     fn give_up(&self, call: &Call, refusal: &Refusal, sends: &Sends) -> Response<AnswerBody> {
         let tried: Vec<&str> = sends.tried.iter().map(|id| id.as_str()).collect();
@@ -255,8 +276,9 @@
                     if !self.count_send(call, sends, now) {
                         return Err((ResultCode::RetryBudgetSpent, BUSY_RETRY_AFTER));
                     }
-                    if choice.wants_copy {
-                        self.want_copy(call, now);
+                    if let Some(place) = choice.copy {
+                        // Nobody waits for it.
+                        let _ = self.want(call, false, place, now);
                     }
                     return Ok(choice);
                 }
@@ -284,18 +306,22 @@
 
     /// Counts a send, if the budget allows it.
     fn count_send(&self, call: &Call, sends: &Sends, now: Instant) -> bool {
-        let nodes = self.shared.view.load().nodes;
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(call.service.clone())
-            .or_insert_with(|| RetryBudget::new(self.retry_rules()));
-        match sends.arrived {
+        self.with_budget(call, |budget, nodes| match sends.arrived {
             0 => {
                 budget.count_first(now);
                 true
             }
             _ => budget.take_further(nodes, now),
-        }
+        })
+    }
+
+    fn with_budget<R>(&self, call: &Call, f: impl FnOnce(&mut RetryBudget, usize) -> R) -> R {
+        let nodes = self.shared.view.load().nodes;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(call.service.clone())
+            .or_insert_with(|| RetryBudget::new(self.retry_rules()));
+        f(budget, nodes)
     }
 
     fn retry_rules(&self) -> RetryBudgetRules {
@@ -308,7 +334,12 @@
 
     /// Has the adapter that `call` names loaded, and waits for it.
     async fn bring_adapter(&self, call: &Call, sends: &Sends, wait: Duration) -> bool {
-        let Some(ready) = self.want(call, sends.was_misdirected, Instant::now()) else {
+        let Some(ready) = self.want(
+            call,
+            sends.was_misdirected,
+            CopyPlace::Anywhere,
+            Instant::now(),
+        ) else {
             return false;
         };
         match tokio::time::timeout(wait, ready).await {
@@ -321,15 +352,11 @@
         }
     }
 
-    /// Has another copy of the adapter loaded, for later requests.
-    fn want_copy(&self, call: &Call, now: Instant) {
-        let _ = self.want(call, false, now);
-    }
-
     fn want(
         &self,
         call: &Call,
         was_turned_away: bool,
+        place: CopyPlace,
         now: Instant,
     ) -> Option<oneshot::Receiver<Loaded>> {
         let model = call.meta.model.clone()?;
@@ -340,7 +367,7 @@
                 version: call.version.wanted(),
                 was_turned_away,
             },
-            engines: self.engines_for(call, now),
+            engines: self.engines_for(call, place, now),
             ready,
         };
         self.shared.wants.try_send(want).ok()?;
@@ -348,12 +375,12 @@
     }
 
     /// Engines that could take the adapter, with the time to a first event there.
-    fn engines_for(&self, call: &Call, now: Instant) -> Vec<(UpstreamId, f64)> {
+    fn engines_for(&self, call: &Call, place: CopyPlace, now: Instant) -> Vec<(UpstreamId, f64)> {
         let Some(model) = &call.meta.model else {
             return Vec::new();
         };
         let dispatcher = self.dispatcher.borrow();
-        dispatcher.engines_to_load(&call.service, model, call.version, now)
+        dispatcher.engines_to_load(&call.service, model, call.version, place, now)
     }
 }
 
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -18,6 +18,8 @@
 pub(crate) enum Sent {
     /// The upstream's answer, to be passed on.
     Answer(Response<AnswerBody>),
+    /// The upstream's answer, a failure of its own; passed on if the request cannot be sent again.
+    Failed(Response<AnswerBody>),
     /// No connection could be made; nothing arrived.
     NotArrived,
     /// It arrived, and the upstream said that it did not run it.
@@ -28,6 +30,10 @@
     TimedOut,
 }
 
+/// How long a connection may have been idle that carries a request which may run once only. A close
+/// by the other end that is on its way would lose the request.
+const ONCE_MAX_IDLE: Duration = Duration::from_secs(3);
+
 /// How long an idempotent plain call may take before another upstream is asked, as a multiple of
 /// its latency objective: the slowest sound answers take some 1.5 times the objective (220 ms of
 /// 150 ms); a silent upstream costs its callers the rest.
@@ -55,10 +61,15 @@
             call.meta.prompt_tokens,
             choice.expected_ms,
             call.id.clone(),
+            now.duration_since(call.began),
         );
         let address = upstream.address.to_string();
         let patience = patience(call, remaining);
-        let sending = self.pool.send(&address, request);
+        let max_idle = match call.route.kind.may_repeat() {
+            true => Duration::MAX,
+            false => ONCE_MAX_IDLE,
+        };
+        let sending = self.pool.send_after(&address, request, max_idle);
         let answer = match tokio::time::timeout(patience, sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent)) => {
@@ -117,6 +128,7 @@
         }
         if status.is_server_error() {
             flight.note_broken();
+            return Sent::Failed(self.pass_on(call, flight, answer));
         }
         Sent::Answer(self.pass_on(call, flight, answer))
     }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -34,8 +34,17 @@
     pub version: Option<u64>,
     /// When the answer is expected to begin, in milliseconds; for [`Dispatcher::answer_began`].
     pub expected_ms: f64,
-    /// Whether another copy of the adapter would shorten the wait of later requests.
-    pub wants_copy: bool,
+    /// Whether another copy of the adapter would serve later requests better.
+    pub copy: Option<CopyPlace>,
+}
+
+/// Where a further copy of an adapter is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyPlace {
+    /// In this node's failure domain.
+    OwnDomain,
+    /// At any engine.
+    Anywhere,
 }
 
 /// Why no upstream gets a request now.
@@ -61,9 +70,18 @@
 /// for several times in it at each node.
 const COPIES_HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// What a way into another failure domain costs, in milliseconds of expected wait: two crossings
-/// of some 1 ms, and bytes that are charged for.
-const OTHER_DOMAIN_MS: f64 = 12.0;
+/// What a way into another failure domain costs, in milliseconds of expected wait. The way itself
+/// takes some 2 ms, but an answer that crosses failure domains is lost when they are cut off from
+/// each other, and bytes between them are charged for.
+const OTHER_DOMAIN_MS: f64 = 60.0;
+
+/// What speaks against a load in another failure domain, in milliseconds of expected wait: more than
+/// one load ahead. Most adapters are asked for once or twice, and then their answers stay here.
+const LOAD_ELSEWHERE_MS: f64 = 400.0;
+
+/// Requests in a second for one adapter in this failure domain over which it gets a copy here: a
+/// load costs about a third of what a request is worth, and pays off within some seconds.
+const OWN_COPY_PER_S: f64 = 2.0;
 
 /// Scores that differ by less are taken as equal, so that nodes which know the same do not all
 /// choose the same upstream.
@@ -91,7 +109,10 @@
     upstreams: HashMap<UpstreamId, Tracked>,
     /// Prompt tokens that this node was asked for, by adapter.
     asked_tokens: Demand,
+    /// Requests that this node was asked for, by adapter.
+    asked: Demand,
     nodes: usize,
+    nodes_in_domain: usize,
 }
 
 impl Dispatcher {
@@ -101,7 +122,9 @@
             failure_domain,
             upstreams: HashMap::new(),
             asked_tokens: Demand::new(COPIES_HALF_LIFE),
+            asked: Demand::new(COPIES_HALF_LIFE),
             nodes: 1,
+            nodes_in_domain: 1,
         }
     }
 
@@ -204,11 +227,31 @@
             upstream: Arc::clone(&tracked.upstream),
             version,
             expected_ms,
-            wants_copy: !preferred_exists
-                || (expected_ms > COPY_WAIT_MS && self.needs_copy(need, now)),
+            copy: self.wanted_copy(need, expected_ms, preferred_exists, now),
         })
     }
 
+    /// Whether a further copy of the adapter is worth its load.
+    fn wanted_copy(
+        &self,
+        need: &Need<'_>,
+        expected_ms: f64,
+        preferred_exists: bool,
+        now: Instant,
+    ) -> Option<CopyPlace> {
+        let model = need.model?;
+        if !preferred_exists || (expected_ms > COPY_WAIT_MS && self.needs_copy(need, now)) {
+            return Some(CopyPlace::Anywhere);
+        }
+        let is_here = |tracked: &Tracked| {
+            tracked.upstream.failure_domain == self.failure_domain
+                && tracked.holdings.version_of(model).is_some()
+        };
+        let requests_per_s = self.asked.rate_per_s(model, now) * self.nodes_in_domain as f64;
+        let is_wanted_here = requests_per_s > OWN_COPY_PER_S;
+        (is_wanted_here && !self.candidates(need).any(is_here)).then_some(CopyPlace::OwnDomain)
+    }
+
     /// Whether the prompts for one adapter take up more of its copies' time than they should.
     ///
     /// A queue alone says little: it may be another adapter's, and then a copy of this one costs a
@@ -223,14 +266,17 @@
         tokens_per_s * PROMPT_TOKEN_MS / 1_000.0 > COPY_SHARE * copies as f64
     }
 
-    /// Takes in how many nodes there are: each sees its part of the demand.
-    pub fn set_nodes(&mut self, nodes: usize) {
+    /// Takes in how many nodes there are, and how many in this node's failure domain: each sees its
+    /// part of the demand.
+    pub fn set_nodes(&mut self, nodes: usize, in_domain: usize) {
         self.nodes = nodes.max(1);
+        self.nodes_in_domain = in_domain.max(1);
     }
 
     /// Counts a request that was read.
     pub fn note_asked(&mut self, model: &ModelRef, prompt_tokens: u64, now: Instant) {
         self.asked_tokens.add(model, prompt_tokens as f64, now);
+        self.asked.add(model, 1.0, now);
     }
 
     fn candidates<'a>(&'a self, need: &'a Need<'_>) -> impl Iterator<Item = &'a Tracked> {
@@ -270,8 +316,10 @@
         service: &ServiceName,
         model: &ModelRef,
         version: VersionRule,
+        place: CopyPlace,
         now: Instant,
     ) -> Vec<(UpstreamId, f64)> {
+        let is_here = |tracked: &Tracked| tracked.upstream.failure_domain == self.failure_domain;
         let takes = |tracked: &&Tracked| {
             let holdings = &tracked.holdings;
             let has_base = holdings.has_base(model);
@@ -281,6 +329,7 @@
                 && !tracked.health.is_paused(now)
                 && !tracked.is_gone
                 && has_base
+                && (place == CopyPlace::Anywhere || is_here(tracked))
                 && !has_it.is_some_and(|held| version.prefers(held))
                 && (tracked.coming(now).len() < LOADS_AHEAD_LIMIT
                     || tracked.coming(now).contains(model))
@@ -294,7 +343,12 @@
                 }
                 let coming_ms = tracked.coming(now).len() as f64 * COMING_MS;
                 let wait_ms = tracked.expected_first_event_ms(0, now);
-                let wait_ms = ELSEWHERE_MS + wait_ms + coming_ms;
+                let domain_ms = if is_here(tracked) {
+                    0.0
+                } else {
+                    LOAD_ELSEWHERE_MS
+                };
+                let wait_ms = ELSEWHERE_MS + wait_ms + coming_ms + domain_ms;
                 (tracked.upstream.id.clone(), wait_ms)
             })
             .collect()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,7 +26,7 @@
 pub use assignment::{NodeRecord, unowned_to_claim};
 pub use call_kind::CallKind;
 pub use demand::Demand;
-pub use dispatcher::{Choice, Dispatcher, Need, Refusal};
+pub use dispatcher::{Choice, CopyPlace, Dispatcher, Need, Refusal};
 pub use health::{Health, Outcome};
 pub use holdings::{HeldAdapter, HeldModel, Holdings};
 pub use load_plan::{LoadPlan, LoadRefusal, LoadStep, Room, plan_load};
--- a/crates/relay/src/retry_budget.rs
+++ b/crates/relay/src/retry_budget.rs
@@ -52,18 +52,23 @@
         self.step(now).first += 1;
     }
 
-    /// Counts a further send of a request if the budget has room for it, for one of `nodes` nodes.
-    pub fn take_further(&mut self, nodes: usize, now: Instant) -> bool {
+    /// Whether a further send fits the budget, for one of `nodes` nodes.
+    pub fn has_further(&mut self, nodes: usize, now: Instant) -> bool {
         self.step(now);
         let first: u32 = self.steps.iter().map(|step| step.first).sum();
         let further: u32 = self.steps.iter().map(|step| step.further).sum();
         let slack = self.rules.slack / nodes.max(1) as f64;
         let allowed = USED_SHARE * (self.rules.ratio * f64::from(first) + slack);
-        if f64::from(further) + 1.0 > allowed {
-            return false;
+        f64::from(further) + 1.0 <= allowed
+    }
+
+    /// Counts a further send of a request if the budget has room for it.
+    pub fn take_further(&mut self, nodes: usize, now: Instant) -> bool {
+        let has_room = self.has_further(nodes, now);
+        if has_room {
+            self.step(now).further += 1;
         }
-        self.step(now).further += 1;
-        true
+        has_room
     }
 
     fn step(&mut self, now: Instant) -> &mut Step {
