--- a/crates/nutmegsaild/src/relay.rs
+++ b/crates/nutmegsaild/src/relay.rs
@@ -57,5 +57,5 @@
     while hangups.recv().await.is_some() {
         log_event!(log, Event::SettingsRead);
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -8,7 +8,7 @@
 
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{
-    HeldAdapter, Holdings, LoadPlan, LoadStep, ModelRef, Room, Upstream, plan_load,
+    EngineContents, HeldAdapter, Holdings, LoadPlan, LoadStep, ModelRef, Room, Upstream, plan_load,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::sync::{mpsc, oneshot};
@@ -361,16 +361,14 @@
         let is_in_use = |adapter: &ModelRef| self.is_in_use(engine, adapter);
         let demand = knowledge.demand.borrow();
         let coming = engine.coming();
-        let plan = plan_load(
-            model,
-            version,
-            &holdings,
-            &coming,
+        let contents = EngineContents {
+            holdings: &holdings,
+            coming: &coming,
             room,
-            &demand,
-            &is_in_use,
-            Instant::now(),
-        );
+            demand: &demand,
+            is_in_use: &is_in_use,
+        };
+        let plan = plan_load(model, version, &contents, Instant::now());
         Ok(plan?)
     }
 
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -52,10 +52,14 @@
         };
         self.missing.borrow_mut().remove(&upstream.id);
         let mut upstreams = knowledge.upstreams.borrow_mut();
-        if let Some(known) = upstreams.get(&upstream.id) {
-            if known.takes_work() && !upstream.takes_work() {
-                log_event!(knowledge.log, Event::UpstreamLeaving, "upstream" => upstream.id.to_string());
-            }
+        let took_work = upstreams
+            .get(&upstream.id)
+            .is_some_and(|known| known.takes_work());
+        if took_work && !upstream.takes_work() {
+            log_event!(
+                knowledge.log, Event::UpstreamLeaving,
+                "upstream" => upstream.id.to_string()
+            );
         }
         upstreams.insert(upstream.id.clone(), Arc::new(upstream));
     }
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -72,7 +72,7 @@
     ///
     /// [`RelayNodeError`] if an address cannot be listened on or a thread cannot start.
     pub async fn start(
-        settings: RelaySettings,
+        mut settings: RelaySettings,
         store: Arc<dyn KeyValue>,
         dialect: Arc<dyn Dialect>,
         log: Logger,
@@ -81,11 +81,12 @@
         let callers = listen(settings.callers_address).await?;
         let callers_address = callers.local_addr().unwrap_or(settings.callers_address);
         let readiness = listen(settings.ready_address).await?;
+        let ready_address = readiness.local_addr().unwrap_or(settings.ready_address);
         let nodes = listen(settings.nodes_address).await?;
-        let nodes_address = nodes.local_addr().unwrap_or(settings.nodes_address);
-        let datagrams = UdpSocket::bind(nodes_address).await;
+        settings.nodes_address = nodes.local_addr().unwrap_or(settings.nodes_address);
+        let datagrams = UdpSocket::bind(settings.nodes_address).await;
         let datagrams = datagrams.map_err(|problem| RelayNodeError::Listen {
-            address: nodes_address,
+            address: settings.nodes_address,
             problem,
         })?;
         let datagrams = datagrams.into_std().map_err(RelayNodeError::Control)?;
@@ -115,7 +116,10 @@
         let close = CancellationToken::new();
         spawn_local(traffic::serve(callers, Rc::clone(&gateway), close.clone()));
         spawn_local(ready::serve(readiness, Arc::clone(&shared), dialect));
-        log_event!(log, Event::NodeReady, "callers" => callers_address.to_string());
+        log_event!(
+            log, Event::NodeReady,
+            "callers" => callers_address.to_string(), "ready" => ready_address.to_string()
+        );
         Ok(Self {
             gateway,
             shared,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,7 +29,7 @@
 pub use dispatcher::{Choice, CopyPlace, Dispatcher, Need, Refusal};
 pub use health::{Health, Outcome};
 pub use holdings::{HeldAdapter, HeldModel, Holdings};
-pub use load_plan::{LoadPlan, LoadRefusal, LoadStep, Room, plan_load};
+pub use load_plan::{EngineContents, LoadPlan, LoadRefusal, LoadStep, Room, plan_load};
 pub use model_ref::ModelRef;
 pub use ownership::{OrderPermit, Ownership, OwnershipRules};
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
--- a/crates/relay/src/load_plan.rs
+++ b/crates/relay/src/load_plan.rs
@@ -1,5 +1,6 @@
 //! Which orders bring an adapter into an engine.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use nutmegsail_base::AdapterName;
@@ -43,27 +44,53 @@
     ModelAbsent,
 }
 
-/// Plans the orders that bring `wanted` into an engine that holds `holdings`, with `coming` on
-/// their way.
+/// An engine as its owner knows it.
+pub struct EngineContents<'a> {
+    /// What it holds.
+    pub holdings: &'a Holdings,
+    /// Adapters on their way to it.
+    pub coming: &'a [ModelRef],
+    /// Its room.
+    pub room: Room,
+    /// What each adapter is asked for.
+    pub demand: &'a Demand,
+    /// Whether any node has requests for an adapter there.
+    pub is_in_use: &'a dyn Fn(&ModelRef) -> bool,
+}
+
+/// Plans the orders that bring `wanted` into an engine.
 ///
 /// An engine that is ordered to hold more than fits crashes with all its requests, so adapters on
-/// their way count as held. What `is_in_use` names is not evicted: requests for it would come back
+/// their way count as held. One that is in use is not evicted: requests for it would come back
 /// unserved. Among the rest the least wanted makes way.
 ///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use nutmegsail_relay::{Demand, EngineContents, HeldModel, Holdings, LoadStep, ModelRef, Room, plan_load};
+/// let base = HeldModel { name: "llama".into(), version: 1, adapters: Vec::new() };
+/// let engine = EngineContents {
+///     holdings: &Holdings { models: vec![base] },
+///     coming: &[],
+///     room: Room { adapter_slots: 2, transfers: 1 },
+///     demand: &Demand::new(Duration::from_secs(10)),
+///     is_in_use: &|_| false,
+/// };
+/// let wanted = ModelRef::parse("llama/a7");
+/// let plan = plan_load(&wanted, None, &engine, Instant::now()).unwrap();
+/// assert_eq!(plan.steps, [LoadStep::Load(wanted, None)]);
+/// ```
+///
 /// # Errors
 ///
 /// [`LoadRefusal`] if it cannot be done now.
 pub fn plan_load(
     wanted: &ModelRef,
     version: Option<u64>,
-    holdings: &Holdings,
-    coming: &[ModelRef],
-    room: Room,
-    demand: &Demand,
-    is_in_use: &dyn Fn(&ModelRef) -> bool,
+    engine: &EngineContents<'_>,
     now: Instant,
 ) -> Result<LoadPlan, LoadRefusal> {
-    if coming.len() >= room.transfers {
+    let holdings = engine.holdings;
+    if engine.coming.len() >= engine.room.transfers {
         return Err(LoadRefusal::TransfersFull);
     }
     if !holdings.has_base(wanted) {
@@ -71,34 +98,28 @@
     }
     let load = LoadStep::Load(wanted.clone(), version);
     let is_replaced = holdings.version_of(wanted).is_some();
-    let held = holdings.adapter_count() + coming.len();
-    if is_replaced || held < room.adapter_slots {
+    let held = holdings.adapter_count() + engine.coming.len();
+    if is_replaced || held < engine.room.adapter_slots {
         return Ok(LoadPlan { steps: vec![load] });
     }
-    let victim = least_wanted(holdings, demand, is_in_use, now);
-    let victim = victim.ok_or(LoadRefusal::NothingToEvict)?;
+    let victim = least_wanted(engine, now).ok_or(LoadRefusal::NothingToEvict)?;
     Ok(LoadPlan {
         steps: vec![LoadStep::Unload(victim), load],
     })
 }
 
-fn least_wanted(
-    holdings: &Holdings,
-    demand: &Demand,
-    is_in_use: &dyn Fn(&ModelRef) -> bool,
-    now: Instant,
-) -> Option<ModelRef> {
-    let named = |model: &std::sync::Arc<str>, adapter: &AdapterName| ModelRef {
-        model: model.clone(),
+fn least_wanted(engine: &EngineContents<'_>, now: Instant) -> Option<ModelRef> {
+    let named = |model: &Arc<str>, adapter: &AdapterName| ModelRef {
+        model: Arc::clone(model),
         adapter: Some(adapter.clone()),
     };
-    holdings
-        .models
-        .iter()
+    let score = |adapter: &ModelRef| engine.demand.score(adapter, now);
+    let models = engine.holdings.models.iter();
+    models
         .flat_map(|model| {
             let adapters = model.adapters.iter();
             adapters.map(move |adapter| named(&model.name, &adapter.name))
         })
-        .filter(|adapter| !is_in_use(adapter))
-        .min_by(|a, b| demand.score(a, now).total_cmp(&demand.score(b, now)))
+        .filter(|adapter| !(engine.is_in_use)(adapter))
+        .min_by(|a, b| score(a).total_cmp(&score(b)))
 }
