--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,68 @@
+//! Upstreams for tests.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::sync::Arc;
+
+use nutmegsail_relay::{HeldAdapter, HeldModel, Holdings, Report, Upstream, UpstreamState};
+
+/// What an engine holds: the base model `base` with adapters in version 1.
+pub fn holdings(adapters: &[&str]) -> Holdings {
+    let held = adapters.iter().map(|name| HeldAdapter {
+        name: (*name).into(),
+        version: 1,
+    });
+    Holdings {
+        models: vec![HeldModel {
+            name: "base".into(),
+            version: 1,
+            adapters: held.collect(),
+        }],
+    }
+}
+
+/// An engine of the service `engines` in the failure domain `here`.
+pub fn engine(id: &str, adapters: &[&str]) -> Upstream {
+    Upstream {
+        id: id.into(),
+        service: "engines".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        failure_domain: "here".into(),
+        slots: 64,
+        state: UpstreamState::Ready,
+        holdings: holdings(adapters),
+    }
+}
+
+/// An engine in another failure domain.
+pub fn far_engine(id: &str, adapters: &[&str]) -> Upstream {
+    Upstream {
+        failure_domain: "there".into(),
+        ..engine(id, adapters)
+    }
+}
+
+/// An upstream of the service `plain`.
+pub fn plain(id: &str) -> Upstream {
+    Upstream {
+        service: "plain".into(),
+        slots: 6,
+        holdings: Holdings::default(),
+        ..engine(id, &[])
+    }
+}
+
+/// A report of a queue that other nodes made.
+pub fn report(unread_tokens: u64, taken: std::time::Instant) -> Report {
+    Report {
+        in_flight_of_others: 0,
+        unread_tokens_of_others: unread_tokens,
+        coming: Vec::new(),
+        taken,
+    }
+}
+
+/// The list of upstreams.
+pub fn list(upstreams: impl IntoIterator<Item = Upstream>) -> Vec<Arc<Upstream>> {
+    upstreams.into_iter().map(Arc::new).collect()
+}
--- /dev/null
+++ b/crates/relay/tests/dispatching.rs
@@ -0,0 +1,298 @@
+//! Which upstream gets a request.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{engine, far_engine, holdings, list, plain, report};
+use nutmegsail_base::{ServiceName, UpstreamId};
+use nutmegsail_relay::{
+    CopyPlace, Dispatcher, ModelRef, Need, Outcome, Refusal, Upstream, UpstreamState, VersionRule,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+struct World {
+    dispatcher: Dispatcher,
+    now: Instant,
+    random: ChaCha8Rng,
+    engines: ServiceName,
+    plain: ServiceName,
+    a1: ModelRef,
+}
+
+impl World {
+    fn new(upstreams: impl IntoIterator<Item = Upstream>) -> Self {
+        let now = Instant::now();
+        let mut dispatcher = Dispatcher::new("here".into());
+        dispatcher.set_upstreams(&list(upstreams), now);
+        Self {
+            dispatcher,
+            now,
+            random: ChaCha8Rng::seed_from_u64(1),
+            engines: "engines".into(),
+            plain: "plain".into(),
+            a1: ModelRef::parse("base/a1"),
+        }
+    }
+
+    fn choose_after(
+        &mut self,
+        tried: &[UpstreamId],
+        version: VersionRule,
+    ) -> Result<String, Refusal> {
+        let need = Need {
+            service: &self.engines,
+            model: Some(&self.a1),
+            version,
+            prompt_tokens: 1_000,
+            tried,
+        };
+        let choice = self.dispatcher.choose(&need, self.now, &mut self.random)?;
+        Ok(choice.upstream.id.to_string())
+    }
+
+    fn choose(&mut self) -> Result<String, Refusal> {
+        self.choose_after(&[], VersionRule::Any)
+    }
+
+    fn choose_plain(&mut self) -> Result<String, Refusal> {
+        let need = Need {
+            service: &self.plain,
+            model: None,
+            version: VersionRule::Any,
+            prompt_tokens: 0,
+            tried: &[],
+        };
+        let choice = self.dispatcher.choose(&need, self.now, &mut self.random)?;
+        Ok(choice.upstream.id.to_string())
+    }
+}
+
+#[test]
+fn only_an_engine_with_the_adapter_gets_the_request() {
+    let mut world = World::new([engine("e1", &["a2"]), engine("e2", &["a1"])]);
+    for _ in 0..50 {
+        assert_eq!(world.choose().unwrap(), "e2");
+    }
+}
+
+#[rstest]
+#[case::none_listed(&[], Refusal::NoUpstream)]
+#[case::adapter_absent(&["a2"], Refusal::AdapterAbsent)]
+fn what_is_missing_is_told(#[case] adapters: &[&str], #[case] expected: Refusal) {
+    let listed = (!adapters.is_empty()).then(|| engine("e1", adapters));
+    let mut world = World::new(listed);
+    assert_eq!(world.choose(), Err(expected));
+}
+
+// A clerk's request waits behind a long prompt although another engine is free: the requests were
+// counted, not the tokens that are still to be read.
+#[test]
+fn the_engine_with_fewer_tokens_to_read_gets_the_request() {
+    let mut world = World::new([engine("e1", &["a1"]), engine("e2", &["a1"])]);
+    world.dispatcher.sent(&"e1".into(), 6_000);
+    for _ in 0..3 {
+        world.dispatcher.sent(&"e2".into(), 100);
+    }
+    assert_eq!(world.choose().unwrap(), "e2");
+    world.dispatcher.prompt_read(&"e1".into(), 6_000);
+    world.dispatcher.sent(&"e2".into(), 6_000);
+    assert_eq!(world.choose().unwrap(), "e1");
+}
+
+#[test]
+fn what_other_nodes_sent_counts_while_the_news_is_fresh() {
+    let mut world = World::new([engine("e1", &["a1"]), engine("e2", &["a1"])]);
+    world
+        .dispatcher
+        .note_told(&"e1".into(), None, report(20_000, world.now));
+    assert_eq!(world.choose().unwrap(), "e2");
+    world.now += Duration::from_secs(5);
+    let chosen: Vec<_> = (0..50).map(|_| world.choose().unwrap()).collect();
+    assert!(chosen.contains(&"e1".to_owned()), "old news says nothing");
+}
+
+// An adapter was unloaded, and a late heartbeat still shows it. Sent by the heartbeat, the request
+// comes back unserved and draws on the retry budget.
+#[test]
+fn a_late_heartbeat_does_not_bring_back_an_unloaded_adapter() {
+    let mut world = World::new([engine("e1", &["a1"])]);
+    let gone = holdings(&["a2"]);
+    world
+        .dispatcher
+        .note_told(&"e1".into(), Some(&gone), report(0, world.now));
+    world.now += Duration::from_millis(900);
+    world
+        .dispatcher
+        .set_upstreams(&list([engine("e1", &["a1"])]), world.now);
+    assert_eq!(world.choose(), Err(Refusal::AdapterAbsent));
+    // Without its owner's word for long, the list is all that is known.
+    world.now += Duration::from_secs(10);
+    world
+        .dispatcher
+        .set_upstreams(&list([engine("e1", &["a1"])]), world.now);
+    assert_eq!(world.choose().unwrap(), "e1");
+}
+
+#[test]
+fn an_engine_that_said_it_lacks_the_adapter_is_not_asked_again() {
+    let mut world = World::new([engine("e1", &["a1"])]);
+    let a1 = world.a1.clone();
+    world.dispatcher.note_absent(&"e1".into(), &a1);
+    assert_eq!(world.choose(), Err(Refusal::AdapterAbsent));
+}
+
+// The engine's process has ended and another one has its address. Its entry stays in the list for
+// some seconds more.
+#[test]
+fn an_engine_whose_address_was_taken_over_gets_nothing() {
+    let mut world = World::new([engine("e1", &["a1"])]);
+    world.dispatcher.note_gone(&"e1".into());
+    world
+        .dispatcher
+        .set_upstreams(&list([engine("e1", &["a1"])]), world.now);
+    assert_eq!(world.choose(), Err(Refusal::NoUpstream));
+}
+
+#[test]
+fn a_draining_engine_gets_nothing_new() {
+    let draining = Upstream {
+        state: UpstreamState::Draining { remaining: None },
+        ..engine("e1", &["a1"])
+    };
+    let mut world = World::new([draining]);
+    assert_eq!(world.choose(), Err(Refusal::NoUpstream));
+}
+
+#[test]
+fn the_named_version_goes_before_an_older_one_and_may_be_demanded() {
+    let mut older = engine("e1", &["a1"]);
+    older.holdings.models[0].adapters[0].version = 1;
+    let mut newer = engine("e2", &["a1"]);
+    newer.holdings.models[0].adapters[0].version = 2;
+    let mut world = World::new([older.clone(), newer]);
+    world.dispatcher.sent(&"e2".into(), 5_000);
+    assert_eq!(
+        world.choose_after(&[], VersionRule::Prefer(2)).unwrap(),
+        "e2"
+    );
+    let mut world = World::new([older]);
+    assert_eq!(
+        world.choose_after(&[], VersionRule::Prefer(2)).unwrap(),
+        "e1"
+    );
+    let demanded = world.choose_after(&[], VersionRule::AtLeast(2));
+    assert_eq!(demanded, Err(Refusal::AdapterAbsent));
+}
+
+// An upstream fails half of its requests while its health check passes. Every second guest would
+// get an error for as long as it is asked like the others.
+#[test]
+fn an_upstream_that_fails_is_left_alone_and_tried_again() {
+    let mut world = World::new([plain("p1"), plain("p2")]);
+    for _ in 0..2 {
+        world
+            .dispatcher
+            .note_outcome(&"p1".into(), Outcome::Failed, world.now);
+    }
+    for _ in 0..50 {
+        assert_eq!(world.choose_plain().unwrap(), "p2");
+    }
+    for _ in 0..10 {
+        world
+            .dispatcher
+            .note_outcome(&"p2".into(), Outcome::Answered, world.now);
+    }
+    world.now += Duration::from_secs(5);
+    world
+        .dispatcher
+        .note_outcome(&"p1".into(), Outcome::Answered, world.now);
+    for _ in 0..10 {
+        world
+            .dispatcher
+            .note_outcome(&"p1".into(), Outcome::Answered, world.now);
+    }
+    let chosen: Vec<_> = (0..50).map(|_| world.choose_plain().unwrap()).collect();
+    assert!(chosen.contains(&"p1".to_owned()), "it is sound again");
+}
+
+#[test]
+fn with_all_paused_one_is_tried_rather_than_none() {
+    let mut world = World::new([plain("p1")]);
+    world.dispatcher.note_unreachable(&"p1".into(), world.now);
+    assert_eq!(world.choose_plain().unwrap(), "p1");
+}
+
+// Answers that cross failure domains are lost when the domains are cut off from each other.
+#[test]
+fn the_own_failure_domain_goes_first_until_it_is_much_busier() {
+    let mut world = World::new([engine("near", &["a1"]), far_engine("far", &["a1"])]);
+    assert_eq!(world.choose().unwrap(), "near");
+    world.dispatcher.sent(&"near".into(), 4_000);
+    assert_eq!(world.choose().unwrap(), "far");
+}
+
+// An engine that restarted is empty and idle. It was every request's first choice for a load that
+// it could not take, and callers were refused for a second.
+#[test]
+fn an_engine_without_the_base_model_is_asked_for_no_adapter() {
+    let mut empty = engine("e1", &[]);
+    empty.holdings.models.clear();
+    let world = World::new([empty, engine("e2", &[])]);
+    let engines = world.dispatcher.engines_to_load(
+        &world.engines,
+        &world.a1,
+        VersionRule::Any,
+        CopyPlace::Anywhere,
+        world.now,
+    );
+    let ids: Vec<_> = engines.iter().map(|(id, _)| id.as_str()).collect();
+    assert_eq!(ids, ["e2"]);
+}
+
+// Three nodes miss one adapter within a load's time. Each chose the engine that was idle for it,
+// and the adapter was loaded three times.
+#[test]
+fn the_engine_that_loads_an_adapter_already_goes_first() {
+    let mut world = World::new([engine("e1", &[]), engine("e2", &[])]);
+    let mut told = report(9_000, world.now);
+    told.coming = vec![world.a1.clone()];
+    world.dispatcher.note_told(&"e2".into(), None, told);
+    let mut engines = world.dispatcher.engines_to_load(
+        &world.engines,
+        &world.a1,
+        VersionRule::Any,
+        CopyPlace::Anywhere,
+        world.now,
+    );
+    engines.sort_by(|a, b| a.1.total_cmp(&b.1));
+    assert_eq!(engines[0].0.as_str(), "e2");
+    assert!(engines[1].1 - engines[0].1 > 500.0);
+}
+
+#[test]
+fn a_popular_adapter_gets_another_copy_and_a_rare_one_none() {
+    let mut world = World::new([engine("e1", &["a1"]), engine("e2", &[])]);
+    world.dispatcher.set_nodes(7, 2);
+    world.dispatcher.sent(&"e1".into(), 8_000);
+    let copy = |world: &mut World| {
+        let need = Need {
+            service: &world.engines,
+            model: Some(&world.a1),
+            version: VersionRule::Any,
+            prompt_tokens: 1_000,
+            tried: &[],
+        };
+        let choice = world.dispatcher.choose(&need, world.now, &mut world.random);
+        choice.unwrap().copy
+    };
+    assert_eq!(copy(&mut world), None, "a queue alone says little");
+    for _ in 0..30 {
+        world.now += Duration::from_millis(300);
+        let a1 = world.a1.clone();
+        world.dispatcher.note_asked(&a1, 1_400, world.now);
+    }
+    assert_eq!(copy(&mut world), Some(CopyPlace::Anywhere));
+}
--- /dev/null
+++ b/crates/relay/tests/heavy_load.rs
@@ -0,0 +1,112 @@
+//! A burst over few engines, played on the decision alone: what callers wait for their first event.
+
+mod common;
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use common::{engine, list};
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{Dispatcher, ModelRef, Need, VersionRule};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 19.2;
+
+/// An engine that reads one prompt after the other, `slow` times as slowly as a sound one.
+struct Engine {
+    slow: f64,
+    free_at_ms: f64,
+    /// Requests on their way: when the first event comes, when it was sent, tokens, expected wait.
+    reading: VecDeque<(f64, f64, u64, f64)>,
+}
+
+/// Plays 60 s of 78 requests a second over six engines, one of them five times as slow, and
+/// returns the waits in milliseconds, sorted.
+fn play(
+    mut choose: impl FnMut(&mut Dispatcher, &Need<'_>, Instant, &mut ChaCha8Rng) -> usize,
+) -> Vec<f64> {
+    let names: Vec<String> = (0..6).map(|index| format!("e{index}")).collect();
+    let ids: Vec<UpstreamId> = names.iter().map(|name| name.as_str().into()).collect();
+    let began = Instant::now();
+    let mut dispatcher = Dispatcher::new("here".into());
+    dispatcher.set_upstreams(&list(names.iter().map(|name| engine(name, &["a1"]))), began);
+    let mut engines: Vec<Engine> = (0..6)
+        .map(|index| Engine {
+            slow: if index == 0 { 5.0 } else { 1.0 },
+            free_at_ms: 0.0,
+            reading: VecDeque::new(),
+        })
+        .collect();
+    let (service, model) = ("engines".into(), ModelRef::parse("base/a1"));
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut at_ms = 0.0;
+    let mut waits = Vec::new();
+    while at_ms < 60_000.0 {
+        at_ms += -(1.0 - random.random::<f64>()).ln() * 1_000.0 / 50.0;
+        let now = began + Duration::from_secs_f64(at_ms / 1_000.0);
+        for (engine, id) in engines.iter_mut().zip(&ids) {
+            while let Some(&(done_ms, sent_ms, tokens, expected_ms)) = engine.reading.front() {
+                if done_ms > at_ms {
+                    break;
+                }
+                engine.reading.pop_front();
+                let took = Duration::from_secs_f64((done_ms - sent_ms) / 1_000.0);
+                dispatcher.prompt_read(id, tokens);
+                dispatcher.answer_began(id, expected_ms, took, now);
+                dispatcher.ended(id);
+            }
+        }
+        let tokens = if random.random::<f64>() < 0.65 {
+            1_460
+        } else {
+            646
+        };
+        let need = Need {
+            service: &service,
+            model: Some(&model),
+            version: VersionRule::Any,
+            prompt_tokens: tokens,
+            tried: &[],
+        };
+        let chosen = choose(&mut dispatcher, &need, now, &mut random);
+        let expected_ms = dispatcher
+            .tracked(&ids[chosen])
+            .unwrap()
+            .expected_first_event_ms(tokens, now);
+        dispatcher.sent(&ids[chosen], tokens);
+        let engine = &mut engines[chosen];
+        let reading_ms = tokens as f64 / TOKENS_PER_MS * engine.slow;
+        engine.free_at_ms = engine.free_at_ms.max(at_ms) + reading_ms;
+        let done_ms = engine.free_at_ms + 15.0;
+        engine
+            .reading
+            .push_back((done_ms, at_ms, tokens, expected_ms));
+        waits.push(done_ms - at_ms);
+    }
+    waits.sort_by(f64::total_cmp);
+    waits
+}
+
+fn share_within(waits: &[f64], limit_ms: f64) -> f64 {
+    waits.iter().filter(|wait| **wait <= limit_ms).count() as f64 / waits.len() as f64
+}
+
+// Six engines, one of them slow, take 50 prompts a second. Choosing at random, the slow engine's
+// queue grows without end and one caller in six waits for ever: 0.827 get their first event within
+// 600 ms. By tokens to read and observed slowness all do.
+#[test]
+fn a_slow_engine_holds_up_few_callers() {
+    let by_decision = play(|dispatcher, need, now, random| {
+        let choice = dispatcher.choose(need, now, random).unwrap();
+        choice.upstream.id.as_str()[1..].parse().unwrap()
+    });
+    let at_random = play(|_, _, _, random| random.random_range(0..6));
+    let (decided, random) = (
+        share_within(&by_decision, 600.0),
+        share_within(&at_random, 600.0),
+    );
+    assert!(decided > 0.97, "{decided}");
+    assert!(random < 0.9, "{random}");
+}
--- /dev/null
+++ b/crates/relay/tests/promises.rs
@@ -0,0 +1,212 @@
+//! Properties of the smaller cores.
+
+mod common;
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use common::{engine, far_engine, holdings};
+use nutmegsail_base::{NodeId, UpstreamId};
+use nutmegsail_relay::{
+    Demand, EngineContents, LoadRefusal, LoadStep, ModelRef, NodeRecord, OrderPermit, Ownership,
+    OwnershipRules, RetryBudget, RetryBudgetRules, Room, Upstream, VersionRule, Versions,
+    plan_load, unowned_to_claim,
+};
+use proptest::prelude::*;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn model(index: usize) -> ModelRef {
+    ModelRef::parse(&format!("base/a{index}"))
+}
+
+const RULES: OwnershipRules = OwnershipRules {
+    hand_over: Duration::from_secs(3),
+    confirmation: Duration::from_millis(1_500),
+};
+
+proptest! {
+    #![proptest_config(config())]
+
+    // The store takes an owner's key away unseen while the owner is paused, and another node claims
+    // the engine. When the first one wakes it may still order by what it confirmed before. However
+    // long the pauses, its last order and the next owner's first are the hand-over apart.
+    #[test]
+    fn orders_of_two_owners_are_apart(
+        confirmed_ms in 0u64..20_000,
+        taken_away_after_ms in 0u64..5_000,
+        ordered_after_ms in 0u64..2_500,
+        next_ordered_after_ms in 0u64..9_000,
+    ) {
+        let ms = Duration::from_millis;
+        let mut first = Ownership::taken(5, true, RULES, ms(0), ms(0));
+        first.confirm(ms(confirmed_ms));
+        // Its key was seen by a read sent at `confirmed_ms`, so it was taken away later.
+        let taken_ms = confirmed_ms + taken_away_after_ms;
+        let order_ms = confirmed_ms + ordered_after_ms;
+        let next_order_ms = taken_ms + next_ordered_after_ms;
+        let second = Ownership::taken(9, false, RULES, ms(taken_ms), ms(taken_ms));
+        let first_orders = matches!(first.permit(ms(order_ms)), OrderPermit::Granted { .. });
+        // The next owner confirms as often as it likes.
+        let mut second = second;
+        second.confirm(ms(next_order_ms));
+        let second_orders = matches!(second.permit(ms(next_order_ms)), OrderPermit::Granted { .. });
+        if first_orders && second_orders {
+            prop_assert!(next_order_ms >= order_ms + 3_000);
+        }
+    }
+
+    // However requests and failures fall, all nodes together stay within the budget in every window.
+    #[test]
+    fn nodes_keep_the_budget_together(
+        sends in prop::collection::vec((0usize..5, 0u64..200, any::<bool>()), 1..400),
+    ) {
+        let rules = RetryBudgetRules { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
+        let began = Instant::now();
+        let mut budgets: Vec<RetryBudget> = (0..5).map(|_| RetryBudget::new(rules)).collect();
+        let mut at = began;
+        let mut firsts = Vec::new();
+        let mut furthers = Vec::new();
+        for (node, pause_ms, is_further) in sends {
+            at += Duration::from_millis(pause_ms);
+            if is_further {
+                if budgets[node].take_further(5, at) {
+                    furthers.push(at);
+                }
+            } else {
+                budgets[node].count_first(at);
+                firsts.push(at);
+            }
+        }
+        for end in &furthers {
+            let within = |times: &[Instant], span: u64| {
+                times.iter().filter(|at| **at <= *end && *end - **at < Duration::from_secs(span)).count()
+            };
+            let allowed = 0.2 * within(&firsts, 20) as f64 + 20.0;
+            prop_assert!(within(&furthers, 10) as f64 <= allowed);
+        }
+    }
+
+    // An engine that is ordered to hold more than fits crashes; one whose adapter in use is dropped
+    // turns requests away.
+    #[test]
+    fn no_plan_overfills_an_engine_or_drops_what_is_in_use(
+        held in prop::collection::hash_set(0usize..12, 0..8),
+        coming in prop::collection::hash_set(20usize..26, 0..5),
+        in_use in prop::collection::hash_set(0usize..12, 0..8),
+        wanted in 0usize..30,
+        slots in 0usize..9,
+        transfers in 1usize..5,
+    ) {
+        prop_assume!(!coming.contains(&wanted));
+        let names: Vec<String> = held.iter().map(|index| format!("a{index}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let holdings = holdings(&names);
+        let coming: Vec<ModelRef> = coming.into_iter().map(model).collect();
+        let in_use: HashSet<ModelRef> = in_use.into_iter().map(model).collect();
+        let engine = EngineContents {
+            holdings: &holdings,
+            coming: &coming,
+            room: Room { adapter_slots: slots, transfers },
+            demand: &Demand::new(Duration::from_secs(10)),
+            is_in_use: &|adapter| in_use.contains(adapter),
+        };
+        let is_held = held.contains(&wanted);
+        match plan_load(&model(wanted), None, &engine, Instant::now()) {
+            Ok(plan) => {
+                let dropped = plan.steps.iter().filter(|step| matches!(step, LoadStep::Unload(_)));
+                let after = held.len() + coming.len() + usize::from(!is_held) - dropped.clone().count();
+                prop_assert!(after <= slots.max(held.len() + coming.len()));
+                prop_assert!(coming.len() < transfers);
+                for step in dropped {
+                    let LoadStep::Unload(victim) = step else { unreachable!() };
+                    prop_assert!(!in_use.contains(victim));
+                }
+            }
+            Err(LoadRefusal::TransfersFull) => prop_assert!(coming.len() >= transfers),
+            Err(LoadRefusal::NothingToEvict) => prop_assert!(held.iter().all(|index| in_use.contains(&model(*index)))),
+            Err(LoadRefusal::ModelAbsent) => prop_assert!(false, "the base model is there"),
+        }
+    }
+
+    // Nodes that see the same claim every engine, and no engine twice.
+    #[test]
+    fn every_engine_is_claimed_by_one_node(near in 0usize..12, far in 0usize..12, here in 0usize..5, there in 0usize..5) {
+        prop_assume!(here + there > 0);
+        let record = |index: usize, domain: &str| NodeRecord {
+            node: format!("{domain}-{index}").into(),
+            failure_domain: domain.into(),
+            address: ([10, 0, 0, 1], 1).into(),
+        };
+        let nodes: Vec<NodeRecord> = (0..here).map(|index| record(index, "here"))
+            .chain((0..there).map(|index| record(index, "there"))).collect();
+        let engines: Vec<Upstream> = (0..near).map(|index| engine(&format!("n{index}"), &[]))
+            .chain((0..far).map(|index| far_engine(&format!("f{index}"), &[]))).collect();
+        let engines: Vec<&Upstream> = engines.iter().collect();
+        let mut claimed: HashMap<UpstreamId, NodeId> = HashMap::new();
+        for node in &nodes {
+            let mine = unowned_to_claim(&node.node, &nodes, &engines, &HashMap::new());
+            let share = engines.len().div_ceil(here.min(there).max(1)).max(1);
+            prop_assert!(mine.len() <= share);
+            for id in mine {
+                prop_assert!(claimed.insert(id, node.node.clone()).is_none());
+            }
+        }
+        prop_assert_eq!(claimed.len(), engines.len());
+    }
+}
+
+// A version is named, and an older naming comes late. Requests must not go back to it.
+#[test]
+fn versions_only_rise_and_the_older_one_ends_with_its_overlap() {
+    let (now, overlap) = (Instant::now(), Duration::from_secs(3));
+    let mut versions = Versions::default();
+    assert_eq!(versions.rule(&model(1), overlap, now), VersionRule::Any);
+    versions.name(model(1), 4, now);
+    versions.name(model(1), 3, now);
+    assert_eq!(
+        versions.rule(&model(1), overlap, now),
+        VersionRule::Prefer(4)
+    );
+    let later = now + overlap;
+    versions.name(model(1), 4, later);
+    assert_eq!(
+        versions.rule(&model(1), overlap, later),
+        VersionRule::AtLeast(4)
+    );
+}
+
+#[test]
+fn the_least_wanted_adapter_makes_way() {
+    let now = Instant::now();
+    let mut demand = Demand::new(Duration::from_secs(10));
+    for (index, requests) in [(1, 5.0), (2, 1.0), (3, 2.0)] {
+        demand.add(&model(index), requests, now);
+    }
+    let holdings = holdings(&["a1", "a2", "a3"]);
+    let engine = EngineContents {
+        holdings: &holdings,
+        coming: &[],
+        room: Room {
+            adapter_slots: 3,
+            transfers: 4,
+        },
+        demand: &demand,
+        is_in_use: &|_| false,
+    };
+    let plan = plan_load(&model(9), Some(2), &engine, now).unwrap();
+    assert_eq!(
+        plan.steps,
+        [
+            LoadStep::Unload(model(2)),
+            LoadStep::Load(model(9), Some(2))
+        ]
+    );
+}
