Leave silent engines and failure domains alone before the list shows them

Cause: an engine that crashed without a word, or is behind a partition, keeps its connections; every request sent there hung until its caller gave up, for up to 3.6 s of missed heartbeats. Change: an engine from which nothing comes for three times as long as its queue takes, and a failure domain whose nodes miss four exchanges, get work only if all do badly; reports of loads are first asked for after 350 ms instead of 254.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -159,6 +159,7 @@
 fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], sender: SocketAddr) {
     match postcard::from_bytes(bytes) {
         Ok(Message::Uses { from, engines }) => {
+            knowledge.note_heard(from.clone());
             let loads = engines
                 .iter()
                 .filter_map(|used| take_use(knowledge, &from, used));
@@ -167,7 +168,7 @@
             send(socket, &Message::Loads { from, engines }, sender);
         }
         Ok(Message::Loads { from, engines }) => {
-            knowledge.heard.borrow_mut().insert(from, Instant::now());
+            knowledge.note_heard(from);
             for load in engines {
                 if load.holdings.is_some() {
                     knowledge.note_change(&load.engine, load.change);
--- a/crates/relay-node/src/control/follow_loads.rs
+++ b/crates/relay-node/src/control/follow_loads.rs
@@ -12,8 +12,11 @@
 /// How long a load takes at least; its end is not asked for earlier.
 pub(crate) const LEAST_LOAD: Duration = Duration::from_millis(254);
 
-/// The time between two reports while loads are under way.
-pub(crate) const FOLLOW_INTERVAL: Duration = Duration::from_millis(40);
+/// How long after its order a load can show in a report at the earliest: reports lag some 100 ms.
+const FIRST_REPORT: Duration = Duration::from_millis(350);
+
+/// The time between two reports while loads are under way; each is charged for.
+pub(crate) const FOLLOW_INTERVAL: Duration = Duration::from_millis(60);
 
 /// How long a load may take, with others under way everywhere.
 pub(crate) const LOAD_LIMIT: Duration = Duration::from_millis(3_000);
@@ -26,7 +29,7 @@
     spawn_local(async move {
         while let Some(oldest) = engine.oldest_coming() {
             let age = oldest.elapsed();
-            sleep(LEAST_LOAD.saturating_sub(age).max(FOLLOW_INTERVAL)).await;
+            sleep(FIRST_REPORT.saturating_sub(age).max(FOLLOW_INTERVAL)).await;
             let report = knowledge.read_report(&engine).await;
             if age > LOAD_LIMIT && report.is_none() {
                 engine.give_up_coming();
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -62,7 +62,7 @@
     pub(crate) usual_report_ms: Cell<f64>,
     /// The last change of each engine's holdings that the traffic thread was told.
     changes: RefCell<HashMap<UpstreamId, u64>>,
-    /// When each owner last answered.
+    /// When each node was last heard.
     pub(crate) heard: RefCell<HashMap<NodeId, Instant>>,
     /// Which node owned the engine at each address last, and when it was seen so.
     pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
@@ -158,6 +158,15 @@
         }
     }
 
+    /// Notes that a node was heard, and its failure domain with it.
+    pub(crate) fn note_heard(&self, node: NodeId) {
+        let nodes = self.nodes.borrow();
+        if let Some(record) = nodes.get(&node) {
+            self.shared.news.heard(record.failure_domain.clone());
+        }
+        self.heard.borrow_mut().insert(node, Instant::now());
+    }
+
     fn nodes_in_domain(&self) -> usize {
         let nodes = self.nodes.borrow();
         let is_here = |node: &&NodeRecord| node.failure_domain == self.settings.failure_domain;
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use nutmegsail_base::UpstreamId;
+use nutmegsail_base::{FailureDomain, UpstreamId};
 use nutmegsail_relay::{Holdings, ModelRef, Report, RouteTable, Upstream, Versions};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -150,20 +151,39 @@
     pub(crate) holdings: Option<Holdings>,
 }
 
-/// News that the traffic thread has not taken yet, the newest of each engine.
+/// News that the traffic thread has not taken yet.
 #[derive(Debug, Default)]
-pub(crate) struct News(Mutex<HashMap<UpstreamId, EngineNews>>);
+pub(crate) struct Waiting {
+    /// The newest of each engine.
+    pub(crate) engines: HashMap<UpstreamId, EngineNews>,
+    /// When a node of each other failure domain was last heard.
+    pub(crate) domains: HashMap<FailureDomain, Instant>,
+}
+
+/// What owners told, on its way to the traffic thread.
+#[derive(Debug, Default)]
+pub(crate) struct News(Mutex<Waiting>);
 
 impl News {
+    /// Notes that a node of `domain` was heard.
+    pub(crate) fn heard(&self, domain: FailureDomain) {
+        self.lock().domains.insert(domain, Instant::now());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn put(&self, news: EngineNews) {
-        let mut waiting = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let older = waiting.remove(&news.engine);
+        let mut waiting = self.lock();
+        let older = waiting.engines.remove(&news.engine);
         let holdings = news.holdings.or(older.and_then(|older| older.holdings));
-        waiting.insert(news.engine.clone(), EngineNews { holdings, ..news });
+        let news = EngineNews { holdings, ..news };
+        waiting.engines.insert(news.engine.clone(), news);
     }
 
-    pub(crate) fn take(&self) -> HashMap<UpstreamId, EngineNews> {
-        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    pub(crate) fn take(&self) -> Waiting {
+        std::mem::take(&mut self.lock())
     }
 }
 
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -36,10 +36,10 @@
         request: RequestId,
         waited: Duration,
     ) -> Self {
-        gateway
-            .dispatcher
-            .borrow_mut()
-            .sent(upstream, prompt_tokens);
+        let now = Instant::now();
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        dispatcher.sent(upstream, prompt_tokens, now);
+        drop(dispatcher);
         if let Some(model) = model {
             gateway.shared.uses.begin(upstream, model, prompt_tokens);
         }
@@ -49,7 +49,7 @@
             model: model.cloned(),
             prompt_tokens,
             expected_ms,
-            sent: Instant::now(),
+            sent: now,
             first: None,
             is_settled: false,
             request,
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -157,10 +157,15 @@
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
             dispatcher.set_nodes(view.nodes, view.nodes_in_domain);
         }
-        for (engine, news) in self.shared.news.take() {
-            let mut dispatcher = self.dispatcher.borrow_mut();
+        let news = self.shared.news.take();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        for (domain, at) in news.domains {
+            dispatcher.note_domain_heard(&domain, at);
+        }
+        for (engine, news) in news.engines {
             dispatcher.note_told(&engine, news.holdings.as_ref(), news.report);
         }
+        drop(dispatcher);
         view
     }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -99,6 +99,13 @@
 /// What each load ahead at an engine adds to the wait for another, in milliseconds: its time.
 const COMING_MS: f64 = 250.0;
 
+/// How long the nodes of a failure domain may be silent before it counts as cut off: four exchanges,
+/// as single datagrams are lost now and then.
+const DOMAIN_SILENCE: Duration = Duration::from_millis(420);
+
+/// How long a silence says that. Nodes may be gone while the upstreams beside them serve on.
+const DOMAIN_SILENCE_ENDS: Duration = Duration::from_secs(30);
+
 /// What a plain upstream scores for a request that runs there, in milliseconds.
 const PLAIN_RUNNING_MS: f64 = 30.0;
 
@@ -113,6 +120,8 @@
     asked: Demand,
     nodes: usize,
     nodes_in_domain: usize,
+    /// When a node of each other failure domain was last heard.
+    domains_heard: HashMap<FailureDomain, Instant>,
 }
 
 impl Dispatcher {
@@ -125,6 +134,7 @@
             asked: Demand::new(COPIES_HALF_LIFE),
             nodes: 1,
             nodes_in_domain: 1,
+            domains_heard: HashMap::new(),
         }
     }
 
@@ -204,6 +214,10 @@
             {
                 continue;
             }
+            if need.model.is_some() && self.is_out(tracked, now) {
+                // Another engine can have the adapter in less time than this one may stay silent.
+                continue;
+            }
             refusal = refusal.max_reason(Refusal::AllBusy);
             let is_preferred = version.is_none_or(|version| need.version.prefers(version));
             if preferred_exists && !is_preferred {
@@ -300,12 +314,38 @@
             score += OTHER_DOMAIN_MS;
         }
         score += tracked.health.failure_rate() * 200.0;
-        if tracked.health.is_paused(now) {
+        if self.is_out(tracked, now) {
             score += PAUSED_MS;
         }
         score
     }
 
+    /// Whether an upstream gets work only if all do badly.
+    fn is_out(&self, tracked: &Tracked, now: Instant) -> bool {
+        let is_quiet = need_answers(tracked) && tracked.is_silent(now);
+        tracked.health.is_paused(now) || is_quiet || self.is_cut_off(tracked, now)
+    }
+
+    /// Whether the upstream's failure domain has fallen silent.
+    ///
+    /// When domains are cut off from each other, kept connections stay open and what is sent on
+    /// them hangs; a request that must not run twice is lost with it. The nodes there, which
+    /// answer ten times a second, are then silent at once.
+    fn is_cut_off(&self, tracked: &Tracked, now: Instant) -> bool {
+        let domain = &tracked.upstream.failure_domain;
+        let heard = self.domains_heard.get(domain);
+        *domain != self.failure_domain
+            && heard.is_some_and(|at| {
+                let silence = now.duration_since(*at);
+                silence > DOMAIN_SILENCE && silence < DOMAIN_SILENCE_ENDS
+            })
+    }
+
+    /// Takes in when a node of another failure domain was last heard.
+    pub fn note_domain_heard(&mut self, domain: &FailureDomain, at: Instant) {
+        self.domains_heard.insert(domain.clone(), at);
+    }
+
     /// Engines that could take `model`, each with what speaks against it in milliseconds of
     /// expected wait.
     ///
@@ -326,7 +366,7 @@
             let has_it = holdings.version_of(model);
             tracked.upstream.service == *service
                 && tracked.upstream.takes_work()
-                && !tracked.health.is_paused(now)
+                && !self.is_out(tracked, now)
                 && !tracked.is_gone
                 && has_base
                 && (place == CopyPlace::Anywhere || is_here(tracked))
@@ -355,17 +395,16 @@
     }
 
     /// Counts a request as sent.
-    pub fn sent(&mut self, id: &UpstreamId, prompt_tokens: u64) {
+    pub fn sent(&mut self, id: &UpstreamId, prompt_tokens: u64, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
-            tracked.in_flight += 1;
-            tracked.unread_tokens += prompt_tokens;
+            tracked.sent(prompt_tokens, now);
         }
     }
 
     /// Counts a request's prompt as read: its answer began, or it ended without one.
     pub fn prompt_read(&mut self, id: &UpstreamId, prompt_tokens: u64) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
-            tracked.unread_tokens = tracked.unread_tokens.saturating_sub(prompt_tokens);
+            tracked.prompt_read(prompt_tokens);
         }
     }
 
@@ -404,6 +443,11 @@
     }
 }
 
+/// Whether first events are due from the upstream; plain services answer in their own time.
+fn need_answers(tracked: &Tracked) -> bool {
+    tracked.unread_tokens > 0
+}
+
 impl Refusal {
     /// The reason that came closest to an answer.
     fn max_reason(self, other: Self) -> Self {
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -18,6 +18,14 @@
     pub taken: Instant,
 }
 
+/// An engine is silent if nothing comes back for this many times as long as the queue should take,
+/// and for at least [`SILENCE_FLOOR_MS`].
+const SILENCE_RATIO: f64 = 3.0;
+
+/// The least silence that is taken for a failure, in milliseconds; sound engines answer the first of
+/// several requests within some 400 ms.
+const SILENCE_FLOOR_MS: f64 = 700.0;
+
 /// How long an owner's word goes before the list of upstreams: longer than a heartbeat and the
 /// list's lag.
 const TOLD_LIFE: Duration = Duration::from_millis(2_500);
@@ -64,6 +72,8 @@
     pub report: Option<Report>,
     slowness: f64,
     slowness_at: Instant,
+    /// Since when nothing has come back although answers are due.
+    waiting_since: Option<Instant>,
 }
 
 impl Tracked {
@@ -80,6 +90,7 @@
             report: None,
             slowness: 1.0,
             slowness_at: now,
+            waiting_since: None,
         }
     }
 
@@ -132,6 +143,39 @@
         self.in_flight + others.map_or(0, |report| report.in_flight_of_others)
     }
 
+    /// Counts a request as sent.
+    pub(crate) fn sent(&mut self, prompt_tokens: u64, now: Instant) {
+        self.in_flight += 1;
+        self.unread_tokens += prompt_tokens;
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// Takes in that something came back.
+    pub(crate) fn note_alive(&mut self, now: Instant) {
+        let is_waiting = self.in_flight > 0 && self.unread_tokens > 0;
+        self.waiting_since = is_waiting.then_some(now);
+    }
+
+    /// Counts a prompt as read, or given up.
+    pub(crate) fn prompt_read(&mut self, prompt_tokens: u64) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(prompt_tokens);
+        if self.unread_tokens == 0 {
+            self.waiting_since = None;
+        }
+    }
+
+    /// Whether nothing has come back for much longer than answers take.
+    ///
+    /// An engine that crashed without a word, or is behind a partition, keeps its connections and
+    /// says nothing. Each request sent there hangs until its caller gives up. Its heartbeats end
+    /// the matter after 3.6 s only.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let limit_ms = SILENCE_FLOOR_MS.max(SILENCE_RATIO * self.sound_first_event_ms(0, now));
+        let limit = Duration::from_secs_f64(limit_ms / 1_000.0);
+        self.waiting_since
+            .is_some_and(|since| now.duration_since(since) > limit)
+    }
+
     /// Adapters on their way to it, as far as is known.
     pub fn coming(&self, now: Instant) -> &[ModelRef] {
         self.fresh_report(now)
@@ -157,6 +201,7 @@
         let (least, most) = SLOWNESS_RANGE;
         self.slowness = (known + SLOWNESS_STEP * (seen - known)).clamp(least, most);
         self.slowness_at = now;
+        self.note_alive(now);
     }
 
     fn fresh_report(&self, now: Instant) -> Option<&Report> {
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -92,13 +92,13 @@
 #[test]
 fn the_engine_with_fewer_tokens_to_read_gets_the_request() {
     let mut world = World::new([engine("e1", &["a1"]), engine("e2", &["a1"])]);
-    world.dispatcher.sent(&"e1".into(), 6_000);
+    world.dispatcher.sent(&"e1".into(), 6_000, world.now);
     for _ in 0..3 {
-        world.dispatcher.sent(&"e2".into(), 100);
+        world.dispatcher.sent(&"e2".into(), 100, world.now);
     }
     assert_eq!(world.choose().unwrap(), "e2");
     world.dispatcher.prompt_read(&"e1".into(), 6_000);
-    world.dispatcher.sent(&"e2".into(), 6_000);
+    world.dispatcher.sent(&"e2".into(), 6_000, world.now);
     assert_eq!(world.choose().unwrap(), "e1");
 }
 
@@ -173,7 +173,7 @@
     let mut newer = engine("e2", &["a1"]);
     newer.holdings.models[0].adapters[0].version = 2;
     let mut world = World::new([older.clone(), newer]);
-    world.dispatcher.sent(&"e2".into(), 5_000);
+    world.dispatcher.sent(&"e2".into(), 5_000, world.now);
     assert_eq!(
         world.choose_after(&[], VersionRule::Prefer(2)).unwrap(),
         "e2"
@@ -230,7 +230,7 @@
 fn the_own_failure_domain_goes_first_until_it_is_much_busier() {
     let mut world = World::new([engine("near", &["a1"]), far_engine("far", &["a1"])]);
     assert_eq!(world.choose().unwrap(), "near");
-    world.dispatcher.sent(&"near".into(), 4_000);
+    world.dispatcher.sent(&"near".into(), 4_000, world.now);
     assert_eq!(world.choose().unwrap(), "far");
 }
 
@@ -276,7 +276,10 @@
 fn a_popular_adapter_gets_another_copy_and_a_rare_one_none() {
     let mut world = World::new([engine("e1", &["a1"]), engine("e2", &[])]);
     world.dispatcher.set_nodes(7, 2);
-    world.dispatcher.sent(&"e1".into(), 8_000);
+    let queue = |world: &mut World| {
+        world.dispatcher.sent(&"e1".into(), 8_000, world.now);
+    };
+    queue(&mut world);
     let copy = |world: &mut World| {
         let need = Need {
             service: &world.engines,
@@ -289,10 +292,12 @@
         choice.unwrap().copy
     };
     assert_eq!(copy(&mut world), None, "a queue alone says little");
+    world.dispatcher.prompt_read(&"e1".into(), 8_000);
     for _ in 0..30 {
         world.now += Duration::from_millis(300);
         let a1 = world.a1.clone();
         world.dispatcher.note_asked(&a1, 1_400, world.now);
     }
+    queue(&mut world);
     assert_eq!(copy(&mut world), Some(CopyPlace::Anywhere));
 }
--- a/crates/relay/tests/heavy_load.rs
+++ b/crates/relay/tests/heavy_load.rs
@@ -75,7 +75,7 @@
             .tracked(&ids[chosen])
             .unwrap()
             .expected_first_event_ms(tokens, now);
-        dispatcher.sent(&ids[chosen], tokens);
+        dispatcher.sent(&ids[chosen], tokens, now);
         let engine = &mut engines[chosen];
         let reading_ms = tokens as f64 / TOKENS_PER_MS * engine.slow;
         engine.free_at_ms = engine.free_at_ms.max(at_ms) + reading_ms;
