Begin a second load at an engine while loads are quick

Cause: one load at a time at an engine left the weight store idle where a failure domain or a node has few engines of its own, and its callers waited. Change: while loads lately took under 430 ms until a report showed them, a second one begins.

--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -30,6 +30,10 @@
 /// near the eight without asking anyone.
 const TRANSFERS_LIMIT: usize = 4;
 
+/// While loads lately took less than this until a report showed them, in milliseconds, few are under
+/// way anywhere, and a second one begins at an engine beside the first.
+const QUICK_LOAD_MS: f64 = 430.0;
+
 /// Loads under way at one engine that should have finished, while the next one begins: their
 /// reports are yet to come.
 const OVERLAP_LIMIT: u32 = 2;
@@ -246,7 +250,9 @@
     ) -> Result<(), LoadFailure> {
         while let Some(oldest) = engine.oldest_coming() {
             let finished = oldest + self.usual_load();
-            if Instant::now() >= finished && engine.coming_count() <= OVERLAP_LIMIT {
+            let is_finished = Instant::now() >= finished && engine.coming_count() <= OVERLAP_LIMIT;
+            let is_quick = self.knowledge.usual_report_ms.get() < QUICK_LOAD_MS;
+            if is_finished || (is_quick && engine.coming_count() < OVERLAP_LIMIT) {
                 return Ok(());
             }
             let until = limit.min((finished.max(Instant::now() + FOLLOW_INTERVAL)).into());
