Confirm all engines in one call, and offer no loads where no order can be given

Every engine was confirmed by a call of its own. Change: one transaction confirms all engines of a node, and after a failure the store is left alone for 0.4 s; owners tell whether an engine takes loads; an engine in doubt has its report read by its owner.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -54,6 +54,8 @@
     unread_tokens: u64,
     /// Adapters on their way to it.
     coming: Vec<ModelRef>,
+    /// Whether it can be given orders now.
+    takes_loads: bool,
     /// The last change of the engine's holdings.
     change: u64,
     /// The holdings, if the other node knows an earlier change.
@@ -140,21 +142,18 @@
     let (in_flight, unread_tokens) = owned.load_of_others(&knowledge.settings.node);
     knowledge.shared.news.put(EngineNews {
         engine: owned.id.clone(),
-        report: report(in_flight, unread_tokens, owned.loads_ahead()),
+        report: Report {
+            in_flight_of_others: in_flight,
+            unread_tokens_of_others: unread_tokens,
+            coming: owned.loads_ahead(),
+            takes_loads: knowledge.takes_loads(owned),
+            taken: Instant::now(),
+        },
         holdings: owned.holdings_since(knowledge.known_change(&owned.id)),
     });
     knowledge.note_change(&owned.id, owned.change());
 }
 
-fn report(in_flight: u32, unread_tokens: u64, coming: Vec<ModelRef>) -> Report {
-    Report {
-        in_flight_of_others: in_flight,
-        unread_tokens_of_others: unread_tokens,
-        coming,
-        taken: Instant::now(),
-    }
-}
-
 /// Takes in a datagram.
 fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], sender: SocketAddr) {
     match postcard::from_bytes(bytes) {
@@ -175,7 +174,13 @@
                 }
                 knowledge.shared.news.put(EngineNews {
                     engine: load.engine,
-                    report: report(load.in_flight, load.unread_tokens, load.coming),
+                    report: Report {
+                        in_flight_of_others: load.in_flight,
+                        unread_tokens_of_others: load.unread_tokens,
+                        coming: load.coming,
+                        takes_loads: load.takes_loads,
+                        taken: Instant::now(),
+                    },
                     holdings: load.holdings,
                 });
             }
@@ -202,6 +207,7 @@
         in_flight: others_in_flight + mine.0,
         unread_tokens: others_unread + mine.1,
         coming: owned.loads_ahead(),
+        takes_loads: knowledge.takes_loads(&owned),
         change: owned.change(),
         holdings: owned.holdings_since(used.known_change),
     })
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -10,13 +10,15 @@
 use nutmegsail_base::{NodeId, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Demand, Holdings, ModelSpec, NodeRecord, OwnershipRules, RouteTable, Upstream, Versions,
+    Demand, Holdings, ModelSpec, NodeRecord, OrderPermit, OwnershipRules, RouteTable, Upstream,
+    Versions,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
 
 use super::ControlParts;
 use super::engine::OwnedEngine;
+use crate::clock::boot_time;
 use crate::shared::{Shared, View};
 use crate::{Dialect, RelaySettings};
 
@@ -36,6 +38,9 @@
 /// start many are under way at once.
 const FIRST_USUAL_MS: f64 = 480.0;
 
+/// How long after a failed confirmation engines get no loads.
+const LOST_STORE_SPAN: Duration = Duration::from_millis(800);
+
 /// How long opening a connection to an engine or a node may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -62,6 +67,10 @@
     pub(crate) owned: RefCell<HashMap<UpstreamId, Rc<OwnedEngine>>>,
     pub(crate) demand: RefCell<Demand>,
     pub(crate) lease: Cell<LeaseId>,
+    /// Held while ownership is confirmed, so that loads that wait share one call.
+    pub(crate) confirming: tokio::sync::Mutex<()>,
+    /// When a confirmation last failed.
+    pub(crate) confirm_failed: Cell<Option<Instant>>,
     /// How long loads take lately until a report shows them, in milliseconds.
     pub(crate) usual_report_ms: Cell<f64>,
     /// The last change of each engine's holdings that the traffic thread was told.
@@ -95,6 +104,8 @@
             owned: RefCell::default(),
             demand: RefCell::new(Demand::new(DEMAND_HALF_LIFE)),
             lease: Cell::default(),
+            confirming: tokio::sync::Mutex::new(()),
+            confirm_failed: Cell::new(None),
             usual_report_ms: Cell::new(FIRST_USUAL_MS),
             changes: RefCell::default(),
             heard: RefCell::default(),
@@ -162,6 +173,20 @@
         }
     }
 
+    /// Whether `engine` can be given orders, as far as is known without asking the store.
+    pub(crate) fn takes_loads(&self, engine: &OwnedEngine) -> bool {
+        let permit = engine.ownership.borrow().permit(boot_time());
+        let is_permitted = match permit {
+            OrderPermit::Granted { .. } => true,
+            OrderPermit::Settling { .. } => false,
+            OrderPermit::Unconfirmed => self
+                .confirm_failed
+                .get()
+                .is_none_or(|failed| failed.elapsed() > LOST_STORE_SPAN),
+        };
+        is_permitted && !engine.is_blocked() && engine.leaving_count() == 0
+    }
+
     /// Notes that a node was heard, and its failure domain with it.
     pub(crate) fn note_heard(&self, node: NodeId) {
         let nodes = self.nodes.borrow();
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -7,7 +7,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{OrderPermit, Upstream};
-use nutmegsail_store::KeyValueError;
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::timeout;
 
@@ -105,19 +104,7 @@
             OrderPermit::Settling { .. } => return None,
             OrderPermit::Unconfirmed => {}
         }
-        let asked_at = boot_time();
-        let fence = engine.ownership.borrow().fence();
-        match self.store.get(&owners::owner_key(&engine.id)).await {
-            Ok(Some(item)) if item.revision.0 == fence => {
-                engine.ownership.borrow_mut().confirm(asked_at);
-            }
-            Ok(_) => {
-                owners::lose(self, &engine.id, "the key is another's or gone");
-                return None;
-            }
-            Err(KeyValueError::Refused | KeyValueError::Unavailable) => return None,
-            Err(_) => return None,
-        }
+        owners::confirm(self).await;
         match engine.ownership.borrow().permit(boot_time()) {
             OrderPermit::Granted { fence } => Some(fence),
             OrderPermit::Unconfirmed | OrderPermit::Settling { .. } => None,
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{ModelRef, NodeRecord, Ownership, Upstream, unowned_to_claim};
+use nutmegsail_relay::{ModelRef, NodeRecord, OrderPermit, Ownership, Upstream, unowned_to_claim};
 use nutmegsail_store::{Change, Expect, Item, KeyValueError, LeaseId, Put, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,12 @@
 /// engines are to be spread over all of them.
 const FIRST_CLAIM_AFTER: Duration = Duration::from_millis(900);
 
+/// How long the store is left alone after a confirmation failed.
+const CONFIRM_RETRY: Duration = Duration::from_millis(400);
+
+/// Engines that one transaction confirms; the store takes 32 entries.
+const CONFIRMS_PER_TXN: usize = 32;
+
 /// Claims that go into one transaction; the store takes 32 entries.
 const CLAIMS_PER_TXN: usize = 15;
 
@@ -145,6 +151,70 @@
     }
 }
 
+/// Confirms at the store that this node still owns its engines: one call for all of them.
+///
+/// After a failure the store is left alone for a moment. While it is away, each of the loads that
+/// wait would otherwise hang on a call of its own, and their callers with them.
+pub(crate) async fn confirm(knowledge: &Knowledge) {
+    let _one_at_a_time = knowledge.confirming.lock().await;
+    let failed = knowledge.confirm_failed.get();
+    if failed.is_some_and(|at| at.elapsed() < CONFIRM_RETRY) || !needs_confirmation(knowledge) {
+        return;
+    }
+    let owned: Vec<(UpstreamId, Revision)> = {
+        let owned = knowledge.owned.borrow();
+        let fence = |engine: &Rc<OwnedEngine>| Revision(engine.ownership.borrow().fence());
+        owned
+            .iter()
+            .map(|(id, engine)| (id.clone(), fence(engine)))
+            .collect()
+    };
+    for owned in owned.chunks(CONFIRMS_PER_TXN) {
+        confirm_some(knowledge, owned).await;
+    }
+}
+
+/// Whether an engine's ownership was confirmed too long ago; another load may just have done it.
+fn needs_confirmation(knowledge: &Knowledge) -> bool {
+    let owned = knowledge.owned.borrow();
+    let now = boot_time();
+    let mut permits = owned
+        .values()
+        .map(|engine| engine.ownership.borrow().permit(now));
+    permits.any(|permit| permit == OrderPermit::Unconfirmed)
+}
+
+async fn confirm_some(knowledge: &Knowledge, owned: &[(UpstreamId, Revision)]) {
+    let expects = owned.iter().map(|(engine, revision)| Expect {
+        key: owner_key(engine).into(),
+        revision: *revision,
+    });
+    let txn = Txn {
+        expects: expects.collect(),
+        ..Txn::default()
+    };
+    let asked_at = boot_time();
+    match knowledge.store.commit(txn).await {
+        Ok(_) => {
+            for (engine, _) in owned {
+                if let Some(engine) = knowledge.owned(engine) {
+                    engine.ownership.borrow_mut().confirm(asked_at);
+                }
+            }
+        }
+        Err(KeyValueError::Conflict { current }) => {
+            for (engine, revision) in owned {
+                let key = owner_key(engine);
+                let mut current = current.iter();
+                if !current.any(|item| *item.key == *key && item.revision == *revision) {
+                    lose(knowledge, engine, "the key is another's or gone");
+                }
+            }
+        }
+        Err(_) => knowledge.confirm_failed.set(Some(Instant::now())),
+    }
+}
+
 /// Keeps the node's lease and claims engines, for ever.
 pub(crate) async fn keep(knowledge: Rc<Knowledge>) {
     let started = Instant::now();
@@ -378,8 +448,9 @@
         let Some(upstream) = knowledge.upstream(&engine.id) else {
             continue;
         };
-        let is_unread = engine.change() == 0;
-        if is_unread {
+        // An engine whose count of orders is in doubt, or that waits for an adapter to go, is offered
+        // no loads, and only loads would read its report otherwise.
+        if engine.order_seq().is_none() || engine.leaving_count() > 0 {
             knowledge.read_report(&engine).await;
         }
         if upstream.takes_work() && engine.change() > 0 && engine.holdings().models.is_empty() {
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -23,7 +23,7 @@
 /// The pause between two watches. Every heartbeat is an event, so a watch that is called again at
 /// once costs a call for each; a leaving upstream must get nothing new after 2 s, and a new
 /// configuration be in force by then.
-const PAUSE: Duration = Duration::from_millis(450);
+const PAUSE: Duration = Duration::from_millis(600);
 
 /// The pause after a failed call, with up to as much again at random, so that the nodes do not
 /// all come back to the store at one moment.
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -373,6 +373,7 @@
                 && tracked.upstream.takes_work()
                 && !self.is_out(tracked, now)
                 && !tracked.is_gone
+                && tracked.takes_loads(now)
                 && has_base
                 && (place == CopyPlace::Anywhere || is_here(tracked))
                 && !has_it.is_some_and(|held| version.prefers(held))
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -14,6 +14,8 @@
     pub unread_tokens_of_others: u64,
     /// Adapters on their way to it, or waiting for it.
     pub coming: Vec<ModelRef>,
+    /// Whether its owner can order loads now.
+    pub takes_loads: bool,
     /// When it was taken.
     pub taken: Instant,
 }
@@ -182,6 +184,12 @@
             .map_or(&[], |report| report.coming.as_slice())
     }
 
+    /// Whether loads can be ordered there, as far as is known.
+    pub fn takes_loads(&self, now: Instant) -> bool {
+        self.fresh_report(now)
+            .is_none_or(|report| report.takes_loads)
+    }
+
     /// How long a prompt of `tokens` is expected to wait for its first event, in milliseconds.
     pub fn expected_first_event_ms(&self, tokens: u64, now: Instant) -> f64 {
         self.sound_first_event_ms(tokens, now) * self.slowness(now)
