Wait for the only upstream of an idempotent call

Cause: an idempotent call was given up after three latency objectives also where no other upstream could be asked; its caller got an error though the answer was on its way. Change: that patience holds only if the call may be sent elsewhere.

--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -186,13 +186,11 @@
                 }
             };
             let dispatched = life.dispatch(&choice.upstream.id);
-            let run_state = match self.send(call, &choice).await {
+            let has_other = self.may_repeat(call, &sends, &choice);
+            let run_state = match self.send(call, &choice, has_other).await {
                 Sent::Answer(answer) => return answer,
                 Sent::Failed(answer) => {
-                    let may_repeat = call.route.kind.may_repeat()
-                        && sends.may_have_run + 1 < call.route.max_attempts
-                        && self.has_other(call, &sends, &choice);
-                    if !may_repeat {
+                    if !self.may_repeat(call, &sends, &choice) {
                         return answer;
                     }
                     sends.arrived += 1;
@@ -233,7 +231,14 @@
         }
     }
 
-    /// Whether an upstream is left that `call` was not sent to, and the budget for it.
+    /// Whether `call` may be sent once more after `last`: by its kind, its attempts, the budget, and
+    /// an upstream that it was not sent to.
+    fn may_repeat(&self, call: &Call, sends: &Sends, last: &Choice) -> bool {
+        let is_allowed =
+            call.route.kind.may_repeat() && sends.may_have_run + 1 < call.route.max_attempts;
+        is_allowed && self.has_other(call, sends, last)
+    }
+
     fn has_other(&self, call: &Call, sends: &Sends, last: &Choice) -> bool {
         let mut tried = sends.tried.clone();
         tried.push(last.upstream.id.clone());
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -41,7 +41,12 @@
 
 impl Gateway {
     /// Sends the request once.
-    pub(crate) async fn send(self: &Rc<Self>, call: &Call, choice: &Choice) -> Sent {
+    pub(crate) async fn send(
+        self: &Rc<Self>,
+        call: &Call,
+        choice: &Choice,
+        has_other: bool,
+    ) -> Sent {
         let now = Instant::now();
         let upstream = &choice.upstream;
         let remaining = call.remaining(now);
@@ -64,7 +69,7 @@
             now.duration_since(call.began),
         );
         let address = upstream.address.to_string();
-        let patience = patience(call, remaining);
+        let patience = patience(call, has_other, remaining);
         let max_idle = match call.route.kind.may_repeat() {
             true => Duration::MAX,
             false => ONCE_MAX_IDLE,
@@ -167,10 +172,11 @@
     }
 }
 
-/// How long this send may take to its answer's head.
-fn patience(call: &Call, remaining: Duration) -> Duration {
+/// How long this send may take to its answer's head. If no other upstream could be asked instead,
+/// waiting on is all that can help.
+fn patience(call: &Call, has_other: bool, remaining: Duration) -> Duration {
     match call.route.kind {
-        CallKind::Idempotent if call.route.max_attempts > 1 => {
+        CallKind::Idempotent if has_other => {
             remaining.min(call.route.objective * IDEMPOTENT_PATIENCE)
         }
         _ => remaining,
