--- /dev/null
+++ b/crates/relay-node/tests/settings.rs
@@ -0,0 +1,43 @@
+//! Settings of the relay: the example, and what faults are told.
+
+use nutmegsail_relay_node::RelaySettings;
+use rstest::rstest;
+
+const EXAMPLE: &str = include_str!("../../../examples/relay.toml");
+
+#[test]
+fn the_example_has_every_key_at_its_default() {
+    let settings = RelaySettings::parse(EXAMPLE).unwrap();
+    assert_eq!(
+        settings.bounds,
+        nutmegsail_relay_node::BoundSettings::default()
+    );
+}
+
+#[rstest]
+#[case::missing("node = \"negril-1\"\n", "", "node")]
+#[case::unknown("[store]", "[stores]", "stores")]
+#[case::no_address("\"127.0.0.1:8149\"", "\"here\"", "callers_address")]
+#[case::empty_name("node = \"negril-1\"", "node = \"\"", "node: name the node")]
+#[case::short_grace("grace_s = 8.0", "grace_s = 0.1", "bounds.grace_s")]
+#[case::no_hand_over("hand_over_ms = 3000", "hand_over_ms = 5", "bounds.hand_over_ms")]
+#[case::odd_ratio("retry_ratio = 0.2", "retry_ratio = -1", "bounds.retry_ratio")]
+fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
+    let text = EXAMPLE.replacen(from, to, 1);
+    assert_ne!(text, EXAMPLE);
+    let error = RelaySettings::parse(&text).unwrap_err().to_string();
+    assert!(error.starts_with("NS7001"), "{error}");
+    assert!(error.contains(named), "{error}");
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let text = EXAMPLE
+        .replace("grace_s = 8.0", "grace_s = 0.1")
+        .replace("hand_over_ms = 3000", "hand_over_ms = 5");
+    let error = RelaySettings::parse(&text).unwrap_err().to_string();
+    assert!(
+        error.contains("grace_s") && error.contains("hand_over_ms"),
+        "{error}"
+    );
+}
--- a/crates/telemetry/src/log_settings.rs
+++ b/crates/telemetry/src/log_settings.rs
@@ -11,7 +11,7 @@
     /// One readable line a record, on standard error.
     #[default]
     Terminal,
-    /// One JSON object a line, on standard error.
+    /// One JSON object a line, on standard output.
     Json,
 }
 
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -31,7 +31,7 @@
             rooted(drain.ignore_res(), level)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr());
+            let drain = slog_json::Json::default(std::io::stdout());
             rooted(drain.ignore_res(), level)
         }
     }
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -103,7 +103,7 @@
 
 # Starts node NUMBER and waits until it says that it listens.
 start_node() {
-  "$bin/nutmegsaild" "$dir/node-$1.toml" 2>"$dir/node-$1.log" &
+  "$bin/nutmegsaild" "$dir/node-$1.toml" >"$dir/node-$1.log" 2>&1 &
   node_pids[$1]=$!
   pids+=($!)
   local ready
