Count the overlap of each adapter version from its own naming

Change: each named version is remembered with its own time; the oldest allowed one is the newest whose overlap is over. The overlap is 1.5 s of the 5 s, as prompts wait up to 2.3 s in an engine.

--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -374,7 +374,7 @@
         let want = Want {
             wanted: Wanted {
                 model,
-                version: call.version.wanted(),
+                version: call.version.to_load(),
                 was_turned_away,
             },
             engines: self.engines_for(call, place, now),
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -157,7 +157,7 @@
         let version = meta
             .model
             .as_ref()
-            .map_or(nutmegsail_relay::VersionRule::Any, |model| {
+            .map_or(nutmegsail_relay::VersionRule::ANY, |model| {
                 view.versions.rule(model, overlap, Instant::now())
             });
         let id = request_id(Some(&meta));
@@ -182,9 +182,10 @@
     }
 }
 
-/// The part of the time in which the older version of an adapter may be begun on that is used:
-/// the news takes a while to come here, and a send a while to begin.
-const VERSION_OVERLAP_SHARE: f64 = 0.6;
+/// The part of the time in which the older version of an adapter may be begun on that is used. The
+/// news takes up to 0.7 s to come here, and under load a prompt waits 2 s and more at an engine
+/// before it begins; the newer version is loaded in half a second.
+const VERSION_OVERLAP_SHARE: f64 = 0.3;
 
 /// Counts a connection as open.
 struct OpenConnection(Rc<Gateway>);
--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -6,52 +6,50 @@
 use crate::ModelRef;
 
 /// The versions that a request may begin on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VersionRule {
-    /// No version was named; any will do.
-    Any,
-    /// This version is preferred; one older may still be begun on.
-    Prefer(u64),
-    /// Nothing older than this version.
-    AtLeast(u64),
+///
+/// ```
+/// use nutmegsail_relay::VersionRule;
+/// let rule = VersionRule { wanted: 3, least: 2 };
+/// assert!(rule.allows(2) && !rule.prefers(2));
+/// assert!(!rule.allows(1));
+/// assert!(VersionRule::ANY.prefers(1));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct VersionRule {
+    /// The version that new requests are meant to begin on; 0 if none was named.
+    pub wanted: u64,
+    /// The oldest that they may begin on.
+    pub least: u64,
 }
 
 impl VersionRule {
+    /// No version was named; any will do.
+    pub const ANY: Self = Self {
+        wanted: 0,
+        least: 0,
+    };
+
     /// Whether a request may begin on `version`.
-    ///
-    /// ```
-    /// use nutmegsail_relay::VersionRule;
-    /// assert!(VersionRule::Prefer(3).allows(2));
-    /// assert!(!VersionRule::AtLeast(3).allows(2));
-    /// ```
     pub fn allows(self, version: u64) -> bool {
-        match self {
-            Self::Any | Self::Prefer(_) => true,
-            Self::AtLeast(least) => version >= least,
-        }
+        version >= self.least
     }
 
     /// Whether `version` is what new requests are meant to begin on.
     pub fn prefers(self, version: u64) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Prefer(wanted) | Self::AtLeast(wanted) => version >= wanted,
-        }
+        version >= self.wanted
     }
 
     /// The version to load; none for the newest.
-    pub fn wanted(self) -> Option<u64> {
-        match self {
-            Self::Any => None,
-            Self::Prefer(wanted) | Self::AtLeast(wanted) => Some(wanted),
-        }
+    pub fn to_load(self) -> Option<u64> {
+        (self.wanted > 0).then_some(self.wanted)
     }
 }
 
 /// The versions that were named, each with the time it became known.
 #[derive(Clone, Debug, Default)]
 pub struct Versions {
-    named: HashMap<ModelRef, Named>,
+    /// By model, rising.
+    named: HashMap<ModelRef, Vec<Named>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -60,37 +58,47 @@
     since: Instant,
 }
 
+/// Versions of one model that are remembered. Only those within one overlap matter.
+const NAMED_LIMIT: usize = 8;
+
 impl Versions {
     /// Takes in that `version` of `model` was named. Versions only rise: an older one comes late.
     pub fn name(&mut self, model: ModelRef, version: u64, now: Instant) {
-        let named = self.named.entry(model).or_insert(Named {
+        let named = self.named.entry(model).or_default();
+        if named.last().is_some_and(|last| version <= last.version) {
+            return;
+        }
+        if named.len() >= NAMED_LIMIT {
+            named.remove(0);
+        }
+        named.push(Named {
             version,
             since: now,
         });
-        if version > named.version {
-            *named = Named {
-                version,
-                since: now,
-            };
-        }
     }
 
-    /// What a request for `model` may begin on, if the older version may be used for `overlap`
-    /// after the newer one became known.
+    /// What a request for `model` may begin on, if an older version may be used for `overlap` after
+    /// a newer one became known.
+    ///
+    /// Each version counts from its own naming. Counted from the last one's, a quick succession
+    /// would bring back versions that were over long ago.
     pub fn rule(&self, model: &ModelRef, overlap: Duration, now: Instant) -> VersionRule {
-        match self.named.get(model) {
-            None => VersionRule::Any,
-            Some(named) if now.duration_since(named.since) < overlap => {
-                VersionRule::Prefer(named.version)
-            }
-            Some(named) => VersionRule::AtLeast(named.version),
+        let Some(named) = self.named.get(model) else {
+            return VersionRule::ANY;
+        };
+        let is_over = |named: &&Named| now.duration_since(named.since) >= overlap;
+        let settled = named.iter().rev().find(is_over);
+        VersionRule {
+            wanted: named.last().map_or(0, |last| last.version),
+            least: settled.map_or(0, |settled| settled.version),
         }
     }
 
-    /// The models that a version was named of.
+    /// The models that a version was named of, with the newest.
     pub fn models(&self) -> impl Iterator<Item = (&ModelRef, u64)> {
+        let newest = |named: &Vec<Named>| named.last().map_or(0, |last| last.version);
         self.named
             .iter()
-            .map(|(model, named)| (model, named.version))
+            .map(move |(model, named)| (model, newest(named)))
     }
 }
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -54,14 +54,14 @@
     }
 
     fn choose(&mut self) -> Result<String, Refusal> {
-        self.choose_after(&[], VersionRule::Any)
+        self.choose_after(&[], VersionRule::ANY)
     }
 
     fn choose_plain(&mut self) -> Result<String, Refusal> {
         let need = Need {
             service: &self.plain,
             model: None,
-            version: VersionRule::Any,
+            version: VersionRule::ANY,
             prompt_tokens: 0,
             tried: &[],
         };
@@ -175,15 +175,37 @@
     let mut world = World::new([older.clone(), newer]);
     world.dispatcher.sent(&"e2".into(), 5_000, world.now);
     assert_eq!(
-        world.choose_after(&[], VersionRule::Prefer(2)).unwrap(),
+        world
+            .choose_after(
+                &[],
+                VersionRule {
+                    wanted: 2,
+                    least: 1
+                }
+            )
+            .unwrap(),
         "e2"
     );
     let mut world = World::new([older]);
     assert_eq!(
-        world.choose_after(&[], VersionRule::Prefer(2)).unwrap(),
+        world
+            .choose_after(
+                &[],
+                VersionRule {
+                    wanted: 2,
+                    least: 1
+                }
+            )
+            .unwrap(),
         "e1"
     );
-    let demanded = world.choose_after(&[], VersionRule::AtLeast(2));
+    let demanded = world.choose_after(
+        &[],
+        VersionRule {
+            wanted: 2,
+            least: 2,
+        },
+    );
     assert_eq!(demanded, Err(Refusal::AdapterAbsent));
 }
 
@@ -275,7 +297,7 @@
     let engines = world.dispatcher.engines_to_load(
         &world.engines,
         &world.a1,
-        VersionRule::Any,
+        VersionRule::ANY,
         CopyPlace::Anywhere,
         world.now,
     );
@@ -294,7 +316,7 @@
     let mut engines = world.dispatcher.engines_to_load(
         &world.engines,
         &world.a1,
-        VersionRule::Any,
+        VersionRule::ANY,
         CopyPlace::Anywhere,
         world.now,
     );
@@ -315,7 +337,7 @@
         let need = Need {
             service: &world.engines,
             model: Some(&world.a1),
-            version: VersionRule::Any,
+            version: VersionRule::ANY,
             prompt_tokens: 1_000,
             tried: &[],
         };
--- a/crates/relay/tests/heavy_load.rs
+++ b/crates/relay/tests/heavy_load.rs
@@ -66,7 +66,7 @@
         let need = Need {
             service: &service,
             model: Some(&model),
-            version: VersionRule::Any,
+            version: VersionRule::ANY,
             prompt_tokens: tokens,
             tried: &[],
         };
--- a/crates/relay/tests/promises.rs
+++ b/crates/relay/tests/promises.rs
@@ -168,18 +168,24 @@
 fn versions_only_rise_and_the_older_one_ends_with_its_overlap() {
     let (now, overlap) = (Instant::now(), Duration::from_secs(3));
     let mut versions = Versions::default();
-    assert_eq!(versions.rule(&model(1), overlap, now), VersionRule::Any);
+    assert_eq!(versions.rule(&model(1), overlap, now), VersionRule::ANY);
     versions.name(model(1), 4, now);
     versions.name(model(1), 3, now);
     assert_eq!(
         versions.rule(&model(1), overlap, now),
-        VersionRule::Prefer(4)
+        VersionRule {
+            wanted: 4,
+            least: 0
+        }
     );
     let later = now + overlap;
     versions.name(model(1), 4, later);
     assert_eq!(
         versions.rule(&model(1), overlap, later),
-        VersionRule::AtLeast(4)
+        VersionRule {
+            wanted: 4,
+            least: 4
+        }
     );
 }
 
@@ -210,3 +216,18 @@
         ]
     );
 }
+
+// A version is named, and 12 s later the next one. While the next is being loaded, requests may
+// begin on the one before it. They began on the one before that, which an engine still held.
+#[test]
+fn while_a_version_replaces_another_the_one_before_both_is_over() {
+    let (now, overlap) = (Instant::now(), Duration::from_secs(3));
+    let mut versions = Versions::default();
+    versions.name(model(1), 2, now);
+    let later = now + Duration::from_secs(12);
+    versions.name(model(1), 3, later);
+    let rule = versions.rule(&model(1), overlap, later);
+    assert!(!rule.allows(1));
+    assert!(rule.allows(2) && !rule.prefers(2));
+    assert!(rule.allows(3) && rule.prefers(3));
+}
