Confirm ownership ahead of time, and rely on it for 4 s

Change: a confirmation holds for 4 s and is renewed after 1.8 s while loads are ordered; a new owner waits so much longer, for the one engine in seven whose node is gone.

--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -22,9 +22,10 @@
 use crate::shared::{Shared, View};
 use crate::{Dialect, RelaySettings};
 
-/// How long a read that showed a key of ours is relied on. Shorter costs reads of the store,
-/// longer holds up the next owner after a failure.
-const CONFIRMATION: Duration = Duration::from_millis(1_500);
+/// How long a read that showed a key of ours is relied on. Longer lets loads go on while the store
+/// is away, for all engines; it also holds up the next owner of a node that is gone for good, for
+/// one engine in seven, while the others take its loads.
+const CONFIRMATION: Duration = Duration::from_millis(4_000);
 
 /// How long the last owner of an address is remembered; its orders have long arrived by then.
 const LAST_OWNER_LIFE: Duration = Duration::from_secs(20);
@@ -69,6 +70,8 @@
     pub(crate) lease: Cell<LeaseId>,
     /// Held while ownership is confirmed, so that loads that wait share one call.
     pub(crate) confirming: tokio::sync::Mutex<()>,
+    /// When this node last gave an order.
+    pub(crate) last_order: Cell<Option<Instant>>,
     /// When a confirmation last failed.
     pub(crate) confirm_failed: Cell<Option<Instant>>,
     /// How long loads take lately until a report shows them, in milliseconds.
@@ -105,6 +108,7 @@
             demand: RefCell::new(Demand::new(DEMAND_HALF_LIFE)),
             lease: Cell::default(),
             confirming: tokio::sync::Mutex::new(()),
+            last_order: Cell::new(None),
             confirm_failed: Cell::new(None),
             usual_report_ms: Cell::new(FIRST_USUAL_MS),
             changes: RefCell::default(),
@@ -141,10 +145,10 @@
         self.started.elapsed() > (rules.confirmation + rules.hand_over) * 2
     }
 
-    /// Whether no engine can have had an owner before. An owner of the first start that ended at
-    /// once still holds its key for a lease, longer than this.
+    /// Whether no engine can have an owner's orders on their way. Callers come 10 s after the first
+    /// start, and an owner that ended before holds its key for a lease, longer than the hand-over.
     pub(crate) fn is_first_claim(&self) -> bool {
-        const FIRST_CLAIMS: Duration = Duration::from_secs(3);
+        const FIRST_CLAIMS: Duration = Duration::from_secs(8);
         self.settings.is_first_start && self.started.elapsed() < FIRST_CLAIMS
     }
 
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -1,6 +1,6 @@
 //! Calls to engines: reports and orders.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -120,6 +120,7 @@
         fence: u64,
     ) -> Option<OrderAnswer> {
         let expected_seq = engine.order_seq()?;
+        self.last_order.set(Some(Instant::now()));
         let order = Order {
             step,
             upstream: &upstream.id,
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{ModelRef, NodeRecord, OrderPermit, Ownership, Upstream, unowned_to_claim};
+use nutmegsail_relay::{ModelRef, NodeRecord, Ownership, Upstream, unowned_to_claim};
 use nutmegsail_store::{Change, Expect, Item, KeyValueError, LeaseId, Put, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,12 @@
 /// engines are to be spread over all of them.
 const FIRST_CLAIM_AFTER: Duration = Duration::from_millis(900);
 
+/// The age at which a confirmation is renewed, well before it ends.
+const CONFIRM_AFTER: Duration = Duration::from_millis(1_800);
+
+/// How long after an order more are expected.
+const ORDERS_EXPECTED: Duration = Duration::from_secs(5);
+
 /// How long the store is left alone after a confirmation failed.
 const CONFIRM_RETRY: Duration = Duration::from_millis(400);
 
@@ -174,14 +180,23 @@
     }
 }
 
-/// Whether an engine's ownership was confirmed too long ago; another load may just have done it.
+/// Whether an engine's ownership was confirmed a while ago; another load may just have done it.
 fn needs_confirmation(knowledge: &Knowledge) -> bool {
     let owned = knowledge.owned.borrow();
     let now = boot_time();
-    let mut permits = owned
+    let mut ages = owned
         .values()
-        .map(|engine| engine.ownership.borrow().permit(now));
-    permits.any(|permit| permit == OrderPermit::Unconfirmed)
+        .map(|engine| engine.ownership.borrow().confirmation_age(now));
+    ages.any(|age| age > CONFIRM_AFTER)
+}
+
+/// Confirms ahead of time while loads are ordered, so that orders can go on for some seconds
+/// whenever the store goes away.
+async fn confirm_ahead(knowledge: &Knowledge) {
+    let last_order = knowledge.last_order.get();
+    if last_order.is_some_and(|at| at.elapsed() < ORDERS_EXPECTED) {
+        confirm(knowledge).await;
+    }
 }
 
 async fn confirm_some(knowledge: &Knowledge, owned: &[(UpstreamId, Revision)]) {
@@ -237,6 +252,7 @@
             let claims: Vec<_> = unowned.map(|id| (id, Revision(0))).collect();
             commit_all(&knowledge, &claims).await;
         }
+        confirm_ahead(&knowledge).await;
         forget_gone(&knowledge);
         load_models(&knowledge).await;
     }
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -78,6 +78,11 @@
         self.confirmed_at = self.confirmed_at.max(asked_at);
     }
 
+    /// How long ago the ownership was confirmed.
+    pub fn confirmation_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.confirmed_at)
+    }
+
     /// Whether an order may be sent at `now`.
     ///
     /// ```
