--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -69,6 +69,24 @@
     elsewhere: HashMap<NodeId, UseElsewhere>,
 }
 
+impl State {
+    /// Takes in adapters on their way that this process did not order: an earlier process of the
+    /// node did, or an order whose answer was lost. They fill places that look free, and an engine
+    /// that is ordered to hold more than fits crashes with all its requests.
+    fn adopt_coming(&mut self, report: &EngineState) {
+        for model in &report.coming {
+            if !self.coming.iter().any(|known| known.model == *model) {
+                self.coming.push(Coming {
+                    model: model.clone(),
+                    version: None,
+                    since: Instant::now(),
+                    order_seq: report.order_seq,
+                });
+            }
+        }
+    }
+}
+
 /// What another node has at an engine.
 #[derive(Clone, Debug)]
 struct UseElsewhere {
@@ -308,6 +326,7 @@
             }
             !is_here && (is_under_way || !is_seen)
         });
+        state.adopt_coming(report);
         state.leaving.retain(|model| held(model).is_some());
         state.order_seq = Some(report.order_seq);
         if state.change == 0 || state.holdings != report.holdings {
