--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -15,14 +15,18 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
+use nutmegsail_relay::StallWatch;
 use nutmegsail_store::KeyValue;
+use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock::boot_time;
 use crate::shared::{Shared, Want};
 use crate::{Dialect, RelaySettings};
 use knowledge::Knowledge;
@@ -53,6 +57,7 @@
     let knowledge = Rc::new(Knowledge::new(&parts));
     let loader = Rc::new(Loader::new(Rc::clone(&knowledge)));
     spawn_local(watch_store(Rc::clone(&knowledge)));
+    spawn_local(watch_stalls(parts.log.clone()));
     let keeper = spawn_local(owners::keep(Rc::clone(&knowledge)));
     spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
     spawn_local(exchange::run(Rc::clone(&knowledge), parts.datagrams));
@@ -70,3 +75,18 @@
     ];
     watch::follow(&knowledge, &followers).await;
 }
+
+/// How often the control thread looks whether it ran all the time.
+const STALL_INTERVAL: Duration = Duration::from_millis(250);
+
+async fn watch_stalls(log: Logger) {
+    let mut watch = StallWatch::new(STALL_INTERVAL, boot_time());
+    let mut looks = tokio::time::interval(STALL_INTERVAL);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        looks.tick().await;
+        if let Some(stalled) = watch.check(boot_time()) {
+            log_event!(log, Event::NodeResumed, "stalled_ms" => stalled.as_millis());
+        }
+    }
+}
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -1,5 +1,7 @@
 //! Which upstream gets a request.
 
+#![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
+
 mod common;
 
 use std::time::{Duration, Instant};
--- a/crates/relay/tests/heavy_load.rs
+++ b/crates/relay/tests/heavy_load.rs
@@ -1,5 +1,7 @@
 //! A burst over few engines, played on the decision alone: what callers wait for their first event.
 
+#![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
+
 mod common;
 
 use std::collections::VecDeque;
--- a/crates/relay/tests/promises.rs
+++ b/crates/relay/tests/promises.rs
@@ -1,5 +1,7 @@
 //! Properties of the smaller cores.
 
+#![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
+
 mod common;
 
 use std::collections::{HashMap, HashSet};
@@ -9,8 +11,8 @@
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{
     Demand, EngineContents, LoadRefusal, LoadStep, ModelRef, NodeRecord, OrderPermit, Ownership,
-    OwnershipRules, RetryBudget, RetryBudgetRules, Room, Upstream, VersionRule, Versions,
-    plan_load, unowned_to_claim,
+    OwnershipRules, RetryBudget, RetryBudgetRules, Room, StallWatch, Upstream, VersionRule,
+    Versions, plan_load, unowned_to_claim,
 };
 use proptest::prelude::*;
 
@@ -231,3 +233,15 @@
     assert!(rule.allows(2) && !rule.prefers(2));
     assert!(rule.allows(3) && rule.prefers(3));
 }
+
+// A machine is suspended for 8 s, and its callers' answers stop. Nothing in the logs said so but the
+// absence of lines.
+#[test]
+fn a_stall_shows_in_a_look_that_comes_late() {
+    let ms = Duration::from_millis;
+    let mut watch = StallWatch::new(ms(200), ms(50_000));
+    assert_eq!(watch.check(ms(50_201)), None);
+    assert_eq!(watch.check(ms(50_900)), None, "a loaded machine's tick");
+    assert_eq!(watch.check(ms(59_100)), Some(ms(8_000)));
+    assert_eq!(watch.check(ms(59_300)), None);
+}
