--- /dev/null
+++ b/crates/relay-node/src/control/claims.rs
@@ -0,0 +1,172 @@
+//! Claims engines at the store, by compare-and-swap.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegsail_base::{NodeId, UpstreamId};
+use nutmegsail_relay::{NodeRecord, Ownership, Upstream, unowned_to_claim};
+use nutmegsail_store::{Expect, KeyValueError, Put, Revision, Txn};
+use nutmegsail_telemetry::{Event, log_event};
+
+use super::engine::OwnedEngine;
+use super::knowledge::{Knowledge, Owner};
+use super::owners::{OwnerRecord, owner_key, to_json};
+use crate::clock::boot_time;
+
+/// Claims that go into one transaction; the store takes 32 entries.
+const CLAIMS_PER_TXN: usize = 15;
+
+/// Writes claims.
+pub(crate) async fn claim(knowledge: &Knowledge, claims: &[(UpstreamId, Revision)]) {
+    for claims in claims.chunks(CLAIMS_PER_TXN) {
+        if commit_claims(knowledge, claims).await.is_err() && claims.len() > 1 {
+            // One claim that another node took first fails all; the others are tried alone.
+            for one in claims.chunks(1) {
+                let _ = commit_claims(knowledge, one).await;
+            }
+        }
+    }
+}
+
+/// Engines that an earlier process of this node owned. Nobody else may have them, so they are
+/// claimed at once after a restart.
+pub(crate) fn own_before(knowledge: &Knowledge) -> Vec<(UpstreamId, Revision)> {
+    let node = &knowledge.settings.node;
+    let owners = knowledge.owners.borrow();
+    let is_before = |engine: &UpstreamId, owner: &Owner| {
+        owner.node == *node && knowledge.owned(engine).is_none()
+    };
+    owners
+        .iter()
+        .filter(|(engine, owner)| is_before(engine, owner) && knowledge.upstream(engine).is_some())
+        .map(|(engine, owner)| (engine.clone(), owner.revision))
+        .collect()
+}
+
+pub(crate) fn unowned(knowledge: &Knowledge) -> Vec<UpstreamId> {
+    let upstreams = knowledge.upstreams.borrow();
+    let engines: Vec<&Upstream> = upstreams
+        .values()
+        .map(|upstream| &**upstream)
+        .filter(|upstream| upstream.takes_work())
+        .filter(|upstream| knowledge.engine_room(&upstream.service).is_some())
+        .collect();
+    let nodes: Vec<NodeRecord> = knowledge.nodes.borrow().values().cloned().collect();
+    let owners = knowledge.owners.borrow();
+    let owners: HashMap<UpstreamId, NodeId> = owners
+        .iter()
+        .filter(|(engine, _)| engines.iter().any(|known| known.id == **engine))
+        .map(|(engine, owner)| (engine.clone(), owner.node.clone()))
+        .collect();
+    let me = &knowledge.settings.node;
+    // The next process of an engine goes to the owner of the one before, if that still lives: it
+    // may order at once, where any other node would have to wait until its orders have arrived.
+    let (again, engines): (Vec<&Upstream>, Vec<&Upstream>) = engines
+        .into_iter()
+        .partition(|engine| has_living_last_owner(knowledge, engine, &owners));
+    let again = again
+        .into_iter()
+        .filter(|engine| knowledge.last_owner(&engine.address).as_ref() == Some(me));
+    let again: Vec<UpstreamId> = again.map(|engine| engine.id.clone()).collect();
+    let mut claims = unowned_to_claim(me, &nodes, &engines, &owners);
+    claims.extend(again);
+    claims
+}
+
+fn has_living_last_owner(
+    knowledge: &Knowledge,
+    engine: &Upstream,
+    owners: &HashMap<UpstreamId, NodeId>,
+) -> bool {
+    let last = knowledge.last_owner(&engine.address);
+    let is_living = |node: NodeId| knowledge.nodes.borrow().contains_key(&node);
+    !owners.contains_key(&engine.id) && last.is_some_and(is_living)
+}
+
+async fn commit_claims(
+    knowledge: &Knowledge,
+    claims: &[(UpstreamId, Revision)],
+) -> Result<(), KeyValueError> {
+    let lease = knowledge.lease.get();
+    let record = OwnerRecord {
+        node: knowledge.settings.node.clone(),
+        lease,
+    };
+    let mut txn = Txn::default();
+    for (engine, revision) in claims {
+        let key: Arc<str> = owner_key(engine).into();
+        txn.expects.push(Expect {
+            key: Arc::clone(&key),
+            revision: *revision,
+        });
+        txn.puts.push(Put {
+            key,
+            value: to_json(&record),
+            lease,
+        });
+    }
+    let asked_at = boot_time();
+    match knowledge.store.commit(txn).await {
+        Ok(fence) => {
+            for (engine, before) in claims {
+                note_taken(knowledge, engine, fence, *before, asked_at);
+            }
+            Ok(())
+        }
+        Err(error) => {
+            if error == KeyValueError::Ambiguous {
+                log_event!(knowledge.log, Event::WriteAmbiguous, "claims" => claims.len());
+            }
+            // What was written in spite of the error shows up in the watch as a claim of an
+            // earlier process of this node, and is claimed anew.
+            Err(error)
+        }
+    }
+}
+
+fn note_taken(
+    knowledge: &Knowledge,
+    engine: &UpstreamId,
+    fence: Revision,
+    before: Revision,
+    asked_at: Duration,
+) {
+    let is_own_before = before != Revision(0)
+        || knowledge.is_first_claim()
+        || has_no_other_owner(knowledge, engine);
+    let rules = knowledge.ownership_rules();
+    let now = boot_time();
+    let ownership = Ownership::taken(fence.0, is_own_before, rules, asked_at, now);
+    let owned = Rc::new(OwnedEngine::new(engine.clone(), ownership));
+    knowledge.owned.borrow_mut().insert(engine.clone(), owned);
+    let owner = Owner {
+        node: knowledge.settings.node.clone(),
+        revision: fence,
+    };
+    knowledge.owners.borrow_mut().insert(engine.clone(), owner);
+    log_event!(
+        knowledge.log, Event::EngineOwned,
+        "upstream" => engine.to_string(), "fence" => fence.0, "was_ours" => is_own_before
+    );
+}
+
+/// Whether no other node can have orders on their way to the engine: this node owned the one at its
+/// address last, or nobody did for as long as orders may be on their way.
+fn has_no_other_owner(knowledge: &Knowledge, engine: &UpstreamId) -> bool {
+    let Some(upstream) = knowledge.upstream(engine) else {
+        return false;
+    };
+    match knowledge.last_owner(&upstream.address) {
+        Some(node) => node == knowledge.settings.node,
+        None => knowledge.knows_last_owners(),
+    }
+}
+
+/// Drops engines that left the list; their keys go with the lease.
+pub(crate) fn forget_gone(knowledge: &Knowledge) {
+    let upstreams = knowledge.upstreams.borrow();
+    let mut owned = knowledge.owned.borrow_mut();
+    owned.retain(|engine, _| upstreams.contains_key(engine));
+}
--- /dev/null
+++ b/crates/relay-node/src/control/keeper.rs
@@ -0,0 +1,108 @@
+//! Keeps the node's lease, and looks after the engines that it owns.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::NodeRecord;
+use nutmegsail_store::{KeyValueError, LeaseId, Put, Revision, Txn};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::base_models::load_models;
+use super::claims::{claim, forget_gone, own_before, unowned};
+use super::confirmation::confirm_ahead;
+use super::knowledge::Knowledge;
+use super::owners::{NODE_PREFIX, lose, to_json};
+
+/// How long keys outlive their node. Shorter costs more renewals, longer leaves engines of a dead
+/// node without an owner.
+const LEASE_TTL: Duration = Duration::from_secs(4);
+
+/// How often the lease is renewed: two renewals may be lost.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// How often a node looks for engines to claim and models to load.
+const TICK: Duration = Duration::from_millis(400);
+
+/// How long after its start a node claims nothing: machines start within 0.3 s of each other, and
+/// engines are to be spread over all of them.
+const FIRST_CLAIM_AFTER: Duration = Duration::from_millis(900);
+
+/// Keeps the node's lease and claims engines, for ever.
+pub(crate) async fn keep(knowledge: Rc<Knowledge>) {
+    let started = Instant::now();
+    let mut renewed: Option<Instant> = None;
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let is_due = renewed.is_none_or(|at| at.elapsed() >= RENEW_INTERVAL);
+        if is_due && renew(&knowledge).await {
+            renewed = Some(Instant::now());
+        }
+        if knowledge.lease.get() == LeaseId::default() {
+            continue;
+        }
+        knowledge.note_last_owners();
+        claim(&knowledge, &own_before(&knowledge)).await;
+        if started.elapsed() >= FIRST_CLAIM_AFTER {
+            let unowned = unowned(&knowledge).into_iter();
+            let claims: Vec<_> = unowned.map(|id| (id, Revision(0))).collect();
+            claim(&knowledge, &claims).await;
+        }
+        confirm_ahead(&knowledge).await;
+        forget_gone(&knowledge);
+        load_models(&knowledge).await;
+    }
+}
+
+/// Renews the lease, or takes one and registers the node under it.
+async fn renew(knowledge: &Knowledge) -> bool {
+    let lease = knowledge.lease.get();
+    if lease != LeaseId::default() {
+        match knowledge.store.keep_lease(lease).await {
+            Ok(()) => return true,
+            Err(KeyValueError::LeaseGone) => {
+                knowledge.lease.set(LeaseId::default());
+                let owned: Vec<UpstreamId> = knowledge.owned.borrow().keys().cloned().collect();
+                for engine in owned {
+                    lose(knowledge, &engine, "the lease has ended");
+                }
+            }
+            Err(_) => return false,
+        }
+    }
+    register(knowledge).await.is_ok()
+}
+
+async fn register(knowledge: &Knowledge) -> Result<(), KeyValueError> {
+    let granted = knowledge.store.grant_lease(LEASE_TTL).await?;
+    let settings = &knowledge.settings;
+    let record = NodeRecord {
+        node: settings.node.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        address: settings.nodes_address,
+    };
+    let put = Put {
+        key: format!("{NODE_PREFIX}{}", settings.node).into(),
+        value: to_json(&record),
+        lease: granted.lease,
+    };
+    let txn = Txn {
+        puts: vec![put],
+        ..Txn::default()
+    };
+    knowledge.store.commit(txn).await?;
+    knowledge.lease.set(granted.lease);
+    Ok(())
+}
+
+/// Ends the lease, so that the others take over at once.
+pub(crate) async fn give_back(knowledge: &Knowledge) {
+    let lease = knowledge.lease.replace(LeaseId::default());
+    knowledge.owned.borrow_mut().clear();
+    if lease != LeaseId::default() {
+        // If the call is lost, the keys go when the lease ends by itself.
+        let _ = knowledge.store.end_lease(lease).await;
+    }
+}
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -1,8 +1,12 @@
 //! The control thread: what it knows, and the loops that keep it up to date.
 
+mod base_models;
+mod claims;
+mod confirmation;
 mod engine;
 mod exchange;
 mod follow_loads;
+mod keeper;
 mod knowledge;
 mod load_failure;
 mod loader;
@@ -58,13 +62,13 @@
     let loader = Rc::new(Loader::new(Rc::clone(&knowledge)));
     spawn_local(watch_store(Rc::clone(&knowledge)));
     spawn_local(watch_stalls(parts.log.clone()));
-    let keeper = spawn_local(owners::keep(Rc::clone(&knowledge)));
+    let keeper = spawn_local(keeper::keep(Rc::clone(&knowledge)));
     spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
     spawn_local(exchange::run(Rc::clone(&knowledge), parts.datagrams));
     spawn_local(loader::serve(loader, parts.wants));
     parts.stop.cancelled().await;
     keeper.abort();
-    owners::give_back(&knowledge).await;
+    keeper::give_back(&knowledge).await;
 }
 
 async fn watch_store(knowledge: Rc<Knowledge>) {
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -10,6 +10,7 @@
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::timeout;
 
+use super::confirmation::confirm;
 use super::engine::OwnedEngine;
 use super::knowledge::Knowledge;
 use super::owners;
@@ -104,7 +105,7 @@
             OrderPermit::Settling { .. } => return None,
             OrderPermit::Unconfirmed => {}
         }
-        owners::confirm(self).await;
+        confirm(self).await;
         match engine.ownership.borrow().permit(boot_time()) {
             OrderPermit::Granted { fence } => Some(fence),
             OrderPermit::Unconfirmed | OrderPermit::Settling { .. } => None,
--- /dev/null
+++ b/crates/relay/src/copies.rs
@@ -0,0 +1,128 @@
+//! Which engines take a further copy of an adapter, and when one is worth its load.
+
+use std::time::Instant;
+
+use nutmegsail_base::{ServiceName, UpstreamId};
+
+use crate::tracked::PROMPT_TOKEN_MS;
+use crate::{Dispatcher, ModelRef, Need, Tracked, VersionRule};
+
+/// Where a further copy of an adapter is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyPlace {
+    /// In this node's failure domain.
+    OwnDomain,
+    /// At any engine.
+    Anywhere,
+}
+
+/// A wait over which a further copy of an adapter is worth its load: a third of the shortest latency
+/// objective of the generations (600 ms), so that a copy comes before requests are late.
+const COPY_WAIT_MS: f64 = 200.0;
+
+/// The part of an engine's time that the prompts of one adapter may take up, before another copy
+/// is worth its load. The rest is for the engine's other adapters, of which it holds some twenty.
+const COPY_SHARE: f64 = 0.4;
+
+/// What speaks against a load in another failure domain, in milliseconds of expected wait: more than
+/// one load ahead. Most adapters are asked for once or twice, and then their answers stay here.
+const LOAD_ELSEWHERE_MS: f64 = 400.0;
+
+/// Requests in a second for one adapter in this failure domain over which it gets a copy here: a
+/// load costs about a third of what a request is worth, and pays off within some seconds.
+const OWN_COPY_PER_S: f64 = 2.0;
+
+/// What an engine scores where an adapter is not on its way, so that one where it is goes first.
+const ELSEWHERE_MS: f64 = 1_000.0;
+
+/// Loads ahead at one engine over which it gets no more.
+const LOADS_AHEAD_LIMIT: usize = 4;
+
+/// What each load ahead at an engine adds to the wait for another, in milliseconds: its time.
+const COMING_MS: f64 = 250.0;
+
+impl Dispatcher {
+    /// Whether a further copy of the adapter is worth its load.
+    pub(crate) fn wanted_copy(
+        &self,
+        need: &Need<'_>,
+        expected_ms: f64,
+        preferred_exists: bool,
+        now: Instant,
+    ) -> Option<CopyPlace> {
+        let model = need.model?;
+        if !preferred_exists || (expected_ms > COPY_WAIT_MS && self.needs_copy(need, now)) {
+            return Some(CopyPlace::Anywhere);
+        }
+        let is_here = |tracked: &Tracked| {
+            tracked.upstream.failure_domain == self.failure_domain
+                && tracked.holdings.version_of(model).is_some()
+        };
+        let requests_per_s = self.asked.rate_per_s(model, now) * self.nodes_in_domain as f64;
+        let is_wanted_here = requests_per_s > OWN_COPY_PER_S;
+        (is_wanted_here && !self.candidates(need).any(is_here)).then_some(CopyPlace::OwnDomain)
+    }
+
+    /// Whether the prompts for one adapter take up more of its copies' time than they should.
+    ///
+    /// A queue alone says little: it may be another adapter's, and then a copy of this one costs a
+    /// load and evicts something for nothing.
+    fn needs_copy(&self, need: &Need<'_>, now: Instant) -> bool {
+        let Some(model) = need.model else {
+            return false;
+        };
+        let holds = |tracked: &&Tracked| tracked.holdings.version_of(model).is_some();
+        let copies = self.candidates(need).filter(holds).count();
+        let tokens_per_s = self.asked_tokens.rate_per_s(model, now) * self.nodes as f64;
+        tokens_per_s * PROMPT_TOKEN_MS / 1_000.0 > COPY_SHARE * copies as f64
+    }
+
+    /// Engines that could take `model`, each with what speaks against it in milliseconds of
+    /// expected wait.
+    ///
+    /// An engine without the base model can take no adapter. As it is also idle, it would be the
+    /// first choice of every request, and each would wait for an order that cannot be given.
+    pub fn engines_to_load(
+        &self,
+        service: &ServiceName,
+        model: &ModelRef,
+        version: VersionRule,
+        place: CopyPlace,
+        now: Instant,
+    ) -> Vec<(UpstreamId, f64)> {
+        let is_here = |tracked: &Tracked| tracked.upstream.failure_domain == self.failure_domain;
+        let takes = |tracked: &&Tracked| {
+            let holdings = &tracked.holdings;
+            let has_base = holdings.has_base(model);
+            let has_it = holdings.version_of(model);
+            tracked.upstream.service == *service
+                && tracked.upstream.takes_work()
+                && !self.is_out(tracked, now)
+                && !tracked.is_gone
+                && tracked.takes_loads(now)
+                && has_base
+                && (place == CopyPlace::Anywhere || is_here(tracked))
+                && !has_it.is_some_and(|held| version.prefers(held))
+                && (tracked.coming(now).len() < LOADS_AHEAD_LIMIT
+                    || tracked.coming(now).contains(model))
+        };
+        let engines = self.upstreams.values().filter(takes);
+        engines
+            .map(|tracked| {
+                // Where it is on its way already, it comes soonest and costs nothing more.
+                if tracked.coming(now).contains(model) {
+                    return (tracked.upstream.id.clone(), 0.0);
+                }
+                let coming_ms = tracked.coming(now).len() as f64 * COMING_MS;
+                let wait_ms = tracked.expected_first_event_ms(0, now);
+                let domain_ms = if is_here(tracked) {
+                    0.0
+                } else {
+                    LOAD_ELSEWHERE_MS
+                };
+                let wait_ms = ELSEWHERE_MS + wait_ms + coming_ms + domain_ms;
+                (tracked.upstream.id.clone(), wait_ms)
+            })
+            .collect()
+    }
+}
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -7,8 +7,9 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use rand::{Rng, RngExt as _};
 
-use crate::tracked::PROMPT_TOKEN_MS;
-use crate::{Demand, Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
+use crate::{
+    CopyPlace, Demand, Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule,
+};
 
 /// What a request needs of an upstream.
 #[derive(Clone, Debug)]
@@ -38,15 +39,6 @@
     pub copy: Option<CopyPlace>,
 }
 
-/// Where a further copy of an adapter is wanted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CopyPlace {
-    /// In this node's failure domain.
-    OwnDomain,
-    /// At any engine.
-    Anywhere,
-}
-
 /// Why no upstream gets a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -58,14 +50,6 @@
     AllBusy,
 }
 
-/// A wait over which a further copy of an adapter is worth its load: a third of the shortest latency
-/// objective of the generations (600 ms), so that a copy comes before requests are late.
-const COPY_WAIT_MS: f64 = 200.0;
-
-/// The part of an engine's time that the prompts of one adapter may take up, before another copy
-/// is worth its load. The rest is for the engine's other adapters, of which it holds some twenty.
-const COPY_SHARE: f64 = 0.4;
-
 /// How long demand is looked at to tell how many copies an adapter needs: a popular one is asked
 /// for several times in it at each node.
 const COPIES_HALF_LIFE: Duration = Duration::from_secs(3);
@@ -75,14 +59,6 @@
 /// each other, and bytes between them are charged for.
 const OTHER_DOMAIN_MS: f64 = 60.0;
 
-/// What speaks against a load in another failure domain, in milliseconds of expected wait: more than
-/// one load ahead. Most adapters are asked for once or twice, and then their answers stay here.
-const LOAD_ELSEWHERE_MS: f64 = 400.0;
-
-/// Requests in a second for one adapter in this failure domain over which it gets a copy here: a
-/// load costs about a third of what a request is worth, and pays off within some seconds.
-const OWN_COPY_PER_S: f64 = 2.0;
-
 /// Scores that differ by less are taken as equal, so that nodes which know the same do not all
 /// choose the same upstream.
 const SCORE_NOISE_MS: f64 = 8.0;
@@ -93,15 +69,6 @@
 /// What an upstream scores that nothing reaches: even a paused one goes before it.
 const CUT_OFF_MS: f64 = 200_000.0;
 
-/// What an engine scores where an adapter is not on its way, so that one where it is goes first.
-const ELSEWHERE_MS: f64 = 1_000.0;
-
-/// Loads ahead at one engine over which it gets no more.
-const LOADS_AHEAD_LIMIT: usize = 4;
-
-/// What each load ahead at an engine adds to the wait for another, in milliseconds: its time.
-const COMING_MS: f64 = 250.0;
-
 /// How long the nodes of a failure domain may be silent before it counts as cut off: four exchanges,
 /// as single datagrams are lost now and then.
 const DOMAIN_SILENCE: Duration = Duration::from_millis(420);
@@ -115,14 +82,14 @@
 /// The upstreams as one node sees them, with what it sent to each.
 #[derive(Debug)]
 pub struct Dispatcher {
-    failure_domain: FailureDomain,
-    upstreams: HashMap<UpstreamId, Tracked>,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) upstreams: HashMap<UpstreamId, Tracked>,
     /// Prompt tokens that this node was asked for, by adapter.
-    asked_tokens: Demand,
+    pub(crate) asked_tokens: Demand,
     /// Requests that this node was asked for, by adapter.
-    asked: Demand,
-    nodes: usize,
-    nodes_in_domain: usize,
+    pub(crate) asked: Demand,
+    pub(crate) nodes: usize,
+    pub(crate) nodes_in_domain: usize,
     /// When a node of each other failure domain was last heard.
     domains_heard: HashMap<FailureDomain, Instant>,
 }
@@ -248,41 +215,6 @@
         })
     }
 
-    /// Whether a further copy of the adapter is worth its load.
-    fn wanted_copy(
-        &self,
-        need: &Need<'_>,
-        expected_ms: f64,
-        preferred_exists: bool,
-        now: Instant,
-    ) -> Option<CopyPlace> {
-        let model = need.model?;
-        if !preferred_exists || (expected_ms > COPY_WAIT_MS && self.needs_copy(need, now)) {
-            return Some(CopyPlace::Anywhere);
-        }
-        let is_here = |tracked: &Tracked| {
-            tracked.upstream.failure_domain == self.failure_domain
-                && tracked.holdings.version_of(model).is_some()
-        };
-        let requests_per_s = self.asked.rate_per_s(model, now) * self.nodes_in_domain as f64;
-        let is_wanted_here = requests_per_s > OWN_COPY_PER_S;
-        (is_wanted_here && !self.candidates(need).any(is_here)).then_some(CopyPlace::OwnDomain)
-    }
-
-    /// Whether the prompts for one adapter take up more of its copies' time than they should.
-    ///
-    /// A queue alone says little: it may be another adapter's, and then a copy of this one costs a
-    /// load and evicts something for nothing.
-    fn needs_copy(&self, need: &Need<'_>, now: Instant) -> bool {
-        let Some(model) = need.model else {
-            return false;
-        };
-        let holds = |tracked: &&Tracked| tracked.holdings.version_of(model).is_some();
-        let copies = self.candidates(need).filter(holds).count();
-        let tokens_per_s = self.asked_tokens.rate_per_s(model, now) * self.nodes as f64;
-        tokens_per_s * PROMPT_TOKEN_MS / 1_000.0 > COPY_SHARE * copies as f64
-    }
-
     /// Takes in how many nodes there are, and how many in this node's failure domain: each sees its
     /// part of the demand.
     pub fn set_nodes(&mut self, nodes: usize, in_domain: usize) {
@@ -296,7 +228,10 @@
         self.asked.add(model, 1.0, now);
     }
 
-    fn candidates<'a>(&'a self, need: &'a Need<'_>) -> impl Iterator<Item = &'a Tracked> {
+    pub(crate) fn candidates<'a>(
+        &'a self,
+        need: &'a Need<'_>,
+    ) -> impl Iterator<Item = &'a Tracked> {
         self.upstreams.values().filter(|tracked| {
             tracked.upstream.service == *need.service
                 && tracked.upstream.takes_work()
@@ -326,7 +261,7 @@
     }
 
     /// Whether an upstream gets work only if all do badly.
-    fn is_out(&self, tracked: &Tracked, now: Instant) -> bool {
+    pub(crate) fn is_out(&self, tracked: &Tracked, now: Instant) -> bool {
         let is_quiet = need_answers(tracked) && tracked.is_silent(now);
         tracked.health.is_paused(now) || is_quiet || self.is_cut_off(tracked, now)
     }
@@ -351,55 +286,6 @@
         self.domains_heard.insert(domain.clone(), at);
     }
 
-    /// Engines that could take `model`, each with what speaks against it in milliseconds of
-    /// expected wait.
-    ///
-    /// An engine without the base model can take no adapter. As it is also idle, it would be the
-    /// first choice of every request, and each would wait for an order that cannot be given.
-    pub fn engines_to_load(
-        &self,
-        service: &ServiceName,
-        model: &ModelRef,
-        version: VersionRule,
-        place: CopyPlace,
-        now: Instant,
-    ) -> Vec<(UpstreamId, f64)> {
-        let is_here = |tracked: &Tracked| tracked.upstream.failure_domain == self.failure_domain;
-        let takes = |tracked: &&Tracked| {
-            let holdings = &tracked.holdings;
-            let has_base = holdings.has_base(model);
-            let has_it = holdings.version_of(model);
-            tracked.upstream.service == *service
-                && tracked.upstream.takes_work()
-                && !self.is_out(tracked, now)
-                && !tracked.is_gone
-                && tracked.takes_loads(now)
-                && has_base
-                && (place == CopyPlace::Anywhere || is_here(tracked))
-                && !has_it.is_some_and(|held| version.prefers(held))
-                && (tracked.coming(now).len() < LOADS_AHEAD_LIMIT
-                    || tracked.coming(now).contains(model))
-        };
-        let engines = self.upstreams.values().filter(takes);
-        engines
-            .map(|tracked| {
-                // Where it is on its way already, it comes soonest and costs nothing more.
-                if tracked.coming(now).contains(model) {
-                    return (tracked.upstream.id.clone(), 0.0);
-                }
-                let coming_ms = tracked.coming(now).len() as f64 * COMING_MS;
-                let wait_ms = tracked.expected_first_event_ms(0, now);
-                let domain_ms = if is_here(tracked) {
-                    0.0
-                } else {
-                    LOAD_ELSEWHERE_MS
-                };
-                let wait_ms = ELSEWHERE_MS + wait_ms + coming_ms + domain_ms;
-                (tracked.upstream.id.clone(), wait_ms)
-            })
-            .collect()
-    }
-
     /// Counts a request as sent.
     pub fn sent(&mut self, id: &UpstreamId, prompt_tokens: u64, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod assignment;
 mod call_kind;
+mod copies;
 mod demand;
 mod dispatcher;
 mod health;
@@ -26,8 +27,9 @@
 
 pub use assignment::{NodeRecord, unowned_to_claim};
 pub use call_kind::CallKind;
+pub use copies::CopyPlace;
 pub use demand::Demand;
-pub use dispatcher::{Choice, CopyPlace, Dispatcher, Need, Refusal};
+pub use dispatcher::{Choice, Dispatcher, Need, Refusal};
 pub use health::{Health, Outcome};
 pub use holdings::{HeldAdapter, HeldModel, Holdings};
 pub use load_plan::{EngineContents, LoadPlan, LoadRefusal, LoadStep, Room, plan_load};
--- a/crates/relay/src/route_table.rs
+++ b/crates/relay/src/route_table.rs
@@ -70,9 +70,4 @@
     pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
         self.services.get(name)
     }
-
-    /// All services.
-    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
-        self.services.values()
-    }
 }
--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -93,12 +93,4 @@
             least: settled.map_or(0, |settled| settled.version),
         }
     }
-
-    /// The models that a version was named of, with the newest.
-    pub fn models(&self) -> impl Iterator<Item = (&ModelRef, u64)> {
-        let newest = |named: &Vec<Named>| named.last().map_or(0, |last| last.version);
-        self.named
-            .iter()
-            .map(move |(model, named)| (model, newest(named)))
-    }
 }
