Tell the lag of reports from the time of loads

Change: a quarter quantile of the times seen stands for a quick load with the lag; what is over it is waiting for the weight store.

--- a/crates/relay-node/src/control/follow_loads.rs
+++ b/crates/relay-node/src/control/follow_loads.rs
@@ -9,9 +9,6 @@
 use super::engine::OwnedEngine;
 use super::knowledge::Knowledge;
 
-/// How long a load takes at least; its end is not asked for earlier.
-pub(crate) const LEAST_LOAD: Duration = Duration::from_millis(254);
-
 /// How long after its order a load can show in a report at the earliest: reports lag some 100 ms.
 const FIRST_REPORT: Duration = Duration::from_millis(350);
 
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -10,8 +10,8 @@
 use nutmegsail_base::{NodeId, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Demand, Holdings, ModelSpec, NodeRecord, OrderPermit, OwnershipRules, RouteTable, Upstream,
-    Versions,
+    Demand, Holdings, LoadTimes, ModelSpec, NodeRecord, OrderPermit, OwnershipRules, RouteTable,
+    Upstream, Versions,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
@@ -35,10 +35,6 @@
 /// requests.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(10);
 
-/// How long the first loads are taken to need until a report shows them, in milliseconds: at a cold
-/// start many are under way at once.
-const FIRST_USUAL_MS: f64 = 480.0;
-
 /// How long after a failed confirmation engines get no loads.
 const LOST_STORE_SPAN: Duration = Duration::from_millis(800);
 
@@ -74,8 +70,8 @@
     pub(crate) last_order: Cell<Option<Instant>>,
     /// When a confirmation last failed.
     pub(crate) confirm_failed: Cell<Option<Instant>>,
-    /// How long loads take lately until a report shows them, in milliseconds.
-    pub(crate) usual_report_ms: Cell<f64>,
+    /// How long loads take lately.
+    pub(crate) load_times: Cell<LoadTimes>,
     /// The last change of each engine's holdings that the traffic thread was told.
     changes: RefCell<HashMap<UpstreamId, u64>>,
     /// When each node was last heard.
@@ -110,7 +106,7 @@
             confirming: tokio::sync::Mutex::new(()),
             last_order: Cell::new(None),
             confirm_failed: Cell::new(None),
-            usual_report_ms: Cell::new(FIRST_USUAL_MS),
+            load_times: Cell::default(),
             changes: RefCell::default(),
             heard: RefCell::default(),
             last_owners: RefCell::default(),
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -17,7 +17,7 @@
 
 use super::engine::OwnedEngine;
 use super::exchange::FULL_EXCHANGE_NODES;
-use super::follow_loads::{FOLLOW_INTERVAL, LEAST_LOAD, LOAD_LIMIT, follow_loads};
+use super::follow_loads::{FOLLOW_INTERVAL, LOAD_LIMIT, follow_loads};
 use super::knowledge::{Knowledge, Owner};
 use super::load_failure::LoadFailure;
 use super::peers::LoadAsk;
@@ -30,10 +30,6 @@
 /// near the eight without asking anyone.
 const TRANSFERS_LIMIT: usize = 4;
 
-/// While loads lately took less than this until a report showed them, in milliseconds, few are under
-/// way anywhere, and a second one begins at an engine beside the first.
-const QUICK_LOAD_MS: f64 = 430.0;
-
 /// Loads under way at one engine that should have finished, while the next one begins: their
 /// reports are yet to come.
 const OVERLAP_LIMIT: u32 = 2;
@@ -58,10 +54,6 @@
 /// earlier, the load would go on all the same, and another engine would load it too.
 const ASK_LIMIT: Duration = Duration::from_millis(3_200);
 
-/// A load that took its usual time is taken as finished. Reports lag some 100 ms behind, a fifth of
-/// the shortest latency objective; an engine that needs longer turns the request away unrun.
-const REPORT_LAG_MS: f64 = 110.0;
-
 /// The time between two copies of one adapter. A copy takes 250 ms, and its effect on the queues
 /// shows some time after.
 const COPY_INTERVAL: Duration = Duration::from_millis(600);
@@ -205,6 +197,10 @@
     }
 
     /// Brings an adapter into an engine that this node owns; returns once it is there.
+    ///
+    /// A load that took its usual time is taken as finished before a report shows it: reports lag by
+    /// up to a third of the shortest latency objective, and an engine that needs longer turns the
+    /// request away unrun.
     pub(crate) async fn load_here(
         &self,
         engine: &Rc<OwnedEngine>,
@@ -251,7 +247,7 @@
         while let Some(oldest) = engine.oldest_coming() {
             let finished = oldest + self.usual_load();
             let is_finished = Instant::now() >= finished && engine.coming_count() <= OVERLAP_LIMIT;
-            let is_quick = self.knowledge.usual_report_ms.get() < QUICK_LOAD_MS;
+            let is_quick = self.knowledge.load_times.get().are_quick();
             if is_finished || (is_quick && engine.coming_count() < OVERLAP_LIMIT) {
                 return Ok(());
             }
@@ -266,8 +262,7 @@
 
     /// How long a load usually takes now.
     fn usual_load(&self) -> Duration {
-        let usual_ms = self.knowledge.usual_report_ms.get() - REPORT_LAG_MS;
-        LEAST_LOAD.max(Duration::from_secs_f64(usual_ms.max(0.0) / 1_000.0))
+        self.knowledge.load_times.get().usual()
     }
 
     /// Orders a load, with the eviction that it needs.
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -21,9 +21,6 @@
 /// an answer may be carried out later, which its expected count of orders makes harmless.
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How much one load moves the usual time.
-const USUAL_STEP: f64 = 0.2;
-
 /// The largest body of such an answer, in bytes.
 const BODY_LIMIT_BYTES: usize = 1024 * 1024;
 
@@ -89,10 +86,9 @@
 
     /// Takes in how long a load took until a report showed it.
     fn note_load_time(&self, took: Duration) {
-        let usual_ms = self.usual_report_ms.get();
-        let took_ms = took.as_secs_f64() * 1_000.0;
-        self.usual_report_ms
-            .set(usual_ms + USUAL_STEP * (took_ms - usual_ms));
+        let mut times = self.load_times.get();
+        times.note(took);
+        self.load_times.set(times);
     }
 
     /// The fencing number with which `engine` may be given orders now.
--- a/crates/relay/tests/promises.rs
+++ b/crates/relay/tests/promises.rs
@@ -10,9 +10,9 @@
 use common::{engine, far_engine, holdings};
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{
-    Demand, EngineContents, LoadRefusal, LoadStep, ModelRef, NodeRecord, OrderPermit, Ownership,
-    OwnershipRules, RetryBudget, RetryBudgetRules, Room, StallWatch, Upstream, VersionRule,
-    Versions, plan_load, unowned_to_claim,
+    Demand, EngineContents, LoadRefusal, LoadStep, LoadTimes, ModelRef, NodeRecord, OrderPermit,
+    Ownership, OwnershipRules, RetryBudget, RetryBudgetRules, Room, StallWatch, Upstream,
+    VersionRule, Versions, plan_load, unowned_to_claim,
 };
 use proptest::prelude::*;
 
@@ -245,3 +245,26 @@
     assert_eq!(watch.check(ms(59_100)), Some(ms(8_000)));
     assert_eq!(watch.check(ms(59_300)), None);
 }
+
+// Reports of one deployment lag by 100 ms, of another by 230 ms. Taken at the first one's lag, every
+// miss of the other waited 110 ms for nothing. Where many loads crowd the weight store, requests sent
+// too early come back unserved.
+#[test]
+fn the_lag_of_reports_is_told_from_the_time_of_loads() {
+    let ms = Duration::from_millis;
+    for lag in [100, 230] {
+        let mut times = LoadTimes::default();
+        for load in 0..60 {
+            // One in ten was held before and comes back at once.
+            let load_ms = if load % 10 == 9 { 25 } else { 250 };
+            times.note(ms(load_ms + lag));
+        }
+        assert!(times.usual() < ms(300), "{lag}: {:?}", times.usual());
+        assert!(times.are_quick());
+        for _ in 0..20 {
+            times.note(ms(900 + lag));
+        }
+        assert!(times.usual() > ms(600), "{lag}: {:?}", times.usual());
+        assert!(!times.are_quick());
+    }
+}
