Look for a free engine when the wait at an adapter's holders is long

Change: over 600 ms of expected wait a request has its adapter loaded at an engine that would answer in under 0.6 of that time, load included, and waits for it for 0.6 s at most.

--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -39,6 +39,9 @@
 /// queue for transfers.
 const ADAPTER_PATIENCE: Duration = Duration::from_millis(2_500);
 
+/// How long a request waits for a further copy of its adapter: two loads in turn.
+const LOAD_PATIENCE: Duration = Duration::from_millis(600);
+
 /// When a caller whose request found no room is asked to return. Prompts that wait are read in
 /// some 300 ms.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(350);
@@ -272,6 +275,7 @@
     ) -> Result<Choice, (ResultCode, Duration)> {
         let patience = ADAPTER_PATIENCE.min(call.remaining(Instant::now()) / 2);
         let patient_until = Instant::now() + patience;
+        let mut may_look_elsewhere = sends.arrived == 0;
         loop {
             let now = Instant::now();
             if call.remaining(now) < LEAST_REMAINING {
@@ -282,6 +286,13 @@
             }
             self.view();
             match self.choose(call, sends, now) {
+                Ok(choice)
+                    if may_look_elsewhere && self.is_sooner_elsewhere(call, &choice, now) =>
+                {
+                    // Whether or not the load comes to anything, the request then goes to the best.
+                    may_look_elsewhere = false;
+                    self.bring_adapter(call, sends, LOAD_PATIENCE).await;
+                }
                 Ok(choice) => {
                     if !self.count_send(call, sends, now) {
                         return Err((ResultCode::RetryBudgetSpent, BUSY_RETRY_AFTER));
@@ -308,6 +319,11 @@
         }
     }
 
+    fn is_sooner_elsewhere(&self, call: &Call, choice: &Choice, now: Instant) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.is_sooner_elsewhere(&need(call, &[]), choice.expected_ms, now)
+    }
+
     fn choose(&self, call: &Call, sends: &Sends, now: Instant) -> Result<Choice, NoChoice> {
         let need = need(call, &sends.tried);
         let dispatcher = self.dispatcher.borrow();
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -41,7 +41,41 @@
 /// What each load ahead at an engine adds to the wait for another, in milliseconds: its time.
 const COMING_MS: f64 = 250.0;
 
+/// A wait for the first event over which a request looks for another engine than those that hold its
+/// adapter: the shortest latency objective of the generations.
+const LONG_WAIT_MS: f64 = 600.0;
+
+/// What a load takes until the adapter can be used, with the order.
+const LOAD_MS: f64 = 300.0;
+
+/// How much sooner another engine must answer to be worth a load, as a part of the wait.
+const SOONER_SHARE: f64 = 0.6;
+
 impl Dispatcher {
+    /// Whether a request that would wait `expected_ms` where its adapter is would be answered much
+    /// sooner after a load elsewhere.
+    ///
+    /// The adapters of a busy engine are mostly its own. Their requests queue there for two seconds
+    /// and more while engines beside it are free, and miss every latency objective.
+    pub fn is_sooner_elsewhere(&self, need: &Need<'_>, expected_ms: f64, now: Instant) -> bool {
+        let Some(model) = need.model else {
+            return false;
+        };
+        if expected_ms < LONG_WAIT_MS {
+            return false;
+        }
+        let place = CopyPlace::Anywhere;
+        let engines = self.engines_to_load(need.service, model, VersionRule::ANY, place, now);
+        let holds = |id: &UpstreamId| {
+            let tracked = self.tracked(id);
+            tracked.is_some_and(|tracked| tracked.holdings.version_of(model).is_some())
+        };
+        let others = engines.iter().filter(|(id, _)| !holds(id));
+        let least_ms = others.map(|(_, ms)| *ms).fold(f64::INFINITY, f64::min);
+        let prompt_ms = need.prompt_tokens as f64 * PROMPT_TOKEN_MS;
+        least_ms - ELSEWHERE_MS + LOAD_MS + prompt_ms < expected_ms * SOONER_SHARE
+    }
+
     /// Whether a further copy of the adapter is worth its load.
     pub(crate) fn wanted_copy(
         &self,
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -356,3 +356,25 @@
     queue(&mut world);
     assert_eq!(copy(&mut world), Some(CopyPlace::Anywhere));
 }
+
+// An engine is busy with its own adapters, and a summary's prompt would wait two seconds there. The
+// engines beside it are free, and could have the adapter in a third of a second.
+#[test]
+fn a_long_queue_is_left_for_an_engine_that_is_free() {
+    let mut world = World::new([engine("e1", &["a1"]), engine("e2", &[])]);
+    let elsewhere = |world: &World, expected_ms: f64| {
+        let need = Need {
+            service: &world.engines,
+            model: Some(&world.a1),
+            version: VersionRule::ANY,
+            prompt_tokens: 1_400,
+            tried: &[],
+        };
+        let dispatcher = &world.dispatcher;
+        dispatcher.is_sooner_elsewhere(&need, expected_ms, world.now)
+    };
+    assert!(elsewhere(&world, 2_000.0));
+    assert!(!elsewhere(&world, 300.0), "it comes in time where it is");
+    world.dispatcher.sent(&"e2".into(), 30_000, world.now);
+    assert!(!elsewhere(&world, 2_000.0), "no engine is free");
+}
