--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -165,6 +165,7 @@
             versions: Arc::new(self.versions.borrow().clone()),
             nodes: self.nodes.borrow().len().max(1),
             nodes_in_domain: self.nodes_in_domain(),
+            are_loads_quick: self.load_times.get().are_quick(),
         };
         let is_ready = view.table.is_some() && !view.upstreams.is_empty();
         self.shared.view.store(Arc::new(view));
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -29,6 +29,8 @@
     pub(crate) nodes: usize,
     /// Those of them in this node's failure domain.
     pub(crate) nodes_in_domain: usize,
+    /// Whether loads hardly wait for the weight store.
+    pub(crate) are_loads_quick: bool,
 }
 
 /// An adapter that a request waits for.
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -159,6 +159,7 @@
             let mut dispatcher = self.dispatcher.borrow_mut();
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
             dispatcher.set_nodes(view.nodes, view.nodes_in_domain);
+            dispatcher.set_loads_quick(view.are_loads_quick);
         }
         let news = self.shared.news.take();
         let mut dispatcher = self.dispatcher.borrow_mut();
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -28,6 +28,10 @@
 /// one load ahead. Most adapters are asked for once or twice, and then their answers stay here.
 const LOAD_ELSEWHERE_MS: f64 = 400.0;
 
+/// The same while loads crowd the weight store, as at a cold start. Each failure domain would load the
+/// popular adapters for itself then, and its callers wait for three loads in place of one.
+const CROWDED_ELSEWHERE_MS: f64 = 60.0;
+
 /// Requests in a second for one adapter in this failure domain over which it gets a copy here: a
 /// load costs about a third of what a request is worth, and pays off within some seconds.
 const OWN_COPY_PER_S: f64 = 2.0;
@@ -149,14 +153,23 @@
                 }
                 let coming_ms = tracked.coming(now).len() as f64 * COMING_MS;
                 let wait_ms = tracked.expected_first_event_ms(0, now);
-                let domain_ms = if is_here(tracked) {
-                    0.0
-                } else {
-                    LOAD_ELSEWHERE_MS
-                };
+                let domain_ms = self.load_elsewhere_ms(is_here(tracked));
                 let wait_ms = ELSEWHERE_MS + wait_ms + coming_ms + domain_ms;
                 (tracked.upstream.id.clone(), wait_ms)
             })
             .collect()
     }
+
+    fn load_elsewhere_ms(&self, is_here: bool) -> f64 {
+        match (is_here, self.are_loads_quick) {
+            (true, _) => 0.0,
+            (false, true) => LOAD_ELSEWHERE_MS,
+            (false, false) => CROWDED_ELSEWHERE_MS,
+        }
+    }
+
+    /// Takes in whether loads hardly wait for the weight store.
+    pub fn set_loads_quick(&mut self, are_quick: bool) {
+        self.are_loads_quick = are_quick;
+    }
 }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -90,6 +90,8 @@
     pub(crate) asked: Demand,
     pub(crate) nodes: usize,
     pub(crate) nodes_in_domain: usize,
+    /// Whether loads hardly wait for the weight store; not until some were seen.
+    pub(crate) are_loads_quick: bool,
     /// When a node of each other failure domain was last heard.
     domains_heard: HashMap<FailureDomain, Instant>,
 }
@@ -104,6 +106,7 @@
             asked: Demand::new(COPIES_HALF_LIFE),
             nodes: 1,
             nodes_in_domain: 1,
+            are_loads_quick: false,
             domains_heard: HashMap::new(),
         }
     }
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -378,3 +378,27 @@
     world.dispatcher.sent(&"e2".into(), 30_000, world.now);
     assert!(!elsewhere(&world, 2_000.0), "no engine is free");
 }
+
+// At a cold start every failure domain missed the same popular adapters and loaded each for itself,
+// while the weight store was the bottleneck. Later, loads stay in the domain.
+#[test]
+fn loads_stay_in_the_domain_only_while_they_are_quick() {
+    let mut world = World::new([engine("near", &[]), far_engine("far", &[])]);
+    let difference = |world: &World| {
+        let engines = world.dispatcher.engines_to_load(
+            &world.engines,
+            &world.a1,
+            VersionRule::ANY,
+            CopyPlace::Anywhere,
+            world.now,
+        );
+        let cost = |wanted: &str| {
+            let mut engines = engines.iter();
+            engines.find(|(id, _)| id.as_str() == wanted).unwrap().1
+        };
+        cost("far") - cost("near")
+    };
+    assert!(difference(&world) < 100.0);
+    world.dispatcher.set_loads_quick(true);
+    assert!(difference(&world) > 300.0);
+}
