Wait for the one send before the desk of a killed node speaks again

The node is dropped in the test, not killed: its task lives on, and when its send had not left by the time the desk spoke again, the desk took it as any call. The claimant's own one send, no second run. Change: the stand-in counts calls that arrive while it is silent, health checks aside; the test waits for the booking there before it drops the node. Its assertions are unchanged. Conclusion: a race of the test; kept as strict.

--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -52,6 +52,8 @@
     ledger: Ledger,
     incarnation: Incarnation,
     queued: usize,
+    /// Calls that arrived while the service was silent.
+    unanswered: usize,
     rng: ChaCha8Rng,
 }
 
@@ -104,6 +106,7 @@
             ledger: Ledger::default(),
             incarnation: Incarnation(rng.random_range(1..INCARNATION_LIMIT)),
             queued: 0,
+            unanswered: 0,
             rng,
         };
         let shared = PlainShared {
@@ -132,6 +135,11 @@
         self.lock().knobs.clone()
     }
 
+    /// Calls that arrived while the service was silent, and got no answer.
+    pub fn unanswered_calls(&self) -> usize {
+        self.lock().unanswered
+    }
+
     /// What has run so far.
     pub fn ledger(&self) -> Ledger {
         self.lock().ledger.clone()
@@ -251,6 +259,9 @@
         return HttpReply::Cut;
     }
     if knobs.silent {
+        if parts.uri.path() != "/healthz" {
+            service.lock().unanswered += 1;
+        }
         // Hangs until the client closes the connection.
         std::future::pending::<()>().await;
     }
--- a/crates/node/tests/once_only_calls.rs
+++ b/crates/node/tests/once_only_calls.rs
@@ -428,6 +428,9 @@
     let others = second.callers_address();
     confirm_until(to, &key, |got| got.text.contains("may_have_run")).await;
     confirm_until(others, &key, |got| got.text.contains("may_have_run")).await;
+    // The node's tasks outlive its handle here, unlike those of a killed process. Its one send must
+    // be on the wire before the desk speaks again, or it reaches the desk as any other call.
+    world.call_unanswered().await;
     drop(first);
     caller.abort();
     world.set_desks(&Knobs::default());
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -134,6 +134,17 @@
         }
     }
 
+    /// Waits until a call has arrived at a silent plain service.
+    pub async fn call_unanswered(&self) {
+        let has_arrived = || {
+            let mut desks = self.desks().into_iter();
+            desks.any(|desk| desk.unanswered_calls() > 0)
+        };
+        while !has_arrived() {
+            tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+        }
+    }
+
     /// How often a call with the idempotency key ran, wherever.
     pub fn runs_at_all_desks(&self, key: &str) -> u32 {
         let desks = self.desks().into_iter();
