Bring adapters back where they were held before

An engine brings such an adapter back from its own memory in a tenth of the time and without the weight store; nothing looked for it.

Change: a node remembers what each engine dropped (RecentAdapters) and prefers such an engine for a load; its owner lets these loads pass those that wait for the weight store.

--- a/crates/relay-node/src/control/base_models.rs
+++ b/crates/relay-node/src/control/base_models.rs
@@ -5,7 +5,7 @@
 
 use nutmegsail_relay::{ModelRef, Upstream};
 
-use super::engine::OwnedEngine;
+use super::engine::{LoadKind, OwnedEngine};
 use super::follow_loads::follow_loads;
 use super::knowledge::Knowledge;
 use crate::{OrderAnswer, OrderStep};
@@ -54,6 +54,6 @@
     let step = OrderStep::Load(wanted.clone(), None);
     let answer = knowledge.order(engine, upstream, step, fence).await;
     if answer == Some(OrderAnswer::Accepted) {
-        engine.ordered(Some((wanted, None)));
+        engine.load_ordered(wanted, None, LoadKind::FromStore);
     }
 }
--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -11,11 +11,34 @@
 use super::exchange::EngineUseTold;
 use crate::EngineState;
 
+/// Where an engine takes an adapter from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LoadKind {
+    /// The weight store, whose rate all engines share.
+    FromStore,
+    /// Its own memory, as it held the adapter a while ago.
+    Recent,
+}
+
+impl LoadKind {
+    pub(crate) fn of(is_recent: bool) -> Self {
+        match is_recent {
+            true => Self::Recent,
+            false => Self::FromStore,
+        }
+    }
+}
+
+/// How long an engine needs for an adapter that it held a while ago: a tenth of a load from the
+/// weight store (25 ms), with the ways of the order and of the request that follows it.
+const RECENT_LOAD: Duration = Duration::from_millis(32);
+
 /// An adapter or model on its way to an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Coming {
     pub(crate) model: ModelRef,
     pub(crate) version: Option<u64>,
+    pub(crate) load: LoadKind,
     /// When the order was accepted.
     pub(crate) since: Instant,
     /// The engine's count of orders with this one.
@@ -27,6 +50,8 @@
 pub(crate) struct OwnedEngine {
     pub(crate) id: UpstreamId,
     pub(crate) ownership: RefCell<Ownership>,
+    /// Held by the load from the weight store that is next, until it was ordered.
+    pub(crate) turn: Mutex<()>,
     /// Held over the orders that bring one adapter in, so that the room is not given away twice.
     pub(crate) orders: Mutex<()>,
     /// Tells those who wait that the holdings changed.
@@ -53,6 +78,13 @@
     }
 }
 
+impl Coming {
+    /// Whether the weight store has a part in it still.
+    fn is_transfer(&self) -> bool {
+        self.load == LoadKind::FromStore
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct State {
     /// Orders that it has accepted; nothing until its report was read.
@@ -79,6 +111,7 @@
                 self.coming.push(Coming {
                     model: model.clone(),
                     version: None,
+                    load: LoadKind::FromStore,
                     since: Instant::now(),
                     order_seq: report.order_seq,
                 });
@@ -108,6 +141,7 @@
         Self {
             id,
             ownership: RefCell::new(ownership),
+            turn: Mutex::new(()),
             orders: Mutex::new(()),
             changed: Notify::new(),
             is_followed: Cell::new(false),
@@ -173,13 +207,29 @@
         ahead
     }
 
-    /// When the load of `model` under way was accepted.
-    pub(crate) fn coming_since(&self, model: &ModelRef) -> Option<Instant> {
+    /// When the load of `model` under way should be done, if one from the weight store takes
+    /// `usual`.
+    pub(crate) fn expected_at(&self, model: &ModelRef, usual: Duration) -> Option<Instant> {
         let state = self.state.borrow();
-        let mut coming = state.coming.iter();
-        coming
-            .find(|coming| coming.model == *model)
-            .map(|coming| coming.since)
+        let coming = state.coming.iter().find(|coming| coming.model == *model)?;
+        Some(match coming.load {
+            LoadKind::FromStore => coming.since + usual,
+            LoadKind::Recent => coming.since + RECENT_LOAD,
+        })
+    }
+
+    /// When the oldest load from the weight store that is under way was accepted.
+    pub(crate) fn oldest_transfer(&self) -> Option<Instant> {
+        let state = self.state.borrow();
+        let from_store = state.coming.iter().filter(|coming| coming.is_transfer());
+        from_store.map(|coming| coming.since).min()
+    }
+
+    /// How many loads from the weight store are under way, as far as reports show.
+    pub(crate) fn transfer_count(&self) -> usize {
+        let state = self.state.borrow();
+        let from_store = state.coming.iter().filter(|coming| coming.is_transfer());
+        from_store.count()
     }
 
     /// When the oldest load under way was accepted.
@@ -225,26 +275,30 @@
         state.order_seq = None;
     }
 
-    /// Takes in that an order was accepted.
-    pub(crate) fn ordered(&self, load: Option<(ModelRef, Option<u64>)>) {
-        let mut state = self.state.borrow_mut();
-        let Some(order_seq) = state.order_seq.map(|seq| seq + 1) else {
-            return;
-        };
-        state.order_seq = Some(order_seq);
-        if let Some((model, version)) = load {
-            state.coming.push(Coming {
+    /// Takes in that a load was accepted.
+    pub(crate) fn load_ordered(&self, model: ModelRef, version: Option<u64>, load: LoadKind) {
+        if let Some(order_seq) = self.ordered() {
+            self.state.borrow_mut().coming.push(Coming {
                 model,
                 version,
+                load,
                 since: Instant::now(),
                 order_seq,
             });
         }
     }
 
+    /// Takes in that an order was accepted, and returns the engine's count with it.
+    fn ordered(&self) -> Option<u64> {
+        let mut state = self.state.borrow_mut();
+        let order_seq = state.order_seq? + 1;
+        state.order_seq = Some(order_seq);
+        Some(order_seq)
+    }
+
     /// Takes in that `model` was dropped, or will be when its requests have ended.
     pub(crate) fn unloaded(&self, model: &ModelRef, is_gone: bool) {
-        self.ordered(None);
+        self.ordered();
         let mut state = self.state.borrow_mut();
         state.holdings.forget(model);
         state.change += 1;
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -8,14 +8,15 @@
 
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{
-    EngineContents, HeldAdapter, Holdings, LoadPlan, LoadStep, ModelRef, Room, Upstream, plan_load,
+    EngineContents, HeldAdapter, Holdings, LoadPlace, LoadPlan, LoadStep, ModelRef, Room, Upstream,
+    plan_load,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::engine::OwnedEngine;
+use super::engine::{LoadKind, OwnedEngine};
 use super::exchange::FULL_EXCHANGE_NODES;
 use super::follow_loads::{FOLLOW_INTERVAL, LOAD_LIMIT, follow_loads};
 use super::knowledge::{Knowledge, Owner};
@@ -32,7 +33,7 @@
 
 /// Loads under way at one engine that should have finished, while the next one begins: their
 /// reports are yet to come.
-const OVERLAP_LIMIT: u32 = 2;
+const OVERLAP_LIMIT: usize = 2;
 
 /// Loads that may wait at one engine. The fourth would come after a second, too late for any
 /// latency objective.
@@ -122,18 +123,16 @@
             .is_some_and(|at| at.elapsed() < COPY_INTERVAL)
     }
 
-    async fn bring(&self, wanted: &Wanted, engines: Vec<(UpstreamId, f64)>) -> Loaded {
-        for engine in self
-            .ranked(&wanted.model, engines)
-            .into_iter()
-            .take(ENGINES_TRIED)
-        {
-            let loaded = match self.knowledge.owned(&engine) {
-                Some(owned) => self.load_here(&owned, wanted).await,
-                None => self.ask_owner(&engine, wanted).await,
+    async fn bring(&self, wanted: &Wanted, engines: Vec<LoadPlace>) -> Loaded {
+        let ranked = self.ranked(&wanted.model, engines);
+        for place in ranked.into_iter().take(ENGINES_TRIED) {
+            let engine = &place.engine;
+            let loaded = match self.knowledge.owned(engine) {
+                Some(owned) => self.load_here(&owned, wanted, place.is_recent).await,
+                None => self.ask_owner(&place, wanted).await,
             };
             match loaded {
-                Ok(holdings) => return Some((engine, holdings)),
+                Ok(holdings) => return Some((place.engine, holdings)),
                 Err(failure) => log_event!(
                     self.knowledge.log, Event::LoadFailed,
                     "upstream" => engine.to_string(), "model" => wanted.model.to_string(),
@@ -149,18 +148,16 @@
     /// Two nodes may miss one adapter at the same time, long before either hears of the other's
     /// load. Among engines that would answer about as soon, the order comes from a hash that is the
     /// same everywhere, so both ask one owner, who loads it once.
-    fn ranked(&self, model: &ModelRef, engines: Vec<(UpstreamId, f64)>) -> Vec<UpstreamId> {
-        let reachable = engines.into_iter().filter(|(id, _)| self.is_reachable(id));
-        let mut ranked: Vec<(UpstreamId, f64)> = reachable.collect();
-        let least_ms = ranked
-            .iter()
-            .map(|(_, ms)| *ms)
-            .fold(f64::INFINITY, f64::min);
-        ranked.sort_by_cached_key(|(id, expected_ms)| {
-            let steps = ((expected_ms - least_ms) / ABOUT_AS_SOON_MS) as u64;
-            (steps, xxh3_64(format!("{model} {id}").as_bytes()))
+    fn ranked(&self, model: &ModelRef, mut engines: Vec<LoadPlace>) -> Vec<LoadPlace> {
+        engines.retain(|place| self.is_reachable(&place.engine));
+        let least_ms = engines.iter().map(|place| place.wait_ms);
+        let least_ms = least_ms.fold(f64::INFINITY, f64::min);
+        engines.sort_by_cached_key(|place| {
+            let steps = ((place.wait_ms - least_ms) / ABOUT_AS_SOON_MS) as u64;
+            let hash = xxh3_64(format!("{model} {}", place.engine).as_bytes());
+            (steps, hash)
         });
-        ranked.into_iter().map(|(id, _)| id).collect()
+        engines
     }
 
     /// Whether the engine's owner is known.
@@ -179,14 +176,15 @@
 
     async fn ask_owner(
         &self,
-        engine: &UpstreamId,
+        place: &LoadPlace,
         wanted: &Wanted,
     ) -> Result<Holdings, LoadFailure> {
-        let address = self.owner_address(engine);
+        let address = self.owner_address(&place.engine);
         let address = address.ok_or(LoadFailure::NoOwnerAnswer)?;
         let ask = LoadAsk {
-            engine: engine.clone(),
+            engine: place.engine.clone(),
             wanted: wanted.clone(),
+            is_recent: place.is_recent,
         };
         ask.send(&self.knowledge, address, ASK_LIMIT).await
     }
@@ -205,23 +203,18 @@
         &self,
         engine: &Rc<OwnedEngine>,
         wanted: &Wanted,
+        is_recent: bool,
     ) -> Result<Holdings, LoadFailure> {
         let (model, version) = (&wanted.model, wanted.version);
         let limit = tokio::time::Instant::now() + LOAD_LIMIT;
         if !engine.holds(model, version) && !engine.awaits(model, version) {
-            let _place = engine
-                .queue(model, QUEUE_LIMIT)
-                .ok_or(LoadFailure::QueueFull)?;
-            let _orders = engine.orders.lock().await;
-            if !engine.holds(model, version) && !engine.awaits(model, version) {
-                self.wait_for_transfer(engine, limit).await?;
-                self.order_load(engine, model, version).await?;
-            }
+            let load = LoadKind::of(is_recent);
+            self.begin_load(engine, wanted, load, limit).await?;
         }
         follow_loads(Rc::clone(&self.knowledge), Rc::clone(engine));
         while !engine.holds(model, version) {
-            let since = engine.coming_since(model).ok_or(LoadFailure::Unfinished)?;
-            let finished = since + self.usual_load();
+            let finished = engine.expected_at(model, self.usual_load());
+            let finished = finished.ok_or(LoadFailure::Unfinished)?;
             if !wanted.was_turned_away && Instant::now() >= finished {
                 return presumed(engine, wanted);
             }
@@ -238,17 +231,46 @@
         Ok(engine.holdings())
     }
 
+    /// Orders a load in its turn. Those from the weight store go one after the other; what the
+    /// engine brings back from its own memory passes them by.
+    async fn begin_load(
+        &self,
+        engine: &OwnedEngine,
+        wanted: &Wanted,
+        load: LoadKind,
+        limit: tokio::time::Instant,
+    ) -> Result<(), LoadFailure> {
+        let (model, version) = (&wanted.model, wanted.version);
+        let _place = engine
+            .queue(model, QUEUE_LIMIT)
+            .ok_or(LoadFailure::QueueFull)?;
+        let _turn = match load {
+            LoadKind::FromStore => {
+                let turn = engine.turn.lock().await;
+                self.wait_for_transfer(engine, limit).await?;
+                Some(turn)
+            }
+            LoadKind::Recent => None,
+        };
+        let _orders = engine.orders.lock().await;
+        if engine.holds(model, version) || engine.awaits(model, version) {
+            return Ok(());
+        }
+        self.order_load(engine, model, version, load).await
+    }
+
     /// Waits until `engine` can begin another transfer.
     async fn wait_for_transfer(
         &self,
         engine: &OwnedEngine,
         limit: tokio::time::Instant,
     ) -> Result<(), LoadFailure> {
-        while let Some(oldest) = engine.oldest_coming() {
+        while let Some(oldest) = engine.oldest_transfer() {
             let finished = oldest + self.usual_load();
-            let is_finished = Instant::now() >= finished && engine.coming_count() <= OVERLAP_LIMIT;
+            let transfers = engine.transfer_count();
+            let is_finished = Instant::now() >= finished && transfers <= OVERLAP_LIMIT;
             let is_quick = self.knowledge.load_times.get().are_quick();
-            if is_finished || (is_quick && engine.coming_count() < OVERLAP_LIMIT) {
+            if is_finished || (is_quick && transfers < OVERLAP_LIMIT) {
                 return Ok(());
             }
             let until = limit.min((finished.max(Instant::now() + FOLLOW_INTERVAL)).into());
@@ -271,6 +293,7 @@
         engine: &OwnedEngine,
         model: &ModelRef,
         version: Option<u64>,
+        load: LoadKind,
     ) -> Result<(), LoadFailure> {
         let upstream = self.knowledge.upstream(&engine.id);
         let upstream = upstream.ok_or(LoadFailure::EngineGone)?;
@@ -284,7 +307,7 @@
         for _ in 0..ORDERS_TRIED {
             let fence = self.ready_for_orders(engine).await?;
             let plan = self.plan(engine, &upstream, model, version)?;
-            match self.carry_out(engine, &upstream, plan, fence).await {
+            match self.carry_out(engine, &upstream, plan, load, fence).await {
                 Err(LoadFailure::NoAnswer) => {}
                 done => return done,
             }
@@ -313,6 +336,7 @@
         engine: &OwnedEngine,
         upstream: &Upstream,
         plan: LoadPlan,
+        load: LoadKind,
         fence: u64,
     ) -> Result<(), LoadFailure> {
         for step in plan.steps {
@@ -323,7 +347,7 @@
             let answer = self.knowledge.order(engine, upstream, order, fence).await;
             match (answer.ok_or(LoadFailure::NoAnswer)?, step) {
                 (OrderAnswer::Accepted, LoadStep::Load(model, version)) => {
-                    engine.ordered(Some((model, version)));
+                    engine.load_ordered(model, version, load);
                 }
                 (OrderAnswer::Done, LoadStep::Load(..)) => engine.doubt(),
                 (OrderAnswer::Done, LoadStep::Unload(victim)) => engine.unloaded(&victim, true),
@@ -365,6 +389,7 @@
         let contents = EngineContents {
             holdings: &holdings,
             coming: &coming,
+            transfers: engine.transfer_count(),
             room,
             demand: &demand,
             is_in_use: &is_in_use,
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::confirmation::confirm;
-use super::engine::OwnedEngine;
+use super::engine::{LoadKind, OwnedEngine};
 use super::knowledge::Knowledge;
 use super::owners;
 use crate::clock::boot_time;
@@ -67,7 +67,9 @@
             }
         };
         for load in engine.reported(&report) {
-            self.note_load_time(load.since.elapsed());
+            if load.load == LoadKind::FromStore {
+                self.note_load_time(load.since.elapsed());
+            }
             log_event!(
                 self.log, Event::LoadFinished,
                 "upstream" => engine.id.to_string(), "model" => load.model.to_string(),
--- a/crates/relay-node/src/control/peers.rs
+++ b/crates/relay-node/src/control/peers.rs
@@ -38,6 +38,8 @@
 pub(crate) struct LoadAsk {
     pub(crate) engine: UpstreamId,
     pub(crate) wanted: Wanted,
+    /// Whether the engine held the adapter a while ago, as far as the sender knows.
+    pub(crate) is_recent: bool,
 }
 
 impl LoadAsk {
@@ -116,5 +118,7 @@
     let Some(engine) = loader.knowledge.owned(&ask.engine) else {
         return Ok(Err(LoadFailure::NotOwned));
     };
-    Ok(loader.load_here(&engine, &ask.wanted).await)
+    Ok(loader
+        .load_here(&engine, &ask.wanted, ask.is_recent)
+        .await)
 }
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use nutmegsail_base::{FailureDomain, UpstreamId};
-use nutmegsail_relay::{Holdings, ModelRef, Report, RouteTable, Upstream, Versions};
+use nutmegsail_relay::{Holdings, LoadPlace, ModelRef, Report, RouteTable, Upstream, Versions};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
@@ -47,8 +47,8 @@
 #[derive(Debug)]
 pub(crate) struct Want {
     pub(crate) wanted: Wanted,
-    /// Engines that could take it, with what speaks against each in milliseconds of wait.
-    pub(crate) engines: Vec<(UpstreamId, f64)>,
+    /// Engines that could take it.
+    pub(crate) engines: Vec<LoadPlace>,
     /// Told when it is there, or that it won't be. Dropped without a word if the ask was lost.
     pub(crate) ready: oneshot::Sender<Loaded>,
 }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -10,7 +10,7 @@
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Choice, CopyPlace, Dispatcher, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
+    Choice, CopyPlace, Dispatcher, LoadPlace, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -401,8 +401,8 @@
         Some(answer)
     }
 
-    /// Engines that could take the adapter, with the time to a first event there.
-    fn engines_for(&self, call: &Call, place: CopyPlace, now: Instant) -> Vec<(UpstreamId, f64)> {
+    /// Engines that could take the adapter.
+    fn engines_for(&self, call: &Call, place: CopyPlace, now: Instant) -> Vec<LoadPlace> {
         let Some(model) = &call.meta.model else {
             return Vec::new();
         };
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -4,6 +4,7 @@
 
 use nutmegsail_base::{ServiceName, UpstreamId};
 
+use crate::dispatcher::OTHER_DOMAIN_MS;
 use crate::tracked::PROMPT_TOKEN_MS;
 use crate::{Dispatcher, ModelRef, Need, Tracked, VersionRule};
 
@@ -16,6 +17,17 @@
     Anywhere,
 }
 
+/// An engine that could take an adapter.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadPlace {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// What speaks against it, in milliseconds of expected wait; to compare engines by only.
+    pub wait_ms: f64,
+    /// Whether it held the adapter a while ago and brings it back from its own memory.
+    pub is_recent: bool,
+}
+
 /// A wait over which a further copy of an adapter is worth its load: a third of the shortest latency
 /// objective of the generations (600 ms), so that a copy comes before requests are late.
 const COPY_WAIT_MS: f64 = 200.0;
@@ -49,9 +61,18 @@
 /// adapter: the shortest latency objective of the generations.
 const LONG_WAIT_MS: f64 = 600.0;
 
-/// What a load takes until the adapter can be used, with the order.
+/// What a load from the weight store takes until the adapter can be used, with the order.
 const LOAD_MS: f64 = 300.0;
 
+/// The same where the engine held the adapter a while ago: a tenth of the load, with the order.
+const RECENT_LOAD_MS: f64 = 40.0;
+
+/// What the use of the weight store counts beside its time, in milliseconds of wait: its rate is
+/// shared by all engines, and a load costs about a third of what a request is worth. A recent holder
+/// so goes first while its queue is some 500 ms longer at most, which is still in time for most
+/// requests.
+const STORE_USE_MS: f64 = 240.0;
+
 /// How much sooner another engine must answer to be worth a load, as a part of the wait.
 const SOONER_SHARE: f64 = 0.6;
 
@@ -74,10 +95,11 @@
             let tracked = self.tracked(id);
             tracked.is_some_and(|tracked| tracked.holdings.version_of(model).is_some())
         };
-        let others = engines.iter().filter(|(id, _)| !holds(id));
-        let least_ms = others.map(|(_, ms)| *ms).fold(f64::INFINITY, f64::min);
+        let others = engines.iter().filter(|place| !holds(&place.engine));
+        let least_ms = others.map(|place| place.wait_ms);
+        let least_ms = least_ms.fold(f64::INFINITY, f64::min);
         let prompt_ms = need.prompt_tokens as f64 * PROMPT_TOKEN_MS;
-        least_ms - ELSEWHERE_MS + LOAD_MS + prompt_ms < expected_ms * SOONER_SHARE
+        least_ms - ELSEWHERE_MS + prompt_ms < expected_ms * SOONER_SHARE
     }
 
     /// Whether a further copy of the adapter is worth its load.
@@ -93,8 +115,7 @@
             return Some(CopyPlace::Anywhere);
         }
         let is_here = |tracked: &Tracked| {
-            tracked.upstream.failure_domain == self.failure_domain
-                && tracked.holdings.version_of(model).is_some()
+            self.is_here(tracked) && tracked.holdings.version_of(model).is_some()
         };
         let requests_per_s = self.asked.rate_per_s(model, now) * self.nodes_in_domain as f64;
         let is_wanted_here = requests_per_s > OWN_COPY_PER_S;
@@ -115,8 +136,7 @@
         tokens_per_s * PROMPT_TOKEN_MS / 1_000.0 > COPY_SHARE * copies as f64
     }
 
-    /// Engines that could take `model`, each with what speaks against it in milliseconds of
-    /// expected wait.
+    /// Engines that could take `model`, each with what speaks against it.
     ///
     /// An engine without the base model can take no adapter. As it is also idle, it would be the
     /// first choice of every request, and each would wait for an order that cannot be given.
@@ -127,8 +147,7 @@
         version: VersionRule,
         place: CopyPlace,
         now: Instant,
-    ) -> Vec<(UpstreamId, f64)> {
-        let is_here = |tracked: &Tracked| tracked.upstream.failure_domain == self.failure_domain;
+    ) -> Vec<LoadPlace> {
         let takes = |tracked: &&Tracked| {
             let holdings = &tracked.holdings;
             let has_base = holdings.has_base(model);
@@ -139,27 +158,50 @@
                 && !tracked.is_gone
                 && tracked.takes_loads(now)
                 && has_base
-                && (place == CopyPlace::Anywhere || is_here(tracked))
+                && (place == CopyPlace::Anywhere || self.is_here(tracked))
                 && !has_it.is_some_and(|held| version.prefers(held))
                 && (tracked.coming(now).len() < LOADS_AHEAD_LIMIT
                     || tracked.coming(now).contains(model))
         };
         let engines = self.upstreams.values().filter(takes);
         engines
-            .map(|tracked| {
-                // Where it is on its way already, it comes soonest and costs nothing more.
-                if tracked.coming(now).contains(model) {
-                    return (tracked.upstream.id.clone(), 0.0);
-                }
-                let coming_ms = tracked.coming(now).len() as f64 * COMING_MS;
-                let wait_ms = tracked.expected_first_event_ms(0, now);
-                let domain_ms = self.load_elsewhere_ms(is_here(tracked));
-                let wait_ms = ELSEWHERE_MS + wait_ms + coming_ms + domain_ms;
-                (tracked.upstream.id.clone(), wait_ms)
-            })
+            .map(|tracked| self.load_place(tracked, model, version, now))
             .collect()
     }
 
+    fn load_place(
+        &self,
+        tracked: &Tracked,
+        model: &ModelRef,
+        version: VersionRule,
+        now: Instant,
+    ) -> LoadPlace {
+        let is_recent = tracked.held_lately(model, version);
+        let place = |wait_ms| LoadPlace {
+            engine: tracked.upstream.id.clone(),
+            wait_ms,
+            is_recent,
+        };
+        // Where it is on its way already, it comes soonest and costs nothing more.
+        if tracked.coming(now).contains(model) {
+            return place(0.0);
+        }
+        let queue_ms = ELSEWHERE_MS + tracked.expected_first_event_ms(0, now);
+        let is_here = self.is_here(tracked);
+        if is_recent {
+            // It comes past the loads that wait for the weight store.
+            let domain_ms = if is_here { 0.0 } else { OTHER_DOMAIN_MS };
+            return place(queue_ms + RECENT_LOAD_MS + domain_ms);
+        }
+        let coming_ms = tracked.coming(now).len() as f64 * COMING_MS;
+        let load_ms = LOAD_MS + STORE_USE_MS + self.load_elsewhere_ms(is_here);
+        place(queue_ms + coming_ms + load_ms)
+    }
+
+    fn is_here(&self, tracked: &Tracked) -> bool {
+        tracked.upstream.failure_domain == self.failure_domain
+    }
+
     fn load_elsewhere_ms(&self, is_here: bool) -> f64 {
         match (is_here, self.are_loads_quick) {
             (true, _) => 0.0,
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -57,7 +57,7 @@
 /// What a way into another failure domain costs, in milliseconds of expected wait. The way itself
 /// takes some 2 ms, but an answer that crosses failure domains is lost when they are cut off from
 /// each other, and bytes between them are charged for.
-const OTHER_DOMAIN_MS: f64 = 60.0;
+pub(crate) const OTHER_DOMAIN_MS: f64 = 60.0;
 
 /// Scores that differ by less are taken as equal, so that nodes which know the same do not all
 /// choose the same upstream.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod load_times;
 mod model_ref;
 mod ownership;
+mod recent;
 mod retry_budget;
 mod route;
 mod route_table;
@@ -28,7 +29,7 @@
 
 pub use assignment::{NodeRecord, unowned_to_claim};
 pub use call_kind::CallKind;
-pub use copies::CopyPlace;
+pub use copies::{CopyPlace, LoadPlace};
 pub use demand::Demand;
 pub use dispatcher::{Choice, Dispatcher, Need, Refusal};
 pub use health::{Health, Outcome};
@@ -37,6 +38,7 @@
 pub use load_times::LoadTimes;
 pub use model_ref::ModelRef;
 pub use ownership::{OrderPermit, Ownership, OwnershipRules};
+pub use recent::RecentAdapters;
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
 pub use route::{Route, WeightedService};
 pub use route_table::{CallerLimits, RouteTable};
--- a/crates/relay/src/load_plan.rs
+++ b/crates/relay/src/load_plan.rs
@@ -50,6 +50,8 @@
     pub holdings: &'a Holdings,
     /// Adapters on their way to it.
     pub coming: &'a [ModelRef],
+    /// How many of those come from the weight store.
+    pub transfers: usize,
     /// Its room.
     pub room: Room,
     /// What each adapter is asked for.
@@ -71,6 +73,7 @@
 /// let engine = EngineContents {
 ///     holdings: &Holdings { models: vec![base] },
 ///     coming: &[],
+///     transfers: 0,
 ///     room: Room { adapter_slots: 2, transfers: 1 },
 ///     demand: &Demand::new(Duration::from_secs(10)),
 ///     is_in_use: &|_| false,
@@ -90,7 +93,7 @@
     now: Instant,
 ) -> Result<LoadPlan, LoadRefusal> {
     let holdings = engine.holdings;
-    if engine.coming.len() >= engine.room.transfers {
+    if engine.transfers >= engine.room.transfers {
         return Err(LoadRefusal::TransfersFull);
     }
     if !holdings.has_base(wanted) {
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::{Health, Holdings, ModelRef, Upstream};
+use crate::{Health, Holdings, ModelRef, RecentAdapters, Upstream, VersionRule};
 
 /// Load of an engine as others reported it.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,6 +60,8 @@
     pub upstream: Arc<Upstream>,
     /// What it holds.
     pub holdings: Holdings,
+    /// What it held before and can bring back quickly.
+    recent: RecentAdapters,
     /// When its owner last confirmed what it holds.
     holdings_told: Option<Instant>,
     /// Requests that this node sent and that have not ended.
@@ -83,6 +85,7 @@
     pub fn new(upstream: Arc<Upstream>, now: Instant) -> Self {
         Self {
             holdings: upstream.holdings.clone(),
+            recent: RecentAdapters::default(),
             holdings_told: None,
             upstream,
             in_flight: 0,
@@ -104,7 +107,7 @@
     pub fn note_entry(&mut self, upstream: Arc<Upstream>, now: Instant) {
         let is_told = |at| now.duration_since(at) < TOLD_LIFE;
         if !self.holdings_told.is_some_and(is_told) {
-            self.holdings = upstream.holdings.clone();
+            self.set_holdings(&upstream.holdings);
         }
         self.upstream = upstream;
     }
@@ -112,7 +115,7 @@
     /// Takes in what the owner knows; `holdings` only if they changed.
     pub fn note_told(&mut self, holdings: Option<&Holdings>, report: Report) {
         if let Some(holdings) = holdings {
-            self.holdings = holdings.clone();
+            self.set_holdings(holdings);
             self.holdings_told = Some(report.taken);
         }
         if self.holdings_told.is_some() {
@@ -123,10 +126,23 @@
 
     /// Takes in what it holds now that an adapter was brought in.
     pub fn note_holdings(&mut self, holdings: &Holdings, now: Instant) {
-        self.holdings = holdings.clone();
+        self.set_holdings(holdings);
         self.holdings_told = Some(now);
     }
 
+    /// Whether it held `model` a while ago, in a version that requests are meant to begin on.
+    pub fn held_lately(&self, model: &ModelRef, version: VersionRule) -> bool {
+        let held = self.recent.version_of(model);
+        held.is_some_and(|held| version.prefers(held))
+    }
+
+    fn set_holdings(&mut self, holdings: &Holdings) {
+        if self.holdings != *holdings {
+            self.recent.note_change(&self.holdings, holdings);
+            self.holdings = holdings.clone();
+        }
+    }
+
     /// How much longer answers take than expected; 1 for a sound upstream.
     pub fn slowness(&self, now: Instant) -> f64 {
         let age_s = now.duration_since(self.slowness_at).as_secs_f64();
