Serve from another failure domain when a load here does not end

Ruled out: a load elsewhere that is not seen to finish (there is none; the adapter was there from the start).

Change: a load counts as a holder for twice the time that loads are expected to take.

Red first: a_load_here_that_does_not_end_holds_nobody_back. Engines' refusals are logged with the age of what was known (NE2009).

--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -174,11 +174,7 @@
         self.knowledge.owned(engine).is_some() || owners.get(engine).is_some_and(is_known)
     }
 
-    async fn ask_owner(
-        &self,
-        place: &LoadPlace,
-        wanted: &Wanted,
-    ) -> Result<Holdings, LoadFailure> {
+    async fn ask_owner(&self, place: &LoadPlace, wanted: &Wanted) -> Result<Holdings, LoadFailure> {
         let address = self.owner_address(&place.engine);
         let address = address.ok_or(LoadFailure::NoOwnerAnswer)?;
         let ask = LoadAsk {
--- a/crates/relay-node/src/control/peers.rs
+++ b/crates/relay-node/src/control/peers.rs
@@ -118,7 +118,5 @@
     let Some(engine) = loader.knowledge.owned(&ask.engine) else {
         return Ok(Err(LoadFailure::NotOwned));
     };
-    Ok(loader
-        .load_here(&engine, &ask.wanted, ask.is_recent)
-        .await)
+    Ok(loader.load_here(&engine, &ask.wanted, ask.is_recent).await)
 }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -10,7 +10,8 @@
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Choice, CopyPlace, Dispatcher, LoadPlace, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
+    Choice, CopyPlace, Dispatcher, LoadPlace, Need, Refusal as NoChoice, RetryBudget,
+    RetryBudgetRules,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -6,6 +6,7 @@
 use http::{Response, header};
 use nutmegsail_http_pool::{PooledBody, SendError};
 use nutmegsail_relay::{CallKind, Choice, HeldAdapter};
+use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep_until;
 
 use super::answer_body::{AnswerBody, PassedBody};
@@ -113,6 +114,9 @@
             flight.note_broken();
             return Sent::Lost;
         }
+        if meta.verdict != Verdict::Answered {
+            self.log_refused(call, choice, meta.verdict);
+        }
         match meta.verdict {
             Verdict::Full => {
                 flight.note_full();
@@ -138,6 +142,20 @@
         Sent::Answer(self.pass_on(call, flight, answer))
     }
 
+    fn log_refused(&self, call: &Call, choice: &Choice, verdict: Verdict) {
+        let now = Instant::now();
+        let dispatcher = self.dispatcher.borrow();
+        let tracked = dispatcher.tracked(&choice.upstream.id);
+        let told = tracked.and_then(|tracked| tracked.holdings_age(now));
+        log_event!(
+            self.log, Event::SendRefused,
+            "request" => call.id.to_string(), "upstream" => choice.upstream.id.to_string(),
+            "verdict" => format!("{verdict:?}"), "age_ms" => call.began.elapsed().as_millis(),
+            "model" => call.meta.model.as_ref().map(ToString::to_string),
+            "version" => choice.version, "holdings_age_ms" => told.map(|age| age.as_millis())
+        );
+    }
+
     /// Takes in that the upstream was not the one meant, or does not hold the model.
     fn note_misdirected(&self, call: &Call, choice: &Choice, meta: &AnswerMeta) {
         let mut dispatcher = self.dispatcher.borrow_mut();
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// How old its owner's word of what it holds is; nothing if only the list of upstreams tells.
+    pub fn holdings_age(&self, now: Instant) -> Option<Duration> {
+        self.holdings_told.map(|at| now.duration_since(at))
+    }
+
     /// How much longer answers take than expected; 1 for a sound upstream.
     pub fn slowness(&self, now: Instant) -> f64 {
         let age_s = now.duration_since(self.slowness_at).as_secs_f64();
--- a/crates/routing/src/candidate.rs
+++ b/crates/routing/src/candidate.rs
@@ -9,6 +9,10 @@
 use crate::request_state::RequestState;
 use crate::{Router, Score};
 
+/// How many times the expected time of a load requests wait for one in their failure domain, before
+/// a copy elsewhere serves them: a load of twice the usual length still ends in time.
+const LOAD_PATIENCE: u32 = 2;
+
 impl Router {
     /// Whether `upstream` has a place for one more request of `class`.
     ///
@@ -82,10 +86,13 @@
         let Some(adapter) = adapter else {
             return false;
         };
+        // An engine that falls silent with a load under way shows as loading for ever. Its requests
+        // would wait for it until their deadlines, though the adapter is ready elsewhere.
+        let load_limit = self.expected_load(self.adapters.wants()) * LOAD_PATIENCE;
         let mut holders = self.adapters.holders(adapter).iter();
         !holders.any(|holder| {
             let state = &self.upstreams[holder.upstream as usize];
-            state.is_own && state.is_reachable()
+            state.is_own && state.is_reachable() && state.holds_soon(adapter, load_limit, now)
         })
     }
 
--- a/crates/routing/src/upstream_events.rs
+++ b/crates/routing/src/upstream_events.rs
@@ -132,11 +132,15 @@
         now: Instant,
     ) {
         let state = &mut self.upstreams[upstream];
+        let known = state.held.iter().find(|held| held.adapter == *adapter);
+        let is_same = |known: &&Held| Some(known.is_ready) == is_ready;
+        let since = known.filter(is_same).map_or(now, |known| known.since);
         state.held.retain(|held| held.adapter != *adapter);
         if let Some(is_ready) = is_ready {
             state.held.push(Held {
                 adapter: adapter.clone(),
                 is_ready,
+                since,
             });
         }
         self.adapters.set(adapter, upstream, is_ready);
--- a/crates/routing/src/upstream_state.rs
+++ b/crates/routing/src/upstream_state.rs
@@ -13,6 +13,8 @@
 pub(crate) struct Held {
     pub(crate) adapter: AdapterRef,
     pub(crate) is_ready: bool,
+    /// Since when it is in this state, as far as this node was told.
+    pub(crate) since: Instant,
 }
 
 /// What placement or a refusal told sooner than the reports.
@@ -164,6 +166,19 @@
         Some(held.is_ready)
     }
 
+    /// Whether it holds the adapter, or a load is under way that began within `load_limit`.
+    pub(crate) fn holds_soon(
+        &self,
+        adapter: &AdapterRef,
+        load_limit: Duration,
+        now: Instant,
+    ) -> bool {
+        let mut held = self.held.iter();
+        held.any(|held| {
+            held.adapter == *adapter && (held.is_ready || now < held.since + load_limit)
+        })
+    }
+
     fn age_lagged(&mut self, now: Instant, lag: Duration) {
         let own = f64::from(self.own_in_flight());
         if let Some(at) = self.lagged_at {
--- a/crates/routing/tests/failure_domains.rs
+++ b/crates/routing/tests/failure_domains.rs
@@ -71,6 +71,26 @@
     assert_eq!(dispatched(&bench.arrive(&call)).as_deref(), Some("u1"));
 }
 
+/// A load here is ordered at an engine that falls silent, so nobody sees it end. The adapter is ready
+/// in another failure domain all the while; its requests used to wait for the load here until their
+/// deadlines, 15 s later.
+#[test]
+fn a_load_here_that_does_not_end_holds_nobody_back() {
+    let adapter = AdapterRef::new("summary", 1);
+    let mut bench = Bench::new(two_domains());
+    bench.set_adapter("u1", &adapter, AdapterAvailability::Loading);
+    bench.set_adapter("far1", &adapter, AdapterAvailability::Ready);
+    let mut call = bench.call(Class::Routine);
+    call.adapter = Some(adapter);
+    assert_eq!(dispatched(&bench.arrive(&call)), None, "it is coming here");
+    let usual_ms = RouterSettings::default().load_time.as_millis() as u64;
+    assert_eq!(dispatched(&bench.advance(usual_ms)), None);
+
+    let actions = bench.advance(3 * usual_ms);
+
+    assert_eq!(dispatched(&actions).as_deref(), Some("far1"));
+}
+
 /// An adapter is ready in another failure domain, but this node's few places there are taken. The
 /// request would wait for one of them until its deadline while engines here stand idle.
 #[test]
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -80,6 +80,7 @@
     2006 RequestShed Debug "A request was given up before it was sent.";
     2007 WrongAdapterDiscarded Error "An engine answered with another adapter; the answer was discarded.";
     2008 CallerGone Debug "A caller went away; its run was cancelled.";
+    2009 SendRefused Info "An upstream turned a request away, which did not run there.";
     3001 UpstreamEjected Warning "An upstream failed too often and gets no work for a while.";
     3002 UpstreamRestored Info "An upstream gets work again.";
     3003 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
