Watch the store with one node of each failure domain

Besides, each owner confirmed its engines with a transaction of its own every 1.8 s while it ordered loads.

Change: the first node of a failure domain (by id) watches and passes on what is news; the others ask it, and read the store themselves from the same revision when it is silent, behind, or older than 1.7 s. A watch that has passed the key of an owned engine also confirms it: what is still owned after the changes up to a revision was owned when the watch was asked for. Ages are counted on the clock that counts suspension and never from the other's clock.

--- /dev/null
+++ b/crates/relay-node/src/control/change_log/tests.rs
@@ -0,0 +1,84 @@
+//! What a reader tells, and when it has nothing to tell.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use nutmegsail_store::{Change, Changes, Item, LeaseId, Revision};
+use rstest::rstest;
+
+use super::{CHANGES_LIMIT, ChangeLog, FRESH_FOR, NotRead, ReadAt};
+use crate::clock::boot_time;
+
+fn put(revision: u64) -> Change {
+    Change::Put(Item {
+        key: "key".into(),
+        value: Bytes::from_static(b"value"),
+        revision: Revision(revision),
+        lease: LeaseId(0),
+    })
+}
+
+fn changes(revisions: std::ops::RangeInclusive<u64>) -> Changes {
+    Changes {
+        revision: Revision(*revisions.end()),
+        changes: revisions.map(put).collect(),
+    }
+}
+
+fn read_now() -> ReadAt {
+    ReadAt::since(boot_time())
+}
+
+fn log() -> ChangeLog {
+    let log = ChangeLog::default();
+    log.restart(Revision(10), read_now());
+    log.push(&changes(11..=20), read_now());
+    log
+}
+
+#[rstest]
+#[case::all(10, 10)]
+#[case::some(17, 3)]
+#[case::none(20, 0)]
+fn the_changes_after_a_revision_are_told(#[case] after: u64, #[case] count: usize) {
+    let read = log()
+        .after(Revision(after), boot_time())
+        .expect("it is fresh");
+    assert_eq!((read.changes.len(), read.revision), (count, Revision(20)));
+}
+
+// A node read everything before its reader did, or the reader forgot old changes. Told only what the
+// reader has, the node would miss what lies between, a leaving upstream for instance.
+#[test]
+fn a_gap_is_never_passed_over() {
+    assert_eq!(
+        log().after(Revision(9), boot_time()),
+        Err(NotRead::Forgotten)
+    );
+    let log = log();
+    log.push(&changes(21..=21 + CHANGES_LIMIT as u64), read_now());
+    assert_eq!(
+        log.after(Revision(20), boot_time()),
+        Err(NotRead::Forgotten)
+    );
+}
+
+// The reader is cut off from the store while its nodes are not. They would go on with what it knew.
+#[test]
+fn a_reader_that_the_store_does_not_answer_tells_nothing() {
+    let lost = log();
+    lost.lost();
+    assert_eq!(lost.after(Revision(20), boot_time()), Err(NotRead::Behind));
+
+    let behind = ChangeLog::default();
+    let long_ago = boot_time().saturating_sub(FRESH_FOR + Duration::from_millis(1));
+    let read_at = ReadAt {
+        asked: long_ago,
+        answered: long_ago,
+    };
+    behind.restart(Revision(10), read_at);
+    assert_eq!(
+        behind.after(Revision(10), boot_time()),
+        Err(NotRead::Behind)
+    );
+}
--- a/crates/relay-node/src/control/confirmation.rs
+++ b/crates/relay-node/src/control/confirmation.rs
@@ -23,6 +23,20 @@
 /// Engines that one transaction confirms; the store takes 32 entries.
 const CONFIRMS_PER_TXN: usize = 32;
 
+impl Knowledge {
+    /// Takes in that all changes until some time after `asked` were seen. What is still owned then was
+    /// this node's at that time, without a call for it.
+    ///
+    /// An engine counts from when the watch has shown the key that was written for it: a removal that
+    /// the watch passed before this node knew of its own claim would be missed.
+    pub(crate) fn confirm_seen(&self, asked: Duration) {
+        let owned = self.owned.borrow();
+        for engine in owned.values().filter(|engine| engine.is_watched.get()) {
+            engine.ownership.borrow_mut().confirm(asked);
+        }
+    }
+}
+
 /// Confirms at the store that this node still owns its engines: one call for all of them.
 ///
 /// After a failure the store is left alone for a moment. While it is away, each of the loads that
--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -52,6 +52,8 @@
 pub(crate) struct OwnedEngine {
     pub(crate) id: UpstreamId,
     pub(crate) ownership: RefCell<Ownership>,
+    /// Whether the watch has shown the key that this node wrote. From then on it shows its removal too.
+    pub(crate) is_watched: Cell<bool>,
     /// Held by the load from the weight store that is next, until it was ordered.
     pub(crate) turn: Mutex<()>,
     /// Held over the orders that bring one adapter in, so that the room is not given away twice.
@@ -144,6 +146,7 @@
         Self {
             id,
             ownership: RefCell::new(ownership),
+            is_watched: Cell::new(false),
             turn: Mutex::new(()),
             orders: Mutex::new(()),
             changed: Notify::new(),
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -17,6 +17,7 @@
 use slog::Logger;
 
 use super::ControlParts;
+use super::change_log::ChangeLog;
 use super::engine::{Coming, OwnedEngine};
 use crate::clock::boot_time;
 use crate::shared::{Shared, View};
@@ -83,6 +84,10 @@
     changes: RefCell<HashMap<UpstreamId, u64>>,
     /// When each node was last heard.
     pub(crate) heard: RefCell<HashMap<NodeId, Instant>>,
+    /// The last changes of the store, for nodes that this one reads it for.
+    pub(crate) change_log: ChangeLog,
+    /// Nodes that read the store for others and did not answer, and when.
+    pub(crate) silent_readers: RefCell<HashMap<NodeId, Instant>>,
     /// Which node owned the engine at each address last, and when it was seen so.
     pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
     started: Instant,
@@ -117,6 +122,8 @@
             transfers_elsewhere: RefCell::default(),
             changes: RefCell::default(),
             heard: RefCell::default(),
+            change_log: ChangeLog::default(),
+            silent_readers: RefCell::default(),
             last_owners: RefCell::default(),
             started: Instant::now(),
             number: Cell::new(0),
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: what it knows, and the loops that keep it up to date.
 
 mod base_models;
+mod change_log;
 mod claims;
 mod confirmation;
 mod engine;
@@ -14,6 +15,7 @@
 mod orders;
 mod owners;
 mod peers;
+mod reading;
 mod upstreams_watch;
 mod watch;
 
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -55,9 +55,13 @@
     }
 
     fn take_owner(&self, engine: UpstreamId, record: &OwnerRecord, revision: Revision) {
-        let mine = self.0.owned(&engine);
-        if mine.is_some_and(|owned| owned.ownership.borrow().fence() < revision.0) {
-            lose(&self.0, &engine, "another claim was written");
+        if let Some(owned) = self.0.owned(&engine) {
+            let fence = owned.ownership.borrow().fence();
+            if fence < revision.0 {
+                lose(&self.0, &engine, "another claim was written");
+            } else if fence == revision.0 {
+                owned.is_watched.set(true);
+            }
         }
         let owner = Owner {
             node: record.node.clone(),
--- a/crates/relay-node/src/control/peers.rs
+++ b/crates/relay-node/src/control/peers.rs
@@ -1,4 +1,5 @@
-//! Asks between nodes: an engine's owner loads for the others.
+//! Asks between nodes: an engine's owner loads for the others, and a node that reads the store tells
+//! the others what changed.
 //!
 //! An ask has an answer that its sender waits for, and the sender must know when none will come, so
 //! it goes over kept HTTP connections like all other calls.
@@ -25,6 +26,7 @@
 use super::knowledge::Knowledge;
 use super::load_failure::LoadFailure;
 use super::loader::Loader;
+use super::reading::CHANGES_PATH;
 use crate::shared::Wanted;
 
 /// The path of asks for loads.
@@ -93,30 +95,32 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let mut answer = Response::new(Full::default());
-    match load(&loader, request).await {
-        Ok(loaded) => {
-            let body = serde_json::to_vec(&loaded).unwrap_or_default();
-            *answer.body_mut() = Full::new(Bytes::from(body));
-        }
+    let path = request.uri().path();
+    let body = match path == LOADS_PATH {
+        true => load(&loader, request).await,
+        false if path.starts_with(CHANGES_PATH) => loader.knowledge.tell_changes(path).await,
+        false => Err(StatusCode::NOT_FOUND),
+    };
+    match body {
+        Ok(body) => *answer.body_mut() = Full::new(body),
         Err(status) => *answer.status_mut() = status,
     }
     Ok(answer)
 }
 
-async fn load(
-    loader: &Loader,
-    request: Request<Incoming>,
-) -> Result<Result<Holdings, LoadFailure>, StatusCode> {
-    if request.uri().path() != LOADS_PATH {
-        return Err(StatusCode::NOT_FOUND);
-    }
+async fn load(loader: &Loader, request: Request<Incoming>) -> Result<Bytes, StatusCode> {
     let body = Limited::new(request.into_body(), ASK_LIMIT_BYTES);
     let body = body.collect().await.map_err(|_| StatusCode::BAD_REQUEST)?;
     let ask: LoadAsk =
         serde_json::from_slice(&body.to_bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
     loader.knowledge.count_demand(&ask.wanted.model, 1.0);
-    let Some(engine) = loader.knowledge.owned(&ask.engine) else {
-        return Ok(Err(LoadFailure::NotOwned));
+    let loaded = match loader.knowledge.owned(&ask.engine) {
+        Some(engine) => {
+            let load = loader.load_here(&engine, &ask.wanted, ask.is_recent);
+            load.await
+        }
+        None => Err(LoadFailure::NotOwned),
     };
-    Ok(loader.load_here(&engine, &ask.wanted, ask.is_recent).await)
+    let body = serde_json::to_vec(&loaded).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
+    Ok(body.into())
 }
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -128,6 +128,21 @@
         }
     }
 
+    /// A heartbeat that changes nothing but its count is none.
+    fn is_news(&self, change: &Change) -> bool {
+        let Change::Put(item) = change else {
+            return true;
+        };
+        let knowledge = &self.knowledge;
+        // One that cannot be read is told, so that it is logged.
+        let decoded = knowledge.dialect.decode_upstream(&item.key, &item.value);
+        decoded.map_or(true, |upstream| {
+            let known = knowledge.upstream(&upstream.id);
+            let is_missing = self.missing.borrow().contains_key(&upstream.id);
+            is_missing || known.is_none_or(|known| *known != upstream)
+        })
+    }
+
     fn changes(&self, changes: &[&Change]) {
         for change in changes {
             match change {
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -1,4 +1,4 @@
-//! Follows all keys of the store with one watch.
+//! Follows all keys of the store with one watch, of this node or of one that reads for it.
 //!
 //! One watch sees what operators, upstreams and nodes write. Heartbeats of upstreams pass through
 //! it all the time, so a connection that has gone silent shows within two seconds also while nobody
@@ -8,17 +8,20 @@
 use std::ops::ControlFlow;
 use std::time::Duration;
 
-use nutmegsail_store::{Change, Item, KeyValueError, Revision};
+use nutmegsail_store::{Change, Changes, Item, KeyValueError, Revision};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep;
 
+use super::change_log::ReadAt;
 use super::knowledge::Knowledge;
+use crate::clock::boot_time;
 
 /// The prefix of every key.
 const ALL_KEYS: &str = "";
 
-/// How long one watch waits for a change. Heartbeats end it much sooner.
-const WAIT: Duration = Duration::from_secs(1);
+/// How long one watch waits for a change. Upstreams write only what has changed, so an idle system is
+/// quiet; the watch ends all the same, to show that the connection has not gone silent.
+const WAIT: Duration = Duration::from_millis(500);
 
 /// The pause between two watches. Every heartbeat is an event, so a watch that is called again at
 /// once costs a call for each; a leaving upstream must get nothing new after 2 s, and a new
@@ -41,6 +44,10 @@
     fn prefix(&self) -> &str;
     /// All its items, after start or when history was lost.
     fn whole(&self, items: &[&Item]);
+    /// Whether a change of one of its keys tells anything new.
+    fn is_news(&self, _change: &Change) -> bool {
+        true
+    }
     /// Changes, oldest first.
     fn changes(&self, changes: &[&Change]);
     /// The store did not answer.
@@ -51,13 +58,16 @@
 pub(crate) async fn follow(knowledge: &Knowledge, followers: &[Box<dyn Follower>]) {
     let mut is_lost = false;
     loop {
+        let asked = boot_time();
         match read_all(knowledge, ALL_KEYS).await {
             Ok((items, revision)) => {
+                let read_at = ReadAt::since(asked);
                 if std::mem::take(&mut is_lost) {
                     log_event!(knowledge.log, Event::PlatformReturned, "revision" => revision.0);
                 }
+                knowledge.change_log.restart(revision, read_at);
                 tell_whole(knowledge, followers, &items);
-                let error = follow_changes(knowledge, followers, revision).await;
+                let error = follow_changes(knowledge, followers, revision, read_at).await;
                 log_lost(knowledge, &error);
                 is_lost = true;
             }
@@ -83,7 +93,7 @@
 
 fn tell_changes(knowledge: &Knowledge, followers: &[Box<dyn Follower>], changes: &[Change]) {
     for follower in followers {
-        let is_its = |change: &&Change| key(change).starts_with(follower.prefix());
+        let is_its = |change: &&Change| change.key().starts_with(follower.prefix());
         let changes: Vec<&Change> = changes.iter().filter(is_its).collect();
         if !changes.is_empty() {
             follower.changes(&changes);
@@ -92,11 +102,13 @@
     knowledge.publish();
 }
 
-fn key(change: &Change) -> &str {
-    match change {
-        Change::Put(item) => &item.key,
-        Change::Removed { key, .. } => key,
-    }
+/// Drops changes that tell nothing new: most heartbeats of upstreams.
+fn keep_news(followers: &[Box<dyn Follower>], changes: &mut Vec<Change>) {
+    changes.retain(|change| {
+        let mut followers = followers.iter();
+        followers
+            .any(|follower| change.key().starts_with(follower.prefix()) && follower.is_news(change))
+    });
 }
 
 /// Follows the changes after `revision` until the history is gone.
@@ -104,21 +116,28 @@
     knowledge: &Knowledge,
     followers: &[Box<dyn Follower>],
     revision: Revision,
+    mut read_at: ReadAt,
 ) -> KeyValueError {
     let mut after = revision;
     let mut failures = 0;
     loop {
+        if let Some((changes, at)) = knowledge.changes_by_reader(after, read_at).await {
+            read_at = at;
+            take_changes(knowledge, followers, &mut after, &changes, read_at);
+            continue;
+        }
+        let asked = boot_time();
         match knowledge.store.watch(ALL_KEYS, after, WAIT).await {
-            Ok(changes) => {
+            Ok(mut changes) => {
                 failures = 0;
-                after = after.max(changes.revision);
-                if !changes.changes.is_empty() {
-                    tell_changes(knowledge, followers, &changes.changes);
-                }
+                read_at = ReadAt::since(asked);
+                keep_news(followers, &mut changes.changes);
+                take_changes(knowledge, followers, &mut after, &changes, read_at);
                 sleep(PAUSE).await;
             }
             Err(error) => {
                 failures += 1;
+                knowledge.change_log.lost();
                 followers.iter().for_each(|follower| follower.lost());
                 if let ControlFlow::Break(error) = judge(error, failures) {
                     return error;
@@ -129,6 +148,19 @@
     }
 }
 
+fn take_changes(
+    knowledge: &Knowledge,
+    followers: &[Box<dyn Follower>],
+    after: &mut Revision,
+    changes: &Changes,
+    read_at: ReadAt,
+) {
+    *after = (*after).max(changes.revision);
+    knowledge.change_log.push(changes, read_at);
+    tell_changes(knowledge, followers, &changes.changes);
+    knowledge.confirm_seen(read_at.asked);
+}
+
 /// Whether the watch can go on where it was.
 fn judge(error: KeyValueError, failures: u32) -> ControlFlow<KeyValueError> {
     match error {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod load_times;
 mod model_ref;
 mod ownership;
+mod readers;
 mod recent;
 mod retry_budget;
 mod route;
@@ -38,6 +39,7 @@
 pub use load_times::LoadTimes;
 pub use model_ref::ModelRef;
 pub use ownership::{OrderPermit, Ownership, OwnershipRules};
+pub use readers::reader_for;
 pub use recent::RecentAdapters;
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
 pub use route::{Route, WeightedService};
--- a/crates/store/src/key_value.rs
+++ b/crates/store/src/key_value.rs
@@ -37,7 +37,7 @@
 pub struct LeaseId(pub u64);
 
 /// A stored value with the revision that wrote it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key, at most 200 bytes.
     pub key: Arc<str>,
@@ -61,7 +61,7 @@
 }
 
 /// One change that a watch saw.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The item was written.
     Put(Item),
@@ -74,6 +74,24 @@
     },
 }
 
+impl Change {
+    /// The key that changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
+    /// The revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// What a watch returned. An empty list means the wait ran out.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -114,6 +114,7 @@
     6003 WriteAmbiguous Warning "No answer came after a write; it is read back.";
     6004 VmListUnavailable Warning "The platform's VM list cannot be read.";
     6005 VmListReturned Info "The platform's VM list can be read again.";
+    6006 ReaderSilent Info "The node that reads the store for this one did not answer, or was behind.";
     7001 MessageUndecodable Warning "Bytes from another node could not be decoded.";
     7002 MessageDropped Debug "A message was dropped because a queue was full.";
     7003 LinkFailed Error "The link between nodes failed.";
