Let engines' owners decide on copies, and tell what came and went

Cause: each node judged by its own requests whether an adapter needs a further copy.

Change: an engine's owner, which hears from all nodes, wants copies where an adapter takes over 0.4 of the engine's prompt reading or slots, up to four at once. Owners tell what came and went in the last second; it goes before the list of upstreams for 2.5 s. An engine without a free slot is expected to answer later, by how long requests take up a slot. Loads under way are counted from those that no report has shown, less the reports' lag.

--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{Holdings, ModelDigest, ModelRef, Ownership};
+use nutmegsail_relay::{AdapterMove, EngineDemand, Holdings, ModelDigest, ModelRef, Ownership};
 use tokio::sync::{Mutex, Notify};
 
 use super::exchange::EngineUseTold;
@@ -52,6 +52,8 @@
 pub(crate) struct OwnedEngine {
     pub(crate) id: UpstreamId,
     pub(crate) ownership: RefCell<Ownership>,
+    /// What all nodes ask it for.
+    pub(crate) demand: RefCell<EngineDemand>,
     /// Whether the watch has shown the key that this node wrote. From then on it shows its removal too.
     pub(crate) is_watched: Cell<bool>,
     /// Held by the load from the weight store that is next, until it was ordered.
@@ -97,6 +99,8 @@
     /// Rises with each change of the holdings; 0 until they were read.
     change: u64,
     coming: Vec<Coming>,
+    /// Adapters that came or went lately.
+    moved: Vec<(AdapterMove, Instant)>,
     /// Adapters that go when their requests have ended.
     leaving: Vec<ModelRef>,
     /// Until when it takes no orders, as far as is known.
@@ -106,6 +110,14 @@
 }
 
 impl State {
+    fn note_move(&mut self, model: &ModelRef, is_held: bool) {
+        let model = model.digest();
+        self.moved
+            .retain(|(moved, at)| moved.model != model && at.elapsed() < MOVE_TOLD);
+        let moved = AdapterMove { model, is_held };
+        self.moved.push((moved, Instant::now()));
+    }
+
     /// Takes in adapters on their way that this process did not order: an earlier process of the
     /// node did, or an order whose answer was lost. They fill places that look free, and an engine
     /// that is ordered to hold more than fits crashes with all its requests.
@@ -130,14 +142,29 @@
 struct UseElsewhere {
     in_flight: u32,
     unread_tokens: u64,
-    models: Vec<ModelRef>,
+    models: Vec<(ModelRef, u32)>,
     told: Instant,
 }
 
+impl UseElsewhere {
+    fn in_flight_for(&self, model: &ModelRef) -> u32 {
+        if self.told.elapsed() >= USE_LIFE {
+            return 0;
+        }
+        let mut models = self.models.iter();
+        let found = models.find(|(used, _)| used == model);
+        found.map_or(0, |(_, in_flight)| *in_flight)
+    }
+}
+
 /// How long an engine that refused an order is left alone: an adapter in use that is to go blocks
 /// all further orders until its last request ends, some seconds.
 const BLOCKED_SPAN: Duration = Duration::from_millis(250);
 
+/// How long a move of an adapter is told: ten exchanges in the own failure domain and two with
+/// others, so that a lost datagram does not matter.
+const MOVE_TOLD: Duration = Duration::from_millis(1_000);
+
 /// How long what another node told counts. It tells again ten times in this span.
 const USE_LIFE: Duration = Duration::from_millis(1_000);
 
@@ -146,6 +173,7 @@
         Self {
             id,
             ownership: RefCell::new(ownership),
+            demand: RefCell::default(),
             is_watched: Cell::new(false),
             turn: Mutex::new(()),
             orders: Mutex::new(()),
@@ -228,6 +256,14 @@
         from_store.filter(|coming| counts(coming)).count()
     }
 
+    /// Adapters that came or went a moment ago.
+    pub(crate) fn moved_lately(&self) -> Vec<AdapterMove> {
+        let state = self.state.borrow();
+        let lately = state.moved.iter();
+        let lately = lately.filter(|(_, at)| at.elapsed() < MOVE_TOLD);
+        lately.map(|(moved, _)| *moved).collect()
+    }
+
     /// When the oldest load under way was accepted.
     pub(crate) fn oldest_coming(&self) -> Option<Instant> {
         self.state
@@ -305,6 +341,7 @@
         let mut state = self.state.borrow_mut();
         state.holdings.forget(model);
         state.change += 1;
+        state.note_move(model, false);
         if !is_gone {
             state.leaving.push(model.clone());
         }
@@ -340,7 +377,14 @@
     pub(crate) fn is_used_elsewhere(&self, model: &ModelRef) -> bool {
         let state = self.state.borrow();
         let mut others = state.elsewhere.values();
-        others.any(|used| used.told.elapsed() < USE_LIFE && used.models.contains(model))
+        others.any(|used| used.in_flight_for(model) > 0)
+    }
+
+    /// Requests for `model` that other nodes have there.
+    pub(crate) fn in_flight_elsewhere(&self, model: &ModelRef) -> u32 {
+        let state = self.state.borrow();
+        let others = state.elsewhere.values();
+        others.map(|used| used.in_flight_for(model)).sum()
     }
 
     /// Requests and unread prompt tokens of all other nodes but `node`.
@@ -386,6 +430,9 @@
         state.adopt_coming(report);
         state.leaving.retain(|model| held(model).is_some());
         state.order_seq = Some(report.order_seq);
+        for load in &finished {
+            state.note_move(&load.model, true);
+        }
         if state.change == 0 || state.holdings != report.holdings {
             state.holdings = report.holdings.clone();
             state.change += 1;
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -11,8 +11,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{Holdings, ModelDigest, ModelRef, Report};
+use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
+use nutmegsail_relay::{AdapterMove, EngineLoadNow, Holdings, ModelDigest, ModelRef, Report};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -21,7 +21,7 @@
 use super::engine::OwnedEngine;
 use super::knowledge::Knowledge;
 use super::load_board::{LoadBoard, LoadPage};
-use crate::shared::{EngineNews, EngineUse};
+use crate::shared::{Asked, CopyNews, EngineNews, EngineUse};
 
 /// How often a node tells what it has at engines. A prompt is read in some 76 ms, so older news of
 /// a queue say little; shorter intervals cost datagrams.
@@ -39,8 +39,10 @@
     pub(crate) engine: UpstreamId,
     pub(crate) in_flight: u32,
     pub(crate) unread_tokens: u64,
-    pub(crate) models: Vec<ModelRef>,
-    pub(crate) asked: Vec<(ModelRef, u32)>,
+    /// Requests in flight for each adapter.
+    pub(crate) models: Vec<(ModelRef, u32)>,
+    /// What each adapter was asked for since the last message.
+    pub(crate) asked: Vec<(ModelRef, Asked)>,
     /// The change of the engine's holdings that the sender knows.
     known_change: u64,
 }
@@ -54,7 +56,9 @@
     pub(crate) unread_tokens: u32,
     /// Adapters on their way to it, or waiting for it.
     pub(crate) coming: Vec<ModelDigest>,
-    /// How many of them come from the weight store and are under way.
+    /// Adapters that came or went a moment ago.
+    pub(crate) moved: Vec<AdapterMove>,
+    /// How many adapters come from the weight store and no report has shown as done.
     pub(crate) transfers: u32,
     /// Whether it can be given orders now.
     pub(crate) takes_loads: bool,
@@ -67,6 +71,7 @@
             in_flight_of_others: self.in_flight,
             unread_tokens_of_others: u64::from(self.unread_tokens),
             coming: self.coming,
+            moved: self.moved,
             takes_loads: self.takes_loads,
             taken: Instant::now(),
         }
@@ -158,16 +163,16 @@
         engine: engine.clone(),
         in_flight: used.in_flight,
         unread_tokens: used.unread_tokens,
-        models: used.models.into_keys().collect(),
+        models: used.models.into_iter().collect(),
         asked: used.asked.into_iter().collect(),
     }
 }
 
 /// Takes in what this node itself has at an engine of its own.
 fn note_own_use(knowledge: &Knowledge, owned: &OwnedEngine, used: &EngineUse) {
-    for (model, requests) in &used.asked {
-        knowledge.count_demand(model, f64::from(*requests));
-    }
+    let here = &knowledge.settings.failure_domain;
+    note_asked(knowledge, owned, here, used.asked.iter());
+    want_copies(knowledge, owned, used);
     let load = load_without(knowledge, owned, &knowledge.settings.node);
     knowledge.shared.news.put(EngineNews {
         engine: owned.id.clone(),
@@ -177,6 +182,45 @@
     knowledge.note_change(&owned.id, owned.change());
 }
 
+/// Counts what a node of `domain` asked an engine of ours for.
+fn note_asked<'a>(
+    knowledge: &Knowledge,
+    owned: &OwnedEngine,
+    domain: &FailureDomain,
+    asked: impl Iterator<Item = (&'a ModelRef, &'a Asked)>,
+) {
+    let now = Instant::now();
+    let mut demand = owned.demand.borrow_mut();
+    for (model, asked) in asked {
+        let (requests, tokens) = (f64::from(asked.requests), f64::from(asked.prompt_tokens));
+        knowledge.count_demand(model, requests);
+        demand.note(domain, model, requests, tokens, now);
+    }
+}
+
+/// Tells the traffic thread, which knows all engines, of copies that an engine of ours needs.
+fn want_copies(knowledge: &Knowledge, owned: &OwnedEngine, mine: &EngineUse) {
+    let Some(upstream) = knowledge.upstream(&owned.id) else {
+        return;
+    };
+    let holdings = owned.holdings();
+    let engine = EngineLoadNow {
+        failure_domain: &upstream.failure_domain,
+        slots: upstream.slots,
+        holdings: &holdings,
+    };
+    let in_flight = |model: &ModelRef| {
+        owned.in_flight_elsewhere(model) + mine.models.get(model).copied().unwrap_or(0)
+    };
+    let mut demand = owned.demand.borrow_mut();
+    let copies = demand.copies_wanted(engine, in_flight, Instant::now());
+    let news = copies.into_iter().map(|wanted| CopyNews {
+        service: upstream.service.clone(),
+        wanted,
+    });
+    knowledge.shared.news.want_copies(news);
+}
+
 /// The load of an engine of ours without what `node` has there.
 fn load_without(knowledge: &Knowledge, owned: &OwnedEngine, node: &NodeId) -> EngineLoad {
     let (mut in_flight, mut unread_tokens) = owned.load_of_others(node);
@@ -189,7 +233,8 @@
         in_flight,
         unread_tokens: u32::try_from(unread_tokens).unwrap_or(u32::MAX),
         coming: owned.loads_ahead(),
-        transfers: u32::try_from(knowledge.transfers_at(owned)).unwrap_or(u32::MAX),
+        moved: owned.moved_lately(),
+        transfers: u32::try_from(owned.count_transfers(|_| true)).unwrap_or(u32::MAX),
         takes_loads: knowledge.takes_loads(owned),
     }
 }
@@ -245,9 +290,12 @@
 fn take_use(knowledge: &Knowledge, from: &NodeId, used: &EngineUseTold) -> Option<EngineTold> {
     let owned = knowledge.owned(&used.engine)?;
     owned.note_use(from.clone(), used);
-    for (model, requests) in &used.asked {
-        knowledge.count_demand(model, f64::from(*requests));
+    let nodes = knowledge.nodes.borrow();
+    if let Some(node) = nodes.get(from) {
+        let asked = used.asked.iter().map(|(model, asked)| (model, asked));
+        note_asked(knowledge, &owned, &node.failure_domain, asked);
     }
+    drop(nodes);
     Some(EngineTold {
         engine: used.engine.clone(),
         load: load_without(knowledge, &owned, from),
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -188,7 +188,6 @@
             upstreams: self.upstreams.borrow().values().cloned().collect(),
             versions: Arc::new(self.versions.borrow().clone()),
             nodes: self.nodes.borrow().len().max(1),
-            nodes_in_domain: self.nodes_in_domain(),
             are_loads_quick: self.load_times.get().are_quick(),
         };
         let is_ready = view.table.is_some() && !view.upstreams.is_empty();
@@ -248,7 +247,10 @@
     /// for all.
     pub(crate) fn loads_under_way(&self) -> f64 {
         let owned = self.owned.borrow();
-        let own: usize = owned.values().map(|engine| self.transfers_at(engine)).sum();
+        let own: usize = owned
+            .values()
+            .map(|engine| engine.count_transfers(|_| true))
+            .sum();
         let mut elsewhere = self.transfers_elsewhere.borrow_mut();
         elsewhere.retain(|_, (_, told)| told.elapsed() < TRANSFERS_LIFE);
         let told = elsewhere.iter().filter(|(id, _)| !owned.contains_key(*id));
@@ -257,13 +259,8 @@
         });
         let others = self.owners.borrow().len().saturating_sub(owned.len());
         let unheard_factor = others.max(heard) as f64 / heard.max(1) as f64;
-        own as f64 + f64::from(transfers) * unheard_factor
-    }
-
-    fn nodes_in_domain(&self) -> usize {
-        let nodes = self.nodes.borrow();
-        let is_here = |node: &&NodeRecord| node.failure_domain == self.settings.failure_domain;
-        nodes.values().filter(is_here).count()
+        let unreported = own as f64 + f64::from(transfers) * unheard_factor;
+        unreported * self.load_times.get().under_way_share()
     }
 
     /// The change of an engine's holdings that the traffic thread was told; 0 if none.
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -67,7 +67,8 @@
 pub(crate) struct Loader {
     pub(crate) knowledge: Rc<Knowledge>,
     waiting: RefCell<Waiting>,
-    last_load: RefCell<HashMap<ModelRef, Instant>>,
+    /// When copies of each adapter were last begun.
+    last_copies: RefCell<HashMap<ModelRef, Instant>>,
 }
 
 /// Serves asks of the traffic thread for ever.
@@ -82,25 +83,20 @@
         Self {
             knowledge,
             waiting: RefCell::default(),
-            last_load: RefCell::default(),
+            last_copies: RefCell::default(),
         }
     }
 
     /// Starts to bring what is wanted, or joins those who wait for the same.
     fn take(self: &Rc<Self>, want: Want) {
+        if want.copies > 1 || want.ready.is_closed() {
+            return self.bring_copies(want);
+        }
         let key = want.wanted.clone();
         if let Some(waiting) = self.waiting.borrow_mut().get_mut(&key) {
             waiting.push(want.ready);
             return;
         }
-        let is_copy = want.ready.is_closed();
-        if is_copy && self.is_recent(&want.wanted.model) {
-            return;
-        }
-        let mut last_load = self.last_load.borrow_mut();
-        last_load.retain(|_, at| at.elapsed() < COPY_INTERVAL);
-        last_load.insert(want.wanted.model.clone(), Instant::now());
-        drop(last_load);
         self.waiting
             .borrow_mut()
             .insert(key.clone(), vec![want.ready]);
@@ -115,11 +111,20 @@
         });
     }
 
-    fn is_recent(&self, model: &ModelRef) -> bool {
-        let last_load = self.last_load.borrow();
-        last_load
-            .get(model)
-            .is_some_and(|at| at.elapsed() < COPY_INTERVAL)
+    /// Starts to bring copies that nobody waits for.
+    fn bring_copies(self: &Rc<Self>, want: Want) {
+        let mut last_copies = self.last_copies.borrow_mut();
+        last_copies.retain(|_, at| at.elapsed() < COPY_INTERVAL);
+        let wanted = want.wanted;
+        if last_copies.contains_key(&wanted.model) {
+            return;
+        }
+        last_copies.insert(wanted.model.clone(), Instant::now());
+        let ranked = self.ranked(&wanted.model, want.engines);
+        for place in ranked.into_iter().take(want.copies) {
+            let (this, wanted) = (Rc::clone(self), wanted.clone());
+            spawn_local(async move { this.bring(&wanted, vec![place]).await });
+        }
     }
 
     async fn bring(&self, wanted: &Wanted, engines: Vec<LoadPlace>) -> Loaded {
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -5,8 +5,10 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use nutmegsail_base::{FailureDomain, UpstreamId};
-use nutmegsail_relay::{Holdings, LoadPlace, ModelRef, Report, RouteTable, Upstream, Versions};
+use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
+use nutmegsail_relay::{
+    Holdings, LoadPlace, ModelRef, Report, RouteTable, Upstream, Versions, WantedCopies,
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
@@ -27,8 +29,6 @@
     pub(crate) versions: Arc<Versions>,
     /// Nodes that are known, this one included.
     pub(crate) nodes: usize,
-    /// Those of them in this node's failure domain.
-    pub(crate) nodes_in_domain: usize,
     /// Whether loads hardly wait for the weight store.
     pub(crate) are_loads_quick: bool,
 }
@@ -49,6 +49,8 @@
     pub(crate) wanted: Wanted,
     /// Engines that could take it.
     pub(crate) engines: Vec<LoadPlace>,
+    /// How many of them are to; those that hold it already are not among them.
+    pub(crate) copies: usize,
     /// Told when it is there, or that it won't be. Dropped without a word if the ask was lost.
     pub(crate) ready: oneshot::Sender<Loaded>,
 }
@@ -65,8 +67,15 @@
     pub(crate) unread_tokens: u64,
     /// Requests in flight for each adapter.
     pub(crate) models: HashMap<ModelRef, u32>,
-    /// Requests for each adapter since they were last taken.
-    pub(crate) asked: HashMap<ModelRef, u32>,
+    /// What each adapter was asked for since this was last taken.
+    pub(crate) asked: HashMap<ModelRef, Asked>,
+}
+
+/// What an adapter was asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Asked {
+    pub(crate) requests: u32,
+    pub(crate) prompt_tokens: u32,
 }
 
 /// What this node has at engines. The traffic thread writes it, the control thread tells owners.
@@ -81,7 +90,10 @@
         used.in_flight += 1;
         used.unread_tokens += prompt_tokens;
         *used.models.entry(model.clone()).or_default() += 1;
-        *used.asked.entry(model.clone()).or_default() += 1;
+        let asked = used.asked.entry(model.clone()).or_default();
+        asked.requests += 1;
+        let tokens = u32::try_from(prompt_tokens).unwrap_or(u32::MAX);
+        asked.prompt_tokens = asked.prompt_tokens.saturating_add(tokens);
     }
 
     /// Counts a prompt as read.
@@ -153,6 +165,13 @@
     pub(crate) holdings: Option<Holdings>,
 }
 
+/// Copies that an engine's owner wants of what its engine holds.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct CopyNews {
+    pub(crate) service: ServiceName,
+    pub(crate) wanted: WantedCopies,
+}
+
 /// News that the traffic thread has not taken yet.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
@@ -160,6 +179,8 @@
     pub(crate) engines: HashMap<UpstreamId, EngineNews>,
     /// When a node of each other failure domain was last heard.
     pub(crate) domains: HashMap<FailureDomain, Instant>,
+    /// Copies that are wanted.
+    pub(crate) copies: Vec<CopyNews>,
 }
 
 /// What owners told, on its way to the traffic thread.
@@ -176,6 +197,11 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds copies that are wanted.
+    pub(crate) fn want_copies(&self, copies: impl IntoIterator<Item = CopyNews>) {
+        self.lock().copies.extend(copies);
+    }
+
     pub(crate) fn put(&self, news: EngineNews) {
         let mut waiting = self.lock();
         let older = waiting.engines.remove(&news.engine);
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -76,6 +76,10 @@
 
     /// The answer ended whole.
     pub(crate) fn note_whole(&mut self) {
+        if let (Some(_), Some(first)) = (&self.model, self.first) {
+            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+            dispatcher.note_run(first.elapsed());
+        }
         self.settle(Outcome::Answered);
     }
 
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -11,7 +11,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, CopyPlace, Dispatcher, LoadPlace, Need, Refusal as NoChoice, RetryBudget,
-    RetryBudgetRules,
+    RetryBudgetRules, WantedCopies,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -22,7 +22,7 @@
 use super::call::Call;
 use super::refuse;
 use super::send::Sent;
-use crate::shared::{Loaded, Shared, View, Want, Wanted};
+use crate::shared::{CopyNews, Loaded, Shared, View, Want, Wanted};
 use crate::{BoundSettings, Dialect, Verdict};
 
 /// How long opening a connection may take. A crossing takes some 1 ms; an upstream behind a
@@ -50,6 +50,11 @@
 /// When a caller is asked to return if no upstream or no configuration is known.
 const ABSENT_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// The part of the time in which the older version of an adapter may be begun on that is used. The
+/// news takes up to 0.7 s to come here, and under load a prompt waits 2 s and more at an engine
+/// before it begins; the newer version is loaded in half a second.
+const VERSION_OVERLAP_SHARE: f64 = 0.3;
+
 /// The least time in which an answer could still come.
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
 
@@ -159,7 +164,6 @@
             self.seen_view.set(view.number);
             let mut dispatcher = self.dispatcher.borrow_mut();
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
-            dispatcher.set_nodes(view.nodes, view.nodes_in_domain);
             dispatcher.set_loads_quick(view.are_loads_quick);
         }
         let news = self.shared.news.take();
@@ -171,15 +175,50 @@
             dispatcher.note_told(&engine, news.holdings.as_ref(), news.report);
         }
         drop(dispatcher);
+        for copies in news.copies {
+            self.want_copies(&view, copies);
+        }
         view
     }
 
+    /// Has copies loaded that an engine's owner wants.
+    fn want_copies(&self, view: &View, news: CopyNews) {
+        let (service, now) = (&news.service, Instant::now());
+        let WantedCopies {
+            model,
+            place,
+            copies,
+        } = news.wanted;
+        let dispatcher = self.dispatcher.borrow();
+        if let CopyPlace::Domain(domain) = &place
+            && dispatcher.is_held_in(domain, service, &model, now)
+        {
+            return;
+        }
+        let rule = view.versions.rule(&model, self.version_overlap(), now);
+        let engines = dispatcher.engines_to_load(service, &model, rule, &place, now);
+        let (ready, _) = oneshot::channel();
+        let want = Want {
+            wanted: Wanted {
+                model,
+                version: rule.to_load(),
+                was_turned_away: false,
+            },
+            engines,
+            copies,
+            ready,
+        };
+        // A full queue has requests that wait; they go first.
+        let _ = self.shared.wants.try_send(want);
+    }
+
+    /// How long the older version of an adapter may be begun on.
+    pub(crate) fn version_overlap(&self) -> Duration {
+        self.bounds.version().mul_f64(VERSION_OVERLAP_SHARE)
+    }
+
     /// Finds an answer to `call`.
     pub(crate) async fn carry(self: &Rc<Self>, call: &Call) -> Response<AnswerBody> {
-        if let Some(model) = &call.meta.model {
-            let mut dispatcher = self.dispatcher.borrow_mut();
-            dispatcher.note_asked(model, call.meta.prompt_tokens, Instant::now());
-        }
         let mut life = Life::NotRun(Request::accept(call.id.clone()).queue());
         let mut sends = Sends::default();
         loop {
@@ -299,9 +338,9 @@
                     if !self.count_send(call, sends, now) {
                         return Err((ResultCode::RetryBudgetSpent, BUSY_RETRY_AFTER));
                     }
-                    if let Some(place) = choice.copy {
-                        // Nobody waits for it.
-                        let _ = self.want(call, false, place, now);
+                    if !choice.is_preferred {
+                        // The newer version is brought in; nobody waits for it.
+                        let _ = self.want(call, false, now);
                     }
                     return Ok(choice);
                 }
@@ -362,12 +401,7 @@
 
     /// Has the adapter that `call` names loaded, and waits for it.
     async fn bring_adapter(&self, call: &Call, sends: &Sends, wait: Duration) -> bool {
-        let Some(ready) = self.want(
-            call,
-            sends.was_misdirected,
-            CopyPlace::Anywhere,
-            Instant::now(),
-        ) else {
+        let Some(ready) = self.want(call, sends.was_misdirected, Instant::now()) else {
             return false;
         };
         match tokio::time::timeout(wait, ready).await {
@@ -384,7 +418,6 @@
         &self,
         call: &Call,
         was_turned_away: bool,
-        place: CopyPlace,
         now: Instant,
     ) -> Option<oneshot::Receiver<Loaded>> {
         let model = call.meta.model.clone()?;
@@ -395,7 +428,8 @@
                 version: call.version.to_load(),
                 was_turned_away,
             },
-            engines: self.engines_for(call, place, now),
+            engines: self.engines_for(call, now),
+            copies: 1,
             ready,
         };
         self.shared.wants.try_send(want).ok()?;
@@ -403,11 +437,12 @@
     }
 
     /// Engines that could take the adapter.
-    fn engines_for(&self, call: &Call, place: CopyPlace, now: Instant) -> Vec<LoadPlace> {
+    fn engines_for(&self, call: &Call, now: Instant) -> Vec<LoadPlace> {
         let Some(model) = &call.meta.model else {
             return Vec::new();
         };
         let dispatcher = self.dispatcher.borrow();
+        let place = &CopyPlace::Anywhere;
         dispatcher.engines_to_load(&call.service, model, call.version, place, now)
     }
 }
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -153,7 +153,7 @@
             .route(host, parts.uri.path())
             .ok_or_else(|| Turned::new(ResultCode::UnknownPath, "no route leads from here"))?;
         let service = route.service(rand::random::<f64>()).clone();
-        let overlap = self.bounds.version().mul_f64(VERSION_OVERLAP_SHARE);
+        let overlap = self.version_overlap();
         let version = meta
             .model
             .as_ref()
@@ -182,11 +182,6 @@
     }
 }
 
-/// The part of the time in which the older version of an adapter may be begun on that is used. The
-/// news takes up to 0.7 s to come here, and under load a prompt waits 2 s and more at an engine
-/// before it begins; the newer version is loaded in half a second.
-const VERSION_OVERLAP_SHARE: f64 = 0.3;
-
 /// Counts a connection as open.
 struct OpenConnection(Rc<Gateway>);
 
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -165,7 +165,9 @@
             .as_ref()
             .is_some_and(|answered| answered != meant);
         match &call.meta.model {
-            Some(model) if !is_other => dispatcher.note_absent(&choice.upstream.id, model),
+            Some(model) if !is_other => {
+                dispatcher.note_absent(&choice.upstream.id, model, Instant::now());
+            }
             _ => dispatcher.note_gone(&choice.upstream.id),
         }
     }
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -2,21 +2,30 @@
 
 use std::time::Instant;
 
-use nutmegsail_base::{ServiceName, UpstreamId};
+use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 
 use crate::dispatcher::OTHER_DOMAIN_MS;
 use crate::tracked::PROMPT_TOKEN_MS;
 use crate::{Dispatcher, ModelRef, Need, Tracked, VersionRule};
 
 /// Where a further copy of an adapter is wanted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CopyPlace {
-    /// In this node's failure domain.
-    OwnDomain,
+    /// In this failure domain.
+    Domain(FailureDomain),
     /// At any engine.
     Anywhere,
 }
 
+impl CopyPlace {
+    fn includes(&self, domain: &FailureDomain) -> bool {
+        match self {
+            Self::Domain(wanted) => wanted == domain,
+            Self::Anywhere => true,
+        }
+    }
+}
+
 /// An engine that could take an adapter.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadPlace {
@@ -28,14 +37,6 @@
     pub is_recent: bool,
 }
 
-/// A wait over which a further copy of an adapter is worth its load: a third of the shortest latency
-/// objective of the generations (600 ms), so that a copy comes before requests are late.
-const COPY_WAIT_MS: f64 = 200.0;
-
-/// The part of an engine's time that the prompts of one adapter may take up, before another copy
-/// is worth its load. The rest is for the engine's other adapters, of which it holds some twenty.
-const COPY_SHARE: f64 = 0.4;
-
 /// What speaks against a load in another failure domain, in milliseconds of expected wait: more than
 /// one load ahead. Most adapters are asked for once or twice, and then their answers stay here.
 const LOAD_ELSEWHERE_MS: f64 = 400.0;
@@ -44,10 +45,6 @@
 /// popular adapters for itself then, and its callers wait for three loads in place of one.
 const CROWDED_ELSEWHERE_MS: f64 = 60.0;
 
-/// Requests in a second for one adapter in this failure domain over which it gets a copy here: a
-/// load costs about a third of what a request is worth, and pays off within some seconds.
-const OWN_COPY_PER_S: f64 = 2.0;
-
 /// What an engine scores where an adapter is not on its way, so that one where it is goes first.
 const ELSEWHERE_MS: f64 = 1_000.0;
 
@@ -89,11 +86,11 @@
         if expected_ms < LONG_WAIT_MS {
             return false;
         }
-        let place = CopyPlace::Anywhere;
+        let place = &CopyPlace::Anywhere;
         let engines = self.engines_to_load(need.service, model, VersionRule::ANY, place, now);
         let holds = |id: &UpstreamId| {
             let tracked = self.tracked(id);
-            tracked.is_some_and(|tracked| tracked.holdings.version_of(model).is_some())
+            tracked.is_some_and(|tracked| tracked.version_of(model, now).is_some())
         };
         let others = engines.iter().filter(|place| !holds(&place.engine));
         let least_ms = others.map(|place| place.wait_ms);
@@ -102,38 +99,20 @@
         least_ms - ELSEWHERE_MS + prompt_ms < expected_ms * SOONER_SHARE
     }
 
-    /// Whether a further copy of the adapter is worth its load.
-    pub(crate) fn wanted_copy(
+    /// Whether an engine of `domain` that takes work holds `model`.
+    pub fn is_held_in(
         &self,
-        need: &Need<'_>,
-        expected_ms: f64,
-        preferred_exists: bool,
+        domain: &FailureDomain,
+        service: &ServiceName,
+        model: &ModelRef,
         now: Instant,
-    ) -> Option<CopyPlace> {
-        let model = need.model?;
-        if !preferred_exists || (expected_ms > COPY_WAIT_MS && self.needs_copy(need, now)) {
-            return Some(CopyPlace::Anywhere);
-        }
-        let is_here = |tracked: &Tracked| {
-            self.is_here(tracked) && tracked.holdings.version_of(model).is_some()
-        };
-        let requests_per_s = self.asked.rate_per_s(model, now) * self.nodes_in_domain as f64;
-        let is_wanted_here = requests_per_s > OWN_COPY_PER_S;
-        (is_wanted_here && !self.candidates(need).any(is_here)).then_some(CopyPlace::OwnDomain)
-    }
-
-    /// Whether the prompts for one adapter take up more of its copies' time than they should.
-    ///
-    /// A queue alone says little: it may be another adapter's, and then a copy of this one costs a
-    /// load and evicts something for nothing.
-    fn needs_copy(&self, need: &Need<'_>, now: Instant) -> bool {
-        let Some(model) = need.model else {
-            return false;
-        };
-        let holds = |tracked: &&Tracked| tracked.holdings.version_of(model).is_some();
-        let copies = self.candidates(need).filter(holds).count();
-        let tokens_per_s = self.asked_tokens.rate_per_s(model, now) * self.nodes as f64;
-        tokens_per_s * PROMPT_TOKEN_MS / 1_000.0 > COPY_SHARE * copies as f64
+    ) -> bool {
+        self.upstreams.values().any(|tracked| {
+            tracked.upstream.service == *service
+                && tracked.upstream.failure_domain == *domain
+                && tracked.upstream.takes_work()
+                && tracked.version_of(model, now).is_some()
+        })
     }
 
     /// Engines that could take `model`, each with what speaks against it.
@@ -145,20 +124,19 @@
         service: &ServiceName,
         model: &ModelRef,
         version: VersionRule,
-        place: CopyPlace,
+        place: &CopyPlace,
         now: Instant,
     ) -> Vec<LoadPlace> {
         let takes = |tracked: &&Tracked| {
-            let holdings = &tracked.holdings;
-            let has_base = holdings.has_base(model);
-            let has_it = holdings.version_of(model);
+            let has_base = tracked.holdings.has_base(model);
+            let has_it = tracked.version_of(model, now);
             tracked.upstream.service == *service
                 && tracked.upstream.takes_work()
                 && !self.is_out(tracked, now)
                 && !tracked.is_gone
                 && tracked.takes_loads(now)
                 && has_base
-                && (place == CopyPlace::Anywhere || self.is_here(tracked))
+                && place.includes(&tracked.upstream.failure_domain)
                 && !has_it.is_some_and(|held| version.prefers(held))
                 && (tracked.coming(now).len() < LOADS_AHEAD_LIMIT
                     || tracked.coming(now).contains(&model.digest()))
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -7,9 +7,8 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use rand::{Rng, RngExt as _};
 
-use crate::{
-    CopyPlace, Demand, Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule,
-};
+use crate::tracked::FIRST_RUN_MS;
+use crate::{Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
 
 /// What a request needs of an upstream.
 #[derive(Clone, Debug)]
@@ -35,8 +34,8 @@
     pub version: Option<u64>,
     /// When the answer is expected to begin, in milliseconds; for [`Dispatcher::answer_began`].
     pub expected_ms: f64,
-    /// Whether another copy of the adapter would serve later requests better.
-    pub copy: Option<CopyPlace>,
+    /// Whether it holds the version that new requests are meant to begin on.
+    pub is_preferred: bool,
 }
 
 /// Why no upstream gets a request now.
@@ -50,10 +49,6 @@
     AllBusy,
 }
 
-/// How long demand is looked at to tell how many copies an adapter needs: a popular one is asked
-/// for several times in it at each node.
-const COPIES_HALF_LIFE: Duration = Duration::from_secs(3);
-
 /// What a way into another failure domain costs, in milliseconds of expected wait. The way itself
 /// takes some 2 ms, but an answer that crosses failure domains is lost when they are cut off from
 /// each other, and bytes between them are charged for.
@@ -79,19 +74,21 @@
 /// What a plain upstream scores for a request that runs there, in milliseconds.
 const PLAIN_RUNNING_MS: f64 = 30.0;
 
+/// What each request that waits for a slot scores at a plain upstream, in milliseconds.
+const PLAIN_QUEUED_MS: f64 = 50.0;
+
+/// How much one answer moves the time for which requests take up a slot.
+const RUN_STEP: f64 = 0.05;
+
 /// The upstreams as one node sees them, with what it sent to each.
 #[derive(Debug)]
 pub struct Dispatcher {
     pub(crate) failure_domain: FailureDomain,
     pub(crate) upstreams: HashMap<UpstreamId, Tracked>,
-    /// Prompt tokens that this node was asked for, by adapter.
-    pub(crate) asked_tokens: Demand,
-    /// Requests that this node was asked for, by adapter.
-    pub(crate) asked: Demand,
-    pub(crate) nodes: usize,
-    pub(crate) nodes_in_domain: usize,
     /// Whether loads hardly wait for the weight store; not until some were seen.
     pub(crate) are_loads_quick: bool,
+    /// How long requests take up a slot of an engine, in milliseconds.
+    run_ms: f64,
     /// When a node of each other failure domain was last heard.
     domains_heard: HashMap<FailureDomain, Instant>,
 }
@@ -102,11 +99,8 @@
         Self {
             failure_domain,
             upstreams: HashMap::new(),
-            asked_tokens: Demand::new(COPIES_HALF_LIFE),
-            asked: Demand::new(COPIES_HALF_LIFE),
-            nodes: 1,
-            nodes_in_domain: 1,
             are_loads_quick: false,
+            run_ms: FIRST_RUN_MS,
             domains_heard: HashMap::new(),
         }
     }
@@ -119,7 +113,8 @@
             match self.upstreams.get_mut(&upstream.id) {
                 Some(tracked) => tracked.note_entry(Arc::clone(upstream), now),
                 None => {
-                    let tracked = Tracked::new(Arc::clone(upstream), now);
+                    let mut tracked = Tracked::new(Arc::clone(upstream), now);
+                    tracked.set_run_ms(self.run_ms);
                     self.upstreams.insert(upstream.id.clone(), tracked);
                 }
             }
@@ -141,9 +136,9 @@
     }
 
     /// Takes in that an engine does not hold `model`.
-    pub fn note_absent(&mut self, id: &UpstreamId, model: &ModelRef) {
+    pub fn note_absent(&mut self, id: &UpstreamId, model: &ModelRef, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
-            tracked.holdings.forget(model);
+            tracked.note_absent(model, now);
         }
     }
 
@@ -180,9 +175,7 @@
         let mut preferred_exists = false;
         for tracked in self.candidates(need) {
             refusal = refusal.max_reason(Refusal::AdapterAbsent);
-            let version = need
-                .model
-                .and_then(|model| tracked.holdings.version_of(model));
+            let version = need.model.and_then(|model| tracked.version_of(model, now));
             if need.model.is_some() && !version.is_some_and(|version| need.version.allows(version))
             {
                 continue;
@@ -214,23 +207,10 @@
             upstream: Arc::clone(&tracked.upstream),
             version,
             expected_ms,
-            copy: self.wanted_copy(need, expected_ms, preferred_exists, now),
+            is_preferred: preferred_exists,
         })
     }
 
-    /// Takes in how many nodes there are, and how many in this node's failure domain: each sees its
-    /// part of the demand.
-    pub fn set_nodes(&mut self, nodes: usize, in_domain: usize) {
-        self.nodes = nodes.max(1);
-        self.nodes_in_domain = in_domain.max(1);
-    }
-
-    /// Counts a request that was read.
-    pub fn note_asked(&mut self, model: &ModelRef, prompt_tokens: u64, now: Instant) {
-        self.asked_tokens.add(model, prompt_tokens as f64, now);
-        self.asked.add(model, 1.0, now);
-    }
-
     pub(crate) fn candidates<'a>(
         &'a self,
         need: &'a Need<'_>,
@@ -246,11 +226,8 @@
     fn score(&self, tracked: &Tracked, need: &Need<'_>, now: Instant) -> f64 {
         let mut score = match need.model {
             Some(_) => tracked.expected_first_event_ms(need.prompt_tokens, now),
-            None => f64::from(tracked.in_flight) * PLAIN_RUNNING_MS * tracked.slowness(now),
+            None => self.plain_score(tracked, now),
         };
-        if tracked.running(now) >= tracked.upstream.slots {
-            score += f64::from(tracked.running(now) - tracked.upstream.slots + 1) * 50.0;
-        }
         if tracked.upstream.failure_domain != self.failure_domain {
             score += OTHER_DOMAIN_MS;
         }
@@ -263,6 +240,13 @@
         score
     }
 
+    fn plain_score(&self, tracked: &Tracked, now: Instant) -> f64 {
+        let (running, slots) = (tracked.in_flight, tracked.upstream.slots);
+        let ahead = (running + 1).saturating_sub(slots);
+        let running_ms = f64::from(running) * PLAIN_RUNNING_MS * tracked.slowness(now);
+        running_ms + f64::from(ahead) * PLAIN_QUEUED_MS
+    }
+
     /// Whether an upstream gets work only if all do badly.
     pub(crate) fn is_out(&self, tracked: &Tracked, now: Instant) -> bool {
         let is_quiet = need_answers(tracked) && tracked.is_silent(now);
@@ -323,6 +307,15 @@
         }
     }
 
+    /// Takes in how long a request took up a slot of an engine, to the end of its answer.
+    pub fn note_run(&mut self, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        self.run_ms += RUN_STEP * (took_ms - self.run_ms);
+        for tracked in self.upstreams.values_mut() {
+            tracked.set_run_ms(self.run_ms);
+        }
+    }
+
     /// Takes in what became of a send.
     pub fn note_outcome(&mut self, id: &UpstreamId, outcome: Outcome, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
--- a/crates/relay/src/load_times.rs
+++ b/crates/relay/src/load_times.rs
@@ -21,6 +21,10 @@
 /// How much one load moves it.
 const AT_ONCE_STEP: f64 = 0.1;
 
+/// The least that is taken for the part of unreported loads that is under way: a load takes 254 ms,
+/// and reports lag by up to 260 ms.
+const LEAST_SHARE: f64 = 0.4;
+
 /// Loads under way, as a part of those that are taken to be at full speed, from which a quick load
 /// says that more would be. As no more are begun than that, nothing else would ever tell.
 const NEAR_LIMIT_SHARE: f64 = 0.7;
@@ -135,6 +139,15 @@
         self.at_once = (self.at_once + change).clamp(least, most);
     }
 
+    /// The part of the loads that no report has shown as done which are still under way: of the time
+    /// until a report shows a load, the last part is the report's lag.
+    pub fn under_way_share(&self) -> f64 {
+        self.seen.map_or(1.0, |seen| {
+            let lag_ms = seen.quick_ms - LEAST_LOAD_MS;
+            (1.0 - lag_ms / seen.usual_ms).clamp(LEAST_SHARE, 1.0)
+        })
+    }
+
     /// Takes in how many engines there are, which tells what to expect until loads are seen.
     pub fn set_engines(&mut self, engines: usize) {
         if self.seen.is_none() {
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::{Health, Holdings, ModelDigest, ModelRef, RecentAdapters, Upstream, VersionRule};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Health, HeldAdapter, Holdings, ModelDigest, ModelRef, RecentAdapters, Upstream, VersionRule,
+};
 
 /// Load of an engine as others reported it.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,12 +18,27 @@
     pub unread_tokens_of_others: u64,
     /// Adapters on their way to it, or waiting for it.
     pub coming: Vec<ModelDigest>,
+    /// Adapters that came or went a moment ago.
+    pub moved: Vec<AdapterMove>,
     /// Whether its owner can order loads now.
     pub takes_loads: bool,
     /// When it was taken.
     pub taken: Instant,
 }
 
+/// An adapter that came to an engine, or was dropped there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterMove {
+    /// The adapter.
+    pub model: ModelDigest,
+    /// Whether the engine holds it now.
+    pub is_held: bool,
+}
+
+/// How long a move goes before the list of upstreams and before what an owner told in full: longer
+/// than a heartbeat and the list's lag.
+const MOVE_LIFE: Duration = Duration::from_millis(2_500);
+
 /// An engine is silent if nothing comes back for this many times as long as the queue should take,
 /// and for at least [`SILENCE_FLOOR_MS`].
 const SILENCE_RATIO: f64 = 3.0;
@@ -44,6 +63,9 @@
 /// What each running request adds to the time of a step, in milliseconds.
 const RUNNING_REQUEST_MS: f64 = 0.4;
 
+/// How long a request is taken to take up a slot until some have ended, in milliseconds.
+pub(crate) const FIRST_RUN_MS: f64 = 1_000.0;
+
 /// How much one observation moves the slowness.
 const SLOWNESS_STEP: f64 = 0.2;
 
@@ -62,6 +84,8 @@
     pub holdings: Holdings,
     /// What it held before and can bring back quickly.
     recent: RecentAdapters,
+    /// Adapters that came or went lately, and when that was told.
+    moves: Vec<(AdapterMove, Instant)>,
     /// When its owner last confirmed what it holds.
     holdings_told: Option<Instant>,
     /// Requests that this node sent and that have not ended.
@@ -74,6 +98,8 @@
     pub is_gone: bool,
     /// The last report of its load.
     pub report: Option<Report>,
+    /// How long a request takes up a slot, in milliseconds.
+    run_ms: f64,
     slowness: f64,
     slowness_at: Instant,
     /// Since when nothing has come back although answers are due.
@@ -86,6 +112,7 @@
         Self {
             holdings: upstream.holdings.clone(),
             recent: RecentAdapters::default(),
+            moves: Vec::new(),
             holdings_told: None,
             upstream,
             in_flight: 0,
@@ -93,6 +120,7 @@
             health: Health::default(),
             is_gone: false,
             report: None,
+            run_ms: FIRST_RUN_MS,
             slowness: 1.0,
             slowness_at: now,
             waiting_since: None,
@@ -121,13 +149,56 @@
         if self.holdings_told.is_some() {
             self.holdings_told = Some(report.taken);
         }
+        self.note_moves(&report);
         self.report = Some(report);
     }
 
+    fn note_moves(&mut self, report: &Report) {
+        let is_told = |model| report.moved.iter().any(|moved| moved.model == model);
+        self.moves.retain(|(moved, at)| {
+            report.taken.duration_since(*at) < MOVE_LIFE && !is_told(moved.model)
+        });
+        let told = report.moved.iter().map(|moved| (*moved, report.taken));
+        self.moves.extend(told);
+    }
+
+    /// The version in which it holds what `wanted` names; 0 if that is not known.
+    ///
+    /// The list of upstreams lags by a heartbeat and more. Taken at its word, an adapter that came a
+    /// second ago is loaded once more elsewhere, and requests go where one was dropped.
+    pub fn version_of(&self, wanted: &ModelRef, now: Instant) -> Option<u64> {
+        let held = self.holdings.version_of(wanted);
+        if self.moves.is_empty() {
+            return held;
+        }
+        let digest = wanted.digest();
+        let is_it = |(moved, at): &&(AdapterMove, Instant)| {
+            moved.model == digest && now.duration_since(*at) < MOVE_LIFE
+        };
+        match self.moves.iter().find(is_it) {
+            Some((moved, _)) if moved.is_held => held.or(Some(HeldAdapter::UNSTATED_VERSION)),
+            Some(_) => None,
+            None => held,
+        }
+    }
+
     /// Takes in what it holds now that an adapter was brought in.
     pub fn note_holdings(&mut self, holdings: &Holdings, now: Instant) {
         self.set_holdings(holdings);
         self.holdings_told = Some(now);
+        // What the owner now tells in full is newer than all moves before.
+        self.moves.clear();
+    }
+
+    /// Takes in that it does not hold `model`, as it said itself.
+    pub(crate) fn note_absent(&mut self, model: &ModelRef, now: Instant) {
+        self.holdings.forget(model);
+        let absent = AdapterMove {
+            model: model.digest(),
+            is_held: false,
+        };
+        self.moves.retain(|(moved, _)| moved.model != absent.model);
+        self.moves.push((absent, now));
     }
 
     /// Whether it held `model` a while ago, in a version that requests are meant to begin on.
@@ -219,7 +290,24 @@
     fn sound_first_event_ms(&self, tokens: u64, now: Instant) -> f64 {
         let to_read = (self.backlog_tokens(now) + tokens) as f64;
         let running = f64::from(self.running(now));
-        FIRST_EVENT_FLOOR_MS + to_read * PROMPT_TOKEN_MS + running * RUNNING_REQUEST_MS
+        let reading_ms = to_read * PROMPT_TOKEN_MS + running * RUNNING_REQUEST_MS;
+        FIRST_EVENT_FLOOR_MS + reading_ms + self.slot_wait_ms(now)
+    }
+
+    /// How long a new request waits for a slot, in milliseconds.
+    ///
+    /// Where engines have few slots and answers are long, slots are short before prompt reading is.
+    /// An engine with twelve and streams of 2 s frees one in 160 ms; taken for the wait of its prompts
+    /// alone, its queue grew to several seconds.
+    fn slot_wait_ms(&self, now: Instant) -> f64 {
+        let (running, slots) = (self.running(now), self.upstream.slots.max(1));
+        let ahead = (running + 1).saturating_sub(slots);
+        f64::from(ahead) * self.run_ms / f64::from(slots)
+    }
+
+    /// Takes in how long requests take up a slot lately, in milliseconds.
+    pub(crate) fn set_run_ms(&mut self, run_ms: f64) {
+        self.run_ms = run_ms;
     }
 
     /// Takes in that an answer that was expected after `expected_ms` began after `took`.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -58,6 +58,7 @@
         in_flight_of_others: 0,
         unread_tokens_of_others: unread_tokens,
         coming: Vec::new(),
+        moved: Vec::new(),
         takes_loads: true,
         taken,
     }
--- /dev/null
+++ b/crates/relay/tests/copies.rs
@@ -0,0 +1,106 @@
+//! When an engine's owner wants further copies of an adapter.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::holdings;
+use nutmegsail_base::FailureDomain;
+use nutmegsail_relay::{CopyPlace, EngineDemand, EngineLoadNow, Holdings, ModelRef, WantedCopies};
+use rstest::rstest;
+
+const SLOTS: u32 = 12;
+
+struct Owner {
+    demand: EngineDemand,
+    here: FailureDomain,
+    held: Holdings,
+    now: Instant,
+}
+
+impl Owner {
+    fn new() -> Self {
+        Self {
+            demand: EngineDemand::default(),
+            here: "here".into(),
+            held: holdings(&["a1", "a2"]),
+            now: Instant::now(),
+        }
+    }
+
+    /// Ten seconds of `per_s` requests for `a1` from one failure domain.
+    fn ask(&mut self, domain: &str, per_s: f64) {
+        for _ in 0..(10.0 * per_s) as usize {
+            self.now += Duration::from_secs_f64(1.0 / per_s);
+            let model = ModelRef::parse("base/a1");
+            let domain = domain.into();
+            self.demand.note(&domain, &model, 1.0, 1_460.0, self.now);
+        }
+    }
+
+    fn wanted(&mut self, in_flight: u32) -> Vec<WantedCopies> {
+        let engine = EngineLoadNow {
+            failure_domain: &self.here,
+            slots: SLOTS,
+            holdings: &self.held,
+        };
+        let popular = ModelRef::parse("base/a1");
+        let of = |model: &ModelRef| if *model == popular { in_flight } else { 0 };
+        self.demand.copies_wanted(engine, of, self.now)
+    }
+
+    fn copies(&mut self, in_flight: u32) -> usize {
+        self.wanted(in_flight)
+            .iter()
+            .map(|wanted| wanted.copies)
+            .sum()
+    }
+}
+
+// A prompt of 1,460 tokens is read in 76 ms: four a second take up a third of an engine, seven more
+// than half, and thirty are for six engines.
+#[rstest]
+#[case::nothing(0.0, 0, 0)]
+#[case::asked_for_by_chance(0.5, 1, 0)]
+#[case::a_third(4.0, 3, 0)]
+#[case::over_half(7.0, 4, 1)]
+#[case::far_too_much(30.0, 8, 4)]
+#[case::short_of_slots(1.0, 11, 2)]
+fn copies_follow_what_an_adapter_takes_of_its_engine(
+    #[case] per_s: f64,
+    #[case] in_flight: u32,
+    #[case] copies: usize,
+) {
+    let mut owner = Owner::new();
+    if per_s > 0.0 {
+        owner.ask("here", per_s);
+    }
+    assert_eq!(owner.copies(in_flight), copies);
+}
+
+// A copy takes a quarter of a second and more to come, and the demand here falls some time after.
+// Ordered again meanwhile, one adapter filled the engines around it.
+#[test]
+fn copies_are_not_ordered_again_before_they_can_show() {
+    let mut owner = Owner::new();
+    owner.ask("here", 30.0);
+    assert_eq!(owner.copies(8), 4);
+    assert_eq!(owner.copies(8), 0);
+    owner.now += Duration::from_millis(1_100);
+    assert!(owner.copies(8) > 0);
+}
+
+// A failure domain that is cut off loses what its callers have under way elsewhere.
+#[test]
+fn a_failure_domain_that_asks_often_gets_a_copy_of_its_own() {
+    let mut owner = Owner::new();
+    owner.ask("there", 3.0);
+    let place = CopyPlace::Domain("there".into());
+    assert_eq!(
+        owner.wanted(2).first().map(|wanted| &wanted.place),
+        Some(&place)
+    );
+    let mut seldom = Owner::new();
+    seldom.ask("there", 1.0);
+    assert_eq!(seldom.wanted(2), []);
+}
