Serve the relay's metrics in the text format of metrics tools

Cause: on-call had log lines only; nothing counted requests by result, loads, or calls to the store.

Change: metrics_address in the settings serves /metrics by opentelemetry and its prometheus exporter: requests by numbered result, sends, loads by result, calls to the store, times to the first event, of waits, loads and stalls, and what is known (configuration, upstreams, owned engines, age of the store's last answer). CountedStore moved to telemetry, where both kinds of node use it.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,6 @@
 mod claimed_run;
 mod claims_keeper;
 mod control;
-mod counted_store;
 mod dispatcher;
 mod engine_watch;
 mod forwarded_call;
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -6,9 +6,9 @@
 use nutmegsail_store::{HttpKeyValue, HttpVmList, KeyValue, PlatformSettings, VmList};
 use nutmegsail_upstream::{Engine, HttpEngine, HttpPlainService, PlainService, UpstreamSettings};
 
-use crate::counted_store::CountedStore;
 use crate::observed_engine::ObservedEngine;
 use crate::{Measures, PlatformAddresses};
+use nutmegsail_telemetry::CountedStore;
 
 /// Everything outside the node's process, as interfaces.
 #[derive(Clone, Debug)]
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -190,6 +190,11 @@
             nodes: self.nodes.borrow().len().max(1),
             are_loads_quick: self.load_times.get().are_quick(),
         };
+        let version = view.table.as_ref().map_or(0, |table| table.version);
+        let owned = self.owned.borrow().len();
+        self.shared
+            .metrics
+            .known(version, view.upstreams.len(), owned);
         let is_ready = view.table.is_some() && !view.upstreams.is_empty();
         self.shared.view.store(Arc::new(view));
         if is_ready {
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -137,11 +137,14 @@
             };
             match loaded {
                 Ok(holdings) => return Some((place.engine, holdings)),
-                Err(failure) => log_event!(
-                    self.knowledge.log, Event::LoadFailed,
-                    "upstream" => engine.to_string(), "model" => wanted.model.to_string(),
-                    "version" => wanted.version, "why" => failure.to_string()
-                ),
+                Err(failure) => {
+                    self.knowledge.shared.metrics.load(failure.to_string());
+                    log_event!(
+                        self.knowledge.log, Event::LoadFailed,
+                        "upstream" => engine.to_string(), "model" => wanted.model.to_string(),
+                        "version" => wanted.version, "why" => failure.to_string()
+                    );
+                }
             }
         }
         None
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -64,7 +64,7 @@
     let knowledge = Rc::new(Knowledge::new(&parts));
     let loader = Rc::new(Loader::new(Rc::clone(&knowledge)));
     spawn_local(watch_store(Rc::clone(&knowledge)));
-    spawn_local(watch_stalls(parts.log.clone()));
+    spawn_local(watch_stalls(Rc::clone(&knowledge)));
     let keeper = spawn_local(keeper::keep(Rc::clone(&knowledge)));
     spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
     spawn_local(exchange::run(Rc::clone(&knowledge), parts.datagrams));
@@ -86,14 +86,15 @@
 /// How often the control thread looks whether it ran all the time.
 const STALL_INTERVAL: Duration = Duration::from_millis(250);
 
-async fn watch_stalls(log: Logger) {
+async fn watch_stalls(knowledge: Rc<Knowledge>) {
     let mut watch = StallWatch::new(STALL_INTERVAL, boot_time());
     let mut looks = tokio::time::interval(STALL_INTERVAL);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         looks.tick().await;
         if let Some(stalled) = watch.check(boot_time()) {
-            log_event!(log, Event::NodeResumed, "stalled_ms" => stalled.as_millis());
+            knowledge.shared.metrics.stalled(stalled);
+            log_event!(knowledge.log, Event::NodeResumed, "stalled_ms" => stalled.as_millis());
         }
     }
 }
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -67,6 +67,7 @@
             }
         };
         for load in engine.reported(&report) {
+            self.shared.metrics.load_done(load.since.elapsed());
             if load.load == LoadKind::FromStore {
                 self.note_load_time(&load);
             }
--- a/crates/relay-node/src/control/reading.rs
+++ b/crates/relay-node/src/control/reading.rs
@@ -46,6 +46,7 @@
         let left = (known.answered + KNOWN_FOR).saturating_sub(asked);
         let read = self.ask_reader(address, after, left).await;
         if read.is_none() {
+            self.shared.metrics.reader_silent();
             log_event!(
                 self.log, Event::ReaderSilent,
                 "reader" => reader.to_string(), "after" => after.0
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -6,6 +6,7 @@
 //! the node serve an old one.
 
 use std::ops::ControlFlow;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use nutmegsail_store::{Change, Changes, Item, KeyValueError, Revision};
@@ -159,6 +160,9 @@
     knowledge.change_log.push(changes, read_at);
     tell_changes(knowledge, followers, &changes.changes);
     knowledge.confirm_seen(read_at.asked);
+    let answered_ms = u64::try_from(read_at.answered.as_millis()).unwrap_or(u64::MAX);
+    let answered = &knowledge.shared.store_answered_ms;
+    answered.store(answered_ms, Ordering::Relaxed);
 }
 
 /// Whether the watch can go on where it was.
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod control;
 mod dialect;
+mod metrics;
 mod node;
 mod ready;
 mod settings;
--- /dev/null
+++ b/crates/relay-node/src/metrics.rs
@@ -0,0 +1,164 @@
+//! What the node counts and measures.
+
+use std::time::Duration;
+
+use nutmegsail_base::ResultCode;
+use nutmegsail_telemetry::{CountStoreCalls, StoreCall};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
+
+/// Upper bounds of the buckets for times, in milliseconds: around the latency objectives of plain
+/// calls (150 ms) and streams (600 to 1,000 ms).
+const TIME_MS: [f64; 12] = [
+    5.0, 20.0, 50.0, 100.0, 150.0, 250.0, 400.0, 600.0, 800.0, 1_000.0, 2_000.0, 5_000.0,
+];
+
+/// The node's instruments. Recording never blocks.
+#[derive(Clone, Debug)]
+pub(crate) struct RelayMetrics {
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    loads: Counter<u64>,
+    store_calls: Counter<u64>,
+    reader_silent: Counter<u64>,
+    first_event: Histogram<f64>,
+    wait: Histogram<f64>,
+    load_time: Histogram<f64>,
+    stall: Histogram<f64>,
+    configuration: Gauge<u64>,
+    upstreams: Gauge<u64>,
+    owned_engines: Gauge<u64>,
+    connections: Gauge<u64>,
+    store_age: Gauge<u64>,
+}
+
+impl RelayMetrics {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        let times = |name: &'static str, text: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("ms");
+            let histogram = histogram.with_description(text);
+            histogram.with_boundaries(TIME_MS.to_vec()).build()
+        };
+        Self {
+            requests: counter(
+                "nutmegsail.relay.requests",
+                "Requests that ended, by result.",
+            ),
+            sends: counter("nutmegsail.relay.sends", "Sends to upstreams, by outcome."),
+            loads: counter("nutmegsail.relay.loads", "Loads of adapters, by result."),
+            store_calls: counter(
+                "nutmegsail.relay.store_calls",
+                "Calls to the store, by result.",
+            ),
+            reader_silent: counter(
+                "nutmegsail.relay.reader_silent",
+                "Times that the node which reads the store for this one did not answer.",
+            ),
+            first_event: times(
+                "nutmegsail.relay.first_event",
+                "From a send to the first event.",
+            ),
+            wait: times(
+                "nutmegsail.relay.wait",
+                "From a request's arrival to its send.",
+            ),
+            load_time: times(
+                "nutmegsail.relay.load_time",
+                "From a load's order to its report.",
+            ),
+            stall: times(
+                "nutmegsail.relay.stall",
+                "How long the process did not run.",
+            ),
+            configuration: gauge("nutmegsail.relay.configuration", "The version in force."),
+            upstreams: gauge("nutmegsail.relay.upstreams", "Upstreams that are listed."),
+            owned_engines: gauge(
+                "nutmegsail.relay.owned_engines",
+                "Engines that the node owns.",
+            ),
+            connections: gauge(
+                "nutmegsail.relay.connections",
+                "Open connections of callers.",
+            ),
+            store_age: gauge(
+                "nutmegsail.relay.store_age_ms",
+                "How old what is known of the store was when the page was asked for.",
+            ),
+        }
+    }
+
+    /// A request ended with a whole answer, or with `code`.
+    pub(crate) fn request_ended(&self, code: Option<ResultCode>) {
+        self.requests.add(1, &[result(code)]);
+    }
+
+    /// A send came to something.
+    pub(crate) fn sent(&self, outcome: &'static str) {
+        self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A send's first event came, `waited` after the request had arrived and `took` after the send.
+    pub(crate) fn first_event(&self, waited: Duration, took: Duration) {
+        self.wait.record(millis(waited), &[]);
+        self.first_event.record(millis(took), &[]);
+    }
+
+    /// A load ended, or was not ordered; `result` says why.
+    pub(crate) fn load(&self, result: String) {
+        self.loads.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// A report showed a load as done.
+    pub(crate) fn load_done(&self, took: Duration) {
+        self.load("done".to_owned());
+        self.load_time.record(millis(took), &[]);
+    }
+
+    /// The process did not run for a while.
+    pub(crate) fn stalled(&self, duration: Duration) {
+        self.stall.record(millis(duration), &[]);
+    }
+
+    /// The node's reader did not answer.
+    pub(crate) fn reader_silent(&self) {
+        self.reader_silent.add(1, &[]);
+    }
+
+    /// What is known now.
+    pub(crate) fn known(&self, configuration: u64, upstreams: usize, owned_engines: usize) {
+        self.configuration.record(configuration, &[]);
+        self.upstreams.record(upstreams as u64, &[]);
+        self.owned_engines.record(owned_engines as u64, &[]);
+    }
+
+    /// What holds when the page is asked for.
+    pub(crate) fn asked(&self, connections: usize, store_age: Option<Duration>) {
+        self.connections.record(connections as u64, &[]);
+        if let Some(age) = store_age {
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            self.store_age.record(age_ms, &[]);
+        }
+    }
+}
+
+impl CountStoreCalls for RelayMetrics {
+    fn store_called(&self, call: StoreCall, code: Option<ResultCode>) {
+        let call = KeyValue::new("call", call.to_string());
+        self.store_calls.add(1, &[call, result(code)]);
+    }
+}
+
+fn result(code: Option<ResultCode>) -> KeyValue {
+    let result = code.map_or_else(|| "ok".to_owned(), |code| code.to_string());
+    KeyValue::new("result", result)
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -8,7 +8,7 @@
 
 use nutmegsail_base::ResultCode;
 use nutmegsail_store::KeyValue;
-use nutmegsail_telemetry::{Event, log_event};
+use nutmegsail_telemetry::{CountedStore, Event, MetricsPage, TelemetryError, log_event};
 use slog::Logger;
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::{self, ControlParts};
+use crate::metrics::RelayMetrics;
 use crate::shared::Shared;
 use crate::traffic::{self, Gateway, GatewayParts};
 use crate::{Dialect, RelaySettings, ready};
@@ -35,6 +36,9 @@
         /// What the system said.
         problem: std::io::Error,
     },
+    /// The metrics page could not be set up.
+    #[error("{} {_0}", ResultCode::SettingsInvalid)]
+    Metrics(TelemetryError),
     /// The control thread could not be started.
     #[error(
         "{} the control thread could not be started: {_0}",
@@ -82,6 +86,12 @@
         let callers_address = callers.local_addr().unwrap_or(settings.callers_address);
         let readiness = listen(settings.ready_address).await?;
         let ready_address = readiness.local_addr().unwrap_or(settings.ready_address);
+        let metrics_listener = match settings.metrics_address {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        let metrics_address = metrics_listener.as_ref();
+        let metrics_address = metrics_address.and_then(|listener| listener.local_addr().ok());
         let nodes = listen(settings.nodes_address).await?;
         settings.nodes_address = nodes.local_addr().unwrap_or(settings.nodes_address);
         let datagrams = UdpSocket::bind(settings.nodes_address).await;
@@ -91,7 +101,13 @@
         })?;
         let datagrams = datagrams.into_std().map_err(RelayNodeError::Control)?;
         let nodes = nodes.into_std().map_err(RelayNodeError::Control)?;
-        let (shared, wants) = Shared::new();
+        let page = MetricsPage::new().map_err(RelayNodeError::Metrics)?;
+        let metrics = RelayMetrics::new(&page.meter());
+        let (shared, wants) = Shared::new(metrics.clone());
+        let store = CountedStore {
+            inner: store,
+            metrics,
+        };
         let stop_control = CancellationToken::new();
         let grace = settings.bounds.grace();
         let gateway = Rc::new(Gateway::new(GatewayParts {
@@ -103,7 +119,7 @@
         }));
         let parts = StartControl {
             settings,
-            store,
+            store: Arc::new(store),
             dialect: Arc::clone(&dialect),
             shared: Arc::clone(&shared),
             wants,
@@ -116,9 +132,13 @@
         let close = CancellationToken::new();
         spawn_local(traffic::serve(callers, Rc::clone(&gateway), close.clone()));
         spawn_local(ready::serve(readiness, Arc::clone(&shared), dialect));
+        if let Some(listener) = metrics_listener {
+            spawn_local(ready::serve_metrics(listener, page, Arc::clone(&shared)));
+        }
         log_event!(
             log, Event::NodeReady,
-            "callers" => callers_address.to_string(), "ready" => ready_address.to_string()
+            "callers" => callers_address.to_string(), "ready" => ready_address.to_string(),
+            "metrics" => metrics_address.map(|address| address.to_string())
         );
         Ok(Self {
             gateway,
@@ -141,17 +161,17 @@
     /// to its end, then engines and lease back.
     pub async fn shutdown(self) {
         let began = Instant::now();
-        log_event!(self.log, Event::NodeLeaving, "connections" => self.gateway.connections.get());
+        log_event!(self.log, Event::NodeLeaving, "connections" => self.gateway.connections());
         self.shared.note_leaving();
         self.gateway.leaving_since.set(Some(began));
         sleep(OUT_OF_ROTATION.min(self.grace / 2)).await;
         self.close.cancel();
         let limit = self.grace.saturating_sub(END_MARGIN);
-        while self.gateway.connections.get() > 0 {
+        while self.gateway.connections() > 0 {
             if began.elapsed() >= limit {
                 log_event!(
                     self.log, Event::DrainTimedOut,
-                    "connections" => self.gateway.connections.get()
+                    "connections" => self.gateway.connections()
                 );
                 break;
             }
--- a/crates/relay-node/src/ready.rs
+++ b/crates/relay-node/src/ready.rs
@@ -1,39 +1,78 @@
-//! Answers the platform's question whether the node takes callers.
+//! Small pages that the platform asks for: whether the node takes callers, and its metrics.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use http::{Request, Response, StatusCode};
-use http_body_util::Empty;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use nutmegsail_telemetry::MetricsPage;
 use tokio::net::TcpListener;
 
 use crate::Dialect;
 use crate::shared::Shared;
 
-/// Serves the question until the task is dropped.
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// The type of the text format of metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Answers whether the node takes callers, until the task is dropped.
 pub(crate) async fn serve(listener: TcpListener, shared: Arc<Shared>, dialect: Arc<dyn Dialect>) {
+    let answer = move |path: &str| {
+        with_status(match path == dialect.ready_path() {
+            false => StatusCode::NOT_FOUND,
+            true if shared.is_ready() => StatusCode::OK,
+            true => StatusCode::SERVICE_UNAVAILABLE,
+        })
+    };
+    serve_pages(listener, answer).await;
+}
+
+/// Answers with the metrics, until the task is dropped.
+pub(crate) async fn serve_metrics(listener: TcpListener, page: MetricsPage, shared: Arc<Shared>) {
+    let answer = move |path: &str| {
+        if path != METRICS_PATH {
+            return with_status(StatusCode::NOT_FOUND);
+        }
+        shared.refresh_metrics();
+        let Ok(text) = page.render() else {
+            return with_status(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        let mut answer = Response::new(Full::new(Bytes::from(text)));
+        let text_type = HeaderValue::from_static(METRICS_TYPE);
+        answer.headers_mut().insert(CONTENT_TYPE, text_type);
+        answer
+    };
+    serve_pages(listener, answer).await;
+}
+
+fn with_status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+async fn serve_pages(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> Response<Full<Bytes>> + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of descriptors for a moment; the connection waits in the kernel's queue.
             tokio::time::sleep(crate::traffic::ACCEPT_PAUSE).await;
             continue;
         };
-        let (shared, dialect) = (Arc::clone(&shared), Arc::clone(&dialect));
+        let answer = Arc::clone(&answer);
         let service = service_fn(move |request: Request<Incoming>| {
-            let status = match request.uri().path() == dialect.ready_path() {
-                false => StatusCode::NOT_FOUND,
-                true if shared.is_ready() => StatusCode::OK,
-                true => StatusCode::SERVICE_UNAVAILABLE,
-            };
-            async move {
-                let mut answer = Response::new(Empty::<Bytes>::new());
-                *answer.status_mut() = status;
-                Ok::<_, Infallible>(answer)
-            }
+            let answer = answer(request.uri().path());
+            async move { Ok::<_, Infallible>(answer) }
         });
         tokio::spawn(async move {
             // An error here is a caller that went away.
--- a/crates/relay-node/src/settings.rs
+++ b/crates/relay-node/src/settings.rs
@@ -39,6 +39,10 @@
     pub ready_address: SocketAddr,
     /// Where other nodes connect.
     pub nodes_address: SocketAddr,
+    /// Where metrics are served in the text format of metrics tools, under `/metrics`; nowhere if it is
+    /// left out.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
     /// Whether the whole system starts for the first time, so that no engine had an owner yet.
     #[serde(default)]
     pub is_first_start: bool,
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -1,8 +1,9 @@
 //! What the control thread and the traffic thread tell each other.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
@@ -12,6 +13,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::clock::boot_time;
+use crate::metrics::RelayMetrics;
+
 /// Asks for loads that wait for the control thread. Each is a request that waits; more than this
 /// many could not be served in time.
 const WANTS_QUEUE: usize = 512;
@@ -231,10 +235,15 @@
     pub(crate) uses: Uses,
     pub(crate) news: News,
     pub(crate) wants: mpsc::Sender<Want>,
+    pub(crate) metrics: RelayMetrics,
+    /// Open connections of callers.
+    pub(crate) connections: AtomicUsize,
+    /// When the store's last answer came, in milliseconds of the clock that counts suspension.
+    pub(crate) store_answered_ms: AtomicU64,
 }
 
 impl Shared {
-    pub(crate) fn new() -> (Arc<Self>, mpsc::Receiver<Want>) {
+    pub(crate) fn new(metrics: RelayMetrics) -> (Arc<Self>, mpsc::Receiver<Want>) {
         let (wants, arrived) = mpsc::channel(WANTS_QUEUE);
         let shared = Self {
             view: ArcSwap::default(),
@@ -242,12 +251,24 @@
             uses: Uses::default(),
             news: News::default(),
             wants,
+            metrics,
+            connections: AtomicUsize::new(0),
+            store_answered_ms: AtomicU64::new(0),
         };
         (Arc::new(shared), arrived)
     }
 }
 
 impl Shared {
+    /// Brings gauges up to date for a page that is asked for.
+    pub(crate) fn refresh_metrics(&self) {
+        let answered_ms = self.store_answered_ms.load(Ordering::Relaxed);
+        let answered = (answered_ms > 0).then(|| Duration::from_millis(answered_ms));
+        let age = answered.map(|at| boot_time().saturating_sub(at));
+        self.metrics
+            .asked(self.connections.load(Ordering::Relaxed), age);
+    }
+
     /// Takes in that the node knows enough to serve. It stays so while the store is away.
     pub(crate) fn note_knowing(&self) {
         self.readiness().is_knowing = true;
--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use nutmegsail_base::ResultCode;
 use nutmegsail_http_pool::{PooledBody, SendError};
 use thiserror::Error;
 use tokio::time::Sleep;
@@ -22,6 +23,16 @@
     TimedOut,
 }
 
+impl AnswerCut {
+    /// The numbered result.
+    pub(crate) fn code(self) -> ResultCode {
+        match self {
+            Self::Upstream => ResultCode::UpstreamFailed,
+            Self::TimedOut => ResultCode::DeadlinePassed,
+        }
+    }
+}
+
 /// A body of our own, or an upstream's as it arrives.
 pub(crate) enum AnswerBody {
     /// Words of our own; taken when they were sent.
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -80,11 +80,13 @@
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
             dispatcher.note_run(first.elapsed());
         }
+        self.gateway.shared.metrics.request_ended(None);
         self.settle(Outcome::Answered);
     }
 
     /// The answer's body ended early.
     pub(crate) fn note_cut(&mut self, cut: AnswerCut) {
+        self.gateway.shared.metrics.request_ended(Some(cut.code()));
         if cut == AnswerCut::Upstream {
             self.note_broken();
         }
@@ -109,6 +111,7 @@
     fn settle(&mut self, outcome: Outcome) {
         if !self.is_settled {
             self.is_settled = true;
+            self.gateway.shared.metrics.sent(outcome.name());
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
             dispatcher.note_outcome(&self.upstream, outcome, Instant::now());
         }
@@ -128,6 +131,9 @@
             uses.end(&self.upstream, model);
         }
         let first = self.first.map(|first| first.duration_since(self.sent));
+        if let Some(took) = first {
+            self.gateway.shared.metrics.first_event(self.waited, took);
+        }
         log_event!(
             self.gateway.log, Event::RequestEnded,
             "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use http::Response;
@@ -77,8 +78,6 @@
     pub(crate) log: Logger,
     /// When the node began to leave.
     pub(crate) leaving_since: Cell<Option<Instant>>,
-    /// Open connections of callers.
-    pub(crate) connections: Cell<usize>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     seen_view: Cell<u64>,
 }
@@ -151,12 +150,16 @@
             bounds: parts.bounds,
             log: parts.log,
             leaving_since: Cell::new(None),
-            connections: Cell::new(0),
             budgets: RefCell::default(),
             seen_view: Cell::new(0),
         }
     }
 
+    /// Open connections of callers.
+    pub(crate) fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
     /// The newest view, with the dispatcher brought up to it.
     pub(crate) fn view(&self) -> Arc<View> {
         let view = self.shared.view.load_full();
@@ -294,6 +297,7 @@
 
     /// Ends a request with a refusal, and says in the log what decided it.
     fn give_up(&self, call: &Call, refusal: &Refusal, sends: &Sends) -> Response<AnswerBody> {
+        self.shared.metrics.request_ended(Some(refusal.code));
         let tried: Vec<&str> = sends.tried.iter().map(|id| id.as_str()).collect();
         log_event!(
             self.log, Event::RequestRefused,
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -113,6 +114,7 @@
         let mut answer = match self.read(parts, body, meta, began).await {
             Ok(call) => self.carry(&call).await,
             Err(turned) => {
+                self.shared.metrics.request_ended(Some(turned.code));
                 let proof = Life::accept(id.clone()).not_run();
                 let refusal = Refusal::not_run(proof, turned.code, turned.detail);
                 let refusal = match turned.retry_after {
@@ -187,15 +189,14 @@
 
 impl OpenConnection {
     fn new(gateway: Rc<Gateway>) -> Self {
-        gateway.connections.set(gateway.connections.get() + 1);
+        gateway.shared.connections.fetch_add(1, Ordering::Relaxed);
         Self(gateway)
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        let open = self.0.connections.get();
-        self.0.connections.set(open.saturating_sub(1));
+        self.0.shared.connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -13,6 +13,17 @@
     Full,
 }
 
+impl Outcome {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Full => "full",
+        }
+    }
+}
+
 /// How much one outcome moves the failure rate. Three failures in a row bring a sound upstream
 /// over [`FAILURE_RATE_LIMIT`].
 const RATE_STEP: f64 = 0.25;
--- a/crates/node/src/counted_store.rs
+++ b/crates/telemetry/src/counted_store.rs
@@ -4,21 +4,35 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use nutmegsail_base::ResultCode;
 use nutmegsail_store::{
     Changes, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn,
 };
-use nutmegsail_telemetry::{Metrics, StoreCall};
+
+use crate::{Metrics, StoreCall};
+
+/// Takes in calls to the key-value service.
+pub trait CountStoreCalls: std::fmt::Debug + Send + Sync {
+    /// The service was called. `code` says why it failed, if it did.
+    fn store_called(&self, call: StoreCall, code: Option<ResultCode>);
+}
+
+impl CountStoreCalls for Metrics {
+    fn store_called(&self, call: StoreCall, code: Option<ResultCode>) {
+        Self::store_called(self, call, code);
+    }
+}
 
 /// A client of the key-value service that counts its calls by kind and result.
 #[derive(Debug)]
-pub(crate) struct CountedStore {
+pub struct CountedStore<M> {
     /// The client.
-    pub(crate) inner: Arc<dyn KeyValue>,
+    pub inner: Arc<dyn KeyValue>,
     /// Where calls are counted.
-    pub(crate) metrics: Metrics,
+    pub metrics: M,
 }
 
-impl CountedStore {
+impl<M: CountStoreCalls> CountedStore<M> {
     fn count<T>(
         &self,
         call: StoreCall,
@@ -31,7 +45,7 @@
 }
 
 #[async_trait]
-impl KeyValue for CountedStore {
+impl<M: CountStoreCalls> KeyValue for CountedStore<M> {
     async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
         self.count(StoreCall::Read, self.inner.get(key).await)
     }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,20 +5,24 @@
 //! Start at [`logger`] with [`log_event!`], and at [`Telemetry`].
 
 mod collector_client;
+mod counted_store;
 mod error;
 mod event;
 mod log_settings;
 mod logger;
 mod metrics;
+mod metrics_page;
 mod spans;
 mod telemetry;
 mod telemetry_settings;
 
+pub use counted_store::{CountStoreCalls, CountedStore};
 pub use error::TelemetryError;
 pub use event::{Event, Severity};
 pub use log_settings::{LogFormat, LogLevel, LogSettings};
 pub use logger::{discard_logger, logger};
 pub use metrics::{ClaimResult, Direction, Metrics, StoreCall};
+pub use metrics_page::MetricsPage;
 pub use spans::{Hop, HopSpan, Spans};
 pub use telemetry::Telemetry;
 pub use telemetry_settings::{Exporter, TelemetrySettings};
