Log the end of every request, and bound the lines of each kind

Cause: the end of a request, with its upstream and times, was logged at debug only, so an on-call engineer could not tell where a request that was answered late had been. At info its volume grows with the load.

The bound sits before the queue, so it never blocks.

--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -72,8 +72,9 @@
     1007 ListenerOpened Info "The node listens on an address.";
     1008 TaskFailed Error "A task of the node ended by a fault.";
     1009 DrainTimedOut Warning "The shutdown's time is over while requests are still running.";
+    1010 LinesLeftOut Warning "Log lines of one kind were left out, as there were too many in a second.";
     2001 RequestRefused Info "A request was refused and did not run.";
-    2002 RequestEnded Debug "A request ended.";
+    2002 RequestEnded Info "A request ended.";
     2003 AnswerCut Warning "An answer broke off before its end.";
     2004 AnswerResumed Info "A caller resumed an answer.";
     2005 RequestRetried Debug "A request was sent to another upstream.";
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 //! request: logs leave through a bounded queue, and exporters are off unless the settings name one.
 //! Start at [`logger`] with [`log_event!`], and at [`Telemetry`].
 
+mod bounded;
 mod collector_client;
 mod counted_store;
 mod error;
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -1,9 +1,12 @@
 //! The root logger.
 
+use std::sync::Mutex;
+
 use slog::{Drain, Logger, o};
 use slog_async::{Async, OverflowStrategy};
 
-use crate::{LogFormat, LogSettings};
+use crate::bounded::Bounded;
+use crate::{Event, LogFormat, LogSettings};
 
 /// Records that wait for the log's own thread before more are dropped.
 const QUEUE_RECORDS: usize = 4096;
@@ -55,5 +58,13 @@
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build()
         .ignore_res();
-    Logger::root(slog::LevelFilter::new(queued, level).ignore_res(), o!())
+    let bounded = Mutex::new(Bounded::new(queued, is_routine)).ignore_res();
+    Logger::root(slog::LevelFilter::new(bounded, level).ignore_res(), o!())
+}
+
+/// Whether a kind of line tells of successes, of which there are many.
+fn is_routine(kind: &str) -> bool {
+    [Event::RequestEnded, Event::LoadOrdered, Event::LoadFinished]
+        .iter()
+        .any(|event| event.name() == kind)
 }
