--- a/crates/nutmegsail/src/command_error.rs
+++ b/crates/nutmegsail/src/command_error.rs
@@ -21,6 +21,16 @@
         /// What the operating system says.
         why: String,
     },
+    /// No log has a line of the request.
+    #[error(
+        "no line of the request `{request}` is in these logs; {unreadable} lines could not be read"
+    )]
+    NotInLogs {
+        /// The request's id.
+        request: String,
+        /// Lines that were cut off or are no JSON.
+        unreadable: usize,
+    },
     /// The text has faults.
     #[error("{0}")]
     Text(Faults),
@@ -97,7 +107,9 @@
     /// ```
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Usage(_) | Self::File { .. } | Self::NoTextAccepted => ExitCode::Usage,
+            Self::Usage(_) | Self::File { .. } | Self::NoTextAccepted | Self::NotInLogs { .. } => {
+                ExitCode::Usage
+            }
             Self::Text(_) => ExitCode::TextFaults,
             Self::Fetch(_) => ExitCode::PlatformUnavailable,
             Self::Publish { error, .. } => publish_exit_code(error),
@@ -110,7 +122,7 @@
     /// The numbered result as `NS1234`, where there is one.
     pub fn code(&self) -> Option<String> {
         match self {
-            Self::Usage(_) | Self::File { .. } => None,
+            Self::Usage(_) | Self::File { .. } | Self::NotInLogs { .. } => None,
             Self::Text(faults) => Some(faults.code().to_string()),
             Self::Fetch(error) => Some(error.code().to_string()),
             Self::NoTextAccepted => Some(ResultCode::NoTextInForce.to_string()),
--- a/crates/nutmegsail/src/flags.rs
+++ b/crates/nutmegsail/src/flags.rs
@@ -64,6 +64,14 @@
             optional --class class: String
         }
 
+        /// Tell one request's story from nodes' logs.
+        cmd trace {
+            /// The request's id.
+            required request: String
+            /// Logs of any number of nodes; standard input if none is named.
+            repeated logs: PathBuf
+        }
+
         /// Let a node finish what is in progress and leave.
         cmd drain {
             /// The node's operators' listener, as HOST:PORT.
@@ -120,6 +128,7 @@
     Apply(Apply),
     Status(Status),
     Explain(Explain),
+    Trace(Trace),
     Drain(Drain),
     Demo(Demo),
     Measure(Measure),
@@ -162,6 +171,12 @@
     pub class: Option<String>,
 }
 
+#[derive(Debug)]
+pub struct Trace {
+    pub request: String,
+    pub logs: Vec<PathBuf>,
+}
+
 #[derive(Debug)]
 pub struct Drain {
     pub node: String,
--- a/crates/nutmegsail/src/lib.rs
+++ b/crates/nutmegsail/src/lib.rs
@@ -24,6 +24,7 @@
 mod run;
 mod status;
 mod text_file;
+mod trace;
 
 pub use apply::{ApplyRequest, apply};
 pub use apply_report::ApplyReport;
@@ -46,3 +47,4 @@
 pub use run::run;
 pub use status::status;
 pub use text_file::TextFile;
+pub use trace::{TraceLine, TraceReport, trace};
--- a/crates/nutmegsail/src/run.rs
+++ b/crates/nutmegsail/src/run.rs
@@ -13,6 +13,7 @@
 use crate::{
     ApplyRequest, CommandError, DemoRequest, ExitCode, ExplainQuery, MeasureRequest, Output, apply,
     check, demo, diff_accepted, diff_files, drain, explain_at_node, explain_text, measure, status,
+    trace,
 };
 
 /// Runs the command line `args`, without the program's name.
@@ -59,6 +60,7 @@
         NutmegsailCmd::Diff(flags) => diff(flags, output).await,
         NutmegsailCmd::Apply(flags) => apply(&apply_request(flags), output).await,
         NutmegsailCmd::Status(flags) => status(&flags.node, output).await,
+        NutmegsailCmd::Trace(flags) => print(trace(&flags.request, &flags.logs), output),
         NutmegsailCmd::Explain(flags) => explain(flags, output).await,
         NutmegsailCmd::Drain(flags) => print(drain(flags.node).await, output),
         NutmegsailCmd::Demo(flags) => demo(&demo_request(flags), output).await,
