Go on with a broken stream at another upstream within one answer

Cause: where a route lets streams be resumed, an answer whose engine crashed or reset ended early, and the caller lost what it had or asked anew.

Change: for such routes only, a node passes on whole events and remembers the last id. When the upstream breaks off, or says nothing for 2 s, it closes that connection and sends the request to another one with Last-Event-ID, within the route's attempts and the retry budget; head and seal stay those of the first. Events that come twice end the answer visibly.

--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -11,6 +11,7 @@
 use tokio::time::Sleep;
 
 use super::flight::Flight;
+use super::resumable_body::ResumableBody;
 
 /// Why an answer ends early. The caller's connection is closed, so that it does not look whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -39,6 +40,8 @@
     Own(Option<Bytes>),
     /// The bytes of an upstream.
     Passed(Box<PassedBody>),
+    /// A stream that another upstream may go on with.
+    Resumable(Box<ResumableBody>),
 }
 
 /// An upstream's body with the request's place in the books.
@@ -86,6 +89,7 @@
         match &mut *self {
             Self::Own(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Passed(passed) => passed.poll(cx),
+            Self::Resumable(resumable) => resumable.poll(cx),
         }
     }
 
@@ -93,6 +97,7 @@
         match self {
             Self::Own(bytes) => bytes.is_none(),
             Self::Passed(passed) => passed.body.is_end_stream(),
+            Self::Resumable(resumable) => resumable.is_ended(),
         }
     }
 
@@ -100,6 +105,7 @@
         match self {
             Self::Own(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Passed(passed) => passed.body.size_hint(),
+            Self::Resumable(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -5,13 +5,16 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, Request, Uri, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use nutmegsail_base::{RequestId, ServiceName};
 use nutmegsail_relay::{Route, VersionRule};
 
 use crate::{CallMeta, Dialect, SendMeta};
 
+/// After which event a stream goes on, by the standard of server-sent events.
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
 /// Headers that concern one connection only, beside those that `Connection` names.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -63,10 +66,13 @@
     }
 
     /// The request as an upstream gets it: method, path, query and body unchanged.
+    ///
+    /// With `last_event` the upstream goes on with a stream after that event.
     pub(crate) fn to_upstream(
         &self,
         dialect: &dyn Dialect,
         send: &SendMeta<'_>,
+        last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.parts.method.clone();
@@ -75,6 +81,9 @@
         strip_hop_by_hop(&mut headers);
         // The body goes out with a length of its own, whichever way it came in.
         headers.remove(header::CONTENT_LENGTH);
+        if let Some(id) = last_event {
+            headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
+        }
         dialect.write_send(&mut headers, send);
         *request.headers_mut() = headers;
         request
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use http::Response;
+use http::{Response, StatusCode};
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
@@ -22,6 +22,7 @@
 use super::answer_body::AnswerBody;
 use super::call::Call;
 use super::refuse;
+use super::resume::Resumption;
 use super::send::Sent;
 use crate::shared::{CopyNews, Loaded, Shared, View, Want, Wanted};
 use crate::{BoundSettings, Dialect, Verdict};
@@ -123,14 +124,14 @@
 }
 
 /// How the sends of one request went.
-#[derive(Default)]
-struct Sends {
+#[derive(Clone, Default)]
+pub(crate) struct Sends {
     /// Upstreams that it need not be sent to again.
-    tried: Vec<UpstreamId>,
+    pub(crate) tried: Vec<UpstreamId>,
     /// Sends that arrived.
-    arrived: usize,
+    pub(crate) arrived: usize,
     /// Sends that may have run it.
-    may_have_run: u32,
+    pub(crate) may_have_run: u32,
     /// Whether an engine that was taken to hold the adapter did not.
     was_misdirected: bool,
 }
@@ -221,7 +222,7 @@
     }
 
     /// Finds an answer to `call`.
-    pub(crate) async fn carry(self: &Rc<Self>, call: &Call) -> Response<AnswerBody> {
+    pub(crate) async fn carry(self: &Rc<Self>, call: &Rc<Call>) -> Response<AnswerBody> {
         let mut life = Life::NotRun(Request::accept(call.id.clone()).queue());
         let mut sends = Sends::default();
         loop {
@@ -234,11 +235,15 @@
             };
             let dispatched = life.dispatch(&choice.upstream.id);
             let has_other = self.may_repeat(call, &sends, &choice);
-            let run_state = match self.send(call, &choice, has_other).await {
-                Sent::Answer(answer) => return answer,
-                Sent::Failed(answer) => {
+            let run_state = match self.send(call, &choice, has_other, None).await {
+                Sent::Answer(taken) => {
+                    let resumption = (taken.answer.status() == StatusCode::OK)
+                        .then(|| Resumption::of(self, call, &sends, &choice.upstream.id));
+                    return self.pass_on(call, taken, resumption.flatten());
+                }
+                Sent::Failed(taken) => {
                     if !self.may_repeat(call, &sends, &choice) {
-                        return answer;
+                        return self.pass_on(call, taken, None);
                     }
                     sends.arrived += 1;
                     sends.may_have_run += 1;
@@ -313,7 +318,7 @@
     }
 
     /// The next upstream for `call`, or the code to give it up with and when to return.
-    async fn next_choice(
+    pub(crate) async fn next_choice(
         &self,
         call: &Call,
         sends: &Sends,
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -112,7 +112,7 @@
         let meta = self.dialect.read_call(&parts.headers);
         let id = request_id(meta.as_ref().ok());
         let mut answer = match self.read(parts, body, meta, began).await {
-            Ok(call) => self.carry(&call).await,
+            Ok(call) => self.carry(&Rc::new(call)).await,
             Err(turned) => {
                 self.shared.metrics.request_ended(Some(turned.code));
                 let proof = Life::accept(id.clone()).not_run();
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -6,6 +6,8 @@
 mod gateway;
 mod listener;
 mod refuse;
+mod resumable_body;
+mod resume;
 mod send;
 
 use std::time::Duration;
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -13,14 +13,22 @@
 use super::call::{Call, strip_hop_by_hop};
 use super::flight::Flight;
 use super::gateway::Gateway;
+use super::resumable_body::ResumableBody;
+use super::resume::Resumption;
 use crate::{AnswerMeta, SendMeta, Verdict};
 
+/// An upstream's answer, with the request's place in the books.
+pub(crate) struct Taken {
+    pub(crate) answer: Response<PooledBody>,
+    pub(crate) flight: Flight,
+}
+
 /// What became of a send.
 pub(crate) enum Sent {
     /// The upstream's answer, to be passed on.
-    Answer(Response<AnswerBody>),
+    Answer(Taken),
     /// The upstream's answer, a failure of its own; passed on if the request cannot be sent again.
-    Failed(Response<AnswerBody>),
+    Failed(Taken),
     /// No connection could be made; nothing arrived.
     NotArrived,
     /// It arrived, and the upstream said that it did not run it.
@@ -41,12 +49,13 @@
 const IDEMPOTENT_PATIENCE: u32 = 3;
 
 impl Gateway {
-    /// Sends the request once.
+    /// Sends the request once; with `last_event` to go on with a stream after it.
     pub(crate) async fn send(
         self: &Rc<Self>,
         call: &Call,
         choice: &Choice,
         has_other: bool,
+        last_event: Option<u64>,
     ) -> Sent {
         let now = Instant::now();
         let upstream = &choice.upstream;
@@ -59,7 +68,7 @@
                 .filter(|version| *version != HeldAdapter::UNSTATED_VERSION),
             priority: call.meta.model.is_some().then_some(call.route.priority),
         };
-        let request = call.to_upstream(&*self.dialect, &send);
+        let request = call.to_upstream(&*self.dialect, &send, last_event);
         let mut flight = Flight::begin(
             self,
             &upstream.id,
@@ -137,9 +146,9 @@
         }
         if status.is_server_error() {
             flight.note_broken();
-            return Sent::Failed(self.pass_on(call, flight, answer));
+            return Sent::Failed(Taken { answer, flight });
         }
-        Sent::Answer(self.pass_on(call, flight, answer))
+        Sent::Answer(Taken { answer, flight })
     }
 
     fn log_refused(&self, call: &Call, choice: &Choice, verdict: Verdict) {
@@ -172,20 +181,25 @@
         }
     }
 
-    fn pass_on(
+    /// Passes an answer on as it arrives; with `resumption` another upstream may go on with it.
+    pub(crate) fn pass_on(
         &self,
         call: &Call,
-        flight: Flight,
-        answer: Response<PooledBody>,
+        taken: Taken,
+        resumption: Option<Resumption>,
     ) -> Response<AnswerBody> {
         let cutoff = Box::pin(sleep_until(call.due.into()));
-        let mut answer = answer.map(|body| {
-            let passed = PassedBody {
+        let flight = taken.flight;
+        let mut answer = taken.answer.map(|body| match resumption {
+            Some(resumption) => {
+                let resumable = ResumableBody::new(body, flight, resumption, cutoff);
+                AnswerBody::Resumable(Box::new(resumable))
+            }
+            None => AnswerBody::Passed(Box::new(PassedBody {
                 body,
                 flight,
                 cutoff,
-            };
-            AnswerBody::Passed(Box::new(passed))
+            })),
         });
         strip_hop_by_hop(answer.headers_mut());
         answer
