Let one piece of code name held adapters, count sends and bound connecting

Cause, from reading the whole change once more: a held model's adapters were named in two places (the eviction plan and the owners' demand), a resumed stream counted its sends and asked for its attempts in two places each, and the timeout of connecting stood twice. Knowledge::told_by_owner kept an entry for each engine that ever was.

Change: HeldModel::adapter_refs, Sends::note_run and Resumption::is_allowed serve both places, CONNECT_TIMEOUT stands once, and entries of engines that left the list go. Behaviour stays; no test or bound was touched.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -169,4 +169,6 @@
     let upstreams = knowledge.upstreams.borrow();
     let mut owned = knowledge.owned.borrow_mut();
     owned.retain(|engine, _| upstreams.contains_key(engine));
+    let mut told = knowledge.told_by_owner.borrow_mut();
+    told.retain(|engine, _| upstreams.contains_key(engine));
 }
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -21,7 +21,7 @@
 use super::engine::{Coming, OwnedEngine};
 use crate::clock::boot_time;
 use crate::shared::{Shared, View};
-use crate::{Dialect, RelaySettings};
+use crate::{CONNECT_TIMEOUT, Dialect, RelaySettings};
 
 /// How long another owner's count of loads is used: it tells ten times in it, and a load takes a
 /// quarter of it.
@@ -46,9 +46,6 @@
 /// How long after a failed confirmation engines get no loads.
 const LOST_STORE_SPAN: Duration = Duration::from_millis(800);
 
-/// How long opening a connection to an engine or a node may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// An engine's owner as the store shows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Owner {
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -14,6 +14,10 @@
 mod shared;
 mod traffic;
 
+/// How long opening a connection may take. A crossing takes some 1 ms; an upstream or a node behind
+/// a partition never answers, and meanwhile another one could.
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
+
 pub use dialect::{
     AnswerMeta, BadHeader, CallMeta, DecodeError, Dialect, EngineCall, EngineState, NamedVersion,
     Order, OrderAnswer, OrderStep, SendMeta, Verdict,
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -25,11 +25,7 @@
 use super::resume::Resumption;
 use super::send::Sent;
 use crate::shared::{CopyNews, Loaded, Shared, View, Want, Wanted};
-use crate::{BoundSettings, Dialect, Verdict};
-
-/// How long opening a connection may take. A crossing takes some 1 ms; an upstream behind a
-/// partition never answers, and meanwhile another one could.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+use crate::{BoundSettings, CONNECT_TIMEOUT, Dialect, Verdict};
 
 /// How long a connection is kept whose other end did not say how long it keeps it.
 const UNSTATED_IDLE: Duration = Duration::from_millis(800);
@@ -136,6 +132,15 @@
     was_misdirected: bool,
 }
 
+impl Sends {
+    /// Counts a send to `upstream` that may have run the request.
+    pub(crate) fn note_run(&mut self, upstream: &UpstreamId) {
+        self.arrived += 1;
+        self.may_have_run += 1;
+        self.tried.push(upstream.clone());
+    }
+}
+
 impl Gateway {
     pub(crate) fn new(parts: GatewayParts) -> Self {
         let pool = Pool::new(PoolSettings {
--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -44,14 +44,13 @@
     ) -> Option<Self> {
         let is_resumable = call.route.kind.is_stream() && call.route.kind.may_repeat();
         let mut sends = sends.clone();
-        sends.arrived += 1;
-        sends.may_have_run += 1;
-        sends.tried.push(upstream.clone());
-        (is_resumable && sends.may_have_run < call.route.max_attempts).then(|| Self {
+        sends.note_run(upstream);
+        let resumption = Self {
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
             sends,
-        })
+        };
+        (is_resumable && resumption.is_allowed()).then_some(resumption)
     }
 
     /// Sends the request to another upstream, to go on after the event `last_id`.
@@ -72,9 +71,7 @@
                         "request" => self.call.id.to_string(),
                         "upstream" => choice.upstream.id.to_string(), "after" => last_id
                     );
-                    self.sends.may_have_run += 1;
-                    self.sends.arrived += 1;
-                    self.sends.tried.push(choice.upstream.id.clone());
+                    self.sends.note_run(&choice.upstream.id);
                     return Some(Resumed {
                         body: taken.answer.into_body(),
                         flight: taken.flight,
--- a/crates/relay/src/engine_demand.rs
+++ b/crates/relay/src/engine_demand.rs
@@ -98,7 +98,11 @@
     ) -> Vec<WantedCopies> {
         self.ordered
             .retain(|_, at| now.duration_since(*at) < COPY_INTERVAL);
-        let adapters = engine.holdings.models.iter().flat_map(adapters_of);
+        let adapters = engine
+            .holdings
+            .models
+            .iter()
+            .flat_map(HeldModel::adapter_refs);
         let mut wanted = Vec::new();
         for model in adapters {
             if self.ordered.contains_key(&model) {
@@ -141,10 +145,3 @@
         })
     }
 }
-
-fn adapters_of(held: &HeldModel) -> impl Iterator<Item = ModelRef> {
-    held.adapters.iter().map(|adapter| ModelRef {
-        model: held.name.clone(),
-        adapter: Some(adapter.name.clone()),
-    })
-}
--- a/crates/relay/src/holdings.rs
+++ b/crates/relay/src/holdings.rs
@@ -32,6 +32,16 @@
     pub adapters: Vec<HeldAdapter>,
 }
 
+impl HeldModel {
+    /// Its adapters, as requests name them.
+    pub fn adapter_refs(&self) -> impl Iterator<Item = ModelRef> {
+        self.adapters.iter().map(|held| ModelRef {
+            model: Arc::clone(&self.name),
+            adapter: Some(held.name.clone()),
+        })
+    }
+}
+
 /// What an engine holds.
 ///
 /// ```
--- a/crates/relay/src/load_plan.rs
+++ b/crates/relay/src/load_plan.rs
@@ -1,12 +1,10 @@
 //! Which orders bring an adapter into an engine.
 
-use std::sync::Arc;
 use std::time::Instant;
 
-use nutmegsail_base::AdapterName;
 use serde::{Deserialize, Serialize};
 
-use crate::{Demand, Holdings, ModelRef};
+use crate::{Demand, HeldModel, Holdings, ModelRef};
 
 /// The room of an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -112,17 +110,10 @@
 }
 
 fn least_wanted(engine: &EngineContents<'_>, now: Instant) -> Option<ModelRef> {
-    let named = |model: &Arc<str>, adapter: &AdapterName| ModelRef {
-        model: Arc::clone(model),
-        adapter: Some(adapter.clone()),
-    };
     let score = |adapter: &ModelRef| engine.demand.score(adapter, now);
     let models = engine.holdings.models.iter();
     models
-        .flat_map(|model| {
-            let adapters = model.adapters.iter();
-            adapters.map(move |adapter| named(&model.name, &adapter.name))
-        })
+        .flat_map(HeldModel::adapter_refs)
         .filter(|adapter| !(engine.is_in_use)(adapter))
         .min_by(|a, b| score(a).total_cmp(&score(b)))
 }
