--- a/crates/relay-node/src/control/base_models.rs
+++ b/crates/relay-node/src/control/base_models.rs
@@ -1,60 +1,317 @@
-//! Has base models loaded by engines that hold none.
+//! Has engines of ours hold the base models that are asked for.
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use nutmegsail_relay::{ModelRef, Upstream};
+use nutmegsail_relay::{
+    CopySource, EngineSpec, HostedModel, ModelChange, ModelHost, ModelPlan, ModelRef, Service,
+    Upstream,
+};
+use nutmegsail_telemetry::{Event, log_event};
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::engine::{LoadKind, OwnedEngine};
 use super::follow_loads::follow_loads;
 use super::knowledge::Knowledge;
 use crate::{OrderAnswer, OrderStep};
 
-/// Has base models loaded by engines of ours that hold none.
-pub(crate) async fn load_models(knowledge: &Rc<Knowledge>) {
+/// How often it is planned anew: as often as owners tell what engines hold.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time between two reports while a base model waits to leave; each is charged for.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(80);
+
+/// How long a base model may take to leave: the longest answers that run there.
+const LEAVING_LIMIT: Duration = Duration::from_secs(15);
+
+/// How long adapters on their way may hold up a change: two loads in turn.
+const COMING_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// The part of the weight store's rate that is used, as loads of two owners may begin before either
+/// hears of the other's.
+const STORE_SHARE: f64 = 0.7;
+
+/// Reads the reports of engines of ours of which too little is known.
+pub(crate) async fn read_doubtful(knowledge: &Knowledge) {
     let owned: Vec<Rc<OwnedEngine>> = knowledge.owned.borrow().values().cloned().collect();
     for engine in owned {
-        let Some(upstream) = knowledge.upstream(&engine.id) else {
-            continue;
-        };
         // An engine whose count of orders is in doubt, or that waits for an adapter to go, is offered
         // no loads, and only loads would read its report otherwise.
         if engine.order_seq().is_none() || engine.leaving_count() > 0 {
             knowledge.read_report(&engine).await;
         }
-        if upstream.takes_work() && engine.change() > 0 && engine.holdings().models.is_empty() {
-            load_model(knowledge, &engine, &upstream).await;
-            follow_loads(Rc::clone(knowledge), Rc::clone(&engine));
+    }
+}
+
+/// Plans and changes what engines of ours hold, for ever.
+pub(crate) async fn run(knowledge: Rc<Knowledge>) {
+    let mut ticks = interval(PLAN_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(table) = knowledge.table.borrow().clone() else {
+            continue;
+        };
+        for service in table.services() {
+            if let Some(spec) = &service.engine {
+                plan(&knowledge, service, spec);
+            }
         }
     }
 }
 
-async fn load_model(knowledge: &Knowledge, engine: &OwnedEngine, upstream: &Upstream) {
-    let Some(room) = knowledge.engine_room(&upstream.service) else {
-        return;
-    };
-    let Some(model) = room.models.first() else {
-        return;
-    };
-    let _orders = engine.orders.lock().await;
-    // The list of upstreams lags; the engine itself knows whether it is empty.
-    let Some(report) = knowledge.read_report(engine).await else {
+fn plan(knowledge: &Rc<Knowledge>, service: &Service, spec: &EngineSpec) {
+    let upstreams = knowledge.upstreams.borrow();
+    let engines: Vec<&Arc<Upstream>> = upstreams
+        .values()
+        .filter(|upstream| upstream.service == service.name && upstream.takes_work())
+        .collect();
+    if !needs_plan(knowledge, spec, &engines) {
         return;
+    }
+    let hosts = engines.iter().map(|engine| host(knowledge, spec, engine));
+    let (now, demand) = (Instant::now(), knowledge.model_demand.borrow());
+    let work = |model: &str| demand.work(base(model).digest(), now);
+    let plan = ModelPlan::new(spec, hosts.collect(), work);
+    let changes = plan.changes(store_loads(spec));
+    for change in changes {
+        if let Some(engine) = knowledge.owned(&change.engine)
+            && engine.begin_change(change.clone())
+        {
+            spawn_local(carry_out(
+                Rc::clone(knowledge),
+                engine,
+                change,
+                spec.clone(),
+            ));
+        }
+    }
+}
+
+/// Where a service has one model, only an engine without it needs a plan.
+fn needs_plan(knowledge: &Knowledge, spec: &EngineSpec, engines: &[&Arc<Upstream>]) -> bool {
+    let mut own = engines
+        .iter()
+        .filter_map(|engine| knowledge.owned(&engine.id));
+    own.any(|own| spec.models.len() > 1 || (own.change() > 0 && own.holdings().models.is_empty()))
+}
+
+fn host<'a>(knowledge: &Knowledge, spec: &EngineSpec, engine: &'a Upstream) -> ModelHost<'a> {
+    let host = ModelHost {
+        id: &engine.id,
+        failure_domain: &engine.failure_domain,
+        models: Vec::new(),
+        can_change: false,
+        is_changing: false,
+        uses_store: false,
+        busy_share: 0.0,
+        at_hand: &engine.at_hand,
     };
-    if report.is_busy || !report.holdings.models.is_empty() || engine.coming_count() > 0 {
-        return;
+    let busy_share = |in_flight: u32| f64::from(in_flight) / f64::from(engine.slots.max(1));
+    if let Some(owned) = knowledge.owned(&engine.id) {
+        let is_known = owned.change() > 0;
+        let mine = knowledge.shared.uses.peek(&engine.id).0;
+        let others = owned.load_of_others(&knowledge.settings.node).0;
+        return ModelHost {
+            models: owned.hosted_models(),
+            can_change: is_known && knowledge.takes_loads(&owned),
+            is_changing: owned.is_changing_model(),
+            uses_store: owned.uses_store(store_use(spec)),
+            busy_share: busy_share(mine + others),
+            ..host
+        };
     }
-    let Some(fence) = knowledge.permit(engine).await else {
-        return;
+    let Some(told) = knowledge.hosted(&engine.id) else {
+        // Its owner is silent or unknown: what it holds counts, and nothing is asked of it.
+        let models = engine.holdings.models.iter().map(|held| HostedModel {
+            name: Arc::clone(&held.name),
+            adapters: held.adapters.len(),
+        });
+        return ModelHost {
+            models: models.collect(),
+            ..host
+        };
     };
-    let wanted = ModelRef {
-        model: Arc::clone(&model.name),
+    let models = spec.models.iter().filter_map(|model| {
+        let digest = base(&model.name).digest();
+        let mut told = told.models.iter();
+        let (_, adapters) = told.find(|(told, _)| *told == digest)?;
+        Some(HostedModel {
+            name: Arc::clone(&model.name),
+            adapters: usize::from(*adapters),
+        })
+    });
+    ModelHost {
+        models: models.collect(),
+        can_change: told.can_change,
+        is_changing: told.is_changing,
+        uses_store: told.uses_store,
+        busy_share: busy_share(told.in_flight),
+        ..host
+    }
+}
+
+fn base(model: &str) -> ModelRef {
+    ModelRef {
+        model: model.into(),
         adapter: None,
-    };
+    }
+}
+
+/// Loads from the weight store that may be under way at once, so that no more begin than it allows.
+fn store_loads(spec: &EngineSpec) -> usize {
+    let longest = spec.models.iter().map(|model| model.load).max();
+    let at_once = spec.loads_per_s.map_or(1.0, |per_s| {
+        per_s * longest.unwrap_or_default().as_secs_f64() * STORE_SHARE
+    });
+    (at_once as usize).max(1)
+}
+
+/// For how long a load counts as one from the weight store: until it is done, and so long that with
+/// [`store_loads`] at once the rate is kept.
+pub(crate) fn store_use(spec: &EngineSpec) -> Duration {
+    let longest = spec.models.iter().map(|model| model.load).max();
+    let longest = longest.unwrap_or_default();
+    let by_rate = spec
+        .loads_per_s
+        .map(|per_s| store_loads(spec) as f64 / (per_s * STORE_SHARE).max(0.01));
+    longest.max(Duration::from_secs_f64(by_rate.unwrap_or(0.0)))
+}
+
+async fn carry_out(
+    knowledge: Rc<Knowledge>,
+    engine: Rc<OwnedEngine>,
+    change: ModelChange,
+    spec: EngineSpec,
+) {
+    log_event!(
+        knowledge.log, Event::ModelChangeBegun,
+        "upstream" => engine.id.to_string(), "load" => change.load.to_string(),
+        "unload" => change.unload.join(",")
+    );
+    let outcome = try_carry_out(&knowledge, &engine, &change, &spec).await;
+    if let Err(why) = outcome {
+        log_event!(
+            knowledge.log, Event::ModelChangeFailed,
+            "upstream" => engine.id.to_string(), "load" => change.load.to_string(),
+            "why" => why
+        );
+    }
+    engine.end_change();
+    follow_loads(knowledge, engine);
+}
+
+/// Drops what makes way, waits until it has left, and orders the load.
+///
+/// An order without an answer may be carried out later. Nothing more is ordered then until a report
+/// tells, and the next plan goes by that.
+async fn try_carry_out(
+    knowledge: &Knowledge,
+    engine: &OwnedEngine,
+    change: &ModelChange,
+    spec: &EngineSpec,
+) -> Result<(), &'static str> {
+    let _orders = engine.orders.lock().await;
+    wait_for_adapters(engine).await?;
+    let upstream = knowledge.upstream(&engine.id);
+    let upstream = upstream.ok_or("the engine is gone")?;
+    let report = knowledge.read_report(engine).await;
+    let report = report.ok_or("its report could not be read")?;
+    if report.is_busy || engine.leaving_count() > 0 {
+        return Err("it carries out another order");
+    }
+    let held = |name: &Arc<str>| report.holdings.models.iter().any(|held| held.name == *name);
+    if held(&change.load) || !fits(spec, &report.holdings, change) {
+        return Err("it holds something else than was known");
+    }
+    for name in change.unload.iter().filter(|name| held(name)) {
+        unload(knowledge, engine, &upstream, &base(name)).await?;
+    }
+    let fence = knowledge.permit(engine).await;
+    let fence = fence.ok_or("orders are not permitted now")?;
+    let wanted = base(&change.load);
     let step = OrderStep::Load(wanted.clone(), None);
+    let answer = knowledge.order(engine, &upstream, step, fence).await;
+    match answer {
+        Some(OrderAnswer::Accepted) => {
+            let is_from_store = upstream.at_hand.source_of(&change.load) == CopySource::Store;
+            if is_from_store {
+                engine.note_store_use();
+            }
+            engine.load_ordered(wanted, None, LoadKind::of(!is_from_store), 1.0);
+            Ok(())
+        }
+        Some(OrderAnswer::Done) => {
+            engine.doubt();
+            Ok(())
+        }
+        Some(OrderAnswer::Conflict) => {
+            engine.block();
+            Err("it carries out another order")
+        }
+        Some(OrderAnswer::Fenced | OrderAnswer::Refused) => Err("it refused the load"),
+        None => Err("the order had no answer"),
+    }
+}
+
+/// Waits until no adapter is on its way: one that arrives would find its base model gone.
+async fn wait_for_adapters(engine: &OwnedEngine) -> Result<(), &'static str> {
+    let since = Instant::now();
+    while engine.coming_count() > 0 {
+        if since.elapsed() > COMING_LIMIT {
+            return Err("adapters are on their way");
+        }
+        sleep(LEAVING_INTERVAL).await;
+    }
+    Ok(())
+}
+
+/// Whether the new model fits beside what stays. An engine that is ordered to hold more crashes.
+fn fits(spec: &EngineSpec, held: &nutmegsail_relay::Holdings, change: &ModelChange) -> bool {
+    let stays = held
+        .models
+        .iter()
+        .filter(|held| !change.unload.contains(&held.name));
+    let weight_mb = |name: &str| {
+        spec.model(name)
+            .map_or(spec.weights_mb, |spec| spec.weights_mb)
+    };
+    let adapter_mb = |name: &str| spec.model(name).map_or(0.0, |spec| spec.adapter_mb);
+    let stay_mb: f64 = stays
+        .map(|held| weight_mb(&held.name) + adapter_mb(&held.name) * held.adapters.len() as f64)
+        .sum();
+    stay_mb + weight_mb(&change.load) <= spec.weights_mb
+}
+
+async fn unload(
+    knowledge: &Knowledge,
+    engine: &OwnedEngine,
+    upstream: &Upstream,
+    model: &ModelRef,
+) -> Result<(), &'static str> {
+    let fence = knowledge.permit(engine).await;
+    let fence = fence.ok_or("orders are not permitted now")?;
+    let step = OrderStep::Unload(model.clone());
     let answer = knowledge.order(engine, upstream, step, fence).await;
-    if answer == Some(OrderAnswer::Accepted) {
-        let under_way = knowledge.loads_under_way() + 1.0;
-        engine.load_ordered(wanted, None, LoadKind::FromStore, under_way);
+    match answer {
+        Some(OrderAnswer::Accepted) => engine.unloaded(model, false),
+        Some(OrderAnswer::Done) => engine.unloaded(model, true),
+        Some(OrderAnswer::Conflict) => {
+            engine.block();
+            return Err("it carries out another order");
+        }
+        Some(OrderAnswer::Fenced | OrderAnswer::Refused) => return Err("it refused the unload"),
+        None => return Err("the order had no answer"),
+    }
+    let since = Instant::now();
+    while engine.leaving_count() > 0 {
+        if since.elapsed() > LEAVING_LIMIT {
+            return Err("what makes way is still in use");
+        }
+        sleep(LEAVING_INTERVAL).await;
+        knowledge.read_report(engine).await;
     }
+    Ok(())
 }
--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -171,4 +171,5 @@
     owned.retain(|engine, _| upstreams.contains_key(engine));
     let mut told = knowledge.told_by_owner.borrow_mut();
     told.retain(|engine, _| upstreams.contains_key(engine));
+    knowledge.forget_hosted(|engine| upstreams.contains_key(engine));
 }
--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{AdapterMove, EngineDemand, Holdings, ModelDigest, ModelRef, Ownership};
+use nutmegsail_relay::{
+    AdapterMove, EngineDemand, Holdings, HostedModel, ModelChange, ModelDigest, ModelRef, Ownership,
+};
 use tokio::sync::{Mutex, Notify};
 
 use super::exchange::EngineUseTold;
@@ -64,6 +66,10 @@
     pub(crate) changed: Notify,
     /// Whether a task follows the loads under way.
     pub(crate) is_followed: Cell<bool>,
+    /// The change of its base models under way.
+    change: RefCell<Option<ModelChange>>,
+    /// When a base model was last ordered from the weight store.
+    store_used: Cell<Option<Instant>>,
     /// Loads that wait for their order.
     waiting: RefCell<Vec<ModelRef>>,
     state: RefCell<State>,
@@ -85,9 +91,9 @@
 }
 
 impl Coming {
-    /// Whether the weight store has a part in it still.
-    fn is_transfer(&self) -> bool {
-        self.load == LoadKind::FromStore
+    /// Whether it is an adapter that comes from the weight store. Base models have a rate of their own.
+    pub(crate) fn is_transfer(&self) -> bool {
+        self.load == LoadKind::FromStore && self.model.adapter.is_some()
     }
 }
 
@@ -179,6 +185,8 @@
             orders: Mutex::new(()),
             changed: Notify::new(),
             is_followed: Cell::new(false),
+            change: RefCell::default(),
+            store_used: Cell::new(None),
             waiting: RefCell::default(),
             state: RefCell::default(),
         }
@@ -261,7 +269,13 @@
         let state = self.state.borrow();
         let lately = state.moved.iter();
         let lately = lately.filter(|(_, at)| at.elapsed() < MOVE_TOLD);
-        lately.map(|(moved, _)| *moved).collect()
+        let lately = lately.map(|(moved, _)| *moved);
+        // The list of upstreams shows what leaves until it has gone.
+        let leaving = state.leaving.iter().map(|model| AdapterMove {
+            model: model.digest(),
+            is_held: false,
+        });
+        lately.chain(leaving).collect()
     }
 
     /// When the oldest load under way was accepted.
@@ -295,6 +309,77 @@
         state.coming.iter().any(is_it)
     }
 
+    /// Begins a change of its base models, unless one is under way.
+    pub(crate) fn begin_change(&self, change: ModelChange) -> bool {
+        let mut under_way = self.change.borrow_mut();
+        let is_first = under_way.is_none();
+        under_way.get_or_insert(change);
+        is_first
+    }
+
+    /// Ends a change of its base models.
+    pub(crate) fn end_change(&self) {
+        self.change.take();
+    }
+
+    /// Whether a base model is to come or to leave. It takes no other orders meanwhile.
+    pub(crate) fn is_changing_model(&self) -> bool {
+        let state = self.state.borrow();
+        let is_base = |model: &ModelRef| model.adapter.is_none();
+        self.change.borrow().is_some()
+            || state.leaving.iter().any(is_base)
+            || state.coming.iter().any(|coming| is_base(&coming.model))
+    }
+
+    /// Notes that a base model was ordered from the weight store.
+    pub(crate) fn note_store_use(&self) {
+        self.store_used.set(Some(Instant::now()));
+    }
+
+    /// Whether a base model was ordered from the weight store less than `span` ago.
+    pub(crate) fn uses_store(&self, span: Duration) -> bool {
+        let used = self.store_used.get();
+        used.is_some_and(|used| used.elapsed() < span)
+    }
+
+    /// The base models that it holds or that are to come, without those that leave.
+    ///
+    /// A change counts as done from its first moment: while what makes way leaves, all owners would
+    /// have further engines make the same change.
+    pub(crate) fn hosted_models(&self) -> Vec<HostedModel> {
+        let mut hosted = self.held_models();
+        if let Some(change) = &*self.change.borrow() {
+            hosted.retain(|model| !change.unload.contains(&model.name));
+            if hosted.iter().all(|model| model.name != change.load) {
+                hosted.push(HostedModel {
+                    name: change.load.clone(),
+                    adapters: 0,
+                });
+            }
+        }
+        hosted
+    }
+
+    fn held_models(&self) -> Vec<HostedModel> {
+        let state = self.state.borrow();
+        let coming = state.coming.iter();
+        let held = state.holdings.models.iter().map(|held| HostedModel {
+            name: held.name.clone(),
+            adapters: held.adapters.len()
+                + coming
+                    .clone()
+                    .filter(|load| load.model.model == held.name && load.model.adapter.is_some())
+                    .count(),
+        });
+        let is_new =
+            |load: &&Coming| load.model.adapter.is_none() && !state.holdings.has_base(&load.model);
+        let new = coming.clone().filter(is_new).map(|load| HostedModel {
+            name: load.model.model.clone(),
+            adapters: 0,
+        });
+        held.chain(new).collect()
+    }
+
     /// Forgets the count of orders: an order came back without an answer.
     pub(crate) fn doubt(&self) {
         self.state.borrow_mut().order_seq = None;
@@ -433,8 +518,13 @@
         for load in &finished {
             state.note_move(&load.model, true);
         }
-        if state.change == 0 || state.holdings != report.holdings {
-            state.holdings = report.holdings.clone();
+        let mut holdings = report.holdings.clone();
+        // Requests that have not begun on what leaves come back unserved.
+        for model in &state.leaving {
+            holdings.forget(model);
+        }
+        if state.change == 0 || state.holdings != holdings {
+            state.holdings = holdings;
             state.change += 1;
         }
         drop(state);
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -18,9 +18,11 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::base_models::store_use;
 use super::engine::OwnedEngine;
 use super::knowledge::Knowledge;
 use super::load_board::{LoadBoard, LoadPage};
+use super::model_demand::ModelsAsked;
 use crate::shared::{Asked, CopyNews, EngineNews, EngineUse};
 
 /// How often a node tells what it has at engines. A prompt is read in some 76 ms, so older news of
@@ -62,6 +64,23 @@
     pub(crate) transfers: u32,
     /// Whether it can be given orders now.
     pub(crate) takes_loads: bool,
+    /// Its base models, if its service has several.
+    pub(crate) host: Option<HostTold>,
+}
+
+/// What an owner tells of the base models of its engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct HostTold {
+    /// Those that it holds or that are on their way, with how many adapters each.
+    pub(crate) models: Vec<(ModelDigest, u8)>,
+    /// Whether it can be given orders for base models now.
+    pub(crate) can_change: bool,
+    /// Whether a base model is to come or to leave.
+    pub(crate) is_changing: bool,
+    /// Whether it counts against the rate of the weight store for base models.
+    pub(crate) uses_store: bool,
+    /// Requests that it runs.
+    pub(crate) in_flight: u32,
 }
 
 impl EngineLoad {
@@ -105,6 +124,8 @@
     },
     /// From an owner to the node that gathers loads for its failure domain, or from that one.
     Gathered { from: NodeId, page: LoadPage },
+    /// What callers ask of base models.
+    Models { from: NodeId, asked: ModelsAsked },
 }
 
 /// Tells and listens for ever.
@@ -118,6 +139,7 @@
             _ = ticks.tick() => {
                 tell(&knowledge, &socket);
                 gather(&knowledge, &socket, &mut board);
+                tell_models(&knowledge, &socket);
             }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
@@ -236,6 +258,41 @@
         moved: owned.moved_lately(),
         transfers: u32::try_from(owned.count_transfers(|_| true)).unwrap_or(u32::MAX),
         takes_loads: knowledge.takes_loads(owned),
+        host: host_told(knowledge, owned, in_flight),
+    }
+}
+
+/// The base models of an engine of ours, if its service has several.
+fn host_told(knowledge: &Knowledge, owned: &OwnedEngine, in_flight: u32) -> Option<HostTold> {
+    let upstream = knowledge.upstream(&owned.id)?;
+    let spec = knowledge.engine_spec(&upstream.service)?;
+    if spec.engine.as_ref()?.models.len() < 2 {
+        return None;
+    }
+    let models = owned.hosted_models().into_iter().map(|hosted| {
+        let model = ModelRef {
+            model: hosted.name,
+            adapter: None,
+        };
+        let adapters = u8::try_from(hosted.adapters).unwrap_or(u8::MAX);
+        (model.digest(), adapters)
+    });
+    Some(HostTold {
+        models: models.collect(),
+        can_change: owned.change() > 0 && knowledge.takes_loads(owned),
+        is_changing: owned.is_changing_model(),
+        uses_store: owned.uses_store(store_use(spec.engine.as_ref()?)),
+        in_flight,
+    })
+}
+
+/// Tells what callers of this node ask of base models.
+fn tell_models(knowledge: &Knowledge, socket: &UdpSocket) {
+    let own = knowledge.shared.models_asked.take();
+    let mut demand = knowledge.model_demand.borrow_mut();
+    for (asked, address) in demand.turn(knowledge, own) {
+        let from = knowledge.settings.node.clone();
+        send(socket, &Message::Models { from, asked }, address);
     }
 }
 
@@ -261,6 +318,9 @@
             knowledge.note_heard(from);
             for told in engines {
                 knowledge.note_transfers(&told.engine, told.load.transfers);
+                if let Some(host) = told.load.host.clone() {
+                    knowledge.note_hosted(&told.engine, host);
+                }
                 let mut by_owner = knowledge.told_by_owner.borrow_mut();
                 by_owner.insert(told.engine.clone(), Instant::now());
                 drop(by_owner);
@@ -278,6 +338,15 @@
             knowledge.note_heard(from);
             board.take(knowledge, page);
         }
+        Ok(Message::Models { from, asked }) => {
+            knowledge.note_heard(from.clone());
+            let nodes = knowledge.nodes.borrow();
+            if let Some(node) = nodes.get(&from) {
+                let here = &knowledge.settings.failure_domain;
+                let mut demand = knowledge.model_demand.borrow_mut();
+                demand.take(here, &node.failure_domain, &asked);
+            }
+        }
         Err(error) => {
             log_event!(
                 knowledge.log, Event::MessageUndecodable,
--- a/crates/relay-node/src/control/keeper.rs
+++ b/crates/relay-node/src/control/keeper.rs
@@ -8,7 +8,7 @@
 use nutmegsail_store::{KeyValueError, LeaseId, Put, Revision, Txn};
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::base_models::load_models;
+use super::base_models::read_doubtful;
 use super::claims::{claim, forget_gone, own_before, unowned};
 use super::confirmation::confirm_ahead;
 use super::knowledge::Knowledge;
@@ -21,7 +21,7 @@
 /// How often the lease is renewed: two renewals may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_200);
 
-/// How often a node looks for engines to claim and models to load.
+/// How often a node looks for engines to claim.
 const TICK: Duration = Duration::from_millis(400);
 
 /// How long after its start a node claims nothing: machines start within 0.3 s of each other, and
@@ -52,7 +52,7 @@
         }
         confirm_ahead(&knowledge).await;
         forget_gone(&knowledge);
-        load_models(&knowledge).await;
+        read_doubtful(&knowledge).await;
     }
 }
 
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -11,7 +11,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Demand, Holdings, LoadTimes, ModelSpec, NodeRecord, OrderPermit, OwnershipRules, RouteTable,
-    Upstream, Versions,
+    Service, Upstream, Versions,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
@@ -19,12 +19,14 @@
 use super::ControlParts;
 use super::change_log::ChangeLog;
 use super::engine::{Coming, OwnedEngine};
+use super::exchange::HostTold;
+use super::model_demand::ModelDemand;
 use crate::clock::boot_time;
 use crate::shared::{Shared, View};
 use crate::{CONNECT_TIMEOUT, Dialect, RelaySettings};
 
-/// How long another owner's count of loads is used: it tells ten times in it, and a load takes a
-/// quarter of it.
+/// How long what another owner told of loads and base models is used: it tells ten times in it, and a
+/// load takes a quarter of it.
 const TRANSFERS_LIFE: Duration = Duration::from_millis(1_000);
 
 /// How long an owner's own word of its engine's load goes before what is gathered: two exchanges.
@@ -68,6 +70,9 @@
     pub(crate) owners: RefCell<HashMap<UpstreamId, Owner>>,
     pub(crate) owned: RefCell<HashMap<UpstreamId, Rc<OwnedEngine>>>,
     pub(crate) demand: RefCell<Demand>,
+    pub(crate) model_demand: RefCell<ModelDemand>,
+    /// Which base models other owners told their engines to hold, and when.
+    hosted: RefCell<HashMap<UpstreamId, (HostTold, Instant)>>,
     pub(crate) lease: Cell<LeaseId>,
     /// Held while ownership is confirmed, so that loads that wait share one call.
     pub(crate) confirming: tokio::sync::Mutex<()>,
@@ -116,6 +121,8 @@
             owners: RefCell::default(),
             owned: RefCell::default(),
             demand: RefCell::new(Demand::new(DEMAND_HALF_LIFE)),
+            model_demand: RefCell::default(),
+            hosted: RefCell::default(),
             lease: Cell::default(),
             confirming: tokio::sync::Mutex::new(()),
             last_order: Cell::new(None),
@@ -210,7 +217,8 @@
                 .get()
                 .is_none_or(|failed| failed.elapsed() > LOST_STORE_SPAN),
         };
-        is_permitted && !engine.is_blocked() && engine.leaving_count() == 0
+        let is_changing = engine.is_changing_model();
+        is_permitted && !engine.is_blocked() && engine.leaving_count() == 0 && !is_changing
     }
 
     /// Notes that a node was heard, and its failure domain with it.
@@ -285,6 +293,31 @@
         self.owned.borrow().get(id).cloned()
     }
 
+    /// Notes which base models another owner's engine holds.
+    pub(crate) fn note_hosted(&self, engine: &UpstreamId, told: HostTold) {
+        let mut hosted = self.hosted.borrow_mut();
+        hosted.insert(engine.clone(), (told, Instant::now()));
+    }
+
+    /// What the engine's owner told of its base models a moment ago.
+    pub(crate) fn hosted(&self, engine: &UpstreamId) -> Option<HostTold> {
+        let hosted = self.hosted.borrow();
+        let (told, at) = hosted.get(engine)?;
+        (at.elapsed() < TRANSFERS_LIFE).then(|| told.clone())
+    }
+
+    /// Forgets what was told of engines that are not listed any more.
+    pub(crate) fn forget_hosted(&self, is_listed: impl Fn(&UpstreamId) -> bool) {
+        let mut hosted = self.hosted.borrow_mut();
+        hosted.retain(|engine, _| is_listed(engine));
+    }
+
+    /// The service of this name, as configured.
+    pub(crate) fn engine_spec(&self, service: &ServiceName) -> Option<Arc<Service>> {
+        let table = self.table.borrow();
+        table.as_ref()?.service(service).cloned()
+    }
+
     /// The engine specification of a service.
     pub(crate) fn engine_room(&self, service: &ServiceName) -> Option<EngineRoom> {
         let table = self.table.borrow();
--- a/crates/relay-node/src/control/load_board.rs
+++ b/crates/relay-node/src/control/load_board.rs
@@ -160,6 +160,9 @@
         return;
     }
     knowledge.note_transfers(engine, load.transfers);
+    if let Some(host) = load.host.clone() {
+        knowledge.note_hosted(engine, host);
+    }
     // The page has what this node has there as well.
     let mine = knowledge.shared.uses.peek(engine);
     let mut report = load.into_report();
@@ -172,7 +175,9 @@
     });
 }
 
-fn first_of_each<'a>(nodes: &[&'a NodeRecord]) -> HashMap<&'a FailureDomain, &'a NodeRecord> {
+pub(crate) fn first_of_each<'a>(
+    nodes: &[&'a NodeRecord],
+) -> HashMap<&'a FailureDomain, &'a NodeRecord> {
     let mut first: HashMap<&FailureDomain, &NodeRecord> = HashMap::new();
     for node in nodes {
         let known = first.entry(&node.failure_domain).or_insert(node);
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -243,6 +243,10 @@
         load: LoadKind,
         limit: tokio::time::Instant,
     ) -> Result<(), LoadFailure> {
+        if engine.is_changing_model() {
+            // Its base models come and go; it takes no other orders meanwhile.
+            return Err(LoadFailure::Blocked);
+        }
         let (model, version) = (&wanted.model, wanted.version);
         let _place = engine
             .queue(model, QUEUE_LIMIT)
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod load_board;
 mod load_failure;
 mod loader;
+mod model_demand;
 mod operators_watch;
 mod orders;
 mod owners;
@@ -65,6 +66,7 @@
     let loader = Rc::new(Loader::new(Rc::clone(&knowledge)));
     spawn_local(watch_store(Rc::clone(&knowledge)));
     spawn_local(watch_stalls(Rc::clone(&knowledge)));
+    spawn_local(base_models::run(Rc::clone(&knowledge)));
     let keeper = spawn_local(keeper::keep(Rc::clone(&knowledge)));
     spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
     spawn_local(exchange::run(Rc::clone(&knowledge), parts.datagrams));
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -74,7 +74,7 @@
         }
         for load in engine.reported(&report) {
             self.shared.metrics.load_done(load.since.elapsed());
-            if load.load == LoadKind::FromStore {
+            if load.is_transfer() {
                 self.note_load_time(&load);
             }
             log_event!(
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -8,7 +8,8 @@
 use arc_swap::ArcSwap;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    Holdings, LoadPlace, ModelRef, Report, RouteTable, Upstream, Versions, WantedCopies,
+    Holdings, LoadPlace, ModelDigest, ModelRef, Report, RouteTable, Upstream, Versions,
+    WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -160,6 +161,27 @@
     }
 }
 
+/// For how long the requests of callers for each base model take up an engine, in milliseconds. The
+/// traffic thread writes it, the control thread tells the others.
+#[derive(Debug, Default)]
+pub(crate) struct ModelsAsked(Mutex<HashMap<ModelDigest, f32>>);
+
+impl ModelsAsked {
+    /// Counts a request.
+    pub(crate) fn count(&self, model: ModelDigest, engine_ms: f32) {
+        *self.lock().entry(model).or_default() += engine_ms;
+    }
+
+    /// What was asked since this was last taken.
+    pub(crate) fn take(&self) -> Vec<(ModelDigest, f32)> {
+        std::mem::take(&mut *self.lock()).into_iter().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ModelDigest, f32>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// News of an engine from its owner.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct EngineNews {
@@ -233,6 +255,7 @@
     pub(crate) view: ArcSwap<View>,
     readiness: Mutex<Readiness>,
     pub(crate) uses: Uses,
+    pub(crate) models_asked: ModelsAsked,
     pub(crate) news: News,
     pub(crate) wants: mpsc::Sender<Want>,
     pub(crate) metrics: RelayMetrics,
@@ -249,6 +272,7 @@
             view: ArcSwap::default(),
             readiness: Mutex::default(),
             uses: Uses::default(),
+            models_asked: ModelsAsked::default(),
             news: News::default(),
             wants,
             metrics,
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use nutmegsail_base::{RequestId, ServiceName};
-use nutmegsail_relay::{Route, VersionRule};
+use nutmegsail_relay::{CallKind, Route, VersionRule};
 
 use crate::{CallMeta, Dialect, SendMeta};
 
@@ -65,6 +65,15 @@
         self.due.saturating_duration_since(now)
     }
 
+    /// How long after its beginning the caller leaves without a first event.
+    pub(crate) fn first_event_patience(&self) -> Duration {
+        let patience = self.due.duration_since(self.began);
+        match self.route.kind {
+            CallKind::Stream { .. } => patience.min(self.route.event_patience),
+            CallKind::Idempotent | CallKind::Once => patience,
+        }
+    }
+
     /// The request as an upstream gets it: method, path, query and body unchanged.
     ///
     /// With `last_event` the upstream goes on with a stream after that event.
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -11,7 +11,7 @@
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Choice, CopyPlace, Dispatcher, LoadPlace, Need, Refusal as NoChoice, RetryBudget,
+    Choice, CopyPlace, Dispatcher, LoadPlace, ModelRef, Need, Refusal as NoChoice, RetryBudget,
     RetryBudgetRules, WantedCopies,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
@@ -41,6 +41,16 @@
 /// How long a request waits for a further copy of its adapter: two loads in turn.
 const LOAD_PATIENCE: Duration = Duration::from_millis(600);
 
+/// How long a request waits at most for its base model, as a part of the time after which its caller
+/// leaves. The rest is for the adapter and the first event.
+const MODEL_PATIENCE_SHARE: f64 = 0.75;
+
+/// How often a request that waits for its base model looks for it: owners tell every 100 ms.
+const MODEL_LOOK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Requests of one node that wait for base models. More could not all be answered once one has come.
+const MODEL_WAITS_LIMIT: usize = 128;
+
 /// When a caller whose request found no room is asked to return. Prompts that wait are read in
 /// some 300 ms.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(350);
@@ -75,6 +85,8 @@
     pub(crate) log: Logger,
     /// When the node began to leave.
     pub(crate) leaving_since: Cell<Option<Instant>>,
+    /// Requests that wait for base models.
+    model_waits: Cell<usize>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     seen_view: Cell<u64>,
 }
@@ -156,6 +168,7 @@
             bounds: parts.bounds,
             log: parts.log,
             leaving_since: Cell::new(None),
+            model_waits: Cell::new(0),
             budgets: RefCell::default(),
             seen_view: Cell::new(0),
         }
@@ -228,6 +241,7 @@
 
     /// Finds an answer to `call`.
     pub(crate) async fn carry(self: &Rc<Self>, call: &Rc<Call>) -> Response<AnswerBody> {
+        self.count_model(call);
         let mut life = Life::NotRun(Request::accept(call.id.clone()).queue());
         let mut sends = Sends::default();
         loop {
@@ -328,8 +342,7 @@
         call: &Call,
         sends: &Sends,
     ) -> Result<Choice, (ResultCode, Duration)> {
-        let patience = ADAPTER_PATIENCE.min(call.remaining(Instant::now()) / 2);
-        let patient_until = Instant::now() + patience;
+        let mut patient_until = adapter_patience(call);
         let mut may_look_elsewhere = sends.arrived == 0;
         loop {
             let now = Instant::now();
@@ -364,6 +377,13 @@
                 Err(NoChoice::AllBusy) => {
                     return Err((ResultCode::UpstreamRefused, BUSY_RETRY_AFTER));
                 }
+                Err(NoChoice::AdapterAbsent) if !self.has_base(call, now) => {
+                    let patience = call.first_event_patience().mul_f64(MODEL_PATIENCE_SHARE);
+                    if !self.await_base(call, call.began + patience).await {
+                        return Err((ResultCode::AdapterNotReady, ABSENT_RETRY_AFTER));
+                    }
+                    patient_until = adapter_patience(call);
+                }
                 Err(NoChoice::AdapterAbsent) => {
                     let wait = patient_until.saturating_duration_since(now);
                     if !self.bring_adapter(call, sends, wait).await {
@@ -374,6 +394,57 @@
         }
     }
 
+    /// Counts a request for a base model, if its service has several.
+    fn count_model(&self, call: &Call) {
+        let Some(model) = &call.meta.model else {
+            return;
+        };
+        if self.is_configured(call, model, 2) {
+            let dispatcher = self.dispatcher.borrow();
+            let engine_ms = dispatcher.engine_ms(&call.service, call.meta.prompt_tokens);
+            let asked = &self.shared.models_asked;
+            asked.count(model.base().digest(), engine_ms as f32);
+        }
+    }
+
+    /// Whether the service of `call` has the base model of `model`, among `least` of them or more.
+    fn is_configured(&self, call: &Call, model: &ModelRef, least: usize) -> bool {
+        let view = self.shared.view.load();
+        let table = view.table.as_ref();
+        let service = table.and_then(|table| table.service(&call.service));
+        let spec = service.and_then(|service| service.engine.as_ref());
+        spec.is_some_and(|spec| spec.models.len() >= least && spec.model(&model.model).is_some())
+    }
+
+    fn has_base(&self, call: &Call, now: Instant) -> bool {
+        let Some(model) = &call.meta.model else {
+            return true;
+        };
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.has_base(&call.service, model, now)
+    }
+
+    /// Waits until an engine holds the base model of `call`, which owners see to; at most until `limit`.
+    ///
+    /// Refused at once, a request for a model that few ask for would never be served: its callers come
+    /// too seldom to find the engine that the one before had it loaded into.
+    async fn await_base(&self, call: &Call, limit: Instant) -> bool {
+        let model = call.meta.model.as_ref();
+        let is_configured = model.is_some_and(|model| self.is_configured(call, model, 1));
+        if !is_configured || self.model_waits.get() >= MODEL_WAITS_LIMIT {
+            return false;
+        }
+        let _wait = Wait::begin(&self.model_waits);
+        while Instant::now() < limit {
+            tokio::time::sleep(MODEL_LOOK_INTERVAL).await;
+            self.view();
+            if self.has_base(call, Instant::now()) {
+                return true;
+            }
+        }
+        false
+    }
+
     fn is_sooner_elsewhere(&self, call: &Call, choice: &Choice, now: Instant) -> bool {
         let dispatcher = self.dispatcher.borrow();
         dispatcher.is_sooner_elsewhere(&need(call, &[]), choice.expected_ms, now)
@@ -461,6 +532,28 @@
     }
 }
 
+/// Counts a request out of those that wait when it is dropped: its caller may go away meanwhile.
+struct Wait<'a>(&'a Cell<usize>);
+
+impl<'a> Wait<'a> {
+    fn begin(waits: &'a Cell<usize>) -> Self {
+        waits.set(waits.get() + 1);
+        Self(waits)
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Until when `call` waits for its adapter, from now on.
+fn adapter_patience(call: &Call) -> Instant {
+    let now = Instant::now();
+    now + ADAPTER_PATIENCE.min(call.remaining(now) / 2)
+}
+
 fn need<'a>(call: &'a Call, tried: &'a [UpstreamId]) -> Need<'a> {
     Need {
         service: &call.service,
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -128,7 +128,7 @@
         now: Instant,
     ) -> Vec<LoadPlace> {
         let takes = |tracked: &&Tracked| {
-            let has_base = tracked.holdings.has_base(model);
+            let has_base = tracked.has_base(model, now);
             let has_it = tracked.version_of(model, now);
             tracked.upstream.service == *service
                 && tracked.upstream.takes_work()
--- a/crates/relay/src/demand.rs
+++ b/crates/relay/src/demand.rs
@@ -1,6 +1,7 @@
-//! How much each adapter is asked for.
+//! How much each adapter or model is asked for.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
 use crate::ModelRef;
@@ -20,9 +21,9 @@
 /// assert_eq!(demand.score(&adapter, now + Duration::from_secs(10)), 2.0);
 /// ```
 #[derive(Clone, Debug)]
-pub struct Demand {
+pub struct Demand<K = ModelRef> {
     half_life_s: f64,
-    entries: HashMap<ModelRef, Entry>,
+    entries: HashMap<K, Entry>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -38,7 +39,7 @@
     }
 }
 
-impl Demand {
+impl<K: Clone + Eq + Hash> Demand<K> {
     /// Nothing asked for yet; what is `half_life` old counts half.
     pub fn new(half_life: Duration) -> Self {
         Self {
@@ -48,7 +49,7 @@
     }
 
     /// Counts `amount` for `model`: requests, or what they weigh.
-    pub fn add(&mut self, model: &ModelRef, amount: f64, now: Instant) {
+    pub fn add(&mut self, model: &K, amount: f64, now: Instant) {
         let half_life_s = self.half_life_s;
         match self.entries.get_mut(model) {
             Some(entry) => {
@@ -69,14 +70,14 @@
     }
 
     /// How much `model` is asked for.
-    pub fn score(&self, model: &ModelRef, now: Instant) -> f64 {
+    pub fn score(&self, model: &K, now: Instant) -> f64 {
         self.entries
             .get(model)
             .map_or(0.0, |entry| entry.score_at(self.half_life_s, now))
     }
 
     /// What `model` is asked for in a second, if that has not changed for a few half-lives.
-    pub fn rate_per_s(&self, model: &ModelRef, now: Instant) -> f64 {
+    pub fn rate_per_s(&self, model: &K, now: Instant) -> f64 {
         self.score(model, now) * std::f64::consts::LN_2 / self.half_life_s
     }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use rand::{Rng, RngExt as _};
 
-use crate::tracked::FIRST_RUN_MS;
+use crate::tracked::{FIRST_RUN_MS, PROMPT_TOKEN_MS};
 use crate::{Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
 
 /// What a request needs of an upstream.
@@ -268,6 +268,28 @@
             })
     }
 
+    /// Whether an engine that takes work holds the base model that `model` names or belongs to.
+    pub fn has_base(&self, service: &ServiceName, model: &ModelRef, now: Instant) -> bool {
+        self.upstreams.values().any(|tracked| {
+            tracked.upstream.service == *service
+                && tracked.upstream.takes_work()
+                && !tracked.is_gone
+                && !self.is_out(tracked, now)
+                && tracked.has_base(model, now)
+        })
+    }
+
+    /// How long one request takes up an engine of `service`, in milliseconds: the time that its prompt is
+    /// read, and its part of the time in which all slots are taken.
+    pub fn engine_ms(&self, service: &ServiceName, prompt_tokens: u64) -> f64 {
+        let engines = self.upstreams.values();
+        let slots = engines
+            .filter(|tracked| tracked.upstream.service == *service)
+            .map(|tracked| tracked.upstream.slots)
+            .max();
+        prompt_tokens as f64 * PROMPT_TOKEN_MS + self.run_ms / f64::from(slots.unwrap_or(1).max(1))
+    }
+
     /// Takes in when a node of another failure domain was last heard.
     pub fn note_domain_heard(&mut self, domain: &FailureDomain, at: Instant) {
         self.domains_heard.insert(domain.clone(), at);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! that was not passed in. Start at [`RouteTable`] and [`Dispatcher`].
 
 mod assignment;
+mod at_hand;
 mod call_kind;
 mod copies;
 mod demand;
@@ -18,6 +19,7 @@
 mod listing;
 mod load_plan;
 mod load_times;
+mod model_plan;
 mod model_ref;
 mod ownership;
 mod readers;
@@ -32,6 +34,7 @@
 mod versions;
 
 pub use assignment::{NodeRecord, unowned_to_claim};
+pub use at_hand::{AtHand, CopySource};
 pub use call_kind::CallKind;
 pub use copies::{CopyPlace, LoadPlace};
 pub use demand::Demand;
@@ -43,6 +46,7 @@
 pub use listing::{EntryFault, Listing, UpstreamEntry};
 pub use load_plan::{EngineContents, LoadPlan, LoadRefusal, LoadStep, Room, plan_load};
 pub use load_times::LoadTimes;
+pub use model_plan::{HostedModel, ModelChange, ModelHost, ModelPlan};
 pub use model_ref::{ModelDigest, ModelRef};
 pub use ownership::{OrderPermit, Ownership, OwnershipRules};
 pub use readers::reader_for;
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -54,6 +54,7 @@
 ///         slots: 8,
 ///         state: UpstreamState::Ready,
 ///         holdings: Default::default(),
+///         at_hand: Default::default(),
 ///     },
 ///     heartbeat,
 /// };
--- a/crates/relay/src/model_ref.rs
+++ b/crates/relay/src/model_ref.rs
@@ -43,6 +43,14 @@
         ModelDigest(hasher.digest() as u32)
     }
 
+    /// The base model that it names or belongs to.
+    pub fn base(&self) -> Self {
+        Self {
+            model: Arc::clone(&self.model),
+            adapter: None,
+        }
+    }
+
     /// Reads `model` or `model/adapter`.
     pub fn parse(text: &str) -> Self {
         match text.split_once('/') {
--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -31,6 +31,8 @@
     pub timeout: Duration,
     /// The latency objective; for streams, of the first event.
     pub objective: Duration,
+    /// How long callers wait for the next event of a stream, the first included, before they leave.
+    pub event_patience: Duration,
     /// The rank; 0 is the most urgent.
     pub priority: u8,
     /// The services that answer, with their shares. Never empty.
@@ -53,6 +55,7 @@
     ///     kind: CallKind::Idempotent,
     ///     timeout: Duration::from_secs(1),
     ///     objective: Duration::from_millis(150),
+    ///     event_patience: Duration::from_secs(2),
     ///     priority: 2,
     ///     services: vec![split("old", 90.0), split("new", 10.0)],
     ///     max_attempts: 2,
--- a/crates/relay/src/route_table.rs
+++ b/crates/relay/src/route_table.rs
@@ -66,6 +66,11 @@
             .find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
     /// The service of this name.
     pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -171,6 +171,9 @@
         if self.moves.is_empty() {
             return held;
         }
+        if wanted.adapter.is_some() && !self.has_base(wanted, now) {
+            return None;
+        }
         let digest = wanted.digest();
         let is_it = |(moved, at): &&(AdapterMove, Instant)| {
             moved.model == digest && now.duration_since(*at) < MOVE_LIFE
@@ -182,6 +185,17 @@
         }
     }
 
+    /// Whether it holds the base model that `wanted` names or belongs to.
+    ///
+    /// A base model that is to leave gets nothing new: requests that have not begun would come back
+    /// unserved, and with each that does begin it leaves later.
+    pub fn has_base(&self, wanted: &ModelRef, now: Instant) -> bool {
+        match wanted.adapter {
+            None => self.version_of(wanted, now).is_some(),
+            Some(_) => self.version_of(&wanted.base(), now).is_some(),
+        }
+    }
+
     /// Takes in what it holds now that an adapter was brought in.
     pub fn note_holdings(&mut self, holdings: &Holdings, now: Instant) {
         self.set_holdings(holdings);
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -6,7 +6,7 @@
 
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 
-use crate::Holdings;
+use crate::{AtHand, Holdings};
 
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +42,8 @@
     pub state: UpstreamState,
     /// What it holds, if it is an engine.
     pub holdings: Holdings,
+    /// Base models that it can load without the weight store.
+    pub at_hand: AtHand,
 }
 
 impl Upstream {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use nutmegsail_relay::{HeldAdapter, HeldModel, Holdings, Report, Upstream, UpstreamState};
+use nutmegsail_relay::{AtHand, HeldAdapter, HeldModel, Holdings, Report, Upstream, UpstreamState};
 
 /// What an engine holds: the base model `base` with adapters in version 1.
 pub fn holdings(adapters: &[&str]) -> Holdings {
@@ -33,6 +33,7 @@
         slots: 64,
         state: UpstreamState::Ready,
         holdings: holdings(adapters),
+        at_hand: AtHand::default(),
     }
 }
 
--- /dev/null
+++ b/crates/relay/tests/model_plan.rs
@@ -0,0 +1,305 @@
+//! Which base models engines hold, under demand that moves.
+
+use std::collections::HashMap;
+
+use nutmegsail_base::{FailureDomain, UpstreamId};
+use nutmegsail_relay::{
+    AtHand, EngineSpec, HostedModel, ModelChange, ModelHost, ModelPlan, ModelSpec,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Engines of one service, and what they hold.
+#[derive(Debug)]
+struct Fleet {
+    spec: EngineSpec,
+    engines: Vec<Engine>,
+    /// Loads from the weight store that may begin in one plan.
+    store_loads: usize,
+}
+
+#[derive(Debug)]
+struct Engine {
+    id: UpstreamId,
+    failure_domain: FailureDomain,
+    models: Vec<String>,
+    is_changing: bool,
+    is_cut_off: bool,
+    at_hand: AtHand,
+}
+
+impl Fleet {
+    /// Engines in two failure domains that hold one model each, of `models` of equal size.
+    fn new(models: usize, holds: &[&str]) -> Self {
+        let engines = holds.iter().enumerate().map(|(number, model)| Engine {
+            id: format!("e-{number}").into(),
+            failure_domain: format!("d-{}", number % 2).into(),
+            models: model.split_whitespace().map(str::to_owned).collect(),
+            is_changing: false,
+            is_cut_off: false,
+            at_hand: AtHand::default(),
+        });
+        Self {
+            spec: EngineSpec {
+                adapter_slots: 8,
+                weights_mb: 50_000.0,
+                models: (0..models)
+                    .map(|number| ModelSpec::of(&format!("m{number}"), 40_000.0))
+                    .collect(),
+                ..EngineSpec::default()
+            },
+            engines: engines.collect(),
+            store_loads: usize::MAX,
+        }
+    }
+
+    fn plan(&self, work: impl Fn(&str) -> f64) -> Vec<ModelChange> {
+        let hosts = self.engines.iter().map(|engine| ModelHost {
+            id: &engine.id,
+            failure_domain: &engine.failure_domain,
+            models: engine.models.iter().map(|name| hosted(name)).collect(),
+            can_change: !engine.is_cut_off,
+            is_changing: engine.is_changing,
+            uses_store: engine.is_changing,
+            busy_share: 0.0,
+            at_hand: &engine.at_hand,
+        });
+        ModelPlan::new(&self.spec, hosts.collect(), work).changes(self.store_loads)
+    }
+
+    /// Has `changes` begun; they end with [`Fleet::finish`].
+    fn begin(&mut self, changes: &[ModelChange]) {
+        for change in changes {
+            let mut engines = self.engines.iter_mut();
+            let Some(engine) = engines.find(|engine| engine.id == change.engine) else {
+                panic!("{} is not of this fleet", change.engine);
+            };
+            let stays = |model: &String| change.unload.iter().all(|name| **name != **model);
+            engine.models.retain(stays);
+            engine.models.push(change.load.to_string());
+            engine.is_changing = true;
+        }
+    }
+
+    fn finish(&mut self) {
+        for engine in &mut self.engines {
+            engine.is_changing = false;
+        }
+    }
+
+    /// Plans and changes until nothing is left to do, and returns how many changes that took.
+    fn settle(&mut self, work: impl Fn(&str) -> f64) -> usize {
+        let mut count = 0;
+        loop {
+            let changes = self.plan(&work);
+            if changes.is_empty() {
+                return count;
+            }
+            count += changes.len();
+            self.begin(&changes);
+            self.finish();
+            assert!(count < 1_000, "it does not come to an end");
+        }
+    }
+
+    fn holders(&self, model: &str) -> usize {
+        let holds = |engine: &&Engine| engine.models.iter().any(|held| held == model);
+        self.engines.iter().filter(holds).count()
+    }
+}
+
+fn hosted(name: &str) -> HostedModel {
+    HostedModel {
+        name: name.into(),
+        adapters: 0,
+    }
+}
+
+fn work<'a>(of: &'a [(&'a str, f64)]) -> impl Fn(&str) -> f64 + 'a {
+    move |model| {
+        let found = of.iter().find(|(name, _)| *name == model);
+        found.map_or(0.0, |(_, work)| *work)
+    }
+}
+
+// Callers turn to a model that no engine holds. Until an engine loads it every one of them is refused,
+// however many engines stand idle: nothing else would ever have it loaded.
+#[test]
+fn a_model_that_is_asked_for_and_held_nowhere_is_loaded_at_once() {
+    let fleet = Fleet::new(3, &["m0", "m0", "m1"]);
+    let changes = fleet.plan(work(&[("m0", 0.1), ("m2", 0.02)]));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(&*changes[0].load, "m2");
+    assert_eq!(&*changes[0].unload[0], "m1", "nobody asks for it");
+    assert_eq!(changes[0].engine.as_str(), "e-2");
+}
+
+// A model's only engine works for two seconds of every second. Its callers wait longer and longer while
+// engines beside it are hardly used.
+#[test]
+fn a_model_with_too_much_work_gets_engines_until_it_has_enough() {
+    let mut fleet = Fleet::new(2, &["m0", "m0", "m0", "m0", "m0", "m1"]);
+    fleet.settle(work(&[("m0", 0.2), ("m1", 1.9)]));
+    assert!(fleet.holders("m1") >= 4);
+    assert!(fleet.holders("m0") >= 1);
+}
+
+// A failure domain with all engines of a model is cut off: callers of the others would wait for a load,
+// though some requests come in every second.
+#[test]
+fn what_is_asked_for_all_the_time_is_held_in_two_failure_domains() {
+    let mut fleet = Fleet::new(2, &["m0", "m1", "m0", "m1"]);
+    fleet.settle(work(&[("m0", 0.25), ("m1", 0.0)]));
+    let holds_m0 = |engine: &&Engine| engine.models.iter().any(|held| held == "m0");
+    let holders = fleet.engines.iter().filter(holds_m0);
+    let mut domains: Vec<_> = holders
+        .map(|engine| engine.failure_domain.clone())
+        .collect();
+    domains.sort();
+    domains.dedup();
+    assert_eq!(domains.len(), 2);
+}
+
+// More models are asked for than engines have room for. Those that are asked for most stay; two that
+// are asked for alike don't take turns, as each turn costs a load and all that runs waits for it.
+#[test]
+fn where_room_is_short_much_more_demand_is_needed_to_take_a_place() {
+    let fleet = Fleet::new(3, &["m0", "m1"]);
+    let alike = fleet.plan(work(&[("m0", 0.2), ("m1", 0.1), ("m2", 0.2)]));
+    assert_eq!(alike, [], "twice as much is not enough");
+    let more = fleet.plan(work(&[("m0", 0.2), ("m1", 0.05), ("m2", 0.2)]));
+    assert_eq!(&*more[0].unload[0], "m1");
+}
+
+// The rate of the weight store is shared by all engines; more loads than it allows break an agreement
+// with the platform. A copy on an engine's disk costs nothing of it.
+#[test]
+fn a_copy_at_hand_goes_before_the_weight_store_and_beside_its_limit() {
+    let mut fleet = Fleet::new(3, &["m0", "m0", "m0", "m0"]);
+    fleet.store_loads = 0;
+    let asked = [("m0", 0.01), ("m1", 0.01), ("m2", 0.01)];
+    assert_eq!(fleet.plan(work(&asked)), []);
+    fleet.engines[2].at_hand.on_disk = vec!["m1".into()];
+    let changes = fleet.plan(work(&asked));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].engine.as_str(), "e-2");
+    assert_eq!(&*changes[0].load, "m1");
+}
+
+// An engine's owner is behind a cut. A plan that waits for its engine would wait until the cut ends,
+// while others could load the model.
+#[test]
+fn engines_whose_owner_is_silent_are_asked_for_nothing() {
+    let mut fleet = Fleet::new(2, &["m0", "m0", "m0"]);
+    fleet.engines[0].is_cut_off = true;
+    fleet.engines[1].is_cut_off = true;
+    let changes = fleet.plan(work(&[("m1", 0.1)]));
+    assert_eq!(changes[0].engine.as_str(), "e-2");
+}
+
+// An engine that starts again holds nothing and serves nobody. It takes the model whose engines have
+// most work, not the first of the list.
+#[rstest]
+#[case::the_one_with_most_work(&[("m0", 0.02), ("m1", 0.08), ("m2", 0.04)], "m1")]
+#[case::the_first_where_nothing_is_known(&[], "m0")]
+fn an_empty_engine_takes_what_is_missed_most(#[case] of: &[(&str, f64)], #[case] loaded: &str) {
+    let fleet = Fleet::new(3, &["m0", "m1", "m2", ""]);
+    let changes = fleet.plan(work(of));
+    assert_eq!(&*changes[0].load, loaded);
+    assert_eq!(changes[0].unload.len(), 0);
+}
+
+// A model fits beside another: nothing has to leave, and no requests wait for it.
+#[test]
+fn a_model_that_fits_beside_others_has_nothing_leave() {
+    let mut fleet = Fleet::new(3, &["m0", "m1"]);
+    fleet.spec.weights_mb = 100_000.0;
+    let changes = fleet.plan(work(&[("m0", 0.1), ("m1", 0.1), ("m2", 0.05)]));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].unload.len(), 0);
+}
+
+fn demand() -> impl Strategy<Value = HashMap<String, f64>> {
+    let model = (0_usize..8).prop_map(|number| format!("m{number}"));
+    let work = prop_oneof![Just(0.0), 0.001..0.1_f64, 0.1..2.0_f64];
+    prop::collection::hash_map(model, work, 0..8)
+}
+
+fn fleets() -> impl Strategy<Value = Fleet> {
+    let holds = prop::collection::vec(prop::option::of(0_usize..8), 1..14);
+    (
+        holds,
+        1_usize..4,
+        prop::collection::vec(10_000.0..45_000.0_f64, 8),
+    )
+        .prop_map(|(holds, room, weights)| {
+            let holds: Vec<String> = holds
+                .into_iter()
+                .map(|model| model.map_or(String::new(), |number| format!("m{number}")))
+                .collect();
+            let holds: Vec<&str> = holds.iter().map(String::as_str).collect();
+            let mut fleet = Fleet::new(8, &holds);
+            fleet.spec.weights_mb = 50_000.0 * room as f64;
+            for (model, weights_mb) in fleet.spec.models.iter_mut().zip(weights) {
+                model.weights_mb = weights_mb;
+            }
+            fleet
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Under demand that stays the same changes come to an end, and nothing is swapped back.
+    #[test]
+    fn constant_demand_settles(mut fleet in fleets(), demand in demand()) {
+        let work = |model: &str| demand.get(model).copied().unwrap_or(0.0);
+        fleet.settle(work);
+        prop_assert_eq!(fleet.plan(work), []);
+    }
+
+    // Whatever is asked for is held somewhere as soon as there is room for all, and no engine is
+    // ordered to hold more than fits.
+    #[test]
+    fn all_that_is_asked_for_is_held_where_room_allows(mut fleet in fleets(), demand in demand()) {
+        let work = |model: &str| demand.get(model).copied().unwrap_or(0.0);
+        fleet.settle(work);
+        for engine in &fleet.engines {
+            let size = |name: &String| fleet.spec.model(name).map_or(0.0, |spec| spec.weights_mb);
+            let held_mb: f64 = engine.models.iter().map(size).sum();
+            prop_assert!(held_mb <= fleet.spec.weights_mb);
+        }
+        let asked: Vec<&String> = demand.iter().filter(|(_, work)| **work > 0.0).map(|(name, _)| name).collect();
+        if asked.len() <= fleet.engines.len() {
+            for model in asked {
+                prop_assert!(fleet.holders(model) > 0, "{} is held nowhere", model);
+            }
+        }
+    }
+
+    // Owners plan for themselves. What one has begun shows to the others as under way, and their plans
+    // go on from there: together they do no more than one alone.
+    #[test]
+    fn owners_with_equal_news_make_one_plan(fleet in fleets(), demand in demand()) {
+        let work = |model: &str| demand.get(model).copied().unwrap_or(0.0);
+        let (one, other) = (fleet.plan(work), fleet.plan(work));
+        prop_assert_eq!(&one, &other);
+        let mut fleet = fleet;
+        fleet.begin(&one);
+        let further = fleet.plan(work);
+        prop_assert!(further.iter().all(|change| one.iter().all(|begun| begun.engine != change.engine)));
+    }
+
+    // No more loads from the weight store begin than it allows, those under way counted in.
+    #[test]
+    fn the_weight_store_is_not_asked_for_more_than_it_allows(
+        mut fleet in fleets(), demand in demand(), most in 0_usize..4,
+    ) {
+        let work = |model: &str| demand.get(model).copied().unwrap_or(0.0);
+        fleet.store_loads = most;
+        let first = fleet.plan(work);
+        prop_assert!(first.len() <= most);
+        fleet.begin(&first);
+        prop_assert!(first.len() + fleet.plan(work).len() <= most);
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -96,6 +96,8 @@
     3012 EngineReleased Info "The node no longer owns an engine.";
     3013 PinsLapsed Warning "Pins lapsed without being given back.";
     3014 UpstreamEntryRejected Warning "An entry of the list of upstreams names none that can be used.";
+    3015 ModelChangeBegun Info "An engine begins to hold another base model.";
+    3016 ModelChangeFailed Warning "An engine did not come to hold another base model.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
