Don't take a slow load beside few others for the limit of the weight store

Cause: a load that took over 1.3 times the least moved the limit towards the loads that were under way, however few. One engine that answered late so left an owner with a limit of two or three, and its loads waited for those of all others. Change: only a load beside more than half as many as the limit tells of it. Test: a slow load in four with three under way; red without the change.

--- a/crates/relay/src/load_times.rs
+++ b/crates/relay/src/load_times.rs
@@ -36,6 +36,10 @@
 /// coarse to tell.
 const CROWDED_RATIO: f64 = 1.3;
 
+/// Loads under way, as a part of those that are taken to be at full speed, from which a slow load has
+/// waited for others. With fewer its engine or the news of it was slow.
+const CROWD_SHARE: f64 = 0.5;
+
 /// Loads under way, as a part of those at full speed at once, up to which an engine without a load
 /// begins one. Some more than all, as news of other engines' loads are 100 ms old.
 const ROOM_SHARE: f64 = 1.25;
@@ -127,7 +131,8 @@
     }
 
     fn note_at_once(&mut self, load_ms: f64, under_way: f64) {
-        let change = if load_ms > CROWDED_RATIO * LEAST_LOAD_MS {
+        let is_crowd = under_way > CROWD_SHARE * self.at_once;
+        let change = if is_crowd && load_ms > CROWDED_RATIO * LEAST_LOAD_MS {
             let seen = under_way * LEAST_LOAD_MS / load_ms;
             AT_ONCE_STEP * (seen - self.at_once)
         } else if under_way > NEAR_LIMIT_SHARE * self.at_once {
--- a/crates/relay/tests/promises.rs
+++ b/crates/relay/tests/promises.rs
@@ -248,6 +248,21 @@
     assert_eq!(watch.check(ms(59_300)), None);
 }
 
+// One engine answers late, and its load looks like one that waited for many others. Taken for the limit of
+// the weight store, the two loads under way become all that owners allow at once: with 78 engines, loads
+// then wait seconds for their turn while the weight store gives 32 at full speed.
+#[test]
+fn a_slow_load_beside_few_others_does_not_tell_the_limit_of_the_weight_store() {
+    let ms = Duration::from_millis;
+    let mut times = LoadTimes::default();
+    times.set_engines(78);
+    for load in 0..40 {
+        let is_slow = load % 4 == 3;
+        times.note(ms(if is_slow { 1_400 } else { 360 }), 3.0);
+    }
+    assert!(times.has_room(0, 20.0));
+}
+
 // Reports of one deployment lag by 100 ms, of another by 230 ms. Taken at the first one's lag, every
 // miss of the other waited 110 ms for nothing. Where many loads crowd the weight store, requests sent
 // too early come back unserved.
