Let copies of adapters load only while the weight store has room

Change: a load says whether it is for a miss or a copy; owners begin copies from the weight store only with fewer loads under way than 0.4 of those at full speed. A refused copy's request goes to the best holder. Test: the room for copies ends well before that for misses.

--- a/crates/relay-node/src/control/load_failure.rs
+++ b/crates/relay-node/src/control/load_failure.rs
@@ -32,6 +32,9 @@
     /// Too many loads wait at the engine.
     #[display("too many loads wait there")]
     QueueFull,
+    /// The weight store is busy with adapters that no engine holds.
+    #[display("the weight store is left to misses")]
+    LeftToMisses,
     /// The engine refused the order.
     #[display("the engine refused the order")]
     Refused,
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -22,7 +22,7 @@
 use super::knowledge::{Knowledge, Owner};
 use super::load_failure::LoadFailure;
 use super::peers::LoadAsk;
-use crate::shared::{Loaded, Want, Wanted};
+use crate::shared::{LoadPurpose, Loaded, Want, Wanted};
 use crate::{OrderAnswer, OrderStep};
 
 /// Adapters that an engine takes at once. Loads are ordered one after the other nevertheless: all
@@ -247,6 +247,7 @@
             // Its base models come and go; it takes no other orders meanwhile.
             return Err(LoadFailure::Blocked);
         }
+        self.check_purpose(wanted, load)?;
         let (model, version) = (&wanted.model, wanted.version);
         let _place = engine
             .queue(model, QUEUE_LIMIT)
@@ -255,6 +256,7 @@
             LoadKind::FromStore => {
                 let turn = engine.turn.lock().await;
                 self.wait_for_transfer(engine, limit).await?;
+                self.check_purpose(wanted, load)?;
                 Some(turn)
             }
             LoadKind::Recent => None,
@@ -266,6 +268,16 @@
         self.order_load(engine, model, version, load).await
     }
 
+    /// Refuses a copy while the weight store is busy.
+    fn check_purpose(&self, wanted: &Wanted, load: LoadKind) -> Result<(), LoadFailure> {
+        let is_store_copy = wanted.purpose == LoadPurpose::Copy && load == LoadKind::FromStore;
+        let times = self.knowledge.load_times.get();
+        if is_store_copy && !times.has_room_for_copy(self.knowledge.loads_under_way()) {
+            return Err(LoadFailure::LeftToMisses);
+        }
+        Ok(())
+    }
+
     /// Waits until `engine` may begin another load from the weight store.
     async fn wait_for_transfer(
         &self,
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -46,6 +46,17 @@
     pub(crate) version: Option<u64>,
     /// Whether an engine that was taken to hold it turned the request away.
     pub(crate) was_turned_away: bool,
+    /// What the load is for.
+    pub(crate) purpose: LoadPurpose,
+}
+
+/// What a load is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) enum LoadPurpose {
+    /// No engine that can answer holds the adapter in a version that is wanted.
+    Miss,
+    /// Its holders are busy; one more would answer sooner.
+    Copy,
 }
 
 /// A request that waits for its adapter.
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -24,7 +24,7 @@
 use super::refuse;
 use super::resume::Resumption;
 use super::send::Sent;
-use crate::shared::{CopyNews, Loaded, Shared, View, Want, Wanted};
+use crate::shared::{CopyNews, LoadPurpose, Loaded, Shared, View, Want, Wanted};
 use crate::{BoundSettings, CONNECT_TIMEOUT, Dialect, Verdict};
 
 /// How long a connection is kept whose other end did not say how long it keeps it.
@@ -225,6 +225,7 @@
                 model,
                 version: rule.to_load(),
                 was_turned_away: false,
+                purpose: LoadPurpose::Copy,
             },
             engines,
             copies,
@@ -359,7 +360,9 @@
                 {
                     // Whether or not the load comes to anything, the request then goes to the best.
                     may_look_elsewhere = false;
-                    self.bring_adapter(call, sends, LOAD_PATIENCE).await;
+                    let purpose = LoadPurpose::Copy;
+                    self.bring_adapter(call, sends, purpose, LOAD_PATIENCE)
+                        .await;
                 }
                 Ok(choice) => {
                     if !self.count_send(call, sends, now) {
@@ -367,7 +370,7 @@
                     }
                     if !choice.is_preferred {
                         // The newer version is brought in; nobody waits for it.
-                        let _ = self.want(call, false, now);
+                        let _ = self.want(call, false, LoadPurpose::Miss, now);
                     }
                     return Ok(choice);
                 }
@@ -386,7 +389,8 @@
                 }
                 Err(NoChoice::AdapterAbsent) => {
                     let wait = patient_until.saturating_duration_since(now);
-                    if !self.bring_adapter(call, sends, wait).await {
+                    let purpose = LoadPurpose::Miss;
+                    if !self.bring_adapter(call, sends, purpose, wait).await {
                         return Err((ResultCode::AdapterNotReady, BUSY_RETRY_AFTER));
                     }
                 }
@@ -485,8 +489,15 @@
     }
 
     /// Has the adapter that `call` names loaded, and waits for it.
-    async fn bring_adapter(&self, call: &Call, sends: &Sends, wait: Duration) -> bool {
-        let Some(ready) = self.want(call, sends.was_misdirected, Instant::now()) else {
+    async fn bring_adapter(
+        &self,
+        call: &Call,
+        sends: &Sends,
+        purpose: LoadPurpose,
+        wait: Duration,
+    ) -> bool {
+        let now = Instant::now();
+        let Some(ready) = self.want(call, sends.was_misdirected, purpose, now) else {
             return false;
         };
         match tokio::time::timeout(wait, ready).await {
@@ -503,6 +514,7 @@
         &self,
         call: &Call,
         was_turned_away: bool,
+        purpose: LoadPurpose,
         now: Instant,
     ) -> Option<oneshot::Receiver<Loaded>> {
         let model = call.meta.model.clone()?;
@@ -512,6 +524,7 @@
                 model,
                 version: call.version.to_load(),
                 was_turned_away,
+                purpose,
             },
             engines: self.engines_for(call, now),
             copies: 1,
--- a/crates/relay/src/load_times.rs
+++ b/crates/relay/src/load_times.rs
@@ -44,6 +44,10 @@
 /// begins one. Some more than all, as news of other engines' loads are 100 ms old.
 const ROOM_SHARE: f64 = 1.25;
 
+/// The same up to which copies of adapters begin that other engines hold. The rest is for misses, of
+/// which two or three may come in the time of one load.
+const COPY_ROOM_SHARE: f64 = 0.4;
+
 /// How far the time of a quick load moves down with a load that took less, and up with one that took
 /// more, in milliseconds: at a quarter of all loads both balance. The very quickest say nothing, as
 /// adapters that an engine held before come back in a tenth of the time.
@@ -179,6 +183,15 @@
         }
     }
 
+    /// Whether a further copy of an adapter may begin to load, with `under_way` loads over all engines.
+    ///
+    /// A copy spares some callers a queue; a load for a miss is what its callers wait for. While
+    /// callers turned to other adapters in a fleet of 78 engines, four loads in ten were copies, the
+    /// weight store was full, and a third of all misses waited for over 600 ms.
+    pub fn has_room_for_copy(&self, under_way: f64) -> bool {
+        under_way < self.at_once * COPY_ROOM_SHARE
+    }
+
     /// Whether loads take hardly longer than the quickest.
     pub fn are_quick(&self) -> bool {
         self.seen
--- a/crates/relay/tests/promises.rs
+++ b/crates/relay/tests/promises.rs
@@ -248,6 +248,22 @@
     assert_eq!(watch.check(ms(59_300)), None);
 }
 
+// Callers turn to other adapters. Holders of the popular ones are busy, and each node would have copies of
+// those loaded: they take the weight store from the adapters that nobody holds, whose callers wait.
+#[test]
+fn copies_leave_the_weight_store_to_misses_when_many_load() {
+    let mut times = LoadTimes::default();
+    times.set_engines(78);
+    assert!(times.has_room_for_copy(2.0), "the weight store is idle");
+    let busy = (1..100)
+        .map(f64::from)
+        .find(|count| !times.has_room_for_copy(*count));
+    let full = (1..100)
+        .map(f64::from)
+        .find(|count| !times.has_room(0, *count));
+    assert!(busy.is_some_and(|busy| full.is_some_and(|full| busy < full / 2.0)));
+}
+
 // One engine answers late, and its load looks like one that waited for many others. Taken for the limit of
 // the weight store, the two loads under way become all that owners allow at once: with 78 engines, loads
 // then wait seconds for their turn while the weight store gives 32 at full speed.
