Tell nodes of a large fleet which failure domains are heard

Cause: above 16 nodes a node hears from owners of the engines it uses, and of other failure domains nothing else. One whose engines it had not used for 0.42 s counted as cut off, for up to 30 s: it got no requests, so nothing was heard from it again. Each failure domain loaded the popular adapters for itself: of 1,445 loads of adapters that were held, 1,115 had their holders in other failure domains only, most for seconds. Change: the two nodes of each failure domain that may read the store tell those of the others that they are there, ten times a second; a reader tells its domain when it heard each, with the loads that it tells anyway. Test: a domain that a reader hears keeps its requests, one that it does not hear loses them after five exchanges.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -14,6 +14,7 @@
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
 use nutmegsail_relay::{
     AdapterMove, EngineLoadNow, HeldModel, Holdings, ModelDigest, ModelRef, Report,
+    readers_by_domain,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -129,6 +130,8 @@
     },
     /// From an owner to the node that gathers loads for its failure domain, or from that one.
     Gathered { from: NodeId, page: LoadPage },
+    /// From a reader to readers of other failure domains, which hear nothing else from there at times.
+    Alive { from: NodeId },
     /// What callers ask of base models.
     Models { from: NodeId, asked: ModelsAsked },
 }
@@ -145,6 +148,9 @@
                 tell(&knowledge, &socket);
                 gather(&knowledge, &socket, &mut board);
                 tell_models(&knowledge, &socket);
+                tell_alive(&knowledge, &socket);
+                let domains = knowledge.domains_heard.borrow().clone();
+                knowledge.shared.news.put_domains(domains);
             }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
@@ -308,6 +314,25 @@
     })
 }
 
+/// Tells the readers of other failure domains that this one is there, if this node may read for it.
+fn tell_alive(knowledge: &Knowledge, socket: &UdpSocket) {
+    let nodes = knowledge.nodes.borrow();
+    if nodes.len() <= FULL_EXCHANGE_NODES {
+        // Every node tells every owner.
+        return;
+    }
+    let readers = readers_by_domain(nodes.values());
+    let (here, me) = (&knowledge.settings.failure_domain, &knowledge.settings.node);
+    let is_reader = readers
+        .get(here)
+        .is_some_and(|readers| readers.iter().any(|reader| reader.node == *me));
+    let far = readers.iter().filter(|(domain, _)| **domain != here);
+    for reader in far.flat_map(|(_, readers)| readers).filter(|_| is_reader) {
+        let from = me.clone();
+        send(socket, &Message::Alive { from }, reader.address);
+    }
+}
+
 /// Tells what callers of this node ask of base models.
 fn tell_models(knowledge: &Knowledge, socket: &UdpSocket) {
     let own = knowledge.shared.models_asked.take();
@@ -360,6 +385,7 @@
             knowledge.note_heard(from);
             board.take(knowledge, page);
         }
+        Ok(Message::Alive { from }) => knowledge.note_heard(from),
         Ok(Message::Models { from, asked }) => {
             knowledge.note_heard(from.clone());
             let nodes = knowledge.nodes.borrow();
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -10,8 +10,8 @@
 use nutmegsail_base::{NodeId, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Demand, Holdings, LoadTimes, ModelRef, ModelSpec, NodeRecord, OrderPermit, OwnershipRules,
-    RouteTable, Service, Upstream, Versions,
+    Demand, DomainAge, DomainsHeard, Holdings, LoadTimes, ModelRef, ModelSpec, NodeRecord,
+    OrderPermit, OwnershipRules, RouteTable, Service, Upstream, Versions,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
@@ -89,6 +89,8 @@
     pub(crate) told_by_owner: RefCell<HashMap<UpstreamId, Instant>>,
     /// The last change of each engine's holdings that the traffic thread was told.
     changes: RefCell<HashMap<UpstreamId, u64>>,
+    /// When each failure domain was last heard.
+    pub(crate) domains_heard: RefCell<DomainsHeard>,
     /// When each node was last heard.
     pub(crate) heard: RefCell<HashMap<NodeId, Instant>>,
     /// The last changes of the store, for nodes that this one reads it for.
@@ -131,6 +133,7 @@
             transfers_elsewhere: RefCell::default(),
             told_by_owner: RefCell::default(),
             changes: RefCell::default(),
+            domains_heard: RefCell::default(),
             heard: RefCell::default(),
             change_log: ChangeLog::default(),
             silent_readers: RefCell::default(),
@@ -228,11 +231,18 @@
             || engine.is_leaving(model)
     }
 
+    /// Takes in how long ago another node of this failure domain heard each domain.
+    pub(crate) fn take_domains(&self, told: &[DomainAge]) {
+        let mut domains = self.domains_heard.borrow_mut();
+        domains.take(told, Instant::now());
+    }
+
     /// Notes that a node was heard, and its failure domain with it.
     pub(crate) fn note_heard(&self, node: NodeId) {
         let nodes = self.nodes.borrow();
         if let Some(record) = nodes.get(&node) {
-            self.shared.news.heard(record.failure_domain.clone());
+            let mut domains = self.domains_heard.borrow_mut();
+            domains.note(&record.failure_domain, Instant::now());
         }
         self.heard.borrow_mut().insert(node, Instant::now());
     }
--- a/crates/relay-node/src/control/load_board.rs
+++ b/crates/relay-node/src/control/load_board.rs
@@ -10,8 +10,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{FailureDomain, UpstreamId};
-use nutmegsail_relay::NodeRecord;
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{DomainAge, NodeRecord, readers_by_domain};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,6 +41,17 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LoadPage {
     loads: Vec<(EngineDigest, EngineLoad)>,
+    /// When the sender heard each failure domain, told to its own.
+    domains: Vec<DomainAge>,
+}
+
+impl LoadPage {
+    fn of(loads: Vec<(EngineDigest, EngineLoad)>) -> Self {
+        Self {
+            loads,
+            domains: Vec::new(),
+        }
+    }
 }
 
 /// A load with the time at which it came.
@@ -77,7 +88,7 @@
         self.loads.clear();
         match own.is_empty() {
             true => Vec::new(),
-            false => vec![(LoadPage { loads: own }, gatherer)],
+            false => vec![(LoadPage::of(own), gatherer)],
         }
     }
 
@@ -100,7 +111,8 @@
         self.turns = self.turns.wrapping_add(1);
         let tells_far = self.turns.is_multiple_of(FAR_EVERY);
         let near = self.page(|gathered| gathered.is_near);
-        let all = self.page(|gathered| gathered.is_near || tells_far);
+        let mut all = self.page(|gathered| gathered.is_near || tells_far);
+        all.domains = knowledge.domains_heard.borrow().ages(now);
         let nodes = knowledge.nodes.borrow();
         let here = &knowledge.settings.failure_domain;
         let me = &knowledge.settings.node;
@@ -112,7 +124,9 @@
             .map(|node| (all.clone(), node.address))
             .collect();
         if tells_far {
-            let gatherers = first_of_each(&far).into_values();
+            let gatherers = readers_by_domain(far)
+                .into_values()
+                .filter_map(|nodes| nodes.into_iter().next());
             sends.extend(gatherers.map(|node| (near.clone(), node.address)));
         }
         sends
@@ -120,16 +134,14 @@
 
     fn page(&self, is_in: impl Fn(&Gathered) -> bool) -> LoadPage {
         let loads = self.loads.iter().filter(|(_, gathered)| is_in(gathered));
-        LoadPage {
-            loads: loads
-                .map(|(engine, gathered)| (*engine, gathered.load.clone()))
-                .collect(),
-        }
+        let loads = loads.map(|(engine, gathered)| (*engine, gathered.load.clone()));
+        LoadPage::of(loads.collect())
     }
 
     /// Takes in loads that an owner or a gatherer told.
     pub(crate) fn take(&mut self, knowledge: &Knowledge, page: LoadPage) {
         let now = Instant::now();
+        knowledge.take_domains(&page.domains);
         let upstreams = knowledge.upstreams.borrow();
         let known: HashMap<EngineDigest, &UpstreamId> = upstreams
             .keys()
@@ -174,16 +186,3 @@
         holdings: None,
     });
 }
-
-pub(crate) fn first_of_each<'a>(
-    nodes: &[&'a NodeRecord],
-) -> HashMap<&'a FailureDomain, &'a NodeRecord> {
-    let mut first: HashMap<&FailureDomain, &NodeRecord> = HashMap::new();
-    for node in nodes {
-        let known = first.entry(&node.failure_domain).or_insert(node);
-        if node.node < known.node {
-            *known = node;
-        }
-    }
-    first
-}
--- a/crates/relay-node/src/control/model_demand.rs
+++ b/crates/relay-node/src/control/model_demand.rs
@@ -11,11 +11,10 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::FailureDomain;
-use nutmegsail_relay::{Demand, ModelDigest};
+use nutmegsail_relay::{Demand, ModelDigest, readers_by_domain};
 use serde::{Deserialize, Serialize};
 
 use super::knowledge::Knowledge;
-use super::load_board::first_of_each;
 
 /// In this time what was asked counts half. Some requests of a model that is seldom asked fall into it,
 /// and a model that callers turn to shows within a second.
@@ -108,7 +107,8 @@
             .map(|address| (asked(Scope::Fleet, &all), address))
             .collect();
         if !near.is_empty() {
-            let readers = first_of_each(&far).into_values();
+            // Only the one that reads keeps what it is told.
+            let readers = readers_by_domain(far).into_values().flatten();
             sends.extend(readers.map(|node| (asked(Scope::Domain, &near), node.address)));
         }
         sends
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
+use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    Holdings, LoadPlace, ModelDigest, ModelRef, Report, RouteTable, Upstream, Versions,
-    WantedCopies,
+    DomainsHeard, Holdings, LoadPlace, ModelDigest, ModelRef, Report, RouteTable, Upstream,
+    Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -214,8 +214,8 @@
 pub(crate) struct Waiting {
     /// The newest of each engine.
     pub(crate) engines: HashMap<UpstreamId, EngineNews>,
-    /// When a node of each other failure domain was last heard.
-    pub(crate) domains: HashMap<FailureDomain, Instant>,
+    /// When each failure domain was last heard.
+    pub(crate) domains: Option<DomainsHeard>,
     /// Copies that are wanted.
     pub(crate) copies: Vec<CopyNews>,
 }
@@ -225,9 +225,9 @@
 pub(crate) struct News(Mutex<Waiting>);
 
 impl News {
-    /// Notes that a node of `domain` was heard.
-    pub(crate) fn heard(&self, domain: FailureDomain) {
-        self.lock().domains.insert(domain, Instant::now());
+    /// Tells when each failure domain was last heard.
+    pub(crate) fn put_domains(&self, domains: DomainsHeard) {
+        self.lock().domains = Some(domains);
     }
 
     fn lock(&self) -> MutexGuard<'_, Waiting> {
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -190,8 +190,8 @@
         }
         let news = self.shared.news.take();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        for (domain, at) in news.domains {
-            dispatcher.note_domain_heard(&domain, at);
+        if let Some(domains) = news.domains {
+            dispatcher.set_domains_heard(domains);
         }
         for (engine, news) in news.engines {
             dispatcher.note_told(&engine, news.holdings.as_ref(), news.report);
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, RngExt as _};
 
 use crate::tracked::{FIRST_RUN_MS, PROMPT_TOKEN_MS};
-use crate::{Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
+use crate::{DomainsHeard, Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
 
 /// What a request needs of an upstream.
 #[derive(Clone, Debug)]
@@ -102,7 +102,7 @@
     /// How many times as long as assumed engines take to read and step.
     pace: f64,
     /// When a node of each other failure domain was last heard.
-    domains_heard: HashMap<FailureDomain, Instant>,
+    domains_heard: DomainsHeard,
 }
 
 impl Dispatcher {
@@ -114,7 +114,7 @@
             are_loads_quick: false,
             run_ms: FIRST_RUN_MS,
             pace: 1.0,
-            domains_heard: HashMap::new(),
+            domains_heard: DomainsHeard::default(),
         }
     }
 
@@ -274,10 +274,10 @@
     /// answer ten times a second, are then silent at once.
     fn is_cut_off(&self, tracked: &Tracked, now: Instant) -> bool {
         let domain = &tracked.upstream.failure_domain;
-        let heard = self.domains_heard.get(domain);
+        let heard = self.domains_heard.heard(domain);
         *domain != self.failure_domain
             && heard.is_some_and(|at| {
-                let silence = now.duration_since(*at);
+                let silence = now.saturating_duration_since(at);
                 silence > DOMAIN_SILENCE && silence < DOMAIN_SILENCE_ENDS
             })
     }
@@ -304,9 +304,14 @@
         prompt_tokens as f64 * PROMPT_TOKEN_MS + self.run_ms / f64::from(slots.unwrap_or(1).max(1))
     }
 
+    /// Takes in when each failure domain was last heard.
+    pub fn set_domains_heard(&mut self, heard: DomainsHeard) {
+        self.domains_heard = heard;
+    }
+
     /// Takes in when a node of another failure domain was last heard.
     pub fn note_domain_heard(&mut self, domain: &FailureDomain, at: Instant) {
-        self.domains_heard.insert(domain.clone(), at);
+        self.domains_heard.note(domain, at);
     }
 
     /// Counts a request as sent.
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -1,5 +1,6 @@
 //! Which node a node hears the store's changes from.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use nutmegsail_base::{FailureDomain, NodeId};
@@ -47,15 +48,27 @@
     let near = nodes
         .into_iter()
         .filter(|other| other.failure_domain == *domain);
-    let mut near: Vec<&NodeRecord> = near.collect();
-    near.sort_by(|a, b| a.node.cmp(&b.node));
-    let reader = near
+    let readers = readers_by_domain(near).into_values().next()?;
+    let reader = readers
         .into_iter()
-        .take(READERS)
         .find(|reader| reader.node == *node || !is_silent(&reader.node))?;
     (reader.node != *node).then_some(reader)
 }
 
+/// The nodes of each failure domain that may read the store for the others, the first in front.
+pub fn readers_by_domain<'a>(
+    nodes: impl IntoIterator<Item = &'a NodeRecord>,
+) -> BTreeMap<&'a FailureDomain, Vec<&'a NodeRecord>> {
+    let mut by_domain: BTreeMap<&FailureDomain, Vec<&NodeRecord>> = BTreeMap::new();
+    for node in nodes {
+        let readers = by_domain.entry(&node.failure_domain).or_default();
+        readers.push(node);
+        readers.sort_by(|a, b| a.node.cmp(&b.node));
+        readers.truncate(READERS);
+    }
+    by_domain
+}
+
 /// How long a node pauses after a call to the store that failed, with `near` nodes in its failure domain.
 /// As much again at random keeps them from coming back at one moment.
 ///
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -9,8 +9,8 @@
 use common::{engine, far_engine, holdings, list, plain, report};
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    AdapterMove, CopyPlace, Dispatcher, ModelRef, Need, Outcome, Refusal, Report, Upstream,
-    UpstreamState, VersionRule,
+    AdapterMove, CopyPlace, Dispatcher, DomainsHeard, ModelRef, Need, Outcome, Refusal, Report,
+    Upstream, UpstreamState, VersionRule,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -537,6 +537,31 @@
     assert_eq!(asked(&world), ["e1", "e2", "e3"]);
 }
 
+// A node of a large fleet uses no engine of another failure domain for a while, and so hears nothing from
+// there. Its engines are sound, and hold adapters that would else be loaded here once more.
+#[test]
+fn a_failure_domain_that_others_hear_is_not_cut_off() {
+    let mut world = World::new([far_engine("e1", &["a1"])]);
+    let (there, began) = ("there".into(), world.now);
+    let mut reader = DomainsHeard::default();
+    let mut node = DomainsHeard::default();
+    for tick in 0..30 {
+        let now = began + Duration::from_millis(100 * tick);
+        if tick < 20 {
+            reader.note(&there, now);
+        }
+        node.take(&reader.ages(now), now);
+        world.now = now;
+        world.dispatcher.set_domains_heard(node.clone());
+        let is_cut_off = tick >= 24;
+        assert_eq!(
+            world.choose().is_err(),
+            is_cut_off,
+            "after {tick} exchanges"
+        );
+    }
+}
+
 fn report_of_room(room: u32, taken: Instant) -> Report {
     Report {
         room,
