Let copies that one engine is too few for load as early as misses

Cause: with copies left behind misses, an adapter that needs more than one engine got none while the weight store was busy.

--- a/crates/relay/src/engine_demand.rs
+++ b/crates/relay/src/engine_demand.rs
@@ -16,6 +16,10 @@
 /// its load: of its prompt reading, or of its slots. The rest is for the engine's other adapters.
 const COPY_SHARE: f64 = 0.4;
 
+/// The same from which a copy is as urgent as a load for a miss: the engine has hardly room for anything
+/// else, and the adapter's own callers queue.
+const URGENT_SHARE: f64 = 0.8;
+
 /// Requests in a second for one adapter from a failure domain over which it gets a copy there: a load
 /// costs about a third of what a request is worth, and pays off within some seconds.
 const OWN_COPY_PER_S: f64 = 2.0;
@@ -37,6 +41,8 @@
     pub place: CopyPlace,
     /// How many.
     pub copies: usize,
+    /// Whether one engine is too few for it, so that its callers wait for a copy as others do for a miss.
+    pub is_urgent: bool,
 }
 
 /// An engine as its owner knows it.
@@ -125,13 +131,15 @@
     ) -> Option<WantedCopies> {
         let reading = self.tokens.rate_per_s(model, now) * PROMPT_TOKEN_MS / 1_000.0;
         let slots = f64::from(in_flight) / f64::from(engine.slots.max(1));
-        let copies = (reading.max(slots) / COPY_SHARE).ceil() as usize;
+        let share = reading.max(slots);
+        let copies = (share / COPY_SHARE).ceil() as usize;
         let further = copies.saturating_sub(1);
         if further > 0 {
             return Some(WantedCopies {
                 model: model.clone(),
                 place: CopyPlace::Anywhere,
                 copies: further.min(COPIES_AT_ONCE),
+                is_urgent: share > URGENT_SHARE,
             });
         }
         let is_far = |domain: &FailureDomain| domain != engine.failure_domain;
@@ -142,6 +150,7 @@
             model: model.clone(),
             place: CopyPlace::Domain(domain.clone()),
             copies: 1,
+            is_urgent: false,
         })
     }
 }
