Don't take news of an engine's load for news of what it holds

Cause: in a large fleet loads of engines are passed on without holdings, and a node took each such message for the owner's word that the holdings were unchanged. From its first use of an engine on, a node so kept what the engine had held then, and never believed the list of upstreams again. Change: a message says that holdings changed, that they are as told, or nothing; a passed on load bears the number of the last change, which confirms only what the node was told with it. Failure domains that are heard reach the traffic thread at once, not at the next exchange: on small fleets that cost a tenth of a second of the silence that is waited for. Test: with news of the load alone the list is believed again after 2.5 s; with word that nothing changed it is not.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -13,7 +13,7 @@
 
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
 use nutmegsail_relay::{
-    AdapterMove, EngineLoadNow, HeldModel, Holdings, ModelDigest, ModelRef, Report,
+    AdapterMove, EngineLoadNow, HeldModel, Holdings, HoldingsTold, ModelDigest, ModelRef, Report,
     readers_by_domain,
 };
 use nutmegsail_telemetry::{Event, log_event};
@@ -67,6 +67,8 @@
     pub(crate) transfers: u32,
     /// Adapters that it could take now.
     pub(crate) room: u8,
+    /// The last change of its holdings.
+    pub(crate) change: u64,
     /// Whether it can be given orders now.
     pub(crate) takes_loads: bool,
     /// Its base models, if its service has several.
@@ -149,8 +151,6 @@
                 gather(&knowledge, &socket, &mut board);
                 tell_models(&knowledge, &socket);
                 tell_alive(&knowledge, &socket);
-                let domains = knowledge.domains_heard.borrow().clone();
-                knowledge.shared.news.put_domains(domains);
             }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
@@ -211,7 +211,7 @@
     knowledge.shared.news.put(EngineNews {
         engine: owned.id.clone(),
         report: load.into_report(),
-        holdings: owned.holdings_since(knowledge.known_change(&owned.id)),
+        holdings: told_by_owner(owned.holdings_since(knowledge.known_change(&owned.id))),
     });
     knowledge.note_change(&owned.id, owned.change());
 }
@@ -285,6 +285,7 @@
         moved: owned.moved_lately(),
         transfers: u32::try_from(owned.count_transfers(|_| true)).unwrap_or(u32::MAX),
         room: owned.room(),
+        change: owned.change(),
         takes_loads: knowledge.takes_loads(owned),
         host: host_told(knowledge, owned, in_flight),
     }
@@ -343,6 +344,11 @@
     }
 }
 
+/// What an owner says of holdings: it tells them to whom it told others before.
+fn told_by_owner(holdings: Option<Holdings>) -> HoldingsTold {
+    holdings.map_or(HoldingsTold::Unchanged, HoldingsTold::Changed)
+}
+
 /// Takes in a datagram.
 fn take(
     knowledge: &Knowledge,
@@ -377,7 +383,7 @@
                 knowledge.shared.news.put(EngineNews {
                     engine: told.engine,
                     report: told.load.into_report(),
-                    holdings: told.holdings,
+                    holdings: told_by_owner(told.holdings),
                 });
             }
         }
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -235,6 +235,7 @@
     pub(crate) fn take_domains(&self, told: &[DomainAge]) {
         let mut domains = self.domains_heard.borrow_mut();
         domains.take(told, Instant::now());
+        self.shared.news.put_domains(&domains);
     }
 
     /// Notes that a node was heard, and its failure domain with it.
@@ -243,6 +244,7 @@
         if let Some(record) = nodes.get(&node) {
             let mut domains = self.domains_heard.borrow_mut();
             domains.note(&record.failure_domain, Instant::now());
+            self.shared.news.put_domains(&domains);
         }
         self.heard.borrow_mut().insert(node, Instant::now());
     }
--- a/crates/relay-node/src/control/load_board.rs
+++ b/crates/relay-node/src/control/load_board.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{DomainAge, NodeRecord, readers_by_domain};
+use nutmegsail_relay::{DomainAge, HoldingsTold, NodeRecord, readers_by_domain};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -175,6 +175,12 @@
     if let Some(host) = load.host.clone() {
         knowledge.note_hosted(engine, host);
     }
+    // Holdings are not passed on, but the number of their last change is.
+    let is_known = load.change > 0 && load.change == knowledge.known_change(engine);
+    let holdings = match is_known {
+        true => HoldingsTold::Unchanged,
+        false => HoldingsTold::Untold,
+    };
     // The page has what this node has there as well.
     let mine = knowledge.shared.uses.peek(engine);
     let mut report = load.into_report();
@@ -183,6 +189,6 @@
     knowledge.shared.news.put(EngineNews {
         engine: engine.clone(),
         report,
-        holdings: None,
+        holdings,
     });
 }
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -8,8 +8,8 @@
 use arc_swap::ArcSwap;
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    DomainsHeard, Holdings, LoadPlace, ModelDigest, ModelRef, Report, RouteTable, Upstream,
-    Versions, WantedCopies,
+    DomainsHeard, Holdings, HoldingsTold, LoadPlace, ModelDigest, ModelRef, Report, RouteTable,
+    Upstream, Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -198,8 +198,8 @@
 pub(crate) struct EngineNews {
     pub(crate) engine: UpstreamId,
     pub(crate) report: Report,
-    /// What it holds, if that changed lately.
-    pub(crate) holdings: Option<Holdings>,
+    /// What it says of the engine's holdings.
+    pub(crate) holdings: HoldingsTold,
 }
 
 /// Copies that an engine's owner wants of what its engine holds.
@@ -214,8 +214,8 @@
 pub(crate) struct Waiting {
     /// The newest of each engine.
     pub(crate) engines: HashMap<UpstreamId, EngineNews>,
-    /// When each failure domain was last heard.
-    pub(crate) domains: Option<DomainsHeard>,
+    /// When failure domains were heard.
+    pub(crate) domains: DomainsHeard,
     /// Copies that are wanted.
     pub(crate) copies: Vec<CopyNews>,
 }
@@ -225,9 +225,9 @@
 pub(crate) struct News(Mutex<Waiting>);
 
 impl News {
-    /// Tells when each failure domain was last heard.
-    pub(crate) fn put_domains(&self, domains: DomainsHeard) {
-        self.lock().domains = Some(domains);
+    /// Tells when failure domains were heard.
+    pub(crate) fn put_domains(&self, domains: &DomainsHeard) {
+        self.lock().domains.merge(domains);
     }
 
     fn lock(&self) -> MutexGuard<'_, Waiting> {
@@ -242,7 +242,8 @@
     pub(crate) fn put(&self, news: EngineNews) {
         let mut waiting = self.lock();
         let older = waiting.engines.remove(&news.engine);
-        let holdings = news.holdings.or(older.and_then(|older| older.holdings));
+        let older = older.map(|older| older.holdings).unwrap_or_default();
+        let holdings = news.holdings.after(older);
         let news = EngineNews { holdings, ..news };
         waiting.engines.insert(news.engine.clone(), news);
     }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -51,6 +51,10 @@
 /// Requests of one node that wait for base models. More could not all be answered once one has come.
 const MODEL_WAITS_LIMIT: usize = 128;
 
+/// A wait, as a part of the time after which a caller leaves, from which a request is as good as lost: it
+/// has waited here before, and waits are expected too short as often as too long.
+const LOST_WAIT_SHARE: f64 = 0.5;
+
 /// When a caller whose request found no room is asked to return. Prompts that wait are read in
 /// some 300 ms.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(350);
@@ -190,11 +194,9 @@
         }
         let news = self.shared.news.take();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        if let Some(domains) = news.domains {
-            dispatcher.set_domains_heard(domains);
-        }
+        dispatcher.note_domains_heard(&news.domains);
         for (engine, news) in news.engines {
-            dispatcher.note_told(&engine, news.holdings.as_ref(), news.report);
+            dispatcher.note_told(&engine, &news.holdings, news.report);
         }
         drop(dispatcher);
         for copies in news.copies {
@@ -210,6 +212,7 @@
             model,
             place,
             copies,
+            is_urgent,
         } = news.wanted;
         let dispatcher = self.dispatcher.borrow();
         if let CopyPlace::Domain(domain) = &place
@@ -225,7 +228,10 @@
                 model,
                 version: rule.to_load(),
                 was_turned_away: false,
-                purpose: LoadPurpose::Copy,
+                purpose: match is_urgent {
+                    true => LoadPurpose::Miss,
+                    false => LoadPurpose::Copy,
+                },
             },
             engines,
             copies,
@@ -360,7 +366,7 @@
                 {
                     // Whether or not the load comes to anything, the request then goes to the best.
                     may_look_elsewhere = false;
-                    let purpose = LoadPurpose::Copy;
+                    let purpose = copy_purpose(call, &choice);
                     self.bring_adapter(call, sends, purpose, LOAD_PATIENCE)
                         .await;
                 }
@@ -567,6 +573,16 @@
     now + ADAPTER_PATIENCE.min(call.remaining(now) / 2)
 }
 
+/// What a copy is for that `call` would be answered sooner by than by `choice`. Where its caller would have
+/// left by then, it is as good as a miss.
+fn copy_purpose(call: &Call, choice: &Choice) -> LoadPurpose {
+    let expected = Duration::from_secs_f64(choice.expected_ms.max(0.0) / 1_000.0);
+    match expected > call.first_event_patience().mul_f64(LOST_WAIT_SHARE) {
+        true => LoadPurpose::Miss,
+        false => LoadPurpose::Copy,
+    }
+}
+
 fn need<'a>(call: &'a Call, tried: &'a [UpstreamId]) -> Need<'a> {
     Need {
         service: &call.service,
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -8,7 +8,9 @@
 use rand::{Rng, RngExt as _};
 
 use crate::tracked::{FIRST_RUN_MS, PROMPT_TOKEN_MS};
-use crate::{DomainsHeard, Holdings, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule};
+use crate::{
+    DomainsHeard, Holdings, HoldingsTold, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule,
+};
 
 /// What a request needs of an upstream.
 #[derive(Clone, Debug)]
@@ -142,8 +144,8 @@
         }
     }
 
-    /// Takes in what an engine's owner told; `holdings` only if they changed.
-    pub fn note_told(&mut self, id: &UpstreamId, holdings: Option<&Holdings>, report: Report) {
+    /// Takes in what an engine's owner told.
+    pub fn note_told(&mut self, id: &UpstreamId, holdings: &HoldingsTold, report: Report) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
             tracked.note_told(holdings, report);
         }
@@ -304,9 +306,9 @@
         prompt_tokens as f64 * PROMPT_TOKEN_MS + self.run_ms / f64::from(slots.unwrap_or(1).max(1))
     }
 
-    /// Takes in when each failure domain was last heard.
-    pub fn set_domains_heard(&mut self, heard: DomainsHeard) {
-        self.domains_heard = heard;
+    /// Takes in when failure domains were heard.
+    pub fn note_domains_heard(&mut self, heard: &DomainsHeard) {
+        self.domains_heard.merge(heard);
     }
 
     /// Takes in when a node of another failure domain was last heard.
--- a/crates/relay/src/domains_heard.rs
+++ b/crates/relay/src/domains_heard.rs
@@ -56,6 +56,13 @@
         self.heard.get(domain).copied()
     }
 
+    /// Takes in what another account of this node has.
+    pub fn merge(&mut self, other: &Self) {
+        for (domain, at) in &other.heard {
+            self.note(domain, *at);
+        }
+    }
+
     /// How long ago each was heard, to be told to another node.
     pub fn ages(&self, now: Instant) -> Vec<DomainAge> {
         let ages = self.heard.iter().map(|(domain, at)| {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -58,6 +58,6 @@
 pub use route_table::{CallerLimits, RouteTable};
 pub use service::{EngineSpec, ModelSpec, Service};
 pub use stall::StallWatch;
-pub use tracked::{AdapterMove, Report, Tracked};
+pub use tracked::{AdapterMove, HoldingsTold, Report, Tracked};
 pub use upstream::{Upstream, UpstreamState};
 pub use versions::{VersionRule, Versions};
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -28,6 +28,29 @@
     pub taken: Instant,
 }
 
+/// What a message says of an engine's holdings.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum HoldingsTold {
+    /// They are these now.
+    Changed(Holdings),
+    /// They are what this node was told last.
+    Unchanged,
+    /// Nothing.
+    #[default]
+    Untold,
+}
+
+impl HoldingsTold {
+    /// What this and an `older` message say together.
+    pub fn after(self, older: Self) -> Self {
+        match (self, older) {
+            (Self::Unchanged, older @ Self::Changed(_)) => older,
+            (Self::Untold, older) => older,
+            (newer, _) => newer,
+        }
+    }
+}
+
 /// An adapter that came to an engine, or was dropped there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterMove {
@@ -146,14 +169,22 @@
         self.upstream = upstream;
     }
 
-    /// Takes in what the owner knows; `holdings` only if they changed.
-    pub fn note_told(&mut self, holdings: Option<&Holdings>, report: Report) {
-        if let Some(holdings) = holdings {
-            self.set_holdings(holdings);
-            self.holdings_told = Some(report.taken);
-        }
-        if self.holdings_told.is_some() {
-            self.holdings_told = Some(report.taken);
+    /// Takes in what the owner knows of its load, and what it says of its holdings.
+    ///
+    /// A load that was passed on says nothing of holdings. Taken for a word that they are unchanged, it
+    /// kept what an engine had held when this node last used it for good, and the list of upstreams was
+    /// not believed again: adapters that the engine held were loaded elsewhere, and requests sent for
+    /// those that it had dropped.
+    pub fn note_told(&mut self, holdings: &HoldingsTold, report: Report) {
+        match holdings {
+            HoldingsTold::Changed(holdings) => {
+                self.set_holdings(holdings);
+                self.holdings_told = Some(report.taken);
+            }
+            HoldingsTold::Unchanged if self.holdings_told.is_some() => {
+                self.holdings_told = Some(report.taken);
+            }
+            HoldingsTold::Unchanged | HoldingsTold::Untold => {}
         }
         self.note_moves(&report);
         self.report = Some(report);
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -9,8 +9,8 @@
 use common::{engine, far_engine, holdings, list, plain, report};
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    AdapterMove, CopyPlace, Dispatcher, DomainsHeard, ModelRef, Need, Outcome, Refusal, Report,
-    Upstream, UpstreamState, VersionRule,
+    AdapterMove, CopyPlace, Dispatcher, DomainsHeard, HoldingsTold, ModelRef, Need, Outcome,
+    Refusal, Report, Upstream, UpstreamState, VersionRule,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -108,9 +108,11 @@
 #[test]
 fn what_other_nodes_sent_counts_while_the_news_is_fresh() {
     let mut world = World::new([engine("e1", &["a1"]), engine("e2", &["a1"])]);
-    world
-        .dispatcher
-        .note_told(&"e1".into(), None, report(20_000, world.now));
+    world.dispatcher.note_told(
+        &"e1".into(),
+        &HoldingsTold::Unchanged,
+        report(20_000, world.now),
+    );
     assert_eq!(world.choose().unwrap(), "e2");
     world.now += Duration::from_secs(5);
     let chosen: Vec<_> = (0..50).map(|_| world.choose().unwrap()).collect();
@@ -123,9 +125,11 @@
 fn a_late_heartbeat_does_not_bring_back_an_unloaded_adapter() {
     let mut world = World::new([engine("e1", &["a1"])]);
     let gone = holdings(&["a2"]);
-    world
-        .dispatcher
-        .note_told(&"e1".into(), Some(&gone), report(0, world.now));
+    world.dispatcher.note_told(
+        &"e1".into(),
+        &HoldingsTold::Changed(gone),
+        report(0, world.now),
+    );
     world.now += Duration::from_millis(900);
     world
         .dispatcher
@@ -315,7 +319,9 @@
     let mut world = World::new([engine("e1", &[]), engine("e2", &[])]);
     let mut told = report(9_000, world.now);
     told.coming = vec![world.a1.digest()];
-    world.dispatcher.note_told(&"e2".into(), None, told);
+    world
+        .dispatcher
+        .note_told(&"e2".into(), &HoldingsTold::Unchanged, told);
     let mut engines = world.dispatcher.engines_to_load(
         &world.engines,
         &world.a1,
@@ -436,7 +442,9 @@
             model: world.a1.digest(),
             is_held,
         }];
-        world.dispatcher.note_told(&id.into(), None, news);
+        world
+            .dispatcher
+            .note_told(&id.into(), &HoldingsTold::Unchanged, news);
         let list = list([engine("e1", &[]), engine("e2", &["a1"])]);
         world.dispatcher.set_upstreams(&list, world.now);
     };
@@ -517,7 +525,9 @@
     let mut world = World::new([engine("e1", &[]), engine("e2", &[]), engine("e3", &[])]);
     for (id, room) in [("e1", 0), ("e2", 3), ("e3", 0)] {
         let told = report_of_room(room, world.now);
-        world.dispatcher.note_told(&id.into(), None, told);
+        world
+            .dispatcher
+            .note_told(&id.into(), &HoldingsTold::Unchanged, told);
     }
     let asked = |world: &World| {
         let place = &CopyPlace::Anywhere;
@@ -533,7 +543,9 @@
     assert_eq!(asked(&world), ["e2"]);
     // Where none has a place a moment ago, one may have become free since.
     let full = report_of_room(0, world.now);
-    world.dispatcher.note_told(&"e2".into(), None, full);
+    world
+        .dispatcher
+        .note_told(&"e2".into(), &HoldingsTold::Unchanged, full);
     assert_eq!(asked(&world), ["e1", "e2", "e3"]);
 }
 
@@ -552,7 +564,7 @@
         }
         node.take(&reader.ages(now), now);
         world.now = now;
-        world.dispatcher.set_domains_heard(node.clone());
+        world.dispatcher.note_domains_heard(&node);
         let is_cut_off = tick >= 24;
         assert_eq!(
             world.choose().is_err(),
@@ -562,6 +574,31 @@
     }
 }
 
+// A node of a large fleet used an engine once and was told what it holds. From then on it hears of the
+// engine's load only. The adapters have changed since: its callers' requests go where theirs was
+// dropped, or have it loaded elsewhere once more, until the list of upstreams is believed again.
+#[rstest]
+#[case::the_load_alone(HoldingsTold::Untold, true)]
+#[case::that_nothing_changed(HoldingsTold::Unchanged, false)]
+fn news_of_the_load_alone_does_not_confirm_what_an_engine_holds(
+    #[case] told: HoldingsTold,
+    #[case] is_list_believed: bool,
+) {
+    let mut world = World::new([engine("e1", &[])]);
+    let before = HoldingsTold::Changed(holdings(&["a9"]));
+    world
+        .dispatcher
+        .note_told(&"e1".into(), &before, report(0, world.now));
+    for _ in 0..40 {
+        world.now += Duration::from_millis(100);
+        let report = report(0, world.now);
+        world.dispatcher.note_told(&"e1".into(), &told, report);
+    }
+    let listed = list([engine("e1", &["a1"])]);
+    world.dispatcher.set_upstreams(&listed, world.now);
+    assert_eq!(world.choose().is_ok(), is_list_believed);
+}
+
 fn report_of_room(room: u32, taken: Instant) -> Report {
     Report {
         room,
