Let nodes without a lease take turns at a store that fails

Change: after a renewal that failed a node pauses as after a failed watch, by the nodes of its failure domain.

--- a/crates/relay-node/src/control/keeper.rs
+++ b/crates/relay-node/src/control/keeper.rs
@@ -31,14 +31,18 @@
 /// Keeps the node's lease and claims engines, for ever.
 pub(crate) async fn keep(knowledge: Rc<Knowledge>) {
     let started = Instant::now();
-    let mut renewed: Option<Instant> = None;
+    // Nodes whose leases were taken away all ask for new ones; while the store is away they take turns.
+    let mut renew_after = started;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let is_due = renewed.is_none_or(|at| at.elapsed() >= RENEW_INTERVAL);
-        if is_due && renew(&knowledge).await {
-            renewed = Some(Instant::now());
+        if Instant::now() >= renew_after {
+            let pause = match renew(&knowledge).await {
+                true => RENEW_INTERVAL,
+                false => knowledge.store_pause(),
+            };
+            renew_after = Instant::now() + pause;
         }
         if knowledge.lease.get() == LeaseId::default() {
             continue;
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -11,7 +11,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Demand, DomainAge, DomainsHeard, Holdings, LoadTimes, ModelRef, ModelSpec, NodeRecord,
-    OrderPermit, OwnershipRules, RouteTable, Service, Upstream, Versions,
+    OrderPermit, OwnershipRules, RouteTable, Service, Upstream, Versions, retry_pause,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
@@ -312,6 +312,14 @@
         self.owned.borrow().get(id).cloned()
     }
 
+    /// How long this node pauses after a call to the store that failed.
+    pub(crate) fn store_pause(&self) -> Duration {
+        let nodes = self.nodes.borrow();
+        let here = &self.settings.failure_domain;
+        let near = nodes.values().filter(|node| node.failure_domain == *here);
+        retry_pause(near.count()).mul_f64(1.0 + rand::random::<f64>())
+    }
+
     /// Notes which base models another owner's engine holds.
     pub(crate) fn note_hosted(&self, engine: &UpstreamId, told: HostTold) {
         let mut hosted = self.hosted.borrow_mut();
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -9,7 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use nutmegsail_relay::retry_pause;
 use nutmegsail_store::{Change, Changes, Item, KeyValueError, Revision};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep;
@@ -74,7 +73,7 @@
                     log_lost(knowledge, &error);
                 }
                 followers.iter().for_each(|follower| follower.lost());
-                pause(knowledge).await;
+                sleep(knowledge.store_pause()).await;
             }
         }
     }
@@ -140,7 +139,7 @@
                 if let ControlFlow::Break(error) = judge(error, failures) {
                     return error;
                 }
-                pause(knowledge).await;
+                sleep(knowledge.store_pause()).await;
             }
         }
     }
@@ -192,19 +191,6 @@
     Err(KeyValueError::Malformed("the range has no end".to_owned()))
 }
 
-async fn pause(knowledge: &Knowledge) {
-    let pause = retry_pause(near_nodes(knowledge));
-    sleep(pause.mul_f64(1.0 + rand::random::<f64>())).await;
-}
-
-/// Nodes of this failure domain.
-fn near_nodes(knowledge: &Knowledge) -> usize {
-    let nodes = knowledge.nodes.borrow();
-    let here = &knowledge.settings.failure_domain;
-    let near = nodes.values().filter(|node| node.failure_domain == *here);
-    near.count()
-}
-
 fn log_lost(knowledge: &Knowledge, error: &KeyValueError) {
     log_event!(knowledge.log, Event::PlatformUnavailable, "error" => error.to_string());
 }
