--- a/crates/relay-node/src/control/engine.rs
+++ b/crates/relay-node/src/control/engine.rs
@@ -6,7 +6,7 @@
 
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{
-    AdapterMove, EngineDemand, Holdings, HostedModel, ModelChange, ModelDigest, ModelRef, Ownership,
+    AdapterMove, EngineDemand, Holdings, ModelChange, ModelDigest, ModelRef, Ownership,
 };
 use tokio::sync::{Mutex, Notify};
 
@@ -67,14 +67,14 @@
     /// Whether a task follows the loads under way.
     pub(crate) is_followed: Cell<bool>,
     /// The change of its base models under way.
-    change: RefCell<Option<ModelChange>>,
+    pub(super) change: RefCell<Option<ModelChange>>,
     /// When a base model was last ordered from the weight store.
-    store_used: Cell<Option<Instant>>,
+    pub(super) store_used: Cell<Option<Instant>>,
     /// Adapters that it could take when that was last counted.
     room: Cell<u8>,
     /// Loads that wait for their order.
     waiting: RefCell<Vec<ModelRef>>,
-    state: RefCell<State>,
+    pub(super) state: RefCell<State>,
 }
 
 /// A load's place among those that wait for their order.
@@ -100,17 +100,17 @@
 }
 
 #[derive(Clone, Debug, Default)]
-struct State {
+pub(super) struct State {
     /// Orders that it has accepted; nothing until its report was read.
     order_seq: Option<u64>,
-    holdings: Holdings,
+    pub(super) holdings: Holdings,
     /// Rises with each change of the holdings; 0 until they were read.
     change: u64,
-    coming: Vec<Coming>,
+    pub(super) coming: Vec<Coming>,
     /// Adapters that came or went lately.
     moved: Vec<(AdapterMove, Instant)>,
     /// Adapters that go when their requests have ended.
-    leaving: Vec<ModelRef>,
+    pub(super) leaving: Vec<ModelRef>,
     /// Until when it takes no orders, as far as is known.
     blocked_until: Option<Instant>,
     /// What other nodes have there.
@@ -312,28 +312,6 @@
         state.coming.iter().any(is_it)
     }
 
-    /// Begins a change of its base models, unless one is under way.
-    pub(crate) fn begin_change(&self, change: ModelChange) -> bool {
-        let mut under_way = self.change.borrow_mut();
-        let is_first = under_way.is_none();
-        under_way.get_or_insert(change);
-        is_first
-    }
-
-    /// Ends a change of its base models.
-    pub(crate) fn end_change(&self) {
-        self.change.take();
-    }
-
-    /// Whether a base model is to come or to leave. It takes no other orders meanwhile.
-    pub(crate) fn is_changing_model(&self) -> bool {
-        let state = self.state.borrow();
-        let is_base = |model: &ModelRef| model.adapter.is_none();
-        self.change.borrow().is_some()
-            || state.leaving.iter().any(is_base)
-            || state.coming.iter().any(|coming| is_base(&coming.model))
-    }
-
     /// Adapters that it could take when that was last counted.
     pub(crate) fn room(&self) -> u8 {
         self.room.get()
@@ -344,55 +322,6 @@
         self.room.set(room);
     }
 
-    /// Notes that a base model was ordered from the weight store.
-    pub(crate) fn note_store_use(&self) {
-        self.store_used.set(Some(Instant::now()));
-    }
-
-    /// Whether a base model was ordered from the weight store less than `span` ago.
-    pub(crate) fn uses_store(&self, span: Duration) -> bool {
-        let used = self.store_used.get();
-        used.is_some_and(|used| used.elapsed() < span)
-    }
-
-    /// The base models that it holds or that are to come, without those that leave.
-    ///
-    /// A change counts as done from its first moment: while what makes way leaves, all owners would
-    /// have further engines make the same change.
-    pub(crate) fn hosted_models(&self) -> Vec<HostedModel> {
-        let mut hosted = self.held_models();
-        if let Some(change) = &*self.change.borrow() {
-            hosted.retain(|model| !change.unload.contains(&model.name));
-            if hosted.iter().all(|model| model.name != change.load) {
-                hosted.push(HostedModel {
-                    name: change.load.clone(),
-                    adapters: 0,
-                });
-            }
-        }
-        hosted
-    }
-
-    fn held_models(&self) -> Vec<HostedModel> {
-        let state = self.state.borrow();
-        let coming = state.coming.iter();
-        let held = state.holdings.models.iter().map(|held| HostedModel {
-            name: held.name.clone(),
-            adapters: held.adapters.len()
-                + coming
-                    .clone()
-                    .filter(|load| load.model.model == held.name && load.model.adapter.is_some())
-                    .count(),
-        });
-        let is_new =
-            |load: &&Coming| load.model.adapter.is_none() && !state.holdings.has_base(&load.model);
-        let new = coming.clone().filter(is_new).map(|load| HostedModel {
-            name: load.model.model.clone(),
-            adapters: 0,
-        });
-        held.chain(new).collect()
-    }
-
     /// Forgets the count of orders: an order came back without an answer.
     pub(crate) fn doubt(&self) {
         self.state.borrow_mut().order_seq = None;
--- /dev/null
+++ b/crates/relay-node/src/control/engine_models.rs
@@ -0,0 +1,80 @@
+//! The base models of an engine that this node owns.
+
+use std::time::{Duration, Instant};
+
+use nutmegsail_relay::{HostedModel, ModelChange, ModelRef};
+
+use super::engine::{Coming, OwnedEngine};
+
+impl OwnedEngine {
+    /// Begins a change of its base models, unless one is under way.
+    pub(crate) fn begin_change(&self, change: ModelChange) -> bool {
+        let mut under_way = self.change.borrow_mut();
+        let is_first = under_way.is_none();
+        under_way.get_or_insert(change);
+        is_first
+    }
+
+    /// Ends a change of its base models.
+    pub(crate) fn end_change(&self) {
+        self.change.take();
+    }
+
+    /// Whether a base model is to come or to leave. It takes no other orders meanwhile.
+    pub(crate) fn is_changing_model(&self) -> bool {
+        let state = self.state.borrow();
+        let is_base = |model: &ModelRef| model.adapter.is_none();
+        self.change.borrow().is_some()
+            || state.leaving.iter().any(is_base)
+            || state.coming.iter().any(|coming| is_base(&coming.model))
+    }
+
+    /// Notes that a base model was ordered from the weight store.
+    pub(crate) fn note_store_use(&self) {
+        self.store_used.set(Some(Instant::now()));
+    }
+
+    /// Whether a base model was ordered from the weight store less than `span` ago.
+    pub(crate) fn uses_store(&self, span: Duration) -> bool {
+        let used = self.store_used.get();
+        used.is_some_and(|used| used.elapsed() < span)
+    }
+
+    /// The base models that it holds or that are to come, without those that leave.
+    ///
+    /// A change counts as done from its first moment: while what makes way leaves, all owners would
+    /// have further engines make the same change.
+    pub(crate) fn hosted_models(&self) -> Vec<HostedModel> {
+        let mut hosted = self.held_models();
+        if let Some(change) = &*self.change.borrow() {
+            hosted.retain(|model| !change.unload.contains(&model.name));
+            if hosted.iter().all(|model| model.name != change.load) {
+                hosted.push(HostedModel {
+                    name: change.load.clone(),
+                    adapters: 0,
+                });
+            }
+        }
+        hosted
+    }
+
+    fn held_models(&self) -> Vec<HostedModel> {
+        let state = self.state.borrow();
+        let coming = state.coming.iter();
+        let held = state.holdings.models.iter().map(|held| HostedModel {
+            name: held.name.clone(),
+            adapters: held.adapters.len()
+                + coming
+                    .clone()
+                    .filter(|load| load.model.model == held.name && load.model.adapter.is_some())
+                    .count(),
+        });
+        let is_new =
+            |load: &&Coming| load.model.adapter.is_none() && !state.holdings.has_base(&load.model);
+        let new = coming.clone().filter(is_new).map(|load| HostedModel {
+            name: load.model.model.clone(),
+            adapters: 0,
+        });
+        held.chain(new).collect()
+    }
+}
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -12,17 +12,14 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
-use nutmegsail_relay::{
-    AdapterMove, EngineLoadNow, HeldModel, Holdings, HoldingsTold, ModelDigest, ModelRef, Report,
-    readers_by_domain,
-};
+use nutmegsail_relay::{EngineLoadNow, Holdings, HoldingsTold, ModelRef, readers_by_domain};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::base_models::store_use;
 use super::engine::OwnedEngine;
+use super::engine_load::{EngineLoad, load_without, room};
 use super::knowledge::Knowledge;
 use super::load_board::{LoadBoard, LoadPage};
 use super::model_demand::ModelsAsked;
@@ -52,59 +49,6 @@
     known_change: u64,
 }
 
-/// The load of one engine.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct EngineLoad {
-    /// Requests that run there.
-    pub(crate) in_flight: u32,
-    /// Prompt tokens that were sent and whose answers have not begun.
-    pub(crate) unread_tokens: u32,
-    /// Adapters on their way to it, or waiting for it.
-    pub(crate) coming: Vec<ModelDigest>,
-    /// Adapters that came or went a moment ago.
-    pub(crate) moved: Vec<AdapterMove>,
-    /// How many adapters come from the weight store and no report has shown as done.
-    pub(crate) transfers: u32,
-    /// Adapters that it could take now.
-    pub(crate) room: u8,
-    /// The last change of its holdings.
-    pub(crate) change: u64,
-    /// Whether it can be given orders now.
-    pub(crate) takes_loads: bool,
-    /// Its base models, if its service has several.
-    pub(crate) host: Option<HostTold>,
-}
-
-/// What an owner tells of the base models of its engine.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct HostTold {
-    /// Those that it holds or that are on their way, with how many adapters each.
-    pub(crate) models: Vec<(ModelDigest, u8)>,
-    /// Whether it can be given orders for base models now.
-    pub(crate) can_change: bool,
-    /// Whether a base model is to come or to leave.
-    pub(crate) is_changing: bool,
-    /// Whether it counts against the rate of the weight store for base models.
-    pub(crate) uses_store: bool,
-    /// Requests that it runs.
-    pub(crate) in_flight: u32,
-}
-
-impl EngineLoad {
-    /// The report of it, as it was taken just now.
-    pub(crate) fn into_report(self) -> Report {
-        Report {
-            in_flight_of_others: self.in_flight,
-            unread_tokens_of_others: u64::from(self.unread_tokens),
-            coming: self.coming,
-            moved: self.moved,
-            room: u32::from(self.room),
-            takes_loads: self.takes_loads,
-            taken: Instant::now(),
-        }
-    }
-}
-
 /// What an owner tells one node of one engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct EngineTold {
@@ -255,66 +199,6 @@
     knowledge.shared.news.want_copies(news);
 }
 
-/// Adapters that an engine of ours could take now.
-fn room(knowledge: &Knowledge, owned: &OwnedEngine) -> u8 {
-    let upstream = knowledge.upstream(&owned.id);
-    let room = upstream.and_then(|upstream| knowledge.engine_room(&upstream.service));
-    let Some(room) = room else {
-        return 0;
-    };
-    let holdings = owned.holdings();
-    let adapters = holdings.models.iter().flat_map(HeldModel::adapter_refs);
-    let in_use = adapters.filter(|adapter| knowledge.is_in_use(owned, adapter));
-    let taken = in_use.count() + owned.loads_ahead().len();
-    let left = room.adapters_beside(&holdings).saturating_sub(taken);
-    u8::try_from(left).unwrap_or(u8::MAX)
-}
-
-/// The load of an engine of ours without what `node` has there.
-fn load_without(knowledge: &Knowledge, owned: &OwnedEngine, node: &NodeId) -> EngineLoad {
-    let (mut in_flight, mut unread_tokens) = owned.load_of_others(node);
-    if *node != knowledge.settings.node {
-        let mine = knowledge.shared.uses.peek(&owned.id);
-        in_flight += mine.0;
-        unread_tokens += mine.1;
-    }
-    EngineLoad {
-        in_flight,
-        unread_tokens: u32::try_from(unread_tokens).unwrap_or(u32::MAX),
-        coming: owned.loads_ahead(),
-        moved: owned.moved_lately(),
-        transfers: u32::try_from(owned.count_transfers(|_| true)).unwrap_or(u32::MAX),
-        room: owned.room(),
-        change: owned.change(),
-        takes_loads: knowledge.takes_loads(owned),
-        host: host_told(knowledge, owned, in_flight),
-    }
-}
-
-/// The base models of an engine of ours, if its service has several.
-fn host_told(knowledge: &Knowledge, owned: &OwnedEngine, in_flight: u32) -> Option<HostTold> {
-    let upstream = knowledge.upstream(&owned.id)?;
-    let spec = knowledge.engine_spec(&upstream.service)?;
-    if spec.engine.as_ref()?.models.len() < 2 {
-        return None;
-    }
-    let models = owned.hosted_models().into_iter().map(|hosted| {
-        let model = ModelRef {
-            model: hosted.name,
-            adapter: None,
-        };
-        let adapters = u8::try_from(hosted.adapters).unwrap_or(u8::MAX);
-        (model.digest(), adapters)
-    });
-    Some(HostTold {
-        models: models.collect(),
-        can_change: owned.change() > 0 && knowledge.takes_loads(owned),
-        is_changing: owned.is_changing_model(),
-        uses_store: owned.uses_store(store_use(spec.engine.as_ref()?)),
-        in_flight,
-    })
-}
-
 /// Tells the readers of other failure domains that this one is there, if this node may read for it.
 fn tell_alive(knowledge: &Knowledge, socket: &UdpSocket) {
     let nodes = knowledge.nodes.borrow();
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -19,7 +19,7 @@
 use super::ControlParts;
 use super::change_log::ChangeLog;
 use super::engine::{Coming, OwnedEngine};
-use super::exchange::HostTold;
+use super::engine_load::HostTold;
 use super::model_demand::ModelDemand;
 use crate::clock::boot_time;
 use crate::shared::{Shared, View};
--- a/crates/relay-node/src/control/load_board.rs
+++ b/crates/relay-node/src/control/load_board.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::exchange::EngineLoad;
+use super::engine_load::EngineLoad;
 use super::knowledge::Knowledge;
 use crate::shared::EngineNews;
 
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -5,6 +5,8 @@
 mod claims;
 mod confirmation;
 mod engine;
+mod engine_load;
+mod engine_models;
 mod exchange;
 mod follow_loads;
 mod keeper;
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -11,7 +11,7 @@
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Choice, CopyPlace, Dispatcher, LoadPlace, ModelRef, Need, Refusal as NoChoice, RetryBudget,
+    Choice, CopyPlace, Dispatcher, LoadPlace, Need, Refusal as NoChoice, RetryBudget,
     RetryBudgetRules, WantedCopies,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
@@ -41,16 +41,6 @@
 /// How long a request waits for a further copy of its adapter: two loads in turn.
 const LOAD_PATIENCE: Duration = Duration::from_millis(600);
 
-/// How long a request waits at most for its base model, as a part of the time after which its caller
-/// leaves. The rest is for the adapter and the first event.
-const MODEL_PATIENCE_SHARE: f64 = 0.75;
-
-/// How often a request that waits for its base model looks for it: owners tell every 100 ms.
-const MODEL_LOOK_INTERVAL: Duration = Duration::from_millis(40);
-
-/// Requests of one node that wait for base models. More could not all be answered once one has come.
-const MODEL_WAITS_LIMIT: usize = 128;
-
 /// A wait, as a part of the time after which a caller leaves, from which a request is as good as lost: it
 /// has waited here before, and waits are expected too short as often as too long.
 const LOST_WAIT_SHARE: f64 = 0.5;
@@ -90,7 +80,7 @@
     /// When the node began to leave.
     pub(crate) leaving_since: Cell<Option<Instant>>,
     /// Requests that wait for base models.
-    model_waits: Cell<usize>,
+    pub(super) model_waits: Cell<usize>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     seen_view: Cell<u64>,
 }
@@ -387,8 +377,7 @@
                     return Err((ResultCode::UpstreamRefused, BUSY_RETRY_AFTER));
                 }
                 Err(NoChoice::AdapterAbsent) if !self.has_base(call, now) => {
-                    let patience = call.first_event_patience().mul_f64(MODEL_PATIENCE_SHARE);
-                    if !self.await_base(call, call.began + patience).await {
+                    if !self.await_base(call).await {
                         return Err((ResultCode::AdapterNotReady, ABSENT_RETRY_AFTER));
                     }
                     patient_until = adapter_patience(call);
@@ -404,57 +393,6 @@
         }
     }
 
-    /// Counts a request for a base model, if its service has several.
-    fn count_model(&self, call: &Call) {
-        let Some(model) = &call.meta.model else {
-            return;
-        };
-        if self.is_configured(call, model, 2) {
-            let dispatcher = self.dispatcher.borrow();
-            let engine_ms = dispatcher.engine_ms(&call.service, call.meta.prompt_tokens);
-            let asked = &self.shared.models_asked;
-            asked.count(model.base().digest(), engine_ms as f32);
-        }
-    }
-
-    /// Whether the service of `call` has the base model of `model`, among `least` of them or more.
-    fn is_configured(&self, call: &Call, model: &ModelRef, least: usize) -> bool {
-        let view = self.shared.view.load();
-        let table = view.table.as_ref();
-        let service = table.and_then(|table| table.service(&call.service));
-        let spec = service.and_then(|service| service.engine.as_ref());
-        spec.is_some_and(|spec| spec.models.len() >= least && spec.model(&model.model).is_some())
-    }
-
-    fn has_base(&self, call: &Call, now: Instant) -> bool {
-        let Some(model) = &call.meta.model else {
-            return true;
-        };
-        let dispatcher = self.dispatcher.borrow();
-        dispatcher.has_base(&call.service, model, now)
-    }
-
-    /// Waits until an engine holds the base model of `call`, which owners see to; at most until `limit`.
-    ///
-    /// Refused at once, a request for a model that few ask for would never be served: its callers come
-    /// too seldom to find the engine that the one before had it loaded into.
-    async fn await_base(&self, call: &Call, limit: Instant) -> bool {
-        let model = call.meta.model.as_ref();
-        let is_configured = model.is_some_and(|model| self.is_configured(call, model, 1));
-        if !is_configured || self.model_waits.get() >= MODEL_WAITS_LIMIT {
-            return false;
-        }
-        let _wait = Wait::begin(&self.model_waits);
-        while Instant::now() < limit {
-            tokio::time::sleep(MODEL_LOOK_INTERVAL).await;
-            self.view();
-            if self.has_base(call, Instant::now()) {
-                return true;
-            }
-        }
-        false
-    }
-
     fn is_sooner_elsewhere(&self, call: &Call, choice: &Choice, now: Instant) -> bool {
         let dispatcher = self.dispatcher.borrow();
         dispatcher.is_sooner_elsewhere(&need(call, &[]), choice.expected_ms, now)
@@ -551,22 +489,6 @@
     }
 }
 
-/// Counts a request out of those that wait when it is dropped: its caller may go away meanwhile.
-struct Wait<'a>(&'a Cell<usize>);
-
-impl<'a> Wait<'a> {
-    fn begin(waits: &'a Cell<usize>) -> Self {
-        waits.set(waits.get() + 1);
-        Self(waits)
-    }
-}
-
-impl Drop for Wait<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 /// Until when `call` waits for its adapter, from now on.
 fn adapter_patience(call: &Call) -> Instant {
     let now = Instant::now();
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod flight;
 mod gateway;
 mod listener;
+mod model_wait;
 mod refuse;
 mod resumable_body;
 mod resume;
--- a/crates/relay/src/model_plan.rs
+++ b/crates/relay/src/model_plan.rs
@@ -93,7 +93,7 @@
 /// A model that is asked for and held nowhere goes first, then those whose holders have too much
 /// work, then those that one failure domain could take away. An engine gives up only what is not
 /// asked for, or what others hold with little work; where there are more models than places, one that
-/// is asked for [`TAKE_OVER_RATIO`] times as much takes the place. Of engines that could change, those
+/// is asked for three times as much takes the place. Of engines that could change, those
 /// with a copy at hand go first: a load from the weight store counts against its rate.
 ///
 /// ```
