Name why a change of base models failed, and keep one way to note domains heard

Failures of a change were strings; they are an enum with their texts now. The dispatcher had two ways to take in when failure domains were heard, one of which only a test used. Behaviour stays.

--- a/crates/relay-node/src/control/base_models.rs
+++ b/crates/relay-node/src/control/base_models.rs
@@ -5,13 +5,14 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_relay::{
-    CopySource, EngineSpec, HostedModel, ModelChange, ModelHost, ModelPlan, ModelRef, Service,
-    Upstream,
+    CopySource, EngineSpec, Holdings, HostedModel, ModelChange, ModelHost, ModelPlan, ModelRef,
+    Service, Upstream,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use super::change_failure::ChangeFailure;
 use super::engine::{LoadKind, OwnedEngine};
 use super::follow_loads::follow_loads;
 use super::knowledge::Knowledge;
@@ -196,7 +197,7 @@
         log_event!(
             knowledge.log, Event::ModelChangeFailed,
             "upstream" => engine.id.to_string(), "load" => change.load.to_string(),
-            "why" => why
+            "why" => why.to_string()
         );
     }
     engine.end_change();
@@ -212,25 +213,25 @@
     engine: &OwnedEngine,
     change: &ModelChange,
     spec: &EngineSpec,
-) -> Result<(), &'static str> {
+) -> Result<(), ChangeFailure> {
     let _orders = engine.orders.lock().await;
     wait_for_adapters(engine).await?;
     let upstream = knowledge.upstream(&engine.id);
-    let upstream = upstream.ok_or("the engine is gone")?;
+    let upstream = upstream.ok_or(ChangeFailure::EngineGone)?;
     let report = knowledge.read_report(engine).await;
-    let report = report.ok_or("its report could not be read")?;
+    let report = report.ok_or(ChangeFailure::NoReport)?;
     if report.is_busy || engine.leaving_count() > 0 {
-        return Err("it carries out another order");
+        return Err(ChangeFailure::Busy);
     }
     let held = |name: &Arc<str>| report.holdings.models.iter().any(|held| held.name == *name);
     if held(&change.load) || !fits(spec, &report.holdings, change) {
-        return Err("it holds something else than was known");
+        return Err(ChangeFailure::OtherHoldings);
     }
     for name in change.unload.iter().filter(|name| held(name)) {
         unload(knowledge, engine, &upstream, &base(name)).await?;
     }
     let fence = knowledge.permit(engine).await;
-    let fence = fence.ok_or("orders are not permitted now")?;
+    let fence = fence.ok_or(ChangeFailure::NotPermitted)?;
     let wanted = base(&change.load);
     let step = OrderStep::Load(wanted.clone(), None);
     let answer = knowledge.order(engine, &upstream, step, fence).await;
@@ -249,19 +250,19 @@
         }
         Some(OrderAnswer::Conflict) => {
             engine.block();
-            Err("it carries out another order")
+            Err(ChangeFailure::Busy)
         }
-        Some(OrderAnswer::Fenced | OrderAnswer::Refused) => Err("it refused the load"),
-        None => Err("the order had no answer"),
+        Some(OrderAnswer::Fenced | OrderAnswer::Refused) => Err(ChangeFailure::Refused),
+        None => Err(ChangeFailure::NoAnswer),
     }
 }
 
 /// Waits until no adapter is on its way: one that arrives would find its base model gone.
-async fn wait_for_adapters(engine: &OwnedEngine) -> Result<(), &'static str> {
+async fn wait_for_adapters(engine: &OwnedEngine) -> Result<(), ChangeFailure> {
     let since = Instant::now();
     while engine.coming_count() > 0 {
         if since.elapsed() > COMING_LIMIT {
-            return Err("adapters are on their way");
+            return Err(ChangeFailure::AdaptersComing);
         }
         sleep(LEAVING_INTERVAL).await;
     }
@@ -269,7 +270,7 @@
 }
 
 /// Whether the new model fits beside what stays. An engine that is ordered to hold more crashes.
-fn fits(spec: &EngineSpec, held: &nutmegsail_relay::Holdings, change: &ModelChange) -> bool {
+fn fits(spec: &EngineSpec, held: &Holdings, change: &ModelChange) -> bool {
     let stays = held
         .models
         .iter()
@@ -290,9 +291,9 @@
     engine: &OwnedEngine,
     upstream: &Upstream,
     model: &ModelRef,
-) -> Result<(), &'static str> {
+) -> Result<(), ChangeFailure> {
     let fence = knowledge.permit(engine).await;
-    let fence = fence.ok_or("orders are not permitted now")?;
+    let fence = fence.ok_or(ChangeFailure::NotPermitted)?;
     let step = OrderStep::Unload(model.clone());
     let answer = knowledge.order(engine, upstream, step, fence).await;
     match answer {
@@ -300,15 +301,15 @@
         Some(OrderAnswer::Done) => engine.unloaded(model, true),
         Some(OrderAnswer::Conflict) => {
             engine.block();
-            return Err("it carries out another order");
+            return Err(ChangeFailure::Busy);
         }
-        Some(OrderAnswer::Fenced | OrderAnswer::Refused) => return Err("it refused the unload"),
-        None => return Err("the order had no answer"),
+        Some(OrderAnswer::Fenced | OrderAnswer::Refused) => return Err(ChangeFailure::Refused),
+        None => return Err(ChangeFailure::NoAnswer),
     }
     let since = Instant::now();
     while engine.leaving_count() > 0 {
         if since.elapsed() > LEAVING_LIMIT {
-            return Err("what makes way is still in use");
+            return Err(ChangeFailure::StillInUse);
         }
         sleep(LEAVING_INTERVAL).await;
         knowledge.read_report(engine).await;
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: what it knows, and the loops that keep it up to date.
 
 mod base_models;
+mod change_failure;
 mod change_log;
 mod claims;
 mod confirmation;
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -311,11 +311,6 @@
         self.domains_heard.merge(heard);
     }
 
-    /// Takes in when a node of another failure domain was last heard.
-    pub fn note_domain_heard(&mut self, domain: &FailureDomain, at: Instant) {
-        self.domains_heard.note(domain, at);
-    }
-
     /// Counts a request as sent.
     pub fn sent(&mut self, id: &UpstreamId, prompt_tokens: u64, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -257,7 +257,9 @@
     };
     let mut world = World::new([plain("near"), far]);
     let heard = world.now;
-    world.dispatcher.note_domain_heard(&"there".into(), heard);
+    let mut domains = DomainsHeard::default();
+    domains.note(&"there".into(), heard);
+    world.dispatcher.note_domains_heard(&domains);
     world.now += Duration::from_secs(1);
     world.dispatcher.note_unreachable(&"near".into(), world.now);
     assert_eq!(world.choose_plain().unwrap(), "near");
