One constructor for base models, one look-up of a service, one domain a datagram

Cause: a reference to a base model was built in three places; Knowledge::engine_spec returned the service and engine_room copied the same specification with its models for each load; each datagram heard had all domains merged for one that was heard.

Change: ModelRef::of_base, Knowledge::service, EngineSpec::adapters_beside (in the relay, with a doc test), News::put_domain. Behaviour is the same.

Measured: nothing, as nothing but names and copies changed.

--- a/crates/relay-node/src/control/base_models.rs
+++ b/crates/relay-node/src/control/base_models.rs
@@ -74,7 +74,7 @@
     }
     let hosts = engines.iter().map(|engine| host(knowledge, spec, engine));
     let (now, demand) = (Instant::now(), knowledge.model_demand.borrow());
-    let work = |model: &str| demand.work(base(model).digest(), now);
+    let work = |model: &str| demand.work(ModelRef::of_base(model.into()).digest(), now);
     let plan = ModelPlan::new(spec, hosts.collect(), work);
     let changes = plan.changes(store_loads(spec));
     for change in changes {
@@ -136,7 +136,7 @@
         };
     };
     let models = spec.models.iter().filter_map(|model| {
-        let digest = base(&model.name).digest();
+        let digest = ModelRef::of_base(Arc::clone(&model.name)).digest();
         let mut told = told.models.iter();
         let (_, adapters) = told.find(|(told, _)| *told == digest)?;
         Some(HostedModel {
@@ -154,13 +154,6 @@
     }
 }
 
-fn base(model: &str) -> ModelRef {
-    ModelRef {
-        model: model.into(),
-        adapter: None,
-    }
-}
-
 /// Loads from the weight store that may be under way at once, so that no more begin than it allows.
 fn store_loads(spec: &EngineSpec) -> usize {
     let longest = spec.models.iter().map(|model| model.load).max();
@@ -228,11 +221,17 @@
         return Err(ChangeFailure::OtherHoldings);
     }
     for name in change.unload.iter().filter(|name| held(name)) {
-        unload(knowledge, engine, &upstream, &base(name)).await?;
+        unload(
+            knowledge,
+            engine,
+            &upstream,
+            &ModelRef::of_base(Arc::clone(name)),
+        )
+        .await?;
     }
     let fence = knowledge.permit(engine).await;
     let fence = fence.ok_or(ChangeFailure::NotPermitted)?;
-    let wanted = base(&change.load);
+    let wanted = ModelRef::of_base(Arc::clone(&change.load));
     let step = OrderStep::Load(wanted.clone(), None);
     let answer = knowledge.order(engine, &upstream, step, fence).await;
     match answer {
--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -47,11 +47,15 @@
 
 pub(crate) fn unowned(knowledge: &Knowledge) -> Vec<UpstreamId> {
     let upstreams = knowledge.upstreams.borrow();
+    let has_engines = |name| {
+        let service = knowledge.service(name);
+        service.is_some_and(|service| service.engine.is_some())
+    };
     let engines: Vec<&Upstream> = upstreams
         .values()
         .map(|upstream| &**upstream)
         .filter(|upstream| upstream.takes_work())
-        .filter(|upstream| knowledge.engine_room(&upstream.service).is_some())
+        .filter(|upstream| has_engines(&upstream.service))
         .collect();
     let nodes: Vec<NodeRecord> = knowledge.nodes.borrow().values().cloned().collect();
     let owners = knowledge.owners.borrow();
--- a/crates/relay-node/src/control/engine_load.rs
+++ b/crates/relay-node/src/control/engine_load.rs
@@ -91,15 +91,13 @@
 /// The base models of an engine of ours, if its service has several.
 fn host_told(knowledge: &Knowledge, owned: &OwnedEngine, in_flight: u32) -> Option<HostTold> {
     let upstream = knowledge.upstream(&owned.id)?;
-    let spec = knowledge.engine_spec(&upstream.service)?;
-    if spec.engine.as_ref()?.models.len() < 2 {
+    let service = knowledge.service(&upstream.service)?;
+    let spec = service.engine.as_ref()?;
+    if spec.models.len() < 2 {
         return None;
     }
     let models = owned.hosted_models().into_iter().map(|hosted| {
-        let model = ModelRef {
-            model: hosted.name,
-            adapter: None,
-        };
+        let model = ModelRef::of_base(hosted.name);
         let adapters = u8::try_from(hosted.adapters).unwrap_or(u8::MAX);
         (model.digest(), adapters)
     });
@@ -107,7 +105,7 @@
         models: models.collect(),
         can_change: owned.change() > 0 && knowledge.takes_loads(owned),
         is_changing: owned.is_changing_model(),
-        uses_store: owned.uses_store(store_use(spec.engine.as_ref()?)),
+        uses_store: owned.uses_store(store_use(spec)),
         in_flight,
     })
 }
@@ -115,14 +113,14 @@
 /// Adapters that an engine of ours could take now.
 pub(crate) fn room(knowledge: &Knowledge, owned: &OwnedEngine) -> u8 {
     let upstream = knowledge.upstream(&owned.id);
-    let room = upstream.and_then(|upstream| knowledge.engine_room(&upstream.service));
-    let Some(room) = room else {
+    let service = upstream.and_then(|upstream| knowledge.service(&upstream.service));
+    let Some(spec) = service.as_ref().and_then(|service| service.engine.as_ref()) else {
         return 0;
     };
     let holdings = owned.holdings();
     let adapters = holdings.models.iter().flat_map(HeldModel::adapter_refs);
     let in_use = adapters.filter(|adapter| knowledge.is_in_use(owned, adapter));
     let taken = in_use.count() + owned.loads_ahead().len();
-    let left = room.adapters_beside(&holdings).saturating_sub(taken);
+    let left = spec.adapters_beside(&holdings).saturating_sub(taken);
     u8::try_from(left).unwrap_or(u8::MAX)
 }
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -10,8 +10,8 @@
 use nutmegsail_base::{NodeId, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Demand, DomainAge, DomainsHeard, Holdings, LoadTimes, ModelRef, ModelSpec, NodeRecord,
-    OrderPermit, OwnershipRules, RouteTable, Service, Upstream, Versions, retry_pause,
+    Demand, DomainAge, DomainsHeard, LoadTimes, ModelRef, NodeRecord, OrderPermit, OwnershipRules,
+    RouteTable, Service, Upstream, Versions, retry_pause,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
@@ -242,9 +242,9 @@
     pub(crate) fn note_heard(&self, node: NodeId) {
         let nodes = self.nodes.borrow();
         if let Some(record) = nodes.get(&node) {
-            let mut domains = self.domains_heard.borrow_mut();
-            domains.note(&record.failure_domain, Instant::now());
-            self.shared.news.put_domains(&domains);
+            let (domain, now) = (&record.failure_domain, Instant::now());
+            self.domains_heard.borrow_mut().note(domain, now);
+            self.shared.news.put_domain(domain, now);
         }
         self.heard.borrow_mut().insert(node, Instant::now());
     }
@@ -340,20 +340,9 @@
     }
 
     /// The service of this name, as configured.
-    pub(crate) fn engine_spec(&self, service: &ServiceName) -> Option<Arc<Service>> {
+    pub(crate) fn service(&self, name: &ServiceName) -> Option<Arc<Service>> {
         let table = self.table.borrow();
-        table.as_ref()?.service(service).cloned()
-    }
-
-    /// The engine specification of a service.
-    pub(crate) fn engine_room(&self, service: &ServiceName) -> Option<EngineRoom> {
-        let table = self.table.borrow();
-        let engine = table.as_ref()?.service(service)?.engine.as_ref()?;
-        Some(EngineRoom {
-            adapter_slots: engine.adapter_slots as usize,
-            weights_mb: engine.weights_mb,
-            models: engine.models.clone(),
-        })
+        table.as_ref()?.service(name).cloned()
     }
 
     /// Counts requests for an adapter.
@@ -362,31 +351,3 @@
         demand.add(model, requests, Instant::now());
     }
 }
-
-/// What fits an engine.
-#[derive(Clone, Debug)]
-pub(crate) struct EngineRoom {
-    pub(crate) adapter_slots: usize,
-    pub(crate) weights_mb: f64,
-    pub(crate) models: Vec<ModelSpec>,
-}
-
-impl EngineRoom {
-    /// Adapters that fit beside the base models of `holdings`, by slots and by memory.
-    pub(crate) fn adapters_beside(&self, holdings: &Holdings) -> usize {
-        let held = |spec: &&ModelSpec| holdings.models.iter().any(|model| model.name == spec.name);
-        let weights_mb: f64 = self
-            .models
-            .iter()
-            .filter(held)
-            .map(|spec| spec.weights_mb)
-            .sum();
-        let adapter_mb = self.models.iter().filter(held).map(|spec| spec.adapter_mb);
-        let largest_mb = adapter_mb.fold(0.0, f64::max);
-        let left_mb = (self.weights_mb - weights_mb).max(0.0);
-        if largest_mb <= 0.0 {
-            return self.adapter_slots;
-        }
-        self.adapter_slots.min((left_mb / largest_mb) as usize)
-    }
-}
--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -392,10 +392,11 @@
     ) -> Result<LoadPlan, LoadFailure> {
         let knowledge = &self.knowledge;
         let holdings = engine.holdings();
-        let room = knowledge.engine_room(&upstream.service);
-        let room = room.ok_or(LoadFailure::EngineGone)?;
+        let service = knowledge.service(&upstream.service);
+        let spec = service.as_ref().and_then(|service| service.engine.as_ref());
+        let spec = spec.ok_or(LoadFailure::EngineGone)?;
         let room = Room {
-            adapter_slots: room.adapters_beside(&holdings),
+            adapter_slots: spec.adapters_beside(&holdings),
             transfers: TRANSFERS_LIMIT,
         };
         let is_in_use = |adapter: &ModelRef| self.knowledge.is_in_use(engine, adapter);
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use nutmegsail_base::{ServiceName, UpstreamId};
+use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
     DomainsHeard, Holdings, HoldingsTold, LoadPlace, ModelDigest, ModelRef, Report, RouteTable,
     Upstream, Versions, WantedCopies,
@@ -225,6 +225,11 @@
 pub(crate) struct News(Mutex<Waiting>);
 
 impl News {
+    /// Tells when a failure domain was heard.
+    pub(crate) fn put_domain(&self, domain: &FailureDomain, at: Instant) {
+        self.lock().domains.note(domain, at);
+    }
+
     /// Tells when failure domains were heard.
     pub(crate) fn put_domains(&self, domains: &DomainsHeard) {
         self.lock().domains.merge(domains);
--- a/crates/relay/src/model_ref.rs
+++ b/crates/relay/src/model_ref.rs
@@ -43,14 +43,24 @@
         ModelDigest(hasher.digest() as u32)
     }
 
-    /// The base model that it names or belongs to.
-    pub fn base(&self) -> Self {
+    /// The base model of this name.
+    ///
+    /// ```
+    /// use nutmegsail_relay::ModelRef;
+    /// assert_eq!(ModelRef::of_base("llama".into()), ModelRef::parse("llama"));
+    /// ```
+    pub fn of_base(model: Arc<str>) -> Self {
         Self {
-            model: Arc::clone(&self.model),
+            model,
             adapter: None,
         }
     }
 
+    /// The base model that it names or belongs to.
+    pub fn base(&self) -> Self {
+        Self::of_base(Arc::clone(&self.model))
+    }
+
     /// Reads `model` or `model/adapter`.
     pub fn parse(text: &str) -> Self {
         match text.split_once('/') {
@@ -58,10 +68,7 @@
                 model: model.into(),
                 adapter: Some(adapter.into()),
             },
-            None => Self {
-                model: text.into(),
-                adapter: None,
-            },
+            None => Self::of_base(text.into()),
         }
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -5,7 +5,7 @@
 
 use nutmegsail_base::ServiceName;
 
-use crate::CopySource;
+use crate::{CopySource, Holdings};
 
 /// A base model that a service's engines may hold.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -64,6 +64,32 @@
     pub fn model(&self, name: &str) -> Option<&ModelSpec> {
         self.models.iter().find(|model| &*model.name == name)
     }
+
+    /// Adapters that fit beside the base models of `holdings`, by slots and by memory.
+    ///
+    /// ```
+    /// use nutmegsail_relay::{EngineSpec, HeldModel, Holdings, ModelSpec};
+    /// let llama = ModelSpec { adapter_mb: 500.0, ..ModelSpec::of("llama", 40_000.0) };
+    /// let spec = EngineSpec {
+    ///     adapter_slots: 16,
+    ///     weights_mb: 42_000.0,
+    ///     models: vec![llama],
+    ///     ..EngineSpec::default()
+    /// };
+    /// let held = HeldModel { name: "llama".into(), version: 1, adapters: Vec::new() };
+    /// assert_eq!(spec.adapters_beside(&Holdings { models: vec![held] }), 4);
+    /// ```
+    pub fn adapters_beside(&self, holdings: &Holdings) -> usize {
+        let held = holdings.models.iter();
+        let held: Vec<&ModelSpec> = held.filter_map(|held| self.model(&held.name)).collect();
+        let weights_mb: f64 = held.iter().map(|spec| spec.weights_mb).sum();
+        let largest_mb = held.iter().map(|spec| spec.adapter_mb).fold(0.0, f64::max);
+        if largest_mb <= 0.0 {
+            return self.adapter_slots as usize;
+        }
+        let left_mb = (self.weights_mb - weights_mb).max(0.0);
+        (self.adapter_slots as usize).min((left_mb / largest_mb) as usize)
+    }
 }
 
 /// A service that routes lead to.
