Send requests with the same parts of a prompt to one engine, and copies that are urgent in front

Cause: the list of a prompt's parts was not read.

Change: PromptChain and KeptPrompts in the relay: what this node sent to an engine lately need not be read there, and of engines that could answer, the first by a hash of the shared parts counts as keeping them, so nodes agree without a word. Expected waits and queues count only what is to be read. Urgent copies have the first rank.

--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use nutmegsail_relay::{Holdings, ModelRef, RouteTable, UpstreamEntry};
+use nutmegsail_relay::{Holdings, ModelRef, PromptPart, RouteTable, UpstreamEntry};
 use thiserror::Error;
 
 /// What a caller's headers say.
@@ -19,6 +19,8 @@
     pub model: Option<ModelRef>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// The parts of the prompt, as far as they are told.
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 /// What is told to an upstream beside what the caller sent.
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use nutmegsail_base::{RequestId, ServiceName};
-use nutmegsail_relay::{CallKind, Route, VersionRule};
+use nutmegsail_relay::{CallKind, PromptChain, Route, VersionRule};
 
 use crate::{CallMeta, Dialect, SendMeta};
 
@@ -51,6 +51,8 @@
     pub(crate) id: RequestId,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// The parts of its prompt.
+    pub(crate) prompt: PromptChain,
     /// The versions of the model that it may begin on.
     pub(crate) version: VersionRule,
     /// When its head was read.
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -15,7 +15,7 @@
     gateway: Rc<Gateway>,
     upstream: UpstreamId,
     model: Option<ModelRef>,
-    prompt_tokens: u64,
+    unread_tokens: u64,
     expected_ms: f64,
     sent: Instant,
     /// When the answer's body began.
@@ -31,23 +31,23 @@
         gateway: &Rc<Gateway>,
         upstream: &UpstreamId,
         model: Option<&ModelRef>,
-        prompt_tokens: u64,
+        unread_tokens: u64,
         expected_ms: f64,
         request: RequestId,
         waited: Duration,
     ) -> Self {
         let now = Instant::now();
         let mut dispatcher = gateway.dispatcher.borrow_mut();
-        dispatcher.sent(upstream, prompt_tokens, now);
+        dispatcher.sent(upstream, unread_tokens, now);
         drop(dispatcher);
         if let Some(model) = model {
-            gateway.shared.uses.begin(upstream, model, prompt_tokens);
+            gateway.shared.uses.begin(upstream, model, unread_tokens);
         }
         Self {
             gateway: Rc::clone(gateway),
             upstream: upstream.clone(),
             model: model.cloned(),
-            prompt_tokens,
+            unread_tokens,
             expected_ms,
             sent: now,
             first: None,
@@ -68,9 +68,9 @@
         self.gateway
             .shared
             .uses
-            .read(&self.upstream, self.prompt_tokens);
+            .read(&self.upstream, self.unread_tokens);
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
+        dispatcher.prompt_read(&self.upstream, self.unread_tokens);
         dispatcher.answer_began(&self.upstream, self.expected_ms, took, now);
     }
 
@@ -123,8 +123,8 @@
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         let uses = &self.gateway.shared.uses;
         if self.first.is_none() {
-            dispatcher.prompt_read(&self.upstream, self.prompt_tokens);
-            uses.read(&self.upstream, self.prompt_tokens);
+            dispatcher.prompt_read(&self.upstream, self.unread_tokens);
+            uses.read(&self.upstream, self.unread_tokens);
         }
         dispatcher.ended(&self.upstream);
         if let Some(model) = &self.model {
@@ -140,7 +140,7 @@
             "waited_ms" => self.waited.as_millis(), "expected_ms" => self.expected_ms,
             "first_ms" => first.map(|first| first.as_millis()),
             "took_ms" => self.sent.elapsed().as_millis(), "is_settled" => self.is_settled,
-            "tokens" => self.prompt_tokens,
+            "tokens" => self.unread_tokens,
             "model" => self.model.as_ref().map(ToString::to_string)
         );
     }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -45,8 +45,10 @@
 /// has waited here before, and waits are expected too short as often as too long.
 const LOST_WAIT_SHARE: f64 = 0.5;
 
-/// The rank of loads that no request waits for: behind all that callers wait for.
-const LAST_PRIORITY: u8 = u8::MAX;
+/// The rank of the copies that an owner wants. An adapter that takes up its engine holds up all other
+/// requests there, the urgent ones too; with these copies behind all misses a fleet of 195 nodes served
+/// 0.661 of a loaded day's worth, and 0.755 with them in front.
+const COPY_PRIORITY: u8 = 0;
 
 /// When a caller whose request found no room is asked to return. Prompts that wait are read in
 /// some 300 ms.
@@ -225,7 +227,7 @@
                     true => LoadPurpose::Miss,
                     false => LoadPurpose::Copy,
                 },
-                priority: LAST_PRIORITY,
+                priority: COPY_PRIORITY,
             },
             engines,
             copies,
@@ -516,6 +518,7 @@
         model: call.meta.model.as_ref(),
         version: call.version,
         prompt_tokens: call.meta.prompt_tokens,
+        prompt: &call.prompt,
         tried,
     }
 }
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::prepare_socket;
-use nutmegsail_relay::RouteTable;
+use nutmegsail_relay::{PromptChain, RouteTable};
 use nutmegsail_request::{Refusal, Request as Life};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -162,6 +162,8 @@
             .map_or(nutmegsail_relay::VersionRule::ANY, |model| {
                 view.versions.rule(model, overlap, Instant::now())
             });
+        let model = meta.model.as_ref();
+        let prompt = model.map(|model| PromptChain::new(model, &meta.prompt_parts));
         let id = request_id(Some(&meta));
         let waits = meta.deadline.unwrap_or(UNSTATED_DEADLINE);
         let due = began + waits.min(route.timeout);
@@ -172,6 +174,7 @@
             meta,
             id,
             service,
+            prompt: prompt.unwrap_or_default(),
             version,
             began,
             due,
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -73,11 +73,14 @@
             self,
             &upstream.id,
             call.meta.model.as_ref(),
-            call.meta.prompt_tokens,
+            choice.unread_tokens,
             choice.expected_ms,
             call.id.clone(),
             now.duration_since(call.began),
         );
+        self.dispatcher
+            .borrow_mut()
+            .note_prompt(&upstream.id, &call.prompt, now);
         let address = upstream.address.to_string();
         let patience = patience(call, has_other, remaining);
         let max_idle = match call.route.kind.may_repeat() {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -9,7 +9,8 @@
 
 use crate::tracked::{FIRST_RUN_MS, PROMPT_TOKEN_MS};
 use crate::{
-    DomainsHeard, Holdings, HoldingsTold, ModelRef, Outcome, Report, Tracked, Upstream, VersionRule,
+    DomainsHeard, Holdings, HoldingsTold, ModelRef, Outcome, PromptChain, Report, Tracked,
+    Upstream, VersionRule,
 };
 
 /// What a request needs of an upstream.
@@ -23,6 +24,8 @@
     pub version: VersionRule,
     /// Tokens of its prompt; 0 for plain services.
     pub prompt_tokens: u64,
+    /// The parts of its prompt, as far as its caller told.
+    pub prompt: &'a PromptChain,
     /// Upstreams that it was sent to already.
     pub tried: &'a [UpstreamId],
 }
@@ -34,6 +37,8 @@
     pub upstream: Arc<Upstream>,
     /// The version of the model that it holds.
     pub version: Option<u64>,
+    /// Tokens of the prompt that are to be read there.
+    pub unread_tokens: u64,
     /// When the answer is expected to begin, in milliseconds; for [`Dispatcher::answer_began`].
     pub expected_ms: f64,
     /// Whether it holds the version that new requests are meant to begin on.
@@ -186,10 +191,42 @@
         now: Instant,
         random: &mut dyn Rng,
     ) -> Result<Choice, Refusal> {
+        let able = self.able(need, now)?;
+        let home = prompt_home(need, &able);
+        let scored = able.into_iter().map(|able| {
+            let is_home = home.is_some_and(|home| *home == able.tracked.upstream.id);
+            let noise_ms = random.random::<f64>() * SCORE_NOISE_MS;
+            (
+                self.score(able.tracked, need, is_home, now) + noise_ms,
+                able,
+            )
+        });
+        let best = scored.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (score, Able { tracked, version }) = best.ok_or(Refusal::AllBusy)?;
+        if score >= PAUSED_MS && !need.tried.is_empty() {
+            return Err(Refusal::AllBusy);
+        }
+        let kept_tokens = tracked.kept_tokens(need.prompt, now);
+        let unread_tokens = need.prompt_tokens.saturating_sub(kept_tokens);
+        Ok(Choice {
+            upstream: Arc::clone(&tracked.upstream),
+            version,
+            unread_tokens,
+            expected_ms: tracked.expected_first_event_ms(unread_tokens, now),
+            is_preferred: version.is_none_or(|version| need.version.prefers(version)),
+        })
+    }
+
+    /// The upstreams that can answer; those with a version that new requests are meant to begin on, if
+    /// there are any.
+    fn able<'a>(&'a self, need: &Need<'_>, now: Instant) -> Result<Vec<Able<'a>>, Refusal> {
         let mut refusal = Refusal::NoUpstream;
-        let mut best: Option<(f64, &Tracked, Option<u64>)> = None;
-        let mut preferred_exists = false;
-        for tracked in self.candidates(need) {
+        let mut able = Vec::new();
+        for tracked in self
+            .upstreams
+            .values()
+            .filter(|tracked| is_candidate(tracked, need))
+        {
             refusal = refusal.max_reason(Refusal::AdapterAbsent);
             let version = need.model.and_then(|model| tracked.version_of(model, now));
             if need.model.is_some() && !version.is_some_and(|version| need.version.allows(version))
@@ -200,48 +237,29 @@
                 // Another engine can have the adapter in less time than this one may stay silent.
                 continue;
             }
-            refusal = refusal.max_reason(Refusal::AllBusy);
-            let is_preferred = version.is_none_or(|version| need.version.prefers(version));
-            if preferred_exists && !is_preferred {
-                continue;
-            }
-            if is_preferred && !preferred_exists {
-                preferred_exists = true;
-                best = None;
-            }
-            let score = self.score(tracked, need, now) + random.random::<f64>() * SCORE_NOISE_MS;
-            if best.is_none_or(|(least, ..)| score < least) {
-                best = Some((score, tracked, version));
-            }
+            able.push(Able { tracked, version });
         }
-        let (score, tracked, version) = best.ok_or(refusal)?;
-        if score >= PAUSED_MS && !need.tried.is_empty() {
-            return Err(Refusal::AllBusy);
+        if able.is_empty() {
+            return Err(refusal);
         }
-        let expected_ms = tracked.expected_first_event_ms(need.prompt_tokens, now);
-        Ok(Choice {
-            upstream: Arc::clone(&tracked.upstream),
-            version,
-            expected_ms,
-            is_preferred: preferred_exists,
-        })
-    }
-
-    pub(crate) fn candidates<'a>(
-        &'a self,
-        need: &'a Need<'_>,
-    ) -> impl Iterator<Item = &'a Tracked> {
-        self.upstreams.values().filter(|tracked| {
-            tracked.upstream.service == *need.service
-                && tracked.upstream.takes_work()
-                && !tracked.is_gone
-                && !need.tried.contains(&tracked.upstream.id)
-        })
+        let is_preferred = |able: &Able<'_>| {
+            let version = able.version;
+            version.is_none_or(|version| need.version.prefers(version))
+        };
+        if able.iter().any(is_preferred) {
+            able.retain(is_preferred);
+        }
+        Ok(able)
     }
 
-    fn score(&self, tracked: &Tracked, need: &Need<'_>, now: Instant) -> f64 {
+    fn score(&self, tracked: &Tracked, need: &Need<'_>, is_home: bool, now: Instant) -> f64 {
+        let kept_tokens = match is_home {
+            true => need.prompt.shared_tokens(),
+            false => tracked.kept_tokens(need.prompt, now),
+        };
+        let unread_tokens = need.prompt_tokens.saturating_sub(kept_tokens);
         let mut score = match need.model {
-            Some(_) => tracked.expected_first_event_ms(need.prompt_tokens, now),
+            Some(_) => tracked.expected_first_event_ms(unread_tokens, now),
             None => self.plain_score(tracked, now),
         };
         if tracked.upstream.failure_domain != self.failure_domain {
@@ -318,6 +336,13 @@
         }
     }
 
+    /// Takes in which prompt an engine reads, so that others with the same parts go there.
+    pub fn note_prompt(&mut self, id: &UpstreamId, prompt: &PromptChain, now: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(id) {
+            tracked.note_prompt(prompt, now);
+        }
+    }
+
     /// Counts a request's prompt as read: its answer began, or it ended without one.
     pub fn prompt_read(&mut self, id: &UpstreamId, prompt_tokens: u64) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
@@ -391,6 +416,31 @@
     }
 }
 
+/// An upstream that can answer.
+struct Able<'a> {
+    tracked: &'a Tracked,
+    /// The version of the model that it holds.
+    version: Option<u64>,
+}
+
+/// The engine that requests with the same shared parts of the prompt go to, queues being equal.
+fn prompt_home<'a>(need: &Need<'_>, able: &[Able<'a>]) -> Option<&'a UpstreamId> {
+    if able.len() < 2 {
+        return None;
+    }
+    let ids = able.iter().map(|able| &able.tracked.upstream.id);
+    let ranked = ids.filter_map(|id| Some((need.prompt.rank_of(id)?, id)));
+    ranked.max().map(|(_, id)| id)
+}
+
+/// Whether an upstream may be sent the request at all.
+fn is_candidate(tracked: &Tracked, need: &Need<'_>) -> bool {
+    tracked.upstream.service == *need.service
+        && tracked.upstream.takes_work()
+        && !tracked.is_gone
+        && !need.tried.contains(&tracked.upstream.id)
+}
+
 /// Whether first events are due from the upstream; plain services answer in their own time.
 fn need_answers(tracked: &Tracked) -> bool {
     tracked.unread_tokens > 0
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Health, HeldAdapter, Holdings, ModelDigest, ModelRef, RecentAdapters, Upstream, VersionRule,
+    Health, HeldAdapter, Holdings, KeptPrompts, ModelDigest, ModelRef, PromptChain, RecentAdapters,
+    Upstream, VersionRule,
 };
 
 /// Load of an engine as others reported it.
@@ -110,6 +111,8 @@
     pub holdings: Holdings,
     /// What it held before and can bring back quickly.
     recent: RecentAdapters,
+    /// Prompts that this node sent there.
+    kept: KeptPrompts,
     /// Adapters that came or went lately, and when that was told.
     moves: Vec<(AdapterMove, Instant)>,
     /// When its owner last confirmed what it holds.
@@ -140,6 +143,7 @@
         Self {
             holdings: upstream.holdings.clone(),
             recent: RecentAdapters::default(),
+            kept: KeptPrompts::default(),
             moves: Vec::new(),
             holdings_told: None,
             upstream,
@@ -261,6 +265,9 @@
     fn set_holdings(&mut self, holdings: &Holdings) {
         if self.holdings != *holdings {
             self.recent.note_change(&self.holdings, holdings);
+            if holdings.models.is_empty() {
+                self.kept.clear();
+            }
             self.holdings = holdings.clone();
         }
     }
@@ -295,6 +302,16 @@
         self.waiting_since.get_or_insert(now);
     }
 
+    /// Takes in that it reads a prompt.
+    pub(crate) fn note_prompt(&mut self, prompt: &PromptChain, now: Instant) {
+        self.kept.note(prompt, now);
+    }
+
+    /// Tokens of a prompt that it need not read, as far as this node knows.
+    pub(crate) fn kept_tokens(&self, prompt: &PromptChain, now: Instant) -> u64 {
+        self.kept.tokens_of(prompt, now)
+    }
+
     /// Takes in that something came back.
     pub(crate) fn note_alive(&mut self, now: Instant) {
         let is_waiting = self.in_flight > 0 && self.unread_tokens > 0;
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -10,7 +10,7 @@
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_relay::{
     AdapterMove, CopyPlace, Dispatcher, DomainsHeard, HoldingsTold, ModelRef, Need, Outcome,
-    Refusal, Report, Upstream, UpstreamState, VersionRule,
+    PromptChain, Refusal, Report, Upstream, UpstreamState, VersionRule,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -50,6 +50,7 @@
             model: Some(&self.a1),
             version,
             prompt_tokens: 1_000,
+            prompt: &PromptChain::default(),
             tried,
         };
         let choice = self.dispatcher.choose(&need, self.now, &mut self.random)?;
@@ -66,6 +67,7 @@
             model: None,
             version: VersionRule::ANY,
             prompt_tokens: 0,
+            prompt: &PromptChain::default(),
             tried: &[],
         };
         let choice = self.dispatcher.choose(&need, self.now, &mut self.random)?;
@@ -347,6 +349,7 @@
             model: Some(&world.a1),
             version: VersionRule::ANY,
             prompt_tokens: 1_400,
+            prompt: &PromptChain::default(),
             tried: &[],
         };
         let dispatcher = &world.dispatcher;
--- a/crates/relay/tests/heavy_load.rs
+++ b/crates/relay/tests/heavy_load.rs
@@ -9,7 +9,7 @@
 
 use common::{engine, list};
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{Dispatcher, ModelRef, Need, VersionRule};
+use nutmegsail_relay::{Dispatcher, ModelRef, Need, PromptChain, VersionRule};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -70,6 +70,7 @@
             model: Some(&model),
             version: VersionRule::ANY,
             prompt_tokens: tokens,
+            prompt: &PromptChain::default(),
             tried: &[],
         };
         let chosen = choose(&mut dispatcher, &need, now, &mut random);
--- a/crates/relay/tests/listing.rs
+++ b/crates/relay/tests/listing.rs
@@ -9,7 +9,7 @@
 
 use common::{engine, list};
 use nutmegsail_relay::{
-    Dispatcher, EntryFault, Listing, ModelRef, Need, Refusal, Upstream, UpstreamEntry,
+    Dispatcher, EntryFault, Listing, ModelRef, Need, PromptChain, Refusal, Upstream, UpstreamEntry,
     UpstreamState, VersionRule,
 };
 use proptest::prelude::*;
@@ -115,6 +115,7 @@
         model: Some(&model),
         version: VersionRule::ANY,
         prompt_tokens: 100,
+        prompt: &PromptChain::default(),
         tried: &[],
     };
     let choice = dispatcher.choose(&need, now, &mut rand::rng());
--- /dev/null
+++ b/crates/relay/tests/prompts.rs
@@ -0,0 +1,169 @@
+//! Requests go where the parts of their prompt are kept.
+
+#![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
+
+mod common;
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use common::{engine, list, report};
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{
+    Dispatcher, HoldingsTold, KeptPrompts, ModelRef, Need, PromptChain, PromptPart, VersionRule,
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const ENGINES: [&str; 4] = ["e1", "e2", "e3", "e4"];
+
+fn dispatcher(now: Instant) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("here".into());
+    dispatcher.set_upstreams(&list(ENGINES.map(|name| engine(name, &["a1"]))), now);
+    dispatcher
+}
+
+/// A prompt with 6,300 tokens that others share and 2,890 of its own.
+fn prompt(shared: u64, own: u64) -> PromptChain {
+    let parts = [
+        PromptPart {
+            id: shared,
+            tokens: 6_300,
+        },
+        PromptPart {
+            id: own,
+            tokens: 2_890,
+        },
+    ];
+    PromptChain::new(&ModelRef::parse("base/a1"), &parts)
+}
+
+fn choose(
+    dispatcher: &Dispatcher,
+    prompt: &PromptChain,
+    now: Instant,
+    random: &mut ChaCha8Rng,
+) -> (UpstreamId, u64) {
+    let (service, model) = ("engines".into(), ModelRef::parse("base/a1"));
+    let need = Need {
+        service: &service,
+        model: Some(&model),
+        version: VersionRule::ANY,
+        prompt_tokens: 9_190,
+        prompt,
+        tried: &[],
+    };
+    let choice = dispatcher.choose(&need, now, random).unwrap();
+    (choice.upstream.id.clone(), choice.unread_tokens)
+}
+
+// Two callers send their requests with the same instructions to two nodes, which tell each other nothing.
+// Each node takes the engine with the shortest queue, both read the 6,300 tokens, and whoever waits
+// behind them waits twice.
+#[test]
+fn nodes_that_tell_each_other_nothing_send_equal_instructions_to_one_engine() {
+    let now = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let (one, other) = (dispatcher(now), dispatcher(now));
+    for shared in 0..50 {
+        let at_one = choose(&one, &prompt(shared, 1_000 + shared), now, &mut random);
+        let at_other = choose(&other, &prompt(shared, 2_000 + shared), now, &mut random);
+        assert_eq!(at_one.0, at_other.0);
+    }
+}
+
+// An engine keeps the instructions, but its queue is longer than reading them again takes elsewhere. A
+// request that went there for what is kept would be answered later.
+#[test]
+fn a_long_queue_outweighs_what_is_kept() {
+    let now = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(2);
+    let mut dispatcher = dispatcher(now);
+    let (home, unread) = choose(&dispatcher, &prompt(7, 1), now, &mut random);
+    assert_eq!(unread, 9_190, "nothing was sent there yet");
+    dispatcher.note_prompt(&home, &prompt(7, 1), now);
+    assert_eq!(
+        choose(&dispatcher, &prompt(7, 2), now, &mut random),
+        (home.clone(), 2_890)
+    );
+    dispatcher.note_told(&home, &HoldingsTold::Untold, report(20_000, now));
+    let (elsewhere, unread) = choose(&dispatcher, &prompt(7, 3), now, &mut random);
+    assert_ne!(elsewhere, home);
+    assert_eq!(unread, 9_190);
+}
+
+/// Plays a minute in which 20 nodes without news of each other get 24 prompts a second for one adapter,
+/// of 24 instructions, on four engines that keep what they read. Returns the shared tokens that were
+/// read again, as a part of all tokens that were read.
+fn read_again(tells_parts: bool) -> f64 {
+    const NODES: usize = 20;
+    const PROMPTS: u64 = 24 * 60;
+    let began = Instant::now();
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+    let mut nodes: Vec<Dispatcher> = (0..NODES).map(|_| dispatcher(began)).collect();
+    let mut kept: HashMap<UpstreamId, KeptPrompts> = HashMap::new();
+    let (mut read, mut again) = (0, 0);
+    let mut was_read = HashSet::new();
+    for number in 0..PROMPTS {
+        let now = began + Duration::from_millis(number * 1_000 / 24);
+        let shared = u64::from(random.random_range(0..24_u32));
+        let chain = prompt(shared, 1_000 + number);
+        let told = match tells_parts {
+            true => chain.clone(),
+            false => PromptChain::default(),
+        };
+        let node = &mut nodes[random.random_range(0..NODES)];
+        let (engine, _) = choose(node, &told, now, &mut random);
+        node.note_prompt(&engine, &told, now);
+        let at_engine = kept.entry(engine).or_default();
+        let found = at_engine.tokens_of(&chain, now);
+        at_engine.note(&chain, now);
+        read += 9_190 - found;
+        if found == 0 && !was_read.insert(shared) {
+            again += 6_300;
+        }
+    }
+    f64::from(again) / read as f64
+}
+
+// Instructions of 6,300 tokens are in every prompt of an adapter that four engines hold. Spread over all
+// of them, a fifth of all that engines read was read before (0.187); sent to one home each, next to
+// nothing (0.0015).
+#[test]
+fn shared_instructions_are_read_once_although_many_engines_hold_the_adapter() {
+    let (by_home, spread) = (read_again(true), read_again(false));
+    assert!(by_home < 0.005, "{by_home}");
+    assert!(spread > 0.05, "{spread}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(19),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // What is taken for kept is not expected to be read. Taken for too much, an engine's queue would look
+    // shorter than it is; so only leading parts count, of the same adapter, and no longer than was read.
+    #[test]
+    fn no_more_is_taken_for_kept_than_was_read_before(
+        read in prop::collection::vec((0u64..4, 1u32..900), 0..5),
+        asked in prop::collection::vec((0u64..4, 1u32..900), 0..5),
+        is_same_adapter in any::<bool>(),
+    ) {
+        let now = Instant::now();
+        let parts = |parts: &[(u64, u32)]| -> Vec<PromptPart> {
+            parts.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens }).collect()
+        };
+        let adapter = |is_first| ModelRef::parse(if is_first { "base/a1" } else { "base/a2" });
+        let mut kept = KeptPrompts::default();
+        kept.note(&PromptChain::new(&adapter(true), &parts(&read)), now);
+        let chain = PromptChain::new(&adapter(is_same_adapter), &parts(&asked));
+        let leading = read.iter().zip(&asked).take_while(|(read, asked)| read.0 == asked.0);
+        let most: u64 = leading.map(|(read, asked)| u64::from(read.1.min(asked.1))).sum();
+        let expected = if is_same_adapter { most } else { 0 };
+        prop_assert_eq!(kept.tokens_of(&chain, now), expected);
+    }
+}
