Take the waits for adapters out of the gateway

Change: adapter_wait.rs has the asks for loads and copies and how long they are waited for. Behaviour is the same.

--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -11,20 +11,19 @@
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Choice, CopyPlace, Dispatcher, LoadPlace, LoadPurpose, Need, Refusal as NoChoice, RetryBudget,
-    RetryBudgetRules, WantedCopies,
+    Choice, Dispatcher, LoadPurpose, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
-use tokio::sync::oneshot;
 
+use super::adapter_wait::{LOAD_PATIENCE, adapter_patience, copy_purpose};
 use super::answer_body::AnswerBody;
 use super::call::Call;
 use super::refuse;
 use super::resume::Resumption;
 use super::send::Sent;
-use crate::shared::{CopyNews, Loaded, Shared, View, Want, Wanted};
+use crate::shared::{Shared, View};
 use crate::{BoundSettings, CONNECT_TIMEOUT, Dialect, Verdict};
 
 /// How long a connection is kept whose other end did not say how long it keeps it.
@@ -34,22 +33,6 @@
 /// that draws on the retry budget.
 const REFUSALS_LIMIT: usize = 4;
 
-/// How long a request waits for its adapter at most: two loads in turn, of 250 ms each, with the
-/// queue for transfers.
-const ADAPTER_PATIENCE: Duration = Duration::from_millis(2_500);
-
-/// How long a request waits for a further copy of its adapter: two loads in turn.
-const LOAD_PATIENCE: Duration = Duration::from_millis(600);
-
-/// A wait, as a part of the time after which a caller leaves, from which a request is as good as lost: it
-/// has waited here before, and waits are expected too short as often as too long.
-const LOST_WAIT_SHARE: f64 = 0.5;
-
-/// The rank of the copies that an owner wants. An adapter that takes up its engine holds up all other
-/// requests there, the urgent ones too; with these copies behind all misses a fleet of 195 nodes served
-/// 0.661 of a loaded day's worth, and 0.755 with them in front.
-const COPY_PRIORITY: u8 = 0;
-
 /// When a caller whose request found no room is asked to return. Prompts that wait are read in
 /// some 300 ms.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(350);
@@ -140,7 +123,7 @@
     /// Sends that may have run it.
     pub(crate) may_have_run: u32,
     /// Whether an engine that was taken to hold the adapter did not.
-    was_misdirected: bool,
+    pub(super) was_misdirected: bool,
 }
 
 impl Sends {
@@ -200,43 +183,6 @@
         view
     }
 
-    /// Has copies loaded that an engine's owner wants.
-    fn want_copies(&self, view: &View, news: CopyNews) {
-        let (service, now) = (&news.service, Instant::now());
-        let WantedCopies {
-            model,
-            place,
-            copies,
-            is_urgent,
-        } = news.wanted;
-        let dispatcher = self.dispatcher.borrow();
-        if let CopyPlace::Domain(domain) = &place
-            && dispatcher.is_held_in(domain, service, &model, now)
-        {
-            return;
-        }
-        let rule = view.versions.rule(&model, self.version_overlap(), now);
-        let engines = dispatcher.engines_to_load(service, &model, rule, &place, now);
-        let (ready, _) = oneshot::channel();
-        let want = Want {
-            wanted: Wanted {
-                model,
-                version: rule.to_load(),
-                was_turned_away: false,
-                purpose: match is_urgent {
-                    true => LoadPurpose::Miss,
-                    false => LoadPurpose::Copy,
-                },
-                priority: COPY_PRIORITY,
-            },
-            engines,
-            copies,
-            ready,
-        };
-        // A full queue has requests that wait; they go first.
-        let _ = self.shared.wants.try_send(want);
-    }
-
     /// How long the older version of an adapter may be begun on.
     pub(crate) fn version_overlap(&self) -> Duration {
         self.bounds.version().mul_f64(VERSION_OVERLAP_SHARE)
@@ -437,79 +383,6 @@
             window: Duration::from_secs_f64(self.bounds.retry_window_s),
         }
     }
-
-    /// Has the adapter that `call` names loaded, and waits for it.
-    async fn bring_adapter(
-        &self,
-        call: &Call,
-        sends: &Sends,
-        purpose: LoadPurpose,
-        wait: Duration,
-    ) -> bool {
-        let now = Instant::now();
-        let Some(ready) = self.want(call, sends.was_misdirected, purpose, now) else {
-            return false;
-        };
-        match tokio::time::timeout(wait, ready).await {
-            Ok(Ok(Some((engine, holdings)))) => {
-                let mut dispatcher = self.dispatcher.borrow_mut();
-                dispatcher.note_holdings(&engine, &holdings, Instant::now());
-                true
-            }
-            _ => false,
-        }
-    }
-
-    fn want(
-        &self,
-        call: &Call,
-        was_turned_away: bool,
-        purpose: LoadPurpose,
-        now: Instant,
-    ) -> Option<oneshot::Receiver<Loaded>> {
-        let model = call.meta.model.clone()?;
-        let (ready, answer) = oneshot::channel();
-        let want = Want {
-            wanted: Wanted {
-                model,
-                version: call.version.to_load(),
-                was_turned_away,
-                purpose,
-                priority: call.route.priority,
-            },
-            engines: self.engines_for(call, now),
-            copies: 1,
-            ready,
-        };
-        self.shared.wants.try_send(want).ok()?;
-        Some(answer)
-    }
-
-    /// Engines that could take the adapter.
-    fn engines_for(&self, call: &Call, now: Instant) -> Vec<LoadPlace> {
-        let Some(model) = &call.meta.model else {
-            return Vec::new();
-        };
-        let dispatcher = self.dispatcher.borrow();
-        let place = &CopyPlace::Anywhere;
-        dispatcher.engines_to_load(&call.service, model, call.version, place, now)
-    }
-}
-
-/// Until when `call` waits for its adapter, from now on.
-fn adapter_patience(call: &Call) -> Instant {
-    let now = Instant::now();
-    now + ADAPTER_PATIENCE.min(call.remaining(now) / 2)
-}
-
-/// What a copy is for that `call` would be answered sooner by than by `choice`. Where its caller would have
-/// left by then, it is as good as a miss.
-fn copy_purpose(call: &Call, choice: &Choice) -> LoadPurpose {
-    let expected = Duration::from_secs_f64(choice.expected_ms.max(0.0) / 1_000.0);
-    match expected > call.first_event_patience().mul_f64(LOST_WAIT_SHARE) {
-        true => LoadPurpose::Miss,
-        false => LoadPurpose::Copy,
-    }
 }
 
 fn need<'a>(call: &'a Call, tried: &'a [UpstreamId]) -> Need<'a> {
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! The traffic thread: callers' connections and the requests on them.
 
+mod adapter_wait;
 mod answer_body;
 mod call;
 mod flight;
