Weigh prompts at the pace of this deployment's engines everywhere

Cause: what a request takes of an engine, for the plan of base models, and what its prompt takes elsewhere, for a copy, were told at the assumed reading speed, while waits follow the learned pace.

Change: Dispatcher::reading_ms serves both. Test: engines that read twice as fast (red before).

--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -6,7 +6,6 @@
 
 use crate::dispatcher::OTHER_DOMAIN_MS;
 use crate::load_times::RECENT_SHARE;
-use crate::tracked::PROMPT_TOKEN_MS;
 use crate::{Dispatcher, LoadTimes, ModelRef, Need, Tracked, VersionRule};
 
 /// Where a further copy of an adapter is wanted.
@@ -90,7 +89,7 @@
         let others = engines.iter().filter(|place| !holds(&place.engine));
         let least_ms = others.map(|place| place.wait_ms);
         let least_ms = least_ms.fold(f64::INFINITY, f64::min);
-        let prompt_ms = need.prompt_tokens as f64 * PROMPT_TOKEN_MS;
+        let prompt_ms = self.reading_ms(need.prompt_tokens);
         least_ms - ELSEWHERE_MS + prompt_ms < expected_ms * SOONER_SHARE
     }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -325,7 +325,12 @@
             .filter(|tracked| tracked.upstream.service == *service)
             .map(|tracked| tracked.upstream.slots)
             .max();
-        prompt_tokens as f64 * PROMPT_TOKEN_MS + self.run_ms / f64::from(slots.unwrap_or(1).max(1))
+        self.reading_ms(prompt_tokens) + self.run_ms / f64::from(slots.unwrap_or(1).max(1))
+    }
+
+    /// How long engines take to read a prompt, in milliseconds.
+    pub(crate) fn reading_ms(&self, prompt_tokens: u64) -> f64 {
+        prompt_tokens as f64 * PROMPT_TOKEN_MS * self.pace
     }
 
     /// Takes in when failure domains were heard.
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -612,3 +612,23 @@
         ..report(0, taken)
     }
 }
+
+// Engines of a deployment read twice as fast as assumed. Taken at the assumed pace, a base model looked
+// twice as busy as it was, and took engines from models that were asked for.
+#[test]
+fn what_a_prompt_takes_of_an_engine_follows_the_pace_of_engines() {
+    let mut world = World::new([engine("e1", &["a1"])]);
+    let id = "e1".into();
+    let assumed_ms = world.dispatcher.engine_ms(&world.engines, 10_000);
+    for _ in 0..400 {
+        let tracked = world.dispatcher.tracked(&id).unwrap();
+        let expected_ms = tracked.expected_first_event_ms(10_000, world.now);
+        world
+            .dispatcher
+            .answer_began(&id, expected_ms, Duration::from_millis(260), world.now);
+    }
+    let learned_ms = world.dispatcher.engine_ms(&world.engines, 10_000);
+    let plain_ms = world.dispatcher.engine_ms(&world.engines, 0);
+    let reading = (learned_ms - plain_ms) / (assumed_ms - plain_ms);
+    assert!((0.45..0.55).contains(&reading), "{reading}");
+}
