End the wait of those whose adapter another request had loaded

At one engine 17 nodes waited for one adapter; when its load had been ordered for the first of them, the others waited on for turns of their own, behind other adapters and while the weight store was full, although the engine held it.

Change: LoadQueue::turn says NotNeeded where the engine holds the adapter or it is on its way. Test: both cases at a full store (red before: Wait).

--- a/crates/relay-node/src/control/owner_loads.rs
+++ b/crates/relay-node/src/control/owner_loads.rs
@@ -105,6 +105,7 @@
             // What the engine reported meanwhile may have turned the decision.
             let plan = match self.turn(place.ticket)? {
                 LoadTurn::Order(plan) => plan,
+                LoadTurn::NotNeeded => return Ok(()),
                 LoadTurn::Wait => continue,
                 LoadTurn::Refuse(why) => return Err(why.into()),
             };
@@ -125,7 +126,7 @@
     async fn wait_for_turn(&self, place: &QueuePlace<'_>) -> Result<(), LoadFailure> {
         loop {
             match self.turn(place.ticket)? {
-                LoadTurn::Order(_) => return Ok(()),
+                LoadTurn::Order(_) | LoadTurn::NotNeeded => return Ok(()),
                 LoadTurn::Refuse(why) => return Err(why.into()),
                 LoadTurn::Wait => {}
             }
--- a/crates/relay/src/load_queue.rs
+++ b/crates/relay/src/load_queue.rs
@@ -65,6 +65,8 @@
     Order(LoadPlan),
     /// Wait on.
     Wait,
+    /// End, as the adapter is there or on its way: another request had it loaded.
+    NotNeeded,
     /// Give up.
     Refuse(LoadRefusal),
 }
@@ -161,6 +163,9 @@
         let Some((_, load)) = waiting.find(|(waiting, _)| *waiting == ticket) else {
             return LoadTurn::Refuse(LoadRefusal::QueueFull);
         };
+        if is_there(load, engine) {
+            return LoadTurn::NotNeeded;
+        }
         if load.kind == LoadKind::FromStore {
             if load.purpose == LoadPurpose::Copy && !store.times.has_room_for_copy(store.over_all) {
                 return LoadTurn::Refuse(LoadRefusal::LeftToMisses);
@@ -186,3 +191,11 @@
         })
     }
 }
+
+/// Whether an engine holds what `load` waits for, or it is on its way.
+fn is_there(load: &WaitingLoad, engine: &EngineContents<'_>) -> bool {
+    let held = engine.holdings.version_of(&load.model);
+    let is_held = held.is_some_and(|held| load.version.is_none_or(|version| held >= version));
+    // Which version is on its way is not known here.
+    is_held || (load.version.is_none() && engine.coming.contains(&load.model))
+}
--- a/crates/relay/tests/load_queue.rs
+++ b/crates/relay/tests/load_queue.rs
@@ -15,6 +15,7 @@
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 
 fn load(index: usize, priority: u8) -> WaitingLoad {
     WaitingLoad {
@@ -86,6 +87,47 @@
     assert!(queue.join(load(2, 1)).is_ok());
 }
 
+// Callers of several nodes wait for one popular adapter at an engine. The load of one of them is ordered,
+// and the others wait on for turns of their own, behind loads of other adapters and while the weight store
+// is full: 251 loads of ten seconds were given up after 3 s although most of their adapters were there.
+#[rstest]
+#[case::on_its_way(&[], &[0])]
+#[case::there(&["a0"], &[])]
+fn who_waits_for_an_adapter_that_another_had_loaded_waits_no_longer(
+    #[case] held: &[&str],
+    #[case] coming: &[usize],
+) {
+    let mut queue = LoadQueue::default();
+    queue.join(load(1, 0)).unwrap();
+    let same = queue.join(load(0, 2)).unwrap();
+    let coming: Vec<ModelRef> = coming.iter().map(|index| load(*index, 0).model).collect();
+    let engine = EngineContents {
+        holdings: &holdings(held),
+        coming: &coming,
+        transfers: 4,
+        room: Room {
+            adapter_slots: 8,
+            transfers: 4,
+        },
+        demand: &Demand::new(Duration::from_secs(10)),
+        is_in_use: &|_| false,
+    };
+    let full = store_use(2, 100.0);
+    let turn = queue.turn(same, &engine, &full, Instant::now());
+    assert_eq!(turn, LoadTurn::NotNeeded);
+    let newer = WaitingLoad {
+        version: Some(2),
+        ..load(0, 2)
+    };
+    let newer = queue.join(newer).unwrap();
+    let turn = queue.turn(newer, &engine, &full, Instant::now());
+    assert_eq!(
+        turn,
+        LoadTurn::Wait,
+        "an older version is not what it waits for"
+    );
+}
+
 // What an engine held a moment ago comes from its own memory in 25 ms. Behind loads that wait for the
 // weight store its callers would wait ten times as long.
 #[test]
