Let an idle engine load whatever its owner heard of other engines

Cause: loads from the weight store began only while the loads under way over all engines, as far as the owner heard, were under a limit that it had learned. In a large fleet an owner hears of few others and takes them for all.

Change: at most two loads of an engine at once, and no limit over all engines; copies still leave a busy store to misses.

--- a/crates/relay/src/load_queue.rs
+++ b/crates/relay/src/load_queue.rs
@@ -11,6 +11,15 @@
 /// latency objective.
 const QUEUE_LIMIT: usize = 4;
 
+/// Loads from the weight store that are under way at one engine at once: what is ordered last is not held
+/// up by all before it.
+///
+/// There is no limit over all engines. An owner hears of few others at a time, and what it made of that
+/// kept loads waiting for 3 s while the weight store had room: with it, 0.703 of the worth of a loaded day
+/// was served by 195 nodes and 4.8 in 100 requests were refused, without it 0.836 and 0.6 in 100. Beside 12
+/// engines, and with loads twice as long, both are within noise of each other.
+const ENGINE_LOADS: usize = 2;
+
 /// What a load is for. The more urgent one is the lesser.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum LoadPurpose {
@@ -71,7 +80,7 @@
     Refuse(LoadRefusal),
 }
 
-/// Loads from the weight store that are under way, and how long they take.
+/// Loads from the weight store that are under way, and what is known of their times.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreUse {
     /// How long loads take.
@@ -85,8 +94,8 @@
 /// The loads that wait at one engine for their order.
 ///
 /// Misses go before copies, urgent ones before routine ones, and among equals the one that came first.
-/// Those from the weight store go one after the other, so that what is ordered last is not held up by
-/// all that were ordered with it. What the engine brings back from its own memory passes them by.
+/// Few come from the weight store at once, so that what is ordered last is not held up by all that were
+/// ordered with it. What the engine brings back from its own memory passes them by.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
@@ -170,8 +179,8 @@
             if load.purpose == LoadPurpose::Copy && !store.times.has_room_for_copy(store.over_all) {
                 return LoadTurn::Refuse(LoadRefusal::LeftToMisses);
             }
-            let has_transfer = engine.transfers < engine.room.transfers
-                && store.times.has_room(store.at_engine, store.over_all);
+            let has_transfer =
+                engine.transfers < engine.room.transfers && store.at_engine < ENGINE_LOADS;
             if self.has_ahead(ticket, load) || !has_transfer {
                 return LoadTurn::Wait;
             }
--- a/crates/relay/src/load_times.rs
+++ b/crates/relay/src/load_times.rs
@@ -60,11 +60,8 @@
 /// waited for others. With fewer its engine or the news of it was slow.
 const CROWD_SHARE: f64 = 0.5;
 
-/// Loads under way, as a part of those at full speed at once, up to which an engine without a load
-/// begins one. Some more than all, as news of other engines' loads are 100 ms old.
-const ROOM_SHARE: f64 = 1.25;
-
-/// The same up to which copies of adapters begin that other engines hold. The rest is for misses, of
+/// Loads under way, as a part of those at full speed at once, up to which copies of adapters begin that other
+/// engines hold. The rest is for misses, of
 /// which two or three may come in the time of one load.
 const COPY_ROOM_SHARE: f64 = 0.4;
 
@@ -243,18 +240,6 @@
         Duration::from_secs_f64((self.load_ms * RECENT_SHARE + WAY_MS) / 1_000.0)
     }
 
-    /// Whether an engine with `of_engine` loads may begin another, with `under_way` over all.
-    ///
-    /// A load that is held back until others have ended comes no later than if it had shared the
-    /// weight store with them, and they come sooner.
-    pub fn has_room(&self, of_engine: usize, under_way: f64) -> bool {
-        match of_engine {
-            0 => under_way < self.at_once * ROOM_SHARE,
-            1 => under_way < self.at_once,
-            _ => false,
-        }
-    }
-
     /// Whether a further copy of an adapter may begin to load, with `under_way` loads over all engines.
     ///
     /// A copy spares some callers a queue; a load for a miss is what its callers wait for. While
