Count answers whose length was told as whole, and requests by base model

Cause: an answer with a Content-Length was settled only by a poll past its last byte, which nobody makes. Plain services' answers never counted: not on the metrics page, and not in an upstream's health, which was paused at its third failure however many answers lay between. Found as the new test of metrics by model waited for its first request in vain.

Change: PassedBody settles the books with the last byte, or at once for an empty body. The metrics page tells requests and waits by base model of the configuration, and how many engines are listed with each. Test: both pages, names that callers made up, and the send that counts as answered (red before).

--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -202,6 +202,7 @@
         self.shared
             .metrics
             .known(version, view.upstreams.len(), owned);
+        self.count_model_engines(&view);
         let is_ready = view.table.is_some() && !view.upstreams.is_empty();
         self.shared.view.store(Arc::new(view));
         if is_ready {
@@ -209,6 +210,25 @@
         }
     }
 
+    /// Counts the engines that are listed with each base model of the configuration.
+    fn count_model_engines(&self, view: &View) {
+        let mut engines: HashMap<&str, usize> = HashMap::new();
+        for held in view
+            .upstreams
+            .iter()
+            .flat_map(|upstream| &upstream.holdings.models)
+        {
+            *engines.entry(&*held.name).or_default() += 1;
+        }
+        let services = view.table.iter().flat_map(|table| table.services());
+        let specs = services.filter_map(|service| service.engine.as_ref());
+        for model in specs.flat_map(|spec| &spec.models) {
+            let engines = engines.get(&*model.name).copied();
+            let metrics = &self.shared.metrics;
+            metrics.model_engines(&model.name, engines.unwrap_or(0));
+        }
+    }
+
     /// Whether `engine` can be given orders, as far as is known without asking the store.
     pub(crate) fn takes_loads(&self, engine: &OwnedEngine) -> bool {
         let permit = engine.ownership.borrow().permit(boot_time());
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::ResultCode;
+use nutmegsail_relay::ModelRef;
 use nutmegsail_telemetry::{CountStoreCalls, StoreCall};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
@@ -28,6 +29,7 @@
     configuration: Gauge<u64>,
     upstreams: Gauge<u64>,
     owned_engines: Gauge<u64>,
+    model_engines: Gauge<u64>,
     connections: Gauge<u64>,
     store_age: Gauge<u64>,
 }
@@ -48,7 +50,7 @@
         Self {
             requests: counter(
                 "nutmegsail.relay.requests",
-                "Requests that ended, by result.",
+                "Requests that ended, by result and base model.",
             ),
             sends: counter("nutmegsail.relay.sends", "Sends to upstreams, by outcome."),
             loads: counter("nutmegsail.relay.loads", "Loads of adapters, by result."),
@@ -66,7 +68,7 @@
             ),
             wait: times(
                 "nutmegsail.relay.wait",
-                "From a request's arrival to its send.",
+                "From a request's arrival to its send, by base model.",
             ),
             load_time: times(
                 "nutmegsail.relay.load_time",
@@ -82,6 +84,10 @@
                 "nutmegsail.relay.owned_engines",
                 "Engines that the node owns.",
             ),
+            model_engines: gauge(
+                "nutmegsail.relay.model_engines",
+                "Engines that are listed with a base model, by model.",
+            ),
             connections: gauge(
                 "nutmegsail.relay.connections",
                 "Open connections of callers.",
@@ -93,9 +99,12 @@
         }
     }
 
-    /// A request ended with a whole answer, or with `code`.
-    pub(crate) fn request_ended(&self, code: Option<ResultCode>) {
-        self.requests.add(1, &[result(code)]);
+    /// A request ended with a whole answer, or with `code`. `model` is the base model that it named, if the
+    /// configuration has it: any other name is a caller's, and there is no end of those.
+    pub(crate) fn request_ended(&self, code: Option<ResultCode>, model: Option<&ModelRef>) {
+        let attributes = [Some(result(code)), model.map(base_model)];
+        let attributes: Vec<KeyValue> = attributes.into_iter().flatten().collect();
+        self.requests.add(1, &attributes);
     }
 
     /// A send came to something.
@@ -104,8 +113,9 @@
     }
 
     /// A send's first event came, `waited` after the request had arrived and `took` after the send.
-    pub(crate) fn first_event(&self, waited: Duration, took: Duration) {
-        self.wait.record(millis(waited), &[]);
+    pub(crate) fn first_event(&self, waited: Duration, took: Duration, model: Option<&ModelRef>) {
+        let attributes: Vec<KeyValue> = model.map(base_model).into_iter().collect();
+        self.wait.record(millis(waited), &attributes);
         self.first_event.record(millis(took), &[]);
     }
 
@@ -137,6 +147,12 @@
         self.owned_engines.record(owned_engines as u64, &[]);
     }
 
+    /// How many engines hold a base model now.
+    pub(crate) fn model_engines(&self, model: &str, engines: usize) {
+        let model = KeyValue::new("model", model.to_owned());
+        self.model_engines.record(engines as u64, &[model]);
+    }
+
     /// What holds when the page is asked for.
     pub(crate) fn asked(&self, connections: usize, store_age: Option<Duration>) {
         self.connections.record(connections as u64, &[]);
@@ -154,6 +170,10 @@
     }
 }
 
+fn base_model(model: &ModelRef) -> KeyValue {
+    KeyValue::new("model", model.model.to_string())
+}
+
 fn result(code: Option<ResultCode>) -> KeyValue {
     let result = code.map_or_else(|| "ok".to_owned(), |code| code.to_string());
     KeyValue::new("result", result)
--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -46,17 +46,37 @@
 
 /// An upstream's body with the request's place in the books.
 pub(crate) struct PassedBody {
-    pub(crate) body: PooledBody,
-    pub(crate) flight: Flight,
+    body: PooledBody,
+    flight: Flight,
     /// Ends when the request's time is over.
-    pub(crate) cutoff: Pin<Box<Sleep>>,
+    cutoff: Pin<Box<Sleep>>,
 }
 
 impl PassedBody {
+    pub(crate) fn new(body: PooledBody, flight: Flight, cutoff: Pin<Box<Sleep>>) -> Self {
+        let mut passed = Self {
+            body,
+            flight,
+            cutoff,
+        };
+        passed.note_end();
+        passed
+    }
+
+    /// Settles the books with the last byte of a body whose length was told: nobody asks for more of it.
+    /// Left to the end that a poll finds, answers of plain services never counted, and an upstream was
+    /// paused at its third failure however many answers lay between.
+    fn note_end(&mut self) {
+        if self.body.is_end_stream() {
+            self.flight.note_whole();
+        }
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.flight.note_progress();
+                self.note_end();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(SendError::Broken | SendError::NotSent | SendError::AtLimit))) => {
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -76,17 +76,22 @@
 
     /// The answer ended whole.
     pub(crate) fn note_whole(&mut self) {
+        if self.is_settled {
+            return;
+        }
         if let (Some(_), Some(first)) = (&self.model, self.first) {
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
             dispatcher.note_run(first.elapsed());
         }
-        self.gateway.shared.metrics.request_ended(None);
+        let metrics = &self.gateway.shared.metrics;
+        metrics.request_ended(None, self.model.as_ref());
         self.settle(Outcome::Answered);
     }
 
     /// The answer's body ended early.
     pub(crate) fn note_cut(&mut self, cut: AnswerCut) {
-        self.gateway.shared.metrics.request_ended(Some(cut.code()));
+        let metrics = &self.gateway.shared.metrics;
+        metrics.request_ended(Some(cut.code()), self.model.as_ref());
         if cut == AnswerCut::Upstream {
             self.note_broken();
         }
@@ -132,7 +137,8 @@
         }
         let first = self.first.map(|first| first.duration_since(self.sent));
         if let Some(took) = first {
-            self.gateway.shared.metrics.first_event(self.waited, took);
+            let metrics = &self.gateway.shared.metrics;
+            metrics.first_event(self.waited, took, self.model.as_ref());
         }
         log_event!(
             self.gateway.log, Event::RequestEnded,
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -270,7 +270,9 @@
 
     /// Ends a request with a refusal, and says in the log what decided it.
     fn give_up(&self, call: &Call, refusal: &Refusal, sends: &Sends) -> Response<AnswerBody> {
-        self.shared.metrics.request_ended(Some(refusal.code));
+        let model = call.meta.model.as_ref();
+        let known = model.filter(|model| self.is_configured(call, model, 1));
+        self.shared.metrics.request_ended(Some(refusal.code), known);
         let tried: Vec<&str> = sends.tried.iter().map(|id| id.as_str()).collect();
         log_event!(
             self.log, Event::RequestRefused,
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -114,7 +114,7 @@
         let mut answer = match self.read(parts, body, meta, began).await {
             Ok(call) => self.carry(&Rc::new(call)).await,
             Err(turned) => {
-                self.shared.metrics.request_ended(Some(turned.code));
+                self.shared.metrics.request_ended(Some(turned.code), None);
                 let proof = Life::accept(id.clone()).not_run();
                 let refusal = Refusal::not_run(proof, turned.code, turned.detail);
                 let refusal = match turned.retry_after {
--- a/crates/relay-node/src/traffic/model_wait.rs
+++ b/crates/relay-node/src/traffic/model_wait.rs
@@ -33,7 +33,7 @@
     }
 
     /// Whether the service of `call` has the base model of `model`, among `least` of them or more.
-    fn is_configured(&self, call: &Call, model: &ModelRef, least: usize) -> bool {
+    pub(super) fn is_configured(&self, call: &Call, model: &ModelRef, least: usize) -> bool {
         let view = self.shared.view.load();
         let table = view.table.as_ref();
         let service = table.and_then(|table| table.service(&call.service));
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -198,11 +198,7 @@
                 let resumable = ResumableBody::new(body, flight, resumption, cutoff);
                 AnswerBody::Resumable(Box::new(resumable))
             }
-            None => AnswerBody::Passed(Box::new(PassedBody {
-                body,
-                flight,
-                cutoff,
-            })),
+            None => AnswerBody::Passed(Box::new(PassedBody::new(body, flight, cutoff))),
         });
         strip_hop_by_hop(answer.headers_mut());
         answer
