--- a/crates/relay-node/src/control/engine_load.rs
+++ b/crates/relay-node/src/control/engine_load.rs
@@ -49,6 +49,14 @@
 }
 
 impl EngineLoad {
+    /// Whether the engine does nothing and could take anything: what is assumed of an engine of which
+    /// nothing is heard.
+    pub(crate) fn is_at_rest(&self) -> bool {
+        let is_idle = self.in_flight == 0 && self.unread_tokens == 0 && self.transfers == 0;
+        let has_changed = !self.coming.is_empty() || !self.moved.is_empty();
+        is_idle && !has_changed && self.room > 0 && self.takes_loads && self.host.is_none()
+    }
+
     /// The report of it, as it was taken just now.
     pub(crate) fn into_report(self) -> Report {
         Report {
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -290,26 +290,17 @@
         at.is_some_and(|at| at.elapsed() < TOLD_SPAN)
     }
 
-    /// Loads from the weight store that are under way over all engines, as far as is known.
-    ///
-    /// In a large fleet only owners of engines in use tell, so the engines that were heard of stand
-    /// for all.
+    /// Loads from the weight store that are under way over all engines, as far as is known. Engines of
+    /// which nothing was heard have none, or their owner is out of reach.
     pub(crate) fn loads_under_way(&self) -> f64 {
         let owned = self.owned.borrow();
-        let own: usize = owned
-            .values()
-            .map(|engine| engine.count_transfers(|_| true))
-            .sum();
+        let own = owned.values();
+        let own: usize = own.map(|engine| engine.count_transfers(|_| true)).sum();
         let mut elsewhere = self.transfers_elsewhere.borrow_mut();
         elsewhere.retain(|_, (_, told)| told.elapsed() < TRANSFERS_LIFE);
         let told = elsewhere.iter().filter(|(id, _)| !owned.contains_key(*id));
-        let (heard, transfers) = told.fold((0, 0), |(heard, transfers), (_, (of_one, _))| {
-            (heard + 1, transfers + of_one)
-        });
-        let others = self.owners.borrow().len().saturating_sub(owned.len());
-        let unheard_factor = others.max(heard) as f64 / heard.max(1) as f64;
-        let unreported = own as f64 + f64::from(transfers) * unheard_factor;
-        unreported * self.load_times.get().under_way_share()
+        let told: u32 = told.map(|(_, (transfers, _))| transfers).sum();
+        (own as f64 + f64::from(told)) * self.load_times.get().under_way_share()
     }
 
     /// The change of an engine's holdings that the traffic thread was told; 0 if none.
--- a/crates/relay-node/src/control/load_board.rs
+++ b/crates/relay-node/src/control/load_board.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{DomainAge, HoldingsTold, NodeRecord, readers_by_domain};
+use nutmegsail_relay::{DomainAge, HoldingsTold, NodeRecord, RestFilter, readers_by_domain};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -67,6 +67,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct LoadBoard {
     loads: HashMap<EngineDigest, Gathered>,
+    resting: RestFilter<EngineDigest>,
     turns: u32,
 }
 
@@ -101,17 +102,15 @@
         self.loads
             .retain(|_, gathered| now.duration_since(gathered.came) < LOAD_LIFE);
         for (engine, load) in own {
-            let gathered = Gathered {
-                load,
-                came: now,
-                is_near: true,
-            };
-            self.loads.insert(engine, gathered);
+            self.put(engine, load, true);
         }
         self.turns = self.turns.wrapping_add(1);
         let tells_far = self.turns.is_multiple_of(FAR_EVERY);
-        let near = self.page(|gathered| gathered.is_near);
-        let mut all = self.page(|gathered| gathered.is_near || tells_far);
+        let known = self.loads.iter();
+        let known = known.map(|(engine, gathered)| (*engine, gathered.load.is_at_rest()));
+        let news = self.resting.turn(known);
+        let near = self.page(&news, |gathered| gathered.is_near);
+        let mut all = self.page(&news, |gathered| gathered.is_near || tells_far);
         all.domains = knowledge.domains_heard.borrow().ages(now);
         let nodes = knowledge.nodes.borrow();
         let here = &knowledge.settings.failure_domain;
@@ -132,15 +131,26 @@
         sends
     }
 
-    fn page(&self, is_in: impl Fn(&Gathered) -> bool) -> LoadPage {
-        let loads = self.loads.iter().filter(|(_, gathered)| is_in(gathered));
-        let loads = loads.map(|(engine, gathered)| (*engine, gathered.load.clone()));
+    fn put(&mut self, engine: EngineDigest, load: EngineLoad, is_near: bool) {
+        let gathered = Gathered {
+            load,
+            came: Instant::now(),
+            is_near,
+        };
+        self.loads.insert(engine, gathered);
+    }
+
+    /// The loads of `engines` that `is_in` names.
+    fn page(&self, engines: &[EngineDigest], is_in: impl Fn(&Gathered) -> bool) -> LoadPage {
+        let loads = engines.iter().filter_map(|engine| {
+            let gathered = self.loads.get(engine)?;
+            is_in(gathered).then(|| (*engine, gathered.load.clone()))
+        });
         LoadPage::of(loads.collect())
     }
 
     /// Takes in loads that an owner or a gatherer told.
     pub(crate) fn take(&mut self, knowledge: &Knowledge, page: LoadPage) {
-        let now = Instant::now();
         knowledge.take_domains(&page.domains);
         let upstreams = knowledge.upstreams.borrow();
         let known: HashMap<EngineDigest, &UpstreamId> = upstreams
@@ -155,12 +165,7 @@
             let is_near = upstreams
                 .get(*id)
                 .is_some_and(|upstream| upstream.failure_domain == *here);
-            let gathered = Gathered {
-                load: load.clone(),
-                came: now,
-                is_near,
-            };
-            self.loads.insert(engine, gathered);
+            self.put(engine, load.clone(), is_near);
             take_load(knowledge, id, load);
         }
     }
--- a/crates/relay/tests/listing.rs
+++ b/crates/relay/tests/listing.rs
@@ -9,8 +9,8 @@
 
 use common::{engine, list};
 use nutmegsail_relay::{
-    Dispatcher, EntryFault, Listing, ModelRef, Need, PromptChain, Refusal, Upstream, UpstreamEntry,
-    UpstreamState, VersionRule,
+    Dispatcher, EntryFault, Listing, ModelRef, Need, PromptChain, Refusal, RestFilter, Upstream,
+    UpstreamEntry, UpstreamState, VersionRule,
 };
 use proptest::prelude::*;
 
@@ -151,3 +151,28 @@
         }
     }
 }
+
+// A fleet grows and most of its engines are idle, yet one node tells all others of each of them ten times a
+// second, and its link fills. What works is told each time, what came to rest a few times, and an engine
+// that works again is told at once.
+#[test]
+fn what_is_told_of_engines_grows_with_those_that_work() {
+    let mut filter = RestFilter::default();
+    let told = |filter: &mut RestFilter<u32>, working: std::ops::Range<u32>| {
+        filter.turn((0..1_000).map(|engine| (engine, !working.contains(&engine))))
+    };
+    for _ in 0..3 {
+        assert_eq!(
+            told(&mut filter, 0..10).len(),
+            1_000,
+            "nothing was told before"
+        );
+    }
+    assert_eq!(told(&mut filter, 0..10), (0..10).collect::<Vec<_>>());
+    let moved = told(&mut filter, 5..15);
+    assert_eq!(moved, (0..15).collect::<Vec<_>>(), "0 to 4 came to rest");
+    for _ in 0..2 {
+        told(&mut filter, 5..15);
+    }
+    assert_eq!(told(&mut filter, 5..15), (5..15).collect::<Vec<_>>());
+}
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -1,5 +1,5 @@
 # Starts the stand-ins and nodes as processes on loopback, and leaves none behind. Sourced by
-# scripts/demo and scripts/fleet, which set `names` and `domains`, an entry a node, and `dir`.
+# scripts/demo, which sets `names` and `domains`, an entry a node, and `dir`.
 
 build() {
   scripts/setup
