--- a/crates/relay-node/src/control/owner_loads.rs
+++ b/crates/relay-node/src/control/owner_loads.rs
@@ -15,13 +15,12 @@
 use crate::shared::Wanted;
 use crate::{OrderAnswer, OrderStep};
 
-/// Adapters that an engine takes at once. Loads are ordered one after the other nevertheless: all
-/// engines together get eight at full speed, and beyond that every load takes longer in proportion.
-/// Of 40 at once each takes 1.3 s; in turn the median takes 0.6 s. One for each of 12 engines keeps
-/// near the eight without asking anyone.
+/// Adapters that an engine accepts on their way from the weight store. Fewer are ordered at once; the rest is
+/// for those that are done and that no report has shown yet.
 const TRANSFERS_LIMIT: usize = 4;
 
-/// How often a load looks whether it may begin: other owners tell of theirs every 100 ms.
+/// How often a load looks whether it may begin, beside each change of its engine: news of requests in use
+/// come every 100 ms.
 const TURN_INTERVAL: Duration = Duration::from_millis(30);
 
 /// How often orders for one load are tried that come back without an answer.
--- a/crates/relay/src/load_queue.rs
+++ b/crates/relay/src/load_queue.rs
@@ -170,6 +170,7 @@
     ) -> LoadTurn {
         let mut waiting = self.waiting.iter();
         let Some((_, load)) = waiting.find(|(waiting, _)| *waiting == ticket) else {
+            // It left the queue; whoever asks again has to join anew.
             return LoadTurn::Refuse(LoadRefusal::QueueFull);
         };
         if is_there(load, engine) {
--- a/crates/relay/src/load_times.rs
+++ b/crates/relay/src/load_times.rs
@@ -46,7 +46,7 @@
 const LEAST_SHARE: f64 = 0.4;
 
 /// Loads under way, as a part of those that are taken to be at full speed, from which a quick load
-/// says that more would be. As no more are begun than that, nothing else would ever tell.
+/// says that more would be.
 const NEAR_LIMIT_SHARE: f64 = 0.7;
 
 /// What such a load adds, as a part of it.
