--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -18,7 +18,7 @@
 pub use engine_report::{AdapterState, EngineReport, HeldAdapter};
 pub use names::{
     AdapterName, AdapterVersion, CallName, CallerId, FailureDomain, Incarnation, NodeId, RequestId,
-    ServiceName, UpstreamId,
+    ServiceName, TeamName, UpstreamId,
 };
 pub use result_code::ResultCode;
 pub use run_state::RunState;
--- a/crates/base/src/names.rs
+++ b/crates/base/src/names.rs
@@ -66,6 +66,10 @@
     /// Who sends requests, for fairness between callers.
     CallerId
 }
+shared_name! {
+    /// Callers that share keys and a quota.
+    TeamName
+}
 shared_name! {
     /// One request of one caller, unique over the deployment.
     RequestId
--- a/crates/base/src/result_code.rs
+++ b/crates/base/src/result_code.rs
@@ -61,11 +61,14 @@
     1011 UnknownPath 404 false "The node has nothing at this path.";
     1012 MethodNotAllowed 405 false "The path does not take this method.";
     1013 UnknownAnswer 404 false "No answer with this handle can be resumed.";
+    1014 KeyRejected 401 false "The request bears no key of a team that is in force.";
     2001 QueueFull 429 true "Too many requests of this class wait; the request did not run.";
     2002 DeadlineUnreachable 503 true "The request could not be answered before its deadline.";
     2003 CallerLimit 429 true "The caller has too many requests in flight.";
     2004 NodeLeaving 503 true "The node is shutting down; another one will take the request.";
     2005 RetryBudgetSpent 503 true "The service's retry budget is spent.";
+    2006 QuotaSpent 429 true "The team has asked for more than its quota; the request did not run.";
+    2007 QuotaUnknown 503 true "No node that lends the team's quota could be asked; the request did not run.";
     3001 NoUpstream 503 true "No upstream of the service can be reached.";
     3002 UpstreamFailed 502 false "The upstream failed after the request had been sent.";
     3003 UpstreamRefused 503 true "Every upstream that was asked refused the request.";
@@ -90,6 +93,7 @@
     6001 PlatformUnavailable 503 true "The platform's key-value service cannot be reached.";
     6002 PlatformRefused 503 true "The platform's key-value service refused the call.";
     6003 PlatformAmbiguous 503 true "No answer came after a write; it may have taken effect.";
+    6004 KeysStale 503 true "What the node knows of keys is too old to accept one; the request did not run.";
     7001 SettingsInvalid 500 false "The node's settings have faults.";
     7002 Internal 500 false "The node broke one of its own assertions.";
     7003 NodeUnreachable 503 true "The node's operators' listener cannot be reached.";
--- /dev/null
+++ b/crates/quota/src/lender.rs
@@ -0,0 +1,233 @@
+//! Lends the tokens of one failure domain.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::bucket::Bucket;
+use crate::{Ask, AskId, Lent, Quota, QuotaBounds, Quotas};
+use nutmegsail_base::TeamName;
+
+/// The part of a bucket that is kept for requests at hand: extra tokens, and tokens for other lenders,
+/// are lent from what is above it.
+const KEPT_SHARE: f64 = 0.3;
+
+/// The least time between two asks to other lenders for one team.
+const BORROW_INTERVAL: Duration = Duration::from_millis(30);
+
+/// How long an unmet need lets a bucket hold more than its capacity, which may be less than one request.
+const NEED_LIFE: Duration = Duration::from_millis(200);
+
+/// The longest wait that is told: demand changes within seconds.
+const LONGEST_WAIT: Duration = Duration::from_secs(4);
+
+/// How long the bucket of a team without a quota is remembered, so that a quota which returns brings no
+/// second burst.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// What the buckets of a new lender hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstFill {
+    /// All that fits: nobody has lent anything yet.
+    Full,
+    /// Nothing: what the lender before had lent is not known.
+    Empty,
+}
+
+/// The buckets of one failure domain.
+///
+/// ```
+/// use std::time::Duration;
+/// use nutmegsail_quota::{Ask, AskId, FirstFill, Lender, Quota, QuotaBounds, Quotas};
+/// let bounds = QuotaBounds::default();
+/// let quota = Quota { tokens_per_s: 1_000.0, burst_tokens: 1_000.0 };
+/// let mut lender = Lender::new(bounds, FirstFill::Full);
+/// lender.set_quotas(&Quotas::from([("desk".into(), quota)]), Duration::ZERO);
+/// let ask = Ask { id: AskId(1), team: "desk".into(), need_tokens: 700, extra_tokens: 0 };
+/// assert_eq!(lender.ask(&ask, Duration::ZERO).tokens, 700);
+/// let refused = lender.ask(&ask, Duration::ZERO);
+/// assert_eq!((refused.tokens, refused.wait_ms > 0), (0, true));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Lender {
+    bounds: QuotaBounds,
+    first_fill: FirstFill,
+    teams: HashMap<TeamName, TeamBucket>,
+    asks: u64,
+}
+
+#[derive(Clone, Debug)]
+struct TeamBucket {
+    quota: Option<Quota>,
+    quota_since: Duration,
+    bucket: Bucket,
+    /// The last need that could not be met.
+    unmet: Option<Unmet>,
+    /// When tokens are there for all who were told to return.
+    returns_until: Duration,
+    borrowed_at: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Unmet {
+    tokens: f64,
+    at: Duration,
+}
+
+impl Lender {
+    /// A lender whose buckets begin with `first_fill`.
+    pub fn new(bounds: QuotaBounds, first_fill: FirstFill) -> Self {
+        Self {
+            bounds,
+            first_fill,
+            teams: HashMap::new(),
+            asks: 0,
+        }
+    }
+
+    /// Takes in the quotas in force. What is above a lower quota's capacity is gone at once.
+    pub fn set_quotas(&mut self, quotas: &Quotas, now: Duration) {
+        for (team, known) in &mut self.teams {
+            known.fill(&self.bounds, now);
+            let quota = quotas.get(team).copied();
+            if quota.is_some() != known.quota.is_some() {
+                known.quota_since = now;
+            }
+            known.quota = quota;
+        }
+        self.teams.retain(|_, known| {
+            known.quota.is_some() || now.saturating_sub(known.quota_since) < FORGET_AFTER
+        });
+        for (team, quota) in quotas {
+            if !self.teams.contains_key(team) {
+                let level = match self.first_fill {
+                    FirstFill::Full => self.bounds.lender_capacity(*quota),
+                    FirstFill::Empty => 0.0,
+                };
+                let known = TeamBucket::new(*quota, level, now);
+                self.teams.insert(team.clone(), known);
+            }
+        }
+    }
+
+    /// Lends to a node of the failure domain.
+    pub fn ask(&mut self, ask: &Ask, now: Duration) -> Lent {
+        let bounds = self.bounds;
+        let Some(team) = self.teams.get_mut(&ask.team) else {
+            return lent(ask, 0.0, Duration::ZERO);
+        };
+        team.fill(&bounds, now);
+        let need = f64::from(ask.need_tokens);
+        let level = team.bucket.level_tokens();
+        if level < need {
+            team.unmet = Some(Unmet {
+                tokens: need,
+                at: now,
+            });
+            return lent(ask, 0.0, team.wait(&bounds, need, now));
+        }
+        let kept = KEPT_SHARE * team.capacity(&bounds);
+        let spare = (level - need - kept).max(0.0).floor();
+        let tokens = need + spare.min(f64::from(ask.extra_tokens));
+        team.bucket.take(tokens);
+        lent(ask, tokens, Duration::ZERO)
+    }
+
+    /// Lends to the lender of another failure domain, whose callers need more than its part of the rate.
+    pub fn lender_ask(&mut self, ask: &Ask, now: Duration) -> Lent {
+        let bounds = self.bounds;
+        let Some(team) = self.teams.get_mut(&ask.team) else {
+            return lent(ask, 0.0, Duration::ZERO);
+        };
+        team.fill(&bounds, now);
+        let kept = KEPT_SHARE * team.capacity(&bounds);
+        let spare = (team.bucket.level_tokens() - kept).max(0.0).floor();
+        let tokens = spare.min(f64::from(ask.need_tokens));
+        team.bucket.take(tokens);
+        lent(ask, tokens, Duration::ZERO)
+    }
+
+    /// What to ask the lenders of other failure domains for, after a need of `team` that was not met.
+    pub fn borrow(&mut self, team: &TeamName, now: Duration) -> Option<Ask> {
+        let known = self.teams.get_mut(team)?;
+        let unmet = known.unmet_at(now)?;
+        let is_early = |at| now.saturating_sub(at) < BORROW_INTERVAL;
+        if known.borrowed_at.is_some_and(is_early) {
+            return None;
+        }
+        known.borrowed_at = Some(now);
+        let short = (unmet - known.bucket.level_tokens()).max(1.0);
+        self.asks += 1;
+        Some(Ask {
+            id: AskId(self.asks),
+            team: team.clone(),
+            need_tokens: short.ceil() as u32,
+            extra_tokens: 0,
+        })
+    }
+
+    /// Takes in what another lender lent.
+    pub fn take_lent(&mut self, lent: &Lent, now: Duration) {
+        if let Some(team) = self.teams.get_mut(&lent.team) {
+            team.fill(&self.bounds, now);
+            team.bucket.put(f64::from(lent.tokens));
+        }
+    }
+}
+
+impl TeamBucket {
+    fn new(quota: Quota, level_tokens: f64, now: Duration) -> Self {
+        Self {
+            quota: Some(quota),
+            quota_since: now,
+            bucket: Bucket::new(level_tokens, now),
+            unmet: None,
+            returns_until: Duration::ZERO,
+            borrowed_at: None,
+        }
+    }
+
+    fn capacity(&self, bounds: &QuotaBounds) -> f64 {
+        self.quota
+            .map_or(0.0, |quota| bounds.lender_capacity(quota))
+    }
+
+    fn fill(&mut self, bounds: &QuotaBounds, now: Duration) {
+        let rate = self.quota.map_or(0.0, |quota| bounds.lender_rate(quota));
+        let unmet = self.unmet_at(now).unwrap_or(0.0);
+        let capacity = self.capacity(bounds);
+        // What is filled in stays within the capacity; only borrowed tokens may go beyond it.
+        let level = self.bucket.level_tokens();
+        let filled_to = capacity.max(level.min(unmet));
+        self.bucket.fill(rate, filled_to, now);
+    }
+
+    fn unmet_at(&self, now: Duration) -> Option<f64> {
+        let unmet = self.unmet?;
+        (now.saturating_sub(unmet.at) < NEED_LIFE).then_some(unmet.tokens)
+    }
+
+    /// When tokens will be there for one more who returns, after all who were told before.
+    fn wait(&mut self, bounds: &QuotaBounds, need_tokens: f64, now: Duration) -> Duration {
+        let rate = self.quota.map_or(0.0, |quota| bounds.lender_rate(quota));
+        if rate <= 0.0 {
+            return LONGEST_WAIT;
+        }
+        let level = self.bucket.level_tokens();
+        let missing_s = (need_tokens - level).max(0.0) / rate;
+        let first = now + Duration::from_secs_f64(missing_s.min(LONGEST_WAIT.as_secs_f64()));
+        let after_others_s = (need_tokens / rate).min(LONGEST_WAIT.as_secs_f64());
+        let after_others = self.returns_until + Duration::from_secs_f64(after_others_s);
+        let at = first.max(after_others).min(now + LONGEST_WAIT);
+        self.returns_until = at;
+        at.saturating_sub(now)
+    }
+}
+
+fn lent(ask: &Ask, tokens: f64, wait: Duration) -> Lent {
+    Lent {
+        id: ask.id,
+        team: ask.team.clone(),
+        tokens: tokens as u32,
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/lending.rs
@@ -0,0 +1,195 @@
+//! Lenders and accounts: what each team gets.
+
+use std::time::Duration;
+
+use nutmegsail_base::TeamName;
+use nutmegsail_quota::{
+    Account, Ask, AskId, FirstFill, GRANT_LIFE, Lender, Lent, Quota, QuotaBounds, Quotas,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const QUOTA: Quota = Quota {
+    tokens_per_s: 3_000.0,
+    burst_tokens: 3_000.0,
+};
+
+fn three_domains() -> QuotaBounds {
+    QuotaBounds {
+        slack_tokens: 11_000.0,
+        failure_domains: 3,
+        ..QuotaBounds::default()
+    }
+}
+
+fn quotas(quota: Quota) -> Quotas {
+    Quotas::from([("desk".into(), quota)])
+}
+
+fn lender(fill: FirstFill) -> Lender {
+    let mut lender = Lender::new(three_domains(), fill);
+    lender.set_quotas(&quotas(QUOTA), Duration::ZERO);
+    lender
+}
+
+fn ask(need_tokens: u32) -> Ask {
+    Ask {
+        id: AskId(7),
+        team: "desk".into(),
+        need_tokens,
+        extra_tokens: 0,
+    }
+}
+
+/// Asks until the lender refuses; returns what it lent.
+fn drain(lender: &mut Lender, need_tokens: u32, now: Duration) -> u32 {
+    let mut all = 0;
+    loop {
+        let lent = lender.ask(&ask(need_tokens), now);
+        all += lent.tokens;
+        if lent.tokens == 0 {
+            return all;
+        }
+    }
+}
+
+// Guards against a second burst: a lender that starts after another may not lend what that one lent already.
+#[test]
+fn a_lender_after_another_begins_with_nothing() {
+    let mut lender = lender(FirstFill::Empty);
+    assert_eq!(drain(&mut lender, 100, Duration::ZERO), 0);
+    let after = drain(&mut lender, 100, SECOND);
+    assert!((900..=1_000).contains(&after), "{after}");
+}
+
+#[test]
+fn a_first_lender_has_its_part_of_burst_and_tolerance() {
+    let mut lender = lender(FirstFill::Full);
+    let all = drain(&mut lender, 100, Duration::ZERO);
+    let limit = three_domains().window_limit(QUOTA) / 3.0;
+    assert!(all > 1_000 && f64::from(all) < limit, "{all} of {limit}");
+}
+
+// Guards against spending the old quota's burst after operators have lowered the quota.
+#[test]
+fn a_lower_quota_takes_away_what_its_bucket_cannot_hold() {
+    let mut lender = lender(FirstFill::Full);
+    let low = Quota {
+        tokens_per_s: 30.0,
+        burst_tokens: 30.0,
+    };
+    let strict = QuotaBounds {
+        slack_tokens: 0.0,
+        ..three_domains()
+    };
+    let mut strict_lender = Lender::new(strict, FirstFill::Full);
+    strict_lender.set_quotas(&quotas(QUOTA), Duration::ZERO);
+    strict_lender.set_quotas(&quotas(low), Duration::ZERO);
+    lender.set_quotas(&quotas(low), Duration::ZERO);
+    assert!(drain(&mut strict_lender, 1, Duration::ZERO) <= 20);
+    assert!(drain(&mut lender, 1, Duration::ZERO) < 5_000);
+}
+
+// Guards against a second burst for a team whose quota was taken away and given back.
+#[test]
+fn a_quota_that_returns_brings_no_second_burst() {
+    let mut lender = lender(FirstFill::Full);
+    drain(&mut lender, 1, Duration::ZERO);
+    lender.set_quotas(&Quotas::new(), Duration::ZERO);
+    lender.set_quotas(&quotas(QUOTA), SECOND / 10);
+    assert!(drain(&mut lender, 1, SECOND / 10) <= 100);
+}
+
+#[test]
+fn whoever_gets_nothing_is_told_to_return_one_after_the_other() {
+    let mut lender = lender(FirstFill::Empty);
+    let waits: Vec<u32> = (0..3)
+        .map(|_| lender.ask(&ask(500), Duration::ZERO).wait_ms)
+        .collect();
+    assert_eq!(waits, [500, 1_000, 1_500]);
+}
+
+// Guards against refusing a team whose callers are all in one failure domain while the tokens of the others
+// lie unused.
+#[test]
+fn a_lender_borrows_what_its_callers_need_from_the_others() {
+    let (mut here, mut there) = (lender(FirstFill::Empty), lender(FirstFill::Full));
+    assert_eq!(here.ask(&ask(1_500), Duration::ZERO).tokens, 0);
+    let team: TeamName = "desk".into();
+    let borrow = here.borrow(&team, Duration::ZERO).unwrap();
+    assert!(
+        here.borrow(&team, Duration::ZERO).is_none(),
+        "not at each ask"
+    );
+    let lent = there.lender_ask(&borrow, Duration::ZERO);
+    assert_eq!(lent.tokens, 1_500);
+    here.take_lent(&lent, Duration::ZERO);
+    assert_eq!(here.ask(&ask(1_500), Duration::ZERO).tokens, 1_500);
+}
+
+#[test]
+fn a_request_larger_than_one_bucket_is_met_by_several() {
+    let quota = Quota {
+        tokens_per_s: 300.0,
+        burst_tokens: 300.0,
+    };
+    let mut lenders: Vec<Lender> = (0..3)
+        .map(|_| {
+            let mut lender = Lender::new(three_domains(), FirstFill::Full);
+            lender.set_quotas(&quotas(quota), Duration::ZERO);
+            lender
+        })
+        .collect();
+    let need = 5_000;
+    assert_eq!(lenders[0].ask(&ask(need), Duration::ZERO).tokens, 0);
+    let borrow = lenders[0].borrow(&"desk".into(), Duration::ZERO).unwrap();
+    for place in 1..3 {
+        let lent = lenders[place].lender_ask(&borrow, Duration::ZERO);
+        lenders[0].take_lent(&lent, Duration::ZERO);
+    }
+    assert_eq!(lenders[0].ask(&ask(need), Duration::ZERO).tokens, need);
+}
+
+// Guards against tokens that live on in a node which was frozen, or whose answer came late.
+#[test]
+fn borrowed_tokens_expire_by_the_time_of_the_ask() {
+    let (mut account, team) = (Account::default(), TeamName::from("desk"));
+    let lent = Lent {
+        id: AskId(1),
+        team: team.clone(),
+        tokens: 900,
+        wait_ms: 0,
+    };
+    account.put(&lent, SECOND);
+    let reserved = account.take(&team, 500, SECOND).unwrap();
+    assert!(reserved.is_valid(SECOND));
+    let late = SECOND + GRANT_LIFE;
+    assert!(!reserved.is_valid(late));
+    account.give_back(reserved, late);
+    assert_eq!(account.held_tokens(&team, late), 0);
+}
+
+#[test]
+fn tokens_of_a_request_that_did_not_run_are_spent_by_the_next() {
+    let (mut account, team) = (Account::default(), TeamName::from("desk"));
+    let lent = Lent {
+        id: AskId(1),
+        team: team.clone(),
+        tokens: 900,
+        wait_ms: 0,
+    };
+    account.put(&lent, SECOND);
+    let reserved = account.take(&team, 700, SECOND).unwrap();
+    assert!(account.take(&team, 700, SECOND).is_none());
+    account.give_back(reserved, SECOND);
+    assert!(account.take(&team, 700, SECOND).is_some());
+}
+
+#[test]
+fn a_busy_node_asks_ahead_of_its_requests() {
+    let (mut account, team) = (Account::default(), TeamName::from("desk"));
+    for step in 0..100 {
+        account.note_demand(&team, 1_000, SECOND + SECOND * step / 10);
+    }
+    let ask = account.ask(&team, 1_000, SECOND * 11);
+    assert!((2_000..4_000).contains(&ask.extra_tokens), "{ask:?}");
+}
--- /dev/null
+++ b/crates/quota/tests/promise.rs
@@ -0,0 +1,46 @@
+//! The promise: in no window do all nodes together spend more than the limit.
+
+mod world;
+
+use proptest::prelude::*;
+use world::{Event, World};
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, ..ProptestConfig::default() })]
+
+    // Guards against tokens that exist twice: by a lender that restarts or changes hands, a cut, lost or late
+    // messages, a node that was frozen.
+    #[test]
+    fn no_window_passes_the_limit_whatever_fails(
+        seed in any::<u64>(),
+        events in prop::collection::vec((0u32..900, any::<Event>()), 0..40),
+    ) {
+        let mut world = World::new(seed);
+        for step in 0..900 {
+            for (_, event) in events.iter().filter(|(at, _)| *at == step) {
+                world.strike(*event);
+            }
+            world.step();
+        }
+        prop_assert!(world.most_in_a_window() <= world.limit(), "{} of {}", world.most_in_a_window(), world.limit());
+    }
+}
+
+// Guards against a bucket that keeps its promise by refusing what is within the quota.
+#[test]
+fn a_team_within_its_quota_is_hardly_refused() {
+    let mut world = World::new(7);
+    world.demand_share = 0.8;
+    (0..2_000).for_each(|_| world.step());
+    let refused = f64::from(world.refused) / f64::from(world.asked);
+    assert!(refused < 0.01, "{refused}");
+}
+
+#[test]
+fn a_team_far_beyond_its_quota_gets_nearly_all_of_it() {
+    let mut world = World::new(8);
+    world.demand_share = 4.0;
+    (0..2_000).for_each(|_| world.step());
+    let served = world.spent_tokens() / (world.quota().tokens_per_s * 20.0);
+    assert!((0.95..1.2).contains(&served), "{served}");
+}
--- /dev/null
+++ b/crates/quota/tests/world/mod.rs
@@ -0,0 +1,352 @@
+//! Nodes and lenders of three failure domains, with messages that are late, lost and cut off.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use nutmegsail_base::TeamName;
+use nutmegsail_quota::{Account, Ask, FirstFill, Lender, Lent, Quota, QuotaBounds, Quotas};
+use strategies::arbitrary_event;
+
+const DOMAINS: usize = 3;
+const NODES: usize = 12;
+const STEP: Duration = Duration::from_millis(10);
+const REQUEST_TOKENS: u32 = 1_500;
+const HEDGE_AFTER: Duration = Duration::from_millis(40);
+
+/// What strikes the world.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// A lender starts anew, or another node takes it over.
+    LenderRestarts(usize),
+    /// A failure domain is cut off, or heard again.
+    Cut(usize),
+    /// A node stands still, or goes on.
+    Freeze(usize),
+    /// A node starts anew.
+    NodeRestarts(usize),
+    /// Messages take so many steps.
+    Delay(u32),
+    /// The demand changes, in tenths of the quota.
+    Demand(u32),
+}
+
+mod strategies {
+    use super::Event;
+    use proptest::prelude::*;
+
+    pub fn arbitrary_event() -> BoxedStrategy<Event> {
+        prop_oneof![
+            (0usize..3).prop_map(Event::LenderRestarts),
+            (0usize..3).prop_map(Event::Cut),
+            (0usize..12).prop_map(Event::Freeze),
+            (0usize..12).prop_map(Event::NodeRestarts),
+            (0u32..40).prop_map(Event::Delay),
+            (1u32..80).prop_map(Event::Demand),
+        ]
+        .boxed()
+    }
+}
+
+impl proptest::arbitrary::Arbitrary for Event {
+    type Parameters = ();
+    type Strategy = proptest::strategy::BoxedStrategy<Self>;
+
+    fn arbitrary_with((): ()) -> Self::Strategy {
+        arbitrary_event()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask {
+        node: usize,
+        asked: Duration,
+        ask: Ask,
+    },
+    Lent {
+        node: usize,
+        asked: Duration,
+        lent: Lent,
+    },
+    LenderAsk {
+        from: usize,
+        ask: Ask,
+    },
+    LenderLent {
+        to: usize,
+        lent: Lent,
+    },
+}
+
+struct Sent {
+    arrives: Duration,
+    between: (usize, usize),
+    to_lender: usize,
+    message: Message,
+}
+
+struct Node {
+    account: Account,
+    is_frozen: bool,
+    /// Requests that wait for tokens, with when they give up.
+    waiting: VecDeque<Duration>,
+    /// When it asked last, and how often without an answer.
+    asked_at: Duration,
+    unanswered: usize,
+}
+
+pub struct World {
+    now: Duration,
+    bounds: QuotaBounds,
+    quota: Quota,
+    team: TeamName,
+    lenders: Vec<Lender>,
+    nodes: Vec<Node>,
+    is_cut: [bool; DOMAINS],
+    delay: Duration,
+    sent: Vec<Sent>,
+    spent: Vec<(Duration, u32)>,
+    state: u64,
+    /// What callers ask for, as a part of the quota.
+    pub demand_share: f64,
+    pub asked: u32,
+    pub refused: u32,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let bounds = QuotaBounds {
+            slack_tokens: 11_000.0,
+            failure_domains: DOMAINS as u32,
+            ..QuotaBounds::default()
+        };
+        let quota = Quota {
+            tokens_per_s: 60_000.0,
+            burst_tokens: 60_000.0,
+        };
+        let mut world = Self {
+            now: Duration::from_secs(100),
+            bounds,
+            quota,
+            team: "desk".into(),
+            lenders: Vec::new(),
+            nodes: Vec::new(),
+            is_cut: [false; DOMAINS],
+            delay: Duration::from_millis(1),
+            sent: Vec::new(),
+            spent: Vec::new(),
+            state: seed | 1,
+            demand_share: 3.0,
+            asked: 0,
+            refused: 0,
+        };
+        world.lenders = (0..DOMAINS)
+            .map(|_| world.lender(FirstFill::Full))
+            .collect();
+        world.nodes = (0..NODES).map(|_| Node::new()).collect();
+        world
+    }
+
+    fn lender(&self, fill: FirstFill) -> Lender {
+        let mut lender = Lender::new(self.bounds, fill);
+        let quotas = Quotas::from([(self.team.clone(), self.quota)]);
+        lender.set_quotas(&quotas, self.now);
+        lender
+    }
+
+    /// A number from 0 up to 1, by a xorshift generator.
+    fn draw(&mut self) -> f64 {
+        self.state ^= self.state << 13;
+        self.state ^= self.state >> 7;
+        self.state ^= self.state << 17;
+        (self.state >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub fn strike(&mut self, event: Event) {
+        match event {
+            Event::LenderRestarts(domain) => self.lenders[domain] = self.lender(FirstFill::Empty),
+            Event::Cut(domain) => self.is_cut[domain] = !self.is_cut[domain],
+            Event::Freeze(node) => {
+                let node = &mut self.nodes[node];
+                node.is_frozen = !node.is_frozen;
+            }
+            Event::NodeRestarts(node) => self.nodes[node] = Node::new(),
+            Event::Delay(steps) => self.delay = STEP * steps,
+            Event::Demand(tenths) => self.demand_share = f64::from(tenths) / 10.0,
+        }
+    }
+
+    /// Plays one step of time.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.arrive();
+        let rate = self.quota.tokens_per_s * self.demand_share * STEP.as_secs_f64();
+        let mut requests = rate / f64::from(REQUEST_TOKENS);
+        while requests > 0.0 {
+            if self.draw() < requests {
+                // Half of the callers are in the first failure domain.
+                let place = match self.draw() < 0.5 {
+                    true => (self.draw() * 4.0) as usize * DOMAINS,
+                    false => (self.draw() * NODES as f64) as usize,
+                };
+                self.request(place.min(NODES - 1));
+            }
+            requests -= 1.0;
+        }
+        for node in 0..NODES {
+            self.spend(node);
+            let place = &self.nodes[node];
+            let is_late = self.now - place.asked_at >= HEDGE_AFTER;
+            if is_late && !place.is_frozen && !place.waiting.is_empty() {
+                self.ask(node);
+            }
+        }
+    }
+
+    fn request(&mut self, node: usize) {
+        if self.nodes[node].is_frozen {
+            return;
+        }
+        self.asked += 1;
+        let until = self.now + Duration::from_millis(250);
+        let account = &mut self.nodes[node].account;
+        account.note_demand(&self.team, REQUEST_TOKENS, self.now);
+        self.nodes[node].waiting.push_back(until);
+        self.spend(node);
+        if !self.nodes[node].waiting.is_empty() {
+            self.ask(node);
+        }
+    }
+
+    fn ask(&mut self, node: usize) {
+        let (team, now) = (self.team.clone(), self.now);
+        let place = &mut self.nodes[node];
+        let ask = place.account.ask(&team, REQUEST_TOKENS, now);
+        place.asked_at = now;
+        // Another lender is asked where the nearest does not answer.
+        let (home, asked) = ((node + place.unanswered) % DOMAINS, now);
+        place.unanswered += 1;
+        self.send(node % DOMAINS, home, Message::Ask { node, asked, ask });
+    }
+
+    fn spend(&mut self, node: usize) {
+        let (team, now) = (self.team.clone(), self.now);
+        let place = &mut self.nodes[node];
+        if place.is_frozen {
+            return;
+        }
+        while let Some(until) = place.waiting.front().copied() {
+            if now > until {
+                place.waiting.pop_front();
+                self.refused += 1;
+            } else if let Some(reserved) = place.account.take(&team, REQUEST_TOKENS, now) {
+                assert!(reserved.is_valid(now));
+                place.waiting.pop_front();
+                self.spent.push((now, REQUEST_TOKENS));
+            } else {
+                break;
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let is_lost = self.draw() < 0.01;
+        let late = self.delay.mul_f64(self.draw());
+        if !is_lost {
+            self.sent.push(Sent {
+                arrives: self.now + late,
+                between: (from, to),
+                to_lender: to,
+                message,
+            });
+        }
+    }
+
+    fn arrive(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.sent)
+            .into_iter()
+            .partition(|sent| sent.arrives <= now);
+        self.sent = later;
+        for sent in due {
+            let (from, to) = sent.between;
+            if from != to && (self.is_cut[from] || self.is_cut[to]) {
+                continue;
+            }
+            self.take(sent.to_lender, sent.message);
+        }
+    }
+
+    fn take(&mut self, domain: usize, message: Message) {
+        match message {
+            Message::Ask { node, asked, ask } => {
+                let lent = self.lenders[domain].ask(&ask, self.now);
+                if lent.tokens == 0
+                    && let Some(ask) = self.lenders[domain].borrow(&ask.team, self.now)
+                {
+                    for other in (0..DOMAINS).filter(|other| *other != domain) {
+                        let ask = ask.clone();
+                        self.send(domain, other, Message::LenderAsk { from: domain, ask });
+                    }
+                }
+                self.send(domain, node % DOMAINS, Message::Lent { node, asked, lent });
+            }
+            Message::Lent { node, asked, lent } => {
+                if self.nodes[node].is_frozen {
+                    return;
+                }
+                self.nodes[node].unanswered = 0;
+                self.nodes[node].account.put(&lent, asked);
+                self.spend(node);
+                if lent.tokens == 0 && !self.nodes[node].waiting.is_empty() {
+                    self.ask(node);
+                }
+            }
+            Message::LenderAsk { from, ask } => {
+                let lent = self.lenders[domain].lender_ask(&ask, self.now);
+                self.send(domain, from, Message::LenderLent { to: from, lent });
+            }
+            Message::LenderLent { to, lent } => self.lenders[to].take_lent(&lent, self.now),
+        }
+    }
+
+    pub fn quota(&self) -> Quota {
+        self.quota
+    }
+
+    pub fn limit(&self) -> f64 {
+        self.bounds.window_limit(self.quota)
+    }
+
+    pub fn spent_tokens(&self) -> f64 {
+        self.spent
+            .iter()
+            .map(|(_, tokens)| f64::from(*tokens))
+            .sum()
+    }
+
+    pub fn most_in_a_window(&self) -> f64 {
+        let (mut most, mut sum, mut first) = (0.0_f64, 0.0, 0);
+        for (at, tokens) in &self.spent {
+            sum += f64::from(*tokens);
+            while *at - self.spent[first].0 >= self.bounds.window {
+                sum -= f64::from(self.spent[first].1);
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+}
+
+impl Node {
+    fn new() -> Self {
+        Self {
+            account: Account::default(),
+            is_frozen: false,
+            waiting: VecDeque::new(),
+            asked_at: Duration::ZERO,
+            unanswered: 0,
+        }
+    }
+}
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
+use nutmegsail_quota::QuotaMessage;
 use nutmegsail_relay::{EngineLoadNow, Holdings, HoldingsTold, ModelRef, readers_by_domain};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -78,10 +79,28 @@
     Gathered { from: NodeId, page: LoadPage },
     /// From a reader to readers of other failure domains, which hear nothing else from there at times.
     Alive { from: NodeId },
+    /// About teams' quotas.
+    Quota(QuotaMessage),
     /// What callers ask of base models.
     Models { from: NodeId, asked: ModelsAsked },
 }
 
+/// A message about quotas as a datagram.
+pub(crate) struct QuotaDatagram(pub(crate) QuotaMessage);
+
+impl QuotaDatagram {
+    pub(crate) fn to_bytes(&self) -> Option<Vec<u8>> {
+        postcard::to_stdvec(&Message::Quota(self.0.clone())).ok()
+    }
+
+    pub(crate) fn parse(bytes: &[u8]) -> Option<QuotaMessage> {
+        match postcard::from_bytes(bytes) {
+            Ok(Message::Quota(message)) => Some(message),
+            _ => None,
+        }
+    }
+}
+
 /// Tells and listens for ever.
 pub(crate) async fn run(knowledge: Rc<Knowledge>, socket: UdpSocket) {
     let mut ticks = interval(INTERVAL);
@@ -276,6 +295,10 @@
             board.take(knowledge, page);
         }
         Ok(Message::Alive { from }) => knowledge.note_heard(from),
+        Ok(Message::Quota(message)) => {
+            let send = |message, to| send(socket, &Message::Quota(message), to);
+            knowledge.take_quota_message(message, sender, send);
+        }
         Ok(Message::Models { from, asked }) => {
             knowledge.note_heard(from.clone());
             let nodes = knowledge.nodes.borrow();
--- a/crates/relay-node/src/control/keeper.rs
+++ b/crates/relay-node/src/control/keeper.rs
@@ -12,6 +12,7 @@
 use super::claims::{claim, forget_gone, own_before, unowned};
 use super::confirmation::confirm_ahead;
 use super::knowledge::Knowledge;
+use super::lending::claim_lender;
 use super::owners::{NODE_PREFIX, lose, to_json};
 
 /// How long keys outlive their node. Shorter costs more renewals, longer leaves engines of a dead
@@ -53,6 +54,7 @@
             let unowned = unowned(&knowledge).into_iter();
             let claims: Vec<_> = unowned.map(|id| (id, Revision(0))).collect();
             claim(&knowledge, &claims).await;
+            claim_lender(&knowledge).await;
         }
         confirm_ahead(&knowledge).await;
         forget_gone(&knowledge);
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -20,6 +20,7 @@
 use super::change_log::ChangeLog;
 use super::engine::{Coming, OwnedEngine};
 use super::engine_load::HostTold;
+use super::lending::Lending;
 use super::model_demand::ModelDemand;
 use crate::clock::boot_time;
 use crate::shared::{Shared, View};
@@ -99,6 +100,8 @@
     pub(crate) silent_readers: RefCell<HashMap<NodeId, Instant>>,
     /// Which node owned the engine at each address last, and when it was seen so.
     pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
+    /// Who lends teams' quotas.
+    pub(crate) lending: Lending,
     started: Instant,
     number: Cell<u64>,
 }
@@ -138,6 +141,7 @@
             change_log: ChangeLog::default(),
             silent_readers: RefCell::default(),
             last_owners: RefCell::default(),
+            lending: Lending::default(),
             started: Instant::now(),
             number: Cell::new(0),
         }
@@ -185,6 +189,7 @@
 
     /// Publishes what is known now.
     pub(crate) fn publish(&self) {
+        self.refresh_quotas();
         let mut times = self.load_times.get();
         times.set_engines(self.owners.borrow().len());
         self.load_times.set(times);
@@ -196,6 +201,7 @@
             versions: Arc::new(self.versions.borrow().clone()),
             nodes: self.nodes.borrow().len().max(1),
             load_times: self.load_times.get(),
+            lenders: self.lender_addresses().into(),
         };
         let version = view.table.as_ref().map_or(0, |table| table.version);
         let owned = self.owned.borrow().len();
--- /dev/null
+++ b/crates/relay-node/src/control/lending.rs
@@ -0,0 +1,283 @@
+//! Lends the failure domain's part of teams' quotas, if this node is the one that does.
+//!
+//! The lender's key is written by compare-and-swap under the node's lease. A lender goes by a read that
+//! showed its key for [`CONFIRMATION`] only, and the next one waits as long, so no two fill the same
+//! buckets at a time.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::FailureDomain;
+use nutmegsail_quota::{Ask, FirstFill, Lender, QuotaMessage};
+use nutmegsail_relay::{NodeRecord, OrderPermit, Ownership, OwnershipRules};
+use nutmegsail_store::{Expect, Put, Revision, Txn};
+use nutmegsail_telemetry::{Event, log_event};
+
+use super::knowledge::{Knowledge, Owner};
+use super::owners::{OwnerRecord, to_json};
+use crate::clock::boot_time;
+
+/// Keys of lenders, by failure domain.
+pub(crate) const LENDER_PREFIX: &str = "nutmegsail/lender/";
+
+/// How long a read that showed the lender's key is relied on. Longer keeps a failure domain without a
+/// lender for longer after one has failed; shorter ends lending in each short outage of the store.
+const CONFIRMATION: Duration = Duration::from_millis(2_500);
+
+/// How long a failure domain waits for the node that is to lend before any other one claims.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// The lenders of all failure domains, and this node's own.
+#[derive(Debug, Default)]
+pub(crate) struct Lending {
+    lenders: RefCell<HashMap<FailureDomain, Owner>>,
+    own: RefCell<Option<OwnLender>>,
+    /// The version of the configuration whose quotas the lender goes by.
+    version: Cell<u64>,
+    /// Since when this failure domain is known to have no lender.
+    missing_since: Cell<Option<Instant>>,
+}
+
+#[derive(Debug)]
+struct OwnLender {
+    lender: Lender,
+    ownership: Ownership,
+    /// Whether the watch has shown the key.
+    is_watched: bool,
+}
+
+impl Knowledge {
+    /// Takes in a lender's key.
+    pub(crate) fn take_lender(&self, domain: &str, record: &OwnerRecord, revision: Revision) {
+        let domain = FailureDomain::from(domain);
+        if domain == self.settings.failure_domain {
+            let mut own = self.lending.own.borrow_mut();
+            let fence = own.as_ref().map(|own| own.ownership.fence());
+            if fence.is_some_and(|fence| fence < revision.0) {
+                drop(own);
+                self.release_lender("another claim was written");
+            } else if let Some(own) = own.as_mut().filter(|_| fence == Some(revision.0)) {
+                own.is_watched = true;
+            }
+        }
+        let owner = Owner {
+            node: record.node.clone(),
+            revision,
+        };
+        self.lending.lenders.borrow_mut().insert(domain, owner);
+    }
+
+    /// Takes in that a lender's key is gone.
+    pub(crate) fn forget_lender(&self, domain: &str) {
+        self.lending.lenders.borrow_mut().remove(domain);
+        if *domain == **self.settings.failure_domain {
+            self.release_lender("the key was removed");
+        }
+    }
+
+    /// The keys of all lenders that are known.
+    pub(crate) fn lender_keys(&self) -> Vec<String> {
+        let lenders = self.lending.lenders.borrow();
+        let domains = lenders.keys();
+        domains
+            .map(|domain| format!("{LENDER_PREFIX}{domain}"))
+            .collect()
+    }
+
+    /// Where the lenders are, this failure domain's in front.
+    pub(crate) fn lender_addresses(&self) -> Vec<SocketAddr> {
+        let lenders = self.lending.lenders.borrow();
+        let nodes = self.nodes.borrow();
+        let here = &self.settings.failure_domain;
+        let mut found: Vec<(bool, &FailureDomain, SocketAddr)> = lenders
+            .iter()
+            .filter_map(|(domain, owner)| {
+                let node = nodes.get(&owner.node)?;
+                Some((domain != here, domain, node.address))
+            })
+            .collect();
+        found.sort();
+        found.into_iter().map(|(_, _, address)| address).collect()
+    }
+
+    /// Takes in that all changes until some time after `asked` were seen.
+    pub(crate) fn confirm_lender(&self, asked: Duration) {
+        let mut own = self.lending.own.borrow_mut();
+        if let Some(own) = own.as_mut().filter(|own| own.is_watched) {
+            own.ownership.confirm(asked);
+        }
+    }
+
+    /// Brings the lender's quotas up to the configuration in force.
+    pub(crate) fn refresh_quotas(&self) {
+        let table = self.table.borrow();
+        let Some(table) = table.as_ref() else {
+            return;
+        };
+        let mut own = self.lending.own.borrow_mut();
+        let Some(own) = own.as_mut() else {
+            return;
+        };
+        if self.lending.version.replace(table.version) != table.version {
+            let none = HashMap::new();
+            let quotas = table.teams().map_or(&none, |teams| teams.quotas());
+            own.lender.set_quotas(quotas, boot_time());
+        }
+    }
+
+    /// Answers a message about quotas; what is to be sent to others goes out through `send`.
+    pub(crate) fn take_quota_message(
+        &self,
+        message: QuotaMessage,
+        sender: SocketAddr,
+        send: impl Fn(QuotaMessage, SocketAddr),
+    ) {
+        self.refresh_quotas();
+        let mut own = self.lending.own.borrow_mut();
+        let now = boot_time();
+        // Whoever asked and hears nothing asks another lender.
+        let Some(own) = own.as_mut().filter(|own| own.may_lend(now)) else {
+            return;
+        };
+        match message {
+            QuotaMessage::Ask(ask) => {
+                let lent = own.lender.ask(&ask, now);
+                let borrow = (lent.tokens == 0).then(|| own.lender.borrow(&ask.team, now));
+                send(QuotaMessage::Lent(lent), sender);
+                if let Some(borrow) = borrow.flatten() {
+                    self.ask_lenders(&borrow, send);
+                }
+            }
+            QuotaMessage::LenderAsk(ask) => {
+                let lent = own.lender.lender_ask(&ask, now);
+                if lent.tokens > 0 {
+                    send(QuotaMessage::LenderLent(lent), sender);
+                }
+            }
+            QuotaMessage::LenderLent(lent) => own.lender.take_lent(&lent, now),
+            QuotaMessage::Lent(_) => {}
+        }
+    }
+
+    fn ask_lenders(&self, ask: &Ask, send: impl Fn(QuotaMessage, SocketAddr)) {
+        let me = self.settings.nodes_address;
+        let others = self.lender_addresses().into_iter();
+        for lender in others.filter(|address| *address != me) {
+            send(QuotaMessage::LenderAsk(ask.clone()), lender);
+        }
+    }
+
+    fn release_lender(&self, why: &str) {
+        if self.lending.own.take().is_some() {
+            log_event!(self.log, Event::LenderReleased, "why" => why.to_owned());
+        }
+    }
+
+    /// Whether a team of the configuration has a quota.
+    fn has_quotas(&self) -> bool {
+        let table = self.table.borrow();
+        let teams = table.as_ref().and_then(|table| table.teams());
+        teams.is_some_and(|teams| !teams.quotas().is_empty())
+    }
+
+    /// The node that is to lend: the last one of the failure domain, as the first ones read the store.
+    fn is_to_lend(&self) -> bool {
+        let nodes = self.nodes.borrow();
+        let here = &self.settings.failure_domain;
+        let near = nodes.values().filter(|node| node.failure_domain == *here);
+        let last: Option<&NodeRecord> = near.max_by(|a, b| a.node.cmp(&b.node));
+        last.is_some_and(|last| last.node == self.settings.node)
+    }
+
+    /// The revision to write the lender's key over, if this node is to claim it now.
+    fn lender_to_claim(&self) -> Option<Revision> {
+        let lenders = self.lending.lenders.borrow();
+        let lender = lenders.get(&self.settings.failure_domain);
+        if let Some(owner) = lender {
+            self.lending.missing_since.set(None);
+            let is_own_before = owner.node == self.settings.node;
+            return is_own_before.then_some(owner.revision);
+        }
+        let now = Instant::now();
+        let since = self.lending.missing_since.get().unwrap_or(now);
+        self.lending.missing_since.set(Some(since));
+        let is_late = now.duration_since(since) > CLAIM_PATIENCE;
+        (is_late || self.is_to_lend()).then_some(Revision(0))
+    }
+}
+
+impl OwnLender {
+    fn may_lend(&self, now: Duration) -> bool {
+        matches!(self.ownership.permit(now), OrderPermit::Granted { .. })
+    }
+}
+
+/// Claims the lender's key where it is this node's turn.
+pub(crate) async fn claim_lender(knowledge: &Knowledge) {
+    if knowledge.lending.own.borrow().is_some() || !knowledge.has_quotas() {
+        return;
+    }
+    let Some(before) = knowledge.lender_to_claim() else {
+        return;
+    };
+    let key = format!("{LENDER_PREFIX}{}", knowledge.settings.failure_domain);
+    let lease = knowledge.lease.get();
+    let record = OwnerRecord {
+        node: knowledge.settings.node.clone(),
+        lease,
+    };
+    let txn = Txn {
+        expects: vec![Expect {
+            key: key.as_str().into(),
+            revision: before,
+        }],
+        puts: vec![Put {
+            key: key.into(),
+            value: to_json(&record),
+            lease,
+        }],
+        ..Txn::default()
+    };
+    let asked_at = boot_time();
+    // What was written in spite of an error shows up in the watch as an earlier process's, and is claimed anew.
+    if let Ok(fence) = knowledge.store.commit(txn).await {
+        take_over(knowledge, fence, before, asked_at);
+    }
+}
+
+fn take_over(knowledge: &Knowledge, fence: Revision, before: Revision, asked_at: Duration) {
+    let is_first = before == Revision(0) && knowledge.is_first_claim();
+    let has_no_other = before != Revision(0) || is_first;
+    let rules = OwnershipRules {
+        hand_over: Duration::ZERO,
+        confirmation: CONFIRMATION,
+    };
+    let ownership = Ownership::taken(fence.0, has_no_other, rules, asked_at, boot_time());
+    let first_fill = match is_first {
+        true => FirstFill::Full,
+        false => FirstFill::Empty,
+    };
+    let settings = &knowledge.settings;
+    let lender = Lender::new(settings.quota_bounds(), first_fill);
+    *knowledge.lending.own.borrow_mut() = Some(OwnLender {
+        lender,
+        ownership,
+        is_watched: false,
+    });
+    knowledge.lending.version.set(0);
+    knowledge.refresh_quotas();
+    let owner = Owner {
+        node: settings.node.clone(),
+        revision: fence,
+    };
+    let mut lenders = knowledge.lending.lenders.borrow_mut();
+    lenders.insert(settings.failure_domain.clone(), owner);
+    drop(lenders);
+    knowledge.publish();
+    log_event!(
+        knowledge.log, Event::LenderTaken,
+        "fence" => fence.0, "first_fill" => format!("{first_fill:?}")
+    );
+}
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::knowledge::{Knowledge, Owner};
+use super::lending::LENDER_PREFIX;
 use super::watch::Follower;
 
 /// Keys that nodes write.
@@ -51,6 +52,11 @@
                 Ok(record) => self.take_owner(engine.into(), &record, item.revision),
                 Err(error) => self.log_unreadable(&item.key, &error),
             }
+        } else if let Some(domain) = item.key.strip_prefix(LENDER_PREFIX) {
+            match serde_json::from_slice::<OwnerRecord>(&item.value) {
+                Ok(record) => self.0.take_lender(domain, &record, item.revision),
+                Err(error) => self.log_unreadable(&item.key, &error),
+            }
         }
     }
 
@@ -77,6 +83,8 @@
             let engine = UpstreamId::from(engine);
             self.0.owners.borrow_mut().remove(&engine);
             lose(&self.0, &engine, "the key was removed");
+        } else if let Some(domain) = key.strip_prefix(LENDER_PREFIX) {
+            self.0.forget_lender(domain);
         }
     }
 
@@ -99,6 +107,7 @@
         let engines: Vec<UpstreamId> = self.0.owners.borrow().keys().cloned().collect();
         let known = nodes.iter().map(|node| format!("{NODE_PREFIX}{node}"));
         let known = known.chain(engines.iter().map(owner_key));
+        let known = known.chain(self.0.lender_keys());
         for key in known.collect::<Vec<_>>() {
             if !listed.contains(&key.as_str()) {
                 self.remove(&key);
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -64,6 +64,7 @@
                 }
                 knowledge.change_log.restart(revision, read_at);
                 tell_whole(knowledge, followers, &items);
+                knowledge.shared.note_news(asked);
                 let error = follow_changes(knowledge, followers, revision, read_at).await;
                 log_lost(knowledge, &error);
                 is_lost = true;
@@ -156,6 +157,8 @@
     knowledge.change_log.push(changes, read_at);
     tell_changes(knowledge, followers, &changes.changes);
     knowledge.confirm_seen(read_at.asked);
+    knowledge.confirm_lender(read_at.asked);
+    knowledge.shared.note_news(read_at.asked);
     let answered_ms = u64::try_from(read_at.answered.as_millis()).unwrap_or(u64::MAX);
     let answered = &knowledge.shared.store_answered_ms;
     answered.store(answered_ms, Ordering::Relaxed);
--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use nutmegsail_relay::{Holdings, ModelRef, PromptPart, RouteTable, UpstreamEntry};
+use nutmegsail_relay::{CallerKey, Holdings, ModelRef, PromptPart, RouteTable, UpstreamEntry};
 use thiserror::Error;
 
 /// What a caller's headers say.
@@ -13,12 +13,16 @@
 pub struct CallMeta {
     /// The id of this attempt of the caller.
     pub request_id: Option<HeaderValue>,
+    /// The key that tells the caller's team.
+    pub key: CallerKey,
     /// How long the caller waits.
     pub deadline: Option<Duration>,
     /// The model that is asked for.
     pub model: Option<ModelRef>,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Tokens of the prompt and, at most, of the answer, if they are stated.
+    pub all_tokens: Option<u32>,
     /// The parts of the prompt, as far as they are told.
     pub prompt_parts: Vec<PromptPart>,
 }
@@ -30,6 +34,8 @@
     pub remaining: Duration,
     /// The name of the upstream that is meant; another one at the address refuses.
     pub upstream: &'a str,
+    /// The name of the caller's team.
+    pub team: Option<&'a str>,
     /// The version of the model that is meant.
     pub version: Option<u64>,
     /// The rank among requests in the engine; 0 is first.
@@ -162,12 +168,12 @@
 
 /// Names and formats of one platform. It translates and decides nothing.
 pub trait Dialect: Send + Sync + Debug {
-    /// Reads a caller's headers.
+    /// Reads a caller's headers, and takes the key out of them.
     ///
     /// # Errors
     ///
     /// [`BadHeader`] for a value that cannot be read.
-    fn read_call(&self, headers: &HeaderMap) -> Result<CallMeta, BadHeader>;
+    fn read_call(&self, headers: &mut HeaderMap) -> Result<CallMeta, BadHeader>;
     /// Sets the headers of a request to an upstream.
     fn write_send(&self, headers: &mut HeaderMap, send: &SendMeta<'_>);
     /// Reads the head of an upstream's answer.
--- a/crates/relay-node/src/settings.rs
+++ b/crates/relay-node/src/settings.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use nutmegsail_base::{FailureDomain, NodeId, ResultCode};
+use nutmegsail_quota::QuotaBounds;
+use nutmegsail_relay::AccessRules;
 use nutmegsail_telemetry::LogSettings;
 use serde::Deserialize;
 use thiserror::Error;
@@ -33,6 +35,9 @@
     pub node: NodeId,
     /// Where it stands.
     pub failure_domain: FailureDomain,
+    /// All failure domains, this one among them. Each lends a part of teams' quotas.
+    #[serde(default)]
+    pub failure_domains: Vec<FailureDomain>,
     /// Where callers connect.
     pub callers_address: SocketAddr,
     /// Where the platform asks whether the node takes callers.
@@ -81,6 +86,15 @@
     pub retry_slack: f64,
     /// The window in which sends are counted, in seconds.
     pub retry_window_s: f64,
+    /// How long after a key was taken away it may still be accepted, by any node, in milliseconds; without it a
+    /// node that reaches nobody accepts what it knows.
+    pub revoke_ms: Option<u64>,
+    /// The window in which teams' tokens are counted, in seconds.
+    pub quota_window_s: f64,
+    /// How far all nodes together may pass a quota in a window, as a part of the quota.
+    pub quota_over: f64,
+    /// Tokens by which they may pass it besides.
+    pub quota_slack_tokens: f64,
 }
 
 impl Default for BoundSettings {
@@ -92,6 +106,10 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_s: 10.0,
+            revoke_ms: None,
+            quota_window_s: 8.0,
+            quota_over: 0.1,
+            quota_slack_tokens: 0.0,
         }
     }
 }
@@ -123,6 +141,19 @@
         })
     }
 
+    /// How exactly teams' quotas are kept.
+    pub fn quota_bounds(&self) -> QuotaBounds {
+        let bounds = &self.bounds;
+        QuotaBounds {
+            window: Duration::from_secs_f64(bounds.quota_window_s),
+            over_ratio: bounds.quota_over,
+            slack_tokens: bounds.quota_slack_tokens,
+            failure_domains: u32::try_from(self.failure_domains.len())
+                .unwrap_or(u32::MAX)
+                .max(1),
+        }
+    }
+
     fn faults(&self) -> Vec<String> {
         let bounds = &self.bounds;
         let checks = [
@@ -147,6 +178,22 @@
                 bounds.retry_window_s >= 0.1,
                 "bounds.retry_window_s: write 0.1 or more",
             ),
+            (
+                bounds.revoke_ms.is_none_or(|ms| ms >= 1_000),
+                "bounds.revoke_ms: write 1000 or more, or leave it out; the store is read each second",
+            ),
+            (
+                bounds.quota_window_s >= 0.1,
+                "bounds.quota_window_s: write 0.1 or more",
+            ),
+            (
+                (0.0..=10.0).contains(&bounds.quota_over),
+                "bounds.quota_over: write 0 to 10",
+            ),
+            (
+                bounds.quota_slack_tokens >= 0.0,
+                "bounds.quota_slack_tokens: write 0 or more",
+            ),
         ];
         let failed = checks.iter().filter(|(holds, _)| !holds);
         failed.map(|(_, problem)| (*problem).to_owned()).collect()
@@ -154,6 +201,13 @@
 }
 
 impl BoundSettings {
+    /// On what news keys are accepted.
+    pub fn access(&self) -> AccessRules {
+        AccessRules {
+            revocation: self.revoke_ms.map(Duration::from_millis),
+        }
+    }
+
     /// [`BoundSettings::grace_s`] as a duration.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the control thread and the traffic thread tell each other.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,8 +9,8 @@
 use arc_swap::ArcSwap;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    DomainsHeard, Holdings, HoldingsTold, LoadPlace, LoadPurpose, LoadTimes, ModelDigest, ModelRef,
-    Report, RouteTable, Upstream, Versions, WantedCopies,
+    AccessRules, DomainsHeard, Holdings, HoldingsTold, LoadPlace, LoadPurpose, LoadTimes,
+    ModelDigest, ModelRef, Report, RouteTable, Upstream, Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -36,6 +37,8 @@
     pub(crate) nodes: usize,
     /// How long loads take.
     pub(crate) load_times: LoadTimes,
+    /// Where teams' quotas are lent, the nearest in front.
+    pub(crate) lenders: Arc<[SocketAddr]>,
 }
 
 /// An adapter that a request waits for.
@@ -273,10 +276,17 @@
     pub(crate) connections: AtomicUsize,
     /// When the store's last answer came, in milliseconds of the clock that counts suspension.
     pub(crate) store_answered_ms: AtomicU64,
+    /// When the read was asked for that the newest view goes by, in milliseconds of the same clock; 0 before the
+    /// first.
+    news_asked_ms: AtomicU64,
+    access: AccessRules,
 }
 
 impl Shared {
-    pub(crate) fn new(metrics: RelayMetrics) -> (Arc<Self>, mpsc::Receiver<Want>) {
+    pub(crate) fn new(
+        metrics: RelayMetrics,
+        access: AccessRules,
+    ) -> (Arc<Self>, mpsc::Receiver<Want>) {
         let (wants, arrived) = mpsc::channel(WANTS_QUEUE);
         let shared = Self {
             view: ArcSwap::default(),
@@ -288,6 +298,8 @@
             metrics,
             connections: AtomicUsize::new(0),
             store_answered_ms: AtomicU64::new(0),
+            news_asked_ms: AtomicU64::new(0),
+            access,
         };
         (Arc::new(shared), arrived)
     }
@@ -315,8 +327,30 @@
 
     /// Whether the node takes callers.
     pub(crate) fn is_ready(&self) -> bool {
-        let readiness = self.readiness();
-        readiness.is_knowing && !readiness.is_leaving
+        let readiness = *self.readiness();
+        let (age, view) = (self.news_age(), self.view.load());
+        let mut table = view.table.iter();
+        let knows_keys = table.all(|table| self.access.is_ready(table, age));
+        readiness.is_knowing && !readiness.is_leaving && knows_keys
+    }
+
+    /// Takes in that the view goes by a read of the store that was asked for at `asked`.
+    ///
+    /// Told after the view: whoever looks at the age first and at the view then never takes an old view for newer.
+    pub(crate) fn note_news(&self, asked: Duration) {
+        let asked_ms = u64::try_from(asked.as_millis()).unwrap_or(0);
+        self.news_asked_ms.fetch_max(asked_ms, Ordering::Release);
+    }
+
+    /// How old the news are that the view goes by.
+    pub(crate) fn news_age(&self) -> Duration {
+        let asked_ms = self.news_asked_ms.load(Ordering::Acquire);
+        boot_time().saturating_sub(Duration::from_millis(asked_ms))
+    }
+
+    /// On what news keys are accepted.
+    pub(crate) fn access(&self) -> AccessRules {
+        self.access
     }
 
     fn readiness(&self) -> MutexGuard<'_, Readiness> {
--- a/crates/relay-node/src/traffic/adapter_wait.rs
+++ b/crates/relay-node/src/traffic/adapter_wait.rs
@@ -100,7 +100,7 @@
                 version: call.version.to_load(),
                 was_turned_away,
                 purpose,
-                priority: call.route.priority,
+                priority: call.priority(),
             },
             engines: self.engines_for(call, now),
             copies: 1,
--- /dev/null
+++ b/crates/relay-node/src/traffic/admission.rs
@@ -0,0 +1,184 @@
+//! Who calls, and whether their team may ask for more.
+
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::ResultCode;
+use nutmegsail_quota::Reservation;
+use nutmegsail_relay::{Caller, CallerKey, Denied, Route, Team};
+use nutmegsail_telemetry::{Event, log_event};
+use tokio::time::sleep;
+
+use super::call::Call;
+use super::gateway::Gateway;
+use super::quota_client::{NoTokens, TokenLease};
+use super::refuse::GivenUp;
+use crate::clock::boot_time;
+
+/// How long a request with an unknown key waits for news that may bring it.
+const NEW_KEY_PATIENCE: Duration = Duration::from_millis(400);
+
+/// How often it looks for them.
+const NEW_KEY_LOOK: Duration = Duration::from_millis(50);
+
+/// Requests of one node that wait so. Whoever guesses keys is turned away at once beyond them.
+const NEW_KEY_WAITS: usize = 32;
+
+/// When a caller is asked to return whose request another node can serve.
+const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+impl From<Denied> for GivenUp {
+    fn from(denied: Denied) -> Self {
+        match denied {
+            Denied::NoKey { .. } => Self {
+                code: ResultCode::KeyRejected,
+                retry_after: None,
+            },
+            Denied::Stale => Self {
+                code: ResultCode::KeysStale,
+                retry_after: Some(ELSEWHERE_RETRY_AFTER),
+            },
+        }
+    }
+}
+
+impl From<NoTokens> for GivenUp {
+    fn from(why: NoTokens) -> Self {
+        match why {
+            NoTokens::Spent(wait) => Self {
+                code: ResultCode::QuotaSpent,
+                retry_after: Some(wait.max(ELSEWHERE_RETRY_AFTER)),
+            },
+            NoTokens::Unknown => Self {
+                code: ResultCode::QuotaUnknown,
+                retry_after: Some(ELSEWHERE_RETRY_AFTER),
+            },
+        }
+    }
+}
+
+/// What a request has of its team's quota.
+#[derive(Default)]
+pub(crate) struct Tokens(RefCell<Held>);
+
+#[derive(Default)]
+enum Held {
+    /// None are needed, or none were taken yet.
+    #[default]
+    None,
+    /// Given back if the request is dropped before it is sent.
+    Reserved(TokenLease),
+    /// The request was sent and may have run.
+    Sent(Reservation),
+}
+
+impl Gateway {
+    /// Who sends a request with `key` on `route`.
+    pub(super) async fn identify(&self, route: &Route, key: &CallerKey) -> Result<Caller, Denied> {
+        let began = Instant::now();
+        loop {
+            let denied = match self.judge(route, key) {
+                Err(denied @ Denied::NoKey { may_be_new: true }) => denied,
+                judged => return judged,
+            };
+            let waits = self.key_waits.get();
+            if began.elapsed() >= NEW_KEY_PATIENCE || waits >= NEW_KEY_WAITS {
+                return Err(denied);
+            }
+            let _wait = super::model_wait::Wait::begin(&self.key_waits);
+            sleep(NEW_KEY_LOOK).await;
+        }
+    }
+
+    fn judge(&self, route: &Route, key: &CallerKey) -> Result<Caller, Denied> {
+        // The age first: a view that is published between the two is newer than it says.
+        let age = self.shared.news_age();
+        let view = self.shared.view.load();
+        let Some(table) = &view.table else {
+            return Err(Denied::Stale);
+        };
+        self.shared.access().caller_on(table, route, key, age)
+    }
+
+    pub(super) fn log_denied(&self, request: &str, route: &Route, key: &CallerKey, denied: Denied) {
+        let view = self.shared.view.load();
+        let version = view.table.as_ref().map(|table| table.version);
+        let why = match (denied, key) {
+            (Denied::Stale, _) => "news too old",
+            (_, CallerKey::Absent) => "no key",
+            (_, CallerKey::Malformed) => "malformed key",
+            (_, CallerKey::Given(_)) => "key unknown",
+        };
+        log_event!(
+            self.log, Event::KeyRejected,
+            "request" => request.to_owned(), "route" => route.name.to_string(), "why" => why,
+            "version" => version, "news_ms" => self.shared.news_age().as_millis()
+        );
+    }
+
+    /// Whether `call` may be sent now: its key is in force still, and its team's quota has room.
+    pub(super) async fn admit(&self, call: &Call) -> Result<(), GivenUp> {
+        let Some(team) = call.caller.team() else {
+            return Ok(());
+        };
+        let caller = self.judge(&call.route, &call.meta.key);
+        let is_same = |caller: &Caller| caller.team().is_some_and(|now| now.name == team.name);
+        match caller {
+            Ok(caller) if is_same(&caller) => {}
+            Ok(_) => return Err(self.reject(call, Denied::NoKey { may_be_new: false })),
+            Err(denied) => return Err(self.reject(call, denied)),
+        }
+        self.reserve_tokens(call, team).await
+    }
+
+    fn reject(&self, call: &Call, denied: Denied) -> GivenUp {
+        self.log_denied(&call.id, &call.route, &call.meta.key, denied);
+        denied.into()
+    }
+
+    async fn reserve_tokens(&self, call: &Call, team: &Team) -> Result<(), GivenUp> {
+        let Some(quota) = &team.quota else {
+            return Ok(());
+        };
+        match &*call.tokens.0.borrow() {
+            // A repeat is the same request; it is charged once.
+            Held::Sent(_) => return Ok(()),
+            Held::Reserved(lease) if lease.is_valid(boot_time()) => return Ok(()),
+            Held::Reserved(_) | Held::None => {}
+        }
+        let tokens = quota.cost_tokens(call.meta.all_tokens);
+        let lenders = self.shared.view.load().lenders.clone();
+        match self.quotas.reserve(&team.name, tokens, &lenders).await {
+            Ok(lease) => {
+                call.tokens.0.replace(Held::Reserved(lease));
+                Ok(())
+            }
+            Err(why) => {
+                log_event!(
+                    self.log, Event::QuotaRefused,
+                    "request" => call.id.to_string(), "team" => team.name.to_string(),
+                    "tokens" => tokens, "limit_per_s" => quota.quota.tokens_per_s,
+                    "burst" => quota.quota.burst_tokens, "window_s" => self.bounds.quota_window_s,
+                    "why" => format!("{why:?}")
+                );
+                Err(why.into())
+            }
+        }
+    }
+
+    /// Takes in that `call` is sent.
+    pub(super) fn spend_tokens(&self, call: &Call) {
+        let held = match call.tokens.0.take() {
+            Held::Reserved(lease) => lease.spend().map_or(Held::None, Held::Sent),
+            held => held,
+        };
+        call.tokens.0.replace(held);
+    }
+
+    /// Puts back the tokens of a request that has not run.
+    pub(super) fn return_tokens(&self, call: &Call) {
+        if let Held::Sent(reservation) = call.tokens.0.take() {
+            self.quotas.give_back(reservation);
+        }
+    }
+}
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -8,8 +8,9 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use nutmegsail_base::{RequestId, ServiceName};
-use nutmegsail_relay::{CallKind, PromptChain, Route, VersionRule};
+use nutmegsail_relay::{CallKind, Caller, PromptChain, Route, VersionRule};
 
+use super::admission::Tokens;
 use crate::{CallMeta, Dialect, SendMeta};
 
 /// After which event a stream goes on, by the standard of server-sent events.
@@ -51,6 +52,10 @@
     pub(crate) id: RequestId,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// Who sent it.
+    pub(crate) caller: Caller,
+    /// What it has of its team's quota.
+    pub(super) tokens: Tokens,
     /// The parts of its prompt.
     pub(crate) prompt: PromptChain,
     /// The versions of the model that it may begin on.
@@ -67,6 +72,13 @@
         self.due.saturating_duration_since(now)
     }
 
+    /// Its rank: the team's, or else the route's; 0 is the most urgent.
+    pub(crate) fn priority(&self) -> u8 {
+        let team = self.caller.team();
+        let own = team.and_then(|team| team.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// How long after its beginning the caller leaves without a first event.
     pub(crate) fn first_event_patience(&self) -> Duration {
         let patience = self.due.duration_since(self.began);
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -20,7 +20,8 @@
 use super::adapter_wait::{LOAD_PATIENCE, adapter_patience, copy_purpose};
 use super::answer_body::AnswerBody;
 use super::call::Call;
-use super::refuse;
+use super::quota_client::QuotaClient;
+use super::refuse::{self, GivenUp};
 use super::resume::Resumption;
 use super::send::Sent;
 use crate::shared::{Shared, View};
@@ -54,6 +55,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) failure_domain: FailureDomain,
     pub(crate) bounds: BoundSettings,
+    pub(crate) quotas: QuotaClient,
     pub(crate) log: Logger,
 }
 
@@ -64,11 +66,14 @@
     pub(crate) pool: Pool,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) bounds: BoundSettings,
+    pub(crate) quotas: Rc<QuotaClient>,
     pub(crate) log: Logger,
     /// When the node began to leave.
     pub(crate) leaving_since: Cell<Option<Instant>>,
     /// Requests that wait for base models.
     pub(super) model_waits: Cell<usize>,
+    /// Requests that wait for news of their keys.
+    pub(super) key_waits: Cell<usize>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     seen_view: Cell<u64>,
 }
@@ -148,9 +153,11 @@
             pool,
             dispatcher: RefCell::new(Dispatcher::new(parts.failure_domain)),
             bounds: parts.bounds,
+            quotas: Rc::new(parts.quotas),
             log: parts.log,
             leaving_since: Cell::new(None),
             model_waits: Cell::new(0),
+            key_waits: Cell::new(0),
             budgets: RefCell::default(),
             seen_view: Cell::new(0),
         }
@@ -196,8 +203,9 @@
         loop {
             let choice = match self.next_choice(call, &sends).await {
                 Ok(choice) => choice,
-                Err((code, retry_after)) => {
-                    let refusal = life.give_up(code, "").with_retry_after(retry_after);
+                Err(GivenUp { code, retry_after }) => {
+                    let mut refusal = life.give_up(code, "");
+                    refusal.retry_after = retry_after;
                     return self.give_up(call, &refusal, &sends);
                 }
             };
@@ -270,6 +278,9 @@
 
     /// Ends a request with a refusal, and says in the log what decided it.
     fn give_up(&self, call: &Call, refusal: &Refusal, sends: &Sends) -> Response<AnswerBody> {
+        if refusal.run_state() == RunState::NotRun {
+            self.return_tokens(call);
+        }
         let model = call.meta.model.as_ref();
         let known = model.filter(|model| self.is_configured(call, model, 1));
         self.shared.metrics.request_ended(Some(refusal.code), known);
@@ -277,7 +288,8 @@
         log_event!(
             self.log, Event::RequestRefused,
             "request" => call.id.to_string(), "route" => call.route.name.to_string(),
-            "code" => refusal.code.to_string(), "run_state" => refusal.run_state().to_string(),
+            "code" => refusal.code.to_string(),
+            "team" => call.caller.team().map(|team| team.name.to_string()), "run_state" => refusal.run_state().to_string(),
             "age_ms" => call.began.elapsed().as_millis(),
             "remaining_ms" => call.remaining(Instant::now()).as_millis(),
             "model" => call.meta.model.as_ref().map(ToString::to_string),
@@ -288,20 +300,23 @@
     }
 
     /// The next upstream for `call`, or the code to give it up with and when to return.
-    pub(crate) async fn next_choice(
-        &self,
-        call: &Call,
-        sends: &Sends,
-    ) -> Result<Choice, (ResultCode, Duration)> {
+    pub(crate) async fn next_choice(&self, call: &Call, sends: &Sends) -> Result<Choice, GivenUp> {
         let mut patient_until = adapter_patience(call);
         let mut may_look_elsewhere = sends.arrived == 0;
         loop {
+            self.admit(call).await?;
             let now = Instant::now();
             if call.remaining(now) < LEAST_REMAINING {
-                return Err((ResultCode::DeadlineUnreachable, BUSY_RETRY_AFTER));
+                return Err(GivenUp::until(
+                    ResultCode::DeadlineUnreachable,
+                    BUSY_RETRY_AFTER,
+                ));
             }
             if sends.arrived >= REFUSALS_LIMIT {
-                return Err((ResultCode::UpstreamRefused, BUSY_RETRY_AFTER));
+                return Err(GivenUp::until(
+                    ResultCode::UpstreamRefused,
+                    BUSY_RETRY_AFTER,
+                ));
             }
             self.view();
             match self.choose(call, sends, now) {
@@ -316,7 +331,10 @@
                 }
                 Ok(choice) => {
                     if !self.count_send(call, sends, now) {
-                        return Err((ResultCode::RetryBudgetSpent, BUSY_RETRY_AFTER));
+                        return Err(GivenUp::until(
+                            ResultCode::RetryBudgetSpent,
+                            BUSY_RETRY_AFTER,
+                        ));
                     }
                     if !choice.is_preferred {
                         // The newer version is brought in; nobody waits for it.
@@ -325,14 +343,20 @@
                     return Ok(choice);
                 }
                 Err(NoChoice::NoUpstream) => {
-                    return Err((ResultCode::NoUpstream, ABSENT_RETRY_AFTER));
+                    return Err(GivenUp::until(ResultCode::NoUpstream, ABSENT_RETRY_AFTER));
                 }
                 Err(NoChoice::AllBusy) => {
-                    return Err((ResultCode::UpstreamRefused, BUSY_RETRY_AFTER));
+                    return Err(GivenUp::until(
+                        ResultCode::UpstreamRefused,
+                        BUSY_RETRY_AFTER,
+                    ));
                 }
                 Err(NoChoice::AdapterAbsent) if !self.has_base(call, now) => {
                     if !self.await_base(call).await {
-                        return Err((ResultCode::AdapterNotReady, ABSENT_RETRY_AFTER));
+                        return Err(GivenUp::until(
+                            ResultCode::AdapterNotReady,
+                            ABSENT_RETRY_AFTER,
+                        ));
                     }
                     patient_until = adapter_patience(call);
                 }
@@ -340,7 +364,10 @@
                     let wait = patient_until.saturating_duration_since(now);
                     let purpose = LoadPurpose::Miss;
                     if !self.bring_adapter(call, sends, purpose, wait).await {
-                        return Err((ResultCode::AdapterNotReady, BUSY_RETRY_AFTER));
+                        return Err(GivenUp::until(
+                            ResultCode::AdapterNotReady,
+                            BUSY_RETRY_AFTER,
+                        ));
                     }
                 }
             }
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -21,10 +21,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::ACCEPT_PAUSE;
+use super::admission::Tokens;
 use super::answer_body::AnswerBody;
 use super::call::Call;
 use super::gateway::Gateway;
-use super::refuse;
+use super::refuse::{self, GivenUp};
 use crate::CallMeta;
 
 /// The longest deadline that is used where a caller states none.
@@ -90,6 +91,16 @@
     retry_after: Option<Duration>,
 }
 
+impl From<GivenUp> for Turned {
+    fn from(given_up: GivenUp) -> Self {
+        Self {
+            code: given_up.code,
+            detail: String::new(),
+            retry_after: given_up.retry_after,
+        }
+    }
+}
+
 impl Turned {
     fn new(code: ResultCode, detail: impl Into<String>) -> Self {
         Self {
@@ -108,8 +119,8 @@
 impl Gateway {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let began = Instant::now();
-        let (parts, body) = request.into_parts();
-        let meta = self.dialect.read_call(&parts.headers);
+        let (mut parts, body) = request.into_parts();
+        let meta = self.dialect.read_call(&mut parts.headers);
         let id = request_id(meta.as_ref().ok());
         let mut answer = match self.read(parts, body, meta, began).await {
             Ok(call) => self.carry(&Rc::new(call)).await,
@@ -154,6 +165,10 @@
         let route = table
             .route(host, parts.uri.path())
             .ok_or_else(|| Turned::new(ResultCode::UnknownPath, "no route leads from here"))?;
+        let caller = self.identify(route, &meta.key).await.map_err(|denied| {
+            self.log_denied(&request_id(Some(&meta)), route, &meta.key, denied);
+            Turned::from(GivenUp::from(denied))
+        })?;
         let service = route.service(rand::random::<f64>()).clone();
         let overlap = self.version_overlap();
         let version = meta
@@ -174,6 +189,8 @@
             meta,
             id,
             service,
+            caller,
+            tokens: Tokens::default(),
             prompt: prompt.unwrap_or_default(),
             version,
             began,
--- a/crates/relay-node/src/traffic/model_wait.rs
+++ b/crates/relay-node/src/traffic/model_wait.rs
@@ -75,10 +75,10 @@
 }
 
 /// Counts a request out of those that wait when it is dropped: its caller may go away meanwhile.
-struct Wait<'a>(&'a Cell<usize>);
+pub(super) struct Wait<'a>(&'a Cell<usize>);
 
 impl<'a> Wait<'a> {
-    fn begin(waits: &'a Cell<usize>) -> Self {
+    pub(super) fn begin(waits: &'a Cell<usize>) -> Self {
         waits.set(waits.get() + 1);
         Self(waits)
     }
--- a/crates/relay-node/src/traffic/refuse.rs
+++ b/crates/relay-node/src/traffic/refuse.rs
@@ -4,12 +4,28 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
-use nutmegsail_base::RequestId;
+use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_front::ErrorBody;
 use nutmegsail_request::Refusal;
 
 use super::answer_body::AnswerBody;
 
+/// Why a request is given up, and when its caller is asked to return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct GivenUp {
+    pub(crate) code: ResultCode,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl GivenUp {
+    pub(crate) fn until(code: ResultCode, wait: Duration) -> Self {
+        Self {
+            code,
+            retry_after: Some(wait),
+        }
+    }
+}
+
 /// Puts a refusal into an answer.
 pub(crate) fn answer(refusal: &Refusal, request: &RequestId) -> Response<AnswerBody> {
     let body = ErrorBody::new(refusal, request).to_json();
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -63,11 +63,13 @@
         let send = SendMeta {
             remaining,
             upstream: &upstream.name,
+            team: call.caller.team().map(|team| team.name.as_str()),
             version: choice
                 .version
                 .filter(|version| *version != HeldAdapter::UNSTATED_VERSION),
-            priority: call.meta.model.is_some().then_some(call.route.priority),
+            priority: call.meta.model.is_some().then_some(call.priority()),
         };
+        self.spend_tokens(call);
         let request = call.to_upstream(&*self.dialect, &send, last_event);
         let mut flight = Flight::begin(
             self,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,9 +3,10 @@
 //! Told the routes, the upstreams with the adapters they hold, and what became of earlier sends,
 //! this crate decides which upstream gets a request ([`Dispatcher`]), whether it may be sent again
 //! ([`RetryBudget`]), which adapter is loaded next and which makes way ([`LoadQueue`]), and who may
-//! order loads at an upstream ([`Ownership`]). It does no I/O, reads no clock and draws no random
+//! order loads at an upstream ([`Ownership`]), and who may call ([`AccessRules`]). It does no I/O, reads no clock and draws no random
 //! number that was not passed in. Start at [`RouteTable`] and [`Dispatcher`].
 
+mod access;
 mod assignment;
 mod at_hand;
 mod call_kind;
@@ -33,10 +34,12 @@
 mod route_table;
 mod service;
 mod stall;
+mod team;
 mod tracked;
 mod upstream;
 mod versions;
 
+pub use access::{AccessRules, Caller, Denied};
 pub use assignment::{NodeRecord, unowned_to_claim};
 pub use at_hand::{AtHand, CopySource};
 pub use call_kind::CallKind;
@@ -66,6 +69,7 @@
 pub use route_table::{CallerLimits, RouteTable};
 pub use service::{EngineSpec, ModelSpec, Service};
 pub use stall::StallWatch;
+pub use team::{CallerKey, KeyDigest, QuotaUnit, Team, TeamEntry, TeamFault, TeamQuota, Teams};
 pub use tracked::{AdapterMove, HoldingsTold, Report, Tracked};
 pub use upstream::{Upstream, UpstreamState};
 pub use versions::{VersionRule, Versions};
--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -39,6 +39,8 @@
     pub services: Vec<WeightedService>,
     /// How many upstreams may run one request.
     pub max_attempts: u32,
+    /// Whether callers without a key are served.
+    pub allows_anonymous: bool,
 }
 
 impl Route {
@@ -59,6 +61,7 @@
     ///     priority: 2,
     ///     services: vec![split("old", 90.0), split("new", 10.0)],
     ///     max_attempts: 2,
+    ///     allows_anonymous: false,
     /// };
     /// assert_eq!(route.service(0.5).as_str(), "old");
     /// assert_eq!(route.service(0.95).as_str(), "new");
--- a/crates/relay/src/route_table.rs
+++ b/crates/relay/src/route_table.rs
@@ -6,7 +6,7 @@
 
 use nutmegsail_base::ServiceName;
 
-use crate::{Route, Service};
+use crate::{Route, Service, Teams};
 
 /// What a caller may send and how long it may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +31,7 @@
     services: HashMap<ServiceName, Arc<Service>>,
     /// Routes by host, those with the longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    teams: Option<Teams>,
 }
 
 impl RouteTable {
@@ -55,9 +56,22 @@
             limits,
             services: services.into_iter().map(named).collect(),
             routes: by_host,
+            teams: None,
         }
     }
 
+    /// The same with teams, so that callers need a key.
+    #[must_use]
+    pub fn with_teams(mut self, teams: Teams) -> Self {
+        self.teams = Some(teams);
+        self
+    }
+
+    /// The teams; nothing if callers need no key.
+    pub fn teams(&self) -> Option<&Teams> {
+        self.teams.as_ref()
+    }
+
     /// The route of `host` with the longest prefix that begins `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -82,6 +82,8 @@
     2007 WrongAdapterDiscarded Error "An engine answered with another adapter; the answer was discarded.";
     2008 CallerGone Debug "A caller went away; its run was cancelled.";
     2009 SendRefused Info "An upstream turned a request away, which did not run there.";
+    2010 KeyRejected Info "A request was turned away for its key.";
+    2011 QuotaRefused Info "A request was refused for its team's quota.";
     3001 UpstreamEjected Warning "An upstream failed too often and gets no work for a while.";
     3002 UpstreamRestored Info "An upstream gets work again.";
     3003 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
@@ -107,6 +109,8 @@
     4007 DomainUnreachable Warning "No node of a failure domain has been heard for a while.";
     4008 DomainReturned Info "A failure domain was heard again.";
     4009 RemovalHeld Warning "Most nodes vanished at once; they are kept as unreachable.";
+    4010 LenderTaken Info "The node now lends its failure domain's part of the quotas.";
+    4011 LenderReleased Info "The node no longer lends its failure domain's part of the quotas.";
     5001 TextInForce Info "A generation of the operators' text is in force on the node.";
     5002 TextSeen Info "A newer generation of the operators' text was heard of.";
     5003 OlderTextIgnored Warning "The platform showed an older generation than the one in force.";
