Hand out the slots of plain upstreams by one node each, those that can be in time first

Load: bursts beyond what the plain upstreams' slots serve.

Change: SlotGate (pure): one node for each plain upstream, chosen by hash in its failure domain, grants slots, queues the rest by latest start, fresh requests before those that are late already, and refuses what would wait too long. How long a caller has waited before is told by what it states of its patience (StatedPatience). Without an answer in 40 ms a request is sent as before. The limit follows how long slots are held against how long requests are at the upstream.

The tests play 1.1 to 2 times the capacity: goodput 0.9 of it or more.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -12,7 +12,6 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
-use nutmegsail_quota::QuotaMessage;
 use nutmegsail_relay::{EngineLoadNow, Holdings, HoldingsTold, ModelRef, readers_by_domain};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -25,6 +24,7 @@
 use super::load_board::{LoadBoard, LoadPage};
 use super::model_demand::ModelsAsked;
 use crate::shared::{Asked, CopyNews, EngineNews, EngineUse};
+use crate::traffic_message::TrafficMessage;
 
 /// How often a node tells what it has at engines. A prompt is read in some 76 ms, so older news of
 /// a queue say little; shorter intervals cost datagrams.
@@ -79,25 +79,22 @@
     Gathered { from: NodeId, page: LoadPage },
     /// From a reader to readers of other failure domains, which hear nothing else from there at times.
     Alive { from: NodeId },
-    /// About teams' quotas.
-    Quota(QuotaMessage),
+    /// From or to a traffic thread.
+    Traffic(TrafficMessage),
     /// What callers ask of base models.
     Models { from: NodeId, asked: ModelsAsked },
 }
 
-/// A message about quotas as a datagram.
-pub(crate) struct QuotaDatagram(pub(crate) QuotaMessage);
-
-impl QuotaDatagram {
-    pub(crate) fn to_bytes(&self) -> Option<Vec<u8>> {
-        postcard::to_stdvec(&Message::Quota(self.0.clone())).ok()
-    }
+/// A message of a traffic thread as a datagram.
+pub(crate) fn traffic_datagram(message: TrafficMessage) -> Option<Vec<u8>> {
+    postcard::to_stdvec(&Message::Traffic(message)).ok()
+}
 
-    pub(crate) fn parse(bytes: &[u8]) -> Option<QuotaMessage> {
-        match postcard::from_bytes(bytes) {
-            Ok(Message::Quota(message)) => Some(message),
-            _ => None,
-        }
+/// The message of a traffic thread that a datagram holds.
+pub(crate) fn parse_traffic_message(bytes: &[u8]) -> Option<TrafficMessage> {
+    match postcard::from_bytes(bytes) {
+        Ok(Message::Traffic(message)) => Some(message),
+        _ => None,
     }
 }
 
@@ -295,10 +292,16 @@
             board.take(knowledge, page);
         }
         Ok(Message::Alive { from }) => knowledge.note_heard(from),
-        Ok(Message::Quota(message)) => {
-            let send = |message, to| send(socket, &Message::Quota(message), to);
+        Ok(Message::Traffic(TrafficMessage::Quota(message))) => {
+            let traffic = |message| Message::Traffic(TrafficMessage::Quota(message));
+            let send = |message, to| send(socket, &traffic(message), to);
             knowledge.take_quota_message(message, sender, send);
         }
+        Ok(Message::Traffic(TrafficMessage::Slots(message))) => {
+            let traffic = |message| Message::Traffic(TrafficMessage::Slots(message));
+            let send = |message, to| send(socket, &traffic(message), to);
+            knowledge.take_slot_message(message, sender, send);
+        }
         Ok(Message::Models { from, asked }) => {
             knowledge.note_heard(from.clone());
             let nodes = knowledge.nodes.borrow();
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -22,6 +22,7 @@
 use super::engine_load::HostTold;
 use super::lending::Lending;
 use super::model_demand::ModelDemand;
+use super::slots::Slots;
 use crate::clock::boot_time;
 use crate::shared::{Shared, View};
 use crate::{CONNECT_TIMEOUT, Dialect, RelaySettings};
@@ -102,6 +103,8 @@
     pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
     /// Who lends teams' quotas.
     pub(crate) lending: Lending,
+    /// The slots of plain upstreams that this node hands out.
+    pub(crate) slots: Slots,
     started: Instant,
     number: Cell<u64>,
 }
@@ -142,6 +145,7 @@
             silent_readers: RefCell::default(),
             last_owners: RefCell::default(),
             lending: Lending::default(),
+            slots: Slots::default(),
             started: Instant::now(),
             number: Cell::new(0),
         }
@@ -202,6 +206,7 @@
             nodes: self.nodes.borrow().len().max(1),
             load_times: self.load_times.get(),
             lenders: self.lender_addresses().into(),
+            slot_nodes: Arc::new(self.slot_nodes()),
         };
         let version = view.table.as_ref().map_or(0, |table| table.version);
         let owned = self.owned.borrow().len();
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -23,6 +23,7 @@
 mod owners;
 mod peers;
 mod reading;
+mod slots;
 mod upstreams_watch;
 mod watch;
 
@@ -42,7 +43,7 @@
 use crate::clock::boot_time;
 use crate::shared::{Shared, Want};
 use crate::{Dialect, RelaySettings};
-pub(crate) use exchange::QuotaDatagram;
+pub(crate) use exchange::{parse_traffic_message, traffic_datagram};
 use knowledge::Knowledge;
 use loader::Loader;
 use operators_watch::OperatorsFollower;
--- /dev/null
+++ b/crates/relay-node/src/control/slots.rs
@@ -0,0 +1,103 @@
+//! Hands out the slots of plain upstreams that fall to this node.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{NodeRecord, SlotGate, Upstream};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::knowledge::Knowledge;
+use crate::traffic_message::{SlotAskId, SlotMessage};
+
+/// Upstreams whose slots are remembered while nobody asks for them.
+const IDLE_GATES: usize = 256;
+
+/// The gates of the upstreams that other nodes ask this one for.
+#[derive(Debug, Default)]
+pub(crate) struct Slots(RefCell<HashMap<UpstreamId, SlotGate<(SocketAddr, SlotAskId)>>>);
+
+impl Knowledge {
+    /// Which node hands out the slots of each plain upstream.
+    ///
+    /// Chosen by hash, so nodes that know the same ask the same one without a word. Where they differ for
+    /// a moment, two nodes hand out the same slots, and the upstream's own queue takes the rest.
+    pub(crate) fn slot_nodes(&self) -> HashMap<UpstreamId, SocketAddr> {
+        let upstreams = self.upstreams.borrow();
+        let nodes = self.nodes.borrow();
+        let plain = upstreams.values().filter(|upstream| {
+            let service = self.service(&upstream.service);
+            upstream.takes_work() && service.is_some_and(|service| service.engine.is_none())
+        });
+        plain
+            .filter_map(|upstream| {
+                let node = slot_node(upstream, nodes.values())?;
+                Some((upstream.id.clone(), node.address))
+            })
+            .collect()
+    }
+
+    /// Answers a message about slots; what is to be sent goes out through `send`.
+    pub(crate) fn take_slot_message(
+        &self,
+        message: SlotMessage,
+        sender: SocketAddr,
+        send: impl Fn(SlotMessage, SocketAddr),
+    ) {
+        let mut gates = self.slots.0.borrow_mut();
+        let now = Instant::now();
+        match message {
+            SlotMessage::Ask { id, upstream, ask } => {
+                let Some(known) = self.upstream(&upstream) else {
+                    return;
+                };
+                if gates.len() > IDLE_GATES {
+                    gates.retain(|_, gate| !gate.is_idle());
+                }
+                let gate = gates.entry(upstream.clone());
+                let gate = gate.or_insert_with(|| SlotGate::new(known.slots));
+                gate.set_slots(known.slots);
+                let answer = gate.ask((sender, id), ask, now);
+                let answer = SlotMessage::Answer {
+                    id,
+                    upstream,
+                    answer,
+                };
+                send(answer, sender);
+            }
+            SlotMessage::Release {
+                id,
+                upstream,
+                took_ms,
+            } => {
+                let took = took_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+                let Some(gate) = gates.get_mut(&upstream) else {
+                    return;
+                };
+                for ((node, id), answer) in gate.release(&(sender, id), took, now) {
+                    let answer = SlotMessage::Answer {
+                        id,
+                        upstream: upstream.clone(),
+                        answer,
+                    };
+                    send(answer, node);
+                }
+            }
+            SlotMessage::Answer { .. } => {}
+        }
+    }
+}
+
+/// The node of the upstream's failure domain with the highest hash; any node where there is none.
+fn slot_node<'a>(
+    upstream: &Upstream,
+    nodes: impl Iterator<Item = &'a NodeRecord>,
+) -> Option<&'a NodeRecord> {
+    nodes.max_by_key(|node| {
+        let is_near = node.failure_domain == upstream.failure_domain;
+        let seed = xxh3_64_with_seed(upstream.id.as_bytes(), 0);
+        (is_near, xxh3_64_with_seed(node.node.as_bytes(), seed))
+    })
+}
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod settings;
 mod shared;
 mod traffic;
+mod traffic_message;
 
 /// How long opening a connection may take. A crossing takes some 1 ms; an upstream or a node behind
 /// a partition never answers, and meanwhile another one could.
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -19,7 +19,7 @@
 use crate::control::{self, ControlParts};
 use crate::metrics::RelayMetrics;
 use crate::shared::Shared;
-use crate::traffic::{self, Gateway, GatewayParts, QuotaClient};
+use crate::traffic::{self, Gateway, GatewayParts, Link};
 use crate::{Dialect, RelaySettings, ready};
 
 /// Why a node did not start.
@@ -110,13 +110,13 @@
         };
         let stop_control = CancellationToken::new();
         let grace = settings.bounds.grace();
-        let quota_socket = UdpSocket::bind((settings.nodes_address.ip(), 0)).await;
-        let quota_socket = quota_socket.map_err(|problem| RelayNodeError::Listen {
+        let link = UdpSocket::bind((settings.nodes_address.ip(), 0)).await;
+        let link = link.map_err(|problem| RelayNodeError::Listen {
             address: settings.nodes_address,
             problem,
         })?;
         let gateway = Rc::new(Gateway::new(GatewayParts {
-            quotas: QuotaClient::new(quota_socket),
+            link: Link(link),
             shared: Arc::clone(&shared),
             dialect: Arc::clone(&dialect),
             failure_domain: settings.failure_domain.clone(),
@@ -137,7 +137,7 @@
         let control = parts.spawn()?;
         let close = CancellationToken::new();
         spawn_local(traffic::serve(callers, Rc::clone(&gateway), close.clone()));
-        spawn_local(traffic::take_lent(Rc::clone(&gateway)));
+        spawn_local(traffic::take_answers(Rc::clone(&gateway)));
         spawn_local(ready::serve(readiness, Arc::clone(&shared), dialect));
         if let Some(listener) = metrics_listener {
             spawn_local(ready::serve_metrics(listener, page, Arc::clone(&shared)));
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -39,6 +39,8 @@
     pub(crate) load_times: LoadTimes,
     /// Where teams' quotas are lent, the nearest in front.
     pub(crate) lenders: Arc<[SocketAddr]>,
+    /// Which node hands out the slots of each plain upstream.
+    pub(crate) slot_nodes: Arc<HashMap<UpstreamId, SocketAddr>>,
 }
 
 /// An adapter that a request waits for.
--- a/crates/relay-node/src/traffic/admission.rs
+++ b/crates/relay-node/src/traffic/admission.rs
@@ -148,7 +148,10 @@
         }
         let tokens = quota.cost_tokens(call.meta.all_tokens);
         let lenders = self.shared.view.load().lenders.clone();
-        match self.quotas.reserve(&team.name, tokens, &lenders).await {
+        // A request that waits longer than that is late before it is sent.
+        let patience = call.route.objective / 2;
+        let reserved = self.quotas.reserve(&team.name, tokens, &lenders, patience);
+        match reserved.await {
             Ok(lease) => {
                 call.tokens.0.replace(Held::Reserved(lease));
                 Ok(())
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -1,5 +1,6 @@
 //! A request that was read whole.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 use nutmegsail_relay::{CallKind, Caller, PromptChain, Route, VersionRule};
 
 use super::admission::Tokens;
+use super::slot_client::SlotPermit;
 use crate::{CallMeta, Dialect, SendMeta};
 
 /// After which event a stream goes on, by the standard of server-sent events.
@@ -60,6 +62,10 @@
     pub(crate) prompt: PromptChain,
     /// The versions of the model that it may begin on.
     pub(crate) version: VersionRule,
+    /// The slot that it has at a plain upstream, until it is sent.
+    pub(super) slot: RefCell<Option<SlotPermit>>,
+    /// How long its caller has waited before it sent this request.
+    pub(crate) waited_before: Duration,
     /// When its head was read.
     pub(crate) began: Instant,
     /// When the caller, or the route's timeout, gives it up.
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -9,6 +9,7 @@
 
 use super::answer_body::AnswerCut;
 use super::gateway::Gateway;
+use super::slot_client::SlotPermit;
 
 /// One send. Dropping it at any point, also because the caller went away, settles the books.
 pub(crate) struct Flight {
@@ -24,6 +25,8 @@
     is_settled: bool,
     /// Whether the end of the answer was counted.
     is_ended: bool,
+    /// The slot that it takes at a plain upstream.
+    slot: Option<SlotPermit>,
     request: RequestId,
     /// How long the request had waited here before it was sent.
     waited: Duration,
@@ -56,11 +59,17 @@
             first: None,
             is_settled: false,
             is_ended: false,
+            slot: None,
             request,
             waited,
         }
     }
 
+    /// Takes over the slot that the request has.
+    pub(super) fn hold(&mut self, slot: Option<SlotPermit>) {
+        self.slot = slot;
+    }
+
     /// Part of the answer's body came.
     pub(crate) fn note_progress(&mut self) {
         if self.first.is_some() {
@@ -87,6 +96,9 @@
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
             dispatcher.note_run(first.elapsed());
         }
+        if let Some(mut slot) = self.slot.take() {
+            slot.note_answered(self.sent.elapsed());
+        }
         let metrics = &self.gateway.shared.metrics;
         metrics.request_ended(None, self.model.as_ref());
         self.settle(Outcome::Answered);
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -12,6 +12,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, Dispatcher, LoadPurpose, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
+    StatedPatience,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -20,10 +21,12 @@
 use super::adapter_wait::{LOAD_PATIENCE, adapter_patience, copy_purpose};
 use super::answer_body::AnswerBody;
 use super::call::Call;
+use super::link::Link;
 use super::quota_client::QuotaClient;
 use super::refuse::{self, GivenUp};
 use super::resume::Resumption;
 use super::send::Sent;
+use super::slot_client::SlotClient;
 use crate::shared::{Shared, View};
 use crate::{BoundSettings, CONNECT_TIMEOUT, Dialect, Verdict};
 
@@ -55,7 +58,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) failure_domain: FailureDomain,
     pub(crate) bounds: BoundSettings,
-    pub(crate) quotas: QuotaClient,
+    pub(crate) link: Link,
     pub(crate) log: Logger,
 }
 
@@ -66,7 +69,11 @@
     pub(crate) pool: Pool,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) bounds: BoundSettings,
+    pub(crate) link: Rc<Link>,
     pub(crate) quotas: Rc<QuotaClient>,
+    pub(crate) slots: Rc<SlotClient>,
+    /// What the callers of each route say how long they wait.
+    pub(super) stated_patience: RefCell<HashMap<Arc<str>, StatedPatience>>,
     pub(crate) log: Logger,
     /// When the node began to leave.
     pub(crate) leaving_since: Cell<Option<Instant>>,
@@ -147,13 +154,17 @@
             unstated_idle_timeout: UNSTATED_IDLE,
             ..PoolSettings::default()
         });
+        let link = Rc::new(parts.link);
         Self {
             shared: parts.shared,
             dialect: parts.dialect,
             pool,
             dispatcher: RefCell::new(Dispatcher::new(parts.failure_domain)),
             bounds: parts.bounds,
-            quotas: Rc::new(parts.quotas),
+            quotas: Rc::new(QuotaClient::new(Rc::clone(&link))),
+            slots: Rc::new(SlotClient::new(Rc::clone(&link))),
+            link,
+            stated_patience: RefCell::default(),
             log: parts.log,
             leaving_since: Cell::new(None),
             model_waits: Cell::new(0),
@@ -330,6 +341,10 @@
                         .await;
                 }
                 Ok(choice) => {
+                    let choice = match call.meta.model {
+                        Some(_) => choice,
+                        None => self.take_slot(call, sends, choice).await?,
+                    };
                     if !self.count_send(call, sends, now) {
                         return Err(GivenUp::until(
                             ResultCode::RetryBudgetSpent,
@@ -379,7 +394,12 @@
         dispatcher.is_sooner_elsewhere(&need(call, &[]), choice.expected_ms, now)
     }
 
-    fn choose(&self, call: &Call, sends: &Sends, now: Instant) -> Result<Choice, NoChoice> {
+    pub(super) fn choose(
+        &self,
+        call: &Call,
+        sends: &Sends,
+        now: Instant,
+    ) -> Result<Choice, NoChoice> {
         let need = need(call, &sends.tried);
         let dispatcher = self.dispatcher.borrow();
         dispatcher.choose(&need, now, &mut rand::rng())
--- /dev/null
+++ b/crates/relay-node/src/traffic/link.rs
@@ -0,0 +1,46 @@
+//! The datagrams that the traffic thread exchanges with other nodes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use nutmegsail_quota::QuotaMessage;
+use tokio::net::UdpSocket;
+
+use super::gateway::Gateway;
+use crate::control::{parse_traffic_message, traffic_datagram};
+use crate::traffic_message::{SlotMessage, TrafficMessage};
+
+/// The largest datagram that is read, in bytes.
+const DATAGRAM_BYTES: usize = 2_048;
+
+/// The traffic thread's socket.
+pub(crate) struct Link(pub(crate) UdpSocket);
+
+impl Link {
+    /// Sends a message; one that cannot go now is as good as lost.
+    pub(super) fn send(&self, message: TrafficMessage, to: SocketAddr) {
+        if let Some(datagram) = traffic_datagram(message) {
+            let _ = self.0.try_send_to(&datagram, to);
+        }
+    }
+}
+
+/// Takes in what other nodes answer, for ever.
+pub(crate) async fn take_answers(gateway: Rc<Gateway>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let Ok((length, sender)) = gateway.link.0.recv_from(&mut buffer).await else {
+            // An address that nobody listens at; the datagram after it is read as usual.
+            continue;
+        };
+        match parse_traffic_message(&buffer[..length]) {
+            Some(TrafficMessage::Quota(QuotaMessage::Lent(lent))) => gateway.quotas.take_lent(lent),
+            Some(TrafficMessage::Slots(SlotMessage::Answer {
+                id,
+                upstream,
+                answer,
+            })) => gateway.slots.take_answer(id, &upstream, answer, sender),
+            _ => {}
+        }
+    }
+}
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -1,5 +1,6 @@
 //! Callers' connections.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -180,6 +181,7 @@
         let model = meta.model.as_ref();
         let prompt = model.map(|model| PromptChain::new(model, &meta.prompt_parts));
         let id = request_id(Some(&meta));
+        let waited_before = self.waited_before(&route.name, meta.deadline);
         let waits = meta.deadline.unwrap_or(UNSTATED_DEADLINE);
         let due = began + waits.min(route.timeout);
         Ok(Call {
@@ -191,6 +193,8 @@
             service,
             caller,
             tokens: Tokens::default(),
+            slot: RefCell::default(),
+            waited_before,
             prompt: prompt.unwrap_or_default(),
             version,
             began,
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -6,19 +6,22 @@
 mod call;
 mod flight;
 mod gateway;
+mod link;
 mod listener;
 mod model_wait;
+mod plain_slot;
 mod quota_client;
 mod refuse;
 mod resumable_body;
 mod resume;
 mod send;
+mod slot_client;
 
 use std::time::Duration;
 
 pub(crate) use gateway::{Gateway, GatewayParts};
+pub(crate) use link::{Link, take_answers};
 pub(crate) use listener::serve;
-pub(crate) use quota_client::{QuotaClient, take_lent};
 
 /// How long accepting pauses when the process is out of descriptors.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/relay-node/src/traffic/quota_client.rs
+++ b/crates/relay-node/src/traffic/quota_client.rs
@@ -8,33 +8,26 @@
 
 use nutmegsail_base::TeamName;
 use nutmegsail_quota::{Account, AskId, GRANT_LIFE, Lent, QuotaMessage, Reservation};
-use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
-use super::gateway::Gateway;
+use super::link::Link;
 use crate::clock::boot_time;
-use crate::control::QuotaDatagram;
+use crate::traffic_message::TrafficMessage;
 
 /// How long one lender is waited for before another is asked as well. An answer takes a millisecond or two, and
 /// up to a tenth of a second where the lender's processor share is used up.
 const HEDGE_AFTER: Duration = Duration::from_millis(40);
 
-/// How long a request waits for tokens in all. Its caller waits some hundred milliseconds for a first event.
-const ASK_LIMIT: Duration = Duration::from_millis(240);
+/// How long a request waits at least for lenders that do not answer.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
 
 /// How long a node waits before it asks a lender again that had too few tokens and borrows them meanwhile.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(12);
 
-/// How often lenders may answer that they have too few before a request is refused.
-const SHORT_ANSWERS: u32 = 3;
-
 /// How long a lender that did not answer is asked last.
 const SILENT_FOR: Duration = Duration::from_millis(1_000);
 
-/// The largest datagram that is read, in bytes.
-const DATAGRAM_BYTES: usize = 2_048;
-
 /// Why a request gets no tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoTokens {
@@ -46,7 +39,7 @@
 
 /// The tokens that this node has borrowed, and its asks for more.
 pub(crate) struct QuotaClient {
-    socket: UdpSocket,
+    link: Rc<Link>,
     account: RefCell<Account>,
     waiting: RefCell<HashMap<AskId, Waiting>>,
     silent: RefCell<HashMap<SocketAddr, Instant>>,
@@ -86,9 +79,9 @@
 }
 
 impl QuotaClient {
-    pub(crate) fn new(socket: UdpSocket) -> Self {
+    pub(crate) fn new(link: Rc<Link>) -> Self {
         Self {
-            socket,
+            link,
             account: RefCell::new(Account::new(AskId(rand::random()))),
             waiting: RefCell::default(),
             silent: RefCell::default(),
@@ -101,13 +94,15 @@
         team: &TeamName,
         tokens: u32,
         lenders: &[SocketAddr],
+        patience: Duration,
     ) -> Result<TokenLease, NoTokens> {
         let began = Instant::now();
         self.account
             .borrow_mut()
             .note_demand(team, tokens, boot_time());
         let lenders = self.in_order(lenders);
-        let (mut turn, mut short_answers) = (0, 0);
+        let patience = patience.max(LEAST_PATIENCE);
+        let (mut turn, mut told_wait) = (0, None);
         loop {
             if let Some(reservation) = self.take(team, tokens) {
                 return Ok(TokenLease {
@@ -115,20 +110,22 @@
                     reservation: Some(reservation),
                 });
             }
-            let left = ASK_LIMIT.saturating_sub(began.elapsed());
+            let left = patience.saturating_sub(began.elapsed());
             if left.is_zero() || lenders.is_empty() {
-                return Err(NoTokens::Unknown);
+                return Err(told_wait.map_or(NoTokens::Unknown, NoTokens::Spent));
             }
             let lender = lenders[turn % lenders.len()];
             match self.ask(team, tokens, lender, left.min(HEDGE_AFTER)).await {
                 Some(lent) if lent.tokens > 0 => {}
                 Some(lent) => {
-                    short_answers += 1;
-                    if short_answers >= SHORT_ANSWERS {
-                        let wait = Duration::from_millis(u64::from(lent.wait_ms));
-                        return Err(NoTokens::Spent(wait));
+                    let wait = Duration::from_millis(u64::from(lent.wait_ms));
+                    let left = patience.saturating_sub(began.elapsed());
+                    match told_wait.replace(wait) {
+                        // The lender may have borrowed what is missing a moment later.
+                        None => sleep(ASK_AGAIN_AFTER.min(left)).await,
+                        Some(_) if wait > left => return Err(NoTokens::Spent(wait)),
+                        Some(_) => sleep(wait.max(ASK_AGAIN_AFTER).min(left)).await,
                     }
-                    sleep(ASK_AGAIN_AFTER).await;
                 }
                 None => {
                     self.silent.borrow_mut().insert(lender, Instant::now());
@@ -168,9 +165,8 @@
         let asked_at = boot_time();
         let ask = self.account.borrow_mut().ask(team, tokens, asked_at);
         let answer = self.expect_answer(ask.id, asked_at);
-        let message = QuotaDatagram(QuotaMessage::Ask(ask)).to_bytes()?;
-        // One that cannot go now is as good as lost.
-        let _ = self.socket.try_send_to(&message, lender);
+        let message = TrafficMessage::Quota(QuotaMessage::Ask(ask));
+        self.link.send(message, lender);
         timeout(patience, answer).await.ok()?.ok()
     }
 
@@ -183,7 +179,7 @@
     }
 
     /// Takes in an answer. One that came too late for its request serves the next.
-    fn take_lent(&self, lent: Lent) {
+    pub(super) fn take_lent(&self, lent: Lent) {
         let Some(waiting) = self.waiting.borrow_mut().remove(&lent.id) else {
             return;
         };
@@ -191,17 +187,3 @@
         let _ = waiting.answered.send(lent);
     }
 }
-
-/// Takes in what lenders answer, for ever.
-pub(crate) async fn take_lent(gateway: Rc<Gateway>) {
-    let mut buffer = vec![0; DATAGRAM_BYTES];
-    loop {
-        let Ok((length, _)) = gateway.quotas.socket.recv_from(&mut buffer).await else {
-            // An address that nobody listens at; the datagram after it is read as usual.
-            continue;
-        };
-        if let Some(QuotaMessage::Lent(lent)) = QuotaDatagram::parse(&buffer[..length]) {
-            gateway.quotas.take_lent(lent);
-        }
-    }
-}
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -80,6 +80,7 @@
             call.id.clone(),
             now.duration_since(call.began),
         );
+        flight.hold(call.slot.take());
         self.dispatcher
             .borrow_mut()
             .note_prompt(&upstream.id, &call.prompt, now);
--- /dev/null
+++ b/crates/relay-node/src/traffic/slot_client.rs
@@ -0,0 +1,196 @@
+//! Takes slots of plain upstreams from the nodes that hand them out.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{SlotAnswer, SlotAsk};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::link::Link;
+use crate::traffic_message::{SlotAskId, SlotMessage, TrafficMessage};
+
+/// How long the node that hands out slots is waited for. A request is then sent without: the upstream's own
+/// queue turns it away if there is no room.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(40);
+
+/// How long a node that did not answer is not asked.
+const SILENT_FOR: Duration = Duration::from_millis(1_000);
+
+/// How much longer than its patience a request waits for the answer that ends its time in the queue.
+const QUEUE_MARGIN: Duration = Duration::from_millis(60);
+
+type Answers = mpsc::UnboundedReceiver<SlotAnswer>;
+
+/// What came of an ask.
+pub(crate) enum SlotTaken {
+    /// The slot, or nothing to give back where nobody hands them out.
+    Granted(Option<SlotPermit>),
+    /// None is free; one would be after about this time.
+    Busy(Duration),
+    /// It cannot be served; whoever returns after this time finds room.
+    Refused(Duration),
+}
+
+/// This node's asks for slots.
+pub(crate) struct SlotClient {
+    link: Rc<Link>,
+    asks: Cell<SlotAskId>,
+    waiting: RefCell<HashMap<SlotAskId, mpsc::UnboundedSender<SlotAnswer>>>,
+    silent: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+/// A slot that is taken, or an ask for one. Dropped, it is given back.
+pub(crate) struct SlotPermit {
+    client: Rc<SlotClient>,
+    id: SlotAskId,
+    upstream: UpstreamId,
+    node: SocketAddr,
+    /// Whether the other node knows of it.
+    is_known: bool,
+    /// How long the request was at the upstream.
+    took_ms: Option<u32>,
+}
+
+impl SlotPermit {
+    /// Takes in that the request was answered, `took` after it was sent.
+    pub(super) fn note_answered(&mut self, took: Duration) {
+        self.took_ms = u32::try_from(took.as_millis()).ok();
+    }
+
+    /// Takes in that the other node has refused it.
+    fn forget(&mut self) {
+        self.is_known = false;
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        self.client.waiting.borrow_mut().remove(&self.id);
+        if self.is_known {
+            self.client
+                .release(self.id, &self.upstream, self.node, self.took_ms);
+        }
+    }
+}
+
+impl SlotClient {
+    pub(crate) fn new(link: Rc<Link>) -> Self {
+        Self {
+            link,
+            asks: Cell::new(rand::random()),
+            waiting: RefCell::default(),
+            silent: RefCell::default(),
+        }
+    }
+
+    /// Asks `node` for a slot of `upstream`, and waits for it if the ask may queue.
+    pub(crate) async fn take(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        node: SocketAddr,
+        ask: SlotAsk,
+    ) -> SlotTaken {
+        if self.is_silent(node) {
+            return SlotTaken::Granted(None);
+        }
+        let (mut permit, mut answers) = self.ask(upstream, node, ask);
+        let mut patience = ANSWER_PATIENCE;
+        loop {
+            match timeout(patience, answers.recv()).await {
+                Ok(Some(SlotAnswer::Granted)) => return SlotTaken::Granted(Some(permit)),
+                Ok(Some(SlotAnswer::Busy { wait_ms })) => {
+                    permit.forget();
+                    return SlotTaken::Busy(millis(wait_ms));
+                }
+                Ok(Some(SlotAnswer::Refused { wait_ms })) => {
+                    permit.forget();
+                    return SlotTaken::Refused(millis(wait_ms));
+                }
+                Ok(Some(SlotAnswer::Queued)) => {
+                    patience = millis(ask.patience_ms) + QUEUE_MARGIN;
+                }
+                Ok(None) | Err(_) if patience == ANSWER_PATIENCE => {
+                    self.silent.borrow_mut().insert(node, Instant::now());
+                    return SlotTaken::Granted(None);
+                }
+                Ok(None) | Err(_) => return SlotTaken::Refused(ANSWER_PATIENCE),
+            }
+        }
+    }
+
+    fn is_silent(&self, node: SocketAddr) -> bool {
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|_, at| at.elapsed() < SILENT_FOR);
+        silent.contains_key(&node)
+    }
+
+    fn ask(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        node: SocketAddr,
+        ask: SlotAsk,
+    ) -> (SlotPermit, Answers) {
+        let id = self.asks.get().wrapping_add(1);
+        self.asks.set(id);
+        let (answer, answers) = mpsc::unbounded_channel();
+        self.waiting.borrow_mut().insert(id, answer);
+        let upstream = upstream.clone();
+        let message = SlotMessage::Ask {
+            id,
+            upstream: upstream.clone(),
+            ask,
+        };
+        self.link.send(TrafficMessage::Slots(message), node);
+        let permit = SlotPermit {
+            client: Rc::clone(self),
+            id,
+            upstream,
+            node,
+            is_known: true,
+            took_ms: None,
+        };
+        (permit, answers)
+    }
+
+    /// Takes in an answer. A slot for a request that has gone is given back.
+    pub(super) fn take_answer(
+        &self,
+        id: SlotAskId,
+        upstream: &UpstreamId,
+        answer: SlotAnswer,
+        sender: SocketAddr,
+    ) {
+        let is_taken = match self.waiting.borrow().get(&id) {
+            Some(waiting) => waiting.send(answer).is_ok(),
+            None => false,
+        };
+        if !is_taken && answer == SlotAnswer::Granted {
+            self.release(id, upstream, sender, None);
+        }
+    }
+
+    fn release(
+        &self,
+        id: SlotAskId,
+        upstream: &UpstreamId,
+        node: SocketAddr,
+        took_ms: Option<u32>,
+    ) {
+        let upstream = upstream.clone();
+        let message = SlotMessage::Release {
+            id,
+            upstream,
+            took_ms,
+        };
+        self.link.send(TrafficMessage::Slots(message), node);
+    }
+}
+
+fn millis(ms: u32) -> Duration {
+    Duration::from_millis(u64::from(ms))
+}
--- /dev/null
+++ b/crates/relay/tests/slot_gate.rs
@@ -0,0 +1,266 @@
+//! Slots of plain upstreams under load.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use nutmegsail_relay::{SlotAnswer, SlotAsk, SlotGate};
+use rand::{RngExt as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const MS: Duration = Duration::from_millis(1);
+const OBJECTIVE_MS: u32 = 300;
+const PATIENCE_MS: u32 = 3_000;
+
+fn fresh() -> SlotAsk {
+    SlotAsk {
+        in_time_ms: OBJECTIVE_MS,
+        patience_ms: PATIENCE_MS,
+        may_queue: true,
+    }
+}
+
+fn late() -> SlotAsk {
+    SlotAsk {
+        in_time_ms: 0,
+        ..fresh()
+    }
+}
+
+/// What callers of one upstream got.
+#[derive(Default)]
+struct Got {
+    asked: u32,
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+/// An upstream of `slots`, asked at a multiple of what it serves; whoever is refused returns once, and is late then.
+struct Play {
+    slots: u32,
+    work_ms: f64,
+    /// How long a grant is on its way to the upstream, and the word of its end on its way back.
+    way_ms: u32,
+    random: ChaCha8Rng,
+    gate: SlotGate<u32>,
+    start: Instant,
+    asked_at: HashMap<u32, u32>,
+    sent_at: HashMap<u32, u32>,
+    /// Requests on their way to the upstream, with when they arrive.
+    on_their_way: VecDeque<(u32, u32)>,
+    running: Vec<(u32, u32)>,
+    /// Ends that the gate has not heard of, with when it does.
+    ended: Vec<(u32, u32)>,
+    got: Vec<Got>,
+}
+
+impl Play {
+    fn new(slots: u32, work_ms: f64, way_ms: u32, seed: u64) -> Self {
+        Self {
+            slots,
+            work_ms,
+            way_ms,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            gate: SlotGate::new(slots),
+            start: Instant::now(),
+            asked_at: HashMap::new(),
+            sent_at: HashMap::new(),
+            on_their_way: VecDeque::new(),
+            running: Vec::new(),
+            ended: Vec::new(),
+            got: Vec::new(),
+        }
+    }
+
+    fn run(mut self, steps: u32, load: impl Fn(u32) -> f64) -> Vec<Got> {
+        self.got = (0..steps / 1_000 + 1).map(|_| Got::default()).collect();
+        let mut returns: Vec<(u32, u32)> = Vec::new();
+        let mut number = 0;
+        for step in 0..steps {
+            self.end(step);
+            let rate = load(step) * f64::from(self.slots) / self.work_ms;
+            if self.random.random::<f64>() < rate {
+                self.asked_at.insert(number, step);
+                self.got[(step / 1_000) as usize].asked += 1;
+                if let Some(wait_ms) = self.ask(number, fresh(), step) {
+                    returns.push((step + wait_ms.max(50), number));
+                }
+                number += 1;
+            }
+            let due: Vec<(u32, u32)> = returns.extract_if(.., |(at, _)| *at <= step).collect();
+            for (_, id) in due {
+                if self.ask(id, late(), step).is_some() {
+                    self.second(id).refused += 1;
+                }
+            }
+            self.begin(step);
+        }
+        self.got
+    }
+
+    /// What callers that asked together with `id` got.
+    fn second(&mut self, id: u32) -> &mut Got {
+        &mut self.got[(self.asked_at[&id] / 1_000) as usize]
+    }
+
+    /// Asks for a slot; returns when to come back if none is had.
+    fn ask(&mut self, id: u32, ask: SlotAsk, step: u32) -> Option<u32> {
+        let answer = self.gate.ask(id, ask, self.start + MS * step);
+        self.take(id, answer, step)
+    }
+
+    fn take(&mut self, id: u32, answer: SlotAnswer, step: u32) -> Option<u32> {
+        match answer {
+            SlotAnswer::Granted => {
+                self.on_their_way.push_back((id, step + self.way_ms));
+                None
+            }
+            SlotAnswer::Queued => None,
+            SlotAnswer::Refused { wait_ms } | SlotAnswer::Busy { wait_ms } => Some(wait_ms),
+        }
+    }
+
+    fn begin(&mut self, step: u32) {
+        while self.running.len() < self.slots as usize {
+            let next = self.on_their_way.front().copied();
+            let Some((id, arrived)) = next.filter(|(_, arrives)| *arrives <= step) else {
+                break;
+            };
+            self.on_their_way.pop_front();
+            self.sent_at.insert(id, arrived);
+            let work = self.work_ms * (0.5 + self.random.random::<f64>());
+            self.running.push((id, step + work as u32));
+        }
+    }
+
+    fn end(&mut self, step: u32) {
+        let ends: Vec<(u32, u32)> = self
+            .running
+            .extract_if(.., |(_, end)| *end <= step)
+            .collect();
+        for (id, end) in ends {
+            let is_in_time = end - self.asked_at[&id] <= OBJECTIVE_MS;
+            let second = self.second(id);
+            match is_in_time {
+                true => second.in_time += 1,
+                false => second.late += 1,
+            }
+            self.ended.push((id, end + self.way_ms));
+        }
+        let heard: Vec<(u32, u32)> = self
+            .ended
+            .extract_if(.., |(_, heard)| *heard <= step)
+            .collect();
+        for (id, heard) in heard {
+            let took = MS * (heard - self.way_ms - self.sent_at[&id]);
+            for (id, answer) in self.gate.release(&id, Some(took), self.start + MS * step) {
+                if self.take(id, answer, step).is_some() {
+                    self.second(id).refused += 1;
+                }
+            }
+        }
+    }
+}
+
+/// In-time answers of the seconds from `from` to `to`, as a part of what the upstream serves in them.
+fn goodput(got: &[Got], from: usize, to: usize, slots: u32, work_ms: f64) -> f64 {
+    let in_time: u32 = got[from..to].iter().map(|second| second.in_time).sum();
+    f64::from(in_time) / ((to - from) as f64 * 1_000.0 * f64::from(slots) / work_ms)
+}
+
+// Guards against a full queue that makes every answer late: beyond its capacity an upstream still
+// answers nearly as many in time as it can run.
+#[rstest]
+fn goodput_stays_near_capacity_at_every_load(
+    #[values(1.1, 1.5, 2.0)] load: f64,
+    #[values((2, 30.0), (6, 60.0), (16, 40.0))] upstream: (u32, f64),
+    #[values(1, 20)] way_ms: u32,
+) {
+    let (slots, work_ms) = upstream;
+    let got = Play::new(slots, work_ms, way_ms, 7).run(20_000, |_| load);
+    let goodput = goodput(&got, 2, 19, slots, work_ms);
+    assert!(goodput >= 0.9, "{goodput}");
+}
+
+#[rstest]
+fn below_capacity_nearly_all_are_in_time(#[values(0.5, 0.8)] load: f64) {
+    let got = Play::new(6, 60.0, 1, 8).run(20_000, |_| load);
+    let asked: u32 = got[1..19].iter().map(|second| second.asked).sum();
+    let in_time: u32 = got[1..19].iter().map(|second| second.in_time).sum();
+    assert!(
+        f64::from(in_time) >= 0.97 * f64::from(asked),
+        "{in_time} of {asked}"
+    );
+}
+
+// Guards against a short burst whose late requests hold up fresh ones for seconds after it.
+#[test]
+fn callers_are_served_in_time_two_seconds_after_a_burst() {
+    let burst = |step: u32| {
+        if (3_000..6_000).contains(&step) {
+            2.0
+        } else {
+            0.7
+        }
+    };
+    let got = Play::new(6, 60.0, 1, 8).run(14_000, burst);
+    for second in &got[8..13] {
+        assert!(
+            f64::from(second.in_time) >= 0.9 * f64::from(second.asked),
+            "{} of {}",
+            second.in_time,
+            second.asked
+        );
+    }
+}
+
+#[test]
+fn fresh_requests_go_before_late_ones() {
+    let (mut gate, now) = (SlotGate::new(1), Instant::now());
+    for id in 0..2 {
+        assert_eq!(gate.ask(id, fresh(), now), SlotAnswer::Granted);
+    }
+    assert_eq!(gate.ask(2, late(), now), SlotAnswer::Queued);
+    assert_eq!(gate.ask(3, fresh(), now), SlotAnswer::Queued);
+    assert_eq!(gate.release(&0, None, now), [(3, SlotAnswer::Granted)]);
+    assert_eq!(gate.release(&1, None, now), [(2, SlotAnswer::Granted)]);
+}
+
+// Guards against slots that stay taken for good by a node that is gone.
+#[test]
+fn a_slot_that_was_never_given_back_is_free_again() {
+    let (mut gate, now) = (SlotGate::new(1), Instant::now());
+    for id in 0..2 {
+        assert_eq!(gate.ask(id, fresh(), now), SlotAnswer::Granted);
+    }
+    let later = now + Duration::from_secs(3);
+    assert_eq!(gate.ask(2, fresh(), later), SlotAnswer::Granted);
+}
+
+// Guards against granting a slot to a caller that has gone away.
+#[test]
+fn whoever_has_gone_is_passed_by() {
+    let (mut gate, now) = (SlotGate::new(1), Instant::now());
+    for id in 0..2 {
+        assert_eq!(gate.ask(id, fresh(), now), SlotAnswer::Granted);
+    }
+    assert_eq!(gate.ask(2, fresh(), now), SlotAnswer::Queued);
+    assert_eq!(gate.ask(3, fresh(), now), SlotAnswer::Queued);
+    assert_eq!(gate.release(&2, None, now), []);
+    assert_eq!(gate.release(&0, None, now), [(3, SlotAnswer::Granted)]);
+}
+
+#[test]
+fn a_request_that_cannot_wait_is_told_how_long_the_queue_is() {
+    let (mut gate, now) = (SlotGate::new(1), Instant::now());
+    let hasty = SlotAsk {
+        may_queue: false,
+        ..fresh()
+    };
+    for id in 0..2 {
+        assert_eq!(gate.ask(id, hasty, now), SlotAnswer::Granted);
+    }
+    assert_eq!(gate.ask(2, hasty, now), SlotAnswer::Busy { wait_ms: 25 });
+    assert_eq!(gate.release(&2, None, now), []);
+}
