Tell other failure domains of engines that fill up at once, and of the load time that a node has learned

An adapter came to one engine at 7.7 s; by 8.5 s 31 requests were there, 17 of them from nodes of other failure domains that expected 200 ms, as they were told every 0.4 s. And in the first second 154 requests for 146 loads were sent before the adapter was there: each of 72 nodes learned the load time (288 ms here, 250 assumed) by itself.

Change: FarNews (pure) tells at once what changes by three requests; what came from another failure domain is passed on in the turn in which it came. The first load that was relied on too early moves the time by a fifth, and gatherers pass the learned time on.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -349,7 +349,8 @@
         let load = load_without(knowledge, engine, &nobody);
         (engine.id.clone(), load)
     });
-    for (page, address) in board.turn(knowledge, loads.collect()) {
+    for (mut page, address) in board.turn(knowledge, loads.collect()) {
+        page.load_ms = knowledge.load_times.get().to_tell();
         let from = knowledge.settings.node.clone();
         send(socket, &Message::Gathered { from, page }, address);
     }
--- a/crates/relay-node/src/control/load_board.rs
+++ b/crates/relay-node/src/control/load_board.rs
@@ -11,7 +11,9 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{DomainAge, HoldingsTold, NodeRecord, RestFilter, readers_by_domain};
+use nutmegsail_relay::{
+    DomainAge, FarNews, HoldingsTold, NodeRecord, RestFilter, readers_by_domain,
+};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,10 +21,6 @@
 use super::knowledge::Knowledge;
 use crate::shared::EngineNews;
 
-/// How often other failure domains are told, in exchanges. Their engines are a second choice, and
-/// bytes between domains are charged for.
-const FAR_EVERY: u32 = 4;
-
 /// How long a load is passed on: an owner that fell silent tells ten times in it.
 const LOAD_LIFE: Duration = Duration::from_millis(1_000);
 
@@ -43,6 +41,8 @@
     loads: Vec<(EngineDigest, EngineLoad)>,
     /// When the sender heard each failure domain, told to its own.
     domains: Vec<DomainAge>,
+    /// How long loads take, in milliseconds, if the sender has learned it.
+    pub(super) load_ms: Option<f32>,
 }
 
 impl LoadPage {
@@ -50,6 +50,7 @@
         Self {
             loads,
             domains: Vec::new(),
+            load_ms: None,
         }
     }
 }
@@ -61,6 +62,8 @@
     came: Instant,
     /// Whether it was told by an owner of this failure domain, or by this node.
     is_near: bool,
+    /// Whether it came since the last turn.
+    is_new: bool,
 }
 
 /// What was gathered.
@@ -68,7 +71,7 @@
 pub(crate) struct LoadBoard {
     loads: HashMap<EngineDigest, Gathered>,
     resting: RestFilter<EngineDigest>,
-    turns: u32,
+    far: FarNews<EngineDigest>,
 }
 
 impl LoadBoard {
@@ -104,13 +107,22 @@
         for (engine, load) in own {
             self.put(engine, load, true);
         }
-        self.turns = self.turns.wrapping_add(1);
-        let tells_far = self.turns.is_multiple_of(FAR_EVERY);
         let known = self.loads.iter();
         let known = known.map(|(engine, gathered)| (*engine, gathered.load.is_at_rest()));
         let news = self.resting.turn(known);
-        let near = self.page(&news, |gathered| gathered.is_near);
-        let mut all = self.page(&news, |gathered| gathered.is_near || tells_far);
+        let near = news.iter().filter_map(|engine| {
+            let gathered = self.loads.get(engine)?;
+            gathered
+                .is_near
+                .then_some((*engine, gathered.load.in_flight))
+        });
+        let near: Vec<_> = near.collect();
+        let to_far = self.far.turn(near);
+        let near = self.page(&to_far, |gathered| gathered.is_near);
+        let mut all = self.page(&news, |gathered| gathered.is_near || gathered.is_new);
+        for gathered in self.loads.values_mut() {
+            gathered.is_new = false;
+        }
         all.domains = knowledge.domains_heard.borrow().ages(now);
         let nodes = knowledge.nodes.borrow();
         let here = &knowledge.settings.failure_domain;
@@ -122,7 +134,7 @@
             .iter()
             .map(|node| (all.clone(), node.address))
             .collect();
-        if tells_far {
+        if !to_far.is_empty() {
             let gatherers = readers_by_domain(far)
                 .into_values()
                 .filter_map(|nodes| nodes.into_iter().next());
@@ -136,6 +148,7 @@
             load,
             came: Instant::now(),
             is_near,
+            is_new: true,
         };
         self.loads.insert(engine, gathered);
     }
@@ -152,6 +165,9 @@
     /// Takes in loads that an owner or a gatherer told.
     pub(crate) fn take(&mut self, knowledge: &Knowledge, page: LoadPage) {
         knowledge.take_domains(&page.domains);
+        if let Some(load_ms) = page.load_ms {
+            knowledge.take_load_time(load_ms);
+        }
         let upstreams = knowledge.upstreams.borrow();
         let known: HashMap<EngineDigest, &UpstreamId> = upstreams
             .keys()
--- a/crates/relay/src/load_times.rs
+++ b/crates/relay/src/load_times.rs
@@ -19,6 +19,13 @@
 /// How much longer loads are taken to be with each that was relied on too early.
 const EARLY_STEP: f64 = 0.06;
 
+/// The same for the first one. While all adapters are cold each load that is relied on too early is a caller
+/// that waits for a second one.
+const FIRST_EARLY_STEP: f64 = 0.2;
+
+/// How far another node's word of the load time moves that of a node which has learned its own.
+const TOLD_STEP: f64 = 0.1;
+
 /// The part of a load's time that it takes an engine to bring back an adapter that it held a while ago.
 pub(crate) const RECENT_SHARE: f64 = 0.1;
 
@@ -189,8 +196,38 @@
 
     /// Takes in that such a request came back unserved, as the adapter was not there yet.
     pub fn note_early(&mut self) {
+        let step = match self.was_early {
+            true => EARLY_STEP,
+            false => FIRST_EARLY_STEP,
+        };
+        self.was_early = true;
+        self.set_load_ms(self.load_ms * (1.0 + step));
+    }
+
+    /// The load time at full speed for other nodes, in milliseconds; nothing until it is learned.
+    pub fn to_tell(&self) -> Option<f32> {
+        self.was_early.then_some(self.load_ms as f32)
+    }
+
+    /// Takes in the load time that another node has learned.
+    ///
+    /// Answers a cold start: each node that learns by itself sends the callers of its first loads too early.
+    ///
+    /// ```
+    /// use nutmegsail_relay::LoadTimes;
+    /// let (mut one, mut other) = (LoadTimes::default(), LoadTimes::default());
+    /// assert_eq!(one.to_tell(), None);
+    /// one.note_early();
+    /// other.take_told(one.to_tell().unwrap());
+    /// assert_eq!(other.usual(1.0), one.usual(1.0));
+    /// ```
+    pub fn take_told(&mut self, load_ms: f32) {
+        let step = match self.was_early {
+            true => TOLD_STEP,
+            false => 1.0,
+        };
         self.was_early = true;
-        self.set_load_ms(self.load_ms * (1.0 + EARLY_STEP));
+        self.set_load_ms(self.load_ms + step * (f64::from(load_ms) - self.load_ms));
     }
 
     fn set_load_ms(&mut self, load_ms: f64) {
