Count requests and tokens by team, and keep what a window allows beyond the burst as rate

A key that is unknown on old news is not refused for good: the request waits for news from after it came, and is sent elsewhere if none come. trace tells of lenders and of the configuration in force. The tolerance of a window was part of the buckets only; it is now filled in with the rate, so that teams above it get what the limit allows.

--- a/crates/nutmegsail/src/trace.rs
+++ b/crates/nutmegsail/src/trace.rs
@@ -23,7 +23,10 @@
 ];
 
 /// Events of a whole node that explain what happened to its requests.
-const OF_NODE: [&str; 5] = [
+const OF_NODE: [&str; 8] = [
+    "LenderReleased",
+    "LenderTaken",
+    "TextInForce",
     "NodeResumed",
     "NodeLeaving",
     "PlatformUnavailable",
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -146,6 +146,18 @@
         lent(ask, tokens, Duration::ZERO)
     }
 
+    /// What the bucket of each team with a quota holds.
+    pub fn levels(&mut self, now: Duration) -> Vec<(TeamName, f64)> {
+        let mut levels = Vec::new();
+        for (name, team) in &mut self.teams {
+            team.fill(&self.bounds, now);
+            if team.quota.is_some() {
+                levels.push((name.clone(), team.bucket.level_tokens()));
+            }
+        }
+        levels
+    }
+
     /// What to ask the lenders of other failure domains for, after a need of `team` that was not met.
     pub fn borrow(&mut self, team: &TeamName, now: Duration) -> Option<Ask> {
         let known = self.teams.get_mut(team)?;
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -63,21 +63,33 @@
         within * (1.0 + self.over_ratio) + self.slack_tokens
     }
 
-    /// The part of the rate that one lender fills in, in tokens a second.
+    /// Tokens that one lender fills in, in a second.
+    ///
+    /// In a window all lenders lend what they fill in and what their buckets held at its start, and nodes
+    /// spend besides what was lent in the [`GRANT_LIFE`] before. So what a window allows beyond the buckets is
+    /// filled in over both.
     pub(crate) fn lender_rate(&self, quota: Quota) -> f64 {
-        quota.tokens_per_s / f64::from(self.failure_domains.max(1))
+        let filled = (self.used_limit(quota) - self.capacity(quota)).max(0.0);
+        filled / (self.window + GRANT_LIFE).as_secs_f64() / self.lenders()
     }
 
     /// What one lender's bucket holds at most.
-    ///
-    /// In a window all lenders lend what they fill in and what their buckets held at its start, and
-    /// nodes spend besides what was lent in the [`GRANT_LIFE`] before. So the buckets hold the burst
-    /// and the tolerance, less a rate of that life.
     pub(crate) fn lender_capacity(&self, quota: Quota) -> f64 {
+        self.capacity(quota) / self.lenders()
+    }
+
+    /// What all buckets hold at most: a team may ask for its burst at once.
+    fn capacity(&self, quota: Quota) -> f64 {
+        quota.burst_tokens + self.slack_tokens * USED_TOLERANCE
+    }
+
+    /// The part of [`QuotaBounds::window_limit`] that is used.
+    fn used_limit(&self, quota: Quota) -> f64 {
         let within = quota.tokens_per_s * self.window.as_secs_f64() + quota.burst_tokens;
-        let tolerated = (within * self.over_ratio + self.slack_tokens) * USED_TOLERANCE;
-        let lent_before = quota.tokens_per_s * GRANT_LIFE.as_secs_f64();
-        let all = (quota.burst_tokens + tolerated - lent_before).max(quota.burst_tokens / 2.0);
-        all / f64::from(self.failure_domains.max(1))
+        within * (1.0 + self.over_ratio * USED_TOLERANCE) + self.slack_tokens * USED_TOLERANCE
+    }
+
+    fn lenders(&self) -> f64 {
+        f64::from(self.failure_domains.max(1))
     }
 }
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -194,6 +194,7 @@
     /// Publishes what is known now.
     pub(crate) fn publish(&self) {
         self.refresh_quotas();
+        self.measure_quotas();
         let mut times = self.load_times.get();
         times.set_engines(self.owners.borrow().len());
         self.load_times.set(times);
@@ -324,6 +325,13 @@
         self.changes.borrow_mut().insert(engine.clone(), change);
     }
 
+    /// Takes in how long loads take by another node.
+    pub(crate) fn take_load_time(&self, load_ms: f32) {
+        let mut times = self.load_times.get();
+        times.take_told(load_ms);
+        self.load_times.set(times);
+    }
+
     /// The upstream of this id.
     pub(crate) fn upstream(&self, id: &UpstreamId) -> Option<Arc<Upstream>> {
         self.upstreams.borrow().get(id).cloned()
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -128,6 +128,15 @@
         }
     }
 
+    /// Brings the gauges of what is left of quotas up to date.
+    pub(crate) fn measure_quotas(&self) {
+        let mut own = self.lending.own.borrow_mut();
+        let levels = own.as_mut().map(|own| own.lender.levels(boot_time()));
+        for (team, tokens) in levels.into_iter().flatten() {
+            self.shared.metrics.teams.left(&team, tokens);
+        }
+    }
+
     /// Answers a message about quotas; what is to be sent to others goes out through `send`.
     pub(crate) fn take_quota_message(
         &self,
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod ready;
 mod settings;
 mod shared;
+mod team_metrics;
 mod traffic;
 mod traffic_message;
 
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -8,6 +8,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
+use crate::team_metrics::TeamMetrics;
+
 /// Upper bounds of the buckets for times, in milliseconds: around the latency objectives of plain
 /// calls (150 ms) and streams (600 to 1,000 ms).
 const TIME_MS: [f64; 12] = [
@@ -17,6 +19,7 @@
 /// The node's instruments. Recording never blocks.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayMetrics {
+    pub(crate) teams: TeamMetrics,
     requests: Counter<u64>,
     sends: Counter<u64>,
     loads: Counter<u64>,
@@ -48,6 +51,7 @@
             histogram.with_boundaries(TIME_MS.to_vec()).build()
         };
         Self {
+            teams: TeamMetrics::new(meter),
             requests: counter(
                 "nutmegsail.relay.requests",
                 "Requests that ended, by result and base model.",
@@ -174,7 +178,7 @@
     KeyValue::new("model", model.model.to_string())
 }
 
-fn result(code: Option<ResultCode>) -> KeyValue {
+pub(crate) fn result(code: Option<ResultCode>) -> KeyValue {
     let result = code.map_or_else(|| "ok".to_owned(), |code| code.to_string());
     KeyValue::new("result", result)
 }
--- a/crates/relay-node/src/traffic/admission.rs
+++ b/crates/relay-node/src/traffic/admission.rs
@@ -74,16 +74,19 @@
 
 impl Gateway {
     /// Who sends a request with `key` on `route`.
+    ///
+    /// An unknown key may be one that was just added. It is turned away once the news are from after the
+    /// request came; if they don't come, another node may know it.
     pub(super) async fn identify(&self, route: &Route, key: &CallerKey) -> Result<Caller, Denied> {
         let began = Instant::now();
         loop {
-            let denied = match self.judge(route, key) {
-                Err(denied @ Denied::NoKey { may_be_new: true }) => denied,
-                judged => return judged,
-            };
-            let waits = self.key_waits.get();
-            if began.elapsed() >= NEW_KEY_PATIENCE || waits >= NEW_KEY_WAITS {
-                return Err(denied);
+            let judged = self.judge(route, key);
+            let may_be_new = matches!(judged, Err(Denied::NoKey { may_be_new: true }));
+            if !may_be_new || self.shared.news_age() < began.elapsed() {
+                return judged;
+            }
+            if began.elapsed() >= NEW_KEY_PATIENCE || self.key_waits.get() >= NEW_KEY_WAITS {
+                return Err(Denied::Stale);
             }
             let _wait = super::model_wait::Wait::begin(&self.key_waits);
             sleep(NEW_KEY_LOOK).await;
@@ -172,12 +175,23 @@
     /// Takes in that `call` is sent.
     pub(super) fn spend_tokens(&self, call: &Call) {
         let held = match call.tokens.0.take() {
-            Held::Reserved(lease) => lease.spend().map_or(Held::None, Held::Sent),
+            Held::Reserved(lease) => {
+                self.count_tokens(call);
+                lease.spend().map_or(Held::None, Held::Sent)
+            }
             held => held,
         };
         call.tokens.0.replace(held);
     }
 
+    fn count_tokens(&self, call: &Call) {
+        let team = call.caller.team();
+        if let Some((team, quota)) = team.and_then(|team| Some((team, team.quota.as_ref()?))) {
+            let tokens = quota.cost_tokens(call.meta.all_tokens);
+            self.shared.metrics.teams.spent(&team.name, tokens);
+        }
+    }
+
     /// Puts back the tokens of a request that has not run.
     pub(super) fn return_tokens(&self, call: &Call) {
         if let Held::Sent(reservation) = call.tokens.0.take() {
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{RequestId, UpstreamId};
+use nutmegsail_base::{RequestId, ResultCode, TeamName, UpstreamId};
 use nutmegsail_relay::{ModelRef, Outcome};
 use nutmegsail_telemetry::{Event, log_event};
 
@@ -27,6 +27,8 @@
     is_ended: bool,
     /// The slot that it takes at a plain upstream.
     slot: Option<SlotPermit>,
+    /// The team of its caller.
+    team: Option<TeamName>,
     request: RequestId,
     /// How long the request had waited here before it was sent.
     waited: Duration,
@@ -60,14 +62,25 @@
             is_settled: false,
             is_ended: false,
             slot: None,
+            team: None,
             request,
             waited,
         }
     }
 
-    /// Takes over the slot that the request has.
-    pub(super) fn hold(&mut self, slot: Option<SlotPermit>) {
+    /// Takes over the slot that the request has, and counts it for its team.
+    pub(super) fn hold(&mut self, slot: Option<SlotPermit>, team: Option<TeamName>) {
         self.slot = slot;
+        self.team = team;
+    }
+
+    /// Counts the request as ended.
+    fn count_end(&self, code: Option<ResultCode>) {
+        let metrics = &self.gateway.shared.metrics;
+        metrics.request_ended(code, self.model.as_ref());
+        if let Some(team) = &self.team {
+            metrics.teams.request_ended(team, code);
+        }
     }
 
     /// Part of the answer's body came.
@@ -99,15 +112,13 @@
         if let Some(mut slot) = self.slot.take() {
             slot.note_answered(self.sent.elapsed());
         }
-        let metrics = &self.gateway.shared.metrics;
-        metrics.request_ended(None, self.model.as_ref());
+        self.count_end(None);
         self.settle(Outcome::Answered);
     }
 
     /// The answer's body ended early.
     pub(crate) fn note_cut(&mut self, cut: AnswerCut) {
-        let metrics = &self.gateway.shared.metrics;
-        metrics.request_ended(Some(cut.code()), self.model.as_ref());
+        self.count_end(Some(cut.code()));
         if cut == AnswerCut::Upstream {
             self.note_broken();
         }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -294,7 +294,11 @@
         }
         let model = call.meta.model.as_ref();
         let known = model.filter(|model| self.is_configured(call, model, 1));
-        self.shared.metrics.request_ended(Some(refusal.code), known);
+        let metrics = &self.shared.metrics;
+        metrics.request_ended(Some(refusal.code), known);
+        if let Some(team) = call.caller.team() {
+            metrics.teams.request_ended(&team.name, Some(refusal.code));
+        }
         let tried: Vec<&str> = sends.tried.iter().map(|id| id.as_str()).collect();
         log_event!(
             self.log, Event::RequestRefused,
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -80,7 +80,8 @@
             call.id.clone(),
             now.duration_since(call.began),
         );
-        flight.hold(call.slot.take());
+        let team = call.caller.team().map(|team| team.name.clone());
+        flight.hold(call.slot.take(), team);
         self.dispatcher
             .borrow_mut()
             .note_prompt(&upstream.id, &call.prompt, now);
