--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -37,6 +37,8 @@
     own: RefCell<Option<OwnLender>>,
     /// The version of the configuration whose quotas the lender goes by.
     version: Cell<u64>,
+    /// Whether a lender of this failure domain was ever seen, so that a later one begins empty.
+    was_seen: Cell<bool>,
     /// Since when this failure domain is known to have no lender.
     missing_since: Cell<Option<Instant>>,
 }
@@ -54,6 +56,7 @@
     pub(crate) fn take_lender(&self, domain: &str, record: &OwnerRecord, revision: Revision) {
         let domain = FailureDomain::from(domain);
         if domain == self.settings.failure_domain {
+            self.lending.was_seen.set(true);
             let mut own = self.lending.own.borrow_mut();
             let fence = own.as_ref().map(|own| own.ownership.fence());
             if fence.is_some_and(|fence| fence < revision.0) {
@@ -262,7 +265,8 @@
 }
 
 fn take_over(knowledge: &Knowledge, fence: Revision, before: Revision, asked_at: Duration) {
-    let is_first = before == Revision(0) && knowledge.is_first_claim();
+    let was_seen = knowledge.lending.was_seen.replace(true);
+    let is_first = before == Revision(0) && knowledge.is_first_claim() && !was_seen;
     let has_no_other = before != Revision(0) || is_first;
     let rules = OwnershipRules {
         hand_over: Duration::ZERO,
