--- a/crates/relay-node/src/control/load_board.rs
+++ b/crates/relay-node/src/control/load_board.rs
@@ -1,9 +1,8 @@
 //! The loads of all engines, gathered by one node of each failure domain for the others.
 //!
 //! In a large fleet a node uses few engines at a time and hears from their owners only. Of all others
-//! it would know nothing, take them for idle and queue behind what others sent there: with 91
-//! nodes one stream in twenty waited ten times as long as expected. If every owner told every node,
-//! messages would grow with the square of the nodes. So owners tell the node that also reads the
+//! it would know nothing, take them for idle and queue behind what others sent there. If every owner
+//! told every node, messages would grow with the square of the nodes. So owners tell the node that also reads the
 //! store for their failure domain, and that one tells the others, and the other domains less often.
 
 use std::collections::HashMap;
--- a/crates/relay-node/src/traffic/adapter_wait.rs
+++ b/crates/relay-node/src/traffic/adapter_wait.rs
@@ -21,8 +21,7 @@
 const LOST_WAIT_SHARE: f64 = 0.5;
 
 /// The rank of the copies that an owner wants. An adapter that takes up its engine holds up all other
-/// requests there, the urgent ones too; with these copies behind all misses a fleet of 195 nodes served
-/// 0.661 of a loaded day's worth, and 0.755 with them in front.
+/// requests there, the urgent ones too.
 const COPY_PRIORITY: u8 = 0;
 
 impl Gateway {
--- a/crates/relay-node/tests/settings.rs
+++ b/crates/relay-node/tests/settings.rs
@@ -21,6 +21,18 @@
 #[case::empty_name("node = \"negril-1\"", "node = \"\"", "node: name the node")]
 #[case::short_grace("grace_s = 8.0", "grace_s = 0.1", "bounds.grace_s")]
 #[case::no_hand_over("hand_over_ms = 3000", "hand_over_ms = 5", "bounds.hand_over_ms")]
+#[case::short_revocation("# revoke_ms = 5000", "revoke_ms = 50", "bounds.revoke_ms")]
+#[case::no_window(
+    "quota_window_s = 8.0",
+    "quota_window_s = 0.0",
+    "bounds.quota_window_s"
+)]
+#[case::odd_tolerance("quota_over = 0.1", "quota_over = -1.0", "bounds.quota_over")]
+#[case::negative_slack(
+    "quota_slack_tokens = 0.0",
+    "quota_slack_tokens = -1.0",
+    "quota_slack_tokens"
+)]
 #[case::odd_ratio("retry_ratio = 0.2", "retry_ratio = -1", "bounds.retry_ratio")]
 fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
     let text = EXAMPLE.replacen(from, to, 1);
--- a/crates/relay/src/domains_heard.rs
+++ b/crates/relay/src/domains_heard.rs
@@ -19,8 +19,8 @@
 ///
 /// In a large fleet a node hears from owners of the engines it uses, and nothing from a failure domain
 /// whose engines it does not use. Taken for cut off, such a domain's engines get no requests, and so are
-/// never heard again: with 195 nodes in five failure domains each domain loaded the popular adapters for
-/// itself, 1,115 of 1,445 further copies on a loaded day. So nodes that hear every domain tell the others.
+/// never heard again, and each domain loads the popular adapters for itself. So nodes that hear every domain
+/// tell the others.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
--- a/crates/relay/src/engine_demand.rs
+++ b/crates/relay/src/engine_demand.rs
@@ -59,8 +59,7 @@
 /// What all nodes ask one engine for.
 ///
 /// Each node of a large fleet sees so little of the demand that it cannot tell a popular adapter from
-/// one that it was asked for by chance: with 91 nodes a single request looked like seven a second,
-/// and half of all loads were copies that nobody needed. An engine's owner hears from all.
+/// one that it was asked for by chance. An engine's owner hears from all.
 #[derive(Clone, Debug)]
 pub struct EngineDemand {
     tokens: Demand,
--- a/crates/relay/src/load_queue.rs
+++ b/crates/relay/src/load_queue.rs
@@ -14,10 +14,8 @@
 /// Loads from the weight store that are under way at one engine at once: what is ordered last is not held
 /// up by all before it.
 ///
-/// There is no limit over all engines. An owner hears of few others at a time, and what it made of that
-/// kept loads waiting for 3 s while the weight store had room: with it, 0.703 of the worth of a loaded day
-/// was served by 195 nodes and 4.8 in 100 requests were refused, without it 0.836 and 0.6 in 100. Beside 12
-/// engines, and with loads twice as long, both are within noise of each other.
+/// There is no limit over all engines: an owner hears of few others at a time, and what it made of that
+/// would keep loads waiting while the weight store has room.
 const ENGINE_LOADS: usize = 2;
 
 /// What a load is for. The more urgent one is the lesser.
--- a/crates/relay/src/load_times.rs
+++ b/crates/relay/src/load_times.rs
@@ -105,8 +105,7 @@
 ///
 /// How much of that the load itself took no report tells. But requests are sent as soon as a load should
 /// be done, and come back unserved if it is not. So loads are taken to be a little shorter with each that
-/// was relied on in time, and longer with each that was not. With the load time of other deployments in
-/// its place, a site whose loads take 330 ms served 0.421 of worth, and 0.527 at 250 ms.
+/// was relied on in time, and longer with each that was not.
 ///
 /// ```
 /// use std::time::Duration;
@@ -279,9 +278,8 @@
 
     /// Whether a further copy of an adapter may begin to load, with `under_way` loads over all engines.
     ///
-    /// A copy spares some callers a queue; a load for a miss is what its callers wait for. While
-    /// callers turned to other adapters in a fleet of 78 engines, four loads in ten were copies, the
-    /// weight store was full, and a third of all misses waited for over 600 ms.
+    /// A copy spares some callers a queue; a load for a miss is what its callers wait for. When demand
+    /// moves to other adapters, copies alone could fill the weight store.
     pub fn has_room_for_copy(&self, under_way: f64) -> bool {
         under_way < self.at_once * COPY_ROOM_SHARE
     }
--- a/crates/relay/src/prompt.rs
+++ b/crates/relay/src/prompt.rs
@@ -32,8 +32,7 @@
 /// The parts of a prompt for one adapter, in order.
 ///
 /// Requests that share parts go to the same engine while its queue is no longer than reading them again
-/// takes. On a loaded day of 75 nodes before 93 engines, 23.8 in 100 tokens that engines read were shared
-/// parts that one of them had read before, and 22.2 with homes; on a quiet one 17.7 and 15.6.
+/// takes.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -23,8 +23,7 @@
 
 /// The node of `domain` that reads the store for `node`; nothing if it is to read it itself.
 ///
-/// Nodes that all watch the store cost it calls in proportion to the fleet: 91 nodes made 9,500 calls
-/// in a minute. So one in each failure domain watches, in the order of their ids, and passes on what
+/// Nodes that all watch the store cost it calls in proportion to the fleet. So one in each failure domain watches, in the order of their ids, and passes on what
 /// changed. A reader that `is_silent` is passed over; if all are, each node reads for itself.
 ///
 /// ```
@@ -72,9 +71,8 @@
 /// How long a node pauses after a call to the store that failed, with `near` nodes in its failure domain.
 /// As much again at random keeps them from coming back at one moment.
 ///
-/// While the store is away every node asks it, as its reader has nothing to tell. With 39 nodes a
-/// failure domain, a day with an outage of 9 s for a third of them cost 14,460 calls, and 9,631 with a
-/// pause that grows with the nodes.
+/// While the store is away every node asks it, as its reader has nothing to tell; so the pause grows with
+/// the nodes.
 ///
 /// ```
 /// use std::time::Duration;
--- a/crates/relay/src/rest_filter.rs
+++ b/crates/relay/src/rest_filter.rs
@@ -9,8 +9,8 @@
 /// Leaves out engines at rest of what is told of all of them.
 ///
 /// Nothing is assumed of an engine of which nothing is heard, which comes to the same as being at rest.
-/// Told like the others ten times a second, idle ones made up most of what a gatherer sent in a fleet of
-/// 100 nodes with as much work as one of 10.
+/// Told like the others ten times a second, idle ones would make up most of what a gatherer sends in a large
+/// fleet.
 ///
 /// ```
 /// use nutmegsail_relay::RestFilter;
