Compare lists by hash where they grow with the fleet

By reading: the dispatcher, the claims and the followers compared each upstream with each, some nine million times at each change of the store, and the slots' nodes were hashed anew, each node for each plain upstream, at each change.

Change: hash sets; the nodes that hand out slots are worked out when the nodes change. Nothing else is decided otherwise.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -1,6 +1,6 @@
 //! Claims engines at the store, by compare-and-swap.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,10 +58,11 @@
         .filter(|upstream| has_engines(&upstream.service))
         .collect();
     let nodes: Vec<NodeRecord> = knowledge.nodes.borrow().values().cloned().collect();
+    let listed: HashSet<&UpstreamId> = engines.iter().map(|engine| &engine.id).collect();
     let owners = knowledge.owners.borrow();
     let owners: HashMap<UpstreamId, NodeId> = owners
         .iter()
-        .filter(|(engine, _)| engines.iter().any(|known| known.id == **engine))
+        .filter(|(engine, _)| listed.contains(engine))
         .map(|(engine, owner)| (engine.clone(), owner.node.clone()))
         .collect();
     let me = &knowledge.settings.node;
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -207,7 +207,7 @@
             nodes: self.nodes.borrow().len().max(1),
             load_times: self.load_times.get(),
             lenders: self.lender_addresses().into(),
-            slot_nodes: Arc::new(self.slot_nodes()),
+            slot_nodes: self.slot_nodes(),
         };
         let version = view.table.as_ref().map_or(0, |table| table.version);
         let owned = self.owned.borrow().len();
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -1,5 +1,6 @@
 //! Which nodes there are and which of them owns which engine, as the store shows it.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -102,7 +103,7 @@
     }
 
     fn whole(&self, items: &[&Item]) {
-        let listed: Vec<&str> = items.iter().map(|item| &*item.key).collect();
+        let listed: HashSet<&str> = items.iter().map(|item| &*item.key).collect();
         let nodes: Vec<NodeId> = self.0.nodes.borrow().keys().cloned().collect();
         let engines: Vec<UpstreamId> = self.0.owners.borrow().keys().cloned().collect();
         let known = nodes.iter().map(|node| format!("{NODE_PREFIX}{node}"));
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -322,16 +322,10 @@
             self.admit(call).await?;
             let now = Instant::now();
             if call.remaining(now) < LEAST_REMAINING {
-                return Err(GivenUp::until(
-                    ResultCode::DeadlineUnreachable,
-                    BUSY_RETRY_AFTER,
-                ));
+                return Err(busy(ResultCode::DeadlineUnreachable));
             }
             if sends.arrived >= REFUSALS_LIMIT {
-                return Err(GivenUp::until(
-                    ResultCode::UpstreamRefused,
-                    BUSY_RETRY_AFTER,
-                ));
+                return Err(busy(ResultCode::UpstreamRefused));
             }
             self.view();
             match self.choose(call, sends, now) {
@@ -350,10 +344,7 @@
                         None => self.take_slot(call, sends, choice).await?,
                     };
                     if !self.count_send(call, sends, now) {
-                        return Err(GivenUp::until(
-                            ResultCode::RetryBudgetSpent,
-                            BUSY_RETRY_AFTER,
-                        ));
+                        return Err(busy(ResultCode::RetryBudgetSpent));
                     }
                     if !choice.is_preferred {
                         // The newer version is brought in; nobody waits for it.
@@ -365,10 +356,7 @@
                     return Err(GivenUp::until(ResultCode::NoUpstream, ABSENT_RETRY_AFTER));
                 }
                 Err(NoChoice::AllBusy) => {
-                    return Err(GivenUp::until(
-                        ResultCode::UpstreamRefused,
-                        BUSY_RETRY_AFTER,
-                    ));
+                    return Err(busy(ResultCode::UpstreamRefused));
                 }
                 Err(NoChoice::AdapterAbsent) if !self.has_base(call, now) => {
                     if !self.await_base(call).await {
@@ -383,10 +371,7 @@
                     let wait = patient_until.saturating_duration_since(now);
                     let purpose = LoadPurpose::Miss;
                     if !self.bring_adapter(call, sends, purpose, wait).await {
-                        return Err(GivenUp::until(
-                            ResultCode::AdapterNotReady,
-                            BUSY_RETRY_AFTER,
-                        ));
+                        return Err(busy(ResultCode::AdapterNotReady));
                     }
                 }
             }
@@ -438,6 +423,11 @@
     }
 }
 
+/// A request is given up whose caller may find room in a moment.
+fn busy(code: ResultCode) -> GivenUp {
+    GivenUp::until(code, BUSY_RETRY_AFTER)
+}
+
 fn need<'a>(call: &'a Call, tried: &'a [UpstreamId]) -> Need<'a> {
     Need {
         service: &call.service,
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -1,6 +1,6 @@
 //! Which upstream gets a request.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -131,8 +131,8 @@
 
     /// Takes in the list of upstreams. Those that are missing get nothing new.
     pub fn set_upstreams(&mut self, list: &[Arc<Upstream>], now: Instant) {
-        self.upstreams
-            .retain(|id, _| list.iter().any(|upstream| upstream.id == *id));
+        let listed: HashSet<&UpstreamId> = list.iter().map(|upstream| &upstream.id).collect();
+        self.upstreams.retain(|id, _| listed.contains(id));
         for upstream in list {
             match self.upstreams.get_mut(&upstream.id) {
                 Some(tracked) => tracked.note_entry(Arc::clone(upstream), now),
