Try an upstream again that stays listed after another process answered at its address

Both plain upstreams had once answered 421 under another name, and were taken for gone for as long as they were listed.

Change: for six seconds; the list shows by then that an upstream is gone.

--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -184,7 +184,7 @@
             Some(model) if !is_other => {
                 dispatcher.note_absent(&choice.upstream.id, model, Instant::now());
             }
-            _ => dispatcher.note_gone(&choice.upstream.id),
+            _ => dispatcher.note_gone(&choice.upstream.id, Instant::now()),
         }
     }
 
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -131,7 +131,7 @@
             tracked.upstream.service == *service
                 && tracked.upstream.takes_work()
                 && !self.is_out(tracked, now)
-                && !tracked.is_gone
+                && !tracked.is_gone(now)
                 && tracked.takes_loads(now)
                 && has_base
                 && place.includes(&tracked.upstream.failure_domain)
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -168,9 +168,9 @@
     }
 
     /// Takes in that another process has an upstream's address.
-    pub fn note_gone(&mut self, id: &UpstreamId) {
+    pub fn note_gone(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
-            tracked.is_gone = true;
+            tracked.note_gone(now);
         }
     }
 
@@ -229,7 +229,7 @@
         for tracked in self
             .upstreams
             .values()
-            .filter(|tracked| is_candidate(tracked, need))
+            .filter(|tracked| is_candidate(tracked, need, now))
         {
             refusal = refusal.max_reason(Refusal::AdapterAbsent);
             let version = need.model.and_then(|model| tracked.version_of(model, now));
@@ -311,7 +311,7 @@
         self.upstreams.values().any(|tracked| {
             tracked.upstream.service == *service
                 && tracked.upstream.takes_work()
-                && !tracked.is_gone
+                && !tracked.is_gone(now)
                 && !self.is_out(tracked, now)
                 && tracked.has_base(model, now)
         })
@@ -443,10 +443,10 @@
 }
 
 /// Whether an upstream may be sent the request at all.
-fn is_candidate(tracked: &Tracked, need: &Need<'_>) -> bool {
+fn is_candidate(tracked: &Tracked, need: &Need<'_>, now: Instant) -> bool {
     tracked.upstream.service == *need.service
         && tracked.upstream.takes_work()
-        && !tracked.is_gone
+        && !tracked.is_gone(now)
         && !need.tried.contains(&tracked.upstream.id)
 }
 
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -77,6 +77,10 @@
 /// list's lag.
 const TOLD_LIFE: Duration = Duration::from_millis(2_500);
 
+/// How long an upstream gets nothing after another process answered at its address. The list of upstreams shows
+/// by then that it is gone; one that is listed still may have answered wrongly.
+const GONE_LIFE: Duration = Duration::from_secs(6);
+
 /// How long a report of the load says anything: a queue of prompts is read in some 300 ms.
 const REPORT_LIFE: Duration = Duration::from_millis(600);
 
@@ -123,8 +127,8 @@
     pub unread_tokens: u64,
     /// Failures.
     pub health: Health,
-    /// Whether another process has its address, before the list of upstreams shows it.
-    pub is_gone: bool,
+    /// When another process answered at its address.
+    gone_at: Option<Instant>,
     /// The last report of its load.
     pub report: Option<Report>,
     /// How long a request takes up a slot, in milliseconds.
@@ -150,7 +154,7 @@
             in_flight: 0,
             unread_tokens: 0,
             health: Health::default(),
-            is_gone: false,
+            gone_at: None,
             report: None,
             run_ms: FIRST_RUN_MS,
             pace: 1.0,
@@ -302,6 +306,17 @@
         self.waiting_since.get_or_insert(now);
     }
 
+    /// Takes in that another process answered at its address.
+    pub(crate) fn note_gone(&mut self, now: Instant) {
+        self.gone_at = Some(now);
+    }
+
+    /// Whether another process has its address, before the list of upstreams shows it.
+    pub(crate) fn is_gone(&self, now: Instant) -> bool {
+        self.gone_at
+            .is_some_and(|at| now.duration_since(at) < GONE_LIFE)
+    }
+
     /// Takes in that it reads a prompt.
     pub(crate) fn note_prompt(&mut self, prompt: &PromptChain, now: Instant) {
         self.kept.note(prompt, now);
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -158,13 +158,22 @@
 #[test]
 fn an_engine_whose_address_was_taken_over_gets_nothing() {
     let mut world = World::new([engine("e1", &["a1"])]);
-    world.dispatcher.note_gone(&"e1".into());
+    world.dispatcher.note_gone(&"e1".into(), world.now);
     world
         .dispatcher
         .set_upstreams(&list([engine("e1", &["a1"])]), world.now);
     assert_eq!(world.choose(), Err(Refusal::NoUpstream));
 }
 
+// Guards against a node that never uses an upstream again which once answered under another name.
+#[test]
+fn an_upstream_that_stays_listed_is_tried_again() {
+    let mut world = World::new([engine("e1", &["a1"])]);
+    world.dispatcher.note_gone(&"e1".into(), world.now);
+    world.now += Duration::from_secs(6);
+    assert!(world.choose().is_ok());
+}
+
 #[test]
 fn a_draining_engine_gets_nothing_new() {
     let draining = Upstream {
