Begin a lender's buckets once it may lend

Cause, found by reading the change again: a node that takes the lender's key over waits 4.4 s before it lends, as the lender before may go on for 4 s. Its buckets were made when the key was written, so they filled in meanwhile, and up to 4 s of the failure domain's part of a rate (less by their capacity) could have been lent twice.

Change: quotas are taken in only while the node may lend. A first lender and one that takes its own earlier key may at once, as before.

--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -115,13 +115,16 @@
     }
 
     /// Brings the lender's quotas up to the configuration in force.
+    ///
+    /// Buckets begin once this node may lend: filled in while the lender before may still lend, the same tokens
+    /// would exist twice.
     pub(crate) fn refresh_quotas(&self) {
         let table = self.table.borrow();
         let Some(table) = table.as_ref() else {
             return;
         };
         let mut own = self.lending.own.borrow_mut();
-        let Some(own) = own.as_mut() else {
+        let Some(own) = own.as_mut().filter(|own| own.may_lend(boot_time())) else {
             return;
         };
         if self.lending.version.replace(table.version) != table.version {
