Log a digest of each request's content

Twelve ends of engines had a note for one adapter and one prompt length under way, under twelve ids, and no line tells whether they were one request or twelve.

Change: a digest of method, host, path, team and body stands in RequestRefused, RequestEnded and AnswerCut. No header goes into it, as each repeat has its own id and deadline.

--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use nutmegsail_base::{RequestId, ServiceName};
-use nutmegsail_relay::{CallKind, Caller, PromptChain, Route, VersionRule};
+use nutmegsail_relay::{CallKind, Caller, PromptChain, RequestDigest, Route, VersionRule};
 
 use super::admission::Tokens;
 use super::slot_client::SlotPermit;
@@ -52,6 +52,8 @@
     pub(crate) meta: CallMeta,
     /// The id that the caller gave this attempt.
     pub(crate) id: RequestId,
+    /// Its content, which is the same in each attempt.
+    pub(crate) digest: RequestDigest,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     /// Who sent it.
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{RequestId, ResultCode, TeamName, UpstreamId};
-use nutmegsail_relay::{ModelRef, Outcome};
+use nutmegsail_relay::{Choice, ModelRef, Outcome, RequestDigest};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::answer_body::AnswerCut;
+use super::call::Call;
 use super::gateway::Gateway;
 use super::slot_client::SlotPermit;
 
@@ -30,24 +31,21 @@
     /// The team of its caller.
     team: Option<TeamName>,
     request: RequestId,
+    digest: RequestDigest,
     /// How long the request had waited here before it was sent.
     waited: Duration,
 }
 
 impl Flight {
-    pub(crate) fn begin(
-        gateway: &Rc<Gateway>,
-        upstream: &UpstreamId,
-        model: Option<&ModelRef>,
-        unread_tokens: u64,
-        expected_ms: f64,
-        request: RequestId,
-        waited: Duration,
-    ) -> Self {
+    /// Counts `call` as sent to the upstream of `choice`, and takes over the slot that it has there.
+    pub(crate) fn begin(gateway: &Rc<Gateway>, call: &Call, choice: &Choice) -> Self {
         let now = Instant::now();
+        let upstream = &choice.upstream.id;
+        let unread_tokens = choice.unread_tokens;
         let mut dispatcher = gateway.dispatcher.borrow_mut();
         dispatcher.sent(upstream, unread_tokens, now);
         drop(dispatcher);
+        let model = call.meta.model.as_ref();
         if let Some(model) = model {
             gateway.shared.uses.begin(upstream, model, unread_tokens);
         }
@@ -56,24 +54,19 @@
             upstream: upstream.clone(),
             model: model.cloned(),
             unread_tokens,
-            expected_ms,
+            expected_ms: choice.expected_ms,
             sent: now,
             first: None,
             is_settled: false,
             is_ended: false,
-            slot: None,
-            team: None,
-            request,
-            waited,
+            slot: call.slot.take(),
+            team: call.caller.team().map(|team| team.name.clone()),
+            request: call.id.clone(),
+            digest: call.digest,
+            waited: now.duration_since(call.began),
         }
     }
 
-    /// Takes over the slot that the request has, and counts it for its team.
-    pub(super) fn hold(&mut self, slot: Option<SlotPermit>, team: Option<TeamName>) {
-        self.slot = slot;
-        self.team = team;
-    }
-
     /// Counts the request as ended.
     fn count_end(&self, code: Option<ResultCode>) {
         let metrics = &self.gateway.shared.metrics;
@@ -125,6 +118,7 @@
         log_event!(
             self.gateway.log, Event::AnswerCut,
             "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
+            "digest" => self.digest.to_string(),
             "age_ms" => self.sent.elapsed().as_millis(), "has_begun" => self.first.is_some(),
             "why" => cut.to_string()
         );
@@ -170,6 +164,7 @@
         log_event!(
             self.gateway.log, Event::RequestEnded,
             "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
+            "digest" => self.digest.to_string(),
             "waited_ms" => self.waited.as_millis(), "expected_ms" => self.expected_ms,
             "first_ms" => first.map(|first| first.as_millis()),
             "took_ms" => self.sent.elapsed().as_millis(), "is_settled" => self.is_settled,
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -302,7 +302,8 @@
         let tried: Vec<&str> = sends.tried.iter().map(|id| id.as_str()).collect();
         log_event!(
             self.log, Event::RequestRefused,
-            "request" => call.id.to_string(), "route" => call.route.name.to_string(),
+            "request" => call.id.to_string(), "digest" => call.digest.to_string(),
+            "route" => call.route.name.to_string(),
             "code" => refusal.code.to_string(),
             "team" => call.caller.team().map(|team| team.name.to_string()), "run_state" => refusal.run_state().to_string(),
             "age_ms" => call.began.elapsed().as_millis(),
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::prepare_socket;
-use nutmegsail_relay::{PromptChain, RouteTable};
+use nutmegsail_relay::{PromptChain, RequestContent, RequestDigest, RouteTable};
 use nutmegsail_request::{Refusal, Request as Life};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -170,6 +170,13 @@
             self.log_denied(&request_id(Some(&meta)), route, &meta.key, denied);
             Turned::from(GivenUp::from(denied))
         })?;
+        let digest = RequestDigest::of(&RequestContent {
+            method: parts.method.as_str(),
+            host,
+            path: parts.uri.path_and_query().map_or("", |path| path.as_str()),
+            team: caller.team().map(|team| &team.name),
+            body: &body,
+        });
         let service = route.service(rand::random::<f64>()).clone();
         let overlap = self.version_overlap();
         let version = meta
@@ -190,6 +197,7 @@
             body,
             meta,
             id,
+            digest,
             service,
             caller,
             tokens: Tokens::default(),
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -71,17 +71,7 @@
         };
         self.spend_tokens(call);
         let request = call.to_upstream(&*self.dialect, &send, last_event);
-        let mut flight = Flight::begin(
-            self,
-            &upstream.id,
-            call.meta.model.as_ref(),
-            choice.unread_tokens,
-            choice.expected_ms,
-            call.id.clone(),
-            now.duration_since(call.began),
-        );
-        let team = call.caller.team().map(|team| team.name.clone());
-        flight.hold(call.slot.take(), team);
+        let mut flight = Flight::begin(self, call, choice);
         self.dispatcher
             .borrow_mut()
             .note_prompt(&upstream.id, &call.prompt, now);
--- /dev/null
+++ b/crates/relay/src/request_digest.rs
@@ -0,0 +1,63 @@
+//! What makes two requests the same one.
+
+use std::fmt;
+
+use nutmegsail_base::TeamName;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+/// Bytes of the hash that are kept.
+const DIGEST_BYTES: usize = 16;
+
+/// The parts of a request by which a repeat of it is known. Headers are none of them: each repeat has an
+/// id and a deadline of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host that it names, without a port.
+    pub host: &'a str,
+    /// The path, with the query.
+    pub path: &'a str,
+    /// The team of its caller, if it is known.
+    pub team: Option<&'a TeamName>,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Stands for a request's content between nodes and in logs. Nothing of the content can be read from it.
+///
+/// ```
+/// use nutmegsail_relay::{RequestContent, RequestDigest};
+/// let content = RequestContent { method: "POST", host: "spa", path: "/notes/1", team: None, body: b"guest" };
+/// let digest = RequestDigest::of(&content);
+/// assert_eq!(digest, RequestDigest::of(&content.clone()));
+/// assert_ne!(digest, RequestDigest::of(&RequestContent { body: b"other", ..content }));
+/// assert_eq!(digest.to_string().len(), 32);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestDigest([u8; DIGEST_BYTES]);
+
+impl RequestDigest {
+    /// The digest of `content`.
+    pub fn of(content: &RequestContent<'_>) -> Self {
+        let team = content.team.map_or("", |team| team.as_str());
+        let mut hash = Sha256::new();
+        for part in [content.method, content.host, content.path, team] {
+            // With its length, so that no part can run into the next.
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        hash.update(content.body);
+        let hash: [u8; 32] = hash.finalize().into();
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&hash[..DIGEST_BYTES]);
+        Self(digest)
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
