Log which upstreams ended while requests began there

AnswerCut says that an answer broke off, and not whether the engine ended or broke off one answer.

Change: when a connection breaks before its answer is whole, the node opens another one to the upstream at once, and keeps it for the next request. Refused, the upstream has ended: UpstreamEnded (NE3017) names it and the digests of the requests that had not begun, or had begun less than a second before. CrashWatch decides this, without a socket or clock.

--- a/crates/http-pool/src/connection.rs
+++ b/crates/http-pool/src/connection.rs
@@ -1,5 +1,6 @@
 //! One connection with the task that drives it.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::{SendError, prepare_socket};
+use crate::{OpenError, prepare_socket};
 
 /// The largest read from a connection, in bytes, and with it all that is buffered of an answer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -40,6 +41,13 @@
     _permit: OwnedSemaphorePermit,
 }
 
+fn open_error(kind: ErrorKind) -> OpenError {
+    match kind {
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => OpenError::Refused,
+        _ => OpenError::Silent,
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -51,21 +59,19 @@
         address: &str,
         connect_timeout: Duration,
         permit: OwnedSemaphorePermit,
-    ) -> Result<Self, SendError> {
+    ) -> Result<Self, OpenError> {
         let open = async {
-            let stream = TcpStream::connect(address).await.ok()?;
+            let stream = TcpStream::connect(address).await;
+            let stream = stream.map_err(|error| open_error(error.kind()))?;
             prepare_socket(&stream);
             http1::Builder::new()
                 .max_buf_size(READ_BUFFER_BYTES)
                 .handshake(TokioIo::new(stream))
                 .await
-                .ok()
+                .map_err(|_| OpenError::Silent)
         };
-        let (sender, driver) = timeout(connect_timeout, open)
-            .await
-            .ok()
-            .flatten()
-            .ok_or(SendError::NotSent)?;
+        let opened = timeout(connect_timeout, open).await;
+        let (sender, driver) = opened.unwrap_or(Err(OpenError::Silent))?;
         Ok(Self {
             sender,
             driver: tokio::spawn(async move {
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use pool::{Pool, PoolSettings};
 pub use pooled_body::PooledBody;
-pub use send_error::SendError;
+pub use send_error::{OpenError, SendError};
 pub use socket::prepare_socket;
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{Connection, Failed};
-use crate::{PooledBody, SendError};
+use crate::{OpenError, PooledBody, SendError};
 
 /// How a [`Pool`] keeps connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -142,9 +142,7 @@
                 Err(Failed::MaybeSent) => return Err(SendError::Broken),
             }
         }
-        let permit = self.shared.permit(address)?;
-        let connect_timeout = self.shared.settings.connect_timeout;
-        let connection = Connection::open(address, connect_timeout, permit).await?;
+        let connection = self.connect(address).await?;
         let answer = self.send_on(connection, address, request).await;
         answer.map_err(|failed| match failed {
             Failed::Unsent(_) => SendError::NotSent,
@@ -152,6 +150,23 @@
         })
     }
 
+    /// Opens a connection to `address` and keeps it for the next request.
+    ///
+    /// # Errors
+    ///
+    /// [`OpenError`] if there is none to be had.
+    pub async fn open(&self, address: &str) -> Result<(), OpenError> {
+        let connection = self.connect(address).await?;
+        self.shared.keep(address, connection);
+        Ok(())
+    }
+
+    async fn connect(&self, address: &str) -> Result<Connection, OpenError> {
+        let permit = self.shared.permit(address)?;
+        let connect_timeout = self.shared.settings.connect_timeout;
+        Connection::open(address, connect_timeout, permit).await
+    }
+
     async fn send_on(
         &self,
         mut connection: Connection,
@@ -178,7 +193,7 @@
             .pop_if(|kept| kept.idle_since.elapsed() <= max_idle)
     }
 
-    fn permit(&self, address: &str) -> Result<OwnedSemaphorePermit, SendError> {
+    fn permit(&self, address: &str) -> Result<OwnedSemaphorePermit, OpenError> {
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let limit = self.settings.connections_per_address;
         if !hosts.contains_key(address) {
@@ -191,7 +206,7 @@
             hosts.insert(address.into(), host);
         }
         let free = Arc::clone(&hosts[address].free);
-        free.try_acquire_owned().map_err(|_| SendError::AtLimit)
+        free.try_acquire_owned().map_err(|_| OpenError::AtLimit)
     }
 
     fn keep(&self, address: &str, mut connection: Connection) {
--- a/crates/http-pool/src/send_error.rs
+++ b/crates/http-pool/src/send_error.rs
@@ -2,6 +2,29 @@
 
 use thiserror::Error;
 
+/// Why no connection could be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum OpenError {
+    /// The other end refused it: nothing listens at the address.
+    #[error("nothing listens at the address")]
+    Refused,
+    /// No answer came in time, or the network has no way to the address.
+    #[error("the address did not answer")]
+    Silent,
+    /// All connections that the pool may have to this address are in use.
+    #[error("every connection to the address is in use")]
+    AtLimit,
+}
+
+impl From<OpenError> for SendError {
+    fn from(error: OpenError) -> Self {
+        match error {
+            OpenError::Refused | OpenError::Silent => Self::NotSent,
+            OpenError::AtLimit => Self::AtLimit,
+        }
+    }
+}
+
 /// Why [`Pool::send`](crate::Pool::send) has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum SendError {
--- a/crates/http-pool/tests/once.rs
+++ b/crates/http-pool/tests/once.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
-use nutmegsail_http_pool::{Pool, PoolSettings, PooledBody, SendError};
+use nutmegsail_http_pool::{OpenError, Pool, PoolSettings, PooledBody, SendError};
 use scripted_server::{ScriptedServer, SeenRequest, Turn, answer};
 use tokio::net::TcpListener;
 
@@ -118,3 +118,23 @@
         } => assert_eq!(second.unwrap_err(), SendError::AtLimit),
     }
 }
+
+#[tokio::test]
+async fn an_address_where_nothing_listens_refuses_a_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let pool = Pool::new(PoolSettings::default());
+    assert_eq!(pool.open(&address).await, Ok(()));
+    drop(listener);
+    assert_eq!(pool.open(&address).await, Err(OpenError::Refused));
+}
+
+#[tokio::test]
+async fn a_connection_opened_ahead_carries_the_next_request() {
+    let server = ScriptedServer::start([ok()]).await;
+    let pool = Pool::new(PoolSettings::default());
+    pool.open(&server.address).await.unwrap();
+    let answer = pool.send(&server.address, get("/1")).await.unwrap();
+    assert_eq!(whole(answer).await.unwrap(), "ok");
+    assert_eq!(server.connections(), 1);
+}
--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -80,6 +80,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(SendError::Broken | SendError::NotSent | SendError::AtLimit))) => {
+                self.flight.note_disconnected();
                 self.flight.note_cut(AnswerCut::Upstream);
                 Poll::Ready(Some(Err(AnswerCut::Upstream)))
             }
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -1,10 +1,11 @@
 //! A request's place in the books while it is at an upstream.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{RequestId, ResultCode, TeamName, UpstreamId};
-use nutmegsail_relay::{Choice, ModelRef, Outcome, RequestDigest};
+use nutmegsail_base::{RequestId, ResultCode, TeamName};
+use nutmegsail_relay::{BrokenRequest, Choice, ModelRef, Outcome, RequestDigest, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::answer_body::AnswerCut;
@@ -15,7 +16,7 @@
 /// One send. Dropping it at any point, also because the caller went away, settles the books.
 pub(crate) struct Flight {
     gateway: Rc<Gateway>,
-    upstream: UpstreamId,
+    upstream: Arc<Upstream>,
     model: Option<ModelRef>,
     unread_tokens: u64,
     expected_ms: f64,
@@ -51,7 +52,7 @@
         }
         Self {
             gateway: Rc::clone(gateway),
-            upstream: upstream.clone(),
+            upstream: Arc::clone(&choice.upstream),
             model: model.cloned(),
             unread_tokens,
             expected_ms: choice.expected_ms,
@@ -87,10 +88,10 @@
         self.gateway
             .shared
             .uses
-            .read(&self.upstream, self.unread_tokens);
+            .read(&self.upstream.id, self.unread_tokens);
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        dispatcher.prompt_read(&self.upstream, self.unread_tokens);
-        dispatcher.answer_began(&self.upstream, self.expected_ms, took, now);
+        dispatcher.prompt_read(&self.upstream.id, self.unread_tokens);
+        dispatcher.answer_began(&self.upstream.id, self.expected_ms, took, now);
     }
 
     /// The answer ended whole. Told with its last byte and again by whoever polls past that.
@@ -117,7 +118,7 @@
         }
         log_event!(
             self.gateway.log, Event::AnswerCut,
-            "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
+            "request" => self.request.to_string(), "upstream" => self.upstream.id.to_string(),
             "digest" => self.digest.to_string(),
             "age_ms" => self.sent.elapsed().as_millis(), "has_begun" => self.first.is_some(),
             "why" => cut.to_string()
@@ -129,6 +130,16 @@
         self.settle(Outcome::Failed);
     }
 
+    /// The connection to the upstream broke: it may have ended.
+    pub(crate) fn note_disconnected(&mut self) {
+        self.note_broken();
+        let broken = BrokenRequest {
+            digest: self.digest,
+            began_ago: self.first.map(|first| first.elapsed()),
+        };
+        self.gateway.note_broken(&self.upstream, broken);
+    }
+
     /// The upstream had no room.
     pub(crate) fn note_full(&mut self) {
         self.settle(Outcome::Full);
@@ -139,7 +150,7 @@
             self.is_settled = true;
             self.gateway.shared.metrics.sent(outcome.name());
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-            dispatcher.note_outcome(&self.upstream, outcome, Instant::now());
+            dispatcher.note_outcome(&self.upstream.id, outcome, Instant::now());
         }
     }
 }
@@ -149,12 +160,12 @@
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         let uses = &self.gateway.shared.uses;
         if self.first.is_none() {
-            dispatcher.prompt_read(&self.upstream, self.unread_tokens);
-            uses.read(&self.upstream, self.unread_tokens);
+            dispatcher.prompt_read(&self.upstream.id, self.unread_tokens);
+            uses.read(&self.upstream.id, self.unread_tokens);
         }
-        dispatcher.ended(&self.upstream);
+        dispatcher.ended(&self.upstream.id);
         if let Some(model) = &self.model {
-            uses.end(&self.upstream, model);
+            uses.end(&self.upstream.id, model);
         }
         let first = self.first.map(|first| first.duration_since(self.sent));
         if let Some(took) = first {
@@ -163,7 +174,7 @@
         }
         log_event!(
             self.gateway.log, Event::RequestEnded,
-            "request" => self.request.to_string(), "upstream" => self.upstream.to_string(),
+            "request" => self.request.to_string(), "upstream" => self.upstream.id.to_string(),
             "digest" => self.digest.to_string(),
             "waited_ms" => self.waited.as_millis(), "expected_ms" => self.expected_ms,
             "first_ms" => first.map(|first| first.as_millis()),
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -11,8 +11,8 @@
 use nutmegsail_base::{FailureDomain, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Choice, Dispatcher, LoadPurpose, Need, Refusal as NoChoice, RetryBudget, RetryBudgetRules,
-    StatedPatience,
+    Choice, CrashWatch, Dispatcher, LoadPurpose, Need, Refusal as NoChoice, RetryBudget,
+    RetryBudgetRules, StatedPatience,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -68,6 +68,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) pool: Pool,
     pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(super) crash_watch: RefCell<CrashWatch>,
     pub(crate) bounds: BoundSettings,
     pub(crate) link: Rc<Link>,
     pub(crate) quotas: Rc<QuotaClient>,
@@ -160,6 +161,7 @@
             dialect: parts.dialect,
             pool,
             dispatcher: RefCell::new(Dispatcher::new(parts.failure_domain)),
+            crash_watch: RefCell::default(),
             bounds: parts.bounds,
             quotas: Rc::new(QuotaClient::new(Rc::clone(&link))),
             slots: Rc::new(SlotClient::new(Rc::clone(&link))),
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod answer_body;
 mod call;
+mod crash_check;
 mod flight;
 mod gateway;
 mod link;
--- a/crates/relay-node/src/traffic/resumable_body.rs
+++ b/crates/relay-node/src/traffic/resumable_body.rs
@@ -126,7 +126,10 @@
                 // Events that come twice are of an upstream that began anew.
                 self.events.push(&bytes).map_or(Step::Broken, Step::Events)
             }
-            Poll::Ready(Some(Err(_))) => Step::Broken,
+            Poll::Ready(Some(Err(_))) => {
+                reading.flight.note_disconnected();
+                Step::Broken
+            }
             Poll::Ready(None) => Step::Whole,
             Poll::Pending if self.silence.as_mut().poll(cx).is_ready() => Step::Broken,
             Poll::Pending => Step::Nothing,
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -91,7 +91,7 @@
             }
             Ok(Err(SendError::AtLimit)) => return Sent::NotArrived,
             Ok(Err(SendError::Broken)) => {
-                flight.note_broken();
+                flight.note_disconnected();
                 return Sent::Lost;
             }
             Err(_) => {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -100,6 +100,7 @@
     3014 UpstreamEntryRejected Warning "An entry of the list of upstreams names none that can be used.";
     3015 ModelChangeBegun Info "An engine begins to hold another base model.";
     3016 ModelChangeFailed Warning "An engine did not come to hold another base model.";
+    3017 UpstreamEnded Warning "An upstream ended while requests began there that may have ended it.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
