Refuse a request after three upstreams ended under it

Cause: all that a node remembers of a request lives for one attempt of its caller, under that attempt's id: the upstreams tried, the attempts, the budget. A repeat has a new id and comes to another node, so nothing was ever counted over attempts or nodes. The class of fault: what may fail again for the same reason is retried with a memory shorter than the retry.

Change: ends of upstreams are held against the requests that were beginning there, by digest of their content (Suspects). Nodes tell each other of each end in their next exchange, three times, and all that they know to a few nodes twice a second, so that one that starts or comes into touch late learns it as well. After the third end a request is refused at once with NS3008, 502, by every node and before every send: the first, further ones, and those that go on with a stream. While ends and copies on their way reach three together, or its upstream is being looked for, it waits, a second at most (NS3009). A whole answer clears, at every node. Ends of upstreams that were leaving count for nobody.

Metrics: suspects, upstream_ends.

--- a/crates/base/src/result_code.rs
+++ b/crates/base/src/result_code.rs
@@ -76,6 +76,8 @@
     3005 AnswerCut 502 true "The answer broke off; the events received so far are valid.";
     3006 AdapterNotReady 503 true "No engine could make the adapter ready in time.";
     3007 DeadlinePassed 504 false "The deadline passed while the upstream was working.";
+    3008 CrashesUpstreams 502 false "Upstreams ended under this request one after the other; it is sent to no other one.";
+    3009 OnTrial 503 true "Upstreams ended under this request, and it runs elsewhere now; it did not run here.";
     4001 KeyMissing 400 false "This call runs once and needs an Idempotency-Key.";
     4002 KeyMalformed 400 false "The Idempotency-Key is not a UUID version 7.";
     4003 KeyTooOld 400 false "The Idempotency-Key is older than its claim is kept.";
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -12,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
-use nutmegsail_relay::{EngineLoadNow, Holdings, HoldingsTold, ModelRef, readers_by_domain};
+use nutmegsail_relay::{
+    EngineLoadNow, Holdings, HoldingsTold, ModelRef, SuspectTold, readers_by_domain,
+};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -23,6 +25,7 @@
 use super::knowledge::Knowledge;
 use super::load_board::{LoadBoard, LoadPage};
 use super::model_demand::ModelsAsked;
+use super::suspect_news::SuspectNews;
 use crate::shared::{Asked, CopyNews, EngineNews, EngineUse};
 use crate::traffic_message::TrafficMessage;
 
@@ -83,6 +86,11 @@
     Traffic(TrafficMessage),
     /// What callers ask of base models.
     Models { from: NodeId, asked: ModelsAsked },
+    /// Requests that upstreams ended under.
+    Suspects {
+        from: NodeId,
+        told: Vec<SuspectTold>,
+    },
 }
 
 /// A message of a traffic thread as a datagram.
@@ -104,6 +112,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut board = LoadBoard::default();
+    let mut suspect_news = SuspectNews::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -111,6 +120,7 @@
                 gather(&knowledge, &socket, &mut board);
                 tell_models(&knowledge, &socket);
                 tell_alive(&knowledge, &socket);
+                tell_suspects(&knowledge, &socket, &mut suspect_news);
             }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
@@ -234,6 +244,14 @@
     }
 }
 
+/// Tells of requests that upstreams ended under.
+fn tell_suspects(knowledge: &Knowledge, socket: &UdpSocket, news: &mut SuspectNews) {
+    for (told, address) in news.turn(knowledge) {
+        let from = knowledge.settings.node.clone();
+        send(socket, &Message::Suspects { from, told }, address);
+    }
+}
+
 /// Tells what callers of this node ask of base models.
 fn tell_models(knowledge: &Knowledge, socket: &UdpSocket) {
     let own = knowledge.shared.models_asked.take();
@@ -302,6 +320,10 @@
             let send = |message, to| send(socket, &traffic(message), to);
             knowledge.take_slot_message(message, sender, send);
         }
+        Ok(Message::Suspects { from, told }) => {
+            knowledge.take_suspects(&from, &told);
+            knowledge.note_heard(from);
+        }
         Ok(Message::Models { from, asked }) => {
             knowledge.note_heard(from.clone());
             let nodes = knowledge.nodes.borrow();
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod reading;
 mod slots;
+mod suspect_news;
 mod upstreams_watch;
 mod watch;
 
--- /dev/null
+++ b/crates/relay-node/src/control/suspect_news.rs
@@ -0,0 +1,91 @@
+//! Tells other nodes of requests that upstreams ended under.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::NodeId;
+use nutmegsail_relay::{NodeRecord, SuspectTold};
+use rand::seq::IteratorRandom as _;
+
+use super::knowledge::Knowledge;
+
+/// Requests in one datagram: some 80 bytes each.
+const TOLD_AT_ONCE: usize = 12;
+
+/// How often nodes are told of all that is known. Within a few times every node hears it, also one that has
+/// just started or whose failure domain was cut off.
+const STANDING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Nodes of the own failure domain, and as many of others, that are told then.
+const STANDING_NODES: usize = 2;
+
+/// When this node told last of all that it knows.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectNews {
+    told: Option<Instant>,
+}
+
+impl SuspectNews {
+    /// What is to be told now, and to whom.
+    pub(super) fn turn(&mut self, knowledge: &Knowledge) -> Vec<(Vec<SuspectTold>, SocketAddr)> {
+        let now = Instant::now();
+        let mut suspects = knowledge.shared.suspects();
+        let news = suspects.news(now);
+        let is_due = self
+            .told
+            .is_none_or(|told| now.duration_since(told) >= STANDING_INTERVAL);
+        let standing = match is_due {
+            true => suspects.standing(TOLD_AT_ONCE, now),
+            false => Vec::new(),
+        };
+        drop(suspects);
+        let mut messages = Vec::new();
+        for part in news.chunks(TOLD_AT_ONCE) {
+            let all = others(knowledge);
+            messages.extend(all.into_iter().map(|to| (part.to_vec(), to)));
+        }
+        if is_due {
+            self.told = Some(now);
+        }
+        if !standing.is_empty() {
+            let some = some_others(knowledge).into_iter();
+            messages.extend(some.map(|to| (standing.clone(), to)));
+        }
+        messages
+    }
+}
+
+impl Knowledge {
+    /// Takes in what another node told of requests that upstreams ended under.
+    pub(crate) fn take_suspects(&self, from: &NodeId, told: &[SuspectTold]) {
+        let (mut suspects, now) = (self.shared.suspects(), Instant::now());
+        for told in told {
+            suspects.take(from, told, now);
+        }
+    }
+}
+
+fn others(knowledge: &Knowledge) -> Vec<SocketAddr> {
+    let nodes = knowledge.nodes.borrow();
+    let others = nodes.values().filter(|node| !is_self(knowledge, node));
+    others.map(|node| node.address).collect()
+}
+
+/// A few nodes of the own failure domain, and of others, drawn anew each time.
+fn some_others(knowledge: &Knowledge) -> Vec<SocketAddr> {
+    let nodes = knowledge.nodes.borrow();
+    let here = &knowledge.settings.failure_domain;
+    let others = nodes.values().filter(|node| !is_self(knowledge, node));
+    let (near, far): (Vec<_>, Vec<_>) = others.partition(|node| node.failure_domain == *here);
+    let mut random = rand::rng();
+    let drawn = [near, far].map(|nodes| nodes.into_iter().sample(&mut random, STANDING_NODES));
+    drawn
+        .into_iter()
+        .flatten()
+        .map(|node| node.address)
+        .collect()
+}
+
+fn is_self(knowledge: &Knowledge, node: &NodeRecord) -> bool {
+    node.node == knowledge.settings.node
+}
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -25,6 +25,7 @@
     loads: Counter<u64>,
     store_calls: Counter<u64>,
     reader_silent: Counter<u64>,
+    upstream_ends: Counter<u64>,
     first_event: Histogram<f64>,
     wait: Histogram<f64>,
     load_time: Histogram<f64>,
@@ -34,6 +35,7 @@
     owned_engines: Gauge<u64>,
     model_engines: Gauge<u64>,
     connections: Gauge<u64>,
+    suspects: Gauge<u64>,
     store_age: Gauge<u64>,
 }
 
@@ -66,6 +68,10 @@
                 "nutmegsail.relay.reader_silent",
                 "Times that the node which reads the store for this one did not answer.",
             ),
+            upstream_ends: counter(
+                "nutmegsail.relay.upstream_ends",
+                "Times that an upstream ended while requests began there.",
+            ),
             first_event: times(
                 "nutmegsail.relay.first_event",
                 "From a send to the first event.",
@@ -96,6 +102,10 @@
                 "nutmegsail.relay.connections",
                 "Open connections of callers.",
             ),
+            suspects: gauge(
+                "nutmegsail.relay.suspects",
+                "Requests that upstreams ended under, by whether they are refused.",
+            ),
             store_age: gauge(
                 "nutmegsail.relay.store_age_ms",
                 "How old what is known of the store was when the page was asked for.",
@@ -144,6 +154,18 @@
         self.reader_silent.add(1, &[]);
     }
 
+    /// An upstream ended while requests began there.
+    pub(crate) fn upstream_ended(&self) {
+        self.upstream_ends.add(1, &[]);
+    }
+
+    /// Requests that are refused as upstreams ended under them, and others that upstreams ended under.
+    pub(crate) fn suspects(&self, refused: usize, others: usize) {
+        let is_refused = |is: bool| [KeyValue::new("refused", is)];
+        self.suspects.record(refused as u64, &is_refused(true));
+        self.suspects.record(others as u64, &is_refused(false));
+    }
+
     /// What is known now.
     pub(crate) fn known(&self, configuration: u64, upstreams: usize, owned_engines: usize) {
         self.configuration.record(configuration, &[]);
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -10,7 +10,7 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
     AccessRules, DomainsHeard, Holdings, HoldingsTold, LoadPlace, LoadPurpose, LoadTimes,
-    ModelDigest, ModelRef, Report, RouteTable, Upstream, Versions, WantedCopies,
+    ModelDigest, ModelRef, Report, RouteTable, Suspects, Upstream, Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -272,6 +272,7 @@
     pub(crate) uses: Uses,
     pub(crate) models_asked: ModelsAsked,
     pub(crate) news: News,
+    suspects: Mutex<Suspects>,
     pub(crate) wants: mpsc::Sender<Want>,
     pub(crate) metrics: RelayMetrics,
     /// Open connections of callers.
@@ -296,6 +297,7 @@
             uses: Uses::default(),
             models_asked: ModelsAsked::default(),
             news: News::default(),
+            suspects: Mutex::default(),
             wants,
             metrics,
             connections: AtomicUsize::new(0),
@@ -313,10 +315,17 @@
         let answered_ms = self.store_answered_ms.load(Ordering::Relaxed);
         let answered = (answered_ms > 0).then(|| Duration::from_millis(answered_ms));
         let age = answered.map(|at| boot_time().saturating_sub(at));
+        let (refused, struck) = self.suspects().counts(Instant::now());
+        self.metrics.suspects(refused, struck - refused);
         self.metrics
             .asked(self.connections.load(Ordering::Relaxed), age);
     }
 
+    /// The requests that upstreams ended under.
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes in that the node knows enough to serve. It stays so while the store is away.
     pub(crate) fn note_knowing(&self) {
         self.readiness().is_knowing = true;
--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -1,19 +1,96 @@
-//! Looks for upstreams whose connections break.
+//! Looks for upstreams whose connections break, and keeps requests that upstreams end under from others.
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use nutmegsail_base::ResultCode;
 use nutmegsail_http_pool::OpenError;
-use nutmegsail_relay::{BrokenRequest, CrashStep, Reach, RequestDigest, Upstream};
+use nutmegsail_relay::{BrokenRequest, CrashStep, Reach, RequestDigest, Suspicion, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
+use super::call::Call;
 use super::gateway::Gateway;
+use super::refuse::GivenUp;
+
+/// How long a request waits while others like it show whether they crash their upstreams. They begin to run, or
+/// end with their upstream, within some hundred milliseconds.
+const TRIAL_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// How often it looks.
+const TRIAL_LOOK: Duration = Duration::from_millis(10);
+
+/// A request at an upstream, after others ended under it.
+pub(super) struct Trial {
+    gateway: Rc<Gateway>,
+    digest: RequestDigest,
+}
+
+impl Trial {
+    /// Counts a request that is sent, if upstreams ended under it before.
+    pub(super) fn begin(gateway: &Rc<Gateway>, digest: RequestDigest) -> Option<Self> {
+        let mut suspects = gateway.shared.suspects();
+        let is_trial = suspects.begin_trial(&digest, Instant::now());
+        is_trial.then(|| Self {
+            gateway: Rc::clone(gateway),
+            digest,
+        })
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.gateway.shared.suspects().end_trial(&self.digest);
+    }
+}
 
 impl Gateway {
+    /// Lets a request go on unless upstreams end under it. One whose upstream may just have ended, or of which others are
+    /// on trial, waits for what comes of that.
+    pub(super) async fn await_trials(&self, call: &Call) -> Result<(), GivenUp> {
+        let until = call.due.min(Instant::now() + TRIAL_PATIENCE);
+        loop {
+            match self.suspicion(&call.digest) {
+                Suspicion::None => return Ok(()),
+                Suspicion::Crashes => {
+                    self.log_crashing(call);
+                    return Err(GivenUp {
+                        code: ResultCode::CrashesUpstreams,
+                        retry_after: None,
+                    });
+                }
+                Suspicion::OnTrial if Instant::now() >= until => {
+                    return Err(GivenUp::until(ResultCode::OnTrial, TRIAL_PATIENCE));
+                }
+                Suspicion::OnTrial => sleep(TRIAL_LOOK).await,
+            }
+        }
+    }
+
+    fn suspicion(&self, digest: &RequestDigest) -> Suspicion {
+        match self.crash_watch.borrow().is_checking(digest) {
+            true => Suspicion::OnTrial,
+            false => self.shared.suspects().suspicion(digest, Instant::now()),
+        }
+    }
+
+    fn log_crashing(&self, call: &Call) {
+        let ages = self.shared.suspects().ages(&call.digest, Instant::now());
+        let ages: Vec<String> = ages.iter().map(|age| age.as_millis().to_string()).collect();
+        log_event!(
+            self.log, Event::CrashingRequestRefused,
+            "request" => call.id.to_string(), "digest" => call.digest.to_string(),
+            "ended_ms_ago" => ages.join(",")
+        );
+    }
+
     /// Takes in that the connection of a request to `upstream` broke before its answer was whole.
     pub(super) fn note_broken(self: &Rc<Self>, upstream: &Arc<Upstream>, broken: BrokenRequest) {
+        if !self.is_to_stay(upstream) {
+            return;
+        }
         let mut watch = self.crash_watch.borrow_mut();
         let step = watch.note_broken(&upstream.id, broken, Instant::now());
         drop(watch);
@@ -26,6 +103,13 @@
         }
     }
 
+    /// Whether `upstream` was not about to end anyway.
+    fn is_to_stay(&self, upstream: &Upstream) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        let tracked = dispatcher.tracked(&upstream.id);
+        tracked.is_some_and(|tracked| tracked.upstream.takes_work())
+    }
+
     async fn check(self: Rc<Self>, upstream: Arc<Upstream>) {
         let opened = self.pool.open(&upstream.address.to_string()).await;
         let reach = match opened {
@@ -42,6 +126,12 @@
     }
 
     fn note_ended(&self, upstream: &Upstream, struck: &[RequestDigest]) {
+        let (mut suspects, now) = (self.shared.suspects(), Instant::now());
+        for digest in struck {
+            suspects.strike(*digest, &upstream.id, now);
+        }
+        drop(suspects);
+        self.shared.metrics.upstream_ended();
         let digests: Vec<String> = struck.iter().map(ToString::to_string).collect();
         log_event!(
             self.log, Event::UpstreamEnded,
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{RequestId, ResultCode, TeamName};
-use nutmegsail_relay::{BrokenRequest, Choice, ModelRef, Outcome, RequestDigest, Upstream};
+use nutmegsail_relay::{
+    BEGINNING, BrokenRequest, Choice, ModelRef, Outcome, RequestDigest, Upstream,
+};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::answer_body::AnswerCut;
 use super::call::Call;
+use super::crash_check::Trial;
 use super::gateway::Gateway;
 use super::slot_client::SlotPermit;
 
@@ -33,6 +36,8 @@
     team: Option<TeamName>,
     request: RequestId,
     digest: RequestDigest,
+    /// Present while its upstream may end under it, if others did.
+    trial: Option<Trial>,
     /// How long the request had waited here before it was sent.
     waited: Duration,
 }
@@ -64,6 +69,7 @@
             team: call.caller.team().map(|team| team.name.clone()),
             request: call.id.clone(),
             digest: call.digest,
+            trial: Trial::begin(gateway, call.digest),
             waited: now.duration_since(call.began),
         }
     }
@@ -79,7 +85,8 @@
 
     /// Part of the answer's body came.
     pub(crate) fn note_progress(&mut self) {
-        if self.first.is_some() {
+        if let Some(first) = self.first {
+            self.trial.take_if(|_| first.elapsed() > BEGINNING);
             return;
         }
         let now = Instant::now();
@@ -106,6 +113,10 @@
         if let Some(mut slot) = self.slot.take() {
             slot.note_answered(self.sent.elapsed());
         }
+        self.gateway
+            .shared
+            .suspects()
+            .clear(&self.digest, Instant::now());
         self.count_end(None);
         self.settle(Outcome::Answered);
     }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -102,6 +102,7 @@
                 // A code that callers read as "not run" would have them book a second time.
                 let code = match code {
                     ResultCode::DeadlineUnreachable => ResultCode::DeadlinePassed,
+                    ResultCode::CrashesUpstreams => code,
                     _ => ResultCode::UpstreamFailed,
                 };
                 Refusal::may_have_run(code, detail)
@@ -322,6 +323,7 @@
         let mut patient_until = adapter_patience(call);
         let mut may_look_elsewhere = sends.arrived == 0;
         loop {
+            self.await_trials(call).await?;
             self.admit(call).await?;
             let now = Instant::now();
             if call.remaining(now) < LEAST_REMAINING {
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -11,7 +11,7 @@
 ///
 /// A request that crashes its upstream does so when it is read or begins to run. Streams run for seconds, so most
 /// of what an upstream runs when it ends has begun long before.
-const BEGINNING: Duration = Duration::from_secs(1);
+pub const BEGINNING: Duration = Duration::from_secs(1);
 
 /// How long an upstream that was found to have ended counts as ended. Its connections break within
 /// milliseconds, and some are noticed after it was looked for.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,8 +3,8 @@
 //! Told the routes, the upstreams with the adapters they hold, and what became of earlier sends,
 //! this crate decides which upstream gets a request ([`Dispatcher`]), whether it may be sent again
 //! ([`RetryBudget`]), which adapter is loaded next and which makes way ([`LoadQueue`]), and who may
-//! order loads at an upstream ([`Ownership`]), and who may call ([`AccessRules`]). It does no I/O, reads no clock and draws no random
-//! number that was not passed in. Start at [`RouteTable`] and [`Dispatcher`].
+//! order loads at an upstream ([`Ownership`]), who may call ([`AccessRules`]), and which requests crash the upstreams that run
+//! them ([`CrashWatch`], [`Suspects`]). It does no I/O, reads no clock and draws no random number that was not passed in. Start at [`RouteTable`] and [`Dispatcher`].
 
 mod access;
 mod assignment;
@@ -39,6 +39,7 @@
 mod slot_gate;
 mod stall;
 mod stated_patience;
+mod suspects;
 mod team;
 mod tracked;
 mod upstream;
@@ -49,7 +50,7 @@
 pub use at_hand::{AtHand, CopySource};
 pub use call_kind::CallKind;
 pub use copies::{CopyPlace, LoadPlace};
-pub use crash_watch::{BrokenRequest, CrashStep, CrashWatch, Reach};
+pub use crash_watch::{BEGINNING, BrokenRequest, CrashStep, CrashWatch, Reach};
 pub use demand::Demand;
 pub use dispatcher::{Choice, Dispatcher, Need, Refusal};
 pub use domains_heard::{DomainAge, DomainsHeard};
@@ -79,6 +80,7 @@
 pub use slot_gate::{SlotAnswer, SlotAsk, SlotGate};
 pub use stall::StallWatch;
 pub use stated_patience::StatedPatience;
+pub use suspects::{STRIKES_LIMIT, SuspectTold, Suspects, Suspicion};
 pub use team::{CallerKey, KeyDigest, QuotaUnit, Team, TeamEntry, TeamFault, TeamQuota, Teams};
 pub use tracked::{AdapterMove, HoldingsTold, Report, Tracked};
 pub use upstream::{Upstream, UpstreamState};
--- /dev/null
+++ b/crates/relay/src/suspects.rs
@@ -0,0 +1,306 @@
+//! Requests that upstreams ended under.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::{NodeId, UpstreamId};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::RequestDigest;
+
+/// How many upstreams may end under a request before it is sent to no other one. Fewer would refuse callers whose
+/// upstreams happened to crash twice; each one more costs all that runs on another upstream.
+pub const STRIKES_LIMIT: usize = 3;
+
+/// How long an end is held against a request. Whoever repeats it later than that starts anew.
+const STRIKE_LIFE: Duration = Duration::from_secs(600);
+
+/// How long a request that was answered whole counts as such, against ends of before that other nodes still tell of.
+const CLEARED_LIFE: Duration = Duration::from_secs(60);
+
+/// How long a node's word is relied on that it has a request at an upstream.
+const TRIAL_LIFE: Duration = Duration::from_secs(3);
+
+/// How often a change is told, as single messages are lost.
+const TELL_ROUNDS: u8 = 3;
+
+/// The most requests that are remembered. Beyond it those with the fewest ends are forgotten first.
+const RECORDS_LIMIT: usize = 512;
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Suspicion {
+    /// It may.
+    None,
+    /// Not yet: so many of it are at upstreams that it could end more than the limit.
+    OnTrial,
+    /// No: that many upstreams ended under it.
+    Crashes,
+}
+
+/// What a node tells others of one request. Ages are in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectTold {
+    digest: RequestDigest,
+    /// Upstreams that ended, by a hash of their ids, and how long ago.
+    strikes: Vec<(u64, u32)>,
+    /// How long ago it was answered whole.
+    cleared: Option<u32>,
+    /// How many of it the sender has at upstreams.
+    trials: u32,
+}
+
+/// The ends of upstreams that are held against requests, as one node knows them.
+///
+/// A request stands for all that have its content, whoever sends them, through whichever node. All that were
+/// beginning when their upstream ended are struck; what crashed it is among them, and comes again with the next one.
+/// A whole answer clears.
+///
+/// ```
+/// use std::time::Instant;
+/// use nutmegsail_relay::{RequestContent, RequestDigest, Suspects, Suspicion};
+/// let content = RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
+/// let (digest, now) = (RequestDigest::of(&content), Instant::now());
+/// let mut suspects = Suspects::default();
+/// suspects.strike(digest, &"engine-1@7".into(), now);
+/// suspects.strike(digest, &"engine-2@7".into(), now);
+/// assert_eq!(suspects.suspicion(&digest, now), Suspicion::None);
+/// suspects.strike(digest, &"engine-3@7".into(), now);
+/// assert_eq!(suspects.suspicion(&digest, now), Suspicion::Crashes);
+/// suspects.clear(&digest, now);
+/// assert_eq!(suspects.suspicion(&digest, now), Suspicion::None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    records: HashMap<RequestDigest, Record>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Record {
+    /// One for each upstream; no more than the limit.
+    strikes: Vec<Strike>,
+    cleared: Option<Instant>,
+    /// How many this node has at upstreams.
+    own_trials: u32,
+    trials_elsewhere: HashMap<NodeId, (u32, Instant)>,
+    /// How often it is to be told yet.
+    rounds: u8,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Strike {
+    upstream: u64,
+    at: Instant,
+}
+
+impl Strike {
+    fn is_held(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < STRIKE_LIFE
+    }
+}
+
+impl Suspects {
+    /// Holds the end of `upstream` against a request.
+    pub fn strike(&mut self, digest: RequestDigest, upstream: &UpstreamId, now: Instant) {
+        let strike = Strike {
+            upstream: xxh3_64(upstream.as_bytes()),
+            at: now,
+        };
+        let record = self.records.entry(digest).or_default();
+        if record.add(strike, now) {
+            record.rounds = TELL_ROUNDS;
+        }
+        self.keep_to_limit(now);
+    }
+
+    /// Takes in that a request was answered whole.
+    pub fn clear(&mut self, digest: &RequestDigest, now: Instant) {
+        let Some(record) = self.records.get_mut(digest) else {
+            return;
+        };
+        if !record.strikes.is_empty() {
+            record.clear(now);
+            record.rounds = TELL_ROUNDS;
+        }
+    }
+
+    /// Whether a request may be sent.
+    pub fn suspicion(&self, digest: &RequestDigest, now: Instant) -> Suspicion {
+        let Some(record) = self.records.get(digest) else {
+            return Suspicion::None;
+        };
+        let strikes = record.strikes(now).count();
+        match strikes + record.trials(now) {
+            _ if strikes >= STRIKES_LIMIT => Suspicion::Crashes,
+            at_stake if strikes > 0 && at_stake >= STRIKES_LIMIT => Suspicion::OnTrial,
+            _ => Suspicion::None,
+        }
+    }
+
+    /// Counts a request as sent if upstreams ended under it, and says whether it did.
+    pub fn begin_trial(&mut self, digest: &RequestDigest, now: Instant) -> bool {
+        let record = self.records.get_mut(digest);
+        let Some(record) = record.filter(|record| record.strikes(now).next().is_some()) else {
+            return false;
+        };
+        record.own_trials += 1;
+        record.rounds = TELL_ROUNDS;
+        true
+    }
+
+    /// Takes in that a request that was counted by [`Suspects::begin_trial`] has ended, or runs on without harm.
+    pub fn end_trial(&mut self, digest: &RequestDigest) {
+        if let Some(record) = self.records.get_mut(digest) {
+            record.own_trials = record.own_trials.saturating_sub(1);
+            record.rounds = TELL_ROUNDS;
+        }
+    }
+
+    /// How long ago each end was that is held against a request.
+    pub fn ages(&self, digest: &RequestDigest, now: Instant) -> Vec<Duration> {
+        let record = self.records.get(digest);
+        let strikes = record.into_iter().flat_map(|record| record.strikes(now));
+        strikes
+            .map(|strike| now.saturating_duration_since(strike.at))
+            .collect()
+    }
+
+    /// How many requests are refused, and how many upstreams ended under at least once.
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
+        let strikes = self.records.values();
+        let strikes = strikes.map(|record| record.strikes(now).count());
+        strikes.fold((0, 0), |(refused, struck), strikes| {
+            let refused = refused + usize::from(strikes >= STRIKES_LIMIT);
+            (refused, struck + usize::from(strikes > 0))
+        })
+    }
+
+    /// What has changed and is to be told to all nodes now.
+    pub fn news(&mut self, now: Instant) -> Vec<SuspectTold> {
+        self.forget_old(now);
+        let changed = self.records.iter_mut();
+        let changed = changed.filter(|(_, record)| record.rounds > 0);
+        changed
+            .map(|(digest, record)| {
+                record.rounds -= 1;
+                record.told(*digest, now)
+            })
+            .collect()
+    }
+
+    /// Up to `most` requests that nodes are told of again and again, as some start or come into touch late. Those
+    /// under which the most upstreams ended come first, and then the newest.
+    pub fn standing(&self, most: usize, now: Instant) -> Vec<SuspectTold> {
+        let mut struck: Vec<_> = self
+            .records
+            .iter()
+            .filter_map(|(digest, record)| {
+                let newest = record.strikes(now).map(|strike| strike.at).max()?;
+                Some((record.strikes(now).count(), newest, *digest, record))
+            })
+            .collect();
+        struck.sort_by_key(|(strikes, newest, digest, _)| (*strikes, *newest, *digest));
+        let told = struck.into_iter().rev().take(most);
+        told.map(|(_, _, digest, record)| record.told(digest, now))
+            .collect()
+    }
+
+    /// Takes in what another node told.
+    pub fn take(&mut self, from: &NodeId, told: &SuspectTold, now: Instant) {
+        let record = self.records.entry(told.digest).or_default();
+        if let Some(cleared) = told.cleared.and_then(|age_ms| before(now, age_ms)) {
+            record.clear(cleared);
+        }
+        for (upstream, age_ms) in &told.strikes {
+            let at = before(now, *age_ms).unwrap_or(now);
+            let upstream = *upstream;
+            record.add(Strike { upstream, at }, now);
+        }
+        let trials = (told.trials, now);
+        record.trials_elsewhere.insert(from.clone(), trials);
+        self.keep_to_limit(now);
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        self.records.retain(|_, record| record.is_needed(now));
+    }
+
+    fn keep_to_limit(&mut self, now: Instant) {
+        if self.records.len() <= RECORDS_LIMIT {
+            return;
+        }
+        self.forget_old(now);
+        while self.records.len() > RECORDS_LIMIT {
+            let least = self.records.iter().min_by_key(|(digest, record)| {
+                let newest = record.strikes.iter().map(|strike| strike.at).max();
+                (record.strikes.len(), newest, **digest)
+            });
+            let Some(least) = least.map(|(digest, _)| *digest) else {
+                return;
+            };
+            self.records.remove(&least);
+        }
+    }
+}
+
+impl Record {
+    /// Adds an end that is not known yet, and says whether it did.
+    fn add(&mut self, strike: Strike, now: Instant) -> bool {
+        self.strikes.retain(|strike| strike.is_held(now));
+        let is_past = self.cleared.is_some_and(|cleared| strike.at <= cleared);
+        let mut known = self.strikes.iter();
+        let is_known = known.any(|known| known.upstream == strike.upstream);
+        if is_past || is_known || self.strikes.len() >= STRIKES_LIMIT {
+            return false;
+        }
+        self.strikes.push(strike);
+        true
+    }
+
+    fn clear(&mut self, at: Instant) {
+        self.cleared = Some(self.cleared.map_or(at, |cleared| cleared.max(at)));
+        self.strikes.retain(|strike| strike.at > at);
+    }
+
+    fn strikes(&self, now: Instant) -> impl Iterator<Item = &Strike> {
+        let strikes = self.strikes.iter();
+        strikes.filter(move |strike| strike.is_held(now))
+    }
+
+    /// How many are at upstreams, as far as is known.
+    fn trials(&self, now: Instant) -> usize {
+        let elsewhere = self.trials_elsewhere.values();
+        let elsewhere = elsewhere
+            .filter(|(_, told)| now.saturating_duration_since(*told) < TRIAL_LIFE)
+            .map(|(trials, _)| *trials);
+        (self.own_trials + elsewhere.sum::<u32>()) as usize
+    }
+
+    fn is_needed(&self, now: Instant) -> bool {
+        let is_cleared = self
+            .cleared
+            .is_some_and(|cleared| now.saturating_duration_since(cleared) < CLEARED_LIFE);
+        is_cleared || self.rounds > 0 || self.own_trials > 0 || self.strikes(now).next().is_some()
+    }
+
+    fn told(&self, digest: RequestDigest, now: Instant) -> SuspectTold {
+        let age_ms = |at: Instant| {
+            let age = now.saturating_duration_since(at);
+            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+        };
+        let strikes = self.strikes(now);
+        SuspectTold {
+            digest,
+            strikes: strikes
+                .map(|strike| (strike.upstream, age_ms(strike.at)))
+                .collect(),
+            cleared: self.cleared.map(age_ms),
+            trials: self.own_trials,
+        }
+    }
+}
+
+fn before(now: Instant, age_ms: u32) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(u64::from(age_ms)))
+}
--- /dev/null
+++ b/crates/relay/tests/suspects.rs
@@ -0,0 +1,217 @@
+//! Which requests are refused as upstreams ended under them, over several nodes.
+
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::{NodeId, UpstreamId};
+use nutmegsail_relay::{
+    RequestContent, RequestDigest, STRIKES_LIMIT, SuspectTold, Suspects, Suspicion,
+};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn digest(body: &str) -> RequestDigest {
+    RequestDigest::of(&RequestContent {
+        method: "POST",
+        host: "spa",
+        path: "/notes/1",
+        team: None,
+        body: body.as_bytes(),
+    })
+}
+
+fn engine(number: usize) -> UpstreamId {
+    format!("engine-{number}@7").as_str().into()
+}
+
+fn node(number: usize) -> NodeId {
+    format!("node-{number}").as_str().into()
+}
+
+/// A node that knows of `strikes` ends under the request `a`.
+fn struck(strikes: usize, now: Instant) -> Suspects {
+    let mut suspects = Suspects::default();
+    for number in 0..strikes {
+        suspects.strike(digest("a"), &engine(number), now);
+    }
+    suspects
+}
+
+fn take_all(suspects: &mut Suspects, from: &NodeId, told: &[SuspectTold], now: Instant) {
+    for told in told {
+        suspects.take(from, told, now);
+    }
+}
+
+// Guards against counting at one node what happens over the fleet.
+#[test]
+fn ends_that_three_nodes_saw_add_up_at_each() {
+    let now = Instant::now();
+    let mut nodes = vec![Suspects::default(); 3];
+    for (number, suspects) in nodes.iter_mut().enumerate() {
+        suspects.strike(digest("a"), &engine(number), now);
+    }
+    let told: Vec<Vec<SuspectTold>> = nodes.iter_mut().map(|node| node.news(now)).collect();
+    for suspects in &mut nodes {
+        for (from, told) in told.iter().enumerate() {
+            take_all(suspects, &node(from), told, now);
+        }
+        assert_eq!(suspects.suspicion(&digest("a"), now), Suspicion::Crashes);
+        assert_eq!(suspects.suspicion(&digest("b"), now), Suspicion::None);
+    }
+}
+
+#[test]
+fn one_end_that_two_nodes_saw_counts_once() {
+    let now = Instant::now();
+    let (mut here, mut there) = (struck(2, now), struck(2, now));
+    let told = there.news(now);
+    take_all(&mut here, &node(2), &told, now);
+    assert_eq!(here.ages(&digest("a"), now).len(), 2);
+    assert_eq!(here.suspicion(&digest("a"), now), Suspicion::None);
+}
+
+// Guards against false refusals: callers whose upstreams crashed for another reason.
+#[test]
+fn a_whole_answer_clears_at_every_node() {
+    let now = Instant::now();
+    let (mut here, mut there) = (struck(3, now), struck(3, now));
+    let late = here.standing(10, now);
+    here.clear(&digest("a"), now + SECOND);
+    assert_eq!(here.suspicion(&digest("a"), now + SECOND), Suspicion::None);
+    let told = here.news(now + SECOND);
+    take_all(&mut there, &node(1), &told, now + SECOND);
+    assert_eq!(there.suspicion(&digest("a"), now + SECOND), Suspicion::None);
+    take_all(&mut there, &node(3), &late, now + SECOND);
+    let at = now + SECOND;
+    assert_eq!(
+        there.suspicion(&digest("a"), at),
+        Suspicion::None,
+        "what a third node still tells is of before"
+    );
+}
+
+// Guards against copies that crash a fourth upstream while nobody knows of the third.
+#[test]
+fn what_is_on_its_way_counts() {
+    let now = Instant::now();
+    let (mut here, mut there) = (struck(2, now), struck(2, now));
+    assert!(here.begin_trial(&digest("a"), now));
+    assert_eq!(here.suspicion(&digest("a"), now), Suspicion::OnTrial);
+    let told = here.news(now);
+    take_all(&mut there, &node(1), &told, now);
+    assert_eq!(there.suspicion(&digest("a"), now), Suspicion::OnTrial);
+    let silent = now + Duration::from_secs(4);
+    assert_eq!(
+        there.suspicion(&digest("a"), silent),
+        Suspicion::None,
+        "a node that fell silent holds up nobody"
+    );
+    here.end_trial(&digest("a"));
+    let told = here.news(now);
+    take_all(&mut there, &node(1), &told, now);
+    assert_eq!(there.suspicion(&digest("a"), now), Suspicion::None);
+}
+
+#[test]
+fn a_request_that_no_upstream_ended_under_is_never_on_trial() {
+    let mut suspects = Suspects::default();
+    assert!(!suspects.begin_trial(&digest("a"), Instant::now()));
+    assert_eq!(suspects.counts(Instant::now()), (0, 0));
+}
+
+#[test]
+fn ends_are_forgotten_after_ten_minutes_and_records_are_bounded() {
+    let now = Instant::now();
+    let mut suspects = struck(3, now);
+    let later = now + Duration::from_secs(601);
+    assert_eq!(suspects.suspicion(&digest("a"), later), Suspicion::None);
+    for number in 0..2_000 {
+        suspects.strike(digest(&number.to_string()), &engine(number), now);
+    }
+    let (refused, struck) = suspects.counts(now);
+    assert_eq!(refused, 1, "the one with the most ends is kept longest");
+    assert!(struck <= 512);
+}
+
+/// What happens to a fleet in a random run.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The request comes to a node.
+    Ask(usize),
+    /// Nodes tell what is new; a message is lost where its turn says so.
+    Tell(Vec<bool>),
+    /// A node tells one other all that it knows.
+    TellAll(usize, usize),
+    /// A node starts anew.
+    Restart(usize),
+}
+
+const NODES: usize = 5;
+
+fn step() -> impl Strategy<Value = Step> {
+    let is_lost = prop::collection::vec(prop::bool::weighted(0.3), NODES * NODES);
+    prop_oneof![
+        3 => (0..NODES).prop_map(Step::Ask),
+        3 => is_lost.prop_map(Step::Tell),
+        1 => (0..NODES, 0..NODES).prop_map(|(from, to)| Step::TellAll(from, to)),
+        1 => (0..NODES).prop_map(Step::Restart),
+    ]
+}
+
+proptest! {
+    // Guards against a fourth end where nodes hear each other, whatever was lost before.
+    #[test]
+    fn once_nodes_have_heard_each_other_no_more_than_the_limit_end(
+        steps in prop::collection::vec(step(), 1..80),
+    ) {
+        let mut now = Instant::now();
+        let mut nodes = vec![Suspects::default(); NODES];
+        let mut ends = 0;
+        for step in steps {
+            now += Duration::from_millis(100);
+            match step {
+                Step::Ask(asked) => {
+                    if nodes[asked].suspicion(&digest("a"), now) == Suspicion::None {
+                        nodes[asked].strike(digest("a"), &engine(ends), now);
+                        ends += 1;
+                    }
+                    let known = nodes[asked].ages(&digest("a"), now).len();
+                    prop_assert!(known <= STRIKES_LIMIT);
+                }
+                Step::Tell(lost) => {
+                    let told: Vec<_> = nodes.iter_mut().map(|node| node.news(now)).collect();
+                    for (place, is_lost) in lost.into_iter().enumerate() {
+                        let (from, to) = (place / NODES, place % NODES);
+                        if !is_lost && from != to {
+                            take_all(&mut nodes[to], &node(from), &told[from], now);
+                        }
+                    }
+                }
+                Step::TellAll(from, to) => {
+                    let told = nodes[from].standing(10, now);
+                    take_all(&mut nodes[to], &node(from), &told, now);
+                }
+                Step::Restart(restarted) => nodes[restarted] = Suspects::default(),
+            }
+        }
+        // Two rounds, as what a node learned in the first it tells in the second.
+        for _ in 0..2 {
+            for from in 0..NODES {
+                let told = nodes[from].standing(10, now);
+                for to in 0..NODES {
+                    take_all(&mut nodes[to], &node(from), &told, now);
+                }
+            }
+        }
+        let known = nodes[0].ages(&digest("a"), now).len();
+        for suspects in &nodes {
+            prop_assert_eq!(suspects.ages(&digest("a"), now).len(), known);
+            let expected = match known >= STRIKES_LIMIT {
+                true => Suspicion::Crashes,
+                false => Suspicion::None,
+            };
+            prop_assert_eq!(suspects.suspicion(&digest("a"), now), expected);
+        }
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -84,6 +84,7 @@
     2009 SendRefused Info "An upstream turned a request away, which did not run there.";
     2010 KeyRejected Info "A request was turned away for its key.";
     2011 QuotaRefused Info "A request was refused for its team's quota.";
+    2012 CrashingRequestRefused Warning "A request was refused, as upstreams ended under it.";
     3001 UpstreamEjected Warning "An upstream failed too often and gets no work for a while.";
     3002 UpstreamRestored Info "An upstream gets work again.";
     3003 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
