--- a/crates/relay/tests/crash_watch.rs
+++ b/crates/relay/tests/crash_watch.rs
@@ -1,23 +1,15 @@
 //! Which requests the end of an upstream is held against.
 
+#[path = "common/request.rs"]
+mod request;
+
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{
-    BrokenRequest, CrashStep, CrashWatch, Reach, RequestContent, RequestDigest,
-};
+use nutmegsail_relay::{BrokenRequest, CrashStep, CrashWatch, Reach};
+use request::digest;
 use rstest::rstest;
 
-fn digest(body: &str) -> RequestDigest {
-    RequestDigest::of(&RequestContent {
-        method: "POST",
-        host: "spa",
-        path: "/notes/1",
-        team: None,
-        body: body.as_bytes(),
-    })
-}
-
 fn broken(body: &str) -> BrokenRequest {
     BrokenRequest {
         digest: digest(body),
--- a/crates/relay/tests/suspects.rs
+++ b/crates/relay/tests/suspects.rs
@@ -1,25 +1,17 @@
 //! Which requests are refused as upstreams ended under them, over several nodes.
 
+#[path = "common/request.rs"]
+mod request;
+
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{
-    RequestContent, RequestDigest, STRIKES_LIMIT, SuspectTold, Suspects, Suspicion,
-};
+use nutmegsail_relay::{STRIKES_LIMIT, SuspectTold, Suspects, Suspicion};
 use proptest::prelude::*;
+use request::digest;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn digest(body: &str) -> RequestDigest {
-    RequestDigest::of(&RequestContent {
-        method: "POST",
-        host: "spa",
-        path: "/notes/1",
-        team: None,
-        body: body.as_bytes(),
-    })
-}
-
 fn engine(number: usize) -> UpstreamId {
     format!("engine-{number}@7").as_str().into()
 }
@@ -199,8 +191,8 @@
         for _ in 0..2 {
             for from in 0..NODES {
                 let told = nodes[from].standing(10, now);
-                for to in 0..NODES {
-                    take_all(&mut nodes[to], &node(from), &told, now);
+                for suspects in &mut nodes {
+                    take_all(suspects, &node(from), &told, now);
                 }
             }
         }
