Have a node that starts, or stood still, ask for the requests that crash upstreams

Cause, traced: each late send came through a node that had started anew 120 to 250 ms before. It knew nothing, and the others told it of what they know at their next turn, twice a second, to nodes drawn at random.

Change: a node that starts, or finds that it stood still, asks a few others each tenth of a second until one has answered.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -25,7 +25,7 @@
 use super::knowledge::Knowledge;
 use super::load_board::{LoadBoard, LoadPage};
 use super::model_demand::ModelsAsked;
-use super::suspect_news::SuspectNews;
+use super::suspect_news::{SuspectNews, all_suspects};
 use crate::shared::{Asked, CopyNews, EngineNews, EngineUse};
 use crate::traffic_message::TrafficMessage;
 
@@ -90,7 +90,11 @@
     Suspects {
         from: NodeId,
         told: Vec<SuspectTold>,
+        /// Whether it answers an ask for all.
+        is_answer: bool,
     },
+    /// Asks for all of them: the sender has just started, or stood still.
+    SuspectsAsked { from: NodeId },
 }
 
 /// A message of a traffic thread as a datagram.
@@ -244,11 +248,20 @@
     }
 }
 
-/// Tells of requests that upstreams ended under.
+/// Tells of requests that upstreams ended under, and asks for them.
 fn tell_suspects(knowledge: &Knowledge, socket: &UdpSocket, news: &mut SuspectNews) {
     for (told, address) in news.turn(knowledge) {
         let from = knowledge.settings.node.clone();
-        send(socket, &Message::Suspects { from, told }, address);
+        let message = Message::Suspects {
+            from,
+            told,
+            is_answer: false,
+        };
+        send(socket, &message, address);
+    }
+    for address in news.asks(knowledge) {
+        let from = knowledge.settings.node.clone();
+        send(socket, &Message::SuspectsAsked { from }, address);
     }
 }
 
@@ -320,10 +333,28 @@
             let send = |message, to| send(socket, &traffic(message), to);
             knowledge.take_slot_message(message, sender, send);
         }
-        Ok(Message::Suspects { from, told }) => {
+        Ok(Message::Suspects {
+            from,
+            told,
+            is_answer,
+        }) => {
             knowledge.take_suspects(&from, &told);
+            if is_answer {
+                knowledge.needs_suspects.set(false);
+            }
             knowledge.note_heard(from);
         }
+        Ok(Message::SuspectsAsked { from }) => {
+            knowledge.note_heard(from);
+            for told in all_suspects(knowledge) {
+                let message = Message::Suspects {
+                    from: knowledge.settings.node.clone(),
+                    told,
+                    is_answer: true,
+                };
+                send(socket, &message, sender);
+            }
+        }
         Ok(Message::Models { from, asked }) => {
             knowledge.note_heard(from.clone());
             let nodes = knowledge.nodes.borrow();
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -101,6 +101,8 @@
     pub(crate) silent_readers: RefCell<HashMap<NodeId, Instant>>,
     /// Which node owned the engine at each address last, and when it was seen so.
     pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
+    /// Whether other nodes are to be asked for the requests that upstreams ended under.
+    pub(crate) needs_suspects: Cell<bool>,
     /// Who lends teams' quotas.
     pub(crate) lending: Lending,
     /// The slots of plain upstreams that this node hands out.
@@ -144,6 +146,7 @@
             change_log: ChangeLog::default(),
             silent_readers: RefCell::default(),
             last_owners: RefCell::default(),
+            needs_suspects: Cell::new(true),
             lending: Lending::default(),
             slots: Slots::default(),
             started: Instant::now(),
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -104,6 +104,7 @@
         looks.tick().await;
         if let Some(stalled) = watch.check(boot_time()) {
             knowledge.shared.metrics.stalled(stalled);
+            knowledge.needs_suspects.set(true);
             log_event!(knowledge.log, Event::NodeResumed, "stalled_ms" => stalled.as_millis());
         }
     }
--- a/crates/relay-node/src/control/suspect_news.rs
+++ b/crates/relay-node/src/control/suspect_news.rs
@@ -19,13 +19,25 @@
 /// Nodes of the own failure domain, and as many of others, that are told then.
 const STANDING_NODES: usize = 2;
 
-/// When this node told last of all that it knows.
+/// The most that a node is told that asks for everything.
+const TOLD_WHEN_ASKED: usize = 120;
+
+/// What this node has told others and asked them.
 #[derive(Debug, Default)]
 pub(crate) struct SuspectNews {
+    /// When it told last of all that it knows.
     told: Option<Instant>,
 }
 
 impl SuspectNews {
+    /// Whom to ask for all that they know, until one has answered.
+    pub(super) fn asks(&self, knowledge: &Knowledge) -> Vec<SocketAddr> {
+        match knowledge.needs_suspects.get() {
+            true => some_others(knowledge),
+            false => Vec::new(),
+        }
+    }
+
     /// What is to be told now, and to whom.
     pub(super) fn turn(&mut self, knowledge: &Knowledge) -> Vec<(Vec<SuspectTold>, SocketAddr)> {
         let now = Instant::now();
@@ -65,6 +77,18 @@
     }
 }
 
+/// All that this node knows of requests that upstreams ended under, in parts; an empty one if there are none.
+pub(super) fn all_suspects(knowledge: &Knowledge) -> Vec<Vec<SuspectTold>> {
+    let suspects = knowledge.shared.suspects();
+    let all = suspects.standing(TOLD_WHEN_ASKED, Instant::now());
+    drop(suspects);
+    let parts: Vec<Vec<SuspectTold>> = all.chunks(TOLD_AT_ONCE).map(<[_]>::to_vec).collect();
+    match parts.is_empty() {
+        true => vec![Vec::new()],
+        false => parts,
+    }
+}
+
 fn others(knowledge: &Knowledge) -> Vec<SocketAddr> {
     let nodes = knowledge.nodes.borrow();
     let others = nodes.values().filter(|node| !is_self(knowledge, node));
