Tell one end of an upstream to a node of each failure domain, and a second one to all

What callers saw: nothing yet.

Change: most requests that were beginning when an upstream ended crash nothing. One end is told to one node of each failure domain, chosen by the request's digest, where what several nodes saw comes together; that node tells all of a second one. A node tells the one end that it saw again every two seconds for half a minute, as failure domains come into touch late. Trials of requests with one end are counted by each node for itself. Records beyond the limit are dropped an eighth at a time.

--- a/crates/relay-node/src/control/suspect_news.rs
+++ b/crates/relay-node/src/control/suspect_news.rs
@@ -1,10 +1,11 @@
 //! Tells other nodes of requests that upstreams ended under.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::NodeId;
-use nutmegsail_relay::{NodeRecord, SuspectTold};
+use nutmegsail_relay::{Audience, NodeRecord, SuspectTold, homes_of};
 use rand::seq::IteratorRandom as _;
 
 use super::knowledge::Knowledge;
@@ -12,8 +13,8 @@
 /// Requests in one datagram: some 80 bytes each.
 const TOLD_AT_ONCE: usize = 12;
 
-/// How often nodes are told of all that is known. Within a few times every node hears it, also one that has
-/// just started or whose failure domain was cut off.
+/// How often nodes are told again of all suspects. Within a few times every node hears of them, also one whose failure
+/// domain was cut off.
 const STANDING_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Nodes of the own failure domain, and as many of others, that are told then.
@@ -51,11 +52,7 @@
             false => Vec::new(),
         };
         drop(suspects);
-        let mut messages = Vec::new();
-        for part in news.chunks(TOLD_AT_ONCE) {
-            let all = others(knowledge);
-            messages.extend(all.into_iter().map(|to| (part.to_vec(), to)));
-        }
+        let mut messages = by_address(knowledge, news);
         if is_due {
             self.told = Some(now);
         }
@@ -89,10 +86,27 @@
     }
 }
 
-fn others(knowledge: &Knowledge) -> Vec<SocketAddr> {
+/// News by the nodes that they go to, in parts that fit a datagram.
+fn by_address(
+    knowledge: &Knowledge,
+    news: Vec<(Audience, SuspectTold)>,
+) -> Vec<(Vec<SuspectTold>, SocketAddr)> {
     let nodes = knowledge.nodes.borrow();
-    let others = nodes.values().filter(|node| !is_self(knowledge, node));
-    others.map(|node| node.address).collect()
+    let mut told: HashMap<SocketAddr, Vec<SuspectTold>> = HashMap::new();
+    for (audience, suspect) in news {
+        let heard: Vec<&NodeRecord> = match audience {
+            Audience::All => nodes.values().collect(),
+            Audience::Homes => homes_of(suspect.digest(), nodes.values()),
+        };
+        for node in heard.into_iter().filter(|node| !is_self(knowledge, node)) {
+            told.entry(node.address).or_default().push(suspect.clone());
+        }
+    }
+    let parts = told.into_iter().flat_map(|(address, told)| {
+        let parts = told.chunks(TOLD_AT_ONCE).map(<[_]>::to_vec);
+        parts.map(|part| (part, address)).collect::<Vec<_>>()
+    });
+    parts.collect()
 }
 
 /// A few nodes of the own failure domain, and of others, drawn anew each time.
--- a/crates/relay/src/request_digest.rs
+++ b/crates/relay/src/request_digest.rs
@@ -54,6 +54,11 @@
         digest.copy_from_slice(&hash[..DIGEST_BYTES]);
         Self(digest)
     }
+
+    /// Its bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 impl fmt::Display for RequestDigest {
--- /dev/null
+++ b/crates/relay/src/suspect_homes.rs
@@ -0,0 +1,45 @@
+//! Where what several nodes saw of one request comes together.
+
+use std::collections::BTreeMap;
+
+use nutmegsail_base::FailureDomain;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{NodeRecord, RequestDigest};
+
+/// The node of each failure domain with the highest hash for `digest`. Nodes that know the same name the same ones, and
+/// each failure domain has its own while it is cut off.
+///
+/// ```
+/// use nutmegsail_relay::{NodeRecord, RequestContent, RequestDigest, homes_of};
+/// let content = RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
+/// let node = |name: &str, domain: &str| NodeRecord {
+///     node: name.into(),
+///     failure_domain: domain.into(),
+///     address: "10.0.0.1:80".parse().unwrap(),
+/// };
+/// let nodes = [node("east-1", "east"), node("east-2", "east"), node("west-1", "west")];
+/// let homes = homes_of(&RequestDigest::of(&content), &nodes);
+/// assert_eq!(homes.len(), 2);
+/// assert_eq!(homes[1].node.as_str(), "west-1");
+/// ```
+pub fn homes_of<'a>(
+    digest: &RequestDigest,
+    nodes: impl IntoIterator<Item = &'a NodeRecord>,
+) -> Vec<&'a NodeRecord> {
+    let seed = xxh3_64(digest.as_bytes());
+    let rank = |node: &NodeRecord| xxh3_64_with_seed(node.node.as_bytes(), seed);
+    let mut homes: BTreeMap<&FailureDomain, (u64, &NodeRecord)> = BTreeMap::new();
+    for node in nodes {
+        let ranked = (rank(node), node);
+        homes
+            .entry(&node.failure_domain)
+            .and_modify(|home| {
+                if ranked.0 > home.0 {
+                    *home = ranked;
+                }
+            })
+            .or_insert(ranked);
+    }
+    homes.into_values().map(|(_, node)| node).collect()
+}
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -22,10 +22,17 @@
 /// How long a node's word is relied on that it has a request at an upstream.
 const TRIAL_LIFE: Duration = Duration::from_secs(3);
 
+/// How many ends make a request a suspect at every node. Most that were under one end crash nothing.
+const WIDE_STRIKES: usize = 2;
+
 /// How often a change is told, as single messages are lost.
-const TELL_ROUNDS: u8 = 3;
+const TELL_ROUNDS: u8 = 2;
+
+/// How often, and for how long, a node tells again of the one end that it saw: the others may be out of touch.
+const RETELL_INTERVAL: Duration = Duration::from_secs(2);
+const RETELL_SPAN: Duration = Duration::from_secs(30);
 
-/// The most requests that are remembered. Beyond it those with the fewest ends are forgotten first.
+/// The most requests that are remembered. Beyond it those with the fewest ends are forgotten first, an eighth at a time.
 const RECORDS_LIMIT: usize = 512;
 
 /// Whether a request may be sent.
@@ -39,6 +46,15 @@
     Crashes,
 }
 
+/// Who is told of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// One node of each failure domain, chosen by the request, where what several nodes saw comes together.
+    Homes,
+    /// All nodes.
+    All,
+}
+
 /// What a node tells others of one request. Ages are in milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectTold {
@@ -51,6 +67,13 @@
     trials: u32,
 }
 
+impl SuspectTold {
+    /// The request.
+    pub fn digest(&self) -> &RequestDigest {
+        &self.digest
+    }
+}
+
 /// The ends of upstreams that are held against requests, as one node knows them.
 ///
 /// A request stands for all that have its content, whoever sends them, through whichever node. All that were
@@ -84,8 +107,13 @@
     /// How many this node has at upstreams.
     own_trials: u32,
     trials_elsewhere: HashMap<NodeId, (u32, Instant)>,
-    /// How often it is to be told yet.
+    /// Whether all nodes are told of it.
+    is_wide: bool,
+    /// Whether this node saw an end itself.
+    is_own: bool,
+    /// How often it is to be told yet, and when it was told last.
     rounds: u8,
+    told: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +137,7 @@
         };
         let record = self.records.entry(digest).or_default();
         if record.add(strike, now) {
+            record.is_own = true;
             record.rounds = TELL_ROUNDS;
         }
         self.keep_to_limit(now);
@@ -145,7 +174,7 @@
             return false;
         };
         record.own_trials += 1;
-        record.rounds = TELL_ROUNDS;
+        record.tell_trials();
         true
     }
 
@@ -153,7 +182,7 @@
     pub fn end_trial(&mut self, digest: &RequestDigest) {
         if let Some(record) = self.records.get_mut(digest) {
             record.own_trials = record.own_trials.saturating_sub(1);
-            record.rounds = TELL_ROUNDS;
+            record.tell_trials();
         }
     }
 
@@ -176,25 +205,30 @@
         })
     }
 
-    /// What has changed and is to be told to all nodes now.
-    pub fn news(&mut self, now: Instant) -> Vec<SuspectTold> {
+    /// What is to be told now.
+    pub fn news(&mut self, now: Instant) -> Vec<(Audience, SuspectTold)> {
         self.forget_old(now);
-        let changed = self.records.iter_mut();
-        let changed = changed.filter(|(_, record)| record.rounds > 0);
-        changed
-            .map(|(digest, record)| {
-                record.rounds -= 1;
-                record.told(*digest, now)
-            })
-            .collect()
+        let due = self.records.iter_mut();
+        let due = due.filter(|(_, record)| record.is_to_be_told(now));
+        due.map(|(digest, record)| {
+            record.rounds = record.rounds.saturating_sub(1);
+            record.told = Some(now);
+            let audience = match record.is_wide {
+                true => Audience::All,
+                false => Audience::Homes,
+            };
+            (audience, record.to_tell(*digest, now))
+        })
+        .collect()
     }
 
-    /// Up to `most` requests that nodes are told of again and again, as some start or come into touch late. Those
+    /// Up to `most` suspects that nodes are told of again and again, as some start or come into touch late. Those
     /// under which the most upstreams ended come first, and then the newest.
     pub fn standing(&self, most: usize, now: Instant) -> Vec<SuspectTold> {
         let mut struck: Vec<_> = self
             .records
             .iter()
+            .filter(|(_, record)| record.is_wide)
             .filter_map(|(digest, record)| {
                 let newest = record.strikes(now).map(|strike| strike.at).max()?;
                 Some((record.strikes(now).count(), newest, *digest, record))
@@ -202,7 +236,7 @@
             .collect();
         struck.sort_by_key(|(strikes, newest, digest, _)| (*strikes, *newest, *digest));
         let told = struck.into_iter().rev().take(most);
-        told.map(|(_, _, digest, record)| record.told(digest, now))
+        told.map(|(_, _, digest, record)| record.to_tell(digest, now))
             .collect()
     }
 
@@ -217,6 +251,10 @@
             let upstream = *upstream;
             record.add(Strike { upstream, at }, now);
         }
+        if record.is_wide && record.strikes(now).count() > told.strikes.len() {
+            // Nobody may know all of it but this node.
+            record.rounds = TELL_ROUNDS;
+        }
         let trials = (told.trials, now);
         record.trials_elsewhere.insert(from.clone(), trials);
         self.keep_to_limit(now);
@@ -231,15 +269,20 @@
             return;
         }
         self.forget_old(now);
-        while self.records.len() > RECORDS_LIMIT {
-            let least = self.records.iter().min_by_key(|(digest, record)| {
+        if self.records.len() <= RECORDS_LIMIT {
+            return;
+        }
+        let records = self.records.iter();
+        let mut ranked: Vec<_> = records
+            .map(|(digest, record)| {
                 let newest = record.strikes.iter().map(|strike| strike.at).max();
-                (record.strikes.len(), newest, **digest)
-            });
-            let Some(least) = least.map(|(digest, _)| *digest) else {
-                return;
-            };
-            self.records.remove(&least);
+                (record.strikes.len(), newest, *digest)
+            })
+            .collect();
+        ranked.sort_unstable();
+        let surplus = self.records.len() - RECORDS_LIMIT * 7 / 8;
+        for (_, _, digest) in &ranked[..surplus] {
+            self.records.remove(digest);
         }
     }
 }
@@ -255,9 +298,24 @@
             return false;
         }
         self.strikes.push(strike);
+        self.is_wide |= self.strikes.len() >= WIDE_STRIKES;
         true
     }
 
+    fn tell_trials(&mut self) {
+        if self.is_wide {
+            self.rounds = TELL_ROUNDS;
+        }
+    }
+
+    fn is_to_be_told(&self, now: Instant) -> bool {
+        let is_due = |told: Instant| now.saturating_duration_since(told) >= RETELL_INTERVAL;
+        let mut strikes = self.strikes(now);
+        let is_new = strikes.any(|strike| now.saturating_duration_since(strike.at) < RETELL_SPAN);
+        let is_again = self.is_own && !self.is_wide && is_new && self.told.is_none_or(is_due);
+        self.rounds > 0 || is_again
+    }
+
     fn clear(&mut self, at: Instant) {
         self.cleared = Some(self.cleared.map_or(at, |cleared| cleared.max(at)));
         self.strikes.retain(|strike| strike.at > at);
@@ -284,7 +342,7 @@
         is_cleared || self.rounds > 0 || self.own_trials > 0 || self.strikes(now).next().is_some()
     }
 
-    fn told(&self, digest: RequestDigest, now: Instant) -> SuspectTold {
+    fn to_tell(&self, digest: RequestDigest, now: Instant) -> SuspectTold {
         let age_ms = |at: Instant| {
             let age = now.saturating_duration_since(at);
             u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
