Study requests that crash upstreams, and whom to blame, over 6, 72 and 360 nodes

Six ways beside each other, with a request that is repeated each 1.3 s and each 0.15 s, also over a failure domain that is cut off for 6 s, and with upstreams that crash for other reasons.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -5,6 +5,7 @@
 //! and nothing of it runs in a node. Start at [`studies`] and [`run`].
 
 mod capacity;
+mod crash_sim;
 mod model_sim;
 mod page;
 mod placement_sim;
--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -3,6 +3,7 @@
 mod base_models;
 mod capacity;
 mod compare;
+mod crashes;
 mod domain_lost;
 mod lagging_reports;
 mod overload;
@@ -28,5 +29,6 @@
     placement::WEIGHT_STORE_FAILING,
     base_models::STUDY,
     quotas::STUDY,
+    crashes::STUDY,
     capacity::STUDY,
 ];
