Read the limits that upstreams name, and log them

Limits keeps what each upstream's answers say: a lower limit counts at once, a higher one or none after two seconds of answers, as answers overtake each other and some may not name it. Nothing goes by it yet.

--- a/crates/nutmegsail/src/trace.rs
+++ b/crates/nutmegsail/src/trace.rs
@@ -15,7 +15,9 @@
 
 /// Events that tell of an adapter or an upstream and belong to the story of a request for it.
 const OF_MODEL: [&str; 3] = ["LoadOrdered", "LoadFinished", "LoadFailed"];
-const OF_UPSTREAM: [&str; 5] = [
+const OF_UPSTREAM: [&str; 7] = [
+    "LimitNamed",
+    "LimitEnded",
     "UpstreamEnded",
     "UpstreamLeaving",
     "EngineOwned",
--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use nutmegsail_relay::{CallerKey, Holdings, ModelRef, PromptPart, RouteTable, UpstreamEntry};
+use nutmegsail_relay::{
+    CallerKey, Holdings, LimitSaid, ModelRef, PromptPart, RouteTable, UpstreamEntry,
+};
 use thiserror::Error;
 
 /// What a caller's headers say.
@@ -64,6 +66,8 @@
     pub is_sealed: bool,
     /// The name of the upstream that answered, if it says so.
     pub upstream: Option<HeaderValue>,
+    /// The rate that the upstream limits all nodes to.
+    pub limit: LimitSaid,
 }
 
 /// What an engine reports about itself.
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -36,6 +36,7 @@
     model_engines: Gauge<u64>,
     connections: Gauge<u64>,
     suspects: Gauge<u64>,
+    limited_upstreams: Gauge<u64>,
     store_age: Gauge<u64>,
 }
 
@@ -106,6 +107,10 @@
                 "nutmegsail.relay.suspects",
                 "Requests that upstreams ended under, by whether they are refused.",
             ),
+            limited_upstreams: gauge(
+                "nutmegsail.relay.limited_upstreams",
+                "Upstreams that limit the requests that they take.",
+            ),
             store_age: gauge(
                 "nutmegsail.relay.store_age_ms",
                 "How old what is known of the store was when the page was asked for.",
@@ -166,6 +171,11 @@
         self.suspects.record(others as u64, &is_refused(false));
     }
 
+    /// How many upstreams limit the requests that they take.
+    pub(crate) fn limited_upstreams(&self, upstreams: usize) {
+        self.limited_upstreams.record(upstreams as u64, &[]);
+    }
+
     /// What is known now.
     pub(crate) fn known(&self, configuration: u64, upstreams: usize, owned_engines: usize) {
         self.configuration.record(configuration, &[]);
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    AccessRules, DomainsHeard, Holdings, HoldingsTold, LoadPlace, LoadPurpose, LoadTimes,
+    AccessRules, DomainsHeard, Holdings, HoldingsTold, Limits, LoadPlace, LoadPurpose, LoadTimes,
     ModelDigest, ModelRef, Report, RouteTable, Suspects, Upstream, Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
@@ -273,6 +273,7 @@
     pub(crate) models_asked: ModelsAsked,
     pub(crate) news: News,
     suspects: Mutex<Suspects>,
+    limits: Mutex<Limits>,
     pub(crate) wants: mpsc::Sender<Want>,
     pub(crate) metrics: RelayMetrics,
     /// Open connections of callers.
@@ -298,6 +299,7 @@
             models_asked: ModelsAsked::default(),
             news: News::default(),
             suspects: Mutex::default(),
+            limits: Mutex::default(),
             wants,
             metrics,
             connections: AtomicUsize::new(0),
@@ -317,6 +319,7 @@
         let age = answered.map(|at| boot_time().saturating_sub(at));
         let (refused, struck) = self.suspects().counts(Instant::now());
         self.metrics.suspects(refused, struck - refused);
+        self.metrics.limited_upstreams(self.limits().count());
         self.metrics
             .asked(self.connections.load(Ordering::Relaxed), age);
     }
@@ -326,6 +329,11 @@
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The limits that upstreams have named.
+    pub(crate) fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes in that the node knows enough to serve. It stays so while the store is away.
     pub(crate) fn note_knowing(&self) {
         self.readiness().is_knowing = true;
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod crash_check;
 mod flight;
 mod gateway;
+mod limits;
 mod link;
 mod listener;
 mod model_wait;
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -120,6 +120,7 @@
             flight.note_broken();
             return Sent::Lost;
         }
+        self.note_limit(call, &choice.upstream, meta.limit);
         if meta.verdict != Verdict::Answered {
             self.log_refused(call, choice, meta.verdict);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod far_news;
 mod health;
 mod holdings;
+mod limits;
 mod listing;
 mod load_plan;
 mod load_queue;
@@ -60,6 +61,7 @@
 pub use far_news::FarNews;
 pub use health::{Health, Outcome};
 pub use holdings::{HeldAdapter, HeldModel, Holdings};
+pub use limits::{LimitChange, LimitSaid, LimitTold, Limits};
 pub use listing::{EntryFault, Listing, UpstreamEntry};
 pub use load_plan::{EngineContents, LoadPlan, LoadRefusal, LoadStep, Room, plan_load};
 pub use load_queue::{
--- /dev/null
+++ b/crates/relay/tests/limits.rs
@@ -0,0 +1,116 @@
+//! The limits that upstreams name, as they are learned.
+
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{LimitChange, LimitSaid, Limits};
+use rstest::rstest;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn engine() -> UpstreamId {
+    "engine-1@7".into()
+}
+
+fn named(per_s: f64) -> LimitSaid {
+    LimitSaid::PerSecond(per_s)
+}
+
+#[rstest]
+#[case::decimal("1.2", named(1.2))]
+#[case::none_at_all("0", named(0.0))]
+#[case::spaces(" 7 ", named(7.0))]
+#[case::negative("-0.5", LimitSaid::Malformed)]
+#[case::not_a_number("NaN", LimitSaid::Malformed)]
+#[case::infinite("inf", LimitSaid::Malformed)]
+#[case::words("soon", LimitSaid::Malformed)]
+#[case::empty("", LimitSaid::Malformed)]
+fn a_limit_is_read(#[case] text: &str, #[case] said: LimitSaid) {
+    assert_eq!(LimitSaid::parse(text), said);
+}
+
+#[test]
+fn a_limit_falls_at_once_and_rises_after_a_while() {
+    let (mut limits, now) = (Limits::default(), Instant::now());
+    limits.note_answer(&engine(), named(2.0), now);
+    let lower = limits.note_answer(&engine(), named(1.0), now + MS);
+    assert_eq!(lower, Some(LimitChange::Named(1.0)));
+    assert_eq!(
+        limits.note_answer(&engine(), named(4.0), now + 100 * MS),
+        None
+    );
+    assert_eq!(
+        limits.note_answer(&engine(), named(3.0), now + 900 * MS),
+        None
+    );
+    let raised = limits.note_answer(&engine(), named(4.0), now + 2_200 * MS);
+    assert_eq!(raised, Some(LimitChange::Named(3.0)), "the lowest since");
+}
+
+// Guards against a limit that is forgotten for one answer without it.
+#[test]
+fn a_limit_that_only_some_answers_name_stays() {
+    let (mut limits, now) = (Limits::default(), Instant::now());
+    for turn in 0..=18 {
+        let said = match turn % 3 {
+            0 => named(1.0),
+            _ => LimitSaid::None,
+        };
+        limits.note_answer(&engine(), said, now + 500 * MS * turn);
+        assert_eq!(limits.per_s(&engine()), Some(1.0));
+    }
+    let at = now + Duration::from_secs(60);
+    assert_eq!(limits.note_answer(&engine(), LimitSaid::None, at), None);
+    let ended = limits.note_answer(&engine(), LimitSaid::None, at + 2_100 * MS);
+    assert_eq!(ended, Some(LimitChange::Ended));
+    assert_eq!(limits.per_s(&engine()), None);
+}
+
+#[test]
+fn a_limit_that_cannot_be_read_changes_nothing() {
+    let (mut limits, now) = (Limits::default(), Instant::now());
+    assert_eq!(
+        limits.note_answer(&engine(), LimitSaid::Malformed, now),
+        None
+    );
+    assert_eq!(limits.per_s(&engine()), None);
+    limits.note_answer(&engine(), named(1.0), now);
+    limits.note_answer(&engine(), LimitSaid::Malformed, now + 5_000 * MS);
+    assert_eq!(limits.per_s(&engine()), Some(1.0));
+}
+
+#[test]
+fn nodes_learn_it_from_each_other_and_the_newest_word_counts() {
+    let (mut here, mut there, now) = (Limits::default(), Limits::default(), Instant::now());
+    here.note_answer(&engine(), named(1.0), now);
+    let old = here.told(now + MS);
+    assert_eq!(there.take(&old[0], now + MS), Some(LimitChange::Named(1.0)));
+    there.note_answer(&engine(), named(0.5), now + 100 * MS);
+    assert_eq!(
+        there.take(&old[0], now + 100 * MS),
+        None,
+        "told again, late"
+    );
+    let new = there.told(now + 200 * MS);
+    assert_eq!(
+        here.take(&new[0], now + 200 * MS),
+        Some(LimitChange::Named(0.5))
+    );
+}
+
+// Guards against an ended limit that comes back from a node which has not heard of its end.
+#[test]
+fn an_end_is_remembered() {
+    let (mut limits, now) = (Limits::default(), Instant::now());
+    limits.note_answer(&engine(), named(1.0), now);
+    let old = limits.told(now);
+    limits.note_answer(&engine(), LimitSaid::None, now + 10 * MS);
+    limits.note_answer(&engine(), LimitSaid::None, now + 2_100 * MS);
+    limits.forget(|_| true, now + 2_200 * MS);
+    let mut late = old[0].clone();
+    late.age_ms = 2_200;
+    assert_eq!(limits.take(&late, now + 2_200 * MS), None);
+    assert_eq!(limits.count(), 0);
+    limits.forget(|_| false, now + 2_200 * MS);
+    assert_eq!(limits.told(now + 2_200 * MS), []);
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -102,6 +102,9 @@
     3015 ModelChangeBegun Info "An engine begins to hold another base model.";
     3016 ModelChangeFailed Warning "An engine did not come to hold another base model.";
     3017 UpstreamEnded Warning "An upstream ended while requests began there that may have ended it.";
+    3018 LimitNamed Warning "An upstream named another limit for the requests that it takes.";
+    3019 LimitEnded Info "An upstream names no limit any more.";
+    3020 LimitMalformed Warning "An upstream named a limit that cannot be read.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
