Keep the limits that upstreams name, over all nodes together

What callers saw: nothing yet.

Cause: the header went to the caller like any other; nobody read it, and the choice of an upstream went by expected waits alone. The class of fault: a bound that holds for the fleet, and that no node counts, or each counts for itself.

Change: the node that hands out the slots of plain upstreams, chosen by hash, now also hands out turns at any upstream that names a limit: a bucket that fills at the limit and begins empty, the most urgent first (SlotGate). A request whose engine has no turn goes to another one, its adapter is loaded elsewhere, or it queues where its turn comes in time; else it is refused at once and told when one is free. While the handing node is not heard, each node keeps to its equal part. Whoever learns of a limit tells the handing node, which tells all; a few are told again each second. Further sends, and streams that go on, take turns like first ones; engines with a limit get no more adapters, unless all name one.

Lines: HeldBack (NE2013) with limit and wait; counter held_back.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -13,7 +13,7 @@
 
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
 use nutmegsail_relay::{
-    EngineLoadNow, Holdings, HoldingsTold, ModelRef, SuspectTold, readers_by_domain,
+    EngineLoadNow, Holdings, HoldingsTold, LimitTold, ModelRef, SuspectTold, readers_by_domain,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -23,6 +23,7 @@
 use super::engine::OwnedEngine;
 use super::engine_load::{EngineLoad, load_without, room};
 use super::knowledge::Knowledge;
+use super::limit_news::LimitNews;
 use super::load_board::{LoadBoard, LoadPage};
 use super::model_demand::ModelsAsked;
 use super::suspect_news::{SuspectNews, all_suspects};
@@ -93,6 +94,8 @@
         /// Whether it answers an ask for all.
         is_answer: bool,
     },
+    /// Limits that upstreams name.
+    Limits { from: NodeId, told: Vec<LimitTold> },
     /// Asks for all of them: the sender has just started, or stood still.
     SuspectsAsked { from: NodeId },
 }
@@ -117,6 +120,7 @@
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut board = LoadBoard::default();
     let mut suspect_news = SuspectNews::default();
+    let mut limit_news = LimitNews::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -125,6 +129,8 @@
                 tell_models(&knowledge, &socket);
                 tell_alive(&knowledge, &socket);
                 tell_suspects(&knowledge, &socket, &mut suspect_news);
+                tell_limits(&knowledge, &socket, &mut limit_news);
+                turn_slots(&knowledge, &socket);
             }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
@@ -265,6 +271,21 @@
     }
 }
 
+/// Tells of the limits that upstreams name.
+fn tell_limits(knowledge: &Knowledge, socket: &UdpSocket, news: &mut LimitNews) {
+    knowledge.forget_limits();
+    for (told, address) in news.turn(knowledge) {
+        let from = knowledge.settings.node.clone();
+        send(socket, &Message::Limits { from, told }, address);
+    }
+}
+
+/// Lets requests go whose turn at an upstream with a limit has come.
+fn turn_slots(knowledge: &Knowledge, socket: &UdpSocket) {
+    let traffic = |message| Message::Traffic(TrafficMessage::Slots(message));
+    knowledge.turn_slots(|message, to| send(socket, &traffic(message), to));
+}
+
 /// Tells what callers of this node ask of base models.
 fn tell_models(knowledge: &Knowledge, socket: &UdpSocket) {
     let own = knowledge.shared.models_asked.take();
@@ -344,6 +365,10 @@
             }
             knowledge.note_heard(from);
         }
+        Ok(Message::Limits { from, told }) => {
+            knowledge.take_limits(&told);
+            knowledge.note_heard(from);
+        }
         Ok(Message::SuspectsAsked { from }) => {
             knowledge.note_heard(from);
             for told in all_suspects(knowledge) {
--- /dev/null
+++ b/crates/relay-node/src/control/limit_news.rs
@@ -0,0 +1,85 @@
+//! Tells other nodes of the limits that upstreams name.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nutmegsail_relay::LimitTold;
+
+use super::knowledge::Knowledge;
+use super::suspect_news::{others, some_others};
+
+/// Limits in one datagram: some 40 bytes each.
+const TOLD_AT_ONCE: usize = 20;
+
+/// How often a few nodes are told of all limits, as some start or come into touch late.
+const STANDING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What this node has told others.
+#[derive(Debug, Default)]
+pub(crate) struct LimitNews {
+    /// The changes that were told.
+    changes: u64,
+    own_changes: u64,
+    told: Option<Instant>,
+}
+
+impl LimitNews {
+    /// What is to be told now, and to whom.
+    ///
+    /// Whoever learns of a limit first tells the node that hands out turns, which tells all.
+    pub(super) fn turn(&mut self, knowledge: &Knowledge) -> Vec<(Vec<LimitTold>, SocketAddr)> {
+        let now = Instant::now();
+        let limits = knowledge.shared.limits();
+        let (changes, own_changes) = (limits.changes(), limits.own_changes());
+        let known = limits.told(now);
+        drop(limits);
+        let has_changed = std::mem::replace(&mut self.changes, changes) != changes;
+        let is_own = std::mem::replace(&mut self.own_changes, own_changes) != own_changes;
+        if has_changed {
+            // The nodes that hand out turns follow from what is known.
+            knowledge.publish();
+        }
+        let mut messages = Vec::new();
+        let me = knowledge.settings.nodes_address;
+        let handing = knowledge.slot_nodes();
+        for limit in known.iter().filter(|_| has_changed) {
+            let to = match handing.get(&limit.upstream) {
+                Some(node) if *node == me => others(knowledge),
+                Some(node) if is_own => vec![*node],
+                // An end leaves nobody who hands out turns.
+                None if is_own => others(knowledge),
+                _ => Vec::new(),
+            };
+            messages.extend(to.into_iter().map(|to| (vec![limit.clone()], to)));
+        }
+        let is_due = self
+            .told
+            .is_none_or(|told| now.duration_since(told) >= STANDING_INTERVAL);
+        if is_due && !known.is_empty() {
+            self.told = Some(now);
+            let some = some_others(knowledge);
+            let parts = known.chunks(TOLD_AT_ONCE);
+            messages.extend(parts.flat_map(|part| some.iter().map(|to| (part.to_vec(), *to))));
+        }
+        messages
+    }
+}
+
+impl Knowledge {
+    /// Takes in what another node told of limits.
+    pub(crate) fn take_limits(&self, told: &[LimitTold]) {
+        let (mut limits, now) = (self.shared.limits(), Instant::now());
+        for told in told
+            .iter()
+            .filter(|told| self.upstream(&told.upstream).is_some())
+        {
+            limits.take(told, now);
+        }
+    }
+
+    /// Forgets the limits of upstreams that are not listed any more.
+    pub(crate) fn forget_limits(&self) {
+        let mut limits = self.shared.limits();
+        limits.forget(|upstream| self.upstream(upstream).is_some(), Instant::now());
+    }
+}
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod keeper;
 mod knowledge;
 mod lending;
+mod limit_news;
 mod load_board;
 mod load_failure;
 mod loader;
--- a/crates/relay-node/src/control/slots.rs
+++ b/crates/relay-node/src/control/slots.rs
@@ -1,4 +1,4 @@
-//! Hands out the slots of plain upstreams that fall to this node.
+//! Hands out the slots of plain upstreams, and the turns at upstreams that name a limit, that fall to this node.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{NodeRecord, SlotGate, Upstream};
+use nutmegsail_relay::{NodeRecord, SlotAnswer, SlotGate, Upstream};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::knowledge::Knowledge;
@@ -18,7 +18,10 @@
 
 type Gates = HashMap<UpstreamId, SlotGate<(SocketAddr, SlotAskId)>>;
 
-/// The slots of plain upstreams.
+/// The slots that an engine has for this: it keeps its own queue, and only its limit counts.
+const UNLIMITED_SLOTS: u32 = u32::MAX;
+
+/// The slots of plain upstreams, and the turns at those with a limit.
 #[derive(Debug, Default)]
 pub(crate) struct Slots {
     /// The gates of the upstreams that other nodes ask this one for.
@@ -30,7 +33,7 @@
 }
 
 impl Knowledge {
-    /// Which node hands out the slots of each plain upstream.
+    /// Which node hands out the slots of each plain upstream, and the turns at each that names a limit.
     ///
     /// Chosen by hash, so nodes that know the same ask the same one without a word. Where they differ for
     /// a moment, two nodes hand out the same slots, and the upstream's own queue takes the rest.
@@ -43,11 +46,12 @@
             slots.known.borrow_mut().clone_from(&nodes);
         }
         let before = Arc::clone(&slots.nodes.borrow());
-        let plain = upstreams.values().filter(|upstream| {
-            let service = self.service(&upstream.service);
-            upstream.takes_work() && service.is_some_and(|service| service.engine.is_none())
+        let limits = self.shared.limits();
+        let gated = upstreams.values().filter(|upstream| {
+            let is_limited = limits.per_s(&upstream.id).is_some();
+            upstream.takes_work() && (is_limited || self.is_plain(upstream))
         });
-        let found = plain.filter_map(|upstream| {
+        let found = gated.filter_map(|upstream| {
             // Hashing every node for every upstream at each change of the store would cost a large fleet more than
             // the slots are worth.
             let known = before.get(&upstream.id).filter(|_| !are_new).copied();
@@ -55,10 +59,31 @@
             Some((upstream.id.clone(), known.or_else(node)?))
         });
         let found = Arc::new(found.collect());
+        drop(limits);
         slots.nodes.replace(Arc::clone(&found));
         found
     }
 
+    fn is_plain(&self, upstream: &Upstream) -> bool {
+        let service = self.service(&upstream.service);
+        service.is_some_and(|service| service.engine.is_none())
+    }
+
+    /// Lets requests go whose turn at an upstream with a limit has come; what is to be sent goes out through `send`.
+    pub(crate) fn turn_slots(&self, send: impl Fn(SlotMessage, SocketAddr)) {
+        let (mut gates, now) = (self.slots.gates.borrow_mut(), Instant::now());
+        let limits = self.shared.limits();
+        for (upstream, gate) in gates.iter_mut() {
+            let per_s = limits.per_s(upstream);
+            if per_s.is_none() && !gate.is_limited() {
+                // Slots are handed on as they are given back.
+                continue;
+            }
+            gate.set_rate(per_s, now);
+            send_answers(upstream, gate.turn(now), &send);
+        }
+    }
+
     /// Answers a message about slots; what is to be sent goes out through `send`.
     pub(crate) fn take_slot_message(
         &self,
@@ -69,16 +94,32 @@
         let mut gates = self.slots.gates.borrow_mut();
         let now = Instant::now();
         match message {
-            SlotMessage::Ask { id, upstream, ask } => {
+            SlotMessage::Ask {
+                id,
+                upstream,
+                ask,
+                limit,
+            } => {
                 let Some(known) = self.upstream(&upstream) else {
                     return;
                 };
+                let slots = match self.is_plain(&known) {
+                    true => known.slots,
+                    false => UNLIMITED_SLOTS,
+                };
+                let mut limits = self.shared.limits();
+                if let Some(limit) = limit {
+                    limits.take(&limit, now);
+                }
+                let per_s = limits.per_s(&upstream);
+                drop(limits);
                 if gates.len() > IDLE_GATES {
                     gates.retain(|_, gate| !gate.is_idle());
                 }
                 let gate = gates.entry(upstream.clone());
-                let gate = gate.or_insert_with(|| SlotGate::new(known.slots));
-                gate.set_slots(known.slots);
+                let gate = gate.or_insert_with(|| SlotGate::new(slots));
+                gate.set_slots(slots);
+                gate.set_rate(per_s, now);
                 let answer = gate.ask((sender, id), ask, now);
                 let answer = SlotMessage::Answer {
                     id,
@@ -96,20 +137,28 @@
                 let Some(gate) = gates.get_mut(&upstream) else {
                     return;
                 };
-                for ((node, id), answer) in gate.release(&(sender, id), took, now) {
-                    let answer = SlotMessage::Answer {
-                        id,
-                        upstream: upstream.clone(),
-                        answer,
-                    };
-                    send(answer, node);
-                }
+                send_answers(&upstream, gate.release(&(sender, id), took, now), &send);
             }
             SlotMessage::Answer { .. } => {}
         }
     }
 }
 
+fn send_answers(
+    upstream: &UpstreamId,
+    answers: Vec<((SocketAddr, SlotAskId), SlotAnswer)>,
+    send: &impl Fn(SlotMessage, SocketAddr),
+) {
+    for ((node, id), answer) in answers {
+        let answer = SlotMessage::Answer {
+            id,
+            upstream: upstream.clone(),
+            answer,
+        };
+        send(answer, node);
+    }
+}
+
 /// The node of the upstream's failure domain with the highest hash; any node where there is none.
 fn slot_node<'a>(
     upstream: &Upstream,
--- a/crates/relay-node/src/control/suspect_news.rs
+++ b/crates/relay-node/src/control/suspect_news.rs
@@ -109,8 +109,15 @@
     parts.collect()
 }
 
+/// All other nodes.
+pub(super) fn others(knowledge: &Knowledge) -> Vec<SocketAddr> {
+    let nodes = knowledge.nodes.borrow();
+    let others = nodes.values().filter(|node| !is_self(knowledge, node));
+    others.map(|node| node.address).collect()
+}
+
 /// A few nodes of the own failure domain, and of others, drawn anew each time.
-fn some_others(knowledge: &Knowledge) -> Vec<SocketAddr> {
+pub(super) fn some_others(knowledge: &Knowledge) -> Vec<SocketAddr> {
     let nodes = knowledge.nodes.borrow();
     let here = &knowledge.settings.failure_domain;
     let others = nodes.values().filter(|node| !is_self(knowledge, node));
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -26,6 +26,7 @@
     store_calls: Counter<u64>,
     reader_silent: Counter<u64>,
     upstream_ends: Counter<u64>,
+    held_back: Counter<u64>,
     first_event: Histogram<f64>,
     wait: Histogram<f64>,
     load_time: Histogram<f64>,
@@ -73,6 +74,10 @@
                 "nutmegsail.relay.upstream_ends",
                 "Times that an upstream ended while requests began there.",
             ),
+            held_back: counter(
+                "nutmegsail.relay.held_back",
+                "Times that a request was held back from an upstream for its limit.",
+            ),
             first_event: times(
                 "nutmegsail.relay.first_event",
                 "From a send to the first event.",
@@ -171,6 +176,11 @@
         self.suspects.record(others as u64, &is_refused(false));
     }
 
+    /// A request was held back from an upstream for its limit.
+    pub(crate) fn held_back(&self) {
+        self.held_back.add(1, &[]);
+    }
+
     /// How many upstreams limit the requests that they take.
     pub(crate) fn limited_upstreams(&self, upstreams: usize) {
         self.limited_upstreams.record(upstreams as u64, &[]);
--- a/crates/relay-node/src/traffic/flight.rs
+++ b/crates/relay-node/src/traffic/flight.rs
@@ -110,7 +110,8 @@
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
             dispatcher.note_run(first.elapsed());
         }
-        if let Some(mut slot) = self.slot.take() {
+        // How long an engine takes for its answer says nothing of when its limit has room.
+        if let Some(mut slot) = self.slot.take().filter(|_| self.model.is_none()) {
             slot.note_answered(self.sent.elapsed());
         }
         self.gateway
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -21,7 +21,9 @@
 use super::adapter_wait::{LOAD_PATIENCE, adapter_patience, copy_purpose};
 use super::answer_body::AnswerBody;
 use super::call::Call;
+use super::limits::OwnShares;
 use super::link::Link;
+use super::plain_slot::Turn;
 use super::quota_client::QuotaClient;
 use super::refuse::{self, GivenUp};
 use super::resume::Resumption;
@@ -69,6 +71,9 @@
     pub(crate) pool: Pool,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(super) crash_watch: RefCell<CrashWatch>,
+    pub(super) own_shares: RefCell<OwnShares>,
+    /// The changes of limits that the dispatcher knows.
+    seen_limits: Cell<u64>,
     pub(crate) bounds: BoundSettings,
     pub(crate) link: Rc<Link>,
     pub(crate) quotas: Rc<QuotaClient>,
@@ -163,6 +168,8 @@
             pool,
             dispatcher: RefCell::new(Dispatcher::new(parts.failure_domain)),
             crash_watch: RefCell::default(),
+            own_shares: RefCell::default(),
+            seen_limits: Cell::new(0),
             bounds: parts.bounds,
             quotas: Rc::new(QuotaClient::new(Rc::clone(&link))),
             slots: Rc::new(SlotClient::new(Rc::clone(&link))),
@@ -191,6 +198,7 @@
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
             dispatcher.set_load_times(&view.load_times);
         }
+        self.take_limits();
         let news = self.shared.news.take();
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.note_domains_heard(&news.domains);
@@ -204,6 +212,15 @@
         view
     }
 
+    /// Brings the dispatcher up to the limits that are known.
+    fn take_limits(&self) {
+        let limits = self.shared.limits();
+        if self.seen_limits.replace(limits.changes()) != limits.changes() {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.set_limited(|upstream| limits.per_s(upstream).is_some());
+        }
+    }
+
     /// How long the older version of an adapter may be begun on.
     pub(crate) fn version_overlap(&self) -> Duration {
         self.bounds.version().mul_f64(VERSION_OVERLAP_SHARE)
@@ -322,6 +339,7 @@
     pub(crate) async fn next_choice(&self, call: &Call, sends: &Sends) -> Result<Choice, GivenUp> {
         let mut patient_until = adapter_patience(call);
         let mut may_look_elsewhere = sends.arrived == 0;
+        let mut limited: Vec<(Duration, Choice)> = Vec::new();
         loop {
             self.await_trials(call).await?;
             self.admit(call).await?;
@@ -333,7 +351,7 @@
                 return Err(busy(ResultCode::UpstreamRefused));
             }
             self.view();
-            match self.choose(call, sends, now) {
+            match self.choose_beside(call, sends, &limited) {
                 Ok(choice)
                     if may_look_elsewhere && self.is_sooner_elsewhere(call, &choice, now) =>
                 {
@@ -345,17 +363,20 @@
                 }
                 Ok(choice) => {
                     let choice = match call.meta.model {
-                        Some(_) => choice,
+                        Some(_) => match self.ask_turn(call, &choice).await {
+                            Turn::Taken => choice,
+                            Turn::Busy(wait) => {
+                                limited.push((wait, choice));
+                                continue;
+                            }
+                        },
                         None => self.take_slot(call, sends, choice).await?,
                     };
-                    if !self.count_send(call, sends, now) {
-                        return Err(busy(ResultCode::RetryBudgetSpent));
-                    }
-                    if !choice.is_preferred {
-                        // The newer version is brought in; nobody waits for it.
-                        let _ = self.want(call, false, LoadPurpose::Miss, now);
-                    }
-                    return Ok(choice);
+                    return self.counted(call, sends, choice);
+                }
+                Err(NoChoice::NoUpstream | NoChoice::AllBusy) if !limited.is_empty() => {
+                    let choice = self.queue_at_soonest(call, limited).await?;
+                    return self.counted(call, sends, choice);
                 }
                 Err(NoChoice::NoUpstream) => {
                     return Err(GivenUp::until(ResultCode::NoUpstream, ABSENT_RETRY_AFTER));
@@ -376,13 +397,39 @@
                     let wait = patient_until.saturating_duration_since(now);
                     let purpose = LoadPurpose::Miss;
                     if !self.bring_adapter(call, sends, purpose, wait).await {
-                        return Err(busy(ResultCode::AdapterNotReady));
+                        if limited.is_empty() {
+                            return Err(busy(ResultCode::AdapterNotReady));
+                        }
+                        let choice = self.queue_at_soonest(call, limited).await?;
+                        return self.counted(call, sends, choice);
                     }
                 }
             }
         }
     }
 
+    /// `choice`, once its send is counted.
+    fn counted(&self, call: &Call, sends: &Sends, choice: Choice) -> Result<Choice, GivenUp> {
+        let now = Instant::now();
+        if !self.count_send(call, sends, now) {
+            return Err(busy(ResultCode::RetryBudgetSpent));
+        }
+        if !choice.is_preferred {
+            // The newer version is brought in; nobody waits for it.
+            let _ = self.want(call, false, LoadPurpose::Miss, now);
+        }
+        Ok(choice)
+    }
+
+    /// Takes a turn at an engine, if it names a limit.
+    async fn ask_turn(&self, call: &Call, choice: &Choice) -> Turn {
+        match self.shared.limits().per_s(&choice.upstream.id) {
+            Some(_) => {}
+            None => return Turn::Taken,
+        }
+        self.ask_slot(call, choice, false).await
+    }
+
     fn is_sooner_elsewhere(&self, call: &Call, choice: &Choice, now: Instant) -> bool {
         let dispatcher = self.dispatcher.borrow();
         dispatcher.is_sooner_elsewhere(&need(call, &[]), choice.expected_ms, now)
--- a/crates/relay-node/src/traffic/plain_slot.rs
+++ b/crates/relay-node/src/traffic/plain_slot.rs
@@ -1,4 +1,4 @@
-//! Slots of plain upstreams for the requests that go there.
+//! Slots of plain upstreams, and turns at upstreams that name a limit, for the requests that go there.
 
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,14 @@
 /// The least time after which a caller that found no room is asked to return.
 const LEAST_RETURN: Duration = Duration::from_millis(100);
 
+/// What came of an ask for a slot or a turn.
+pub(super) enum Turn {
+    /// The request may be sent.
+    Taken,
+    /// It may not; one would be free after about this time.
+    Busy(Duration),
+}
+
 impl Gateway {
     /// Takes a slot for a plain request at `first`, at another upstream that has one free, or where one is
     /// free soonest.
@@ -30,24 +38,27 @@
         let mut next = Ok(first);
         while let Ok(choice) = next {
             match self.ask_slot(call, &choice, false).await {
-                SlotTaken::Granted(permit) => {
-                    call.slot.replace(permit);
-                    return Ok(choice);
-                }
-                SlotTaken::Busy(wait) | SlotTaken::Refused(wait) => busy.push((wait, choice)),
+                Turn::Taken => return Ok(choice),
+                Turn::Busy(wait) => busy.push((wait, choice)),
             }
             next = self.choose_beside(call, sends, &busy);
         }
+        self.queue_at_soonest(call, busy).await
+    }
+
+    /// Waits where a slot or a turn is free soonest, if that is soon enough.
+    pub(super) async fn queue_at_soonest(
+        &self,
+        call: &Call,
+        busy: Vec<(Duration, Choice)>,
+    ) -> Result<Choice, GivenUp> {
         let soonest = busy.into_iter().min_by_key(|(wait, _)| *wait);
         let Some((_, choice)) = soonest else {
             return Err(GivenUp::until(ResultCode::UpstreamRefused, LEAST_RETURN));
         };
         match self.ask_slot(call, &choice, true).await {
-            SlotTaken::Granted(permit) => {
-                call.slot.replace(permit);
-                Ok(choice)
-            }
-            SlotTaken::Busy(wait) | SlotTaken::Refused(wait) => {
+            Turn::Taken => Ok(choice),
+            Turn::Busy(wait) => {
                 // Spread, so that those who were refused together don't return together.
                 let spread = (wait + LEAST_RETURN).mul_f64(rand::random());
                 let after = wait.max(LEAST_RETURN) + spread;
@@ -56,32 +67,61 @@
         }
     }
 
-    fn choose_beside(
+    /// Chooses among the upstreams that are not busy.
+    pub(super) fn choose_beside(
         &self,
         call: &Call,
         sends: &Sends,
         busy: &[(Duration, Choice)],
     ) -> Result<Choice, NoChoice> {
+        let now = Instant::now();
+        if busy.is_empty() {
+            return self.choose(call, sends, now);
+        }
         let mut tried = sends.clone();
         let busy = busy.iter().map(|(_, choice)| choice.upstream.id.clone());
         tried.tried.extend(busy);
-        self.choose(call, &tried, Instant::now())
+        self.choose(call, &tried, now)
     }
 
-    async fn ask_slot(&self, call: &Call, choice: &Choice, may_queue: bool) -> SlotTaken {
-        let view = self.shared.view.load_full();
-        let Some(node) = view.slot_nodes.get(&choice.upstream.id) else {
-            return SlotTaken::Granted(None);
+    /// Asks for a slot, or for a turn if the upstream names a limit.
+    pub(super) async fn ask_slot(&self, call: &Call, choice: &Choice, may_queue: bool) -> Turn {
+        let (view, now) = (self.shared.view.load_full(), Instant::now());
+        let upstream = &choice.upstream.id;
+        let limit = self.shared.limits().told_of(upstream, now);
+        let per_s = limit.as_ref().and_then(|limit| limit.per_s);
+        let taken = match view.slot_nodes.get(upstream) {
+            Some(node) => {
+                let ask = self.slot_ask(call, may_queue, now);
+                self.slots.take(upstream, *node, ask, limit).await
+            }
+            None => SlotTaken::NoAnswer,
         };
-        let now = Instant::now();
+        let turn = match (taken, per_s) {
+            (SlotTaken::Granted(permit), _) => {
+                call.slot.replace(Some(permit));
+                Turn::Taken
+            }
+            (SlotTaken::Busy(wait) | SlotTaken::Refused(wait), _) => Turn::Busy(wait),
+            // The upstream's own queue turns away what it has no room for.
+            (SlotTaken::NoAnswer, None) => Turn::Taken,
+            (SlotTaken::NoAnswer, Some(per_s)) => self.take_own_share(upstream, per_s, view.nodes),
+        };
+        if let (Turn::Busy(wait), Some(_)) = (&turn, per_s) {
+            self.note_held_back(call, upstream, *wait);
+        }
+        turn
+    }
+
+    fn slot_ask(&self, call: &Call, may_queue: bool, now: Instant) -> SlotAsk {
         let elapsed = now.duration_since(call.began) + call.waited_before;
         let in_time = call.route.objective.saturating_sub(elapsed);
-        let ask = SlotAsk {
+        SlotAsk {
             in_time_ms: whole_millis(in_time),
             patience_ms: whole_millis(call.remaining(now).min(in_time + LATE_PATIENCE)),
             may_queue,
-        };
-        self.slots.take(&choice.upstream.id, *node, ask).await
+            rank: call.priority(),
+        }
     }
 
     /// How long the caller of a request has waited before, by what it states of its patience.
--- a/crates/relay-node/src/traffic/slot_client.rs
+++ b/crates/relay-node/src/traffic/slot_client.rs
@@ -1,4 +1,4 @@
-//! Takes slots of plain upstreams from the nodes that hand them out.
+//! Takes slots of plain upstreams, and turns at upstreams that name a limit, from the nodes that hand them out.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -7,15 +7,14 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{SlotAnswer, SlotAsk};
+use nutmegsail_relay::{LimitTold, SlotAnswer, SlotAsk};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::link::Link;
 use crate::traffic_message::{SlotAskId, SlotMessage, TrafficMessage};
 
-/// How long the node that hands out slots is waited for. A request is then sent without: the upstream's own
-/// queue turns it away if there is no room.
+/// How long the node that hands out slots is waited for.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(40);
 
 /// How long a node that did not answer is not asked.
@@ -28,8 +27,10 @@
 
 /// What came of an ask.
 pub(crate) enum SlotTaken {
-    /// The slot, or nothing to give back where nobody hands them out.
-    Granted(Option<SlotPermit>),
+    /// The slot.
+    Granted(SlotPermit),
+    /// Nobody hands them out, or whoever does was not heard.
+    NoAnswer,
     /// None is free; one would be after about this time.
     Busy(Duration),
     /// It cannot be served; whoever returns after this time finds room.
@@ -94,15 +95,16 @@
         upstream: &UpstreamId,
         node: SocketAddr,
         ask: SlotAsk,
+        limit: Option<LimitTold>,
     ) -> SlotTaken {
         if self.is_silent(node) {
-            return SlotTaken::Granted(None);
+            return SlotTaken::NoAnswer;
         }
-        let (mut permit, mut answers) = self.ask(upstream, node, ask);
+        let (mut permit, mut answers) = self.ask(upstream, node, ask, limit);
         let mut patience = ANSWER_PATIENCE;
         loop {
             match timeout(patience, answers.recv()).await {
-                Ok(Some(SlotAnswer::Granted)) => return SlotTaken::Granted(Some(permit)),
+                Ok(Some(SlotAnswer::Granted)) => return SlotTaken::Granted(permit),
                 Ok(Some(SlotAnswer::Busy { wait_ms })) => {
                     permit.forget();
                     return SlotTaken::Busy(millis(wait_ms));
@@ -116,7 +118,7 @@
                 }
                 Ok(None) | Err(_) if patience == ANSWER_PATIENCE => {
                     self.silent.borrow_mut().insert(node, Instant::now());
-                    return SlotTaken::Granted(None);
+                    return SlotTaken::NoAnswer;
                 }
                 Ok(None) | Err(_) => return SlotTaken::Refused(ANSWER_PATIENCE),
             }
@@ -134,6 +136,7 @@
         upstream: &UpstreamId,
         node: SocketAddr,
         ask: SlotAsk,
+        limit: Option<LimitTold>,
     ) -> (SlotPermit, Answers) {
         let id = self.asks.get().wrapping_add(1);
         self.asks.set(id);
@@ -144,6 +147,7 @@
             id,
             upstream: upstream.clone(),
             ask,
+            limit,
         };
         self.link.send(TrafficMessage::Slots(message), node);
         let permit = SlotPermit {
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -2,20 +2,22 @@
 
 use nutmegsail_base::UpstreamId;
 use nutmegsail_quota::QuotaMessage;
-use nutmegsail_relay::{SlotAnswer, SlotAsk};
+use nutmegsail_relay::{LimitTold, SlotAnswer, SlotAsk};
 use serde::{Deserialize, Serialize};
 
 /// Tells the asks of one node for slots apart.
 pub(crate) type SlotAskId = u64;
 
-/// A message about the slots of a plain upstream.
+/// A message about the slots of a plain upstream, or turns at one that names a limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum SlotMessage {
-    /// To the node that hands out the upstream's slots.
+    /// To the node that hands them out.
     Ask {
         id: SlotAskId,
         upstream: UpstreamId,
         ask: SlotAsk,
+        /// What the sender knows of the upstream's limit.
+        limit: Option<LimitTold>,
     },
     /// Its answer; one that follows [`SlotAnswer::Queued`] has the same id.
     Answer {
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -115,6 +115,8 @@
     /// lost a trip; so while others have room it is not asked. In a large fleet most nodes ask an engine
     /// once in seconds and know nothing else of its places.
     ///
+    /// One that limits its requests gets no more adapters to be asked for, unless all do.
+    ///
     /// An engine without the base model can take no adapter. As it is also idle, it would be the
     /// first choice of every request, and each would wait for an order that cannot be given.
     pub fn engines_to_load(
@@ -140,14 +142,10 @@
                     || tracked.coming(now).contains(&model.digest()))
         };
         let engines: Vec<&Tracked> = self.upstreams.values().filter(takes).collect();
+        let engines = preferred(engines, |tracked| !tracked.is_limited);
         let is_coming = |tracked: &Tracked| tracked.coming(now).contains(&model.digest());
-        let has_room = |tracked: &&&Tracked| tracked.has_room(now) || is_coming(tracked);
-        let with_room: Vec<&Tracked> = engines.iter().filter(has_room).copied().collect();
-        let engines = match with_room.is_empty() {
-            true => engines,
-            false => with_room,
-        };
-        engines
+        let has_room = |tracked: &Tracked| tracked.has_room(now) || is_coming(tracked);
+        preferred(engines, has_room)
             .into_iter()
             .map(|tracked| self.load_place(tracked, model, version, now))
             .collect()
@@ -200,3 +198,14 @@
         self.load_ms = times.usual(0.0).as_secs_f64() * 1_000.0;
     }
 }
+
+/// Those that `is_preferred` holds for, or all if there are none.
+fn preferred(engines: Vec<&Tracked>, is_preferred: impl Fn(&Tracked) -> bool) -> Vec<&Tracked> {
+    match engines.iter().any(|tracked| is_preferred(tracked)) {
+        true => engines
+            .into_iter()
+            .filter(|tracked| is_preferred(tracked))
+            .collect(),
+        false => engines,
+    }
+}
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -174,6 +174,20 @@
         }
     }
 
+    /// Takes in which upstreams limit the requests that they take.
+    pub fn set_limited(&mut self, is_limited: impl Fn(&UpstreamId) -> bool) {
+        for (id, tracked) in &mut self.upstreams {
+            tracked.is_limited = is_limited(id);
+        }
+    }
+
+    /// Takes in that an upstream's limit leaves no room before `until`.
+    pub fn note_limited(&mut self, id: &UpstreamId, until: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(id) {
+            tracked.note_limited(until);
+        }
+    }
+
     /// What is known of one upstream.
     pub fn tracked(&self, id: &UpstreamId) -> Option<&Tracked> {
         self.upstreams.get(id)
@@ -270,6 +284,7 @@
             score += OTHER_DOMAIN_MS;
         }
         score += tracked.health.failure_rate() * 200.0;
+        score += tracked.limit_wait_ms(now);
         if self.is_cut_off(tracked, now) {
             score += CUT_OFF_MS;
         } else if self.is_out(tracked, now) {
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -60,6 +60,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
     known: HashMap<UpstreamId, Known>,
+    changes: u64,
+    own_changes: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -86,7 +88,7 @@
             // What cannot be read says that there is a limit, and not which.
             LimitSaid::Malformed => return None,
         };
-        match self.known.get_mut(upstream) {
+        let change = match self.known.get_mut(upstream) {
             Some(known) => known.note(per_s, now),
             None => {
                 let per_s = per_s?;
@@ -94,7 +96,26 @@
                     .insert(upstream.clone(), Known::new(Some(per_s), now));
                 Some(LimitChange::Named(per_s))
             }
-        }
+        };
+        self.changes += u64::from(change.is_some());
+        self.own_changes += u64::from(change.is_some());
+        change
+    }
+
+    /// How often what is known has changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// How often an answer to this node has changed it.
+    pub fn own_changes(&self) -> u64 {
+        self.own_changes
+    }
+
+    /// The upstreams with a limit, and their limits.
+    pub fn in_force(&self) -> impl Iterator<Item = (&UpstreamId, f64)> {
+        let known = self.known.iter();
+        known.filter_map(|(upstream, known)| Some((upstream, known.per_s?)))
     }
 
     /// The limit of `upstream` in requests a second, if one is in force.
@@ -104,33 +125,41 @@
 
     /// How many upstreams have a limit.
     pub fn count(&self) -> usize {
-        let known = self.known.values();
-        known.filter(|known| known.per_s.is_some()).count()
+        self.in_force().count()
     }
 
     /// Forgets upstreams that are not listed any more.
     pub fn forget(&mut self, is_listed: impl Fn(&UpstreamId) -> bool, now: Instant) {
+        let before = self.known.len();
         self.known.retain(|upstream, known| {
             let is_ended = known.per_s.is_none() && now.duration_since(known.said) > ENDED_LIFE;
             is_listed(upstream) && !is_ended
         });
+        self.changes += u64::from(self.known.len() != before);
+    }
+
+    /// What is known of one upstream.
+    pub fn told_of(&self, upstream: &UpstreamId, now: Instant) -> Option<LimitTold> {
+        let known = self.known.get(upstream)?;
+        Some(known.told(upstream, now))
     }
 
     /// All that is known.
     pub fn told(&self, now: Instant) -> Vec<LimitTold> {
         let known = self.known.iter();
         known
-            .map(|(upstream, known)| LimitTold {
-                upstream: upstream.clone(),
-                per_s: known.per_s,
-                age_ms: u32::try_from(now.duration_since(known.said).as_millis())
-                    .unwrap_or(u32::MAX),
-            })
+            .map(|(upstream, known)| known.told(upstream, now))
             .collect()
     }
 
     /// Takes in what another node told.
     pub fn take(&mut self, told: &LimitTold, now: Instant) -> Option<LimitChange> {
+        let change = self.note_told(told, now);
+        self.changes += u64::from(change.is_some());
+        change
+    }
+
+    fn note_told(&mut self, told: &LimitTold, now: Instant) -> Option<LimitChange> {
         let age = Duration::from_millis(u64::from(told.age_ms));
         let said = now.checked_sub(age).unwrap_or(now);
         let per_s = told.per_s.filter(|per_s| is_rate(*per_s));
@@ -159,6 +188,15 @@
         }
     }
 
+    fn told(&self, upstream: &UpstreamId, now: Instant) -> LimitTold {
+        let age_ms = now.duration_since(self.said).as_millis();
+        LimitTold {
+            upstream: upstream.clone(),
+            per_s: self.per_s,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        }
+    }
+
     fn note(&mut self, said: Option<f64>, now: Instant) -> Option<LimitChange> {
         let before = self.per_s;
         let is_lower = match (said, before) {
--- /dev/null
+++ b/crates/relay/src/rate_bucket.rs
@@ -0,0 +1,76 @@
+//! Requests that a rate allows.
+
+use std::time::{Duration, Instant};
+
+/// For how long a rate that nobody uses adds up.
+const BURST: Duration = Duration::from_secs(1);
+
+/// Requests that may be sent now, filled in at a rate.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use nutmegsail_relay::RateBucket;
+/// let now = Instant::now();
+/// let mut bucket = RateBucket::new(2.0, now);
+/// assert!(!bucket.take(now), "it begins empty");
+/// assert_eq!(bucket.wait(0, now), Duration::from_millis(500));
+/// assert!(bucket.take(now + Duration::from_millis(500)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct RateBucket {
+    per_s: f64,
+    requests: f64,
+    filled: Instant,
+}
+
+impl RateBucket {
+    /// An empty bucket. What was sent before the rate was known counts in its first second.
+    pub fn new(per_s: f64, now: Instant) -> Self {
+        Self {
+            per_s,
+            requests: 0.0,
+            filled: now,
+        }
+    }
+
+    /// Takes in another rate.
+    pub fn set_rate(&mut self, per_s: f64, now: Instant) {
+        self.fill(now);
+        self.per_s = per_s;
+        self.requests = self.requests.min(self.capacity());
+    }
+
+    /// Whether a request may be sent.
+    pub fn has_one(&mut self, now: Instant) -> bool {
+        self.fill(now);
+        self.requests >= 1.0
+    }
+
+    /// Takes one request out, if there is one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let has_one = self.has_one(now);
+        if has_one {
+            self.requests -= 1.0;
+        }
+        has_one
+    }
+
+    /// When a request may be sent that lets `ahead` others go first.
+    pub fn wait(&self, ahead: usize, now: Instant) -> Duration {
+        let passed_s = now.saturating_duration_since(self.filled).as_secs_f64();
+        let missing = (ahead + 1) as f64 - self.requests - passed_s * self.per_s;
+        let wait_s = missing.max(0.0) / self.per_s;
+        Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+    }
+
+    fn capacity(&self) -> f64 {
+        (self.per_s * BURST.as_secs_f64()).max(1.0)
+    }
+
+    fn fill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.filled);
+        self.filled = self.filled.max(now);
+        let filled = self.requests + passed.as_secs_f64() * self.per_s;
+        self.requests = filled.min(self.capacity());
+    }
+}
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -127,6 +127,10 @@
     pub unread_tokens: u64,
     /// Failures.
     pub health: Health,
+    /// Whether it limits the requests that it takes.
+    pub(crate) is_limited: bool,
+    /// Until when its limit leaves no room for another one, as far as is known.
+    limited_until: Option<Instant>,
     /// When another process answered at its address.
     gone_at: Option<Instant>,
     /// The last report of its load.
@@ -154,6 +158,8 @@
             in_flight: 0,
             unread_tokens: 0,
             health: Health::default(),
+            is_limited: false,
+            limited_until: None,
             gone_at: None,
             report: None,
             run_ms: FIRST_RUN_MS,
@@ -311,6 +317,19 @@
         self.gone_at = Some(now);
     }
 
+    /// Takes in that its limit leaves no room before `until`.
+    pub(crate) fn note_limited(&mut self, until: Instant) {
+        self.limited_until = Some(until);
+    }
+
+    /// How long its limit leaves no room yet, in milliseconds.
+    pub(crate) fn limit_wait_ms(&self, now: Instant) -> f64 {
+        let until = self.limited_until.filter(|_| self.is_limited);
+        until.map_or(0.0, |until| {
+            until.saturating_duration_since(now).as_secs_f64() * 1_000.0
+        })
+    }
+
     /// Whether another process has its address, before the list of upstreams shows it.
     pub(crate) fn is_gone(&self, now: Instant) -> bool {
         self.gone_at
--- /dev/null
+++ b/crates/relay/tests/limited_gate.rs
@@ -0,0 +1,129 @@
+//! Turns at an upstream that names a limit.
+
+use std::time::{Duration, Instant};
+
+use nutmegsail_relay::{RateBucket, SlotAnswer, SlotAsk, SlotGate};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const MS: Duration = Duration::from_millis(1);
+const WINDOW: Duration = Duration::from_secs(4);
+
+const ASK: SlotAsk = SlotAsk {
+    in_time_ms: 800,
+    patience_ms: 5_000,
+    may_queue: false,
+    rank: 5,
+};
+
+fn limited(per_s: f64, now: Instant) -> SlotGate<u32> {
+    let mut gate = SlotGate::new(u32::MAX);
+    gate.set_rate(Some(per_s), now);
+    gate
+}
+
+#[test]
+fn a_limit_begins_with_nothing_and_lets_one_go_when_it_is_due() {
+    let now = Instant::now();
+    let mut gate = limited(2.0, now);
+    let busy = SlotAnswer::Busy { wait_ms: 500 };
+    assert_eq!(gate.ask(1, ASK, now), busy);
+    assert_eq!(gate.ask(2, ASK, now + 500 * MS), SlotAnswer::Granted);
+    assert_eq!(gate.ask(3, ASK, now + 500 * MS), busy);
+}
+
+// Guards against urgent requests that wait behind routine ones.
+#[test]
+fn the_most_urgent_goes_first() {
+    let now = Instant::now();
+    let mut gate = limited(2.0, now);
+    let queued = |rank| SlotAsk {
+        may_queue: true,
+        rank,
+        ..ASK
+    };
+    assert_eq!(gate.ask(1, queued(5), now), SlotAnswer::Queued);
+    assert_eq!(gate.ask(2, queued(1), now + MS), SlotAnswer::Queued);
+    assert_eq!(gate.turn(now + 400 * MS), []);
+    assert_eq!(gate.turn(now + 500 * MS), [(2, SlotAnswer::Granted)]);
+    assert_eq!(gate.turn(now + 1_000 * MS), [(1, SlotAnswer::Granted)]);
+}
+
+// Guards against requests that wait for a turn which comes too late for them.
+#[test]
+fn who_cannot_be_in_time_is_refused_at_once_and_told_when_to_return() {
+    let now = Instant::now();
+    let mut gate = limited(0.5, now);
+    let ask = SlotAsk {
+        may_queue: true,
+        ..ASK
+    };
+    let refused = SlotAnswer::Refused { wait_ms: 2_000 };
+    assert_eq!(gate.ask(1, ask, now), refused);
+}
+
+#[rstest]
+#[case::none_at_all(0.0)]
+#[case::far_under_one(0.001)]
+fn an_upstream_that_takes_next_to_nothing_is_asked_now_and_then(#[case] per_s: f64) {
+    let now = Instant::now();
+    let mut gate = limited(per_s, now);
+    let granted = (0..60_u32).filter(|second| {
+        let at = now + Duration::from_secs(u64::from(*second));
+        gate.ask(*second, ASK, at) == SlotAnswer::Granted
+    });
+    let granted = granted.count();
+    assert!((10..=15).contains(&granted), "{granted} in a minute");
+}
+
+#[test]
+fn without_its_limit_an_upstream_takes_all_again() {
+    let now = Instant::now();
+    let mut gate = limited(1.0, now);
+    let queued = SlotAsk {
+        may_queue: true,
+        ..ASK
+    };
+    gate.set_rate(Some(2.0), now);
+    assert_eq!(gate.ask(1, queued, now), SlotAnswer::Queued);
+    gate.set_rate(None, now);
+    assert_eq!(gate.turn(now), [(1, SlotAnswer::Granted)]);
+    assert!(!gate.is_limited());
+    assert_eq!(gate.ask(2, ASK, now), SlotAnswer::Granted);
+}
+
+#[test]
+fn a_rate_that_falls_takes_away_what_had_added_up() {
+    let now = Instant::now();
+    let mut bucket = RateBucket::new(10.0, now);
+    let later = now + Duration::from_secs(5);
+    bucket.set_rate(1.0, later);
+    assert!(bucket.take(later));
+    assert!(!bucket.take(later));
+}
+
+proptest! {
+    // Guards against more than one and a half times a limit and five requests in any four seconds.
+    #[test]
+    fn a_gate_keeps_the_limit_in_every_window(
+        per_s in 0.0..40.0_f64,
+        steps in prop::collection::vec((0..300_u64, 0..10_u8, any::<bool>()), 1..400),
+    ) {
+        let mut now = Instant::now();
+        let mut gate = limited(per_s, now);
+        let mut sent = Vec::new();
+        for (number, (pause_ms, rank, may_queue)) in steps.into_iter().enumerate() {
+            now += MS * pause_ms as u32;
+            sent.extend(gate.turn(now).into_iter().filter(|(_, answer)| *answer == SlotAnswer::Granted).map(|_| now));
+            let ask = SlotAsk { rank, may_queue, ..ASK };
+            if gate.ask(number as u32, ask, now) == SlotAnswer::Granted {
+                sent.push(now);
+            }
+        }
+        let allowed = 1.5 * per_s * WINDOW.as_secs_f64() + 5.0;
+        for from in &sent {
+            let in_window = sent.iter().filter(|at| *at >= from && **at < *from + WINDOW).count();
+            prop_assert!(in_window as f64 <= allowed, "{in_window} of {allowed}");
+        }
+    }
+}
--- a/crates/relay/tests/slot_gate.rs
+++ b/crates/relay/tests/slot_gate.rs
@@ -17,6 +17,7 @@
         in_time_ms: OBJECTIVE_MS,
         patience_ms: PATIENCE_MS,
         may_queue: true,
+        rank: 0,
     }
 }
 
