Study ways to keep an upstream's limit over 6, 72 and 360 nodes

Turns that one node hands out, equal shares, shares that follow demand, and none, with restarts of the handing node and a cut. Rows of three studies are made by one function.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod capacity;
 mod crash_sim;
+mod limit_sim;
 mod model_sim;
 mod page;
 mod placement_sim;
--- a/crates/measure/src/report.rs
+++ b/crates/measure/src/report.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// A measure's name, and how it is read from a run.
+pub(crate) type Read<R> = (&'static str, fn(&R) -> f64);
+
 /// What one policy came to on one deployment.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Row {
@@ -48,6 +51,23 @@
 }
 
 impl Row {
+    /// A row of a policy's runs, one for each seed, with what is read from each.
+    pub(crate) fn over_runs<R>(
+        deployment: String,
+        policy: &str,
+        runs: &[R],
+        reads: &[Read<R>],
+    ) -> Self {
+        let measures = reads
+            .iter()
+            .map(|(name, read)| Measure::over_seeds(name, runs.iter().map(read).collect()));
+        Self {
+            deployment,
+            policy: policy.to_owned(),
+            measures: measures.collect(),
+        }
+    }
+
     /// The median of a measure, if the row has it.
     pub fn median(&self, name: &str) -> Option<f64> {
         let measure = self.measures.iter().find(|measure| measure.name == name);
--- a/crates/measure/src/studies/crashes.rs
+++ b/crates/measure/src/studies/crashes.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::crash_sim::{CrashRun, CrashScenario, CrashWay, simulate};
-use crate::{Measure, Report, Row, Study};
+use crate::report::Read;
+use crate::{Report, Row, Study};
 
 pub(crate) const STUDY: Study = Study {
     name: "crashes",
@@ -95,21 +96,16 @@
         .iter()
         .map(|seed| simulate(scenario, way, *seed))
         .collect();
-    let over = |name: &'static str, read: &dyn Fn(&CrashRun) -> f64| {
-        Measure::over_seeds(name, runs.iter().map(read).collect())
-    };
-    Row {
-        deployment: format!("{} nodes, {name}", scenario.nodes),
-        policy: policy.to_owned(),
-        measures: vec![
-            over("ends", &|run| run.ends as f64),
-            over("late_sends", &|run| run.late_sends as f64),
-            over("broken_share", &|run| {
-                run.broken as f64 / run.requests.max(1) as f64
-            }),
-            over("refused_falsely", &|run| run.refused_falsely as f64),
-            over("known_after_ms", &|run| run.known_after_ms),
-            over("messages_per_node_s", &|run| run.messages_per_node_s),
-        ],
-    }
+    let deployment = format!("{} nodes, {name}", scenario.nodes);
+    let reads: [Read<CrashRun>; 6] = [
+        ("ends", |run| run.ends as f64),
+        ("late_sends", |run| run.late_sends as f64),
+        ("broken_share", |run| {
+            run.broken as f64 / run.requests.max(1) as f64
+        }),
+        ("refused_falsely", |run| run.refused_falsely as f64),
+        ("known_after_ms", |run| run.known_after_ms),
+        ("messages_per_node_s", |run| run.messages_per_node_s),
+    ];
+    Row::over_runs(deployment, policy, &runs, &reads)
 }
--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod domain_lost;
 mod lagging_reports;
+mod limits;
 mod overload;
 mod placement;
 mod quotas;
@@ -30,5 +31,6 @@
     base_models::STUDY,
     quotas::STUDY,
     crashes::STUDY,
+    limits::STUDY,
     capacity::STUDY,
 ];
--- a/crates/measure/src/studies/quotas.rs
+++ b/crates/measure/src/studies/quotas.rs
@@ -1,7 +1,8 @@
 //! Teams' quotas over all nodes.
 
 use crate::quota_sim::{QuotaRun, QuotaScenario, QuotaWay, simulate};
-use crate::{Measure, Report, Row, Study};
+use crate::report::Read;
+use crate::{Report, Row, Study};
 
 pub(crate) const STUDY: Study = Study {
     name: "quotas",
@@ -51,19 +52,14 @@
         .iter()
         .map(|seed| simulate(scenario, way, *seed))
         .collect();
-    let over = |name: &'static str, read: &dyn Fn(&QuotaRun) -> f64| {
-        Measure::over_seeds(name, runs.iter().map(read).collect())
-    };
-    Row {
-        deployment: format!("{} nodes, {name}", scenario.nodes),
-        policy: policy.to_owned(),
-        measures: vec![
-            over("refused_falsely_share", &|run| {
-                run.refused_falsely as f64 / run.owed.max(1) as f64
-            }),
-            over("short_share", &|run| run.short_share),
-            over("most_in_window", &|run| run.most_in_window),
-            over("messages_per_node_s", &|run| run.messages_per_node_s),
-        ],
-    }
+    let deployment = format!("{} nodes, {name}", scenario.nodes);
+    let reads: [Read<QuotaRun>; 4] = [
+        ("refused_falsely_share", |run| {
+            run.refused_falsely as f64 / run.owed.max(1) as f64
+        }),
+        ("short_share", |run| run.short_share),
+        ("most_in_window", |run| run.most_in_window),
+        ("messages_per_node_s", |run| run.messages_per_node_s),
+    ];
+    Row::over_runs(deployment, policy, &runs, &reads)
 }
--- a/crates/measure/tests/studies.rs
+++ b/crates/measure/tests/studies.rs
@@ -88,3 +88,18 @@
         }
     }
 }
+
+// Guards against limits that are kept by sending an upstream next to nothing, or not kept.
+#[test]
+fn turns_keep_a_limit_over_all_nodes_and_use_it() {
+    let report = run("limits", &[1]).unwrap();
+    let ours = report
+        .rows
+        .iter()
+        .filter(|row| row.policy.starts_with("nutmegsail"));
+    for row in ours {
+        let (most, used) = (row.median("most_in_window"), row.median("used_share"));
+        assert!(most.unwrap() <= 1.0, "{}", row.deployment);
+        assert!(used.unwrap() >= 0.7, "{}", row.deployment);
+    }
+}
