Take in a loan between lenders once, and only one that was asked for

A datagram that comes twice filled a bucket twice, and an answer to a lender before this one brought tokens that count as spent.

Change: each ask to another lender has an id of its own, open until its answer or for the life of a loan; a lender that starts again begins elsewhere in the ids. So it was already between nodes and lenders. Looked at besides: asks that come twice are lent to twice, which loses tokens and creates none; what owners and nodes tell each other of uses, loads, base models, suspects and limits says what is, and may come twice.

The property test of the promise now delivers one message in a hundred twice.

--- a/crates/measure/src/quota_sim/ways.rs
+++ b/crates/measure/src/quota_sim/ways.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::TeamName;
-use nutmegsail_quota::{Account, Ask, FirstFill, Lender, Quota, QuotaBounds, Quotas};
+use nutmegsail_quota::{Account, Ask, AskId, FirstFill, Lender, Quota, QuotaBounds, Quotas};
 
 /// How often nodes tell each other their demand, where shares follow it.
 const NEWS_INTERVAL: Duration = Duration::from_millis(200);
@@ -175,7 +175,7 @@
             .collect();
         let by_name: Quotas = teams.iter().cloned().zip(quotas.iter().copied()).collect();
         let lender = || {
-            let mut lender = Lender::new(bounds, FirstFill::Full);
+            let mut lender = Lender::new(bounds, FirstFill::Full, AskId(0));
             lender.set_quotas(&by_name, Duration::ZERO);
             lender
         };
@@ -214,10 +214,9 @@
     }
 
     fn borrow(&mut self, team: &TeamName, home: usize, cut: Option<usize>, now: Duration) {
-        let Some(ask): Option<Ask> = self.lenders[home].borrow(team, now) else {
-            return;
-        };
-        for other in (0..DOMAINS).filter(|other| *other != home) {
+        let asks: Vec<Ask> = self.lenders[home].borrow(team, DOMAINS - 1, now);
+        let others = (0..DOMAINS).filter(|other| *other != home);
+        for (other, ask) in others.zip(asks) {
             if cut != Some(home) && cut != Some(other) {
                 let lent = self.lenders[other].lender_ask(&ask, now);
                 self.lenders[home].take_lent(&lent, now);
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::bucket::Bucket;
-use crate::{Ask, AskId, Lent, Quota, QuotaBounds, Quotas};
+use crate::{Ask, AskId, GRANT_LIFE, Lent, Quota, QuotaBounds, Quotas};
 use nutmegsail_base::TeamName;
 
 /// The part of a bucket that is kept for requests at hand: extra tokens, and tokens for other lenders,
@@ -40,7 +40,7 @@
 /// use nutmegsail_quota::{Ask, AskId, FirstFill, Lender, Quota, QuotaBounds, Quotas};
 /// let bounds = QuotaBounds::default();
 /// let quota = Quota { tokens_per_s: 1_000.0, burst_tokens: 1_000.0 };
-/// let mut lender = Lender::new(bounds, FirstFill::Full);
+/// let mut lender = Lender::new(bounds, FirstFill::Full, AskId(7));
 /// lender.set_quotas(&Quotas::from([("desk".into(), quota)]), Duration::ZERO);
 /// let ask = Ask { id: AskId(1), team: "desk".into(), need_tokens: 700, extra_tokens: 0 };
 /// assert_eq!(lender.ask(&ask, Duration::ZERO).tokens, 700);
@@ -53,6 +53,8 @@
     first_fill: FirstFill,
     teams: HashMap<TeamName, TeamBucket>,
     asks: u64,
+    /// Asks to other lenders without an answer, and when they were made.
+    open: HashMap<AskId, Duration>,
 }
 
 #[derive(Clone, Debug)]
@@ -74,13 +76,15 @@
 }
 
 impl Lender {
-    /// A lender whose buckets begin with `first_fill`.
-    pub fn new(bounds: QuotaBounds, first_fill: FirstFill) -> Self {
+    /// A lender whose buckets begin with `first_fill`, and whose first ask to another one has the id `first`. One that
+    /// starts again begins elsewhere, so that answers to the one before are not taken for its own.
+    pub fn new(bounds: QuotaBounds, first_fill: FirstFill, first: AskId) -> Self {
         Self {
             bounds,
             first_fill,
             teams: HashMap::new(),
-            asks: 0,
+            asks: first.0,
+            open: HashMap::new(),
         }
     }
 
@@ -158,8 +162,30 @@
         levels
     }
 
-    /// What to ask the lenders of other failure domains for, after a need of `team` that was not met.
-    pub fn borrow(&mut self, team: &TeamName, now: Duration) -> Option<Ask> {
+    /// What to ask each of `lenders` other lenders for, after a need of `team` that was not met; nothing if they
+    /// were asked a moment ago.
+    pub fn borrow(&mut self, team: &TeamName, lenders: usize, now: Duration) -> Vec<Ask> {
+        let Some(short) = self.short_of(team, now) else {
+            return Vec::new();
+        };
+        self.open
+            .retain(|_, asked_at| now.saturating_sub(*asked_at) < GRANT_LIFE);
+        let asks = (0..lenders).map(|_| {
+            self.asks = self.asks.wrapping_add(1);
+            let id = AskId(self.asks);
+            self.open.insert(id, now);
+            Ask {
+                id,
+                team: team.clone(),
+                need_tokens: short.ceil() as u32,
+                extra_tokens: 0,
+            }
+        });
+        asks.collect()
+    }
+
+    /// What the bucket of `team` lacks, if others are to be asked for it now.
+    fn short_of(&mut self, team: &TeamName, now: Duration) -> Option<f64> {
         let known = self.teams.get_mut(team)?;
         let unmet = known.unmet_at(now)?;
         let is_early = |at| now.saturating_sub(at) < BORROW_INTERVAL;
@@ -167,18 +193,15 @@
             return None;
         }
         known.borrowed_at = Some(now);
-        let short = (unmet - known.bucket.level_tokens()).max(1.0);
-        self.asks += 1;
-        Some(Ask {
-            id: AskId(self.asks),
-            team: team.clone(),
-            need_tokens: short.ceil() as u32,
-            extra_tokens: 0,
-        })
+        Some((unmet - known.bucket.level_tokens()).max(1.0))
     }
 
-    /// Takes in what another lender lent.
+    /// Takes in what another lender lent. An answer that comes twice, or to no ask, brings nothing: its tokens would exist
+    /// twice.
     pub fn take_lent(&mut self, lent: &Lent, now: Duration) {
+        if self.open.remove(&lent.id).is_none() {
+            return;
+        }
         if let Some(team) = self.teams.get_mut(&lent.team) {
             team.fill(&self.bounds, now);
             team.bucket.put(f64::from(lent.tokens));
--- a/crates/quota/tests/lending.rs
+++ b/crates/quota/tests/lending.rs
@@ -26,7 +26,7 @@
 }
 
 fn lender(fill: FirstFill) -> Lender {
-    let mut lender = Lender::new(three_domains(), fill);
+    let mut lender = Lender::new(three_domains(), fill, AskId(100));
     lender.set_quotas(&quotas(QUOTA), Duration::ZERO);
     lender
 }
@@ -86,7 +86,7 @@
         slack_tokens: 0.0,
         ..three_domains()
     };
-    let mut strict_lender = Lender::new(strict, FirstFill::Full);
+    let mut strict_lender = Lender::new(strict, FirstFill::Full, AskId(100));
     strict_lender.set_quotas(&quotas(QUOTA), Duration::ZERO);
     strict_lender.set_quotas(&quotas(low), Duration::ZERO);
     lender.set_quotas(&quotas(low), Duration::ZERO);
@@ -123,17 +123,45 @@
     let (mut here, mut there) = (lender(FirstFill::Empty), lender(FirstFill::Full));
     assert_eq!(here.ask(&ask(1_500), Duration::ZERO).tokens, 0);
     let team: TeamName = "desk".into();
-    let borrow = here.borrow(&team, Duration::ZERO).unwrap();
+    let borrow = here.borrow(&team, 1, Duration::ZERO);
     assert!(
-        here.borrow(&team, Duration::ZERO).is_none(),
+        here.borrow(&team, 1, Duration::ZERO).is_empty(),
         "not at each ask"
     );
-    let lent = there.lender_ask(&borrow, Duration::ZERO);
+    let lent = there.lender_ask(&borrow[0], Duration::ZERO);
     assert_eq!(lent.tokens, 1_500);
     here.take_lent(&lent, Duration::ZERO);
     assert_eq!(here.ask(&ask(1_500), Duration::ZERO).tokens, 1_500);
 }
 
+// Guards against a datagram that comes twice and fills a bucket twice.
+#[test]
+fn a_loan_that_comes_twice_counts_once() {
+    let (mut here, mut there) = (lender(FirstFill::Empty), lender(FirstFill::Full));
+    let team = TeamName::from("desk");
+    here.ask(&ask(1_500), Duration::ZERO);
+    let borrow = here.borrow(&team, 1, Duration::ZERO);
+    let lent = there.lender_ask(&borrow[0], Duration::ZERO);
+    here.take_lent(&lent, Duration::ZERO);
+    here.take_lent(&lent, Duration::ZERO);
+    assert_eq!(here.ask(&ask(1_500), Duration::ZERO).tokens, 1_500);
+    assert_eq!(here.ask(&ask(1_500), Duration::ZERO).tokens, 0);
+}
+
+// Guards against an answer to the lender before, whose tokens are counted as spent.
+#[test]
+fn a_lender_that_starts_anew_takes_no_loan_that_it_did_not_ask_for() {
+    let mut there = lender(FirstFill::Full);
+    let mut before = lender(FirstFill::Empty);
+    before.ask(&ask(1_500), Duration::ZERO);
+    let borrow = before.borrow(&"desk".into(), 1, Duration::ZERO);
+    let lent = there.lender_ask(&borrow[0], Duration::ZERO);
+    let mut here = Lender::new(three_domains(), FirstFill::Empty, AskId(9_000));
+    here.set_quotas(&quotas(QUOTA), Duration::ZERO);
+    here.take_lent(&lent, Duration::ZERO);
+    assert_eq!(here.ask(&ask(1), Duration::ZERO).tokens, 0);
+}
+
 #[test]
 fn a_request_larger_than_one_bucket_is_met_by_several() {
     let quota = Quota {
@@ -142,16 +170,16 @@
     };
     let mut lenders: Vec<Lender> = (0..3)
         .map(|_| {
-            let mut lender = Lender::new(three_domains(), FirstFill::Full);
+            let mut lender = Lender::new(three_domains(), FirstFill::Full, AskId(100));
             lender.set_quotas(&quotas(quota), Duration::ZERO);
             lender
         })
         .collect();
     let need = 5_000;
     assert_eq!(lenders[0].ask(&ask(need), Duration::ZERO).tokens, 0);
-    let borrow = lenders[0].borrow(&"desk".into(), Duration::ZERO).unwrap();
+    let borrow = lenders[0].borrow(&"desk".into(), 2, Duration::ZERO);
     for place in 1..3 {
-        let lent = lenders[place].lender_ask(&borrow, Duration::ZERO);
+        let lent = lenders[place].lender_ask(&borrow[place - 1], Duration::ZERO);
         lenders[0].take_lent(&lent, Duration::ZERO);
     }
     assert_eq!(lenders[0].ask(&ask(need), Duration::ZERO).tokens, need);
--- a/crates/quota/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -1,10 +1,10 @@
 //! Nodes and lenders of three failure domains, with messages that are late, lost and cut off.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
 
 use nutmegsail_base::TeamName;
-use nutmegsail_quota::{Account, Ask, FirstFill, Lender, Lent, Quota, QuotaBounds, Quotas};
+use nutmegsail_quota::{Account, Ask, AskId, FirstFill, Lender, Lent, Quota, QuotaBounds, Quotas};
 use strategies::arbitrary_event;
 
 const DOMAINS: usize = 3;
@@ -93,6 +93,8 @@
     /// When it asked last, and how often without an answer.
     asked_at: Duration,
     unanswered: usize,
+    /// Asks without an answer. A second answer to one is none, as with a node's own client.
+    open: HashSet<AskId>,
 }
 
 pub struct World {
@@ -147,8 +149,9 @@
         world
     }
 
-    fn lender(&self, fill: FirstFill) -> Lender {
-        let mut lender = Lender::new(self.bounds, fill);
+    fn lender(&mut self, fill: FirstFill) -> Lender {
+        let first = AskId((self.draw() * 1e15) as u64);
+        let mut lender = Lender::new(self.bounds, fill, first);
         let quotas = Quotas::from([(self.team.clone(), self.quota)]);
         lender.set_quotas(&quotas, self.now);
         lender
@@ -222,11 +225,12 @@
         let (team, now) = (self.team.clone(), self.now);
         let place = &mut self.nodes[node];
         let ask = place.account.ask(&team, REQUEST_TOKENS, now);
+        place.open.insert(ask.id);
         place.asked_at = now;
         // Another lender is asked where the nearest does not answer.
         let (home, asked) = ((node + place.unanswered) % DOMAINS, now);
         place.unanswered += 1;
-        self.send(node % DOMAINS, home, Message::Ask { node, asked, ask });
+        self.send(node % DOMAINS, home, &Message::Ask { node, asked, ask });
     }
 
     fn spend(&mut self, node: usize) {
@@ -249,15 +253,19 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, message: Message) {
-        let is_lost = self.draw() < 0.01;
-        let late = self.delay.mul_f64(self.draw());
-        if !is_lost {
+    fn send(&mut self, from: usize, to: usize, message: &Message) {
+        let copies = match self.draw() {
+            lost if lost < 0.01 => 0,
+            twice if twice > 0.99 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = self.delay.mul_f64(self.draw());
             self.sent.push(Sent {
                 arrives: self.now + late,
                 between: (from, to),
                 to_lender: to,
-                message,
+                message: message.clone(),
             });
         }
     }
@@ -281,18 +289,17 @@
         match message {
             Message::Ask { node, asked, ask } => {
                 let lent = self.lenders[domain].ask(&ask, self.now);
-                if lent.tokens == 0
-                    && let Some(ask) = self.lenders[domain].borrow(&ask.team, self.now)
-                {
-                    for other in (0..DOMAINS).filter(|other| *other != domain) {
-                        let ask = ask.clone();
-                        self.send(domain, other, Message::LenderAsk { from: domain, ask });
+                if lent.tokens == 0 {
+                    let asks = self.lenders[domain].borrow(&ask.team, DOMAINS - 1, self.now);
+                    let others = (0..DOMAINS).filter(|other| *other != domain);
+                    for (other, ask) in others.zip(asks) {
+                        self.send(domain, other, &Message::LenderAsk { from: domain, ask });
                     }
                 }
-                self.send(domain, node % DOMAINS, Message::Lent { node, asked, lent });
+                self.send(domain, node % DOMAINS, &Message::Lent { node, asked, lent });
             }
             Message::Lent { node, asked, lent } => {
-                if self.nodes[node].is_frozen {
+                if self.nodes[node].is_frozen || !self.nodes[node].open.remove(&lent.id) {
                     return;
                 }
                 self.nodes[node].unanswered = 0;
@@ -304,7 +311,7 @@
             }
             Message::LenderAsk { from, ask } => {
                 let lent = self.lenders[domain].lender_ask(&ask, self.now);
-                self.send(domain, from, Message::LenderLent { to: from, lent });
+                self.send(domain, from, &Message::LenderLent { to: from, lent });
             }
             Message::LenderLent { to, lent } => self.lenders[to].take_lent(&lent, self.now),
         }
@@ -347,6 +354,7 @@
             waiting: VecDeque::new(),
             asked_at: Duration::ZERO,
             unanswered: 0,
+            open: HashSet::new(),
         }
     }
 }
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::FailureDomain;
-use nutmegsail_quota::{Ask, FirstFill, Lender, QuotaMessage};
+use nutmegsail_quota::{AskId, FirstFill, Lender, QuotaMessage};
 use nutmegsail_relay::{NodeRecord, OrderPermit, Ownership, OwnershipRules};
 use nutmegsail_store::{Expect, Put, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
@@ -160,10 +160,14 @@
         match message {
             QuotaMessage::Ask(ask) => {
                 let lent = own.lender.ask(&ask, now);
-                let borrow = (lent.tokens == 0).then(|| own.lender.borrow(&ask.team, now));
+                let is_short = lent.tokens == 0;
                 send(QuotaMessage::Lent(lent), sender);
-                if let Some(borrow) = borrow.flatten() {
-                    self.ask_lenders(&borrow, send);
+                if is_short {
+                    let others = self.other_lenders();
+                    let asks = own.lender.borrow(&ask.team, others.len(), now);
+                    for (lender, ask) in others.into_iter().zip(asks) {
+                        send(QuotaMessage::LenderAsk(ask), lender);
+                    }
                 }
             }
             QuotaMessage::LenderAsk(ask) => {
@@ -177,12 +181,10 @@
         }
     }
 
-    fn ask_lenders(&self, ask: &Ask, send: impl Fn(QuotaMessage, SocketAddr)) {
+    fn other_lenders(&self) -> Vec<SocketAddr> {
         let me = self.settings.nodes_address;
-        let others = self.lender_addresses().into_iter();
-        for lender in others.filter(|address| *address != me) {
-            send(QuotaMessage::LenderAsk(ask.clone()), lender);
-        }
+        let lenders = self.lender_addresses().into_iter();
+        lenders.filter(|address| *address != me).collect()
     }
 
     fn release_lender(&self, why: &str) {
@@ -281,7 +283,7 @@
         false => FirstFill::Empty,
     };
     let settings = &knowledge.settings;
-    let lender = Lender::new(settings.quota_bounds(), first_fill);
+    let lender = Lender::new(settings.quota_bounds(), first_fill, AskId(rand::random()));
     *knowledge.lending.own.borrow_mut() = Some(OwnLender {
         lender,
         ownership,
