Count an ask for a slot once if its datagram comes twice

Found while looking for messages between nodes that are taken in twice: an ask for a slot or a turn that came twice took two turns of the upstream's limit, or stood in the queue twice.

Measured: an_ask_that_comes_twice_counts_once was red before: the second ask had Busy for an answer, its turn gone.

--- a/crates/relay/src/slot_gate.rs
+++ b/crates/relay/src/slot_gate.rs
@@ -149,6 +149,13 @@
     /// Decides on a request.
     pub fn ask(&mut self, key: K, ask: SlotAsk, now: Instant) -> SlotAnswer {
         self.forget_lost(now);
+        // A datagram may come twice.
+        if self.taken.contains_key(&key) {
+            return SlotAnswer::Granted;
+        }
+        if self.queue.iter().any(|waiting| waiting.key == key) {
+            return SlotAnswer::Queued;
+        }
         if self.queue.is_empty() && self.take_room(now) {
             self.taken.insert(key, now);
             return SlotAnswer::Granted;
--- a/crates/relay/tests/limited_gate.rs
+++ b/crates/relay/tests/limited_gate.rs
@@ -62,6 +62,25 @@
     assert_eq!(gate.ask(1, ask, now), refused);
 }
 
+// Guards against an ask whose datagram comes twice and takes two turns, or waits in the queue twice.
+#[test]
+fn an_ask_that_comes_twice_counts_once() {
+    let now = Instant::now();
+    let mut gate = limited(2.0, now);
+    let queued = SlotAsk {
+        may_queue: true,
+        ..ASK
+    };
+    let at = now + 1_000 * MS;
+    assert_eq!(gate.ask(1, ASK, at), SlotAnswer::Granted);
+    assert_eq!(gate.ask(1, ASK, at), SlotAnswer::Granted);
+    assert_eq!(gate.ask(2, ASK, at), SlotAnswer::Granted);
+    assert_eq!(gate.ask(3, queued, at), SlotAnswer::Queued);
+    assert_eq!(gate.ask(3, queued, at), SlotAnswer::Queued);
+    let later = at + 1_000 * MS;
+    assert_eq!(gate.turn(later), [(3, SlotAnswer::Granted)]);
+}
+
 #[rstest]
 #[case::none_at_all(0.0)]
 #[case::far_under_one(0.001)]
