Count revisions and leases within the store's era

What callers saw: after the store came back from an older copy, two owners gave orders to one engine, two lenders lent in one failure domain, a node was listed no more and another one missed an upstream (platform/tests/restored_store.rs). Cause: revisions and numbers of leases that were given out again were taken for those of before.

Each answer's Store-Era now counts into Revision and LeaseId, above the service's own number, so that they only rise. A watch, a lease or a condition of an earlier era ends at the client; a write that met another era than it names may have been made; an answer of an earlier era than the one that is known tells nothing. A store that tells no era keeps its own numbers. Considered instead: fences raised by the engines' own answers, which engines do not tell at all.

Eight tests of the client are new.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -11,6 +11,7 @@
 mod names;
 mod result_code;
 mod run_state;
+mod store_era;
 
 pub use adapter_ref::{AdapterRef, AdapterRefError};
 pub use class::Class;
@@ -22,3 +23,4 @@
 };
 pub use result_code::ResultCode;
 pub use run_state::RunState;
+pub use store_era::StoreEra;
--- a/crates/store/src/encoding.rs
+++ b/crates/store/src/encoding.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Method;
+use http::{HeaderMap, Method};
+use nutmegsail_base::StoreEra;
 
 use crate::{Changes, Item, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn};
 
@@ -62,7 +63,8 @@
 /// Paths and bodies of one kind of key-value service.
 ///
 /// [`HttpKeyValue`](crate::HttpKeyValue) makes the calls and knows what a status or a missing
-/// answer means; an encoding only translates.
+/// answer means; an encoding only translates. Revisions and leases are
+/// the service's own numbers here, without eras.
 pub trait StoreEncoding: Send + Sync + Debug {
     /// Reads one key.
     fn get(&self, key: &str) -> StoreRequest;
@@ -83,6 +85,9 @@
     /// Ends a lease.
     fn end_lease(&self, lease: LeaseId) -> StoreRequest;
 
+    /// The service's era, if an answer tells it.
+    fn era(&self, headers: &HeaderMap) -> Option<StoreEra>;
+
     /// The answer to [`get`](Self::get).
     ///
     /// # Errors
--- a/crates/store/src/http_call.rs
+++ b/crates/store/src/http_call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use nutmegsail_http_pool::{Pool, SendError};
 use tokio::time::timeout;
@@ -25,6 +25,7 @@
 /// A whole answer.
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -53,13 +54,17 @@
                     SendError::NotSent | SendError::AtLimit => CallError::NotSent,
                     SendError::Broken => CallError::NoAnswer,
                 })?;
-            let status = answer.status();
-            let body = Limited::new(answer.into_body(), ANSWER_LIMIT_BYTES)
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, ANSWER_LIMIT_BYTES)
                 .collect()
                 .await
                 .map_err(|_| CallError::NoAnswer)?
                 .to_bytes();
-            Ok(Answer { status, body })
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
         };
         timeout(deadline, exchange)
             .await
--- a/crates/store/src/http_key_value.rs
+++ b/crates/store/src/http_key_value.rs
@@ -1,16 +1,18 @@
 //! The key-value service over HTTP.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use http::StatusCode;
+use nutmegsail_base::StoreEra;
 use nutmegsail_http_pool::Pool;
 
 use crate::http_call::{Answer, CallError};
 use crate::{
-    Changes, EncodingError, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, OwnEncoding, Page,
-    PlatformSettings, Revision, StoreEncoding, StoreRequest, Txn,
+    Change, Changes, EncodingError, Expect, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId,
+    OwnEncoding, Page, PlatformSettings, Put, Revision, StoreEncoding, StoreRequest, Txn,
 };
 
 /// [`KeyValue`] over HTTP/1.1. Each call goes out at most once.
@@ -25,6 +27,8 @@
     settings: PlatformSettings,
     encoding: Arc<dyn StoreEncoding>,
     pool: Pool,
+    /// One more than the newest era that an answer has told; 0 before.
+    next_era: Arc<AtomicU64>,
 }
 
 /// Whether a call changes anything, which decides what a missing answer means.
@@ -67,6 +71,7 @@
             settings,
             encoding,
             pool,
+            next_era: Arc::default(),
         }
     }
 
@@ -75,7 +80,7 @@
         effect: Effect,
         call: StoreRequest,
         deadline: Duration,
-    ) -> Result<Answer, KeyValueError> {
+    ) -> Result<Told, KeyValueError> {
         let answer = call
             .send(&self.pool, &self.settings.address, deadline)
             .await
@@ -83,48 +88,157 @@
                 CallError::NotSent => KeyValueError::Unavailable,
                 CallError::NoAnswer => effect.without_answer(),
             })?;
-        match answer.status {
-            status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(answer),
+        let told = self.told(answer).ok_or(effect.without_answer())?;
+        match told.answer.status {
+            status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(told),
             StatusCode::TOO_MANY_REQUESTS => Err(KeyValueError::Refused),
             StatusCode::SERVICE_UNAVAILABLE => Err(KeyValueError::Unavailable),
             StatusCode::GONE => Err(KeyValueError::Compacted),
             StatusCode::PAYLOAD_TOO_LARGE => Err(KeyValueError::TooLarge),
-            StatusCode::PRECONDITION_FAILED => Err(self.conflict(effect, &answer)),
+            StatusCode::PRECONDITION_FAILED => Err(self.conflict(effect, &told)),
             _ => Err(effect.without_answer()),
         }
     }
 
-    async fn read(&self, call: StoreRequest) -> Result<Answer, KeyValueError> {
+    async fn read(&self, call: StoreRequest) -> Result<Told, KeyValueError> {
         self.call(Effect::Read, call, self.settings.call_timeout)
             .await
     }
 
-    async fn write(&self, call: StoreRequest) -> Result<Answer, KeyValueError> {
+    async fn write(&self, call: StoreRequest) -> Result<Told, KeyValueError> {
         self.call(Effect::Write, call, self.settings.call_timeout)
             .await
     }
 
-    fn conflict(&self, effect: Effect, answer: &Answer) -> KeyValueError {
-        match self.encoding.conflict(&answer.body) {
-            Ok(current) => KeyValueError::Conflict { current },
+    /// The answer with its era; nothing if a later one is known, as what it says is gone.
+    fn told(&self, answer: Answer) -> Option<Told> {
+        let known = self.era();
+        let era = self.encoding.era(&answer.headers).or(known);
+        if era < known {
+            return None;
+        }
+        let next = era.map_or(0, |era| era.0.saturating_add(1));
+        self.next_era.fetch_max(next, Ordering::Relaxed);
+        let era = era.unwrap_or_default();
+        Some(Told { answer, era })
+    }
+
+    fn conflict(&self, effect: Effect, told: &Told) -> KeyValueError {
+        match self.encoding.conflict(&told.answer.body) {
+            Ok(current) => KeyValueError::Conflict {
+                current: current.into_iter().map(|item| told.item(item)).collect(),
+            },
             Err(error) => effect.unreadable(error),
         }
     }
+
+    /// Refuses what a transaction names of another era than the one that is known: the service would take other
+    /// revisions and leases for it, which have the same numbers.
+    fn check_eras(&self, txn: &Txn) -> Result<(), KeyValueError> {
+        let Some(known) = self.era() else {
+            return Ok(());
+        };
+        if expects_outside(txn, known) {
+            return Err(KeyValueError::Conflict {
+                current: Vec::new(),
+            });
+        }
+        match leases_outside(txn, known) {
+            true => Err(KeyValueError::LeaseGone),
+            false => Ok(()),
+        }
+    }
+
+    fn is_outside(&self, lease: LeaseId) -> bool {
+        self.era().is_some_and(|known| lease.is_outside(known))
+    }
+}
+
+/// A whole answer with the era that it counts in.
+struct Told {
+    answer: Answer,
+    era: StoreEra,
+}
+
+impl Told {
+    fn revision(&self, raw: Revision) -> Revision {
+        Revision::of(self.era, raw.0)
+    }
+
+    fn item(&self, raw: Item) -> Item {
+        Item {
+            revision: self.revision(raw.revision),
+            lease: LeaseId::of(self.era, raw.lease.0),
+            ..raw
+        }
+    }
+
+    fn change(&self, raw: Change) -> Change {
+        match raw {
+            Change::Put(item) => Change::Put(self.item(item)),
+            Change::Removed { key, revision } => Change::Removed {
+                key,
+                revision: self.revision(revision),
+            },
+        }
+    }
+}
+
+/// Whether a transaction names revisions or leases of another era than `era`.
+fn names_outside(txn: &Txn, era: StoreEra) -> bool {
+    expects_outside(txn, era) || leases_outside(txn, era)
+}
+
+fn expects_outside(txn: &Txn, era: StoreEra) -> bool {
+    let mut expects = txn.expects.iter();
+    expects.any(|expect| expect.revision.is_outside(era))
+}
+
+fn leases_outside(txn: &Txn, era: StoreEra) -> bool {
+    txn.puts.iter().any(|put| put.lease.is_outside(era))
+}
+
+/// The transaction with the service's own numbers.
+fn without_eras(txn: Txn) -> Txn {
+    let expects = txn.expects.into_iter().map(|expect| Expect {
+        revision: Revision(expect.revision.number()),
+        ..expect
+    });
+    let puts = txn.puts.into_iter().map(|put| Put {
+        lease: LeaseId(put.lease.number()),
+        ..put
+    });
+    Txn {
+        expects: expects.collect(),
+        puts: puts.collect(),
+        removes: txn.removes,
+    }
 }
 
 #[async_trait]
 impl KeyValue for HttpKeyValue {
+    fn era(&self) -> Option<StoreEra> {
+        let next = self.next_era.load(Ordering::Relaxed);
+        next.checked_sub(1).map(StoreEra)
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
-        let answer = self.read(self.encoding.get(key)).await?;
-        if answer.status == StatusCode::NOT_FOUND {
+        let told = self.read(self.encoding.get(key)).await?;
+        if told.answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        Ok(Some(self.encoding.item(&answer.body)?))
+        let item = self.encoding.item(&told.answer.body)?;
+        Ok(Some(told.item(item)))
     }
 
     async fn range(&self, prefix: &str, after: Option<&str>) -> Result<Page, KeyValueError> {
-        let answer = found(self.read(self.encoding.range(prefix, after)).await?)?;
-        Ok(self.encoding.page(&answer.body)?)
+        let told = found(self.read(self.encoding.range(prefix, after)).await?)?;
+        let page = self.encoding.page(&told.answer.body)?;
+        Ok(Page {
+            items: page.items.into_iter().map(|item| told.item(item)).collect(),
+            has_more: page.has_more,
+            revision: told.revision(page.revision),
+        })
     }
 
     async fn watch(
@@ -133,47 +247,92 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Changes, KeyValueError> {
-        let call = self.encoding.watch(prefix, after, wait);
+        let is_over = |known| after.is_outside(known) && after.era() < known;
+        if self.era().is_some_and(is_over) {
+            return Err(KeyValueError::Compacted);
+        }
+        let position = Revision(after.number());
+        let call = self.encoding.watch(prefix, position, wait);
         let deadline = wait + self.settings.call_timeout;
-        let answer = found(self.call(Effect::Read, call, deadline).await?)?;
-        Ok(self.encoding.changes(&answer.body)?)
+        let told = found(self.call(Effect::Read, call, deadline).await?)?;
+        if after.is_outside(told.era) {
+            // The position was taken for one of another history.
+            return Err(KeyValueError::Compacted);
+        }
+        let changes = self.encoding.changes(&told.answer.body)?;
+        Ok(Changes {
+            revision: told.revision(changes.revision),
+            changes: changes
+                .changes
+                .into_iter()
+                .map(|change| told.change(change))
+                .collect(),
+        })
     }
 
     async fn commit(&self, txn: Txn) -> Result<Revision, KeyValueError> {
-        let call = self.encoding.commit(&txn)?;
-        let answer = lease_found(self.write(call).await?)?;
-        let committed = self.encoding.committed(&answer.body);
+        self.check_eras(&txn)?;
+        let writes = !txn.puts.is_empty() || !txn.removes.is_empty();
+        let call = self.encoding.commit(&without_eras(txn.clone()))?;
+        let told = lease_found(self.write(call).await?)?;
+        if names_outside(&txn, told.era) {
+            return Err(match writes {
+                true => KeyValueError::Ambiguous,
+                false => KeyValueError::Conflict {
+                    current: Vec::new(),
+                },
+            });
+        }
+        let committed = self.encoding.committed(&told.answer.body);
+        let committed = committed.map(|revision| told.revision(revision));
         committed.map_err(|error| Effect::Write.unreadable(error))
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseGrant, KeyValueError> {
-        let answer = self.write(self.encoding.grant_lease(ttl)).await?;
-        let granted = self.encoding.granted(&answer.body);
+        let told = self.write(self.encoding.grant_lease(ttl)).await?;
+        let granted = self.encoding.granted(&told.answer.body);
+        let granted = granted.map(|granted| LeaseGrant {
+            lease: LeaseId::of(told.era, granted.lease.0),
+            ..granted
+        });
         granted.map_err(|error| Effect::Write.unreadable(error))
     }
 
     async fn keep_lease(&self, lease: LeaseId) -> Result<(), KeyValueError> {
-        lease_found(self.write(self.encoding.keep_lease(lease)).await?)?;
-        Ok(())
+        if self.is_outside(lease) {
+            return Err(KeyValueError::LeaseGone);
+        }
+        let number = LeaseId(lease.number());
+        let told = lease_found(self.write(self.encoding.keep_lease(number)).await?)?;
+        match lease.is_outside(told.era) {
+            // Another lease has its number now.
+            true => Err(KeyValueError::LeaseGone),
+            false => Ok(()),
+        }
     }
 
     async fn end_lease(&self, lease: LeaseId) -> Result<(), KeyValueError> {
+        if self.is_outside(lease) {
+            // It is gone, and another one may have its number.
+            return Ok(());
+        }
         // A lease that is gone already has ended.
-        self.write(self.encoding.end_lease(lease)).await?;
+        let number = LeaseId(lease.number());
+        self.write(self.encoding.end_lease(number)).await?;
         Ok(())
     }
 }
 
-fn found(answer: Answer) -> Result<Answer, KeyValueError> {
-    match answer.status {
+fn found(told: Told) -> Result<Told, KeyValueError> {
+    match told.answer.status {
         StatusCode::NOT_FOUND => Err(KeyValueError::Unavailable),
-        _ => Ok(answer),
+        _ => Ok(told),
     }
 }
 
-fn lease_found(answer: Answer) -> Result<Answer, KeyValueError> {
-    match answer.status {
+fn lease_found(told: Told) -> Result<Told, KeyValueError> {
+    match told.answer.status {
         StatusCode::NOT_FOUND => Err(KeyValueError::LeaseGone),
-        _ => Ok(answer),
+        _ => Ok(told),
     }
 }
--- a/crates/store/src/key_value.rs
+++ b/crates/store/src/key_value.rs
@@ -6,11 +6,36 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use derive_more::{Display, From};
-use nutmegsail_base::ResultCode;
+use nutmegsail_base::{ResultCode, StoreEra};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// The service's change counter. It only rises; 0 stands for "does not exist".
+/// The bits of a number that count within an era. The era stands above them; both stay below 2^53, which every JSON
+/// reader keeps exact.
+const NUMBER_BITS: u32 = 40;
+
+const LAST_ERA: u64 = (1 << 12) - 1;
+
+/// A number of the service with its era, so that those of a later era come after all of earlier ones.
+fn of_era(era: StoreEra, number: u64) -> u64 {
+    match number {
+        0 => 0,
+        _ => era.0.min(LAST_ERA) << NUMBER_BITS | number & ((1 << NUMBER_BITS) - 1),
+    }
+}
+
+/// The service's change counter, with the era that it counts in; 0 stands for "does not exist". It only rises: the
+/// service's own counter goes back when it comes back from an older copy, and the era rises then.
+///
+/// ```
+/// use nutmegsail_base::StoreEra;
+/// use nutmegsail_store::Revision;
+/// let before = Revision::of(StoreEra(1), 900);
+/// let after = Revision::of(StoreEra(2), 850);
+/// assert!(before < after);
+/// assert_eq!((after.era(), after.number()), (StoreEra(2), 850));
+/// assert_eq!(Revision::of(StoreEra(2), 0), Revision(0));
+/// ```
 #[derive(
     Clone,
     Copy,
@@ -29,13 +54,57 @@
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
-/// A lease of the key-value service; 0 stands for "none".
+impl Revision {
+    /// The revision that the service calls `number` in `era`.
+    pub fn of(era: StoreEra, number: u64) -> Self {
+        Self(of_era(era, number))
+    }
+
+    /// The era that it counts in.
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> NUMBER_BITS)
+    }
+
+    /// What the service calls it.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
+
+    /// Whether it names something, of another era than `era`.
+    pub fn is_outside(self, era: StoreEra) -> bool {
+        self != Self(0) && self.era() != Self::of(era, 1).era()
+    }
+}
+
+/// A lease of the key-value service, with the era that it was granted in; 0 stands for "none".
 #[derive(
     Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, From, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct LeaseId(pub u64);
 
+impl LeaseId {
+    /// The lease that the service calls `number` in `era`.
+    pub fn of(era: StoreEra, number: u64) -> Self {
+        Self(of_era(era, number))
+    }
+
+    /// The era that it was granted in.
+    pub fn era(self) -> StoreEra {
+        StoreEra(self.0 >> NUMBER_BITS)
+    }
+
+    /// What the service calls it.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << NUMBER_BITS) - 1)
+    }
+
+    /// Whether it names something, of another era than `era`.
+    pub fn is_outside(self, era: StoreEra) -> bool {
+        self != Self(0) && self.era() != Self::of(era, 1).era()
+    }
+}
+
 /// A stored value with the revision that wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -210,8 +279,15 @@
 }
 
 /// The platform's key-value service. Reads are linearizable; every call counts against its rates.
+///
+/// It may come back from an older copy of itself, in a new era. Positions, leases and conditions of before do not hold
+/// then: watches end with [`KeyValueError::Compacted`], leases with [`KeyValueError::LeaseGone`].
 #[async_trait]
 pub trait KeyValue: Send + Sync + std::fmt::Debug {
+    /// The newest era that an answer has told; nothing if the service tells none.
+    fn era(&self) -> Option<StoreEra> {
+        None
+    }
     /// Reads one key.
     async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError>;
     /// Reads the keys that begin with `prefix`, after the key `after` if given.
--- a/crates/store/src/own_encoding.rs
+++ b/crates/store/src/own_encoding.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use http::Method;
+use http::{HeaderMap, HeaderName, Method};
+use nutmegsail_base::StoreEra;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 
 use crate::key_value_json::{
@@ -13,11 +14,19 @@
     Txn,
 };
 
+/// Rises by one each time that the service comes back from an older copy of itself.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// JSON under `/v1/kv/`; values travel as text.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct OwnEncoding;
 
 impl StoreEncoding for OwnEncoding {
+    fn era(&self, headers: &HeaderMap) -> Option<StoreEra> {
+        let text = headers.get(ERA)?.to_str().ok()?;
+        text.trim().parse().map(StoreEra).ok()
+    }
+
     fn get(&self, key: &str) -> StoreRequest {
         StoreRequest::new(Method::GET, format!("/v1/kv/item?key={}", encode(key)))
     }
--- /dev/null
+++ b/crates/store/tests/store_eras.rs
@@ -0,0 +1,146 @@
+//! What a store that comes back from an older copy makes of numbers of before.
+
+#![allow(clippy::unwrap_used, reason = "a stand-in that fails fails its test")]
+
+#[path = "../../http-pool/tests/scripted_server/mod.rs"]
+mod scripted_server;
+
+use std::time::Duration;
+
+use nutmegsail_base::StoreEra;
+use nutmegsail_store::{
+    Expect, HttpKeyValue, KeyValue, KeyValueError, LeaseId, PlatformSettings, Put, Revision, Txn,
+};
+use rstest::rstest;
+use scripted_server::{ScriptedServer, Turn, answer};
+
+const ITEM: &str = r#"{"key":"k","value":"v","revision":7,"lease":0}"#;
+const NO_CHANGES: &str = r#"{"changes":[],"revision":9}"#;
+const COMMITTED: &str = r#"{"revision":9}"#;
+
+fn in_era(era: u64, status: u16, body: &str) -> Turn {
+    Turn::Answer(answer(status, &format!("store-era: {era}\r\n"), body))
+}
+
+/// A store that answers in era 1 first.
+async fn store(turns: impl IntoIterator<Item = Turn>) -> (HttpKeyValue, ScriptedServer) {
+    let turns: Vec<Turn> = [in_era(1, 200, ITEM)].into_iter().chain(turns).collect();
+    let server = ScriptedServer::start(turns).await;
+    let store = HttpKeyValue::new(PlatformSettings::at(&server.address));
+    let item = store.get("k").await.unwrap().unwrap();
+    assert_eq!(item.revision, Revision::of(StoreEra(1), 7));
+    (store, server)
+}
+
+fn swap(expected: Revision, lease: LeaseId) -> Txn {
+    Txn {
+        expects: vec![Expect {
+            key: "k".into(),
+            revision: expected,
+        }],
+        puts: vec![Put {
+            key: "k".into(),
+            value: "w".into(),
+            lease,
+        }],
+        ..Txn::default()
+    }
+}
+
+fn revision(number: u64) -> Revision {
+    Revision::of(StoreEra(1), number)
+}
+
+fn lease(number: u64) -> LeaseId {
+    LeaseId::of(StoreEra(1), number)
+}
+
+// Guards against a later revision of the store that is taken for an earlier one, as its number is lower.
+#[tokio::test]
+async fn revisions_of_a_later_era_come_later() {
+    let (store, _server) = store([in_era(2, 200, &ITEM.replace('7', "3"))]).await;
+    let item = store.get("k").await.unwrap().unwrap();
+    assert_eq!(item.revision.number(), 3);
+    assert!(item.revision > revision(7));
+    assert_eq!(store.era(), Some(StoreEra(2)));
+}
+
+// Guards against a position that is taken for one of the store's new history.
+#[tokio::test]
+async fn a_watch_does_not_go_on_in_another_era() {
+    let (store, server) = store([in_era(2, 200, NO_CHANGES)]).await;
+    let wait = Duration::from_millis(10);
+    let watched = store.watch("", revision(7), wait).await;
+    assert_eq!(watched, Err(KeyValueError::Compacted));
+    let watched = store.watch("", revision(7), wait).await;
+    assert_eq!(watched, Err(KeyValueError::Compacted));
+    assert_eq!(
+        server.seen().len(),
+        2,
+        "the second is known to be over without a call"
+    );
+}
+
+// Guards against a lease that is kept for another holder, to whom its number was given out again.
+#[tokio::test]
+async fn a_lease_ends_with_its_era() {
+    let (store, server) = store([in_era(2, 200, "")]).await;
+    let kept = store.keep_lease(lease(4)).await;
+    assert_eq!(kept, Err(KeyValueError::LeaseGone));
+    assert_eq!(store.end_lease(lease(4)).await, Ok(()));
+    let put = store.commit(swap(Revision(0), lease(4))).await;
+    assert_eq!(put, Err(KeyValueError::LeaseGone));
+    assert_eq!(server.seen().len(), 2);
+}
+
+// Guards against a claim over a revision that was given out again to another node's claim.
+#[tokio::test]
+async fn a_condition_of_another_era_does_not_hold() {
+    let (store, server) = store([in_era(2, 200, ITEM)]).await;
+    store.get("k").await.unwrap();
+    let swapped = store.commit(swap(revision(7), LeaseId(0))).await;
+    let current = Vec::new();
+    assert_eq!(swapped, Err(KeyValueError::Conflict { current }));
+    assert_eq!(server.seen().len(), 2, "the store is not asked");
+}
+
+// Guards against a write that counts as a success under a condition that the store took for another one.
+#[rstest]
+#[case::condition(revision(7), LeaseId(0))]
+#[case::lease(Revision(0), lease(4))]
+#[tokio::test]
+async fn a_write_that_met_another_era_may_have_been_made(
+    #[case] expected: Revision,
+    #[case] lease: LeaseId,
+) {
+    let (store, _server) = store([in_era(2, 200, COMMITTED)]).await;
+    let swapped = store.commit(swap(expected, lease)).await;
+    assert_eq!(swapped, Err(KeyValueError::Ambiguous));
+}
+
+// Guards against an answer that was on its way while the store came back, and tells what is gone.
+#[tokio::test]
+async fn an_answer_of_an_earlier_era_tells_nothing() {
+    let (store, _server) = store([
+        in_era(2, 200, ITEM),
+        in_era(1, 200, ITEM),
+        in_era(1, 200, COMMITTED),
+    ])
+    .await;
+    store.get("k").await.unwrap();
+    let read = store.get("k").await;
+    assert_eq!(read.unwrap_err(), KeyValueError::Unavailable);
+    let swapped = store.commit(swap(Revision(0), LeaseId(0))).await;
+    assert_eq!(swapped, Err(KeyValueError::Ambiguous));
+}
+
+#[tokio::test]
+async fn a_store_that_tells_no_era_keeps_its_own_numbers() {
+    let turns = [answer(200, "", ITEM), answer(200, "", COMMITTED)].map(Turn::Answer);
+    let server = ScriptedServer::start(turns).await;
+    let store = HttpKeyValue::new(PlatformSettings::at(&server.address));
+    let item = store.get("k").await.unwrap().unwrap();
+    assert_eq!((item.revision, store.era()), (Revision(7), None));
+    let swapped = store.commit(swap(item.revision, LeaseId(0))).await;
+    assert_eq!(swapped, Ok(Revision(9)));
+}
--- a/crates/telemetry/src/counted_store.rs
+++ b/crates/telemetry/src/counted_store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use nutmegsail_base::ResultCode;
+use nutmegsail_base::{ResultCode, StoreEra};
 use nutmegsail_store::{
     Changes, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn,
 };
@@ -46,6 +46,10 @@
 
 #[async_trait]
 impl<M: CountStoreCalls> KeyValue for CountedStore<M> {
+    fn era(&self) -> Option<StoreEra> {
+        self.inner.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
         self.count(StoreCall::Read, self.inner.get(key).await)
     }
