Look a second time for an upstream that took a connection

What callers saw: a request that crashes its upstreams crashed one more than the three after which it is refused. Cause: the upstream was looked for at once, and its sockets close one by one; connected, it counted as alive.

One that took a connection is looked for again 30 ms later. Considered instead: waiting for the connection to close, which an upstream that closes idle ones early would pass for ended. Repeats of requests whose answer was lost wait these 30 ms longer.

--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -19,6 +19,9 @@
 /// end with their upstream, within some hundred milliseconds.
 const TRIAL_PATIENCE: Duration = Duration::from_millis(1_000);
 
+/// How long the sockets of a process that ends may take to close.
+const CLOSING_TIME: Duration = Duration::from_millis(30);
+
 /// How often it looks.
 const TRIAL_LOOK: Duration = Duration::from_millis(10);
 
@@ -111,12 +114,11 @@
     }
 
     async fn check(self: Rc<Self>, upstream: Arc<Upstream>) {
-        let opened = self.pool.open(&upstream.address.to_string()).await;
-        let reach = match opened {
-            Ok(()) | Err(OpenError::AtLimit) => Reach::Connected,
-            Err(OpenError::Refused) => Reach::Refused,
-            Err(OpenError::Silent) => Reach::Silent,
-        };
+        let mut reach = self.reach(&upstream).await;
+        if reach == Reach::Connected {
+            sleep(CLOSING_TIME).await;
+            reach = self.reach(&upstream).await;
+        }
         let mut watch = self.crash_watch.borrow_mut();
         let struck = watch.note_reach(&upstream.id, reach, Instant::now());
         drop(watch);
@@ -125,6 +127,14 @@
         }
     }
 
+    async fn reach(&self, upstream: &Upstream) -> Reach {
+        match self.pool.open(&upstream.address.to_string()).await {
+            Ok(()) | Err(OpenError::AtLimit) => Reach::Connected,
+            Err(OpenError::Refused) => Reach::Refused,
+            Err(OpenError::Silent) => Reach::Silent,
+        }
+    }
+
     fn note_ended(&self, upstream: &Upstream, struck: &[RequestDigest]) {
         let (mut suspects, now) = (self.shared.suspects(), Instant::now());
         for digest in struck {
