Claim anew what went with the store's history, and hold back text that is older than others'

What the rise of the era means is decided in crates/relay, without a clock or a store: EraWatch (whether claims of before may still be acted on; whether the text that the store shows may be gone by; when both are over) and Ownership (lapse, retaken). An owner whose last confirmation is younger than hand-over and travel goes on with its new claim at once, as no other claim of the lost history can have come to its turn; an older one goes on as long as its confirmation holds, and waits. So does a lender; its buckets begin anew after a gap. Nothing is ordered or lent between rise and new claim. The store keeps a mark of the last era for which all is over, so that nodes which start later need nobody's word; others ask the nodes around them, and hold back claims and text. Considered instead: every owner waits 7.4 s (no loads for as long after each return), and a mark of time alone, without the operators' text.

Events NE5007, NE6007, NE6008; gauge nutmegsail_relay_store_era.

A property test of three owners over random cuts, restarts, lost keys and returns found another fault, of the system before too: a process that restarts while it waits for the owner before orders at once.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{NodeRecord, Ownership, Upstream, unowned_to_claim};
+use nutmegsail_relay::{NodeRecord, OrderPermit, Ownership, Upstream, unowned_to_claim};
 use nutmegsail_store::{Expect, KeyValueError, Put, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 
@@ -141,10 +141,28 @@
     let is_own_before = before != Revision(0)
         || knowledge.is_first_claim()
         || has_no_other_owner(knowledge, engine);
+    let is_own_before = is_own_before && knowledge.eras.is_settled();
     let rules = knowledge.ownership_rules();
     let now = boot_time();
-    let ownership = Ownership::taken(fence.0, is_own_before, rules, asked_at, now);
-    let owned = Rc::new(OwnedEngine::new(engine.clone(), ownership));
+    let taken = Ownership::taken(fence.0, is_own_before, rules, asked_at, now);
+    let lapsed = knowledge.eras.lapsed.borrow_mut().remove(engine);
+    let owned = match lapsed {
+        Some(owned) => {
+            let retaken = owned
+                .ownership
+                .borrow()
+                .retaken(fence.0, rules, asked_at, now);
+            let ownership = if is_own_before { taken } else { retaken };
+            owned.ownership.replace(ownership);
+            owned.is_watched.set(false);
+            owned
+        }
+        None => Rc::new(OwnedEngine::new(engine.clone(), taken)),
+    };
+    let may_order = matches!(
+        owned.ownership.borrow().permit(now),
+        OrderPermit::Granted { .. }
+    );
     knowledge.owned.borrow_mut().insert(engine.clone(), owned);
     let owner = Owner {
         node: knowledge.settings.node.clone(),
@@ -153,7 +171,7 @@
     knowledge.owners.borrow_mut().insert(engine.clone(), owner);
     log_event!(
         knowledge.log, Event::EngineOwned,
-        "upstream" => engine.to_string(), "fence" => fence.0, "was_ours" => is_own_before
+        "upstream" => engine.to_string(), "fence" => fence.0, "may_order" => may_order
     );
 }
 
@@ -174,6 +192,8 @@
     let upstreams = knowledge.upstreams.borrow();
     let mut owned = knowledge.owned.borrow_mut();
     owned.retain(|engine, _| upstreams.contains_key(engine));
+    let mut lapsed = knowledge.eras.lapsed.borrow_mut();
+    lapsed.retain(|engine, _| upstreams.contains_key(engine));
     let mut told = knowledge.told_by_owner.borrow_mut();
     told.retain(|engine, _| upstreams.contains_key(engine));
     knowledge.forget_hosted(|engine| upstreams.contains_key(engine));
--- /dev/null
+++ b/crates/relay-node/src/control/eras.rs
@@ -0,0 +1,225 @@
+//! What this node does when the store comes back from an older copy of itself.
+//!
+//! Claims of before are gone then, or will be; they are made anew, and nothing is done on them in between.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::{StoreEra, UpstreamId};
+use nutmegsail_relay::{EraRise, EraTold, EraWatch, OwnershipRules};
+use nutmegsail_store::{Expect, Item, LeaseId, Put, Revision, Txn};
+use nutmegsail_telemetry::{Event, log_event};
+use serde::{Deserialize, Serialize};
+
+use super::engine::OwnedEngine;
+use super::knowledge::Knowledge;
+use super::owners::to_json;
+use super::suspect_news::some_others;
+use crate::clock::boot_time;
+
+/// The mark of the last era for which all is as it was: no claim of before counts, and the operators' text is there.
+pub(crate) const MARK_KEY: &str = "nutmegsail/era";
+
+/// How often a few nodes are told of an era that rose lately.
+const TELL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The mark as it is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Mark {
+    era: StoreEra,
+}
+
+/// The store's eras, and what is open since the last one began.
+#[derive(Debug)]
+pub(crate) struct Eras {
+    pub(crate) watch: RefCell<EraWatch>,
+    /// Engines whose claims went with the store's history.
+    pub(crate) lapsed: RefCell<HashMap<UpstreamId, Rc<OwnedEngine>>>,
+    /// Whether the store is to be asked at once, as another node knows of a later era.
+    is_to_ask: Cell<bool>,
+    mark_revision: Cell<Revision>,
+    is_held_logged: Cell<bool>,
+    told: Cell<Option<Instant>>,
+}
+
+impl Eras {
+    pub(crate) fn new(rules: OwnershipRules, is_first_start: bool) -> Self {
+        Self {
+            watch: RefCell::new(EraWatch::new(rules.wait(), is_first_start)),
+            lapsed: RefCell::default(),
+            is_to_ask: Cell::default(),
+            mark_revision: Cell::default(),
+            is_held_logged: Cell::default(),
+            told: Cell::default(),
+        }
+    }
+
+    /// Whether the store is to be asked at once. Told once.
+    pub(crate) fn is_to_ask(&self) -> bool {
+        self.is_to_ask.take()
+    }
+
+    /// Whether no claim of an earlier era holds any more.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.watch.borrow().is_settled(boot_time())
+    }
+
+    /// Whether the node waits for another one's word before it claims anything.
+    pub(crate) fn awaits_word(&self) -> bool {
+        self.watch.borrow().awaits_word(boot_time())
+    }
+
+    /// Takes in that all that the store shows comes next.
+    pub(crate) fn begin_whole(&self) {
+        self.mark_revision.set(Revision(0));
+    }
+}
+
+impl Knowledge {
+    /// Looks whether the store has told of a later era.
+    pub(crate) fn check_era(&self) {
+        self.note_era(self.store.era());
+    }
+
+    /// Takes in the era that the store is in.
+    pub(crate) fn note_era(&self, era: Option<StoreEra>) {
+        let rise = self.eras.watch.borrow_mut().see(era, boot_time());
+        if let Some(era) = era {
+            self.shared.metrics.store_era(era);
+        }
+        if let Some(rise) = rise {
+            self.begin_era(rise);
+        }
+    }
+
+    fn begin_era(&self, rise: EraRise) {
+        let now = boot_time();
+        let owned = std::mem::take(&mut *self.owned.borrow_mut());
+        let engines = owned.len();
+        for engine in owned.values() {
+            engine.ownership.borrow_mut().lapse(now);
+        }
+        self.eras.lapsed.borrow_mut().extend(owned);
+        let was_lending = self.lapse_lender(now);
+        self.returning.note_restored();
+        self.eras.is_to_ask.set(true);
+        log_event!(
+            self.log, Event::StoreEraRose,
+            "from" => rise.from.0, "to" => rise.to.0, "engines" => engines,
+            "was_lending" => was_lending
+        );
+    }
+
+    /// Drops an engine whose claim went with the store's history, as another node has claimed it or it is listed no more.
+    pub(crate) fn forget_lapsed(&self, engine: &UpstreamId, why: &str) {
+        if self.eras.lapsed.borrow_mut().remove(engine).is_some() {
+            log_event!(
+                self.log, Event::EngineReleased,
+                "upstream" => engine.to_string(), "why" => why.to_owned()
+            );
+        }
+    }
+
+    /// Takes in the store's mark.
+    pub(crate) fn take_mark(&self, item: &Item) {
+        self.eras.mark_revision.set(item.revision);
+        match serde_json::from_slice::<Mark>(&item.value) {
+            Ok(mark) => self.eras.watch.borrow_mut().take_mark(mark.era),
+            Err(error) => log_event!(
+                self.log, Event::MessageUndecodable,
+                "key" => item.key.to_string(), "problem" => error.to_string()
+            ),
+        }
+    }
+
+    /// Whether the node goes by the operators' text that it knows.
+    pub(crate) fn goes_by_text(&self) -> bool {
+        let mut watch = self.eras.watch.borrow_mut();
+        if watch.has_text() {
+            return true;
+        }
+        let known = self.text_known();
+        let goes_by = known.configuration > 0 && watch.goes_by(known, boot_time());
+        if watch.is_behind(known) && !self.eras.is_held_logged.replace(true) {
+            log_event!(
+                self.log, Event::TextHeldBack,
+                "version" => known.configuration
+            );
+        }
+        goes_by
+    }
+
+    /// Goes by the operators' text from now on, if nothing holds it back any more.
+    pub(crate) fn look_at_text(&self) {
+        let has_text = self.eras.watch.borrow().has_text();
+        if !has_text && self.goes_by_text() {
+            self.publish();
+        }
+    }
+
+    /// What this node tells others of the store; nothing while it waits to hear from them itself.
+    pub(crate) fn era_told(&self) -> Option<EraTold> {
+        let watch = self.eras.watch.borrow();
+        watch.told(self.text_known(), boot_time())
+    }
+
+    /// Takes in what another node tells of the store.
+    pub(crate) fn take_era_told(&self, told: EraTold) {
+        let is_newer = self.eras.watch.borrow_mut().take_told(told, boot_time());
+        if is_newer {
+            self.eras.is_to_ask.set(true);
+        }
+    }
+
+    /// Whom to ask what they know of the store.
+    pub(super) fn era_asks(&self) -> Vec<SocketAddr> {
+        match self.eras.watch.borrow().asks(boot_time()) {
+            true => some_others(self),
+            false => Vec::new(),
+        }
+    }
+
+    /// Whom to tell now of an era that rose lately.
+    pub(super) fn era_news(&self) -> Vec<SocketAddr> {
+        let told = self.eras.told.get();
+        let is_due = told.is_none_or(|told| told.elapsed() >= TELL_INTERVAL);
+        if !is_due || !self.eras.watch.borrow().is_news(boot_time()) {
+            return Vec::new();
+        }
+        self.eras.told.set(Some(Instant::now()));
+        some_others(self)
+    }
+}
+
+/// Marks the era at the store once all is as it was, if this node reads the store for others.
+pub(crate) async fn mark_era(knowledge: &Knowledge) {
+    let is_behind = knowledge.shown.is_behind(knowledge.configuration_version());
+    let due = {
+        let watch = knowledge.eras.watch.borrow();
+        watch.mark_due(is_behind, boot_time())
+    };
+    let Some(era) = due.filter(|_| knowledge.reader().is_none()) else {
+        return;
+    };
+    let txn = Txn {
+        expects: vec![Expect {
+            key: MARK_KEY.into(),
+            revision: knowledge.eras.mark_revision.get(),
+        }],
+        puts: vec![Put {
+            key: MARK_KEY.into(),
+            value: to_json(&Mark { era }),
+            lease: LeaseId(0),
+        }],
+        ..Txn::default()
+    };
+    // A mark that another node wrote first shows up in the watch.
+    if let Ok(revision) = knowledge.store.commit(txn).await {
+        knowledge.eras.mark_revision.set(revision);
+        knowledge.eras.watch.borrow_mut().take_mark(era);
+        log_event!(knowledge.log, Event::StoreEraSettled, "era" => era.0);
+    }
+}
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -13,7 +13,8 @@
 
 use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
 use nutmegsail_relay::{
-    EngineLoadNow, Holdings, HoldingsTold, LimitTold, ModelRef, SuspectTold, readers_by_domain,
+    EngineLoadNow, EraTold, Holdings, HoldingsTold, LimitTold, ModelRef, SuspectTold,
+    readers_by_domain,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -98,6 +99,10 @@
     Limits { from: NodeId, told: Vec<LimitTold> },
     /// Asks for all of them: the sender has just started, or stood still.
     SuspectsAsked { from: NodeId },
+    /// What the sender knows of the store's era.
+    Era { from: NodeId, told: EraTold },
+    /// Asks for that: the sender has just started.
+    EraAsked { from: NodeId },
 }
 
 /// A message of a traffic thread as a datagram.
@@ -130,6 +135,7 @@
                 tell_alive(&knowledge, &socket);
                 tell_suspects(&knowledge, &socket, &mut suspect_news);
                 tell_limits(&knowledge, &socket, &mut limit_news);
+                tell_era(&knowledge, &socket);
                 turn_slots(&knowledge, &socket);
             }
             received = socket.recv_from(&mut buffer) => {
@@ -280,6 +286,24 @@
     }
 }
 
+/// Tells of an era that rose lately, or asks for it.
+fn tell_era(knowledge: &Knowledge, socket: &UdpSocket) {
+    for address in knowledge.era_news() {
+        send_era(knowledge, socket, address);
+    }
+    for address in knowledge.era_asks() {
+        let from = knowledge.settings.node.clone();
+        send(socket, &Message::EraAsked { from }, address);
+    }
+}
+
+fn send_era(knowledge: &Knowledge, socket: &UdpSocket, address: SocketAddr) {
+    if let Some(told) = knowledge.era_told() {
+        let from = knowledge.settings.node.clone();
+        send(socket, &Message::Era { from, told }, address);
+    }
+}
+
 /// Lets requests go whose turn at an upstream with a limit has come.
 fn turn_slots(knowledge: &Knowledge, socket: &UdpSocket) {
     let traffic = |message| Message::Traffic(TrafficMessage::Slots(message));
@@ -380,6 +404,14 @@
                 send(socket, &message, sender);
             }
         }
+        Ok(Message::Era { from, told }) => {
+            knowledge.take_era_told(told);
+            knowledge.note_heard(from);
+        }
+        Ok(Message::EraAsked { from }) => {
+            knowledge.note_heard(from);
+            send_era(knowledge, socket, sender);
+        }
         Ok(Message::Models { from, asked }) => {
             knowledge.note_heard(from.clone());
             let nodes = knowledge.nodes.borrow();
--- a/crates/relay-node/src/control/keeper.rs
+++ b/crates/relay-node/src/control/keeper.rs
@@ -11,6 +11,7 @@
 use super::base_models::read_doubtful;
 use super::claims::{claim, forget_gone, own_before, unowned};
 use super::confirmation::confirm_ahead;
+use super::eras::mark_era;
 use super::knowledge::Knowledge;
 use super::lending::claim_lender;
 use super::owners::{NODE_PREFIX, lose, to_json};
@@ -38,16 +39,21 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        if Instant::now() >= renew_after {
+        knowledge.check_era();
+        if knowledge.eras.is_to_ask() || Instant::now() >= renew_after {
             let pause = match renew(&knowledge).await {
                 true => RENEW_INTERVAL,
                 false => knowledge.store_pause(),
             };
             renew_after = Instant::now() + pause;
         }
-        if knowledge.lease.get() == LeaseId::default() {
+        knowledge.check_era();
+        knowledge.forget_missing_nodes();
+        knowledge.look_at_text();
+        if knowledge.lease.get() == LeaseId::default() || knowledge.eras.awaits_word() {
             continue;
         }
+        mark_era(&knowledge).await;
         knowledge.note_last_owners();
         claim(&knowledge, &own_before(&knowledge)).await;
         let may_be_new = started.elapsed() >= FIRST_CLAIM_AFTER;
@@ -70,6 +76,7 @@
         match knowledge.store.keep_lease(lease).await {
             Ok(()) => return true,
             Err(KeyValueError::LeaseGone) => {
+                knowledge.check_era();
                 knowledge.lease.set(LeaseId::default());
                 let owned: Vec<UpstreamId> = knowledge.owned.borrow().keys().cloned().collect();
                 for engine in owned {
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -20,8 +20,11 @@
 use super::change_log::ChangeLog;
 use super::engine::{Coming, OwnedEngine};
 use super::engine_load::HostTold;
+use super::eras::Eras;
 use super::lending::Lending;
 use super::model_demand::ModelDemand;
+use super::returning_nodes::ReturningNodes;
+use super::shown_text::ShownText;
 use super::slots::Slots;
 use crate::clock::boot_time;
 use crate::shared::{Shared, View};
@@ -103,6 +106,12 @@
     pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
     /// Whether other nodes are to be asked for the requests that upstreams ended under.
     pub(crate) needs_suspects: Cell<bool>,
+    /// The eras of the store.
+    pub(crate) eras: Eras,
+    /// The operators' text as the store shows it.
+    pub(crate) shown: ShownText,
+    /// Nodes that are kept though the store does not list them.
+    pub(crate) returning: ReturningNodes,
     /// Who lends teams' quotas.
     pub(crate) lending: Lending,
     /// The slots of plain upstreams that this node hands out.
@@ -147,6 +156,12 @@
             silent_readers: RefCell::default(),
             last_owners: RefCell::default(),
             needs_suspects: Cell::new(true),
+            eras: Eras::new(
+                ownership_rules(&parts.settings),
+                parts.settings.is_first_start,
+            ),
+            shown: ShownText::default(),
+            returning: ReturningNodes::default(),
             lending: Lending::default(),
             slots: Slots::default(),
             started: Instant::now(),
@@ -184,14 +199,12 @@
     /// start, and an owner that ended before holds its key for a lease, longer than the hand-over.
     pub(crate) fn is_first_claim(&self) -> bool {
         const FIRST_CLAIMS: Duration = Duration::from_secs(8);
-        self.settings.is_first_start && self.started.elapsed() < FIRST_CLAIMS
+        let is_first = self.settings.is_first_start && self.started.elapsed() < FIRST_CLAIMS;
+        is_first && !self.eras.watch.borrow().has_risen()
     }
 
     pub(crate) fn ownership_rules(&self) -> OwnershipRules {
-        OwnershipRules {
-            hand_over: self.settings.bounds.hand_over(),
-            confirmation: CONFIRMATION,
-        }
+        ownership_rules(&self.settings)
     }
 
     /// Publishes what is known now.
@@ -202,9 +215,10 @@
         times.set_engines(self.owners.borrow().len());
         self.load_times.set(times);
         self.number.set(self.number.get() + 1);
+        let goes_by_text = self.goes_by_text();
         let view = View {
             number: self.number.get(),
-            table: self.table.borrow().clone(),
+            table: self.table.borrow().clone().filter(|_| goes_by_text),
             upstreams: self.upstreams.borrow().values().cloned().collect(),
             versions: Arc::new(self.versions.borrow().clone()),
             nodes: self.nodes.borrow().len().max(1),
@@ -384,3 +398,10 @@
         demand.add(model, requests, Instant::now());
     }
 }
+
+fn ownership_rules(settings: &RelaySettings) -> OwnershipRules {
+    OwnershipRules {
+        hand_over: settings.bounds.hand_over(),
+        confirmation: CONFIRMATION,
+    }
+}
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -27,6 +27,11 @@
 /// still accept keys.
 const CONFIRMATION: Duration = Duration::from_millis(4_000);
 
+const RULES: OwnershipRules = OwnershipRules {
+    hand_over: Duration::ZERO,
+    confirmation: CONFIRMATION,
+};
+
 /// How long a failure domain waits for the node that is to lend before any other one claims.
 const CLAIM_PATIENCE: Duration = Duration::from_millis(1_500);
 
@@ -49,6 +54,8 @@
     ownership: Ownership,
     /// Whether the watch has shown the key.
     is_watched: bool,
+    /// When its buckets begin anew, as another lender may have filled the same ones until then.
+    begins_anew_at: Option<Duration>,
 }
 
 impl Knowledge {
@@ -58,8 +65,10 @@
         if domain == self.settings.failure_domain {
             self.lending.was_seen.set(true);
             let mut own = self.lending.own.borrow_mut();
+            let is_lapsed = own.as_ref().is_some_and(|own| own.ownership.is_lapsed());
+            let is_own_of_copy = is_lapsed && record.node == self.settings.node;
             let fence = own.as_ref().map(|own| own.ownership.fence());
-            if fence.is_some_and(|fence| fence < revision.0) {
+            if fence.is_some_and(|fence| fence < revision.0) && !is_own_of_copy {
                 drop(own);
                 self.release_lender("another claim was written");
             } else if let Some(own) = own.as_mut().filter(|_| fence == Some(revision.0)) {
@@ -76,7 +85,7 @@
     /// Takes in that a lender's key is gone.
     pub(crate) fn forget_lender(&self, domain: &str) {
         self.lending.lenders.borrow_mut().remove(domain);
-        if *domain == **self.settings.failure_domain {
+        if *domain == **self.settings.failure_domain && !self.has_lapsed_lender() {
             self.release_lender("the key was removed");
         }
     }
@@ -127,6 +136,14 @@
         let Some(own) = own.as_mut().filter(|own| own.may_lend(boot_time())) else {
             return;
         };
+        if own
+            .begins_anew_at
+            .take_if(|at| *at <= boot_time())
+            .is_some()
+        {
+            own.lender = self.new_lender(FirstFill::Empty);
+            self.lending.version.set(0);
+        }
         if self.lending.version.replace(table.version) != table.version {
             let none = HashMap::new();
             let quotas = table.teams().map_or(&none, |teams| teams.quotas());
@@ -181,12 +198,32 @@
         }
     }
 
+    fn new_lender(&self, first_fill: FirstFill) -> Lender {
+        let bounds = self.settings.quota_bounds();
+        Lender::new(bounds, first_fill, AskId(rand::random()))
+    }
+
     fn other_lenders(&self) -> Vec<SocketAddr> {
         let me = self.settings.nodes_address;
         let lenders = self.lender_addresses().into_iter();
         lenders.filter(|address| *address != me).collect()
     }
 
+    /// Takes in that the lender's claim is gone with the store's history. Returns whether there was one.
+    pub(crate) fn lapse_lender(&self, now: Duration) -> bool {
+        let mut own = self.lending.own.borrow_mut();
+        if let Some(own) = own.as_mut() {
+            own.ownership.lapse(now);
+            own.is_watched = false;
+        }
+        own.is_some()
+    }
+
+    fn has_lapsed_lender(&self) -> bool {
+        let own = self.lending.own.borrow();
+        own.as_ref().is_some_and(|own| own.ownership.is_lapsed())
+    }
+
     fn release_lender(&self, why: &str) {
         if self.lending.own.take().is_some() {
             log_event!(self.log, Event::LenderReleased, "why" => why.to_owned());
@@ -219,6 +256,9 @@
             let is_own_before = owner.node == self.settings.node;
             return is_own_before.then_some(owner.revision);
         }
+        if self.has_lapsed_lender() {
+            return Some(Revision(0));
+        }
         if !may_be_new {
             return None;
         }
@@ -231,6 +271,12 @@
 }
 
 impl OwnLender {
+    /// Takes in that the key was written anew after it went with the store's history.
+    fn retake(&mut self, fence: Revision, asked_at: Duration, now: Duration) {
+        self.ownership = self.ownership.retaken(fence.0, RULES, asked_at, now);
+        self.begins_anew_at = self.ownership.begins_anew_at(now);
+    }
+
     fn may_lend(&self, now: Duration) -> bool {
         matches!(self.ownership.permit(now), OrderPermit::Granted { .. })
     }
@@ -238,7 +284,8 @@
 
 /// Claims the lender's key where it is this node's turn.
 pub(crate) async fn claim_lender(knowledge: &Knowledge, may_be_new: bool) {
-    if knowledge.lending.own.borrow().is_some() || !knowledge.has_quotas() {
+    let is_lender = knowledge.lending.own.borrow().is_some();
+    if (is_lender && !knowledge.has_lapsed_lender()) || !knowledge.has_quotas() {
         return;
     }
     let Some(before) = knowledge.lender_to_claim(may_be_new) else {
@@ -272,25 +319,29 @@
 fn take_over(knowledge: &Knowledge, fence: Revision, before: Revision, asked_at: Duration) {
     let was_seen = knowledge.lending.was_seen.replace(true);
     let is_first = before == Revision(0) && knowledge.is_first_claim() && !was_seen;
-    let has_no_other = before != Revision(0) || is_first;
-    let rules = OwnershipRules {
-        hand_over: Duration::ZERO,
-        confirmation: CONFIRMATION,
-    };
-    let ownership = Ownership::taken(fence.0, has_no_other, rules, asked_at, boot_time());
+    let has_no_other = (before != Revision(0) && knowledge.eras.is_settled()) || is_first;
+    let now = boot_time();
+    let ownership = Ownership::taken(fence.0, has_no_other, RULES, asked_at, now);
     let first_fill = match is_first {
         true => FirstFill::Full,
         false => FirstFill::Empty,
     };
-    let settings = &knowledge.settings;
-    let lender = Lender::new(settings.quota_bounds(), first_fill, AskId(rand::random()));
-    *knowledge.lending.own.borrow_mut() = Some(OwnLender {
-        lender,
-        ownership,
-        is_watched: false,
-    });
-    knowledge.lending.version.set(0);
+    let mut own = knowledge.lending.own.borrow_mut();
+    match own.as_mut().filter(|_| !has_no_other) {
+        Some(own) => own.retake(fence, asked_at, now),
+        None => {
+            *own = Some(OwnLender {
+                lender: knowledge.new_lender(first_fill),
+                ownership,
+                is_watched: false,
+                begins_anew_at: None,
+            });
+            knowledge.lending.version.set(0);
+        }
+    }
+    drop(own);
     knowledge.refresh_quotas();
+    let settings = &knowledge.settings;
     let owner = Owner {
         node: settings.node.clone(),
         revision: fence,
--- a/crates/relay-node/src/control/operators_watch.rs
+++ b/crates/relay-node/src/control/operators_watch.rs
@@ -23,7 +23,9 @@
         match dialect.decode_version(&item.key, &item.value) {
             Ok(Some(named)) => {
                 let mut versions = self.0.versions.borrow_mut();
-                versions.name(named.model, named.version, Instant::now());
+                let known = versions.name(named.model.clone(), named.version, Instant::now());
+                let shown = &self.0.shown;
+                shown.note_version(&named.model, named.version, known);
             }
             Ok(None) => {}
             Err(error) => self.log_rejected(&item.key, &error.to_string()),
@@ -35,6 +37,7 @@
             Ok(table) => table,
             Err(error) => return self.log_rejected(&item.key, &error.to_string()),
         };
+        self.0.shown.note_configuration(table.version);
         let mut known = self.0.table.borrow_mut();
         // A read that lags, or a copy of the store that was restored, shows an older version. What
         // was accepted must not revert, so it never takes effect.
@@ -68,6 +71,7 @@
     }
 
     fn whole(&self, items: &[&Item]) {
+        self.0.shown.begin_whole(&self.0.versions.borrow());
         for item in items {
             self.take(item);
         }
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -10,6 +10,7 @@
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
 
+use super::eras::MARK_KEY;
 use super::knowledge::{Knowledge, Owner};
 use super::lending::LENDER_PREFIX;
 use super::watch::Follower;
@@ -41,9 +42,12 @@
 
 impl OwnersFollower {
     fn take(&self, item: &Item) {
-        if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
+        if *item.key == *MARK_KEY {
+            self.0.take_mark(item);
+        } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
             match serde_json::from_slice::<NodeRecord>(&item.value) {
                 Ok(record) => {
+                    self.0.returning.note_listed(&name.into());
                     self.0.nodes.borrow_mut().insert(name.into(), record);
                 }
                 Err(error) => self.log_unreadable(&item.key, &error),
@@ -70,6 +74,10 @@
                 owned.is_watched.set(true);
             }
         }
+        if record.node != self.0.settings.node {
+            self.0
+                .forget_lapsed(&engine, "another node claimed it anew");
+        }
         let owner = Owner {
             node: record.node.clone(),
             revision,
@@ -79,7 +87,9 @@
 
     fn remove(&self, key: &str) {
         if let Some(name) = key.strip_prefix(NODE_PREFIX) {
-            self.0.nodes.borrow_mut().remove(name);
+            if !self.0.returning.note_missing(&name.into()) {
+                self.0.nodes.borrow_mut().remove(name);
+            }
         } else if let Some(engine) = key.strip_prefix(OWNER_PREFIX) {
             let engine = UpstreamId::from(engine);
             self.0.owners.borrow_mut().remove(&engine);
@@ -103,6 +113,7 @@
     }
 
     fn whole(&self, items: &[&Item]) {
+        self.0.eras.begin_whole();
         let listed: HashSet<&str> = items.iter().map(|item| &*item.key).collect();
         let nodes: Vec<NodeId> = self.0.nodes.borrow().keys().cloned().collect();
         let engines: Vec<UpstreamId> = self.0.owners.borrow().keys().cloned().collect();
@@ -131,6 +142,8 @@
 
 /// Gives up an engine without telling the store.
 pub(crate) fn lose(knowledge: &Knowledge, engine: &UpstreamId, why: &str) {
+    // What went with the store's history is claimed anew.
+    knowledge.check_era();
     if knowledge.owned.borrow_mut().remove(engine).is_some() {
         log_event!(
             knowledge.log, Event::EngineReleased,
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -56,7 +56,9 @@
     let mut is_lost = false;
     loop {
         let asked = boot_time();
-        match read_all(knowledge, ALL_KEYS).await {
+        let read = read_all(knowledge, ALL_KEYS).await;
+        knowledge.check_era();
+        match read {
             Ok((items, revision)) => {
                 let read_at = ReadAt::since(asked);
                 if std::mem::take(&mut is_lost) {
@@ -121,11 +123,14 @@
     loop {
         if let Some((changes, at)) = knowledge.changes_by_reader(after, read_at).await {
             read_at = at;
+            note_reader_era(knowledge, followers, after, changes.revision);
             take_changes(knowledge, followers, &mut after, &changes, read_at);
             continue;
         }
         let asked = boot_time();
-        match knowledge.store.watch(ALL_KEYS, after, WAIT).await {
+        let watched = knowledge.store.watch(ALL_KEYS, after, WAIT).await;
+        knowledge.check_era();
+        match watched {
             Ok(mut changes) => {
                 failures = 0;
                 read_at = ReadAt::since(asked);
@@ -146,6 +151,19 @@
     }
 }
 
+/// Takes in that the reader has read the store since it came back from a copy.
+fn note_reader_era(
+    knowledge: &Knowledge,
+    followers: &[Box<dyn Follower>],
+    after: Revision,
+    read: Revision,
+) {
+    if read.era() > after.era() {
+        knowledge.note_era(Some(read.era()));
+        followers.iter().for_each(|follower| follower.lost());
+    }
+}
+
 fn take_changes(
     knowledge: &Knowledge,
     followers: &[Box<dyn Follower>],
@@ -185,6 +203,9 @@
         // Pages are no snapshot. Changes made while they were read come again from the first one's
         // revision on.
         let first = *revision.get_or_insert(page.revision);
+        if first.era() != page.revision.era() {
+            return Err(KeyValueError::Compacted);
+        }
         let is_last = !page.has_more || page.items.is_empty();
         items.extend(page.items);
         if is_last {
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use nutmegsail_base::ResultCode;
+use nutmegsail_base::{ResultCode, StoreEra};
 use nutmegsail_relay::ModelRef;
 use nutmegsail_telemetry::{CountStoreCalls, StoreCall};
 use opentelemetry::KeyValue;
@@ -38,6 +38,7 @@
     connections: Gauge<u64>,
     suspects: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
+    store_era: Gauge<u64>,
     store_age: Gauge<u64>,
 }
 
@@ -116,6 +117,10 @@
                 "nutmegsail.relay.limited_upstreams",
                 "Upstreams that limit the requests that they take.",
             ),
+            store_era: gauge(
+                "nutmegsail.relay.store_era",
+                "The era of the store; it rises when the store comes back from an older copy.",
+            ),
             store_age: gauge(
                 "nutmegsail.relay.store_age_ms",
                 "How old what is known of the store was when the page was asked for.",
@@ -186,6 +191,11 @@
         self.limited_upstreams.record(upstreams as u64, &[]);
     }
 
+    /// The era that the store is in.
+    pub(crate) fn store_era(&self, era: StoreEra) {
+        self.store_era.record(era.0, &[]);
+    }
+
     /// What is known now.
     pub(crate) fn known(&self, configuration: u64, upstreams: usize, owned_engines: usize) {
         self.configuration.record(configuration, &[]);
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -11,6 +11,14 @@
     pub confirmation: Duration,
 }
 
+impl OwnershipRules {
+    /// How long a new owner waits, if another one may have orders on their way: the one before relies on its last
+    /// confirmation for a while, and its orders must be over for the time of a hand-over.
+    pub fn wait(self) -> Duration {
+        self.confirmation + self.hand_over + ORDER_TRAVEL
+    }
+}
+
 /// What added to the times below covers an order's way to the engine, which is some milliseconds
 /// when links are sound.
 const ORDER_TRAVEL: Duration = Duration::from_millis(400);
@@ -45,6 +53,10 @@
     rules: OwnershipRules,
     confirmed_at: Duration,
     may_order_from: Duration,
+    /// Until when an earlier claim of this process, which went with the store's history, lets it order.
+    carried_until: Duration,
+    /// When its claim went with the store's history.
+    lapsed_at: Option<Duration>,
 }
 
 impl Ownership {
@@ -58,13 +70,63 @@
     ) -> Self {
         let wait = match is_own_before {
             true => Duration::ZERO,
-            false => rules.confirmation + rules.hand_over + ORDER_TRAVEL,
+            false => rules.wait(),
         };
         Self {
             fence,
             rules,
             confirmed_at: asked_at,
             may_order_from: now + wait,
+            carried_until: Duration::ZERO,
+            lapsed_at: None,
+        }
+    }
+
+    /// Takes in that its claim is gone with the store's history. No order may be sent until it is [`retaken`](Self::retaken).
+    pub fn lapse(&mut self, now: Duration) {
+        self.lapsed_at.get_or_insert(now);
+    }
+
+    /// Whether its claim is gone with the store's history.
+    pub fn is_lapsed(&self) -> bool {
+        self.lapsed_at.is_some()
+    }
+
+    /// The same engine, claimed anew at revision `fence` by a call sent at `asked_at`, after the claim before had lapsed.
+    ///
+    /// Another node may have claimed it in the history that is gone, and may not know that it is. It claimed after this
+    /// process's last confirmation, so its orders begin `confirmation + hand_over` later at the earliest, and end
+    /// `confirmation` after the new claim. If that leaves it no time, this process goes on at once; else it goes on as long
+    /// as its old confirmation holds, and begins anew after the other's end.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use nutmegsail_relay::{OrderPermit, Ownership, OwnershipRules};
+    /// let seconds = Duration::from_secs;
+    /// let rules = OwnershipRules { hand_over: seconds(3), confirmation: seconds(4) };
+    /// let mut owned = Ownership::taken(7, true, rules, seconds(10), seconds(10));
+    /// owned.lapse(seconds(11));
+    /// assert_eq!(owned.permit(seconds(11)), OrderPermit::Unconfirmed);
+    /// let again = owned.retaken(9, rules, seconds(12), seconds(12));
+    /// assert_eq!(again.permit(seconds(12)), OrderPermit::Granted { fence: 9 });
+    /// ```
+    pub fn retaken(
+        &self,
+        fence: u64,
+        rules: OwnershipRules,
+        asked_at: Duration,
+        now: Duration,
+    ) -> Self {
+        let had_turn = self.lapsed_at.is_some_and(|at| at >= self.may_order_from);
+        let age = now.saturating_sub(self.confirmed_at);
+        let goes_on = had_turn && age <= rules.hand_over + ORDER_TRAVEL;
+        let carried_until = match had_turn {
+            true => self.confirmed_at + self.rules.confirmation,
+            false => Duration::ZERO,
+        };
+        Self {
+            carried_until,
+            ..Self::taken(fence, goes_on, rules, asked_at, now)
         }
     }
 
@@ -73,6 +135,12 @@
         self.fence
     }
 
+    /// When orders end and begin anew, if it goes on by an earlier claim at `now`.
+    pub fn begins_anew_at(&self, now: Duration) -> Option<Duration> {
+        let goes_on = now < self.carried_until && now < self.may_order_from;
+        goes_on.then_some(self.may_order_from)
+    }
+
     /// Takes in that a read sent at `asked_at` showed the key with this node's revision.
     pub fn confirm(&mut self, asked_at: Duration) {
         self.confirmed_at = self.confirmed_at.max(asked_at);
@@ -95,6 +163,12 @@
     /// assert_eq!(owned.permit(seconds(13)), OrderPermit::Unconfirmed);
     /// ```
     pub fn permit(&self, now: Duration) -> OrderPermit {
+        if self.is_lapsed() {
+            return OrderPermit::Unconfirmed;
+        }
+        if now < self.may_order_from && now < self.carried_until {
+            return OrderPermit::Granted { fence: self.fence };
+        }
         if now < self.may_order_from {
             return OrderPermit::Settling {
                 until: self.may_order_from,
--- a/crates/relay/src/versions.rs
+++ b/crates/relay/src/versions.rs
@@ -62,11 +62,12 @@
 const NAMED_LIMIT: usize = 8;
 
 impl Versions {
-    /// Takes in that `version` of `model` was named. Versions only rise: an older one comes late.
-    pub fn name(&mut self, model: ModelRef, version: u64, now: Instant) {
+    /// Takes in that `version` of `model` was named. Versions only rise: an older one comes late. Returns the
+    /// newest one.
+    pub fn name(&mut self, model: ModelRef, version: u64, now: Instant) -> u64 {
         let named = self.named.entry(model).or_default();
-        if named.last().is_some_and(|last| version <= last.version) {
-            return;
+        if let Some(last) = named.last().filter(|last| version <= last.version) {
+            return last.version;
         }
         if named.len() >= NAMED_LIMIT {
             named.remove(0);
@@ -75,6 +76,13 @@
             version,
             since: now,
         });
+        version
+    }
+
+    /// The version of each model that was named last.
+    pub fn latest(&self) -> impl Iterator<Item = (&ModelRef, u64)> {
+        let named = self.named.iter();
+        named.filter_map(|(model, named)| Some((model, named.last()?.version)))
     }
 
     /// What a request for `model` may begin on, if an older version may be used for `overlap` after
--- /dev/null
+++ b/crates/relay/tests/era_watch.rs
@@ -0,0 +1,134 @@
+//! What a node that starts makes of the store's era.
+
+use std::time::Duration;
+
+use nutmegsail_base::StoreEra;
+use nutmegsail_relay::{EraTold, EraWatch, TextKnown};
+use rstest::rstest;
+
+const SETTLING: Duration = Duration::from_secs(7);
+
+/// When the node hears of the store first.
+const START: Duration = Duration::from_secs(100);
+
+const ERA: StoreEra = StoreEra(2);
+
+fn ms(ms: u64) -> Duration {
+    START + Duration::from_millis(ms)
+}
+
+fn text(configuration: u64, versions: u64) -> TextKnown {
+    TextKnown {
+        configuration,
+        versions,
+    }
+}
+
+fn starting() -> EraWatch {
+    let mut watch = EraWatch::new(SETTLING, false);
+    assert_eq!(watch.see(Some(ERA), START), None);
+    watch
+}
+
+fn told(age_ms: u32, text: TextKnown) -> EraTold {
+    EraTold {
+        era: ERA,
+        age_ms,
+        text,
+    }
+}
+
+// Guards against a starting node that goes by an older configuration, or an older version, than the others do.
+#[rstest]
+#[case::configuration(text(4, 9))]
+#[case::version(text(5, 8))]
+fn older_text_than_others_have_is_held_back(#[case] older: TextKnown) {
+    let mut watch = starting();
+    assert!(!watch.goes_by(older, ms(0)));
+    watch.take_told(told(0, text(5, 9)), ms(100));
+    assert!(!watch.goes_by(older, ms(60_000)));
+    assert!(watch.is_behind(older));
+    assert_eq!(watch.told(older, ms(60_000)), None);
+    assert!(watch.goes_by(text(5, 9), ms(60_100)));
+    assert!(watch.goes_by(older, ms(60_200)), "it was released");
+}
+
+// Guards against one node's word that is older than the next one's.
+#[test]
+fn further_nodes_are_heard_for_a_moment() {
+    let mut watch = starting();
+    watch.take_told(told(0, text(4, 0)), ms(100));
+    assert!(!watch.goes_by(text(4, 0), ms(150)));
+    watch.take_told(told(0, text(5, 0)), ms(200));
+    assert!(!watch.goes_by(text(4, 0), ms(1_000)));
+}
+
+#[test]
+fn a_node_that_hears_nobody_goes_by_what_the_store_shows() {
+    let mut watch = starting();
+    assert!(!watch.goes_by(text(1, 0), ms(2_999)));
+    assert!(watch.goes_by(text(1, 0), ms(3_000)));
+}
+
+#[rstest]
+#[case::no_era(None, false, None)]
+#[case::marked(Some(ERA), false, Some(ERA))]
+#[case::begins_with_the_system(Some(ERA), true, None)]
+fn nobody_has_to_be_heard(
+    #[case] era: Option<StoreEra>,
+    #[case] is_first_start: bool,
+    #[case] mark: Option<StoreEra>,
+) {
+    let mut watch = EraWatch::new(SETTLING, is_first_start);
+    watch.see(era, START);
+    if let Some(mark) = mark {
+        watch.take_mark(mark);
+    }
+    assert!(watch.is_settled(START) && !watch.awaits_word(START));
+    assert!(watch.goes_by(text(1, 0), START));
+}
+
+// Guards against a mark of an earlier era, which the copy holds.
+#[test]
+fn an_earlier_mark_says_nothing() {
+    let mut watch = starting();
+    watch.take_mark(StoreEra(1));
+    assert!(!watch.is_settled(ms(0)) && !watch.goes_by(text(1, 0), ms(0)));
+}
+
+#[test]
+fn anothers_word_settles_an_era_that_is_long_in_force() {
+    let mut watch = starting();
+    assert!(watch.awaits_word(ms(0)) && !watch.is_settled(ms(0)));
+    watch.take_told(told(7_100, text(1, 0)), ms(100));
+    assert!(!watch.awaits_word(ms(100)) && watch.is_settled(ms(100)));
+}
+
+#[test]
+fn a_later_era_that_another_node_knows_is_asked_for() {
+    let mut watch = starting();
+    let later = EraTold {
+        era: StoreEra(3),
+        ..told(9_000, text(1, 0))
+    };
+    assert!(watch.take_told(later, ms(100)));
+    assert!(!watch.is_settled(ms(100)), "its age is that of another era");
+    assert_eq!(
+        watch.era(),
+        Some(ERA),
+        "the store itself has not told of it"
+    );
+}
+
+// Guards against a mark that lets nodes start on operators' text that is still to be written again.
+#[test]
+fn the_mark_waits_for_claims_of_before_and_for_the_text() {
+    let mut watch = starting();
+    assert!(watch.goes_by(text(1, 0), ms(3_000)));
+    assert!(watch.see(Some(StoreEra(3)), ms(4_000)).is_some());
+    assert_eq!(watch.mark_due(false, ms(10_999)), None);
+    assert_eq!(watch.mark_due(true, ms(11_000)), None);
+    assert_eq!(watch.mark_due(false, ms(11_000)), Some(StoreEra(3)));
+    watch.take_mark(StoreEra(3));
+    assert_eq!(watch.mark_due(false, ms(11_000)), None);
+}
--- /dev/null
+++ b/crates/relay/tests/restored_store.rs
@@ -0,0 +1,207 @@
+//! Owners of an engine while the store comes back from older copies, several times in a row.
+
+use std::time::Duration;
+
+use nutmegsail_base::StoreEra;
+use nutmegsail_relay::{EraWatch, OrderPermit, Ownership, OwnershipRules, TextKnown};
+use proptest::prelude::*;
+
+const NODES: usize = 3;
+
+const RULES: OwnershipRules = OwnershipRules {
+    hand_over: Duration::from_secs(3),
+    confirmation: Duration::from_secs(4),
+};
+
+const TEXT: TextKnown = TextKnown {
+    configuration: 1,
+    versions: 0,
+};
+
+/// The engine's key and the mark, as the store holds them.
+#[derive(Clone, Default)]
+struct Kept {
+    revision: u64,
+    owner: Option<(usize, u64)>,
+    mark: Option<StoreEra>,
+}
+
+#[derive(Default)]
+struct Store {
+    kept: Kept,
+    copy: Kept,
+    era: u64,
+}
+
+impl Store {
+    /// A fence that a client counts within the era.
+    fn fence(&self, revision: u64) -> u64 {
+        self.era << 40 | revision
+    }
+
+    fn owner(&self) -> Option<(usize, u64)> {
+        let (node, revision) = self.kept.owner?;
+        Some((node, self.fence(revision)))
+    }
+
+    fn claim(&mut self, node: usize) -> u64 {
+        self.kept.revision += 1;
+        self.kept.owner = Some((node, self.kept.revision));
+        self.fence(self.kept.revision)
+    }
+
+    fn restore(&mut self) {
+        self.kept = self.copy.clone();
+        self.era += 1;
+    }
+}
+
+struct Node {
+    watch: EraWatch,
+    owned: Option<Ownership>,
+    lapsed: Option<Ownership>,
+    is_cut: bool,
+}
+
+impl Node {
+    fn start() -> Self {
+        Self {
+            watch: EraWatch::new(RULES.wait(), false),
+            owned: None,
+            lapsed: None,
+            is_cut: false,
+        }
+    }
+
+    /// Asks the store, and confirms or claims the engine.
+    fn touch(&mut self, me: usize, store: &mut Store, now: Duration) {
+        if self.is_cut {
+            return;
+        }
+        let rise = self.watch.see(Some(StoreEra(store.era)), now);
+        if let Some(mut owned) = self.owned.take_if(|_| rise.is_some()) {
+            owned.lapse(now);
+            self.lapsed = Some(owned);
+        }
+        if let Some(mark) = store.kept.mark {
+            self.watch.take_mark(mark);
+        }
+        self.watch.goes_by(TEXT, now);
+        if let Some(mark) = self.watch.mark_due(false, now) {
+            store.kept.mark = Some(mark);
+        }
+        match (store.owner(), &mut self.owned) {
+            (Some((node, fence)), Some(owned)) if node == me && fence == owned.fence() => {
+                owned.confirm(now);
+            }
+            (None, _) => self.claim(me, store, false, now),
+            (Some((node, _)), _) if node == me => self.claim(me, store, true, now),
+            (Some(_), _) => (self.owned, self.lapsed) = (None, None),
+        }
+    }
+
+    fn claim(&mut self, me: usize, store: &mut Store, is_own_before: bool, now: Duration) {
+        let is_restarted = self.owned.is_none() && self.lapsed.is_none();
+        let goes_on = is_own_before && is_restarted && self.watch.is_settled(now);
+        let fence = store.claim(me);
+        let taken = match self.lapsed.take() {
+            Some(lapsed) => lapsed.retaken(fence, RULES, now, now),
+            None => Ownership::taken(fence, goes_on, RULES, now, now),
+        };
+        self.owned = Some(taken);
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Touch(usize),
+    Cut(usize, bool),
+    Restart(usize),
+    Word(usize, usize),
+    KeyTaken,
+    Copy,
+    Restore,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        8 => (0..NODES).prop_map(Event::Touch),
+        2 => (0..NODES, any::<bool>()).prop_map(|(node, is_cut)| Event::Cut(node, is_cut)),
+        1 => (0..NODES).prop_map(Event::Restart),
+        1 => (0..NODES, 0..NODES).prop_map(|(from, to)| Event::Word(from, to)),
+        2 => Just(Event::KeyTaken),
+        2 => Just(Event::Copy),
+        2 => Just(Event::Restore),
+    ]
+}
+
+fn play(nodes: &mut [Node], store: &mut Store, event: Event, now: Duration) {
+    match event {
+        Event::Touch(node) => nodes[node].touch(node, store, now),
+        Event::Cut(node, is_cut) => nodes[node].is_cut = is_cut,
+        Event::Restart(node) => nodes[node] = Node::start(),
+        Event::Word(from, to) => {
+            if let Some(told) = nodes[from].watch.told(TEXT, now) {
+                nodes[to].watch.take_told(told, now);
+            }
+        }
+        Event::KeyTaken => store.kept.owner = None,
+        Event::Copy => store.copy = store.kept.clone(),
+        Event::Restore => store.restore(),
+    }
+}
+
+/// The last order that each node gave: when, and its fence.
+type Orders = [Option<(Duration, u64)>; NODES];
+
+fn check(orders: &Orders, node: usize, fence: u64, now: Duration) -> Result<(), TestCaseError> {
+    for (other, order) in orders
+        .iter()
+        .enumerate()
+        .filter(|(other, _)| *other != node)
+    {
+        let Some((at, other_fence)) = *order else {
+            continue;
+        };
+        prop_assert!(
+            now >= at + RULES.hand_over,
+            "{other} at {at:?}, {node} at {now:?}"
+        );
+        prop_assert!(
+            other_fence < fence,
+            "{other} with {other_fence}, {node} with {fence}"
+        );
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(30),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against two owners that give orders at a time, whatever the store forgets and whoever is cut off.
+    #[test]
+    fn orders_of_two_owners_are_apart_whatever_the_store_forgets(
+        events in prop::collection::vec((event(), 0u64..1_500), 1..120),
+    ) {
+        let mut nodes: Vec<Node> = (0..NODES).map(|_| Node::start()).collect();
+        let mut store = Store { era: 1, ..Store::default() };
+        let mut orders = Orders::default();
+        let mut now = Duration::from_secs(100);
+        for (event, pause_ms) in events {
+            now += Duration::from_millis(pause_ms);
+            play(&mut nodes, &mut store, event, now);
+            for (place, node) in nodes.iter().enumerate() {
+                let permit = node.owned.map(|owned| owned.permit(now));
+                if let Some(OrderPermit::Granted { fence }) = permit {
+                    check(&orders, place, fence, now)?;
+                    orders[place] = Some((now, fence));
+                }
+            }
+        }
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -123,12 +123,15 @@
     5004 TextPutBack Warning "The generation in force was written back to the platform.";
     5005 TextFetchFailed Warning "Pieces of a generation could not be fetched.";
     5006 TextRejected Error "A published text has faults and is not put in force.";
+    5007 TextHeldBack Warning "Other nodes go by newer text than the store shows; the node takes no callers yet.";
     6001 PlatformUnavailable Warning "The platform's key-value service cannot be reached.";
     6002 PlatformReturned Info "The platform's key-value service answers again.";
     6003 WriteAmbiguous Warning "No answer came after a write; it is read back.";
     6004 VmListUnavailable Warning "The platform's VM list cannot be read.";
     6005 VmListReturned Info "The platform's VM list can be read again.";
     6006 ReaderSilent Info "The node that reads the store for this one did not answer, or was behind.";
+    6007 StoreEraRose Warning "The platform's store came back from an older copy of itself.";
+    6008 StoreEraSettled Info "No claim from before the store came back holds, and the operators' text is there again.";
     7001 MessageUndecodable Warning "Bytes from another node could not be decoded.";
     7002 MessageDropped Debug "A message was dropped because a queue was full.";
     7003 LinkFailed Error "The link between nodes failed.";
