Have a restarted owner wait for the owner before as its earlier process did

What callers saw: nothing yet; the property test of owners found it. A node that claims another one's engine waits 7.4 s, in which the other may still give orders. If its process ended in that time, the next one found its own key and ordered at once. So it was before eras were read, and processes that have just written to the store are those that are killed first.

A claim now says until when its process waits, by the clock of the machine and the machine's start; the next process waits until then, and in full on a machine that started anew. So do lenders. An owner that does not wait writes nothing more than before. Considered instead: a full wait after each restart, which takes loads from a node's engines for 7.4 s each time.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{NodeRecord, OrderPermit, Ownership, Upstream, unowned_to_claim};
+use nutmegsail_relay::{
+    NodeRecord, OrderPermit, Ownership, Predecessor, Upstream, unowned_to_claim,
+};
 use nutmegsail_store::{Expect, KeyValueError, Put, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::engine::OwnedEngine;
 use super::knowledge::{Knowledge, Owner};
-use super::owners::{OwnerRecord, owner_key, to_json};
+use super::owner_record::{OwnerRecord, OwnerWait, predecessor_of_own};
+use super::owners::{owner_key, to_json};
 use crate::clock::boot_time;
 
 /// Claims that go into one transaction; the store takes 32 entries.
@@ -90,33 +93,57 @@
     !owners.contains_key(&engine.id) && last.is_some_and(is_living)
 }
 
+/// A claim of an engine that is written over the key of `before`.
+struct Claim<'a> {
+    engine: &'a UpstreamId,
+    before: Revision,
+    predecessor: Predecessor,
+    record: OwnerRecord,
+}
+
+impl<'a> Claim<'a> {
+    fn new(knowledge: &Knowledge, engine: &'a UpstreamId, before: Revision) -> Self {
+        let predecessor = predecessor(knowledge, engine, before);
+        let rules = knowledge.ownership_rules();
+        Self {
+            engine,
+            before,
+            predecessor,
+            record: OwnerRecord {
+                node: knowledge.settings.node.clone(),
+                lease: knowledge.lease.get(),
+                waits: OwnerWait::for_next(knowledge, predecessor, rules),
+            },
+        }
+    }
+}
+
 async fn commit_claims(
     knowledge: &Knowledge,
     claims: &[(UpstreamId, Revision)],
 ) -> Result<(), KeyValueError> {
-    let lease = knowledge.lease.get();
-    let record = OwnerRecord {
-        node: knowledge.settings.node.clone(),
-        lease,
-    };
+    let claims = claims
+        .iter()
+        .map(|(engine, before)| Claim::new(knowledge, engine, *before));
+    let claims: Vec<Claim> = claims.collect();
     let mut txn = Txn::default();
-    for (engine, revision) in claims {
-        let key: Arc<str> = owner_key(engine).into();
+    for claim in &claims {
+        let key: Arc<str> = owner_key(claim.engine).into();
         txn.expects.push(Expect {
             key: Arc::clone(&key),
-            revision: *revision,
+            revision: claim.before,
         });
         txn.puts.push(Put {
             key,
-            value: to_json(&record),
-            lease,
+            value: to_json(&claim.record),
+            lease: claim.record.lease,
         });
     }
     let asked_at = boot_time();
     match knowledge.store.commit(txn).await {
         Ok(fence) => {
-            for (engine, before) in claims {
-                note_taken(knowledge, engine, fence, *before, asked_at);
+            for claim in claims {
+                note_taken(knowledge, claim, fence, asked_at);
             }
             Ok(())
         }
@@ -131,29 +158,25 @@
     }
 }
 
-fn note_taken(
-    knowledge: &Knowledge,
-    engine: &UpstreamId,
-    fence: Revision,
-    before: Revision,
-    asked_at: Duration,
-) {
-    let is_own_before = before != Revision(0)
-        || knowledge.is_first_claim()
-        || has_no_other_owner(knowledge, engine);
-    let is_own_before = is_own_before && knowledge.eras.is_settled();
+fn note_taken(knowledge: &Knowledge, claim: Claim, fence: Revision, asked_at: Duration) {
+    let Claim {
+        engine,
+        predecessor,
+        record,
+        ..
+    } = claim;
     let rules = knowledge.ownership_rules();
     let now = boot_time();
-    let taken = Ownership::taken(fence.0, is_own_before, rules, asked_at, now);
+    let taken = Ownership::taken(fence.0, predecessor, rules, asked_at, now);
     let lapsed = knowledge.eras.lapsed.borrow_mut().remove(engine);
     let owned = match lapsed {
         Some(owned) => {
-            let retaken = owned
-                .ownership
-                .borrow()
-                .retaken(fence.0, rules, asked_at, now);
-            let ownership = if is_own_before { taken } else { retaken };
-            owned.ownership.replace(ownership);
+            let lapsed = *owned.ownership.borrow();
+            let retaken = match predecessor {
+                Predecessor::Another => lapsed.retaken(fence.0, rules, asked_at, now),
+                _ => taken,
+            };
+            owned.ownership.replace(retaken);
             owned.is_watched.set(false);
             owned
         }
@@ -165,8 +188,9 @@
     );
     knowledge.owned.borrow_mut().insert(engine.clone(), owned);
     let owner = Owner {
-        node: knowledge.settings.node.clone(),
+        node: record.node,
         revision: fence,
+        waits: record.waits,
     };
     knowledge.owners.borrow_mut().insert(engine.clone(), owner);
     log_event!(
@@ -175,6 +199,22 @@
     );
 }
 
+/// Whose orders may be on their way to an engine that is claimed over the key of `before`.
+fn predecessor(knowledge: &Knowledge, engine: &UpstreamId, before: Revision) -> Predecessor {
+    if !knowledge.eras.is_settled() {
+        return Predecessor::Another;
+    }
+    if before != Revision(0) {
+        let owners = knowledge.owners.borrow();
+        let waits = owners.get(engine).and_then(|owner| owner.waits.as_ref());
+        return predecessor_of_own(knowledge, waits);
+    }
+    match knowledge.is_first_claim() || has_no_other_owner(knowledge, engine) {
+        true => Predecessor::None,
+        false => Predecessor::Another,
+    }
+}
+
 /// Whether no other node can have orders on their way to the engine: this node owned the one at its
 /// address last, or nobody did for as long as orders may be on their way.
 fn has_no_other_owner(knowledge: &Knowledge, engine: &UpstreamId) -> bool {
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -23,10 +23,11 @@
 use super::eras::Eras;
 use super::lending::Lending;
 use super::model_demand::ModelDemand;
+use super::owner_record::OwnerWait;
 use super::returning_nodes::ReturningNodes;
 use super::shown_text::ShownText;
 use super::slots::Slots;
-use crate::clock::boot_time;
+use crate::clock::{boot_id, boot_time};
 use crate::shared::{Shared, View};
 use crate::{CONNECT_TIMEOUT, Dialect, RelaySettings};
 
@@ -58,6 +59,8 @@
 pub(crate) struct Owner {
     pub(crate) node: NodeId,
     pub(crate) revision: Revision,
+    /// What its next process has to know if it waits for the owner before.
+    pub(crate) waits: Option<OwnerWait>,
 }
 
 /// The control thread's state.
@@ -116,6 +119,8 @@
     pub(crate) lending: Lending,
     /// The slots of plain upstreams that this node hands out.
     pub(crate) slots: Slots,
+    /// Which start of the machine the clock counts from.
+    pub(crate) boot: Arc<str>,
     started: Instant,
     number: Cell<u64>,
 }
@@ -164,6 +169,7 @@
             returning: ReturningNodes::default(),
             lending: Lending::default(),
             slots: Slots::default(),
+            boot: boot_id(),
             started: Instant::now(),
             number: Cell::new(0),
         }
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -11,12 +11,13 @@
 
 use nutmegsail_base::FailureDomain;
 use nutmegsail_quota::{AskId, FirstFill, Lender, QuotaMessage};
-use nutmegsail_relay::{NodeRecord, OrderPermit, Ownership, OwnershipRules};
+use nutmegsail_relay::{NodeRecord, OrderPermit, Ownership, OwnershipRules, Predecessor};
 use nutmegsail_store::{Expect, Put, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::knowledge::{Knowledge, Owner};
-use super::owners::{OwnerRecord, to_json};
+use super::owner_record::{OwnerRecord, OwnerWait, predecessor_of_own};
+use super::owners::to_json;
 use crate::clock::boot_time;
 
 /// Keys of lenders, by failure domain.
@@ -78,6 +79,7 @@
         let owner = Owner {
             node: record.node.clone(),
             revision,
+            waits: record.waits.clone(),
         };
         self.lending.lenders.borrow_mut().insert(domain, owner);
     }
@@ -293,9 +295,12 @@
     };
     let key = format!("{LENDER_PREFIX}{}", knowledge.settings.failure_domain);
     let lease = knowledge.lease.get();
+    let first_fill = first_fill(knowledge, before);
+    let predecessor = predecessor(knowledge, before, first_fill);
     let record = OwnerRecord {
         node: knowledge.settings.node.clone(),
         lease,
+        waits: OwnerWait::for_next(knowledge, predecessor, RULES),
     };
     let txn = Txn {
         expects: vec![Expect {
@@ -312,46 +317,67 @@
     let asked_at = boot_time();
     // What was written in spite of an error shows up in the watch as an earlier process's, and is claimed anew.
     if let Ok(fence) = knowledge.store.commit(txn).await {
-        take_over(knowledge, fence, before, asked_at);
+        let owner = Owner {
+            node: record.node,
+            revision: fence,
+            waits: record.waits,
+        };
+        take_over(knowledge, owner, predecessor, first_fill, asked_at);
     }
 }
 
-fn take_over(knowledge: &Knowledge, fence: Revision, before: Revision, asked_at: Duration) {
-    let was_seen = knowledge.lending.was_seen.replace(true);
-    let is_first = before == Revision(0) && knowledge.is_first_claim() && !was_seen;
-    let has_no_other = (before != Revision(0) && knowledge.eras.is_settled()) || is_first;
-    let now = boot_time();
-    let ownership = Ownership::taken(fence.0, has_no_other, RULES, asked_at, now);
-    let first_fill = match is_first {
-        true => FirstFill::Full,
-        false => FirstFill::Empty,
-    };
-    let mut own = knowledge.lending.own.borrow_mut();
-    match own.as_mut().filter(|_| !has_no_other) {
-        Some(own) => own.retake(fence, asked_at, now),
-        None => {
+fn take_over(
+    knowledge: &Knowledge,
+    owner: Owner,
+    predecessor: Predecessor,
+    first_fill: FirstFill,
+    asked_at: Duration,
+) {
+    let (fence, now) = (owner.revision, boot_time());
+    let lending = &knowledge.lending;
+    lending.was_seen.set(true);
+    let mut own = lending.own.borrow_mut();
+    match own.as_mut() {
+        Some(own) if predecessor == Predecessor::Another => own.retake(fence, asked_at, now),
+        _ => {
             *own = Some(OwnLender {
                 lender: knowledge.new_lender(first_fill),
-                ownership,
+                ownership: Ownership::taken(fence.0, predecessor, RULES, asked_at, now),
                 is_watched: false,
                 begins_anew_at: None,
             });
-            knowledge.lending.version.set(0);
+            lending.version.set(0);
         }
     }
     drop(own);
     knowledge.refresh_quotas();
-    let settings = &knowledge.settings;
-    let owner = Owner {
-        node: settings.node.clone(),
-        revision: fence,
-    };
-    let mut lenders = knowledge.lending.lenders.borrow_mut();
-    lenders.insert(settings.failure_domain.clone(), owner);
-    drop(lenders);
+    let domain = knowledge.settings.failure_domain.clone();
+    lending.lenders.borrow_mut().insert(domain, owner);
     knowledge.publish();
     log_event!(
         knowledge.log, Event::LenderTaken,
         "fence" => fence.0, "first_fill" => format!("{first_fill:?}")
     );
 }
+
+/// How buckets begin: full only if no lender can have filled them before.
+fn first_fill(knowledge: &Knowledge, before: Revision) -> FirstFill {
+    let was_seen = knowledge.lending.was_seen.get();
+    match before == Revision(0) && knowledge.is_first_claim() && !was_seen {
+        true => FirstFill::Full,
+        false => FirstFill::Empty,
+    }
+}
+
+/// Which lender may still lend when the key is written over that of `before`.
+fn predecessor(knowledge: &Knowledge, before: Revision, first_fill: FirstFill) -> Predecessor {
+    if first_fill == FirstFill::Full {
+        return Predecessor::None;
+    }
+    if before == Revision(0) || !knowledge.eras.is_settled() {
+        return Predecessor::Another;
+    }
+    let lenders = knowledge.lending.lenders.borrow();
+    let lender = lenders.get(&knowledge.settings.failure_domain);
+    predecessor_of_own(knowledge, lender.and_then(|lender| lender.waits.as_ref()))
+}
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod operators_watch;
 mod orders;
 mod owner_loads;
+mod owner_record;
 mod owners;
 mod peers;
 mod reading;
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::NodeRecord;
-use nutmegsail_store::{Change, Item, LeaseId, Revision};
+use nutmegsail_store::{Change, Item, Revision};
 use nutmegsail_telemetry::{Event, log_event};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use super::eras::MARK_KEY;
 use super::knowledge::{Knowledge, Owner};
 use super::lending::LENDER_PREFIX;
+use super::owner_record::OwnerRecord;
 use super::watch::Follower;
 
 /// Keys that nodes write.
@@ -20,14 +21,6 @@
 pub(crate) const NODE_PREFIX: &str = "nutmegsail/node/";
 const OWNER_PREFIX: &str = "nutmegsail/owner/";
 
-/// An owner's key as it is written.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct OwnerRecord {
-    pub(crate) node: NodeId,
-    /// The lease of the process that wrote it, which tells two processes of a node apart.
-    pub(crate) lease: LeaseId,
-}
-
 pub(crate) fn owner_key(engine: &UpstreamId) -> String {
     format!("{OWNER_PREFIX}{engine}")
 }
@@ -81,6 +74,7 @@
         let owner = Owner {
             node: record.node.clone(),
             revision,
+            waits: record.waits.clone(),
         };
         self.0.owners.borrow_mut().insert(engine, owner);
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -73,7 +73,7 @@
 pub use load_times::LoadTimes;
 pub use model_plan::{HostedModel, ModelChange, ModelHost, ModelPlan};
 pub use model_ref::{ModelDigest, ModelRef};
-pub use ownership::{OrderPermit, Ownership, OwnershipRules};
+pub use ownership::{OrderPermit, Ownership, OwnershipRules, Predecessor};
 pub use prompt::{KeptPrompts, PromptChain, PromptPart};
 pub use rate_bucket::RateBucket;
 pub use readers::{reader_for, readers_by_domain, retry_pause};
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -40,13 +40,27 @@
     },
 }
 
+/// Whose orders may be on their way to an engine when it is claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Predecessor {
+    /// Nobody's.
+    None,
+    /// None but those that an earlier process of this node waited for, until then.
+    Own {
+        /// When that process would have begun.
+        waits_until: Duration,
+    },
+    /// Another owner's.
+    Another,
+}
+
 /// One engine that this node owns.
 ///
 /// The store can take a key away without its holder seeing it, and an owner may be paused between
 /// any two steps. Two rules keep the orders of two owners `hand_over` apart: an owner relies on a
 /// read that showed its key for `confirmation` only, counted from before the read; and a new owner
 /// waits `confirmation + hand_over` from the time it took the key, unless its own earlier process
-/// held it before.
+/// held it before and had waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ownership {
     fence: u64,
@@ -63,25 +77,31 @@
     /// An engine whose key was written at revision `fence` by a call sent at `asked_at`.
     pub fn taken(
         fence: u64,
-        is_own_before: bool,
+        predecessor: Predecessor,
         rules: OwnershipRules,
         asked_at: Duration,
         now: Duration,
     ) -> Self {
-        let wait = match is_own_before {
-            true => Duration::ZERO,
-            false => rules.wait(),
+        let may_order_from = match predecessor {
+            Predecessor::None => now,
+            Predecessor::Own { waits_until } => waits_until.min(now + rules.wait()),
+            Predecessor::Another => now + rules.wait(),
         };
         Self {
             fence,
             rules,
             confirmed_at: asked_at,
-            may_order_from: now + wait,
+            may_order_from,
             carried_until: Duration::ZERO,
             lapsed_at: None,
         }
     }
 
+    /// From when on orders may be sent.
+    pub fn may_order_from(&self) -> Duration {
+        self.may_order_from
+    }
+
     /// Takes in that its claim is gone with the store's history. No order may be sent until it is [`retaken`](Self::retaken).
     pub fn lapse(&mut self, now: Duration) {
         self.lapsed_at.get_or_insert(now);
@@ -101,10 +121,10 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use nutmegsail_relay::{OrderPermit, Ownership, OwnershipRules};
+    /// use nutmegsail_relay::{OrderPermit, Ownership, OwnershipRules, Predecessor};
     /// let seconds = Duration::from_secs;
     /// let rules = OwnershipRules { hand_over: seconds(3), confirmation: seconds(4) };
-    /// let mut owned = Ownership::taken(7, true, rules, seconds(10), seconds(10));
+    /// let mut owned = Ownership::taken(7, Predecessor::None, rules, seconds(10), seconds(10));
     /// owned.lapse(seconds(11));
     /// assert_eq!(owned.permit(seconds(11)), OrderPermit::Unconfirmed);
     /// let again = owned.retaken(9, rules, seconds(12), seconds(12));
@@ -119,14 +139,17 @@
     ) -> Self {
         let had_turn = self.lapsed_at.is_some_and(|at| at >= self.may_order_from);
         let age = now.saturating_sub(self.confirmed_at);
-        let goes_on = had_turn && age <= rules.hand_over + ORDER_TRAVEL;
+        let predecessor = match had_turn && age <= rules.hand_over + ORDER_TRAVEL {
+            true => Predecessor::None,
+            false => Predecessor::Another,
+        };
         let carried_until = match had_turn {
             true => self.confirmed_at + self.rules.confirmation,
             false => Duration::ZERO,
         };
         Self {
             carried_until,
-            ..Self::taken(fence, goes_on, rules, asked_at, now)
+            ..Self::taken(fence, predecessor, rules, asked_at, now)
         }
     }
 
@@ -155,10 +178,10 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use nutmegsail_relay::{OrderPermit, Ownership, OwnershipRules};
+    /// use nutmegsail_relay::{OrderPermit, Ownership, OwnershipRules, Predecessor};
     /// let seconds = Duration::from_secs;
     /// let rules = OwnershipRules { hand_over: seconds(3), confirmation: seconds(2) };
-    /// let mut owned = Ownership::taken(7, true, rules, seconds(10), seconds(10));
+    /// let mut owned = Ownership::taken(7, Predecessor::None, rules, seconds(10), seconds(10));
     /// assert_eq!(owned.permit(seconds(11)), OrderPermit::Granted { fence: 7 });
     /// assert_eq!(owned.permit(seconds(13)), OrderPermit::Unconfirmed);
     /// ```
--- a/crates/relay/tests/promises.rs
+++ b/crates/relay/tests/promises.rs
@@ -11,8 +11,8 @@
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{
     Demand, EngineContents, LoadRefusal, LoadStep, LoadTimes, ModelRef, NodeRecord, OrderPermit,
-    Ownership, OwnershipRules, RetryBudget, RetryBudgetRules, Room, StallWatch, Upstream,
-    VersionRule, Versions, plan_load, unowned_to_claim,
+    Ownership, OwnershipRules, Predecessor, RetryBudget, RetryBudgetRules, Room, StallWatch,
+    Upstream, VersionRule, Versions, plan_load, unowned_to_claim,
 };
 use proptest::prelude::*;
 
@@ -48,13 +48,13 @@
         next_ordered_after_ms in 0u64..9_000,
     ) {
         let ms = Duration::from_millis;
-        let mut first = Ownership::taken(5, true, RULES, ms(0), ms(0));
+        let mut first = Ownership::taken(5, Predecessor::None, RULES, ms(0), ms(0));
         first.confirm(ms(confirmed_ms));
         // Its key was seen by a read sent at `confirmed_ms`, so it was taken away later.
         let taken_ms = confirmed_ms + taken_away_after_ms;
         let order_ms = confirmed_ms + ordered_after_ms;
         let next_order_ms = taken_ms + next_ordered_after_ms;
-        let second = Ownership::taken(9, false, RULES, ms(taken_ms), ms(taken_ms));
+        let second = Ownership::taken(9, Predecessor::Another, RULES, ms(taken_ms), ms(taken_ms));
         let first_orders = matches!(first.permit(ms(order_ms)), OrderPermit::Granted { .. });
         // The next owner confirms as often as it likes.
         let mut second = second;
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::StoreEra;
-use nutmegsail_relay::{EraWatch, OrderPermit, Ownership, OwnershipRules, TextKnown};
+use nutmegsail_relay::{EraWatch, OrderPermit, Ownership, OwnershipRules, Predecessor, TextKnown};
 use proptest::prelude::*;
 
 const NODES: usize = 3;
@@ -18,11 +18,20 @@
     versions: 0,
 };
 
+/// The engine's key.
+#[derive(Clone, Copy)]
+struct Owner {
+    node: usize,
+    revision: u64,
+    /// Until when it waits for the owner before.
+    waits_until: Duration,
+}
+
 /// The engine's key and the mark, as the store holds them.
 #[derive(Clone, Default)]
 struct Kept {
     revision: u64,
-    owner: Option<(usize, u64)>,
+    owner: Option<Owner>,
     mark: Option<StoreEra>,
 }
 
@@ -39,14 +48,13 @@
         self.era << 40 | revision
     }
 
-    fn owner(&self) -> Option<(usize, u64)> {
-        let (node, revision) = self.kept.owner?;
-        Some((node, self.fence(revision)))
-    }
-
-    fn claim(&mut self, node: usize) -> u64 {
+    fn claim(&mut self, node: usize, waits_until: Duration) -> u64 {
         self.kept.revision += 1;
-        self.kept.owner = Some((node, self.kept.revision));
+        self.kept.owner = Some(Owner {
+            node,
+            revision: self.kept.revision,
+            waits_until,
+        });
         self.fence(self.kept.revision)
     }
 
@@ -90,23 +98,30 @@
         if let Some(mark) = self.watch.mark_due(false, now) {
             store.kept.mark = Some(mark);
         }
-        match (store.owner(), &mut self.owned) {
-            (Some((node, fence)), Some(owned)) if node == me && fence == owned.fence() => {
+        match (store.kept.owner, &mut self.owned) {
+            (Some(owner), Some(owned)) if store.fence(owner.revision) == owned.fence() => {
                 owned.confirm(now);
             }
-            (None, _) => self.claim(me, store, false, now),
-            (Some((node, _)), _) if node == me => self.claim(me, store, true, now),
-            (Some(_), _) => (self.owned, self.lapsed) = (None, None),
+            (Some(owner), _) if owner.node != me => (self.owned, self.lapsed) = (None, None),
+            (owner, _) => self.claim(me, store, owner, now),
         }
     }
 
-    fn claim(&mut self, me: usize, store: &mut Store, is_own_before: bool, now: Duration) {
+    fn claim(&mut self, me: usize, store: &mut Store, own_before: Option<Owner>, now: Duration) {
         let is_restarted = self.owned.is_none() && self.lapsed.is_none();
-        let goes_on = is_own_before && is_restarted && self.watch.is_settled(now);
-        let fence = store.claim(me);
+        let is_settled = self.watch.is_settled(now);
+        let predecessor = match own_before.filter(|_| is_restarted && is_settled) {
+            Some(Owner { waits_until, .. }) => Predecessor::Own { waits_until },
+            None => Predecessor::Another,
+        };
+        let waits_until = match predecessor {
+            Predecessor::Own { waits_until } => waits_until,
+            _ => now + RULES.wait(),
+        };
+        let fence = store.claim(me, waits_until);
         let taken = match self.lapsed.take() {
             Some(lapsed) => lapsed.retaken(fence, RULES, now, now),
-            None => Ownership::taken(fence, goes_on, RULES, now, now),
+            None => Ownership::taken(fence, predecessor, RULES, now, now),
         };
         self.owned = Some(taken);
     }
