--- a/crates/store/tests/store_eras.rs
+++ b/crates/store/tests/store_eras.rs
@@ -144,3 +144,58 @@
     let swapped = store.commit(swap(item.revision, LeaseId(0))).await;
     assert_eq!(swapped, Ok(Revision(9)));
 }
+
+/// Numbers that a store may give out: past what a cut to fewer bits keeps, and past what a float keeps exact.
+const NUMBERS: [u64; 4] = [1 << 41, (1 << 53) + 1, (1 << 63) + 7, u64::MAX];
+
+fn told(era: Option<u64>, body: &str) -> Turn {
+    let header = era.map_or(String::new(), |era| format!("store-era: {era}\r\n"));
+    Turn::Answer(answer(200, &header, body))
+}
+
+// Guards against a lease that is renewed under another number than the store gave it.
+#[rstest]
+#[tokio::test]
+async fn a_lease_is_called_what_the_store_calls_it(
+    #[values(None, Some(1), Some(5_000))] era: Option<u64>,
+    #[values(0, 1, 2, 3)] number: usize,
+) {
+    let number = NUMBERS[number];
+    let granted = format!(r#"{{"lease":{number},"ttl_ms":4000}}"#);
+    let turns = [&granted, "", "", COMMITTED].map(|body| told(era, body));
+    let server = ScriptedServer::start(turns).await;
+    let store = HttpKeyValue::new(PlatformSettings::at(&server.address));
+    let granted = store.grant_lease(Duration::from_secs(4)).await.unwrap();
+    assert_eq!(store.keep_lease(granted.lease).await, Ok(()));
+    assert_eq!(store.end_lease(granted.lease).await, Ok(()));
+    let txn = swap(Revision::default(), granted.lease);
+    assert!(store.commit(txn).await.is_ok());
+    let seen = server.seen();
+    let lease = format!("/v1/kv/lease/{number}");
+    assert_eq!(seen[1].line(), format!("POST {lease}/keep"));
+    assert_eq!(seen[2].line(), format!("DELETE {lease}"));
+    assert!(seen[3].body.contains(&format!(r#""lease":{number}"#)));
+}
+
+// Guards against a position or condition that names another revision than the store told.
+#[rstest]
+#[tokio::test]
+async fn a_revision_is_called_what_the_store_calls_it(
+    #[values(None, Some(1), Some(5_000))] era: Option<u64>,
+    #[values(0, 1, 2, 3)] number: usize,
+) {
+    let number = NUMBERS[number];
+    let item = ITEM.replace('7', &number.to_string());
+    let turns = [&item, NO_CHANGES, COMMITTED].map(|body| told(era, body));
+    let server = ScriptedServer::start(turns).await;
+    let store = HttpKeyValue::new(PlatformSettings::at(&server.address));
+    let item = store.get("k").await.unwrap().unwrap();
+    let wait = Duration::from_millis(10);
+    assert!(store.watch("", item.revision, wait).await.is_ok());
+    let txn = swap(item.revision, LeaseId::default());
+    assert!(store.commit(txn).await.is_ok());
+    let seen = server.seen();
+    let position = format!("after_revision={number}&");
+    assert!(seen[1].line().contains(&position));
+    assert!(seen[2].body.contains(&format!(r#""revision":{number}"#)));
+}
