--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,6 +12,7 @@
 mod result_code;
 mod run_state;
 mod store_era;
+mod store_number;
 
 pub use adapter_ref::{AdapterRef, AdapterRefError};
 pub use class::Class;
@@ -24,3 +25,4 @@
 pub use result_code::ResultCode;
 pub use run_state::RunState;
 pub use store_era::StoreEra;
+pub use store_number::StoreNumber;
--- /dev/null
+++ b/crates/base/tests/store_number.rs
@@ -0,0 +1,44 @@
+//! What is made of the numbers that the platform's store gives out.
+
+use nutmegsail_base::{StoreEra, StoreNumber};
+use proptest::prelude::*;
+
+/// Revisions that may go with the store's history: 400 writes a second for an hour.
+const LOST_MOST: u64 = 1_440_000;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(35),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against an engine that refuses its owner for good, as the token went back with the store.
+    #[test]
+    fn fences_rise_with_each_claim_whatever_the_store_loses(
+        first_era in prop_oneof![0u64..10, 4_090u64..4_100, 0u64..1 << 41],
+        first_revision in prop_oneof![1u64..10, (1u64 << 40) - 9..1 << 40, 1u64..1 << 62],
+        claims in prop::collection::vec((1u64..1_000_000, prop::option::of(0..LOST_MOST)), 1..50),
+    ) {
+        let (mut era, mut revision) = (first_era, first_revision);
+        let mut last = StoreNumber::of(StoreEra(era), revision);
+        for (written, lost) in claims {
+            if let Some(lost) = lost {
+                era += 1;
+                revision = revision.saturating_sub(lost);
+            }
+            revision += written;
+            let claim = StoreNumber::of(StoreEra(era), revision);
+            prop_assert_eq!((claim.era().0, claim.number()), (era, revision));
+            prop_assert!(claim > last);
+            prop_assert!(claim.fence() > last.fence(), "{} after {}", claim, last);
+            last = claim;
+        }
+    }
+}
+
+#[test]
+fn a_token_that_does_not_fit_is_none() {
+    assert_eq!(StoreNumber::of(StoreEra(u64::MAX), 1).fence(), None);
+    assert_eq!(StoreNumber::of(StoreEra(1), u64::MAX).fence(), None);
+}
--- a/crates/config/src/publisher.rs
+++ b/crates/config/src/publisher.rs
@@ -258,7 +258,7 @@
         let item = current.iter().find(|item| &*item.key == HEAD_KEY);
         let current = item.map(stored_head).transpose();
         let current = current.map_err(|error| attempt.gives_up(error))?;
-        let expected = expected.map_or(Revision(0), |expected| expected.revision);
+        let expected = expected.map_or(Revision::NONE, |expected| expected.revision);
         match current {
             Some(stored) if stored.revision > expected => self.settle(attempt, &stored).await,
             // The store went back in time, so the condition of a lost write may hold again.
--- a/crates/config/src/text_store.rs
+++ b/crates/config/src/text_store.rs
@@ -204,7 +204,7 @@
     Txn {
         expects: vec![Expect {
             key: HEAD_KEY.into(),
-            revision: found.map_or(Revision(0), |found| found.revision),
+            revision: found.map_or(Revision::NONE, |found| found.revision),
         }],
         puts,
         removes: dropped.map(|digest| piece_key(digest).into()).collect(),
--- a/crates/config/tests/publisher.rs
+++ b/crates/config/tests/publisher.rs
@@ -173,7 +173,7 @@
 async fn truth(store: &FakeKeyValue) -> BTreeMap<WriterId, Generation> {
     let wait = Duration::from_millis(1);
     let seen = store
-        .watch(HEAD_KEY, Revision(0), wait)
+        .watch(HEAD_KEY, Revision::NONE, wait)
         .await
         .expect("history is whole");
     let mut last = Generation(0);
--- a/crates/config/tests/spread_fleet/fleet.rs
+++ b/crates/config/tests/spread_fleet/fleet.rs
@@ -153,7 +153,7 @@
 
     fn store(&mut self, head: Head) {
         self.revision += 1;
-        let revision = Revision(self.revision);
+        let revision = Revision::plain(self.revision);
         self.stored = Some(StoredHead { head, revision });
     }
 
@@ -223,7 +223,7 @@
                         self.tell(node, &peer);
                     }
                 }
-                SpreadAction::WatchStore => self.set_watch(node, Revision(0)),
+                SpreadAction::WatchStore => self.set_watch(node, Revision::NONE),
                 SpreadAction::ReadHead => {
                     self.store_calls += 1;
                     let event = SpreadEvent::StoreHead(self.stored.clone());
--- a/crates/fakes/src/key_value.rs
+++ b/crates/fakes/src/key_value.rs
@@ -26,8 +26,8 @@
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(async {
 /// let store = FakeKeyValue::default();
-/// let first = store.commit(Txn::swap("head", Revision(0), "1")).await?;
-/// assert!(store.commit(Txn::swap("head", Revision(0), "2")).await.is_err());
+/// let first = store.commit(Txn::swap("head", Revision::NONE, "1")).await?;
+/// assert!(store.commit(Txn::swap("head", Revision::NONE, "2")).await.is_err());
 /// store.commit(Txn::swap("head", first, "2")).await?;
 /// # Ok::<(), nutmegsail_store::KeyValueError>(())
 /// # })?;
@@ -156,7 +156,7 @@
                 if state.knobs.outage {
                     return Err(KeyValueError::Unavailable);
                 }
-                state.changes(prefix, after.0)?
+                state.changes(prefix, after.number())?
             };
             let now = tokio::time::Instant::now();
             if !changes.changes.is_empty() || now >= gives_up_at {
@@ -201,7 +201,7 @@
         let mut state = self.lock();
         let now = self.clock.now();
         state.admit_write(now)?;
-        state.keep_lease(lease.0, now)
+        state.keep_lease(lease.number(), now)
     }
 
     async fn end_lease(&self, lease: LeaseId) -> Result<(), KeyValueError> {
@@ -210,7 +210,7 @@
         {
             let mut state = self.lock();
             state.admit_write(self.clock.now())?;
-            state.remove_lease(lease.0);
+            state.remove_lease(lease.number());
         }
         self.changed.notify_waiters();
         Ok(())
--- a/crates/fakes/src/key_value_http.rs
+++ b/crates/fakes/src/key_value_http.rs
@@ -19,8 +19,8 @@
 struct ItemJson {
     key: Arc<str>,
     value: String,
-    revision: Revision,
-    lease: LeaseId,
+    revision: u64,
+    lease: u64,
 }
 
 impl From<&Item> for ItemJson {
@@ -28,8 +28,8 @@
         Self {
             key: Arc::clone(&item.key),
             value: String::from_utf8_lossy(&item.value).into_owned(),
-            revision: item.revision,
-            lease: item.lease,
+            revision: item.revision.number(),
+            lease: item.lease.number(),
         }
     }
 }
@@ -38,7 +38,7 @@
 #[serde(rename_all = "lowercase")]
 enum ChangeJson {
     Put(ItemJson),
-    Removed { key: Arc<str>, revision: Revision },
+    Removed { key: Arc<str>, revision: u64 },
 }
 
 impl From<&Change> for ChangeJson {
@@ -47,7 +47,7 @@
             Change::Put(item) => Self::Put(item.into()),
             Change::Removed { key, revision } => Self::Removed {
                 key: Arc::clone(key),
-                revision: *revision,
+                revision: revision.number(),
             },
         }
     }
@@ -56,7 +56,7 @@
 #[derive(Deserialize)]
 struct ExpectJson {
     key: Arc<str>,
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Deserialize)]
@@ -64,7 +64,7 @@
     key: Arc<str>,
     value: String,
     #[serde(default)]
-    lease: LeaseId,
+    lease: u64,
 }
 
 #[derive(Deserialize)]
@@ -80,12 +80,12 @@
     fn from(txn: TxnJson) -> Self {
         let expect = |expect: ExpectJson| Expect {
             key: expect.key,
-            revision: expect.revision,
+            revision: Revision::plain(expect.revision),
         };
         let put = |put: PutJson| Put {
             key: put.key,
             value: Bytes::from(put.value),
-            lease: put.lease,
+            lease: LeaseId::plain(put.lease),
         };
         Self {
             expects: txn.expects.into_iter().map(expect).collect(),
@@ -102,7 +102,7 @@
 
 #[derive(Serialize)]
 struct CommittedJson {
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Serialize)]
@@ -114,18 +114,18 @@
 struct PageJson {
     items: Vec<ItemJson>,
     has_more: bool,
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Serialize)]
 struct ChangesJson {
     changes: Vec<ChangeJson>,
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Serialize)]
 struct GrantJson {
-    lease: LeaseId,
+    lease: u64,
     ttl_ms: u64,
 }
 
@@ -165,7 +165,7 @@
         (&Method::GET, "/v1/kv/watch") => watch(store, query).await,
         (&Method::POST, "/v1/kv/txn") => {
             let txn: TxnJson = read_json(body).await?;
-            let revision = store.commit(txn.into()).await?;
+            let revision = store.commit(txn.into()).await?.number();
             Ok(ok(&CommittedJson { revision }))
         }
         (&Method::POST, "/v1/kv/lease") => {
@@ -175,7 +175,7 @@
                 .await?;
             let ttl_ms = u64::try_from(grant.ttl.as_millis()).unwrap_or(u64::MAX);
             Ok(ok(&GrantJson {
-                lease: grant.lease,
+                lease: grant.lease.number(),
                 ttl_ms,
             }))
         }
@@ -201,7 +201,7 @@
     Ok(ok(&PageJson {
         items,
         has_more: page.has_more,
-        revision: page.revision,
+        revision: page.revision.number(),
     }))
 }
 
@@ -212,13 +212,13 @@
             .and_then(|text| text.parse().ok())
             .unwrap_or(0)
     };
-    let after = Revision(number("after_revision"));
+    let after = Revision::plain(number("after_revision"));
     let wait = Duration::from_millis(number("wait_ms"));
     let seen = store.watch(&prefix, after, wait).await?;
     let changes: Vec<ChangeJson> = seen.changes.iter().map(ChangeJson::from).collect();
     Ok(ok(&ChangesJson {
         changes,
-        revision: seen.revision,
+        revision: seen.revision.number(),
     }))
 }
 
@@ -232,7 +232,7 @@
         Some(id) => (id, true),
         None => (rest, false),
     };
-    match (id.parse().map(LeaseId), method, is_keep) {
+    match (id.parse().map(LeaseId::plain), method, is_keep) {
         (Ok(lease), &Method::POST, true) => store.keep_lease(lease).await?,
         (Ok(lease), &Method::DELETE, false) => store.end_lease(lease).await?,
         _ => return Ok(HttpReply::status(StatusCode::NOT_FOUND)),
--- a/crates/fakes/src/key_value_state.rs
+++ b/crates/fakes/src/key_value_state.rs
@@ -90,6 +90,9 @@
     AnswerLost,
 }
 
+/// More than floats keep exact: services call leases as they like.
+const FIRST_LEASE: u64 = (1 << 53) + 1;
+
 #[derive(Debug)]
 pub(crate) struct KeyValueState {
     pub(crate) knobs: Knobs,
@@ -120,7 +123,7 @@
             history: VecDeque::new(),
             forgotten_up_to: 0,
             leases: BTreeMap::new(),
-            next_lease: 1,
+            next_lease: FIRST_LEASE,
             late_writes: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -194,7 +197,7 @@
         Page {
             items,
             has_more: matching.next().is_some(),
-            revision: Revision(view.revision),
+            revision: Revision::plain(view.revision),
         }
     }
 
@@ -212,7 +215,7 @@
             .collect();
         Ok(Changes {
             changes,
-            revision: Revision(self.contents.revision),
+            revision: Revision::plain(self.contents.revision),
         })
     }
 
@@ -231,15 +234,16 @@
     fn apply(&mut self, txn: &Txn) -> Result<Revision, KeyValueError> {
         self.check_limits(txn)?;
         self.check_expects(txn)?;
-        let lease_gone = |lease: LeaseId| lease.0 != 0 && !self.leases.contains_key(&lease.0);
+        let lease_gone =
+            |lease: LeaseId| lease != LeaseId::NONE && !self.leases.contains_key(&lease.number());
         if txn.puts.iter().any(|put| lease_gone(put.lease)) {
             return Err(KeyValueError::LeaseGone);
         }
         if txn.puts.is_empty() && txn.removes.is_empty() {
-            return Ok(Revision(self.contents.revision));
+            return Ok(Revision::plain(self.contents.revision));
         }
         self.contents.revision += 1;
-        let revision = Revision(self.contents.revision);
+        let revision = Revision::plain(self.contents.revision);
         for put in &txn.puts {
             let item = Item {
                 key: Arc::clone(&put.key),
@@ -297,7 +301,7 @@
         if self.contents.items.remove(key).is_some() {
             self.remember(Change::Removed {
                 key: Arc::clone(key),
-                revision: Revision(self.contents.revision),
+                revision: Revision::plain(self.contents.revision),
             });
         }
     }
@@ -317,7 +321,7 @@
         let ends_at = now + ttl;
         self.leases.insert(id, Lease { ttl, ends_at });
         LeaseGrant {
-            lease: LeaseId(id),
+            lease: LeaseId::plain(id),
             ttl,
         }
     }
@@ -336,7 +340,7 @@
             .contents
             .items
             .values()
-            .filter(|item| item.lease.0 == id)
+            .filter(|item| item.lease.number() == id)
             .map(|item| Arc::clone(&item.key))
             .collect();
         if bound.is_empty() {
--- a/crates/fakes/tests/key_value.rs
+++ b/crates/fakes/tests/key_value.rs
@@ -40,7 +40,7 @@
 #[tokio::test]
 async fn a_swap_on_an_old_revision_changes_nothing_and_shows_the_present_item() {
     let (_, store) = store();
-    let first = store.commit(Txn::swap("head", Revision(0), "1")).await;
+    let first = store.commit(Txn::swap("head", Revision::NONE, "1")).await;
     let first = first.unwrap();
     store.commit(Txn::swap("head", first, "2")).await.unwrap();
 
@@ -54,8 +54,8 @@
 }
 
 #[rstest]
-#[case::value(Txn::swap("k", Revision(0), vec![b'v'; 1_000_001]))]
-#[case::key(Txn::swap("k".repeat(201), Revision(0), "v"))]
+#[case::value(Txn::swap("k", Revision::NONE, vec![b'v'; 1_000_001]))]
+#[case::key(Txn::swap("k".repeat(201), Revision::NONE, "v"))]
 #[case::entries(Txn { removes: (0..33).map(|n| n.to_string().into()).collect(), ..Txn::default() })]
 #[tokio::test]
 async fn what_is_over_a_limit_is_refused_whole(#[case] txn: Txn) {
@@ -91,9 +91,12 @@
     let lease = store.grant_lease(ttl).await.unwrap().lease;
     let watching = Arc::clone(&store);
     let hour = Duration::from_secs(3600);
-    let watch = tokio::spawn(async move { watching.watch("node/", Revision(0), hour).await });
+    let watch = tokio::spawn(async move { watching.watch("node/", Revision::NONE, hour).await });
     tokio::task::yield_now().await;
-    store.commit(leased("other/b", LeaseId(0))).await.unwrap();
+    store
+        .commit(leased("other/b", LeaseId::NONE))
+        .await
+        .unwrap();
     store.commit(leased("node/a", lease)).await.unwrap();
 
     let seen = watch.await.unwrap().unwrap();
@@ -107,13 +110,13 @@
 async fn a_watch_from_forgotten_history_is_told_so() {
     let (_, store) = store();
     store
-        .commit(Txn::swap("a", Revision(0), "1"))
+        .commit(Txn::swap("a", Revision::NONE, "1"))
         .await
         .unwrap();
     store.forget_history();
-    let watch = store.watch("", Revision(0), Duration::ZERO).await;
+    let watch = store.watch("", Revision::NONE, Duration::ZERO).await;
     assert_eq!(watch, Err(KeyValueError::Compacted));
-    let watch = store.watch("", Revision(1), Duration::ZERO).await;
+    let watch = store.watch("", Revision::plain(1), Duration::ZERO).await;
     assert_eq!(watch.unwrap().changes, []);
 }
 
@@ -126,7 +129,7 @@
         lost_answer_share: 1.0,
         ..Knobs::default()
     });
-    let lost = store.commit(Txn::swap("head", Revision(0), "1")).await;
+    let lost = store.commit(Txn::swap("head", Revision::NONE, "1")).await;
     assert_eq!(lost, Err(KeyValueError::Ambiguous));
     assert_eq!(value_of(&store, "head").await.as_deref(), Some("1"));
 }
@@ -147,12 +150,14 @@
         late_ms: 500,
         ..Knobs::default()
     });
-    let lost = store.commit(Txn::swap("head", Revision(0), "late")).await;
+    let lost = store
+        .commit(Txn::swap("head", Revision::NONE, "late"))
+        .await;
     assert_eq!(lost, Err(KeyValueError::Ambiguous));
     assert_eq!(value_of(&store, "head").await, None);
     store.set_knobs(Knobs::default());
     if another_writes {
-        let another = Txn::swap("head", Revision(0), "another");
+        let another = Txn::swap("head", Revision::NONE, "another");
         store.commit(another).await.unwrap();
     }
     clock.advance(Duration::from_millis(500));
@@ -168,7 +173,7 @@
         ..KeyValueLimits::default()
     };
     let store = FakeKeyValue::new(Arc::clone(&clock) as _, limits, 7);
-    let write = |key: &'static str| store.commit(Txn::swap(key, Revision(0), "v"));
+    let write = |key: &'static str| store.commit(Txn::swap(key, Revision::NONE, "v"));
     write("a").await.unwrap();
     write("b").await.unwrap();
     assert_eq!(write("c").await, Err(KeyValueError::Refused));
@@ -182,7 +187,7 @@
 #[tokio::test]
 async fn an_outage_does_nothing_and_stale_reads_and_a_restore_show_the_copy() {
     let (_, store) = store();
-    let first = store.commit(Txn::swap("head", Revision(0), "1")).await;
+    let first = store.commit(Txn::swap("head", Revision::NONE, "1")).await;
     store.take_copy();
     let swap = Txn::swap("head", first.unwrap(), "2");
     store.set_knobs(Knobs {
@@ -202,7 +207,7 @@
 
     store.restore_copy();
     assert_eq!(value_of(&store, "head").await.as_deref(), Some("1"));
-    let watch = store.watch("", Revision(2), Duration::ZERO).await;
+    let watch = store.watch("", Revision::plain(2), Duration::ZERO).await;
     assert_eq!(watch, Err(KeyValueError::Compacted));
 }
 
@@ -222,18 +227,18 @@
     let (clock, store) = store();
     let server = store.serve_http(loopback().await.unwrap()).unwrap();
     let swap = r#"{"expects":[{"key":"a/1","revision":0}],"puts":[{"key":"a/1","value":"{}"}]}"#;
-    let on_lease = r#"{"puts":[{"key":"a/2","value":"x","lease":1}]}"#;
+    let on_lease = r#"{"puts":[{"key":"a/2","value":"x","lease":9007199254740993}]}"#;
     let calls = [
         ("POST", "/v1/kv/txn", swap),
         ("POST", "/v1/kv/txn", swap),
         ("POST", "/v1/kv/lease", r#"{"ttl_ms":1000}"#),
         ("POST", "/v1/kv/txn", on_lease),
-        ("POST", "/v1/kv/lease/1/keep", ""),
+        ("POST", "/v1/kv/lease/9007199254740993/keep", ""),
         ("GET", "/v1/kv/item?key=a%2F1", ""),
         ("GET", "/v1/kv/item?key=none", ""),
         ("GET", "/v1/kv/range?prefix=a/&after=a/1", ""),
-        ("DELETE", "/v1/kv/lease/1", ""),
-        ("POST", "/v1/kv/lease/1/keep", ""),
+        ("DELETE", "/v1/kv/lease/9007199254740993", ""),
+        ("POST", "/v1/kv/lease/9007199254740993/keep", ""),
         ("POST", "/v1/kv/txn", on_lease),
         (
             "GET",
--- a/crates/idempotency/src/chain.rs
+++ b/crates/idempotency/src/chain.rs
@@ -2,13 +2,15 @@
 
 use std::collections::BTreeMap;
 
+use nutmegsail_base::StoreNumber;
+
 use crate::{ChainPlace, ClaimRecord, IdempotencyKey, RecordError, StoredRecord};
 
-/// A record with the revision that the store gave it; 0: it does not exist yet.
+/// A record with the revision that the store gave it; [`StoreNumber::NONE`]: it does not exist yet.
 #[derive(Clone, Debug, Default)]
 struct Segment {
     record: ClaimRecord,
-    revision: u64,
+    revision: StoreNumber,
 }
 
 /// A chain as last seen: sealed records, then the one that takes new keys.
@@ -62,7 +64,7 @@
     }
 
     /// The revision of a record as last seen.
-    pub fn revision(&self, segment: usize) -> u64 {
+    pub fn revision(&self, segment: usize) -> StoreNumber {
         self.segments[segment].revision
     }
 
@@ -94,7 +96,11 @@
     }
 
     fn adopt_absent(&mut self, segment: usize) {
-        if self.segments.get(segment).is_some_and(|s| s.revision > 0) {
+        if self
+            .segments
+            .get(segment)
+            .is_some_and(|s| s.revision != StoreNumber::NONE)
+        {
             // The record was there and is gone: past its retention. Nothing known still holds.
             self.segments.clear();
             self.segment_of.clear();
@@ -106,7 +112,7 @@
     }
 
     /// Takes in a record that this node wrote.
-    pub fn committed(&mut self, segment: usize, record: ClaimRecord, revision: u64) {
+    pub fn committed(&mut self, segment: usize, record: ClaimRecord, revision: StoreNumber) {
         let is_sealed = record.is_sealed;
         self.set(segment, record, revision);
         if is_sealed && segment + 1 == self.segments.len() {
@@ -117,7 +123,7 @@
         self.find_tail();
     }
 
-    fn set(&mut self, segment: usize, record: ClaimRecord, revision: u64) {
+    fn set(&mut self, segment: usize, record: ClaimRecord, revision: StoreNumber) {
         debug_assert!(segment <= self.segments.len(), "records are read in order");
         for entry in &record.entries {
             self.segment_of.insert(entry.key.clone(), segment);
--- a/crates/idempotency/src/event.rs
+++ b/crates/idempotency/src/event.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use nutmegsail_base::{Incarnation, NodeId, RequestId, ResultCode, RunState};
+use nutmegsail_base::{Incarnation, NodeId, RequestId, ResultCode, RunState, StoreNumber};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -35,8 +35,8 @@
 pub struct StoredRecord {
     /// The value.
     pub value: Bytes,
-    /// The store's revision of it; never 0.
-    pub revision: u64,
+    /// The store's revision of it; never [`StoreNumber::NONE`].
+    pub revision: StoreNumber,
 }
 
 /// A read failed. Nothing is known.
@@ -122,7 +122,7 @@
         /// Its token.
         token: ClaimToken,
         /// The new revision.
-        result: Result<u64, SwapFault>,
+        result: Result<StoreNumber, SwapFault>,
     },
     /// The answer to [`ClaimAction::List`].
     ListDone {
@@ -229,14 +229,14 @@
         /// The store's key.
         key: Arc<str>,
     },
-    /// Write a record if it still has this revision; 0: if it does not exist.
+    /// Write a record if it still has this revision; [`StoreNumber::NONE`]: if it does not exist.
     Swap {
         /// Pairs with [`ClaimEvent::SwapDone`].
         token: ClaimToken,
         /// The store's key.
         key: Arc<str>,
         /// The revision it must have.
-        expected_revision: u64,
+        expected_revision: StoreNumber,
         /// The new value, JSON.
         value: Bytes,
     },
--- a/crates/idempotency/src/lane.rs
+++ b/crates/idempotency/src/lane.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
+use nutmegsail_base::StoreNumber;
+
 use crate::chain::Chain;
 use crate::commit::{Commit, replies_of};
 use crate::queued::{QueuedOperation, Reply};
@@ -255,7 +257,7 @@
     pub fn swap_done(
         &mut self,
         token: ClaimToken,
-        result: Result<u64, SwapFault>,
+        result: Result<StoreNumber, SwapFault>,
         settings: &ClaimSettings,
         now: Instant,
         replies: &mut Vec<Reply>,
--- a/crates/idempotency/src/shard_writer.rs
+++ b/crates/idempotency/src/shard_writer.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use nutmegsail_base::StoreNumber;
+
 use crate::lane::Lane;
 use crate::queued::{QueuedOperation, Reply};
 use crate::token_source::TokenSource;
@@ -69,7 +71,7 @@
     pub fn swap_done(
         &mut self,
         token: ClaimToken,
-        result: &Result<u64, SwapFault>,
+        result: &Result<StoreNumber, SwapFault>,
         settings: &ClaimSettings,
         now: Instant,
         replies: &mut Vec<Reply>,
--- a/crates/idempotency/tests/tiny_model.rs
+++ b/crates/idempotency/tests/tiny_model.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
-use nutmegsail_base::{Incarnation, RequestId, RunState};
+use nutmegsail_base::{Incarnation, RequestId, RunState, StoreNumber};
 use nutmegsail_idempotency::*;
 use rstest::rstest;
 
@@ -282,7 +282,10 @@
                         expected_revision,
                         ..
                     },
-            } => store.get(&**key).map_or(0, |(_, revision)| *revision) == *expected_revision,
+            } => {
+                let revision = store.get(&**key).map_or(0, |(_, revision)| *revision);
+                StoreNumber::plain(revision) == *expected_revision
+            }
             _ => true,
         });
     }
@@ -388,12 +391,13 @@
                 value,
             } => {
                 let current = self.stored(key);
-                let revision = current.as_ref().map_or(0, |stored| stored.revision);
+                let revision = current.as_ref().map(|stored| stored.revision);
+                let revision = revision.unwrap_or_default();
                 let result = if revision == *expected_revision {
                     self.revision += 1;
                     self.store
                         .insert(key.to_string(), (value.clone(), self.revision));
-                    Ok(self.revision)
+                    Ok(StoreNumber::plain(self.revision))
                 } else {
                     Err(SwapFault::Conflict { current })
                 };
@@ -410,7 +414,7 @@
         let (value, revision) = self.store.get(key)?;
         Some(StoredRecord {
             value: value.clone(),
-            revision: *revision,
+            revision: StoreNumber::plain(*revision),
         })
     }
 
--- a/crates/idempotency/tests/world/mod.rs
+++ b/crates/idempotency/tests/world/mod.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use nutmegsail_base::{
-    Clock as _, Incarnation, ManualClock, NodeId, RequestId, ResultCode, RunState,
+    Clock as _, Incarnation, ManualClock, NodeId, RequestId, ResultCode, RunState, StoreNumber,
 };
 use nutmegsail_idempotency::*;
 use rand_chacha::ChaCha8Rng;
@@ -713,14 +713,15 @@
                 value,
             } => {
                 let current = self.stored(&key);
-                let revision = current.as_ref().map_or(0, |stored| stored.revision);
+                let revision = current.as_ref().map(|stored| stored.revision);
+                let revision = revision.unwrap_or_default();
                 let result = if revision == expected_revision {
                     self.store_revision += 1;
                     self.written_bytes += value.len() as u64;
                     assert!(value.len() <= 1_000_000 && key.len() <= 200);
                     self.store
                         .insert(key.to_string(), (value, self.store_revision));
-                    Ok(self.store_revision)
+                    Ok(StoreNumber::plain(self.store_revision))
                 } else {
                     Err(SwapFault::Conflict { current })
                 };
@@ -734,7 +735,7 @@
         let (value, revision) = self.store.get(key)?;
         Some(StoredRecord {
             value: value.clone(),
-            revision: *revision,
+            revision: StoreNumber::plain(*revision),
         })
     }
 
--- a/crates/measure/src/capacity/claim_fleet.rs
+++ b/crates/measure/src/capacity/claim_fleet.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use nutmegsail_base::{Clock as _, Incarnation, ManualClock, NodeId, RequestId};
+use nutmegsail_base::{Clock as _, Incarnation, ManualClock, NodeId, RequestId, StoreNumber};
 use nutmegsail_idempotency::{
     ClaimAction, ClaimEvent, ClaimOutcome, ClaimSettings, Claims, IdempotencyKey, LiveNode,
     RecordedAnswer, RequestDigest, StoredRecord, SwapFault,
@@ -313,14 +313,20 @@
         self.tell(node, event);
     }
 
-    fn swap(&mut self, key: &str, expected: u64, value: Bytes) -> Result<u64, SwapFault> {
+    fn swap(
+        &mut self,
+        key: &str,
+        expected: StoreNumber,
+        value: Bytes,
+    ) -> Result<StoreNumber, SwapFault> {
         let current = self.store.get(key).cloned();
-        if current.as_ref().map_or(0, |stored| stored.revision) != expected {
+        let revision = current.as_ref().map(|stored| stored.revision);
+        if revision.unwrap_or_default() != expected {
             return Err(SwapFault::Conflict { current });
         }
         self.revision += 1;
         self.written_bytes += value.len();
-        let revision = self.revision;
+        let revision = StoreNumber::plain(self.revision);
         self.store
             .insert(key.to_owned(), StoredRecord { value, revision });
         Ok(revision)
--- a/crates/node/src/claims_keeper.rs
+++ b/crates/node/src/claims_keeper.rs
@@ -9,7 +9,7 @@
     IdempotencyKey, LiveNode, RecordedAnswer, RequestDigest, StoreFault, StoredRecord, SwapFault,
     WriterEntry, WriterResult,
 };
-use nutmegsail_store::{Item, KeyValue, KeyValueError, Revision, Txn};
+use nutmegsail_store::{Item, KeyValue, KeyValueError, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 use nutmegsail_wire::{NodeMessage, Payload};
 use serde::Serialize;
@@ -264,9 +264,9 @@
             expected_revision,
             value,
         } => {
-            let txn = Txn::swap(key, Revision(expected_revision), value);
+            let txn = Txn::swap(key, expected_revision.into(), value);
             let result = store.commit(txn).await;
-            let result = result.map(|revision| revision.0).map_err(swap_fault);
+            let result = result.map(|revision| *revision).map_err(swap_fault);
             Some(ClaimEvent::SwapDone { token, result })
         }
         ClaimAction::List { token, prefix } => {
@@ -293,7 +293,7 @@
 fn record(item: Item) -> StoredRecord {
     StoredRecord {
         value: item.value,
-        revision: item.revision.0,
+        revision: *item.revision,
     }
 }
 
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -121,7 +121,7 @@
             .map_err(|error| KeyValueError::Malformed(error.to_string()))?;
         let expect = |key: String, item: Option<&Item>| Expect {
             key: key.into(),
-            revision: item.map_or(Revision(0), |item| item.revision),
+            revision: item.map_or(Revision::NONE, |item| item.revision),
         };
         Ok(Txn {
             expects: vec![
--- a/crates/relay-node/src/control/change_log/tests.rs
+++ b/crates/relay-node/src/control/change_log/tests.rs
@@ -13,14 +13,14 @@
     Change::Put(Item {
         key: "key".into(),
         value: Bytes::from_static(b"value"),
-        revision: Revision(revision),
-        lease: LeaseId(0),
+        revision: Revision::plain(revision),
+        lease: LeaseId::NONE,
     })
 }
 
 fn changes(revisions: std::ops::RangeInclusive<u64>) -> Changes {
     Changes {
-        revision: Revision(*revisions.end()),
+        revision: Revision::plain(*revisions.end()),
         changes: revisions.map(put).collect(),
     }
 }
@@ -31,7 +31,7 @@
 
 fn log() -> ChangeLog {
     let log = ChangeLog::default();
-    log.restart(Revision(10), read_now());
+    log.restart(Revision::plain(10), read_now());
     log.push(&changes(11..=20), read_now());
     log
 }
@@ -42,9 +42,12 @@
 #[case::none(20, 0)]
 fn the_changes_after_a_revision_are_told(#[case] after: u64, #[case] count: usize) {
     let read = log()
-        .after(Revision(after), boot_time())
+        .after(Revision::plain(after), boot_time())
         .expect("it is fresh");
-    assert_eq!((read.changes.len(), read.revision), (count, Revision(20)));
+    assert_eq!(
+        (read.changes.len(), read.revision),
+        (count, Revision::plain(20))
+    );
 }
 
 // A node read everything before its reader did, or the reader forgot old changes. Told only what the
@@ -52,13 +55,13 @@
 #[test]
 fn a_gap_is_never_passed_over() {
     assert_eq!(
-        log().after(Revision(9), boot_time()),
+        log().after(Revision::plain(9), boot_time()),
         Err(NotRead::Forgotten)
     );
     let log = log();
     log.push(&changes(21..=21 + CHANGES_LIMIT as u64), read_now());
     assert_eq!(
-        log.after(Revision(20), boot_time()),
+        log.after(Revision::plain(20), boot_time()),
         Err(NotRead::Forgotten)
     );
 }
@@ -68,7 +71,10 @@
 fn a_reader_that_the_store_does_not_answer_tells_nothing() {
     let lost = log();
     lost.lost();
-    assert_eq!(lost.after(Revision(20), boot_time()), Err(NotRead::Behind));
+    assert_eq!(
+        lost.after(Revision::plain(20), boot_time()),
+        Err(NotRead::Behind)
+    );
 
     let behind = ChangeLog::default();
     let long_ago = boot_time().saturating_sub(FRESH_FOR + Duration::from_millis(1));
@@ -76,9 +82,9 @@
         asked: long_ago,
         answered: long_ago,
     };
-    behind.restart(Revision(10), read_at);
+    behind.restart(Revision::plain(10), read_at);
     assert_eq!(
-        behind.after(Revision(10), boot_time()),
+        behind.after(Revision::plain(10), boot_time()),
         Err(NotRead::Behind)
     );
 }
--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -141,9 +141,9 @@
     }
     let asked_at = boot_time();
     match knowledge.store.commit(txn).await {
-        Ok(fence) => {
+        Ok(revision) => {
             for claim in claims {
-                note_taken(knowledge, claim, fence, asked_at);
+                note_taken(knowledge, claim, revision, asked_at);
             }
             Ok(())
         }
@@ -158,7 +158,7 @@
     }
 }
 
-fn note_taken(knowledge: &Knowledge, claim: Claim, fence: Revision, asked_at: Duration) {
+fn note_taken(knowledge: &Knowledge, claim: Claim, revision: Revision, asked_at: Duration) {
     let Claim {
         engine,
         predecessor,
@@ -167,13 +167,13 @@
     } = claim;
     let rules = knowledge.ownership_rules();
     let now = boot_time();
-    let taken = Ownership::taken(fence.0, predecessor, rules, asked_at, now);
+    let taken = Ownership::taken(*revision, predecessor, rules, asked_at, now);
     let lapsed = knowledge.eras.lapsed.borrow_mut().remove(engine);
     let owned = match lapsed {
         Some(owned) => {
             let lapsed = *owned.ownership.borrow();
             let retaken = match predecessor {
-                Predecessor::Another => lapsed.retaken(fence.0, rules, asked_at, now),
+                Predecessor::Another => lapsed.retaken(*revision, rules, asked_at, now),
                 _ => taken,
             };
             owned.ownership.replace(retaken);
@@ -189,13 +189,13 @@
     knowledge.owned.borrow_mut().insert(engine.clone(), owned);
     let owner = Owner {
         node: record.node,
-        revision: fence,
+        revision,
         waits: record.waits,
     };
     knowledge.owners.borrow_mut().insert(engine.clone(), owner);
     log_event!(
         knowledge.log, Event::EngineOwned,
-        "upstream" => engine.to_string(), "fence" => fence.0, "may_order" => may_order
+        "upstream" => engine.to_string(), "fence" => revision.fence(), "may_order" => may_order
     );
 }
 
@@ -204,7 +204,7 @@
     if !knowledge.eras.is_settled() {
         return Predecessor::Another;
     }
-    if before != Revision(0) {
+    if before != Revision::NONE {
         let owners = knowledge.owners.borrow();
         let waits = owners.get(engine).and_then(|owner| owner.waits.as_ref());
         return predecessor_of_own(knowledge, waits);
--- a/crates/relay-node/src/control/confirmation.rs
+++ b/crates/relay-node/src/control/confirmation.rs
@@ -49,10 +49,10 @@
     }
     let owned: Vec<(UpstreamId, Revision)> = {
         let owned = knowledge.owned.borrow();
-        let fence = |engine: &Rc<OwnedEngine>| Revision(engine.ownership.borrow().fence());
+        let claim = |engine: &Rc<OwnedEngine>| engine.ownership.borrow().claim().into();
         owned
             .iter()
-            .map(|(id, engine)| (id.clone(), fence(engine)))
+            .map(|(id, engine)| (id.clone(), claim(engine)))
             .collect()
     };
     for owned in owned.chunks(CONFIRMS_PER_TXN) {
--- a/crates/relay-node/src/control/eras.rs
+++ b/crates/relay-node/src/control/eras.rs
@@ -74,7 +74,7 @@
 
     /// Takes in that all that the store shows comes next.
     pub(crate) fn begin_whole(&self) {
-        self.mark_revision.set(Revision(0));
+        self.mark_revision.set(Revision::NONE);
     }
 }
 
@@ -212,7 +212,7 @@
         puts: vec![Put {
             key: MARK_KEY.into(),
             value: to_json(&Mark { era }),
-            lease: LeaseId(0),
+            lease: LeaseId::NONE,
         }],
         ..Txn::default()
     };
--- a/crates/relay-node/src/control/keeper.rs
+++ b/crates/relay-node/src/control/keeper.rs
@@ -59,7 +59,7 @@
         let may_be_new = started.elapsed() >= FIRST_CLAIM_AFTER;
         if may_be_new {
             let unowned = unowned(&knowledge).into_iter();
-            let claims: Vec<_> = unowned.map(|id| (id, Revision(0))).collect();
+            let claims: Vec<_> = unowned.map(|id| (id, Revision::NONE)).collect();
             claim(&knowledge, &claims).await;
         }
         claim_lender(&knowledge, may_be_new).await;
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -68,11 +68,11 @@
             let mut own = self.lending.own.borrow_mut();
             let is_lapsed = own.as_ref().is_some_and(|own| own.ownership.is_lapsed());
             let is_own_of_copy = is_lapsed && record.node == self.settings.node;
-            let fence = own.as_ref().map(|own| own.ownership.fence());
-            if fence.is_some_and(|fence| fence < revision.0) && !is_own_of_copy {
+            let claim = own.as_ref().map(|own| own.ownership.claim());
+            if claim.is_some_and(|claim| claim < *revision) && !is_own_of_copy {
                 drop(own);
                 self.release_lender("another claim was written");
-            } else if let Some(own) = own.as_mut().filter(|_| fence == Some(revision.0)) {
+            } else if let Some(own) = own.as_mut().filter(|_| claim == Some(*revision)) {
                 own.is_watched = true;
             }
         }
@@ -259,7 +259,7 @@
             return is_own_before.then_some(owner.revision);
         }
         if self.has_lapsed_lender() {
-            return Some(Revision(0));
+            return Some(Revision::NONE);
         }
         if !may_be_new {
             return None;
@@ -268,14 +268,14 @@
         let since = self.lending.missing_since.get().unwrap_or(now);
         self.lending.missing_since.set(Some(since));
         let is_late = now.duration_since(since) > CLAIM_PATIENCE;
-        (is_late || self.is_to_lend()).then_some(Revision(0))
+        (is_late || self.is_to_lend()).then_some(Revision::NONE)
     }
 }
 
 impl OwnLender {
     /// Takes in that the key was written anew after it went with the store's history.
-    fn retake(&mut self, fence: Revision, asked_at: Duration, now: Duration) {
-        self.ownership = self.ownership.retaken(fence.0, RULES, asked_at, now);
+    fn retake(&mut self, revision: Revision, asked_at: Duration, now: Duration) {
+        self.ownership = self.ownership.retaken(*revision, RULES, asked_at, now);
         self.begins_anew_at = self.ownership.begins_anew_at(now);
     }
 
@@ -316,10 +316,10 @@
     };
     let asked_at = boot_time();
     // What was written in spite of an error shows up in the watch as an earlier process's, and is claimed anew.
-    if let Ok(fence) = knowledge.store.commit(txn).await {
+    if let Ok(revision) = knowledge.store.commit(txn).await {
         let owner = Owner {
             node: record.node,
-            revision: fence,
+            revision,
             waits: record.waits,
         };
         take_over(knowledge, owner, predecessor, first_fill, asked_at);
@@ -333,16 +333,16 @@
     first_fill: FirstFill,
     asked_at: Duration,
 ) {
-    let (fence, now) = (owner.revision, boot_time());
+    let (revision, now) = (owner.revision, boot_time());
     let lending = &knowledge.lending;
     lending.was_seen.set(true);
     let mut own = lending.own.borrow_mut();
     match own.as_mut() {
-        Some(own) if predecessor == Predecessor::Another => own.retake(fence, asked_at, now),
+        Some(own) if predecessor == Predecessor::Another => own.retake(revision, asked_at, now),
         _ => {
             *own = Some(OwnLender {
                 lender: knowledge.new_lender(first_fill),
-                ownership: Ownership::taken(fence.0, predecessor, RULES, asked_at, now),
+                ownership: Ownership::taken(*revision, predecessor, RULES, asked_at, now),
                 is_watched: false,
                 begins_anew_at: None,
             });
@@ -356,14 +356,14 @@
     knowledge.publish();
     log_event!(
         knowledge.log, Event::LenderTaken,
-        "fence" => fence.0, "first_fill" => format!("{first_fill:?}")
+        "revision" => revision.to_string(), "first_fill" => format!("{first_fill:?}")
     );
 }
 
 /// How buckets begin: full only if no lender can have filled them before.
 fn first_fill(knowledge: &Knowledge, before: Revision) -> FirstFill {
     let was_seen = knowledge.lending.was_seen.get();
-    match before == Revision(0) && knowledge.is_first_claim() && !was_seen {
+    match before == Revision::NONE && knowledge.is_first_claim() && !was_seen {
         true => FirstFill::Full,
         false => FirstFill::Empty,
     }
@@ -374,7 +374,7 @@
     if first_fill == FirstFill::Full {
         return Predecessor::None;
     }
-    if before == Revision(0) || !knowledge.eras.is_settled() {
+    if before == Revision::NONE || !knowledge.eras.is_settled() {
         return Predecessor::Another;
     }
     let lenders = knowledge.lending.lenders.borrow();
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -132,19 +132,19 @@
             }
     }
 
-    /// The fencing number with which `engine` may be given orders now.
+    /// The fencing token with which `engine` may be given orders now.
     ///
     /// The store can take the key away unseen, so what was confirmed a while ago is read again.
     pub(crate) async fn permit(&self, engine: &OwnedEngine) -> Option<u64> {
         let permit = engine.ownership.borrow().permit(boot_time());
         match permit {
-            OrderPermit::Granted { fence } => return Some(fence),
+            OrderPermit::Granted { claim } => return claim.fence(),
             OrderPermit::Settling { .. } => return None,
             OrderPermit::Unconfirmed => {}
         }
         confirm(self).await;
         match engine.ownership.borrow().permit(boot_time()) {
-            OrderPermit::Granted { fence } => Some(fence),
+            OrderPermit::Granted { claim } => claim.fence(),
             OrderPermit::Unconfirmed | OrderPermit::Settling { .. } => None,
         }
     }
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -60,10 +60,10 @@
 
     fn take_owner(&self, engine: UpstreamId, record: &OwnerRecord, revision: Revision) {
         if let Some(owned) = self.0.owned(&engine) {
-            let fence = owned.ownership.borrow().fence();
-            if fence < revision.0 {
+            let claim = owned.ownership.borrow().claim();
+            if claim < *revision {
                 lose(&self.0, &engine, "another claim was written");
-            } else if fence == revision.0 {
+            } else if claim == *revision {
                 owned.is_watched.set(true);
             }
         }
--- a/crates/relay-node/src/control/reading.rs
+++ b/crates/relay-node/src/control/reading.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use nutmegsail_base::NodeId;
+use nutmegsail_base::{NodeId, StoreEra};
 use nutmegsail_relay::reader_for;
 use nutmegsail_store::{Changes, Revision};
 use nutmegsail_telemetry::{Event, log_event};
@@ -16,7 +16,7 @@
 use super::knowledge::Knowledge;
 use crate::clock::boot_time;
 
-/// The path at which a node tells the changes after the revision that follows.
+/// The path at which a node tells the changes after the revision that follows, as era and number.
 pub(crate) const CHANGES_PATH: &str = "/changes/";
 
 /// How long a reader holds an ask until the store has answered it: longer than it pauses between
@@ -49,7 +49,7 @@
             self.shared.metrics.reader_silent();
             log_event!(
                 self.log, Event::ReaderSilent,
-                "reader" => reader.to_string(), "after" => after.0
+                "reader" => reader.to_string(), "after" => after.to_string()
             );
             let mut silent = self.silent_readers.borrow_mut();
             silent.insert(reader, Instant::now());
@@ -92,7 +92,7 @@
         after: Revision,
         left: Duration,
     ) -> Option<ReadChanges> {
-        let path = format!("{CHANGES_PATH}{}", after.0);
+        let path = format!("{CHANGES_PATH}{}/{}", after.era(), after.number());
         let request = Request::get(path).body(Full::new(Bytes::new())).ok()?;
         let address = reader.to_string();
         let limit = READER_TIMEOUT.min(left);
@@ -105,10 +105,7 @@
 
     /// Tells another node the changes after the revision that ends `path`.
     pub(crate) async fn tell_changes(&self, path: &str) -> Result<Bytes, StatusCode> {
-        let after = path
-            .strip_prefix(CHANGES_PATH)
-            .and_then(|text| text.parse().ok());
-        let after = Revision(after.ok_or(StatusCode::BAD_REQUEST)?);
+        let after = position(path).ok_or(StatusCode::BAD_REQUEST)?;
         let came = boot_time();
         // Answered once the store has answered, so that the other need not ask more often.
         let hold = self.change_log.fresh_for().unwrap_or(HOLD).min(HOLD);
@@ -124,3 +121,12 @@
         Ok(bytes.into())
     }
 }
+
+/// The revision that a path names.
+fn position(path: &str) -> Option<Revision> {
+    let (era, number) = path.strip_prefix(CHANGES_PATH)?.split_once('/')?;
+    Some(Revision::of(
+        StoreEra(era.parse().ok()?),
+        number.parse().ok()?,
+    ))
+}
--- a/crates/relay-node/src/control/shown_text.rs
+++ b/crates/relay-node/src/control/shown_text.rs
@@ -49,7 +49,10 @@
         let versions = self.versions.borrow();
         TextKnown {
             configuration: self.configuration_version(),
-            versions: versions.latest().map(|(_, version)| version).sum(),
+            versions: versions
+                .latest()
+                .map(|(_, version)| u128::from(version))
+                .sum(),
         }
     }
 
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -94,7 +94,7 @@
         if rejected.insert(Arc::clone(&item.key), item.revision) != Some(item.revision) {
             log_event!(
                 self.knowledge.log, Event::UpstreamEntryRejected,
-                "key" => item.key.to_string(), "revision" => item.revision.0,
+                "key" => item.key.to_string(), "revision" => item.revision.to_string(),
                 "problem" => problem.to_owned()
             );
         }
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -62,7 +62,7 @@
             Ok((items, revision)) => {
                 let read_at = ReadAt::since(asked);
                 if std::mem::take(&mut is_lost) {
-                    log_event!(knowledge.log, Event::PlatformReturned, "revision" => revision.0);
+                    log_event!(knowledge.log, Event::PlatformReturned, "revision" => revision.to_string());
                 }
                 knowledge.change_log.restart(revision, read_at);
                 tell_whole(knowledge, followers, &items);
--- a/crates/relay/src/era_watch.rs
+++ b/crates/relay/src/era_watch.rs
@@ -28,7 +28,7 @@
     /// The version of the configuration.
     pub configuration: u64,
     /// The sum of the versions that were named of all models: each of them only rises.
-    pub versions: u64,
+    pub versions: u128,
 }
 
 impl TextKnown {
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use nutmegsail_base::StoreNumber;
+
 /// The times that ownership keeps to. All are differences of a clock that counts suspension.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnershipRules {
@@ -26,10 +28,10 @@
 /// Whether an order may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderPermit {
-    /// It may, with this fencing number.
+    /// It may, under this claim.
     Granted {
-        /// The fencing number.
-        fence: u64,
+        /// The revision that wrote the claim.
+        claim: StoreNumber,
     },
     /// The ownership is to be confirmed at the store first.
     Unconfirmed,
@@ -63,7 +65,7 @@
 /// held it before and had waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ownership {
-    fence: u64,
+    claim: StoreNumber,
     rules: OwnershipRules,
     confirmed_at: Duration,
     may_order_from: Duration,
@@ -74,9 +76,9 @@
 }
 
 impl Ownership {
-    /// An engine whose key was written at revision `fence` by a call sent at `asked_at`.
+    /// An engine whose key was written at revision `claim` by a call sent at `asked_at`.
     pub fn taken(
-        fence: u64,
+        claim: StoreNumber,
         predecessor: Predecessor,
         rules: OwnershipRules,
         asked_at: Duration,
@@ -88,7 +90,7 @@
             Predecessor::Another => now + rules.wait(),
         };
         Self {
-            fence,
+            claim,
             rules,
             confirmed_at: asked_at,
             may_order_from,
@@ -112,7 +114,7 @@
         self.lapsed_at.is_some()
     }
 
-    /// The same engine, claimed anew at revision `fence` by a call sent at `asked_at`, after the claim before had lapsed.
+    /// The same engine, claimed anew at revision `claim` by a call sent at `asked_at`, after the claim before had lapsed.
     ///
     /// Another node may have claimed it in the history that is gone, and may not know that it is. It claimed after this
     /// process's last confirmation, so its orders begin `confirmation + hand_over` later at the earliest, and end
@@ -121,18 +123,21 @@
     ///
     /// ```
     /// use std::time::Duration;
+    /// use nutmegsail_base::{StoreEra, StoreNumber};
     /// use nutmegsail_relay::{OrderPermit, Ownership, OwnershipRules, Predecessor};
+    /// let claim = StoreNumber::of(StoreEra(1), 7);
     /// let seconds = Duration::from_secs;
     /// let rules = OwnershipRules { hand_over: seconds(3), confirmation: seconds(4) };
-    /// let mut owned = Ownership::taken(7, Predecessor::None, rules, seconds(10), seconds(10));
+    /// let mut owned = Ownership::taken(claim, Predecessor::None, rules, seconds(10), seconds(10));
     /// owned.lapse(seconds(11));
     /// assert_eq!(owned.permit(seconds(11)), OrderPermit::Unconfirmed);
-    /// let again = owned.retaken(9, rules, seconds(12), seconds(12));
-    /// assert_eq!(again.permit(seconds(12)), OrderPermit::Granted { fence: 9 });
+    /// let anew = StoreNumber::of(StoreEra(2), 5);
+    /// let again = owned.retaken(anew, rules, seconds(12), seconds(12));
+    /// assert_eq!(again.permit(seconds(12)), OrderPermit::Granted { claim: anew });
     /// ```
     pub fn retaken(
         &self,
-        fence: u64,
+        claim: StoreNumber,
         rules: OwnershipRules,
         asked_at: Duration,
         now: Duration,
@@ -149,13 +154,13 @@
         };
         Self {
             carried_until,
-            ..Self::taken(fence, predecessor, rules, asked_at, now)
+            ..Self::taken(claim, predecessor, rules, asked_at, now)
         }
     }
 
-    /// The fencing number.
-    pub fn fence(&self) -> u64 {
-        self.fence
+    /// The revision that wrote the claim.
+    pub fn claim(&self) -> StoreNumber {
+        self.claim
     }
 
     /// When orders end and begin anew, if it goes on by an earlier claim at `now`.
@@ -178,11 +183,13 @@
     ///
     /// ```
     /// use std::time::Duration;
+    /// use nutmegsail_base::{StoreEra, StoreNumber};
     /// use nutmegsail_relay::{OrderPermit, Ownership, OwnershipRules, Predecessor};
+    /// let claim = StoreNumber::of(StoreEra(1), 7);
     /// let seconds = Duration::from_secs;
     /// let rules = OwnershipRules { hand_over: seconds(3), confirmation: seconds(2) };
-    /// let mut owned = Ownership::taken(7, Predecessor::None, rules, seconds(10), seconds(10));
-    /// assert_eq!(owned.permit(seconds(11)), OrderPermit::Granted { fence: 7 });
+    /// let mut owned = Ownership::taken(claim, Predecessor::None, rules, seconds(10), seconds(10));
+    /// assert_eq!(owned.permit(seconds(11)), OrderPermit::Granted { claim });
     /// assert_eq!(owned.permit(seconds(13)), OrderPermit::Unconfirmed);
     /// ```
     pub fn permit(&self, now: Duration) -> OrderPermit {
@@ -190,7 +197,7 @@
             return OrderPermit::Unconfirmed;
         }
         if now < self.may_order_from && now < self.carried_until {
-            return OrderPermit::Granted { fence: self.fence };
+            return OrderPermit::Granted { claim: self.claim };
         }
         if now < self.may_order_from {
             return OrderPermit::Settling {
@@ -200,6 +207,6 @@
         if now >= self.confirmed_at + self.rules.confirmation {
             return OrderPermit::Unconfirmed;
         }
-        OrderPermit::Granted { fence: self.fence }
+        OrderPermit::Granted { claim: self.claim }
     }
 }
--- a/crates/relay/tests/era_watch.rs
+++ b/crates/relay/tests/era_watch.rs
@@ -17,7 +17,7 @@
     START + Duration::from_millis(ms)
 }
 
-fn text(configuration: u64, versions: u64) -> TextKnown {
+fn text(configuration: u64, versions: u128) -> TextKnown {
     TextKnown {
         configuration,
         versions,
--- a/crates/relay/tests/promises.rs
+++ b/crates/relay/tests/promises.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::{engine, far_engine, holdings};
-use nutmegsail_base::{NodeId, UpstreamId};
+use nutmegsail_base::{NodeId, StoreEra, StoreNumber, UpstreamId};
 use nutmegsail_relay::{
     Demand, EngineContents, LoadRefusal, LoadStep, LoadTimes, ModelRef, NodeRecord, OrderPermit,
     Ownership, OwnershipRules, Predecessor, RetryBudget, RetryBudgetRules, Room, StallWatch,
@@ -29,6 +29,10 @@
     ModelRef::parse(&format!("base/a{index}"))
 }
 
+fn claim(revision: u64) -> StoreNumber {
+    StoreNumber::of(StoreEra(1), revision)
+}
+
 const RULES: OwnershipRules = OwnershipRules {
     hand_over: Duration::from_secs(3),
     confirmation: Duration::from_millis(1_500),
@@ -48,13 +52,13 @@
         next_ordered_after_ms in 0u64..9_000,
     ) {
         let ms = Duration::from_millis;
-        let mut first = Ownership::taken(5, Predecessor::None, RULES, ms(0), ms(0));
+        let mut first = Ownership::taken(claim(5), Predecessor::None, RULES, ms(0), ms(0));
         first.confirm(ms(confirmed_ms));
         // Its key was seen by a read sent at `confirmed_ms`, so it was taken away later.
         let taken_ms = confirmed_ms + taken_away_after_ms;
         let order_ms = confirmed_ms + ordered_after_ms;
         let next_order_ms = taken_ms + next_ordered_after_ms;
-        let second = Ownership::taken(9, Predecessor::Another, RULES, ms(taken_ms), ms(taken_ms));
+        let second = Ownership::taken(claim(9), Predecessor::Another, RULES, ms(taken_ms), ms(taken_ms));
         let first_orders = matches!(first.permit(ms(order_ms)), OrderPermit::Granted { .. });
         // The next owner confirms as often as it likes.
         let mut second = second;
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use nutmegsail_base::StoreEra;
+use nutmegsail_base::{StoreEra, StoreNumber};
 use nutmegsail_relay::{EraWatch, OrderPermit, Ownership, OwnershipRules, Predecessor, TextKnown};
 use proptest::prelude::*;
 
@@ -35,7 +35,6 @@
     mark: Option<StoreEra>,
 }
 
-#[derive(Default)]
 struct Store {
     kept: Kept,
     copy: Kept,
@@ -43,19 +42,30 @@
 }
 
 impl Store {
-    /// A fence that a client counts within the era.
-    fn fence(&self, revision: u64) -> u64 {
-        self.era << 40 | revision
+    fn counting_from(era: u64, revision: u64) -> Self {
+        let kept = Kept {
+            revision,
+            ..Kept::default()
+        };
+        Self {
+            copy: kept.clone(),
+            kept,
+            era,
+        }
+    }
+
+    fn number(&self, revision: u64) -> StoreNumber {
+        StoreNumber::of(StoreEra(self.era), revision)
     }
 
-    fn claim(&mut self, node: usize, waits_until: Duration) -> u64 {
+    fn claim(&mut self, node: usize, waits_until: Duration) -> StoreNumber {
         self.kept.revision += 1;
         self.kept.owner = Some(Owner {
             node,
             revision: self.kept.revision,
             waits_until,
         });
-        self.fence(self.kept.revision)
+        self.number(self.kept.revision)
     }
 
     fn restore(&mut self) {
@@ -99,7 +109,7 @@
             store.kept.mark = Some(mark);
         }
         match (store.kept.owner, &mut self.owned) {
-            (Some(owner), Some(owned)) if store.fence(owner.revision) == owned.fence() => {
+            (Some(owner), Some(owned)) if store.number(owner.revision) == owned.claim() => {
                 owned.confirm(now);
             }
             (Some(owner), _) if owner.node != me => (self.owned, self.lapsed) = (None, None),
@@ -118,10 +128,10 @@
             Predecessor::Own { waits_until } => waits_until,
             _ => now + RULES.wait(),
         };
-        let fence = store.claim(me, waits_until);
+        let claim = store.claim(me, waits_until);
         let taken = match self.lapsed.take() {
-            Some(lapsed) => lapsed.retaken(fence, RULES, now, now),
-            None => Ownership::taken(fence, predecessor, RULES, now, now),
+            Some(lapsed) => lapsed.retaken(claim, RULES, now, now),
+            None => Ownership::taken(claim, predecessor, RULES, now, now),
         };
         self.owned = Some(taken);
     }
@@ -202,9 +212,11 @@
     #[test]
     fn orders_of_two_owners_are_apart_whatever_the_store_forgets(
         events in prop::collection::vec((event(), 0u64..1_500), 1..120),
+        first_era in prop_oneof![Just(1), Just(4_094), 0u64..1 << 40],
+        first_revision in prop_oneof![Just(0), Just((1 << 40) - 3), 0u64..1 << 62],
     ) {
         let mut nodes: Vec<Node> = (0..NODES).map(|_| Node::start()).collect();
-        let mut store = Store { era: 1, ..Store::default() };
+        let mut store = Store::counting_from(first_era, first_revision);
         let mut orders = Orders::default();
         let mut now = Duration::from_secs(100);
         for (event, pause_ms) in events {
@@ -212,7 +224,8 @@
             play(&mut nodes, &mut store, event, now);
             for (place, node) in nodes.iter().enumerate() {
                 let permit = node.owned.map(|owned| owned.permit(now));
-                if let Some(OrderPermit::Granted { fence }) = permit {
+                if let Some(OrderPermit::Granted { claim }) = permit {
+                    let fence = claim.fence().expect("it fits");
                     check(&orders, place, fence, now)?;
                     orders[place] = Some((now, fence));
                 }
--- a/crates/store/src/encoding.rs
+++ b/crates/store/src/encoding.rs
@@ -63,8 +63,8 @@
 /// Paths and bodies of one kind of key-value service.
 ///
 /// [`HttpKeyValue`](crate::HttpKeyValue) makes the calls and knows what a status or a missing
-/// answer means; an encoding only translates. Revisions and leases are
-/// the service's own numbers here, without eras.
+/// answer means; an encoding only translates. It writes revisions and leases as the service's own numbers, and
+/// reads them without eras.
 pub trait StoreEncoding: Send + Sync + Debug {
     /// Reads one key.
     fn get(&self, key: &str) -> StoreRequest;
--- a/crates/store/src/http_key_value.rs
+++ b/crates/store/src/http_key_value.rs
@@ -1,7 +1,6 @@
 //! The key-value service over HTTP.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -11,8 +10,8 @@
 
 use crate::http_call::{Answer, CallError};
 use crate::{
-    Change, Changes, EncodingError, Expect, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId,
-    OwnEncoding, Page, PlatformSettings, Put, Revision, StoreEncoding, StoreRequest, Txn,
+    Change, Changes, EncodingError, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId,
+    OwnEncoding, Page, PlatformSettings, Revision, StoreEncoding, StoreRequest, Txn,
 };
 
 /// [`KeyValue`] over HTTP/1.1. Each call goes out at most once.
@@ -27,8 +26,8 @@
     settings: PlatformSettings,
     encoding: Arc<dyn StoreEncoding>,
     pool: Pool,
-    /// One more than the newest era that an answer has told; 0 before.
-    next_era: Arc<AtomicU64>,
+    /// The newest era that an answer has told.
+    era: Arc<Mutex<Option<StoreEra>>>,
 }
 
 /// Whether a call changes anything, which decides what a missing answer means.
@@ -71,7 +70,7 @@
             settings,
             encoding,
             pool,
-            next_era: Arc::default(),
+            era: Arc::default(),
         }
     }
 
@@ -112,17 +111,21 @@
 
     /// The answer with its era; nothing if a later one is known, as what it says is gone.
     fn told(&self, answer: Answer) -> Option<Told> {
-        let known = self.era();
-        let era = self.encoding.era(&answer.headers).or(known);
-        if era < known {
+        let mut known = self.known_era();
+        let era = self.encoding.era(&answer.headers).or(*known);
+        if era < *known {
             return None;
         }
-        let next = era.map_or(0, |era| era.0.saturating_add(1));
-        self.next_era.fetch_max(next, Ordering::Relaxed);
+        *known = era;
+        drop(known);
         let era = era.unwrap_or_default();
         Some(Told { answer, era })
     }
 
+    fn known_era(&self) -> MutexGuard<'_, Option<StoreEra>> {
+        self.era.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn conflict(&self, effect: Effect, told: &Told) -> KeyValueError {
         match self.encoding.conflict(&told.answer.body) {
             Ok(current) => KeyValueError::Conflict {
@@ -162,13 +165,13 @@
 
 impl Told {
     fn revision(&self, raw: Revision) -> Revision {
-        Revision::of(self.era, raw.0)
+        Revision::of(self.era, raw.number())
     }
 
     fn item(&self, raw: Item) -> Item {
         Item {
             revision: self.revision(raw.revision),
-            lease: LeaseId::of(self.era, raw.lease.0),
+            lease: LeaseId::of(self.era, raw.lease.number()),
             ..raw
         }
     }
@@ -198,28 +201,10 @@
     txn.puts.iter().any(|put| put.lease.is_outside(era))
 }
 
-/// The transaction with the service's own numbers.
-fn without_eras(txn: Txn) -> Txn {
-    let expects = txn.expects.into_iter().map(|expect| Expect {
-        revision: Revision(expect.revision.number()),
-        ..expect
-    });
-    let puts = txn.puts.into_iter().map(|put| Put {
-        lease: LeaseId(put.lease.number()),
-        ..put
-    });
-    Txn {
-        expects: expects.collect(),
-        puts: puts.collect(),
-        removes: txn.removes,
-    }
-}
-
 #[async_trait]
 impl KeyValue for HttpKeyValue {
     fn era(&self) -> Option<StoreEra> {
-        let next = self.next_era.load(Ordering::Relaxed);
-        next.checked_sub(1).map(StoreEra)
+        *self.known_era()
     }
 
     async fn get(&self, key: &str) -> Result<Option<Item>, KeyValueError> {
@@ -251,8 +236,7 @@
         if self.era().is_some_and(is_over) {
             return Err(KeyValueError::Compacted);
         }
-        let position = Revision(after.number());
-        let call = self.encoding.watch(prefix, position, wait);
+        let call = self.encoding.watch(prefix, after, wait);
         let deadline = wait + self.settings.call_timeout;
         let told = found(self.call(Effect::Read, call, deadline).await?)?;
         if after.is_outside(told.era) {
@@ -273,7 +257,7 @@
     async fn commit(&self, txn: Txn) -> Result<Revision, KeyValueError> {
         self.check_eras(&txn)?;
         let writes = !txn.puts.is_empty() || !txn.removes.is_empty();
-        let call = self.encoding.commit(&without_eras(txn.clone()))?;
+        let call = self.encoding.commit(&txn)?;
         let told = lease_found(self.write(call).await?)?;
         if names_outside(&txn, told.era) {
             return Err(match writes {
@@ -292,7 +276,7 @@
         let told = self.write(self.encoding.grant_lease(ttl)).await?;
         let granted = self.encoding.granted(&told.answer.body);
         let granted = granted.map(|granted| LeaseGrant {
-            lease: LeaseId::of(told.era, granted.lease.0),
+            lease: LeaseId::of(told.era, granted.lease.number()),
             ..granted
         });
         granted.map_err(|error| Effect::Write.unreadable(error))
@@ -302,8 +286,7 @@
         if self.is_outside(lease) {
             return Err(KeyValueError::LeaseGone);
         }
-        let number = LeaseId(lease.number());
-        let told = lease_found(self.write(self.encoding.keep_lease(number)).await?)?;
+        let told = lease_found(self.write(self.encoding.keep_lease(lease)).await?)?;
         match lease.is_outside(told.era) {
             // Another lease has its number now.
             true => Err(KeyValueError::LeaseGone),
@@ -317,8 +300,7 @@
             return Ok(());
         }
         // A lease that is gone already has ended.
-        let number = LeaseId(lease.number());
-        self.write(self.encoding.end_lease(number)).await?;
+        self.write(self.encoding.end_lease(lease)).await?;
         Ok(())
     }
 }
--- a/crates/store/src/key_value.rs
+++ b/crates/store/src/key_value.rs
@@ -5,27 +5,13 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use derive_more::{Display, From};
-use nutmegsail_base::{ResultCode, StoreEra};
+use derive_more::{Deref, Display, From};
+use nutmegsail_base::{ResultCode, StoreEra, StoreNumber};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// The bits of a number that count within an era. The era stands above them; both stay below 2^53, which every JSON
-/// reader keeps exact.
-const NUMBER_BITS: u32 = 40;
-
-const LAST_ERA: u64 = (1 << 12) - 1;
-
-/// A number of the service with its era, so that those of a later era come after all of earlier ones.
-fn of_era(era: StoreEra, number: u64) -> u64 {
-    match number {
-        0 => 0,
-        _ => era.0.min(LAST_ERA) << NUMBER_BITS | number & ((1 << NUMBER_BITS) - 1),
-    }
-}
-
-/// The service's change counter, with the era that it counts in; 0 stands for "does not exist". It only rises: the
-/// service's own counter goes back when it comes back from an older copy, and the era rises then.
+/// The service's change counter, with the era that it counts in; [`Revision::NONE`] stands for "does not exist". It only
+/// rises: the service's own counter goes back when it comes back from an older copy, and the era rises then.
 ///
 /// ```
 /// use nutmegsail_base::StoreEra;
@@ -33,75 +19,58 @@
 /// let before = Revision::of(StoreEra(1), 900);
 /// let after = Revision::of(StoreEra(2), 850);
 /// assert!(before < after);
-/// assert_eq!((after.era(), after.number()), (StoreEra(2), 850));
-/// assert_eq!(Revision::of(StoreEra(2), 0), Revision(0));
 /// ```
 #[derive(
     Clone,
     Copy,
     Debug,
     Default,
+    Deref,
     Display,
+    From,
     PartialEq,
     Eq,
     Hash,
     PartialOrd,
     Ord,
-    From,
     Serialize,
     Deserialize,
 )]
-#[serde(transparent)]
-pub struct Revision(pub u64);
+pub struct Revision(StoreNumber);
 
 impl Revision {
-    /// The revision that the service calls `number` in `era`.
-    pub fn of(era: StoreEra, number: u64) -> Self {
-        Self(of_era(era, number))
-    }
+    /// Stands for a key that does not exist.
+    pub const NONE: Self = Self(StoreNumber::NONE);
 
-    /// The era that it counts in.
-    pub fn era(self) -> StoreEra {
-        StoreEra(self.0 >> NUMBER_BITS)
-    }
-
-    /// What the service calls it.
-    pub fn number(self) -> u64 {
-        self.0 & ((1 << NUMBER_BITS) - 1)
+    /// The revision that the service calls `number` in `era`.
+    pub const fn of(era: StoreEra, number: u64) -> Self {
+        Self(StoreNumber::of(era, number))
     }
 
-    /// Whether it names something, of another era than `era`.
-    pub fn is_outside(self, era: StoreEra) -> bool {
-        self != Self(0) && self.era() != Self::of(era, 1).era()
+    /// The revision that a service calls `number` which tells no era.
+    pub const fn plain(number: u64) -> Self {
+        Self(StoreNumber::plain(number))
     }
 }
 
-/// A lease of the key-value service, with the era that it was granted in; 0 stands for "none".
+/// A lease of the key-value service, with the era that it was granted in; [`LeaseId::NONE`] stands for "none".
 #[derive(
-    Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, From, Serialize, Deserialize,
+    Clone, Copy, Debug, Default, Deref, Display, PartialEq, Eq, Hash, Serialize, Deserialize,
 )]
-#[serde(transparent)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId(StoreNumber);
 
 impl LeaseId {
-    /// The lease that the service calls `number` in `era`.
-    pub fn of(era: StoreEra, number: u64) -> Self {
-        Self(of_era(era, number))
-    }
-
-    /// The era that it was granted in.
-    pub fn era(self) -> StoreEra {
-        StoreEra(self.0 >> NUMBER_BITS)
-    }
+    /// Stands for no lease.
+    pub const NONE: Self = Self(StoreNumber::NONE);
 
-    /// What the service calls it.
-    pub fn number(self) -> u64 {
-        self.0 & ((1 << NUMBER_BITS) - 1)
+    /// The lease that the service calls `number` in `era`.
+    pub const fn of(era: StoreEra, number: u64) -> Self {
+        Self(StoreNumber::of(era, number))
     }
 
-    /// Whether it names something, of another era than `era`.
-    pub fn is_outside(self, era: StoreEra) -> bool {
-        self != Self(0) && self.era() != Self::of(era, 1).era()
+    /// The lease that a service calls `number` which tells no era.
+    pub const fn plain(number: u64) -> Self {
+        Self(StoreNumber::plain(number))
     }
 }
 
@@ -170,7 +139,7 @@
     pub revision: Revision,
 }
 
-/// A condition of a transaction: the key has this revision (0: it does not exist).
+/// A condition of a transaction: the key has this revision ([`Revision::NONE`]: it does not exist).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Expect {
     /// The key.
@@ -206,8 +175,8 @@
     ///
     /// ```
     /// use nutmegsail_store::{Revision, Txn};
-    /// let txn = Txn::swap("nutmegsail/text/head", Revision(0), "{}");
-    /// assert_eq!(txn.expects[0].revision, Revision(0));
+    /// let txn = Txn::swap("nutmegsail/text/head", Revision::NONE, "{}");
+    /// assert_eq!(txn.expects[0].revision, Revision::NONE);
     /// ```
     pub fn swap(key: impl Into<Arc<str>>, revision: Revision, value: impl Into<Bytes>) -> Self {
         let key = key.into();
--- a/crates/store/src/key_value_json.rs
+++ b/crates/store/src/key_value_json.rs
@@ -11,9 +11,9 @@
 pub(crate) struct ItemJson {
     key: Arc<str>,
     value: String,
-    revision: Revision,
+    revision: u64,
     #[serde(default)]
-    lease: LeaseId,
+    lease: u64,
 }
 
 impl From<ItemJson> for Item {
@@ -21,8 +21,8 @@
         Self {
             key: json.key,
             value: Bytes::from(json.value),
-            revision: json.revision,
-            lease: json.lease,
+            revision: Revision::plain(json.revision),
+            lease: LeaseId::plain(json.lease),
         }
     }
 }
@@ -31,7 +31,7 @@
 pub(crate) struct PageJson {
     items: Vec<ItemJson>,
     has_more: bool,
-    revision: Revision,
+    revision: u64,
 }
 
 impl From<PageJson> for Page {
@@ -39,7 +39,7 @@
         Self {
             items: json.items.into_iter().map(Item::from).collect(),
             has_more: json.has_more,
-            revision: json.revision,
+            revision: Revision::plain(json.revision),
         }
     }
 }
@@ -48,14 +48,17 @@
 #[serde(rename_all = "lowercase")]
 enum ChangeJson {
     Put(ItemJson),
-    Removed { key: Arc<str>, revision: Revision },
+    Removed { key: Arc<str>, revision: u64 },
 }
 
 impl From<ChangeJson> for Change {
     fn from(json: ChangeJson) -> Self {
         match json {
             ChangeJson::Put(item) => Self::Put(item.into()),
-            ChangeJson::Removed { key, revision } => Self::Removed { key, revision },
+            ChangeJson::Removed { key, revision } => Self::Removed {
+                key,
+                revision: Revision::plain(revision),
+            },
         }
     }
 }
@@ -63,14 +66,14 @@
 #[derive(Deserialize)]
 pub(crate) struct ChangesJson {
     changes: Vec<ChangeJson>,
-    revision: Revision,
+    revision: u64,
 }
 
 impl From<ChangesJson> for Changes {
     fn from(json: ChangesJson) -> Self {
         Self {
             changes: json.changes.into_iter().map(Change::from).collect(),
-            revision: json.revision,
+            revision: Revision::plain(json.revision),
         }
     }
 }
@@ -82,7 +85,7 @@
 
 #[derive(Deserialize)]
 pub(crate) struct CommittedJson {
-    pub(crate) revision: Revision,
+    pub(crate) revision: u64,
 }
 
 #[derive(Serialize)]
@@ -92,21 +95,21 @@
 
 #[derive(Deserialize)]
 pub(crate) struct GrantedJson {
-    pub(crate) lease: LeaseId,
+    pub(crate) lease: u64,
     pub(crate) ttl_ms: u64,
 }
 
 #[derive(Serialize)]
 struct ExpectJson<'a> {
     key: &'a str,
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Serialize)]
 struct PutJson<'a> {
     key: &'a str,
     value: &'a str,
-    lease: LeaseId,
+    lease: u64,
 }
 
 #[derive(Serialize)]
@@ -121,13 +124,13 @@
     pub(crate) fn new(txn: &'a Txn) -> Result<Self, std::str::Utf8Error> {
         let expects = txn.expects.iter().map(|expect| ExpectJson {
             key: &expect.key,
-            revision: expect.revision,
+            revision: expect.revision.number(),
         });
         let puts = txn.puts.iter().map(|put| {
             Ok(PutJson {
                 key: &put.key,
                 value: std::str::from_utf8(&put.value)?,
-                lease: put.lease,
+                lease: put.lease.number(),
             })
         });
         Ok(Self {
--- a/crates/store/src/own_encoding.rs
+++ b/crates/store/src/own_encoding.rs
@@ -41,8 +41,9 @@
 
     fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> StoreRequest {
         let query = format!(
-            "/v1/kv/watch?prefix={}&after_revision={after}&wait_ms={}",
+            "/v1/kv/watch?prefix={}&after_revision={}&wait_ms={}",
             encode(prefix),
+            after.number(),
             wait.as_millis(),
         );
         StoreRequest::new(Method::GET, query)
@@ -61,11 +62,14 @@
     }
 
     fn keep_lease(&self, lease: LeaseId) -> StoreRequest {
-        StoreRequest::new(Method::POST, format!("/v1/kv/lease/{lease}/keep"))
+        StoreRequest::new(
+            Method::POST,
+            format!("/v1/kv/lease/{}/keep", lease.number()),
+        )
     }
 
     fn end_lease(&self, lease: LeaseId) -> StoreRequest {
-        StoreRequest::new(Method::DELETE, format!("/v1/kv/lease/{lease}"))
+        StoreRequest::new(Method::DELETE, format!("/v1/kv/lease/{}", lease.number()))
     }
 
     fn item(&self, body: &[u8]) -> Result<Item, EncodingError> {
@@ -81,7 +85,8 @@
     }
 
     fn committed(&self, body: &[u8]) -> Result<Revision, EncodingError> {
-        Ok(serde_json::from_slice::<CommittedJson>(body)?.revision)
+        let committed: CommittedJson = serde_json::from_slice(body)?;
+        Ok(Revision::plain(committed.revision))
     }
 
     fn conflict(&self, body: &[u8]) -> Result<Vec<Item>, EncodingError> {
@@ -92,7 +97,7 @@
     fn granted(&self, body: &[u8]) -> Result<LeaseGrant, EncodingError> {
         let granted: GrantedJson = serde_json::from_slice(body)?;
         Ok(LeaseGrant {
-            lease: granted.lease,
+            lease: LeaseId::plain(granted.lease),
             ttl: Duration::from_millis(granted.ttl_ms),
         })
     }
--- a/crates/store/tests/against_stand_ins.rs
+++ b/crates/store/tests/against_stand_ins.rs
@@ -21,7 +21,7 @@
     let (_fake, _server, store) = store().await;
     let key = "nutmegsail/a b&c";
     let first = store
-        .commit(Txn::swap(key, Revision(0), "é"))
+        .commit(Txn::swap(key, Revision::NONE, "é"))
         .await
         .unwrap();
     assert_eq!(store.get(key).await.unwrap().unwrap().value, "é");
@@ -29,9 +29,12 @@
     let page = store.range("nutmegsail/", None).await.unwrap();
     assert_eq!((page.items.len(), page.items[0].revision), (1, first));
     let wait = Duration::from_secs(30);
-    let seen = store.watch("nutmegsail/", Revision(0), wait).await.unwrap();
+    let seen = store
+        .watch("nutmegsail/", Revision::NONE, wait)
+        .await
+        .unwrap();
     assert_eq!(seen.changes.len(), 1);
-    let stale = store.commit(Txn::swap(key, Revision(0), "x")).await;
+    let stale = store.commit(Txn::swap(key, Revision::NONE, "x")).await;
     let Err(KeyValueError::Conflict { current }) = stale else {
         panic!("{stale:?}");
     };
@@ -59,7 +62,7 @@
         lost_answer_share: 1.0,
         ..Knobs::default()
     });
-    let lost = store.commit(Txn::swap("k", Revision(0), "v")).await;
+    let lost = store.commit(Txn::swap("k", Revision::NONE, "v")).await;
     assert_eq!(lost, Err(KeyValueError::Ambiguous));
     assert_eq!(store.get("k").await.unwrap().unwrap().value, "v");
     assert_eq!(fake.counts().txns, 1);
@@ -72,7 +75,7 @@
         outage: true,
         ..Knobs::default()
     });
-    let refused = store.commit(Txn::swap("k", Revision(0), "v")).await;
+    let refused = store.commit(Txn::swap("k", Revision::NONE, "v")).await;
     assert_eq!(refused, Err(KeyValueError::Unavailable));
     fake.set_knobs(Knobs::default());
     assert_eq!(store.get("k").await, Ok(None));
--- a/crates/store/tests/http_key_value.rs
+++ b/crates/store/tests/http_key_value.rs
@@ -25,7 +25,7 @@
 }
 
 fn claim() -> Txn {
-    Txn::swap("nutmegsail/claim/1", Revision(0), r#"{"node":"n1"}"#)
+    Txn::swap("nutmegsail/claim/1", Revision::NONE, r#"{"node":"n1"}"#)
 }
 
 async fn commit(turn: Turn) -> Result<Revision, KeyValueError> {
@@ -125,7 +125,7 @@
     let Err(KeyValueError::Conflict { current }) = result else {
         panic!("{result:?}");
     };
-    assert_eq!(current[0].revision, Revision(7));
+    assert_eq!(current[0].revision, Revision::plain(7));
     assert_eq!(current[0].value, "v");
 }
 
@@ -148,31 +148,29 @@
     let store = store_at(&server.address);
 
     let got = store.get("a/b&c=d%").await.unwrap().unwrap();
-    assert_eq!((got.revision, got.lease), (Revision(3), LeaseId(9)));
+    assert_eq!(
+        (got.revision, got.lease),
+        (Revision::plain(3), LeaseId::plain(9))
+    );
     let page = store.range("a/", Some("a/a")).await.unwrap();
     assert!(page.has_more);
     let wait = Duration::from_millis(250);
-    let seen = store.watch("a/", Revision(4), wait).await.unwrap();
-    assert!(matches!(
-        &seen.changes[1],
-        Change::Removed {
-            revision: Revision(5),
-            ..
-        }
-    ));
+    let seen = store.watch("a/", Revision::plain(4), wait).await.unwrap();
+    assert!(matches!(&seen.changes[1], Change::Removed { .. }));
+    assert_eq!(seen.changes[1].revision(), Revision::plain(5));
     let txn = Txn {
         expects: vec![Expect {
             key: "a/b".into(),
-            revision: Revision(3),
+            revision: Revision::plain(3),
         }],
         puts: vec![Put {
             key: "a/b".into(),
             value: r#"{"x":1}"#.into(),
-            lease: LeaseId(9),
+            lease: LeaseId::plain(9),
         }],
         removes: vec!["a/c".into()],
     };
-    assert_eq!(store.commit(txn).await, Ok(Revision(6)));
+    assert_eq!(store.commit(txn).await, Ok(Revision::plain(6)));
     let grant = store
         .grant_lease(Duration::from_millis(1500))
         .await
--- a/crates/store/tests/store_eras.rs
+++ b/crates/store/tests/store_eras.rs
@@ -88,7 +88,7 @@
     let kept = store.keep_lease(lease(4)).await;
     assert_eq!(kept, Err(KeyValueError::LeaseGone));
     assert_eq!(store.end_lease(lease(4)).await, Ok(()));
-    let put = store.commit(swap(Revision(0), lease(4))).await;
+    let put = store.commit(swap(Revision::NONE, lease(4))).await;
     assert_eq!(put, Err(KeyValueError::LeaseGone));
     assert_eq!(server.seen().len(), 2);
 }
@@ -98,7 +98,7 @@
 async fn a_condition_of_another_era_does_not_hold() {
     let (store, server) = store([in_era(2, 200, ITEM)]).await;
     store.get("k").await.unwrap();
-    let swapped = store.commit(swap(revision(7), LeaseId(0))).await;
+    let swapped = store.commit(swap(revision(7), LeaseId::NONE)).await;
     let current = Vec::new();
     assert_eq!(swapped, Err(KeyValueError::Conflict { current }));
     assert_eq!(server.seen().len(), 2, "the store is not asked");
@@ -106,8 +106,8 @@
 
 // Guards against a write that counts as a success under a condition that the store took for another one.
 #[rstest]
-#[case::condition(revision(7), LeaseId(0))]
-#[case::lease(Revision(0), lease(4))]
+#[case::condition(revision(7), LeaseId::NONE)]
+#[case::lease(Revision::NONE, lease(4))]
 #[tokio::test]
 async fn a_write_that_met_another_era_may_have_been_made(
     #[case] expected: Revision,
@@ -130,7 +130,7 @@
     store.get("k").await.unwrap();
     let read = store.get("k").await;
     assert_eq!(read.unwrap_err(), KeyValueError::Unavailable);
-    let swapped = store.commit(swap(Revision(0), LeaseId(0))).await;
+    let swapped = store.commit(swap(Revision::NONE, LeaseId::NONE)).await;
     assert_eq!(swapped, Err(KeyValueError::Ambiguous));
 }
 
@@ -140,9 +140,9 @@
     let server = ScriptedServer::start(turns).await;
     let store = HttpKeyValue::new(PlatformSettings::at(&server.address));
     let item = store.get("k").await.unwrap().unwrap();
-    assert_eq!((item.revision, store.era()), (Revision(7), None));
-    let swapped = store.commit(swap(item.revision, LeaseId(0))).await;
-    assert_eq!(swapped, Ok(Revision(9)));
+    assert_eq!((item.revision, store.era()), (Revision::plain(7), None));
+    let swapped = store.commit(swap(item.revision, LeaseId::NONE)).await;
+    assert_eq!(swapped, Ok(Revision::plain(9)));
 }
 
 /// Numbers that a store may give out: past what a cut to fewer bits keeps, and past what a float keeps exact.
