Have a node that is not listed take its own place among readers

Nobody saw it happen; the logic allows it, and a_node_that_is_not_listed_counts_itself was red.

A reader is now looked for among the nodes that come before this one in the order, listed or not.

--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -24,7 +24,8 @@
 /// The node of `domain` that reads the store for `node`; nothing if it is to read it itself.
 ///
 /// Nodes that all watch the store cost it calls in proportion to the fleet. So one in each failure domain watches, in the order of their ids, and passes on what
-/// changed. A reader that `is_silent` is passed over; if all are, each node reads for itself.
+/// changed. A reader that `is_silent` is passed over; if all are, each node reads for itself. `node` is in that order whether
+/// it is listed or not.
 ///
 /// ```
 /// use nutmegsail_relay::{NodeRecord, reader_for};
@@ -47,11 +48,11 @@
     let near = nodes
         .into_iter()
         .filter(|other| other.failure_domain == *domain);
-    let readers = readers_by_domain(near).into_values().next()?;
-    let reader = readers
-        .into_iter()
-        .find(|reader| reader.node == *node || !is_silent(&reader.node))?;
-    (reader.node != *node).then_some(reader)
+    // The node itself may not be listed yet, or any more.
+    let mut before: Vec<&NodeRecord> = near.filter(|other| other.node < *node).collect();
+    before.sort_by(|a, b| a.node.cmp(&b.node));
+    let mut readers = before.into_iter().take(READERS);
+    readers.find(|reader| !is_silent(&reader.node))
 }
 
 /// The nodes of each failure domain that may read the store for the others, the first in front.
