Say that a node is not listed, that it owns nothing, or that one owns too much

What operators saw: nothing.

- Each call to the store that fails is logged with its kind and reason where calls are counted (StoreCallFailed, at most 300 lines a second as other warnings); so none can be dropped by whoever makes the call.
- OwnershipWatch, pure: the node is not listed, owns none although its failure domain has an engine for each of its nodes, or some node owns more than twice its part, each for over 2 s.
OwnersUneven and OwnersEven, the gauge owner_concerns.
- Looked through crates/relay-node/src/control for is_ok, let _, .ok() and empty arms: what is left are datagrams and notices, which come again; calls to nodes and engines, whose failure the caller logs (ReaderSilent, LoadFailed, LoadOrdered without an answer); and calls to the store, which the client logs now.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -1,6 +1,6 @@
 //! Claims engines at the store, by compare-and-swap.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,25 +49,10 @@
 }
 
 pub(crate) fn unowned(knowledge: &Knowledge) -> Vec<UpstreamId> {
-    let upstreams = knowledge.upstreams.borrow();
-    let has_engines = |name| {
-        let service = knowledge.service(name);
-        service.is_some_and(|service| service.engine.is_some())
-    };
-    let engines: Vec<&Upstream> = upstreams
-        .values()
-        .map(|upstream| &**upstream)
-        .filter(|upstream| upstream.takes_work())
-        .filter(|upstream| has_engines(&upstream.service))
-        .collect();
+    let engines = engines_in_use(knowledge);
+    let engines: Vec<&Upstream> = engines.iter().map(|engine| &**engine).collect();
     let nodes: Vec<NodeRecord> = knowledge.nodes.borrow().values().cloned().collect();
-    let listed: HashSet<&UpstreamId> = engines.iter().map(|engine| &engine.id).collect();
-    let owners = knowledge.owners.borrow();
-    let owners: HashMap<UpstreamId, NodeId> = owners
-        .iter()
-        .filter(|(engine, _)| listed.contains(engine))
-        .map(|(engine, owner)| (engine.clone(), owner.node.clone()))
-        .collect();
+    let owners = owners_of(knowledge, &engines);
     let me = &knowledge.settings.node;
     // The next process of an engine goes to the owner of the one before, if that still lives: it
     // may order at once, where any other node would have to wait until its orders have arrived.
@@ -83,6 +68,33 @@
     claims
 }
 
+/// The engines that take work.
+pub(super) fn engines_in_use(knowledge: &Knowledge) -> Vec<Arc<Upstream>> {
+    let has_engines = |name| {
+        let service = knowledge.service(name);
+        service.is_some_and(|service| service.engine.is_some())
+    };
+    let upstreams = knowledge.upstreams.borrow();
+    upstreams
+        .values()
+        .filter(|upstream| upstream.takes_work() && has_engines(&upstream.service))
+        .cloned()
+        .collect()
+}
+
+/// Who owns each of `engines`, as far as somebody does.
+pub(super) fn owners_of(
+    knowledge: &Knowledge,
+    engines: &[&Upstream],
+) -> HashMap<UpstreamId, NodeId> {
+    let owners = knowledge.owners.borrow();
+    let engines = engines.iter().map(|engine| &engine.id);
+    let owned = engines.filter_map(|engine| Some((engine, owners.get(engine)?)));
+    owned
+        .map(|(engine, owner)| (engine.clone(), owner.node.clone()))
+        .collect()
+}
+
 fn has_living_last_owner(
     knowledge: &Knowledge,
     engine: &Upstream,
--- a/crates/relay-node/src/control/keeper.rs
+++ b/crates/relay-node/src/control/keeper.rs
@@ -50,6 +50,7 @@
         knowledge.check_era();
         knowledge.forget_missing_nodes();
         knowledge.look_at_text();
+        knowledge.look_at_owners();
         if knowledge.lease.get() == LeaseId::default() || knowledge.eras.awaits_word() {
             continue;
         }
@@ -86,6 +87,7 @@
             Err(_) => return false,
         }
     }
+    // The store's client logs why a call failed.
     register(knowledge).await.is_ok()
 }
 
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -11,7 +11,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Demand, DomainAge, DomainsHeard, LoadTimes, ModelRef, NodeRecord, OrderPermit, OwnershipRules,
-    RouteTable, Service, Upstream, Versions, retry_pause,
+    OwnershipWatch, RouteTable, Service, Upstream, Versions, retry_pause,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
@@ -111,6 +111,8 @@
     pub(crate) needs_suspects: Cell<bool>,
     /// The eras of the store.
     pub(crate) eras: Eras,
+    /// Whether engines are owned as they should be.
+    pub(crate) owners_watch: RefCell<OwnershipWatch>,
     /// The operators' text as the store shows it.
     pub(crate) shown: ShownText,
     /// Nodes that are kept though the store does not list them.
@@ -165,6 +167,7 @@
                 ownership_rules(&parts.settings),
                 parts.settings.is_first_start,
             ),
+            owners_watch: RefCell::default(),
             shown: ShownText::default(),
             returning: ReturningNodes::default(),
             lending: Lending::default(),
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod model_demand;
 mod operators_watch;
 mod orders;
+mod owner_concerns;
 mod owner_loads;
 mod owner_record;
 mod owners;
--- /dev/null
+++ b/crates/relay-node/src/control/owner_concerns.rs
@@ -0,0 +1,55 @@
+//! Tells of engines that are owned otherwise than they should be.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use nutmegsail_relay::{ConcernChange, NodeRecord, OwnersNow, OwnershipConcern};
+use nutmegsail_telemetry::{Event, log_event};
+
+use super::claims::{engines_in_use, owners_of};
+use super::knowledge::Knowledge;
+
+impl Knowledge {
+    /// Looks at the owners of engines, and tells what has been wrong for a while.
+    pub(crate) fn look_at_owners(&self) {
+        let engines = engines_in_use(self);
+        let engines: Vec<_> = engines.iter().map(|engine| &**engine).collect();
+        let nodes: Vec<NodeRecord> = self.nodes.borrow().values().cloned().collect();
+        let owners: HashMap<_, _> = owners_of(self, &engines);
+        let seen = OwnersNow {
+            node: &self.settings.node,
+            nodes: &nodes,
+            engines: &engines,
+            owners: &owners,
+        };
+        let changes = self.owners_watch.borrow_mut().look(seen, Instant::now());
+        for change in changes {
+            self.tell_concern(&change);
+        }
+    }
+
+    fn tell_concern(&self, change: &ConcernChange) {
+        let (concern, event, is_on) = match change {
+            ConcernChange::Began(concern) => (concern, Event::OwnersUneven, true),
+            ConcernChange::Ended(concern) => (concern, Event::OwnersEven, false),
+        };
+        self.shared.metrics.owner_concern(concern, is_on);
+        let owner = match concern {
+            OwnershipConcern::OwnsTooMany(owner) => Some(owner.to_string()),
+            OwnershipConcern::NotListed | OwnershipConcern::OwnsNone => None,
+        };
+        let nodes = self.nodes.borrow().len();
+        let engines = self.owners.borrow().len();
+        match event {
+            Event::OwnersUneven => log_event!(
+                self.log, Event::OwnersUneven,
+                "concern" => concern.to_string(), "owner" => owner, "nodes" => nodes,
+                "owned_engines" => engines
+            ),
+            _ => log_event!(
+                self.log, Event::OwnersEven,
+                "concern" => concern.to_string(), "owner" => owner
+            ),
+        }
+    }
+}
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use nutmegsail_base::{ResultCode, StoreEra};
-use nutmegsail_relay::ModelRef;
-use nutmegsail_telemetry::{CountStoreCalls, StoreCall};
+use nutmegsail_relay::{ModelRef, OwnershipConcern};
+use nutmegsail_store::KeyValueError;
+use nutmegsail_telemetry::{CountStoreCalls, Event, StoreCall, log_event};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
+use slog::Logger;
 
 use crate::team_metrics::TeamMetrics;
 
@@ -39,6 +41,7 @@
     suspects: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
     store_era: Gauge<u64>,
+    owner_concerns: Gauge<u64>,
     store_age: Gauge<u64>,
 }
 
@@ -117,6 +120,10 @@
                 "nutmegsail.relay.limited_upstreams",
                 "Upstreams that limit the requests that they take.",
             ),
+            owner_concerns: gauge(
+                "nutmegsail.relay.owner_concerns",
+                "Whether engines are owned otherwise than they should be, by what is wrong.",
+            ),
             store_era: gauge(
                 "nutmegsail.relay.store_era",
                 "The era of the store; it rises when the store comes back from an older copy.",
@@ -191,6 +198,12 @@
         self.limited_upstreams.record(upstreams as u64, &[]);
     }
 
+    /// Takes in whether engines are owned otherwise than they should be.
+    pub(crate) fn owner_concern(&self, concern: &OwnershipConcern, is_on: bool) {
+        let concern = KeyValue::new("concern", concern.to_string());
+        self.owner_concerns.record(u64::from(is_on), &[concern]);
+    }
+
     /// The era that the store is in.
     pub(crate) fn store_era(&self, era: StoreEra) {
         self.store_era.record(era.0, &[]);
@@ -219,10 +232,24 @@
     }
 }
 
-impl CountStoreCalls for RelayMetrics {
-    fn store_called(&self, call: StoreCall, code: Option<ResultCode>) {
-        let call = KeyValue::new("call", call.to_string());
-        self.store_calls.add(1, &[call, result(code)]);
+/// Counts calls to the store, and logs those that fail.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreCalls {
+    pub(crate) metrics: RelayMetrics,
+    pub(crate) log: Logger,
+}
+
+impl CountStoreCalls for StoreCalls {
+    fn store_called(&self, call: StoreCall, failure: Option<&KeyValueError>) {
+        let code = failure.map(KeyValueError::code);
+        let kind = KeyValue::new("call", call.to_string());
+        self.metrics.store_calls.add(1, &[kind, result(code)]);
+        if let Some(error) = failure {
+            log_event!(
+                self.log, Event::StoreCallFailed,
+                "call" => call.to_string(), "error" => error.to_string()
+            );
+        }
     }
 }
 
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control::{self, ControlParts};
-use crate::metrics::RelayMetrics;
+use crate::metrics::{RelayMetrics, StoreCalls};
 use crate::shared::Shared;
 use crate::traffic::{self, Gateway, GatewayParts, Link};
 use crate::{Dialect, RelaySettings, ready};
@@ -106,7 +106,10 @@
         let (shared, wants) = Shared::new(metrics.clone(), settings.bounds.access());
         let store = CountedStore {
             inner: store,
-            metrics,
+            metrics: StoreCalls {
+                metrics,
+                log: log.clone(),
+            },
         };
         let stop_control = CancellationToken::new();
         let grace = settings.bounds.grace();
--- /dev/null
+++ b/crates/relay/src/ownership_watch.rs
@@ -0,0 +1,177 @@
+//! Whether engines are owned as they should be.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use nutmegsail_base::{FailureDomain, NodeId, UpstreamId};
+
+use crate::{NodeRecord, Upstream};
+
+/// How long something must be wrong before it is told: owners change within a second when nodes or engines come and go.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// How many times its part a node may own.
+const MOST_PARTS: usize = 2;
+
+/// What is wrong with the owners of engines, as one node sees it.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash)]
+pub enum OwnershipConcern {
+    /// The node is not listed, so it can own nothing and the others ask nothing of it.
+    #[display("not_listed")]
+    NotListed,
+    /// Its failure domain has an engine or more for each of its nodes, and it owns none.
+    #[display("owns_none")]
+    OwnsNone,
+    /// A node owns more than twice its part. All loads of these engines wait for it.
+    #[display("owns_too_many")]
+    OwnsTooMany(NodeId),
+}
+
+/// What is known of nodes, engines and owners at one time.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnersNow<'a> {
+    /// The node that looks.
+    pub node: &'a NodeId,
+    /// Nodes that are listed.
+    pub nodes: &'a [NodeRecord],
+    /// Engines that take work.
+    pub engines: &'a [&'a Upstream],
+    /// Who owns which.
+    pub owners: &'a HashMap<UpstreamId, NodeId>,
+}
+
+/// A concern that began or ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConcernChange {
+    /// It has lasted for a while.
+    Began(OwnershipConcern),
+    /// It is over.
+    Ended(OwnershipConcern),
+}
+
+/// Looks time and again whether engines are owned as they should be.
+///
+/// ```
+/// use std::collections::HashMap;
+/// use std::time::{Duration, Instant};
+/// use nutmegsail_relay::{ConcernChange, OwnersNow, OwnershipConcern, OwnershipWatch};
+/// let (mut watch, now) = (OwnershipWatch::default(), Instant::now());
+/// let (node, owners) = ("n1".into(), HashMap::new());
+/// let seen = OwnersNow { node: &node, nodes: &[], engines: &[], owners: &owners };
+/// assert_eq!(watch.look(seen, now), []);
+/// let later = now + Duration::from_secs(3);
+/// assert_eq!(watch.look(seen, later), [ConcernChange::Began(OwnershipConcern::NotListed)]);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct OwnershipWatch {
+    /// Since when each concern has lasted, and whether it was told.
+    concerns: HashMap<OwnershipConcern, Lasting>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lasting {
+    since: Instant,
+    is_told: bool,
+}
+
+impl OwnershipWatch {
+    /// Looks at `seen`, and returns what is to be told.
+    pub fn look(&mut self, seen: OwnersNow<'_>, now: Instant) -> Vec<ConcernChange> {
+        let concerns = seen.concerns();
+        let mut changes = Vec::new();
+        self.concerns.retain(|concern, lasting| {
+            let goes_on = concerns.contains(concern);
+            if !goes_on && lasting.is_told {
+                changes.push(ConcernChange::Ended(concern.clone()));
+            }
+            goes_on
+        });
+        for concern in concerns {
+            let lasting = self.concerns.entry(concern.clone()).or_insert(Lasting {
+                since: now,
+                is_told: false,
+            });
+            let is_due = now.duration_since(lasting.since) > PATIENCE;
+            if is_due && !std::mem::replace(&mut lasting.is_told, true) {
+                changes.push(ConcernChange::Began(concern));
+            }
+        }
+        changes
+    }
+}
+
+impl OwnersNow<'_> {
+    fn concerns(&self) -> Vec<OwnershipConcern> {
+        let counts = Counts::of(self);
+        let mut concerns = Vec::new();
+        let own = self.nodes.iter().find(|record| record.node == *self.node);
+        match own {
+            None => concerns.push(OwnershipConcern::NotListed),
+            Some(own) if counts.owns_none(own) => concerns.push(OwnershipConcern::OwnsNone),
+            Some(_) => {}
+        }
+        let most = self.nodes.iter().max_by_key(|record| counts.owned(record));
+        if let Some(most) = most.filter(|most| counts.owns_too_many(most)) {
+            concerns.push(OwnershipConcern::OwnsTooMany(most.node.clone()));
+        }
+        concerns
+    }
+}
+
+/// Engines and nodes by failure domain, and engines by owner.
+struct Counts<'a> {
+    engines_in: HashMap<&'a FailureDomain, usize>,
+    nodes_in: HashMap<&'a FailureDomain, usize>,
+    owned: HashMap<&'a NodeId, usize>,
+    nodes: usize,
+}
+
+impl<'a> Counts<'a> {
+    fn of(seen: &OwnersNow<'a>) -> Self {
+        let domains = seen.engines.iter().map(|engine| &engine.failure_domain);
+        let owners = seen.engines.iter();
+        Self {
+            engines_in: count(domains),
+            nodes_in: count(seen.nodes.iter().map(|record| &record.failure_domain)),
+            owned: count(owners.filter_map(|engine| seen.owners.get(&engine.id))),
+            nodes: seen.nodes.len(),
+        }
+    }
+
+    fn owned(&self, record: &NodeRecord) -> usize {
+        self.owned.get(&record.node).copied().unwrap_or(0)
+    }
+
+    fn owns_none(&self, own: &NodeRecord) -> bool {
+        let domain = &own.failure_domain;
+        let engines = self.engines_in.get(domain).copied().unwrap_or(0);
+        let nodes = self.nodes_in.get(domain).copied().unwrap_or(0);
+        engines >= nodes && self.owned(own) == 0
+    }
+
+    fn owns_too_many(&self, record: &NodeRecord) -> bool {
+        self.owned(record) > self.part(record) * MOST_PARTS
+    }
+
+    /// How many engines fall to a node, rounded up: its part of those of its failure domain, and of those that stand
+    /// where no node is.
+    fn part(&self, record: &NodeRecord) -> usize {
+        let domain = &record.failure_domain;
+        let engines = self.engines_in.get(domain).copied().unwrap_or(0);
+        let nodes = self.nodes_in.get(domain).copied().unwrap_or(1);
+        let alone = self.engines_in.iter();
+        let alone = alone.filter(|(domain, _)| !self.nodes_in.contains_key(*domain));
+        let alone: usize = alone.map(|(_, engines)| engines).sum();
+        (engines.div_ceil(nodes) + alone.div_ceil(self.nodes)).max(1)
+    }
+}
+
+fn count<'a, K: Eq + Hash>(items: impl Iterator<Item = &'a K>) -> HashMap<&'a K, usize> {
+    let mut counts = HashMap::new();
+    for item in items {
+        *counts.entry(item).or_default() += 1;
+    }
+    counts
+}
--- a/crates/telemetry/src/counted_store.rs
+++ b/crates/telemetry/src/counted_store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use nutmegsail_base::{ResultCode, StoreEra};
+use nutmegsail_base::StoreEra;
 use nutmegsail_store::{
     Changes, Item, KeyValue, KeyValueError, LeaseGrant, LeaseId, Page, Revision, Txn,
 };
@@ -13,13 +13,13 @@
 
 /// Takes in calls to the key-value service.
 pub trait CountStoreCalls: std::fmt::Debug + Send + Sync {
-    /// The service was called. `code` says why it failed, if it did.
-    fn store_called(&self, call: StoreCall, code: Option<ResultCode>);
+    /// The service was called; `failure` says why in vain, if it was.
+    fn store_called(&self, call: StoreCall, failure: Option<&KeyValueError>);
 }
 
 impl CountStoreCalls for Metrics {
-    fn store_called(&self, call: StoreCall, code: Option<ResultCode>) {
-        Self::store_called(self, call, code);
+    fn store_called(&self, call: StoreCall, failure: Option<&KeyValueError>) {
+        Self::store_called(self, call, failure.map(KeyValueError::code));
     }
 }
 
@@ -38,8 +38,7 @@
         call: StoreCall,
         result: Result<T, KeyValueError>,
     ) -> Result<T, KeyValueError> {
-        let code = result.as_ref().err().map(KeyValueError::code);
-        self.metrics.store_called(call, code);
+        self.metrics.store_called(call, result.as_ref().err());
         result
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -106,6 +106,8 @@
     3018 LimitNamed Warning "An upstream named another limit for the requests that it takes.";
     3019 LimitEnded Info "An upstream names no limit any more.";
     3020 LimitMalformed Warning "An upstream named a limit that cannot be read.";
+    3021 OwnersUneven Warning "Engines have been owned otherwise than they should be for a while.";
+    3022 OwnersEven Info "Engines are owned as they should be again.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
@@ -132,6 +134,7 @@
     6006 ReaderSilent Info "The node that reads the store for this one did not answer, or was behind.";
     6007 StoreEraRose Warning "The platform's store came back from an older copy of itself.";
     6008 StoreEraSettled Info "No claim from before the store came back holds, and the operators' text is there again.";
+    6009 StoreCallFailed Warning "A call to the platform's key-value service failed.";
     7001 MessageUndecodable Warning "Bytes from another node could not be decoded.";
     7002 MessageDropped Debug "A message was dropped because a queue was full.";
     7003 LinkFailed Error "The link between nodes failed.";
