Find a port that is free for both sockets of a node

A node's start failed in tests where any port will do: the port that was free for its listener was another process's for datagrams. The two tests play a port whose first bind fails; another_port_is_tried_if_any_will_do fails where the loop ends after one try.

--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod metrics;
 mod node;
+mod nodes_sockets;
 mod ready;
 mod settings;
 mod shared;
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -18,6 +18,7 @@
 
 use crate::control::{self, ControlParts};
 use crate::metrics::{RelayMetrics, StoreCalls};
+use crate::nodes_sockets::NodesSockets;
 use crate::shared::Shared;
 use crate::traffic::{self, Gateway, GatewayParts, Link};
 use crate::{Dialect, RelaySettings, ready};
@@ -92,15 +93,17 @@
         };
         let metrics_address = metrics_listener.as_ref();
         let metrics_address = metrics_address.and_then(|listener| listener.local_addr().ok());
-        let nodes = listen(settings.nodes_address).await?;
-        settings.nodes_address = nodes.local_addr().unwrap_or(settings.nodes_address);
-        let datagrams = UdpSocket::bind(settings.nodes_address).await;
-        let datagrams = datagrams.map_err(|problem| RelayNodeError::Listen {
+        let sockets = NodesSockets::open(settings.nodes_address).await;
+        let NodesSockets {
+            listener,
+            datagrams,
+        } = sockets.map_err(|problem| RelayNodeError::Listen {
             address: settings.nodes_address,
             problem,
         })?;
+        settings.nodes_address = listener.local_addr().unwrap_or(settings.nodes_address);
         let datagrams = datagrams.into_std().map_err(RelayNodeError::Control)?;
-        let nodes = nodes.into_std().map_err(RelayNodeError::Control)?;
+        let nodes = listener.into_std().map_err(RelayNodeError::Control)?;
         let page = MetricsPage::new().map_err(RelayNodeError::Metrics)?;
         let metrics = RelayMetrics::new(&page.meter());
         let (shared, wants) = Shared::new(metrics.clone(), settings.bounds.access());
--- /dev/null
+++ b/crates/relay-node/src/nodes_sockets/tests.rs
@@ -0,0 +1,44 @@
+//! Ports that are free for one of the sockets only.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+
+use tokio::net::UdpSocket;
+
+use super::NodesSockets;
+
+/// Finds the first port taken, as if another process had a socket for datagrams there.
+async fn open(address: &str) -> (io::Result<NodesSockets>, usize) {
+    let binds = Cell::new(0);
+    let bind = async |address: SocketAddr| match binds.replace(binds.get() + 1) {
+        0 => Err(io::Error::from(io::ErrorKind::AddrInUse)),
+        _ => UdpSocket::bind(address).await,
+    };
+    let address = address.parse().expect("an address");
+    let opened = NodesSockets::open_with(address, bind).await;
+    (opened, binds.get())
+}
+
+// Guards against a start that fails as another process's socket for datagrams has the port that was free for the listener.
+#[tokio::test]
+async fn another_port_is_tried_if_any_will_do() {
+    let (opened, binds) = open("127.0.0.1:0").await;
+    let sockets = opened.expect("the second port is free");
+    let (listener, datagrams) = (sockets.listener, sockets.datagrams);
+    assert_eq!(
+        listener.local_addr().expect("it is bound"),
+        datagrams.local_addr().expect("it is bound")
+    );
+    assert_eq!(binds, 2);
+}
+
+#[tokio::test]
+async fn a_given_port_is_tried_once() {
+    let free = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let address = free.local_addr().expect("it is bound").to_string();
+    drop(free);
+    let (opened, binds) = open(&address).await;
+    assert!(opened.is_err());
+    assert_eq!(binds, 1);
+}
