Log that an upstream says that it leaves, or asks for rest

UpstreamLeaving says who told it, the list or an answer, once a node; RestAsked and RestMalformed are new.

Nothing asks it yet: no decision changed.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -279,7 +279,7 @@
 
 /// Tells of the limits that upstreams name.
 fn tell_limits(knowledge: &Knowledge, socket: &UdpSocket, news: &mut LimitNews) {
-    knowledge.forget_limits();
+    knowledge.forget_unlisted();
     for (told, address) in news.turn(knowledge) {
         let from = knowledge.settings.node.clone();
         send(socket, &Message::Limits { from, told }, address);
--- a/crates/relay-node/src/control/limit_news.rs
+++ b/crates/relay-node/src/control/limit_news.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::LimitTold;
 
 use super::knowledge::Knowledge;
@@ -77,9 +78,11 @@
         }
     }
 
-    /// Forgets the limits of upstreams that are not listed any more.
-    pub(crate) fn forget_limits(&self) {
-        let mut limits = self.shared.limits();
-        limits.forget(|upstream| self.upstream(upstream).is_some(), Instant::now());
+    /// Forgets what upstreams said that are not listed any more.
+    pub(crate) fn forget_unlisted(&self) {
+        let now = Instant::now();
+        let is_listed = |upstream: &UpstreamId| self.upstream(upstream).is_some();
+        self.shared.limits().forget(is_listed, now);
+        self.shared.notices().forget(is_listed, now);
     }
 }
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -79,7 +79,7 @@
         if took_work && !upstream.takes_work() {
             log_event!(
                 knowledge.log, Event::UpstreamLeaving,
-                "upstream" => upstream.id.to_string()
+                "upstream" => upstream.id.to_string(), "told_by" => "list"
             );
         }
         upstreams.insert(upstream.id.clone(), Arc::new(upstream));
--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use nutmegsail_relay::{
-    CallerKey, Holdings, LimitSaid, ModelRef, PromptPart, RouteTable, UpstreamEntry,
+    CallerKey, Holdings, LimitSaid, ModelRef, PromptPart, RestSaid, RouteTable, UpstreamEntry,
 };
 use thiserror::Error;
 
@@ -66,7 +66,18 @@
     pub is_sealed: bool,
     /// The name of the upstream that answered, if it says so.
     pub upstream: Option<HeaderValue>,
-    /// The rate that the upstream limits all nodes to.
+    /// What the upstream says of itself.
+    pub own: OwnWord,
+}
+
+/// What an upstream says of itself in the head of any answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct OwnWord {
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// For how long it wants nothing more from this node.
+    pub rest: RestSaid,
+    /// The rate that it limits all nodes to.
     pub limit: LimitSaid,
 }
 
@@ -180,8 +191,10 @@
     fn read_call(&self, headers: &mut HeaderMap) -> Result<CallMeta, BadHeader>;
     /// Sets the headers of a request to an upstream.
     fn write_send(&self, headers: &mut HeaderMap, send: &SendMeta<'_>);
-    /// Reads the head of an upstream's answer.
+    /// Reads the head of an upstream's answer to a request.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMeta;
+    /// Reads what an upstream says of itself in the head of any answer.
+    fn read_own_word(&self, status: StatusCode, headers: &HeaderMap) -> OwnWord;
     /// The path at which the platform asks whether the node takes callers.
     fn ready_path(&self) -> &'static str;
     /// Asks an engine for its report; another upstream at its address refuses.
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use dialect::{
     AnswerMeta, BadHeader, CallMeta, DecodeError, Dialect, EngineCall, EngineState, NamedVersion,
-    Order, OrderAnswer, OrderStep, SendMeta, Verdict,
+    Order, OrderAnswer, OrderStep, OwnWord, SendMeta, Verdict,
 };
 pub use node::{RelayNode, RelayNodeError};
 pub use settings::{BoundSettings, RelaySettings, RelaySettingsError, StoreSettings};
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -10,7 +10,7 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
     AccessRules, DomainsHeard, Holdings, HoldingsTold, Limits, LoadPlace, LoadPurpose, LoadTimes,
-    ModelDigest, ModelRef, Report, RouteTable, Suspects, Upstream, Versions, WantedCopies,
+    ModelDigest, ModelRef, Notices, Report, RouteTable, Suspects, Upstream, Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -274,6 +274,7 @@
     pub(crate) news: News,
     suspects: Mutex<Suspects>,
     limits: Mutex<Limits>,
+    notices: Mutex<Notices>,
     pub(crate) wants: mpsc::Sender<Want>,
     pub(crate) metrics: RelayMetrics,
     /// Open connections of callers.
@@ -300,6 +301,7 @@
             news: News::default(),
             suspects: Mutex::default(),
             limits: Mutex::default(),
+            notices: Mutex::default(),
             wants,
             metrics,
             connections: AtomicUsize::new(0),
@@ -334,6 +336,11 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What upstreams have said of themselves.
+    pub(crate) fn notices(&self) -> MutexGuard<'_, Notices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes in that the node knows enough to serve. It stays so while the store is away.
     pub(crate) fn note_knowing(&self) {
         self.readiness().is_knowing = true;
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 mod link;
 mod listener;
 mod model_wait;
+mod own_words;
 mod plain_slot;
 mod quota_client;
 mod refuse;
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -120,7 +120,7 @@
             flight.note_broken();
             return Sent::Lost;
         }
-        self.note_limit(call, &choice.upstream, meta.limit);
+        self.note_own_word(call, &choice.upstream, meta.own);
         if meta.verdict != Verdict::Answered {
             self.log_refused(call, choice, meta.verdict);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod load_times;
 mod model_plan;
 mod model_ref;
+mod notices;
 mod ownership;
 mod ownership_watch;
 mod prompt;
@@ -74,6 +75,7 @@
 pub use load_times::LoadTimes;
 pub use model_plan::{HostedModel, ModelChange, ModelHost, ModelPlan};
 pub use model_ref::{ModelDigest, ModelRef};
+pub use notices::{Notices, RestSaid};
 pub use ownership::{OrderPermit, Ownership, OwnershipRules, Predecessor};
 pub use ownership_watch::{ConcernChange, OwnersNow, OwnershipConcern, OwnershipWatch};
 pub use prompt::{KeptPrompts, PromptChain, PromptPart};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -108,6 +108,8 @@
     3020 LimitMalformed Warning "An upstream named a limit that cannot be read.";
     3021 OwnersUneven Warning "Engines have been owned otherwise than they should be for a while.";
     3022 OwnersEven Info "Engines are owned as they should be again.";
+    3023 RestAsked Info "An upstream turned a request away and wants no others for a while.";
+    3024 RestMalformed Warning "An upstream asked for rest in a way that cannot be read.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
