Ask in one place whether an upstream is sent to

Whether an upstream takes work was asked in six places, each with its own list of judges: the list's state, another process at its address, pauses, silence, failure domains that are cut off. Fitness is one answer for all of them; the other layout that was weighed, one more judge beside these, has as many places to ask as there are kinds of send. is_held_in does not count an upstream any more whose address another process has; nothing else changes.

--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -5,6 +5,7 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 
 use crate::dispatcher::OTHER_DOMAIN_MS;
+use crate::fitness::Fitness;
 use crate::load_times::RECENT_SHARE;
 use crate::{Dispatcher, LoadTimes, ModelRef, Need, Tracked, VersionRule};
 
@@ -104,7 +105,7 @@
         self.upstreams.values().any(|tracked| {
             tracked.upstream.service == *service
                 && tracked.upstream.failure_domain == *domain
-                && tracked.upstream.takes_work()
+                && self.fitness(tracked, now) != Fitness::Unfit
                 && tracked.version_of(model, now).is_some()
         })
     }
@@ -131,9 +132,7 @@
             let has_base = tracked.has_base(model, now);
             let has_it = tracked.version_of(model, now);
             tracked.upstream.service == *service
-                && tracked.upstream.takes_work()
-                && !self.is_out(tracked, now)
-                && !tracked.is_gone(now)
+                && self.fitness(tracked, now) == Fitness::Fit
                 && tracked.takes_loads(now)
                 && has_base
                 && place.includes(&tracked.upstream.failure_domain)
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use rand::{Rng, RngExt as _};
 
+use crate::fitness::Fitness;
 use crate::load_times::FIRST_LOAD_MS;
 use crate::tracked::{FIRST_RUN_MS, PROMPT_TOKEN_MS};
 use crate::{
@@ -214,13 +215,13 @@
         let scored = able.into_iter().map(|able| {
             let is_home = home.is_some_and(|home| *home == able.tracked.upstream.id);
             let noise_ms = random.random::<f64>() * SCORE_NOISE_MS;
-            (
-                self.score(able.tracked, need, is_home, now) + noise_ms,
-                able,
-            )
+            (self.score(&able, need, is_home, now) + noise_ms, able)
         });
         let best = scored.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        let (score, Able { tracked, version }) = best.ok_or(Refusal::AllBusy)?;
+        let (score, best) = best.ok_or(Refusal::AllBusy)?;
+        let Able {
+            tracked, version, ..
+        } = best;
         if score >= PAUSED_MS && !need.tried.is_empty() {
             return Err(Refusal::AllBusy);
         }
@@ -240,22 +241,25 @@
     fn able<'a>(&'a self, need: &Need<'_>, now: Instant) -> Result<Vec<Able<'a>>, Refusal> {
         let mut refusal = Refusal::NoUpstream;
         let mut able = Vec::new();
-        for tracked in self
-            .upstreams
-            .values()
-            .filter(|tracked| is_candidate(tracked, need, now))
-        {
+        for tracked in self.candidates(need) {
+            let fitness = self.fitness(tracked, now);
+            if fitness == Fitness::Unfit {
+                continue;
+            }
             refusal = refusal.max_reason(Refusal::AdapterAbsent);
             let version = need.model.and_then(|model| tracked.version_of(model, now));
             if need.model.is_some() && !version.is_some_and(|version| need.version.allows(version))
             {
                 continue;
             }
-            if need.model.is_some() && self.is_out(tracked, now) {
-                // Another engine can have the adapter in less time than this one may stay silent.
+            if need.model.is_some() && fitness == Fitness::Failing {
                 continue;
             }
-            able.push(Able { tracked, version });
+            able.push(Able {
+                tracked,
+                version,
+                fitness,
+            });
         }
         if able.is_empty() {
             return Err(refusal);
@@ -270,7 +274,16 @@
         Ok(able)
     }
 
-    fn score(&self, tracked: &Tracked, need: &Need<'_>, is_home: bool, now: Instant) -> f64 {
+    /// The upstreams of the service that the request was not sent to.
+    fn candidates(&self, need: &Need<'_>) -> impl Iterator<Item = &Tracked> {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(|tracked| {
+            tracked.upstream.service == *need.service && !need.tried.contains(&tracked.upstream.id)
+        })
+    }
+
+    fn score(&self, able: &Able<'_>, need: &Need<'_>, is_home: bool, now: Instant) -> f64 {
+        let tracked = able.tracked;
         let kept_tokens = match is_home {
             true => need.prompt.shared_tokens(),
             false => tracked.kept_tokens(need.prompt, now),
@@ -285,12 +298,12 @@
         }
         score += tracked.health.failure_rate() * 200.0;
         score += tracked.limit_wait_ms(now);
-        if self.is_cut_off(tracked, now) {
-            score += CUT_OFF_MS;
-        } else if self.is_out(tracked, now) {
-            score += PAUSED_MS;
-        }
         score
+            + match able.fitness {
+                Fitness::Failing if self.is_cut_off(tracked, now) => CUT_OFF_MS,
+                Fitness::Failing => PAUSED_MS,
+                Fitness::Unfit | Fitness::Fit => 0.0,
+            }
     }
 
     fn plain_score(&self, tracked: &Tracked, now: Instant) -> f64 {
@@ -300,18 +313,12 @@
         running_ms + f64::from(ahead) * PLAIN_QUEUED_MS
     }
 
-    /// Whether an upstream gets work only if all do badly.
-    pub(crate) fn is_out(&self, tracked: &Tracked, now: Instant) -> bool {
-        let is_quiet = need_answers(tracked) && tracked.is_silent(now);
-        tracked.health.is_paused(now) || is_quiet || self.is_cut_off(tracked, now)
-    }
-
     /// Whether the upstream's failure domain has fallen silent.
     ///
     /// When domains are cut off from each other, kept connections stay open and what is sent on
     /// them hangs; a request that must not run twice is lost with it. The nodes there, which
     /// answer ten times a second, are then silent at once.
-    fn is_cut_off(&self, tracked: &Tracked, now: Instant) -> bool {
+    pub(crate) fn is_cut_off(&self, tracked: &Tracked, now: Instant) -> bool {
         let domain = &tracked.upstream.failure_domain;
         let heard = self.domains_heard.heard(domain);
         *domain != self.failure_domain
@@ -325,9 +332,7 @@
     pub fn has_base(&self, service: &ServiceName, model: &ModelRef, now: Instant) -> bool {
         self.upstreams.values().any(|tracked| {
             tracked.upstream.service == *service
-                && tracked.upstream.takes_work()
-                && !tracked.is_gone(now)
-                && !self.is_out(tracked, now)
+                && self.fitness(tracked, now) == Fitness::Fit
                 && tracked.has_base(model, now)
         })
     }
@@ -445,6 +450,7 @@
     tracked: &'a Tracked,
     /// The version of the model that it holds.
     version: Option<u64>,
+    fitness: Fitness,
 }
 
 /// The engine that requests with the same shared parts of the prompt go to, queues being equal.
@@ -457,19 +463,6 @@
     ranked.max().map(|(_, id)| id)
 }
 
-/// Whether an upstream may be sent the request at all.
-fn is_candidate(tracked: &Tracked, need: &Need<'_>, now: Instant) -> bool {
-    tracked.upstream.service == *need.service
-        && tracked.upstream.takes_work()
-        && !tracked.is_gone(now)
-        && !need.tried.contains(&tracked.upstream.id)
-}
-
-/// Whether first events are due from the upstream; plain services answer in their own time.
-fn need_answers(tracked: &Tracked) -> bool {
-    tracked.unread_tokens > 0
-}
-
 impl Refusal {
     /// The reason that came closest to an answer.
     fn max_reason(self, other: Self) -> Self {
--- /dev/null
+++ b/crates/relay/src/fitness.rs
@@ -0,0 +1,31 @@
+//! Whether an upstream is sent to.
+
+use std::time::Instant;
+
+use crate::{Dispatcher, Tracked};
+
+/// Whether an upstream is sent to, by all that it and others have said, and by what sends to it have shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Fitness {
+    /// Nothing goes there.
+    Unfit,
+    /// It does badly. Plain requests go there that have nowhere else to go; for those that name an adapter another engine
+    /// has it in less time than this one may stay silent.
+    Failing,
+    /// It takes work.
+    Fit,
+}
+
+impl Dispatcher {
+    /// Whether an upstream is sent to.
+    pub(crate) fn fitness(&self, tracked: &Tracked, now: Instant) -> Fitness {
+        if !tracked.upstream.takes_work() || tracked.is_gone(now) {
+            return Fitness::Unfit;
+        }
+        let is_quiet = tracked.unread_tokens > 0 && tracked.is_silent(now);
+        match tracked.health.is_paused(now) || is_quiet || self.is_cut_off(tracked, now) {
+            true => Fitness::Failing,
+            false => Fitness::Fit,
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod era_watch;
 mod event_splitter;
 mod far_news;
+mod fitness;
 mod health;
 mod holdings;
 mod limits;
