Send nothing more to an upstream that says in an answer that it leaves

What callers saw: nothing; requests went to an engine that was to end, for up to 13 s, and its owner loaded adapters there. The users saw a request reach it 2.7 s after the node that sent it had passed on an answer that said so.

Only the list of upstreams told who leaves, and the store was away. The class: knowledge that came with traffic and was taken from one source only, which can stand still.

- Whatever answer says so counts, first thing when its head is read: successes, refusals, failures, spoilt answers, answers to other requests of the connection, reports and answers to orders.
Only 421 of a process that was not meant does not.
No list, older copy or entry of the store has that process take work again; the next process under the name does.
- The node that hears it stops at once where another upstream can serve.
For half of the bound (drain_ms, a new setting) the leaving one still gets what nobody else can serve now, while the adapter is brought elsewhere.
What waited for a slot or a turn is chosen anew if its upstream may not be sent to any more.
- The control thread goes by it too: no orders (permit, takes_loads), claims, slots, base models or copies there.
Other nodes are told, four times in a row and then each second, and give it nothing from then on.

Considered instead: to mark the entry in the list only (lost with the next read), and no grace (when all of a service leave, nothing is served although they would for two seconds).

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -24,6 +24,7 @@
 use super::engine::OwnedEngine;
 use super::engine_load::{EngineLoad, load_without, room};
 use super::knowledge::Knowledge;
+use super::leaving_news::LeavingNews;
 use super::limit_news::LimitNews;
 use super::load_board::{LoadBoard, LoadPage};
 use super::model_demand::ModelsAsked;
@@ -97,6 +98,8 @@
     },
     /// Limits that upstreams name.
     Limits { from: NodeId, told: Vec<LimitTold> },
+    /// Upstreams that say that they leave.
+    Leaving { told: Vec<UpstreamId> },
     /// Asks for all of them: the sender has just started, or stood still.
     SuspectsAsked { from: NodeId },
     /// What the sender knows of the store's era.
@@ -126,6 +129,7 @@
     let mut board = LoadBoard::default();
     let mut suspect_news = SuspectNews::default();
     let mut limit_news = LimitNews::default();
+    let mut leaving_news = LeavingNews::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -135,6 +139,7 @@
                 tell_alive(&knowledge, &socket);
                 tell_suspects(&knowledge, &socket, &mut suspect_news);
                 tell_limits(&knowledge, &socket, &mut limit_news);
+                tell_leaving(&knowledge, &socket, &mut leaving_news);
                 tell_era(&knowledge, &socket);
                 turn_slots(&knowledge, &socket);
             }
@@ -286,6 +291,13 @@
     }
 }
 
+/// Tells of upstreams that say that they leave.
+fn tell_leaving(knowledge: &Knowledge, socket: &UdpSocket, news: &mut LeavingNews) {
+    for (told, address) in news.turn(knowledge) {
+        send(socket, &Message::Leaving { told }, address);
+    }
+}
+
 /// Tells of an era that rose lately, or asks for it.
 fn tell_era(knowledge: &Knowledge, socket: &UdpSocket) {
     for address in knowledge.era_news() {
@@ -389,6 +401,7 @@
             }
             knowledge.note_heard(from);
         }
+        Ok(Message::Leaving { told }) => knowledge.take_leaving(&told),
         Ok(Message::Limits { from, told }) => {
             knowledge.take_limits(&told);
             knowledge.note_heard(from);
--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -279,7 +279,11 @@
                 .is_none_or(|failed| failed.elapsed() > LOST_STORE_SPAN),
         };
         let is_changing = engine.is_changing_model();
-        is_permitted && !engine.is_blocked() && engine.leaving_count() == 0 && !is_changing
+        self.is_to_stay(&engine.id)
+            && is_permitted
+            && !engine.is_blocked()
+            && engine.leaving_count() == 0
+            && !is_changing
     }
 
     /// Whether any node has requests for `model` at `engine`, as far as is known.
--- /dev/null
+++ b/crates/relay-node/src/control/leaving_news.rs
@@ -0,0 +1,113 @@
+//! Upstreams that say that they leave: what this node makes of it, and whom it tells.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::Upstream;
+use nutmegsail_telemetry::{Event, log_event};
+
+use super::knowledge::Knowledge;
+use super::suspect_news::some_others;
+use crate::OwnWord;
+
+/// How often a few nodes are told again, as some start or come into touch late.
+const STANDING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How often something new is told in a row, each time to other nodes. So it reaches all of a large fleet within a second.
+const NEWS_TURNS: u8 = 4;
+
+/// Upstreams in one datagram: some 30 bytes each.
+const TOLD_AT_ONCE: usize = 30;
+
+/// What this node has told others.
+#[derive(Debug, Default)]
+pub(crate) struct LeavingNews {
+    /// The changes that were taken in.
+    seen: u64,
+    turns_left: u8,
+    told: Option<Instant>,
+}
+
+impl LeavingNews {
+    /// Takes in what is new, and returns what is to be told now, and to whom.
+    pub(super) fn turn(&mut self, knowledge: &Knowledge) -> Vec<(Vec<UpstreamId>, SocketAddr)> {
+        let leavings = knowledge.shared.notices().leavings();
+        if std::mem::replace(&mut self.seen, leavings) != leavings {
+            knowledge.take_leaving_upstreams();
+            self.turns_left = NEWS_TURNS;
+        }
+        let now = Instant::now();
+        let is_standing = |told| now.duration_since(told) >= STANDING_INTERVAL;
+        if self.turns_left == 0 && !self.told.is_none_or(is_standing) {
+            return Vec::new();
+        }
+        self.turns_left = self.turns_left.saturating_sub(1);
+        self.told = Some(now);
+        let leaving = knowledge.listed_leaving();
+        let to = some_others(knowledge);
+        let parts = leaving.chunks(TOLD_AT_ONCE);
+        parts
+            .flat_map(|part| to.iter().map(|to| (part.to_vec(), *to)))
+            .collect()
+    }
+}
+
+impl Knowledge {
+    /// Whether an upstream is not about to leave, by the list or by its own word.
+    pub(crate) fn is_to_stay(&self, id: &UpstreamId) -> bool {
+        let upstream = self.upstream(id);
+        upstream.is_some_and(|upstream| upstream.takes_work())
+            && !self.shared.notices().is_leaving(id)
+    }
+
+    /// The upstream as the list shows it, with its own word that it leaves.
+    pub(crate) fn with_own_word(&self, upstream: Upstream) -> Upstream {
+        match self.shared.notices().is_leaving(&upstream.id) {
+            true => upstream.leaving(),
+            false => upstream,
+        }
+    }
+
+    /// Takes in what other nodes heard of upstreams that leave.
+    pub(crate) fn take_leaving(&self, told: &[UpstreamId]) {
+        for upstream in told {
+            self.note_leaving(upstream, "node");
+        }
+    }
+
+    /// Takes in what an engine says of itself in an answer to its owner.
+    pub(super) fn note_engine_word(&self, engine: &UpstreamId, own: OwnWord) {
+        if own.is_leaving {
+            self.note_leaving(engine, "engine");
+        }
+    }
+
+    fn note_leaving(&self, upstream: &UpstreamId, told_by: &str) {
+        let is_new = self.shared.notices().note_leaving(upstream, Instant::now());
+        if is_new {
+            log_event!(
+                self.log, Event::UpstreamLeaving,
+                "upstream" => upstream.to_string(), "told_by" => told_by.to_owned()
+            );
+        }
+    }
+
+    /// Goes by what upstreams that are listed have said.
+    fn take_leaving_upstreams(&self) {
+        for id in self.listed_leaving() {
+            let mut upstreams = self.upstreams.borrow_mut();
+            if let Some(upstream) = upstreams.get_mut(&id) {
+                *upstream = Arc::new(Upstream::clone(upstream).leaving());
+            }
+        }
+        self.publish();
+    }
+
+    fn listed_leaving(&self) -> Vec<UpstreamId> {
+        let (notices, upstreams) = (self.shared.notices(), self.upstreams.borrow());
+        let leaving = notices.leaving().filter(|id| upstreams.contains_key(*id));
+        leaving.cloned().collect()
+    }
+}
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod follow_loads;
 mod keeper;
 mod knowledge;
+mod leaving_news;
 mod lending;
 mod limit_news;
 mod load_board;
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{LoadKind, ModelRef, OrderPermit, Upstream};
@@ -31,13 +31,13 @@
         address: &str,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Option<Response<Bytes>> {
         let exchange = async {
             let answer = self.pool.send(address, request).await.ok()?;
-            let status = answer.status();
-            let body = Limited::new(answer.into_body(), BODY_LIMIT_BYTES);
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, BODY_LIMIT_BYTES);
             let body = body.collect().await.ok()?.to_bytes();
-            Some((status, body))
+            Some(Response::from_parts(head, body))
         };
         timeout(limit, exchange).await.ok().flatten()
     }
@@ -47,16 +47,20 @@
         let upstream = self.upstream(&engine.id)?;
         let call = self.dialect.write_report_call(&upstream.name);
         let address = upstream.address.to_string();
-        let (status, body) = self.call(&address, to_request(call)?, CALL_TIMEOUT).await?;
-        if status == StatusCode::MISDIRECTED_REQUEST {
+        let answer = self.call(&address, to_request(call)?, CALL_TIMEOUT).await?;
+        let own = self
+            .dialect
+            .read_own_word(answer.status(), answer.headers());
+        if answer.status() == StatusCode::MISDIRECTED_REQUEST {
             // It ended and another process has its address; what that one holds is not its own.
             self.forget_engine(&engine.id);
             return None;
         }
-        if status != StatusCode::OK {
+        if answer.status() != StatusCode::OK {
+            self.note_engine_word(&engine.id, own);
             return None;
         }
-        let report = match self.dialect.decode_report(&body) {
+        let report = match self.dialect.decode_report(answer.body()) {
             Ok(report) => report,
             Err(error) => {
                 log_event!(
@@ -72,6 +76,7 @@
             self.forget_engine(&engine.id);
             return None;
         }
+        self.note_engine_word(&engine.id, own);
         for load in engine.reported(&report) {
             self.shared.metrics.load_done(load.since.elapsed());
             if load.is_transfer() {
@@ -136,6 +141,9 @@
     ///
     /// The store can take the key away unseen, so what was confirmed a while ago is read again.
     pub(crate) async fn permit(&self, engine: &OwnedEngine) -> Option<u64> {
+        if !self.is_to_stay(&engine.id) {
+            return None;
+        }
         let permit = engine.ownership.borrow().permit(boot_time());
         match permit {
             OrderPermit::Granted { claim } => return claim.fence(),
@@ -169,7 +177,15 @@
         let request = to_request(self.dialect.write_order(&order))?;
         let address = upstream.address.to_string();
         let answer = self.call(&address, request, CALL_TIMEOUT).await;
-        let answer = answer.and_then(|(status, _)| self.dialect.read_order_answer(status));
+        if let Some(answer) = &answer
+            && answer.status() != StatusCode::MISDIRECTED_REQUEST
+        {
+            let own = self
+                .dialect
+                .read_own_word(answer.status(), answer.headers());
+            self.note_engine_word(&engine.id, own);
+        }
+        let answer = answer.and_then(|answer| self.dialect.read_order_answer(answer.status()));
         log_event!(
             self.log, Event::LoadOrdered,
             "upstream" => upstream.id.to_string(), "order" => format!("{:?}", order.step),
--- a/crates/relay-node/src/control/peers.rs
+++ b/crates/relay-node/src/control/peers.rs
@@ -67,8 +67,8 @@
         let request = Request::post(LOADS_PATH)
             .body(Full::new(Bytes::from(body)))
             .ok()?;
-        let (_, body) = knowledge.call(&owner.to_string(), request, limit).await?;
-        serde_json::from_slice(&body).ok()
+        let answer = knowledge.call(&owner.to_string(), request, limit).await?;
+        serde_json::from_slice(answer.body()).ok()
     }
 }
 
--- a/crates/relay-node/src/control/reading.rs
+++ b/crates/relay-node/src/control/reading.rs
@@ -96,9 +96,9 @@
         let request = Request::get(path).body(Full::new(Bytes::new())).ok()?;
         let address = reader.to_string();
         let limit = READER_TIMEOUT.min(left);
-        let (status, body) = self.call(&address, request, limit).await?;
-        let is_told = status == StatusCode::OK;
-        let read: ReadChanges = is_told.then(|| postcard::from_bytes(&body).ok())??;
+        let answer = self.call(&address, request, limit).await?;
+        let is_told = answer.status() == StatusCode::OK;
+        let read: ReadChanges = is_told.then(|| postcard::from_bytes(answer.body()).ok())??;
         // Behind what is known here already, it has read the store before this node did.
         (read.revision >= after).then_some(read)
     }
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -66,6 +66,7 @@
                 return self.reject(item, &fault.to_string());
             }
         };
+        let upstream = knowledge.with_own_word(upstream);
         self.missing.borrow_mut().remove(&upstream.id);
         for started_before in self.ids_of(&upstream.name) {
             if started_before != upstream.id {
@@ -193,7 +194,8 @@
         decoded.map_or(true, |entry| {
             let known = knowledge.upstream(&entry.upstream.id);
             let is_missing = self.missing.borrow().contains_key(&entry.upstream.id);
-            is_missing || known.is_none_or(|known| *known != entry.upstream)
+            let listed = knowledge.with_own_word(entry.upstream);
+            is_missing || known.is_none_or(|known| *known != listed)
         })
     }
 
--- a/crates/relay-node/src/settings.rs
+++ b/crates/relay-node/src/settings.rs
@@ -75,6 +75,8 @@
 pub struct BoundSettings {
     /// How long a process may run on after SIGTERM, in seconds.
     pub grace_s: f64,
+    /// How long an upstream that leaves may still get requests, in milliseconds.
+    pub drain_ms: u64,
     /// The distance in time between orders of two owners to one engine, in milliseconds.
     pub hand_over_ms: u64,
     /// How long after a new version was named requests may begin on the one before, in
@@ -101,6 +103,7 @@
     fn default() -> Self {
         Self {
             grace_s: 8.0,
+            drain_ms: 2_000,
             hand_over_ms: 3_000,
             version_ms: 5_000,
             retry_ratio: 0.2,
@@ -166,6 +169,7 @@
                 bounds.grace_s >= 1.0,
                 "bounds.grace_s: write 1 or more; answers need time to end",
             ),
+            (bounds.drain_ms >= 100, "bounds.drain_ms: write 100 or more"),
             (
                 bounds.hand_over_ms >= 100,
                 "bounds.hand_over_ms: write 100 or more",
@@ -213,6 +217,11 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
+    /// [`BoundSettings::drain_ms`] as a duration.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
     /// [`BoundSettings::hand_over_ms`] as a duration.
     pub fn hand_over(&self) -> Duration {
         Duration::from_millis(self.hand_over_ms)
--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -110,7 +110,7 @@
     fn is_to_stay(&self, upstream: &Upstream) -> bool {
         let dispatcher = self.dispatcher.borrow();
         let tracked = dispatcher.tracked(&upstream.id);
-        tracked.is_some_and(|tracked| tracked.upstream.takes_work())
+        tracked.is_some_and(|tracked| tracked.is_to_stay())
     }
 
     async fn check(self: Rc<Self>, upstream: Arc<Upstream>) {
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -51,6 +51,10 @@
 /// before it begins; the newer version is loaded in half a second.
 const VERSION_OVERLAP_SHARE: f64 = 0.3;
 
+/// The part of the time in which a leaving upstream may get requests that is used, for those that nobody else can serve.
+/// The rest covers what is on its way.
+const LEAVING_GRACE_SHARE: f64 = 0.5;
+
 /// The least time in which an answer could still come.
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
 
@@ -162,11 +166,13 @@
             ..PoolSettings::default()
         });
         let link = Rc::new(parts.link);
+        let mut dispatcher = Dispatcher::new(parts.failure_domain);
+        dispatcher.set_leaving_grace(parts.bounds.drain().mul_f64(LEAVING_GRACE_SHARE));
         Self {
             shared: parts.shared,
             dialect: parts.dialect,
             pool,
-            dispatcher: RefCell::new(Dispatcher::new(parts.failure_domain)),
+            dispatcher: RefCell::new(dispatcher),
             crash_watch: RefCell::default(),
             own_shares: RefCell::default(),
             seen_limits: Cell::new(0),
@@ -372,11 +378,16 @@
                         },
                         None => self.take_slot(call, sends, choice).await?,
                     };
-                    return self.counted(call, sends, choice);
+                    if self.may_send(call, &choice) {
+                        return self.counted(call, sends, choice);
+                    }
                 }
                 Err(NoChoice::NoUpstream | NoChoice::AllBusy) if !limited.is_empty() => {
                     let choice = self.queue_at_soonest(call, limited).await?;
-                    return self.counted(call, sends, choice);
+                    limited = Vec::new();
+                    if self.may_send(call, &choice) {
+                        return self.counted(call, sends, choice);
+                    }
                 }
                 Err(NoChoice::NoUpstream) => {
                     return Err(GivenUp::until(ResultCode::NoUpstream, ABSENT_RETRY_AFTER));
@@ -401,21 +412,34 @@
                             return Err(busy(ResultCode::AdapterNotReady));
                         }
                         let choice = self.queue_at_soonest(call, limited).await?;
-                        return self.counted(call, sends, choice);
+                        limited = Vec::new();
+                        if self.may_send(call, &choice) {
+                            return self.counted(call, sends, choice);
+                        }
                     }
                 }
             }
         }
     }
 
+    /// Whether `choice` is still good after the wait for its slot or turn, which goes back if not.
+    fn may_send(&self, call: &Call, choice: &Choice) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        let may_send = dispatcher.may_send(&choice.upstream.id, Instant::now());
+        if !may_send {
+            call.slot.take();
+        }
+        may_send
+    }
+
     /// `choice`, once its send is counted.
     fn counted(&self, call: &Call, sends: &Sends, choice: Choice) -> Result<Choice, GivenUp> {
         let now = Instant::now();
         if !self.count_send(call, sends, now) {
             return Err(busy(ResultCode::RetryBudgetSpent));
         }
-        if !choice.is_preferred {
-            // The newer version is brought in; nobody waits for it.
+        if !choice.is_preferred || choice.is_leaving {
+            // It is brought in elsewhere, or in the newer version; nobody waits for it.
             let _ = self.want(call, false, LoadPurpose::Miss, now);
         }
         Ok(choice)
--- a/crates/relay-node/src/traffic/own_words.rs
+++ b/crates/relay-node/src/traffic/own_words.rs
@@ -7,20 +7,27 @@
 
 use super::call::Call;
 use super::gateway::Gateway;
-use crate::OwnWord;
+use crate::{AnswerMeta, Verdict};
 
 impl Gateway {
-    /// Takes in what an answer to `call` says of its upstream.
-    pub(super) fn note_own_word(&self, call: &Call, upstream: &Upstream, own: OwnWord) {
-        if own.is_leaving {
+    /// Takes in what the process says of itself that answered a send of `call` to `upstream`.
+    ///
+    /// An answer to another request comes from the same process, which has the connection. So does one that is spoilt;
+    /// that the process leaves is not in its body.
+    pub(super) fn note_own_word(&self, call: &Call, upstream: &Upstream, answer: &AnswerMeta) {
+        if !is_own(upstream, answer) {
+            return;
+        }
+        if answer.own.is_leaving {
             self.note_leaving(call, upstream);
         }
-        self.note_rest(call, upstream, own.rest);
-        self.note_limit(call, upstream, own.limit);
+        self.note_rest(call, upstream, answer.own.rest);
+        self.note_limit(call, upstream, answer.own.limit);
     }
 
     fn note_leaving(&self, call: &Call, upstream: &Upstream) {
         let now = Instant::now();
+        self.dispatcher.borrow_mut().note_leaving(&upstream.id, now);
         if self.shared.notices().note_leaving(&upstream.id, now) {
             log_event!(
                 self.log, Event::UpstreamLeaving,
@@ -49,3 +56,9 @@
         }
     }
 }
+
+/// Whether the process that was meant has answered: whoever has its address now turns its requests away.
+fn is_own(upstream: &Upstream, answer: &AnswerMeta) -> bool {
+    let named = answer.upstream.as_ref();
+    answer.verdict != Verdict::Misdirected || named.is_some_and(|named| *named == *upstream.name)
+}
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -113,6 +113,7 @@
         answer: Response<PooledBody>,
     ) -> Sent {
         let meta = self.dialect.read_answer(answer.status(), answer.headers());
+        self.note_own_word(call, &choice.upstream, &meta);
         // A second answer to an earlier request may come late on a kept connection, where the next
         // answer is due. Its id tells; passed on, one caller would read another's answer. The
         // connection is dropped with the answer, so nothing else is read from it.
@@ -120,7 +121,6 @@
             flight.note_broken();
             return Sent::Lost;
         }
-        self.note_own_word(call, &choice.upstream, meta.own);
         if meta.verdict != Verdict::Answered {
             self.log_refused(call, choice, meta.verdict);
         }
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -105,7 +105,7 @@
         self.upstreams.values().any(|tracked| {
             tracked.upstream.service == *service
                 && tracked.upstream.failure_domain == *domain
-                && self.fitness(tracked, now) != Fitness::Unfit
+                && matches!(self.fitness(tracked, now), Fitness::Failing | Fitness::Fit)
                 && tracked.version_of(model, now).is_some()
         })
     }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -45,6 +45,8 @@
     pub expected_ms: f64,
     /// Whether it holds the version that new requests are meant to begin on.
     pub is_preferred: bool,
+    /// Whether it leaves, so that the next request needs another one.
+    pub is_leaving: bool,
 }
 
 /// Why no upstream gets a request now.
@@ -114,6 +116,8 @@
     pace: f64,
     /// When a node of each other failure domain was last heard.
     domains_heard: DomainsHeard,
+    /// How long an upstream that says that it leaves gets what nobody else can serve.
+    pub(crate) leaving_grace: Duration,
 }
 
 impl Dispatcher {
@@ -127,9 +131,15 @@
             run_ms: FIRST_RUN_MS,
             pace: 1.0,
             domains_heard: DomainsHeard::default(),
+            leaving_grace: Duration::ZERO,
         }
     }
 
+    /// Sets for how long an upstream that says that it leaves gets what nobody else can serve; not at all by default.
+    pub fn set_leaving_grace(&mut self, grace: Duration) {
+        self.leaving_grace = grace;
+    }
+
     /// Takes in the list of upstreams. Those that are missing get nothing new.
     pub fn set_upstreams(&mut self, list: &[Arc<Upstream>], now: Instant) {
         let listed: HashSet<&UpstreamId> = list.iter().map(|upstream| &upstream.id).collect();
@@ -175,6 +185,22 @@
         }
     }
 
+    /// Takes in that an upstream has said to this node that it leaves.
+    ///
+    /// Where that was known before, it gets nothing already.
+    pub fn note_leaving(&mut self, id: &UpstreamId, now: Instant) {
+        let tracked = self.upstreams.get_mut(id);
+        if let Some(tracked) = tracked.filter(|tracked| tracked.upstream.takes_work()) {
+            tracked.leaving_since.get_or_insert(now);
+        }
+    }
+
+    /// Whether what was chosen for an upstream may still be sent there.
+    pub fn may_send(&self, id: &UpstreamId, now: Instant) -> bool {
+        let tracked = self.tracked(id);
+        tracked.is_some_and(|tracked| self.fitness(tracked, now) != Fitness::Unfit)
+    }
+
     /// Takes in which upstreams limit the requests that they take.
     pub fn set_limited(&mut self, is_limited: impl Fn(&UpstreamId) -> bool) {
         for (id, tracked) in &mut self.upstreams {
@@ -219,9 +245,7 @@
         });
         let best = scored.min_by(|(a, _), (b, _)| a.total_cmp(b));
         let (score, best) = best.ok_or(Refusal::AllBusy)?;
-        let Able {
-            tracked, version, ..
-        } = best;
+        let (tracked, version) = (best.tracked, best.version);
         if score >= PAUSED_MS && !need.tried.is_empty() {
             return Err(Refusal::AllBusy);
         }
@@ -233,6 +257,7 @@
             unread_tokens,
             expected_ms: tracked.expected_first_event_ms(unread_tokens, now),
             is_preferred: version.is_none_or(|version| need.version.prefers(version)),
+            is_leaving: best.fitness == Fitness::Leaving,
         })
     }
 
@@ -264,6 +289,9 @@
         if able.is_empty() {
             return Err(refusal);
         }
+        if able.iter().any(|able| able.fitness == Fitness::Fit) {
+            able.retain(|able| able.fitness != Fitness::Leaving);
+        }
         let is_preferred = |able: &Able<'_>| {
             let version = able.version;
             version.is_none_or(|version| need.version.prefers(version))
@@ -302,7 +330,7 @@
             + match able.fitness {
                 Fitness::Failing if self.is_cut_off(tracked, now) => CUT_OFF_MS,
                 Fitness::Failing => PAUSED_MS,
-                Fitness::Unfit | Fitness::Fit => 0.0,
+                Fitness::Unfit | Fitness::Leaving | Fitness::Fit => 0.0,
             }
     }
 
--- a/crates/relay/src/fitness.rs
+++ b/crates/relay/src/fitness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::{Dispatcher, Tracked};
+use crate::{Dispatcher, Tracked, UpstreamState};
 
 /// Whether an upstream is sent to, by all that it and others have said, and by what sends to it have shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -12,6 +12,8 @@
     /// It does badly. Plain requests go there that have nowhere else to go; for those that name an adapter another engine
     /// has it in less time than this one may stay silent.
     Failing,
+    /// It serves on for a moment and then leaves: it gets what nobody else can serve now.
+    Leaving,
     /// It takes work.
     Fit,
 }
@@ -19,13 +21,27 @@
 impl Dispatcher {
     /// Whether an upstream is sent to.
     pub(crate) fn fitness(&self, tracked: &Tracked, now: Instant) -> Fitness {
-        if !tracked.upstream.takes_work() || tracked.is_gone(now) {
+        let by_state = self.fitness_by_state(tracked, now);
+        if by_state == Fitness::Unfit || tracked.is_gone(now) {
             return Fitness::Unfit;
         }
         let is_quiet = tracked.unread_tokens > 0 && tracked.is_silent(now);
         match tracked.health.is_paused(now) || is_quiet || self.is_cut_off(tracked, now) {
             true => Fitness::Failing,
-            false => Fitness::Fit,
+            false => by_state,
+        }
+    }
+
+    /// Whether an upstream takes work by the list and by its own word.
+    fn fitness_by_state(&self, tracked: &Tracked, now: Instant) -> Fitness {
+        match (tracked.upstream.state, tracked.leaving_since) {
+            (UpstreamState::Ready, None) => Fitness::Fit,
+            (UpstreamState::Ready | UpstreamState::Leaving, Some(since))
+                if now.duration_since(since) < self.leaving_grace =>
+            {
+                Fitness::Leaving
+            }
+            _ => Fitness::Unfit,
         }
     }
 }
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
     known: HashMap<UpstreamId, Notice>,
+    /// How many upstreams were found to leave.
+    leavings: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,7 +57,22 @@
     /// It holds until the process ends: whoever leaves never takes work again.
     pub fn note_leaving(&mut self, upstream: &UpstreamId, now: Instant) -> bool {
         let notice = self.notice(upstream, now);
-        !std::mem::replace(&mut notice.is_leaving, true)
+        let is_new = !std::mem::replace(&mut notice.is_leaving, true);
+        self.leavings += u64::from(is_new);
+        is_new
+    }
+
+    /// How often an upstream was found to leave.
+    pub fn leavings(&self) -> u64 {
+        self.leavings
+    }
+
+    /// The upstreams that leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &UpstreamId> {
+        let known = self.known.iter();
+        known
+            .filter(|(_, notice)| notice.is_leaving)
+            .map(|(upstream, _)| upstream)
     }
 
     /// Whether `upstream` has said that it leaves.
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -127,6 +127,8 @@
     pub unread_tokens: u64,
     /// Failures.
     pub health: Health,
+    /// When it first said to this node that it leaves.
+    pub(crate) leaving_since: Option<Instant>,
     /// Whether it limits the requests that it takes.
     pub(crate) is_limited: bool,
     /// Until when its limit leaves no room for another one, as far as is known.
@@ -158,6 +160,7 @@
             in_flight: 0,
             unread_tokens: 0,
             health: Health::default(),
+            leaving_since: None,
             is_limited: false,
             limited_until: None,
             gone_at: None,
@@ -317,6 +320,11 @@
         self.gone_at = Some(now);
     }
 
+    /// Whether it has not been said, by the list or by itself, that it leaves.
+    pub fn is_to_stay(&self) -> bool {
+        self.upstream.takes_work() && self.leaving_since.is_none()
+    }
+
     /// Takes in that its limit leaves no room before `until`.
     pub(crate) fn note_limited(&mut self, until: Instant) {
         self.limited_until = Some(until);
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -18,6 +18,8 @@
         /// When it ends whatever it still runs, if that is known.
         remaining: Option<Duration>,
     },
+    /// It said in an answer that it leaves, and the list does not show that yet.
+    Leaving,
 }
 
 /// An upstream.
@@ -61,6 +63,15 @@
         }
     }
 
+    /// The same upstream, once it has said that it leaves.
+    pub fn leaving(self) -> Self {
+        let state = match self.state {
+            UpstreamState::Ready => UpstreamState::Leaving,
+            listed => listed,
+        };
+        Self { state, ..self }
+    }
+
     /// Whether new work may go there.
     pub fn takes_work(&self) -> bool {
         self.state == UpstreamState::Ready
--- /dev/null
+++ b/crates/relay/tests/leaving.rs
@@ -0,0 +1,218 @@
+//! Upstreams that say that they leave, whatever lists and other nodes say.
+
+#![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
+
+mod common;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{engine, plain};
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{
+    Dispatcher, ModelRef, Need, Notices, PromptChain, Upstream, UpstreamState, VersionRule,
+};
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const GRACE: Duration = Duration::from_millis(1_000);
+
+/// How long what another node told, or a later list, takes to be gone by.
+const TICK: Duration = Duration::from_millis(100);
+
+const UPSTREAMS: usize = 4;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// An answer of the present process says so.
+    Word(usize),
+    /// Another node says so.
+    Told(usize),
+    /// The process ends and another one starts under its name.
+    Restart(usize),
+    /// A list is read, of any age: the state of each upstream, if it is in it, and whether it shows the process before.
+    List(Vec<Option<(bool, bool)>>),
+    Ask,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let entry = prop::option::weighted(0.8, (any::<bool>(), any::<bool>()));
+    prop_oneof![
+        1 => (0..UPSTREAMS).prop_map(Event::Word),
+        1 => (0..UPSTREAMS).prop_map(Event::Told),
+        1 => (0..UPSTREAMS).prop_map(Event::Restart),
+        3 => prop::collection::vec(entry, UPSTREAMS).prop_map(Event::List),
+        6 => Just(Event::Ask),
+    ]
+}
+
+/// One node with what it knows.
+struct World {
+    dispatcher: Dispatcher,
+    notices: Notices,
+    starts: [u64; UPSTREAMS],
+    listed: Vec<Upstream>,
+    /// When each process that leaves is to get nothing more.
+    spared_from: HashMap<UpstreamId, Instant>,
+    now: Instant,
+    is_engine: bool,
+}
+
+impl World {
+    fn new(is_engine: bool) -> Self {
+        let mut dispatcher = Dispatcher::new("here".into());
+        dispatcher.set_leaving_grace(GRACE);
+        let mut world = Self {
+            dispatcher,
+            notices: Notices::default(),
+            starts: [1; UPSTREAMS],
+            listed: Vec::new(),
+            spared_from: HashMap::new(),
+            now: Instant::now(),
+            is_engine,
+        };
+        world.list(&[Some((true, false)); UPSTREAMS]);
+        world
+    }
+
+    fn upstream(&self, place: usize, started: u64) -> Upstream {
+        let name = format!("u{place}");
+        let upstream = match self.is_engine {
+            true => engine(&name, &["a1"]),
+            false => plain(&name),
+        };
+        Upstream {
+            id: Upstream::id_of(&name, Some(started)),
+            started_ms: Some(started),
+            ..upstream
+        }
+    }
+
+    fn list(&mut self, entries: &[Option<(bool, bool)>]) {
+        let entries = entries.iter().enumerate();
+        let listed = entries.filter_map(|(place, entry)| {
+            let (is_ready, is_before) = (*entry)?;
+            let started = self.starts[place] - u64::from(is_before && self.starts[place] > 1);
+            let state = match is_ready {
+                true => UpstreamState::Ready,
+                false => UpstreamState::Draining { remaining: None },
+            };
+            let upstream = self.upstream(place, started);
+            Some(Upstream { state, ..upstream })
+        });
+        self.listed = listed.collect();
+        self.publish();
+    }
+
+    /// Has the traffic thread go by the list and by what is known besides.
+    fn publish(&mut self) {
+        let known = self.listed.iter().cloned().map(|upstream| {
+            Arc::new(match self.notices.is_leaving(&upstream.id) {
+                true => upstream.leaving(),
+                false => upstream,
+            })
+        });
+        let known: Vec<Arc<Upstream>> = known.collect();
+        self.dispatcher.set_upstreams(&known, self.now);
+    }
+
+    fn play(&mut self, event: &Event) -> Result<(), TestCaseError> {
+        match event {
+            Event::Word(place) => {
+                let id = self.upstream(*place, self.starts[*place]).id;
+                self.dispatcher.note_leaving(&id, self.now);
+                self.notices.note_leaving(&id, self.now);
+                self.spared_from.entry(id).or_insert(self.now + GRACE);
+            }
+            Event::Told(place) => {
+                let id = self.upstream(*place, self.starts[*place]).id;
+                self.notices.note_leaving(&id, self.now);
+                self.now += TICK;
+                self.publish();
+                self.spared_from.entry(id).or_insert(self.now);
+            }
+            Event::Restart(place) => self.starts[*place] += 1,
+            Event::List(entries) => self.list(entries),
+            Event::Ask => self.ask()?,
+        }
+        Ok(())
+    }
+
+    fn ask(&self) -> Result<(), TestCaseError> {
+        let model = self.is_engine.then(|| ModelRef::parse("base/a1"));
+        let service = self.upstream(0, 1).service;
+        let need = Need {
+            service: &service,
+            model: model.as_ref(),
+            version: VersionRule::ANY,
+            prompt_tokens: 0,
+            prompt: &PromptChain::default(),
+            tried: &[],
+        };
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        let stays =
+            |upstream: &&Upstream| upstream.takes_work() && !self.notices.is_leaving(&upstream.id);
+        let has_other = self.listed.iter().any(|upstream| stays(&upstream));
+        match self.dispatcher.choose(&need, self.now, &mut random) {
+            Ok(choice) => {
+                let id = &choice.upstream.id;
+                let spared = self.spared_from.get(id);
+                prop_assert!(spared.is_none_or(|from| self.now < *from), "{} leaves", id);
+                prop_assert!(
+                    !has_other || !choice.is_leaving,
+                    "{} leaves, others don't",
+                    id
+                );
+                let is_listed = |listed: &Upstream| listed.id == *id && listed.takes_work();
+                prop_assert!(
+                    self.listed.iter().any(is_listed),
+                    "{} is not to be used",
+                    id
+                );
+            }
+            Err(_) => prop_assert!(!has_other, "others take work"),
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(33),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against a process that is sent to past its bound after it said that it leaves, whatever is read or told since.
+    #[test]
+    fn a_process_that_leaves_gets_nothing_past_its_bound(
+        events in prop::collection::vec((event(), 0u64..700), 1..60),
+        is_engine in any::<bool>(),
+    ) {
+        let mut world = World::new(is_engine);
+        for (event, pause_ms) in events {
+            world.now += Duration::from_millis(pause_ms);
+            world.play(&event)?;
+        }
+    }
+}
+
+// Guards against a choice that was made before the word came and is sent after the bound.
+#[rstest]
+#[case::within_the_grace(Duration::from_millis(900), true)]
+#[case::past_it(Duration::from_millis(1_000), false)]
+fn what_was_chosen_is_looked_at_again(#[case] after: Duration, #[case] may_send: bool) {
+    let mut world = World::new(false);
+    let id = world.upstream(0, 1).id;
+    let now = world.now;
+    assert!(world.dispatcher.may_send(&id, now + after));
+    world.dispatcher.note_leaving(&id, now);
+    assert_eq!(world.dispatcher.may_send(&id, now + after), may_send);
+    world.listed.clear();
+    world.publish();
+    assert!(!world.dispatcher.may_send(&id, now), "it is not listed");
+}
