Give an upstream the rest that it asks a node for

What callers saw: of 126 requests that four engines turned away in 6 s, most went to an engine that had asked that node for 3 s of rest; 24 requests met two and more such engines, each some 340 ms apart, and four came late for it. The users saw five requests in one rest.

The class: what an answer asks of the sender is passed on to the caller and kept to by nobody.

- 503 and 429 with Retry-After begin a rest: nothing goes there from this node until it ends, not even where nobody else can serve, as it would be turned away.
The two that may reach it are left for what is on its way.
The longest time that was asked for holds; a good answer to an earlier request ends nothing; a process that starts anew is not at rest.
Up to a tenth of the time, half a second at most, is added at random, so that nodes don't come back together.
- After it one request shows whether the upstream takes work; the others wait for its answer, a second at most.
- An engine at rest gets neither orders nor reports of its owner, and no adapters; what it holds is loaded elsewhere.
- Where all rest, callers are refused at once (NS3003) with the end of the first rest, spread over half of it by rank: urgent ones return first.
- It is no failure: neither the failure rate nor pauses change.

Considered instead: to use the two requests as trials within the rest (an upstream that answers all with 503 would lose two callers' time in each), and to tell other nodes (it asks each node for itself, and may serve others).

--- a/crates/relay-node/src/control/knowledge.rs
+++ b/crates/relay-node/src/control/knowledge.rs
@@ -280,6 +280,7 @@
         };
         let is_changing = engine.is_changing_model();
         self.is_to_stay(&engine.id)
+            && !self.is_resting(&engine.id)
             && is_permitted
             && !engine.is_blocked()
             && engine.leaving_count() == 0
--- a/crates/relay-node/src/control/leaving_news.rs
+++ b/crates/relay-node/src/control/leaving_news.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::Upstream;
+use nutmegsail_relay::{RestSaid, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::knowledge::Knowledge;
@@ -82,6 +82,16 @@
         if own.is_leaving {
             self.note_leaving(engine, "engine");
         }
+        if let RestSaid::For(rest) = own.rest {
+            let (mut notices, now) = (self.shared.notices(), Instant::now());
+            notices.note_rest(engine, rest, now, &mut rand::rng());
+        }
+    }
+
+    /// Whether an upstream wants nothing from this node.
+    pub(crate) fn is_resting(&self, upstream: &UpstreamId) -> bool {
+        let notices = self.shared.notices();
+        notices.is_resting(upstream, Instant::now())
     }
 
     fn note_leaving(&self, upstream: &UpstreamId, told_by: &str) {
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -45,6 +45,9 @@
     /// Reads an engine's report and takes it in.
     pub(crate) async fn read_report(&self, engine: &OwnedEngine) -> Option<EngineState> {
         let upstream = self.upstream(&engine.id)?;
+        if self.is_resting(&engine.id) {
+            return None;
+        }
         let call = self.dialect.write_report_call(&upstream.name);
         let address = upstream.address.to_string();
         let answer = self.call(&address, to_request(call)?, CALL_TIMEOUT).await?;
@@ -141,7 +144,7 @@
     ///
     /// The store can take the key away unseen, so what was confirmed a while ago is read again.
     pub(crate) async fn permit(&self, engine: &OwnedEngine) -> Option<u64> {
-        if !self.is_to_stay(&engine.id) {
+        if !self.is_to_stay(&engine.id) || self.is_resting(&engine.id) {
             return None;
         }
         let permit = engine.ownership.borrow().permit(boot_time());
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -40,6 +40,8 @@
     connections: Gauge<u64>,
     suspects: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
+    leaving_upstreams: Gauge<u64>,
+    resting_upstreams: Gauge<u64>,
     store_era: Gauge<u64>,
     owner_concerns: Gauge<u64>,
     store_age: Gauge<u64>,
@@ -116,6 +118,14 @@
                 "nutmegsail.relay.suspects",
                 "Requests that upstreams ended under, by whether they are refused.",
             ),
+            leaving_upstreams: gauge(
+                "nutmegsail.relay.leaving_upstreams",
+                "Upstreams that say that they leave.",
+            ),
+            resting_upstreams: gauge(
+                "nutmegsail.relay.resting_upstreams",
+                "Upstreams that want nothing from this node for a while.",
+            ),
             limited_upstreams: gauge(
                 "nutmegsail.relay.limited_upstreams",
                 "Upstreams that limit the requests that they take.",
@@ -198,6 +208,12 @@
         self.limited_upstreams.record(upstreams as u64, &[]);
     }
 
+    /// Takes in how many upstreams leave, and how many rest.
+    pub(crate) fn notices(&self, leaving: usize, resting: usize) {
+        self.leaving_upstreams.record(leaving as u64, &[]);
+        self.resting_upstreams.record(resting as u64, &[]);
+    }
+
     /// Takes in whether engines are owned otherwise than they should be.
     pub(crate) fn owner_concern(&self, concern: &OwnershipConcern, is_on: bool) {
         let concern = KeyValue::new("concern", concern.to_string());
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -322,6 +322,8 @@
         let (refused, struck) = self.suspects().counts(Instant::now());
         self.metrics.suspects(refused, struck - refused);
         self.metrics.limited_upstreams(self.limits().count());
+        let (leaving, resting) = self.notices().counts(Instant::now());
+        self.metrics.notices(leaving, resting);
         self.metrics
             .asked(self.connections.load(Ordering::Relaxed), age);
     }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -12,7 +12,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, CrashWatch, Dispatcher, LoadPurpose, Need, Refusal as NoChoice, RetryBudget,
-    RetryBudgetRules, StatedPatience,
+    RetryBudgetRules, StatedPatience, return_after,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -78,6 +78,8 @@
     pub(super) own_shares: RefCell<OwnShares>,
     /// The changes of limits that the dispatcher knows.
     seen_limits: Cell<u64>,
+    /// The rests that the dispatcher knows.
+    seen_rests: Cell<u64>,
     pub(crate) bounds: BoundSettings,
     pub(crate) link: Rc<Link>,
     pub(crate) quotas: Rc<QuotaClient>,
@@ -176,6 +178,7 @@
             crash_watch: RefCell::default(),
             own_shares: RefCell::default(),
             seen_limits: Cell::new(0),
+            seen_rests: Cell::new(0),
             bounds: parts.bounds,
             quotas: Rc::new(QuotaClient::new(Rc::clone(&link))),
             slots: Rc::new(SlotClient::new(Rc::clone(&link))),
@@ -198,13 +201,14 @@
     /// The newest view, with the dispatcher brought up to it.
     pub(crate) fn view(&self) -> Arc<View> {
         let view = self.shared.view.load_full();
-        if view.number != self.seen_view.get() {
-            self.seen_view.set(view.number);
+        let is_new = self.seen_view.replace(view.number) != view.number;
+        if is_new {
             let mut dispatcher = self.dispatcher.borrow_mut();
             dispatcher.set_upstreams(&view.upstreams, Instant::now());
             dispatcher.set_load_times(&view.load_times);
         }
         self.take_limits();
+        self.take_rests(is_new);
         let news = self.shared.news.take();
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.note_domains_heard(&news.domains);
@@ -227,6 +231,18 @@
         }
     }
 
+    /// Brings the dispatcher up to the rests that are known, also of upstreams that were listed anew.
+    fn take_rests(&self, is_new_view: bool) {
+        let (notices, now) = (self.shared.notices(), Instant::now());
+        if self.seen_rests.replace(notices.rests()) != notices.rests() || is_new_view {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.set_rests(|upstream| {
+                let until = notices.rest_until(upstream);
+                until.filter(|until| now < *until)
+            });
+        }
+    }
+
     /// How long the older version of an adapter may be begun on.
     pub(crate) fn version_overlap(&self) -> Duration {
         self.bounds.version().mul_f64(VERSION_OVERLAP_SHARE)
@@ -389,9 +405,7 @@
                         return self.counted(call, sends, choice);
                     }
                 }
-                Err(NoChoice::NoUpstream) => {
-                    return Err(GivenUp::until(ResultCode::NoUpstream, ABSENT_RETRY_AFTER));
-                }
+                Err(NoChoice::NoUpstream) => return Err(self.without_upstream(call, sends, now)),
                 Err(NoChoice::AllBusy) => {
                     return Err(busy(ResultCode::UpstreamRefused));
                 }
@@ -422,6 +436,17 @@
         }
     }
 
+    /// Why a request is given up that no upstream can be sent: all are at rest, or none is known.
+    fn without_upstream(&self, call: &Call, sends: &Sends, now: Instant) -> GivenUp {
+        let dispatcher = self.dispatcher.borrow();
+        let Some(ends) = dispatcher.rest_ends(&need(call, &sends.tried), now) else {
+            return GivenUp::until(ResultCode::NoUpstream, ABSENT_RETRY_AFTER);
+        };
+        let wait = ends.saturating_duration_since(now);
+        let after = return_after(wait, call.priority(), &mut rand::rng());
+        GivenUp::until(ResultCode::UpstreamRefused, after)
+    }
+
     /// Whether `choice` is still good after the wait for its slot or turn, which goes back if not.
     fn may_send(&self, call: &Call, choice: &Choice) -> bool {
         let dispatcher = self.dispatcher.borrow();
--- a/crates/relay-node/src/traffic/own_words.rs
+++ b/crates/relay-node/src/traffic/own_words.rs
@@ -1,6 +1,6 @@
 //! What upstreams say of themselves in their answers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use nutmegsail_relay::{RestSaid, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
@@ -39,10 +39,14 @@
 
     fn note_rest(&self, call: &Call, upstream: &Upstream, said: RestSaid) {
         match said {
-            RestSaid::None => {}
+            RestSaid::None | RestSaid::For(Duration::ZERO) => {}
             RestSaid::For(rest) => {
-                let now = Instant::now();
-                self.shared.notices().note_rest(&upstream.id, rest, now);
+                let (mut notices, now) = (self.shared.notices(), Instant::now());
+                let until = notices.note_rest(&upstream.id, rest, now, &mut rand::rng());
+                drop(notices);
+                let mut dispatcher = self.dispatcher.borrow_mut();
+                dispatcher.note_rest(&upstream.id, until);
+                drop(dispatcher);
                 log_event!(
                     self.log, Event::RestAsked,
                     "upstream" => upstream.id.to_string(), "rest_ms" => rest.as_millis(),
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -195,6 +195,22 @@
         }
     }
 
+    /// Takes in that an upstream wants nothing from this node before `until`.
+    pub fn note_rest(&mut self, id: &UpstreamId, until: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(id) {
+            tracked.rest.begin(until);
+        }
+    }
+
+    /// Takes in until when each upstream wants nothing from this node.
+    pub fn set_rests(&mut self, until: impl Fn(&UpstreamId) -> Option<Instant>) {
+        for (id, tracked) in &mut self.upstreams {
+            if let Some(until) = until(id) {
+                tracked.rest.begin(until);
+            }
+        }
+    }
+
     /// Whether what was chosen for an upstream may still be sent there.
     pub fn may_send(&self, id: &UpstreamId, now: Instant) -> bool {
         let tracked = self.tracked(id);
@@ -303,7 +319,7 @@
     }
 
     /// The upstreams of the service that the request was not sent to.
-    fn candidates(&self, need: &Need<'_>) -> impl Iterator<Item = &Tracked> {
+    pub(crate) fn candidates(&self, need: &Need<'_>) -> impl Iterator<Item = &Tracked> {
         let upstreams = self.upstreams.values();
         upstreams.filter(|tracked| {
             tracked.upstream.service == *need.service && !need.tried.contains(&tracked.upstream.id)
@@ -419,6 +435,7 @@
             return;
         };
         let sound_ms = expected_ms / tracked.slowness(now);
+        tracked.rest.note_answered();
         tracked.note_first_event(expected_ms, took, now);
         // Plain services answer in their own time.
         if !tracked.holdings.models.is_empty() {
@@ -462,6 +479,9 @@
     pub fn note_outcome(&mut self, id: &UpstreamId, outcome: Outcome, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
             tracked.health.note(outcome, now);
+            if outcome != Outcome::Answered {
+                tracked.rest.note_not_answered();
+            }
         }
     }
 
@@ -469,6 +489,7 @@
     pub fn note_unreachable(&mut self, id: &UpstreamId, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
             tracked.health.note_unreachable(now);
+            tracked.rest.note_not_answered();
         }
     }
 }
--- a/crates/relay/src/fitness.rs
+++ b/crates/relay/src/fitness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::{Dispatcher, Tracked, UpstreamState};
+use crate::{Dispatcher, Need, Tracked, UpstreamState};
 
 /// Whether an upstream is sent to, by all that it and others have said, and by what sends to it have shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,7 +22,8 @@
     /// Whether an upstream is sent to.
     pub(crate) fn fitness(&self, tracked: &Tracked, now: Instant) -> Fitness {
         let by_state = self.fitness_by_state(tracked, now);
-        if by_state == Fitness::Unfit || tracked.is_gone(now) {
+        let is_at_rest = tracked.rest.ends(now).is_some();
+        if by_state == Fitness::Unfit || tracked.is_gone(now) || is_at_rest {
             return Fitness::Unfit;
         }
         let is_quiet = tracked.unread_tokens > 0 && tracked.is_silent(now);
@@ -32,6 +33,16 @@
         }
     }
 
+    /// When the first of the upstreams that `need` could go to takes work again, if all of them are at rest.
+    pub fn rest_ends(&self, need: &Need<'_>, now: Instant) -> Option<Instant> {
+        let candidates = self.candidates(need);
+        let to_stay = candidates.filter(|tracked| {
+            !tracked.is_gone(now) && self.fitness_by_state(tracked, now) != Fitness::Unfit
+        });
+        let ends = to_stay.map(|tracked| tracked.rest.ends(now));
+        ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    }
+
     /// Whether an upstream takes work by the list and by its own word.
     fn fitness_by_state(&self, tracked: &Tracked, now: Instant) -> Fitness {
         match (tracked.upstream.state, tracked.leaving_since) {
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
+use rand::{Rng, RngExt as _};
 
 /// How long what an upstream said is remembered after it was last listed: entries lapse with the store, and come back with
 /// an older copy of it.
@@ -12,6 +13,10 @@
 /// The longest rest that is kept to. What asks for more is asked again after a day.
 const LONGEST_REST: Duration = Duration::from_secs(86_400);
 
+/// The time over which nodes come back after a rest, as a part of it, and at most.
+const REST_SPREAD_SHARE: f64 = 0.1;
+const LONGEST_SPREAD: Duration = Duration::from_millis(500);
+
 /// How long an answer says that its upstream wants no further requests of this node.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum RestSaid {
@@ -34,14 +39,17 @@
 /// assert!(notices.note_leaving(&engine, now));
 /// assert!(!notices.note_leaving(&engine, now), "it is known");
 /// assert!(notices.is_leaving(&engine));
-/// notices.note_rest(&engine, Duration::from_secs(3), now);
-/// assert_eq!(notices.rest_until(&engine), Some(now + Duration::from_secs(3)));
+/// let rest = Duration::from_secs(3);
+/// notices.note_rest(&engine, rest, now, &mut rand::rng());
+/// assert!(notices.is_resting(&engine, now + rest));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
     known: HashMap<UpstreamId, Notice>,
     /// How many upstreams were found to leave.
     leavings: u64,
+    /// How often an upstream asked for rest.
+    rests: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -81,13 +89,43 @@
         notice.is_some_and(|notice| notice.is_leaving)
     }
 
-    /// Takes in that `upstream` wants nothing from this node for `rest`.
+    /// Takes in that `upstream` wants nothing from this node for `rest`, and returns until when that is.
     ///
-    /// A shorter time that is asked for later ends nothing: answers overtake each other.
-    pub fn note_rest(&mut self, upstream: &UpstreamId, rest: Duration, now: Instant) {
-        let until = now + rest.min(LONGEST_REST);
+    /// A shorter time that is asked for later ends nothing: answers overtake each other. Part of the rest is added at
+    /// random, so that nodes which were turned away together don't come back together.
+    pub fn note_rest(
+        &mut self,
+        upstream: &UpstreamId,
+        rest: Duration,
+        now: Instant,
+        random: &mut dyn Rng,
+    ) -> Instant {
+        let rest = rest.min(LONGEST_REST);
+        let spread = rest.mul_f64(REST_SPREAD_SHARE).min(LONGEST_SPREAD);
+        let until = now + rest + spread.mul_f64(random.random());
         let notice = self.notice(upstream, now);
-        notice.rest_until = notice.rest_until.max(Some(until));
+        let until = notice.rest_until.map_or(until, |known| known.max(until));
+        notice.rest_until = Some(until);
+        self.rests += 1;
+        until
+    }
+
+    /// How often an upstream asked for rest.
+    pub fn rests(&self) -> u64 {
+        self.rests
+    }
+
+    /// Whether `upstream` wants nothing from this node at `now`.
+    pub fn is_resting(&self, upstream: &UpstreamId, now: Instant) -> bool {
+        self.rest_until(upstream).is_some_and(|until| now < until)
+    }
+
+    /// How many upstreams leave, and how many rest.
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
+        let leaving = self.leaving().count();
+        let known = self.known.keys();
+        let resting = known.filter(|upstream| self.is_resting(upstream, now));
+        (leaving, resting.count())
     }
 
     /// Until when `upstream` wants nothing from this node, if it has asked for rest.
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::rest::Rest;
 use crate::{
     Health, HeldAdapter, Holdings, KeptPrompts, ModelDigest, ModelRef, PromptChain, RecentAdapters,
     Upstream, VersionRule,
@@ -129,6 +130,8 @@
     pub health: Health,
     /// When it first said to this node that it leaves.
     pub(crate) leaving_since: Option<Instant>,
+    /// The rest that it asked this node for.
+    pub(crate) rest: Rest,
     /// Whether it limits the requests that it takes.
     pub(crate) is_limited: bool,
     /// Until when its limit leaves no room for another one, as far as is known.
@@ -161,6 +164,7 @@
             unread_tokens: 0,
             health: Health::default(),
             leaving_since: None,
+            rest: Rest::default(),
             is_limited: false,
             limited_until: None,
             gone_at: None,
@@ -311,6 +315,7 @@
     /// Counts a request as sent.
     pub(crate) fn sent(&mut self, prompt_tokens: u64, now: Instant) {
         self.in_flight += 1;
+        self.rest.note_sent(now);
         self.unread_tokens += prompt_tokens;
         self.waiting_since.get_or_insert(now);
     }
--- /dev/null
+++ b/crates/relay/tests/rest.rs
@@ -0,0 +1,246 @@
+//! Upstreams that ask for rest, and what is sent to them meanwhile and after.
+
+#![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
+
+mod common;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{engine, plain};
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{
+    Dispatcher, ModelRef, Need, Notices, Outcome, PromptChain, Upstream, VersionRule, return_after,
+};
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const UPSTREAMS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// A request comes, and is sent if it can be.
+    Ask,
+    /// The upstream turns the oldest request away that it has, and asks for rest; also one that others sent.
+    Refuse(usize, u64),
+    /// It begins to answer its oldest request.
+    Answer(usize),
+    /// Its oldest request fails.
+    Fail(usize),
+    /// The list is read without it, and then with it.
+    Relist(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let rest_ms = prop_oneof![Just(0), 1..400_u64, 400..4_000_u64, Just(u64::MAX)];
+    prop_oneof![
+        8 => Just(Event::Ask),
+        2 => (0..UPSTREAMS, rest_ms).prop_map(|(place, rest_ms)| Event::Refuse(place, rest_ms)),
+        3 => (0..UPSTREAMS).prop_map(Event::Answer),
+        1 => (0..UPSTREAMS).prop_map(Event::Fail),
+        1 => (0..UPSTREAMS).prop_map(Event::Relist),
+    ]
+}
+
+struct World {
+    dispatcher: Dispatcher,
+    notices: Notices,
+    upstreams: Vec<Upstream>,
+    /// Until when each upstream at least wants nothing.
+    rests: [Option<Instant>; UPSTREAMS],
+    /// When requests were sent to each since its last rest ended, until one was answered.
+    trials: [Option<Vec<Instant>>; UPSTREAMS],
+    in_flight: [usize; UPSTREAMS],
+    now: Instant,
+    random: ChaCha8Rng,
+}
+
+impl World {
+    fn new(is_engine: bool) -> Self {
+        let named = |place: usize| match is_engine {
+            true => engine(&format!("u{place}"), &["a1"]),
+            false => plain(&format!("u{place}")),
+        };
+        let mut world = Self {
+            dispatcher: Dispatcher::new("here".into()),
+            notices: Notices::default(),
+            upstreams: (0..UPSTREAMS).map(named).collect(),
+            rests: [None; UPSTREAMS],
+            trials: Default::default(),
+            in_flight: [0; UPSTREAMS],
+            now: Instant::now(),
+            random: ChaCha8Rng::seed_from_u64(3),
+        };
+        world.list(|_| true);
+        world
+    }
+
+    fn list(&mut self, is_listed: impl Fn(usize) -> bool) {
+        let listed = self.upstreams.iter().enumerate();
+        let listed: Vec<Arc<Upstream>> = listed
+            .filter(|(place, _)| is_listed(*place))
+            .map(|(_, upstream)| Arc::new(upstream.clone()))
+            .collect();
+        self.dispatcher.set_upstreams(&listed, self.now);
+        let notices = &self.notices;
+        self.dispatcher.set_rests(|id| notices.rest_until(id));
+    }
+
+    fn id(&self, place: usize) -> UpstreamId {
+        self.upstreams[place].id.clone()
+    }
+
+    fn play(&mut self, event: &Event) -> Result<(), TestCaseError> {
+        match event {
+            Event::Ask => self.ask()?,
+            Event::Refuse(place, rest_ms) => self.refuse(*place, Duration::from_millis(*rest_ms)),
+            Event::Answer(place) if self.in_flight[*place] > 0 => {
+                let (id, took) = (self.id(*place), Duration::from_millis(20));
+                self.dispatcher.answer_began(&id, 20.0, took, self.now);
+                self.dispatcher
+                    .note_outcome(&id, Outcome::Answered, self.now);
+                self.end(*place);
+                if self.rests[*place].is_none_or(|until| until <= self.now) {
+                    self.trials[*place] = None;
+                }
+            }
+            Event::Fail(place) if self.in_flight[*place] > 0 => {
+                let id = self.id(*place);
+                self.dispatcher.note_outcome(&id, Outcome::Failed, self.now);
+                self.end(*place);
+                self.trials[*place] = self.trials[*place].as_ref().map(|_| Vec::new());
+            }
+            Event::Answer(_) | Event::Fail(_) => {}
+            Event::Relist(place) => {
+                self.in_flight[*place] = 0;
+                self.list(|listed| listed != *place);
+                self.list(|_| true);
+                self.trials[*place] = self.trials[*place].as_ref().map(|_| Vec::new());
+            }
+        }
+        Ok(())
+    }
+
+    fn refuse(&mut self, place: usize, rest: Duration) {
+        let id = self.id(place);
+        self.dispatcher.note_outcome(&id, Outcome::Full, self.now);
+        if self.in_flight[place] > 0 {
+            self.end(place);
+        }
+        if !rest.is_zero() {
+            let until = self
+                .notices
+                .note_rest(&id, rest, self.now, &mut self.random);
+            self.dispatcher.note_rest(&id, until);
+            let least = self.now + rest.min(Duration::from_secs(86_400));
+            self.rests[place] = self.rests[place].max(Some(least));
+            self.trials[place] = Some(Vec::new());
+        } else if self.trials[place].is_some() {
+            self.trials[place] = Some(Vec::new());
+        }
+    }
+
+    fn end(&mut self, place: usize) {
+        let id = self.id(place);
+        self.dispatcher.ended(&id);
+        self.in_flight[place] -= 1;
+    }
+
+    fn ask(&mut self) -> Result<(), TestCaseError> {
+        let is_engine = self.upstreams[0].service.as_str() == "engines";
+        let model = is_engine.then(|| ModelRef::parse("base/a1"));
+        let service = self.upstreams[0].service.clone();
+        let need = Need {
+            service: &service,
+            model: model.as_ref(),
+            version: VersionRule::ANY,
+            prompt_tokens: 0,
+            prompt: &PromptChain::default(),
+            tried: &[],
+        };
+        let now = self.now;
+        let rests = |place: usize| self.rests[place].is_some_and(|until| now < until);
+        match self.dispatcher.choose(&need, now, &mut self.random) {
+            Ok(choice) => {
+                let place = (0..UPSTREAMS)
+                    .find(|place| self.id(*place) == choice.upstream.id)
+                    .unwrap();
+                prop_assert!(!rests(place), "{} is at rest", choice.upstream.id);
+                self.dispatcher.sent(&choice.upstream.id, 0, now);
+                self.in_flight[place] += 1;
+                if let Some(sent) = &mut self.trials[place] {
+                    sent.retain(|at| now.duration_since(*at) < Duration::from_secs(1));
+                    sent.push(now);
+                    prop_assert!(sent.len() <= 1, "{} at once after a rest", sent.len());
+                }
+            }
+            Err(_) => {
+                let ends = self.dispatcher.rest_ends(&need, now);
+                let all = (0..UPSTREAMS).all(rests);
+                prop_assert!(!all || ends.is_some(), "nobody is told when to return");
+                let first = (0..UPSTREAMS).filter_map(|place| self.rests[place]).min();
+                prop_assert!(!all || ends >= first, "told to return too early");
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(33),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against requests to an upstream in the rest that it asked for, and against all that come when it ends.
+    #[test]
+    fn an_upstream_at_rest_gets_nothing_and_is_tried_after_it(
+        events in prop::collection::vec((event(), 0u64..500), 1..80),
+        is_engine in any::<bool>(),
+    ) {
+        let mut world = World::new(is_engine);
+        for (event, pause_ms) in events {
+            world.now += Duration::from_millis(pause_ms);
+            world.play(&event)?;
+        }
+    }
+
+    // Guards against callers that are told to return before they can be served, routine ones before urgent ones.
+    #[test]
+    fn callers_return_after_the_wait_and_the_urgent_first(
+        wait_ms in 0u64..100_000,
+        rank in 0u8..4,
+        seed in any::<u64>(),
+    ) {
+        let (wait, mut random) = (Duration::from_millis(wait_ms), ChaCha8Rng::seed_from_u64(seed));
+        let urgent = return_after(wait, rank, &mut random);
+        let routine = return_after(wait, rank + 1, &mut random);
+        prop_assert!(wait <= urgent && urgent <= routine);
+    }
+}
+
+// Guards against a shorter rest that is asked for later, or an answer to an earlier request, which end a rest.
+#[rstest]
+#[case::a_shorter_one(|world: &mut World| world.refuse(0, Duration::from_millis(100)))]
+#[case::an_answer(|world: &mut World| world.play(&Event::Answer(0)).unwrap())]
+fn a_rest_goes_on_whatever_else_is_said(#[case] said: fn(&mut World)) {
+    let mut world = World::new(false);
+    let id = world.id(0);
+    world.dispatcher.sent(&id, 0, world.now);
+    world.dispatcher.sent(&id, 0, world.now);
+    world.in_flight[0] = 2;
+    let rest = Duration::from_secs(3);
+    world.refuse(0, rest);
+    said(&mut world);
+    let late = Duration::from_millis(2_900);
+    assert!(!world.dispatcher.may_send(&id, world.now + late));
+    assert!(
+        world
+            .dispatcher
+            .may_send(&id, world.now + rest.mul_f64(1.2))
+    );
+}
