--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -53,7 +53,7 @@
 
 /// The part of the time in which a leaving upstream may get requests that is used, for those that nobody else can serve.
 /// The rest covers what is on its way.
-const LEAVING_GRACE_SHARE: f64 = 0.5;
+const LEAVING_GRACE_SHARE: f64 = 0.8;
 
 /// The least time in which an answer could still come.
 const LEAST_REMAINING: Duration = Duration::from_millis(5);
