--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -71,6 +71,10 @@
         self.missing.borrow_mut().remove(&upstream.id);
         for started_before in self.ids_of(&upstream.name) {
             if started_before != upstream.id {
+                log_event!(
+                    control.log, Event::UpstreamRestarted,
+                    "upstream" => upstream.id.to_string(), "before" => started_before.to_string()
+                );
                 control.upstreams.borrow_mut().remove(&started_before);
             }
         }
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -91,10 +91,12 @@
             }
             Ok(Err(SendError::AtLimit)) => return SendOutcome::NotArrived,
             Ok(Err(SendError::Broken)) => {
+                self.log_lost(call, choice, "the connection broke");
                 in_flight.record_disconnected();
                 return SendOutcome::Lost;
             }
             Err(_) => {
+                self.log_lost(call, choice, "timed out");
                 in_flight.record_broken();
                 return match head_timeout < remaining {
                     true => SendOutcome::Lost,
@@ -118,6 +120,7 @@
         // connection. Forwarding it would give one caller another caller's answer, so the request
         // ids are compared. Dropping the answer also drops its connection.
         if meta.request_id != call.meta.request_id {
+            self.log_lost(call, choice, "the answer is another request's");
             in_flight.record_broken();
             return SendOutcome::Lost;
         }
@@ -140,6 +143,7 @@
         // produced by the upstream.
         let is_invalid = answer.headers().contains_key(header::CONTENT_ENCODING) || !meta.is_sealed;
         if is_invalid {
+            self.log_lost(call, choice, "the answer is encoded or not signed");
             in_flight.record_broken();
             return SendOutcome::Lost;
         }
@@ -164,6 +168,14 @@
         );
     }
 
+    fn log_lost(&self, call: &Call, choice: &Choice, why: &str) {
+        log_event!(
+            self.log, Event::SendLost,
+            "request" => call.id.to_string(), "upstream" => choice.upstream.id.to_string(),
+            "why" => why.to_owned(), "age_ms" => call.began.elapsed().as_millis()
+        );
+    }
+
     /// Records that another upstream is at the address, or that this one does not hold the model.
     fn record_misdirected(&self, call: &Call, choice: &Choice, meta: &AnswerMeta) {
         let mut dispatcher = self.dispatcher.borrow_mut();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -86,6 +86,7 @@
     2011 QuotaRefused Info "A request was refused for its team's quota.";
     2012 CrashingRequestRefused Warning "A request was refused, as upstreams ended under it.";
     2013 HeldBack Info "A request was held back from an upstream, whose limit had no room for it.";
+    2014 SendLost Info "A request was sent to an upstream, and no usable answer came; it may have run.";
     3001 UpstreamEjected Warning "An upstream failed too often and gets no work for a while.";
     3002 UpstreamRestored Info "An upstream gets work again.";
     3003 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
