Keep a leaving notice for the process that sent it when the list shows a restart late

Cause: an answer does not name the process that sent it, and the list shows a restart up to seconds late. A notice is filed under the listed process and was lost when the list showed the next one. Change: UpstreamNotices learns which process succeeds which. A notice that the successor may have sent counts for it, unconfirmed, with the grace period that is left; a health check on a new connection confirms or drops it. An engine's report that names its process files the notice under that one at once. New property test over restarts, late lists and late answers; it fails without the successor chain, the time of the last notice, and the check's result.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -28,6 +28,7 @@
 use super::limit_gossip::LimitGossip;
 use super::load_aggregator::{LoadAggregator, LoadBatch};
 use super::model_demand::ModelDemandUpdate;
+use super::restarts::RestartChecks;
 use super::suspect_gossip::{SuspectGossip, all_suspects};
 use crate::shared::{AdapterDemand, CopyRequest, EngineUpdate, EngineUsage};
 use crate::traffic_message::TrafficMessage;
@@ -138,6 +139,7 @@
     let mut suspect_gossip = SuspectGossip::default();
     let mut limit_gossip = LimitGossip::default();
     let mut leaving_gossip = LeavingGossip::default();
+    let mut restart_checks = RestartChecks::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -148,6 +150,7 @@
                 send_suspects(&control, &socket, &mut suspect_gossip);
                 send_limits(&control, &socket, &mut limit_gossip);
                 send_leaving(&control, &socket, &mut leaving_gossip);
+                restart_checks.start_due(&control);
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
             }
--- a/crates/relay-node/src/control/leaving_gossip.rs
+++ b/crates/relay-node/src/control/leaving_gossip.rs
@@ -71,7 +71,7 @@
 
     /// Adds an upstream's own announcement that it is leaving to its listed state.
     pub(crate) fn with_own_notice(&self, upstream: Upstream) -> Upstream {
-        match self.shared.notices().is_leaving(&upstream.id) {
+        match self.shared.notices().is_confirmed_leaving(&upstream.id) {
             true => upstream.leaving(),
             false => upstream,
         }
@@ -80,18 +80,25 @@
     /// Applies announcements that other nodes sent.
     pub(crate) fn apply_leaving(&self, upstreams: &[UpstreamId]) {
         for upstream in upstreams {
-            self.record_leaving(upstream, "node");
+            if !self.shared.notices().is_confirmed_leaving(upstream) {
+                self.record_leaving(upstream, "node");
+            }
         }
     }
 
-    /// Applies what an engine says about itself in an answer to its owner.
-    pub(super) fn apply_engine_notice(&self, engine: &UpstreamId, notice: UpstreamNotice) {
+    /// Applies what an upstream says about itself in an answer to the control thread.
+    pub(super) fn apply_upstream_notice(
+        &self,
+        upstream: &UpstreamId,
+        notice: UpstreamNotice,
+        told_by: &str,
+    ) {
         if notice.is_leaving {
-            self.record_leaving(engine, "engine");
+            self.record_leaving(upstream, told_by);
         }
         if let RequestedBackoff::For(rest) = notice.backoff {
             let (mut notices, now) = (self.shared.notices(), Instant::now());
-            notices.record_backoff(engine, rest, now, &mut rand::rng());
+            notices.record_backoff(upstream, rest, now, &mut rand::rng());
         }
     }
 
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -27,6 +27,7 @@
 mod owners;
 mod peers;
 mod poll_loads;
+mod restarts;
 mod returning_nodes;
 mod slots;
 mod store_reader;
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -15,7 +15,7 @@
 use super::engine::{EarlyUse, OwnedEngine, PendingLoad};
 use super::owners;
 use crate::clock::boot_time;
-use crate::{EngineCall, EngineState, Order, OrderAnswer, OrderStep};
+use crate::{EngineState, Order, OrderAnswer, OrderStep, UpstreamCall};
 
 /// Timeout for a report or an order, which are usually answered within milliseconds. An engine may
 /// still execute an order after the timeout, which the expected sequence number in the order makes
@@ -32,9 +32,32 @@
         address: &str,
         request: Request<Full<Bytes>>,
         limit: Duration,
+    ) -> Option<Response<Bytes>> {
+        self.call_after(address, request, limit, Duration::MAX)
+            .await
+    }
+
+    /// Like [`Self::call`], on a connection that has not been used before.
+    pub(crate) async fn call_on_new_connection(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Option<Response<Bytes>> {
+        self.call_after(address, request, limit, Duration::ZERO)
+            .await
+    }
+
+    async fn call_after(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        max_idle: Duration,
     ) -> Option<Response<Bytes>> {
         let exchange = async {
-            let answer = self.pool.send(address, request).await.ok()?;
+            let sending = self.pool.send_after(address, request, max_idle);
+            let answer = sending.await.ok()?;
             let (head, body) = answer.into_parts();
             let body = Limited::new(body, BODY_LIMIT_BYTES);
             let body = body.collect().await.ok()?.to_bytes();
@@ -61,7 +84,7 @@
             return None;
         }
         if answer.status() != StatusCode::OK {
-            self.apply_engine_notice(&engine.id, notice);
+            self.apply_upstream_notice(&engine.id, notice, "engine");
             return None;
         }
         let report = match self.dialect.decode_report(answer.body()) {
@@ -78,10 +101,12 @@
             report.started_ms.is_none() || report.started_ms == upstream.started_ms;
         if !is_same_process {
             // The engine was restarted under the same name, with other holdings.
+            let id = Upstream::id_of(&upstream.name, report.started_ms);
+            self.apply_upstream_notice(&id, notice, "engine");
             self.drop_ended_engine(&engine.id);
             return None;
         }
-        self.apply_engine_notice(&engine.id, notice);
+        self.apply_upstream_notice(&engine.id, notice, "engine");
         for load in engine.apply_report(&report) {
             self.shared
                 .metrics
@@ -201,7 +226,7 @@
             let notice = self
                 .dialect
                 .read_upstream_notice(answer.status(), answer.headers());
-            self.apply_engine_notice(&engine.id, notice);
+            self.apply_upstream_notice(&engine.id, notice, "engine");
         }
         let answer = answer.and_then(|answer| self.dialect.read_order_answer(answer.status()));
         log_event!(
@@ -216,10 +241,10 @@
     }
 }
 
-fn to_request(call: EngineCall) -> Option<Request<Full<Bytes>>> {
+pub(super) fn to_request(call: UpstreamCall) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::builder()
         .method(call.method)
-        .uri(call.path)
+        .uri(&*call.path)
         .body(Full::new(call.body))
         .ok()?;
     *request.headers_mut() = call.headers;
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -57,6 +57,7 @@
                 return self.reject(item, &error.problem);
             }
         };
+        let before = self.listing.borrow().process_of(&entry.upstream.name);
         let admitted = self.listing.borrow_mut().admit(entry, Instant::now());
         let upstream = match admitted {
             Ok(upstream) => upstream,
@@ -67,14 +68,13 @@
                 return self.reject(item, &fault.to_string());
             }
         };
+        if let Some(before) = before.filter(|before| *before != upstream.id) {
+            control.record_restart(&before, &upstream.id);
+        }
         let upstream = control.with_own_notice(upstream);
         self.missing.borrow_mut().remove(&upstream.id);
         for started_before in self.ids_of(&upstream.name) {
             if started_before != upstream.id {
-                log_event!(
-                    control.log, Event::UpstreamRestarted,
-                    "upstream" => upstream.id.to_string(), "before" => started_before.to_string()
-                );
                 control.upstreams.borrow_mut().remove(&started_before);
             }
         }
--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -1,5 +1,6 @@
 //! The interface to a platform's protocol: its headers, paths, keys and formats.
 
+use std::borrow::Cow;
 use std::fmt::Debug;
 use std::time::Duration;
 
@@ -126,13 +127,13 @@
     pub fence: u64,
 }
 
-/// An HTTP request to an engine.
+/// An HTTP request that a node sends to an upstream on its own behalf.
 #[derive(Clone, Debug, PartialEq)]
-pub struct EngineCall {
+pub struct UpstreamCall {
     /// The method.
     pub method: Method,
     /// The path.
-    pub path: &'static str,
+    pub path: Cow<'static, str>,
     /// The headers.
     pub headers: HeaderMap,
     /// The body.
@@ -199,8 +200,10 @@
     fn read_upstream_notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice;
     /// The path of the platform's readiness check.
     fn ready_path(&self) -> &'static str;
+    /// Builds a health check of an upstream; another one at the address refuses it.
+    fn write_health_call(&self, path: &str, upstream: &str) -> UpstreamCall;
     /// Builds the request for an engine's report; another upstream at the address refuses it.
-    fn write_report_call(&self, upstream: &str) -> EngineCall;
+    fn write_report_call(&self, upstream: &str) -> UpstreamCall;
     /// Decodes an engine's report.
     ///
     /// # Errors
@@ -208,7 +211,7 @@
     /// [`DecodeError`] for a body that cannot be decoded.
     fn decode_report(&self, body: &[u8]) -> Result<EngineState, DecodeError>;
     /// Builds the request that carries an order.
-    fn write_order(&self, order: &Order<'_>) -> EngineCall;
+    fn write_order(&self, order: &Order<'_>) -> UpstreamCall;
     /// Reads the answer to an order; `None` if it does not tell whether the order was accepted.
     fn read_order_answer(&self, status: StatusCode) -> Option<OrderAnswer>;
     /// The prefix of the store keys that operators write.
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -23,8 +23,8 @@
 const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
 
 pub use dialect::{
-    AnswerMeta, BadHeader, CallMeta, DecodeError, Dialect, EngineCall, EngineState, NamedVersion,
-    Order, OrderAnswer, OrderStep, SendMeta, UpstreamNotice, Verdict,
+    AnswerMeta, BadHeader, CallMeta, DecodeError, Dialect, EngineState, NamedVersion, Order,
+    OrderAnswer, OrderStep, SendMeta, UpstreamCall, UpstreamNotice, Verdict,
 };
 pub use node::{RelayNode, RelayNodeError};
 pub use settings::{BoundSettings, RelaySettings, RelaySettingsError, StoreSettings};
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -79,9 +79,9 @@
     /// The [`RateLimits`](nutmegsail_relay::RateLimits) change count that the dispatcher was last
     /// updated to.
     applied_limits: Cell<u64>,
-    /// The [`UpstreamNotices`](nutmegsail_relay::UpstreamNotices) backoff count that the dispatcher
+    /// The [`UpstreamNotices`](nutmegsail_relay::UpstreamNotices) change count that the dispatcher
     /// was last updated to.
-    applied_backoffs: Cell<u64>,
+    applied_notices: Cell<u64>,
     pub(crate) bounds: BoundSettings,
     pub(crate) peer_socket: Rc<PeerSocket>,
     pub(crate) quotas: Rc<QuotaClient>,
@@ -181,7 +181,7 @@
             crash_watch: RefCell::default(),
             local_rate_buckets: RefCell::default(),
             applied_limits: Cell::new(0),
-            applied_backoffs: Cell::new(0),
+            applied_notices: Cell::new(0),
             bounds: parts.bounds,
             quotas: Rc::new(QuotaClient::new(Rc::clone(&peer_socket))),
             slots: Rc::new(SlotClient::new(Rc::clone(&peer_socket))),
@@ -211,7 +211,7 @@
             dispatcher.set_load_times(&view.load_times);
         }
         self.apply_limits();
-        self.apply_backoffs(is_new);
+        self.apply_notices(is_new);
         let updates = self.shared.owner_updates.take();
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.merge_domain_contacts(&updates.domains);
@@ -234,14 +234,16 @@
         }
     }
 
-    /// Applies changed backoffs to the dispatcher; on a new view always, as it may list upstreams
+    /// Applies changed notices to the dispatcher; on a new view always, as it may list upstreams
     /// again.
-    fn apply_backoffs(&self, is_new_view: bool) {
+    fn apply_notices(&self, is_new_view: bool) {
         let (notices, now) = (self.shared.notices(), Instant::now());
-        if self.applied_backoffs.replace(notices.backoff_count()) != notices.backoff_count()
+        if self.applied_notices.replace(notices.change_count()) != notices.change_count()
             || is_new_view
         {
             let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher
+                .set_unconfirmed_leaving(|upstream| notices.unconfirmed_leaving_since(upstream));
             dispatcher.set_backoffs(|upstream| {
                 let until = notices.backoff_until(upstream);
                 until.filter(|until| now < *until)
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -204,7 +204,15 @@
     pub fn record_leaving(&mut self, id: &UpstreamId, now: Instant) {
         let tracked = self.upstreams.get_mut(id);
         if let Some(tracked) = tracked.filter(|tracked| tracked.upstream.takes_work()) {
-            tracked.leaving_since.get_or_insert(now);
+            let since = tracked.may_be_leaving_since().unwrap_or(now);
+            tracked.leaving_since = Some(since);
+        }
+    }
+
+    /// Updates since when each upstream may be leaving although this is not confirmed.
+    pub fn set_unconfirmed_leaving(&mut self, since: impl Fn(&UpstreamId) -> Option<Instant>) {
+        for (id, tracked) in &mut self.upstreams {
+            tracked.unconfirmed_leaving_since = since(id);
         }
     }
 
--- a/crates/relay/src/eligibility.rs
+++ b/crates/relay/src/eligibility.rs
@@ -54,7 +54,7 @@
     /// Whether an upstream accepts requests according to the list of upstreams and its own
     /// announcements.
     fn eligibility_by_state(&self, tracked: &Tracked, now: Instant) -> Eligibility {
-        match (tracked.upstream.state, tracked.leaving_since) {
+        match (tracked.upstream.state, tracked.may_be_leaving_since()) {
             (UpstreamState::Ready, None) => Eligibility::Eligible,
             (UpstreamState::Ready | UpstreamState::Leaving, Some(since))
                 if now.duration_since(since) < self.leaving_grace =>
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -97,6 +97,8 @@
 pub struct Service {
     /// The service's name.
     pub name: ServiceName,
+    /// The path of its upstreams' health check, if stated.
+    pub health_path: Option<Arc<str>>,
     /// Present if model engines serve it.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/relay/src/upstream_list.rs
+++ b/crates/relay/src/upstream_list.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use nutmegsail_base::UpstreamId;
 use thiserror::Error;
 
 use crate::{Upstream, UpstreamState};
@@ -113,6 +114,12 @@
         Ok(upstream)
     }
 
+    /// The process of the newest entry under `name`.
+    pub fn process_of(&self, name: &str) -> Option<UpstreamId> {
+        let newest = self.newest.get(name)?;
+        Some(Upstream::id_of(name, newest.started_ms))
+    }
+
     /// Drops names that are not listed and have not been seen for a minute.
     pub fn forget_old(&mut self, is_listed: impl Fn(&str) -> bool, now: Instant) {
         self.newest.retain(|name, newest| {
--- a/crates/relay/src/upstream_notices.rs
+++ b/crates/relay/src/upstream_notices.rs
@@ -10,6 +10,10 @@
 /// store is unavailable, and reappear when it is restored from an older copy.
 const UNLISTED_TTL: Duration = Duration::from_secs(600);
 
+/// How long the list may still show a process after the next one under its name has started to
+/// answer: the entry of a process that ended expires after three heartbeats, 3.6 s.
+const MAX_ENTRY_LAG: Duration = Duration::from_secs(4);
+
 /// Upper bound on a backoff. An upstream that asks for more gets a trial request after a day.
 const MAX_BACKOFF: Duration = Duration::from_secs(86_400);
 
@@ -33,6 +37,10 @@
 /// Leaving and backoff notices by upstream. An upstream id stands for one process, so a notice ends
 /// with the process that sent it.
 ///
+/// An answer does not tell which process sent it, and the list shows a restart late. A notice that
+/// arrived around a restart is therefore kept for both processes, and stays unconfirmed for the
+/// later one until that has answered a health check.
+///
 /// ```
 /// use std::time::{Duration, Instant};
 /// use nutmegsail_relay::UpstreamNotices;
@@ -50,15 +58,25 @@
     known: HashMap<UpstreamId, Notice>,
     /// Number of upstreams that announced that they are leaving.
     leaving_count: u64,
-    /// Number of backoff requests received.
-    backoff_count: u64,
+    /// Number of changes to backoffs and unconfirmed notices.
+    change_count: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Notice {
-    is_leaving: bool,
+    leaving: Option<LeavingNotice>,
     backoff_until: Option<Instant>,
     last_listed: Instant,
+    /// The next process under the upstream's name.
+    successor: Option<UpstreamId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LeavingNotice {
+    first_received_at: Instant,
+    last_received_at: Instant,
+    /// Whether it is certain which process sent it.
+    is_confirmed: bool,
 }
 
 impl UpstreamNotices {
@@ -67,11 +85,75 @@
     /// The notice holds until the process ends: a leaving process never takes new work again.
     pub fn record_leaving(&mut self, upstream: &UpstreamId, now: Instant) -> bool {
         let notice = self.notice(upstream, now);
-        let is_new = !std::mem::replace(&mut notice.is_leaving, true);
+        let is_new = !notice.is_confirmed_leaving();
+        let leaving = notice.leaving.get_or_insert(LeavingNotice::new(now));
+        leaving.last_received_at = now;
+        leaving.is_confirmed = true;
+        let (leaving, successor) = (LeavingNotice::new(now), notice.successor.clone());
         self.leaving_count += u64::from(is_new);
+        self.record_unconfirmed_leaving(successor, leaving, now);
         is_new
     }
 
+    /// Records that the list now shows `next` in place of `before`, an earlier process under the
+    /// same name. `shown_until` is when the list was last known to show `before`.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use nutmegsail_relay::UpstreamNotices;
+    /// let (mut notices, now) = (UpstreamNotices::default(), Instant::now());
+    /// let (before, next) = ("engine-1@7".into(), "engine-1@8".into());
+    /// notices.record_leaving(&before, now);
+    /// notices.record_successor(&before, &next, now, now + Duration::from_secs(1));
+    /// assert!(notices.is_leaving(&next), "it may have sent the notice");
+    /// notices.record_staying(&next);
+    /// assert!(!notices.is_leaving(&next));
+    /// ```
+    pub fn record_successor(
+        &mut self,
+        before: &UpstreamId,
+        next: &UpstreamId,
+        shown_until: Instant,
+        now: Instant,
+    ) {
+        let notice = self.notice(before, now);
+        notice.successor = Some(next.clone());
+        let leaving = notice.leaving;
+        let may_be_of_next = |received_at: Instant| received_at + MAX_ENTRY_LAG >= shown_until;
+        if let Some(leaving) = leaving.filter(|leaving| may_be_of_next(leaving.last_received_at)) {
+            self.record_unconfirmed_leaving(Some(next.clone()), leaving, now);
+        }
+    }
+
+    /// Records that `upstream`, or a later process under its name, may have sent a leaving notice
+    /// filed under the process before it.
+    fn record_unconfirmed_leaving(
+        &mut self,
+        mut upstream: Option<UpstreamId>,
+        leaving: LeavingNotice,
+        now: Instant,
+    ) {
+        let is_confirmed = false;
+        while let Some(next) = upstream {
+            let notice = self.notice(&next, now);
+            notice.leaving.get_or_insert(LeavingNotice {
+                is_confirmed,
+                ..leaving
+            });
+            upstream = notice.successor.clone();
+            self.change_count += 1;
+        }
+    }
+
+    /// Records that `upstream` answered a health check without announcing that it is leaving. A
+    /// notice that it may have sent was then sent by the process before it.
+    pub fn record_staying(&mut self, upstream: &UpstreamId) {
+        if let Some(notice) = self.known.get_mut(upstream) {
+            notice.leaving = notice.leaving.filter(|leaving| leaving.is_confirmed);
+            self.change_count += 1;
+        }
+    }
+
     /// Number of upstreams that announced that they are leaving, since this process started.
     pub fn leaving_count(&self) -> u64 {
         self.leaving_count
@@ -81,14 +163,34 @@
     pub fn leaving(&self) -> impl Iterator<Item = &UpstreamId> {
         let known = self.known.iter();
         known
-            .filter(|(_, notice)| notice.is_leaving)
+            .filter(|(_, notice)| notice.is_confirmed_leaving())
+            .map(|(upstream, _)| upstream)
+    }
+
+    /// Upstreams of which it is not certain whether they or an earlier process under their name
+    /// announced that it is leaving.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &UpstreamId> {
+        let known = self.known.iter();
+        known
+            .filter(|(_, notice)| notice.unconfirmed_leaving_since().is_some())
             .map(|(upstream, _)| upstream)
     }
 
-    /// Whether `upstream` announced that it is leaving.
+    /// When the leaving notice that `upstream` may have sent was received.
+    pub fn unconfirmed_leaving_since(&self, upstream: &UpstreamId) -> Option<Instant> {
+        self.known.get(upstream)?.unconfirmed_leaving_since()
+    }
+
+    /// Whether `upstream` announced that it is leaving, or may have done so.
     pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
         let notice = self.known.get(upstream);
-        notice.is_some_and(|notice| notice.is_leaving)
+        notice.is_some_and(|notice| notice.leaving.is_some())
+    }
+
+    /// Whether it is certain that `upstream` announced that it is leaving.
+    pub fn is_confirmed_leaving(&self, upstream: &UpstreamId) -> bool {
+        let notice = self.known.get(upstream);
+        notice.is_some_and(Notice::is_confirmed_leaving)
     }
 
     /// Records a backoff of length `backoff` requested by `upstream`, and returns when it ends.
@@ -108,13 +210,13 @@
         let notice = self.notice(upstream, now);
         let until = notice.backoff_until.map_or(until, |known| known.max(until));
         notice.backoff_until = Some(until);
-        self.backoff_count += 1;
+        self.change_count += 1;
         until
     }
 
-    /// Number of backoff requests received since this process started.
-    pub fn backoff_count(&self) -> u64 {
-        self.backoff_count
+    /// Number of changes to backoffs and unconfirmed notices since this process started.
+    pub fn change_count(&self) -> u64 {
+        self.change_count
     }
 
     /// Whether `upstream` is in a backoff at `now` and must get no requests from this node.
@@ -148,13 +250,35 @@
 
     fn notice(&mut self, upstream: &UpstreamId, now: Instant) -> &mut Notice {
         self.known.entry(upstream.clone()).or_insert(Notice {
-            is_leaving: false,
+            leaving: None,
             backoff_until: None,
             last_listed: now,
+            successor: None,
         })
     }
 }
 
+impl LeavingNotice {
+    fn new(received_at: Instant) -> Self {
+        Self {
+            first_received_at: received_at,
+            last_received_at: received_at,
+            is_confirmed: false,
+        }
+    }
+}
+
+impl Notice {
+    fn is_confirmed_leaving(&self) -> bool {
+        self.leaving.is_some_and(|leaving| leaving.is_confirmed)
+    }
+
+    fn unconfirmed_leaving_since(&self) -> Option<Instant> {
+        let unconfirmed = self.leaving.filter(|leaving| !leaving.is_confirmed);
+        unconfirmed.map(|leaving| leaving.first_received_at)
+    }
+}
+
 impl RequestedBackoff {
     /// Parses the seconds form of `Retry-After`. Fractions are accepted; HTTP dates are malformed.
     ///
--- /dev/null
+++ b/crates/relay/tests/restarted_upstreams.rs
@@ -0,0 +1,243 @@
+//! Upstreams that restart under their name while the list of upstreams still shows the process before.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::plain;
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{Dispatcher, Upstream, UpstreamNotices};
+use proptest::prelude::*;
+
+const GRACE: Duration = Duration::from_millis(1_600);
+
+/// How long after its start a process is listed, at most.
+const MAX_LISTING_DELAY_MS: u64 = 3_600;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// The process ends, and the next one, which is listed after so many milliseconds, starts.
+    Restart(u64),
+    /// The process starts to leave.
+    Leave,
+    /// A request is sent, if that is allowed.
+    Request,
+    /// The answer to the oldest request arrives.
+    Answer,
+    /// The list is read.
+    ReadList,
+    /// The health checks that are due are answered.
+    Check,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        1 => (0..MAX_LISTING_DELAY_MS).prop_map(Event::Restart),
+        1 => Just(Event::Leave),
+        6 => Just(Event::Request),
+        6 => Just(Event::Answer),
+        3 => Just(Event::ReadList),
+        2 => Just(Event::Check),
+    ]
+}
+
+/// A process of the upstream.
+#[derive(Clone, Copy)]
+struct Process {
+    listed_from: Instant,
+    is_leaving: bool,
+}
+
+/// A request on its way back: the id that it was sent under, the process that it reached, and whether its answer
+/// announces that the process is leaving.
+struct InFlight {
+    sent_to: UpstreamId,
+    reached: usize,
+    announces_leaving: bool,
+}
+
+/// One upstream, and a node that sends it requests.
+struct World {
+    processes: Vec<Process>,
+    in_flight: Vec<InFlight>,
+    dispatcher: Dispatcher,
+    notices: UpstreamNotices,
+    listed: usize,
+    list_read_at: Instant,
+    /// When the node received the first announcement of each process that is leaving.
+    announced: HashMap<usize, Instant>,
+    now: Instant,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut dispatcher = Dispatcher::new("here".into());
+        dispatcher.set_leaving_grace(GRACE);
+        let mut world = Self {
+            processes: vec![Process {
+                listed_from: now,
+                is_leaving: false,
+            }],
+            in_flight: Vec::new(),
+            dispatcher,
+            notices: UpstreamNotices::default(),
+            listed: 0,
+            list_read_at: now,
+            announced: HashMap::new(),
+            now,
+        };
+        world.publish();
+        world
+    }
+
+    fn upstream(process: usize) -> Upstream {
+        let started_ms = Some(process as u64);
+        Upstream {
+            id: Upstream::id_of("u", started_ms),
+            started_ms,
+            ..plain("u")
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.processes.len() - 1
+    }
+
+    /// Applies the list and the notices to the dispatcher, as a node does.
+    fn publish(&mut self) {
+        let upstream = Self::upstream(self.listed);
+        let upstream = match self.notices.is_confirmed_leaving(&upstream.id) {
+            true => upstream.leaving(),
+            false => upstream,
+        };
+        self.dispatcher
+            .set_upstreams(&[Arc::new(upstream)], self.now);
+        let notices = &self.notices;
+        self.dispatcher
+            .set_unconfirmed_leaving(|id| notices.unconfirmed_leaving_since(id));
+    }
+
+    fn may_send(&self) -> bool {
+        let id = Self::upstream(self.listed).id;
+        self.dispatcher.may_send(&id, self.now)
+    }
+
+    fn read_list(&mut self) {
+        let listed = self.processes.iter();
+        let listed = listed.filter(|process| process.listed_from <= self.now);
+        let newest = listed.count() - 1;
+        for next in self.listed + 1..=newest {
+            let (before, next) = (Self::upstream(next - 1).id, Self::upstream(next).id);
+            self.notices
+                .record_successor(&before, &next, self.list_read_at, self.now);
+        }
+        self.listed = newest;
+        self.list_read_at = self.now;
+        self.publish();
+    }
+
+    fn request(&mut self) -> Result<(), TestCaseError> {
+        if !self.may_send() {
+            return Ok(());
+        }
+        let reached = self.running();
+        let announced = self.announced.get(&reached);
+        prop_assert!(
+            announced.is_none_or(|at| self.now < *at + GRACE),
+            "a request reached process {}, which is leaving",
+            reached
+        );
+        self.in_flight.push(InFlight {
+            sent_to: Self::upstream(self.listed).id,
+            reached,
+            announces_leaving: self.processes[reached].is_leaving,
+        });
+        Ok(())
+    }
+
+    fn answer(&mut self) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let answer = self.in_flight.remove(0);
+        if answer.announces_leaving {
+            self.announced.entry(answer.reached).or_insert(self.now);
+            self.dispatcher.record_leaving(&answer.sent_to, self.now);
+            self.notices.record_leaving(&answer.sent_to, self.now);
+            self.publish();
+        }
+    }
+
+    fn check(&mut self) {
+        let id = Self::upstream(self.listed).id;
+        if self.notices.unconfirmed_leaving_since(&id).is_none() {
+            return;
+        }
+        let running = self.running();
+        if self.processes[running].is_leaving {
+            self.announced.entry(running).or_insert(self.now);
+            self.notices.record_leaving(&id, self.now);
+        } else {
+            self.notices.record_staying(&id);
+        }
+        self.publish();
+    }
+
+    fn apply(&mut self, event: &Event) -> Result<(), TestCaseError> {
+        match event {
+            Event::Restart(listed_after_ms) => {
+                // Entries appear in the order in which their processes started.
+                let earliest = self.processes[self.running()].listed_from;
+                let listed_from = self.now + Duration::from_millis(*listed_after_ms);
+                self.processes.push(Process {
+                    listed_from: listed_from.max(earliest),
+                    is_leaving: false,
+                });
+            }
+            Event::Leave => {
+                let running = self.running();
+                self.processes[running].is_leaving = true;
+            }
+            Event::Request => self.request()?,
+            Event::Answer => self.answer(),
+            Event::ReadList => self.read_list(),
+            Event::Check => self.check(),
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Guards against requests to a process that announced its leave while the list still showed the process before it,
+    // and against a process that gets none because the one before it did so.
+    #[test]
+    fn an_announcement_holds_for_the_process_that_made_it(
+        events in prop::collection::vec((event(), 0u64..500), 1..80),
+    ) {
+        let mut world = World::new();
+        for (event, pause_ms) in events {
+            world.now += Duration::from_millis(pause_ms);
+            world.apply(&event)?;
+        }
+        world.now += Duration::from_millis(MAX_LISTING_DELAY_MS);
+        while !world.in_flight.is_empty() {
+            world.answer();
+        }
+        world.read_list();
+        world.check();
+        let stays = !world.processes[world.running()].is_leaving;
+        prop_assert!(!stays || world.may_send(), "the process is not leaving");
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -111,6 +111,7 @@
     3022 OwnersEven Info "Engines are owned as they should be again.";
     3023 RestAsked Info "An upstream turned a request away and wants no others for a while.";
     3024 RestMalformed Warning "An upstream asked for rest in a way that cannot be read.";
+    3025 UpstreamStaying Info "An upstream that restarted does not leave; the process before it did.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
