Keep a requested backoff for the process that asked for it when the list shows a restart late

Cause: as with leaving notices, the backoff is filed under the listed process and is lost when the list shows the next one. No refusal was lost on a link, as the list of known failures suspected. Change: UpstreamNotices carries a backoff over to the successor if it may be its own, for at most 5 s from its listing; a trial request follows as after any backoff. The rule allows no evidence by trial: the process may accept requests again before the time that it named is over. The property test of restarts now plays backoffs too.

--- a/crates/relay/src/upstream_notices.rs
+++ b/crates/relay/src/upstream_notices.rs
@@ -14,6 +14,10 @@
 /// answer: the entry of a process that ended expires after three heartbeats, 3.6 s.
 const MAX_ENTRY_LAG: Duration = Duration::from_secs(4);
 
+/// Upper bound on the backoff of an upstream for which an earlier process under its name may have
+/// asked. After it, the upstream gets a trial request.
+const MAX_UNCONFIRMED_BACKOFF: Duration = Duration::from_secs(5);
+
 /// Upper bound on a backoff. An upstream that asks for more gets a trial request after a day.
 const MAX_BACKOFF: Duration = Duration::from_secs(86_400);
 
@@ -38,8 +42,8 @@
 /// with the process that sent it.
 ///
 /// An answer does not tell which process sent it, and the list shows a restart late. A notice that
-/// arrived around a restart is therefore kept for both processes, and stays unconfirmed for the
-/// later one until that has answered a health check.
+/// arrived around a restart is therefore kept for both processes. That the later one is leaving
+/// stays unconfirmed until it has answered a health check; a backoff is kept for a short time.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
@@ -65,12 +69,18 @@
 #[derive(Clone, Debug)]
 struct Notice {
     leaving: Option<LeavingNotice>,
-    backoff_until: Option<Instant>,
+    backoff: Option<BackoffNotice>,
     last_listed: Instant,
     /// The next process under the upstream's name.
     successor: Option<UpstreamId>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct BackoffNotice {
+    until: Instant,
+    last_received_at: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LeavingNotice {
     first_received_at: Instant,
@@ -118,11 +128,14 @@
     ) {
         let notice = self.notice(before, now);
         notice.successor = Some(next.clone());
-        let leaving = notice.leaving;
+        let (leaving, backoff) = (notice.leaving, notice.backoff);
         let may_be_of_next = |received_at: Instant| received_at + MAX_ENTRY_LAG >= shown_until;
         if let Some(leaving) = leaving.filter(|leaving| may_be_of_next(leaving.last_received_at)) {
             self.record_unconfirmed_leaving(Some(next.clone()), leaving, now);
         }
+        if let Some(backoff) = backoff.filter(|backoff| may_be_of_next(backoff.last_received_at)) {
+            self.record_unconfirmed_backoff(Some(next.clone()), backoff, now);
+        }
     }
 
     /// Records that `upstream`, or a later process under its name, may have sent a leaving notice
@@ -145,6 +158,26 @@
         }
     }
 
+    /// Records that `upstream`, or a later process under its name, may have requested a backoff filed
+    /// under the process before it.
+    fn record_unconfirmed_backoff(
+        &mut self,
+        mut upstream: Option<UpstreamId>,
+        backoff: BackoffNotice,
+        now: Instant,
+    ) {
+        let backoff = BackoffNotice {
+            until: backoff.until.min(now + MAX_UNCONFIRMED_BACKOFF),
+            ..backoff
+        };
+        while let Some(next) = upstream {
+            let notice = self.notice(&next, now);
+            notice.extend_backoff(backoff);
+            upstream = notice.successor.clone();
+            self.change_count += 1;
+        }
+    }
+
     /// Records that `upstream` answered a health check without announcing that it is leaving. A
     /// notice that it may have sent was then sent by the process before it.
     pub fn record_staying(&mut self, upstream: &UpstreamId) {
@@ -208,9 +241,14 @@
         let jitter = backoff.mul_f64(JITTER_SHARE).min(MAX_JITTER);
         let until = now + backoff + jitter.mul_f64(random.random());
         let notice = self.notice(upstream, now);
-        let until = notice.backoff_until.map_or(until, |known| known.max(until));
-        notice.backoff_until = Some(until);
+        let requested = BackoffNotice {
+            until,
+            last_received_at: now,
+        };
+        let until = notice.extend_backoff(requested);
+        let successor = notice.successor.clone();
         self.change_count += 1;
+        self.record_unconfirmed_backoff(successor, requested, now);
         until
     }
 
@@ -235,7 +273,8 @@
 
     /// When the last known backoff of `upstream` ends, even if that is in the past.
     pub fn backoff_until(&self, upstream: &UpstreamId) -> Option<Instant> {
-        self.known.get(upstream)?.backoff_until
+        let backoff = self.known.get(upstream)?.backoff?;
+        Some(backoff.until)
     }
 
     /// Drops the notices of upstreams that were last listed more than ten minutes ago.
@@ -251,7 +290,7 @@
     fn notice(&mut self, upstream: &UpstreamId, now: Instant) -> &mut Notice {
         self.known.entry(upstream.clone()).or_insert(Notice {
             leaving: None,
-            backoff_until: None,
+            backoff: None,
             last_listed: now,
             successor: None,
         })
@@ -269,6 +308,14 @@
 }
 
 impl Notice {
+    /// Applies a requested backoff, and returns when the longest one ends.
+    fn extend_backoff(&mut self, requested: BackoffNotice) -> Instant {
+        let known = self.backoff.get_or_insert(requested);
+        known.until = known.until.max(requested.until);
+        known.last_received_at = known.last_received_at.max(requested.last_received_at);
+        known.until
+    }
+
     fn is_confirmed_leaving(&self) -> bool {
         self.leaving.is_some_and(|leaving| leaving.is_confirmed)
     }
--- a/crates/relay/tests/restarted_upstreams.rs
+++ b/crates/relay/tests/restarted_upstreams.rs
@@ -12,18 +12,30 @@
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{Dispatcher, Upstream, UpstreamNotices};
 use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 
 const GRACE: Duration = Duration::from_millis(1_600);
 
 /// How long after its start a process is listed, at most.
 const MAX_LISTING_DELAY_MS: u64 = 3_600;
 
+/// The longest backoff that a process asks for.
+const MAX_BACKOFF_MS: u64 = 4_500;
+
+/// The same with the time over which nodes return after a backoff.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(5_000);
+
 #[derive(Clone, Debug)]
 enum Event {
     /// The process ends, and the next one, which is listed after so many milliseconds, starts.
     Restart(u64),
     /// The process starts to leave.
     Leave,
+    /// The process starts to refuse requests, and asks for a backoff of so many milliseconds.
+    Refuse(u64),
+    /// The process accepts requests again.
+    Accept,
     /// A request is sent, if that is allowed.
     Request,
     /// The answer to the oldest request arrives.
@@ -38,6 +50,8 @@
     prop_oneof![
         1 => (0..MAX_LISTING_DELAY_MS).prop_map(Event::Restart),
         1 => Just(Event::Leave),
+        1 => (0..MAX_BACKOFF_MS).prop_map(Event::Refuse),
+        1 => Just(Event::Accept),
         6 => Just(Event::Request),
         6 => Just(Event::Answer),
         3 => Just(Event::ReadList),
@@ -50,14 +64,16 @@
 struct Process {
     listed_from: Instant,
     is_leaving: bool,
+    backoff: Option<Duration>,
 }
 
-/// A request on its way back: the id that it was sent under, the process that it reached, and whether its answer
-/// announces that the process is leaving.
+/// A request on its way back: the id that it was sent under, the process that it reached, and what its answer says about
+/// the process.
 struct InFlight {
     sent_to: UpstreamId,
     reached: usize,
     announces_leaving: bool,
+    backoff: Option<Duration>,
 }
 
 /// One upstream, and a node that sends it requests.
@@ -70,7 +86,10 @@
     list_read_at: Instant,
     /// When the node received the first announcement of each process that is leaving.
     announced: HashMap<usize, Instant>,
+    /// The end of the longest backoff that the node received from each process.
+    backoff_ends: HashMap<usize, Instant>,
     now: Instant,
+    random: ChaCha8Rng,
 }
 
 impl World {
@@ -82,6 +101,7 @@
             processes: vec![Process {
                 listed_from: now,
                 is_leaving: false,
+                backoff: None,
             }],
             in_flight: Vec::new(),
             dispatcher,
@@ -89,7 +109,9 @@
             listed: 0,
             list_read_at: now,
             announced: HashMap::new(),
+            backoff_ends: HashMap::new(),
             now,
+            random: ChaCha8Rng::seed_from_u64(41),
         };
         world.publish();
         world
@@ -120,6 +142,7 @@
         let notices = &self.notices;
         self.dispatcher
             .set_unconfirmed_leaving(|id| notices.unconfirmed_leaving_since(id));
+        self.dispatcher.set_backoffs(|id| notices.backoff_until(id));
     }
 
     fn may_send(&self) -> bool {
@@ -152,10 +175,17 @@
             "a request reached process {}, which is leaving",
             reached
         );
+        let backoff_end = self.backoff_ends.get(&reached);
+        prop_assert!(
+            backoff_end.is_none_or(|end| self.now >= *end),
+            "a request reached process {} in its backoff",
+            reached
+        );
         self.in_flight.push(InFlight {
             sent_to: Self::upstream(self.listed).id,
             reached,
             announces_leaving: self.processes[reached].is_leaving,
+            backoff: self.processes[reached].backoff,
         });
         Ok(())
     }
@@ -165,12 +195,19 @@
             return;
         }
         let answer = self.in_flight.remove(0);
+        let (id, now) = (&answer.sent_to, self.now);
         if answer.announces_leaving {
-            self.announced.entry(answer.reached).or_insert(self.now);
-            self.dispatcher.record_leaving(&answer.sent_to, self.now);
-            self.notices.record_leaving(&answer.sent_to, self.now);
-            self.publish();
+            self.announced.entry(answer.reached).or_insert(now);
+            self.dispatcher.record_leaving(id, now);
+            self.notices.record_leaving(id, now);
+        }
+        if let Some(backoff) = answer.backoff {
+            let end = self.backoff_ends.entry(answer.reached).or_insert(now);
+            *end = (*end).max(now + backoff);
+            self.notices
+                .record_backoff(id, backoff, now, &mut self.random);
         }
+        self.publish();
     }
 
     fn check(&mut self) {
@@ -197,12 +234,21 @@
                 self.processes.push(Process {
                     listed_from: listed_from.max(earliest),
                     is_leaving: false,
+                    backoff: None,
                 });
             }
             Event::Leave => {
                 let running = self.running();
                 self.processes[running].is_leaving = true;
             }
+            Event::Refuse(backoff_ms) => {
+                let running = self.running();
+                self.processes[running].backoff = Some(Duration::from_millis(*backoff_ms));
+            }
+            Event::Accept => {
+                let running = self.running();
+                self.processes[running].backoff = None;
+            }
             Event::Request => self.request()?,
             Event::Answer => self.answer(),
             Event::ReadList => self.read_list(),
@@ -220,10 +266,10 @@
         ..ProptestConfig::default()
     })]
 
-    // Guards against requests to a process that announced its leave while the list still showed the process before it,
-    // and against a process that gets none because the one before it did so.
+    // Guards against requests to a process that announced its leave, or requested a backoff, while the list still showed
+    // the process before it, and against a process that gets none because the one before it did so.
     #[test]
-    fn an_announcement_holds_for_the_process_that_made_it(
+    fn a_notice_holds_for_the_process_that_sent_it(
         events in prop::collection::vec((event(), 0u64..500), 1..80),
     ) {
         let mut world = World::new();
@@ -237,6 +283,7 @@
         }
         world.read_list();
         world.check();
+        world.now += LONGEST_BACKOFF;
         let stays = !world.processes[world.running()].is_leaving;
         prop_assert!(!stays || world.may_send(), "the process is not leaving");
     }
