Keep a rate limit for the process that announced it when the list shows a restart late

What callers saw: nothing yet; looked for as the same fault as that of leaving and backoff notices. An engine that restarted and announced a limit before the list showed its new process got 30 requests at once when it was listed, where its limit of 1/s allows 11 in 4 s. Cause: the limit is filed under the listed process and is not known of the next one until it has answered a request. Change: a limit announced around a restart holds for the next process until its answers lift it; an answer that arrives after the list has changed counts for the listed process.

--- a/crates/relay-node/src/control/restarts.rs
+++ b/crates/relay-node/src/control/restarts.rs
@@ -55,6 +55,9 @@
         let shown_until = now.checked_sub(self.shared.data_age()).unwrap_or(now);
         let mut notices = self.shared.notices();
         notices.record_successor(before, next, shown_until, now);
+        drop(notices);
+        let mut limits = self.shared.limits();
+        limits.record_successor(before, next, shown_until);
     }
 
     /// Listed upstreams whose leaving notice may be of the process before them.
--- a/crates/relay-node/src/traffic/limits.rs
+++ b/crates/relay-node/src/traffic/limits.rs
@@ -70,23 +70,24 @@
 
     /// Records what an answer to `call` states about its upstream's rate limit.
     pub(super) fn record_limit(&self, call: &Call, upstream: &Upstream, stated: AnnouncedLimit) {
+        let process = self.shared.notices().latest_process(&upstream.id).clone();
         let change = self
             .shared
             .limits()
-            .note_answer(&upstream.id, stated, Instant::now());
+            .note_answer(&process, stated, Instant::now());
         match change {
             Some(LimitChange::Named(per_s)) => log_event!(
                 self.log, Event::LimitNamed,
-                "upstream" => upstream.id.to_string(), "per_s" => per_s,
+                "upstream" => process.to_string(), "per_s" => per_s,
                 "request" => call.id.to_string()
             ),
             Some(LimitChange::Ended) => log_event!(
                 self.log, Event::LimitEnded,
-                "upstream" => upstream.id.to_string(), "request" => call.id.to_string()
+                "upstream" => process.to_string(), "request" => call.id.to_string()
             ),
             None if stated == AnnouncedLimit::Malformed => log_event!(
                 self.log, Event::LimitMalformed,
-                "upstream" => upstream.id.to_string(), "request" => call.id.to_string()
+                "upstream" => process.to_string(), "request" => call.id.to_string()
             ),
             None => {}
         }
--- a/crates/relay/src/rate_limits.rs
+++ b/crates/relay/src/rate_limits.rs
@@ -6,6 +6,8 @@
 use nutmegsail_base::UpstreamId;
 use serde::{Deserialize, Serialize};
 
+use crate::upstream_notices::MAX_ENTRY_LAG;
+
 /// How long answers must have announced no limit, or a higher one, before the limit is lifted or
 /// raised. Answers can arrive out of order, and an upstream may announce its limit only in some of
 /// them.
@@ -109,6 +111,26 @@
         change
     }
 
+    /// Records that the list now shows `next` in place of `before`, an earlier process under the
+    /// same name. `shown_until` is when the list was last known to show `before`.
+    ///
+    /// A limit that was announced around the restart may be that of `next`, whose answers confirm or
+    /// lift it.
+    pub fn record_successor(
+        &mut self,
+        before: &UpstreamId,
+        next: &UpstreamId,
+        shown_until: Instant,
+    ) {
+        let known = self.known.get(before).copied();
+        let may_be_of_next = |known: &KnownLimit| known.announced_at + MAX_ENTRY_LAG >= shown_until;
+        let limit = known.filter(|known| known.per_s.is_some() && may_be_of_next(known));
+        if let Some(limit) = limit {
+            self.known.entry(next.clone()).or_insert(limit);
+            self.changes += 1;
+        }
+    }
+
     /// Number of changes to the known limits, from answers or from other nodes.
     pub fn change_count(&self) -> u64 {
         self.changes
--- a/crates/relay/src/upstream_notices.rs
+++ b/crates/relay/src/upstream_notices.rs
@@ -12,7 +12,7 @@
 
 /// How long the list may still show a process after the next one under its name has started to
 /// answer: the entry of a process that ended expires after three heartbeats, 3.6 s.
-const MAX_ENTRY_LAG: Duration = Duration::from_secs(4);
+pub(crate) const MAX_ENTRY_LAG: Duration = Duration::from_secs(4);
 
 /// Upper bound on the backoff of an upstream for which an earlier process under its name may have
 /// asked. After it, the upstream gets a trial request.
@@ -138,6 +138,13 @@
         }
     }
 
+    /// The last process under the name of `upstream` that the list has shown.
+    pub fn latest_process<'a>(&'a self, upstream: &'a UpstreamId) -> &'a UpstreamId {
+        let successor = |id: &UpstreamId| self.known.get(id)?.successor.as_ref();
+        let processes = std::iter::successors(Some(upstream), |id| successor(id));
+        processes.last().unwrap_or(upstream)
+    }
+
     /// Records that `upstream`, or a later process under its name, may have sent a leaving notice
     /// filed under the process before it.
     fn record_unconfirmed_leaving(
--- a/crates/relay/tests/rate_limits.rs
+++ b/crates/relay/tests/rate_limits.rs
@@ -121,3 +121,20 @@
     limits.forget(|_| false, now + 2_200 * MS);
     assert_eq!(limits.updates(now + 2_200 * MS), []);
 }
+
+// Guards against losing a limit that the next process under a name announced before the list showed it, and against
+// applying one of a process that ended long before.
+#[rstest]
+#[case::around_the_restart(Duration::from_secs(2), Some(1.0))]
+#[case::long_before(Duration::from_secs(5), None)]
+fn a_recent_limit_holds_for_the_next_process(#[case] age: Duration, #[case] expected: Option<f64>) {
+    let (mut limits, announced_at) = (RateLimits::default(), Instant::now());
+    let next = "engine-1@8".into();
+    limits.note_answer(&engine(), per_second(1.0), announced_at);
+    limits.record_successor(&engine(), &next, announced_at + age);
+    assert_eq!(limits.per_s(&next), expected);
+    let now = announced_at + age;
+    limits.note_answer(&next, AnnouncedLimit::None, now);
+    limits.note_answer(&next, AnnouncedLimit::None, now + 2_100 * MS);
+    assert_eq!(limits.per_s(&next), None, "its answers lift it");
+}
