Count crashes of an upstream apart while the list still shows its first process

While a node lists the first process of an upstream, a request that crashes it was sent again after each restart, and nobody refused it: six of six sends crashed it. Cause: strikes are kept by the listed process, so the ends of the processes after it counted as one with the first. Change: CrashWatch takes an answer to a request that was sent after an end for that of another process, and files the next end under an id of its own. Where each process has a name of its own nothing changes, as none answers after its end. Red before: crashes_of_processes_that_are_not_listed_yet_count (6 sends, 3 are allowed).

--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -144,16 +144,17 @@
     }
 
     fn record_crash(&self, upstream: &Upstream, struck: &[RequestDigest]) {
+        let process = self.crash_watch.borrow().process_of(&upstream.id);
         let (mut suspects, now) = (self.shared.suspects(), Instant::now());
         for digest in struck {
-            suspects.strike(*digest, &upstream.id, now);
+            suspects.strike(*digest, &process, now);
         }
         drop(suspects);
         self.shared.metrics.upstream_ended();
         let digests: Vec<String> = struck.iter().map(ToString::to_string).collect();
         log_event!(
             self.log, Event::UpstreamEnded,
-            "upstream" => upstream.id.to_string(), "address" => upstream.address.to_string(),
+            "upstream" => process.to_string(), "address" => upstream.address.to_string(),
             "digests" => digests.join(",")
         );
     }
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// When the request was sent.
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.sent
+    }
+
     /// Counts the request as ended in the metrics.
     fn count_end(&self, code: Option<ResultCode>) {
         let metrics = &self.gateway.shared.metrics;
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -17,6 +17,9 @@
 /// milliseconds, but some breaks are noticed only after the probe.
 const ENDED_TTL: Duration = Duration::from_secs(2);
 
+/// How long the ends of an upstream are remembered. By then the list shows its running process.
+const RESTART_TTL: Duration = Duration::from_secs(600);
+
 /// A request whose connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BrokenRequest {
@@ -79,6 +82,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashWatch {
     upstreams: HashMap<UpstreamId, ProbeState>,
+    restarts: HashMap<UpstreamId, UnlistedRestarts>,
 }
 
 #[derive(Clone, Debug)]
@@ -89,6 +93,13 @@
     Ended(Instant),
 }
 
+/// Restarts of an upstream under an id that the list still shows.
+#[derive(Clone, Copy, Debug)]
+struct UnlistedRestarts {
+    count: u32,
+    last: Instant,
+}
+
 impl CrashWatch {
     /// Records that the connection of a request to `upstream` broke before its answer was complete.
     pub fn note_broken(
@@ -100,14 +111,16 @@
         if !broken.is_starting() {
             return BrokenRequestAction::Ignore;
         }
-        self.forget_ended(now);
+        self.forget_old(now);
         match self.upstreams.get_mut(upstream) {
-            Some(ProbeState::Ended(_)) => BrokenRequestAction::Strike,
+            Some(ProbeState::Ended(at)) if now.saturating_duration_since(*at) < ENDED_TTL => {
+                BrokenRequestAction::Strike
+            }
             Some(ProbeState::Probing(broken_requests)) => {
                 broken_requests.push(broken.digest);
                 BrokenRequestAction::Wait
             }
-            None => {
+            Some(ProbeState::Ended(_)) | None => {
                 let probing = ProbeState::Probing(vec![broken.digest]);
                 self.upstreams.insert(upstream.clone(), probing);
                 BrokenRequestAction::Check
@@ -135,6 +148,48 @@
         broken
     }
 
+    /// Records that `upstream` answered a request that was sent at `sent`. If it had ended before
+    /// that, another process answered, which is not listed yet.
+    pub fn record_answer(&mut self, upstream: &UpstreamId, sent: Instant) {
+        let state = self.upstreams.get(upstream);
+        if !matches!(state, Some(ProbeState::Ended(at)) if *at < sent) {
+            return;
+        }
+        self.upstreams.remove(upstream);
+        let restarts = self.restarts.entry(upstream.clone());
+        let restarts = restarts.or_insert(UnlistedRestarts {
+            count: 0,
+            last: sent,
+        });
+        restarts.count += 1;
+        restarts.last = sent;
+    }
+
+    /// The id of the process that runs under `upstream`: the listed one, or one of its own for each
+    /// restart that is not listed yet.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use nutmegsail_relay::{
+    ///     BrokenRequest, CrashWatch, ProbeResult, RequestContent, RequestDigest,
+    /// };
+    /// let content =
+    ///     RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
+    /// let broken = BrokenRequest { digest: RequestDigest::of(&content), since_first_event: None };
+    /// let (mut watch, now, engine) = (CrashWatch::default(), Instant::now(), "engine-1@7".into());
+    /// watch.note_broken(&engine, broken, now);
+    /// watch.record_probe(&engine, ProbeResult::Refused, now);
+    /// assert_eq!(watch.process_of(&engine), engine);
+    /// watch.record_answer(&engine, now + Duration::from_secs(1));
+    /// assert_ne!(watch.process_of(&engine), engine, "it has restarted");
+    /// ```
+    pub fn process_of(&self, upstream: &UpstreamId) -> UpstreamId {
+        match self.restarts.get(upstream) {
+            Some(restarts) => format!("{upstream}+{}", restarts.count).into(),
+            None => upstream.clone(),
+        }
+    }
+
     /// Whether a probe is under way of an upstream that `digest` may have crashed.
     pub fn is_probing(&self, digest: &RequestDigest) -> bool {
         self.upstreams.values().any(|state| match state {
@@ -143,10 +198,12 @@
         })
     }
 
-    fn forget_ended(&mut self, now: Instant) {
+    fn forget_old(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < RESTART_TTL;
         self.upstreams.retain(|_, state| match state {
             ProbeState::Probing(_) => true,
-            ProbeState::Ended(at) => now.saturating_duration_since(*at) < ENDED_TTL,
+            ProbeState::Ended(at) => is_recent(*at),
         });
+        self.restarts.retain(|_, restarts| is_recent(restarts.last));
     }
 }
