Count the crash of an upstream that announced its leave against the request

Cause: an end of an upstream that is leaving counted as planned, though it goes on serving for the drain period and gets what nobody else can serve. Change: an end within the grace period in which a leaving upstream gets requests is a crash; after it, and where the list shows the upstream as draining, it is planned.

--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -99,11 +99,13 @@
         upstream: &Arc<Upstream>,
         broken: BrokenRequest,
     ) {
-        if !self.is_staying(upstream) {
+        let (dispatcher, now) = (self.dispatcher.borrow(), Instant::now());
+        if !dispatcher.is_expected_to_run(&upstream.id, now) {
             return;
         }
+        drop(dispatcher);
         let mut watch = self.crash_watch.borrow_mut();
-        let step = watch.note_broken(&upstream.id, broken, Instant::now());
+        let step = watch.note_broken(&upstream.id, broken, now);
         drop(watch);
         match step {
             BrokenRequestAction::Check => {
@@ -114,13 +116,6 @@
         }
     }
 
-    /// Whether `upstream` was expected to keep running. One that is leaving ends without a crash.
-    fn is_staying(&self, upstream: &Upstream) -> bool {
-        let dispatcher = self.dispatcher.borrow();
-        let tracked = dispatcher.tracked(&upstream.id);
-        tracked.is_some_and(|tracked| tracked.is_staying())
-    }
-
     async fn check_upstream(self: Rc<Self>, upstream: Arc<Upstream>) {
         let mut reach = self.probe(&upstream).await;
         if reach == ProbeResult::Connected {
--- a/crates/relay/src/eligibility.rs
+++ b/crates/relay/src/eligibility.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use nutmegsail_base::UpstreamId;
+
 use crate::{DispatchRequest, Dispatcher, Tracked, UpstreamState};
 
 /// Whether an upstream may be sent requests, according to the list of upstreams, its own
@@ -39,6 +41,15 @@
         }
     }
 
+    /// Whether an upstream is expected to keep running, so that its end is a crash. One that is
+    /// leaving serves for the grace period before it ends.
+    pub fn is_expected_to_run(&self, id: &UpstreamId, now: Instant) -> bool {
+        let tracked = self.tracked(id);
+        tracked.is_some_and(|tracked| {
+            self.eligibility_by_state(tracked, now) != Eligibility::Ineligible
+        })
+    }
+
     /// When the earliest backoff among the upstreams that could serve `need` ends; `None` if one of
     /// them asked for no backoff.
     pub fn backoff_ends(&self, need: &DispatchRequest<'_>, now: Instant) -> Option<Instant> {
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -344,11 +344,6 @@
         self.replaced_at = Some(now);
     }
 
-    /// Whether neither the list of upstreams nor the upstream itself has announced its shutdown.
-    pub fn is_staying(&self) -> bool {
-        self.upstream.takes_work() && self.may_be_leaving_since().is_none()
-    }
-
     /// When it announced its shutdown, or may have done so.
     pub(crate) fn may_be_leaving_since(&self) -> Option<Instant> {
         self.leaving_since.or(self.unconfirmed_leaving_since)
