Keep the grace period of a leaving notice that a health check confirmed

Cause: once confirmed, a carried notice no longer told the dispatcher since when it holds. Until the control thread published the new state, up to 0.1 s later, the upstream took work as any other, and the next answer began a new grace period. Change: the dispatcher is given the time of a carried notice whether or not it is confirmed. Red before: the property test of restarts, which now publishes the list and the confirmed notices apart from the rest.

--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -242,8 +242,7 @@
             || is_new_view
         {
             let mut dispatcher = self.dispatcher.borrow_mut();
-            dispatcher
-                .set_unconfirmed_leaving(|upstream| notices.unconfirmed_leaving_since(upstream));
+            dispatcher.set_carried_leaving(|upstream| notices.carried_leaving_since(upstream));
             dispatcher.set_backoffs(|upstream| {
                 let until = notices.backoff_until(upstream);
                 until.filter(|until| now < *until)
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -209,10 +209,11 @@
         }
     }
 
-    /// Updates since when each upstream may be leaving although this is not confirmed.
-    pub fn set_unconfirmed_leaving(&mut self, since: impl Fn(&UpstreamId) -> Option<Instant>) {
+    /// Updates since when each upstream may be leaving, by a notice that was filed under an earlier
+    /// process first.
+    pub fn set_carried_leaving(&mut self, since: impl Fn(&UpstreamId) -> Option<Instant>) {
         for (id, tracked) in &mut self.upstreams {
-            tracked.unconfirmed_leaving_since = since(id);
+            tracked.carried_leaving_since = since(id);
         }
     }
 
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -133,8 +133,9 @@
     pub health: Health,
     /// When it first announced its shutdown to this node.
     pub(crate) leaving_since: Option<Instant>,
-    /// When it may have first announced its shutdown, unless an earlier process under its name did.
-    pub(crate) unconfirmed_leaving_since: Option<Instant>,
+    /// When a shutdown was first announced that may be its own or that of an earlier process under
+    /// its name.
+    pub(crate) carried_leaving_since: Option<Instant>,
     /// The backoff that it asked this node for.
     pub(crate) rest: Backoff,
     /// Whether it limits the rate of its requests.
@@ -169,7 +170,7 @@
             pending_prompt_tokens: 0,
             health: Health::default(),
             leaving_since: None,
-            unconfirmed_leaving_since: None,
+            carried_leaving_since: None,
             rest: Backoff::default(),
             is_limited: false,
             limited_until: None,
@@ -346,7 +347,7 @@
 
     /// When it announced its shutdown, or may have done so.
     pub(crate) fn may_be_leaving_since(&self) -> Option<Instant> {
-        self.leaving_since.or(self.unconfirmed_leaving_since)
+        self.leaving_since.or(self.carried_leaving_since)
     }
 
     /// Records that its limit is exhausted until `until`.
--- a/crates/relay/src/upstream_notices.rs
+++ b/crates/relay/src/upstream_notices.rs
@@ -85,6 +85,8 @@
 struct LeavingNotice {
     first_received_at: Instant,
     last_received_at: Instant,
+    /// Whether it was filed under an earlier process first.
+    is_carried: bool,
     /// Whether it is certain which process sent it.
     is_confirmed: bool,
 }
@@ -101,7 +103,7 @@
         leaving.is_confirmed = true;
         let (leaving, successor) = (LeavingNotice::new(now), notice.successor.clone());
         self.leaving_count += u64::from(is_new);
-        self.record_unconfirmed_leaving(successor, leaving, now);
+        self.carry_leaving(successor, leaving, now);
         is_new
     }
 
@@ -131,10 +133,10 @@
         let (leaving, backoff) = (notice.leaving, notice.backoff);
         let may_be_of_next = |received_at: Instant| received_at + MAX_ENTRY_LAG >= shown_until;
         if let Some(leaving) = leaving.filter(|leaving| may_be_of_next(leaving.last_received_at)) {
-            self.record_unconfirmed_leaving(Some(next.clone()), leaving, now);
+            self.carry_leaving(Some(next.clone()), leaving, now);
         }
         if let Some(backoff) = backoff.filter(|backoff| may_be_of_next(backoff.last_received_at)) {
-            self.record_unconfirmed_backoff(Some(next.clone()), backoff, now);
+            self.carry_backoff(Some(next.clone()), backoff, now);
         }
     }
 
@@ -147,19 +149,20 @@
 
     /// Records that `upstream`, or a later process under its name, may have sent a leaving notice
     /// filed under the process before it.
-    fn record_unconfirmed_leaving(
+    fn carry_leaving(
         &mut self,
         mut upstream: Option<UpstreamId>,
         leaving: LeavingNotice,
         now: Instant,
     ) {
-        let is_confirmed = false;
+        let carried = LeavingNotice {
+            is_carried: true,
+            is_confirmed: false,
+            ..leaving
+        };
         while let Some(next) = upstream {
             let notice = self.notice(&next, now);
-            notice.leaving.get_or_insert(LeavingNotice {
-                is_confirmed,
-                ..leaving
-            });
+            notice.leaving.get_or_insert(carried);
             upstream = notice.successor.clone();
             self.change_count += 1;
         }
@@ -167,7 +170,7 @@
 
     /// Records that `upstream`, or a later process under its name, may have requested a backoff filed
     /// under the process before it.
-    fn record_unconfirmed_backoff(
+    fn carry_backoff(
         &mut self,
         mut upstream: Option<UpstreamId>,
         backoff: BackoffNotice,
@@ -212,13 +215,15 @@
     pub fn unconfirmed(&self) -> impl Iterator<Item = &UpstreamId> {
         let known = self.known.iter();
         known
-            .filter(|(_, notice)| notice.unconfirmed_leaving_since().is_some())
+            .filter(|(_, notice)| notice.is_unconfirmed_leaving())
             .map(|(upstream, _)| upstream)
     }
 
-    /// When the leaving notice that `upstream` may have sent was received.
-    pub fn unconfirmed_leaving_since(&self, upstream: &UpstreamId) -> Option<Instant> {
-        self.known.get(upstream)?.unconfirmed_leaving_since()
+    /// Since when `upstream` may be leaving, by a notice that was filed under an earlier process
+    /// first.
+    pub fn carried_leaving_since(&self, upstream: &UpstreamId) -> Option<Instant> {
+        let leaving = self.known.get(upstream)?.leaving?;
+        leaving.is_carried.then_some(leaving.first_received_at)
     }
 
     /// Whether `upstream` announced that it is leaving, or may have done so.
@@ -255,7 +260,7 @@
         let until = notice.extend_backoff(requested);
         let successor = notice.successor.clone();
         self.change_count += 1;
-        self.record_unconfirmed_backoff(successor, requested, now);
+        self.carry_backoff(successor, requested, now);
         until
     }
 
@@ -309,6 +314,7 @@
         Self {
             first_received_at: received_at,
             last_received_at: received_at,
+            is_carried: false,
             is_confirmed: false,
         }
     }
@@ -327,9 +333,8 @@
         self.leaving.is_some_and(|leaving| leaving.is_confirmed)
     }
 
-    fn unconfirmed_leaving_since(&self) -> Option<Instant> {
-        let unconfirmed = self.leaving.filter(|leaving| !leaving.is_confirmed);
-        unconfirmed.map(|leaving| leaving.first_received_at)
+    fn is_unconfirmed_leaving(&self) -> bool {
+        self.leaving.is_some_and(|leaving| !leaving.is_confirmed)
     }
 }
 
--- a/crates/relay/tests/restarted_upstreams.rs
+++ b/crates/relay/tests/restarted_upstreams.rs
@@ -44,6 +44,8 @@
     ReadList,
     /// The health checks that are due are answered.
     Check,
+    /// The control thread publishes which upstreams are leaving.
+    Publish,
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -56,6 +58,7 @@
         6 => Just(Event::Answer),
         3 => Just(Event::ReadList),
         2 => Just(Event::Check),
+        2 => Just(Event::Publish),
     ]
 }
 
@@ -130,7 +133,7 @@
         self.processes.len() - 1
     }
 
-    /// Applies the list and the notices to the dispatcher, as a node does.
+    /// Applies the list, and which upstreams are certainly leaving, to the dispatcher.
     fn publish(&mut self) {
         let upstream = Self::upstream(self.listed);
         let upstream = match self.notices.is_confirmed_leaving(&upstream.id) {
@@ -139,9 +142,14 @@
         };
         self.dispatcher
             .set_upstreams(&[Arc::new(upstream)], self.now);
+        self.apply_notices();
+    }
+
+    /// Applies the notices to the dispatcher, as the traffic thread does before each request.
+    fn apply_notices(&mut self) {
         let notices = &self.notices;
         self.dispatcher
-            .set_unconfirmed_leaving(|id| notices.unconfirmed_leaving_since(id));
+            .set_carried_leaving(|id| notices.carried_leaving_since(id));
         self.dispatcher.set_backoffs(|id| notices.backoff_until(id));
     }
 
@@ -165,6 +173,7 @@
     }
 
     fn request(&mut self) -> Result<(), TestCaseError> {
+        self.apply_notices();
         if !self.may_send() {
             return Ok(());
         }
@@ -207,12 +216,11 @@
             self.notices
                 .record_backoff(id, backoff, now, &mut self.random);
         }
-        self.publish();
     }
 
     fn check(&mut self) {
         let id = Self::upstream(self.listed).id;
-        if self.notices.unconfirmed_leaving_since(&id).is_none() {
+        if !self.notices.unconfirmed().any(|known| *known == id) {
             return;
         }
         let running = self.running();
@@ -222,7 +230,6 @@
         } else {
             self.notices.record_staying(&id);
         }
-        self.publish();
     }
 
     fn apply(&mut self, event: &Event) -> Result<(), TestCaseError> {
@@ -253,6 +260,7 @@
             Event::Answer => self.answer(),
             Event::ReadList => self.read_list(),
             Event::Check => self.check(),
+            Event::Publish => self.publish(),
         }
         Ok(())
     }
@@ -283,6 +291,7 @@
         }
         world.read_list();
         world.check();
+        world.publish();
         world.now += LONGEST_BACKOFF;
         let stays = !world.processes[world.running()].is_leaving;
         prop_assert!(!stays || world.may_send(), "the process is not leaving");
