--- a/crates/relay/src/rate_limits.rs
+++ b/crates/relay/src/rate_limits.rs
@@ -6,7 +6,7 @@
 use nutmegsail_base::UpstreamId;
 use serde::{Deserialize, Serialize};
 
-use crate::upstream_notices::MAX_ENTRY_LAG;
+use crate::upstream_list::MAX_ENTRY_LAG;
 
 /// How long answers must have announced no limit, or a higher one, before the limit is lifted or
 /// raised. Answers can arrive out of order, and an upstream may announce its limit only in some of
--- a/crates/relay/src/upstream_list.rs
+++ b/crates/relay/src/upstream_list.rs
@@ -12,6 +12,10 @@
 /// How long a name is remembered after it was last seen. Delayed writes arrive within seconds.
 const NAME_TTL: Duration = Duration::from_secs(60);
 
+/// How long the list may still show a process after the next one under its name has started to
+/// answer: the entry of a process that ended expires after three heartbeats, 3.6 s.
+pub(crate) const MAX_ENTRY_LAG: Duration = Duration::from_secs(4);
+
 /// An entry of the list of upstreams.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamEntry {
--- a/crates/relay/src/upstream_notices.rs
+++ b/crates/relay/src/upstream_notices.rs
@@ -6,14 +6,12 @@
 use nutmegsail_base::UpstreamId;
 use rand::{Rng, RngExt as _};
 
+use crate::upstream_list::MAX_ENTRY_LAG;
+
 /// How long a notice is kept after its upstream was last listed. List entries expire while the
 /// store is unavailable, and reappear when it is restored from an older copy.
 const UNLISTED_TTL: Duration = Duration::from_secs(600);
 
-/// How long the list may still show a process after the next one under its name has started to
-/// answer: the entry of a process that ended expires after three heartbeats, 3.6 s.
-pub(crate) const MAX_ENTRY_LAG: Duration = Duration::from_secs(4);
-
 /// Upper bound on the backoff of an upstream for which an earlier process under its name may have
 /// asked. After it, the upstream gets a trial request.
 const MAX_UNCONFIRMED_BACKOFF: Duration = Duration::from_secs(5);
@@ -25,19 +23,6 @@
 const JITTER_SHARE: f64 = 0.1;
 const MAX_JITTER: Duration = Duration::from_millis(500);
 
-/// The backoff that an answer requests: how long its upstream wants no further requests from this
-/// node.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum RequestedBackoff {
-    /// No backoff is requested.
-    #[default]
-    None,
-    /// A backoff of this length.
-    For(Duration),
-    /// The value cannot be parsed.
-    Malformed,
-}
-
 /// Leaving and backoff notices by upstream. An upstream id stands for one process, so a notice ends
 /// with the process that sent it.
 ///
@@ -337,38 +322,3 @@
         self.leaving.is_some_and(|leaving| !leaving.is_confirmed)
     }
 }
-
-impl RequestedBackoff {
-    /// Parses the seconds form of `Retry-After`. Fractions are accepted; HTTP dates are malformed.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use nutmegsail_relay::RequestedBackoff;
-    /// let backoff = RequestedBackoff::For(Duration::from_millis(2_500));
-    /// assert_eq!(RequestedBackoff::parse("2.5"), backoff);
-    /// assert_eq!(RequestedBackoff::parse("soon"), RequestedBackoff::Malformed);
-    /// ```
-    pub fn parse(text: &str) -> Self {
-        match text.trim().parse() {
-            Ok(seconds) if is_valid_length(seconds) => {
-                let backoff = Duration::try_from_secs_f64(seconds);
-                Self::For(backoff.unwrap_or(Duration::MAX))
-            }
-            _ => Self::Malformed,
-        }
-    }
-
-    /// Combines two values of one answer: the longer backoff, or `Malformed` if either is
-    /// malformed.
-    pub fn and(self, other: Self) -> Self {
-        match (self, other) {
-            (Self::For(one), Self::For(other)) => Self::For(one.max(other)),
-            (Self::None, said) | (said, Self::None) => said,
-            _ => Self::Malformed,
-        }
-    }
-}
-
-fn is_valid_length(seconds: f64) -> bool {
-    seconds.is_finite() && seconds >= 0.0
-}
