--- a/crates/relay-node/src/control/leaving_gossip.rs
+++ b/crates/relay-node/src/control/leaving_gossip.rs
@@ -80,6 +80,7 @@
     /// Applies announcements that other nodes sent.
     pub(crate) fn apply_leaving(&self, upstreams: &[UpstreamId]) {
         for upstream in upstreams {
+            // Other nodes repeat an announcement; the upstream has not made it again.
             if !self.shared.notices().is_confirmed_leaving(upstream) {
                 self.record_leaving(upstream, "node");
             }
--- a/crates/relay-node/src/control/restarts.rs
+++ b/crates/relay-node/src/control/restarts.rs
@@ -77,6 +77,7 @@
     }
     let service = control.service(&upstream.service);
     let Some(path) = service.and_then(|service| service.health_path.clone()) else {
+        // Without a health check, the list decides.
         control.shared.notices().record_staying(&upstream.id);
         return;
     };
