--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -37,18 +37,8 @@
             .await
     }
 
-    /// Like [`Self::call`], on a connection that has not been used before.
-    pub(crate) async fn call_on_new_connection(
-        &self,
-        address: &str,
-        request: Request<Full<Bytes>>,
-        limit: Duration,
-    ) -> Option<Response<Bytes>> {
-        self.call_after(address, request, limit, Duration::ZERO)
-            .await
-    }
-
-    async fn call_after(
+    /// Like [`Self::call`], on a kept connection only if that was last used within `max_idle`.
+    pub(crate) async fn call_after(
         &self,
         address: &str,
         request: Request<Full<Bytes>>,
--- a/crates/relay-node/src/control/restarts.rs
+++ b/crates/relay-node/src/control/restarts.rs
@@ -86,7 +86,7 @@
         return;
     };
     let address = upstream.address.to_string();
-    let answer = control.call_on_new_connection(&address, request, CHECK_TIMEOUT);
+    let answer = control.call_after(&address, request, CHECK_TIMEOUT, Duration::ZERO);
     let Some(answer) = answer.await else {
         return;
     };
