Log and count how the bodies of answers are framed and end

Framing, end, bytes, and whether a stream ended inside an event tell the three hypotheses apart.

Change: Framing says how a body is delimited, EventScanner finds the boundaries between events whatever their line ends, and ReceivedBody, which both kinds of bodies now read through, records them in RequestEnded, RequestForwarded and a counter. What callers get is unchanged.

--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -6,11 +6,13 @@
 //! Start at [`Pool`].
 
 mod connection;
+mod framing;
 mod pool;
 mod pooled_body;
 mod send_error;
 mod socket;
 
+pub use framing::Framing;
 pub use pool::{Pool, PoolSettings};
 pub use pooled_body::PooledBody;
 pub use send_error::{OpenError, SendError};
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{Connection, Failed};
-use crate::{OpenError, PooledBody, SendError};
+use crate::{Framing, OpenError, PooledBody, SendError};
 
 /// How a [`Pool`] keeps connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -173,13 +173,15 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<PooledBody>, Failed> {
+        let method = request.method().clone();
         let answer = connection.send(request).await?;
+        let framing = Framing::of(&method, answer.status(), answer.headers());
         connection.keep_for = stated_keep_alive(answer.headers());
         let home = Home {
             shared: Arc::downgrade(&self.shared),
             address: address.into(),
         };
-        Ok(answer.map(|body| PooledBody::new(body, connection, home)))
+        Ok(answer.map(|body| PooledBody::new(body, framing, connection, home)))
     }
 }
 
--- a/crates/http-pool/src/pooled_body.rs
+++ b/crates/http-pool/src/pooled_body.rs
@@ -7,9 +7,9 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use crate::SendError;
 use crate::connection::Connection;
 use crate::pool::Home;
+use crate::{Framing, SendError};
 
 /// The body of an answer as it arrives. Nothing is read ahead beyond one read of the connection.
 ///
@@ -17,14 +17,21 @@
 /// closes the connection, which tells the other end that nobody listens any more.
 pub struct PooledBody {
     body: Incoming,
+    framing: Framing,
     connection: Option<Connection>,
     home: Home,
 }
 
 impl PooledBody {
-    pub(crate) fn new(body: Incoming, connection: Connection, home: Home) -> Self {
+    pub(crate) fn new(
+        body: Incoming,
+        framing: Framing,
+        connection: Connection,
+        home: Home,
+    ) -> Self {
         let mut this = Self {
             body,
+            framing,
             connection: Some(connection),
             home,
         };
@@ -34,6 +41,11 @@
         this
     }
 
+    /// How the body is delimited.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Gives the connection back, if it can carry another request.
     fn release(&mut self) {
         if let Some(connection) = self.connection.take()
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 
 use crate::team_metrics::TeamMetrics;
+use crate::traffic::BodySummary;
 
 /// Upper bounds of the histogram buckets for times, in milliseconds. They are finest around the
 /// latency objectives of plain calls (150 ms) and streams (600 to 1,000 ms).
@@ -29,6 +30,7 @@
     store_calls: Counter<u64>,
     reader_silent: Counter<u64>,
     upstream_ends: Counter<u64>,
+    body_ends: Counter<u64>,
     held_back: Counter<u64>,
     not_sent: Counter<u64>,
     forwards: Counter<u64>,
@@ -85,6 +87,10 @@
                 "nutmegsail.relay.upstream_ends",
                 "Times that an upstream ended while requests began there.",
             ),
+            body_ends: counter(
+                "nutmegsail.relay.body_ends",
+                "Bodies of upstreams' answers, by framing, how they ended, and whether inside an event.",
+            ),
             held_back: counter(
                 "nutmegsail.relay.held_back",
                 "Times that a request was held back from an upstream for its limit.",
@@ -176,6 +182,15 @@
     }
 
     /// Counts a send by its outcome.
+    pub(crate) fn record_body(&self, body: BodySummary) {
+        let labels = [
+            KeyValue::new("framing", body.framing.to_string()),
+            KeyValue::new("end", body.end.to_string()),
+            KeyValue::new("is_inside_event", body.is_inside_event),
+        ];
+        self.body_ends.add(1, &labels);
+    }
+
     pub(crate) fn record_send(&self, outcome: &'static str) {
         self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
     }
--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -6,11 +6,10 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use nutmegsail_base::ResultCode;
-use nutmegsail_http_pool::{PooledBody, SendError};
 use thiserror::Error;
 use tokio::time::Sleep;
 
-use super::answer_source::AnswerSource;
+use super::received_body::{Received, ReceivedBody};
 use super::resumable_body::ResumableBody;
 
 /// Why an answer ends early. The caller's connection is then closed, so that the answer does not
@@ -45,65 +44,40 @@
     Resumable(Box<ResumableBody>),
 }
 
-/// The body of an upstream or another node, and the accounting of its send.
+/// The body of an upstream or another node, passed on as it arrives.
 pub(crate) struct ForwardedBody {
-    body: PooledBody,
-    source: AnswerSource,
+    received: ReceivedBody,
     /// Fires at the request's deadline.
     deadline_timer: Pin<Box<Sleep>>,
 }
 
 impl ForwardedBody {
-    pub(crate) fn new(
-        body: PooledBody,
-        source: AnswerSource,
-        deadline_timer: Pin<Box<Sleep>>,
-    ) -> Self {
-        let mut forwarded = Self {
-            body,
-            source,
+    pub(super) fn new(received: ReceivedBody, deadline_timer: Pin<Box<Sleep>>) -> Self {
+        Self {
+            received,
             deadline_timer,
-        };
-        forwarded.record_end();
-        forwarded
-    }
-
-    /// Ends the accounting with the last byte of a body of known length, which is not polled again.
-    /// Otherwise the answers of plain services would never count, and an upstream would be paused
-    /// at its third failure, however many answers came in between.
-    fn record_end(&mut self) {
-        if self.body.is_end_stream() {
-            self.source.record_complete();
         }
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
-        match Pin::new(&mut self.body).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                self.source.record_progress();
-                self.record_end();
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Poll::Ready(Some(Err(
-                SendError::Broken | SendError::NotSent(_) | SendError::AtLimit,
-            ))) => {
-                self.source.record_disconnected();
-                self.source.record_cut(AnswerCut::Upstream);
-                Poll::Ready(Some(Err(AnswerCut::Upstream)))
-            }
-            Poll::Ready(None) => {
-                self.source.record_complete();
+        match self.received.poll(cx) {
+            Poll::Ready(Received::Data(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Received::Broken) => self.cut(AnswerCut::Upstream),
+            Poll::Ready(Received::Complete) => {
+                self.received.record_complete();
                 Poll::Ready(None)
             }
             Poll::Pending => match self.deadline_timer.as_mut().poll(cx) {
-                Poll::Ready(()) => {
-                    self.source.record_cut(AnswerCut::TimedOut);
-                    Poll::Ready(Some(Err(AnswerCut::TimedOut)))
-                }
+                Poll::Ready(()) => self.cut(AnswerCut::TimedOut),
                 Poll::Pending => Poll::Pending,
             },
         }
     }
+
+    fn cut(&mut self, cut: AnswerCut) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
+        self.received.record_cut(cut);
+        Poll::Ready(Some(Err(cut)))
+    }
 }
 
 impl Body for AnswerBody {
@@ -124,7 +98,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Own(bytes) => bytes.is_none(),
-            Self::Forwarded(forwarded) => forwarded.body.is_end_stream(),
+            Self::Forwarded(forwarded) => forwarded.received.is_end_stream(),
             Self::Resumable(resumable) => resumable.is_ended(),
         }
     }
@@ -132,7 +106,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Own(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Forwarded(forwarded) => forwarded.body.size_hint(),
+            Self::Forwarded(forwarded) => forwarded.received.size_hint(),
             Self::Resumable(_) => SizeHint::default(),
         }
     }
--- a/crates/relay-node/src/traffic/answer_source.rs
+++ b/crates/relay-node/src/traffic/answer_source.rs
@@ -3,6 +3,7 @@
 use derive_more::From;
 
 use super::answer_body::AnswerCut;
+use super::answer_end::BodySummary;
 use super::forward::ForwardInFlight;
 use super::in_flight::InFlight;
 
@@ -40,6 +41,14 @@
         }
     }
 
+    /// Called when the body is not read any more, with what is known of it.
+    pub(crate) fn record_summary(&mut self, body: BodySummary) {
+        match self {
+            Self::Upstream(in_flight) => in_flight.record_summary(body),
+            Self::Peer(in_flight) => in_flight.record_summary(body),
+        }
+    }
+
     /// Records that the answer broke off.
     pub(crate) fn record_broken(&mut self) {
         if let Self::Upstream(in_flight) = self {
--- a/crates/relay-node/src/traffic/forward.rs
+++ b/crates/relay-node/src/traffic/forward.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use super::answer_body::AnswerCut;
+use super::answer_end::BodySummary;
 use super::call::Call;
 use super::forward_header::{self, ForwardHeader};
 use super::gateway::{Gateway, PendingRequest, SendHistory};
@@ -100,6 +101,8 @@
     sent: Instant,
     /// When the first part of the answer's body arrived.
     first: Option<Instant>,
+    /// What is known of the answer's body, once it was read.
+    body: Option<BodySummary>,
     outcome: &'static str,
 }
 
@@ -112,6 +115,7 @@
             request: call.id.clone(),
             sent: Instant::now(),
             first: None,
+            body: None,
             outcome: "abandoned",
         }
     }
@@ -126,6 +130,11 @@
         self.outcome = "answered";
     }
 
+    /// Called when the body is not read any more, with what is known of it.
+    pub(super) fn record_summary(&mut self, body: BodySummary) {
+        self.body = Some(body);
+    }
+
     /// Called when the answer's body ends early.
     pub(super) fn record_cut(&mut self, cut: AnswerCut) {
         self.outcome = match cut {
@@ -147,7 +156,11 @@
             self.gateway.log, Event::RequestForwarded,
             "request" => self.request.to_string(), "node" => self.peer.node.to_string(),
             "outcome" => self.outcome, "first_ms" => first.map(|first| first.as_millis()),
-            "took_ms" => self.sent.elapsed().as_millis()
+            "took_ms" => self.sent.elapsed().as_millis(),
+            "framing" => self.body.map(|body| body.framing.to_string()),
+            "end" => self.body.map(|body| body.end.to_string()),
+            "bytes" => self.body.map(|body| body.bytes),
+            "is_inside_event" => self.body.map(|body| body.is_inside_event)
         );
     }
 }
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -11,6 +11,7 @@
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::answer_body::AnswerCut;
+use super::answer_end::BodySummary;
 use super::call::Call;
 use super::crash_check::Trial;
 use super::forward::ForwardedGuard;
@@ -42,6 +43,8 @@
     trial: Option<Trial>,
     /// How long the request waited at this node before this send.
     waited: Duration,
+    /// What is known of the answer's body, once it was read.
+    body: Option<BodySummary>,
     /// Set if another node forwarded the request.
     forwarded: Option<Rc<ForwardedGuard>>,
 }
@@ -79,6 +82,7 @@
             digest: call.digest,
             trial: Trial::begin(gateway, call.digest),
             waited: now.duration_since(call.began),
+            body: None,
             forwarded: call.forwarded.as_ref().map(|from| Rc::clone(&from.guard)),
         }
     }
@@ -165,6 +169,12 @@
         );
     }
 
+    /// Called when the body is not read any more, with what is known of it.
+    pub(super) fn record_summary(&mut self, body: BodySummary) {
+        self.gateway.shared.metrics.record_body(body);
+        self.body = Some(body);
+    }
+
     /// Records that the answer broke off, or that none came.
     pub(crate) fn record_broken(&mut self) {
         self.record_outcome(Outcome::Failed);
@@ -235,6 +245,10 @@
             "took_ms" => self.sent.elapsed().as_millis(), "is_settled" => self.has_outcome,
             "tokens" => self.pending_prompt_tokens,
             "forwarded_by" => self.forwarded.as_ref().map(|guard| guard.from.to_string()),
+            "framing" => self.body.map(|body| body.framing.to_string()),
+            "end" => self.body.map(|body| body.end.to_string()),
+            "bytes" => self.body.map(|body| body.bytes),
+            "is_inside_event" => self.body.map(|body| body.is_inside_event),
             "model" => self.model.as_ref().map(ToString::to_string)
         );
     }
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod adapter_loads;
 mod admission;
 mod answer_body;
+mod answer_end;
 mod answer_source;
 mod call;
 mod crash_check;
@@ -17,6 +18,7 @@
 mod plain_slot;
 mod quota_client;
 mod reach;
+mod received_body;
 mod refuse;
 mod resumable_body;
 mod resume;
@@ -26,6 +28,7 @@
 
 use std::time::Duration;
 
+pub(crate) use answer_end::BodySummary;
 pub(crate) use forward::MAX_FORWARDED;
 pub(crate) use gateway::{Gateway, GatewayParts};
 pub(crate) use listener::{Origin, serve};
--- a/crates/relay-node/src/traffic/resumable_body.rs
+++ b/crates/relay-node/src/traffic/resumable_body.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body::{Body, Frame};
-use nutmegsail_http_pool::PooledBody;
+use http_body::Frame;
 use nutmegsail_relay::EventSplitter;
 use tokio::time::{Instant, Sleep};
 
 use super::answer_body::AnswerCut;
-use super::answer_source::AnswerSource;
+use super::received_body::{Received, ReceivedBody};
 use super::resume::{Resumed, Resumption};
 
 /// How long an upstream may send nothing in the middle of a stream before another one resumes it.
@@ -24,17 +23,11 @@
 type ResumeFuture = Pin<Box<dyn Future<Output = Option<Resumed>>>>;
 
 enum State {
-    Reading(Box<Reading>),
+    Reading(Box<ReceivedBody>),
     Resuming(ResumeFuture),
     Ended,
 }
 
-/// The body of an upstream or another node, and the accounting of its send.
-struct Reading {
-    body: PooledBody,
-    source: AnswerSource,
-}
-
 /// Forwards the whole events of a stream, from one upstream after another.
 pub(crate) struct ResumableBody {
     state: State,
@@ -55,14 +48,13 @@
 }
 
 impl ResumableBody {
-    pub(crate) fn new(
-        body: PooledBody,
-        source: AnswerSource,
+    pub(super) fn new(
+        received: ReceivedBody,
         resumption: Resumption,
         deadline_timer: Pin<Box<Sleep>>,
     ) -> Self {
         Self {
-            state: State::Reading(Box::new(Reading { body, source })),
+            state: State::Reading(Box::new(received)),
             events: EventSplitter::default(),
             resumption: Some(resumption),
             deadline_timer,
@@ -116,27 +108,22 @@
     }
 
     fn poll_upstream(&mut self, cx: &mut Context<'_>) -> PollResult {
-        let State::Reading(reading) = &mut self.state else {
+        let State::Reading(received) = &mut self.state else {
             return PollResult::Nothing;
         };
-        match Pin::new(&mut reading.body).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                reading.source.record_progress();
+        match received.poll(cx) {
+            Poll::Ready(Received::Data(bytes)) => {
                 self.silence_timer
                     .as_mut()
                     .reset(Instant::now() + MAX_SILENCE);
-                let bytes = frame.into_data().unwrap_or_default();
                 // Repeated events mean that the upstream started the stream again from the
                 // beginning.
                 self.events
                     .push(&bytes)
                     .map_or(PollResult::Broken, PollResult::Events)
             }
-            Poll::Ready(Some(Err(_))) => {
-                reading.source.record_disconnected();
-                PollResult::Broken
-            }
-            Poll::Ready(None) => PollResult::Complete,
+            Poll::Ready(Received::Broken) => PollResult::Broken,
+            Poll::Ready(Received::Complete) => PollResult::Complete,
             Poll::Pending if self.silence_timer.as_mut().poll(cx).is_ready() => PollResult::Broken,
             Poll::Pending => PollResult::Nothing,
         }
@@ -151,8 +138,8 @@
         else {
             return false;
         };
-        if let State::Reading(reading) = &mut self.state {
-            reading.source.record_broken();
+        if let State::Reading(received) = &mut self.state {
+            received.record_broken();
         }
         self.events.drop_partial();
         self.state = State::Resuming(Box::pin(resumption.resume_after(self.events.last_id())));
@@ -160,10 +147,7 @@
     }
 
     fn switch_to(&mut self, resumed: Resumed) {
-        self.state = State::Reading(Box::new(Reading {
-            body: resumed.body,
-            source: resumed.source,
-        }));
+        self.state = State::Reading(Box::new(resumed.received));
         self.resumption = resumed.resumption;
         self.silence_timer
             .as_mut()
@@ -171,8 +155,8 @@
     }
 
     fn end(&mut self) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
-        if let State::Reading(reading) = &mut self.state {
-            reading.source.record_complete();
+        if let State::Reading(received) = &mut self.state {
+            received.record_complete();
         }
         self.state = State::Ended;
         let rest = self.events.take_partial();
@@ -183,8 +167,8 @@
     }
 
     fn cut(&mut self, cut: AnswerCut) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
-        if let State::Reading(reading) = &mut self.state {
-            reading.source.record_cut(cut);
+        if let State::Reading(received) = &mut self.state {
+            received.record_cut(cut);
         }
         self.state = State::Ended;
         Poll::Ready(Some(Err(cut)))
--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -5,13 +5,12 @@
 
 use http::StatusCode;
 use nutmegsail_base::UpstreamId;
-use nutmegsail_http_pool::PooledBody;
 use nutmegsail_telemetry::{Event, log_event};
 
-use super::answer_source::AnswerSource;
 use super::call::Call;
 use super::forward::{Forwarded, PeerAnswered};
 use super::gateway::{Gateway, PendingRequest, SendHistory};
+use super::received_body::ReceivedBody;
 use super::send::SendOutcome;
 
 /// How long a broken stream may wait to be resumed, including the load of its adapter. Callers give
@@ -30,8 +29,7 @@
 
 /// A resumed stream.
 pub(crate) struct Resumed {
-    pub(crate) body: PooledBody,
-    pub(super) source: AnswerSource,
+    pub(super) received: ReceivedBody,
     /// How it may be resumed again; another node that resumed it does so itself.
     pub(crate) resumption: Option<Resumption>,
 }
@@ -79,8 +77,11 @@
                     );
                     self.sends.record_uncertain_send(&choice.upstream.id);
                     return Some(Resumed {
-                        body: received.answer.into_body(),
-                        source: received.in_flight.into(),
+                        received: ReceivedBody::new(
+                            received.answer.into_body(),
+                            received.in_flight.into(),
+                            true,
+                        ),
                         resumption: Some(self),
                     });
                 }
@@ -115,8 +116,7 @@
             "request" => self.call.id.to_string(), "after" => last_id
         );
         Some(Resumed {
-            body: answer.into_body(),
-            source: in_flight.into(),
+            received: ReceivedBody::new(answer.into_body(), in_flight.into(), true),
             resumption: None,
         })
     }
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{Response, header};
+use http::{Response, StatusCode, header};
 use nutmegsail_http_pool::{OpenError, PooledBody, SendError};
 use nutmegsail_relay::{CallKind, Choice, HeldAdapter};
 use nutmegsail_telemetry::{Event, log_event};
@@ -15,6 +15,7 @@
 use super::forward_header::write_answered_by;
 use super::gateway::Gateway;
 use super::in_flight::InFlight;
+use super::received_body::ReceivedBody;
 use super::resumable_body::ResumableBody;
 use super::resume::Resumption;
 use crate::{AnswerMeta, SendMeta, Verdict};
@@ -233,9 +234,9 @@
             return pass_on_from(call, answer, in_flight.into());
         };
         let mut answer = answer.map(|body| {
-            let source = in_flight.into();
+            let received = ReceivedBody::new(body, in_flight.into(), true);
             let deadline_timer = Box::pin(sleep_until(call.deadline_at.into()));
-            let resumable = ResumableBody::new(body, source, resumption, deadline_timer);
+            let resumable = ResumableBody::new(received, resumption, deadline_timer);
             AnswerBody::Resumable(Box::new(resumable))
         });
         strip_hop_by_hop(answer.headers_mut());
@@ -250,8 +251,10 @@
     source: AnswerSource,
 ) -> Response<AnswerBody> {
     let deadline_timer = Box::pin(sleep_until(call.deadline_at.into()));
+    let is_stream = call.route.kind.is_stream() && answer.status() == StatusCode::OK;
     let mut answer = answer.map(|body| {
-        let forwarded = ForwardedBody::new(body, source, deadline_timer);
+        let received = ReceivedBody::new(body, source, is_stream);
+        let forwarded = ForwardedBody::new(received, deadline_timer);
         AnswerBody::Forwarded(Box::new(forwarded))
     });
     strip_hop_by_hop(answer.headers_mut());
