--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use http::StatusCode;
-use nutmegsail_base::UpstreamId;
+use nutmegsail_base::{ResultCode, UpstreamId};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::call::Call;
@@ -27,6 +28,23 @@
     sends: SendHistory,
 }
 
+/// Why a stream was not resumed.
+#[derive(Clone, Copy, Debug, Display)]
+enum NotResumed {
+    /// Every upstream that was tried refused it, or the time was over before.
+    #[display("no upstream took it in time")]
+    TimedOut,
+    /// No upstream could be chosen.
+    #[display("{_0}")]
+    NoUpstream(ResultCode),
+    /// The upstream may have run it, but sent no usable answer.
+    #[display("the upstream sent no usable answer")]
+    NotAnswered,
+    /// The node that it was forwarded to did not resume it.
+    #[display("the other node did not resume it")]
+    AtPeer,
+}
+
 /// A resumed stream.
 pub(crate) struct Resumed {
     pub(super) received: ReceivedBody,
@@ -55,18 +73,37 @@
     }
 
     /// Sends the request to another upstream, which resumes after the event `last_id`.
-    pub(crate) async fn resume_after(mut self, last_id: Option<u64>) -> Option<Resumed> {
+    pub(crate) async fn resume_after(self, last_id: Option<u64>) -> Option<Resumed> {
+        let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
+        let resumed = self.try_resume(last_id).await;
+        if let Err(why) = &resumed {
+            let dispatcher = gateway.dispatcher.borrow();
+            let upstreams = dispatcher.overview(&call.service, Instant::now());
+            log_event!(
+                gateway.log, Event::AnswerNotResumed,
+                "request" => call.id.to_string(), "after" => last_id, "why" => why.to_string(),
+                "eligible" => upstreams.eligible, "failing" => upstreams.failing
+            );
+        }
+        resumed.ok()
+    }
+
+    async fn try_resume(mut self, last_id: Option<u64>) -> Result<Resumed, NotResumed> {
         let until = Instant::now() + RESUME_TIMEOUT;
         for _ in 0..MAX_RESUME_TRIES {
             if Instant::now() >= until {
                 break;
             }
             if self.gateway.should_forward(&self.call) {
-                return self.resume_at_peer(last_id).await;
+                return self.resume_at_peer(last_id).await.ok_or(NotResumed::AtPeer);
             }
             let next = self.gateway.next_upstream(&self.call, &self.sends);
             let left = until.saturating_duration_since(Instant::now());
-            let choice = tokio::time::timeout(left, next).await.ok()?.ok()?;
+            let next = tokio::time::timeout(left, next).await;
+            let choice = match next.map_err(|_| NotResumed::TimedOut)? {
+                Ok(choice) => choice,
+                Err(refused) => return Err(NotResumed::NoUpstream(refused.code)),
+            };
             let sent = self.gateway.send(&self.call, &choice, false, last_id).await;
             match sent {
                 SendOutcome::Answer(received) if received.answer.status() == StatusCode::OK => {
@@ -76,7 +113,7 @@
                         "upstream" => choice.upstream.id.to_string(), "after" => last_id
                     );
                     self.sends.record_uncertain_send(&choice.upstream.id);
-                    return Some(Resumed {
+                    return Ok(Resumed {
                         received: ReceivedBody::new(
                             received.answer.into_body(),
                             received.in_flight.into(),
@@ -91,11 +128,11 @@
                 SendOutcome::Answer(_)
                 | SendOutcome::Failed(_)
                 | SendOutcome::Lost
-                | SendOutcome::TimedOut => return None,
+                | SendOutcome::TimedOut => return Err(NotResumed::NotAnswered),
             }
             self.sends.tried.push(choice.upstream.id.clone());
         }
-        None
+        Err(NotResumed::TimedOut)
     }
 
     /// Forwards the request to another node, which resumes after the event `last_id`.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -89,6 +89,7 @@
     2014 SendLost Info "A request was sent to an upstream, and no usable answer came; it may have run.";
     2015 SendNotSent Info "A request could not be sent to an upstream, as no connection could be opened.";
     2016 RequestForwarded Info "A request was forwarded to another node, as its upstreams cannot be reached from this one.";
+    2017 AnswerNotResumed Info "A stream broke off, and no other upstream resumed it.";
     3001 UpstreamEjected Warning "An upstream failed too often and gets no work for a while.";
     3002 UpstreamRestored Info "An upstream gets work again.";
     3003 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
