Join resumed streams between events whatever their line ends

Found while the answer that ended early was traced: EventSplitter knew one end of an event, two LFs. Callers of a resumable stream whose upstream ends lines with CR LF or CR got nothing until its end; if it broke off, all of it was sent again, and what the old upstream had sent of it was lost. Beside it: a byte order mark of the upstream that resumes stood in the middle of the stream; events before one that was out of order were counted as forwarded and lost; a stream of events without ids was sent again from the start; and an upstream that ignored the caller's Last-Event-ID could repeat events.

Change: the boundaries come from EventScanner, comments are forwarded at once, a push that is out of order changes nothing, a stream with events without ids is not resumed, and a caller's Last-Event-ID counts as the last id.

--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// The event after which the caller resumes a stream, if it names one by a number.
+    pub(super) fn last_event_id(&self) -> Option<u64> {
+        let id = self.parts.headers.get(LAST_EVENT_ID)?;
+        id.to_str().ok()?.trim().parse().ok()
+    }
+
     /// Builds the request for an upstream, with method, path, query and body unchanged.
     ///
     /// With `last_event`, the upstream resumes a stream after that event.
--- a/crates/relay-node/src/traffic/resumable_body.rs
+++ b/crates/relay-node/src/traffic/resumable_body.rs
@@ -55,7 +55,7 @@
     ) -> Self {
         Self {
             state: State::Reading(Box::new(received)),
-            events: EventSplitter::default(),
+            events: EventSplitter::after(resumption.caller_last_id()),
             resumption: Some(resumption),
             deadline_timer,
             silence_timer: Box::pin(tokio::time::sleep(MAX_SILENCE)),
@@ -134,14 +134,14 @@
     fn start_resuming(&mut self) -> bool {
         let Some(resumption) = self
             .resumption
-            .take_if(|resumption| resumption.has_attempts_left())
+            .take_if(|resumption| resumption.has_attempts_left() && self.events.can_resume())
         else {
             return false;
         };
         if let State::Reading(received) = &mut self.state {
             received.record_broken();
         }
-        self.events.drop_partial();
+        self.events.begin_resumed();
         self.state = State::Resuming(Box::pin(resumption.resume_after(self.events.last_id())));
         true
     }
--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -158,6 +158,11 @@
         })
     }
 
+    /// The event after which the caller resumes the stream, if it does.
+    pub(super) fn caller_last_id(&self) -> Option<u64> {
+        self.call.last_event_id()
+    }
+
     /// Whether an attempt is left to resume the stream.
     pub(crate) fn has_attempts_left(&self) -> bool {
         self.sends.may_have_run < self.call.route.max_attempts
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use crate::EventScanner;
+
 /// Error for an event whose id does not follow the previous one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("event id does not increase")]
@@ -19,41 +21,71 @@
 /// let whole = events.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
 /// assert_eq!(whole, b"id: 1\ndata: a\n\n");
 /// assert_eq!(events.last_id(), Some(1));
-/// events.drop_partial();
+/// events.begin_resumed();
 /// let whole = events.push(b"id: 2\ndata: b\n\n").unwrap();
 /// assert_eq!(whole, b"id: 2\ndata: b\n\n");
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
+    events: EventScanner,
     partial: Vec<u8>,
     last_id: Option<u64>,
+    /// Whether an event without an id was forwarded after the one with `last_id`.
+    has_unidentified: bool,
+    /// Whether the stream was resumed and its first line has not ended.
+    is_resumed: bool,
 }
 
-/// Terminator of an event.
-const END: &[u8] = b"\n\n";
+/// The byte order mark that a stream may begin with.
+const BYTE_ORDER_MARK: &[u8] = b"\xEF\xBB\xBF";
 
 impl EventSplitter {
+    /// A splitter for a stream that a caller resumes after the event `last_id`.
+    ///
+    /// ```
+    /// use nutmegsail_relay::{EventOutOfOrder, EventSplitter};
+    /// let mut events = EventSplitter::after(Some(7));
+    /// assert_eq!(events.push(b"id: 7\ndata: a\n\n"), Err(EventOutOfOrder));
+    /// ```
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes and returns all events that are complete now.
     ///
     /// # Errors
     ///
     /// [`EventOutOfOrder`] if an id does not increase: the upstream did not resume the stream at
-    /// the right event.
+    /// the right event. The events of `bytes` are discarded then.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventOutOfOrder> {
+        let held = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let mut ends = self.partial.windows(END.len());
-        let Some(last_end) = ends.rposition(|window| window == END) else {
-            return Ok(Vec::new());
-        };
-        let rest = self.partial.split_off(last_end + END.len());
-        let whole = std::mem::replace(&mut self.partial, rest);
-        for id in whole.split(|byte| *byte == b'\n').filter_map(id_of) {
-            if self.last_id.is_some_and(|last| id <= last) {
-                return Err(EventOutOfOrder);
+        let (mut scanned, mut whole) = (0, 0);
+        let forwarded = (self.last_id, self.has_unidentified);
+        while let Some((length, event)) = self.events.next_event(&bytes[scanned..]) {
+            scanned += length;
+            whole = held + scanned;
+            match event.id {
+                Some(id) if self.last_id.is_some_and(|last| id <= last) => {
+                    (self.last_id, self.has_unidentified) = forwarded;
+                    return Err(EventOutOfOrder);
+                }
+                Some(id) => {
+                    self.last_id = Some(id);
+                    self.has_unidentified = false;
+                }
+                None => self.has_unidentified |= event.has_data,
             }
-            self.last_id = Some(id);
         }
-        Ok(whole)
+        let rest = self.partial.split_off(whole);
+        let mut events = std::mem::replace(&mut self.partial, rest);
+        if !events.is_empty() && std::mem::take(&mut self.is_resumed) {
+            drop_byte_order_mark(&mut events);
+        }
+        Ok(events)
     }
 
     /// The id of the last complete event.
@@ -61,9 +93,31 @@
         self.last_id
     }
 
-    /// Discards an incomplete event whose remainder will not arrive.
-    pub fn drop_partial(&mut self) {
+    /// Whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.events.is_inside_event()
+    }
+
+    /// Whether the stream can be resumed. An event without an id would be sent again.
+    ///
+    /// ```
+    /// use nutmegsail_relay::EventSplitter;
+    /// let mut events = EventSplitter::default();
+    /// events.push(b"id: 1\ndata: a\n\n").unwrap();
+    /// assert!(events.can_resume());
+    /// events.push(b"data: b\n\n").unwrap();
+    /// assert!(!events.can_resume());
+    /// ```
+    pub fn can_resume(&self) -> bool {
+        !self.has_unidentified
+    }
+
+    /// Discards an incomplete event whose remainder will not arrive, as another upstream resumes the
+    /// stream.
+    pub fn begin_resumed(&mut self) {
         self.partial.clear();
+        self.events = EventScanner::default();
+        self.is_resumed = true;
     }
 
     /// Takes the bytes after the last complete event, when the stream ended normally.
@@ -72,8 +126,9 @@
     }
 }
 
-/// Parses the event id from a line.
-fn id_of(line: &[u8]) -> Option<u64> {
-    let id = line.strip_prefix(b"id:")?;
-    std::str::from_utf8(id).ok()?.trim().parse().ok()
+/// Removes the mark that only the beginning of a whole stream may have.
+fn drop_byte_order_mark(events: &mut Vec<u8>) {
+    if events.starts_with(BYTE_ORDER_MARK) {
+        events.drain(..BYTE_ORDER_MARK.len());
+    }
 }
