State no length for a stream that another upstream may resume

Found with the table of answers: hyper takes a body for ended at the length that its head states. If another upstream resumed a stream with more bytes (a comment before its events), the stream was cut at the first one's length and looked complete.

Change: the length is taken out of the head, so such a stream is sent in chunks. Beside it a test that a whole stream of a stated length counts for its upstream, which would else be paused at its third failure.

--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -233,6 +233,8 @@
         let Some(resumption) = resumption else {
             return pass_on_from(call, answer, in_flight.into());
         };
+        // Another upstream's events may have other lengths.
+        answer.headers_mut().remove(header::CONTENT_LENGTH);
         let mut answer = answer.map(|body| {
             let received = ReceivedBody::new(body, in_flight.into(), true);
             let deadline_timer = Box::pin(sleep_until(call.deadline_at.into()));
