Show callers no more of an answer's end than is known

What callers saw: a stream that its upstream had broken off ended with a last chunk, as if it were whole.

Cause: an answer with neither a length nor chunks ends with its connection, and an upstream that crashes or gives up closes its connections in order too. The node took that end for the end of the answer, whatever it had sent, and framed the answer anew in chunks for the caller.

Change, in all places where the end of an answer is concluded: - An answer without a delimiter is passed on without one, under an HTTP/1.0 head, as hyper writes none otherwise. Its end stays that of the connection. - If such an answer is known to be broken (a reset, silence, an end inside an event), or the node is killed, the caller's connection is reset. The same holds for callers of HTTP/1.0, who know no chunks. - A stream that ends inside an event has broken off, however it is framed. - An end that may be whole or not does not clear a request's crash strikes. If the caller has a head that promises a delimiter, as the stream was resumed within the answer, it is resumed once more or broken off, as a last chunk would claim too much. - Answers of HTTP/1.0 upstreams with a length go out as HTTP/1.1.

--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -6,9 +6,11 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use nutmegsail_base::ResultCode;
+use nutmegsail_relay::EventScanner;
 use thiserror::Error;
 use tokio::time::Sleep;
 
+use super::answer_end::Completeness;
 use super::received_body::{Received, ReceivedBody};
 use super::resumable_body::ResumableBody;
 
@@ -19,6 +21,10 @@
     /// The upstream broke off its answer.
     #[error("the upstream broke off its answer")]
     Upstream,
+    /// The upstream's answer ended with its connection, and the caller's framing cannot leave open
+    /// whether it was whole.
+    #[error("the upstream's answer may have ended early")]
+    EndUnknown,
     /// The request's deadline passed.
     #[error("the request's deadline passed")]
     TimedOut,
@@ -28,7 +34,7 @@
     /// The numbered result code.
     pub(crate) fn code(self) -> ResultCode {
         match self {
-            Self::Upstream => ResultCode::UpstreamFailed,
+            Self::Upstream | Self::EndUnknown => ResultCode::UpstreamFailed,
             Self::TimedOut => ResultCode::DeadlinePassed,
         }
     }
@@ -47,26 +53,44 @@
 /// The body of an upstream or another node, passed on as it arrives.
 pub(crate) struct ForwardedBody {
     received: ReceivedBody,
+    /// Set for a stream.
+    events: Option<EventScanner>,
     /// Fires at the request's deadline.
     deadline_timer: Pin<Box<Sleep>>,
 }
 
 impl ForwardedBody {
-    pub(super) fn new(received: ReceivedBody, deadline_timer: Pin<Box<Sleep>>) -> Self {
-        Self {
+    pub(super) fn new(
+        received: ReceivedBody,
+        is_stream: bool,
+        deadline_timer: Pin<Box<Sleep>>,
+    ) -> Self {
+        let mut forwarded = Self {
             received,
+            events: is_stream.then(EventScanner::default),
             deadline_timer,
+        };
+        if forwarded.received.is_end_stream() {
+            forwarded.end();
         }
+        forwarded
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match self.received.poll(cx) {
-            Poll::Ready(Received::Data(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
-            Poll::Ready(Received::Broken) => self.cut(AnswerCut::Upstream),
-            Poll::Ready(Received::Complete) => {
-                self.received.record_complete();
-                Poll::Ready(None)
+            Poll::Ready(Received::Data(data)) => {
+                self.scan(&data);
+                // A body of known length is not polled again after its last byte.
+                match self.received.is_end_stream() && !self.end() {
+                    true => self.cut(AnswerCut::Upstream),
+                    false => Poll::Ready(Some(Ok(Frame::data(data)))),
+                }
             }
+            Poll::Ready(Received::End) => match self.end() {
+                true => Poll::Ready(None),
+                false => self.cut(AnswerCut::Upstream),
+            },
+            Poll::Ready(Received::Broken) => self.cut(AnswerCut::Upstream),
             Poll::Pending => match self.deadline_timer.as_mut().poll(cx) {
                 Poll::Ready(()) => self.cut(AnswerCut::TimedOut),
                 Poll::Pending => Poll::Pending,
@@ -74,8 +98,32 @@
         }
     }
 
+    fn scan(&mut self, data: &[u8]) {
+        if let Some(events) = &mut self.events {
+            let mut rest = data;
+            while let Some((length, _)) = events.next_event(rest) {
+                rest = &rest[length..];
+            }
+        }
+    }
+
+    fn is_inside_event(&self) -> bool {
+        self.events
+            .as_ref()
+            .is_some_and(EventScanner::is_inside_event)
+    }
+
+    /// Records that all bytes were read; returns whether the caller gets the end of the answer.
+    fn end(&mut self) -> bool {
+        let is_passed_on = self.received.end(self.is_inside_event()) != Completeness::Broken;
+        if is_passed_on {
+            self.received.record_complete();
+        }
+        is_passed_on
+    }
+
     fn cut(&mut self, cut: AnswerCut) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
-        self.received.record_cut(cut);
+        self.received.record_cut(cut, self.is_inside_event());
         Poll::Ready(Some(Err(cut)))
     }
 }
--- a/crates/relay-node/src/traffic/answer_end.rs
+++ b/crates/relay-node/src/traffic/answer_end.rs
@@ -1,4 +1,4 @@
-//! How an answer ended.
+//! How an answer ended, and what that says of its completeness.
 
 use derive_more::Display;
 use nutmegsail_http_pool::Framing;
@@ -20,6 +20,33 @@
     Abandoned,
 }
 
+/// What is known of an answer that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Completeness {
+    Whole,
+    /// It may be whole or have ended early.
+    Unknown,
+    Broken,
+}
+
+impl BodyEnd {
+    /// The end of a body that was read to its end.
+    pub(super) fn of(framing: Framing) -> Self {
+        match framing {
+            Framing::Close => Self::Close,
+            Framing::NoBody | Framing::Length | Framing::Chunked => Self::Delimiter,
+        }
+    }
+
+    pub(super) fn completeness(self, is_inside_event: bool) -> Completeness {
+        match self {
+            Self::Delimiter if !is_inside_event => Completeness::Whole,
+            Self::Close if !is_inside_event => Completeness::Unknown,
+            _ => Completeness::Broken,
+        }
+    }
+}
+
 /// What is known of an answer's body, for logs and metrics.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodySummary {
--- a/crates/relay-node/src/traffic/answer_source.rs
+++ b/crates/relay-node/src/traffic/answer_source.rs
@@ -33,6 +33,14 @@
         }
     }
 
+    /// Called when the answer has ended with its connection, so that it may be whole or not.
+    pub(crate) fn record_closed(&mut self) {
+        match self {
+            Self::Upstream(in_flight) => in_flight.record_closed(),
+            Self::Peer(in_flight) => in_flight.record_complete(),
+        }
+    }
+
     /// Called when the answer's body ends early.
     pub(crate) fn record_cut(&mut self, cut: AnswerCut) {
         match self {
--- a/crates/relay-node/src/traffic/forward.rs
+++ b/crates/relay-node/src/traffic/forward.rs
@@ -138,7 +138,7 @@
     /// Called when the answer's body ends early.
     pub(super) fn record_cut(&mut self, cut: AnswerCut) {
         self.outcome = match cut {
-            AnswerCut::Upstream => "broken",
+            AnswerCut::Upstream | AnswerCut::EndUnknown => "broken",
             AnswerCut::TimedOut => "timed_out",
         };
     }
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -137,6 +137,26 @@
         if std::mem::replace(&mut self.is_ended, true) {
             return;
         }
+        self.gateway
+            .shared
+            .suspects()
+            .clear(&self.digest, Instant::now());
+        self.record_answered();
+    }
+
+    /// Called when the answer has ended with its connection, so that it may be whole or not: an
+    /// upstream that crashes closes its connections too.
+    pub(crate) fn record_closed(&mut self) {
+        if std::mem::replace(&mut self.is_ended, true) {
+            return;
+        }
+        self.record_answered();
+        if self.model.is_some() {
+            self.check_for_crash();
+        }
+    }
+
+    fn record_answered(&mut self) {
         if let (Some(_), Some(first)) = (&self.model, self.first) {
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
             dispatcher.record_slot_time(first.elapsed());
@@ -146,10 +166,6 @@
         if let Some(mut slot) = self.slot.take().filter(|_| self.model.is_none()) {
             slot.record_answered(self.sent.elapsed());
         }
-        self.gateway
-            .shared
-            .suspects()
-            .clear(&self.digest, Instant::now());
         self.count_end(None);
         self.record_outcome(Outcome::Answered);
     }
@@ -183,6 +199,10 @@
     /// Records that the connection to the upstream broke; the upstream may have crashed.
     pub(crate) fn record_disconnected(&mut self) {
         self.record_broken();
+        self.check_for_crash();
+    }
+
+    fn check_for_crash(&self) {
         let broken = BrokenRequest {
             digest: self.digest,
             since_first_event: self.first.map(|first| first.elapsed()),
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -1,6 +1,6 @@
 //! Callers' connections, and reading their requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Request, Response, Version, header};
+use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -25,6 +26,7 @@
 use super::admission::QuotaTokens;
 use super::answer_body::AnswerBody;
 use super::call::Call;
+use super::caller_socket::CallerSocket;
 use super::forward::ForwardedFrom;
 use super::forward_header::{self, ForwardHeader};
 use super::gateway::Gateway;
@@ -102,16 +104,23 @@
         .map(|table| table.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.header_bytes);
+    let ends_answer = Rc::new(Cell::new(false));
+    let socket = CallerSocket::new(stream, Rc::clone(&ends_answer));
     let service = service_fn(|request| {
-        let gateway = Rc::clone(&gateway);
-        async move { Ok::<_, Infallible>(gateway.answer(request, origin).await) }
+        let (gateway, ends_answer) = (Rc::clone(&gateway), Rc::clone(&ends_answer));
+        let version = request.version();
+        async move {
+            let answer = gateway.answer(request, origin).await;
+            ends_answer.set(ends_with_connection(&answer, version));
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer starts when the answer before ends, so it also limits idle time.
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         // The caller disconnected or broke the protocol; nobody is left to receive an error.
@@ -121,6 +130,14 @@
     let _ = connection.await;
 }
 
+/// Whether the end of the connection is what ends an answer to a request of `version`.
+fn ends_with_connection(answer: &Response<AnswerBody>, version: Version) -> bool {
+    let has_chunks = version == Version::HTTP_11 && answer.version() == Version::HTTP_11;
+    let has_length = answer.headers().contains_key(header::CONTENT_LENGTH)
+        || answer.body().size_hint().exact().is_some();
+    !has_chunks && !has_length
+}
+
 /// Why a request is refused before routing.
 struct EarlyRefusal {
     code: ResultCode,
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod answer_end;
 mod answer_source;
 mod call;
+mod caller_socket;
 mod crash_check;
 mod forward;
 mod forward_header;
--- a/crates/relay-node/src/traffic/received_body.rs
+++ b/crates/relay-node/src/traffic/received_body.rs
@@ -6,50 +6,41 @@
 use bytes::Bytes;
 use http_body::{Body, SizeHint};
 use nutmegsail_http_pool::{Framing, PooledBody};
-use nutmegsail_relay::EventScanner;
 
 use super::answer_body::AnswerCut;
-use super::answer_end::{BodyEnd, BodySummary};
+use super::answer_end::{BodyEnd, BodySummary, Completeness};
 use super::answer_source::AnswerSource;
 
 /// The body of an upstream or another node, and the accounting of its send.
 pub(super) struct ReceivedBody {
     body: PooledBody,
     source: AnswerSource,
-    /// Set for a stream.
-    events: Option<EventScanner>,
     bytes: u64,
     end: BodyEnd,
+    is_inside_event: bool,
 }
 
 /// The result of one poll of a body.
 pub(super) enum Received {
     Data(Bytes),
-    Complete,
+    /// The body was read to its end, as far as its framing says.
+    End,
     Broken,
 }
 
 impl ReceivedBody {
-    pub(super) fn new(body: PooledBody, source: AnswerSource, is_stream: bool) -> Self {
-        let mut received = Self {
+    pub(super) fn new(body: PooledBody, source: AnswerSource) -> Self {
+        Self {
             body,
             source,
-            events: is_stream.then(EventScanner::default),
             bytes: 0,
             end: BodyEnd::Abandoned,
-        };
-        received.record_end();
-        received
+            is_inside_event: false,
+        }
     }
 
-    /// Ends the accounting with the last byte of a body of known length, which is not polled again.
-    /// Otherwise the answers of plain services would never count, and an upstream would be paused
-    /// at its third failure, however many answers came in between.
-    fn record_end(&mut self) {
-        if self.body.is_end_stream() {
-            self.end = BodyEnd::Delimiter;
-            self.source.record_complete();
-        }
+    pub(super) fn framing(&self) -> Framing {
+        self.body.framing()
     }
 
     pub(super) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Received> {
@@ -57,8 +48,7 @@
             Some(Ok(frame)) => {
                 self.source.record_progress();
                 let data = frame.into_data().unwrap_or_default();
-                self.scan(&data);
-                self.record_end();
+                self.bytes += data.len() as u64;
                 Poll::Ready(Received::Data(data))
             }
             Some(Err(_)) => {
@@ -66,42 +56,41 @@
                 self.source.record_disconnected();
                 Poll::Ready(Received::Broken)
             }
-            None => {
-                self.end = match self.body.framing() {
-                    Framing::Close => BodyEnd::Close,
-                    Framing::NoBody | Framing::Length | Framing::Chunked => BodyEnd::Delimiter,
-                };
-                Poll::Ready(Received::Complete)
-            }
+            None => Poll::Ready(Received::End),
         }
     }
 
-    fn scan(&mut self, data: &[u8]) {
-        self.bytes += data.len() as u64;
-        let Some(events) = &mut self.events else {
-            return;
-        };
-        let mut rest = data;
-        while let Some((length, _)) = events.next_event(rest) {
-            rest = &rest[length..];
+    /// Called when all bytes were read. Returns what is known of the answer.
+    pub(super) fn end(&mut self, is_inside_event: bool) -> Completeness {
+        self.end = BodyEnd::of(self.framing());
+        self.is_inside_event = is_inside_event;
+        let completeness = self.end.completeness(is_inside_event);
+        if completeness == Completeness::Broken {
+            self.source.record_disconnected();
         }
+        completeness
     }
 
-    /// Called when the answer is passed on as complete.
+    /// Called when the caller gets the end of the answer.
     pub(super) fn record_complete(&mut self) {
-        self.source.record_complete();
+        match self.end.completeness(self.is_inside_event) {
+            Completeness::Unknown => self.source.record_closed(),
+            Completeness::Whole | Completeness::Broken => self.source.record_complete(),
+        }
     }
 
     /// Called when the answer to the caller ends early.
-    pub(super) fn record_cut(&mut self, cut: AnswerCut) {
+    pub(super) fn record_cut(&mut self, cut: AnswerCut, is_inside_event: bool) {
         if cut == AnswerCut::TimedOut {
             self.end = BodyEnd::TimedOut;
         }
+        self.is_inside_event = is_inside_event;
         self.source.record_cut(cut);
     }
 
     /// Records that the answer broke off.
-    pub(super) fn record_broken(&mut self) {
+    pub(super) fn record_broken(&mut self, is_inside_event: bool) {
+        self.is_inside_event = is_inside_event;
         self.source.record_broken();
     }
 
@@ -112,23 +101,15 @@
     pub(super) fn size_hint(&self) -> SizeHint {
         self.body.size_hint()
     }
-
-    fn summary(&self) -> BodySummary {
-        BodySummary {
-            framing: self.body.framing(),
-            end: self.end,
-            bytes: self.bytes,
-            is_inside_event: self
-                .events
-                .as_ref()
-                .is_some_and(EventScanner::is_inside_event),
-        }
-    }
 }
 
 impl Drop for ReceivedBody {
     fn drop(&mut self) {
-        let summary = self.summary();
-        self.source.record_summary(summary);
+        self.source.record_summary(BodySummary {
+            framing: self.framing(),
+            end: self.end,
+            bytes: self.bytes,
+            is_inside_event: self.is_inside_event,
+        });
     }
 }
--- a/crates/relay-node/src/traffic/resumable_body.rs
+++ b/crates/relay-node/src/traffic/resumable_body.rs
@@ -7,10 +7,12 @@
 
 use bytes::Bytes;
 use http_body::Frame;
+use nutmegsail_http_pool::Framing;
 use nutmegsail_relay::EventSplitter;
 use tokio::time::{Instant, Sleep};
 
 use super::answer_body::AnswerCut;
+use super::answer_end::Completeness;
 use super::received_body::{Received, ReceivedBody};
 use super::resume::{Resumed, Resumption};
 
@@ -33,6 +35,8 @@
     state: State,
     events: EventSplitter,
     resumption: Option<Resumption>,
+    /// Whether the caller has a head that promises an end other than that of the connection.
+    is_delimited: bool,
     /// Fires at the request's deadline.
     deadline_timer: Pin<Box<Sleep>>,
     /// Fires when the upstream has sent nothing for too long.
@@ -43,7 +47,8 @@
 enum PollResult {
     Events(Vec<u8>),
     Complete,
-    Broken,
+    /// It broke off, or may have, and the caller's framing cannot leave that open.
+    Broken(AnswerCut),
     Nothing,
 }
 
@@ -54,6 +59,7 @@
         deadline_timer: Pin<Box<Sleep>>,
     ) -> Self {
         Self {
+            is_delimited: received.framing() != Framing::Close,
             state: State::Reading(Box::new(received)),
             events: EventSplitter::after(resumption.caller_last_id()),
             resumption: Some(resumption),
@@ -100,9 +106,9 @@
             PollResult::Events(events) => Poll::Ready(Some(Ok(events))),
             PollResult::Complete => Poll::Ready(None),
             PollResult::Nothing => Poll::Pending,
-            PollResult::Broken => match self.start_resuming() {
+            PollResult::Broken(cut) => match self.start_resuming(cut) {
                 true => Poll::Ready(Some(Ok(Vec::new()))),
-                false => Poll::Ready(Some(Err(AnswerCut::Upstream))),
+                false => Poll::Ready(Some(Err(cut))),
             },
         }
     }
@@ -120,26 +126,35 @@
                 // beginning.
                 self.events
                     .push(&bytes)
-                    .map_or(PollResult::Broken, PollResult::Events)
+                    .map_or(PollResult::Broken(AnswerCut::Upstream), PollResult::Events)
+            }
+            Poll::Ready(Received::Broken) => PollResult::Broken(AnswerCut::Upstream),
+            Poll::Ready(Received::End) => match received.end(self.events.is_inside_event()) {
+                Completeness::Whole => PollResult::Complete,
+                Completeness::Unknown if !self.is_delimited => PollResult::Complete,
+                Completeness::Unknown => PollResult::Broken(AnswerCut::EndUnknown),
+                Completeness::Broken => PollResult::Broken(AnswerCut::Upstream),
+            },
+            Poll::Pending if self.silence_timer.as_mut().poll(cx).is_ready() => {
+                PollResult::Broken(AnswerCut::Upstream)
             }
-            Poll::Ready(Received::Broken) => PollResult::Broken,
-            Poll::Ready(Received::Complete) => PollResult::Complete,
-            Poll::Pending if self.silence_timer.as_mut().poll(cx).is_ready() => PollResult::Broken,
             Poll::Pending => PollResult::Nothing,
         }
     }
 
     /// Starts to resume the stream at another upstream, if that is allowed. Dropping the body
     /// closes the connection to the old upstream, which then stops working on the request.
-    fn start_resuming(&mut self) -> bool {
+    fn start_resuming(&mut self, cut: AnswerCut) -> bool {
         let Some(resumption) = self
             .resumption
             .take_if(|resumption| resumption.has_attempts_left() && self.events.can_resume())
         else {
             return false;
         };
-        if let State::Reading(received) = &mut self.state {
-            received.record_broken();
+        if let State::Reading(received) = &mut self.state
+            && cut == AnswerCut::Upstream
+        {
+            received.record_broken(self.events.is_inside_event());
         }
         self.events.begin_resumed();
         self.state = State::Resuming(Box::pin(resumption.resume_after(self.events.last_id())));
@@ -168,7 +183,7 @@
 
     fn cut(&mut self, cut: AnswerCut) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         if let State::Reading(received) = &mut self.state {
-            received.record_cut(cut);
+            received.record_cut(cut, self.events.is_inside_event());
         }
         self.state = State::Ended;
         Poll::Ready(Some(Err(cut)))
--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -117,7 +117,6 @@
                         received: ReceivedBody::new(
                             received.answer.into_body(),
                             received.in_flight.into(),
-                            true,
                         ),
                         resumption: Some(self),
                     });
@@ -153,7 +152,7 @@
             "request" => self.call.id.to_string(), "after" => last_id
         );
         Some(Resumed {
-            received: ReceivedBody::new(answer.into_body(), in_flight.into(), true),
+            received: ReceivedBody::new(answer.into_body(), in_flight.into()),
             resumption: None,
         })
     }
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{Response, StatusCode, header};
-use nutmegsail_http_pool::{OpenError, PooledBody, SendError};
+use http::{HeaderMap, Response, Version, header};
+use nutmegsail_http_pool::{Framing, OpenError, PooledBody, SendError};
 use nutmegsail_relay::{CallKind, Choice, HeldAdapter};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep_until;
@@ -46,6 +46,9 @@
 /// the upstream is just closing the connection, such a request could not be sent again.
 const NON_RETRYABLE_MAX_IDLE: Duration = Duration::from_secs(3);
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// The timeout of an idempotent request that another upstream could serve, as a multiple of its
 /// latency objective. The slowest normal answers take about 1.5 times the objective (220 ms where
 /// it is 150 ms). Waiting longer for an upstream that does not respond uses up the caller's time.
@@ -230,13 +233,17 @@
         if call.forwarded.is_some() {
             write_answered_by(answer.headers_mut(), in_flight.upstream());
         }
+        let resumption = resumption.filter(|_| {
+            is_event_stream(answer.headers()) && answer.body().framing() != Framing::NoBody
+        });
         let Some(resumption) = resumption else {
             return pass_on_from(call, answer, in_flight.into());
         };
+        frame_for_caller(&mut answer);
         // Another upstream's events may have other lengths.
         answer.headers_mut().remove(header::CONTENT_LENGTH);
         let mut answer = answer.map(|body| {
-            let received = ReceivedBody::new(body, in_flight.into(), true);
+            let received = ReceivedBody::new(body, in_flight.into());
             let deadline_timer = Box::pin(sleep_until(call.deadline_at.into()));
             let resumable = ResumableBody::new(received, resumption, deadline_timer);
             AnswerBody::Resumable(Box::new(resumable))
@@ -249,20 +256,39 @@
 /// Passes an answer on as it arrives.
 pub(super) fn pass_on_from(
     call: &Call,
-    answer: Response<PooledBody>,
+    mut answer: Response<PooledBody>,
     source: AnswerSource,
 ) -> Response<AnswerBody> {
+    frame_for_caller(&mut answer);
     let deadline_timer = Box::pin(sleep_until(call.deadline_at.into()));
-    let is_stream = call.route.kind.is_stream() && answer.status() == StatusCode::OK;
+    let is_stream = is_event_stream(answer.headers());
     let mut answer = answer.map(|body| {
-        let received = ReceivedBody::new(body, source, is_stream);
-        let forwarded = ForwardedBody::new(received, deadline_timer);
+        let received = ReceivedBody::new(body, source);
+        let forwarded = ForwardedBody::new(received, is_stream, deadline_timer);
         AnswerBody::Forwarded(Box::new(forwarded))
     });
     strip_hop_by_hop(answer.headers_mut());
     answer
 }
 
+/// Whether a body consists of events.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let stated = headers.get(header::CONTENT_TYPE);
+    let stated = stated.and_then(|stated| stated.to_str().ok());
+    let media_type = stated.and_then(|stated| stated.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+/// Frames an answer as the upstream did. A body that ends with the upstream's connection ends with
+/// the caller's, as chunks would say of a body that was cut short that it is whole.
+fn frame_for_caller(answer: &mut Response<PooledBody>) {
+    *answer.version_mut() = match answer.body().framing() {
+        // hyper writes a body without a length or chunks under this version only.
+        Framing::Close => Version::HTTP_10,
+        Framing::NoBody | Framing::Length | Framing::Chunked => Version::HTTP_11,
+    };
+}
+
 /// The timeout until the answer's head arrives. Without another upstream to try, only waiting can
 /// help.
 fn head_timeout(call: &Call, has_alternative: bool, remaining: Duration) -> Duration {
