Keep the end of an answer open in the own interface too

Found by the search for the class of the answer that ended early: a plain service's answer with neither a length nor chunks was sent to callers in chunks with a last one, however its connection ended, and the answer of a once-only call was recorded as a whole one for repeats. Engines are not affected: their streams end with an event that counts the others.

Change: such an answer ends with the caller's connection, which is reset if it is known to be broken or the node is killed. Of a once-only call's answer only the status is recorded, so that repeats learn that it ran and not a part of its answer. The socket option and the question whether an answer ends with its connection are shared with the relay.

--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -315,6 +315,7 @@
         Ok(PlainResponse {
             status: 200,
             headers: answer_headers(&request.request, answer.incarnation),
+            ends_with_connection: false,
             body: body.boxed(),
         })
     }
--- a/crates/front/src/activity.rs
+++ b/crates/front/src/activity.rs
@@ -16,6 +16,7 @@
     ended: AtomicUsize,
     is_in_head: AtomicBool,
     has_two_framings: AtomicBool,
+    ends_answer: AtomicBool,
 }
 
 /// A request in progress, until this is dropped.
@@ -57,6 +58,17 @@
     pub fn take_two_framings(&self) -> bool {
         self.shared.has_two_framings.swap(false, Ordering::AcqRel)
     }
+
+    /// Records whether the end of the connection is what ends the answer that now begins.
+    pub fn set_ends_answer(&self, ends_answer: bool) {
+        self.shared
+            .ends_answer
+            .store(ends_answer, Ordering::Release);
+    }
+
+    pub fn ends_answer(&self) -> bool {
+        self.shared.ends_answer.load(Ordering::Acquire)
+    }
 }
 
 impl Drop for InProgress {
--- a/crates/front/src/callers_service.rs
+++ b/crates/front/src/callers_service.rs
@@ -6,7 +6,7 @@
 
 use futures_util::StreamExt;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
-use http::{HeaderMap, Request as HttpRequest, Response, StatusCode};
+use http::{HeaderMap, Request as HttpRequest, Response, StatusCode, Version};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use nutmegsail_base::{AdapterRef, RequestId, ResultCode};
@@ -206,6 +206,10 @@
         let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
         *response.status_mut() = status;
         *response.headers_mut() = end_to_end(&answer.headers);
+        if answer.ends_with_connection {
+            // hyper writes a body without a length or chunks under this version only.
+            *response.version_mut() = Version::HTTP_10;
+        }
         Ok(response)
     }
 }
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use nutmegsail_base::{RequestId, ResultCode};
+use nutmegsail_http_pool::ends_with_connection;
 use nutmegsail_request::{Refusal, Request};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
@@ -100,6 +101,9 @@
             }
         };
         let io = connection.into_parts().io.into_inner();
+        if served.is_err() && activity.ends_answer() {
+            return;
+        }
         let has_stalled = served.is_err() && io.was_silent();
         close(io.into_stream(), has_stalled, self.settings.linger()).await;
     }
@@ -111,6 +115,7 @@
         activity: Activity,
     ) -> Response<CountedBody> {
         let in_progress = activity.begin();
+        let version = request.version();
         let id = new_request_id(request.headers());
         let mut response = if activity.take_two_framings() {
             refuse_two_framings(&id)
@@ -118,6 +123,7 @@
             self.guarded(&id, peer, request).await
         };
         echo_request(response.headers_mut(), &id);
+        activity.set_ends_answer(ends_with_connection(&response, version));
         if self.stop.is_cancelled() {
             close_after(response.headers_mut());
         }
--- a/crates/front/src/plain_call.rs
+++ b/crates/front/src/plain_call.rs
@@ -48,6 +48,9 @@
     pub status: u16,
     /// Headers to pass on.
     pub headers: HeaderMap,
+    /// Whether the end of the upstream's connection is what ended the body, so that it may be whole
+    /// or not. The caller's connection ends with it then.
+    pub ends_with_connection: bool,
     /// The body as it arrives. An error in it breaks the caller's connection, visibly.
     pub body: PlainBody,
 }
--- a/crates/front/src/watched_io.rs
+++ b/crates/front/src/watched_io.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Buf, Bytes};
 use nutmegsail_base::ResultCode;
+use nutmegsail_http_pool::set_reset_on_close;
 use nutmegsail_request::Request;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -44,6 +45,7 @@
     head_scan: HeadScan,
     max_header_bytes: usize,
     was_silent: bool,
+    is_reset_on_close: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,6 +80,7 @@
             head_scan: HeadScan::default(),
             max_header_bytes,
             was_silent: false,
+            is_reset_on_close: false,
         }
     }
 
@@ -212,6 +215,11 @@
         if self.replacement.is_some() {
             return self.poll_replacement(context);
         }
+        if self.activity.ends_answer() && !self.is_reset_on_close {
+            // Closed early in order, or by the kernel of a killed process, the answer would look whole.
+            set_reset_on_close(&self.stream, true)?;
+            self.is_reset_on_close = true;
+        }
         self.poll_write_stream(context, bytes)
     }
 
@@ -220,7 +228,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        if std::mem::take(&mut self.is_reset_on_close) {
+            self.activity.set_ends_answer(false);
+            set_reset_on_close(&self.stream, false)?;
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/front/tests/front/plain_calls.rs
+++ b/crates/front/tests/front/plain_calls.rs
@@ -10,6 +10,8 @@
 use nutmegsail_request::Refusal;
 use nutmegsail_upstream::UpstreamError;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::support::{ADAPTER, FakeNode, plain_answer, request, send, serve};
 
@@ -142,6 +144,34 @@
     assert!(reply.body.len() < 8 && (has_length || !reply.is_complete));
 }
 
+// Guards against an answer that ended early and looks whole: it has neither a length nor chunks.
+#[rstest]
+#[case::whole(false)]
+#[case::broken(true)]
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_looks_no_more_whole_than_it_is(
+    #[case] is_broken: bool,
+) {
+    let node = Arc::new(FakeNode::new().with_call(move |_| {
+        let end = is_broken.then_some(Err(UpstreamError::Broken));
+        let pieces = std::iter::once(Ok(Bytes::from("half"))).chain(end);
+        let mut answer = plain_answer(pieces.collect());
+        answer.ends_with_connection = true;
+        Ok(answer)
+    }));
+    let front = serve(&node).await;
+    let mut caller = TcpStream::connect(front.callers_address()).await.unwrap();
+    let bytes = request("GET", "/svc/spa-desk/slots/7", &[], b"");
+    caller.write_all(&bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let end = caller.read_to_end(&mut answer).await;
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.0 200 OK\r\n"), "{answer}");
+    assert!(!answer.contains("transfer-encoding") && !answer.contains("content-length"));
+    assert!(answer.ends_with("\r\n\r\nhalf"));
+    assert_eq!(end.is_err(), is_broken, "a broken answer ends with a reset");
+}
+
 #[tokio::test]
 async fn a_refusal_says_when_to_come_back() {
     let node = Arc::new(FakeNode::new().with_call(|_| {
--- a/crates/front/tests/front/support.rs
+++ b/crates/front/tests/front/support.rs
@@ -195,6 +195,7 @@
     PlainAnswer {
         status: 200,
         headers: http::HeaderMap::new(),
+        ends_with_connection: false,
         body: stream::iter(pieces).boxed(),
     }
 }
--- a/crates/http-pool/src/framing.rs
+++ b/crates/http-pool/src/framing.rs
@@ -1,7 +1,8 @@
 //! How the body of an answer is delimited.
 
 use derive_more::Display;
-use http::{HeaderMap, Method, StatusCode, header};
+use http::{HeaderMap, Method, Response, StatusCode, Version, header};
+use http_body::Body;
 
 /// How the body of an answer is delimited.
 ///
@@ -60,3 +61,19 @@
         }
     }
 }
+
+/// Whether a server ends `answer`, to a request of version `request`, with the connection.
+///
+/// ```
+/// use http::{Response, Version};
+/// use http_body_util::Full;
+/// use nutmegsail_http_pool::ends_with_connection;
+/// let answer = Response::new(Full::new(bytes::Bytes::from("of a known length")));
+/// assert!(!ends_with_connection(&answer, Version::HTTP_10));
+/// ```
+pub fn ends_with_connection<B: Body>(answer: &Response<B>, request: Version) -> bool {
+    let has_chunks = request == Version::HTTP_11 && answer.version() == Version::HTTP_11;
+    let has_length = answer.headers().contains_key(header::CONTENT_LENGTH)
+        || answer.body().size_hint().exact().is_some();
+    !has_chunks && !has_length
+}
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -12,8 +12,8 @@
 mod send_error;
 mod socket;
 
-pub use framing::Framing;
+pub use framing::{Framing, ends_with_connection};
 pub use pool::{Pool, PoolSettings};
 pub use pooled_body::PooledBody;
 pub use send_error::{OpenError, SendError};
-pub use socket::{Remote, prepare_socket};
+pub use socket::{Remote, prepare_socket, set_reset_on_close};
--- a/crates/http-pool/src/socket.rs
+++ b/crates/http-pool/src/socket.rs
@@ -45,6 +45,16 @@
     probe_interval: Duration::from_secs(1),
 };
 
+/// Sets whether closing the socket resets the connection, also when the process is killed, or ends it
+/// in order. A reset discards what was not sent yet.
+///
+/// # Errors
+///
+/// If the option cannot be set.
+pub fn set_reset_on_close(stream: &TcpStream, resets: bool) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
+}
+
 /// Lets small writes out at once and makes a silent peer show as a broken connection.
 pub fn prepare_socket(stream: &TcpStream, remote: Remote) {
     let timeouts = match remote {
--- a/crates/idempotency/src/answer.rs
+++ b/crates/idempotency/src/answer.rs
@@ -19,9 +19,10 @@
     pub status: u16,
     /// The headers that repeats receive.
     pub headers: Vec<RecordedHeader>,
-    /// The body; empty if it was too large to store.
+    /// The body; empty if it was not stored.
     pub body: Bytes,
-    /// Whether headers and body are stored. For a large answer, repeats receive only the status.
+    /// Whether headers and body are stored. For an answer that is large, or may have ended early,
+    /// repeats receive only the status.
     pub is_kept: bool,
 }
 
@@ -50,9 +51,20 @@
     /// ```
     #[must_use]
     pub fn within(self, max_bytes: usize) -> Self {
-        if self.bytes() <= max_bytes {
-            return self;
+        match self.bytes() <= max_bytes {
+            true => self,
+            false => self.status_only(),
         }
+    }
+
+    /// Drops headers and body.
+    ///
+    /// ```
+    /// let answer = nutmegsail_idempotency::RecordedAnswer::new(200, "may have ended early");
+    /// assert!(!answer.status_only().is_kept);
+    /// ```
+    #[must_use]
+    pub fn status_only(self) -> Self {
         Self {
             status: self.status,
             ..Self::default()
--- a/crates/node/src/plain_calls.rs
+++ b/crates/node/src/plain_calls.rs
@@ -181,7 +181,8 @@
             Err(refusal) => Err(refusal),
         };
         let outcome = match &result {
-            Ok(recorded) => ClaimOutcome::Answered(recorded.clone()),
+            Ok(recorded) if recorded.is_kept => ClaimOutcome::Answered(recorded.clone()),
+            Ok(recorded) => ClaimOutcome::Answered(recorded.clone().status_only()),
             Err(refusal) if refusal.run_state() == RunState::NotRun => ClaimOutcome::NotRun,
             Err(_) => ClaimOutcome::Unknown,
         };
@@ -214,6 +215,7 @@
         attempt.end(Outcome::Succeeded).await;
         let mut recorded = RecordedAnswer::new(response.status, body.freeze());
         recorded.headers = recorded_headers(&response.headers);
+        recorded.is_kept = !response.ends_with_connection;
         Ok(recorded)
     }
 
@@ -344,6 +346,7 @@
     let PlainResponse {
         status,
         headers,
+        ends_with_connection,
         body,
     } = response;
     let state = (body, Some(attempt));
@@ -362,6 +365,7 @@
     PlainAnswer {
         status,
         headers,
+        ends_with_connection,
         body: body.boxed(),
     }
 }
@@ -379,6 +383,8 @@
     PlainAnswer {
         status: recorded.status,
         headers,
+        // An answer that may have ended early is not kept, and so not passed on as a whole one.
+        ends_with_connection: !recorded.is_kept,
         body: body.boxed(),
     }
 }
--- a/crates/node/tests/once_only_calls.rs
+++ b/crates/node/tests/once_only_calls.rs
@@ -9,7 +9,7 @@
 use nutmegsail_fakes::Knobs;
 use nutmegsail_node::Node;
 use rstest::rstest;
-use support::closing_desk::ClosingDesk;
+use support::closing_desk::{Closing, ClosingDesk};
 use support::{World, send, text_of};
 use uuid::{NoContext, Timestamp, Uuid};
 
@@ -83,6 +83,22 @@
     }
 }
 
+/// Publishes a text in which `desk` takes the place of the stand-ins.
+async fn publish_desk(world: &World, desk: &ClosingDesk) {
+    let text = world.text();
+    let stand_ins: Vec<_> = world
+        .desks()
+        .iter()
+        .map(|desk| desk.id().to_string())
+        .collect();
+    let listed = format!(r#"upstreams.hall-a = ["{}"]"#, desk.address);
+    let text = text
+        .replace(&format!(r#"["{}", "{}"]"#, stand_ins[0], stand_ins[1]), "X")
+        .replace(&format!(r#"["{}", "{}"]"#, stand_ins[1], stand_ins[0]), "X")
+        .replace("upstreams.hall-a = X", &listed);
+    world.publish(&text).await;
+}
+
 /// A guest's booking is confirmed at the desk service, and the connection breaks before the answer
 /// comes back. The clerk is told that nobody can say whether it ran, and presses the button again.
 /// The cause is the upstream's restart after the work; a second run would block two therapists.
@@ -290,19 +306,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_kept_connection_that_closes_costs_no_second_run() {
     let world = World::start().await;
-    let desk = ClosingDesk::start().await;
-    let text = world.text();
-    let stand_ins: Vec<_> = world
-        .desks()
-        .iter()
-        .map(|desk| desk.id().to_string())
-        .collect();
-    let listed = format!(r#"upstreams.hall-a = ["{}"]"#, desk.address);
-    let text = text
-        .replace(&format!(r#"["{}", "{}"]"#, stand_ins[0], stand_ins[1]), "X")
-        .replace(&format!(r#"["{}", "{}"]"#, stand_ins[1], stand_ins[0]), "X")
-        .replace("upstreams.hall-a = X", &listed);
-    world.publish(&text).await;
+    let desk = ClosingDesk::start(Closing::SecondBooking).await;
+    publish_desk(&world, &desk).await;
     let node = world.node("node-1", "hall-a", &[]).await;
     let to = node.callers_address();
     let mut closed = 0;
@@ -446,3 +451,22 @@
     again.shutdown().await;
     second.shutdown().await;
 }
+
+// Guards against a booking's answer that may have ended early and is repeated as a whole one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_ends_with_its_connection_is_not_repeated() {
+    let world = World::start().await;
+    let desk = ClosingDesk::start(Closing::EachAnswer).await;
+    publish_desk(&world, &desk).await;
+    let node = world.node("node-1", "hall-a", &[]).await;
+    let (to, key) = (node.callers_address(), new_key());
+    let first = confirm_until(to, &key, |got| !got.text.contains("not_run")).await;
+    assert_eq!((first.status, first.text.as_str()), (201, r#"{"booked":"#));
+    let repeat = confirm(to, &key, BOOKING).await;
+    assert!(
+        repeat.text.contains("201") && repeat.text.contains(r#""run_state":"ran""#),
+        "{repeat:?}"
+    );
+    assert_eq!(desk.arrivals(&key), 1);
+    node.shutdown().await;
+}
--- a/crates/node/tests/support/closing_desk.rs
+++ b/crates/node/tests/support/closing_desk.rs
@@ -1,4 +1,4 @@
-//! A plain service that takes the second booking on each connection and closes without an answer.
+//! A plain service that closes its connections.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,7 +9,16 @@
 
 type Arrivals = Arc<Mutex<HashMap<String, u32>>>;
 
-/// A plain service that takes the second booking on each connection and closes without an answer.
+/// When a service closes a connection.
+#[derive(Clone, Copy)]
+pub enum Closing {
+    /// On the second booking, without an answer.
+    SecondBooking,
+    /// After each answer, which has neither a length nor chunks.
+    EachAnswer,
+}
+
+/// A plain service that closes its connections.
 pub struct ClosingDesk {
     pub address: SocketAddr,
     arrivals: Arrivals,
@@ -17,14 +26,14 @@
 
 impl ClosingDesk {
     /// Listens on a free port.
-    pub async fn start() -> Self {
+    pub async fn start(closing: Closing) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let arrivals = Arrivals::default();
         let counted = Arc::clone(&arrivals);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&counted)));
+                tokio::spawn(serve(stream, closing, Arc::clone(&counted)));
             }
         });
         Self { address, arrivals }
@@ -37,7 +46,7 @@
     }
 }
 
-async fn serve(stream: TcpStream, arrivals: Arrivals) -> Option<()> {
+async fn serve(stream: TcpStream, closing: Closing, arrivals: Arrivals) -> Option<()> {
     let mut stream = BufReader::new(stream);
     let mut bookings = 0;
     loop {
@@ -45,11 +54,18 @@
             *arrivals.lock().expect("no fault").entry(key).or_default() += 1;
             bookings += 1;
         }
-        if bookings == 2 {
-            return None;
+        match closing {
+            Closing::SecondBooking if bookings == 2 => return None,
+            Closing::SecondBooking => {
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+                stream.get_mut().write_all(answer).await.ok()?;
+            }
+            Closing::EachAnswer => {
+                let answer = b"HTTP/1.1 201 Created\r\n\r\n{\"booked\":";
+                stream.get_mut().write_all(answer).await.ok()?;
+                return None;
+            }
         }
-        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
-        stream.get_mut().write_all(answer).await.ok()?;
     }
 }
 
--- a/crates/relay-node/src/traffic/caller_socket.rs
+++ b/crates/relay-node/src/traffic/caller_socket.rs
@@ -5,9 +5,8 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
-use socket2::SockRef;
+use nutmegsail_http_pool::set_reset_on_close;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -34,7 +33,7 @@
     /// closed.
     fn prepare_write(&mut self) -> io::Result<()> {
         if self.ends_answer.get() && !self.is_reset_on_close {
-            SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+            set_reset_on_close(&self.stream, true)?;
             self.is_reset_on_close = true;
         }
         Ok(())
@@ -83,7 +82,7 @@
         ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         if std::mem::take(&mut self.is_reset_on_close) {
             self.ends_answer.set(false);
-            SockRef::from(&self.stream).set_linger(None)?;
+            set_reset_on_close(&self.stream, false)?;
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -8,15 +8,14 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, Version, header};
-use http_body::Body as _;
+use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::{RequestId, ResultCode};
-use nutmegsail_http_pool::{Remote, prepare_socket};
+use nutmegsail_http_pool::{Remote, ends_with_connection, prepare_socket};
 use nutmegsail_relay::{PromptPrefix, RequestContent, RequestDigest, RouteTable};
 use nutmegsail_request::{Refusal, Request as RequestState};
 use tokio::net::{TcpListener, TcpStream};
@@ -130,14 +129,6 @@
     let _ = connection.await;
 }
 
-/// Whether the end of the connection is what ends an answer to a request of `version`.
-fn ends_with_connection(answer: &Response<AnswerBody>, version: Version) -> bool {
-    let has_chunks = version == Version::HTTP_11 && answer.version() == Version::HTTP_11;
-    let has_length = answer.headers().contains_key(header::CONTENT_LENGTH)
-        || answer.body().size_hint().exact().is_some();
-    !has_chunks && !has_length
-}
-
 /// Why a request is refused before routing.
 struct EarlyRefusal {
     code: ResultCode,
--- a/crates/upstream/src/http_plain_service.rs
+++ b/crates/upstream/src/http_plain_service.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use nutmegsail_base::UpstreamId;
-use nutmegsail_http_pool::{Pool, PooledBody};
+use nutmegsail_http_pool::{Framing, Pool, PooledBody};
 
 use crate::answer_body::{discard, next_chunk};
 use crate::http_engine::{head_within, millis};
@@ -81,6 +81,7 @@
         Ok(PlainResponse {
             status: head.status.as_u16(),
             headers: without_connection_headers(head.headers),
+            ends_with_connection: body.framing() == Framing::Close,
             body: chunks(body, self.settings.silence_timeout),
         })
     }
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -36,6 +36,8 @@
     pub status: u16,
     /// Headers to pass on.
     pub headers: HeaderMap,
+    /// Whether the end of the connection is what ends the body, so that it may be whole or not.
+    pub ends_with_connection: bool,
     /// The body as it arrives.
     pub body: PlainBody,
 }
--- a/crates/upstream/tests/http_plain_service.rs
+++ b/crates/upstream/tests/http_plain_service.rs
@@ -73,6 +73,20 @@
     "###);
 }
 
+// Guards against a body that ended early and counts as whole: the connection's end says nothing of that.
+#[rstest]
+#[case::neither(b"HTTP/1.1 200 OK\r\n\r\ndone", true)]
+#[case::length(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone", false)]
+#[tokio::test]
+async fn a_body_without_a_delimiter_is_marked(
+    #[case] sent: &[u8],
+    #[case] ends_with_connection: bool,
+) {
+    let answer = call(Turn::AnswerAndClose(sent.to_vec())).await.unwrap();
+    assert_eq!(answer.ends_with_connection, ends_with_connection);
+    assert_eq!(body_of(answer).await.unwrap(), b"done");
+}
+
 /// The desk service takes a confirmation and its VM dies. Only the clerk can know whether the
 /// booking stands; a client that sends again may block two therapists for one guest.
 #[tokio::test]
