Determine the versions that a request may start on when an upstream is chosen

A stream that arrived at 25.113 s began at one engine, fell silent behind a link, and was resumed at 35.430 s at another one, on version 1 of its adapter, 19 s after version 2 was acknowledged.

Cause: the versions that a request may start on were fixed when it had been read; a resumption, or a wait for a slot, used them however old they were.

Change: the rule is determined at each choice of an upstream, and again after a wait before the send.

--- a/crates/relay-node/src/traffic/adapter_loads.rs
+++ b/crates/relay-node/src/traffic/adapter_loads.rs
@@ -98,7 +98,7 @@
         let load_request = LoadRequest {
             spec: LoadSpec {
                 model,
-                version: call.version.to_load(),
+                version: call.version.get().to_load(),
                 was_turned_away,
                 purpose,
                 priority: call.priority(),
@@ -118,7 +118,7 @@
         };
         let dispatcher = self.dispatcher.borrow();
         let place = &CopyScope::Anywhere;
-        dispatcher.load_candidates(&call.service, model, call.version, place, now)
+        dispatcher.load_candidates(&call.service, model, call.version.get(), place, now)
     }
 }
 
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -1,6 +1,6 @@
 //! A request that was read completely.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -63,8 +63,8 @@
     pub(super) tokens: QuotaTokens,
     /// The parts of its prompt, which guide the choice of an engine.
     pub(crate) prompt: PromptPrefix,
-    /// The versions of the model that it may start on.
-    pub(crate) version: VersionRule,
+    /// The versions of the model that it may start on, as of the last choice of an upstream.
+    pub(super) version: Cell<VersionRule>,
     /// Its concurrency slot at a plain upstream, until it is sent.
     pub(super) slot: RefCell<Option<SlotPermit>>,
     /// Set if another node forwarded it.
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -282,10 +282,20 @@
     }
 
     /// How long requests may still start on the old version of an adapter.
-    pub(crate) fn version_overlap(&self) -> Duration {
+    pub(super) fn version_overlap(&self) -> Duration {
         self.bounds.version().mul_f64(VERSION_OVERLAP_FRACTION)
     }
 
+    /// Updates the versions that `call` may start on; its wait so far may have outlasted an overlap.
+    fn update_version_rule(&self, call: &Call) {
+        if let Some(model) = &call.meta.model {
+            let view = self.shared.view.load();
+            let overlap = self.version_overlap();
+            let rule = view.versions.rule(model, overlap, Instant::now());
+            call.version.set(rule);
+        }
+    }
+
     /// Sends `call` to one upstream after another until one answers, or answers with a refusal. If
     /// none can be reached from here, another node handles it.
     pub(crate) async fn handle(self: &Rc<Self>, call: &Rc<Call>) -> Response<AnswerBody> {
@@ -466,6 +476,7 @@
                 return Err(busy_refusal(ResultCode::UpstreamRefused));
             }
             self.refresh_view();
+            self.update_version_rule(call);
             match self.choose_not_busy(call, sends, &limited) {
                 Ok(choice) if may_load_copy && self.is_sooner_elsewhere(call, &choice, now) => {
                     // One attempt only: even if the load fails, the request then goes to the best
@@ -570,8 +581,11 @@
     /// Checks that `choice` may still be sent to after the wait for its slot or rate permit, and
     /// returns the slot if not.
     fn may_send(&self, call: &Call, choice: &Choice) -> bool {
+        self.update_version_rule(call);
+        let rule = call.version.get();
         let dispatcher = self.dispatcher.borrow();
-        let may_send = dispatcher.may_send(&choice.upstream.id, Instant::now());
+        let may_send = dispatcher.may_send(&choice.upstream.id, Instant::now())
+            && choice.version.is_none_or(|version| rule.allows(version));
         if !may_send {
             call.slot.take();
         }
@@ -659,7 +673,7 @@
     DispatchRequest {
         service: &call.service,
         model: call.meta.model.as_ref(),
-        version: call.version,
+        version: call.version.get(),
         prompt_tokens: call.meta.prompt_tokens,
         prompt: &call.prompt,
         tried,
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -260,13 +260,6 @@
             body: &body,
         });
         let service = route.service(rand::random::<f64>()).clone();
-        let overlap = self.version_overlap();
-        let version = meta
-            .model
-            .as_ref()
-            .map_or(nutmegsail_relay::VersionRule::ANY, |model| {
-                view.versions.rule(model, overlap, Instant::now())
-            });
         let model = meta.model.as_ref();
         let prompt = model.map(|model| PromptPrefix::new(model, &meta.prompt_parts));
         let id = request_id(Some(&meta));
@@ -290,7 +283,7 @@
             forwarded: forwarded.map(|header| ForwardedFrom::new(&header, &self.shared)),
             waited_before,
             prompt: prompt.unwrap_or_default(),
-            version,
+            version: Cell::default(),
             began,
             deadline_at,
         })
