--- a/crates/relay/src/event_scanner.rs
+++ b/crates/relay/src/event_scanner.rs
@@ -76,8 +76,9 @@
     ///
     /// A comment belongs to no event, also if its line has not ended.
     pub fn is_inside_event(&self) -> bool {
-        let is_comment = self.line.first() == Some(&b':');
-        self.has_fields || !(self.line.is_empty() || is_comment)
+        let line = without_mark(&self.line, !self.has_lines);
+        let is_comment = line.first() == Some(&b':');
+        self.has_fields || !(line.is_empty() || is_comment)
     }
 
     fn is_at_boundary(&self) -> bool {
@@ -92,10 +93,7 @@
     /// Ends the current line; returns the event if it ends there.
     fn end_line(&mut self) -> Option<ScannedEvent> {
         let is_first = !std::mem::replace(&mut self.has_lines, true);
-        let line = match self.line.strip_prefix(BYTE_ORDER_MARK) {
-            Some(line) if is_first => line,
-            _ => &self.line,
-        };
+        let line = without_mark(&self.line, is_first);
         let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
         match name {
             b"" => self.has_fields &= !line.is_empty(),
@@ -115,6 +113,14 @@
     }
 }
 
+/// A line without the mark that the first one may have.
+fn without_mark(line: &[u8], is_first: bool) -> &[u8] {
+    match line.strip_prefix(BYTE_ORDER_MARK) {
+        Some(rest) if is_first => rest,
+        _ => line,
+    }
+}
+
 /// Parses the value of an `id` field.
 fn id_of(value: &[u8]) -> Option<u64> {
     let value = value.strip_prefix(b":")?;
--- a/crates/relay/tests/event_scanner.rs
+++ b/crates/relay/tests/event_scanner.rs
@@ -64,6 +64,12 @@
     assert!(scanner.is_inside_event());
 }
 
+#[test]
+fn a_byte_order_mark_is_no_event() {
+    let (_, scanner) = scan(["\u{FEFF}".as_bytes()]);
+    assert!(!scanner.is_inside_event());
+}
+
 #[test]
 fn an_event_without_an_id_has_none() {
     let (events, _) = scan([b"data: a\n\nid: x\ndata: b\n\nid: 3\n\n".as_slice()]);
