Log software versions of upstreams, and which streams callers resume

Change: an upstream carries the version of its software, which the list states and no one decoded; RequestEnded and AnswerResumed log it. Decisions are unchanged.

--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use nutmegsail_base::RequestId;
 use nutmegsail_relay::{
     AnnouncedLimit, CallerKey, Holdings, ModelRef, PromptPart, RequestedBackoff, RouteTable,
     UpstreamEntry,
@@ -19,6 +20,8 @@
     pub request_id: Option<HeaderValue>,
     /// The API key, which identifies the caller's team.
     pub key: CallerKey,
+    /// The attempt that brought the first event of the stream that this one resumes.
+    pub resumes: Option<RequestId>,
     /// How long the caller waits for the answer.
     pub deadline: Option<Duration>,
     /// The requested model.
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -45,6 +45,9 @@
     waited: Duration,
     /// What is known of the answer's body, once it was read.
     body: Option<BodySummary>,
+    /// The attempt whose stream the caller resumes, and after which event.
+    resumes: Option<RequestId>,
+    after: Option<u64>,
     /// Set if another node forwarded the request.
     forwarded: Option<Rc<ForwardedGuard>>,
 }
@@ -83,6 +86,8 @@
             trial: Trial::begin(gateway, call.digest),
             waited: now.duration_since(call.began),
             body: None,
+            resumes: call.meta.resumes.clone(),
+            after: call.last_event_id(),
             forwarded: call.forwarded.as_ref().map(|from| Rc::clone(&from.guard)),
         }
     }
@@ -269,6 +274,8 @@
             "end" => self.body.map(|body| body.end.to_string()),
             "bytes" => self.body.map(|body| body.bytes),
             "is_inside_event" => self.body.map(|body| body.is_inside_event),
+            "software" => self.upstream.software.to_string(),
+            "resumes" => self.resumes.as_ref().map(ToString::to_string), "after" => self.after,
             "model" => self.model.as_ref().map(ToString::to_string)
         );
     }
--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -110,7 +110,8 @@
                     log_event!(
                         self.gateway.log, Event::AnswerResumed,
                         "request" => self.call.id.to_string(),
-                        "upstream" => choice.upstream.id.to_string(), "after" => last_id
+                        "upstream" => choice.upstream.id.to_string(),
+                        "software" => choice.upstream.software.to_string(), "after" => last_id
                     );
                     self.sends.record_uncertain_send(&choice.upstream.id);
                     return Ok(Resumed {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -6,7 +6,7 @@
 
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 
-use crate::{Holdings, LocalWeights};
+use crate::{Holdings, LocalWeights, SoftwareVersion};
 
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +38,8 @@
     pub address: SocketAddr,
     /// The failure domain it runs in.
     pub failure_domain: FailureDomain,
+    /// The version of its software, which never changes for one process.
+    pub software: SoftwareVersion,
     /// Number of requests that it runs at once.
     pub slots: u32,
     /// Whether it takes new work.
@@ -75,6 +77,7 @@
     /// #     service: "engines".into(),
     /// #     address: ([127, 0, 0, 1], 80).into(),
     /// #     failure_domain: "a".into(),
+    /// #     software: "v1".into(),
     /// #     slots: 4,
     /// #     state: nutmegsail_relay::UpstreamState::Ready,
     /// #     holdings: Default::default(),
--- a/crates/relay/src/upstream_list.rs
+++ b/crates/relay/src/upstream_list.rs
@@ -56,6 +56,7 @@
 ///         service: "llama".into(),
 ///         address: "10.0.0.1:80".parse().unwrap(),
 ///         failure_domain: "east".into(),
+///         software: "v1".into(),
 ///         slots: 8,
 ///         state: UpstreamState::Ready,
 ///         holdings: Default::default(),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -32,6 +32,7 @@
         service: "engines".into(),
         address: ([10, 0, 0, 1], 80).into(),
         failure_domain: "here".into(),
+        software: "v1".into(),
         slots: 64,
         state: UpstreamState::Ready,
         holdings: holdings(adapters),
