--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -13,6 +13,7 @@
 mod quotas;
 mod retries;
 mod steady;
+mod stream_versions;
 mod weights_turned;
 
 use crate::Study;
@@ -34,5 +35,6 @@
     crashes::STUDY,
     limits::STUDY,
     brittle::STUDY,
+    stream_versions::STUDY,
     capacity::STUDY,
 ];
--- a/crates/relay-node/src/traffic/adapter_loads.rs
+++ b/crates/relay-node/src/traffic/adapter_loads.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use nutmegsail_relay::{Choice, CopyScope, LoadCandidate, LoadPurpose, WantedCopies};
+use nutmegsail_relay::{Choice, CopyScope, LoadCandidate, LoadPurpose, SoftwareRule, WantedCopies};
 use tokio::sync::oneshot;
 
 use super::call::Call;
@@ -43,7 +43,8 @@
             return;
         }
         let rule = view.versions.rule(&model, self.version_overlap(), now);
-        let engines = dispatcher.load_candidates(service, &model, rule, &place, now);
+        let engines =
+            dispatcher.load_candidates(service, &model, rule, &SoftwareRule::Any, &place, now);
         let (ready, _) = oneshot::channel();
         let load_request = LoadRequest {
             spec: LoadSpec {
@@ -118,7 +119,9 @@
         };
         let dispatcher = self.dispatcher.borrow();
         let place = &CopyScope::Anywhere;
-        dispatcher.load_candidates(&call.service, model, call.version.get(), place, now)
+        let version = call.version.get();
+        let software = SoftwareRule::Any;
+        dispatcher.load_candidates(&call.service, model, version, &software, place, now)
     }
 }
 
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -12,7 +12,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, ChooseError as NoChoice, CrashWatch, DispatchRequest, Dispatcher, ForwardPeers,
-    LoadPurpose, RetryBudget, RetryBudgetRules, UsualTimeout, jittered_retry_after,
+    LoadPurpose, RetryBudget, RetryBudgetRules, SoftwareRule, UsualTimeout, jittered_retry_after,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -674,6 +674,7 @@
         service: &call.service,
         model: call.meta.model.as_ref(),
         version: call.version.get(),
+        software: SoftwareRule::Any,
         prompt_tokens: call.meta.prompt_tokens,
         prompt: &call.prompt,
         tried,
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -7,7 +7,7 @@
 use crate::dispatcher::CROSS_DOMAIN_COST_MS;
 use crate::eligibility::Eligibility;
 use crate::load_times::RESTORE_TIME_FRACTION;
-use crate::{DispatchRequest, Dispatcher, LoadTimes, ModelRef, Tracked, VersionRule};
+use crate::{DispatchRequest, Dispatcher, LoadTimes, ModelRef, SoftwareRule, Tracked, VersionRule};
 
 /// Where a further copy of an adapter should be loaded.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -90,7 +90,8 @@
             return false;
         }
         let scope = &CopyScope::Anywhere;
-        let engines = self.load_candidates(need.service, model, VersionRule::ANY, scope, now);
+        let any = VersionRule::ANY;
+        let engines = self.load_candidates(need.service, model, any, &need.software, scope, now);
         let holds = |id: &UpstreamId| {
             let tracked = self.tracked(id);
             tracked.is_some_and(|tracked| tracked.version_of(model, now).is_some())
@@ -137,6 +138,7 @@
         service: &ServiceName,
         model: &ModelRef,
         version: VersionRule,
+        software: &SoftwareRule,
         scope: &CopyScope,
         now: Instant,
     ) -> Vec<LoadCandidate> {
@@ -144,6 +146,7 @@
             let has_base = tracked.has_base(model, now);
             let held_version = tracked.version_of(model, now);
             tracked.upstream.service == *service
+                && software.allows(&tracked.upstream.software)
                 && self.eligibility(tracked, now) == Eligibility::Eligible
                 && tracked.takes_loads(now)
                 && has_base
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -11,8 +11,8 @@
 use crate::load_times::INITIAL_LOAD_MS;
 use crate::tracked::{INITIAL_SLOT_TIME_MS, PROMPT_TOKEN_MS};
 use crate::{
-    DomainContacts, Holdings, HoldingsReport, LoadReport, ModelRef, Outcome, PromptPrefix, Tracked,
-    Upstream, VersionRule,
+    DomainContacts, Holdings, HoldingsReport, LoadReport, ModelRef, Outcome, PromptPrefix,
+    SoftwareRule, Tracked, Upstream, VersionRule,
 };
 
 /// What a request requires of an upstream.
@@ -24,6 +24,8 @@
     pub model: Option<&'a ModelRef>,
     /// The model versions that the request may start on.
     pub version: VersionRule,
+    /// The software versions at which the request may run.
+    pub software: SoftwareRule,
     /// Length of the prompt in tokens; 0 for plain services.
     pub prompt_tokens: u64,
     /// The prompt's parts, if the caller identified them.
@@ -359,7 +361,9 @@
     ) -> impl Iterator<Item = &Tracked> {
         let upstreams = self.upstreams.values();
         upstreams.filter(|tracked| {
-            tracked.upstream.service == *need.service && !need.tried.contains(&tracked.upstream.id)
+            tracked.upstream.service == *need.service
+                && need.software.allows(&tracked.upstream.software)
+                && !need.tried.contains(&tracked.upstream.id)
         })
     }
 
--- /dev/null
+++ b/crates/relay/src/stream_key.rs
@@ -0,0 +1,42 @@
+//! Identifies a stream over a caller's attempts.
+
+use nutmegsail_base::{RequestId, TeamName};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+/// Number of hash bytes that are kept.
+const KEY_BYTES: usize = 16;
+
+/// A hash of the caller's team and of the attempt that began a stream. Callers of other teams cannot
+/// name the stream, even if they use the same request ids.
+///
+/// ```
+/// use nutmegsail_relay::StreamKey;
+/// let (ours, theirs) = ("ours".into(), "theirs".into());
+/// let key = StreamKey::of(Some(&ours), &"0caa45a4".into());
+/// assert_eq!(key, StreamKey::of(Some(&ours), &"0caa45a4".into()));
+/// assert_ne!(key, StreamKey::of(Some(&theirs), &"0caa45a4".into()));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StreamKey([u8; KEY_BYTES]);
+
+impl StreamKey {
+    /// The key of the stream that `attempt` of a caller of `team` began.
+    pub fn of(team: Option<&TeamName>, attempt: &RequestId) -> Self {
+        let team = team.map_or("", |team| team.as_str());
+        let mut hash = Sha256::new();
+        // The length keeps team and attempt from running into each other.
+        hash.update((team.len() as u64).to_le_bytes());
+        hash.update(team);
+        hash.update(attempt.as_str());
+        let hash: [u8; 32] = hash.finalize().into();
+        let mut key = [0; KEY_BYTES];
+        key.copy_from_slice(&hash[..KEY_BYTES]);
+        Self(key)
+    }
+
+    /// The key as bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
--- a/crates/relay/tests/backoff.rs
+++ b/crates/relay/tests/backoff.rs
@@ -10,8 +10,8 @@
 use common::{engine, plain};
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{
-    DispatchRequest, Dispatcher, ModelRef, Outcome, PromptPrefix, Upstream, UpstreamNotices,
-    VersionRule, jittered_retry_after,
+    DispatchRequest, Dispatcher, ModelRef, Outcome, PromptPrefix, SoftwareRule, Upstream,
+    UpstreamNotices, VersionRule, jittered_retry_after,
 };
 use proptest::prelude::*;
 use rand::SeedableRng as _;
@@ -161,6 +161,7 @@
             service: &service,
             model: model.as_ref(),
             version: VersionRule::ANY,
+            software: SoftwareRule::Any,
             prompt_tokens: 0,
             prompt: &PromptPrefix::default(),
             tried: &[],
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -10,7 +10,7 @@
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_relay::{
     AdapterChange, ChooseError, CopyScope, DispatchRequest, Dispatcher, DomainContacts,
-    HoldingsReport, LoadReport, LoadTimes, ModelRef, Outcome, PromptPrefix, Upstream,
+    HoldingsReport, LoadReport, LoadTimes, ModelRef, Outcome, PromptPrefix, SoftwareRule, Upstream,
     UpstreamState, VersionRule,
 };
 use rand::SeedableRng;
@@ -50,6 +50,7 @@
             service: &self.engines,
             model: Some(&self.a1),
             version,
+            software: SoftwareRule::Any,
             prompt_tokens: 1_000,
             prompt: &PromptPrefix::default(),
             tried,
@@ -67,6 +68,7 @@
             service: &self.plain,
             model: None,
             version: VersionRule::ANY,
+            software: SoftwareRule::Any,
             prompt_tokens: 0,
             prompt: &PromptPrefix::default(),
             tried: &[],
@@ -372,6 +374,7 @@
         &fixture.engines,
         &fixture.a1,
         VersionRule::ANY,
+        &SoftwareRule::Any,
         &CopyScope::Anywhere,
         fixture.now,
     );
@@ -393,6 +396,7 @@
         &fixture.engines,
         &fixture.a1,
         VersionRule::ANY,
+        &SoftwareRule::Any,
         &CopyScope::Anywhere,
         fixture.now,
     );
@@ -411,6 +415,7 @@
             service: &fixture.engines,
             model: Some(&fixture.a1),
             version: VersionRule::ANY,
+            software: SoftwareRule::Any,
             prompt_tokens: 1_400,
             prompt: &PromptPrefix::default(),
             tried: &[],
@@ -439,6 +444,7 @@
             &fixture.engines,
             &fixture.a1,
             VersionRule::ANY,
+            &SoftwareRule::Any,
             &CopyScope::Anywhere,
             fixture.now,
         );
@@ -474,6 +480,7 @@
             &fixture.engines,
             &fixture.a1,
             VersionRule::ANY,
+            &SoftwareRule::Any,
             &CopyScope::Anywhere,
             fixture.now,
         );
@@ -616,8 +623,14 @@
         let place = &CopyScope::Anywhere;
         let (service, model) = (&fixture.engines, &fixture.a1);
         let dispatcher = &fixture.dispatcher;
-        let engines =
-            dispatcher.load_candidates(service, model, VersionRule::ANY, place, fixture.now);
+        let engines = dispatcher.load_candidates(
+            service,
+            model,
+            VersionRule::ANY,
+            &SoftwareRule::Any,
+            place,
+            fixture.now,
+        );
         let ids = engines.into_iter().map(|place| place.engine.to_string());
         let mut ids: Vec<String> = ids.collect();
         ids.sort();
--- a/crates/relay/tests/heavy_load.rs
+++ b/crates/relay/tests/heavy_load.rs
@@ -10,7 +10,9 @@
 
 use common::{engine, list};
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{DispatchRequest, Dispatcher, ModelRef, PromptPrefix, VersionRule};
+use nutmegsail_relay::{
+    DispatchRequest, Dispatcher, ModelRef, PromptPrefix, SoftwareRule, VersionRule,
+};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -70,6 +72,7 @@
             service: &service,
             model: Some(&model),
             version: VersionRule::ANY,
+            software: SoftwareRule::Any,
             prompt_tokens: tokens,
             prompt: &PromptPrefix::default(),
             tried: &[],
--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -11,8 +11,8 @@
 use common::{engine, plain};
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{
-    DispatchRequest, Dispatcher, ModelRef, PromptPrefix, Upstream, UpstreamNotices, UpstreamState,
-    VersionRule,
+    DispatchRequest, Dispatcher, ModelRef, PromptPrefix, SoftwareRule, Upstream, UpstreamNotices,
+    UpstreamState, VersionRule,
 };
 use proptest::prelude::*;
 use rand::SeedableRng as _;
@@ -150,6 +150,7 @@
             service: &service,
             model: model.as_ref(),
             version: VersionRule::ANY,
+            software: SoftwareRule::Any,
             prompt_tokens: 0,
             prompt: &PromptPrefix::default(),
             tried: &[],
--- a/crates/relay/tests/prompts.rs
+++ b/crates/relay/tests/prompts.rs
@@ -11,7 +11,7 @@
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{
     CachedPrompts, DispatchRequest, Dispatcher, HoldingsReport, ModelRef, PromptPart, PromptPrefix,
-    VersionRule,
+    SoftwareRule, VersionRule,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -51,6 +51,7 @@
         service: &service,
         model: Some(&model),
         version: VersionRule::ANY,
+        software: SoftwareRule::Any,
         prompt_tokens: 9_190,
         prompt,
         tried: &[],
--- a/crates/relay/tests/upstream_list.rs
+++ b/crates/relay/tests/upstream_list.rs
@@ -10,7 +10,7 @@
 use common::{engine, list};
 use nutmegsail_relay::{
     ChooseError, DispatchRequest, Dispatcher, EntryFault, IdleFilter, ModelRef, PromptPrefix,
-    Upstream, UpstreamEntry, UpstreamList, UpstreamState, VersionRule,
+    SoftwareRule, Upstream, UpstreamEntry, UpstreamList, UpstreamState, VersionRule,
 };
 use proptest::prelude::*;
 
@@ -114,6 +114,7 @@
         service: &service,
         model: Some(&model),
         version: VersionRule::ANY,
+        software: SoftwareRule::Any,
         prompt_tokens: 100,
         prompt: &PromptPrefix::default(),
         tried: &[],
