Log which parts of their prompts requests share when their upstream ends

While engines ended one after the other, the lines named the digests of the requests that were beginning there, which differed each time, and no part of their prompts, so that requests with one part in common looked like requests with nothing in common. RequestEnded and RequestRefused now name the shared parts of a request, UpstreamEnded those of all requests that it may be the end of, with how many of them list each. Ids of parts only; nothing of a prompt is known here. No decision changes.

--- a/crates/measure/src/crash_sim/run.rs
+++ b/crates/measure/src/crash_sim/run.rs
@@ -333,7 +333,7 @@
         for (_, Running { asked, begins }) in there {
             self.fleet.end_trial(asked.node, &asked.digest);
             let broken = broken(asked.digest, Some(self.origin + begins), now);
-            if self.fleet.is_blamed(broken) {
+            if self.fleet.is_blamed(&broken) {
                 self.fleet.strike(asked.node, asked.digest, &id, now);
             }
             if asked.is_poison {
--- a/crates/measure/src/crash_sim/ways.rs
+++ b/crates/measure/src/crash_sim/ways.rs
@@ -5,8 +5,8 @@
 
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{
-    BrokenRequest, NodeRecord, Recipients, RequestDigest, SuspectUpdate, Suspects, Suspicion,
-    collectors_of,
+    BrokenRequest, NodeRecord, Recipients, RequestDigest, RequestTraits, SuspectUpdate, Suspects,
+    Suspicion, collectors_of,
 };
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
@@ -85,7 +85,7 @@
     }
 
     /// Whether the end of its upstream is held against a request.
-    pub(crate) fn is_blamed(&self, broken: BrokenRequest) -> bool {
+    pub(crate) fn is_blamed(&self, broken: &BrokenRequest) -> bool {
         self.way == CrashWay::BlameAll || broken.is_starting()
     }
 
@@ -173,7 +173,7 @@
 /// The age of a request at an upstream, as its node sees it.
 pub(crate) fn broken(digest: RequestDigest, began: Option<Instant>, now: Instant) -> BrokenRequest {
     BrokenRequest {
-        digest,
+        traits: RequestTraits::new(digest, &[]),
         since_first_event: began
             .filter(|began| *began <= now)
             .map(|began| now.saturating_duration_since(began).max(Duration::ZERO)),
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use nutmegsail_base::{RequestId, ServiceName};
-use nutmegsail_relay::{CallKind, Caller, PromptPrefix, RequestDigest, Route, VersionRule};
+use nutmegsail_relay::{CallKind, Caller, PromptPrefix, RequestTraits, Route, VersionRule};
 
 use super::admission::QuotaTokens;
 use super::forward::ForwardedFrom;
@@ -53,8 +53,9 @@
     pub(crate) meta: CallMeta,
     /// The caller's id for this attempt.
     pub(crate) id: RequestId,
-    /// Digest of the content, the same for every attempt.
-    pub(crate) digest: RequestDigest,
+    /// What it may have in common with others: the digest of the content is the same for every
+    /// attempt.
+    pub(crate) traits: RequestTraits,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     /// Who sent it.
--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -1,6 +1,8 @@
 //! Detects upstreams that crash while they handle a request, and refuses requests that have crashed
 //! several.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,7 +10,8 @@
 use nutmegsail_base::ResultCode;
 use nutmegsail_http_pool::OpenError;
 use nutmegsail_relay::{
-    BrokenRequest, BrokenRequestAction, ProbeResult, RequestDigest, Suspicion, Upstream,
+    BrokenRequest, BrokenRequestAction, ProbeResult, RequestDigest, RequestTraits, Suspicion,
+    Upstream,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::task::spawn_local;
@@ -58,7 +61,7 @@
     pub(super) async fn wait_for_trials(&self, call: &Call) -> Result<(), RefusalReason> {
         let until = call.deadline_at.min(Instant::now() + TRIAL_TIMEOUT);
         loop {
-            match self.suspicion(&call.digest) {
+            match self.suspicion(call.traits.digest()) {
                 Suspicion::None => return Ok(()),
                 Suspicion::Crashes => {
                     self.log_crashing(call);
@@ -83,11 +86,14 @@
     }
 
     fn log_crashing(&self, call: &Call) {
-        let ages = self.shared.suspects().ages(&call.digest, Instant::now());
+        let ages = self
+            .shared
+            .suspects()
+            .ages(call.traits.digest(), Instant::now());
         let ages: Vec<String> = ages.iter().map(|age| age.as_millis().to_string()).collect();
         log_event!(
             self.log, Event::CrashingRequestRefused,
-            "request" => call.id.to_string(), "digest" => call.digest.to_string(),
+            "request" => call.id.to_string(), "digest" => call.traits.digest().to_string(),
             "ended_ms_ago" => ages.join(",")
         );
     }
@@ -105,13 +111,13 @@
         }
         drop(dispatcher);
         let mut watch = self.crash_watch.borrow_mut();
-        let step = watch.note_broken(&upstream.id, broken, now);
+        let step = watch.note_broken(&upstream.id, broken.clone(), now);
         drop(watch);
         match step {
             BrokenRequestAction::Check => {
                 spawn_local(Rc::clone(self).check_upstream(Arc::clone(upstream)));
             }
-            BrokenRequestAction::Strike => self.record_crash(upstream, &[broken.digest]),
+            BrokenRequestAction::Strike => self.record_crash(upstream, &[broken.traits]),
             BrokenRequestAction::Wait | BrokenRequestAction::Ignore => {}
         }
     }
@@ -138,19 +144,33 @@
         }
     }
 
-    fn record_crash(&self, upstream: &Upstream, struck: &[RequestDigest]) {
+    fn record_crash(&self, upstream: &Upstream, struck: &[RequestTraits]) {
         let process = self.crash_watch.borrow().process_of(&upstream.id);
         let (mut suspects, now) = (self.shared.suspects(), Instant::now());
-        for digest in struck {
-            suspects.strike(*digest, &process, now);
+        for traits in struck {
+            suspects.strike(*traits.digest(), &process, now);
         }
         drop(suspects);
         self.shared.metrics.upstream_ended();
-        let digests: Vec<String> = struck.iter().map(ToString::to_string).collect();
+        let digests = struck.iter().map(|traits| traits.digest().to_string());
+        let digests: Vec<String> = digests.collect();
         log_event!(
             self.log, Event::UpstreamEnded,
             "upstream" => process.to_string(), "address" => upstream.address.to_string(),
-            "digests" => digests.join(",")
+            "digests" => digests.join(","), "parts" => count_parts(struck)
         );
     }
 }
+
+/// The shared prompt parts of requests, each with the number of requests that list it, the most
+/// frequent first.
+fn count_parts(struck: &[RequestTraits]) -> String {
+    let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+    for id in struck.iter().flat_map(RequestTraits::shared_parts) {
+        *counts.entry(*id).or_default() += 1;
+    }
+    let mut counts: Vec<(u64, usize)> = counts.into_iter().collect();
+    counts.sort_by_key(|(_, count)| Reverse(*count));
+    let counts = counts.iter().map(|(id, count)| format!("{id:x}:{count}"));
+    counts.collect::<Vec<_>>().join(",")
+}
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -439,7 +439,8 @@
         let upstreams = self.dispatcher.borrow().overview(&call.service, now);
         log_event!(
             self.log, Event::RequestRefused,
-            "request" => call.id.to_string(), "digest" => call.digest.to_string(),
+            "request" => call.id.to_string(), "digest" => call.traits.digest().to_string(),
+            "parts" => call.traits.parts_to_string(),
             "route" => call.route.name.to_string(),
             "code" => refusal.code.to_string(),
             "team" => call.caller.team().map(|team| team.name.to_string()), "run_state" => refusal.run_state().to_string(),
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -6,7 +6,7 @@
 
 use nutmegsail_base::{RequestId, ResultCode, TeamName, UpstreamId};
 use nutmegsail_relay::{
-    BrokenRequest, Choice, ModelRef, Outcome, RequestDigest, STARTUP_PERIOD, SlotEnd, Upstream,
+    BrokenRequest, Choice, ModelRef, Outcome, RequestTraits, STARTUP_PERIOD, SlotEnd, Upstream,
 };
 use nutmegsail_telemetry::{Event, log_event};
 
@@ -38,7 +38,7 @@
     /// The team of the caller.
     team: Option<TeamName>,
     request: RequestId,
-    digest: RequestDigest,
+    traits: RequestTraits,
     /// Set while this send may show whether the request crashes upstreams, as others like it did.
     trial: Option<Trial>,
     /// How long the request waited at this node before this send.
@@ -82,8 +82,8 @@
             slot: call.slot.take(),
             team: call.caller.team().map(|team| team.name.clone()),
             request: call.id.clone(),
-            digest: call.digest,
-            trial: Trial::begin(gateway, call.digest),
+            traits: call.traits.clone(),
+            trial: Trial::begin(gateway, *call.traits.digest()),
             waited: now.duration_since(call.began),
             body: None,
             resumes: call.meta.resumes.clone(),
@@ -145,7 +145,7 @@
         self.gateway
             .shared
             .suspects()
-            .clear(&self.digest, Instant::now());
+            .clear(self.traits.digest(), Instant::now());
         self.record_answered();
     }
 
@@ -184,7 +184,7 @@
         log_event!(
             self.gateway.log, Event::AnswerCut,
             "request" => self.request.to_string(), "upstream" => self.upstream.id.to_string(),
-            "digest" => self.digest.to_string(),
+            "digest" => self.traits.digest().to_string(),
             "age_ms" => self.sent.elapsed().as_millis(), "has_begun" => self.first.is_some(),
             "why" => cut.to_string()
         );
@@ -209,7 +209,7 @@
 
     fn check_for_crash(&self) {
         let broken = BrokenRequest {
-            digest: self.digest,
+            traits: self.traits.clone(),
             since_first_event: self.first.map(|first| first.elapsed()),
         };
         self.gateway.check_for_crash(&self.upstream, broken);
@@ -264,7 +264,7 @@
         log_event!(
             self.gateway.log, Event::RequestEnded,
             "request" => self.request.to_string(), "upstream" => self.upstream.id.to_string(),
-            "digest" => self.digest.to_string(),
+            "digest" => self.traits.digest().to_string(), "parts" => self.traits.parts_to_string(),
             "waited_ms" => self.waited.as_millis(), "expected_ms" => self.expected_ms,
             "first_ms" => first.map(|first| first.as_millis()),
             "took_ms" => self.sent.elapsed().as_millis(), "is_settled" => self.has_outcome,
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::{Remote, ends_with_connection, prepare_socket};
-use nutmegsail_relay::{PromptPrefix, RequestContent, RequestDigest, RouteTable};
+use nutmegsail_relay::{PromptPrefix, RequestContent, RequestDigest, RequestTraits, RouteTable};
 use nutmegsail_request::{Refusal, Request as RequestState};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -259,6 +259,7 @@
             team: caller.team().map(|team| &team.name),
             body: &body,
         });
+        let traits = RequestTraits::new(digest, &meta.prompt_parts);
         let service = route.service(rand::random::<f64>()).clone();
         let model = meta.model.as_ref();
         let prompt = model.map(|model| PromptPrefix::new(model, &meta.prompt_parts));
@@ -275,7 +276,7 @@
             body,
             meta,
             id,
-            digest,
+            traits,
             service,
             caller,
             tokens: QuotaTokens::default(),
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -5,7 +5,7 @@
 
 use nutmegsail_base::UpstreamId;
 
-use crate::RequestDigest;
+use crate::{RequestDigest, RequestTraits};
 
 /// How long after its first event a request counts as starting.
 ///
@@ -21,10 +21,10 @@
 const RESTART_TTL: Duration = Duration::from_secs(600);
 
 /// A request whose connection broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BrokenRequest {
-    /// The digest of its content.
-    pub digest: RequestDigest,
+    /// What it may have in common with others.
+    pub traits: RequestTraits,
     /// Time since its first event, if one arrived.
     pub since_first_event: Option<Duration>,
 }
@@ -71,13 +71,15 @@
 /// use std::time::Instant;
 /// use nutmegsail_relay::{
 ///     BrokenRequest, BrokenRequestAction, CrashWatch, ProbeResult, RequestContent, RequestDigest,
+///     RequestTraits,
 /// };
 /// let content = RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
-/// let broken = BrokenRequest { digest: RequestDigest::of(&content), since_first_event: None };
+/// let traits = RequestTraits::new(RequestDigest::of(&content), &[]);
+/// let broken = BrokenRequest { traits: traits.clone(), since_first_event: None };
 /// let (mut watch, now) = (CrashWatch::default(), Instant::now());
 /// assert_eq!(watch.note_broken(&"engine-1".into(), broken, now), BrokenRequestAction::Check);
 /// let struck = watch.record_probe(&"engine-1".into(), ProbeResult::Refused, now);
-/// assert_eq!(struck, [broken.digest]);
+/// assert_eq!(struck, [traits]);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct CrashWatch {
@@ -88,7 +90,7 @@
 #[derive(Clone, Debug)]
 enum ProbeState {
     /// A probe is under way. Holds the requests whose connections broke.
-    Probing(Vec<RequestDigest>),
+    Probing(Vec<RequestTraits>),
     /// The upstream was found to have ended at this time.
     Ended(Instant),
 }
@@ -117,11 +119,11 @@
                 BrokenRequestAction::Strike
             }
             Some(ProbeState::Probing(broken_requests)) => {
-                broken_requests.push(broken.digest);
+                broken_requests.push(broken.traits);
                 BrokenRequestAction::Wait
             }
             Some(ProbeState::Ended(_)) | None => {
-                let probing = ProbeState::Probing(vec![broken.digest]);
+                let probing = ProbeState::Probing(vec![broken.traits]);
                 self.upstreams.insert(upstream.clone(), probing);
                 BrokenRequestAction::Check
             }
@@ -134,7 +136,7 @@
         upstream: &UpstreamId,
         reach: ProbeResult,
         now: Instant,
-    ) -> Vec<RequestDigest> {
+    ) -> Vec<RequestTraits> {
         let Some(ProbeState::Probing(mut broken)) = self.upstreams.remove(upstream) else {
             return Vec::new();
         };
@@ -143,8 +145,8 @@
         }
         self.upstreams
             .insert(upstream.clone(), ProbeState::Ended(now));
-        broken.sort_unstable();
-        broken.dedup();
+        broken.sort_unstable_by_key(|traits| *traits.digest());
+        broken.dedup_by_key(|traits| *traits.digest());
         broken
     }
 
@@ -171,11 +173,12 @@
     /// ```
     /// use std::time::{Duration, Instant};
     /// use nutmegsail_relay::{
-    ///     BrokenRequest, CrashWatch, ProbeResult, RequestContent, RequestDigest,
+    ///     BrokenRequest, CrashWatch, ProbeResult, RequestContent, RequestDigest, RequestTraits,
     /// };
     /// let content =
     ///     RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
-    /// let broken = BrokenRequest { digest: RequestDigest::of(&content), since_first_event: None };
+    /// let traits = RequestTraits::new(RequestDigest::of(&content), &[]);
+    /// let broken = BrokenRequest { traits, since_first_event: None };
     /// let (mut watch, now, engine) = (CrashWatch::default(), Instant::now(), "engine-1@7".into());
     /// watch.note_broken(&engine, broken, now);
     /// watch.record_probe(&engine, ProbeResult::Refused, now);
@@ -193,7 +196,7 @@
     /// Whether a probe is under way of an upstream that `digest` may have crashed.
     pub fn is_probing(&self, digest: &RequestDigest) -> bool {
         self.upstreams.values().any(|state| match state {
-            ProbeState::Probing(broken) => broken.contains(digest),
+            ProbeState::Probing(broken) => broken.iter().any(|traits| traits.digest() == digest),
             ProbeState::Ended(_) => false,
         })
     }
--- a/crates/relay/tests/common/request.rs
+++ b/crates/relay/tests/common/request.rs
@@ -1,6 +1,8 @@
 //! Request digests for tests; requests differ only by their bodies.
 
-use nutmegsail_relay::{RequestContent, RequestDigest};
+#![allow(dead_code, reason = "each test file uses only some of it")]
+
+use nutmegsail_relay::{RequestContent, RequestDigest, RequestTraits};
 
 /// The digest of the request with this body.
 pub fn digest(body: &str) -> RequestDigest {
@@ -12,3 +14,8 @@
         body: body.as_bytes(),
     })
 }
+
+/// The traits of the request with this body, which lists no parts of a prompt.
+pub fn traits(body: &str) -> RequestTraits {
+    RequestTraits::new(digest(body), &[])
+}
--- a/crates/relay/tests/crash_watch.rs
+++ b/crates/relay/tests/crash_watch.rs
@@ -7,12 +7,12 @@
 
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{BrokenRequest, BrokenRequestAction, CrashWatch, ProbeResult};
-use request::digest;
+use request::{digest, traits};
 use rstest::rstest;
 
 fn broken(body: &str) -> BrokenRequest {
     BrokenRequest {
-        digest: digest(body),
+        traits: traits(body),
         since_first_event: None,
     }
 }
@@ -38,9 +38,9 @@
     );
     assert!(watch.is_probing(&digest("a")));
 
-    let mut struck = watch.record_probe(&engine(), ProbeResult::Refused, now);
+    let struck = watch.record_probe(&engine(), ProbeResult::Refused, now);
 
-    struck.sort_unstable();
+    let struck: Vec<_> = struck.iter().map(|traits| *traits.digest()).collect();
     let mut both = [digest("a"), digest("b")];
     both.sort_unstable();
     assert_eq!(struck, both);
@@ -89,7 +89,7 @@
     );
     assert_eq!(
         watch.record_probe(&engine(), ProbeResult::Refused, now),
-        [digest("b")]
+        [traits("b")]
     );
 }
 
