--- a/crates/measure/src/crash_sim/run.rs
+++ b/crates/measure/src/crash_sim/run.rs
@@ -1,15 +1,16 @@
 //! One run of a fleet whose upstreams crash.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{RequestContent, RequestDigest, STRIKES_LIMIT, Suspicion};
+use nutmegsail_relay::{BrokenRequest, PART_STARTUP_PERIOD, RequestTraits, Suspicion};
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::ways::{CrashWay, DOMAINS, Fleet, broken};
+use super::prompts::{GuiltyPrompts, Prompt};
+use super::ways::{CrashWay, DOMAINS, Fleet, Placement};
 
 const LENGTH: Duration = Duration::from_secs(40);
 
@@ -21,29 +22,56 @@
 const READING_MS: std::ops::Range<u64> = 50..350;
 const RUNNING_MS: std::ops::Range<u64> = 300..5_000;
 
+/// The share of requests that go to the upstream that has their shared parts, if it is up.
+const HOME_SHARE: f64 = 0.7;
+
 /// How long after its beginning a request crashes its upstream.
 const CRASHES_AFTER: Duration = Duration::from_millis(60);
 
-/// How long an upstream that crashed is away.
+/// How long an upstream that crashed is down.
 const DOWN: Duration = Duration::from_secs(3);
 
-/// How often a caller whose answer broke off asks again, and when; a stream that may be resumed goes on at once.
+/// How often a caller whose answer broke off repeats its request, and when; a stream that may be resumed is resumed at once.
 const REPEATS: u8 = 3;
 const REPEATED_AFTER: Duration = Duration::from_millis(300);
 const RESUMED_AFTER: Duration = Duration::from_millis(5);
 
 const EXCHANGE: Duration = Duration::from_millis(100);
-const TRIAL_LOOK: Duration = Duration::from_millis(20);
+const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long a datagram takes, with what its sender and receiver do.
+const DATAGRAM: Duration = Duration::from_millis(2);
+
+/// When requests that crash upstreams come, and when a part that was harmless before turns.
+const GUILTY_TIME: std::ops::Range<Duration> = Duration::from_secs(5)..Duration::from_secs(35);
+const TURNED_AT: Duration = Duration::from_secs(10);
+
+/// When companions of a part that crashes upstreams come alone.
+const COMPANION_GAP: Duration = Duration::from_secs(2);
+
+/// The time in which nodes in touch learn of something.
+const CONTACT: Duration = Duration::from_secs(3);
 
-/// From when on after the third end a send is late.
-const TOLD: Duration = Duration::from_secs(3);
+/// After how many ends sends are late, [`CONTACT`] after the last of them.
+const LATE_AFTER_PARTS: usize = 5;
+const LATE_AFTER_REQUESTS: usize = 3;
+
+/// What crashes upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Guilty {
+    /// One request, which its caller repeats.
+    Request,
+    /// Requests that are all different, by parts of their prompts.
+    Prompts(GuiltyPrompts),
+}
 
 /// What befalls a fleet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CrashScenario {
     pub(crate) nodes: usize,
-    /// How long after each other a caller repeats a request that crashes upstreams; it does from second 5 to 35.
-    pub(crate) poison_gap: Option<Duration>,
+    /// What crashes upstreams, and the time from one such request to the next.
+    pub(crate) guilty: Option<(Guilty, Duration)>,
     /// The part of the upstreams that crashes at once at seconds 8, 14, 20 and 26, for another reason.
     pub(crate) crash_share: f64,
     /// The part of the upstreams that crashes each second, for another reason.
@@ -55,48 +83,78 @@
 /// What a run came to.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CrashRun {
-    /// Upstreams that the repeated request crashed.
+    /// Upstreams that guilty requests crashed.
     pub(crate) ends: usize,
-    /// Its sends later than three seconds after the third end, and not within three of a cut.
+    /// Sends of guilty requests after the time in which the fleet has to know, and not within that time of a cut.
     pub(crate) late_sends: usize,
     /// Answers to others that broke off.
     pub(crate) broken: usize,
-    /// Requests that crash nothing and were refused for it.
+    /// Harmless requests that were refused, and among them those with a common part.
     pub(crate) refused_falsely: usize,
+    pub(crate) refused_common: usize,
+    /// Harmless requests that were held back, and among them those with a common part.
+    pub(crate) held: usize,
+    pub(crate) held_common: usize,
     pub(crate) requests: usize,
-    /// From the third end until every node knew.
+    /// From the last end that has to be known until every node knew.
     pub(crate) known_after_ms: f64,
-    /// Messages of a node in a second.
+    /// What a node sends in a second.
     pub(crate) messages_per_node_s: f64,
+    pub(crate) bytes_per_node_s: f64,
+    /// The share of harmless requests with the guilty ones' first part that began at the first try, before any guilty
+    /// request and after nodes had to know.
+    pub(crate) begun_before: f64,
+    pub(crate) begun_after: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Asked {
-    digest: RequestDigest,
+    prompt: Prompt,
+    traits: RequestTraits,
     node: usize,
-    is_poison: bool,
+    is_guilty: bool,
     is_resumable: bool,
+    is_first_try: bool,
     repeats_left: u8,
     waits_until: Option<Duration>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Running {
     asked: Asked,
+    sent: Duration,
     begins: Duration,
+    is_starting: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
-    Poison,
+    Guilty,
+    Companion,
     Send(usize),
+    Began { request: usize, upstream: usize },
+    RunsOn { request: usize, upstream: usize },
     Ended { request: usize, upstream: usize },
     Crash { upstream: usize, request: usize },
     Up(usize),
     CrashMany,
     Flap,
     Exchange,
+    News(usize),
+}
+
+/// How many requests were sent and how many began.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    sent: usize,
+    begun: usize,
+}
+
+impl Tally {
+    fn share(self) -> f64 {
+        self.begun as f64 / self.sent.max(1) as f64
+    }
 }
 
 struct World {
@@ -107,13 +165,19 @@
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     scheduled: u64,
     fleet: Fleet,
+    /// Nodes whose news is about to be sent.
+    has_news: BTreeSet<usize>,
     /// Requests that wait to be sent, and those at upstreams, by number.
     waiting: HashMap<usize, Asked>,
     running: Vec<HashMap<usize, Running>>,
     is_up: Vec<bool>,
     starts: Vec<u64>,
     numbers: usize,
-    third_end: Option<Duration>,
+    guilty_count: usize,
+    /// The end from which on nodes have to know.
+    last_allowed_end: Option<Duration>,
+    before: Tally,
+    after: Tally,
     run: CrashRun,
 }
 
@@ -122,17 +186,21 @@
     let mut world = World {
         scenario,
         random: ChaCha8Rng::seed_from_u64(seed),
-        origin: Instant::now(),
+        origin: Instant::now() + Duration::from_secs(3_600),
         now: Duration::ZERO,
         events: BinaryHeap::new(),
         scheduled: 0,
         fleet: Fleet::new(way, scenario.nodes),
+        has_news: BTreeSet::new(),
         waiting: HashMap::new(),
         running: vec![HashMap::new(); upstreams],
         is_up: vec![true; upstreams],
         starts: vec![0; upstreams],
         numbers: 0,
-        third_end: None,
+        guilty_count: 0,
+        last_allowed_end: None,
+        before: Tally::default(),
+        after: Tally::default(),
         run: CrashRun::default(),
     };
     world.begin();
@@ -145,6 +213,9 @@
     }
     let fleet_s = scenario.nodes as f64 * LENGTH.as_secs_f64();
     world.run.messages_per_node_s = world.fleet.messages as f64 / fleet_s;
+    world.run.bytes_per_node_s = world.fleet.bytes as f64 / fleet_s;
+    world.run.begun_before = world.before.share();
+    world.run.begun_after = world.after.share();
     world.run
 }
 
@@ -152,8 +223,9 @@
     fn begin(&mut self) {
         self.schedule(Duration::ZERO, Event::Arrival);
         self.schedule(EXCHANGE, Event::Exchange);
-        if self.scenario.poison_gap.is_some() {
-            self.schedule(Duration::from_secs(5), Event::Poison);
+        if self.scenario.guilty.is_some() {
+            self.schedule(GUILTY_TIME.start, Event::Guilty);
+            self.schedule(GUILTY_TIME.start, Event::Companion);
         }
         for second in [8, 14, 20, 26] {
             self.schedule(Duration::from_secs(second), Event::CrashMany);
@@ -169,12 +241,15 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival => self.arrive(),
-            Event::Poison => self.poison(),
+            Event::Guilty => self.arrive_guilty(),
+            Event::Companion => self.arrive_companion(),
             Event::Send(request) => {
                 if let Some(asked) = self.waiting.remove(&request) {
                     self.send(asked);
                 }
             }
+            Event::Began { request, upstream } => self.count_begun(request, upstream),
+            Event::RunsOn { request, upstream } => self.run_on(request, upstream),
             Event::Ended { request, upstream } => self.end(request, upstream),
             Event::Crash { upstream, request } => {
                 if self.running[upstream].contains_key(&request) {
@@ -189,38 +264,76 @@
                 self.schedule(self.now + Duration::from_secs(1), Event::Flap);
             }
             Event::Exchange => self.exchange(),
+            Event::News(node) => self.send_news(node),
         }
     }
 
+    fn at(&self) -> Instant {
+        self.origin + self.now
+    }
+
     fn arrive(&mut self) {
         let rate = REQUESTS_PER_NODE * self.scenario.nodes as f64;
         let gap = -self.random.random::<f64>().max(1e-12).ln() / rate;
         self.schedule(self.now + Duration::from_secs_f64(gap), Event::Arrival);
         self.numbers += 1;
+        let prompt = Prompt::usual(&mut self.random);
+        self.ask(prompt, self.numbers);
+    }
+
+    fn arrive_companion(&mut self) {
+        self.schedule(self.now + COMPANION_GAP, Event::Companion);
+        let companions = Guilty::Prompts(GuiltyPrompts::WithCompanion);
+        if self
+            .scenario
+            .guilty
+            .is_some_and(|(guilty, _)| guilty == companions)
+        {
+            self.numbers += 1;
+            self.ask(Prompt::companion(), self.numbers);
+        }
+    }
+
+    /// A harmless request arrives.
+    fn ask(&mut self, prompt: Prompt, content: usize) {
         self.run.requests += 1;
         let asked = Asked {
-            digest: digest(self.numbers),
+            traits: prompt.traits(content, self.fleet.knows_parts()),
+            prompt,
             node: self.random.random_range(0..self.scenario.nodes),
-            is_poison: false,
+            is_guilty: false,
             is_resumable: self.random.random::<f64>() < 0.3,
+            is_first_try: true,
             repeats_left: REPEATS,
             waits_until: None,
         };
         self.send(asked);
     }
 
-    fn poison(&mut self) {
-        let Some(gap) = self.scenario.poison_gap else {
+    fn arrive_guilty(&mut self) {
+        let Some((guilty, gap)) = self.scenario.guilty else {
             return;
         };
-        if self.now < Duration::from_secs(35) {
-            self.schedule(self.now + gap, Event::Poison);
+        if self.now < GUILTY_TIME.end {
+            self.schedule(self.now + gap, Event::Guilty);
         }
+        self.guilty_count += 1;
+        let number = self.guilty_count;
+        let (prompt, content) = match guilty {
+            Guilty::Request => (Prompt::guilty(GuiltyPrompts::OnePart, 0, true), 0),
+            Guilty::Prompts(which) => {
+                let is_harmless = which == GuiltyPrompts::Turned && self.now < TURNED_AT;
+                let content = usize::MAX - number;
+                (Prompt::guilty(which, number, is_harmless), content)
+            }
+        };
         let asked = Asked {
-            digest: digest(0),
+            traits: prompt.traits(content, self.fleet.knows_parts()),
+            prompt,
             node: self.random.random_range(0..self.scenario.nodes),
-            is_poison: true,
-            is_resumable: false,
+            is_guilty: guilty == Guilty::Request || prompt.guilty.is_some(),
+            is_resumable: self.random.random::<f64>() < 0.3,
+            is_first_try: false,
             repeats_left: 0,
             waits_until: None,
         };
@@ -228,28 +341,38 @@
     }
 
     fn send(&mut self, mut asked: Asked) {
-        let now = self.origin + self.now;
-        match self.fleet.suspicion(asked.node, &asked.digest, now) {
+        let now = self.at();
+        match self.fleet.suspicion(asked.node, &asked.traits, now) {
             Suspicion::Crashes => {
-                self.run.refused_falsely += usize::from(!asked.is_poison);
+                let is_counted = !asked.is_guilty;
+                self.run.refused_falsely += usize::from(is_counted);
+                self.run.refused_common += usize::from(is_counted && asked.prompt.is_common());
+                self.count_first_try(&asked);
                 return;
             }
             Suspicion::OnTrial => {
-                let until = *asked
-                    .waits_until
-                    .get_or_insert(self.now + Duration::from_secs(1));
+                if asked.waits_until.is_none() {
+                    let is_counted = !asked.is_guilty;
+                    self.run.held += usize::from(is_counted);
+                    self.run.held_common += usize::from(is_counted && asked.prompt.is_common());
+                }
+                let until = *asked.waits_until.get_or_insert(self.now + TRIAL_TIMEOUT);
                 if self.now < until {
-                    self.send_later(asked, TRIAL_LOOK);
+                    self.send_later(asked, TRIAL_POLL_INTERVAL);
+                } else {
+                    self.count_first_try(&asked);
                 }
                 return;
             }
             Suspicion::None => {}
         }
-        let Some(upstream) = self.choose(asked.node) else {
+        self.count_first_try(&asked);
+        let Some(upstream) = self.choose(&asked) else {
             return;
         };
-        self.fleet.begin_trial(asked.node, &asked.digest, now);
-        if asked.is_poison && self.is_late() {
+        let is_news = self.fleet.begin(asked.node, &asked.traits, now);
+        self.note_news(asked.node, is_news);
+        if asked.is_guilty && self.is_late() {
             self.run.late_sends += 1;
         }
         self.numbers += 1;
@@ -257,12 +380,23 @@
         let reading = Duration::from_millis(self.random.random_range(READING_MS));
         let running = Duration::from_millis(self.random.random_range(RUNNING_MS));
         let begins = self.now + reading;
-        self.running[upstream].insert(request, Running { asked, begins });
-        let (at, event) = match asked.is_poison {
+        let (at, event) = match asked.is_guilty {
             true => (begins + CRASHES_AFTER, Event::Crash { upstream, request }),
             false => (begins + running, Event::Ended { request, upstream }),
         };
+        self.schedule(begins, Event::Began { request, upstream });
+        self.schedule(
+            begins + PART_STARTUP_PERIOD,
+            Event::RunsOn { request, upstream },
+        );
         self.schedule(at, event);
+        let running = Running {
+            asked,
+            sent: self.now,
+            begins,
+            is_starting: true,
+        };
+        self.running[upstream].insert(request, running);
     }
 
     fn send_later(&mut self, asked: Asked, after: Duration) {
@@ -271,7 +405,62 @@
         self.schedule(self.now + after, Event::Send(self.numbers));
     }
 
-    fn choose(&mut self, node: usize) -> Option<usize> {
+    /// The tally that a first try of a harmless request with the guilty ones' first part belongs to.
+    fn tally(&mut self, asked: &Asked) -> Option<&mut Tally> {
+        if !asked.is_first_try || !asked.prompt.is_of_guilty_route() {
+            return None;
+        }
+        let settled = self.last_allowed_end.map(|end| end + 2 * CONTACT);
+        match self.now {
+            now if now < GUILTY_TIME.start => Some(&mut self.before),
+            now if settled.is_some_and(|settled| now > settled) && now < GUILTY_TIME.end => {
+                Some(&mut self.after)
+            }
+            _ => None,
+        }
+    }
+
+    fn count_first_try(&mut self, asked: &Asked) {
+        if let Some(tally) = self.tally(asked) {
+            tally.sent += 1;
+        }
+    }
+
+    fn count_begun(&mut self, request: usize, upstream: usize) {
+        let asked = self.running[upstream]
+            .get(&request)
+            .map(|running| running.asked.clone());
+        if let Some(asked) = asked
+            && let Some(tally) = self.tally(&asked)
+        {
+            tally.begun += 1;
+        }
+    }
+
+    fn choose(&mut self, asked: &Asked) -> Option<usize> {
+        let now = self.at();
+        match self.fleet.place(asked.node, &asked.traits, now) {
+            Some(Placement::Random) => return self.draw(asked.node),
+            Some(Placement::ByHash(seed)) => {
+                let all = 0..self.is_up.len();
+                let up = all.filter(|upstream| {
+                    self.is_up[*upstream] && !self.is_cut(asked.node, *upstream)
+                });
+                return up.max_by_key(|upstream| hash(seed, *upstream));
+            }
+            None => {}
+        }
+        if self.random.random::<f64>() >= HOME_SHARE {
+            return self.draw(asked.node);
+        }
+        let count = self.is_up.len();
+        let home = asked.prompt.home() as usize % count;
+        let mut homes = (0..count).map(|step| (home + step) % count);
+        homes.find(|home| self.is_up[*home] && !self.is_cut(asked.node, *home))
+    }
+
+    /// Draws an upstream that `node` reaches.
+    fn draw(&mut self, node: usize) -> Option<usize> {
         for _ in 0..50 {
             let upstream = self.random.random_range(0..self.is_up.len());
             if self.is_up[upstream] && !self.is_cut(node, upstream) {
@@ -291,22 +480,45 @@
     fn is_late(&self) -> bool {
         let around_cut = Duration::from_secs(6)..Duration::from_secs(15);
         let is_excused = self.scenario.has_cut && around_cut.contains(&self.now);
-        let third = self.third_end;
-        third.is_some_and(|third| self.now > third + TOLD) && !is_excused
+        let last = self.last_allowed_end;
+        last.is_some_and(|last| self.now > last + CONTACT) && !is_excused
+    }
+
+    fn run_on(&mut self, request: usize, upstream: usize) {
+        let Some(running) = self.running[upstream].get_mut(&request) else {
+            return;
+        };
+        running.is_starting = false;
+        let (node, traits) = (running.asked.node, running.asked.traits.clone());
+        let (began, now) = (self.origin + running.begins, self.at());
+        self.fleet.begun(node, &traits, began, now);
+        let is_news = self.fleet.end_parts(node, &traits, now);
+        self.note_news(node, is_news);
     }
 
     fn end(&mut self, request: usize, upstream: usize) {
-        if let Some(ended) = self.running[upstream].remove(&request) {
-            let (node, digest) = (ended.asked.node, ended.asked.digest);
-            self.fleet.end_trial(node, &digest);
-            self.fleet.clear(node, &digest, self.origin + self.now);
+        let Some(ended) = self.running[upstream].remove(&request) else {
+            return;
+        };
+        let (node, traits, now) = (ended.asked.node, ended.asked.traits, self.at());
+        let began = self.origin + ended.begins;
+        if ended.is_starting {
+            self.fleet.end_parts(node, &traits, now);
         }
+        self.fleet.end_request(node, &traits, now);
+        let is_news = self.fleet.answered(node, &traits, began, now);
+        self.note_news(node, is_news);
     }
 
     fn count_end(&mut self) {
         self.run.ends += 1;
-        if self.run.ends == STRIKES_LIMIT {
-            self.third_end = Some(self.now);
+        let allowed = match self.scenario.guilty {
+            Some((Guilty::Request, _)) => LATE_AFTER_REQUESTS,
+            _ => LATE_AFTER_PARTS,
+        };
+        // Fewer ends may do; the last one counts then.
+        if self.run.ends <= allowed {
+            self.last_allowed_end = Some(self.now);
         }
     }
 
@@ -324,28 +536,39 @@
         self.is_up[upstream] = false;
         self.starts[upstream] += 1;
         self.schedule(self.now + DOWN, Event::Up(upstream));
-        let id: UpstreamId = format!("engine-{upstream}@{}", self.starts[upstream])
-            .as_str()
-            .into();
-        let now = self.origin + self.now;
+        let id = format!("engine-{upstream}@{}", self.starts[upstream]);
+        let id: UpstreamId = id.as_str().into();
+        let now = self.at();
         let mut there: Vec<(usize, Running)> = self.running[upstream].drain().collect();
         there.sort_by_key(|(request, _)| *request);
-        for (_, Running { asked, begins }) in there {
-            self.fleet.end_trial(asked.node, &asked.digest);
-            let broken = broken(asked.digest, Some(self.origin + begins), now);
-            if self.fleet.is_blamed(&broken) {
-                self.fleet.strike(asked.node, asked.digest, &id, now);
+        for (_, running) in there {
+            let asked = &running.asked;
+            if running.is_starting {
+                self.fleet.end_parts(asked.node, &asked.traits, now);
             }
-            if asked.is_poison {
-                continue;
+            self.fleet.end_request(asked.node, &asked.traits, now);
+            let broken = self.broken(&running);
+            if self.fleet.is_blamed(&broken) {
+                let is_news = self.fleet.strike(asked.node, &broken, &id, now);
+                self.note_news(asked.node, is_news);
             }
-            self.run.broken += 1;
-            self.repeat(asked);
+            self.run.broken += usize::from(!asked.is_guilty);
+            self.repeat(running.asked);
+        }
+    }
+
+    fn broken(&self, running: &Running) -> BrokenRequest {
+        let since = self.now.checked_sub(running.begins);
+        BrokenRequest {
+            traits: running.asked.traits.clone(),
+            sent: self.origin + running.sent,
+            since_first_event: since,
         }
     }
 
     fn repeat(&mut self, mut asked: Asked) {
         asked.waits_until = None;
+        asked.is_first_try = false;
         if asked.is_resumable {
             asked.is_resumable = false;
             self.send_later(asked, RESUMED_AFTER);
@@ -356,28 +579,54 @@
         }
     }
 
+    fn note_news(&mut self, node: usize, is_news: bool) {
+        if is_news && self.fleet.sends_at_once() && self.has_news.insert(node) {
+            self.schedule(self.now + DATAGRAM, Event::News(node));
+        }
+    }
+
+    fn send_news(&mut self, node: usize) {
+        self.has_news.remove(&node);
+        let (now, reaches) = (self.at(), self.reaches());
+        let next = self.fleet.send(node, now, &mut self.random, &reaches);
+        for node in next {
+            self.note_news(node, true);
+        }
+    }
+
+    /// Whether a datagram of one node reaches another now.
+    fn reaches(&self) -> impl Fn(usize, usize) -> bool + use<> {
+        let cut = Duration::from_secs(6)..Duration::from_secs(12);
+        let is_cut = self.scenario.has_cut && cut.contains(&self.now);
+        move |one, other| !is_cut || one.is_multiple_of(DOMAINS) == other.is_multiple_of(DOMAINS)
+    }
+
     fn exchange(&mut self) {
-        let (now, cut) = (self.origin + self.now, self.scenario.has_cut);
-        let is_cut = cut && (6.0..12.0).contains(&self.now.as_secs_f64());
-        let reaches = |one: usize, other: usize| {
-            !is_cut || one.is_multiple_of(DOMAINS) == other.is_multiple_of(DOMAINS)
+        let (now, reaches) = (self.at(), self.reaches());
+        self.fleet.exchange(now, &mut self.random, &reaches);
+        self.note_known(now);
+        self.schedule(self.now + EXCHANGE, Event::Exchange);
+    }
+
+    fn note_known(&mut self, now: Instant) {
+        let (Some(end), Some((guilty, _))) = (self.last_allowed_end, self.scenario.guilty) else {
+            return;
         };
-        self.fleet.exchange(now, &mut self.random, reaches);
-        let third = self.third_end.filter(|_| self.run.known_after_ms == 0.0);
-        if let Some(third) = third.filter(|_| self.fleet.knows_everywhere(&digest(0), now)) {
-            self.run.known_after_ms = (self.now - third).as_secs_f64() * 1_000.0;
+        if self.run.known_after_ms > 0.0 {
+            return;
+        }
+        let traits = match guilty {
+            Guilty::Request => Prompt::guilty(GuiltyPrompts::OnePart, 0, true).traits(0, true),
+            Guilty::Prompts(which) => Prompt::guilty(which, 0, false).traits(usize::MAX, true),
+        };
+        if self.fleet.knows_everywhere(&traits, now) {
+            self.run.known_after_ms = (self.now - end).as_secs_f64() * 1_000.0;
         }
-        self.schedule(self.now + EXCHANGE, Event::Exchange);
     }
 }
 
-/// The digest of the request with this number; 0 is the one that crashes upstreams.
-fn digest(number: usize) -> RequestDigest {
-    RequestDigest::of(&RequestContent {
-        method: "POST",
-        host: "spa",
-        path: "/notes",
-        team: None,
-        body: &number.to_le_bytes(),
-    })
+/// Mixes a seed with an upstream's number.
+fn hash(seed: u64, upstream: usize) -> u64 {
+    let mixed = (seed ^ upstream as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -164,6 +164,9 @@
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
             }
+            () = control.shared.suspects_changed.notified() => {
+                send_suspects(&control, &socket, &mut suspect_gossip);
+            }
             _ = queries.tick(), if control.must_query_suspects.get() => {
                 send_queries(&control, &socket);
             }
@@ -296,16 +299,23 @@
 /// Sends requests under which upstreams ended.
 fn send_suspects(control: &ControlState, socket: &UdpSocket, gossip: &mut SuspectGossip) {
     for (suspects, address) in gossip.next_messages(control) {
-        let from = control.settings.node.clone();
-        let message = Message::Suspects {
-            from,
-            suspects,
-            is_answer: false,
-        };
+        let message = suspects_message(control, suspects, false);
         send(socket, &message, address);
     }
 }
 
+fn suspects_message(
+    control: &ControlState,
+    suspects: Vec<SuspectUpdate>,
+    is_answer: bool,
+) -> Message {
+    Message::Suspects {
+        from: control.settings.node.clone(),
+        suspects,
+        is_answer,
+    }
+}
+
 /// Asks other nodes for what they know, until one has answered.
 fn send_queries(control: &ControlState, socket: &UdpSocket) {
     for address in random_nodes(control) {
@@ -442,7 +452,10 @@
             suspects,
             is_answer,
         }) => {
-            control.apply_suspects(&from, &suspects);
+            let replies = control.apply_suspects(&from, &suspects);
+            if !replies.is_empty() {
+                send(socket, &suspects_message(control, replies, false), sender);
+            }
             if is_answer {
                 control.must_query_suspects.set(false);
             }
@@ -459,12 +472,7 @@
             let updates = all_announcements(control);
             send(socket, &Message::Brittle { updates }, sender);
             for suspects in all_suspects(control) {
-                let message = Message::Suspects {
-                    from: control.settings.node.clone(),
-                    suspects,
-                    is_answer: true,
-                };
-                send(socket, &message, sender);
+                send(socket, &suspects_message(control, suspects, true), sender);
             }
         }
         Ok(Message::Era { from, update }) => {
--- a/crates/relay-node/src/control/suspect_gossip.rs
+++ b/crates/relay-node/src/control/suspect_gossip.rs
@@ -1,4 +1,4 @@
-//! Spreads the requests under which upstreams ended (suspects) among the nodes.
+//! Spreads the traits of requests under which upstreams ended (suspects) among the nodes.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How many nodes of the own failure domain, and as many of others, get them each time.
-const RESEND_NODES: usize = 2;
+const RESEND_NODES: usize = 1;
 
 /// The most suspects that are sent to a node that asks for all.
 const MAX_QUERIED_SUSPECTS: usize = 120;
@@ -60,12 +60,18 @@
 }
 
 impl ControlState {
-    /// Applies suspects that another node sent.
-    pub(crate) fn apply_suspects(&self, from: &NodeId, suspects: &[SuspectUpdate]) {
+    /// Applies suspects that another node sent. Returns what that node does not know.
+    pub(crate) fn apply_suspects(
+        &self,
+        from: &NodeId,
+        suspects: &[SuspectUpdate],
+    ) -> Vec<SuspectUpdate> {
         let (mut known, now) = (self.shared.suspects(), Instant::now());
-        for suspect in suspects {
-            known.take(from, suspect, now);
-        }
+        let replies = suspects.iter();
+        let replies = replies.filter_map(|suspect| known.take(from, suspect, now));
+        let replies = replies.collect();
+        self.shared.announce_suspects(&known);
+        replies
     }
 }
 
@@ -94,7 +100,7 @@
     for (audience, suspect) in new {
         let receivers: Vec<&NodeRecord> = match audience {
             Recipients::All => nodes.values().collect(),
-            Recipients::Collectors => collectors_of(suspect.digest(), nodes.values()),
+            Recipients::Collectors => collectors_of(suspect.suspect(), nodes.values()),
         };
         for node in receivers.into_iter().filter(|node| !is_self(control, node)) {
             by_node
--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -32,6 +32,9 @@
     pub all_tokens: Option<u32>,
     /// The parts of the prompt that the caller listed.
     pub prompt_parts: Vec<PromptPart>,
+    /// The ids of all listed parts but the last, which is specific to the request or its session.
+    /// Parts whose length cannot be read are among them.
+    pub shared_parts: Vec<u64>,
 }
 
 /// The information that is sent to an upstream in addition to the caller's request.
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -14,7 +14,7 @@
     Suspects, Upstream, UpstreamNotices, UpstreamReach, Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock::boot_time;
 use crate::metrics::RelayMetrics;
@@ -277,6 +277,8 @@
     pub(crate) model_engine_time: ModelEngineTime,
     pub(crate) owner_updates: OwnerUpdates,
     suspects: Mutex<Suspects>,
+    /// Notified when other nodes should get news of suspects at once.
+    pub(crate) suspects_changed: Notify,
     limits: Mutex<RateLimits>,
     notices: Mutex<UpstreamNotices>,
     reach: Mutex<UpstreamReach>,
@@ -308,6 +310,7 @@
             model_engine_time: ModelEngineTime::default(),
             owner_updates: OwnerUpdates::default(),
             suspects: Mutex::default(),
+            suspects_changed: Notify::new(),
             limits: Mutex::default(),
             notices: Mutex::default(),
             reach: Mutex::default(),
@@ -342,11 +345,18 @@
             .asked(self.connections.load(Ordering::Relaxed), age);
     }
 
-    /// The requests under which upstreams crashed.
+    /// The traits of requests under which upstreams crashed.
     pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Has news of suspects sent at once.
+    pub(crate) fn announce_suspects(&self, suspects: &Suspects) {
+        if suspects.has_news() {
+            self.suspects_changed.notify_one();
+        }
+    }
+
     /// The rate limits that upstreams have stated.
     pub(crate) fn limits(&self) -> MutexGuard<'_, RateLimits> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -10,8 +10,8 @@
 use nutmegsail_base::ResultCode;
 use nutmegsail_http_pool::OpenError;
 use nutmegsail_relay::{
-    BrokenRequest, BrokenRequestAction, ProbeResult, RequestDigest, RequestTraits, Suspicion,
-    Upstream,
+    BrokenRequest, BrokenRequestAction, PART_STARTUP_PERIOD, ProbeResult, RequestTraits,
+    SuspectTrait, Suspicion, Upstream,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::task::spawn_local;
@@ -31,45 +31,79 @@
 /// How often a waiting request checks again.
 const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Counts a send of a request that is suspected of crashing upstreams.
-pub(super) struct Trial {
+/// Counts a send whose request may still show whether it crashes its upstream.
+pub(super) struct StartingSend {
     gateway: Rc<Gateway>,
-    digest: RequestDigest,
+    traits: RequestTraits,
+    /// Whether its answer has shown that the parts of its prompt are harmless.
+    is_past_parts: bool,
 }
 
-impl Trial {
-    /// Counts a send if upstreams crashed under earlier sends of the same request.
-    pub(super) fn begin(gateway: &Rc<Gateway>, digest: RequestDigest) -> Option<Self> {
+impl StartingSend {
+    pub(super) fn begin(gateway: &Rc<Gateway>, traits: RequestTraits) -> Self {
         let mut suspects = gateway.shared.suspects();
-        let is_trial = suspects.begin_trial(&digest, Instant::now());
-        is_trial.then(|| Self {
+        suspects.begin(&traits, Instant::now());
+        gateway.shared.announce_suspects(&suspects);
+        Self {
             gateway: Rc::clone(gateway),
-            digest,
-        })
+            traits,
+            is_past_parts: false,
+        }
+    }
+
+    /// Records that its answer began at `began` and has run on for `ran`.
+    pub(super) fn record_progress(&mut self, began: Instant, ran: Duration) {
+        if ran < PART_STARTUP_PERIOD || std::mem::replace(&mut self.is_past_parts, true) {
+            return;
+        }
+        let mut suspects = self.gateway.shared.suspects();
+        let now = Instant::now();
+        suspects.record_begun(&self.traits, began, now);
+        suspects.end_parts(&self.traits, now);
+        self.gateway.shared.announce_suspects(&suspects);
     }
 }
 
-impl Drop for Trial {
+impl Drop for StartingSend {
     fn drop(&mut self) {
-        self.gateway.shared.suspects().end_trial(&self.digest);
+        let (mut suspects, now) = (self.gateway.shared.suspects(), Instant::now());
+        if !self.is_past_parts {
+            suspects.end_parts(&self.traits, now);
+        }
+        suspects.end_request(&self.traits, now);
+        self.gateway.shared.announce_suspects(&suspects);
     }
 }
 
 impl Gateway {
+    /// Refuses a request that crashes upstreams.
+    pub(super) fn check_suspicion(&self, call: &Call) -> Result<(), RefusalReason> {
+        let (suspects, now) = (self.shared.suspects(), Instant::now());
+        let Some(refused) = suspects.refused_trait(&call.traits, now) else {
+            return Ok(());
+        };
+        let ages = suspects.ages(&refused, now);
+        drop(suspects);
+        let ages: Vec<String> = ages.iter().map(|age| age.as_millis().to_string()).collect();
+        log_event!(
+            self.log, Event::CrashingRequestRefused,
+            "request" => call.id.to_string(), "digest" => call.traits.digest().to_string(),
+            "suspect" => refused.to_string(), "ended_ms_ago" => ages.join(",")
+        );
+        Err(RefusalReason::without_retry(match refused {
+            SuspectTrait::Request(_) => ResultCode::CrashesUpstreams,
+            SuspectTrait::PromptPart(_) => ResultCode::PromptPartCrashesUpstreams,
+        }))
+    }
+
     /// Refuses a request that crashes upstreams. A request waits while its upstream is checked for
-    /// a crash, or while identical requests are on trial.
+    /// a crash, or while requests that share a suspected trait are on trial.
     pub(super) async fn wait_for_trials(&self, call: &Call) -> Result<(), RefusalReason> {
         let until = call.deadline_at.min(Instant::now() + TRIAL_TIMEOUT);
         loop {
-            match self.suspicion(call.traits.digest()) {
+            match self.suspicion(&call.traits) {
                 Suspicion::None => return Ok(()),
-                Suspicion::Crashes => {
-                    self.log_crashing(call);
-                    return Err(RefusalReason {
-                        code: ResultCode::CrashesUpstreams,
-                        retry_after: None,
-                    });
-                }
+                Suspicion::Crashes => self.check_suspicion(call)?,
                 Suspicion::OnTrial if Instant::now() >= until => {
                     return Err(RefusalReason::retry_in(ResultCode::OnTrial, TRIAL_TIMEOUT));
                 }
@@ -78,24 +112,19 @@
         }
     }
 
-    fn suspicion(&self, digest: &RequestDigest) -> Suspicion {
-        match self.crash_watch.borrow().is_probing(digest) {
+    fn suspicion(&self, traits: &RequestTraits) -> Suspicion {
+        let suspects = self.shared.suspects();
+        let is_sound = |part| suspects.is_usually_sound(part, traits);
+        match self.crash_watch.borrow().is_probing(traits, is_sound) {
             true => Suspicion::OnTrial,
-            false => self.shared.suspects().suspicion(digest, Instant::now()),
+            false => suspects.suspicion(traits, Instant::now()),
         }
     }
 
-    fn log_crashing(&self, call: &Call) {
-        let ages = self
-            .shared
-            .suspects()
-            .ages(call.traits.digest(), Instant::now());
-        let ages: Vec<String> = ages.iter().map(|age| age.as_millis().to_string()).collect();
-        log_event!(
-            self.log, Event::CrashingRequestRefused,
-            "request" => call.id.to_string(), "digest" => call.traits.digest().to_string(),
-            "ended_ms_ago" => ages.join(",")
-        );
+    /// The part of the prompt of `call` that may be the cause of upstreams' ends, if any.
+    pub(super) fn suspected_part(&self, call: &Call) -> Option<SuspectTrait> {
+        let suspects = self.shared.suspects();
+        suspects.suspected_part(&call.traits, Instant::now())
     }
 
     /// Called when the connection of a request to `upstream` broke before its answer was complete.
@@ -117,7 +146,7 @@
             BrokenRequestAction::Check => {
                 spawn_local(Rc::clone(self).check_upstream(Arc::clone(upstream)));
             }
-            BrokenRequestAction::Strike => self.record_crash(upstream, &[broken.traits]),
+            BrokenRequestAction::Strike => self.record_crash(upstream, &[broken]),
             BrokenRequestAction::Wait | BrokenRequestAction::Ignore => {}
         }
     }
@@ -144,15 +173,17 @@
         }
     }
 
-    fn record_crash(&self, upstream: &Upstream, struck: &[RequestTraits]) {
+    fn record_crash(&self, upstream: &Upstream, struck: &[BrokenRequest]) {
         let process = self.crash_watch.borrow().process_of(&upstream.id);
         let (mut suspects, now) = (self.shared.suspects(), Instant::now());
-        for traits in struck {
-            suspects.strike(*traits.digest(), &process, now);
+        for broken in struck {
+            suspects.strike(broken, &process, now);
         }
-        drop(suspects);
+        self.shared.announce_suspects(&suspects);
         self.shared.metrics.upstream_ended();
-        let digests = struck.iter().map(|traits| traits.digest().to_string());
+        let digests = struck
+            .iter()
+            .map(|broken| broken.traits.digest().to_string());
         let digests: Vec<String> = digests.collect();
         log_event!(
             self.log, Event::UpstreamEnded,
@@ -164,9 +195,12 @@
 
 /// The shared prompt parts of requests, each with the number of requests that list it, the most
 /// frequent first.
-fn count_parts(struck: &[RequestTraits]) -> String {
+fn count_parts(struck: &[BrokenRequest]) -> String {
     let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
-    for id in struck.iter().flat_map(RequestTraits::shared_parts) {
+    let listed = struck
+        .iter()
+        .flat_map(|broken| broken.traits.shared_parts());
+    for id in listed {
         *counts.entry(*id).or_default() += 1;
     }
     let mut counts: Vec<(u64, usize)> = counts.into_iter().collect();
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -127,7 +127,7 @@
                 // run.
                 let code = match code {
                     ResultCode::DeadlineUnreachable => ResultCode::DeadlinePassed,
-                    ResultCode::CrashesUpstreams => code,
+                    ResultCode::CrashesUpstreams | ResultCode::PromptPartCrashesUpstreams => code,
                     _ => ResultCode::UpstreamFailed,
                 };
                 Refusal::may_have_run(code, detail)
@@ -304,6 +304,9 @@
             None => SendHistory::default(),
         };
         let mut pending = PendingRequest::accept(call, &sends);
+        if let Err(reason) = self.check_suspicion(call) {
+            return self.refuse(call, pending, reason, &sends);
+        }
         if let Err(reason) = self.check_forward_limit(call) {
             return self.refuse(call, pending, reason, &sends);
         }
@@ -633,7 +636,10 @@
     ) -> Result<Choice, NoChoice> {
         let need = need(call, &sends.tried);
         let dispatcher = self.dispatcher.borrow();
-        dispatcher.choose(&need, now, &mut rand::rng())
+        match self.suspected_part(call) {
+            Some(suspect) => dispatcher.choose_apart(suspect, &need, now, &mut rand::rng()),
+            None => dispatcher.choose(&need, now, &mut rand::rng()),
+        }
     }
 
     /// Counts a send against the retry budget; false if the budget is used up.
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -13,7 +13,7 @@
 use super::answer_body::AnswerCut;
 use super::answer_end::BodySummary;
 use super::call::Call;
-use super::crash_check::Trial;
+use super::crash_check::StartingSend;
 use super::forward::ForwardedGuard;
 use super::gateway::Gateway;
 use super::slot_client::SlotPermit;
@@ -39,8 +39,8 @@
     team: Option<TeamName>,
     request: RequestId,
     traits: RequestTraits,
-    /// Set while this send may show whether the request crashes upstreams, as others like it did.
-    trial: Option<Trial>,
+    /// Set while this send may show whether the request crashes upstreams.
+    starting: Option<StartingSend>,
     /// How long the request waited at this node before this send.
     waited: Duration,
     /// What is known of the answer's body, once it was read.
@@ -83,7 +83,7 @@
             team: call.caller.team().map(|team| team.name.clone()),
             request: call.id.clone(),
             traits: call.traits.clone(),
-            trial: Trial::begin(gateway, *call.traits.digest()),
+            starting: Some(StartingSend::begin(gateway, call.traits.clone())),
             waited: now.duration_since(call.began),
             body: None,
             resumes: call.meta.resumes.clone(),
@@ -121,7 +121,7 @@
     pub(crate) fn record_progress(&mut self) {
         self.record_contact();
         if let Some(first) = self.first {
-            self.trial.take_if(|_| first.elapsed() > STARTUP_PERIOD);
+            self.record_run(first);
             return;
         }
         let now = Instant::now();
@@ -136,16 +136,26 @@
         dispatcher.record_answer_started(&self.upstream.id, self.expected_ms, took, now);
     }
 
+    /// Records that the answer has run on since its first part arrived.
+    fn record_run(&mut self, first: Instant) {
+        let ran = first.elapsed();
+        if let Some(starting) = &mut self.starting {
+            starting.record_progress(first, ran);
+        }
+        self.starting.take_if(|_| ran > STARTUP_PERIOD);
+    }
+
     /// Called when the answer is complete: with its last byte, and again if the body is polled
     /// after that.
     pub(crate) fn record_complete(&mut self) {
         if std::mem::replace(&mut self.is_ended, true) {
             return;
         }
-        self.gateway
-            .shared
-            .suspects()
-            .clear(self.traits.digest(), Instant::now());
+        let now = Instant::now();
+        let mut suspects = self.gateway.shared.suspects();
+        suspects.record_answered(&self.traits, self.first.unwrap_or(now), now);
+        self.gateway.shared.announce_suspects(&suspects);
+        drop(suspects);
         self.record_answered();
     }
 
@@ -210,6 +220,7 @@
     fn check_for_crash(&self) {
         let broken = BrokenRequest {
             traits: self.traits.clone(),
+            sent: self.sent,
             since_first_event: self.first.map(|first| first.elapsed()),
         };
         self.gateway.check_for_crash(&self.upstream, broken);
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -259,8 +259,8 @@
             team: caller.team().map(|team| &team.name),
             body: &body,
         });
-        let traits = RequestTraits::new(digest, &meta.prompt_parts);
         let service = route.service(rand::random::<f64>()).clone();
+        let traits = RequestTraits::new(&service, digest, meta.shared_parts.iter().copied());
         let model = meta.model.as_ref();
         let prompt = model.map(|model| PromptPrefix::new(model, &meta.prompt_parts));
         let id = request_id(Some(&meta));
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -131,7 +131,7 @@
         self.record_upstream_notice(call, &choice.upstream, &meta);
         self.crash_watch
             .borrow_mut()
-            .record_answer(&choice.upstream.id, in_flight.sent_at());
+            .record_received(&choice.upstream.id, in_flight.sent_at());
         // An upstream may send a second, late answer to an earlier request on a kept-alive
         // connection. Forwarding it would give one caller another caller's answer, so the request
         // ids are compared. Dropping the answer also drops its connection.
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -1,11 +1,12 @@
 //! Detects upstreams that ended while requests were starting there.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
 
-use crate::{RequestDigest, RequestTraits};
+use crate::{RequestTraits, SuspectTrait};
 
 /// How long after its first event a request counts as starting.
 ///
@@ -13,10 +14,17 @@
 /// seconds, so most requests that an upstream runs when it ends started long before.
 pub const STARTUP_PERIOD: Duration = Duration::from_secs(1);
 
+/// How long after its first event an answer shows that the parts of its prompt do not crash the
+/// upstream. Upstreams that end on account of a part do so when they begin to answer.
+pub const PART_STARTUP_PERIOD: Duration = Duration::from_millis(250);
+
 /// How long an upstream that was found to have ended counts as ended. Its connections break within
 /// milliseconds, but some breaks are noticed only after the probe.
 const ENDED_TTL: Duration = Duration::from_secs(2);
 
+/// How long after an end requests may still be sent on connections to the process that ended.
+const CLOSE_TIME: Duration = Duration::from_millis(100);
+
 /// How long the ends of an upstream are remembered. By then the list shows its running process.
 const RESTART_TTL: Duration = Duration::from_secs(600);
 
@@ -25,6 +33,8 @@
 pub struct BrokenRequest {
     /// What it may have in common with others.
     pub traits: RequestTraits,
+    /// When it was sent.
+    pub sent: Instant,
     /// Time since its first event, if one arrived.
     pub since_first_event: Option<Duration>,
 }
@@ -32,8 +42,21 @@
 impl BrokenRequest {
     /// Whether the request was still starting, so that it may have crashed the upstream.
     pub fn is_starting(&self) -> bool {
-        self.since_first_event
-            .is_none_or(|ago| ago < STARTUP_PERIOD)
+        self.has_run_less_than(STARTUP_PERIOD)
+    }
+
+    /// The traits that may have crashed the upstream.
+    pub(crate) fn blamed_traits(&self) -> impl Iterator<Item = SuspectTrait> {
+        let are_parts_blamed = self.has_run_less_than(PART_STARTUP_PERIOD);
+        let traits = self.traits.iter();
+        traits.filter(move |suspect| match suspect {
+            SuspectTrait::Request(_) => true,
+            SuspectTrait::PromptPart(_) => are_parts_blamed,
+        })
+    }
+
+    fn has_run_less_than(&self, period: Duration) -> bool {
+        self.since_first_event.is_none_or(|ago| ago < period)
     }
 }
 
@@ -74,12 +97,13 @@
 ///     RequestTraits,
 /// };
 /// let content = RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
-/// let traits = RequestTraits::new(RequestDigest::of(&content), &[]);
-/// let broken = BrokenRequest { traits: traits.clone(), since_first_event: None };
+/// let traits = RequestTraits::new(&"engines".into(), RequestDigest::of(&content), []);
 /// let (mut watch, now) = (CrashWatch::default(), Instant::now());
-/// assert_eq!(watch.note_broken(&"engine-1".into(), broken, now), BrokenRequestAction::Check);
+/// let broken = BrokenRequest { traits, sent: now, since_first_event: None };
+/// let action = watch.note_broken(&"engine-1".into(), broken.clone(), now);
+/// assert_eq!(action, BrokenRequestAction::Check);
 /// let struck = watch.record_probe(&"engine-1".into(), ProbeResult::Refused, now);
-/// assert_eq!(struck, [traits]);
+/// assert_eq!(struck, [broken]);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct CrashWatch {
@@ -90,7 +114,7 @@
 #[derive(Clone, Debug)]
 enum ProbeState {
     /// A probe is under way. Holds the requests whose connections broke.
-    Probing(Vec<RequestTraits>),
+    Probing(Vec<BrokenRequest>),
     /// The upstream was found to have ended at this time.
     Ended(Instant),
 }
@@ -114,16 +138,19 @@
             return BrokenRequestAction::Ignore;
         }
         self.forget_old(now);
+        if let Some(before_send) = broken.sent.checked_sub(CLOSE_TIME) {
+            self.record_received(upstream, before_send);
+        }
         match self.upstreams.get_mut(upstream) {
             Some(ProbeState::Ended(at)) if now.saturating_duration_since(*at) < ENDED_TTL => {
                 BrokenRequestAction::Strike
             }
             Some(ProbeState::Probing(broken_requests)) => {
-                broken_requests.push(broken.traits);
+                broken_requests.push(broken);
                 BrokenRequestAction::Wait
             }
             Some(ProbeState::Ended(_)) | None => {
-                let probing = ProbeState::Probing(vec![broken.traits]);
+                let probing = ProbeState::Probing(vec![broken]);
                 self.upstreams.insert(upstream.clone(), probing);
                 BrokenRequestAction::Check
             }
@@ -136,7 +163,7 @@
         upstream: &UpstreamId,
         reach: ProbeResult,
         now: Instant,
-    ) -> Vec<RequestTraits> {
+    ) -> Vec<BrokenRequest> {
         let Some(ProbeState::Probing(mut broken)) = self.upstreams.remove(upstream) else {
             return Vec::new();
         };
@@ -145,14 +172,14 @@
         }
         self.upstreams
             .insert(upstream.clone(), ProbeState::Ended(now));
-        broken.sort_unstable_by_key(|traits| *traits.digest());
-        broken.dedup_by_key(|traits| *traits.digest());
+        broken.sort_by_key(|broken| (*broken.traits.digest(), Reverse(broken.sent)));
+        broken.dedup_by_key(|broken| *broken.traits.digest());
         broken
     }
 
-    /// Records that `upstream` answered a request that was sent at `sent`. If it had ended before
-    /// that, another process answered, which is not listed yet.
-    pub fn record_answer(&mut self, upstream: &UpstreamId, sent: Instant) {
+    /// Records that `upstream` received a request that was sent at `sent`. If it had ended before
+    /// that, another process received it, which is not listed yet.
+    pub fn record_received(&mut self, upstream: &UpstreamId, sent: Instant) {
         let state = self.upstreams.get(upstream);
         if !matches!(state, Some(ProbeState::Ended(at)) if *at < sent) {
             return;
@@ -177,13 +204,13 @@
     /// };
     /// let content =
     ///     RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
-    /// let traits = RequestTraits::new(RequestDigest::of(&content), &[]);
-    /// let broken = BrokenRequest { traits, since_first_event: None };
+    /// let traits = RequestTraits::new(&"engines".into(), RequestDigest::of(&content), []);
     /// let (mut watch, now, engine) = (CrashWatch::default(), Instant::now(), "engine-1@7".into());
+    /// let broken = BrokenRequest { traits, sent: now, since_first_event: None };
     /// watch.note_broken(&engine, broken, now);
     /// watch.record_probe(&engine, ProbeResult::Refused, now);
     /// assert_eq!(watch.process_of(&engine), engine);
-    /// watch.record_answer(&engine, now + Duration::from_secs(1));
+    /// watch.record_received(&engine, now + Duration::from_secs(1));
     /// assert_ne!(watch.process_of(&engine), engine, "it has restarted");
     /// ```
     pub fn process_of(&self, upstream: &UpstreamId) -> UpstreamId {
@@ -193,11 +220,17 @@
         }
     }
 
-    /// Whether a probe is under way of an upstream that `digest` may have crashed.
-    pub fn is_probing(&self, digest: &RequestDigest) -> bool {
-        self.upstreams.values().any(|state| match state {
-            ProbeState::Probing(broken) => broken.iter().any(|traits| traits.digest() == digest),
-            ProbeState::Ended(_) => false,
+    /// Whether a probe is under way of an upstream that a request with one of these traits may have
+    /// crashed. `is_sound` says of a prompt part that it is hardly the cause.
+    pub fn is_probing(&self, traits: &RequestTraits, is_sound: impl Fn(u64) -> bool) -> bool {
+        let probing = self.upstreams.values().flat_map(|state| match state {
+            ProbeState::Probing(broken) => broken.as_slice(),
+            ProbeState::Ended(_) => &[],
+        });
+        let mut suspects = probing.flat_map(BrokenRequest::blamed_traits);
+        suspects.any(|suspect| match suspect {
+            SuspectTrait::PromptPart(id) => traits.contains(&suspect) && !is_sound(id),
+            SuspectTrait::Request(_) => traits.contains(&suspect),
         })
     }
 
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -6,13 +6,14 @@
 
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use rand::{Rng, RngExt as _};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::eligibility::Eligibility;
 use crate::load_times::INITIAL_LOAD_MS;
 use crate::tracked::{INITIAL_SLOT_TIME_MS, PROMPT_TOKEN_MS};
 use crate::{
     DomainContacts, Holdings, HoldingsReport, LoadReport, ModelRef, Outcome, PromptPrefix,
-    SoftwareRule, Tracked, Upstream, VersionRule,
+    SoftwareRule, SuspectTrait, Tracked, Upstream, VersionRule,
 };
 
 /// What a request requires of an upstream.
@@ -289,20 +290,58 @@
         });
         let best = scored.min_by(|(a, _), (b, _)| a.total_cmp(b));
         let (score, best) = best.ok_or(ChooseError::AllBusy)?;
-        let (tracked, version) = (best.tracked, best.version);
         if score >= PAUSED_PENALTY_MS && !need.tried.is_empty() {
             return Err(ChooseError::AllBusy);
         }
+        Ok(self.to_choice(&best, need, now))
+    }
+
+    /// Selects an upstream for a request that may crash it, by rendezvous hash of `suspect`, which
+    /// is the same at every node.
+    ///
+    /// By their affinity, such a request and those that it was with when an upstream ended would meet
+    /// again at the next one, and end there together.
+    ///
+    /// # Errors
+    ///
+    /// [`ChooseError`] if no upstream can serve the request now.
+    pub fn choose_apart(
+        &self,
+        suspect: SuspectTrait,
+        need: &DispatchRequest<'_>,
+        now: Instant,
+        random: &mut dyn Rng,
+    ) -> Result<Choice, ChooseError> {
+        let seed = suspect.to_hash();
+        let mut candidates = self.candidates(need, now)?;
+        candidates.retain(|candidate| self.score(candidate, need, false, now) < PAUSED_PENALTY_MS);
+        let selected = candidates.iter().max_by_key(|candidate| {
+            let id = &candidate.tracked.upstream.id;
+            xxh3_64_with_seed(id.as_bytes(), seed)
+        });
+        match selected {
+            Some(selected) => Ok(self.to_choice(selected, need, now)),
+            None => self.choose(need, now, random),
+        }
+    }
+
+    fn to_choice(
+        &self,
+        selected: &Candidate<'_>,
+        need: &DispatchRequest<'_>,
+        now: Instant,
+    ) -> Choice {
+        let (tracked, version) = (selected.tracked, selected.version);
         let cached_tokens = tracked.cached_tokens(need.prompt, now);
         let uncached_tokens = need.prompt_tokens.saturating_sub(cached_tokens);
-        Ok(Choice {
+        Choice {
             upstream: Arc::clone(&tracked.upstream),
             version,
             uncached_tokens,
             expected_ms: tracked.expected_first_event_ms(uncached_tokens, now),
             is_preferred: version.is_none_or(|version| need.version.prefers(version)),
-            is_leaving: best.eligibility == Eligibility::Leaving,
-        })
+            is_leaving: selected.eligibility == Eligibility::Leaving,
+        }
     }
 
     /// The upstreams that can serve the request. Those that are leaving are returned only if no
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod access;
 mod assignment;
 mod backoff;
+mod begun_parts;
 mod brittle_services;
 mod call_kind;
 mod concurrency_limit;
@@ -58,6 +59,8 @@
 mod stream_key;
 mod stream_origins;
 mod suspect_collectors;
+mod suspect_record;
+mod suspect_trait;
 mod suspects;
 mod team;
 mod tracked;
@@ -75,7 +78,8 @@
 pub use concurrency_limit::ConcurrencyLimit;
 pub use copies::{CopyScope, LoadCandidate};
 pub use crash_watch::{
-    BrokenRequest, BrokenRequestAction, CrashWatch, ProbeResult, STARTUP_PERIOD,
+    BrokenRequest, BrokenRequestAction, CrashWatch, PART_STARTUP_PERIOD, ProbeResult,
+    STARTUP_PERIOD,
 };
 pub use demand::Demand;
 pub use dispatcher::{Choice, ChooseError, DispatchRequest, Dispatcher};
@@ -122,6 +126,7 @@
 pub use stream_key::StreamKey;
 pub use stream_origins::{KnownOrigin, StreamOrigin, StreamOrigins};
 pub use suspect_collectors::collectors_of;
+pub use suspect_trait::SuspectTrait;
 pub use suspects::{Recipients, STRIKES_LIMIT, SuspectUpdate, Suspects, Suspicion};
 pub use team::{CallerKey, KeyDigest, QuotaUnit, Team, TeamEntry, TeamFault, TeamQuota, Teams};
 pub use tracked::{AdapterChange, HoldingsReport, LoadReport, Tracked};
--- a/crates/relay/src/prompt.rs
+++ b/crates/relay/src/prompt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::ModelRef;
 
@@ -24,6 +24,20 @@
     pub tokens: u32,
 }
 
+impl PromptPart {
+    /// Converts the text by which a caller names a part to its id: a hexadecimal number of up to 64
+    /// bits, or else a hash of the text.
+    ///
+    /// ```
+    /// use nutmegsail_relay::PromptPart;
+    /// assert_eq!(PromptPart::id_of("5C1E"), 0x5c1e);
+    /// assert_ne!(PromptPart::id_of("greeting"), PromptPart::id_of("farewell"));
+    /// ```
+    pub fn id_of(text: &str) -> u64 {
+        u64::from_str_radix(text, 16).unwrap_or_else(|_| xxh3_64(text.as_bytes()))
+    }
+}
+
 /// Digest of a part together with the adapter and all parts before it. An engine can only reuse a
 /// cached part if all of these are the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/relay/src/suspect_collectors.rs
+++ b/crates/relay/src/suspect_collectors.rs
@@ -1,18 +1,17 @@
-//! Which nodes collect the strikes against a request.
+//! Which nodes collect the strikes against a trait of requests.
 
 use std::collections::BTreeMap;
 
 use nutmegsail_base::FailureDomain;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{NodeRecord, RequestDigest};
+use crate::{NodeRecord, SuspectTrait};
 
-/// Returns the node of each failure domain with the highest hash for `digest`. Nodes with the same
+/// Returns the node of each failure domain with the highest hash for `suspect`. Nodes with the same
 /// view choose the same ones, and a failure domain that is cut off still has one of its own.
 ///
 /// ```
-/// use nutmegsail_relay::{NodeRecord, RequestContent, RequestDigest, collectors_of};
-/// let content = RequestContent { method: "POST", host: "spa", path: "/", team: None, body: b"" };
+/// use nutmegsail_relay::{NodeRecord, SuspectTrait, collectors_of};
 /// let node = |name: &str, domain: &str| NodeRecord {
 ///     node: name.into(),
 ///     failure_domain: domain.into(),
@@ -21,15 +20,15 @@
 ///     out_of_reach: Vec::new(),
 /// };
 /// let nodes = [node("east-1", "east"), node("east-2", "east"), node("west-1", "west")];
-/// let collectors = collectors_of(&RequestDigest::of(&content), &nodes);
+/// let collectors = collectors_of(&SuspectTrait::PromptPart(7), &nodes);
 /// assert_eq!(collectors.len(), 2);
 /// assert_eq!(collectors[1].node.as_str(), "west-1");
 /// ```
 pub fn collectors_of<'a>(
-    digest: &RequestDigest,
+    suspect: &SuspectTrait,
     nodes: impl IntoIterator<Item = &'a NodeRecord>,
 ) -> Vec<&'a NodeRecord> {
-    let seed = xxh3_64(digest.as_bytes());
+    let seed = suspect.to_hash();
     let hash = |node: &NodeRecord| xxh3_64_with_seed(node.node.as_bytes(), seed);
     let mut collectors: BTreeMap<&FailureDomain, (u64, &NodeRecord)> = BTreeMap::new();
     for node in nodes {
--- a/crates/relay/tests/crash_watch.rs
+++ b/crates/relay/tests/crash_watch.rs
@@ -3,6 +3,7 @@
 #[path = "common/request.rs"]
 mod request;
 
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
@@ -11,10 +12,13 @@
 use rstest::rstest;
 
 fn broken(body: &str) -> BrokenRequest {
-    BrokenRequest {
-        traits: traits(body),
-        since_first_event: None,
-    }
+    request::broken(traits(body), sent())
+}
+
+/// When all requests were sent.
+fn sent() -> Instant {
+    static SENT: LazyLock<Instant> = LazyLock::new(Instant::now);
+    *SENT
 }
 
 fn engine() -> UpstreamId {
@@ -36,15 +40,18 @@
         watch.note_broken(&engine(), broken("b"), now),
         BrokenRequestAction::Wait
     );
-    assert!(watch.is_probing(&digest("a")));
+    assert!(watch.is_probing(&traits("a"), |_| false));
 
     let struck = watch.record_probe(&engine(), ProbeResult::Refused, now);
 
-    let struck: Vec<_> = struck.iter().map(|traits| *traits.digest()).collect();
+    let struck: Vec<_> = struck
+        .iter()
+        .map(|broken| *broken.traits.digest())
+        .collect();
     let mut both = [digest("a"), digest("b")];
     both.sort_unstable();
     assert_eq!(struck, both);
-    assert!(!watch.is_probing(&digest("a")));
+    assert!(!watch.is_probing(&traits("a"), |_| false));
     let after = now + Duration::from_millis(3);
     assert_eq!(
         watch.note_broken(&engine(), broken("c"), after),
@@ -60,7 +67,7 @@
     let (mut watch, now) = (CrashWatch::default(), Instant::now());
     watch.note_broken(&engine(), broken("a"), now);
     assert_eq!(watch.record_probe(&engine(), reach, now), []);
-    assert!(!watch.is_probing(&digest("a")));
+    assert!(!watch.is_probing(&traits("a"), |_| false));
     assert_eq!(
         watch.note_broken(&engine(), broken("b"), now),
         BrokenRequestAction::Check,
@@ -84,12 +91,12 @@
         ..broken("b")
     };
     assert_eq!(
-        watch.note_broken(&engine(), starting, now),
+        watch.note_broken(&engine(), starting.clone(), now),
         BrokenRequestAction::Check
     );
     assert_eq!(
         watch.record_probe(&engine(), ProbeResult::Refused, now),
-        [traits("b")]
+        [starting]
     );
 }
 
@@ -104,3 +111,20 @@
         BrokenRequestAction::Check
     );
 }
+
+// Guards against an upstream that is back under its address before the list shows it, and ends again without an answer.
+#[test]
+fn an_upstream_that_ends_again_before_it_is_listed_counts_apart() {
+    let (mut watch, now) = (CrashWatch::default(), sent());
+    watch.note_broken(&engine(), broken("a"), now);
+    watch.record_probe(&engine(), ProbeResult::Refused, now);
+    let first = watch.process_of(&engine());
+
+    let resent = now + Duration::from_millis(500);
+    let again = request::broken(traits("a"), resent);
+    assert_eq!(
+        watch.note_broken(&engine(), again, resent),
+        BrokenRequestAction::Check
+    );
+    assert_ne!(watch.process_of(&engine()), first);
+}
--- a/crates/relay/tests/suspects.rs
+++ b/crates/relay/tests/suspects.rs
@@ -8,7 +8,7 @@
 use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{Recipients, STRIKES_LIMIT, SuspectUpdate, Suspects, Suspicion};
 use proptest::prelude::*;
-use request::digest;
+use request::{broken, content, traits};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -24,7 +24,7 @@
 fn struck(strikes: usize, now: Instant) -> Suspects {
     let mut suspects = Suspects::default();
     for number in 0..strikes {
-        suspects.strike(digest("a"), &engine(number), now);
+        suspects.strike(&broken(traits("a"), now), &engine(number), now);
     }
     suspects
 }
@@ -47,7 +47,7 @@
     let now = Instant::now();
     let mut nodes = vec![Suspects::default(); 5];
     for (number, suspects) in nodes[1..4].iter_mut().enumerate() {
-        suspects.strike(digest("a"), &engine(number), now);
+        suspects.strike(&broken(traits("a"), now), &engine(number), now);
     }
     for from in 1..4 {
         let updates = nodes[from].due_updates(now);
@@ -68,8 +68,8 @@
     let updates: Vec<SuspectUpdate> = updates.into_iter().map(|(_, update)| update).collect();
     for suspects in &mut nodes {
         apply_all(suspects, &node(0), &updates, now);
-        assert_eq!(suspects.suspicion(&digest("a"), now), Suspicion::Crashes);
-        assert_eq!(suspects.suspicion(&digest("b"), now), Suspicion::None);
+        assert_eq!(suspects.suspicion(&traits("a"), now), Suspicion::Crashes);
+        assert_eq!(suspects.suspicion(&traits("b"), now), Suspicion::None);
     }
     assert!(
         nodes[4].due_updates(now).is_empty(),
@@ -83,8 +83,8 @@
     let (mut here, mut there) = (struck(2, now), struck(2, now));
     let updates = news(&mut there, now);
     apply_all(&mut here, &node(2), &updates, now);
-    assert_eq!(here.ages(&digest("a"), now).len(), 2);
-    assert_eq!(here.suspicion(&digest("a"), now), Suspicion::None);
+    assert_eq!(here.ages(&content("a"), now).len(), 2);
+    assert_eq!(here.suspicion(&traits("a"), now), Suspicion::None);
 }
 
 // Guards against refusing requests whose upstreams crashed for another reason.
@@ -93,15 +93,15 @@
     let now = Instant::now();
     let (mut here, mut there) = (struck(3, now), struck(3, now));
     let late = here.repeated_updates(10, now);
-    here.clear(&digest("a"), now + SECOND);
-    assert_eq!(here.suspicion(&digest("a"), now + SECOND), Suspicion::None);
+    here.record_answered(&traits("a"), now + SECOND, now + SECOND);
+    assert_eq!(here.suspicion(&traits("a"), now + SECOND), Suspicion::None);
     let updates = news(&mut here, now + SECOND);
     apply_all(&mut there, &node(1), &updates, now + SECOND);
-    assert_eq!(there.suspicion(&digest("a"), now + SECOND), Suspicion::None);
+    assert_eq!(there.suspicion(&traits("a"), now + SECOND), Suspicion::None);
     apply_all(&mut there, &node(3), &late, now + SECOND);
     let at = now + SECOND;
     assert_eq!(
-        there.suspicion(&digest("a"), at),
+        there.suspicion(&traits("a"), at),
         Suspicion::None,
         "updates that a third node still sends are from before"
     );
@@ -112,28 +112,33 @@
 fn copies_at_upstreams_count_as_possible_strikes() {
     let now = Instant::now();
     let (mut here, mut there) = (struck(2, now), struck(2, now));
-    assert!(here.begin_trial(&digest("a"), now));
-    assert_eq!(here.suspicion(&digest("a"), now), Suspicion::OnTrial);
+    here.begin(&traits("a"), now);
+    assert_eq!(here.suspicion(&traits("a"), now), Suspicion::OnTrial);
     let updates = news(&mut here, now);
     apply_all(&mut there, &node(1), &updates, now);
-    assert_eq!(there.suspicion(&digest("a"), now), Suspicion::OnTrial);
+    assert_eq!(there.suspicion(&traits("a"), now), Suspicion::OnTrial);
     let silent = now + Duration::from_secs(4);
     assert_eq!(
-        there.suspicion(&digest("a"), silent),
+        there.suspicion(&traits("a"), silent),
         Suspicion::None,
         "a node that fell silent blocks nobody"
     );
-    here.end_trial(&digest("a"));
+    here.end_parts(&traits("a"), now);
+    here.end_request(&traits("a"), now);
     let updates = news(&mut here, now);
     apply_all(&mut there, &node(1), &updates, now);
-    assert_eq!(there.suspicion(&digest("a"), now), Suspicion::None);
+    assert_eq!(there.suspicion(&traits("a"), now), Suspicion::None);
 }
 
 #[test]
 fn a_request_without_strikes_is_never_on_trial() {
     let mut suspects = Suspects::default();
-    assert!(!suspects.begin_trial(&digest("a"), Instant::now()));
-    assert_eq!(suspects.counts(Instant::now()), (0, 0));
+    let now = Instant::now();
+    for _ in 0..9 {
+        suspects.begin(&traits("a"), now);
+    }
+    assert_eq!(suspects.suspicion(&traits("a"), now), Suspicion::None);
+    assert_eq!(suspects.counts(now), (0, 0));
 }
 
 #[test]
@@ -141,9 +146,13 @@
     let now = Instant::now();
     let mut suspects = struck(3, now);
     let later = now + Duration::from_secs(601);
-    assert_eq!(suspects.suspicion(&digest("a"), later), Suspicion::None);
+    assert_eq!(suspects.suspicion(&traits("a"), later), Suspicion::None);
     for number in 0..2_000 {
-        suspects.strike(digest(&number.to_string()), &engine(number), now);
+        suspects.strike(
+            &broken(traits(&number.to_string()), now),
+            &engine(number),
+            now,
+        );
     }
     let (refused, struck) = suspects.counts(now);
     assert_eq!(refused, 1, "the one with the most ends is kept longest");
@@ -214,11 +223,11 @@
             now += Duration::from_millis(100);
             match step {
                 Step::Ask(asked) => {
-                    if nodes[asked].suspicion(&digest("a"), now) == Suspicion::None {
-                        nodes[asked].strike(digest("a"), &engine(crashes), now);
+                    if nodes[asked].suspicion(&traits("a"), now) == Suspicion::None {
+                        nodes[asked].strike(&broken(traits("a"), now), &engine(crashes), now);
                         crashes += 1;
                     }
-                    let known = nodes[asked].ages(&digest("a"), now).len();
+                    let known = nodes[asked].ages(&content("a"), now).len();
                     prop_assert!(known <= STRIKES_LIMIT);
                 }
                 Step::SendUpdates(lost) => deliver_updates(&mut nodes, &lost, now),
@@ -240,14 +249,14 @@
                 }
             }
         }
-        let known = nodes[0].ages(&digest("a"), now).len();
+        let known = nodes[0].ages(&content("a"), now).len();
         for suspects in &nodes {
-            prop_assert!(suspects.ages(&digest("a"), now).len() <= known);
+            prop_assert!(suspects.ages(&content("a"), now).len() <= known);
             let expected = match known >= STRIKES_LIMIT {
                 true => Suspicion::Crashes,
                 false => Suspicion::None,
             };
-            prop_assert_eq!(suspects.suspicion(&digest("a"), now), expected);
+            prop_assert_eq!(suspects.suspicion(&traits("a"), now), expected);
         }
     }
 }
