Keep refused requests and prompt parts in the store, and let operators lift them

Nodes that start all at once remembered nothing, so a refused part crashed three more engines. Its collectors, one node of each failure domain, write it to the store once it is refused (by compare-and-swap, a call or a few for each part) and remove it once an answer has cleared it; nodes read it with all other keys. While the store is away nodes go on by what they tell each other.

nutmegsail refused lists what is refused and since when, and lifts it by writing so in place of it, which is removed after ten minutes. Nothing follows from a key that is missing, as a store that came back from an older copy may lack it; the collectors write it again.

A suspected part goes last to an upstream that ended under it while the list shows its old process: its next end would be taken for the same one.

--- a/crates/measure/src/crash_sim/run.rs
+++ b/crates/measure/src/crash_sim/run.rs
@@ -441,12 +441,12 @@
         let now = self.at();
         match self.fleet.place(asked.node, &asked.traits, now) {
             Some(Placement::Random) => return self.draw(asked.node),
-            Some(Placement::ByHash(seed)) => {
+            Some(Placement::ByRank(suspected)) => {
                 let all = 0..self.is_up.len();
                 let up = all.filter(|upstream| {
                     self.is_up[*upstream] && !self.is_cut(asked.node, *upstream)
                 });
-                return up.max_by_key(|upstream| hash(seed, *upstream));
+                return up.max_by_key(|upstream| suspected.rank(&self.process(*upstream)));
             }
             None => {}
         }
@@ -459,6 +459,12 @@
         homes.find(|home| self.is_up[*home] && !self.is_cut(asked.node, *home))
     }
 
+    /// The id of the process that runs as an upstream.
+    fn process(&self, upstream: usize) -> UpstreamId {
+        let id = format!("engine-{upstream}@{}", self.starts[upstream]);
+        id.as_str().into()
+    }
+
     /// Draws an upstream that `node` reaches.
     fn draw(&mut self, node: usize) -> Option<usize> {
         for _ in 0..50 {
@@ -533,11 +539,10 @@
     }
 
     fn crash(&mut self, upstream: usize) {
+        let id = self.process(upstream);
         self.is_up[upstream] = false;
         self.starts[upstream] += 1;
         self.schedule(self.now + DOWN, Event::Up(upstream));
-        let id = format!("engine-{upstream}@{}", self.starts[upstream]);
-        let id: UpstreamId = id.as_str().into();
         let now = self.at();
         let mut there: Vec<(usize, Running)> = self.running[upstream].drain().collect();
         there.sort_by_key(|(request, _)| *request);
@@ -624,9 +629,3 @@
         }
     }
 }
-
-/// Mixes a seed with an upstream's number.
-fn hash(seed: u64, upstream: usize) -> u64 {
-    let mixed = (seed ^ upstream as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
-}
--- a/crates/measure/src/crash_sim/ways.rs
+++ b/crates/measure/src/crash_sim/ways.rs
@@ -5,8 +5,8 @@
 
 use nutmegsail_base::UpstreamId;
 use nutmegsail_relay::{
-    BrokenRequest, NodeRecord, Recipients, RequestTraits, SuspectTrait, SuspectUpdate, Suspects,
-    Suspicion, collectors_of,
+    BrokenRequest, NodeRecord, Recipients, RequestTraits, SuspectTrait, SuspectUpdate,
+    SuspectedPart, Suspects, Suspicion, collectors_of,
 };
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
@@ -76,8 +76,8 @@
 /// Which upstream a suspected request is sent to.
 pub(crate) enum Placement {
     Random,
-    /// The first one by rendezvous hash with this seed.
-    ByHash(u64),
+    /// The first one in the order of the suspected part.
+    ByRank(SuspectedPart),
 }
 
 /// A change of what a node has to send.
@@ -139,7 +139,7 @@
         match self.way {
             CrashWay::StaysHome => None,
             CrashWay::Scattered => Some(Placement::Random),
-            _ => Some(Placement::ByHash(suspected.to_hash())),
+            _ => Some(Placement::ByRank(suspected)),
         }
     }
 
--- a/crates/nutmegsail/src/command_error.rs
+++ b/crates/nutmegsail/src/command_error.rs
@@ -2,6 +2,7 @@
 
 use nutmegsail_base::ResultCode;
 use nutmegsail_config::{Changes, Faults, FetchError, Generation, PublishError};
+use nutmegsail_store::KeyValueError;
 use serde::Serialize;
 use thiserror::Error;
 
@@ -48,6 +49,9 @@
         /// The generation that the change was made from.
         base: Option<Generation>,
     },
+    /// The platform's key-value service did not do what it was asked.
+    #[error("{0}")]
+    Store(KeyValueError),
     /// A node gave no answer.
     #[error("the node at {address} cannot be reached: {why}")]
     NodeUnreachable {
@@ -113,6 +117,8 @@
             Self::Text(_) => ExitCode::TextFaults,
             Self::Fetch(_) => ExitCode::PlatformUnavailable,
             Self::Publish { error, .. } => publish_exit_code(error),
+            Self::Store(KeyValueError::Ambiguous) => ExitCode::OutcomeUnknown,
+            Self::Store(_) => ExitCode::PlatformUnavailable,
             // What the operator named is not there, so asking again won't help.
             Self::NodeRefused { status, .. } if (400..500).contains(status) => ExitCode::Usage,
             Self::NodeRefused { .. } | Self::NodeUnreachable { .. } => ExitCode::NodeUnreachable,
@@ -127,6 +133,7 @@
             Self::Fetch(error) => Some(error.code().to_string()),
             Self::NoTextAccepted => Some(ResultCode::NoTextInForce.to_string()),
             Self::Publish { error, .. } => Some(error.code().to_string()),
+            Self::Store(error) => Some(error.code().to_string()),
             Self::NodeUnreachable { .. } => Some(ResultCode::NodeUnreachable.to_string()),
             Self::NodeRefused { number, .. } => number.map(|number| format!("NS{number}")),
         }
--- a/crates/nutmegsail/src/flags.rs
+++ b/crates/nutmegsail/src/flags.rs
@@ -72,6 +72,15 @@
             repeated logs: PathBuf
         }
 
+        /// Show which requests and prompt parts the nodes that pass requests on refuse, as upstreams
+        /// ended under them.
+        cmd refused {
+            /// The platform's key-value service, as HOST:PORT.
+            required --platform address: String
+            /// Let nodes send what is listed under this name again.
+            optional --lift name: String
+        }
+
         /// Let a node finish what is in progress and leave.
         cmd drain {
             /// The node's operators' listener, as HOST:PORT.
@@ -129,6 +138,7 @@
     Status(Status),
     Explain(Explain),
     Trace(Trace),
+    Refused(Refused),
     Drain(Drain),
     Demo(Demo),
     Measure(Measure),
@@ -177,6 +187,12 @@
     pub logs: Vec<PathBuf>,
 }
 
+#[derive(Debug)]
+pub struct Refused {
+    pub platform: String,
+    pub lift: Option<String>,
+}
+
 #[derive(Debug)]
 pub struct Drain {
     pub node: String,
--- a/crates/nutmegsail/src/run.rs
+++ b/crates/nutmegsail/src/run.rs
@@ -12,8 +12,8 @@
 use crate::flags::{Apply, Demo, Diff, Explain, Measure, Nutmegsail, NutmegsailCmd};
 use crate::{
     ApplyRequest, CommandError, DemoRequest, ExitCode, ExplainQuery, MeasureRequest, Output, apply,
-    check, demo, diff_accepted, diff_files, drain, explain_at_node, explain_text, measure, status,
-    trace,
+    check, demo, diff_accepted, diff_files, drain, explain_at_node, explain_text, lift, measure,
+    refused, status, trace,
 };
 
 /// Runs the command line `args`, without the program's name.
@@ -62,6 +62,10 @@
         NutmegsailCmd::Status(flags) => status(&flags.node, output).await,
         NutmegsailCmd::Trace(flags) => print(trace(&flags.request, &flags.logs), output),
         NutmegsailCmd::Explain(flags) => explain(flags, output).await,
+        NutmegsailCmd::Refused(flags) => match flags.lift {
+            Some(name) => print(lift(&flags.platform, &name).await, output),
+            None => print(refused(&flags.platform).await, output),
+        },
         NutmegsailCmd::Drain(flags) => print(drain(flags.node).await, output),
         NutmegsailCmd::Demo(flags) => demo(&demo_request(flags), output).await,
         NutmegsailCmd::Measure(flags) => measure(&measure_request(flags), output),
--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -27,6 +27,7 @@
 use super::returning_nodes::ReturningNodes;
 use super::slots::Slots;
 use super::stored_config::StoredConfig;
+use super::suspect_store::StoredSuspects;
 use crate::clock::{boot_id, boot_time};
 use crate::shared::{Shared, View};
 use crate::{CONNECT_TIMEOUT, Dialect, RelaySettings};
@@ -120,6 +121,8 @@
     pub(crate) stored_config: StoredConfig,
     /// Nodes that are kept although the store does not list them.
     pub(crate) returning_nodes: ReturningNodes,
+    /// The refused traits of requests that the store keeps.
+    pub(crate) stored_suspects: StoredSuspects,
     /// The lenders of the teams' quotas.
     pub(crate) lending: Lending,
     /// The upstream slots that this node grants.
@@ -174,6 +177,7 @@
             ownership_watch: RefCell::default(),
             stored_config: StoredConfig::default(),
             returning_nodes: ReturningNodes::default(),
+            stored_suspects: StoredSuspects::default(),
             lending: Lending::default(),
             slots: Slots::default(),
             boot: boot_id(),
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -36,6 +36,7 @@
 mod store_reader;
 mod stored_config;
 mod suspect_gossip;
+mod suspect_store;
 mod upstreams_watch;
 mod watch;
 
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -1,11 +1,11 @@
-//! Watches the store's keys of nodes, engine owners and lenders.
+//! Watches the store's keys of nodes, engine owners, lenders and suspects.
 
 use std::collections::HashSet;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::NodeRecord;
+use nutmegsail_relay::{NodeRecord, StoredSuspect};
 use nutmegsail_store::{Change, Item, Revision};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::Serialize;
@@ -30,7 +30,7 @@
     Bytes::from(serde_json::to_vec(value).unwrap_or_default())
 }
 
-/// Applies changes of node, owner, lender and era keys.
+/// Applies changes of node, owner, lender, suspect and era keys.
 pub(crate) struct OwnersWatcher(pub(crate) Rc<ControlState>);
 
 impl OwnersWatcher {
@@ -50,6 +50,8 @@
                 Ok(record) => self.apply_owner(engine.into(), &record, item.revision),
                 Err(error) => self.log_unreadable(&item.key, &error),
             }
+        } else if item.key.starts_with(StoredSuspect::KEY_PREFIX) {
+            self.0.apply_stored_suspect(item);
         } else if let Some(domain) = item.key.strip_prefix(LENDER_PREFIX) {
             match serde_json::from_slice::<OwnerRecord>(&item.value) {
                 Ok(record) => self.0.apply_lender_key(domain, &record, item.revision),
@@ -88,6 +90,8 @@
             let engine = UpstreamId::from(engine);
             self.0.owners.borrow_mut().remove(&engine);
             disown(&self.0, &engine, "the key was removed");
+        } else if key.starts_with(StoredSuspect::KEY_PREFIX) {
+            self.0.remove_stored_suspect(key);
         } else if let Some(domain) = key.strip_prefix(LENDER_PREFIX) {
             self.0.remove_lender_key(domain);
         }
@@ -114,6 +118,7 @@
         let known = nodes.iter().map(|node| format!("{NODE_PREFIX}{node}"));
         let known = known.chain(engines.iter().map(owner_key));
         let known = known.chain(self.0.lender_keys());
+        let known = known.chain(self.0.stored_suspect_keys());
         for key in known.collect::<Vec<_>>() {
             if !listed.contains(&key.as_str()) {
                 self.remove(&key);
--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -11,7 +11,7 @@
 use nutmegsail_http_pool::OpenError;
 use nutmegsail_relay::{
     BrokenRequest, BrokenRequestAction, PART_STARTUP_PERIOD, ProbeResult, RequestTraits,
-    SuspectTrait, Suspicion, Upstream,
+    SuspectTrait, SuspectedPart, Suspicion, Upstream,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::task::spawn_local;
@@ -122,7 +122,7 @@
     }
 
     /// The part of the prompt of `call` that may be the cause of upstreams' ends, if any.
-    pub(super) fn suspected_part(&self, call: &Call) -> Option<SuspectTrait> {
+    pub(super) fn suspected_part(&self, call: &Call) -> Option<SuspectedPart> {
         let suspects = self.shared.suspects();
         suspects.suspected_part(&call.traits, Instant::now())
     }
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -637,7 +637,7 @@
         let need = need(call, &sends.tried);
         let dispatcher = self.dispatcher.borrow();
         match self.suspected_part(call) {
-            Some(suspect) => dispatcher.choose_apart(suspect, &need, now, &mut rand::rng()),
+            Some(suspected) => dispatcher.choose_apart(&suspected, &need, now, &mut rand::rng()),
             None => dispatcher.choose(&need, now, &mut rand::rng()),
         }
     }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -6,14 +6,13 @@
 
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use rand::{Rng, RngExt as _};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::eligibility::Eligibility;
 use crate::load_times::INITIAL_LOAD_MS;
 use crate::tracked::{INITIAL_SLOT_TIME_MS, PROMPT_TOKEN_MS};
 use crate::{
     DomainContacts, Holdings, HoldingsReport, LoadReport, ModelRef, Outcome, PromptPrefix,
-    SoftwareRule, SuspectTrait, Tracked, Upstream, VersionRule,
+    SoftwareRule, SuspectedPart, Tracked, Upstream, VersionRule,
 };
 
 /// What a request requires of an upstream.
@@ -296,8 +295,8 @@
         Ok(self.to_choice(&best, need, now))
     }
 
-    /// Selects an upstream for a request that may crash it, by rendezvous hash of `suspect`, which
-    /// is the same at every node.
+    /// Selects an upstream for a request that may crash it, by rendezvous hash of the suspected part,
+    /// which is the same at every node.
     ///
     /// By their affinity, such a request and those that it was with when an upstream ended would meet
     /// again at the next one, and end there together.
@@ -307,18 +306,15 @@
     /// [`ChooseError`] if no upstream can serve the request now.
     pub fn choose_apart(
         &self,
-        suspect: SuspectTrait,
+        suspected: &SuspectedPart,
         need: &DispatchRequest<'_>,
         now: Instant,
         random: &mut dyn Rng,
     ) -> Result<Choice, ChooseError> {
-        let seed = suspect.to_hash();
         let mut candidates = self.candidates(need, now)?;
         candidates.retain(|candidate| self.score(candidate, need, false, now) < PAUSED_PENALTY_MS);
-        let selected = candidates.iter().max_by_key(|candidate| {
-            let id = &candidate.tracked.upstream.id;
-            xxh3_64_with_seed(id.as_bytes(), seed)
-        });
+        let rank = |candidate: &&Candidate<'_>| suspected.rank(&candidate.tracked.upstream.id);
+        let selected = candidates.iter().max_by_key(rank);
         match selected {
             Some(selected) => Ok(self.to_choice(selected, need, now)),
             None => self.choose(need, now, random),
--- a/crates/relay/src/suspect_trait.rs
+++ b/crates/relay/src/suspect_trait.rs
@@ -60,7 +60,7 @@
     }
 
     /// A hash that is the same at every node.
-    pub fn to_hash(&self) -> u64 {
+    pub(crate) fn to_hash(self) -> u64 {
         match self {
             Self::Request(digest) => xxh3_64(digest.as_bytes()),
             Self::PromptPart(id) => xxh3_64(&id.to_le_bytes()),
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -5,11 +5,11 @@
 
 use nutmegsail_base::{NodeId, UpstreamId};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::begun_parts::BegunParts;
 use crate::suspect_record::{Strike, SuspectRecord};
-use crate::{BrokenRequest, RequestTraits, SuspectTrait};
+use crate::{BrokenRequest, ClockPair, RequestTraits, StoredSuspect, SuspectTrait};
 
 /// How many upstreams may end while running requests with a trait before these are sent to no
 /// further one. A lower limit would refuse callers whose upstreams happened to crash twice; with a
@@ -78,6 +78,25 @@
     sent_ms_before: u32,
 }
 
+/// A part of a request's prompt that may crash the upstream that the request is sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectedPart {
+    suspect: SuspectTrait,
+    /// The upstreams that ended under it, by hash of their ids.
+    ended: Vec<u64>,
+}
+
+impl SuspectedPart {
+    /// The rank of `upstream` among those that may be sent the part, the same at every node; the
+    /// highest goes first. One that ended under the part goes last, as long as the list shows the
+    /// process that did.
+    pub fn rank(&self, upstream: &UpstreamId) -> (bool, u64) {
+        let has_ended = self.ended.contains(&xxh3_64(upstream.as_bytes()));
+        let hash = xxh3_64_with_seed(upstream.as_bytes(), self.suspect.to_hash());
+        (!has_ended, hash)
+    }
+}
+
 /// Strikes against traits of requests, as one node knows them.
 ///
 /// A trait stands for all requests that have it, whichever caller sends them through whichever
@@ -192,6 +211,32 @@
         record.clear_everywhere(at);
     }
 
+    /// Applies what the store keeps of a trait.
+    pub fn take_stored(&mut self, stored: &StoredSuspect, clocks: ClockPair) {
+        if let Some(at) = stored.lifted_at(clocks) {
+            self.lift(stored.suspect(), at);
+        }
+        for strike in stored.to_strikes(clocks) {
+            let record = self.record(*stored.suspect(), strike.service);
+            record.add(strike, clocks.now);
+        }
+        self.enforce_limit(clocks.now);
+    }
+
+    /// The refused traits, as the store should keep them.
+    pub fn to_stored(&self, clocks: ClockPair) -> Vec<StoredSuspect> {
+        let records = self.records.iter();
+        let refused = records.filter(|(suspect, record)| {
+            let evidence = record.total_evidence(clocks.now);
+            evidence.is_some_and(|evidence| {
+                evidence.is_conclusive(**suspect) && evidence.is_settled(**suspect, clocks.now)
+            })
+        });
+        refused
+            .map(|(suspect, record)| StoredSuspect::of(*suspect, record.strikes(), clocks))
+            .collect()
+    }
+
     /// Whether a request may be sent.
     pub fn suspicion(&self, traits: &RequestTraits, now: Instant) -> Suspicion {
         if self.records.is_empty() {
@@ -207,7 +252,7 @@
     ///
     /// Requests that share it should start at the same upstream, which then ends once for all of
     /// them, and others elsewhere, so that its end tells them apart.
-    pub fn suspected_part(&self, traits: &RequestTraits, now: Instant) -> Option<SuspectTrait> {
+    pub fn suspected_part(&self, traits: &RequestTraits, now: Instant) -> Option<SuspectedPart> {
         if self.records.is_empty() {
             return None;
         }
@@ -215,9 +260,13 @@
             let record = self.records.get(&suspect)?;
             let evidence = record.evidence(traits.service(), now)?;
             let is_suspected = !record.is_usually_sound(&evidence);
-            is_suspected.then_some((evidence.ends, suspect))
+            is_suspected.then_some((evidence.ends, suspect, record))
         });
-        suspected.max().map(|(_, suspect)| suspect)
+        let most = suspected.max_by_key(|(ends, suspect, _)| (*ends, *suspect));
+        most.map(|(_, suspect, record)| SuspectedPart {
+            suspect,
+            ended: record.strikes().map(|strike| strike.upstream).collect(),
+        })
     }
 
     /// The trait for which a request is refused.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -119,6 +119,7 @@
     3027 ServiceReachable Info "An upstream of a service can be reached again.";
     3028 BrittleAnnounced Warning "An upstream announced that it falls over if it has to refuse many requests.";
     3029 BrittleEnded Info "The upstreams of a service no longer announce that they are brittle.";
+    3030 SuspectStored Warning "A refused request or prompt part was written to the store, or removed from it.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
