Let one copy tell a part apart that another usual one explains

The study played a part whose id was among the rare harmless ones, so that answers cleared it at 360 nodes (7 to 10 ends); its ids are apart now.

--- a/crates/measure/src/crash_sim/prompts.rs
+++ b/crates/measure/src/crash_sim/prompts.rs
@@ -15,8 +15,8 @@
 const FIRST_MIDDLE: u64 = 1_000;
 
 /// The parts that crash upstreams, and one that always comes with the first of them.
-const GUILTY: [u64; 2] = [0xbad, 0xbad2];
-const COMPANION: u64 = 0x50d;
+const GUILTY: [u64; 2] = [100_001, 100_002];
+const COMPANION: u64 = 100_003;
 
 /// Which prompts crash upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -78,6 +78,15 @@
     sent_ms_before: u32,
 }
 
+/// How likely another trait is what upstreams ended for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Explanation {
+    /// Answers to requests with it ran on shortly before the first end.
+    Possible,
+    /// No answer to a request with it is known.
+    Likely,
+}
+
 /// A part of a request's prompt that may crash the upstream that the request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SuspectedPart {
@@ -288,8 +297,9 @@
             return Suspicion::None;
         };
         let is_conclusive = evidence.is_conclusive(*suspect);
+        let explained = self.explained_elsewhere(record, traits, now);
         if record.is_usually_sound(&evidence)
-            && (!is_conclusive || self.is_explained_elsewhere(record, traits, now))
+            && (!is_conclusive || explained == Some(Explanation::Likely))
         {
             return Suspicion::None;
         }
@@ -298,7 +308,7 @@
         }
         let is_refused = is_conclusive && evidence.is_held(now);
         let may_tell_apart = evidence.ends < MAX_ENDS_TO_TELL_APART;
-        if is_refused && !(may_tell_apart && self.is_explained_elsewhere(record, traits, now)) {
+        if is_refused && !(may_tell_apart && explained.is_some()) {
             return Suspicion::Crashes;
         }
         let own_trials = self.starting.get(suspect).copied().unwrap_or(0);
@@ -309,23 +319,26 @@
         }
     }
 
-    /// Whether another trait, which the request does not have, explains all strikes of `record`.
-    /// Refused traits that always came together are told apart by one copy that has only one of
-    /// them.
-    fn is_explained_elsewhere(
+    /// Whether another refused trait, which the request does not have, explains all strikes of
+    /// `record`. Refused traits that always came together are told apart by one copy that has only
+    /// one of them.
+    fn explained_elsewhere(
         &self,
         record: &SuspectRecord,
         traits: &RequestTraits,
         now: Instant,
-    ) -> bool {
-        let mut others = self.records.iter();
-        others.any(|(suspect, other)| {
-            let evidence = other.evidence(traits.service(), now);
-            let is_cause = evidence.is_some_and(|evidence| {
-                evidence.is_conclusive(*suspect) && !other.is_usually_sound(&evidence)
-            });
-            is_cause && !traits.contains(suspect) && record.is_explained_by(other)
-        })
+    ) -> Option<Explanation> {
+        let others = self.records.iter();
+        let explanations = others.filter_map(|(suspect, other)| {
+            let evidence = other.evidence(traits.service(), now)?;
+            let is_cause = evidence.is_conclusive(*suspect) && !traits.contains(suspect);
+            let is_explained = is_cause && record.is_explained_by(other);
+            is_explained.then(|| match other.is_usually_sound(&evidence) {
+                true => Explanation::Possible,
+                false => Explanation::Likely,
+            })
+        });
+        explanations.max()
     }
 
     /// Whether answers to requests with a part ran on lately, so that the part is no reason to wait
