Collect origins of streams in batches for the store

Cause: a stream's origin is known only to nodes, and is lost when all of them are killed. A write to the store for each stream is more than the store takes.

What waits, a value and its origins are bounded.

--- /dev/null
+++ b/crates/relay/src/origin_batches.rs
@@ -0,0 +1,139 @@
+//! Collects the origins that a node has to write to the store.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::{OriginBatch, StreamKey, StreamOrigin};
+
+/// The most streams that wait to be written; the oldest are dropped first.
+const MAX_WAITING: usize = 20_000;
+
+/// The origins that a node has to write to the store, a batch for each shard at a time. One write is
+/// in progress at most, and the next one begins no sooner than an interval after it began.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use nutmegsail_relay::{OriginBatches, StreamKey, StreamOrigin};
+/// let (now, interval, lifetime) = (Instant::now(), Duration::from_millis(500), Duration::from_secs(30));
+/// let key = StreamKey::of(None, &"0caa45a4".into());
+/// let origin = StreamOrigin { service: "scribe".into(), software: "v1.1".into() };
+/// let mut batches = OriginBatches::new(interval, lifetime);
+/// batches.push(key, origin.clone(), now);
+/// assert!(batches.is_due(now));
+/// let taken = batches.take_batch(now);
+/// assert_eq!((taken[0].0, taken[0].1.find(&key)), (key.shard(), Some(&origin)));
+/// batches.put_back();
+/// assert!(!batches.is_due(now));
+/// assert_eq!(batches.due_at(), Some(now + interval));
+/// assert_eq!(batches.take_batch(now + interval), taken);
+/// batches.written();
+/// assert_eq!(batches.due_at(), None);
+/// ```
+#[derive(Debug)]
+pub struct OriginBatches {
+    interval: Duration,
+    lifetime: Duration,
+    /// Oldest first.
+    waiting: VecDeque<WaitingStream>,
+    /// The streams of the write that is in progress, oldest first.
+    in_progress: Option<Vec<WaitingStream>>,
+    last_taken: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingStream {
+    key: StreamKey,
+    origin: StreamOrigin,
+    since: Instant,
+}
+
+impl OriginBatches {
+    /// Writes at most once in each `interval`, and only streams that were added less than `lifetime`
+    /// ago, as older ones have ended.
+    pub fn new(interval: Duration, lifetime: Duration) -> Self {
+        Self {
+            interval,
+            lifetime,
+            waiting: VecDeque::new(),
+            in_progress: None,
+            last_taken: None,
+        }
+    }
+
+    /// Adds a stream.
+    pub fn push(&mut self, key: StreamKey, origin: StreamOrigin, now: Instant) {
+        self.waiting.push_back(WaitingStream {
+            key,
+            origin,
+            since: now,
+        });
+        self.drop_oldest();
+    }
+
+    /// When the next batch is due. `None` if no stream waits, or until the write in progress has
+    /// ended.
+    pub fn due_at(&self) -> Option<Instant> {
+        let oldest = self
+            .waiting
+            .front()
+            .filter(|_| self.in_progress.is_none())?;
+        let after_last = self.last_taken.map(|last| last + self.interval);
+        Some(after_last.map_or(oldest.since, |after_last| after_last.max(oldest.since)))
+    }
+
+    /// Whether a batch is due: at once after an idle time, else an interval after the last one.
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.due_at().is_some_and(|due| now >= due)
+    }
+
+    /// Takes a batch for each shard with streams, by the shard's number. What does not fit waits for
+    /// the next one. Empty while a write is in progress. The caller has to report what became of the
+    /// write, with [`Self::written`] or [`Self::put_back`].
+    pub fn take_batch(&mut self, now: Instant) -> Vec<(u8, OriginBatch)> {
+        if self.in_progress.is_some() {
+            return Vec::new();
+        }
+        let lifetime = self.lifetime;
+        let is_current = |stream: &WaitingStream| now.duration_since(stream.since) < lifetime;
+        self.waiting.retain(is_current);
+        let mut batches: BTreeMap<u8, OriginBatch> = BTreeMap::new();
+        let mut taken = Vec::new();
+        let mut left = VecDeque::new();
+        for stream in self.waiting.drain(..) {
+            let batch = batches.entry(stream.key.shard()).or_default();
+            match batch.push(&stream.key, &stream.origin) {
+                true => taken.push(stream),
+                false => left.push_back(stream),
+            }
+        }
+        self.waiting = left;
+        if !taken.is_empty() {
+            self.in_progress = Some(taken);
+            self.last_taken = Some(now);
+        }
+        batches.into_iter().collect()
+    }
+
+    /// The store has the batch that was taken last.
+    pub fn written(&mut self) {
+        self.in_progress = None;
+    }
+
+    /// Puts the batch that was taken last back, as the store may not have it.
+    pub fn put_back(&mut self) {
+        for stream in self.in_progress.take().into_iter().flatten().rev() {
+            self.waiting.push_front(stream);
+        }
+        self.drop_oldest();
+    }
+
+    /// The number of streams that wait, or are being written.
+    pub fn count(&self) -> usize {
+        self.waiting.len() + self.in_progress.as_ref().map_or(0, Vec::len)
+    }
+
+    fn drop_oldest(&mut self) {
+        let excess = self.count().saturating_sub(MAX_WAITING);
+        self.waiting.drain(..excess.min(self.waiting.len()));
+    }
+}
