Write the origins of a flush under one key

Cause: at 360 nodes and 1,800 streams a second a flush holds ten streams. Eight shards by the stream's key make a key of each 1.7 of them, and a read of the store returns 500 items at most.

Change: take_batch returns one batch.

--- a/crates/relay/src/origin_batch.rs
+++ b/crates/relay/src/origin_batch.rs
@@ -7,13 +7,12 @@
 use crate::{KnownOrigin, StreamKey, StreamOrigin};
 
 /// The most streams in a batch, which bounds the size of a value in the store.
-const MAX_STREAMS: usize = 1_000;
+const MAX_STREAMS: usize = 4_000;
 
 /// The most origins in a batch, as a stream refers to its origin by one byte.
 const MAX_ORIGINS: usize = 256;
 
-/// The origins of streams of one shard that one node writes to the store together. Each stream takes
-/// nine bytes.
+/// The origins of streams that one node writes to the store together. Each stream takes nine bytes.
 ///
 /// ```
 /// use nutmegsail_relay::{OriginBatch, StreamKey, StreamOrigin};
--- a/crates/relay/src/origin_batches.rs
+++ b/crates/relay/src/origin_batches.rs
@@ -1,6 +1,6 @@
 //! Collects the origins that a node has to write to the store.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use crate::{OriginBatch, StreamKey, StreamOrigin};
@@ -8,8 +8,8 @@
 /// The most streams that wait to be written; the oldest are dropped first.
 const MAX_WAITING: usize = 20_000;
 
-/// The origins that a node has to write to the store, a batch for each shard at a time. One write is
-/// in progress at most, and the next one begins no sooner than an interval after it began.
+/// The origins that a node has to write to the store, in batches. One write is in progress at most,
+/// and the next one begins no sooner than an interval after it began.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
@@ -21,7 +21,7 @@
 /// batches.push(key, origin.clone(), now);
 /// assert!(batches.is_due(now));
 /// let taken = batches.take_batch(now);
-/// assert_eq!((taken[0].0, taken[0].1.find(&key)), (key.shard(), Some(&origin)));
+/// assert_eq!(taken.as_ref().and_then(|batch| batch.find(&key)), Some(&origin));
 /// batches.put_back();
 /// assert!(!batches.is_due(now));
 /// assert_eq!(batches.due_at(), Some(now + interval));
@@ -86,32 +86,29 @@
         self.due_at().is_some_and(|due| now >= due)
     }
 
-    /// Takes a batch for each shard with streams, by the shard's number. What does not fit waits for
-    /// the next one. Empty while a write is in progress. The caller has to report what became of the
-    /// write, with [`Self::written`] or [`Self::put_back`].
-    pub fn take_batch(&mut self, now: Instant) -> Vec<(u8, OriginBatch)> {
+    /// Takes the streams that wait longest, as many as fit into a batch. `None` if there are none, or
+    /// while a write is in progress. The caller has to report what became of the write, with
+    /// [`Self::written`] or [`Self::put_back`].
+    pub fn take_batch(&mut self, now: Instant) -> Option<OriginBatch> {
         if self.in_progress.is_some() {
-            return Vec::new();
+            return None;
         }
         let lifetime = self.lifetime;
-        let is_current = |stream: &WaitingStream| now.duration_since(stream.since) < lifetime;
-        self.waiting.retain(is_current);
-        let mut batches: BTreeMap<u8, OriginBatch> = BTreeMap::new();
-        let mut taken = Vec::new();
-        let mut left = VecDeque::new();
-        for stream in self.waiting.drain(..) {
-            let batch = batches.entry(stream.key.shard()).or_default();
-            match batch.push(&stream.key, &stream.origin) {
-                true => taken.push(stream),
-                false => left.push_back(stream),
-            }
-        }
-        self.waiting = left;
-        if !taken.is_empty() {
-            self.in_progress = Some(taken);
-            self.last_taken = Some(now);
+        self.waiting
+            .retain(|stream| now.duration_since(stream.since) < lifetime);
+        let mut batch = OriginBatch::default();
+        let mut fits = |stream: &WaitingStream| batch.push(&stream.key, &stream.origin);
+        let count = self
+            .waiting
+            .iter()
+            .take_while(|stream| fits(stream))
+            .count();
+        if count == 0 {
+            return None;
         }
-        batches.into_iter().collect()
+        self.in_progress = Some(self.waiting.drain(..count).collect());
+        self.last_taken = Some(now);
+        Some(batch)
     }
 
     /// The store has the batch that was taken last.
--- a/crates/relay/src/stream_key.rs
+++ b/crates/relay/src/stream_key.rs
@@ -24,9 +24,6 @@
 pub struct StreamKey([u8; KEY_BYTES]);
 
 impl StreamKey {
-    /// Number of shards over which streams are spread in the store.
-    pub const SHARDS: u8 = 8;
-
     /// The key of the stream that `attempt` of a caller of `team` began.
     pub fn of(team: Option<&TeamName>, attempt: &RequestId) -> Self {
         let team = team.map_or("", |team| team.as_str());
@@ -41,17 +38,7 @@
         Self(key)
     }
 
-    /// The shard of the store in which the stream's origin is kept, below [`Self::SHARDS`].
-    ///
-    /// ```
-    /// use nutmegsail_relay::StreamKey;
-    /// assert!(StreamKey::of(None, &"0caa45a4".into()).shard() < StreamKey::SHARDS);
-    /// ```
-    pub fn shard(&self) -> u8 {
-        self.0[KEY_BYTES - 1] % Self::SHARDS
-    }
-
-    /// The part of the key that the store keeps. It leaves out the byte that gives the shard.
+    /// The part of the key that the store keeps.
     pub(crate) fn short(&self) -> [u8; SHORT_KEY_BYTES] {
         let mut short = [0; SHORT_KEY_BYTES];
         short.copy_from_slice(&self.0[..SHORT_KEY_BYTES]);
