Let a third of the nodes keep streams, of their own failure domain only

Change: keepers are chosen among the registrars of a failure domain: nodes whose id hashes below a third of all hashes, at least two. Two of the own domain are told, none elsewhere; three and two are asked. is_stream_keeper says whether this node is one, or the first one. A threshold, not a count, so that a node that comes or goes changes nobody else's role.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -128,7 +128,7 @@
 pub use software_version::SoftwareVersion;
 pub use stall::StallWatch;
 pub use stored_suspect::{ClockPair, StoreChange, StoredSuspect};
-pub use stream_keepers::{KeeperCounts, stream_keepers};
+pub use stream_keepers::{KeeperCounts, is_stream_keeper, stream_keepers};
 pub use stream_key::StreamKey;
 pub use stream_origins::{KnownOrigin, StreamOrigin, StreamOrigins};
 pub use suspect_collectors::collectors_of;
--- a/crates/relay/src/stream_keepers.rs
+++ b/crates/relay/src/stream_keepers.rs
@@ -1,10 +1,20 @@
-//! Which nodes know where a stream began.
+//! Which nodes know where a stream began and write it to the store.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 
 use nutmegsail_base::{FailureDomain, NodeId};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Peer, StreamKey};
 
+/// One node in so many is a registrar. With more registrars the store gets more writes, with fewer
+/// each of them receives more bytes.
+pub(crate) const NODES_PER_REGISTRAR: u64 = 3;
+
+/// The fewest registrars of a failure domain, so that one of them may fail.
+const MIN_REGISTRARS: usize = 2;
+
 /// How many nodes keep a stream, or are asked for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeeperCounts {
@@ -15,15 +25,15 @@
 }
 
 impl KeeperCounts {
-    /// The nodes that are told of a stream: two near, and one in each other failure domain, as any of
-    /// these may be all that a caller reaches later.
+    /// The nodes that are told of a stream. A caller that changes its failure domain has its stream
+    /// found by the nodes that are asked there, or by the store.
     pub const TOLD: Self = Self {
         own_domain: 2,
-        other_domains: 1,
+        other_domains: 0,
     };
 
-    /// The nodes that are asked for a stream: one more of each, as a node that was told may be gone,
-    /// or was not known where the stream began.
+    /// The nodes that are asked for a stream: one more of the own domain, as a node that was told may
+    /// be gone, or was not known where the stream began.
     pub const ASKED: Self = Self {
         own_domain: 3,
         other_domains: 2,
@@ -31,7 +41,10 @@
 }
 
 /// Returns the nodes that keep a stream, out of `peers`. Nodes with the same list agree on them: in
-/// each failure domain those with the highest hash. The node itself counts, and is left out.
+/// each failure domain the registrars with the highest hash. The node itself counts, and is left out.
+///
+/// Registrars are a fixed share of all node ids and at least two of a failure domain, so that a node
+/// that comes or goes hardly changes who else is one.
 ///
 /// ```
 /// use nutmegsail_relay::{KeeperCounts, Peer, StreamKey, stream_keepers};
@@ -44,7 +57,7 @@
 /// let peers = [peer("n2", "here"), peer("n3", "there"), peer("n4", "there")];
 /// let key = StreamKey::of(None, &"0caa45a4".into());
 /// let own = (&"n1".into(), &"here".into());
-/// assert_eq!(stream_keepers(&key, own, &peers, KeeperCounts::TOLD).len(), 2);
+/// assert_eq!(stream_keepers(&key, own, &peers, KeeperCounts::TOLD).len(), 1);
 /// assert_eq!(stream_keepers(&key, own, &peers, KeeperCounts::ASKED).len(), 3);
 /// ```
 pub fn stream_keepers<'a>(
@@ -53,27 +66,73 @@
     peers: &'a [Peer],
     counts: KeeperCounts,
 ) -> Vec<&'a Peer> {
-    let mut ranked: Vec<(u64, &Peer)> = peers
-        .iter()
-        .filter(|peer| peer.node != *own_node)
-        .map(|peer| (rank(key, &peer.node), peer))
-        .collect();
-    ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-    let own_rank = rank(key, own_node);
-    let mut keepers: Vec<&Peer> = Vec::new();
-    for (rank, peer) in ranked {
-        let domain = &peer.failure_domain;
-        let chosen = keepers.iter().filter(|kept| kept.failure_domain == *domain);
-        let chosen = chosen.count();
-        let limit = match domain == own_domain {
-            true => counts.own_domain - usize::from(own_rank > rank),
+    let others = peers.iter().filter(|peer| peer.node != *own_node);
+    let others = others.map(|peer| (&peer.node, &peer.failure_domain, Some(peer)));
+    let own = (own_node, own_domain, None);
+    let mut domains: BTreeMap<&FailureDomain, Vec<(&NodeId, Option<&Peer>)>> = BTreeMap::new();
+    for (node, domain, peer) in others.chain([own]) {
+        domains.entry(domain).or_default().push((node, peer));
+    }
+    let keepers = domains.into_iter().flat_map(|(domain, nodes)| {
+        let count = match domain == own_domain {
+            true => counts.own_domain,
             false => counts.other_domains,
         };
-        if chosen < limit {
-            keepers.push(peer);
-        }
-    }
-    keepers
+        ranked_registrars(key, nodes).into_iter().take(count)
+    });
+    keepers.flatten().collect()
+}
+
+/// Whether this node is one of the first `count` keepers of a stream that began in its failure domain,
+/// by its list of `peers`.
+///
+/// ```
+/// use nutmegsail_relay::{Peer, StreamKey, is_stream_keeper};
+/// let peer = |node: &str| Peer {
+///     node: node.into(),
+///     failure_domain: "here".into(),
+///     address: ([10, 0, 0, 1], 80).into(),
+///     forward_address: ([10, 0, 0, 1], 81).into(),
+/// };
+/// let key = StreamKey::of(None, &"0caa45a4".into());
+/// let (first, second) = ("n1".into(), "n2".into());
+/// let first = (&first, &"here".into());
+/// let second = (&second, &"here".into());
+/// assert!(is_stream_keeper(&key, first, &[peer("n2")], 2));
+/// assert!(is_stream_keeper(&key, second, &[peer("n1")], 2));
+/// let is_first = is_stream_keeper(&key, first, &[peer("n2")], 1);
+/// assert_ne!(is_first, is_stream_keeper(&key, second, &[peer("n1")], 1));
+/// ```
+pub fn is_stream_keeper(
+    key: &StreamKey,
+    (own_node, own_domain): (&NodeId, &FailureDomain),
+    peers: &[Peer],
+    count: usize,
+) -> bool {
+    let others = peers.iter().filter(|peer| peer.node != *own_node);
+    let near = others.filter(|peer| peer.failure_domain == *own_domain);
+    let nodes = near.map(|peer| (&peer.node, false));
+    let ranked = ranked_registrars(key, nodes.chain([(own_node, true)]).collect());
+    ranked.into_iter().take(count).any(|is_own| is_own)
+}
+
+/// The registrars among the nodes of a failure domain, the first keeper of a stream first.
+fn ranked_registrars<T>(key: &StreamKey, nodes: Vec<(&NodeId, T)>) -> Vec<T> {
+    let mut nodes: Vec<(u64, &NodeId, T)> = nodes
+        .into_iter()
+        .map(|(node, item)| (xxh3_64(node.as_str().as_bytes()), node, item))
+        .collect();
+    nodes.sort_unstable_by_key(|(hash, node, _)| (*hash, *node));
+    let mut ranked: Vec<(u64, T)> = nodes
+        .into_iter()
+        .enumerate()
+        .filter(|(index, (hash, ..))| {
+            *index < MIN_REGISTRARS || *hash < u64::MAX / NODES_PER_REGISTRAR
+        })
+        .map(|(_, (_, node, item))| (rank(key, node), item))
+        .collect();
+    ranked.sort_by_key(|(rank, _)| Reverse(*rank));
+    ranked.into_iter().map(|(_, item)| item).collect()
 }
 
 fn rank(key: &StreamKey, node: &NodeId) -> u64 {
