Bound the writes of all registrars together

Cause: registrars grow with the nodes, and the store takes several hundred writes a second for everything.

Change: origin_write_interval gives the time between two writes of a node by the number of nodes: 250 ms, longer where all together would make more than 240 writes a second. OriginBatches takes a new interval.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -106,7 +106,7 @@
 pub use model_plan::{HostedModel, ModelChange, ModelHost, ModelPlan};
 pub use model_ref::{ModelDigest, ModelRef};
 pub use origin_batch::{OriginBatch, OriginBatchFault};
-pub use origin_batches::OriginBatches;
+pub use origin_batches::{OriginBatches, origin_write_interval};
 pub use ownership::{OrderPermit, Ownership, OwnershipRules, Predecessor};
 pub use ownership_watch::{ConcernChange, OwnersNow, OwnershipConcern, OwnershipWatch};
 pub use prompt::{CachedPrompts, PromptPart, PromptPrefix};
--- a/crates/relay/src/origin_batches.rs
+++ b/crates/relay/src/origin_batches.rs
@@ -3,11 +3,32 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::stream_keepers::NODES_PER_REGISTRAR;
 use crate::{OriginBatch, StreamKey, StreamOrigin};
 
 /// The most streams that wait to be written; the oldest are dropped first.
 const MAX_WAITING: usize = 20_000;
 
+/// The shortest time between two writes of a node. What was not written is lost with the keepers.
+const MIN_INTERVAL_MS: u64 = 250;
+
+/// The most writes of all nodes together, as all duties share the store.
+const MAX_WRITES_PER_S: u64 = 240;
+
+/// How long a registrar waits between two writes if the fleet has so many nodes.
+///
+/// ```
+/// use std::time::Duration;
+/// use nutmegsail_relay::origin_write_interval;
+/// assert_eq!(origin_write_interval(6), Duration::from_millis(250));
+/// assert_eq!(origin_write_interval(360), Duration::from_millis(500));
+/// ```
+pub fn origin_write_interval(nodes: usize) -> Duration {
+    let registrars = u64::try_from(nodes).unwrap_or(u64::MAX) / NODES_PER_REGISTRAR;
+    let interval_ms = registrars.saturating_mul(1_000) / MAX_WRITES_PER_S;
+    Duration::from_millis(interval_ms.max(MIN_INTERVAL_MS))
+}
+
 /// The origins that a node has to write to the store, in batches. One write is in progress at most,
 /// and the next one begins no sooner than an interval after it began.
 ///
@@ -60,6 +81,11 @@
         }
     }
 
+    /// Changes the interval, as the number of nodes did.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.interval = interval;
+    }
+
     /// Adds a stream.
     pub fn push(&mut self, key: StreamKey, origin: StreamOrigin, now: Instant) {
         self.waiting.push_back(WaitingStream {
--- a/crates/relay/tests/origin_batches.rs
+++ b/crates/relay/tests/origin_batches.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use nutmegsail_relay::{KnownOrigin, OriginBatch, OriginBatches, StreamKey, StreamOrigin};
+use nutmegsail_relay::{
+    KnownOrigin, OriginBatch, OriginBatches, StreamKey, StreamOrigin, origin_write_interval,
+};
 use proptest::prelude::*;
 
 const INTERVAL: Duration = Duration::from_millis(500);
@@ -168,6 +170,17 @@
     assert!(batches.is_due(now + INTERVAL));
 }
 
+// Guards against a large fleet whose registrars use up the writes of the store.
+#[test]
+fn registrars_of_a_fleet_share_a_number_of_writes() {
+    for nodes in [1, 6, 72, 360, 720, 3_600] {
+        let interval = origin_write_interval(nodes);
+        assert!(interval >= Duration::from_millis(250), "{nodes}");
+        let registrars = nodes as f64 / 3.0;
+        assert!(registrars / interval.as_secs_f64() < 241.0, "{nodes}");
+    }
+}
+
 // Guards against two writes at a time, of which a failed one puts back what the other has written.
 #[test]
 fn no_batch_is_taken_while_one_is_being_written() {
