Weigh the ways to know a stream's version against killed nodes, cuts and the store

Cause: the study knew keepers and rules only. With keepers in all failure domains and nothing in the store, no stream goes on after all nodes were killed.

Change: a trial is a stream, the nodes around it and a fault, and runs the cores: who is told, asked and writes, and when a batch is taken. Ways: keepers with and without batches in the store each 250, 500 and 1,000 ms, by both keepers, the first one or each node; read when a stream is taken up or at start; eight shards; rules by id and by adapter. Faults: nodes killed, restarted in turn, an outdated list, a cut before or after the begin with the store at either side, both or neither, the store away. Also what a fleet pays, a store that goes away in a release, and where a stream's adapter is.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -14,6 +14,7 @@
 mod quota_sim;
 mod report;
 mod sim;
+mod stream_sim;
 mod studies;
 mod study;
 
