--- a/crates/base/src/result_code.rs
+++ b/crates/base/src/result_code.rs
@@ -80,6 +80,8 @@
     3009 OnTrial 503 true "Upstreams ended under this request, and it runs elsewhere now; it did not run here.";
     3010 UpstreamsUnreachable 503 true "No upstream of the service can be reached from the node, and no other node takes the request.";
     3011 PromptPartCrashesUpstreams 502 false "Upstreams ended under requests with a part of this prompt; requests with it are sent to no other one.";
+    3012 StreamOriginUnknown 503 true "It is not known at which software version the stream began; the request did not run.";
+    3013 SoftwareVersionGone 503 false "No upstream of the software version that began the stream is left; the request did not run.";
     4001 KeyMissing 400 false "This call runs once and needs an Idempotency-Key.";
     4002 KeyMalformed 400 false "The Idempotency-Key is not a UUID version 7.";
     4003 KeyTooOld 400 false "The Idempotency-Key is older than its claim is kept.";
--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -23,8 +23,10 @@
 use super::eras::Eras;
 use super::lending::Lending;
 use super::model_demand::ModelDemand;
+use super::origin_writes::OriginWrites;
 use super::owner_record::OwnerWait;
 use super::returning_nodes::ReturningNodes;
+use super::served_software::ServedSoftware;
 use super::slots::Slots;
 use super::stored_config::StoredConfig;
 use super::suspect_store::StoredSuspects;
@@ -123,6 +125,10 @@
     pub(crate) returning_nodes: ReturningNodes,
     /// The refused traits of requests that the store keeps.
     pub(crate) stored_suspects: StoredSuspects,
+    /// The software versions at which streams may have begun.
+    pub(crate) served: ServedSoftware,
+    /// This node's writes of where streams began.
+    pub(crate) origin_writes: OriginWrites,
     /// The lenders of the teams' quotas.
     pub(crate) lending: Lending,
     /// The upstream slots that this node grants.
@@ -178,6 +184,8 @@
             stored_config: StoredConfig::default(),
             returning_nodes: ReturningNodes::default(),
             stored_suspects: StoredSuspects::default(),
+            served: ServedSoftware::default(),
+            origin_writes: OriginWrites::default(),
             lending: Lending::default(),
             slots: Slots::default(),
             boot: boot_id(),
@@ -235,9 +243,11 @@
         self.load_times.set(times);
         self.view_number.set(self.view_number.get() + 1);
         let uses_config = self.uses_config();
+        let table = self.table.borrow().clone().filter(|_| uses_config);
+        let software = table.as_ref().map(|table| self.stream_software(table));
         let view = View {
             number: self.view_number.get(),
-            table: self.table.borrow().clone().filter(|_| uses_config),
+            table,
             upstreams: self.upstreams.borrow().values().cloned().collect(),
             versions: Arc::new(self.versions.borrow().clone()),
             nodes: self.nodes.borrow().len().max(1),
@@ -245,6 +255,7 @@
             lenders: self.lender_addresses().into(),
             slot_issuers: self.slot_issuers(),
             peers: self.peers().into(),
+            software: Arc::new(software.unwrap_or_default()),
         };
         let version = view.table.as_ref().map_or(0, |table| table.version);
         let owned = self.owned.borrow().len();
--- a/crates/relay-node/src/control/eras.rs
+++ b/crates/relay-node/src/control/eras.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{StoreEra, UpstreamId};
-use nutmegsail_relay::{EraRise, EraUpdate, EraWatch, OwnershipRules};
+use nutmegsail_relay::{EraRise, EraUpdate, EraView, EraWatch, OwnershipRules};
 use nutmegsail_store::{Condition, Item, LeaseId, Put, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
@@ -70,6 +70,11 @@
         self.watch.borrow().is_settled(boot_time())
     }
 
+    /// How the current era bears on lists that are complete within one era.
+    pub(crate) fn view(&self) -> EraView {
+        self.watch.borrow().view(boot_time())
+    }
+
     /// Whether this node waits for another node's update about the store era before it claims
     /// anything.
     pub(crate) fn awaits_update(&self) -> bool {
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -32,7 +32,7 @@
 use super::restarts::RestartChecks;
 use super::suspect_gossip::{SuspectGossip, all_suspects, random_nodes};
 use crate::shared::{AdapterDemand, CopyRequest, EngineUpdate, EngineUsage};
-use crate::traffic_message::{ForwardMessage, TrafficMessage};
+use crate::traffic_message::{ForwardMessage, StreamMessage, TrafficMessage};
 
 /// How often a node reports what it has in flight. A prompt takes some 76 ms to process, so older
 /// queue lengths are of little use; a shorter interval costs more datagrams.
@@ -163,6 +163,7 @@
                 restart_checks.start_due(&control);
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
+                send_streams(&control, &socket);
             }
             () = control.shared.suspects_changed.notified() => {
                 send_suspects(&control, &socket, &mut suspect_gossip);
@@ -371,6 +372,39 @@
     control.grant_due_turns(|message, to| send(socket, &traffic(message), to));
 }
 
+/// Sends streams that began here before they had to be kept to their keepers.
+fn send_streams(control: &ControlState, socket: &UdpSocket) {
+    for (message, address) in control.shared.untold_streams(control.own_node()) {
+        send(
+            socket,
+            &Message::Traffic(TrafficMessage::Streams(message)),
+            address,
+        );
+    }
+}
+
+/// Handles a message about where streams began.
+fn handle_stream_message(
+    control: &ControlState,
+    socket: &UdpSocket,
+    message: StreamMessage,
+    sender: SocketAddr,
+) {
+    match message {
+        StreamMessage::Began(streams) => {
+            let own = control.own_node();
+            control.shared.record_kept_streams(own, &streams);
+        }
+        StreamMessage::Ask { key, service } => {
+            let answer = control.shared.keeper_answer(&key, &service);
+            let answer = TrafficMessage::Streams(StreamMessage::Answer { key, answer });
+            send(socket, &Message::Traffic(answer), sender);
+        }
+        // Only traffic threads ask, and answers go to their own sockets.
+        StreamMessage::Answer { .. } => {}
+    }
+}
+
 /// Sends this node's share of the demand for base models.
 fn send_model_demand(control: &ControlState, socket: &UdpSocket) {
     let own = control.shared.model_engine_time.take();
@@ -445,6 +479,9 @@
             let answer = Message::Traffic(TrafficMessage::Forward(answer));
             send(socket, &answer, sender);
         }
+        Ok(Message::Traffic(TrafficMessage::Streams(message))) => {
+            handle_stream_message(control, socket, message, sender);
+        }
         // Only traffic threads ask, and answers go to their own sockets.
         Ok(Message::Traffic(TrafficMessage::Forward(ForwardMessage::Answer(_)))) => {}
         Ok(Message::Suspects {
--- a/crates/relay-node/src/control/forwarding.rs
+++ b/crates/relay-node/src/control/forwarding.rs
@@ -7,6 +7,7 @@
 use nutmegsail_relay::{FailedOpen, Peer, PeerAnswer, Upstream};
 
 use super::control_state::ControlState;
+use crate::stream_origins::OwnNode;
 use crate::traffic::MAX_FORWARDED;
 
 impl ControlState {
@@ -27,6 +28,14 @@
         peers.collect()
     }
 
+    /// This node, as its peers know it.
+    pub(crate) fn own_node(&self) -> OwnNode<'_> {
+        OwnNode {
+            node: &self.settings.node,
+            failure_domain: &self.settings.failure_domain,
+        }
+    }
+
     /// Answers another node that asks which of `services` this node reaches.
     pub(crate) fn answer_forward_ask(&self, services: Vec<ServiceName>) -> PeerAnswer {
         let now = Instant::now();
--- a/crates/relay-node/src/control/maintenance.rs
+++ b/crates/relay-node/src/control/maintenance.rs
@@ -16,6 +16,7 @@
 use super::eras::write_settled_era;
 use super::lending::claim_lender;
 use super::owners::{NODE_PREFIX, disown, owner_key, to_json};
+use super::served_software::write_served;
 use super::suspect_store::write_suspects;
 
 /// How long a node's keys outlive it. A shorter time costs more renewals, a longer one leaves the
@@ -59,6 +60,7 @@
         }
         write_settled_era(&control).await;
         write_suspects(&control).await;
+        write_served(&control).await;
         hand_over_unreachable(&control).await;
         control.record_last_owners();
         claim(&control, &owned_by_earlier_process(&control)).await;
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -24,6 +24,8 @@
 mod model_demand;
 mod operators_watch;
 mod orders;
+mod origin_reads;
+mod origin_writes;
 mod owner_concerns;
 mod owner_loads;
 mod owner_record;
@@ -32,6 +34,7 @@
 mod poll_loads;
 mod restarts;
 mod returning_nodes;
+mod served_software;
 mod slots;
 mod store_reader;
 mod stored_config;
@@ -49,12 +52,11 @@
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::boot_time;
-use crate::shared::{LoadRequest, Shared};
+use crate::shared::{ControlRequests, Shared};
 use crate::{Dialect, RelaySettings};
 use control_state::ControlState;
 pub(crate) use exchange::{parse_traffic_message, traffic_datagram};
@@ -70,7 +72,7 @@
     pub(crate) store: Arc<dyn KeyValue>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) shared: Arc<Shared>,
-    pub(crate) load_requests: mpsc::Receiver<LoadRequest>,
+    pub(crate) requests: ControlRequests,
     /// Accepts load requests and reads of store changes from other nodes.
     pub(crate) nodes: TcpListener,
     /// Exchanges datagrams with other nodes.
@@ -90,7 +92,12 @@
     let maintenance = spawn_local(maintenance::run(Rc::clone(&control)));
     spawn_local(peers::serve(parts.nodes, Rc::clone(&loader)));
     spawn_local(exchange::run(Rc::clone(&control), parts.datagrams));
-    spawn_local(loader::serve(loader, parts.load_requests));
+    spawn_local(loader::serve(loader, parts.requests.loads));
+    spawn_local(origin_writes::run(Rc::clone(&control)));
+    spawn_local(origin_reads::serve(
+        Rc::clone(&control),
+        parts.requests.origin_reads,
+    ));
     parts.stop.cancelled().await;
     maintenance.abort();
     maintenance::release_lease(&control).await;
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -13,7 +13,9 @@
 use super::control_state::{ControlState, Owner};
 use super::eras::SETTLED_ERA_KEY;
 use super::lending::LENDER_PREFIX;
+use super::origin_writes::STREAM_PREFIX;
 use super::owner_record::OwnerRecord;
+use super::served_software::SERVED_PREFIX;
 use super::watch::Watcher;
 
 /// The prefix of all keys that nodes write.
@@ -52,6 +54,8 @@
             }
         } else if item.key.starts_with(StoredSuspect::KEY_PREFIX) {
             self.0.apply_stored_suspect(item);
+        } else if let Some(service) = item.key.strip_prefix(SERVED_PREFIX) {
+            self.0.apply_served(service, item);
         } else if let Some(domain) = item.key.strip_prefix(LENDER_PREFIX) {
             match serde_json::from_slice::<OwnerRecord>(&item.value) {
                 Ok(record) => self.0.apply_lender_key(domain, &record, item.revision),
@@ -92,6 +96,8 @@
             disown(&self.0, &engine, "the key was removed");
         } else if key.starts_with(StoredSuspect::KEY_PREFIX) {
             self.0.remove_stored_suspect(key);
+        } else if let Some(service) = key.strip_prefix(SERVED_PREFIX) {
+            self.0.remove_served(service);
         } else if let Some(domain) = key.strip_prefix(LENDER_PREFIX) {
             self.0.remove_lender_key(domain);
         }
@@ -119,6 +125,7 @@
         let known = known.chain(engines.iter().map(owner_key));
         let known = known.chain(self.0.lender_keys());
         let known = known.chain(self.0.stored_suspect_keys());
+        let known = known.chain(self.0.served.keys());
         for key in known.collect::<Vec<_>>() {
             if !listed.contains(&key.as_str()) {
                 self.remove(&key);
@@ -129,6 +136,15 @@
         }
     }
 
+    /// Where streams began is read only by the node that resumes one.
+    fn is_relevant(&self, change: &Change) -> bool {
+        !change.key().starts_with(STREAM_PREFIX)
+    }
+
+    fn on_unavailable(&self) {
+        self.0.served.record_unavailable();
+    }
+
     fn on_changes(&self, changes: &[&Change]) {
         for change in changes {
             match change {
--- /dev/null
+++ b/crates/relay-node/src/control/served_software.rs
@@ -0,0 +1,152 @@
+//! The lists, in the store, of the software versions at which streams may have begun.
+
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use nutmegsail_base::ServiceName;
+use nutmegsail_relay::{RouteTable, ServedVersions, ServedVersionsWatch, SoftwareVersion};
+use nutmegsail_store::{Item, KeyValueError, Revision, Txn};
+use nutmegsail_telemetry::{Event, log_event};
+
+use super::control_state::ControlState;
+use super::owners::to_json;
+use crate::clock::boot_time;
+use crate::stream_origins::StreamSoftware;
+
+/// The prefix of the keys of the lists.
+pub(crate) const SERVED_PREFIX: &str = "nutmegsail/software/";
+
+/// The key of the list of `service`.
+pub(super) fn served_key(service: &ServiceName) -> String {
+    format!("{SERVED_PREFIX}{service}")
+}
+
+/// The lists as last read, and the decisions on how they change.
+#[derive(Debug, Default)]
+pub(crate) struct ServedSoftware {
+    lists: RefCell<HashMap<ServiceName, (ServedVersions, Revision)>>,
+    watch: RefCell<ServedVersionsWatch>,
+}
+
+impl ServedSoftware {
+    /// The keys of all known lists.
+    pub(crate) fn keys(&self) -> Vec<String> {
+        self.lists.borrow().keys().map(served_key).collect()
+    }
+
+    /// Called when the store does not answer, so that the list of upstreams may be outdated.
+    pub(crate) fn record_unavailable(&self) {
+        self.watch.borrow_mut().forget();
+    }
+}
+
+impl ControlState {
+    /// Applies a list that the store keeps.
+    pub(crate) fn apply_served(&self, service: &str, item: &Item) {
+        match serde_json::from_slice::<ServedVersions>(&item.value) {
+            Ok(served) => self.record_served(service.into(), served, item.revision),
+            Err(error) => log_event!(
+                self.log, Event::MessageUndecodable,
+                "key" => item.key.to_string(), "problem" => error.to_string()
+            ),
+        }
+    }
+
+    fn record_served(&self, service: ServiceName, served: ServedVersions, revision: Revision) {
+        let mut lists = self.served.lists.borrow_mut();
+        let known = lists.get(&service).map(|(_, revision)| *revision);
+        if known.is_none_or(|known| known < revision) {
+            lists.insert(service, (served, revision));
+        }
+    }
+
+    /// Applies the removal of a list.
+    pub(crate) fn remove_served(&self, service: &str) {
+        self.served.lists.borrow_mut().remove(service);
+    }
+
+    /// Where streams of each service with a resumable route may begin.
+    pub(super) fn stream_software(
+        &self,
+        table: &RouteTable,
+    ) -> HashMap<ServiceName, StreamSoftware> {
+        let era = self.eras.view().era;
+        let lists = self.served.lists.borrow();
+        let software = table.stream_lifetimes().iter().map(|(service, lifetime)| {
+            let served = lists.get(service).map(|(served, _)| served);
+            let versions = served.into_iter().flat_map(|served| &served.versions);
+            let software = StreamSoftware {
+                versions: versions.cloned().collect(),
+                sole: served.and_then(|served| served.sole(era)).cloned(),
+                lifetime: *lifetime,
+            };
+            (service.clone(), software)
+        });
+        software.collect()
+    }
+
+    /// The lists that have to change, as far as this node knows.
+    fn due_lists(&self) -> Vec<(ServiceName, ServedVersions, Revision)> {
+        let Some(table) = self.table.borrow().clone() else {
+            return Vec::new();
+        };
+        let (era, now) = (self.eras.view(), boot_time());
+        let lists = self.served.lists.borrow();
+        let mut watch = self.served.watch.borrow_mut();
+        let due = table
+            .stream_lifetimes()
+            .iter()
+            .filter_map(|(service, lifetime)| {
+                let listed = self.listed_software(service);
+                let stored = lists.get(service);
+                let revision = stored.map_or(Revision::NONE, |(_, revision)| *revision);
+                let stored = stored.map(|(served, _)| served);
+                let update = watch.update(service, &listed, stored, era, *lifetime, now)?;
+                Some((service.clone(), update, revision))
+            });
+        due.collect()
+    }
+
+    fn listed_software(&self, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
+        let upstreams = self.upstreams.borrow();
+        let listed = upstreams
+            .values()
+            .filter(|upstream| upstream.service == *service);
+        listed.map(|upstream| upstream.software.clone()).collect()
+    }
+}
+
+/// Writes the lists that have to change, if this node reads the store for others.
+pub(crate) async fn write_served(control: &ControlState) {
+    if control.reader().is_some() {
+        return;
+    }
+    for (service, served, revision) in control.due_lists() {
+        let key: Arc<str> = served_key(&service).into();
+        let txn = Txn::compare_and_swap(Arc::clone(&key), revision, to_json(&served));
+        match control.store.commit(txn).await {
+            Ok(revision) => {
+                log_event!(
+                    control.log, Event::ServedVersionsWritten,
+                    "service" => service.to_string(),
+                    "versions" => format!("{:?}", served.versions),
+                    "complete_in" => served.complete_in.map(|era| era.0)
+                );
+                control.record_served(service, served, revision);
+                control.publish();
+            }
+            Err(KeyValueError::Conflict { .. }) => read_served(control, &service).await,
+            // Another node writes it, or this one at the next turn.
+            Err(_) => return,
+        }
+    }
+}
+
+/// Reads the list of `service` that another node has written.
+async fn read_served(control: &ControlState, service: &ServiceName) {
+    if let Ok(Some(item)) = control.store.get(&served_key(service)).await {
+        control.apply_served(service, &item);
+        control.publish();
+    }
+}
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -14,6 +14,7 @@
 mod ready;
 mod settings;
 mod shared;
+mod stream_origins;
 mod team_metrics;
 mod traffic;
 mod traffic_message;
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use nutmegsail_base::{ResultCode, StoreEra};
 use nutmegsail_http_pool::OpenError;
-use nutmegsail_relay::{ModelRef, OwnershipConcern};
+use nutmegsail_relay::{ModelRef, OriginVerdict, OwnershipConcern};
 use nutmegsail_store::KeyValueError;
 use nutmegsail_telemetry::{CountStoreCalls, Event, StoreCall, log_event};
 use opentelemetry::KeyValue;
@@ -34,6 +34,8 @@
     held_back: Counter<u64>,
     not_sent: Counter<u64>,
     forwards: Counter<u64>,
+    origin_searches: Counter<u64>,
+    kept_streams: Gauge<u64>,
     first_event: Histogram<f64>,
     wait: Histogram<f64>,
     load_time: Histogram<f64>,
@@ -103,6 +105,14 @@
                 "nutmegsail.relay.forwards",
                 "Requests that were forwarded to another node, by outcome.",
             ),
+            origin_searches: counter(
+                "nutmegsail.relay.stream_origin_searches",
+                "Streams that callers resumed, by whether it was known where they began.",
+            ),
+            kept_streams: gauge(
+                "nutmegsail.relay.kept_streams",
+                "Streams of which this node knows where they began.",
+            ),
             first_event: times(
                 "nutmegsail.relay.first_event",
                 "From a send to the first event.",
@@ -256,6 +266,22 @@
         self.forwards.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a stream that a caller resumes, by whether it is known where it began.
+    pub(crate) fn record_origin_search(&self, verdict: &OriginVerdict) {
+        let result = match verdict {
+            OriginVerdict::At(_) => "known",
+            OriginVerdict::OtherService => "other_service",
+            OriginVerdict::Unknown { .. } | OriginVerdict::Pending => "unknown",
+        };
+        self.origin_searches
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Records the number of streams of which this node knows where they began.
+    pub(crate) fn kept_streams(&self, streams: usize) {
+        self.kept_streams.record(streams as u64, &[]);
+    }
+
     /// Records the number of services of which no upstream can be reached.
     pub(crate) fn unreachable_services(&self, services: usize) {
         self.unreachable_services.record(services as u64, &[]);
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -19,7 +19,7 @@
 use crate::control::{self, ControlParts};
 use crate::metrics::{RelayMetrics, StoreCalls};
 use crate::nodes_sockets::NodesSockets;
-use crate::shared::Shared;
+use crate::shared::{ControlRequests, Shared};
 use crate::traffic::{self, Gateway, GatewayParts, Origin, PeerSocket};
 use crate::{Dialect, RelaySettings, ready};
 
@@ -109,7 +109,7 @@
         let nodes = listener.into_std().map_err(RelayNodeError::Control)?;
         let page = MetricsPage::new().map_err(RelayNodeError::Metrics)?;
         let metrics = RelayMetrics::new(&page.meter());
-        let (shared, load_requests) = Shared::new(metrics.clone(), settings.bounds.access());
+        let (shared, requests) = Shared::new(metrics.clone(), settings.bounds.access());
         let store = CountedStore {
             inner: store,
             metrics: StoreCalls {
@@ -138,7 +138,7 @@
             store: Arc::new(store),
             dialect: Arc::clone(&dialect),
             shared: Arc::clone(&shared),
-            load_requests,
+            requests,
             nodes,
             datagrams,
             stop: stop_control.clone(),
@@ -220,7 +220,7 @@
     store: Arc<dyn KeyValue>,
     dialect: Arc<dyn Dialect>,
     shared: Arc<Shared>,
-    load_requests: tokio::sync::mpsc::Receiver<crate::shared::LoadRequest>,
+    requests: ControlRequests,
     nodes: std::net::TcpListener,
     datagrams: std::net::UdpSocket,
     stop: CancellationToken,
@@ -253,7 +253,7 @@
                     store: self.store,
                     dialect: self.dialect,
                     shared: self.shared,
-                    load_requests: self.load_requests,
+                    requests: self.requests,
                     nodes,
                     datagrams,
                     stop: self.stop,
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -11,18 +11,30 @@
 use nutmegsail_relay::{
     AccessRules, BrittleServices, DomainContacts, Holdings, HoldingsReport, LoadCandidate,
     LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer, RateLimits, RouteTable,
-    Suspects, Upstream, UpstreamNotices, UpstreamReach, Versions, WantedCopies,
+    StoreAnswer, StreamKey, Suspects, Upstream, UpstreamNotices, UpstreamReach, Versions,
+    WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock::boot_time;
 use crate::metrics::RelayMetrics;
+use crate::stream_origins::{KnownStreams, StreamSoftware};
 
 /// The largest number of load requests queued for the control thread. A caller's request waits for
 /// each; more could not be served in time.
 const LOAD_QUEUE_LIMIT: usize = 512;
 
+/// The largest number of streams that wait to be looked up in the store.
+const ORIGIN_READ_QUEUE_LIMIT: usize = 4_096;
+
+/// What the traffic thread asks of the control thread.
+#[derive(Debug)]
+pub(crate) struct ControlRequests {
+    pub(crate) loads: mpsc::Receiver<LoadRequest>,
+    pub(crate) origin_reads: mpsc::Receiver<OriginRead>,
+}
+
 /// A snapshot of what the control thread knows, replaced as a whole.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct View {
@@ -44,6 +56,18 @@
     pub(crate) slot_issuers: Arc<HashMap<UpstreamId, SocketAddr>>,
     /// The other nodes that accept forwarded requests.
     pub(crate) peers: Arc<[Peer]>,
+    /// Where streams may begin, for each service that a resumable route leads to.
+    pub(crate) software: Arc<HashMap<ServiceName, StreamSoftware>>,
+}
+
+/// A request to the control thread to look a stream up in the store.
+#[derive(Debug)]
+pub(crate) struct OriginRead {
+    pub(crate) key: StreamKey,
+    /// The service that is to go on with the stream.
+    pub(crate) service: ServiceName,
+    /// Receives what the store shows. Dropped without a result if the request was lost.
+    pub(crate) result: oneshot::Sender<StoreAnswer>,
 }
 
 /// A load that is asked for.
@@ -283,6 +307,10 @@
     notices: Mutex<UpstreamNotices>,
     reach: Mutex<UpstreamReach>,
     brittle: Mutex<BrittleServices>,
+    pub(crate) streams: Mutex<KnownStreams>,
+    /// Notified when streams wait to be written to the store.
+    pub(crate) streams_to_write: Notify,
+    pub(crate) origin_reads: mpsc::Sender<OriginRead>,
     /// Number of requests in progress that other nodes have forwarded.
     pub(crate) forwarded: AtomicUsize,
     pub(crate) load_requests: mpsc::Sender<LoadRequest>,
@@ -298,11 +326,9 @@
 }
 
 impl Shared {
-    pub(crate) fn new(
-        metrics: RelayMetrics,
-        access: AccessRules,
-    ) -> (Arc<Self>, mpsc::Receiver<LoadRequest>) {
-        let (load_requests, arrived) = mpsc::channel(LOAD_QUEUE_LIMIT);
+    pub(crate) fn new(metrics: RelayMetrics, access: AccessRules) -> (Arc<Self>, ControlRequests) {
+        let (load_requests, loads) = mpsc::channel(LOAD_QUEUE_LIMIT);
+        let (origin_reads, reads) = mpsc::channel(ORIGIN_READ_QUEUE_LIMIT);
         let shared = Self {
             view: ArcSwap::default(),
             readiness: Mutex::default(),
@@ -315,6 +341,9 @@
             notices: Mutex::default(),
             reach: Mutex::default(),
             brittle: Mutex::new(BrittleServices::starting(Instant::now())),
+            streams: Mutex::default(),
+            streams_to_write: Notify::new(),
+            origin_reads,
             forwarded: AtomicUsize::new(0),
             load_requests,
             metrics,
@@ -323,7 +352,11 @@
             data_asked_ms: AtomicU64::new(0),
             access,
         };
-        (Arc::new(shared), arrived)
+        let requests = ControlRequests {
+            loads,
+            origin_reads: reads,
+        };
+        (Arc::new(shared), requests)
     }
 }
 
@@ -341,6 +374,7 @@
         let unreachable = self.reach().unreachable_count();
         self.metrics.unreachable_services(unreachable);
         self.metrics.brittle_services(self.brittle().count());
+        self.metrics.kept_streams(self.streams().origins.count());
         self.metrics
             .asked(self.connections.load(Ordering::Relaxed), age);
     }
--- a/crates/relay-node/src/traffic/adapter_loads.rs
+++ b/crates/relay-node/src/traffic/adapter_loads.rs
@@ -120,8 +120,7 @@
         let dispatcher = self.dispatcher.borrow();
         let place = &CopyScope::Anywhere;
         let version = call.version.get();
-        let software = SoftwareRule::Any;
-        dispatcher.load_candidates(&call.service, model, version, &software, place, now)
+        dispatcher.load_candidates(&call.service, model, version, &call.software(), place, now)
     }
 }
 
--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -9,7 +9,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use nutmegsail_base::{RequestId, ServiceName};
-use nutmegsail_relay::{CallKind, Caller, PromptPrefix, RequestTraits, Route, VersionRule};
+use nutmegsail_relay::{
+    CallKind, Caller, PromptPrefix, RequestTraits, Route, SoftwareRule, SoftwareVersion, StreamKey,
+    VersionRule,
+};
 
 use super::admission::QuotaTokens;
 use super::forward::ForwardedFrom;
@@ -66,6 +69,10 @@
     pub(crate) prompt: PromptPrefix,
     /// The versions of the model that it may start on, as of the last choice of an upstream.
     pub(super) version: Cell<VersionRule>,
+    /// Its stream, if callers may resume it.
+    pub(super) stream: Option<StreamKey>,
+    /// The software versions at which it may run, as of the last choice of an upstream.
+    pub(super) software: RefCell<SoftwareRule>,
     /// Its concurrency slot at a plain upstream, until it is sent.
     pub(super) slot: RefCell<Option<SlotPermit>>,
     /// Set if another node forwarded it.
@@ -106,6 +113,27 @@
         id.to_str().ok()?.trim().parse().ok()
     }
 
+    /// Whether it goes on with a stream that an earlier attempt began.
+    pub(super) fn resumes_stream(&self) -> bool {
+        let has_events = self.last_event_id().is_some_and(|id| id > 0);
+        self.stream.is_some() && (self.meta.resumes.is_some() || has_events)
+    }
+
+    /// The software versions at which it may run.
+    pub(super) fn software(&self) -> SoftwareRule {
+        self.software.borrow().clone()
+    }
+
+    /// The software version at which its stream began, if that is known.
+    pub(super) fn software_bound(&self) -> Option<SoftwareVersion> {
+        self.software.borrow().only().cloned()
+    }
+
+    /// Limits the software versions at which it may run.
+    pub(super) fn set_software(&self, rule: SoftwareRule) {
+        self.software.replace(rule);
+    }
+
     /// Builds the request for an upstream, with method, path, query and body unchanged.
     ///
     /// With `last_event`, the upstream resumes a stream after that event.
--- a/crates/relay-node/src/traffic/forward.rs
+++ b/crates/relay-node/src/traffic/forward.rs
@@ -10,11 +10,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use nutmegsail_base::{NodeId, RequestId, ResultCode, RunState, UpstreamId};
+use nutmegsail_base::{NodeId, RequestId, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{PooledBody, SendError};
-use nutmegsail_relay::{CallKind, Peer};
+use nutmegsail_relay::{CallKind, Peer, SoftwareVersion, StreamKey};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep;
 
@@ -99,10 +99,13 @@
     peer: Peer,
     request: RequestId,
     sent: Instant,
+    service: ServiceName,
     /// When the first part of the answer's body arrived.
     first: Option<Instant>,
     /// What is known of the answer's body, once it was read.
     body: Option<BodySummary>,
+    /// The stream that it answers, and the upstream's software version, until its first part arrives.
+    stream: Option<(StreamKey, SoftwareVersion)>,
     outcome: &'static str,
 }
 
@@ -113,16 +116,26 @@
             gateway: Rc::clone(gateway),
             peer: peer.clone(),
             request: call.id.clone(),
+            service: call.service.clone(),
             sent: Instant::now(),
             first: None,
             body: None,
+            stream: None,
             outcome: "abandoned",
         }
     }
 
+    /// Records that the answer is that of a stream which callers may resume.
+    fn record_stream(&mut self, call: &Call, software: Option<SoftwareVersion>) {
+        self.stream = call.stream.zip(software);
+    }
+
     /// Called when a part of the answer's body arrives.
     pub(super) fn record_progress(&mut self) {
         self.first.get_or_insert_with(Instant::now);
+        if let Some((key, software)) = self.stream.take() {
+            self.gateway.record_stream(key, &self.service, &software);
+        }
     }
 
     /// Called when the answer is complete.
@@ -348,6 +361,8 @@
             return ForwardOutcome::NotTaken;
         }
         self.record_forwarded_notice(call, &mut answer);
+        let software = forward_header::take_answered_software(answer.headers_mut());
+        in_flight.record_stream(call, software.filter(|_| answer.status() == StatusCode::OK));
         ForwardOutcome::Answer(Box::new(PeerAnswered { answer, in_flight }))
     }
 
@@ -374,6 +389,8 @@
             configuration: self.configuration_version(),
         };
         header.write(request.headers_mut());
+        let software = call.software_bound();
+        forward_header::write_stream_software(request.headers_mut(), software.as_ref());
         request
     }
 
--- a/crates/relay-node/src/traffic/forward_header.rs
+++ b/crates/relay-node/src/traffic/forward_header.rs
@@ -4,7 +4,7 @@
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use nutmegsail_base::{NodeId, ResultCode, UpstreamId};
-use nutmegsail_relay::CallerKey;
+use nutmegsail_relay::{CallerKey, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 
 /// Carries a [`ForwardHeader`].
@@ -16,6 +16,12 @@
 /// The id of the upstream that answered a forwarded request.
 const ANSWERED_BY: HeaderName = HeaderName::from_static("nutmegsail-answered-by");
 
+/// The software version of the upstream that answered a forwarded request.
+const ANSWERED_SOFTWARE: HeaderName = HeaderName::from_static("nutmegsail-answered-software");
+
+/// The software version at which the stream of a forwarded request began.
+const STREAM_SOFTWARE: HeaderName = HeaderName::from_static("nutmegsail-stream-software");
+
 /// What the node that handles a forwarded request has to know of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ForwardHeader {
@@ -78,6 +84,42 @@
     }
 }
 
+/// Adds to the answer to a forwarded request the software version of the upstream that it is from.
+pub(crate) fn write_answered_software(headers: &mut HeaderMap, software: &SoftwareVersion) {
+    write_software(headers, ANSWERED_SOFTWARE, Some(software));
+}
+
+/// Removes from an answer the software version of the upstream that it is from.
+pub(crate) fn take_answered_software(headers: &mut HeaderMap) -> Option<SoftwareVersion> {
+    take_software(headers, ANSWERED_SOFTWARE)
+}
+
+/// Adds to a request the software version at which its stream began, in place of what its caller
+/// may have sent.
+pub(crate) fn write_stream_software(headers: &mut HeaderMap, software: Option<&SoftwareVersion>) {
+    headers.remove(STREAM_SOFTWARE);
+    write_software(headers, STREAM_SOFTWARE, software);
+}
+
+/// Removes from a request the software version at which its stream began.
+pub(crate) fn take_stream_software(headers: &mut HeaderMap) -> Option<SoftwareVersion> {
+    take_software(headers, STREAM_SOFTWARE)
+}
+
+/// Versions may hold any characters, so they are encoded.
+fn write_software(headers: &mut HeaderMap, name: HeaderName, software: Option<&SoftwareVersion>) {
+    let text = software.map(|software| STANDARD_NO_PAD.encode(software.as_str()));
+    if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        headers.insert(name, value);
+    }
+}
+
+fn take_software(headers: &mut HeaderMap, name: HeaderName) -> Option<SoftwareVersion> {
+    let value = headers.remove(name)?;
+    let bytes = STANDARD_NO_PAD.decode(value.as_bytes()).ok()?;
+    Some(String::from_utf8(bytes).ok()?.as_str().into())
+}
+
 /// Removes from an answer which upstream it is from.
 pub(crate) fn take_answered_by(headers: &mut HeaderMap) -> Option<UpstreamId> {
     let upstream = headers.remove(ANSWERED_BY)?;
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -12,7 +12,7 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, ChooseError as NoChoice, CrashWatch, DispatchRequest, Dispatcher, ForwardPeers,
-    LoadPurpose, RetryBudget, RetryBudgetRules, SoftwareRule, UsualTimeout, jittered_retry_after,
+    LoadPurpose, RetryBudget, RetryBudgetRules, UsualTimeout, jittered_retry_after,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -31,6 +31,7 @@
 use super::resume::Resumption;
 use super::send::{SendOutcome, pass_on_from};
 use super::slot_client::SlotClient;
+use super::stream_origin::StreamSearches;
 use crate::shared::{Shared, View};
 use crate::{BoundSettings, CONNECT_TIMEOUT, Dialect, Verdict};
 
@@ -73,8 +74,9 @@
 
 /// State of the traffic thread.
 pub(crate) struct Gateway {
-    /// This node's id.
+    /// This node's id, and where it is.
     pub(super) node: NodeId,
+    pub(super) failure_domain: FailureDomain,
     pub(crate) shared: Arc<Shared>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) pool: Pool,
@@ -108,6 +110,8 @@
     pub(super) key_waiters: Cell<usize>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     applied_view: Cell<u64>,
+    /// Streams whose software version is being sought.
+    pub(super) streams_sought: RefCell<StreamSearches>,
 }
 
 /// A request that is not at an upstream: queued, or to be sent again.
@@ -195,10 +199,12 @@
         });
         let peer_socket = Rc::new(parts.peer_socket);
         let forward_peers = ForwardPeers::new(parts.failure_domain.clone());
+        let failure_domain = parts.failure_domain.clone();
         let mut dispatcher = Dispatcher::new(parts.failure_domain);
         dispatcher.set_leaving_grace(parts.bounds.drain().mul_f64(LEAVING_GRACE_FRACTION));
         Self {
             node: parts.node,
+            failure_domain,
             forward_peers: RefCell::new(forward_peers),
             reach_suspected: Notify::new(),
             reach_changed: Notify::new(),
@@ -221,6 +227,7 @@
             key_waiters: Cell::new(0),
             retry_budgets: RefCell::default(),
             applied_view: Cell::new(0),
+            streams_sought: RefCell::default(),
         }
     }
 
@@ -310,6 +317,9 @@
         if let Err(reason) = self.check_forward_limit(call) {
             return self.refuse(call, pending, reason, &sends);
         }
+        if let Err(reason) = self.find_origin(call).await {
+            return self.refuse(call, pending, reason, &sends);
+        }
         let mut is_demand_counted = false;
         loop {
             if let Err(reason) = self.check_forwarded_reach(call) {
@@ -348,7 +358,7 @@
             let run_state = match self.send(call, &choice, has_alternative, None).await {
                 SendOutcome::Answer(received) => {
                     let resumption = (received.answer.status() == StatusCode::OK)
-                        .then(|| Resumption::of(self, call, &sends, &choice.upstream.id));
+                        .then(|| Resumption::of(self, call, &sends, &choice.upstream));
                     return self.pass_on(call, received, resumption.flatten());
                 }
                 SendOutcome::Failed(received) => {
@@ -481,6 +491,7 @@
             }
             self.refresh_view();
             self.update_version_rule(call);
+            self.update_software_rule(call);
             match self.choose_not_busy(call, sends, &limited) {
                 Ok(choice) if may_load_copy && self.is_sooner_elsewhere(call, &choice, now) => {
                     // One attempt only: even if the load fails, the request then goes to the best
@@ -520,7 +531,9 @@
                     }
                 }
                 Err(NoChoice::NoUpstream) => {
-                    return Err(self.refusal_without_upstream(call, sends, now));
+                    if !self.wait_for_listed_software(call).await {
+                        return Err(self.refusal_without_upstream(call, sends, now));
+                    }
                 }
                 Err(NoChoice::AllBusy) => {
                     return Err(busy_refusal(ResultCode::UpstreamRefused));
@@ -573,6 +586,9 @@
         sends: &SendHistory,
         now: Instant,
     ) -> RefusalReason {
+        if self.is_software_gone(call) {
+            return RefusalReason::without_retry(ResultCode::SoftwareVersionGone);
+        }
         let dispatcher = self.dispatcher.borrow();
         let Some(backoff_end) = dispatcher.backoff_ends(&need(call, &sends.tried), now) else {
             return RefusalReason::retry_in(ResultCode::NoUpstream, UNAVAILABLE_RETRY_AFTER);
@@ -681,7 +697,7 @@
         service: &call.service,
         model: call.meta.model.as_ref(),
         version: call.version.get(),
-        software: SoftwareRule::Any,
+        software: call.software(),
         prompt_tokens: call.meta.prompt_tokens,
         prompt: &call.prompt,
         tried,
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{RequestId, ResultCode, TeamName, UpstreamId};
+use nutmegsail_base::{RequestId, ResultCode, TeamName};
 use nutmegsail_relay::{
-    BrokenRequest, Choice, ModelRef, Outcome, RequestTraits, STARTUP_PERIOD, SlotEnd, Upstream,
+    BrokenRequest, Choice, ModelRef, Outcome, RequestTraits, STARTUP_PERIOD, SlotEnd, StreamKey,
+    Upstream,
 };
 use nutmegsail_telemetry::{Event, log_event};
 
@@ -50,6 +51,8 @@
     after: Option<u64>,
     /// Set if another node forwarded the request.
     forwarded: Option<Rc<ForwardedGuard>>,
+    /// The stream that it answers, until its first part arrives.
+    stream: Option<StreamKey>,
 }
 
 impl InFlight {
@@ -89,6 +92,7 @@
             resumes: call.meta.resumes.clone(),
             after: call.last_event_id(),
             forwarded: call.forwarded.as_ref().map(|from| Rc::clone(&from.guard)),
+            stream: None,
         }
     }
 
@@ -99,8 +103,13 @@
     }
 
     /// The upstream that it was sent to.
-    pub(super) fn upstream(&self) -> &UpstreamId {
-        &self.upstream.id
+    pub(super) fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Records that the answer is that of a stream which callers may resume.
+    pub(super) fn record_stream(&mut self, call: &Call) {
+        self.stream = call.stream;
     }
 
     /// When the request was sent.
@@ -127,6 +136,11 @@
         let now = Instant::now();
         self.first = Some(now);
         let took = now.duration_since(self.sent);
+        if let Some(stream) = self.stream.take() {
+            let upstream = &self.upstream;
+            let gateway = &self.gateway;
+            gateway.record_stream(stream, &upstream.service, &upstream.software);
+        }
         self.gateway
             .shared
             .usages
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -16,7 +16,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::{Remote, ends_with_connection, prepare_socket};
-use nutmegsail_relay::{PromptPrefix, RequestContent, RequestDigest, RequestTraits, RouteTable};
+use nutmegsail_relay::{
+    PromptPrefix, RequestContent, RequestDigest, RequestTraits, RouteTable, SoftwareRule, StreamKey,
+};
 use nutmegsail_request::{Refusal, Request as RequestState};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -208,7 +210,7 @@
     /// Reads the whole request and finds its route and caller.
     async fn read(
         &self,
-        parts: Parts,
+        mut parts: Parts,
         body: Incoming,
         meta: Result<CallMeta, crate::BadHeader>,
         forwarded: Option<ForwardHeader>,
@@ -259,17 +261,24 @@
             team: caller.team().map(|team| &team.name),
             body: &body,
         });
+        let id = request_id(Some(&meta));
+        let stream = (route.kind.is_stream() && route.kind.may_retry()).then(|| {
+            let team = caller.team().map(|team| &team.name);
+            StreamKey::of(team, meta.resumes.as_ref().unwrap_or(&id))
+        });
         let service = route.service(rand::random::<f64>()).clone();
         let traits = RequestTraits::new(&service, digest, meta.shared_parts.iter().copied());
         let model = meta.model.as_ref();
         let prompt = model.map(|model| PromptPrefix::new(model, &meta.prompt_parts));
-        let id = request_id(Some(&meta));
         let waited_before = match &forwarded {
             Some(header) => Duration::from_millis(u64::from(header.waited_ms)),
             None => self.waited_before(&route.name, meta.deadline),
         };
         let wait_limit = meta.deadline.unwrap_or(DEFAULT_DEADLINE);
         let deadline_at = began + wait_limit.min(route.timeout);
+        let forwarded = forwarded.map(|header| ForwardedFrom::new(&header, &self.shared));
+        let software = forward_header::take_stream_software(&mut parts.headers);
+        let software = software.filter(|_| forwarded.is_some());
         Ok(Call {
             route: route.clone(),
             parts,
@@ -281,7 +290,9 @@
             caller,
             tokens: QuotaTokens::default(),
             slot: RefCell::default(),
-            forwarded: forwarded.map(|header| ForwardedFrom::new(&header, &self.shared)),
+            forwarded,
+            stream,
+            software: RefCell::new(software.map_or(SoftwareRule::Any, SoftwareRule::Only)),
             waited_before,
             prompt: prompt.unwrap_or_default(),
             version: Cell::default(),
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -25,6 +25,7 @@
 mod resume;
 mod send;
 mod slot_client;
+mod stream_origin;
 mod upstream_notices;
 
 use std::time::Duration;
--- a/crates/relay-node/src/traffic/peer_socket.rs
+++ b/crates/relay-node/src/traffic/peer_socket.rs
@@ -9,7 +9,7 @@
 
 use super::gateway::Gateway;
 use crate::control::{parse_traffic_message, traffic_datagram};
-use crate::traffic_message::{ForwardMessage, SlotMessage, TrafficMessage};
+use crate::traffic_message::{ForwardMessage, SlotMessage, StreamMessage, TrafficMessage};
 
 /// The largest datagram that is received, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
@@ -48,6 +48,10 @@
                 let mut peers = gateway.forward_peers.borrow_mut();
                 peers.record_answer(sender, answer, Instant::now());
             }
+            Some(TrafficMessage::Streams(StreamMessage::Answer { key, answer })) => {
+                let mut sought = gateway.streams_sought.borrow_mut();
+                sought.receive(&key, sender, &answer);
+            }
             _ => {}
         }
     }
--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -5,7 +5,8 @@
 
 use derive_more::Display;
 use http::StatusCode;
-use nutmegsail_base::{ResultCode, UpstreamId};
+use nutmegsail_base::ResultCode;
+use nutmegsail_relay::{SoftwareRule, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::call::Call;
@@ -59,11 +60,14 @@
         gateway: &Rc<Gateway>,
         call: &Rc<Call>,
         sends: &SendHistory,
-        upstream: &UpstreamId,
+        upstream: &Upstream,
     ) -> Option<Self> {
-        let is_resumable = call.route.kind.is_stream() && call.route.kind.may_retry();
+        let is_resumable = call.stream.is_some();
         let mut sends = sends.clone();
-        sends.record_uncertain_send(upstream);
+        sends.record_uncertain_send(&upstream.id);
+        if is_resumable {
+            call.set_software(SoftwareRule::Only(upstream.software.clone()));
+        }
         let resumption = Self {
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
@@ -106,7 +110,8 @@
             };
             let sent = self.gateway.send(&self.call, &choice, false, last_id).await;
             match sent {
-                SendOutcome::Answer(received) if received.answer.status() == StatusCode::OK => {
+                SendOutcome::Answer(mut received) if received.answer.status() == StatusCode::OK => {
+                    received.in_flight.record_stream(&self.call);
                     log_event!(
                         self.gateway.log, Event::AnswerResumed,
                         "request" => self.call.id.to_string(),
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, Response, Version, header};
+use http::{HeaderMap, Response, StatusCode, Version, header};
 use nutmegsail_http_pool::{Framing, OpenError, PooledBody, SendError};
 use nutmegsail_relay::{CallKind, Choice, HeldAdapter};
 use nutmegsail_telemetry::{Event, log_event};
@@ -12,7 +12,7 @@
 use super::answer_body::{AnswerBody, ForwardedBody};
 use super::answer_source::AnswerSource;
 use super::call::{Call, strip_hop_by_hop};
-use super::forward_header::write_answered_by;
+use super::forward_header::{write_answered_by, write_answered_software};
 use super::gateway::Gateway;
 use super::in_flight::InFlight;
 use super::received_body::ReceivedBody;
@@ -228,10 +228,15 @@
     ) -> Response<AnswerBody> {
         let UpstreamAnswer {
             mut answer,
-            in_flight,
+            mut in_flight,
         } = received;
+        if answer.status() == StatusCode::OK {
+            in_flight.record_stream(call);
+        }
         if call.forwarded.is_some() {
-            write_answered_by(answer.headers_mut(), in_flight.upstream());
+            let upstream = in_flight.upstream();
+            write_answered_by(answer.headers_mut(), &upstream.id);
+            write_answered_software(answer.headers_mut(), &upstream.software);
         }
         let resumption = resumption.filter(|_| {
             is_event_stream(answer.headers()) && answer.body().framing() != Framing::NoBody
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -2,7 +2,10 @@
 
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_quota::QuotaMessage;
-use nutmegsail_relay::{LimitUpdate, PeerAnswer, SlotAnswer, SlotEnd, SlotRequest};
+use nutmegsail_relay::{
+    KeeperAnswer, LimitUpdate, PeerAnswer, SlotAnswer, SlotEnd, SlotRequest, StreamKey,
+    StreamOrigin,
+};
 use serde::{Deserialize, Serialize};
 
 /// Identifies a slot request of one node.
@@ -54,6 +57,23 @@
     Answer(PeerAnswer),
 }
 
+/// A message about where streams began.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum StreamMessage {
+    /// Streams that began at the sender, for the receiver to keep.
+    Began(Vec<(StreamKey, StreamOrigin)>),
+    /// Asks what the receiver knows of a stream that the service is to go on with.
+    Ask {
+        key: StreamKey,
+        service: ServiceName,
+    },
+    /// The answer to an `Ask`.
+    Answer {
+        key: StreamKey,
+        answer: KeeperAnswer,
+    },
+}
+
 /// A message from or to a traffic thread.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum TrafficMessage {
@@ -63,4 +83,6 @@
     Slots(SlotMessage),
     /// About forwarded requests.
     Forward(ForwardMessage),
+    /// About where streams began.
+    Streams(StreamMessage),
 }
--- a/crates/relay/src/era_watch.rs
+++ b/crates/relay/src/era_watch.rs
@@ -5,6 +5,8 @@
 use nutmegsail_base::StoreEra;
 use serde::{Deserialize, Serialize};
 
+use crate::EraView;
+
 /// How long a starting node waits for an update from another node before it claims engines that
 /// another node may own.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -226,6 +228,15 @@
         self.has_risen && now.saturating_sub(self.since) < self.settling_time * 2
     }
 
+    /// How the era bears on a list that is complete within one era only.
+    pub fn view(&self, now: Duration) -> EraView {
+        EraView {
+            era: self.era.unwrap_or_default(),
+            known_for: now.saturating_sub(self.since),
+            was_restored: !self.is_first_era(),
+        }
+    }
+
     /// Whether the era rose since this process started.
     pub fn has_risen(&self) -> bool {
         self.has_risen
--- a/crates/relay/src/route_table.rs
+++ b/crates/relay/src/route_table.rs
@@ -8,6 +8,9 @@
 
 use crate::{Route, Service, Teams};
 
+/// Added to the time for which streams can be resumed, as clocks and views of nodes differ.
+const STREAM_LIFETIME_MARGIN: Duration = Duration::from_secs(30);
+
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -32,6 +35,7 @@
     /// Routes by host, with the longest path prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     teams: Option<Teams>,
+    stream_lifetimes: HashMap<ServiceName, Duration>,
 }
 
 impl RouteTable {
@@ -50,12 +54,14 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
+        let stream_lifetimes = stream_lifetimes(by_host.values().flatten());
         let named = |service: Service| (service.name.clone(), Arc::new(service));
         Self {
             version,
             limits,
             services: services.into_iter().map(named).collect(),
             routes: by_host,
+            stream_lifetimes,
             teams: None,
         }
     }
@@ -85,8 +91,30 @@
         self.services.values()
     }
 
+    /// How long after its begin a stream can be resumed, for each service that a resumable route
+    /// leads to.
+    pub fn stream_lifetimes(&self) -> &HashMap<ServiceName, Duration> {
+        &self.stream_lifetimes
+    }
+
     /// The service with this name.
     pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
         self.services.get(name)
     }
 }
+
+/// The caller's first try and the one that resumes last may each take the route's timeout.
+fn stream_lifetimes<'a>(
+    routes: impl Iterator<Item = &'a Arc<Route>>,
+) -> HashMap<ServiceName, Duration> {
+    let mut lifetimes: HashMap<ServiceName, Duration> = HashMap::new();
+    let resumable = routes.filter(|route| route.kind.is_stream() && route.kind.may_retry());
+    for route in resumable {
+        let lifetime = route.timeout * 2 + STREAM_LIFETIME_MARGIN;
+        for share in &route.services {
+            let longest = lifetimes.entry(share.service.clone()).or_default();
+            *longest = lifetime.max(*longest);
+        }
+    }
+    lifetimes
+}
--- a/crates/relay/src/served_versions.rs
+++ b/crates/relay/src/served_versions.rs
@@ -52,7 +52,7 @@
     pub era: StoreEra,
     /// How long the node has known this era.
     pub known_for: Duration,
-    /// Whether the store was restored while the node was running.
+    /// Whether the store may have been restored since its first start.
     pub was_restored: bool,
 }
 
--- a/crates/relay/src/software_version.rs
+++ b/crates/relay/src/software_version.rs
@@ -17,3 +17,10 @@
 )]
 #[from(Arc<str>, &str)]
 pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// The version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -120,6 +120,9 @@
     3028 BrittleAnnounced Warning "An upstream announced that it falls over if it has to refuse many requests.";
     3029 BrittleEnded Info "The upstreams of a service no longer announce that they are brittle.";
     3030 SuspectStored Warning "A refused request or prompt part was written to the store, or removed from it.";
+    3031 StreamOriginSought Debug "A caller resumes a stream, and the software version at which it began was sought.";
+    3032 ServedVersionsWritten Info "The list of software versions at which a service's streams may have begun was written to the store.";
+    3033 StreamOriginsStored Debug "Where streams began was written to the store.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
