Count the list of versions as incomplete while a dropped version may have streams

Cause: a version whose upstreams were away for 16 minutes may be listed again just as a node drops it from the list in the store. A node that saw the list before begins a stream there. The list then names the other version alone, and is taken for complete.

Change: a list from which a version was dropped is complete only after it has been seen unchanged for as long as a version is kept. A change of the list makes all its versions count as just missing, as another node may have seen them listed.

--- a/crates/relay/src/served_versions.rs
+++ b/crates/relay/src/served_versions.rs
@@ -29,7 +29,8 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServedVersions {
-    /// The store era in which the list is complete. A restore of the store may have lost versions.
+    /// The store era in which the list is complete. A restore of the store may have lost versions, and
+    /// streams may have begun at a version that was just dropped.
     pub complete_in: Option<StoreEra>,
     /// The versions.
     pub versions: BTreeSet<SoftwareVersion>,
@@ -61,6 +62,8 @@
 pub struct ServedVersionsWatch {
     /// When each version in a list was first missing from the list of upstreams.
     unlisted_since: HashMap<(ServiceName, SoftwareVersion), Duration>,
+    /// The list of each service as it was last seen in the store, and when it was first seen so.
+    stored_since: HashMap<ServiceName, (ServedVersions, Duration)>,
 }
 
 impl ServedVersionsWatch {
@@ -90,6 +93,7 @@
         now: Duration,
     ) -> Option<ServedVersions> {
         let keep_time = stream_lifetime + UNLISTED_SERVING_TIME;
+        let unchanged_for = self.record_stored(service, stored, now);
         let kept = stored.map(|stored| &stored.versions);
         let kept = kept.into_iter().flatten().filter(|version| {
             let key = (service.clone(), (*version).clone());
@@ -101,14 +105,18 @@
             now.saturating_sub(since) < keep_time
         });
         let versions: BTreeSet<SoftwareVersion> = kept.chain(listed).cloned().collect();
-        // Streams that began at a version which a restore lost have ended after `keep_time`.
+        let has_dropped = stored.is_some_and(|stored| !stored.versions.is_subset(&versions));
+        // Streams that began at a version which a restore lost have ended after `keep_time`. So have
+        // those of nodes that saw a dropped version listed again before they saw that it was dropped.
         let is_complete = match stored {
+            Some(_) if has_dropped => false,
             Some(stored) if stored.complete_in == Some(era.era) => true,
-            Some(_) => era.known_for >= keep_time,
+            Some(_) => era.known_for.min(unchanged_for) >= keep_time,
             None => era.known_for >= keep_time || !era.was_restored,
         };
         let complete_in = match is_complete {
             true => Some(era.era),
+            false if has_dropped => None,
             false => stored.and_then(|stored| stored.complete_in),
         };
         let update = ServedVersions {
@@ -119,8 +127,33 @@
         (!is_empty && stored != Some(&update)).then_some(update)
     }
 
-    /// Forgets how long versions have been missing, as the list of upstreams is not known.
+    /// Returns how long the list in the store has been as it is. Each change makes all its versions
+    /// count as just missing, as another node may have seen them listed.
+    fn record_stored(
+        &mut self,
+        service: &ServiceName,
+        stored: Option<&ServedVersions>,
+        now: Duration,
+    ) -> Duration {
+        let known = self.stored_since.get(service);
+        if let Some((_, since)) = known.filter(|(known, _)| Some(known) == stored) {
+            return now.saturating_sub(*since);
+        }
+        self.unlisted_since.retain(|(of, _), _| of != service);
+        match stored {
+            Some(stored) => {
+                let entry = (stored.clone(), now);
+                self.stored_since.insert(service.clone(), entry)
+            }
+            None => self.stored_since.remove(service),
+        };
+        Duration::ZERO
+    }
+
+    /// Forgets how long versions have been missing and lists unchanged, as neither the list of
+    /// upstreams nor the store is known.
     pub fn forget(&mut self) {
         self.unlisted_since.clear();
+        self.stored_since.clear();
     }
 }
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -1,5 +1,7 @@
 //! Where streams began, as nodes know it from the store and from each other.
 
+#![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -10,6 +12,7 @@
 };
 use proptest::prelude::*;
 use proptest::sample::Index;
+use rstest::rstest;
 
 /// How long after its begin a stream can be resumed.
 const LIFETIME: Duration = Duration::from_secs(60);
@@ -103,46 +106,108 @@
     SoftwareVersion::from(format!("v{number}").as_str())
 }
 
+/// Checks the list in the store against the streams of one history.
+fn follow(steps: impl IntoIterator<Item = Step>) -> Result<(), TestCaseError> {
+    let mut store = Store::default();
+    let mut copy = store.clone();
+    let mut nodes: [Node; 2] = Default::default();
+    let mut streams: Vec<(SoftwareVersion, Duration)> = Vec::new();
+    let mut now = Duration::ZERO;
+    for step in steps {
+        match step {
+            Step::List(number) => {
+                store.listed.insert(version(number));
+            }
+            Step::Unlist(number) => {
+                store.listed.remove(&version(number));
+            }
+            Step::See(node) => nodes[node].see(&store, now),
+            Step::Write(node) => nodes[node].write(&mut store, now),
+            Step::Begin(node, number) => {
+                if nodes[node].may_begin(&version(number), now) {
+                    streams.push((version(number), now));
+                }
+            }
+            Step::Resume => {
+                let sole = store
+                    .served
+                    .as_ref()
+                    .and_then(|served| served.sole(store.era));
+                for (began_at, began) in streams.iter().filter(|_| sole.is_some()) {
+                    prop_assert!(Some(began_at) == sole || now - *began >= LIFETIME);
+                }
+            }
+            Step::Copy => copy = store.clone(),
+            Step::Restore => {
+                let era = StoreEra(store.era.0 + 1);
+                store = Store {
+                    era,
+                    ..copy.clone()
+                };
+            }
+            Step::Wait(seconds) => now += Duration::from_secs(seconds),
+        }
+    }
+    Ok(())
+}
+
+// Guards against a version that is dropped from the list in the moment in which its upstreams return: a node that saw the
+// list before begins streams there.
+#[rstest]
+#[case::by_an_old_view(vec![
+    Step::List(0), Step::See(0), Step::Unlist(0), Step::Write(0), Step::List(1), Step::See(1), Step::Write(1),
+    Step::List(1), Step::See(1), Step::Wait(500), Step::List(0), Step::Wait(500), Step::See(0), Step::Write(1),
+    Step::Begin(0, 0), Step::Resume,
+])]
+#[case::by_views_of_a_second(vec![
+    Step::List(0), Step::See(0), Step::Write(0), Step::Unlist(0), Step::List(1), Step::See(1), Step::Write(1),
+    Step::See(1), Step::Wait(959), Step::See(1), Step::List(0), Step::See(0), Step::Wait(1), Step::Write(1),
+    Step::Begin(0, 0), Step::Resume,
+])]
+fn a_version_that_returns_as_it_is_dropped_is_not_forgotten(#[case] steps: Vec<Step>) {
+    follow(steps).unwrap();
+}
+
+// Guards against streams that are told and written long after a release, as a version that was dropped still counts.
+#[test]
+fn a_list_is_complete_again_once_streams_at_a_dropped_version_have_ended() {
+    let era = EraView {
+        era: StoreEra(1),
+        known_for: MAX_VIEW_AGE * 4,
+        was_restored: false,
+    };
+    let keep_time = LIFETIME + MAX_VIEW_AGE;
+    let listed: BTreeSet<SoftwareVersion> = [version(1)].into();
+    let stored = ServedVersions {
+        complete_in: Some(StoreEra(1)),
+        versions: [version(0), version(1)].into(),
+    };
+    let mut watch = ServedVersionsWatch::default();
+    let mut update = |stored: &ServedVersions, now| {
+        watch.update(&"scribe".into(), &listed, Some(stored), era, LIFETIME, now)
+    };
+    assert_eq!(update(&stored, Duration::ZERO), None);
+    let dropped = update(&stored, keep_time).unwrap();
+    assert_eq!(dropped.versions, listed);
+    assert_eq!(dropped.sole(StoreEra(1)), None);
+
+    let seen_at = keep_time + Duration::from_secs(1);
+    assert_eq!(update(&dropped, seen_at), None);
+    assert_eq!(
+        update(&dropped, seen_at + keep_time - Duration::from_millis(1)),
+        None
+    );
+    let complete = update(&dropped, seen_at + keep_time).unwrap();
+    assert_eq!(complete.sole(StoreEra(1)), Some(&version(1)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
     // Guards against a list in the store that names one version, though a stream began at another.
     #[test]
     fn a_sole_version_is_that_of_every_stream(steps in prop::collection::vec(step(), 1..120)) {
-        let mut store = Store::default();
-        let mut copy = store.clone();
-        let mut nodes: [Node; 2] = Default::default();
-        let mut streams: Vec<(SoftwareVersion, Duration)> = Vec::new();
-        let mut now = Duration::ZERO;
-        for step in steps {
-            match step {
-                Step::List(number) => {
-                    store.listed.insert(version(number));
-                }
-                Step::Unlist(number) => {
-                    store.listed.remove(&version(number));
-                }
-                Step::See(node) => nodes[node].see(&store, now),
-                Step::Write(node) => nodes[node].write(&mut store, now),
-                Step::Begin(node, number) => {
-                    if nodes[node].may_begin(&version(number), now) {
-                        streams.push((version(number), now));
-                    }
-                }
-                Step::Resume => {
-                    let sole = store.served.as_ref().and_then(|served| served.sole(store.era));
-                    for (began_at, began) in streams.iter().filter(|_| sole.is_some()) {
-                        prop_assert!(Some(began_at) == sole || now - *began >= LIFETIME);
-                    }
-                }
-                Step::Copy => copy = store.clone(),
-                Step::Restore => {
-                    let era = StoreEra(store.era.0 + 1);
-                    store = Store { era, ..copy.clone() };
-                }
-                Step::Wait(seconds) => now += Duration::from_secs(seconds),
-            }
-        }
+        follow(steps)?;
     }
 
     // Guards against an origin that nobody recorded, or one of two.
