Send streams to keepers that have just started

With several versions serving and the store away, callers of a node that was killed were refused with NS3012, 12 of 12: the only other node of its failure domain had started a moment before, the killed node had not read its record in the store yet, and so had told nobody of its streams. The store had them, and was away by then.

A node that starts announces its record to the nodes that it reads from the store, three times; they count it among their peers until a later read of the store shows it, or shows that it is gone.

--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -21,6 +21,7 @@
 use super::engine::{OwnedEngine, PendingLoad};
 use super::engine_load::HostReport;
 use super::eras::Eras;
+use super::joined_nodes::JoinedNodes;
 use super::lending::Lending;
 use super::model_demand::ModelDemand;
 use super::origin_writes::OriginWrites;
@@ -123,6 +124,8 @@
     pub(crate) stored_config: StoredConfig,
     /// Nodes that are kept although the store does not list them.
     pub(crate) returning_nodes: ReturningNodes,
+    /// Nodes that announce themselves.
+    pub(crate) joined: JoinedNodes,
     /// The refused traits of requests that the store keeps.
     pub(crate) stored_suspects: StoredSuspects,
     /// The software versions at which streams may have begun.
@@ -183,6 +186,7 @@
             ownership_watch: RefCell::default(),
             stored_config: StoredConfig::default(),
             returning_nodes: ReturningNodes::default(),
+            joined: JoinedNodes::default(),
             stored_suspects: StoredSuspects::default(),
             served: ServedSoftware::default(),
             origin_writes: OriginWrites::default(),
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -28,9 +28,11 @@
 use super::leaving_gossip::LeavingGossip;
 use super::limit_gossip::LimitGossip;
 use super::load_aggregator::{LoadAggregator, LoadBatch};
+use super::maintenance::own_record;
 use super::model_demand::ModelDemandUpdate;
+use super::owners::to_json;
 use super::restarts::RestartChecks;
-use super::suspect_gossip::{SuspectGossip, all_suspects, random_nodes};
+use super::suspect_gossip::{SuspectGossip, all_suspects, other_nodes, random_nodes};
 use crate::shared::{AdapterDemand, CopyRequest, EngineUpdate, EngineUsage};
 use crate::traffic_message::{ForwardMessage, StreamMessage, TrafficMessage};
 
@@ -121,6 +123,8 @@
     EraQuery { from: NodeId },
     /// Services whose upstreams have announced that they are brittle.
     Brittle { updates: Vec<BrittleUpdate> },
+    /// A node has started: its record in the store, encoded as there.
+    Joined { record: Vec<u8> },
 }
 
 /// Encodes a message of a traffic thread as a datagram.
@@ -163,6 +167,7 @@
                 restart_checks.start_due(&control);
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
+                send_joined(&control, &socket);
                 send_streams(&control, &socket);
             }
             () = control.shared.suspects_changed.notified() => {
@@ -372,9 +377,25 @@
     control.grant_due_turns(|message, to| send(socket, &traffic(message), to));
 }
 
-/// Sends streams that began here before they had to be kept to their keepers.
+/// Announces this node to all others, after its start.
+fn send_joined(control: &ControlState, socket: &UdpSocket) {
+    let others = other_nodes(control);
+    if others.is_empty() || !control.joined.take_due() {
+        return;
+    }
+    let out_of_reach = control.recorded_out_of_reach.borrow().clone();
+    let record = to_json(&own_record(control, out_of_reach)).to_vec();
+    let message = Message::Joined { record };
+    for address in others {
+        send(socket, &message, address);
+    }
+}
+
+/// Sends streams to nodes that should keep them and were not sent them when they began.
 fn send_streams(control: &ControlState, socket: &UdpSocket) {
-    for (message, address) in control.shared.untold_streams(control.own_node()) {
+    let (shared, own) = (&control.shared, control.own_node());
+    let messages = shared.streams_for_new_keepers(own).into_iter();
+    for (message, address) in messages.chain(shared.untold_streams(own)) {
         send(
             socket,
             &Message::Traffic(TrafficMessage::Streams(message)),
@@ -504,6 +525,10 @@
             control.apply_limits(&limits);
             control.record_contact(from);
         }
+        Ok(Message::Joined { record }) => match serde_json::from_slice(&record) {
+            Ok(record) => control.apply_joined(record),
+            Err(error) => log_undecodable(control, sender, &error),
+        },
         Ok(Message::SuspectsQuery { from }) => {
             control.record_contact(from);
             let updates = all_announcements(control);
@@ -529,15 +554,17 @@
                 demand.apply(own_domain, &node.failure_domain, &update);
             }
         }
-        Err(error) => {
-            log_event!(
-                control.log, Event::MessageUndecodable,
-                "sender" => sender.to_string(), "problem" => error.to_string()
-            );
-        }
+        Err(error) => log_undecodable(control, sender, &error),
     }
 }
 
+fn log_undecodable(control: &ControlState, sender: SocketAddr, error: &dyn std::error::Error) {
+    log_event!(
+        control.log, Event::MessageUndecodable,
+        "sender" => sender.to_string(), "problem" => error.to_string()
+    );
+}
+
 fn handle_usage_report(
     control: &ControlState,
     from: &NodeId,
--- a/crates/relay-node/src/control/forwarding.rs
+++ b/crates/relay-node/src/control/forwarding.rs
@@ -13,14 +13,12 @@
 impl ControlState {
     /// The other nodes that accept forwarded requests.
     pub(crate) fn peers(&self) -> Vec<Peer> {
-        let nodes = self.nodes.borrow();
-        let others = nodes
-            .values()
-            .filter(|record| record.node != self.settings.node);
+        let nodes = self.nodes_with_joined().into_iter();
+        let others = nodes.filter(|record| record.node != self.settings.node);
         let peers = others.filter_map(|record| {
             Some(Peer {
-                node: record.node.clone(),
-                failure_domain: record.failure_domain.clone(),
+                node: record.node,
+                failure_domain: record.failure_domain,
                 address: record.address,
                 forward_address: record.forward_address?,
             })
--- a/crates/relay-node/src/control/maintenance.rs
+++ b/crates/relay-node/src/control/maintenance.rs
@@ -104,6 +104,7 @@
     let out_of_reach = services_out_of_reach(control);
     write_record(control, granted.lease, out_of_reach).await?;
     control.lease.set(granted.lease);
+    control.joined.record_registered();
     Ok(())
 }
 
@@ -113,16 +114,9 @@
     lease: LeaseId,
     out_of_reach: Vec<ServiceName>,
 ) -> Result<(), KeyValueError> {
-    let settings = &control.settings;
-    let record = NodeRecord {
-        node: settings.node.clone(),
-        failure_domain: settings.failure_domain.clone(),
-        address: settings.nodes_address,
-        forward_address: settings.forward_address,
-        out_of_reach,
-    };
+    let record = own_record(control, out_of_reach);
     let put = Put {
-        key: format!("{NODE_PREFIX}{}", settings.node).into(),
+        key: format!("{NODE_PREFIX}{}", record.node).into(),
         value: to_json(&record),
         lease,
     };
@@ -135,6 +129,18 @@
     Ok(())
 }
 
+/// This node's record, as other nodes see it.
+pub(super) fn own_record(control: &ControlState, out_of_reach: Vec<ServiceName>) -> NodeRecord {
+    let settings = &control.settings;
+    NodeRecord {
+        node: settings.node.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        address: settings.nodes_address,
+        forward_address: settings.forward_address,
+        out_of_reach,
+    }
+}
+
 /// The services of which no upstream could be reached for as long as the engines of a node that has
 /// ended keep their owner.
 fn services_out_of_reach(control: &ControlState) -> Vec<ServiceName> {
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod forwarding;
 mod gossip_schedule;
+mod joined_nodes;
 mod leaving_gossip;
 mod lending;
 mod limit_gossip;
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -450,10 +450,14 @@
         self.data_asked_ms.fetch_max(asked_ms, Ordering::Release);
     }
 
+    /// When the store read was sent that the view is based on, by [`boot_time`].
+    pub(crate) fn data_asked(&self) -> Duration {
+        Duration::from_millis(self.data_asked_ms.load(Ordering::Acquire))
+    }
+
     /// The age of the data that the view is based on, counted from when the store read was sent.
     pub(crate) fn data_age(&self) -> Duration {
-        let asked_ms = self.data_asked_ms.load(Ordering::Acquire);
-        boot_time().saturating_sub(Duration::from_millis(asked_ms))
+        boot_time().saturating_sub(self.data_asked())
     }
 
     /// The rules for accepting API keys.
--- a/crates/relay-node/src/stream_origins.rs
+++ b/crates/relay-node/src/stream_origins.rs
@@ -1,13 +1,13 @@
 //! Where streams began: what this node records of it, and which nodes it tells.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{FailureDomain, NodeId, ServiceName};
 use nutmegsail_relay::{
-    KeeperAnswer, KeeperCounts, OriginBatches, SoftwareVersion, StreamKey, StreamOrigin,
+    KeeperAnswer, KeeperCounts, OriginBatches, Peer, SoftwareVersion, StreamKey, StreamOrigin,
     StreamOrigins, is_stream_keeper, origin_write_interval, stream_keepers,
 };
 
@@ -28,6 +28,9 @@
 /// How long a stream may wait to be written. Callers have given it up by then.
 const MAX_WRITE_DELAY: Duration = Duration::from_secs(30);
 
+/// How long after its begin a stream is sent to nodes that become its keepers.
+const MAX_STREAM_AGE: Duration = Duration::from_secs(20);
+
 /// The software versions at which streams of a service may begin, by the list in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct StreamSoftware {
@@ -44,6 +47,17 @@
 pub(crate) struct KnownStreams {
     pub(crate) origins: StreamOrigins,
     pub(crate) batches: OriginBatches,
+    /// Streams that began here and were sent to keepers, oldest first.
+    kept: VecDeque<KeptStream>,
+    /// The nodes among which these keepers were chosen.
+    keeper_candidates: Arc<[Peer]>,
+}
+
+#[derive(Debug)]
+struct KeptStream {
+    key: StreamKey,
+    origin: StreamOrigin,
+    since: Instant,
 }
 
 impl Default for KnownStreams {
@@ -51,6 +65,8 @@
         Self {
             origins: StreamOrigins::default(),
             batches: OriginBatches::new(origin_write_interval(1), MAX_WRITE_DELAY),
+            kept: VecDeque::new(),
+            keeper_candidates: Arc::default(),
         }
     }
 }
@@ -110,6 +126,32 @@
         self.messages_to_keepers(own, streams)
     }
 
+    /// What to send to nodes that have become keepers of streams that began here a while ago, as they
+    /// have started since or as others have gone.
+    pub(crate) fn streams_for_new_keepers(
+        &self,
+        own: OwnNode<'_>,
+    ) -> Vec<(StreamMessage, SocketAddr)> {
+        let view = self.view.load();
+        let mut streams = self.streams();
+        let before = Arc::clone(&streams.keeper_candidates);
+        if before == view.peers {
+            return Vec::new();
+        }
+        streams.keeper_candidates = Arc::clone(&view.peers);
+        let own = (own.node, own.failure_domain);
+        let mut by_keeper = StreamsByKeeper::default();
+        for stream in streams.current() {
+            let known = stream_keepers(&stream.key, own, &before, KeeperCounts::TOLD);
+            for keeper in stream_keepers(&stream.key, own, &view.peers, KeeperCounts::TOLD) {
+                if !known.contains(&keeper) {
+                    by_keeper.add(keeper, stream.key, &stream.origin);
+                }
+            }
+        }
+        by_keeper.into_messages()
+    }
+
     /// Records streams that another node sent to this one as their keeper.
     pub(crate) fn record_kept_streams(
         &self,
@@ -154,20 +196,15 @@
     ) -> Vec<(StreamMessage, SocketAddr)> {
         let view = self.view.load();
         let own_place = (own.node, own.failure_domain);
-        let mut by_keeper: HashMap<SocketAddr, Vec<(StreamKey, StreamOrigin)>> = HashMap::new();
+        let mut by_keeper = StreamsByKeeper::default();
         for (key, origin) in streams {
             for keeper in stream_keepers(&key, own_place, &view.peers, KeeperCounts::TOLD) {
-                let kept = by_keeper.entry(keeper.address).or_default();
-                kept.push((key, origin.clone()));
+                by_keeper.add(keeper, key, &origin);
             }
             self.batch_if_writer(own, key, &origin);
+            self.streams().record_kept(key, origin);
         }
-        let messages = by_keeper.into_iter().flat_map(|(address, streams)| {
-            let parts = streams.chunks(STREAMS_PER_DATAGRAM);
-            let messages = parts.map(|part| (StreamMessage::Began(part.to_vec()), address));
-            messages.collect::<Vec<_>>()
-        });
-        messages.collect()
+        by_keeper.into_messages()
     }
 
     /// Has the stream written to the store if that is this node's part, and if the store's list does
@@ -187,3 +224,42 @@
         }
     }
 }
+
+impl KnownStreams {
+    fn record_kept(&mut self, key: StreamKey, origin: StreamOrigin) {
+        self.kept.push_back(KeptStream {
+            key,
+            origin,
+            since: Instant::now(),
+        });
+    }
+
+    /// The kept streams that may still be under way.
+    fn current(&mut self) -> impl Iterator<Item = &KeptStream> {
+        let is_old = |stream: &KeptStream| stream.since.elapsed() > MAX_STREAM_AGE;
+        while self.kept.front().is_some_and(is_old) {
+            self.kept.pop_front();
+        }
+        self.kept.iter()
+    }
+}
+
+/// Streams to send, by their keepers' addresses.
+#[derive(Debug, Default)]
+struct StreamsByKeeper(HashMap<SocketAddr, Vec<(StreamKey, StreamOrigin)>>);
+
+impl StreamsByKeeper {
+    fn add(&mut self, keeper: &Peer, key: StreamKey, origin: &StreamOrigin) {
+        let streams = self.0.entry(keeper.address).or_default();
+        streams.push((key, origin.clone()));
+    }
+
+    fn into_messages(self) -> Vec<(StreamMessage, SocketAddr)> {
+        let messages = self.0.into_iter().flat_map(|(address, streams)| {
+            let parts = streams.chunks(STREAMS_PER_DATAGRAM);
+            let messages = parts.map(|part| (StreamMessage::Began(part.to_vec()), address));
+            messages.collect::<Vec<_>>()
+        });
+        messages.collect()
+    }
+}
