Let a broken stream wait for the probe that has another node resume it

A node that is cut off from all upstreams has a peer resume its streams, once probes have shown the cut.

--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -19,6 +19,9 @@
 /// up a stream after a gap of about 2 to 4 s.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long a probe of the service's upstreams may take, once some have failed.
+const REACH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How many upstreams are tried, as each may refuse the request.
 const MAX_RESUME_TRIES: usize = 3;
 
@@ -106,6 +109,7 @@
             let next = tokio::time::timeout(left, next).await;
             let choice = match next.map_err(|_| NotResumed::TimedOut)? {
                 Ok(choice) => choice,
+                Err(_) if self.turns_out_of_reach(left).await => continue,
                 Err(refused) => return Err(NotResumed::NoUpstream(refused.code)),
             };
             let sent = self.gateway.send(&self.call, &choice, false, last_id).await;
@@ -140,6 +144,20 @@
         Err(NotResumed::TimedOut)
     }
 
+    /// Waits for a probe that may be about to show that no upstream can be reached from here, so that
+    /// another node can resume the stream. Returns whether it did.
+    async fn turns_out_of_reach(&self, left: Duration) -> bool {
+        let (gateway, call) = (&self.gateway, &self.call);
+        let upstreams = { gateway.dispatcher.borrow() }.overview(&call.service, Instant::now());
+        if upstreams.failing == 0 || call.forwarded.is_some() {
+            return false;
+        }
+        let probed = gateway.until_out_of_reach(call);
+        tokio::time::timeout(left.min(REACH_TIMEOUT), probed)
+            .await
+            .is_ok()
+    }
+
     /// Forwards the request to another node, which resumes after the event `last_id`.
     async fn resume_at_peer(mut self, last_id: Option<u64>) -> Option<Resumed> {
         let pending = PendingRequest::accept(&self.call, &self.sends);
