Let no other service go on with a stream whose route moved

Of a split route each try drew its service anew.

The list in the store that names a single version says nothing of another service. For as long as streams can be resumed after a resumable route moved, and for split routes always, streams are kept as if several versions served; a stream that is not known is refused, NS3012. The tries of one stream have the same draw, and stay at the service where it is known to have begun as long as the route leads there.

A node that starts within that time does not know that the route moved.

--- a/crates/relay-node/src/control/operators_watch.rs
+++ b/crates/relay-node/src/control/operators_watch.rs
@@ -55,6 +55,9 @@
         {
             log_event!(self.0.log, Event::TextInForce, "version" => table.version);
         }
+        if let Some(before) = &*known {
+            self.0.record_moved_routes(before, &table);
+        }
         *known = Some(Arc::new(table));
     }
 
--- a/crates/relay-node/src/control/origin_reads.rs
+++ b/crates/relay-node/src/control/origin_reads.rs
@@ -91,7 +91,7 @@
     control.apply_served(service, &item);
     let served = serde_json::from_slice::<ServedVersions>(&item.value).ok();
     let era = item.revision.era();
-    Ok(served.and_then(|served| served.sole(era).cloned()))
+    Ok(served.and_then(|served| control.sole_version(service, &served, era)))
 }
 
 async fn read_batches(
--- a/crates/relay-node/src/control/served_software.rs
+++ b/crates/relay-node/src/control/served_software.rs
@@ -3,9 +3,12 @@
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
-use nutmegsail_base::ServiceName;
-use nutmegsail_relay::{RouteTable, ServedVersions, ServedVersionsWatch, SoftwareVersion};
+use nutmegsail_base::{ServiceName, StoreEra};
+use nutmegsail_relay::{
+    RouteTable, ServedVersions, ServedVersionsWatch, SoftwareVersion, StreamService,
+};
 use nutmegsail_store::{Item, KeyValueError, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
 
@@ -26,6 +29,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServedSoftware {
     lists: RefCell<HashMap<ServiceName, (ServedVersions, Revision)>>,
+    /// When a resumable route that led elsewhere began to lead to each service.
+    moved: RefCell<HashMap<ServiceName, Duration>>,
     watch: RefCell<ServedVersionsWatch>,
 }
 
@@ -73,19 +78,51 @@
     ) -> HashMap<ServiceName, StreamSoftware> {
         let era = self.eras.view().era;
         let lists = self.served.lists.borrow();
-        let software = table.stream_lifetimes().iter().map(|(service, lifetime)| {
+        let software = table.stream_services().iter().map(|(service, known)| {
             let served = lists.get(service).map(|(served, _)| served);
             let versions = served.into_iter().flat_map(|served| &served.versions);
             let software = StreamSoftware {
                 versions: versions.cloned().collect(),
-                sole: served.and_then(|served| served.sole(era)).cloned(),
-                lifetime: *lifetime,
+                sole: served
+                    .and_then(|served| served.sole(era))
+                    .filter(|_| self.is_only_service(service, known))
+                    .cloned(),
+                lifetime: known.lifetime,
             };
             (service.clone(), software)
         });
         software.collect()
     }
 
+    /// Records to which services resumable routes have begun to lead.
+    pub(super) fn record_moved_routes(&self, before: &RouteTable, now: &RouteTable) {
+        let moved = now.moved_services(before).into_iter();
+        let moved = moved.map(|service| (service, boot_time()));
+        self.served.moved.borrow_mut().extend(moved);
+    }
+
+    /// Whether a stream that is resumed at `service` can only have begun there.
+    fn is_only_service(&self, service: &ServiceName, known: &StreamService) -> bool {
+        let moved = self.served.moved.borrow();
+        let moved_at = moved.get(service);
+        let has_settled = moved_at.is_none_or(|at| boot_time() >= *at + known.lifetime);
+        has_settled && !known.is_split
+    }
+
+    /// The only version at which a stream that is resumed at `service` can have begun, by the list
+    /// that a read of the store in `era` has shown.
+    pub(super) fn sole_version(
+        &self,
+        service: &ServiceName,
+        served: &ServedVersions,
+        era: StoreEra,
+    ) -> Option<SoftwareVersion> {
+        let table = self.table.borrow();
+        let known = table.as_ref()?.stream_services().get(service)?;
+        let sole = served.sole(era).cloned();
+        sole.filter(|_| self.is_only_service(service, known))
+    }
+
     /// The lists that have to change, as far as this node knows.
     fn due_lists(&self) -> Vec<(ServiceName, ServedVersions, Revision)> {
         let Some(table) = self.table.borrow().clone() else {
@@ -95,14 +132,14 @@
         let lists = self.served.lists.borrow();
         let mut watch = self.served.watch.borrow_mut();
         let due = table
-            .stream_lifetimes()
+            .stream_services()
             .iter()
-            .filter_map(|(service, lifetime)| {
+            .filter_map(|(service, known)| {
                 let listed = self.listed_software(service);
                 let stored = lists.get(service);
                 let revision = stored.map_or(Revision::NONE, |(_, revision)| *revision);
                 let stored = stored.map(|(served, _)| served);
-                let update = watch.update(service, &listed, stored, era, *lifetime, now)?;
+                let update = watch.update(service, &listed, stored, era, known.lifetime, now)?;
                 Some((service.clone(), update, revision))
             });
         due.collect()
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -14,10 +14,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use nutmegsail_base::{RequestId, ResultCode};
+use nutmegsail_base::{RequestId, ResultCode, ServiceName};
 use nutmegsail_http_pool::{Remote, ends_with_connection, prepare_socket};
 use nutmegsail_relay::{
-    PromptPrefix, RequestContent, RequestDigest, RequestTraits, RouteTable, SoftwareRule, StreamKey,
+    KnownOrigin, PromptPrefix, RequestContent, RequestDigest, RequestTraits, Route, RouteTable,
+    SoftwareRule, StreamKey,
 };
 use nutmegsail_request::{Refusal, Request as RequestState};
 use tokio::net::{TcpListener, TcpStream};
@@ -266,7 +267,7 @@
             let team = caller.team().map(|team| &team.name);
             StreamKey::of(team, meta.resumes.as_ref().unwrap_or(&id))
         });
-        let service = route.service(rand::random::<f64>()).clone();
+        let service = self.service_of(route, stream.as_ref());
         let traits = RequestTraits::new(&service, digest, meta.shared_parts.iter().copied());
         let model = meta.model.as_ref();
         let prompt = model.map(|model| PromptPrefix::new(model, &meta.prompt_parts));
@@ -301,6 +302,22 @@
         })
     }
 
+    /// The service of a request. That of a stream is the same for all of its caller's tries, as far as
+    /// the route still leads there.
+    fn service_of(&self, route: &Route, stream: Option<&StreamKey>) -> ServiceName {
+        let Some(stream) = stream else {
+            return route.service(rand::random()).clone();
+        };
+        let streams = self.shared.streams();
+        let begun_at = match streams.origins.get(stream, Instant::now()) {
+            KnownOrigin::At(origin) => Some(&origin.service),
+            KnownOrigin::Unknown | KnownOrigin::Ambiguous => None,
+        };
+        let mut services = route.services.iter().map(|share| &share.service);
+        let kept = services.find(|service| Some(*service) == begun_at);
+        kept.unwrap_or_else(|| route.service(stream.draw())).clone()
+    }
+
     fn has_stopped_accepting(&self, now: Instant) -> bool {
         let since = self.leaving_since.get();
         since.is_some_and(|since| now.duration_since(since) > LEAVING_ACCEPT_TIME)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -122,7 +122,7 @@
 pub use retry_after::jittered_retry_after;
 pub use retry_budget::{RetryBudget, RetryBudgetRules};
 pub use route::{Route, WeightedService};
-pub use route_table::{CallerLimits, RouteTable};
+pub use route_table::{CallerLimits, RouteTable, StreamService};
 pub use served_versions::{EraView, ServedVersions, ServedVersionsWatch};
 pub use service::{EngineSpec, ModelSpec, Service};
 pub use slot_gate::{SlotAnswer, SlotEnd, SlotGate, SlotRequest};
--- a/crates/relay/src/route_table.rs
+++ b/crates/relay/src/route_table.rs
@@ -1,6 +1,6 @@
 //! The configuration in force, arranged for routing.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,7 +35,16 @@
     /// Routes by host, with the longest path prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     teams: Option<Teams>,
-    stream_lifetimes: HashMap<ServiceName, Duration>,
+    stream_services: HashMap<ServiceName, StreamService>,
+}
+
+/// A service that resumable routes lead to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamService {
+    /// How long after its begin a stream can be resumed.
+    pub lifetime: Duration,
+    /// Whether one of the routes leads to other services too, so that a stream may have begun there.
+    pub is_split: bool,
 }
 
 impl RouteTable {
@@ -54,14 +63,14 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let stream_lifetimes = stream_lifetimes(by_host.values().flatten());
+        let stream_services = stream_services(by_host.values().flatten());
         let named = |service: Service| (service.name.clone(), Arc::new(service));
         Self {
             version,
             limits,
             services: services.into_iter().map(named).collect(),
             routes: by_host,
-            stream_lifetimes,
+            stream_services,
             teams: None,
         }
     }
@@ -91,10 +100,25 @@
         self.services.values()
     }
 
-    /// How long after its begin a stream can be resumed, for each service that a resumable route
-    /// leads to.
-    pub fn stream_lifetimes(&self) -> &HashMap<ServiceName, Duration> {
-        &self.stream_lifetimes
+    /// The services that resumable routes lead to.
+    pub fn stream_services(&self) -> &HashMap<ServiceName, StreamService> {
+        &self.stream_services
+    }
+
+    /// The services to which a resumable route leads that led elsewhere by `before`. Streams that
+    /// callers resume there may have begun at another service.
+    pub fn moved_services(&self, before: &Self) -> BTreeSet<ServiceName> {
+        let routes = self.routes.values().flatten();
+        let moved = routes.filter(|route| is_resumable(route) && before.leads_elsewhere(route));
+        let services = moved.flat_map(|route| &route.services);
+        services.map(|share| share.service.clone()).collect()
+    }
+
+    /// Whether the route of this host and prefix leads to other services than `route`.
+    fn leads_elsewhere(&self, route: &Route) -> bool {
+        let known = self.routes.get(&route.host).into_iter().flatten();
+        let mut known = known.filter(|known| known.path_prefix == route.path_prefix);
+        known.any(|known| service_names(known) != service_names(route))
     }
 
     /// The service with this name.
@@ -103,18 +127,27 @@
     }
 }
 
-/// The caller's first try and the one that resumes last may each take the route's timeout.
-fn stream_lifetimes<'a>(
+fn is_resumable(route: &Route) -> bool {
+    route.kind.is_stream() && route.kind.may_retry()
+}
+
+fn service_names(route: &Route) -> BTreeSet<&ServiceName> {
+    route.services.iter().map(|share| &share.service).collect()
+}
+
+fn stream_services<'a>(
     routes: impl Iterator<Item = &'a Arc<Route>>,
-) -> HashMap<ServiceName, Duration> {
-    let mut lifetimes: HashMap<ServiceName, Duration> = HashMap::new();
-    let resumable = routes.filter(|route| route.kind.is_stream() && route.kind.may_retry());
-    for route in resumable {
+) -> HashMap<ServiceName, StreamService> {
+    let mut services: HashMap<ServiceName, StreamService> = HashMap::new();
+    for route in routes.filter(|route| is_resumable(route)) {
+        // The caller's first try and the one that resumes last may each take the route's timeout.
         let lifetime = route.timeout * 2 + STREAM_LIFETIME_MARGIN;
-        for share in &route.services {
-            let longest = lifetimes.entry(share.service.clone()).or_default();
-            *longest = lifetime.max(*longest);
+        let names = service_names(route);
+        for name in &names {
+            let service = services.entry((*name).clone()).or_default();
+            service.lifetime = lifetime.max(service.lifetime);
+            service.is_split |= names.len() > 1;
         }
     }
-    lifetimes
+    services
 }
--- a/crates/relay/src/stream_key.rs
+++ b/crates/relay/src/stream_key.rs
@@ -45,6 +45,20 @@
         short
     }
 
+    /// A number from 0 up to but not including 1, the same for all tries of the stream. It chooses
+    /// the service of a route that leads to several.
+    ///
+    /// ```
+    /// use nutmegsail_relay::StreamKey;
+    /// let key = StreamKey::of(None, &"0caa45a4".into());
+    /// assert!((0.0..1.0).contains(&key.draw()));
+    /// ```
+    pub fn draw(&self) -> f64 {
+        const STEPS: f64 = 4_294_967_296.0;
+        let [.., a, b, c, d] = self.0;
+        f64::from(u32::from_le_bytes([a, b, c, d])) / STEPS
+    }
+
     /// The key as bytes.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
