Keep streams out of what a starting node reads from the store

Found by review: the batches of streams stood below the prefix that nodes read whole at their start, some 12 pages a node at 360 nodes, 4,300 reads when all restart; a page that failed began them all anew. They have a prefix of their own now, and a start reads the prefixes of its watchers, three calls in place of one. A batch that the store refused is written again after the pause for failed calls, and batches are kept for 30 s, the longest time that callers wait being under that.

--- a/crates/relay-node/src/control/origin_writes.rs
+++ b/crates/relay-node/src/control/origin_writes.rs
@@ -8,15 +8,16 @@
 use nutmegsail_relay::OriginBatch;
 use nutmegsail_store::{KeyValueError, LeaseId, Put, Txn};
 use nutmegsail_telemetry::{Event, log_event};
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 use super::control_state::ControlState;
 
-/// The prefix of the keys of all batches.
-pub(crate) const STREAM_PREFIX: &str = "nutmegsail/stream/";
+/// The prefix of the keys of all batches. No watcher has it, so that a node that starts does not read
+/// them all.
+pub(crate) const STREAM_PREFIX: &str = "nutmegsail-streams/";
 
-/// How long the store keeps batches at least: callers wait up to some 15 s for a stream in all.
-const MIN_KEPT_TIME: Duration = Duration::from_secs(20);
+/// How long the store keeps batches at least. Callers wait less for a stream in all.
+const MIN_KEPT_TIME: Duration = Duration::from_secs(30);
 
 /// For how long batches get the same lease. Keys vanish with their lease, so none has to be removed.
 const LEASE_USE_TIME: Duration = Duration::from_secs(10);
@@ -56,13 +57,16 @@
         };
         sleep_until(due.into()).await;
         let batch = control.shared.streams().batches.take_batch(Instant::now());
-        if let Some(batch) = batch {
-            write(&control, &batch).await;
+        if let Some(batch) = batch
+            && !write(&control, &batch).await
+        {
+            sleep(control.store_pause()).await;
         }
     }
 }
 
-async fn write(control: &ControlState, batch: &OriginBatch) {
+/// Returns whether the store took it.
+async fn write(control: &ControlState, batch: &OriginBatch) -> bool {
     let written = try_write(control, batch).await;
     let mut streams = control.shared.streams();
     match written {
@@ -70,6 +74,7 @@
         Err(_) => streams.batches.put_back(),
     }
     drop(streams);
+    let is_written = written.is_ok();
     if written == Err(KeyValueError::LeaseGone) {
         control.origin_writes.lease.set(None);
     }
@@ -77,6 +82,7 @@
         control.log, Event::StreamOriginsStored,
         "streams" => batch.len(), "error" => written.err().map(|error| error.to_string())
     );
+    is_written
 }
 
 async fn try_write(control: &ControlState, batch: &OriginBatch) -> Result<(), KeyValueError> {
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -13,7 +13,6 @@
 use super::control_state::{ControlState, Owner};
 use super::eras::SETTLED_ERA_KEY;
 use super::lending::LENDER_PREFIX;
-use super::origin_writes::STREAM_PREFIX;
 use super::owner_record::OwnerRecord;
 use super::served_software::SERVED_PREFIX;
 use super::watch::Watcher;
@@ -136,13 +135,9 @@
         }
     }
 
-    /// Where streams began is read only by the node that resumes one.
-    fn is_relevant(&self, change: &Change) -> bool {
-        !change.key().starts_with(STREAM_PREFIX)
-    }
-
     fn on_unavailable(&self) {
         self.0.served.record_unavailable();
+        self.0.shared.record_store_failed();
     }
 
     fn on_changes(&self, changes: &[&Change]) {
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -6,6 +6,7 @@
 //! keep serving an old one.
 
 use std::ops::ControlFlow;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -57,7 +58,7 @@
     let mut is_unavailable = false;
     loop {
         let asked = boot_time();
-        let read = read_all(control, ALL_KEYS).await;
+        let read = read_all(control, watchers).await;
         control.check_era();
         match read {
             Ok((items, revision)) => {
@@ -193,14 +194,27 @@
     }
 }
 
+/// Reads the keys of all watchers. Other keys, such as those of streams, are read when needed.
 async fn read_all(
     control: &ControlState,
-    prefix: &str,
+    watchers: &[Box<dyn Watcher>],
 ) -> Result<(Vec<Item>, Revision), KeyValueError> {
     let mut items: Vec<Item> = Vec::new();
     let mut revision = None;
+    for watcher in watchers {
+        read_prefix(control, watcher.prefix(), &mut items, &mut revision).await?;
+    }
+    Ok((items, revision.unwrap_or_default()))
+}
+
+async fn read_prefix(
+    control: &ControlState,
+    prefix: &str,
+    items: &mut Vec<Item>,
+    revision: &mut Option<Revision>,
+) -> Result<(), KeyValueError> {
+    let mut after: Option<Arc<str>> = None;
     for _ in 0..MAX_PAGES {
-        let after = items.last().map(|item| item.key.clone());
         let page = control.store.range(prefix, after.as_deref()).await?;
         // The pages are not a snapshot. Changes made while they were read arrive again, as the
         // watch starts at the first page's revision.
@@ -209,9 +223,10 @@
             return Err(KeyValueError::Compacted);
         }
         let is_last = !page.has_more || page.items.is_empty();
+        after = page.items.last().map(|item| item.key.clone());
         items.extend(page.items);
         if is_last {
-            return Ok((items, first_revision));
+            return Ok(());
         }
     }
     Err(KeyValueError::Malformed(
