Let any node write a list of versions that stays due

Found by review: only nodes that read the store for others write the lists. While those are of an older build, which knows no lists, all others would refuse new resumable streams. A list that has been due for 3 s is written by any node.

--- a/crates/relay-node/src/control/served_software.rs
+++ b/crates/relay-node/src/control/served_software.rs
@@ -1,6 +1,6 @@
 //! The lists, in the store, of the software versions at which streams may have begun.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +25,9 @@
     format!("{SERVED_PREFIX}{service}")
 }
 
+/// How long a node leaves a change to those that read the store for others.
+const OTHERS_WRITE_TIME: Duration = Duration::from_secs(3);
+
 /// The lists as last read, and the decisions on how they change.
 #[derive(Debug, Default)]
 pub(crate) struct ServedSoftware {
@@ -32,6 +35,8 @@
     /// When a resumable route that led elsewhere began to lead to each service.
     moved: RefCell<HashMap<ServiceName, Duration>>,
     watch: RefCell<ServedVersionsWatch>,
+    /// Since when a list has had to change.
+    due_since: Cell<Option<Duration>>,
 }
 
 impl ServedSoftware {
@@ -154,12 +159,21 @@
     }
 }
 
-/// Writes the lists that have to change, if this node reads the store for others.
+/// Writes the lists that have to change, if this node reads the store for others, or if they have had
+/// to for a while: the nodes that do may be of an older build.
 pub(crate) async fn write_served(control: &ControlState) {
-    if control.reader().is_some() {
+    let due = control.due_lists();
+    let now = boot_time();
+    let since = match due.is_empty() {
+        true => None,
+        false => Some(control.served.due_since.get().unwrap_or(now)),
+    };
+    control.served.due_since.set(since);
+    let is_overdue = since.is_some_and(|since| now >= since + OTHERS_WRITE_TIME);
+    if control.reader().is_some() && !is_overdue {
         return;
     }
-    for (service, served, revision) in control.due_lists() {
+    for (service, served, revision) in due {
         let key: Arc<str> = served_key(&service).into();
         let txn = Txn::compare_and_swap(Arc::clone(&key), revision, to_json(&served));
         match control.store.commit(txn).await {
