Split what nodes send about suspects, and whether requests may be sent, from their record

No change of behaviour: lines were moved, to_update is now SuspectUpdate::of. All tests of the crate pass, doc tests too.

--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -4,12 +4,14 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{NodeId, UpstreamId};
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::begun_parts::BegunParts;
 use crate::suspect_record::{Strike, SuspectRecord};
-use crate::{BrokenRequest, ClockPair, RequestTraits, StoredSuspect, SuspectTrait};
+use crate::suspect_update::before;
+use crate::{
+    BrokenRequest, ClockPair, Recipients, RequestTraits, StoredSuspect, SuspectTrait, SuspectUpdate,
+};
 
 /// How many upstreams may end while running requests with a trait before these are sent to no
 /// further one. A lower limit would refuse callers whose upstreams happened to crash twice; with a
@@ -20,92 +22,9 @@
 /// fewest strikes first.
 const MAX_RECORDS: usize = 512;
 
-/// How many upstreams may end before refused traits that always came together are not told apart
-/// any more.
-const MAX_ENDS_TO_TELL_APART: usize = 5;
-
 /// How often records that are not needed any more are removed.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Whether a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Suspicion {
-    /// It may be sent.
-    None,
-    /// Not yet: so many copies are at upstreams that their crashes could exceed the limit.
-    OnTrial,
-    /// No: the limit is reached.
-    Crashes,
-}
-
-/// Which nodes receive an update about a trait.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Recipients {
-    /// One node of each failure domain, chosen by hash of the trait, which collects what other
-    /// nodes saw.
-    Collectors,
-    /// All nodes.
-    All,
-}
-
-/// An update about one trait that nodes send to each other. Ages are in milliseconds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectUpdate {
-    suspect: SuspectTrait,
-    strikes: Vec<StrikeUpdate>,
-    /// How long ago answers of each service, by hash, showed that the trait does not crash it.
-    cleared: Vec<(u32, u32)>,
-    /// How many copies the sender has at upstreams.
-    trials: u32,
-    /// Whether it is sent to all nodes, so that the receiver need not pass it on.
-    is_for_all: bool,
-}
-
-impl SuspectUpdate {
-    /// The trait.
-    pub fn suspect(&self) -> &SuspectTrait {
-        &self.suspect
-    }
-}
-
-/// An upstream that ended, by hash of its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct StrikeUpdate {
-    upstream: u64,
-    service: u32,
-    ended_ms_ago: u32,
-    /// How long before its end the last request with the trait was sent there.
-    sent_ms_before: u32,
-}
-
-/// How likely another trait is what upstreams ended for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Explanation {
-    /// Answers to requests with it ran on shortly before the first end.
-    Possible,
-    /// No answer to a request with it is known.
-    Likely,
-}
-
-/// A part of a request's prompt that may crash the upstream that the request is sent to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SuspectedPart {
-    suspect: SuspectTrait,
-    /// The upstreams that ended under it, by hash of their ids.
-    ended: Vec<u64>,
-}
-
-impl SuspectedPart {
-    /// The rank of `upstream` among those that may be sent the part, the same at every node; the
-    /// highest goes first. One that ended under the part goes last, as long as the list shows the
-    /// process that did.
-    pub fn rank(&self, upstream: &UpstreamId) -> (bool, u64) {
-        let has_ended = self.ended.contains(&xxh3_64(upstream.as_bytes()));
-        let hash = xxh3_64_with_seed(upstream.as_bytes(), self.suspect.to_hash());
-        (!has_ended, hash)
-    }
-}
-
 /// Strikes against traits of requests, as one node knows them.
 ///
 /// A trait stands for all requests that have it, whichever caller sends them through whichever
@@ -133,11 +52,11 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    records: HashMap<SuspectTrait, SuspectRecord>,
+    pub(crate) records: HashMap<SuspectTrait, SuspectRecord>,
     /// How many copies this node has at upstreams that have not shown yet whether they are
     /// harmless.
-    starting: HashMap<SuspectTrait, u32>,
-    begun: BegunParts,
+    pub(crate) starting: HashMap<SuspectTrait, u32>,
+    pub(crate) begun: BegunParts,
     /// Whether there is news that has not been sent at all.
     has_news: bool,
     /// When records that are not needed any more were last removed.
@@ -246,107 +165,6 @@
             .collect()
     }
 
-    /// Whether a request may be sent.
-    pub fn suspicion(&self, traits: &RequestTraits, now: Instant) -> Suspicion {
-        if self.records.is_empty() {
-            return Suspicion::None;
-        }
-        let suspicions = traits
-            .iter()
-            .map(|suspect| self.suspicion_of(&suspect, traits, now));
-        suspicions.max().unwrap_or(Suspicion::None)
-    }
-
-    /// The part of a request's prompt that most likely crashes upstreams, if any is suspected at all.
-    ///
-    /// Requests that share it should start at the same upstream, which then ends once for all of
-    /// them, and others elsewhere, so that its end tells them apart.
-    pub fn suspected_part(&self, traits: &RequestTraits, now: Instant) -> Option<SuspectedPart> {
-        if self.records.is_empty() {
-            return None;
-        }
-        let suspected = traits.part_traits().filter_map(|suspect| {
-            let record = self.records.get(&suspect)?;
-            let evidence = record.evidence(traits.service(), now)?;
-            let is_suspected = !record.is_usually_sound(&evidence);
-            is_suspected.then_some((evidence.ends, suspect, record))
-        });
-        let most = suspected.max_by_key(|(ends, suspect, _)| (*ends, *suspect));
-        most.map(|(_, suspect, record)| SuspectedPart {
-            suspect,
-            ended: record.strikes().map(|strike| strike.upstream).collect(),
-        })
-    }
-
-    /// The trait for which a request is refused.
-    pub fn refused_trait(&self, traits: &RequestTraits, now: Instant) -> Option<SuspectTrait> {
-        let mut suspects = traits.iter();
-        suspects.find(|suspect| self.suspicion_of(suspect, traits, now) == Suspicion::Crashes)
-    }
-
-    fn suspicion_of(
-        &self,
-        suspect: &SuspectTrait,
-        traits: &RequestTraits,
-        now: Instant,
-    ) -> Suspicion {
-        let Some(record) = self.records.get(suspect) else {
-            return Suspicion::None;
-        };
-        let Some(evidence) = record.evidence(traits.service(), now) else {
-            return Suspicion::None;
-        };
-        let is_conclusive = evidence.is_conclusive(*suspect);
-        let explained = self.explained_elsewhere(record, traits, now);
-        if record.is_usually_sound(&evidence)
-            && (!is_conclusive || explained == Some(Explanation::Likely))
-        {
-            return Suspicion::None;
-        }
-        if is_conclusive && !evidence.is_settled(*suspect, now) {
-            return Suspicion::OnTrial;
-        }
-        let is_refused = is_conclusive && evidence.is_held(now);
-        let may_tell_apart = evidence.ends < MAX_ENDS_TO_TELL_APART;
-        if is_refused && !(may_tell_apart && explained.is_some()) {
-            return Suspicion::Crashes;
-        }
-        let own_trials = self.starting.get(suspect).copied().unwrap_or(0);
-        match own_trials as usize + record.trials_of_others(now) {
-            0 => Suspicion::None,
-            _ if is_conclusive && !is_refused => Suspicion::Crashes,
-            _ => Suspicion::OnTrial,
-        }
-    }
-
-    /// Whether another refused trait, which the request does not have, explains all strikes of
-    /// `record`. Refused traits that always came together are told apart by one copy that has only
-    /// one of them.
-    fn explained_elsewhere(
-        &self,
-        record: &SuspectRecord,
-        traits: &RequestTraits,
-        now: Instant,
-    ) -> Option<Explanation> {
-        let others = self.records.iter();
-        let explanations = others.filter_map(|(suspect, other)| {
-            let evidence = other.evidence(traits.service(), now)?;
-            let is_cause = evidence.is_conclusive(*suspect) && !traits.contains(suspect);
-            let is_explained = is_cause && record.is_explained_by(other);
-            is_explained.then(|| match other.is_usually_sound(&evidence) {
-                true => Explanation::Possible,
-                false => Explanation::Likely,
-            })
-        });
-        explanations.max()
-    }
-
-    /// Whether answers to requests with a part ran on lately, so that the part is no reason to wait
-    /// for the probe of an upstream.
-    pub fn is_usually_sound(&self, part: u64, traits: &RequestTraits) -> bool {
-        self.begun.last(part, traits.service()).is_some()
-    }
-
     /// Counts a copy as sent, until [`Suspects::end_parts`] and [`Suspects::end_request`].
     pub fn begin(&mut self, traits: &RequestTraits, now: Instant) {
         for suspect in traits.iter() {
@@ -429,7 +247,10 @@
             let trials = self.starting.get(suspect).copied().unwrap_or(0);
             let recipients = record.record_sent(now);
             let is_for_all = recipients == Recipients::All;
-            (recipients, to_update(record, trials, is_for_all, now))
+            (
+                recipients,
+                SuspectUpdate::of(record, trials, is_for_all, now),
+            )
         })
         .collect()
     }
@@ -451,7 +272,7 @@
         updated
             .map(|(_, _, suspect, record)| {
                 let trials = self.starting.get(&suspect).copied().unwrap_or(0);
-                to_update(record, trials, true, now)
+                SuspectUpdate::of(record, trials, true, now)
             })
             .collect()
     }
@@ -496,7 +317,7 @@
         let lacks_strike = knows_more && record.concerns_all(now);
         let is_reply_due = (lacks_clear || lacks_strike) && record.take_reply(now);
         let own_trials = self.starting.get(&update.suspect).copied().unwrap_or(0);
-        is_reply_due.then(|| to_update(record, own_trials, false, now))
+        is_reply_due.then(|| SuspectUpdate::of(record, own_trials, false, now))
     }
 
     fn forget_old(&mut self, now: Instant) {
@@ -526,49 +347,3 @@
         }
     }
 }
-
-impl StrikeUpdate {
-    fn of(strike: &Strike, now: Instant) -> Self {
-        Self {
-            upstream: strike.upstream,
-            service: strike.service,
-            ended_ms_ago: age_ms(strike.ended, now),
-            sent_ms_before: age_ms(strike.sent, strike.ended),
-        }
-    }
-
-    fn to_strike(self, now: Instant) -> Strike {
-        let ended = before(now, self.ended_ms_ago).unwrap_or(now);
-        Strike {
-            upstream: self.upstream,
-            service: self.service,
-            sent: before(ended, self.sent_ms_before).unwrap_or(ended),
-            ended,
-        }
-    }
-}
-
-fn to_update(record: &SuspectRecord, trials: u32, is_for_all: bool, now: Instant) -> SuspectUpdate {
-    let strikes = record.strikes();
-    let cleared = record.cleared().iter();
-    SuspectUpdate {
-        suspect: record.suspect(),
-        strikes: strikes
-            .map(|strike| StrikeUpdate::of(strike, now))
-            .collect(),
-        cleared: cleared
-            .map(|(service, at)| (*service, age_ms(*at, now)))
-            .collect(),
-        trials,
-        is_for_all,
-    }
-}
-
-fn age_ms(at: Instant, now: Instant) -> u32 {
-    let age = now.saturating_duration_since(at);
-    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn before(now: Instant, age_ms: u32) -> Option<Instant> {
-    now.checked_sub(Duration::from_millis(u64::from(age_ms)))
-}
