Keep what a list of versions names alone in one place

A read of the store and the view asked the same question in two modules; both go through sole_version now. No change of behaviour.

--- a/crates/relay-node/src/control/origin_reads.rs
+++ b/crates/relay-node/src/control/origin_reads.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::ServiceName;
-use nutmegsail_relay::{OriginBatch, OriginRecord, ServedVersions, StoreAnswer, StreamOrigin};
+use nutmegsail_relay::{OriginBatch, OriginRecord, StoreAnswer, StreamOrigin};
 use nutmegsail_store::KeyValueError;
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::sync::mpsc;
@@ -14,7 +14,6 @@
 
 use super::control_state::ControlState;
 use super::origin_writes::{STREAM_PREFIX, domain_prefix};
-use super::served_software::served_key;
 use crate::shared::OriginRead;
 
 /// The largest number of pages that are read, at 500 batches each.
@@ -87,7 +86,7 @@
     let services: BTreeSet<&ServiceName> = reads.iter().map(|read| &read.service).collect();
     let mut soles: HashMap<&ServiceName, StreamOrigin> = HashMap::new();
     for service in services {
-        if let Some(sole) = read_sole(control, service).await? {
+        if let Some(sole) = control.read_sole_origin(service).await? {
             soles.insert(service, sole);
         }
     }
@@ -103,24 +102,6 @@
     Ok(records.collect())
 }
 
-/// Where every stream of `service` began that can still be resumed, if its list names one version.
-async fn read_sole(
-    control: &ControlState,
-    service: &ServiceName,
-) -> Result<Option<StreamOrigin>, KeyValueError> {
-    let Some(item) = control.store.get(&served_key(service)).await? else {
-        return Ok(None);
-    };
-    control.apply_served(service, &item);
-    let served = serde_json::from_slice::<ServedVersions>(&item.value).ok();
-    let sole =
-        served.and_then(|served| control.sole_version(service, &served, item.revision.era()));
-    Ok(sole.map(|software| StreamOrigin {
-        service: service.clone(),
-        software,
-    }))
-}
-
 async fn read_batches(
     control: &ControlState,
     prefix: &str,
--- a/crates/relay-node/src/control/served_software.rs
+++ b/crates/relay-node/src/control/served_software.rs
@@ -7,7 +7,7 @@
 
 use nutmegsail_base::{ServiceName, StoreEra};
 use nutmegsail_relay::{
-    RouteTable, ServedVersions, ServedVersionsWatch, SoftwareVersion, StreamService,
+    RouteTable, ServedVersions, ServedVersionsWatch, SoftwareVersion, StreamOrigin, StreamService,
 };
 use nutmegsail_store::{Item, KeyValueError, Revision, Txn};
 use nutmegsail_telemetry::{Event, log_event};
@@ -21,7 +21,7 @@
 pub(crate) const SERVED_PREFIX: &str = "nutmegsail/software/";
 
 /// The key of the list of `service`.
-pub(super) fn served_key(service: &ServiceName) -> String {
+fn served_key(service: &ServiceName) -> String {
     format!("{SERVED_PREFIX}{service}")
 }
 
@@ -88,10 +88,7 @@
             let versions = served.into_iter().flat_map(|served| &served.versions);
             let software = StreamSoftware {
                 versions: versions.cloned().collect(),
-                sole: served
-                    .and_then(|served| served.sole(era))
-                    .filter(|_| self.is_only_service(service, known))
-                    .cloned(),
+                sole: served.and_then(|served| self.sole_version(service, *known, served, era)),
                 lifetime: known.lifetime,
             };
             (service.clone(), software)
@@ -107,27 +104,49 @@
     }
 
     /// Whether a stream that is resumed at `service` can only have begun there.
-    fn is_only_service(&self, service: &ServiceName, known: &StreamService) -> bool {
+    fn is_only_service(&self, service: &ServiceName, known: StreamService) -> bool {
         let moved = self.served.moved.borrow();
         let moved_at = moved.get(service);
         let has_settled = moved_at.is_none_or(|at| boot_time() >= *at + known.lifetime);
         has_settled && !known.is_split
     }
 
-    /// The only version at which a stream that is resumed at `service` can have begun, by the list
-    /// that a read of the store in `era` has shown.
-    pub(super) fn sole_version(
+    /// The only version at which a stream that is resumed at `service` can have begun, by a list that
+    /// was read in `era`.
+    fn sole_version(
         &self,
         service: &ServiceName,
+        known: StreamService,
         served: &ServedVersions,
         era: StoreEra,
     ) -> Option<SoftwareVersion> {
-        let table = self.table.borrow();
-        let known = table.as_ref()?.stream_services().get(service)?;
         let sole = served.sole(era).cloned();
         sole.filter(|_| self.is_only_service(service, known))
     }
 
+    /// Where every stream that is resumed at `service` began, if the list in the store names one version.
+    pub(super) async fn read_sole_origin(
+        &self,
+        service: &ServiceName,
+    ) -> Result<Option<StreamOrigin>, KeyValueError> {
+        let Some(item) = self.store.get(&served_key(service)).await? else {
+            return Ok(None);
+        };
+        self.apply_served(service, &item);
+        let table = self.table.borrow();
+        let services = table.as_ref().map(|table| table.stream_services());
+        let known = services.and_then(|services| services.get(service)).copied();
+        let served = serde_json::from_slice::<ServedVersions>(&item.value).ok();
+        let (Some(known), Some(served)) = (known, served) else {
+            return Ok(None);
+        };
+        let sole = self.sole_version(service, known, &served, item.revision.era());
+        Ok(sole.map(|software| StreamOrigin {
+            service: service.clone(),
+            software,
+        }))
+    }
+
     /// The lists that have to change, as far as this node knows.
     fn due_lists(&self) -> Vec<(ServiceName, ServedVersions, Revision)> {
         let Some(table) = self.table.borrow().clone() else {
