Study ways to treat most new connections at one node

Cause: the process test cannot limit a node's processor or descriptors, nor play 72 and 360 nodes.

Change: study new-connections. A node is one traffic thread with a share of a core, a kernel queue of 1,024 connections and 4,100 descriptors; nine in ten new connections of a failure domain or region go to it for 12 s. Eight ways, 12 deployments.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod brittle_sim;
 mod capacity;
+mod connection_sim;
 mod crash_sim;
 mod limit_sim;
 mod model_sim;
--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -8,6 +8,7 @@
 mod domain_lost;
 mod lagging_reports;
 mod limits;
+mod new_connections;
 mod overload;
 mod placement;
 mod quotas;
@@ -35,6 +36,7 @@
     crashes::STUDY,
     limits::STUDY,
     brittle::STUDY,
+    new_connections::STUDY,
     stream_versions::STUDY,
     capacity::STUDY,
 ];
