Let a node that the store lists no nodes to grant its own slots

Cause: a_leaving_upstream_gets_no_requests_during_a_store_outage was refused with NS3003 now and then. In both failing runs with logs the store went away before the node had written its record: the first failed call is the one for its lease (or the write of its record), and the lease is asked for again every 0.4 s; in runs that pass it is renewed every 1.2 s. So the node's list of nodes stayed empty, and slot issuers were chosen from that list only: no upstream had one. Without an issuer a request goes to the upstream if fewer than three times its slots are in flight there, and is refused else: 12 of the 30 requests went to the upstream with four slots (waited 0 ms, no ask for a slot), 18 were refused at once, though the upstream would have had a slot within 20 to 30 ms.

Change: a node whose list of nodes is empty is the issuer itself, so its requests wait in its queue. Other lists choose as before.

--- a/crates/relay-node/src/control/slots.rs
+++ b/crates/relay-node/src/control/slots.rs
@@ -41,7 +41,8 @@
     ///
     /// Issuers are chosen by hash, so nodes with the same list of nodes choose alike without a
     /// message. While their lists differ, two nodes may grant the same slots, and the upstream
-    /// queues the excess.
+    /// queues the excess. A node whose list is empty grants its own slots: without an issuer it
+    /// would refuse requests that can wait for one.
     pub(crate) fn slot_issuers(&self) -> Arc<HashMap<UpstreamId, SocketAddr>> {
         let upstreams = self.upstreams.borrow();
         let nodes = self.nodes.borrow();
@@ -57,7 +58,8 @@
             let is_gated = is_limited || self.shared.is_brittle(&upstream.service);
             upstream.takes_work() && (is_gated || self.is_plain(upstream))
         });
-        let found = gated.filter_map(|upstream| {
+        let own_address = self.settings.nodes_address;
+        let found = gated.map(|upstream| {
             // In a large fleet, hashing every node for every upstream at each change in the store
             // would cost more than the slots are worth.
             let known = previous
@@ -65,7 +67,8 @@
                 .filter(|_| !have_nodes_changed)
                 .copied();
             let node = || slot_node(upstream, nodes.values()).map(|node| node.address);
-            Some((upstream.id.clone(), known.or_else(node)?))
+            let issuer = known.or_else(node).unwrap_or(own_address);
+            (upstream.id.clone(), issuer)
         });
         let found = Arc::new(found.collect());
         drop(limits);
