Publish announced nodes once a tick, not at each announcement

Each node that starts announces itself three times to all others, and every announcement made its receiver publish a view. Announcements are now recorded, a repeat changes nothing, and what is new is published at the next tick, before streams are sent to new keepers.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -168,6 +168,7 @@
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
                 send_joined(&control, &socket);
+                control.publish_joined();
                 send_streams(&control, &socket);
             }
             () = control.shared.suspects_changed.notified() => {
@@ -526,7 +527,7 @@
             control.record_contact(from);
         }
         Ok(Message::Joined { record }) => match serde_json::from_slice(&record) {
-            Ok(record) => control.apply_joined(record),
+            Ok(record) => control.record_joined(record),
             Err(error) => log_undecodable(control, sender, &error),
         },
         Ok(Message::SuspectsQuery { from }) => {
--- a/crates/relay-node/src/control/joined_nodes.rs
+++ b/crates/relay-node/src/control/joined_nodes.rs
@@ -20,8 +20,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct JoinedNodes {
     announcements_left: Cell<u8>,
-    /// Records that the store may not have shown yet, and when they were announced.
+    /// Records that the store may not have shown yet, and when they were first announced.
     announced: RefCell<HashMap<NodeId, (NodeRecord, Duration)>>,
+    /// Whether records were announced that are not published yet.
+    has_news: Cell<bool>,
 }
 
 impl JoinedNodes {
@@ -39,15 +41,24 @@
 }
 
 impl ControlState {
-    /// Applies another node's announcement.
-    pub(super) fn apply_joined(&self, record: NodeRecord) {
-        if self.nodes.borrow().get(&record.node) == Some(&record) {
+    /// Records another node's announcement.
+    pub(super) fn record_joined(&self, record: NodeRecord) {
+        let mut announced = self.joined.announced.borrow_mut();
+        let known = announced.get(&record.node).map(|(known, _)| known);
+        if known == Some(&record) || self.nodes.borrow().get(&record.node) == Some(&record) {
             return;
         }
-        let mut announced = self.joined.announced.borrow_mut();
         announced.insert(record.node.clone(), (record, boot_time()));
-        drop(announced);
-        self.publish();
+        self.joined.has_news.set(true);
+    }
+
+    /// Publishes the nodes that have announced themselves since the last call.
+    ///
+    /// A view costs the traffic threads time for each upstream, and all nodes may start at once.
+    pub(super) fn publish_joined(&self) {
+        if self.joined.has_news.take() {
+            self.publish();
+        }
     }
 
     /// All nodes that the store shows, and those that have announced themselves.
