Name the nodes of a stream "notified" and "queried" in place of "told" and "asked"

`KeeperCounts::TOLD` and `ASKED` are `NOTIFIED` and `QUERIED`, and the simulation of streams (crates/measure, `stream_sim`) and the tests of both use the same words in identifiers and comments. Printed names stay (`asked_per_stream`); the description of the study in the list of studies changed with them. Comments of stream_origins.rs likewise.

--- a/crates/measure/src/stream_sim/cost.rs
+++ b/crates/measure/src/stream_sim/cost.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::fleet::{RESUMABLE_S, STREAM_S};
-use super::way::{Batches, ReadTime, Told, Writer};
+use super::way::{Batches, Notified, ReadTime, Writer};
 use super::writer::{batches, origin, random_wait_s};
 use super::{Fleet, Layout, Way};
 
@@ -65,7 +65,7 @@
 
 struct Sim<'a> {
     fleet: &'a Fleet,
-    told: Told,
+    notified: Notified,
     batches: Option<Batches>,
     measured_from: Instant,
     origin: StreamOrigin,
@@ -82,7 +82,7 @@
 
 /// Counts what a fleet sends and writes.
 pub(crate) fn simulate_cost(fleet: &Fleet, way: Way, seed: u64) -> Cost {
-    let Way::Known { told, batches } = way else {
+    let Way::Known { notified, batches } = way else {
         return Cost::default();
     };
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -90,7 +90,7 @@
     let base = Instant::now();
     let mut sim = Sim {
         fleet,
-        told,
+        notified,
         batches,
         measured_from: base + Duration::from_secs_f64(MEASURED_S),
         origin: origin(),
@@ -131,7 +131,7 @@
 
 impl Sim<'_> {
     fn begin(&mut self, key: &StreamKey, began_at: usize, now: Instant, is_measured: bool) {
-        let keepers = self.told_keepers(key, began_at);
+        let keepers = self.notified_keepers(key, began_at);
         if is_measured {
             self.records[began_at] += 1.0;
             for keeper in &keepers {
@@ -151,12 +151,12 @@
         }
     }
 
-    fn told_keepers(&self, key: &StreamKey, began_at: usize) -> Vec<usize> {
+    fn notified_keepers(&self, key: &StreamKey, began_at: usize) -> Vec<usize> {
         let fleet = self.fleet;
         let own = (&fleet.nodes[began_at].node, fleet.domain_name(began_at));
-        match self.told {
-            Told::Nobody => Vec::new(),
-            Told::AllDomains => {
+        match self.notified {
+            Notified::NoNode => Vec::new(),
+            Notified::AllDomains => {
                 // Any nodes: these are as busy as those with the highest hash.
                 let first = usize::from(key.as_bytes()[0]) + usize::from(key.as_bytes()[1]) * 256;
                 let domain = fleet.domain(began_at);
@@ -173,9 +173,9 @@
                 let near = (0..near.len().min(2)).map(|place| near[(first + place) % near.len()]);
                 near.chain(far).collect()
             }
-            Told::Registrars => {
+            Notified::Registrars => {
                 let (nodes, peers) = &self.registrars[fleet.domain(began_at)];
-                let keepers = stream_keepers(key, own, peers, KeeperCounts::TOLD);
+                let keepers = stream_keepers(key, own, peers, KeeperCounts::NOTIFIED);
                 let place =
                     |keeper: &Peer| peers.iter().position(|peer| std::ptr::eq(peer, keeper));
                 let places = keepers.into_iter().filter_map(place);
@@ -202,7 +202,7 @@
             Writer::OwnNode => vec![began_at],
             Writer::FirstKeeper => all.filter(is_writer).collect(),
             Writer::Keepers => {
-                let is_keeper = keepers.len() < KeeperCounts::TOLD.own_domain;
+                let is_keeper = keepers.len() < KeeperCounts::NOTIFIED.own_domain;
                 all.filter(|node| *node != began_at || is_keeper).collect()
             }
         }
--- a/crates/measure/src/stream_sim/fleet.rs
+++ b/crates/measure/src/stream_sim/fleet.rs
@@ -1,4 +1,4 @@
-//! The nodes and what callers ask of them.
+//! The nodes and the streams that begin at them.
 
 use nutmegsail_base::FailureDomain;
 use nutmegsail_relay::{KeeperCounts, Peer, StreamKey, stream_keepers};
--- a/crates/measure/src/stream_sim/mod.rs
+++ b/crates/measure/src/stream_sim/mod.rs
@@ -1,7 +1,7 @@
 //! Streams that callers take up at other nodes while upstreams of two software versions serve.
 //!
-//! A trial is one stream, the nodes around it and a fault. Who is told of the stream, who is asked for
-//! it and when it is in the store come from the cores that nodes run.
+//! A trial is one stream, the nodes around it and a fault. Which nodes are notified of the stream, which
+//! are queried for it and when it is in the store come from the cores that nodes run.
 
 mod adapters;
 mod cost;
--- a/crates/measure/src/stream_sim/release.rs
+++ b/crates/measure/src/stream_sim/release.rs
@@ -12,7 +12,8 @@
 /// a read of the entry, a write of the list and a read of that.
 const LISTED_AFTER_S: [f64; 2] = [0.05, 0.6];
 
-/// How many engines serve requests at most without queueing, as a multiple of what they are asked.
+/// How many engines serve requests at most without queueing, as a multiple of the requests that
+/// they receive.
 const SPARE: f64 = 1.0 / 0.7;
 
 const ADAPTERS: usize = 3_000;
--- a/crates/measure/src/stream_sim/trial.rs
+++ b/crates/measure/src/stream_sim/trial.rs
@@ -1,4 +1,4 @@
-//! One stream that breaks off, and whether the node at which it is taken up learns of its origin.
+//! One stream that breaks off, and whether the node at which it is taken up finds its origin.
 
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 
@@ -9,7 +9,7 @@
 
 use super::fault::World;
 use super::fleet::STREAM_S;
-use super::way::{Batches, ReadTime, Told, Writer};
+use super::way::{Batches, Notified, ReadTime, Writer};
 use super::writer::{WRITE_S, wait_for_batch_s};
 use super::{Fault, Fleet, Way};
 
@@ -38,8 +38,8 @@
     pub unwritten: usize,
     /// Those for which the store was read.
     pub read_for: usize,
-    /// Questions to other nodes.
-    pub asked: usize,
+    /// Queries to other nodes.
+    pub queried: usize,
 }
 
 struct Trial<'a> {
@@ -67,8 +67,8 @@
         outcomes.taken_up += 1;
         outcomes.in_touch += usize::from(trial.is_in_touch());
         match way {
-            Way::Known { told, batches } => {
-                let went_on = trial.goes_on(told, batches, &mut outcomes, &mut random);
+            Way::Known { notified, batches } => {
+                let went_on = trial.goes_on(notified, batches, &mut outcomes, &mut random);
                 outcomes.went_on += usize::from(went_on);
                 outcomes.in_touch_went_on += usize::from(went_on && trial.is_in_touch());
             }
@@ -147,20 +147,25 @@
     /// Whether the stream's origin becomes known, as it is refused otherwise.
     fn goes_on(
         &self,
-        told: Told,
+        notified: Notified,
         batches: Option<Batches>,
         outcomes: &mut Outcomes,
         random: &mut ChaCha8Rng,
     ) -> bool {
-        let keepers = self.told_keepers(told);
-        let written_s = batches.map(|batches| self.written_s(told, &keepers, batches, random));
+        let keepers = self.notified_keepers(notified);
+        let written_s = batches.map(|batches| self.written_s(notified, &keepers, batches, random));
         outcomes.unwritten += usize::from(written_s.is_some_and(|at_s| at_s > 0.0));
         if self.remembers(self.taken_up_at, &keepers) {
             return true;
         }
-        let asked = self.keepers(told, self.taken_up_at, self.taken_up_s, KeeperCounts::ASKED);
-        outcomes.asked += asked.len();
-        if asked.iter().any(|node| self.answers(*node, &keepers)) {
+        let queried = self.keepers(
+            notified,
+            self.taken_up_at,
+            self.taken_up_s,
+            KeeperCounts::QUERIED,
+        );
+        outcomes.queried += queried.len();
+        if queried.iter().any(|node| self.answers(*node, &keepers)) {
             return true;
         }
         let (Some(batches), Some(written_s)) = (batches, written_s) else {
@@ -175,23 +180,34 @@
         is_read && written_s <= read_s
     }
 
-    /// The nodes that were told of the stream, as its node listed them.
-    fn told_keepers(&self, told: Told) -> Vec<usize> {
+    /// The nodes that were notified of the stream, as its node listed them.
+    fn notified_keepers(&self, notified: Notified) -> Vec<usize> {
         let arrives = |keeper: &usize| {
             let (from, to) = (self.fleet.domain(self.began_at), self.fleet.domain(*keeper));
             self.world.passes(from, to, self.began_s)
                 && self.world.is_alive(*keeper, self.began_s + MESSAGE_S)
         };
-        let keepers = self.keepers(told, self.began_at, self.began_s, KeeperCounts::TOLD);
+        let keepers = self.keepers(
+            notified,
+            self.began_at,
+            self.began_s,
+            KeeperCounts::NOTIFIED,
+        );
         keepers.into_iter().filter(arrives).collect()
     }
 
     /// The keepers of the stream as a node chooses them from its list.
-    fn keepers(&self, told: Told, of: usize, at_s: f64, counts: KeeperCounts) -> Vec<usize> {
-        match told {
-            Told::Nobody => Vec::new(),
-            Told::AllDomains => self.any_keepers(of, at_s, counts),
-            Told::Registrars => {
+    fn keepers(
+        &self,
+        notified: Notified,
+        of: usize,
+        at_s: f64,
+        counts: KeeperCounts,
+    ) -> Vec<usize> {
+        match notified {
+            Notified::NoNode => Vec::new(),
+            Notified::AllDomains => self.any_keepers(of, at_s, counts),
+            Notified::Registrars => {
                 let own = (&self.fleet.nodes[of].node, self.fleet.domain_name(of));
                 let (indices, listed) = self.listed(of, at_s, counts.other_domains > 0);
                 let keepers = stream_keepers(&self.key, own, &listed, counts);
@@ -229,7 +245,7 @@
             });
             let count = match domain == self.fleet.domain(of) {
                 true => counts.own_domain,
-                false if counts == KeeperCounts::TOLD => 1,
+                false if counts == KeeperCounts::NOTIFIED => 1,
                 false => counts.other_domains,
             };
             keepers.extend(ranked.into_iter().take(count));
@@ -238,7 +254,7 @@
         keepers
     }
 
-    /// Whether a node knows the origin without asking.
+    /// Whether a node knows the origin without a query.
     fn remembers(&self, node: usize, keepers: &[usize]) -> bool {
         (node == self.began_at || keepers.contains(&node))
             && (self.world).runs_through(node, self.began_s + MESSAGE_S, self.taken_up_s)
@@ -252,7 +268,7 @@
     /// When the store has the origin, which may be never.
     fn written_s(
         &self,
-        told: Told,
+        notified: Notified,
         keepers: &[usize],
         batches: Batches,
         random: &mut impl Rng,
@@ -264,7 +280,7 @@
         writers.retain(|node| match batches.writer {
             Writer::OwnNode => true,
             Writer::FirstKeeper => self.is_writer(*node),
-            Writer::Keepers => *node != self.began_at || self.is_own_keeper(told),
+            Writer::Keepers => *node != self.began_at || self.is_own_keeper(notified),
         });
         let times = writers.into_iter().map(|writer| {
             let streams_per_s = self.streams_per_writer_s(batches.writer);
@@ -289,9 +305,14 @@
     }
 
     /// Whether the node where the stream began is one of its keepers.
-    fn is_own_keeper(&self, told: Told) -> bool {
-        let keepers = self.keepers(told, self.began_at, self.began_s, KeeperCounts::TOLD);
-        keepers.len() < KeeperCounts::TOLD.own_domain
+    fn is_own_keeper(&self, notified: Notified) -> bool {
+        let keepers = self.keepers(
+            notified,
+            self.began_at,
+            self.began_s,
+            KeeperCounts::NOTIFIED,
+        );
+        keepers.len() < KeeperCounts::NOTIFIED.own_domain
     }
 
     /// How many streams a second wait at a writer.
--- a/crates/measure/src/stream_sim/way.rs
+++ b/crates/measure/src/stream_sim/way.rs
@@ -1,9 +1,9 @@
-//! The ways in which another node could know where a stream began.
+//! The ways in which another node could find out where a stream began.
 
-/// Which nodes are told of a stream as soon as its first event passes.
+/// Which nodes are notified of a stream as soon as its first event passes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Told {
-    Nobody,
+pub(crate) enum Notified {
+    NoNode,
     /// Any two nodes near and one in each other domain.
     AllDomains,
     /// Two registrars of the own domain.
@@ -51,7 +51,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Way {
     Known {
-        told: Told,
+        notified: Notified,
         batches: Option<Batches>,
     },
     /// A hash of the stream's id chooses the version.
@@ -75,14 +75,14 @@
 
 const fn registrars(batches: Option<Batches>) -> Way {
     Way::Known {
-        told: Told::Registrars,
+        notified: Notified::Registrars,
         batches,
     }
 }
 
-const fn own(told: Told, interval_ms: u64) -> Way {
+const fn own(notified: Notified, interval_ms: u64) -> Way {
     let batches = Some(batches(Writer::OwnNode, interval_ms));
-    Way::Known { told, batches }
+    Way::Known { notified, batches }
 }
 
 const SHARDS: Batches = Batches {
@@ -132,33 +132,33 @@
     (
         "keepers in all domains, nothing in the store",
         Way::Known {
-            told: Told::AllDomains,
+            notified: Notified::AllDomains,
             batches: None,
         },
     ),
     (
         "each node writes its own each 250 ms",
-        own(Told::Nobody, 250),
+        own(Notified::NoNode, 250),
     ),
     (
         "each node writes its own each 500 ms",
-        own(Told::Nobody, 500),
+        own(Notified::NoNode, 500),
     ),
     (
         "each node writes its own each 1000 ms",
-        own(Told::Nobody, 1_000),
+        own(Notified::NoNode, 1_000),
     ),
     (
         "registrars, each node writes its own each 250 ms",
-        own(Told::Registrars, 250),
+        own(Notified::Registrars, 250),
     ),
     (
         "registrars, each node writes its own each 500 ms",
-        own(Told::Registrars, 500),
+        own(Notified::Registrars, 500),
     ),
     (
         "registrars, each node writes its own each 1000 ms",
-        own(Told::Registrars, 1_000),
+        own(Notified::Registrars, 1_000),
     ),
     ("a hash of the id chooses the version", Way::HashRule),
     ("any upstream", Way::AnyUpstream),
--- a/crates/measure/src/studies/stream_versions.rs
+++ b/crates/measure/src/studies/stream_versions.rs
@@ -9,8 +9,9 @@
 
 pub(crate) const STUDY: Study = Study {
     name: "stream-versions",
-    about: "Streams that callers take up at other nodes during a release, over 6, 72 and 360 nodes: who is told, who \
-            writes it to the store and when, rules; nodes killed or restarted, a failure domain cut off, store away.",
+    about: "Streams that callers take up at other nodes during a release, over 6, 72 and 360 nodes: which nodes \
+            are notified, which write it to the store and when, rules; nodes killed or restarted, a failure domain cut \
+            off, store away.",
     run: study,
 };
 
@@ -37,7 +38,7 @@
     }),
     ("unwritten_share", |run| share(run.unwritten, run.taken_up)),
     ("store_read_share", |run| share(run.read_for, run.taken_up)),
-    ("asked_per_stream", |run| share(run.asked, run.taken_up)),
+    ("asked_per_stream", |run| share(run.queried, run.taken_up)),
 ];
 
 const COST_READS: [Read<Cost>; 8] = [
--- a/crates/relay-node/src/stream_origins.rs
+++ b/crates/relay-node/src/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Where streams began: what this node records of it, and which nodes it tells.
+//! Where streams began: what this node records of it, and which nodes it notifies.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
 
 /// How many of a stream's keepers write it to the store. With one, more streams would be lost if all
 /// nodes end at once.
-const WRITERS: usize = KeeperCounts::TOLD.own_domain;
+const WRITERS: usize = KeeperCounts::NOTIFIED.own_domain;
 
 /// How long a stream may wait to be written. Callers have given it up by then.
 const MAX_WRITE_DELAY: Duration = Duration::from_secs(30);
@@ -78,8 +78,8 @@
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether keepers are sent a stream of this origin: a node that resumes it could not tell by the
-    /// list in the store where it began.
+    /// Whether keepers are sent a stream of this origin: a node that resumes it could not determine by
+    /// the list in the store where it began.
     fn is_kept(&self, origin: &StreamOrigin) -> bool {
         !self.is_sole(origin) || self.is_store_failing() || self.data_age() > MAX_COPY_AGE
     }
@@ -145,8 +145,8 @@
         let own = (own.node, own.failure_domain);
         let mut by_keeper = StreamsByKeeper::default();
         for (stream, _) in &streams.sent {
-            let known = stream_keepers(&stream.key, own, &before, KeeperCounts::TOLD);
-            for keeper in stream_keepers(&stream.key, own, &view.peers, KeeperCounts::TOLD) {
+            let known = stream_keepers(&stream.key, own, &before, KeeperCounts::NOTIFIED);
+            for keeper in stream_keepers(&stream.key, own, &view.peers, KeeperCounts::NOTIFIED) {
                 if !known.contains(&keeper) {
                     by_keeper.add(keeper, stream);
                 }
@@ -197,7 +197,7 @@
                 key,
                 origin,
             };
-            for keeper in stream_keepers(&key, own_place, &view.peers, KeeperCounts::TOLD) {
+            for keeper in stream_keepers(&key, own_place, &view.peers, KeeperCounts::NOTIFIED) {
                 by_keeper.add(keeper, &stream);
             }
             if stream.is_written {
--- a/crates/relay-node/src/traffic/stream_origin.rs
+++ b/crates/relay-node/src/traffic/stream_origin.rs
@@ -217,7 +217,7 @@
     }
 
     async fn search_origin(&self, resumed: &ResumedStream<'_>) -> OriginVerdict {
-        // A stream that the caller does not name can only be told by its service's list.
+        // A stream that the caller does not name can only be found by its service's list.
         let key = resumed.resumes.is_some().then_some(resumed.key);
         let keepers = key.map_or_else(Vec::new, |key| self.keepers_of(&key));
         let services = resumed.route.services.iter();
@@ -292,7 +292,7 @@
     fn keepers_of(&self, key: &StreamKey) -> Vec<SocketAddr> {
         let view = self.shared.view.load();
         let own = (&self.node, &self.failure_domain);
-        let keepers = stream_keepers(key, own, &view.peers, KeeperCounts::ASKED);
+        let keepers = stream_keepers(key, own, &view.peers, KeeperCounts::QUERIED);
         keepers.into_iter().map(|keeper| keeper.address).collect()
     }
 
--- a/crates/relay/src/stream_keepers.rs
+++ b/crates/relay/src/stream_keepers.rs
@@ -15,7 +15,7 @@
 /// The fewest registrars of a failure domain, so that one of them may fail.
 const MIN_REGISTRARS: usize = 2;
 
-/// How many nodes keep a stream, or are asked for it.
+/// How many nodes keep a stream, or are queried for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeeperCounts {
     /// In the failure domain of this node.
@@ -25,16 +25,16 @@
 }
 
 impl KeeperCounts {
-    /// The nodes that are told of a stream. A caller that changes its failure domain has its stream
-    /// found by the nodes that are asked there, or by the store.
-    pub const TOLD: Self = Self {
+    /// The nodes that are notified of a stream. If its caller changes its failure domain, the stream is
+    /// found by queries to nodes there, or in the store.
+    pub const NOTIFIED: Self = Self {
         own_domain: 2,
         other_domains: 0,
     };
 
-    /// The nodes that are asked for a stream: one more of the own domain, as a node that was told may
-    /// be gone, or was not known where the stream began.
-    pub const ASKED: Self = Self {
+    /// The nodes that are queried for a stream: one more of the own domain, as a node that was notified
+    /// may be gone, or was not listed where the stream began.
+    pub const QUERIED: Self = Self {
         own_domain: 3,
         other_domains: 2,
     };
@@ -57,8 +57,8 @@
 /// let peers = [peer("n2", "here"), peer("n3", "there"), peer("n4", "there")];
 /// let key = StreamKey::of(None, &"0caa45a4".into());
 /// let own = (&"n1".into(), &"here".into());
-/// assert_eq!(stream_keepers(&key, own, &peers, KeeperCounts::TOLD).len(), 1);
-/// assert_eq!(stream_keepers(&key, own, &peers, KeeperCounts::ASKED).len(), 3);
+/// assert_eq!(stream_keepers(&key, own, &peers, KeeperCounts::NOTIFIED).len(), 1);
+/// assert_eq!(stream_keepers(&key, own, &peers, KeeperCounts::QUERIED).len(), 3);
 /// ```
 pub fn stream_keepers<'a>(
     key: &StreamKey,
--- a/crates/relay/tests/stream_keepers.rs
+++ b/crates/relay/tests/stream_keepers.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use proptest::sample::Index;
 
-const TOLD: usize = KeeperCounts::TOLD.own_domain;
+const NOTIFIED: usize = KeeperCounts::NOTIFIED.own_domain;
 
 fn nodes(names: &BTreeSet<u16>, domains: usize) -> Vec<Peer> {
     let domain = |place: usize| format!("d{}", place % domains);
@@ -39,44 +39,44 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(500))]
 
-    // Guards against streams that nobody writes to the store, or all nodes do.
+    // Guards against streams that no node writes to the store, or all nodes do.
     #[test]
     fn nodes_with_the_same_list_agree_on_the_keepers(
         names in prop::collection::btree_set(any::<u16>(), 2..60),
         domains in 1..6_usize,
-        teller in any::<Index>(),
+        notifier in any::<Index>(),
         stream in any::<u32>(),
     ) {
         let nodes = nodes(&names, domains);
-        let teller = teller.get(&nodes);
-        let near = nodes.iter().filter(|peer| peer.failure_domain == teller.failure_domain);
-        let expected = near.count().min(TOLD);
-        let keepers = keepers_in(teller, stream, &nodes, TOLD);
+        let notifier = notifier.get(&nodes);
+        let near = nodes.iter().filter(|peer| peer.failure_domain == notifier.failure_domain);
+        let expected = near.count().min(NOTIFIED);
+        let keepers = keepers_in(notifier, stream, &nodes, NOTIFIED);
         prop_assert_eq!(keepers.len(), expected);
-        let first = keepers_in(teller, stream, &nodes, 1);
+        let first = keepers_in(notifier, stream, &nodes, 1);
         prop_assert_eq!(first.len(), 1);
         prop_assert!(first.is_subset(&keepers));
 
-        let told = stream_keepers(&key(stream), own(teller), &nodes, KeeperCounts::TOLD);
-        prop_assert!(told.iter().all(|peer| peer.failure_domain == teller.failure_domain));
-        let told: BTreeSet<String> = told.iter().map(|peer| peer.node.to_string()).collect();
+        let notified = stream_keepers(&key(stream), own(notifier), &nodes, KeeperCounts::NOTIFIED);
+        prop_assert!(notified.iter().all(|peer| peer.failure_domain == notifier.failure_domain));
+        let notified: BTreeSet<String> = notified.iter().map(|peer| peer.node.to_string()).collect();
         let mut others = keepers;
-        others.remove(teller.node.as_str());
-        prop_assert_eq!(told, others);
+        others.remove(notifier.node.as_str());
+        prop_assert_eq!(notified, others);
     }
 
     // Guards against a node that leaves, at which the keepers of streams change that it did not keep.
     #[test]
     fn keepers_stay_when_another_node_leaves(
         names in prop::collection::btree_set(any::<u16>(), 2..60),
-        (teller, gone) in any::<(Index, Index)>(),
+        (notifier, gone) in any::<(Index, Index)>(),
         stream in any::<u32>(),
     ) {
         let all = nodes(&names, 1);
-        let (teller, gone) = (teller.get(&all), gone.get(&all));
-        let keepers = keepers_in(teller, stream, &all, TOLD);
+        let (notifier, gone) = (notifier.get(&all), gone.get(&all));
+        let keepers = keepers_in(notifier, stream, &all, NOTIFIED);
         let left: Vec<Peer> = all.iter().filter(|peer| *peer != gone).cloned().collect();
-        let later = keepers_in(teller, stream, &left, TOLD);
+        let later = keepers_in(notifier, stream, &left, NOTIFIED);
         if keepers.contains(gone.node.as_str()) {
             let kept = keepers.iter().filter(|node| **node != *gone.node.as_str());
             prop_assert!(kept.cloned().collect::<BTreeSet<_>>().is_subset(&later));
@@ -91,7 +91,7 @@
 fn a_third_of_the_nodes_keep_streams() {
     let nodes = nodes(&(0..600).collect(), 1);
     let counts = KeeperCounts {
-        own_domain: TOLD,
+        own_domain: NOTIFIED,
         other_domains: 0,
     };
     let keep = |stream: u32| {
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -168,7 +168,7 @@
     follow(steps).unwrap();
 }
 
-// Guards against streams that are told and written long after a release, as a version that was dropped still counts.
+// Guards against streams that are sent to keepers and written long after a release, as a dropped version still counts.
 #[test]
 fn a_list_is_complete_again_once_streams_at_a_dropped_version_have_ended() {
     let era = EraView {
@@ -210,7 +210,7 @@
         follow(steps)?;
     }
 
-    // Guards against an origin that nobody recorded, or one of two.
+    // Guards against an origin that was never recorded, or one of two.
     #[test]
     fn a_stream_has_the_origin_that_was_recorded(
         records in prop::collection::vec((0..6_u8, 0..3_u8, 0..90_u64), 1..60),
@@ -241,10 +241,10 @@
         }
     }
 
-    // Guards against a node that asks others than those that were told, if one of these is gone.
+    // Guards against a node that queries others than those that were notified, if one of these is gone.
     #[test]
-    fn the_nodes_that_were_told_of_a_stream_are_asked(
-        (teller, asker, gone) in any::<(Index, Index, Index)>(),
+    fn the_nodes_that_were_notified_of_a_stream_are_queried(
+        (notifier, querier, gone) in any::<(Index, Index, Index)>(),
         nodes in 2..40_usize,
         domains in 1..6_usize,
         stream in any::<u8>(),
@@ -256,18 +256,18 @@
             forward_address: ([10, 0, 0, 1], 81).into(),
         };
         let all: Vec<Peer> = (0..nodes).map(peer).collect();
-        let (teller, asker, gone) = (teller.get(&all), asker.get(&all), gone.get(&all));
+        let (notifier, querier, gone) = (notifier.get(&all), querier.get(&all), gone.get(&all));
         let keepers = |node: &Peer, peers: &[Peer], counts| -> BTreeSet<String> {
             let own = (&node.node, &node.failure_domain);
             let keepers = stream_keepers(&key(stream), own, peers, counts);
             keepers.into_iter().map(|keeper| keeper.node.to_string()).collect()
         };
-        let told = keepers(teller, &all, KeeperCounts::TOLD);
+        let notified = keepers(notifier, &all, KeeperCounts::NOTIFIED);
         let left: Vec<Peer> = all.iter().filter(|peer| *peer != gone).cloned().collect();
-        let asked = keepers(asker, &left, KeeperCounts::ASKED);
-        for node in told {
-            let is_here = node == asker.node.as_str() || node == gone.node.as_str();
-            prop_assert!(is_here || asked.contains(&node), "{node} is not asked");
+        let queried = keepers(querier, &left, KeeperCounts::QUERIED);
+        for node in notified {
+            let is_here = node == querier.node.as_str() || node == gone.node.as_str();
+            prop_assert!(is_here || queried.contains(&node), "{node} is not queried");
         }
     }
 }
