Write a node's record again once the store has lost it

Cause: a node writes its record to the store when it gets a lease, and never looks at it again while the lease lasts.

Each look for engines to claim now checks that the store shows a record of this node, as of a read that is later than the last write. If there is none it is written again, on the condition that there is none, so that it never replaces one of a newer process.

--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -89,6 +89,8 @@
     pub(crate) lease: Cell<LeaseId>,
     /// The services out of reach, as this node last recorded them in the store.
     pub(crate) recorded_out_of_reach: RefCell<Vec<ServiceName>>,
+    /// When this node last wrote its record to the store, by [`boot_time`].
+    pub(crate) record_written: Cell<Duration>,
     /// Held while ownership is confirmed, so that waiting loads share one call.
     pub(crate) confirm_lock: tokio::sync::Mutex<()>,
     /// When this node last sent an order.
@@ -166,6 +168,7 @@
             host_reports: RefCell::default(),
             lease: Cell::default(),
             recorded_out_of_reach: RefCell::default(),
+            record_written: Cell::default(),
             confirm_lock: tokio::sync::Mutex::new(()),
             last_order: Cell::new(None),
             confirm_failed: Cell::new(None),
--- a/crates/relay-node/src/control/maintenance.rs
+++ b/crates/relay-node/src/control/maintenance.rs
@@ -7,6 +7,7 @@
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_relay::NodeRecord;
 use nutmegsail_store::{Condition, KeyValueError, LeaseId, Put, Revision, Txn};
+use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::base_models::read_uncertain;
@@ -18,6 +19,7 @@
 use super::owners::{NODE_PREFIX, disown, owner_key, to_json};
 use super::served_software::write_served;
 use super::suspect_store::write_suspects;
+use crate::clock::boot_time;
 
 /// How long a node's keys outlive it. A shorter time costs more renewals, a longer one leaves the
 /// engines of a dead node without an owner for longer.
@@ -58,6 +60,7 @@
         if control.lease.get() == LeaseId::default() || control.eras.awaits_update() {
             continue;
         }
+        restore_record(&control).await;
         write_settled_era(&control).await;
         write_suspects(&control).await;
         write_served(&control).await;
@@ -102,33 +105,66 @@
 async fn register(control: &ControlState) -> Result<(), KeyValueError> {
     let granted = control.store.grant_lease(LEASE_TTL).await?;
     let out_of_reach = services_out_of_reach(control);
-    write_record(control, granted.lease, out_of_reach).await?;
+    write_record(control, granted.lease, out_of_reach, RecordWrite::Replace).await?;
     control.lease.set(granted.lease);
     control.joined.record_registered();
     Ok(())
 }
 
+/// Whether a write of a node's record may replace one of another process under its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordWrite {
+    Replace,
+    OnlyIfMissing,
+}
+
 /// Writes this node's record under `lease`.
 async fn write_record(
     control: &ControlState,
     lease: LeaseId,
     out_of_reach: Vec<ServiceName>,
+    write: RecordWrite,
 ) -> Result<(), KeyValueError> {
     let record = own_record(control, out_of_reach);
-    let put = Put {
-        key: format!("{NODE_PREFIX}{}", record.node).into(),
-        value: to_json(&record),
-        lease,
+    let key: Arc<str> = format!("{NODE_PREFIX}{}", record.node).into();
+    let is_missing = Condition {
+        key: Arc::clone(&key),
+        revision: Revision::NONE,
     };
     let txn = Txn {
-        puts: vec![put],
+        expects: match write {
+            RecordWrite::Replace => Vec::new(),
+            RecordWrite::OnlyIfMissing => vec![is_missing],
+        },
+        puts: vec![Put {
+            key,
+            value: to_json(&record),
+            lease,
+        }],
         ..Txn::default()
     };
     control.store.commit(txn).await?;
     control.recorded_out_of_reach.replace(record.out_of_reach);
+    control.record_written.set(boot_time());
     Ok(())
 }
 
+/// Writes this node's record again if the store no longer shows it although the lease lasts: another
+/// process under this node's name has replaced it and ended.
+async fn restore_record(control: &ControlState) {
+    let is_listed = control.nodes.borrow().contains_key(&control.settings.node);
+    let is_view_newer = control.shared.data_asked() > control.record_written.get();
+    if is_listed || !is_view_newer {
+        return;
+    }
+    let (lease, out_of_reach) = (control.lease.get(), services_out_of_reach(control));
+    let written = write_record(control, lease, out_of_reach, RecordWrite::OnlyIfMissing).await;
+    if written.is_ok() {
+        control.joined.record_registered();
+        log_event!(control.log, Event::NodeRecordRestored);
+    }
+}
+
 /// This node's record, as other nodes see it.
 pub(super) fn own_record(control: &ControlState, out_of_reach: Vec<ServiceName>) -> NodeRecord {
     let settings = &control.settings;
@@ -153,7 +189,8 @@
 async fn hand_over_unreachable(control: &ControlState) {
     let out_of_reach = services_out_of_reach(control);
     if out_of_reach != *control.recorded_out_of_reach.borrow() {
-        let written = write_record(control, control.lease.get(), out_of_reach.clone()).await;
+        let (lease, services) = (control.lease.get(), out_of_reach.clone());
+        let written = write_record(control, lease, services, RecordWrite::Replace).await;
         if written.is_err() {
             return;
         }
