Apply a notice that another node filed under an earlier process of an upstream

Timeline, from the nodes' logs:

- 18.27 plain-1 restarts as @4 and announces soon after that it is leaving; the store is out of reach from 18.66 on.
- 18.437 node-2 starts and lists plain-1@4.
The other nodes still list @3.
- 18.538 node-2 passes on an answer that node-3 got of "plain-1@3", with the announcement, and drops it: it lists no such process.
What the others send it of @3 does not count for @4 either.
- 19.030 an answer of its own brings the announcement; the grace period of 1.6 s begins only now.
- 20.630 the last request goes there.

Ruled out: overlapping restarts (one process of node-2 ran), a late send (callers sent the requests that late).

Cause: a forwarded answer that names a process which this node lists, or a later one, counted; an earlier one did not. Now a notice that names an earlier process of a listed upstream, in a forwarded answer or in what nodes send each other, is filed under that process and carried to the listed one, as if this node's own list had been behind: unconfirmed, until a health check answers.

--- a/crates/relay-node/src/control/leaving_gossip.rs
+++ b/crates/relay-node/src/control/leaving_gossip.rs
@@ -65,11 +65,23 @@
         for upstream in upstreams {
             // Other nodes repeat an announcement; the upstream has not made it again.
             if !self.shared.notices().is_confirmed_leaving(upstream) {
+                self.record_named_as(upstream);
                 self.record_leaving(upstream, "node");
             }
         }
     }
 
+    /// Records which listed process follows the one that another node, whose list may be older, has
+    /// named.
+    fn record_named_as(&self, named: &UpstreamId) {
+        let upstreams = self.upstreams.borrow();
+        let listed = upstreams.values().find(|listed| listed.replaces(named));
+        if let Some(listed) = listed {
+            let mut notices = self.shared.notices();
+            notices.record_named_as(named, &listed.id, Instant::now());
+        }
+    }
+
     /// Applies what an upstream says about itself in an answer to the control thread.
     pub(super) fn apply_upstream_notice(
         &self,
--- a/crates/relay-node/src/traffic/forward.rs
+++ b/crates/relay-node/src/traffic/forward.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use nutmegsail_base::{NodeId, RequestId, ResultCode, RunState, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{PooledBody, SendError};
-use nutmegsail_relay::{CallKind, Peer, SoftwareVersion, StreamKey, StreamOrigin};
+use nutmegsail_relay::{CallKind, Peer, SoftwareVersion, StreamKey, StreamOrigin, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep;
 
@@ -411,19 +411,33 @@
     }
 
     /// Records what the upstream that answered at another node states about itself, so that this
-    /// node knows it when it sends requests there again. The other node's list may be newer.
+    /// node knows it when it sends requests there again. The other node's list may be newer or older.
     fn record_forwarded_notice(&self, call: &Call, answer: &mut Response<PooledBody>) {
         let Some(id) = forward_header::take_answered_by(answer.headers_mut()) else {
             return;
         };
         let view = self.shared.view.load();
         let mut upstreams = view.upstreams.iter();
-        let listed = upstreams.find(|upstream| upstream.id == id || upstream.is_replaced_by(&id));
-        if let Some(upstream) = listed {
-            let (status, headers) = (answer.status(), answer.headers());
-            let stated = self.dialect.read_upstream_notice(status, headers);
+        let is_same = |upstream: &&Arc<Upstream>| {
+            upstream.id == id || upstream.is_replaced_by(&id) || upstream.replaces(&id)
+        };
+        let Some(upstream) = upstreams.find(is_same) else {
+            return;
+        };
+        let (status, headers) = (answer.status(), answer.headers());
+        let stated = self.dialect.read_upstream_notice(status, headers);
+        if !upstream.replaces(&id) {
             self.record_shared_notice(call, upstream, &stated);
+            return;
         }
+        let mut notices = self.shared.notices();
+        notices.record_named_as(&id, &upstream.id, Instant::now());
+        drop(notices);
+        let named = Upstream {
+            id,
+            ..Upstream::clone(upstream)
+        };
+        self.record_shared_notice(call, &named, &stated);
     }
 }
 
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -89,11 +89,41 @@
     /// assert!(!upstream.is_replaced_by(&"engine-2@1800".into()));
     /// ```
     pub fn is_replaced_by(&self, id: &UpstreamId) -> bool {
-        let Some((name, started_ms)) = id.as_str().rsplit_once('@') else {
-            return false;
-        };
+        self.started_ms.is_some() && self.started_ms_of(id) > self.started_ms
+    }
+
+    /// Whether `id` is an earlier process under the same name. What it is said to have announced may
+    /// be of this process.
+    ///
+    /// ```
+    /// use nutmegsail_relay::Upstream;
+    /// # let upstream = Upstream {
+    /// #     id: Upstream::id_of("engine-1", Some(1_700)),
+    /// #     name: "engine-1".into(),
+    /// #     started_ms: Some(1_700),
+    /// #     service: "engines".into(),
+    /// #     address: ([127, 0, 0, 1], 80).into(),
+    /// #     failure_domain: "a".into(),
+    /// #     software: "v1".into(),
+    /// #     slots: 4,
+    /// #     state: nutmegsail_relay::UpstreamState::Ready,
+    /// #     holdings: Default::default(),
+    /// #     local_weights: Default::default(),
+    /// # };
+    /// assert!(upstream.replaces(&"engine-1@1600".into()));
+    /// assert!(!upstream.replaces(&"engine-1@1700".into()));
+    /// assert!(!upstream.replaces(&"engine-2@1600".into()));
+    /// ```
+    pub fn replaces(&self, id: &UpstreamId) -> bool {
+        let started_ms = self.started_ms_of(id);
+        started_ms.is_some() && started_ms < self.started_ms
+    }
+
+    /// When the process `id` started, if its name is this upstream's.
+    fn started_ms_of(&self, id: &UpstreamId) -> Option<u64> {
+        let (name, started_ms) = id.as_str().rsplit_once('@')?;
         let started_ms = started_ms.parse().ok();
-        *self.name == *name && self.started_ms.is_some() && started_ms > self.started_ms
+        started_ms.filter(|_| *self.name == *name)
     }
 
     /// The same upstream after it announced that it is leaving.
--- a/crates/relay/src/upstream_notices.rs
+++ b/crates/relay/src/upstream_notices.rs
@@ -125,6 +125,24 @@
         }
     }
 
+    /// Records that the list shows `listed`, a later process under the name of `before`, by which
+    /// another node whose list is older has named it.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use nutmegsail_relay::UpstreamNotices;
+    /// let (mut notices, now) = (UpstreamNotices::default(), Instant::now());
+    /// let (before, listed) = ("engine-1@7".into(), "engine-1@8".into());
+    /// notices.record_named_as(&before, &listed, now);
+    /// notices.record_leaving(&before, now);
+    /// assert!(notices.is_leaving(&listed), "it may have sent the notice");
+    /// ```
+    pub fn record_named_as(&mut self, before: &UpstreamId, listed: &UpstreamId, now: Instant) {
+        if self.latest_process(before) != listed {
+            self.record_successor(before, listed, now, now);
+        }
+    }
+
     /// The last process under the name of `upstream` that the list has shown.
     pub fn latest_process<'a>(&'a self, upstream: &'a UpstreamId) -> &'a UpstreamId {
         let successor = |id: &UpstreamId| self.known.get(id)?.successor.as_ref();
