Keep what is known of an engine until its new owner has read it

A new owner that had not read its engine's report yet reported empty holdings to its own traffic thread and to other nodes, as their version number 0 differs from that of the last owner. Until the report was read, requests and resumed streams for the engine's adapters were refused with NS3006, though it served them all along: streams that broke within some 0.1 s of a change of owner were not resumed.

Holdings that were never read are now "not reported": what the last owner reported, or the list of upstreams, still counts. Other nodes set the version that they know back to 0, so that the first holdings that the new owner reads are sent in full.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -236,7 +236,10 @@
     control.shared.owner_updates.put(EngineUpdate {
         engine: owned.id.clone(),
         report: load.into_report(),
-        holdings: holdings_report(owned.holdings_since(control.known_holdings_version(&owned.id))),
+        holdings: holdings_report(
+            owned.holdings_version(),
+            owned.holdings_since(control.known_holdings_version(&owned.id)),
+        ),
     });
     control.record_holdings_version(&owned.id, owned.holdings_version());
 }
@@ -439,8 +442,15 @@
 
 /// The holdings as an owner reports them. An owner leaves them out of a report only if the receiver
 /// has the current version.
-fn holdings_report(holdings: Option<Holdings>) -> HoldingsReport {
-    holdings.map_or(HoldingsReport::Unchanged, HoldingsReport::Changed)
+///
+/// An owner that has not read its engine yet knows nothing of the holdings, so what was known of
+/// them before still counts.
+fn holdings_report(version: u64, holdings: Option<Holdings>) -> HoldingsReport {
+    match (version, holdings) {
+        (0, _) => HoldingsReport::NotReported,
+        (_, Some(holdings)) => HoldingsReport::Changed(holdings),
+        (_, None) => HoldingsReport::Unchanged,
+    }
 }
 
 /// Handles a received datagram.
@@ -471,13 +481,14 @@
                 let mut by_owner = control.owner_reported_at.borrow_mut();
                 by_owner.insert(update.engine.clone(), Instant::now());
                 drop(by_owner);
-                if update.holdings.is_some() {
+                // Each owner counts versions from 0, so those of the last owner say nothing now.
+                if update.holdings.is_some() || update.holdings_version == 0 {
                     control.record_holdings_version(&update.engine, update.holdings_version);
                 }
                 control.shared.owner_updates.put(EngineUpdate {
                     engine: update.engine,
                     report: update.load.into_report(),
-                    holdings: holdings_report(update.holdings),
+                    holdings: holdings_report(update.holdings_version, update.holdings),
                 });
             }
         }
