Renew a contact before it expires while other nodes ask for the service

A node that is asked which services it reaches lists those it had contact with within a second, and probed the others only once that second was over. Without requests of its own it said once a second, until the next probe had ended, that it does not reach the service; what was forwarded to it meanwhile was refused with NS3010.

A probe is now due once a contact is 0.4 s old, and a contact counts for 2 s. A node that is cut off still finds out by its probes. The new test, with probes that take 0.3 s, fails before and passes after.

--- a/crates/relay/src/upstream_reach.rs
+++ b/crates/relay/src/upstream_reach.rs
@@ -30,8 +30,13 @@
 /// connections are gone, and what it knows of loads and adapters is old.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// How long a contact shows that a service is reachable.
-const CONTACT_TTL: Duration = Duration::from_secs(1);
+/// How long a contact shows that a service is reachable. A node that stalls for a second is not cut
+/// off; one that is finds out by its probes.
+const CONTACT_TTL: Duration = Duration::from_secs(2);
+
+/// The age from which a contact is renewed by a probe while other nodes ask for the service, so that
+/// the probe ends before the contact expires.
+const CONTACT_RENEW_AGE: Duration = Duration::from_millis(400);
 
 /// Why a connection to an upstream could not be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,7 +111,7 @@
     last_contact: Option<Instant>,
     failed_opens: u32,
     last_failed_open: Option<Instant>,
-    /// Whether another node asked for this service and there was no recent contact.
+    /// Whether another node asked for this service and its last contact is due for renewal.
     is_probe_requested: bool,
     next_probe_at: Option<Instant>,
 }
@@ -146,11 +151,11 @@
         known.last_failed_open = Some(now);
     }
 
-    /// Requests a probe of `service` if there was no recent contact, as another node asks whether
-    /// it can be reached.
+    /// Requests a probe of `service` if its last contact is due for renewal, as another node asks
+    /// whether it can be reached.
     pub fn request_probe(&mut self, service: &ServiceName, now: Instant) {
         let known = self.entry(service);
-        known.is_probe_requested |= !known.has_contact(now);
+        known.is_probe_requested |= !known.has_contact_within(CONTACT_RENEW_AGE, now);
     }
 
     /// The services to probe now. Each is returned once per probe interval.
@@ -206,7 +211,9 @@
     /// Whether `service` was reached lately and its requests need no other node.
     pub fn has_recent_contact(&self, service: &ServiceName, now: Instant) -> bool {
         let known = self.services.get(service);
-        known.is_some_and(|known| known.has_contact(now) && known.local_share(now) >= 1.0)
+        known.is_some_and(|known| {
+            known.has_contact_within(CONTACT_TTL, now) && known.local_share(now) >= 1.0
+        })
     }
 
     /// The fraction of requests for `service` that this node should send to upstreams itself.
@@ -274,9 +281,9 @@
         }
     }
 
-    fn has_contact(&self, now: Instant) -> bool {
+    fn has_contact_within(&self, limit: Duration, now: Instant) -> bool {
         self.last_contact
-            .is_some_and(|at| now.saturating_duration_since(at) < CONTACT_TTL)
+            .is_some_and(|at| now.saturating_duration_since(at) < limit)
     }
 
     fn local_share(&self, now: Instant) -> f64 {
--- a/crates/relay/tests/upstream_reach.rs
+++ b/crates/relay/tests/upstream_reach.rs
@@ -187,3 +187,20 @@
         "it is returning"
     );
 }
+
+// Guards against an idle node that says once a second, until its next probe has ended, that it does not reach a service.
+#[test]
+fn a_service_that_peers_ask_for_keeps_a_recent_contact() {
+    let (mut reach, service, mut now) = (UpstreamReach::default(), "desk".into(), Instant::now());
+    reach.record_probe(&service, true, now);
+    let mut probes: Vec<Instant> = Vec::new();
+    for _ in 0..100 {
+        now += STEP;
+        for _ in probes.extract_if(.., |ends| *ends <= now) {
+            reach.record_probe(&service, true, now);
+        }
+        probes.extend(reach.due_probes(now).iter().map(|_| now + OPEN_TIMEOUT));
+        assert!(reach.has_recent_contact(&service, now));
+        reach.request_probe(&service, now);
+    }
+}
