Count messages between nodes by kind, and log readiness and what a refused quota waited for

Which of the hypotheses on few requests served after a restart holds could not be told from the logs: no metric counted what nodes send to each other, QuotaRefused did not say how many lenders were asked and for how long, and a change of readiness was not logged.

New: counters peer_messages and peer_bytes by kind, event NE1011 ReadinessChanged with the reason and the configuration's age, and asks, waited_ms and lenders of QuotaRefused.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -127,6 +127,26 @@
     Joined { record: Vec<u8> },
 }
 
+impl Message {
+    /// The kind of message, as metrics name it.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Uses { .. } => "usage",
+            Self::Loads { .. } => "loads",
+            Self::AggregatedLoads { .. } => "aggregated_loads",
+            Self::Alive { .. } => "alive",
+            Self::Traffic(message) => message.kind(),
+            Self::Models { .. } => "model_demand",
+            Self::Suspects { .. } | Self::SuspectsQuery { .. } => "suspects",
+            Self::RateLimits { .. } => "rate_limits",
+            Self::Leaving { .. } => "leaving",
+            Self::Era { .. } | Self::EraQuery { .. } => "era",
+            Self::Brittle { .. } => "brittle",
+            Self::Joined { .. } => "joined",
+        }
+    }
+}
+
 /// Encodes a message of a traffic thread as a datagram.
 pub(crate) fn traffic_datagram(message: TrafficMessage) -> Option<Vec<u8>> {
     postcard::to_stdvec(&Message::Traffic(message)).ok()
@@ -206,7 +226,7 @@
         let address = control.nodes.borrow().get(&owner).map(|node| node.address);
         let from = own_node.clone();
         if let Some(address) = address {
-            send(socket, &Message::Uses { from, engines }, address);
+            send(control, socket, &Message::Uses { from, engines }, address);
         }
     }
 }
@@ -302,7 +322,7 @@
         .filter(|_| is_reader)
     {
         let from = own_node.clone();
-        send(socket, &Message::Alive { from }, reader.address);
+        send(control, socket, &Message::Alive { from }, reader.address);
     }
 }
 
@@ -310,7 +330,7 @@
 fn send_suspects(control: &ControlState, socket: &UdpSocket, gossip: &mut SuspectGossip) {
     for (suspects, address) in gossip.next_messages(control) {
         let message = suspects_message(control, suspects, false);
-        send(socket, &message, address);
+        send(control, socket, &message, address);
     }
 }
 
@@ -330,7 +350,7 @@
 fn send_queries(control: &ControlState, socket: &UdpSocket) {
     for address in random_nodes(control) {
         let from = control.settings.node.clone();
-        send(socket, &Message::SuspectsQuery { from }, address);
+        send(control, socket, &Message::SuspectsQuery { from }, address);
     }
 }
 
@@ -339,21 +359,26 @@
     control.drop_unlisted_notices();
     for (limits, address) in gossip.next_messages(control) {
         let from = control.settings.node.clone();
-        send(socket, &Message::RateLimits { from, limits }, address);
+        send(
+            control,
+            socket,
+            &Message::RateLimits { from, limits },
+            address,
+        );
     }
 }
 
 /// Sends the upstreams that have announced that they are leaving.
 fn send_leaving(control: &ControlState, socket: &UdpSocket, gossip: &mut LeavingGossip) {
     for (upstreams, address) in gossip.next_messages(control) {
-        send(socket, &Message::Leaving { upstreams }, address);
+        send(control, socket, &Message::Leaving { upstreams }, address);
     }
 }
 
 /// Sends the services whose upstreams have announced that they are brittle.
 fn send_brittle(control: &ControlState, socket: &UdpSocket, gossip: &mut BrittleGossip) {
     for (updates, address) in gossip.next_messages(control) {
-        send(socket, &Message::Brittle { updates }, address);
+        send(control, socket, &Message::Brittle { updates }, address);
     }
 }
 
@@ -364,21 +389,21 @@
     }
     for address in control.era_query_targets() {
         let from = control.settings.node.clone();
-        send(socket, &Message::EraQuery { from }, address);
+        send(control, socket, &Message::EraQuery { from }, address);
     }
 }
 
 fn send_era(control: &ControlState, socket: &UdpSocket, address: SocketAddr) {
     if let Some(update) = control.era_update() {
         let from = control.settings.node.clone();
-        send(socket, &Message::Era { from, update }, address);
+        send(control, socket, &Message::Era { from, update }, address);
     }
 }
 
 /// Grants the turns that are due at rate-limited upstreams.
 fn grant_turns(control: &ControlState, socket: &UdpSocket) {
     let traffic = |message| Message::Traffic(TrafficMessage::Slots(message));
-    control.grant_due_turns(|message, to| send(socket, &traffic(message), to));
+    control.grant_due_turns(|message, to| send(control, socket, &traffic(message), to));
 }
 
 /// Announces this node to all others, after its start.
@@ -391,7 +416,7 @@
     let record = to_json(&own_record(control, out_of_reach)).to_vec();
     let message = Message::Joined { record };
     for address in others {
-        send(socket, &message, address);
+        send(control, socket, &message, address);
     }
 }
 
@@ -400,11 +425,8 @@
     let (shared, own) = (&control.shared, control.own_node());
     let messages = shared.streams_for_new_keepers(own).into_iter();
     for (message, address) in messages.chain(shared.untold_streams(own)) {
-        send(
-            socket,
-            &Message::Traffic(TrafficMessage::Streams(message)),
-            address,
-        );
+        let message = Message::Traffic(TrafficMessage::Streams(message));
+        send(control, socket, &message, address);
     }
 }
 
@@ -423,7 +445,7 @@
         StreamMessage::Ask(key) => {
             let record = control.shared.origin_record(&key);
             let answer = TrafficMessage::Streams(StreamMessage::Answer { key, record });
-            send(socket, &Message::Traffic(answer), sender);
+            send(control, socket, &Message::Traffic(answer), sender);
         }
         // Only traffic threads ask, and answers go to their own sockets.
         StreamMessage::Answer { .. } => {}
@@ -436,7 +458,7 @@
     let mut demand = control.model_demand.borrow_mut();
     for (update, address) in demand.next_messages(control, own) {
         let from = control.settings.node.clone();
-        send(socket, &Message::Models { from, update }, address);
+        send(control, socket, &Message::Models { from, update }, address);
     }
 }
 
@@ -469,7 +491,7 @@
                 .filter_map(|used| handle_usage_report(control, &from, used));
             let engines: Vec<EngineLoadUpdate> = loads.collect();
             let from = control.settings.node.clone();
-            send(socket, &Message::Loads { from, engines }, sender);
+            send(control, socket, &Message::Loads { from, engines }, sender);
         }
         Ok(Message::Loads { from, engines }) => {
             control.record_contact(from);
@@ -499,18 +521,18 @@
         Ok(Message::Alive { from }) => control.record_contact(from),
         Ok(Message::Traffic(TrafficMessage::Quota(message))) => {
             let traffic = |message| Message::Traffic(TrafficMessage::Quota(message));
-            let send = |message, to| send(socket, &traffic(message), to);
+            let send = |message, to| send(control, socket, &traffic(message), to);
             control.handle_quota_message(message, sender, send);
         }
         Ok(Message::Traffic(TrafficMessage::Slots(message))) => {
             let traffic = |message| Message::Traffic(TrafficMessage::Slots(message));
-            let send = |message, to| send(socket, &traffic(message), to);
+            let send = |message, to| send(control, socket, &traffic(message), to);
             control.handle_slot_message(message, sender, send);
         }
         Ok(Message::Traffic(TrafficMessage::Forward(ForwardMessage::Ask(services)))) => {
             let answer = ForwardMessage::Answer(control.answer_forward_ask(services));
             let answer = Message::Traffic(TrafficMessage::Forward(answer));
-            send(socket, &answer, sender);
+            send(control, socket, &answer, sender);
         }
         Ok(Message::Traffic(TrafficMessage::Streams(message))) => {
             handle_stream_message(control, socket, message, sender);
@@ -524,7 +546,12 @@
         }) => {
             let replies = control.apply_suspects(&from, &suspects);
             if !replies.is_empty() {
-                send(socket, &suspects_message(control, replies, false), sender);
+                send(
+                    control,
+                    socket,
+                    &suspects_message(control, replies, false),
+                    sender,
+                );
             }
             if is_answer {
                 control.must_query_suspects.set(false);
@@ -544,9 +571,14 @@
         Ok(Message::SuspectsQuery { from }) => {
             control.record_contact(from);
             let updates = all_announcements(control);
-            send(socket, &Message::Brittle { updates }, sender);
+            send(control, socket, &Message::Brittle { updates }, sender);
             for suspects in all_suspects(control) {
-                send(socket, &suspects_message(control, suspects, true), sender);
+                send(
+                    control,
+                    socket,
+                    &suspects_message(control, suspects, true),
+                    sender,
+                );
             }
         }
         Ok(Message::Era { from, update }) => {
@@ -614,13 +646,20 @@
     for (mut batch, address) in aggregator.next_messages(control, loads.collect()) {
         batch.load_ms = control.load_times.get().learned_load_ms();
         let from = control.settings.node.clone();
-        send(socket, &Message::AggregatedLoads { from, batch }, address);
+        send(
+            control,
+            socket,
+            &Message::AggregatedLoads { from, batch },
+            address,
+        );
     }
 }
 
 /// Sends a datagram. If the socket is not ready it is dropped, as the next one repeats the state.
-fn send(socket: &UdpSocket, message: &Message, to: SocketAddr) {
+fn send(control: &ControlState, socket: &UdpSocket, message: &Message, to: SocketAddr) {
     if let Ok(bytes) = postcard::to_stdvec(message) {
+        let traffic = &control.shared.metrics.peer_traffic;
+        traffic.record_sent(message.kind(), bytes.len());
         let _ = socket.try_send_to(&bytes, to);
     }
 }
--- a/crates/relay-node/src/control/store_reader.rs
+++ b/crates/relay-node/src/control/store_reader.rs
@@ -122,6 +122,8 @@
                 ReaderError::Dropped => StatusCode::GONE,
             })?;
         let bytes = postcard::to_stdvec(&read).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
+        let traffic = &self.shared.metrics.peer_traffic;
+        traffic.record_sent("store_changes", bytes.len());
         Ok(bytes.into())
     }
 }
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod node;
 mod nodes_sockets;
+mod peer_traffic;
 mod ready;
 mod settings;
 mod shared;
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -11,6 +11,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 use slog::Logger;
 
+use crate::peer_traffic::PeerTraffic;
 use crate::team_metrics::TeamMetrics;
 use crate::traffic::BodySummary;
 
@@ -24,6 +25,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RelayMetrics {
     pub(crate) teams: TeamMetrics,
+    pub(crate) peer_traffic: PeerTraffic,
     requests: Counter<u64>,
     sends: Counter<u64>,
     loads: Counter<u64>,
@@ -71,6 +73,7 @@
         };
         Self {
             teams: TeamMetrics::new(meter),
+            peer_traffic: PeerTraffic::new(meter),
             requests: counter(
                 "nutmegsail.relay.requests",
                 "Requests that ended, by result and base model.",
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -126,7 +126,7 @@
         })?;
         let gateway = Rc::new(Gateway::new(GatewayParts {
             node: settings.node.clone(),
-            peer_socket: PeerSocket(peer_socket),
+            peer_socket: PeerSocket::new(peer_socket, shared.metrics.peer_traffic.clone()),
             shared: Arc::clone(&shared),
             dialect: Arc::clone(&dialect),
             failure_domain: settings.failure_domain.clone(),
@@ -155,7 +155,12 @@
         spawn_local(traffic::watch_reach(Rc::clone(&gateway)));
         spawn_local(traffic::renew_slots(Rc::clone(&gateway)));
         spawn_local(traffic::receive_answers(Rc::clone(&gateway)));
-        spawn_local(ready::serve(readiness, Arc::clone(&shared), dialect));
+        spawn_local(ready::serve(
+            readiness,
+            Arc::clone(&shared),
+            dialect,
+            log.clone(),
+        ));
         if let Some(listener) = metrics_listener {
             spawn_local(ready::serve_metrics(listener, page, Arc::clone(&shared)));
         }
--- a/crates/relay-node/src/ready.rs
+++ b/crates/relay-node/src/ready.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -10,7 +11,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use nutmegsail_telemetry::MetricsPage;
+use nutmegsail_telemetry::{Event, MetricsPage, log_event};
+use slog::Logger;
 use tokio::net::TcpListener;
 
 use crate::Dialect;
@@ -23,12 +25,29 @@
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
 /// Serves the readiness page until the task is dropped.
-pub(crate) async fn serve(listener: TcpListener, shared: Arc<Shared>, dialect: Arc<dyn Dialect>) {
+pub(crate) async fn serve(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    dialect: Arc<dyn Dialect>,
+    log: Logger,
+) {
+    let was_ready = AtomicBool::new(false);
     let answer = move |path: &str| {
-        with_status(match path == dialect.ready_path() {
-            false => StatusCode::NOT_FOUND,
-            true if shared.is_ready() => StatusCode::OK,
-            true => StatusCode::SERVICE_UNAVAILABLE,
+        if path != dialect.ready_path() {
+            return with_status(StatusCode::NOT_FOUND);
+        }
+        let not_ready = shared.not_ready();
+        if was_ready.swap(not_ready.is_none(), Ordering::Relaxed) != not_ready.is_none() {
+            log_event!(
+                log, Event::ReadinessChanged,
+                "ready" => not_ready.is_none(),
+                "why" => not_ready.map(|why| why.to_string()),
+                "config_age_ms" => shared.data_age().as_millis()
+            );
+        }
+        with_status(match not_ready {
+            None => StatusCode::OK,
+            Some(_) => StatusCode::SERVICE_UNAVAILABLE,
         })
     };
     serve_pages(listener, answer).await;
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use derive_more::Display;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
     AccessRules, BrittleServices, DomainContacts, Holdings, HoldingsReport, LoadCandidate,
@@ -292,6 +293,20 @@
     is_leaving: bool,
 }
 
+/// Why a node does not accept callers.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum NotReady {
+    /// It shuts down.
+    #[display("the node shuts down")]
+    Leaving,
+    /// It knows no configuration in force, or no upstreams.
+    #[display("no configuration or no upstreams are known")]
+    NoData,
+    /// Its configuration is too old for keys to be accepted soon.
+    #[display("the configuration is old")]
+    KeysOld,
+}
+
 /// The state that both threads share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -435,13 +450,17 @@
         self.readiness().is_leaving
     }
 
-    /// Whether the node accepts callers.
-    pub(crate) fn is_ready(&self) -> bool {
+    /// Why the node does not accept callers; `None` if it does.
+    pub(crate) fn not_ready(&self) -> Option<NotReady> {
         let readiness = *self.readiness();
         let (age, view) = (self.data_age(), self.view.load());
         let mut table = view.table.iter();
         let knows_keys = table.all(|table| self.access.is_ready(table, age));
-        readiness.has_data && !readiness.is_leaving && knows_keys
+        match readiness {
+            Readiness { is_leaving, .. } if is_leaving => Some(NotReady::Leaving),
+            Readiness { has_data, .. } if !has_data => Some(NotReady::NoData),
+            _ => (!knows_keys).then_some(NotReady::KeysOld),
+        }
     }
 
     /// Records that the view is based on a store read that was sent at `asked`.
--- a/crates/relay-node/src/traffic/admission.rs
+++ b/crates/relay-node/src/traffic/admission.rs
@@ -175,15 +175,16 @@
                 call.tokens.0.replace(TokenState::Reserved(lease));
                 Ok(())
             }
-            Err(why) => {
+            Err(refusal) => {
                 log_event!(
                     self.log, Event::QuotaRefused,
                     "request" => call.id.to_string(), "team" => team.name.to_string(),
                     "tokens" => tokens, "limit_per_s" => quota.quota.tokens_per_s,
                     "burst" => quota.quota.burst_tokens, "window_s" => self.bounds.quota_window_s,
-                    "why" => format!("{why:?}")
+                    "why" => format!("{:?}", refusal.why), "asks" => refusal.asks,
+                    "waited_ms" => refusal.waited.as_millis(), "lenders" => lenders.len()
                 );
-                Err(why.into())
+                Err(refusal.why.into())
             }
         }
     }
--- a/crates/relay-node/src/traffic/peer_socket.rs
+++ b/crates/relay-node/src/traffic/peer_socket.rs
@@ -9,20 +9,30 @@
 
 use super::gateway::Gateway;
 use crate::control::{parse_traffic_message, traffic_datagram};
+use crate::peer_traffic::PeerTraffic;
 use crate::traffic_message::{ForwardMessage, SlotMessage, StreamMessage, TrafficMessage};
 
 /// The largest datagram that is received, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
 
 /// The traffic thread's UDP socket.
-pub(crate) struct PeerSocket(pub(crate) UdpSocket);
+pub(crate) struct PeerSocket {
+    socket: UdpSocket,
+    traffic: PeerTraffic,
+}
 
 impl PeerSocket {
+    pub(crate) fn new(socket: UdpSocket, traffic: PeerTraffic) -> Self {
+        Self { socket, traffic }
+    }
+
     /// Sends a message. One that cannot be sent at once is dropped, as a datagram may be lost
     /// anyway.
     pub(super) fn send(&self, message: TrafficMessage, to: SocketAddr) {
+        let kind = message.kind();
         if let Some(datagram) = traffic_datagram(message) {
-            let _ = self.0.try_send_to(&datagram, to);
+            self.traffic.record_sent(kind, datagram.len());
+            let _ = self.socket.try_send_to(&datagram, to);
         }
     }
 }
@@ -31,7 +41,7 @@
 pub(crate) async fn receive_answers(gateway: Rc<Gateway>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
-        let Ok((length, sender)) = gateway.peer_socket.0.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = gateway.peer_socket.socket.recv_from(&mut buffer).await else {
             // An earlier datagram was refused at its destination; receiving continues as usual.
             continue;
         };
--- a/crates/relay-node/src/traffic/quota_client.rs
+++ b/crates/relay-node/src/traffic/quota_client.rs
@@ -28,6 +28,16 @@
 /// How long a lender that did not answer is tried last.
 const UNRESPONSIVE_TIME: Duration = Duration::from_millis(1_000);
 
+/// A request that gets no tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct QuotaRefusal {
+    pub(crate) why: NoTokens,
+    /// How many times lenders were asked.
+    pub(crate) asks: u32,
+    /// How long the request waited.
+    pub(crate) waited: Duration,
+}
+
 /// Why a request gets no tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoTokens {
@@ -95,14 +105,19 @@
         tokens: u32,
         lenders: &[SocketAddr],
         wait_limit: Duration,
-    ) -> Result<TokenLease, NoTokens> {
+    ) -> Result<TokenLease, QuotaRefusal> {
         let began = Instant::now();
         self.account
             .borrow_mut()
             .record_demand(team, tokens, boot_time());
         let lenders = self.by_responsiveness(lenders);
         let wait_limit = wait_limit.max(MIN_LENDER_WAIT);
-        let (mut next_lender, mut stated_wait) = (0, None);
+        let (mut next_lender, mut stated_wait, mut asks) = (0, None, 0);
+        let refusal = |why, asks| QuotaRefusal {
+            why,
+            asks,
+            waited: began.elapsed(),
+        };
         loop {
             if let Some(reservation) = self.take(team, tokens) {
                 return Ok(TokenLease {
@@ -112,9 +127,11 @@
             }
             let left = wait_limit.saturating_sub(began.elapsed());
             if left.is_zero() || lenders.is_empty() {
-                return Err(stated_wait.map_or(NoTokens::Unknown, NoTokens::Spent));
+                let why = stated_wait.map_or(NoTokens::Unknown, NoTokens::Spent);
+                return Err(refusal(why, asks));
             }
             let lender = lenders[next_lender % lenders.len()];
+            asks += 1;
             match self.ask(team, tokens, lender, left.min(HEDGE_AFTER)).await {
                 Some(lent) if lent.tokens > 0 => {}
                 Some(lent) => {
@@ -123,7 +140,7 @@
                     match stated_wait.replace(wait) {
                         // The lender may have borrowed the missing tokens a moment later.
                         None => sleep(LENDER_RETRY_DELAY.min(left)).await,
-                        Some(_) if wait > left => return Err(NoTokens::Spent(wait)),
+                        Some(_) if wait > left => return Err(refusal(NoTokens::Spent(wait), asks)),
                         Some(_) => sleep(wait.max(LENDER_RETRY_DELAY).min(left)).await,
                     }
                 }
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -92,3 +92,15 @@
     /// About where streams began.
     Streams(StreamMessage),
 }
+
+impl TrafficMessage {
+    /// The kind of message, as metrics name it.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Quota(_) => "quota",
+            Self::Slots(_) => "slots",
+            Self::Forward(_) => "forward",
+            Self::Streams(_) => "streams",
+        }
+    }
+}
