Close callers' new connections unread while a node has more to do than it gets done

Callers saw: with more requests than a node's processor suffices for, next to none was served, and that stayed so for as long as they came, over a restart of all nodes too. Every request waits behind all others, timeouts of 40 to 300 ms for quotas, slots and connections pass meanwhile, the request is refused, and its caller is back at once.

Cause: a node takes all connections that the balancer hands it and begins all requests, whatever their tasks wait.

Now the delay of the tasks of new connections is measured. Over 100 ms for 250 ms, connections are closed unread, but for as many as tasks run, and kept ones end with their next answer. Callers try another node, nothing of theirs has run, and what is begun is served.

--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -36,6 +36,7 @@
     held_back: Counter<u64>,
     not_sent: Counter<u64>,
     forwards: Counter<u64>,
+    closed_unread: Counter<u64>,
     origin_searches: Counter<u64>,
     kept_streams: Gauge<u64>,
     first_event: Histogram<f64>,
@@ -108,6 +109,10 @@
                 "nutmegsail.relay.forwards",
                 "Requests that were forwarded to another node, by outcome.",
             ),
+            closed_unread: counter(
+                "nutmegsail.relay.closed_unread",
+                "Callers' connections that were closed unread, as the node was overloaded.",
+            ),
             origin_searches: counter(
                 "nutmegsail.relay.stream_origin_searches",
                 "Streams that callers resumed, by whether it was known where they began.",
@@ -269,6 +274,11 @@
         self.forwards.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a caller's connection that was closed unread.
+    pub(crate) fn record_closed_unread(&self) {
+        self.closed_unread.add(1, &[]);
+    }
+
     /// Counts a stream that a caller resumes, by whether it is known where it began.
     pub(crate) fn record_origin_search(&self, verdict: &OriginVerdict) {
         let result = match verdict {
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -24,6 +24,7 @@
 use super::call::Call;
 use super::forward::{Forwarded, PeerAnswered};
 use super::limits::LocalRateBuckets;
+use super::overload::Overload;
 use super::peer_socket::PeerSocket;
 use super::plain_slot::PermitResult;
 use super::quota_client::QuotaClient;
@@ -104,6 +105,8 @@
     pub(crate) log: Logger,
     /// When the node began to shut down.
     pub(crate) leaving_since: Cell<Option<Instant>>,
+    /// Whether callers' new connections are served.
+    pub(super) overload: Overload,
     /// Number of requests waiting for a base model.
     pub(super) model_waiters: Cell<usize>,
     /// Number of requests waiting for updates that may contain their API key.
@@ -223,6 +226,7 @@
             usual_timeouts: RefCell::default(),
             log: parts.log,
             leaving_since: Cell::new(None),
+            overload: Overload::default(),
             model_waiters: Cell::new(0),
             key_waiters: Cell::new(0),
             retry_budgets: RefCell::default(),
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -35,6 +35,7 @@
 use super::refuse::{self, RefusalReason, RefusedWith};
 use super::stream_origin::ResumedStream;
 use crate::CallMeta;
+use crate::clock::boot_time;
 
 /// The deadline of requests that state none, unless the route's timeout is shorter.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
@@ -81,11 +82,16 @@
 ) {
     loop {
         match listener.accept().await {
+            Ok(_) if origin == Origin::Caller && !gateway.serves_connection() => {}
             Ok((stream, _)) => {
-                prepare_socket(&stream, origin.remote());
-                let gateway = Rc::clone(&gateway);
-                let connection = serve_connection(stream, origin, gateway, close.clone());
-                tokio::task::spawn_local(connection);
+                let (gateway, close) = (Rc::clone(&gateway), close.clone());
+                let accepted_at = boot_time();
+                tokio::task::spawn_local(async move {
+                    if origin == Origin::Caller {
+                        gateway.record_delay(accepted_at);
+                    }
+                    serve_connection(stream, origin, gateway, close).await;
+                });
             }
             // Out of file descriptors for a moment; the connection waits in the kernel's queue.
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -99,6 +105,7 @@
     gateway: Rc<Gateway>,
     close: CancellationToken,
 ) {
+    prepare_socket(&stream, origin.remote());
     let _open = OpenConnection::new(Rc::clone(&gateway));
     let limits = gateway
         .refresh_view()
@@ -202,7 +209,7 @@
         if let (Origin::Peer, Some(RefusedWith(code))) = (origin, refused_with) {
             forward_header::write_refused_with(answer.headers_mut(), code);
         }
-        if self.leaving_since.get().is_some() {
+        if self.leaving_since.get().is_some() || self.is_overloaded() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod listener;
 mod model_wait;
+mod overload;
 mod peer_socket;
 mod plain_slot;
 mod quota_client;
