Count unanswered requests for quota tokens, not the time in which a process did not run

Callers saw NS2007 (503) for requests of every kind at nodes that lag: tokens were asked for once or twice in a wait of 300 ms, as the process got no processor time in between, and the lender counted as silent although its answer waited in the socket.

Now a request gives up after as many unanswered requests for tokens as fit into its wait, or after three times the wait. Teams that send several requests in half a second to a node have the next tokens borrowed ahead, from what the lender can spare, at most ten times a second; so most requests do not wait for a lender at all.

--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -9,6 +9,10 @@
 /// Half-life of a team's recorded demand at this node, in seconds.
 const DEMAND_HALF_LIFE_S: f64 = 1.0;
 
+/// How many requests of a team must be expected in half of [`LOAN_TTL`] for tokens to be borrowed
+/// ahead. With fewer, most of these tokens would expire unspent.
+const MIN_EXPECTED_REQUESTS: f64 = 2.0;
+
 /// How long the state of a team without requests is kept.
 const IDLE_TEAM_TTL: Duration = Duration::from_secs(10);
 
@@ -136,6 +140,40 @@
         }
     }
 
+    /// Creates a request for tokens of a team that will be needed soon, after a request for
+    /// `tokens`. Returns `None` while enough are held, or if the team sends too little here.
+    ///
+    /// Its tokens are lent only if the lender can spare them. Without it, every request that finds
+    /// no tokens waits for a lender, which takes long at a busy node or lender.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use nutmegsail_quota::{Account, LoanId};
+    /// let (mut account, team) = (Account::new(LoanId(0)), "desk".into());
+    /// let mut now = Duration::from_secs(5);
+    /// account.record_demand(&team, 200, now);
+    /// assert_eq!(account.early_loan_request(&team, 200, now), None, "a single request");
+    /// for _ in 0..20 {
+    ///     now += Duration::from_millis(50);
+    ///     account.record_demand(&team, 200, now);
+    /// }
+    /// let request = account.early_loan_request(&team, 200, now);
+    /// assert_eq!(request.map(|request| request.need_tokens), Some(0));
+    /// ```
+    pub fn early_loan_request(
+        &mut self,
+        team: &TeamName,
+        tokens: u32,
+        now: Duration,
+    ) -> Option<LoanRequest> {
+        let expected_tokens =
+            self.teams.get(team)?.demand_per_s(now) * LOAN_TTL.as_secs_f64() / 2.0;
+        let is_steady = expected_tokens >= MIN_EXPECTED_REQUESTS * f64::from(tokens);
+        let held_tokens = self.available_tokens(team, now) as f64;
+        let is_due = is_steady && held_tokens < expected_tokens / 2.0;
+        is_due.then(|| self.loan_request(team, 0, now))
+    }
+
     /// Records the demand of a request, from which [`loan_request`](Self::loan_request) estimates
     /// the extra tokens.
     pub fn record_demand(&mut self, team: &TeamName, tokens: u32, now: Duration) {
--- a/crates/relay-node/src/traffic/quota_client.rs
+++ b/crates/relay-node/src/traffic/quota_client.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::TeamName;
-use nutmegsail_quota::{Account, LOAN_TTL, LoanId, LoanReply, QuotaMessage, Reservation};
+use nutmegsail_quota::{
+    Account, LOAN_TTL, LoanId, LoanReply, LoanRequest, QuotaMessage, Reservation,
+};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
@@ -22,6 +24,13 @@
 /// The shortest time that a request waits for lenders that do not answer.
 const MIN_LENDER_WAIT: Duration = Duration::from_millis(150);
 
+/// How much longer than its wait limit a request may wait while this process gets too little
+/// processor time to send its requests to lenders and to receive the answers.
+const MAX_WAIT_RATIO: u32 = 3;
+
+/// The time between two loans that are borrowed ahead for one team.
+const EARLY_LOAN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The wait before a lender with too few tokens is asked again; it borrows more in the meantime.
 const LENDER_RETRY_DELAY: Duration = Duration::from_millis(12);
 
@@ -53,6 +62,8 @@
     account: RefCell<Account>,
     pending: RefCell<HashMap<LoanId, PendingAsk>>,
     unresponsive: RefCell<HashMap<SocketAddr, Instant>>,
+    /// When tokens were last borrowed ahead for each team.
+    early_loans: RefCell<HashMap<TeamName, Duration>>,
 }
 
 /// Tokens reserved for a request that was not sent yet. They are returned on drop.
@@ -95,6 +106,7 @@
             account: RefCell::new(Account::new(LoanId(rand::random()))),
             pending: RefCell::default(),
             unresponsive: RefCell::default(),
+            early_loans: RefCell::default(),
         }
     }
 
@@ -112,7 +124,8 @@
             .record_demand(team, tokens, boot_time());
         let lenders = self.by_responsiveness(lenders);
         let wait_limit = wait_limit.max(MIN_LENDER_WAIT);
-        let (mut next_lender, mut stated_wait, mut asks) = (0, None, 0);
+        let (mut next_lender, mut stated_wait) = (0, None);
+        let (mut asks, mut unanswered) = (0, 0);
         let refusal = |why, asks| QuotaRefusal {
             why,
             asks,
@@ -120,21 +133,29 @@
         };
         loop {
             if let Some(reservation) = self.take(team, tokens) {
+                if let Some(lender) = lenders.first() {
+                    self.borrow_early(team, tokens, *lender);
+                }
                 return Ok(TokenLease {
                     client: Rc::clone(self),
                     reservation: Some(reservation),
                 });
             }
-            let left = wait_limit.saturating_sub(began.elapsed());
-            if left.is_zero() || lenders.is_empty() {
+            // Time in which this process did not run is no silence of a lender.
+            let unanswered_for = HEDGE_AFTER * unanswered;
+            let waited = began.elapsed();
+            let is_silent = unanswered_for >= wait_limit || waited >= wait_limit * MAX_WAIT_RATIO;
+            let is_spent = stated_wait.is_some() && waited >= wait_limit;
+            if is_silent || is_spent || lenders.is_empty() {
                 let why = stated_wait.map_or(NoTokens::Unknown, NoTokens::Spent);
                 return Err(refusal(why, asks));
             }
             let lender = lenders[next_lender % lenders.len()];
             asks += 1;
-            match self.ask(team, tokens, lender, left.min(HEDGE_AFTER)).await {
+            match self.ask(team, tokens, lender, HEDGE_AFTER).await {
                 Some(lent) if lent.tokens > 0 => {}
                 Some(lent) => {
+                    unanswered = 0;
                     let wait = Duration::from_millis(u64::from(lent.wait_ms));
                     let left = wait_limit.saturating_sub(began.elapsed());
                     match stated_wait.replace(wait) {
@@ -149,11 +170,30 @@
                         .borrow_mut()
                         .insert(lender, Instant::now());
                     next_lender += 1;
+                    unanswered += 1;
                 }
             }
         }
     }
 
+    /// Borrows tokens for the requests that are expected next, without waiting for them.
+    fn borrow_early(&self, team: &TeamName, tokens: u32, lender: SocketAddr) {
+        let now = boot_time();
+        let mut early_loans = self.early_loans.borrow_mut();
+        early_loans.retain(|_, at| now.saturating_sub(*at) < EARLY_LOAN_INTERVAL);
+        if early_loans.contains_key(team) {
+            return;
+        }
+        let request = self
+            .account
+            .borrow_mut()
+            .early_loan_request(team, tokens, now);
+        if let Some(request) = request {
+            early_loans.insert(team.clone(), now);
+            self.send_request(request, lender, now);
+        }
+    }
+
     /// Returns the tokens that a request did not spend.
     pub(crate) fn give_back(&self, reservation: Reservation) {
         let mut account = self.account.borrow_mut();
@@ -186,12 +226,22 @@
             .account
             .borrow_mut()
             .loan_request(team, tokens, asked_at);
-        let answer = self.register_ask(ask.id, asked_at);
-        let message = TrafficMessage::Quota(QuotaMessage::LoanRequest(ask));
-        self.peer_socket.send(message, lender);
+        let answer = self.send_request(ask, lender, asked_at);
         timeout(wait_limit, answer).await.ok()?.ok()
     }
 
+    fn send_request(
+        &self,
+        request: LoanRequest,
+        lender: SocketAddr,
+        asked_at: Duration,
+    ) -> oneshot::Receiver<LoanReply> {
+        let answer = self.register_ask(request.id, asked_at);
+        let message = TrafficMessage::Quota(QuotaMessage::LoanRequest(request));
+        self.peer_socket.send(message, lender);
+        answer
+    }
+
     fn register_ask(&self, ask: LoanId, asked_at: Duration) -> oneshot::Receiver<LoanReply> {
         let (answered, answer) = oneshot::channel();
         let mut pending = self.pending.borrow_mut();
