Pass loads on through one node while both readers of a failure domain are silent

Cause: a node without a reader took itself for the one that aggregates loads. With both readers silent that was each of them, and each passed on all that it had received, what others had passed on too, so that loads went round with a new age each time.

Now the first node by id that does not count as silent aggregates, whether it may read for others or not, and what is passed on comes from the engine's owner or from another failure domain.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -515,8 +515,8 @@
             }
         }
         Ok(Message::AggregatedLoads { from, batch }) => {
+            aggregator.apply(control, &from, batch);
             control.record_contact(from);
-            aggregator.apply(control, batch);
         }
         Ok(Message::Alive { from }) => control.record_contact(from),
         Ok(Message::Traffic(TrafficMessage::Quota(message))) => {
--- a/crates/relay-node/src/control/load_aggregator.rs
+++ b/crates/relay-node/src/control/load_aggregator.rs
@@ -5,13 +5,14 @@
 //! behind those of other nodes. If every owner sent its reports to every node, traffic would grow with the
 //! square of the number of nodes. Owners therefore send them to the node that also reads the store
 //! for their failure domain. It passes them on to the other nodes of its domain, and less often to
-//! the other domains.
+//! the other domains. While nodes differ in which node that is, several pass loads on; none passes
+//! on what another one has, as the loads would go round between them.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::UpstreamId;
+use nutmegsail_base::{NodeId, UpstreamId};
 use nutmegsail_relay::{
     DomainAge, HoldingsReport, IdleFilter, NodeRecord, RemoteLoadFilter, readers_by_domain,
 };
@@ -87,7 +88,7 @@
         let own: Vec<_> = own
             .map(|(engine, load)| (EngineDigest::of(&engine), load))
             .collect();
-        let Some((_, aggregating_node)) = control.reader() else {
+        let Some(aggregating_node) = control.load_aggregator() else {
             return self.aggregate(control, own);
         };
         // Only an aggregating node keeps the loads that it received.
@@ -169,11 +170,18 @@
     }
 
     /// Applies loads that an owner or an aggregating node sent.
-    pub(crate) fn apply(&mut self, control: &ControlState, batch: LoadBatch) {
+    pub(crate) fn apply(&mut self, control: &ControlState, from: &NodeId, batch: LoadBatch) {
         control.apply_domain_contacts(&batch.domains);
         if let Some(load_ms) = batch.load_ms {
             control.apply_load_time(load_ms);
         }
+        let own_domain = &control.settings.failure_domain;
+        let is_remote = {
+            let nodes = control.nodes.borrow();
+            let sender = nodes.get(from);
+            sender.is_some_and(|sender| sender.failure_domain != *own_domain)
+        };
+        let owners = control.owners.borrow();
         let upstreams = control.upstreams.borrow();
         let known: HashMap<EngineDigest, &UpstreamId> = upstreams
             .keys()
@@ -183,11 +191,13 @@
             let Some(id) = known.get(&engine) else {
                 continue;
             };
-            let own_domain = &control.settings.failure_domain;
             let is_local = upstreams
                 .get(*id)
                 .is_some_and(|upstream| upstream.failure_domain == *own_domain);
-            self.put(engine, load.clone(), is_local);
+            let is_from_owner = owners.get(*id).is_some_and(|owner| owner.node == *from);
+            if is_remote || is_from_owner {
+                self.put(engine, load.clone(), is_local);
+            }
             publish_load(control, id, load);
         }
     }
--- a/crates/relay-node/src/control/store_reader.rs
+++ b/crates/relay-node/src/control/store_reader.rs
@@ -7,7 +7,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use nutmegsail_base::{NodeId, StoreEra};
-use nutmegsail_relay::reader_for;
+use nutmegsail_relay::{aggregator_for, reader_for};
 use nutmegsail_store::{Changes, Revision};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::timeout;
@@ -33,6 +33,10 @@
 /// How long a reader that did not answer, or was behind, is skipped.
 const SILENT_READER_PAUSE: Duration = Duration::from_millis(3_000);
 
+/// How long a reader that did not answer gets no loads to aggregate, unless it answers. By then it
+/// was asked for changes once more.
+const SILENT_AGGREGATOR_PAUSE: Duration = Duration::from_millis(5_000);
+
 impl ControlState {
     /// Reads the changes after `after` from this node's reader. Returns `None` if this node has to
     /// read the store itself.
@@ -45,7 +49,9 @@
         let asked = boot_time();
         let time_left = (known.answered + MAX_STATE_AGE).saturating_sub(asked);
         let read = self.query_reader(address, after, time_left).await;
-        if read.is_none() {
+        if read.is_some() {
+            self.silent_readers.borrow_mut().remove(&reader);
+        } else {
             self.shared.metrics.record_silent_reader();
             log_event!(
                 self.log, Event::ReaderSilent,
@@ -73,10 +79,13 @@
     /// The node that reads the store for this one; `None` if this node reads it itself.
     pub(crate) fn reader(&self) -> Option<(NodeId, SocketAddr)> {
         let mut silent = self.silent_readers.borrow_mut();
-        silent.retain(|_, at| at.elapsed() < SILENT_READER_PAUSE);
+        silent.retain(|_, at| at.elapsed() < SILENT_AGGREGATOR_PAUSE);
         let nodes = self.nodes.borrow();
         let settings = &self.settings;
-        let is_silent = |node: &NodeId| silent.contains_key(node);
+        let is_silent = |node: &NodeId| {
+            let at = silent.get(node);
+            at.is_some_and(|at| at.elapsed() < SILENT_READER_PAUSE)
+        };
         let reader = reader_for(
             &settings.node,
             &settings.failure_domain,
@@ -86,6 +95,19 @@
         Some((reader.node.clone(), reader.address))
     }
 
+    /// The address of the node that aggregates loads for this one; `None` if this node does.
+    pub(crate) fn load_aggregator(&self) -> Option<SocketAddr> {
+        let silent = self.silent_readers.borrow();
+        let is_silent = |node: &NodeId| {
+            let at = silent.get(node);
+            at.is_some_and(|at| at.elapsed() < SILENT_AGGREGATOR_PAUSE)
+        };
+        let (nodes, settings) = (self.nodes.borrow(), &self.settings);
+        let (node, domain) = (&settings.node, &settings.failure_domain);
+        let aggregator = aggregator_for(node, domain, nodes.values(), is_silent)?;
+        Some(aggregator.address)
+    }
+
     async fn query_reader(
         &self,
         reader: SocketAddr,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -118,7 +118,7 @@
 pub use prompt::{CachedPrompts, PromptPart, PromptPrefix};
 pub use rate_bucket::RateBucket;
 pub use rate_limits::{AnnouncedLimit, LimitChange, LimitUpdate, RateLimits};
-pub use readers::{reader_for, readers_by_domain, retry_pause};
+pub use readers::{aggregator_for, reader_for, readers_by_domain, retry_pause};
 pub use remote_load_filter::RemoteLoadFilter;
 pub use request_digest::{RequestContent, RequestDigest};
 pub use request_traits::RequestTraits;
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -59,6 +59,42 @@
     readers.find(|reader| !is_silent(&reader.node))
 }
 
+/// Returns the node that aggregates the loads of all engines for `node`, or `None` if that is `node`
+/// itself: the first node of `domain` in the order of ids for which `is_silent` does not hold.
+///
+/// Unlike reading the store, this must not be done by each node for itself: each would send all
+/// loads to all others.
+///
+/// ```
+/// use nutmegsail_relay::{NodeRecord, aggregator_for};
+/// let node = |name: &str| NodeRecord {
+///     node: name.into(),
+///     failure_domain: "here".into(),
+///     address: ([10, 0, 0, 1], 80).into(),
+///     forward_address: None,
+///     out_of_reach: Vec::new(),
+/// };
+/// let nodes = [node("n2"), node("n1"), node("n3"), node("n4")];
+/// let is_silent = |node: &_| *node == "n1".into() || *node == "n2".into();
+/// let aggregator = |node: &str| {
+///     aggregator_for(&node.into(), &"here".into(), &nodes, is_silent).map(|node| node.node.as_str())
+/// };
+/// assert_eq!(aggregator("n4"), Some("n3"));
+/// assert_eq!(aggregator("n3"), None);
+/// ```
+pub fn aggregator_for<'a>(
+    node: &NodeId,
+    domain: &FailureDomain,
+    nodes: impl IntoIterator<Item = &'a NodeRecord>,
+    is_silent: impl Fn(&NodeId) -> bool,
+) -> Option<&'a NodeRecord> {
+    let near = nodes
+        .into_iter()
+        .filter(|other| other.failure_domain == *domain);
+    near.filter(|other| other.node < *node && !is_silent(&other.node))
+        .min_by(|a, b| a.node.cmp(&b.node))
+}
+
 /// Returns the nodes of each failure domain that may read the store for the others, in order of
 /// preference.
 pub fn readers_by_domain<'a>(
