Tell a request that crashes upstreams from those that were there with it

Cause: streams that are resumed from engine to engine reach three ends with it, at the same engines. Two such requests explain each other's ends, so one copy of each is sent to tell them apart, up to five ends. But only three ends of a whole request were kept: the fifth never came, and the fourth, which had told them apart, was dropped. So the copy was sent again and again. Besides, copies of both could start at one engine, which then ended under both, and a long stream was cleared only once it was whole.

Now eight ends are kept of any trait; while such requests are told apart one copy of all of them is at upstreams at a time; and a request is cleared once its answer has run on for a second, for longer than an end is held against it.

--- a/crates/relay-node/src/traffic/crash_check.rs
+++ b/crates/relay-node/src/traffic/crash_check.rs
@@ -62,6 +62,14 @@
         suspects.end_parts(&self.traits, now);
         self.gateway.shared.announce_suspects(&suspects);
     }
+
+    /// Records that its answer, which began at `began`, has run on for so long that the request is
+    /// harmless.
+    pub(super) fn record_started(self, began: Instant) {
+        let mut suspects = self.gateway.shared.suspects();
+        suspects.record_started(&self.traits, began, Instant::now());
+        drop(suspects);
+    }
 }
 
 impl Drop for StartingSend {
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -156,7 +156,9 @@
         if let Some(starting) = &mut self.starting {
             starting.record_progress(first, ran);
         }
-        self.starting.take_if(|_| ran > STARTUP_PERIOD);
+        if let Some(starting) = self.starting.take_if(|_| ran > STARTUP_PERIOD) {
+            starting.record_started(first);
+        }
     }
 
     /// Called when the answer is complete: with its last byte, and again if the body is polled
--- a/crates/relay/src/suspect_record.rs
+++ b/crates/relay/src/suspect_record.rs
@@ -18,6 +18,10 @@
 /// How long a refused trait is remembered after the last strike, longer than any hold.
 const RETENTION: Duration = Duration::from_secs(24 * 3_600);
 
+/// How many strikes are remembered. Those beyond [`STRIKES_LIMIT`] tell traits apart that were refused
+/// for the same strikes, and show how often a refused trait was tried again.
+const MAX_STRIKES: usize = 8;
+
 /// How long a trait that was cleared is remembered, so that strikes from before, which other nodes
 /// still send, are ignored.
 const CLEARED_TTL: Duration = Duration::from_secs(60);
@@ -179,7 +183,7 @@
             known.sent = known.sent.max(strike.sent);
             return false;
         }
-        if self.strikes.len() >= self.suspect.max_strikes() && !self.replace_oldest(&strike, now) {
+        if self.strikes.len() >= MAX_STRIKES && !self.replace_oldest(&strike, now) {
             return false;
         }
         let place = self
--- a/crates/relay/src/suspect_trait.rs
+++ b/crates/relay/src/suspect_trait.rs
@@ -41,15 +41,6 @@
         }
     }
 
-    /// How many strikes are remembered. Those beyond the limit tell parts apart that were refused
-    /// for the same strikes, and how often a refused part was tried again.
-    pub(crate) fn max_strikes(self) -> usize {
-        match self {
-            Self::Request(_) => crate::STRIKES_LIMIT,
-            Self::PromptPart(_) => 8,
-        }
-    }
-
     /// How long after the last strike the trait is refused. Before that, nodes that saw answers to
     /// other requests with it can say so.
     pub(crate) fn settling_time(self) -> Duration {
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -102,6 +102,13 @@
         self.clear(traits.part_traits(), traits.service(), began, now);
     }
 
+    /// Clears the content of a request whose answer began at `began` and has run on for
+    /// [`STARTUP_PERIOD`](crate::STARTUP_PERIOD): what crashes an upstream as it starts would have.
+    pub fn record_started(&mut self, traits: &RequestTraits, began: Instant, now: Instant) {
+        let request = SuspectTrait::Request(*traits.digest());
+        self.clear(std::iter::once(request), traits.service(), began, now);
+    }
+
     /// Clears all traits of a request that was answered in full. Its answer began at `began`.
     pub fn record_answered(&mut self, traits: &RequestTraits, began: Instant, now: Instant) {
         self.record_begun(traits, began, now);
--- a/crates/relay/src/suspicion.rs
+++ b/crates/relay/src/suspicion.rs
@@ -117,14 +117,43 @@
         if is_refused && !(may_tell_apart && explained.is_some()) {
             return Suspicion::Crashes;
         }
-        let own_trials = self.starting.get(suspect).copied().unwrap_or(0);
-        match own_trials as usize + record.trials_of_others(now) {
+        let trials = match is_refused {
+            true => self.trials_of_alike(record, traits, now),
+            false => self.trials_of(suspect, record, now),
+        };
+        match trials {
             0 => Suspicion::None,
             _ if is_conclusive && !is_refused => Suspicion::Crashes,
             _ => Suspicion::OnTrial,
         }
     }
 
+    /// How many copies with a trait are at upstreams and may still crash them.
+    fn trials_of(&self, suspect: &SuspectTrait, record: &SuspectRecord, now: Instant) -> usize {
+        let own_trials = self.starting.get(suspect).copied().unwrap_or(0);
+        own_trials as usize + record.trials_of_others(now)
+    }
+
+    /// How many copies are at upstreams that have this trait, or another one that it is to be told
+    /// apart from. Copies of two such traits at one upstream would end together again.
+    fn trials_of_alike(
+        &self,
+        record: &SuspectRecord,
+        traits: &RequestTraits,
+        now: Instant,
+    ) -> usize {
+        let is_alike = |other: &SuspectRecord| {
+            let evidence = other.evidence(traits.service(), now);
+            let is_cause = evidence.is_some_and(|evidence| evidence.is_conclusive(other.suspect()));
+            is_cause && record.is_explained_by(other)
+        };
+        let records = self.records.iter();
+        records
+            .filter(|(_, other)| is_alike(other))
+            .map(|(suspect, other)| self.trials_of(suspect, other, now))
+            .sum()
+    }
+
     /// Whether another refused trait, which the request does not have, explains all strikes of
     /// `record`. Refused traits that always came together are told apart by one copy that has only
     /// one of them.
