Count an upstream once whose connections are refused by turns

The way to it refused connections for moments; each time that a request arrived in between, the node took it for another process, so that one engine counted as three that had ended.

Now a process that is reached within 300 ms of its end did not end: no process is back by then. The new test was red before.

--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -25,6 +25,10 @@
 /// How long after an end requests may still be sent on connections to the process that ended.
 const CLOSE_TIME: Duration = Duration::from_millis(100);
 
+/// How soon after an end a process cannot be back. One that is reached sooner did not end: the way to
+/// it refused connections for a moment.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(300);
+
 /// How long the ends of an upstream are remembered. By then the list shows its running process.
 const RESTART_TTL: Duration = Duration::from_secs(600);
 
@@ -177,14 +181,17 @@
         broken
     }
 
-    /// Records that `upstream` received a request that was sent at `sent`. If it had ended before
-    /// that, another process received it, which is not listed yet.
+    /// Records that `upstream` received a request that was sent at `sent`. If it had ended long enough
+    /// before that, another process received it, which is not listed yet.
     pub fn record_received(&mut self, upstream: &UpstreamId, sent: Instant) {
-        let state = self.upstreams.get(upstream);
-        if !matches!(state, Some(ProbeState::Ended(at)) if *at < sent) {
+        let ended = match self.upstreams.get(upstream) {
+            Some(ProbeState::Ended(at)) if *at < sent => *at,
+            _ => return,
+        };
+        self.upstreams.remove(upstream);
+        if sent.duration_since(ended) < MIN_RESTART_TIME {
             return;
         }
-        self.upstreams.remove(upstream);
         let restarts = self.restarts.entry(upstream.clone());
         let restarts = restarts.or_insert(UnlistedRestarts {
             count: 0,
--- a/crates/relay/tests/crash_watch.rs
+++ b/crates/relay/tests/crash_watch.rs
@@ -128,3 +128,18 @@
     );
     assert_ne!(watch.process_of(&engine()), first);
 }
+
+// Guards against counting an upstream that runs on as several that ended, when the way to it refuses connections by turns.
+#[test]
+fn an_upstream_that_is_reached_at_once_counts_as_one_that_ended_once() {
+    let (mut watch, first) = (CrashWatch::default(), sent());
+    let process = watch.process_of(&engine());
+    for turn in 0..3 {
+        let at = first + Duration::from_millis(120) * turn;
+        let broken = request::broken(traits("a"), at);
+        watch.note_broken(&engine(), broken, at);
+        watch.record_probe(&engine(), ProbeResult::Refused, at);
+        watch.record_received(&engine(), at + Duration::from_millis(50));
+        assert_eq!(watch.process_of(&engine()), process);
+    }
+}
