Pace prompts of an engine by the pauses its streams tolerate

Prompts that reach one engine together are prefilled between the steps of running streams and make all of them pause. The gate is a token bucket sized from the tightest pause limit; it is active only after streams at this engine had pauses over their limits.

--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -1,12 +1,27 @@
 //! Pacing of the prompts that are sent to one engine.
+//!
+//! An engine prefills prompts between the steps of the requests that run there, so that prompts
+//! that arrive together pause every running stream. The gate spreads them over time.
 
+use std::collections::HashMap;
 use std::hash::Hash;
-use std::marker::PhantomData;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::EnginePace;
+use crate::pause_watch::PauseWatch;
+use crate::prompt_bucket::{PacingLimits, PromptBucket};
+use crate::prompt_queue::{PromptQueue, WaitingPrompt};
+use crate::{EnginePace, PauseCounts};
+
+/// How long a grant counts if neither its first event nor its end is reported: its node may be gone.
+const GRANT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long a stream whose end is not reported counts as running.
+const STREAM_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Weight of one stream in the average spacing of events.
+const SPACING_WEIGHT: f64 = 0.1;
 
 /// A request to send a prompt to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,47 +59,135 @@
     },
 }
 
-/// Streams of the period that decides whether a gate is active.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PauseCounts {
-    /// Streams that were sent.
-    pub streams: u32,
-    /// Streams that had a pause over their limit.
-    pub paused: u32,
+/// A request that was sent to the engine.
+#[derive(Clone, Copy, Debug)]
+struct SentPrompt {
+    tokens: u32,
+    /// Tokens to prefill when it was sent, including its own.
+    pending_tokens: u32,
+    /// Route's longest pause in milliseconds; 0 for none.
+    longest_pause_ms: u32,
+    sent_at: Instant,
+    is_prefilled: bool,
+}
+
+impl SentPrompt {
+    fn counts(&self, now: Instant) -> bool {
+        let timeout = match self.is_prefilled {
+            true => STREAM_TIMEOUT,
+            false => GRANT_TIMEOUT,
+        };
+        now < self.sent_at + timeout
+    }
 }
 
 /// The gate of one engine process. `K` identifies a request.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use nutmegsail_relay::{EnginePace, PromptAnswer, PromptAsk, PromptGate};
+/// let now = Instant::now();
+/// let mut gate = PromptGate::new(EnginePace::new(20.0), now);
+/// let ask = PromptAsk {
+///     tokens: 1_500,
+///     priority: 0,
+///     longest_pause_ms: 400,
+///     due_in_ms: 1_000,
+///     wait_limit_ms: 3_000,
+///     may_queue: true,
+/// };
+/// for key in 0..3 {
+///     assert!(!gate.note_sent(key, ask, now));
+///     gate.record_pause(&key, Duration::from_millis(600), now);
+/// }
+/// assert!(gate.is_active(now));
+/// assert_eq!(gate.ask(3, ask, now), PromptAnswer::Queued);
+/// let due = gate.next_due(now).unwrap();
+/// assert_eq!(gate.grant_due(due), [(3, PromptAnswer::Granted)]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct PromptGate<K> {
     pace: EnginePace,
-    keys: PhantomData<K>,
+    watch: PauseWatch<K>,
+    bucket: PromptBucket,
+    queue: PromptQueue<K>,
+    sent: HashMap<K, SentPrompt>,
+    /// Average time between two events without prefill.
+    event_time: Option<Duration>,
 }
 
 impl<K: Copy + Eq + Hash> PromptGate<K> {
     /// Creates the gate of an engine process of which only an estimate of its pace is known.
     pub fn new(pace: EnginePace, now: Instant) -> Self {
-        let _ = now;
-        let keys = PhantomData;
-        Self { pace, keys }
+        Self {
+            pace,
+            watch: PauseWatch::new(),
+            bucket: PromptBucket::new(now),
+            queue: PromptQueue::new(),
+            sent: HashMap::new(),
+            event_time: None,
+        }
     }
 
     /// Records a request that was sent without asking. Returns whether the gate is active; the
     /// sender then asks from then on.
     pub fn note_sent(&mut self, key: K, ask: PromptAsk, now: Instant) -> bool {
-        let _ = (key, ask);
+        self.refresh(now);
+        if !self.sent.contains_key(&key) {
+            self.queue.remove(&key);
+            self.record_sent(key, ask.tokens, ask.longest_pause_ms, now);
+        }
         self.is_active(now)
     }
 
     /// Grants the request, queues it or turns it away.
     pub fn ask(&mut self, key: K, ask: PromptAsk, now: Instant) -> PromptAnswer {
-        let _ = (key, ask, now);
-        PromptAnswer::Granted
+        self.refresh(now);
+        // Datagrams can be delivered twice.
+        if self.sent.contains_key(&key) {
+            return PromptAnswer::Granted;
+        }
+        if self.queue.contains(&key) {
+            return PromptAnswer::Queued;
+        }
+        let limits = self.limits(ask.longest_pause_ms, now);
+        let Some(limits) = limits.filter(|_| self.is_active(now)) else {
+            self.grant(key, ask.tokens, ask.longest_pause_ms, now);
+            return PromptAnswer::Granted;
+        };
+        let prompt = self.waiting_prompt(key, ask, &limits, now);
+        let pending = self.pending_tokens(now);
+        if self.queue.goes_first(&prompt, now)
+            && self.bucket.fits(ask.tokens, &limits, pending, now)
+        {
+            self.grant(key, ask.tokens, ask.longest_pause_ms, now);
+            return PromptAnswer::Granted;
+        }
+        let wait = self.wait_of(&prompt, &limits, now);
+        let wait_ms = round_up_ms(wait);
+        if !ask.may_queue && (ask.due_in_ms == 0 || now + wait > prompt.latest_start) {
+            return PromptAnswer::Busy { wait_ms };
+        }
+        if now + wait > prompt.expires_at {
+            return PromptAnswer::Refused { wait_ms };
+        }
+        self.queue.push(prompt);
+        PromptAnswer::Queued
     }
 
     /// Records that the first event of a request came after `took`, so that its prompt is
     /// prefilled. Room made by it is granted by [`Self::grant_due`].
     pub fn first_event(&mut self, key: &K, took: Duration, now: Instant) {
-        let _ = (key, took, now);
+        self.refresh(now);
+        let event_time = self.limits(0, now).map(|limits| limits.event_time);
+        let Some(sent) = self.sent.get_mut(key).filter(|sent| !sent.is_prefilled) else {
+            return;
+        };
+        sent.is_prefilled = true;
+        self.bucket.record_prefilled(sent.tokens, now);
+        if let Some(event_time) = event_time {
+            self.pace.record(sent.pending_tokens, took, event_time, now);
+        }
     }
 
     /// Records that a request ended or no longer waits, with the longest pause between two of its
@@ -95,37 +198,75 @@
         longest_pause: Option<Duration>,
         now: Instant,
     ) -> Vec<(K, PromptAnswer)> {
-        let _ = (key, longest_pause);
+        self.refresh(now);
+        if let Some(pause) = longest_pause {
+            self.record_pause(key, pause, now);
+        }
+        self.queue.remove(key);
+        self.sent.remove(key);
         self.grant_due(now)
     }
 
     /// Records a pause over the route's limit.
     pub fn record_pause(&mut self, key: &K, pause: Duration, now: Instant) {
-        let _ = (key, pause, now);
+        let limit_ms = self.sent.get(key).map_or(0, |sent| sent.longest_pause_ms);
+        if pause > Duration::from_millis(u64::from(limit_ms)) {
+            self.watch.record_pause(*key, now);
+        }
     }
 
     /// Records the usual time between two events of a stream.
     pub fn record_spacing(&mut self, spacing: Duration) {
-        let _ = spacing;
+        let average = self.event_time.unwrap_or(spacing);
+        let average = average.mul_f64(1.0 - SPACING_WEIGHT) + spacing.mul_f64(SPACING_WEIGHT);
+        self.event_time = Some(average);
     }
 
-    /// Grants queued requests while there is room, refuses those whose callers have stopped
-    /// waiting, and returns the decisions made.
+    /// Grants queued requests while there is room, refuses those that cannot start while their
+    /// callers wait, and returns the decisions made.
     pub fn grant_due(&mut self, now: Instant) -> Vec<(K, PromptAnswer)> {
-        let _ = now;
-        Vec::new()
+        self.refresh(now);
+        let mut answers = Vec::new();
+        loop {
+            answers.extend(self.refuse_hopeless(now));
+            let Some(next) = self.queue.next(now).copied() else {
+                break;
+            };
+            let pending = self.pending_tokens(now);
+            let limits = self.limits(0, now);
+            if !limits.is_none_or(|limits| self.bucket.fits(next.tokens, &limits, pending, now)) {
+                break;
+            }
+            self.grant(next.key, next.tokens, next.longest_pause_ms, now);
+            answers.push((next.key, PromptAnswer::Granted));
+        }
+        answers
     }
 
-    /// When [`Self::grant_due`] has something to decide, unless a request ends before.
+    /// When [`Self::grant_due`] has something to decide, unless a request is reported before.
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
-        let _ = now;
-        None
+        let next = self.queue.next(now)?;
+        let Some(limits) = self.limits(0, now) else {
+            return Some(now);
+        };
+        let pending = self.pending_tokens(now);
+        if self.bucket.fits(next.tokens, &limits, pending, now) {
+            return Some(now);
+        }
+        let tokens = f64::from(next.tokens).min(limits.burst_tokens);
+        let wait_ms = round_up_ms(self.bucket.wait(tokens, &limits, pending, now)).max(1);
+        let has_room_at = now + Duration::from_millis(u64::from(wait_ms));
+        let expiry = self.queue.iter().map(|waiting| waiting.expires_at).min();
+        let change = self.bucket.next_change(&limits, now);
+        [Some(has_room_at), expiry, change]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Whether prompts are paced.
     pub fn is_active(&self, now: Instant) -> bool {
-        let _ = now;
-        false
+        !self.queue.is_empty() || self.watch.is_active(now)
     }
 
     /// Prompt tokens that the engine prefills per millisecond.
@@ -140,13 +281,117 @@
 
     /// Streams and long pauses of the last period.
     pub fn pause_counts(&self, now: Instant) -> PauseCounts {
-        let _ = now;
-        PauseCounts::default()
+        self.watch.counts(now)
     }
 
     /// Whether no request is held back or counts, and nothing recent would make the gate active.
     pub fn is_idle(&self, now: Instant) -> bool {
-        let _ = now;
-        true
+        let is_recent = self.watch.counts(now) != PauseCounts::default();
+        !self.is_active(now) && !is_recent && self.sent.values().all(|sent| !sent.counts(now))
+    }
+
+    fn refresh(&mut self, now: Instant) {
+        self.sent.retain(|_, sent| sent.counts(now));
+        self.refill(0, now);
+    }
+
+    fn refill(&mut self, longest_pause_ms: u32, now: Instant) {
+        if let Some(limits) = self.limits(longest_pause_ms, now) {
+            let pending = self.pending_tokens(now);
+            self.bucket.refill(&limits, pending, now);
+        }
+    }
+
+    fn grant(&mut self, key: K, tokens: u32, longest_pause_ms: u32, now: Instant) {
+        self.queue.grant(&key);
+        self.record_sent(key, tokens, longest_pause_ms, now);
+    }
+
+    fn record_sent(&mut self, key: K, tokens: u32, longest_pause_ms: u32, now: Instant) {
+        // Until the first request with a limit, the bucket has no size.
+        self.refill(longest_pause_ms, now);
+        let pending = self.pending_tokens(now) as u32;
+        let sent = SentPrompt {
+            tokens,
+            pending_tokens: pending.saturating_add(tokens),
+            longest_pause_ms,
+            sent_at: now,
+            is_prefilled: false,
+        };
+        self.sent.insert(key, sent);
+        self.bucket.take(tokens);
+        self.watch.record_sent(now);
     }
+
+    fn waiting_prompt(
+        &self,
+        key: K,
+        ask: PromptAsk,
+        limits: &PacingLimits,
+        now: Instant,
+    ) -> WaitingPrompt<K> {
+        // A granted prompt is prefilled after at most what the bucket holds beside it.
+        let tokens = f64::from(ask.tokens).max(limits.burst_tokens);
+        let reserved = self.pace.prefill_time(tokens) + limits.event_time;
+        let due_in = Duration::from_millis(u64::from(ask.due_in_ms));
+        let on_time = due_in.checked_sub(reserved);
+        WaitingPrompt {
+            key,
+            tokens: ask.tokens,
+            priority: ask.priority,
+            longest_pause_ms: ask.longest_pause_ms,
+            latest_start: on_time.map_or(now - Duration::from_millis(1), |left| now + left),
+            expires_at: now + Duration::from_millis(u64::from(ask.wait_limit_ms)),
+            waits_since: now,
+        }
+    }
+
+    fn refuse_hopeless(&mut self, now: Instant) -> Vec<(K, PromptAnswer)> {
+        let limits = self.limits(0, now);
+        let next = self.queue.next(now).map(|next| next.key);
+        let refusal = |waiting: &WaitingPrompt<K>| {
+            let limits = limits?;
+            let wait = self.wait_of(waiting, &limits, now);
+            let can_start = Some(waiting.key) == next && now < waiting.expires_at
+                || now + wait <= waiting.expires_at;
+            let wait_ms = round_up_ms(wait);
+            (!can_start).then_some((waiting.key, PromptAnswer::Refused { wait_ms }))
+        };
+        let refused: Vec<_> = self.queue.iter().filter_map(refusal).collect();
+        for (key, _) in &refused {
+            self.queue.remove(key);
+        }
+        refused
+    }
+
+    fn wait_of(&self, prompt: &WaitingPrompt<K>, limits: &PacingLimits, now: Instant) -> Duration {
+        let own = f64::from(prompt.tokens).min(limits.burst_tokens);
+        let tokens = self.queue.tokens_ahead(prompt, now) + own;
+        self.bucket
+            .wait(tokens, limits, self.pending_tokens(now), now)
+    }
+
+    /// The limits by the tightest pause limit of the requests here and of one with
+    /// `longest_pause_ms`; nothing if none has a limit.
+    fn limits(&self, longest_pause_ms: u32, now: Instant) -> Option<PacingLimits> {
+        let sent = self.sent.values().filter(|sent| sent.counts(now));
+        let sent = sent.map(|sent| sent.longest_pause_ms);
+        let waiting = self.queue.iter().map(|waiting| waiting.longest_pause_ms);
+        let all = sent.chain(waiting).chain([longest_pause_ms]);
+        let tightest_ms = all.filter(|limit_ms| *limit_ms > 0).min()?;
+        let limit = Duration::from_millis(u64::from(tightest_ms));
+        Some(PacingLimits::new(&self.pace, limit, self.event_time))
+    }
+
+    /// Tokens of prompts that were sent and are not known to be prefilled.
+    fn pending_tokens(&self, now: Instant) -> f64 {
+        let pending = self.sent.values();
+        let pending = pending.filter(|sent| !sent.is_prefilled && sent.counts(now));
+        pending.map(|sent| f64::from(sent.tokens)).sum()
+    }
+}
+
+fn round_up_ms(time: Duration) -> u32 {
+    let ms = time.as_micros().div_ceil(1_000);
+    u32::try_from(ms).unwrap_or(u32::MAX)
 }
