--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -34,6 +34,8 @@
     /// How long callers wait for the next event of a stream, including the first, before they
     /// disconnect.
     pub event_timeout: Duration,
+    /// The longest pause between two events with which a stream is still on time, if there is one.
+    pub longest_pause: Option<Duration>,
     /// The priority of its requests; 0 is the most urgent.
     pub priority: u8,
     /// The services to send requests to, with their weights. Never empty.
@@ -66,6 +68,7 @@
     ///     timeout: Duration::from_secs(1),
     ///     latency_objective: Duration::from_millis(150),
     ///     event_timeout: Duration::from_secs(2),
+    ///     longest_pause: None,
     ///     priority: 2,
     ///     services: vec![split("old", 90.0), split("new", 10.0)],
     ///     max_attempts: 2,
--- a/crates/relay/tests/stream_services.rs
+++ b/crates/relay/tests/stream_services.rs
@@ -17,6 +17,7 @@
         kind: CallKind::Stream { is_resumable: true },
         timeout: Duration::from_secs(10),
         latency_objective: Duration::from_millis(600),
+        longest_pause: None,
         event_timeout: Duration::from_secs(2),
         priority: 1,
         services: services.iter().map(share).collect(),
