Run the gates of engines' prompts on the control thread

Nothing bounded the prompts that nodes send to one engine together, and those pause the streams there. The node that the slot issuers name for an engine now keeps its gate: it counts the prompts and pauses that nodes report, answers their questions, grants on a timer set from the next due grant, and tells all nodes every 4 s which gates are active, as one node sends to one engine too seldom to learn it by answers.

--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -26,6 +26,7 @@
 use super::model_demand::ModelDemand;
 use super::origin_writes::OriginWrites;
 use super::owner_record::OwnerWait;
+use super::prompt_gates::PromptGates;
 use super::returning_nodes::ReturningNodes;
 use super::served_software::ServedSoftware;
 use super::slots::Slots;
@@ -138,6 +139,8 @@
     pub(crate) lending: Lending,
     /// The upstream slots that this node grants.
     pub(crate) slots: Slots,
+    /// The engines whose prompts this node paces.
+    pub(crate) prompt_gates: PromptGates,
     /// The id of the machine's current boot, since which the clock counts.
     pub(crate) boot: Arc<str>,
     started: Instant,
@@ -195,6 +198,7 @@
             origin_writes: OriginWrites::default(),
             lending: Lending::default(),
             slots: Slots::default(),
+            prompt_gates: PromptGates::default(),
             boot: boot_id(),
             started: Instant::now(),
             view_number: Cell::new(0),
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -19,7 +19,7 @@
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
 use super::brittle_gossip::{BrittleGossip, all_announcements};
 use super::control_state::ControlState;
@@ -187,6 +187,7 @@
                 restart_checks.start_due(&control);
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
+                announce_prompt_gates(&control, &socket);
                 send_joined(&control, &socket);
                 control.publish_joined();
                 send_streams(&control, &socket);
@@ -197,6 +198,7 @@
             _ = queries.tick(), if control.must_query_suspects.get() => {
                 send_queries(&control, &socket);
             }
+            () = until(control.prompt_gates.next_due()) => grant_prompts(&control, &socket),
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
                     handle_datagram(&control, &socket, &mut aggregator, &buffer[..length], sender);
@@ -406,6 +408,26 @@
     control.grant_due_turns(|message, to| send(control, socket, &traffic(message), to));
 }
 
+/// Completes at `due`, or never.
+async fn until(due: Option<Instant>) {
+    match due {
+        Some(due) => sleep_until(due.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Grants the prompts that are due.
+fn grant_prompts(control: &ControlState, socket: &UdpSocket) {
+    let traffic = |message| Message::Traffic(TrafficMessage::Prompts(message));
+    control.grant_due_prompts(|message, to| send(control, socket, &traffic(message), to));
+}
+
+/// Tells nodes which engines' prompts are paced.
+fn announce_prompt_gates(control: &ControlState, socket: &UdpSocket) {
+    let traffic = |message| Message::Traffic(TrafficMessage::Prompts(message));
+    control.announce_prompt_gates(|message, to| send(control, socket, &traffic(message), to));
+}
+
 /// Announces this node to all others, after its start.
 fn send_joined(control: &ControlState, socket: &UdpSocket) {
     let others = other_nodes(control);
@@ -529,6 +551,11 @@
             let send = |message, to| send(control, socket, &traffic(message), to);
             control.handle_slot_message(message, sender, send);
         }
+        Ok(Message::Traffic(TrafficMessage::Prompts(message))) => {
+            let traffic = |message| Message::Traffic(TrafficMessage::Prompts(message));
+            let send = |message, to| send(control, socket, &traffic(message), to);
+            control.handle_prompt_message(message, sender, send);
+        }
         Ok(Message::Traffic(TrafficMessage::Forward(ForwardMessage::Ask(services)))) => {
             let answer = ForwardMessage::Answer(control.answer_forward_ask(services));
             let answer = Message::Traffic(TrafficMessage::Forward(answer));
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -33,6 +33,7 @@
 mod owners;
 mod peers;
 mod poll_loads;
+mod prompt_gates;
 mod restarts;
 mod returning_nodes;
 mod served_software;
--- /dev/null
+++ b/crates/relay-node/src/control/prompt_gates.rs
@@ -0,0 +1,211 @@
+//! Paces the prompts of the engines that this node is responsible for.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{EnginePace, PromptAnswer, PromptGate};
+use nutmegsail_telemetry::{Event, log_event};
+
+use super::control_state::ControlState;
+use super::suspect_gossip::other_nodes;
+use crate::traffic_message::{PromptId, PromptMessage};
+
+/// How often nodes are told again that a gate is active. They keep it in mind for 10 s.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Prompt tokens per ms that an engine prefills, as long as nothing is known of the fleet.
+const INITIAL_TOKENS_PER_MS: f64 = 20.0;
+
+type PromptKey = (SocketAddr, PromptId);
+
+#[derive(Debug)]
+struct EngineGate {
+    gate: PromptGate<PromptKey>,
+    /// When the other nodes were last told that it is active; `None` while it is not.
+    announced_at: Option<Instant>,
+}
+
+/// The gates of the engines whose prompts this node paces.
+#[derive(Debug, Default)]
+pub(crate) struct PromptGates {
+    gates: RefCell<HashMap<UpstreamId, EngineGate>>,
+    /// When the next grant is due.
+    next_due: Cell<Option<Instant>>,
+}
+
+impl PromptGates {
+    /// When [`ControlState::grant_due_prompts`] has something to decide.
+    pub(crate) fn next_due(&self) -> Option<Instant> {
+        self.next_due.get()
+    }
+
+    fn update_next_due(&self, now: Instant) {
+        let gates = self.gates.borrow();
+        let due = gates.values().filter_map(|entry| entry.gate.next_due(now));
+        self.next_due.set(due.min());
+    }
+}
+
+impl ControlState {
+    /// Handles a message about prompts; answers are passed to `send`.
+    pub(crate) fn handle_prompt_message(
+        &self,
+        message: PromptMessage,
+        sender: SocketAddr,
+        send: impl Fn(PromptMessage, SocketAddr),
+    ) {
+        let now = Instant::now();
+        let upstream = match &message {
+            PromptMessage::Sent { upstream, .. } | PromptMessage::Ask { upstream, .. } => {
+                self.open_prompt_gate(upstream, now);
+                upstream.clone()
+            }
+            PromptMessage::FirstEvent { upstream, .. }
+            | PromptMessage::Pause { upstream, .. }
+            | PromptMessage::End { upstream, .. } => upstream.clone(),
+            PromptMessage::Paced { upstream } => {
+                self.shared.paced.record_active(upstream, now);
+                return;
+            }
+            // Answers go to the sockets of traffic threads.
+            PromptMessage::Answer { .. } => return,
+        };
+        let mut gates = self.prompt_gates.gates.borrow_mut();
+        let Some(entry) = gates.get_mut(&upstream) else {
+            return;
+        };
+        let gate = &mut entry.gate;
+        let mut decided = Vec::new();
+        match message {
+            PromptMessage::Sent { id, ask, .. } => {
+                if gate.note_sent((sender, id), ask, now) {
+                    let upstream = upstream.clone();
+                    send(PromptMessage::Paced { upstream }, sender);
+                }
+            }
+            PromptMessage::Ask { id, ask, .. } => {
+                let answer = gate.ask((sender, id), ask, now);
+                decided.push(((sender, id), answer));
+            }
+            PromptMessage::FirstEvent { id, took_ms, .. } => {
+                gate.first_event(&(sender, id), millis(took_ms), now);
+                decided = gate.grant_due(now);
+            }
+            PromptMessage::Pause { id, pause_ms, .. } => {
+                gate.record_pause(&(sender, id), millis(pause_ms), now);
+            }
+            PromptMessage::End { id, .. } => decided = gate.end(&(sender, id), None, now),
+            PromptMessage::Paced { .. } | PromptMessage::Answer { .. } => {}
+        }
+        send_answers(&upstream, gate, decided, &send);
+        self.announce_gate(&upstream, entry, now, &send);
+        drop(gates);
+        self.prompt_gates.update_next_due(now);
+    }
+
+    /// Grants the prompts that are due; the answers are passed to `send`.
+    pub(crate) fn grant_due_prompts(&self, send: impl Fn(PromptMessage, SocketAddr)) {
+        let now = Instant::now();
+        let mut gates = self.prompt_gates.gates.borrow_mut();
+        for (upstream, entry) in gates.iter_mut() {
+            if entry.gate.next_due(now).is_some_and(|due| due <= now) {
+                let decided = entry.gate.grant_due(now);
+                send_answers(upstream, &entry.gate, decided, &send);
+            }
+        }
+        drop(gates);
+        self.prompt_gates.update_next_due(now);
+    }
+
+    /// Drops the gates of engines that are no longer listed, and tells nodes which gates are active.
+    pub(crate) fn announce_prompt_gates(&self, send: impl Fn(PromptMessage, SocketAddr)) {
+        let now = Instant::now();
+        let mut gates = self.prompt_gates.gates.borrow_mut();
+        if gates.is_empty() {
+            return;
+        }
+        gates.retain(|upstream, _| self.upstreams.borrow().contains_key(upstream));
+        for (upstream, entry) in gates.iter_mut() {
+            self.announce_gate(upstream, entry, now, &send);
+        }
+        let active = gates.values().filter(|entry| entry.announced_at.is_some());
+        self.shared.metrics.prompts.active_gates(active.count());
+    }
+
+    /// Creates the gate of a listed engine if there is none.
+    fn open_prompt_gate(&self, upstream: &UpstreamId, now: Instant) {
+        let mut gates = self.prompt_gates.gates.borrow_mut();
+        if gates.contains_key(upstream) || self.upstream(upstream).is_none() {
+            return;
+        }
+        let fleet = self.shared.paced.fleet_pace();
+        let pace = EnginePace::new(fleet.unwrap_or(INITIAL_TOKENS_PER_MS));
+        let entry = EngineGate {
+            gate: PromptGate::new(pace, now),
+            announced_at: None,
+        };
+        gates.insert(upstream.clone(), entry);
+    }
+
+    /// Logs when the gate becomes active or inactive, and tells all nodes while it is active: each
+    /// sends to an engine too seldom to learn it from answers.
+    fn announce_gate(
+        &self,
+        upstream: &UpstreamId,
+        entry: &mut EngineGate,
+        now: Instant,
+        send: &impl Fn(PromptMessage, SocketAddr),
+    ) {
+        let is_active = entry.gate.is_active(now);
+        if is_active != entry.announced_at.is_some() {
+            let counts = entry.gate.pause_counts(now);
+            let event = match is_active {
+                true => Event::PacingBegun,
+                false => Event::PacingEnded,
+            };
+            log_event!(
+                self.log, event,
+                "upstream" => upstream.to_string(), "pauses" => counts.paused,
+                "streams" => counts.streams, "pace" => entry.gate.tokens_per_ms()
+            );
+        }
+        if !is_active {
+            entry.announced_at = None;
+            return;
+        }
+        let is_due = |at| now.saturating_duration_since(at) >= ANNOUNCEMENT_INTERVAL;
+        if entry.announced_at.is_none_or(is_due) {
+            entry.announced_at = Some(now);
+            self.shared.paced.record_active(upstream, now);
+            for node in other_nodes(self) {
+                let upstream = upstream.clone();
+                send(PromptMessage::Paced { upstream }, node);
+            }
+        }
+    }
+}
+
+fn send_answers(
+    upstream: &UpstreamId,
+    gate: &PromptGate<PromptKey>,
+    decided: Vec<(PromptKey, PromptAnswer)>,
+    send: &impl Fn(PromptMessage, SocketAddr),
+) {
+    let pace = (gate.tokens_per_ms() * 1e3) as u32;
+    for ((node, id), answer) in decided {
+        let answer = PromptMessage::Answer {
+            id,
+            upstream: upstream.clone(),
+            answer,
+            pace,
+        };
+        send(answer, node);
+    }
+}
+
+fn millis(ms: u32) -> Duration {
+    Duration::from_millis(u64::from(ms))
+}
--- a/crates/relay-node/src/control/slots.rs
+++ b/crates/relay-node/src/control/slots.rs
@@ -36,8 +36,8 @@
 }
 
 impl ControlState {
-    /// The slot issuer of each plain or rate-limited upstream: the node that grants its slots and
-    /// turns.
+    /// The slot issuer of each plain or rate-limited upstream, and of each engine whose prompts may
+    /// be paced: the node that grants its slots, turns and prompts.
     ///
     /// Issuers are chosen by hash, so nodes with the same list of nodes choose alike without a
     /// message. While their lists differ, two nodes may grant the same slots, and the upstream
@@ -53,9 +53,13 @@
         }
         let previous = Arc::clone(&slots.issuers.borrow());
         let limits = self.shared.limits();
+        let table = self.table.borrow();
+        let paced = table.as_ref().map(|table| table.paced_services());
+        let is_paced = |service| paced.as_ref().is_some_and(|paced| paced.contains(service));
         let gated = upstreams.values().filter(|upstream| {
             let is_limited = limits.per_s(&upstream.id).is_some();
             let is_gated = is_limited || self.shared.is_brittle(&upstream.service);
+            let is_gated = is_gated || is_paced(&upstream.service);
             upstream.takes_work() && (is_gated || self.is_plain(upstream))
         });
         let own_address = self.settings.nodes_address;
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 
 use crate::peer_traffic::PeerTraffic;
+use crate::prompt_metrics::PromptMetrics;
 use crate::team_metrics::TeamMetrics;
 use crate::traffic::BodySummary;
 
@@ -26,6 +27,7 @@
 pub(crate) struct RelayMetrics {
     pub(crate) teams: TeamMetrics,
     pub(crate) peer_traffic: PeerTraffic,
+    pub(crate) prompts: PromptMetrics,
     requests: Counter<u64>,
     sends: Counter<u64>,
     loads: Counter<u64>,
@@ -75,6 +77,7 @@
         Self {
             teams: TeamMetrics::new(meter),
             peer_traffic: PeerTraffic::new(meter),
+            prompts: PromptMetrics::new(meter),
             requests: counter(
                 "nutmegsail.relay.requests",
                 "Requests that ended, by result and base model.",
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::boot_time;
 use crate::metrics::RelayMetrics;
+use crate::paced_engines::PacedEngines;
 use crate::stream_origins::{KnownStreams, StreamSoftware};
 
 /// The largest number of load requests queued for the control thread. A caller's request waits for
@@ -53,7 +54,8 @@
     pub(crate) load_times: LoadTimes,
     /// The nodes that lend teams' quotas, nearest first.
     pub(crate) lenders: Arc<[SocketAddr]>,
-    /// The node that issues the slots of each plain upstream.
+    /// The node that issues the slots of each plain upstream, and paces the prompts of each engine
+    /// that streams with a longest pause go to.
     pub(crate) slot_issuers: Arc<HashMap<UpstreamId, SocketAddr>>,
     /// The other nodes that accept forwarded requests.
     pub(crate) peers: Arc<[Peer]>,
@@ -322,6 +324,7 @@
     notices: Mutex<UpstreamNotices>,
     reach: Mutex<UpstreamReach>,
     brittle: Mutex<BrittleServices>,
+    pub(crate) paced: PacedEngines,
     pub(crate) streams: Mutex<KnownStreams>,
     /// Notified when streams wait to be written to the store.
     pub(crate) streams_to_write: Notify,
@@ -358,6 +361,7 @@
             notices: Mutex::default(),
             reach: Mutex::default(),
             brittle: Mutex::new(BrittleServices::starting(Instant::now())),
+            paced: PacedEngines::default(),
             streams: Mutex::default(),
             streams_to_write: Notify::new(),
             origin_reads,
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -3,8 +3,8 @@
 use nutmegsail_base::{ServiceName, UpstreamId};
 use nutmegsail_quota::QuotaMessage;
 use nutmegsail_relay::{
-    LimitUpdate, OriginRecord, PeerAnswer, SlotAnswer, SlotEnd, SlotRequest, StreamKey,
-    StreamOrigin,
+    LimitUpdate, OriginRecord, PeerAnswer, PromptAnswer, PromptAsk, SlotAnswer, SlotEnd,
+    SlotRequest, StreamKey, StreamOrigin,
 };
 use serde::{Deserialize, Serialize};
 
@@ -80,6 +80,51 @@
     },
 }
 
+/// Identifies a prompt that one node sends to an engine.
+pub(crate) type PromptId = u64;
+
+/// A message about the pacing of prompts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum PromptMessage {
+    /// A prompt was sent without asking.
+    Sent {
+        id: PromptId,
+        upstream: UpstreamId,
+        ask: PromptAsk,
+    },
+    /// Asks the granting node whether a prompt may be sent. Repeated while the request is queued,
+    /// so that it does not wait for a node that is gone.
+    Ask {
+        id: PromptId,
+        upstream: UpstreamId,
+        ask: PromptAsk,
+    },
+    /// The answer to an `Ask`; one that follows [`PromptAnswer::Queued`] has the same id.
+    Answer {
+        id: PromptId,
+        upstream: UpstreamId,
+        answer: PromptAnswer,
+        /// The engine's pace in prompt tokens per second.
+        pace: u32,
+    },
+    /// The gate of the engine is active: nodes ask before they send.
+    Paced { upstream: UpstreamId },
+    /// The first event has come, `took_ms` after the prompt was sent.
+    FirstEvent {
+        id: PromptId,
+        upstream: UpstreamId,
+        took_ms: u32,
+    },
+    /// A pause between two events was longer than the route's longest.
+    Pause {
+        id: PromptId,
+        upstream: UpstreamId,
+        pause_ms: u32,
+    },
+    /// The request has ended, or is no longer to be sent to the engine.
+    End { id: PromptId, upstream: UpstreamId },
+}
+
 /// A message from or to a traffic thread.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum TrafficMessage {
@@ -91,6 +136,8 @@
     Forward(ForwardMessage),
     /// About where streams began.
     Streams(StreamMessage),
+    /// About the pacing of prompts.
+    Prompts(PromptMessage),
 }
 
 impl TrafficMessage {
@@ -101,6 +148,7 @@
             Self::Slots(_) => "slots",
             Self::Forward(_) => "forward",
             Self::Streams(_) => "streams",
+            Self::Prompts(_) => "prompts",
         }
     }
 }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -479,7 +479,7 @@
     }
 
     /// Time for an engine to process a prompt, in milliseconds.
-    pub(crate) fn prompt_time_ms(&self, prompt_tokens: u64) -> f64 {
+    pub fn prompt_time_ms(&self, prompt_tokens: u64) -> f64 {
         prompt_tokens as f64 * PROMPT_TOKEN_MS * self.latency_factor
     }
 
--- a/crates/relay/src/route_table.rs
+++ b/crates/relay/src/route_table.rs
@@ -1,6 +1,6 @@
 //! The configuration in force, arranged for routing.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -100,6 +100,14 @@
         self.services.values()
     }
 
+    /// The services that a route of streams with a longest pause leads to.
+    pub fn paced_services(&self) -> HashSet<&ServiceName> {
+        let routes = self.routes.values().flatten();
+        let paced = routes.filter(|route| route.kind.is_stream() && route.longest_pause.is_some());
+        let services = paced.flat_map(|route| &route.services);
+        services.map(|share| &share.service).collect()
+    }
+
     /// The services that resumable routes lead to.
     pub fn stream_services(&self) -> &HashMap<ServiceName, StreamService> {
         &self.stream_services
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -92,6 +92,7 @@
     2015 SendNotSent Info "A request could not be sent to an upstream, as no connection could be opened.";
     2016 RequestForwarded Info "A request was forwarded to another node, as its upstreams cannot be reached from this one.";
     2017 AnswerNotResumed Info "A stream broke off, and no other upstream resumed it.";
+    2018 PromptHeldBack Info "A request was held back or refused because of the prompts sent to an engine.";
     3001 UpstreamEjected Warning "An upstream failed too often and gets no work for a while.";
     3002 UpstreamRestored Info "An upstream gets work again.";
     3003 UpstreamLeaving Info "An upstream is leaving and gets no new work.";
@@ -125,6 +126,8 @@
     3031 StreamOriginSought Debug "A caller resumes a stream, and the software version at which it began was sought.";
     3032 ServedVersionsWritten Info "The list of software versions at which a service's streams may have begun was written to the store.";
     3033 StreamOriginsStored Debug "Where streams began was written to the store.";
+    3034 PacingBegun Info "Streams at an engine had too long pauses, so its prompts are paced.";
+    3035 PacingEnded Info "The prompts of an engine are no longer paced.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
