Ask an engine's gate before a prompt is sent while it paces

Where the gate is not known to be active, a stream with a longest pause is sent at once and reported in parallel; otherwise the node asks, tries the next holder, a load elsewhere if that is sooner, and then the queue of the soonest engine. Not measured yet.

--- a/crates/relay-node/src/traffic/call.rs
+++ b/crates/relay-node/src/traffic/call.rs
@@ -16,6 +16,7 @@
 
 use super::admission::QuotaTokens;
 use super::forward::ForwardedFrom;
+use super::prompt_client::PromptPermit;
 use super::slot_client::SlotPermit;
 use crate::{CallMeta, Dialect, SendMeta};
 
@@ -81,6 +82,8 @@
     pub(super) software: RefCell<SoftwareRule>,
     /// Its concurrency slot at a plain upstream, until it is sent.
     pub(super) slot: RefCell<Option<SlotPermit>>,
+    /// Its permit of the node that paces the engine's prompts, until it is sent.
+    pub(super) prompt_permit: RefCell<Option<PromptPermit>>,
     /// Set if another node forwarded it.
     pub(super) forwarded: Option<ForwardedFrom>,
     /// How long the caller waited, with earlier attempts, before it sent this one.
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -27,6 +27,7 @@
 use super::overload::Overload;
 use super::peer_socket::PeerSocket;
 use super::plain_slot::PermitResult;
+use super::prompt_client::PromptClient;
 use super::quota_client::QuotaClient;
 use super::refuse::{self, RefusalReason};
 use super::resume::Resumption;
@@ -94,6 +95,7 @@
     pub(crate) peer_socket: Rc<PeerSocket>,
     pub(crate) quotas: Rc<QuotaClient>,
     pub(crate) slots: Rc<SlotClient>,
+    pub(super) prompts: Rc<PromptClient>,
     /// Per route, the wait limits that callers have stated.
     pub(super) usual_timeouts: RefCell<HashMap<Arc<str>, UsualTimeout>>,
     /// The nodes that requests are forwarded to while their upstreams cannot be reached.
@@ -222,6 +224,7 @@
             bounds: parts.bounds,
             quotas: Rc::new(QuotaClient::new(Rc::clone(&peer_socket))),
             slots: Rc::new(SlotClient::new(Rc::clone(&peer_socket))),
+            prompts: Rc::new(PromptClient::new(Rc::clone(&peer_socket))),
             peer_socket,
             usual_timeouts: RefCell::default(),
             log: parts.log,
@@ -480,6 +483,8 @@
         let mut adapter_deadline = adapter_wait_deadline(call);
         let mut may_load_copy = sends.arrived == 0;
         let mut limited: Vec<(Duration, Choice)> = Vec::new();
+        // Whether an engine of `limited` holds prompts back.
+        let mut is_paced = false;
         loop {
             self.wait_for_trials(call).await?;
             self.admit(call).await?;
@@ -503,19 +508,42 @@
                 }
                 Ok(choice) => {
                     let choice = match call.meta.model {
-                        Some(_) => match self.take_engine_permit(call, &choice).await {
-                            PermitResult::Taken => choice,
-                            PermitResult::Busy(wait) => {
+                        Some(_) => {
+                            let permit = self.take_engine_permit(call, &choice, false).await;
+                            if let PermitResult::Busy(wait) = permit {
                                 limited.push((wait, choice));
                                 continue;
                             }
-                        },
+                            let permit = self.take_prompt_permit(call, &choice, false).await?;
+                            if let PermitResult::Busy(wait) = permit {
+                                call.slot.take();
+                                is_paced = true;
+                                limited.push((wait, choice));
+                                continue;
+                            }
+                            choice
+                        }
                         None => self.take_slot(call, sends, choice).await?,
                     };
                     if self.may_send(call, &choice) {
                         return self.charge_send(call, sends, choice);
                     }
                 }
+                Err(NoChoice::AdapterAbsent)
+                    if is_paced && may_load_copy && self.is_load_sooner(call, &limited, now) =>
+                {
+                    may_load_copy = false;
+                    let purpose = LoadPurpose::Copy;
+                    self.load_adapter(call, sends, purpose, COPY_TIMEOUT).await;
+                }
+                // Engines that hold prompts back have room sooner than the adapter is loaded
+                // elsewhere.
+                Err(NoChoice::AdapterAbsent) if is_paced && !limited.is_empty() => {
+                    let limited = std::mem::take(&mut limited);
+                    if let Some(choice) = self.wait_at_soonest(call, sends, limited).await? {
+                        return Ok(choice);
+                    }
+                }
                 // Slots of a brittle engine become free sooner than its adapters are loaded elsewhere.
                 Err(NoChoice::AdapterAbsent)
                     if !limited.is_empty() && self.shared.is_brittle(&call.service) =>
@@ -611,6 +639,7 @@
             && choice.version.is_none_or(|version| rule.allows(version));
         if !may_send {
             call.slot.take();
+            call.prompt_permit.take();
         }
         may_send
     }
@@ -634,17 +663,33 @@
     }
 
     /// Takes a permit at an engine that has a rate limit or is brittle.
-    async fn take_engine_permit(&self, call: &Call, choice: &Choice) -> PermitResult {
+    pub(super) async fn take_engine_permit(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        may_queue: bool,
+    ) -> PermitResult {
         let is_limited = self.shared.limits().per_s(&choice.upstream.id).is_some();
         if !is_limited && !self.shared.is_brittle(&choice.upstream.service) {
             return PermitResult::Taken;
         }
-        self.request_permit(call, choice, false).await
+        self.request_permit(call, choice, may_queue).await
     }
 
     fn is_sooner_elsewhere(&self, call: &Call, choice: &Choice, now: Instant) -> bool {
+        self.is_expected_sooner_elsewhere(call, choice.expected_ms, now)
+    }
+
+    /// Whether `call` would get its first event much sooner by a load on another engine than by a
+    /// wait of `expected_ms`.
+    pub(super) fn is_expected_sooner_elsewhere(
+        &self,
+        call: &Call,
+        expected_ms: f64,
+        now: Instant,
+    ) -> bool {
         let dispatcher = self.dispatcher.borrow();
-        dispatcher.is_sooner_elsewhere(&need(call, &[]), choice.expected_ms, now)
+        dispatcher.is_sooner_elsewhere(&need(call, &[]), expected_ms, now)
     }
 
     pub(super) fn choose(
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -18,6 +18,7 @@
 use super::forward::ForwardedGuard;
 use super::gateway::Gateway;
 use super::slot_client::SlotPermit;
+use super::stream_pacing::StreamPacing;
 
 /// One send in progress. Dropping it, also when the caller disconnects, ends its accounting.
 pub(crate) struct InFlight {
@@ -36,6 +37,8 @@
     is_ended: bool,
     /// The concurrency slot it holds at a plain upstream.
     slot: Option<SlotPermit>,
+    /// Set for a stream whose prompt may be paced.
+    pacing: Option<StreamPacing>,
     /// The team of the caller.
     team: Option<TeamName>,
     request: RequestId,
@@ -83,6 +86,11 @@
             has_outcome: false,
             is_ended: false,
             slot: call.slot.take(),
+            pacing: call
+                .prompt_permit
+                .take()
+                .zip(call.route.longest_pause)
+                .map(|(permit, longest_pause)| StreamPacing::new(permit, longest_pause)),
             team: call.caller.team().map(|team| team.name.clone()),
             request: call.id.clone(),
             traits: call.traits.clone(),
@@ -129,6 +137,11 @@
     /// Called when a part of the answer's body arrives.
     pub(crate) fn record_progress(&mut self) {
         self.record_contact();
+        if let Some(pacing) = &mut self.pacing {
+            let now = Instant::now();
+            let is_paced = self.gateway.shared.paced.is_paced(&self.upstream.id, now);
+            pacing.record_part(&self.gateway, is_paced, self.sent, now);
+        }
         if let Some(first) = self.first {
             self.record_run(first);
             return;
@@ -148,6 +161,8 @@
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher.record_prompt_read(&self.upstream.id, self.pending_prompt_tokens);
         dispatcher.record_answer_started(&self.upstream.id, self.expected_ms, took, now);
+        let token_ms = dispatcher.prompt_time_ms(1);
+        self.gateway.shared.paced.set_fleet_pace(1.0 / token_ms);
     }
 
     /// Records that the answer has run on since its first part arrived.
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -317,6 +317,7 @@
             caller,
             tokens: QuotaTokens::default(),
             slot: RefCell::default(),
+            prompt_permit: RefCell::default(),
             forwarded,
             stream,
             software: RefCell::new(software.unwrap_or_default()),
--- a/crates/relay-node/src/traffic/overload.rs
+++ b/crates/relay-node/src/traffic/overload.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nutmegsail_relay::OverloadGate;
 use nutmegsail_telemetry::{Event, log_event};
@@ -19,6 +19,45 @@
     /// Whether a task is queued only to record its delay.
     is_probing: Cell<bool>,
     was_overloaded: Cell<bool>,
+    /// When the thread last ran [`watch_delay`].
+    checked_at: Cell<Option<Instant>>,
+    /// When the thread was last late.
+    late_at: Cell<Option<Instant>>,
+}
+
+/// Delay from which this node counts as late. Such delays are a good part of the longest pauses
+/// that routes state (250 to 400 ms).
+const LATE_DELAY: Duration = Duration::from_millis(50);
+
+/// How often the thread checks whether it is late.
+const DELAY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Records the delays of the traffic thread, forever, also while no caller connects.
+pub(crate) async fn watch_delay(gateway: Rc<Gateway>) {
+    let overload = &gateway.overload;
+    loop {
+        let expected = Instant::now() + DELAY_CHECK_INTERVAL;
+        overload.checked_at.set(Some(Instant::now()));
+        tokio::time::sleep_until(expected.into()).await;
+        overload.record_lateness(expected.elapsed(), Instant::now());
+    }
+}
+
+impl Overload {
+    fn record_lateness(&self, delay: Duration, now: Instant) {
+        if delay > LATE_DELAY {
+            self.late_at.set(Some(now));
+        }
+    }
+
+    /// Whether this node was late at any time since `since`, or is late now.
+    pub(super) fn was_late_since(&self, since: Instant, now: Instant) -> bool {
+        let checked = self.checked_at.get();
+        let is_late = checked.is_some_and(|at| {
+            now.saturating_duration_since(at) > DELAY_CHECK_INTERVAL + LATE_DELAY
+        });
+        is_late || self.late_at.get().is_some_and(|at| at >= since)
+    }
 }
 
 impl Gateway {
@@ -38,6 +77,7 @@
     pub(super) fn record_delay(&self, accepted_at: Duration) {
         let now = boot_time();
         let delay = now.saturating_sub(accepted_at);
+        self.overload.record_lateness(delay, Instant::now());
         let mut gate = self.overload.gate.borrow_mut();
         gate.record_delay(delay, now);
         let is_overloaded = gate.is_overloaded(now);
--- a/crates/relay-node/src/traffic/peer_socket.rs
+++ b/crates/relay-node/src/traffic/peer_socket.rs
@@ -5,12 +5,16 @@
 use std::time::Instant;
 
 use nutmegsail_quota::QuotaMessage;
+use nutmegsail_relay::PromptAnswer;
 use tokio::net::UdpSocket;
 
 use super::gateway::Gateway;
+use super::prompt_client::PacedAnswer;
 use crate::control::{parse_traffic_message, traffic_datagram};
 use crate::peer_traffic::PeerTraffic;
-use crate::traffic_message::{ForwardMessage, SlotMessage, StreamMessage, TrafficMessage};
+use crate::traffic_message::{
+    ForwardMessage, PromptMessage, SlotMessage, StreamMessage, TrafficMessage,
+};
 
 /// The largest datagram that is received, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
@@ -37,6 +41,31 @@
     }
 }
 
+/// Processes a message of the node that paces an engine's prompts.
+fn receive_prompt_message(gateway: &Gateway, message: PromptMessage, sender: SocketAddr) {
+    let paced = &gateway.shared.paced;
+    match message {
+        PromptMessage::Answer {
+            id,
+            upstream,
+            answer,
+            pace,
+        } => {
+            if answer != PromptAnswer::Granted {
+                paced.record_active(&upstream, Instant::now());
+            }
+            let answer = PacedAnswer {
+                answer,
+                tokens_per_s: pace,
+            };
+            gateway.prompts.receive_answer(id, upstream, answer, sender);
+        }
+        PromptMessage::Paced { upstream } => paced.record_active(&upstream, Instant::now()),
+        // Only granting nodes are asked and told.
+        _ => {}
+    }
+}
+
 /// Receives the answers of other nodes, forever.
 pub(crate) async fn receive_answers(gateway: Rc<Gateway>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -54,6 +83,9 @@
                 upstream,
                 answer,
             })) => gateway.slots.receive_answer(id, &upstream, answer, sender),
+            Some(TrafficMessage::Prompts(message)) => {
+                receive_prompt_message(&gateway, message, sender);
+            }
             Some(TrafficMessage::Forward(ForwardMessage::Answer(answer))) => {
                 let mut peers = gateway.forward_peers.borrow_mut();
                 peers.record_answer(sender, answer, Instant::now());
--- a/crates/relay-node/src/traffic/plain_slot.rs
+++ b/crates/relay-node/src/traffic/plain_slot.rs
@@ -91,7 +91,11 @@
                 MIN_RETRY_AFTER,
             ));
         };
-        match self.request_permit(call, &choice, true).await {
+        let permit = match call.meta.model {
+            Some(_) => self.queue_at_engine(call, &choice).await?,
+            None => self.request_permit(call, &choice, true).await,
+        };
+        match permit {
             PermitResult::Taken => Ok(choice),
             PermitResult::Busy(wait) => {
                 // Randomized, so that callers who were refused together do not retry together.
@@ -102,6 +106,18 @@
         }
     }
 
+    /// Waits for the permits that a request needs at an engine.
+    async fn queue_at_engine(
+        &self,
+        call: &Call,
+        choice: &Choice,
+    ) -> Result<PermitResult, RefusalReason> {
+        match self.take_engine_permit(call, choice, true).await {
+            PermitResult::Taken => self.take_prompt_permit(call, choice, true).await,
+            busy @ PermitResult::Busy(_) => Ok(busy),
+        }
+    }
+
     /// Chooses an upstream that is not in `busy`.
     pub(super) fn choose_not_busy(
         &self,
--- /dev/null
+++ b/crates/relay-node/src/traffic/stream_pacing.rs
@@ -0,0 +1,45 @@
+//! Reports of one stream to the node that paces the prompts of its engine.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::gateway::Gateway;
+use super::prompt_client::PromptPermit;
+
+/// The first event and the pauses of a stream that has a longest pause.
+pub(super) struct StreamPacing {
+    permit: PromptPermit,
+    longest_pause: Duration,
+    /// When the last part of the body arrived.
+    last_part: Option<Instant>,
+}
+
+impl StreamPacing {
+    pub(super) fn new(permit: PromptPermit, longest_pause: Duration) -> Self {
+        Self {
+            permit,
+            longest_pause,
+            last_part: None,
+        }
+    }
+
+    /// Records a part of the body. Parts that this node was late to read say nothing about the
+    /// engine.
+    pub(super) fn record_part(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        is_paced: bool,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let Some(last) = self.last_part.replace(now) else {
+            let took = now.saturating_duration_since(sent);
+            return self.permit.record_first_event(took, is_paced);
+        };
+        let pause = now.saturating_duration_since(last);
+        if pause > self.longest_pause && !gateway.overload.was_late_since(last, now) {
+            gateway.shared.metrics.prompts.long_pause();
+            self.permit.record_pause(pause);
+        }
+    }
+}
