API: pass the time to PromptGate::record_spacing; count partly prefilled prompts in samples of the pace

The backlog is now estimated by the pace itself, later prompts that are prefilled before the first event count, and the time of an event without prefill is learned from the lower decile of spacings.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod ownership_watch;
 mod pause_watch;
 mod prompt;
+mod prompt_backlog;
 mod prompt_bucket;
 mod prompt_gate;
 mod prompt_queue;
--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::pause_watch::PauseWatch;
+use crate::prompt_backlog::{BacklogMark, PromptBacklog};
 use crate::prompt_bucket::{PacingLimits, PromptBucket};
 use crate::prompt_queue::{PromptQueue, WaitingPrompt};
 use crate::{EnginePace, PauseCounts};
@@ -23,6 +24,13 @@
 /// Weight of one stream in the average spacing of events.
 const SPACING_WEIGHT: f64 = 0.1;
 
+/// Weight of a stream whose events are wider apart than the average. Prompts were prefilled between
+/// them, so that they say less about the time of an event without prefill.
+const WIDER_SPACING_WEIGHT: f64 = 0.01;
+
+/// Widest spacing that one stream can contribute, as a multiple of the average.
+const MAX_SPACING_RATIO: f64 = 2.0;
+
 /// A request to send a prompt to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptAsk {
@@ -63,8 +71,7 @@
 #[derive(Clone, Copy, Debug)]
 struct SentPrompt {
     tokens: u32,
-    /// Tokens to prefill when it was sent, including its own.
-    pending_tokens: u32,
+    mark: BacklogMark,
     /// Route's longest pause in milliseconds; 0 for none.
     longest_pause_ms: u32,
     sent_at: Instant,
@@ -110,6 +117,7 @@
     pace: EnginePace,
     watch: PauseWatch<K>,
     bucket: PromptBucket,
+    backlog: PromptBacklog,
     queue: PromptQueue<K>,
     sent: HashMap<K, SentPrompt>,
     /// Average time between two events without prefill.
@@ -123,6 +131,7 @@
             pace,
             watch: PauseWatch::new(),
             bucket: PromptBucket::new(now),
+            backlog: PromptBacklog::new(now),
             queue: PromptQueue::new(),
             sent: HashMap::new(),
             event_time: None,
@@ -184,9 +193,13 @@
             return;
         };
         sent.is_prefilled = true;
+        let sent = *sent;
         self.bucket.record_prefilled(sent.tokens, now);
+        let (unreported, pace) = (self.pending_tokens(now), self.pace.tokens_per_ms());
+        let backlog = &self.backlog;
+        let tokens = backlog.prefilled_since(&sent.mark, unreported, pace, now);
         if let Some(event_time) = event_time {
-            self.pace.record(sent.pending_tokens, took, event_time, now);
+            self.pace.record(tokens as u32, took, event_time, now);
         }
     }
 
@@ -215,11 +228,19 @@
         }
     }
 
-    /// Records the usual time between two events of a stream.
-    pub fn record_spacing(&mut self, spacing: Duration) {
-        let average = self.event_time.unwrap_or(spacing);
-        let average = average.mul_f64(1.0 - SPACING_WEIGHT) + spacing.mul_f64(SPACING_WEIGHT);
-        self.event_time = Some(average);
+    /// Records the usual time between two events of a stream. Prompts that are prefilled between
+    /// two events part them, so that the lower decile of a stream's times tells more than the mean.
+    pub fn record_spacing(&mut self, spacing: Duration, now: Instant) {
+        let Some(limits) = self.limits(0, now) else {
+            return;
+        };
+        let average = limits.event_time;
+        let spacing = spacing.min(average.mul_f64(MAX_SPACING_RATIO));
+        let weight = match spacing < average {
+            true => SPACING_WEIGHT,
+            false => WIDER_SPACING_WEIGHT,
+        };
+        self.event_time = Some(average.mul_f64(1.0 - weight) + spacing.mul_f64(weight));
     }
 
     /// Grants queued requests while there is room, refuses those that cannot start while their
@@ -310,10 +331,11 @@
     fn record_sent(&mut self, key: K, tokens: u32, longest_pause_ms: u32, now: Instant) {
         // Until the first request with a limit, the bucket has no size.
         self.refill(longest_pause_ms, now);
-        let pending = self.pending_tokens(now) as u32;
+        let (unreported, pace) = (self.pending_tokens(now), self.pace.tokens_per_ms());
+        let mark = self.backlog.add(tokens, unreported, pace, now);
         let sent = SentPrompt {
             tokens,
-            pending_tokens: pending.saturating_add(tokens),
+            mark,
             longest_pause_ms,
             sent_at: now,
             is_prefilled: false,
