--- a/crates/relay/src/prompt_bucket.rs
+++ b/crates/relay/src/prompt_bucket.rs
@@ -25,10 +25,8 @@
     pub(crate) burst_tokens: f64,
     /// Refill rate.
     pub(crate) tokens_per_ms: f64,
-    /// Longest event that pacing allows.
-    pub(crate) window: Duration,
-    /// Tokens that can be prefilled in one such event.
-    pub(crate) window_tokens: f64,
+    /// Tokens that may be prefilled between two events.
+    pub(crate) event_tokens: f64,
     /// Time of an event without prefill.
     pub(crate) event_time: Duration,
 }
@@ -41,12 +39,10 @@
         let window = limit.mul_f64(PAUSE_SHARE);
         let burst = limit.mul_f64(BURST_SHARE);
         let refill_share = 1.0 - (burst + event_time).div_duration_f64(window);
-        let window_prefill = window.saturating_sub(event_time).max(burst);
         Self {
             burst_tokens: as_ms(burst) * pace.tokens_per_ms(),
             tokens_per_ms: refill_share.max(MIN_REFILL_SHARE) * pace.tokens_per_ms(),
-            window,
-            window_tokens: as_ms(window_prefill) * pace.tokens_per_ms(),
+            event_tokens: as_ms(window.saturating_sub(event_time)) * pace.tokens_per_ms(),
             event_time,
         }
     }
@@ -58,7 +54,7 @@
     /// Negative when overdrawn.
     level: f64,
     refilled_at: Instant,
-    /// Prompts prefilled within the window: time of the first event, tokens.
+    /// Prompts whose first event came within the last event time, and its time.
     prefilled: VecDeque<(Instant, u32)>,
 }
 
@@ -86,7 +82,7 @@
         while self
             .prefilled
             .front()
-            .is_some_and(|(at, _)| *at + limits.window <= now)
+            .is_some_and(|(at, _)| *at + limits.event_time <= now)
         {
             self.prefilled.pop_front();
         }
@@ -101,13 +97,17 @@
         now: Instant,
     ) -> bool {
         let tokens = f64::from(tokens);
-        let level = self.level_at(limits, pending, now);
-        if level >= tokens.min(limits.burst_tokens) {
+        let in_events = pending + self.recent_tokens(limits, now);
+        // An engine with nothing to prefill takes one prompt, however long.
+        if in_events == 0.0 {
             return true;
         }
-        // The engine has nothing to prefill. Prompts that were prefilled within the window can
-        // fall into the same event as this one.
-        pending == 0.0 && self.recent_tokens(limits, now) + tokens <= limits.window_tokens
+        let level = self.level_at(limits, pending, now);
+        match tokens <= limits.burst_tokens {
+            true => level >= tokens,
+            // Such a prompt can fall into one event with those before it.
+            false => level >= limits.burst_tokens && in_events + tokens <= limits.event_tokens,
+        }
     }
 
     /// Time until the bucket has room for `tokens`.
@@ -122,14 +122,16 @@
         Duration::from_secs_f64(missing.max(0.0) / limits.tokens_per_ms / 1e3)
     }
 
-    /// When the next prefilled prompt leaves the window.
+    /// When the next prefilled prompt no longer counts.
     pub(crate) fn next_change(&self, limits: &PacingLimits, now: Instant) -> Option<Instant> {
-        let leaves = self.prefilled.iter().map(|(at, _)| *at + limits.window);
+        let leaves = self.prefilled.iter().map(|(at, _)| *at + limits.event_time);
         leaves.filter(|at| *at > now).min()
     }
 
-    /// An event that ends after now holds at most what is pending and what was prefilled within
-    /// the window; the bucket is never overdrawn by more than that.
+    /// A prompt is prefilled within one event of every running stream, and its own first event
+    /// comes one event later. Events that end after that hold only prompts that are pending, so
+    /// that the bucket need not be overdrawn by more. Prompts count for one event time longer, as
+    /// an engine may send its first event sooner than later ones.
     fn level_at(&self, limits: &PacingLimits, pending: f64, now: Instant) -> f64 {
         let passed_ms = as_ms(now.saturating_duration_since(self.refilled_at));
         let refilled = self.level + passed_ms * limits.tokens_per_ms;
@@ -141,7 +143,7 @@
         let recent = self
             .prefilled
             .iter()
-            .filter(|(at, _)| now < *at + limits.window);
+            .filter(|(at, _)| now < *at + limits.event_time);
         recent.map(|(_, tokens)| f64::from(*tokens)).sum()
     }
 }
--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -28,6 +28,10 @@
 /// them, so that they say less about the time of an event without prefill.
 const WIDER_SPACING_WEIGHT: f64 = 0.01;
 
+/// Longest prefill, as a share of the time of an event, from which the time to a first event without
+/// prefill is learned. The pace is learned from longer ones.
+const SHORT_PREFILL_SHARE: f64 = 0.5;
+
 /// Widest spacing that one stream can contribute, as a multiple of the average.
 const MAX_SPACING_RATIO: f64 = 2.0;
 
@@ -122,6 +126,8 @@
     sent: HashMap<K, SentPrompt>,
     /// Average time between two events without prefill.
     event_time: Option<Duration>,
+    /// Average time to the first event of short prompts, without prefill.
+    first_event_time: Option<Duration>,
 }
 
 impl<K: Copy + Eq + Hash> PromptGate<K> {
@@ -135,6 +141,7 @@
             queue: PromptQueue::new(),
             sent: HashMap::new(),
             event_time: None,
+            first_event_time: None,
         }
     }
 
@@ -199,7 +206,8 @@
         let backlog = &self.backlog;
         let tokens = backlog.prefilled_since(&sent.mark, unreported, pace, now);
         if let Some(event_time) = event_time {
-            self.pace.record(tokens as u32, took, event_time, now);
+            let without_prefill = self.update_first_event_time(tokens, took, event_time);
+            self.pace.record(tokens as u32, took, without_prefill, now);
         }
     }
 
@@ -311,6 +319,25 @@
         !self.is_active(now) && !is_recent && self.sent.values().all(|sent| !sent.counts(now))
     }
 
+    /// Updates and returns the time to a first event without prefill, at most the time of an event.
+    /// An engine may send the first event after fewer steps than later ones.
+    fn update_first_event_time(
+        &mut self,
+        tokens: f64,
+        took: Duration,
+        event_time: Duration,
+    ) -> Duration {
+        let average = self.first_event_time.unwrap_or(event_time).min(event_time);
+        let prefill = self.pace.prefill_time(tokens);
+        if prefill > event_time.mul_f64(SHORT_PREFILL_SHARE) {
+            return average;
+        }
+        let sample = took.saturating_sub(prefill).min(event_time);
+        let average = average.mul_f64(1.0 - SPACING_WEIGHT) + sample.mul_f64(SPACING_WEIGHT);
+        self.first_event_time = Some(average);
+        average
+    }
+
     fn refresh(&mut self, now: Instant) {
         self.sent.retain(|_, sent| sent.counts(now));
         self.refill(0, now);
