--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -554,7 +554,7 @@
         Ok(Message::Traffic(TrafficMessage::Prompts(message))) => {
             let traffic = |message| Message::Traffic(TrafficMessage::Prompts(message));
             let send = |message, to| send(control, socket, &traffic(message), to);
-            control.handle_prompt_message(message, sender, send);
+            control.handle_prompt_message(&message, sender, send);
         }
         Ok(Message::Traffic(TrafficMessage::Forward(ForwardMessage::Ask(services)))) => {
             let answer = ForwardMessage::Answer(control.answer_forward_ask(services));
--- a/crates/relay-node/src/control/prompt_gates.rs
+++ b/crates/relay-node/src/control/prompt_gates.rs
@@ -53,12 +53,12 @@
     /// Handles a message about prompts; answers are passed to `send`.
     pub(crate) fn handle_prompt_message(
         &self,
-        message: PromptMessage,
+        message: &PromptMessage,
         sender: SocketAddr,
         send: impl Fn(PromptMessage, SocketAddr),
     ) {
         let now = Instant::now();
-        let upstream = match &message {
+        let upstream = match message {
             PromptMessage::Sent { upstream, .. } | PromptMessage::Ask { upstream, .. } => {
                 self.open_prompt_gate(upstream, now);
                 upstream.clone()
@@ -81,23 +81,23 @@
         let mut decided = Vec::new();
         match message {
             PromptMessage::Sent { id, ask, .. } => {
-                if gate.note_sent((sender, id), ask, now) {
+                if gate.note_sent((sender, *id), *ask, now) {
                     let upstream = upstream.clone();
                     send(PromptMessage::Paced { upstream }, sender);
                 }
             }
             PromptMessage::Ask { id, ask, .. } => {
-                let answer = gate.ask((sender, id), ask, now);
-                decided.push(((sender, id), answer));
+                let answer = gate.ask((sender, *id), *ask, now);
+                decided.push(((sender, *id), answer));
             }
             PromptMessage::FirstEvent { id, took_ms, .. } => {
-                gate.first_event(&(sender, id), millis(took_ms), now);
+                gate.first_event(&(sender, *id), millis(*took_ms), now);
                 decided = gate.grant_due(now);
             }
             PromptMessage::Pause { id, pause_ms, .. } => {
-                gate.record_pause(&(sender, id), millis(pause_ms), now);
+                gate.record_pause(&(sender, *id), millis(*pause_ms), now);
             }
-            PromptMessage::End { id, .. } => decided = gate.end(&(sender, id), None, now),
+            PromptMessage::End { id, .. } => decided = gate.end(&(sender, *id), None, now),
             PromptMessage::Paced { .. } | PromptMessage::Answer { .. } => {}
         }
         send_answers(&upstream, gate, decided, &send);
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -38,7 +38,7 @@
     /// The concurrency slot it holds at a plain upstream.
     slot: Option<SlotPermit>,
     /// Set for a stream whose prompt may be paced.
-    pacing: Option<StreamPacing>,
+    pacing: Option<Box<StreamPacing>>,
     /// The team of the caller.
     team: Option<TeamName>,
     request: RequestId,
@@ -90,7 +90,7 @@
                 .prompt_permit
                 .take()
                 .zip(call.route.longest_pause)
-                .map(|(permit, longest_pause)| StreamPacing::new(permit, longest_pause)),
+                .map(|(permit, longest_pause)| Box::new(StreamPacing::new(permit, longest_pause))),
             team: call.caller.team().map(|team| team.name.clone()),
             request: call.id.clone(),
             traits: call.traits.clone(),
