--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -255,12 +255,11 @@
     /// callers wait, and returns the decisions made.
     pub fn grant_due(&mut self, now: Instant) -> Vec<(K, PromptAnswer)> {
         self.refresh(now);
-        let mut answers = Vec::new();
-        loop {
-            answers.extend(self.refuse_hopeless(now));
-            let Some(next) = self.queue.next(now).copied() else {
-                break;
-            };
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let mut answers = self.refuse_hopeless(now);
+        while let Some(next) = self.queue.next(now).copied() {
             let pending = self.pending_tokens(now);
             let limits = self.limits(0, now);
             if !limits.is_none_or(|limits| self.bucket.fits(next.tokens, &limits, pending, now)) {
@@ -396,17 +395,22 @@
     }
 
     fn refuse_hopeless(&mut self, now: Instant) -> Vec<(K, PromptAnswer)> {
-        let limits = self.limits(0, now);
-        let next = self.queue.next(now).map(|next| next.key);
-        let refusal = |waiting: &WaitingPrompt<K>| {
-            let limits = limits?;
-            let wait = self.wait_of(waiting, &limits, now);
-            let can_start = Some(waiting.key) == next && now < waiting.expires_at
-                || now + wait <= waiting.expires_at;
-            let wait_ms = round_up_ms(wait);
-            (!can_start).then_some((waiting.key, PromptAnswer::Refused { wait_ms }))
+        let Some(limits) = self.limits(0, now) else {
+            return Vec::new();
         };
-        let refused: Vec<_> = self.queue.iter().filter_map(refusal).collect();
+        let pending = self.pending_tokens(now);
+        let next = self.queue.next(now).map(|next| next.key);
+        let mut refused = Vec::new();
+        for (waiting, tokens_ahead) in self.queue.all_tokens_ahead(now) {
+            let own = f64::from(waiting.tokens).min(limits.burst_tokens);
+            let wait = self.bucket.wait(tokens_ahead + own, &limits, pending, now);
+            // The next one may start as soon as the engine has nothing to prefill.
+            let is_next = Some(waiting.key) == next && now < waiting.expires_at;
+            if !is_next && now + wait > waiting.expires_at {
+                let wait_ms = round_up_ms(wait);
+                refused.push((waiting.key, PromptAnswer::Refused { wait_ms }));
+            }
+        }
         for (key, _) in &refused {
             self.queue.remove(key);
         }
--- a/crates/relay/src/prompt_queue.rs
+++ b/crates/relay/src/prompt_queue.rs
@@ -19,12 +19,17 @@
     pub(crate) waits_since: Instant,
 }
 
-/// Which of two waiting requests goes first: those that can be on time before late ones, then the
-/// more urgent, then the one that must start sooner.
+/// Which of two waiting requests goes first: urgent work, then what can be on time before what is
+/// late, then by priority, then the one that must start sooner.
 fn compare<K>(a: &WaitingPrompt<K>, b: &WaitingPrompt<K>, now: Instant) -> Ordering {
     let position = |prompt: &WaitingPrompt<K>| {
         let is_late = prompt.latest_start < now;
-        (is_late, prompt.priority, prompt.latest_start)
+        (
+            prompt.priority > 0,
+            is_late,
+            prompt.priority,
+            prompt.latest_start,
+        )
     };
     position(a).cmp(&position(b))
 }
@@ -105,8 +110,39 @@
             other.priority == prompt.priority && other.waits_since <= prompt.waits_since
         };
         let turns = others().filter(is_same).count() as f64 + 1.0;
+        by_order.min(self.grants_before_turn(turns) * mean_tokens)
+    }
+
+    /// All requests with the tokens of those granted before them, as [`Self::tokens_ahead`] gives
+    /// them one by one.
+    pub(crate) fn all_tokens_ahead(&self, now: Instant) -> Vec<(WaitingPrompt<K>, f64)> {
+        let mut ordered = self.waiting.clone();
+        ordered.sort_by(|a, b| compare(a, b, now));
+        let total: f64 = ordered.iter().map(|prompt| f64::from(prompt.tokens)).sum();
+        let mean_tokens = total / ordered.len().max(1) as f64;
+        let least_urgent = ordered.iter().map(|prompt| prompt.priority).max();
+        let by_turns = ordered
+            .iter()
+            .filter(|prompt| Some(prompt.priority) == least_urgent);
+        let mut by_turns: Vec<Instant> = by_turns.map(|prompt| prompt.waits_since).collect();
+        by_turns.sort_unstable();
+        let mut by_order = 0.0;
+        let ahead = ordered.into_iter().map(|prompt| {
+            let mut ahead = by_order;
+            by_order += f64::from(prompt.tokens);
+            if Some(prompt.priority) == least_urgent {
+                let turns = by_turns.partition_point(|since| *since < prompt.waits_since) + 1;
+                ahead = ahead.min(self.grants_before_turn(turns as f64) * mean_tokens);
+            }
+            (prompt, ahead)
+        });
+        ahead.collect()
+    }
+
+    /// Grants before the least urgent work has got this many turns.
+    fn grants_before_turn(&self, turns: f64) -> f64 {
         let grants = turns * f64::from(FLOOR_INTERVAL) - f64::from(self.grants_since_floor) - 1.0;
-        by_order.min(grants.max(0.0) * mean_tokens)
+        grants.max(0.0)
     }
 
     /// The longest-waiting request of the least urgent kind.
