--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::pause_watch::PauseWatch;
+use crate::prompt_backlog::{BacklogMark, PromptBacklog};
 use crate::prompt_bucket::{PacingLimits, PromptBucket};
 use crate::prompt_queue::{PromptQueue, WaitingPrompt};
 use crate::{EnginePace, PauseCounts};
@@ -23,6 +24,17 @@
 /// Weight of one stream in the average spacing of events.
 const SPACING_WEIGHT: f64 = 0.1;
 
+/// Weight of a stream whose events are wider apart than the average. Prompts were prefilled between
+/// them, so that they say less about the time of an event without prefill.
+const WIDER_SPACING_WEIGHT: f64 = 0.01;
+
+/// Longest prefill, as a share of the time of an event, from which the time to a first event without
+/// prefill is learned. The pace is learned from longer ones.
+const SHORT_PREFILL_SHARE: f64 = 0.5;
+
+/// Widest spacing that one stream can contribute, as a multiple of the average.
+const MAX_SPACING_RATIO: f64 = 2.0;
+
 /// A request to send a prompt to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptAsk {
@@ -63,8 +75,7 @@
 #[derive(Clone, Copy, Debug)]
 struct SentPrompt {
     tokens: u32,
-    /// Tokens to prefill when it was sent, including its own.
-    pending_tokens: u32,
+    mark: BacklogMark,
     /// Route's longest pause in milliseconds; 0 for none.
     longest_pause_ms: u32,
     sent_at: Instant,
@@ -110,10 +121,13 @@
     pace: EnginePace,
     watch: PauseWatch<K>,
     bucket: PromptBucket,
+    backlog: PromptBacklog,
     queue: PromptQueue<K>,
     sent: HashMap<K, SentPrompt>,
     /// Average time between two events without prefill.
     event_time: Option<Duration>,
+    /// Average time to the first event of short prompts, without prefill.
+    first_event_time: Option<Duration>,
 }
 
 impl<K: Copy + Eq + Hash> PromptGate<K> {
@@ -123,9 +137,11 @@
             pace,
             watch: PauseWatch::new(),
             bucket: PromptBucket::new(now),
+            backlog: PromptBacklog::new(now),
             queue: PromptQueue::new(),
             sent: HashMap::new(),
             event_time: None,
+            first_event_time: None,
         }
     }
 
@@ -184,9 +200,14 @@
             return;
         };
         sent.is_prefilled = true;
+        let sent = *sent;
         self.bucket.record_prefilled(sent.tokens, now);
+        let (unreported, pace) = (self.pending_tokens(now), self.pace.tokens_per_ms());
+        let backlog = &self.backlog;
+        let tokens = backlog.prefilled_since(&sent.mark, unreported, pace, now);
         if let Some(event_time) = event_time {
-            self.pace.record(sent.pending_tokens, took, event_time, now);
+            let without_prefill = self.update_first_event_time(tokens, took, event_time);
+            self.pace.record(tokens as u32, took, without_prefill, now);
         }
     }
 
@@ -215,23 +236,30 @@
         }
     }
 
-    /// Records the usual time between two events of a stream.
-    pub fn record_spacing(&mut self, spacing: Duration) {
-        let average = self.event_time.unwrap_or(spacing);
-        let average = average.mul_f64(1.0 - SPACING_WEIGHT) + spacing.mul_f64(SPACING_WEIGHT);
-        self.event_time = Some(average);
+    /// Records the usual time between two events of a stream. Prompts that are prefilled between
+    /// two events part them, so that the lower decile of a stream's times tells more than the mean.
+    pub fn record_spacing(&mut self, spacing: Duration, now: Instant) {
+        let Some(limits) = self.limits(0, now) else {
+            return;
+        };
+        let average = limits.event_time;
+        let spacing = spacing.min(average.mul_f64(MAX_SPACING_RATIO));
+        let weight = match spacing < average {
+            true => SPACING_WEIGHT,
+            false => WIDER_SPACING_WEIGHT,
+        };
+        self.event_time = Some(average.mul_f64(1.0 - weight) + spacing.mul_f64(weight));
     }
 
     /// Grants queued requests while there is room, refuses those that cannot start while their
     /// callers wait, and returns the decisions made.
     pub fn grant_due(&mut self, now: Instant) -> Vec<(K, PromptAnswer)> {
         self.refresh(now);
-        let mut answers = Vec::new();
-        loop {
-            answers.extend(self.refuse_hopeless(now));
-            let Some(next) = self.queue.next(now).copied() else {
-                break;
-            };
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let mut answers = self.refuse_hopeless(now);
+        while let Some(next) = self.queue.next(now).copied() {
             let pending = self.pending_tokens(now);
             let limits = self.limits(0, now);
             if !limits.is_none_or(|limits| self.bucket.fits(next.tokens, &limits, pending, now)) {
@@ -290,6 +318,25 @@
         !self.is_active(now) && !is_recent && self.sent.values().all(|sent| !sent.counts(now))
     }
 
+    /// Updates and returns the time to a first event without prefill, at most the time of an event.
+    /// An engine may send the first event after fewer steps than later ones.
+    fn update_first_event_time(
+        &mut self,
+        tokens: f64,
+        took: Duration,
+        event_time: Duration,
+    ) -> Duration {
+        let average = self.first_event_time.unwrap_or(event_time).min(event_time);
+        let prefill = self.pace.prefill_time(tokens);
+        if prefill > event_time.mul_f64(SHORT_PREFILL_SHARE) {
+            return average;
+        }
+        let sample = took.saturating_sub(prefill).min(event_time);
+        let average = average.mul_f64(1.0 - SPACING_WEIGHT) + sample.mul_f64(SPACING_WEIGHT);
+        self.first_event_time = Some(average);
+        average
+    }
+
     fn refresh(&mut self, now: Instant) {
         self.sent.retain(|_, sent| sent.counts(now));
         self.refill(0, now);
@@ -310,10 +357,11 @@
     fn record_sent(&mut self, key: K, tokens: u32, longest_pause_ms: u32, now: Instant) {
         // Until the first request with a limit, the bucket has no size.
         self.refill(longest_pause_ms, now);
-        let pending = self.pending_tokens(now) as u32;
+        let (unreported, pace) = (self.pending_tokens(now), self.pace.tokens_per_ms());
+        let mark = self.backlog.add(tokens, unreported, pace, now);
         let sent = SentPrompt {
             tokens,
-            pending_tokens: pending.saturating_add(tokens),
+            mark,
             longest_pause_ms,
             sent_at: now,
             is_prefilled: false,
@@ -347,17 +395,22 @@
     }
 
     fn refuse_hopeless(&mut self, now: Instant) -> Vec<(K, PromptAnswer)> {
-        let limits = self.limits(0, now);
-        let next = self.queue.next(now).map(|next| next.key);
-        let refusal = |waiting: &WaitingPrompt<K>| {
-            let limits = limits?;
-            let wait = self.wait_of(waiting, &limits, now);
-            let can_start = Some(waiting.key) == next && now < waiting.expires_at
-                || now + wait <= waiting.expires_at;
-            let wait_ms = round_up_ms(wait);
-            (!can_start).then_some((waiting.key, PromptAnswer::Refused { wait_ms }))
+        let Some(limits) = self.limits(0, now) else {
+            return Vec::new();
         };
-        let refused: Vec<_> = self.queue.iter().filter_map(refusal).collect();
+        let pending = self.pending_tokens(now);
+        let next = self.queue.next(now).map(|next| next.key);
+        let mut refused = Vec::new();
+        for (waiting, tokens_ahead) in self.queue.all_tokens_ahead(now) {
+            let own = f64::from(waiting.tokens).min(limits.burst_tokens);
+            let wait = self.bucket.wait(tokens_ahead + own, &limits, pending, now);
+            // The next one may start as soon as the engine has nothing to prefill.
+            let is_next = Some(waiting.key) == next && now < waiting.expires_at;
+            if !is_next && now + wait > waiting.expires_at {
+                let wait_ms = round_up_ms(wait);
+                refused.push((waiting.key, PromptAnswer::Refused { wait_ms }));
+            }
+        }
         for (key, _) in &refused {
             self.queue.remove(key);
         }
