--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -7,13 +7,11 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
 use crate::pause_watch::PauseWatch;
 use crate::prompt_backlog::{BacklogMark, PromptBacklog};
 use crate::prompt_bucket::{PacingLimits, PromptBucket};
 use crate::prompt_queue::{PromptQueue, WaitingPrompt};
-use crate::{EnginePace, PauseCounts};
+use crate::{EnginePace, PauseCounts, PromptAnswer, PromptAsk};
 
 /// How long a grant counts if neither its first event nor its end is reported: its node may be gone.
 const GRANT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -35,42 +33,6 @@
 /// Widest spacing that one stream can contribute, as a multiple of the average.
 const MAX_SPACING_RATIO: f64 = 2.0;
 
-/// A request to send a prompt to an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptAsk {
-    /// Tokens of the prompt that the engine has to prefill.
-    pub tokens: u32,
-    /// Priority; 0 is the most urgent.
-    pub priority: u8,
-    /// The route's longest pause between two events, in milliseconds; 0 for none.
-    pub longest_pause_ms: u32,
-    /// Time left in which a first event is on time, in milliseconds; 0 if it is already late.
-    pub due_in_ms: u32,
-    /// How long the caller waits, in milliseconds.
-    pub wait_limit_ms: u32,
-    /// Whether to queue the request if its answer would be late at this engine.
-    pub may_queue: bool,
-}
-
-/// The decision on a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PromptAnswer {
-    /// The prompt may be sent.
-    Granted,
-    /// The request was queued; another answer follows.
-    Queued,
-    /// The answer would be late at this engine, and the request was not to be queued.
-    Busy {
-        /// Expected wait in milliseconds.
-        wait_ms: u32,
-    },
-    /// The request cannot start within its caller's wait limit.
-    Refused {
-        /// Time in milliseconds after which there is room.
-        wait_ms: u32,
-    },
-}
-
 /// A request that was sent to the engine.
 #[derive(Clone, Copy, Debug)]
 struct SentPrompt {
