--- a/crates/relay-node/src/control/prompt_gates.rs
+++ b/crates/relay-node/src/control/prompt_gates.rs
@@ -97,7 +97,12 @@
             PromptMessage::Pause { id, pause_ms, .. } => {
                 gate.record_pause(&(sender, *id), millis(*pause_ms), now);
             }
-            PromptMessage::End { id, .. } => decided = gate.end(&(sender, *id), None, now),
+            PromptMessage::End { id, spacing_ms, .. } => {
+                if let Some(spacing_ms) = spacing_ms {
+                    gate.record_spacing(millis(*spacing_ms), now);
+                }
+                decided = gate.end(&(sender, *id), None, now);
+            }
             PromptMessage::Paced { .. } | PromptMessage::Answer { .. } => {}
         }
         send_answers(&upstream, gate, decided, &send);
--- a/crates/relay-node/src/traffic/prompt_client.rs
+++ b/crates/relay-node/src/traffic/prompt_client.rs
@@ -58,6 +58,8 @@
     node: SocketAddr,
     /// Whether its end must be reported.
     reports_end: bool,
+    /// The usual time between two events, which is reported with its end.
+    spacing: Option<Duration>,
 }
 
 impl PromptPermit {
@@ -76,6 +78,11 @@
         );
     }
 
+    /// Records the usual time between two events without prefill.
+    pub(super) fn record_spacing(&mut self, spacing: Duration) {
+        self.spacing = Some(spacing);
+    }
+
     /// Reports a pause that was longer than the route's longest.
     pub(super) fn record_pause(&self, pause: Duration) {
         let (id, upstream, pause_ms) = (self.id, self.upstream.clone(), whole_millis(pause));
@@ -95,7 +102,12 @@
         self.client.waiting.borrow_mut().remove(&self.id);
         if self.reports_end {
             let (id, upstream) = (self.id, self.upstream.clone());
-            let message = PromptMessage::End { id, upstream };
+            let spacing_ms = self.spacing.map(whole_millis);
+            let message = PromptMessage::End {
+                id,
+                upstream,
+                spacing_ms,
+            };
             self.client.send(message, self.node);
         }
     }
@@ -187,6 +199,7 @@
             upstream: upstream.clone(),
             node,
             reports_end: true,
+            spacing: None,
         }
     }
 
@@ -211,7 +224,12 @@
             return;
         }
         if matches!(answer.answer, PromptAnswer::Granted | PromptAnswer::Queued) {
-            self.send(PromptMessage::End { id, upstream }, sender);
+            let message = PromptMessage::End {
+                id,
+                upstream,
+                spacing_ms: None,
+            };
+            self.send(message, sender);
         }
     }
 
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -122,7 +122,13 @@
         pause_ms: u32,
     },
     /// The request has ended, or is no longer to be sent to the engine.
-    End { id: PromptId, upstream: UpstreamId },
+    End {
+        id: PromptId,
+        upstream: UpstreamId,
+        /// The usual time between two of its events without prefill, in milliseconds, if it had
+        /// enough events to tell.
+        spacing_ms: Option<u32>,
+    },
 }
 
 /// A message from or to a traffic thread.
