--- a/crates/relay-node/src/control/prompt_gates.rs
+++ b/crates/relay-node/src/control/prompt_gates.rs
@@ -19,6 +19,9 @@
 /// Prompt tokens per ms that an engine prefills, as long as nothing is known of the fleet.
 const INITIAL_TOKENS_PER_MS: f64 = 20.0;
 
+/// The shortest time between two looks at what is due: the resolution of timers.
+const MIN_GRANT_INTERVAL: Duration = Duration::from_millis(1);
+
 type PromptKey = (SocketAddr, PromptId);
 
 #[derive(Debug)]
@@ -45,7 +48,8 @@
     fn update_next_due(&self, now: Instant) {
         let gates = self.gates.borrow();
         let due = gates.values().filter_map(|entry| entry.gate.next_due(now));
-        self.next_due.set(due.min());
+        let earliest = now + MIN_GRANT_INTERVAL;
+        self.next_due.set(due.min().map(|due| due.max(earliest)));
     }
 }
 
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -138,9 +138,7 @@
     pub(crate) fn record_progress(&mut self) {
         self.record_contact();
         if let Some(pacing) = &mut self.pacing {
-            let now = Instant::now();
-            let is_paced = self.gateway.shared.paced.is_paced(&self.upstream.id, now);
-            pacing.record_part(&self.gateway, is_paced, self.sent, now);
+            pacing.record_part(&self.gateway, &self.upstream.id, self.sent);
         }
         if let Some(first) = self.first {
             self.record_run(first);
--- a/crates/relay-node/src/traffic/stream_pacing.rs
+++ b/crates/relay-node/src/traffic/stream_pacing.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use nutmegsail_base::UpstreamId;
+
 use super::gateway::Gateway;
 use super::prompt_client::PromptPermit;
 
@@ -40,12 +42,13 @@
     pub(super) fn record_part(
         &mut self,
         gateway: &Rc<Gateway>,
-        is_paced: bool,
+        engine: &UpstreamId,
         sent: Instant,
-        now: Instant,
     ) {
+        let now = Instant::now();
         let Some(last) = self.last_part.replace(now) else {
             let took = now.saturating_duration_since(sent);
+            let is_paced = gateway.shared.paced.is_paced(engine, now);
             return self.permit.record_first_event(took, is_paced);
         };
         let pause = now.saturating_duration_since(last);
