Use an engine's own pace where it is known, and the fleet's otherwise

One pace was used for all engines, while those of a deployment differ by up to 2.7 times; a single node asks an engine too seldom to learn its speed. Tracked takes a pace reported for the engine's process, which holds for 30 s. It replaces the fleet's in the expected time to the first event, in the baseline of the slowdown, in the choice of an engine for a load, and in the number of copies of an adapter. The score counts the pause that a prompt would cause over 0.7 of the route's longest pause, at engines where pauses over the limit were seen in the last 10 s. Without a pace and a longest pause nothing changes. Existing tests only name the new field of DispatchRequest; they compile, and were not run for this commit.

--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -703,6 +703,7 @@
         software: call.software(),
         prompt_tokens: call.meta.prompt_tokens,
         prompt: &call.prompt,
+        longest_pause: None,
         tried,
     }
 }
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -67,6 +67,9 @@
 /// ms longer, which is still in time for most requests.
 const STORE_USE_COST_MS: f64 = 240.0;
 
+/// Prompt tokens by which engines of different paces are compared for a load.
+const ADAPTER_TOKENS: f64 = 4_000.0;
+
 /// Largest wait on another engine, as a fraction of the present wait, that justifies a load.
 const MAX_WAIT_RATIO: f64 = 0.6;
 
@@ -91,16 +94,16 @@
         }
         let scope = &CopyScope::Anywhere;
         let any = VersionRule::ANY;
-        let engines = self.load_candidates(need.service, model, any, &need.software, scope, now);
-        let holds = |id: &UpstreamId| {
-            let tracked = self.tracked(id);
-            tracked.is_some_and(|tracked| tracked.version_of(model, now).is_some())
-        };
-        let others = engines.iter().filter(|candidate| !holds(&candidate.engine));
-        let shortest_ms = others.map(|candidate| candidate.cost_ms);
-        let shortest_ms = shortest_ms.fold(f64::INFINITY, f64::min);
-        let prompt_ms = self.prompt_time_ms(need.prompt_tokens);
-        shortest_ms - NOT_LOADING_COST_MS + prompt_ms < expected_ms * MAX_WAIT_RATIO
+        let engines = self.load_engines(need.service, model, any, &need.software, scope, now);
+        let mut others = engines
+            .into_iter()
+            .filter(|tracked| tracked.version_of(model, now).is_none());
+        let prompt_tokens = need.prompt_tokens as f64;
+        others.any(|tracked| {
+            let load_ms = self.load_candidate(tracked, model, any, now).cost_ms;
+            let prompt_ms = prompt_tokens * tracked.token_ms(now);
+            load_ms - NOT_LOADING_COST_MS + prompt_ms < expected_ms * MAX_WAIT_RATIO
+        })
     }
 
     /// Whether an engine of `domain` that accepts requests holds `model`.
@@ -142,6 +145,27 @@
         scope: &CopyScope,
         now: Instant,
     ) -> Vec<LoadCandidate> {
+        let engines = self.load_engines(service, model, version, software, scope, now);
+        let engines = engines.into_iter().map(|tracked| {
+            let candidate = self.load_candidate(tracked, model, version, now);
+            let cost_ms = candidate.cost_ms + usage_cost_ms(tracked, model, now);
+            LoadCandidate {
+                cost_ms,
+                ..candidate
+            }
+        });
+        engines.collect()
+    }
+
+    fn load_engines(
+        &self,
+        service: &ServiceName,
+        model: &ModelRef,
+        version: VersionRule,
+        software: &SoftwareRule,
+        scope: &CopyScope,
+        now: Instant,
+    ) -> Vec<&Tracked> {
         let can_load = |tracked: &&Tracked| {
             let has_base = tracked.has_base(model, now);
             let held_version = tracked.version_of(model, now);
@@ -160,9 +184,6 @@
         let is_loading = |tracked: &Tracked| tracked.loading(now).contains(&model.digest());
         let has_room = |tracked: &Tracked| tracked.has_room(now) || is_loading(tracked);
         preferred(engines, has_room)
-            .into_iter()
-            .map(|tracked| self.load_candidate(tracked, model, version, now))
-            .collect()
     }
 
     fn load_candidate(
@@ -225,6 +246,21 @@
     }
 }
 
+/// Cost of the future requests for a loaded adapter, in milliseconds, by the engine's own pace; zero
+/// if that is unknown or the engine is already loading the adapter.
+///
+/// Most loads find all engines with short queues, so that the expected wait alone would spread
+/// adapters evenly over engines of all paces.
+fn usage_cost_ms(tracked: &Tracked, model: &ModelRef, now: Instant) -> f64 {
+    if tracked.loading(now).contains(&model.digest()) {
+        return 0.0;
+    }
+    let own = tracked.own_token_ms(now);
+    own.map_or(0.0, |own_ms| {
+        (own_ms - tracked.fleet_token_ms()) * ADAPTER_TOKENS
+    })
+}
+
 /// The engines for which `is_preferred` holds, or all if there are none.
 fn preferred(engines: Vec<&Tracked>, is_preferred: impl Fn(&Tracked) -> bool) -> Vec<&Tracked> {
     match engines.iter().any(|tracked| is_preferred(tracked)) {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -8,8 +8,9 @@
 use rand::{Rng, RngExt as _};
 
 use crate::eligibility::Eligibility;
+use crate::engine_speed::INITIAL_PROMPT_TOKEN_MS;
 use crate::load_times::INITIAL_LOAD_MS;
-use crate::tracked::{INITIAL_SLOT_TIME_MS, PROMPT_TOKEN_MS};
+use crate::tracked::INITIAL_SLOT_TIME_MS;
 use crate::{
     DomainContacts, Holdings, HoldingsReport, LoadReport, ModelRef, Outcome, PromptPrefix,
     SoftwareRule, SuspectedPart, Tracked, Upstream, VersionRule,
@@ -30,6 +31,9 @@
     pub prompt_tokens: u64,
     /// The prompt's parts, if the caller identified them.
     pub prompt: &'a PromptPrefix,
+    /// The longest pause between two events with which an answer is on time; `None` if the route
+    /// doesn't limit it.
+    pub longest_pause: Option<Duration>,
     /// Upstreams that already received this request.
     pub tried: &'a [UpstreamId],
 }
@@ -185,6 +189,23 @@
         }
     }
 
+    /// Updates an engine's own pace from the node that runs its gate.
+    pub fn set_pace(&mut self, id: &UpstreamId, tokens_per_ms: f64, received_at: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(id) {
+            tracked.set_pace(tokens_per_ms, received_at);
+        }
+    }
+
+    /// Records that answers at an engine pause for longer than their routes allow: one that this
+    /// node measured, or the message that the engine's gate is active.
+    ///
+    /// Only then does the score of a choice count the pause that a prompt would cause there.
+    pub fn record_long_pause(&mut self, id: &UpstreamId, now: Instant) {
+        if let Some(tracked) = self.upstreams.get_mut(id) {
+            tracked.record_long_pause(now);
+        }
+    }
+
     /// Records that an engine does not hold `model`.
     pub fn record_adapter_missing(&mut self, id: &UpstreamId, model: &ModelRef, now: Instant) {
         if let Some(tracked) = self.upstreams.get_mut(id) {
@@ -419,6 +440,9 @@
             Some(_) => tracked.expected_first_event_ms(uncached_tokens, now),
             None => self.plain_score(tracked, now),
         };
+        if let (Some(_), Some(longest)) = (need.model, need.longest_pause) {
+            score += tracked.pause_excess_ms(uncached_tokens, longest, now);
+        }
         if tracked.upstream.failure_domain != self.failure_domain {
             score += CROSS_DOMAIN_COST_MS;
         }
@@ -480,7 +504,7 @@
 
     /// Time for an engine to process a prompt, in milliseconds.
     pub(crate) fn prompt_time_ms(&self, prompt_tokens: u64) -> f64 {
-        prompt_tokens as f64 * PROMPT_TOKEN_MS * self.latency_factor
+        prompt_tokens as f64 * INITIAL_PROMPT_TOKEN_MS * self.latency_factor
     }
 
     /// Merges the last contacts with other failure domains.
@@ -525,8 +549,9 @@
         let healthy_ms = expected_ms / tracked.slowdown(now);
         tracked.rest.note_answered();
         tracked.record_first_event(expected_ms, took, now);
-        // How fast plain services answer says nothing about engines.
-        if !tracked.holdings.models.is_empty() {
+        // How fast plain services answer says nothing about engines. Where the engine's own pace is
+        // known, the factor hardly affects what is expected, so that errors would add up in it.
+        if !tracked.holdings.models.is_empty() && tracked.own_token_ms(now).is_none() {
             self.update_latency_factor(healthy_ms, took);
         }
     }
--- a/crates/relay/src/engine_demand.rs
+++ b/crates/relay/src/engine_demand.rs
@@ -5,8 +5,8 @@
 
 use nutmegsail_base::FailureDomain;
 
-use crate::tracked::PROMPT_TOKEN_MS;
-use crate::{CopyScope, Demand, HeldModel, Holdings, ModelRef};
+use crate::engine_speed::INITIAL_PROMPT_TOKEN_MS;
+use crate::{CopyScope, Demand, HeldModel, Holdings, KnownPace, ModelRef};
 
 /// Half-life of demand. It is long enough to cover several requests for a popular adapter, and
 /// short enough that a copy is loaded within a second or two of a shift in demand.
@@ -66,6 +66,8 @@
     tokens: Demand,
     requests: HashMap<FailureDomain, Demand>,
     ordered: HashMap<ModelRef, Instant>,
+    /// The engine's own pace.
+    pace: Option<KnownPace>,
 }
 
 impl Default for EngineDemand {
@@ -74,6 +76,7 @@
             tokens: Demand::new(DEMAND_HALF_LIFE),
             requests: HashMap::new(),
             ordered: HashMap::new(),
+            pace: None,
         }
     }
 }
@@ -94,6 +97,11 @@
         demand.add(model, requests, now);
     }
 
+    /// Updates the engine's own pace, by which an adapter's share of the engine is measured.
+    pub fn set_pace(&mut self, pace: Option<KnownPace>) {
+        self.pace = pace;
+    }
+
     /// Returns the adapters that need further copies now, and records these as ordered. `in_flight`
     /// gives the number of requests in flight for an adapter at the engine.
     pub fn copies_wanted(
@@ -129,7 +137,9 @@
         in_flight: u32,
         now: Instant,
     ) -> Option<WantedCopies> {
-        let prompt_share = self.tokens.rate_per_s(model, now) * PROMPT_TOKEN_MS / 1_000.0;
+        let own_token_ms = self.pace.and_then(|pace| pace.token_ms(now));
+        let token_ms = own_token_ms.unwrap_or(INITIAL_PROMPT_TOKEN_MS);
+        let prompt_share = self.tokens.rate_per_s(model, now) * token_ms / 1_000.0;
         let slot_share = f64::from(in_flight) / f64::from(engine.slots.max(1));
         let used_share = prompt_share.max(slot_share);
         let copies = (used_share / COPY_THRESHOLD).ceil() as usize;
--- a/crates/relay/src/tracked.rs
+++ b/crates/relay/src/tracked.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::backoff::Backoff;
+use crate::engine_speed::EngineSpeed;
 use crate::{
     CachedPrompts, DroppedAdapters, Health, HeldAdapter, Holdings, ModelDigest, ModelRef,
     PromptPrefix, Upstream, VersionRule,
@@ -86,29 +87,24 @@
 /// Age up to which a load report is used: an engine works off its queue of prompts in about 300 ms.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(600);
 
-/// Assumed time for a healthy engine to process one prompt token, in milliseconds. The latency
-/// factor learned from answers corrects it for the deployment's engines.
-pub(crate) const PROMPT_TOKEN_MS: f64 = 0.052;
-
 /// Time to the first event of an empty prompt at an idle engine, in milliseconds: one step plus the
 /// network.
 const MIN_FIRST_EVENT_MS: f64 = 18.0;
 
-/// Time that each running request adds to a step, in milliseconds.
-const RUNNING_REQUEST_MS: f64 = 0.4;
+/// Start value of the time that each running request adds to a step, in milliseconds. It holds until
+/// the latency factor learned from answers corrects it for the deployment's engines.
+const INITIAL_RUNNING_REQUEST_MS: f64 = 0.4;
 
-/// Assumed time for which a request occupies a slot until requests have ended, in milliseconds.
-pub(crate) const INITIAL_SLOT_TIME_MS: f64 = 1_000.0;
+/// How long pauses over a route's limit at an engine affect the selection of upstreams: as long as
+/// an engine's gate stays active after them.
+const LONG_PAUSE_TTL: Duration = Duration::from_secs(10);
 
-/// Weight of one answer in the moving average of the slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.2;
+/// Fraction of a route's longest pause that pending prompts may take up before a further one counts
+/// twice. The rest covers the steps between chunks, and prompts that other nodes send meanwhile.
+const SAFE_PAUSE_FRACTION: f64 = 0.7;
 
-/// Lower and upper bound of the slowdown. An upstream that is 20 times as slow as expected gets no
-/// requests anyway.
-const SLOWDOWN_BOUNDS: (f64, f64) = (0.5, 20.0);
-
-/// Half-life of the slowdown, in seconds. It decays so that a slow upstream is tried again.
-const SLOWDOWN_HALF_LIFE_S: f64 = 4.0;
+/// Assumed time for which a request occupies a slot until requests have ended, in milliseconds.
+pub(crate) const INITIAL_SLOT_TIME_MS: f64 = 1_000.0;
 
 /// What a node knows of one upstream, with the requests that it sent there.
 #[derive(Clone, Debug)]
@@ -148,10 +144,9 @@
     pub report: Option<LoadReport>,
     /// Average time for which a request occupies a slot, in milliseconds.
     slot_time_ms: f64,
-    /// Observed over assumed time for engines to process prompts and run steps.
-    latency_factor: f64,
-    slowdown: f64,
-    slowdown_updated_at: Instant,
+    speed: EngineSpeed,
+    /// When a running answer was last known to pause for longer than its route's limit.
+    long_pause_at: Option<Instant>,
     /// Since when no answer has arrived although some are pending.
     waiting_since: Option<Instant>,
     /// When an answer last began.
@@ -179,9 +174,8 @@
             replaced_at: None,
             report: None,
             slot_time_ms: INITIAL_SLOT_TIME_MS,
-            latency_factor: 1.0,
-            slowdown: 1.0,
-            slowdown_updated_at: now,
+            speed: EngineSpeed::new(now),
+            long_pause_at: None,
             waiting_since: None,
             answered_at: None,
         }
@@ -318,8 +312,7 @@
 
     /// Observed over expected time to the first event; 1 for a healthy upstream.
     pub fn slowdown(&self, now: Instant) -> f64 {
-        let age_s = now.duration_since(self.slowdown_updated_at).as_secs_f64();
-        1.0 + (self.slowdown - 1.0) * 0.5_f64.powf(age_s / SLOWDOWN_HALF_LIFE_S)
+        self.speed.slowdown(now)
     }
 
     /// Prompt tokens known to be processed before those of a new request.
@@ -435,8 +428,53 @@
     fn healthy_first_event_ms(&self, tokens: u64, now: Instant) -> f64 {
         let pending_tokens = (self.backlog_tokens(now) + tokens) as f64;
         let running = f64::from(self.running(now));
-        let processing_ms = pending_tokens * PROMPT_TOKEN_MS + running * RUNNING_REQUEST_MS;
-        (MIN_FIRST_EVENT_MS + processing_ms) * self.latency_factor + self.slot_wait_ms(now)
+        let step_ms = MIN_FIRST_EVENT_MS + running * INITIAL_RUNNING_REQUEST_MS;
+        let prompts_ms = pending_tokens * self.token_ms(now);
+        step_ms * self.speed.latency_factor + prompts_ms + self.slot_wait_ms(now)
+    }
+
+    /// Updates the engine's own pace from the node that runs its gate.
+    pub fn set_pace(&mut self, tokens_per_ms: f64, received_at: Instant) {
+        self.speed.set_pace(tokens_per_ms, received_at);
+    }
+
+    /// Time for this engine to process one prompt token, in milliseconds; `None` if its own pace
+    /// isn't known, or wasn't confirmed recently.
+    pub fn own_token_ms(&self, now: Instant) -> Option<f64> {
+        self.speed.own_token_ms(now)
+    }
+
+    /// Time to process one prompt token, in milliseconds: by the engine's own pace, or else by that
+    /// of all engines.
+    pub fn token_ms(&self, now: Instant) -> f64 {
+        self.own_token_ms(now)
+            .unwrap_or_else(|| self.fleet_token_ms())
+    }
+
+    /// Time to process one prompt token, in milliseconds, by what is known of all engines.
+    pub(crate) fn fleet_token_ms(&self) -> f64 {
+        self.speed.fleet_token_ms()
+    }
+
+    /// Records that an answer running here paused for longer than its route allows, or that the
+    /// engine's gate is active.
+    pub(crate) fn record_long_pause(&mut self, now: Instant) {
+        self.long_pause_at = Some(now);
+    }
+
+    /// Time by which a prompt of `tokens` tokens, after those that are pending, would take a pause
+    /// of the requests running here over the safe part of `longest_pause`, in milliseconds.
+    ///
+    /// Zero where no pause was too long recently: with short chunks, or many tokens per event,
+    /// pending prompts do no harm to running answers.
+    pub fn pause_excess_ms(&self, tokens: u64, longest_pause: Duration, now: Instant) -> f64 {
+        let is_recent = |at| now.saturating_duration_since(at) < LONG_PAUSE_TTL;
+        if !self.long_pause_at.is_some_and(is_recent) || self.running(now) == 0 {
+            return 0.0;
+        }
+        let pause_ms = (self.backlog_tokens(now) + tokens) as f64 * self.token_ms(now);
+        let safe_ms = longest_pause.as_secs_f64() * 1_000.0 * SAFE_PAUSE_FRACTION;
+        (pause_ms - safe_ms).max(0.0)
     }
 
     /// Expected time that a new request waits for a slot, in milliseconds.
@@ -457,7 +495,7 @@
 
     /// Updates the latency factor of the deployment's engines.
     pub(crate) fn set_latency_factor(&mut self, latency_factor: f64) {
-        self.latency_factor = latency_factor;
+        self.speed.latency_factor = latency_factor;
     }
 
     /// Updates the slowdown from an answer that started after `took`, where `expected_ms` was
@@ -465,10 +503,7 @@
     pub fn record_first_event(&mut self, expected_ms: f64, took: Duration, now: Instant) {
         let healthy_ms = expected_ms / self.slowdown(now);
         let ratio = took.as_secs_f64() * 1_000.0 / healthy_ms.max(1.0);
-        let current = self.slowdown(now);
-        let (lower, upper) = SLOWDOWN_BOUNDS;
-        self.slowdown = (current + SLOWDOWN_WEIGHT * (ratio - current)).clamp(lower, upper);
-        self.slowdown_updated_at = now;
+        self.speed.record_ratio(ratio, now);
         self.record_activity(now);
     }
 
--- a/crates/relay/tests/backoff.rs
+++ b/crates/relay/tests/backoff.rs
@@ -164,6 +164,7 @@
             software: SoftwareRule::Any,
             prompt_tokens: 0,
             prompt: &PromptPrefix::default(),
+            longest_pause: None,
             tried: &[],
         };
         let now = self.now;
--- a/crates/relay/tests/dispatching.rs
+++ b/crates/relay/tests/dispatching.rs
@@ -53,6 +53,7 @@
             software: SoftwareRule::Any,
             prompt_tokens: 1_000,
             prompt: &PromptPrefix::default(),
+            longest_pause: None,
             tried,
         };
         let choice = self.dispatcher.choose(&need, self.now, &mut self.random)?;
@@ -71,6 +72,7 @@
             software: SoftwareRule::Any,
             prompt_tokens: 0,
             prompt: &PromptPrefix::default(),
+            longest_pause: None,
             tried: &[],
         };
         let choice = self.dispatcher.choose(&need, self.now, &mut self.random)?;
@@ -418,6 +420,7 @@
             software: SoftwareRule::Any,
             prompt_tokens: 1_400,
             prompt: &PromptPrefix::default(),
+            longest_pause: None,
             tried: &[],
         };
         let dispatcher = &fixture.dispatcher;
--- a/crates/relay/tests/heavy_load.rs
+++ b/crates/relay/tests/heavy_load.rs
@@ -75,6 +75,7 @@
             software: SoftwareRule::Any,
             prompt_tokens: tokens,
             prompt: &PromptPrefix::default(),
+            longest_pause: None,
             tried: &[],
         };
         let chosen = choose(&mut dispatcher, &need, now, &mut random);
--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -153,6 +153,7 @@
             software: SoftwareRule::Any,
             prompt_tokens: 0,
             prompt: &PromptPrefix::default(),
+            longest_pause: None,
             tried: &[],
         };
         let mut random = ChaCha8Rng::seed_from_u64(1);
--- a/crates/relay/tests/prompts.rs
+++ b/crates/relay/tests/prompts.rs
@@ -54,6 +54,7 @@
         software: SoftwareRule::Any,
         prompt_tokens: 9_190,
         prompt,
+        longest_pause: None,
         tried: &[],
     };
     let choice = dispatcher.choose(&need, now, random).unwrap();
--- a/crates/relay/tests/upstream_list.rs
+++ b/crates/relay/tests/upstream_list.rs
@@ -117,6 +117,7 @@
         software: SoftwareRule::Any,
         prompt_tokens: 100,
         prompt: &PromptPrefix::default(),
+        longest_pause: None,
         tried: &[],
     };
     let choice = dispatcher.choose(&need, now, &mut rand::rng());
