Exchange the paces of engines between nodes

A node sends too few requests to an engine to learn its pace. The node that runs an engine's gate now sends the pace as it changes by over 5 in 100, and every 10 s: to all nodes of a small fleet, else to the aggregating node of each failure domain, which passes it on once a second within its domain. A flag in the message tells what was passed on, so that it isn't passed on again. The list of learned paces is empty until the gates are joined, so nothing is sent yet. Compiles; no test of nodes was run.

--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -20,6 +20,7 @@
 use super::change_log::ChangeLog;
 use super::engine::{OwnedEngine, PendingLoad};
 use super::engine_load::HostReport;
+use super::engine_paces::EnginePaces;
 use super::eras::Eras;
 use super::joined_nodes::JoinedNodes;
 use super::lending::Lending;
@@ -136,6 +137,8 @@
     pub(crate) origin_writes: OriginWrites,
     /// The lenders of the teams' quotas.
     pub(crate) lending: Lending,
+    /// The paces of engines.
+    pub(crate) engine_paces: EnginePaces,
     /// The upstream slots that this node grants.
     pub(crate) slots: Slots,
     /// The id of the machine's current boot, since which the clock counts.
@@ -194,6 +197,7 @@
             served: ServedSoftware::default(),
             origin_writes: OriginWrites::default(),
             lending: Lending::default(),
+            engine_paces: EnginePaces::default(),
             slots: Slots::default(),
             boot: boot_id(),
             started: Instant::now(),
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -25,6 +25,7 @@
 use super::control_state::ControlState;
 use super::engine::OwnedEngine;
 use super::engine_load::{EngineLoad, load_excluding, room};
+use super::engine_paces::PaceBatch;
 use super::leaving_gossip::LeavingGossip;
 use super::limit_gossip::LimitGossip;
 use super::load_aggregator::{LoadAggregator, LoadBatch};
@@ -125,6 +126,8 @@
     Brittle { updates: Vec<BrittleUpdate> },
     /// A node has started: its record in the store, encoded as there.
     Joined { record: Vec<u8> },
+    /// Paces of engines, from the nodes that run their gates.
+    EnginePaces { from: NodeId, batch: PaceBatch },
 }
 
 impl Message {
@@ -143,6 +146,7 @@
             Self::Era { .. } | Self::EraQuery { .. } => "era",
             Self::Brittle { .. } => "brittle",
             Self::Joined { .. } => "joined",
+            Self::EnginePaces { .. } => "engine_paces",
         }
     }
 }
@@ -188,6 +192,7 @@
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
                 send_joined(&control, &socket);
+                send_paces(&control, &socket);
                 control.publish_joined();
                 send_streams(&control, &socket);
             }
@@ -296,6 +301,7 @@
         owned.others_in_flight(model) + own_usage.models.get(model).copied().unwrap_or(0)
     };
     let mut demand = owned.demand.borrow_mut();
+    demand.set_pace(control.known_pace(&owned.id));
     let copies = demand.copies_wanted(engine, in_flight, Instant::now());
     let requests = copies.into_iter().map(|wanted| CopyRequest {
         service: upstream.service.clone(),
@@ -420,6 +426,15 @@
     }
 }
 
+/// Sends the paces of engines that are due.
+fn send_paces(control: &ControlState, socket: &UdpSocket) {
+    for (batch, address) in control.next_pace_messages(Instant::now()) {
+        let from = control.settings.node.clone();
+        let message = Message::EnginePaces { from, batch };
+        send(control, socket, &message, address);
+    }
+}
+
 /// Sends streams to nodes that should keep them and were not sent them when they began.
 fn send_streams(control: &ControlState, socket: &UdpSocket) {
     let (shared, own) = (&control.shared, control.own_node());
@@ -568,6 +583,10 @@
             Ok(record) => control.record_joined(record),
             Err(error) => log_undecodable(control, sender, &error),
         },
+        Ok(Message::EnginePaces { from, batch }) => {
+            control.apply_paces(&batch, Instant::now());
+            control.record_contact(from);
+        }
         Ok(Message::SuspectsQuery { from }) => {
             control.record_contact(from);
             let updates = all_announcements(control);
--- a/crates/relay-node/src/control/load_aggregator.rs
+++ b/crates/relay-node/src/control/load_aggregator.rs
@@ -29,10 +29,10 @@
 /// A short hash that replaces an engine's id in messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
-struct EngineDigest(u32);
+pub(super) struct EngineDigest(u32);
 
 impl EngineDigest {
-    fn of(engine: &UpstreamId) -> Self {
+    pub(super) fn of(engine: &UpstreamId) -> Self {
         Self(xxh3_64(engine.as_str().as_bytes()) as u32)
     }
 }
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod engine_load;
 mod engine_models;
+mod engine_paces;
 mod eras;
 mod exchange;
 mod forwarding;
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -10,10 +10,10 @@
 use derive_more::Display;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    AccessRules, BrittleServices, DomainContacts, Holdings, HoldingsReport, LoadCandidate,
-    LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer, RateLimits, RouteTable,
-    StoreAnswer, StreamKey, Suspects, Upstream, UpstreamNotices, UpstreamReach, Versions,
-    WantedCopies,
+    AccessRules, BrittleServices, DomainContacts, Holdings, HoldingsReport, KnownPace,
+    LoadCandidate, LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer, RateLimits,
+    RouteTable, StoreAnswer, StreamKey, Suspects, Upstream, UpstreamNotices, UpstreamReach,
+    Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -245,6 +245,8 @@
     pub(crate) domains: DomainContacts,
     /// The copies that owners ask for.
     pub(crate) copies: Vec<CopyRequest>,
+    /// The newest pace of each engine.
+    pub(crate) paces: HashMap<UpstreamId, KnownPace>,
 }
 
 /// Updates for the traffic thread from engines' owners and failure domains.
@@ -271,6 +273,11 @@
         self.lock().copies.extend(copies);
     }
 
+    /// Records the pace of an engine.
+    pub(crate) fn put_pace(&self, engine: &UpstreamId, pace: KnownPace) {
+        self.lock().paces.insert(engine.clone(), pace);
+    }
+
     pub(crate) fn put(&self, update: EngineUpdate) {
         let mut waiting = self.lock();
         let older = waiting.engines.remove(&update.engine);
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -260,6 +260,9 @@
         for (engine, update) in updates.engines {
             dispatcher.record_owner_report(&engine, &update.holdings, update.report);
         }
+        for (engine, pace) in updates.paces {
+            dispatcher.set_pace(&engine, pace.tokens_per_ms(), pace.received_at());
+        }
         drop(dispatcher);
         for copies in updates.copies {
             self.request_copies(&view, copies);
--- a/crates/relay/src/known_pace.rs
+++ b/crates/relay/src/known_pace.rs
@@ -33,6 +33,16 @@
         })
     }
 
+    /// Prompt tokens that the engine prefills per millisecond.
+    pub fn tokens_per_ms(&self) -> f64 {
+        self.tokens_per_ms
+    }
+
+    /// When the pace was last confirmed.
+    pub fn received_at(&self) -> Instant {
+        self.received_at
+    }
+
     /// Time to prefill one token, in milliseconds; `None` if the pace is too old.
     pub fn token_ms(&self, now: Instant) -> Option<f64> {
         let age = now.saturating_duration_since(self.received_at);
