Spread loads and copies of adapters by the paces of engines

Adapters were spread evenly over engines of all paces, and several busy ones stayed together at one engine for good. Where paces are known, the choice of an engine for a load counts its running requests by its pace, and an engine whose adapters use 0.45 of it asks for a copy of the busiest.

--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -67,8 +67,10 @@
 /// ms longer, which is still in time for most requests.
 const STORE_USE_COST_MS: f64 = 240.0;
 
-/// Prompt tokens by which engines of different paces are compared for a load.
-const ADAPTER_TOKENS: f64 = 4_000.0;
+/// Prompt tokens that a running request stands for where engines of different paces are compared for
+/// a load. With 30 or more, the loads of all nodes gather at the same fast engines and queue there,
+/// so that in simulated load more first events were late (16 of 1,000 instead of 8).
+const RUNNING_REQUEST_TOKENS: f64 = 10.0;
 
 /// Largest wait on another engine, as a fraction of the present wait, that justifies a load.
 const MAX_WAIT_RATIO: f64 = 0.6;
@@ -246,8 +248,9 @@
     }
 }
 
-/// Cost of the future requests for a loaded adapter, in milliseconds, by the engine's own pace; zero
-/// if that is unknown or the engine is already loading the adapter.
+/// Cost of the present use of an engine for the requests that a loaded adapter will get, in
+/// milliseconds, by the engine's own pace; zero if that is unknown or the engine is already loading
+/// the adapter.
 ///
 /// Most loads find all engines with short queues, so that the expected wait alone would spread
 /// adapters evenly over engines of all paces.
@@ -255,10 +258,8 @@
     if tracked.loading(now).contains(&model.digest()) {
         return 0.0;
     }
-    let own = tracked.own_token_ms(now);
-    own.map_or(0.0, |own_ms| {
-        (own_ms - tracked.fleet_token_ms()) * ADAPTER_TOKENS
-    })
+    let request_ms = tracked.own_token_ms(now).unwrap_or(0.0) * RUNNING_REQUEST_TOKENS;
+    f64::from(tracked.running(now)) * request_ms
 }
 
 /// The engines for which `is_preferred` holds, or all if there are none.
--- a/crates/relay/src/engine_demand.rs
+++ b/crates/relay/src/engine_demand.rs
@@ -20,6 +20,14 @@
 /// else, and the adapter's own callers queue.
 const URGENT_THRESHOLD: f64 = 0.8;
 
+/// Fraction of an engine's prompt processing, over all adapters, from which its busiest adapter gets a
+/// further copy. Only used where the engine's own pace is known: by a common pace, a third of the
+/// engines would seem busy that are not.
+const BUSY_ENGINE_SHARE: f64 = 0.45;
+
+/// Smallest fraction of an engine for which such a copy is worth its load.
+const BUSY_ADAPTER_SHARE: f64 = 0.08;
+
 /// Requests per second for one adapter from a failure domain above which the domain gets its own
 /// copy. A load costs about a third of what a request is worth, and pays off within some seconds.
 const DOMAIN_COPY_REQUESTS_PER_S: f64 = 2.0;
@@ -127,9 +135,39 @@
                 wanted.push(copies);
             }
         }
+        if self.ordered.is_empty() {
+            wanted.extend(self.busy_engine_copy(engine.holdings, now));
+        }
         wanted
     }
 
+    /// A further copy of the busiest adapter, if the adapters together use much of the engine.
+    ///
+    /// Several adapters that each need less than [`COPY_THRESHOLD`] would otherwise stay together at
+    /// one engine for as long as they are busy, while other engines have time.
+    fn busy_engine_copy(&mut self, holdings: &Holdings, now: Instant) -> Option<WantedCopies> {
+        let token_ms = self.pace.and_then(|pace| pace.token_ms(now))?;
+        let adapters = holdings.models.iter().flat_map(HeldModel::adapter_refs);
+        let shares = adapters.map(|model| {
+            let share = self.tokens.rate_per_s(&model, now) * token_ms / 1_000.0;
+            (share, model)
+        });
+        let shares: Vec<(f64, ModelRef)> = shares.collect();
+        let total: f64 = shares.iter().map(|(share, _)| share).sum();
+        let busiest = shares.into_iter().max_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (share, model) = busiest?;
+        if total < BUSY_ENGINE_SHARE || share < BUSY_ADAPTER_SHARE {
+            return None;
+        }
+        self.ordered.insert(model.clone(), now);
+        Some(WantedCopies {
+            model,
+            place: CopyScope::Anywhere,
+            copies: 1,
+            is_urgent: false,
+        })
+    }
+
     fn needed_copies(
         &self,
         engine: EngineLoadSample<'_>,
