--- a/crates/relay/src/engine_demand.rs
+++ b/crates/relay/src/engine_demand.rs
@@ -23,7 +23,7 @@
 /// Fraction of an engine's prompt processing, over all adapters, from which its busiest adapter gets a
 /// further copy. Only used where the engine's own pace is known: by a common pace, a third of the
 /// engines would seem busy that are not.
-const BUSY_ENGINE_SHARE: f64 = 0.45;
+const BUSY_ENGINE_SHARE: f64 = 0.4;
 
 /// Smallest fraction of an engine for which such a copy is worth its load.
 const BUSY_ADAPTER_SHARE: f64 = 0.08;
