Join the pacing of prompts with the paces of engines

Cause: a node sends to one engine of a large fleet so seldom that it sent most prompts unasked while the engine's gate was active. Change: an active gate makes a node ask all gates of the service, and tells those that send to it; paces learned by gates are exchanged and used.

--- a/crates/relay-node/src/control/prompt_gates.rs
+++ b/crates/relay-node/src/control/prompt_gates.rs
@@ -10,10 +10,9 @@
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::control_state::ControlState;
-use super::suspect_gossip::other_nodes;
 use crate::traffic_message::{PromptId, PromptMessage};
 
-/// How often nodes are told again that a gate is active. They keep it in mind for 10 s.
+/// How often a node that asks is told that the gate is active. It keeps that in mind for 10 s.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Prompt tokens per ms that an engine prefills, as long as nothing is known of the fleet.
@@ -27,8 +26,23 @@
 #[derive(Debug)]
 struct EngineGate {
     gate: PromptGate<PromptKey>,
-    /// When the other nodes were last told that it is active; `None` while it is not.
-    announced_at: Option<Instant>,
+    /// Whether it was active at the last look.
+    was_active: bool,
+    /// When each node was last told that the gate is active.
+    told_at: HashMap<SocketAddr, Instant>,
+}
+
+impl EngineGate {
+    /// Whether the gate is active and `node` has to be told so.
+    fn must_tell(&mut self, node: SocketAddr, now: Instant) -> bool {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < ANNOUNCEMENT_INTERVAL;
+        if !self.gate.is_active(now) || self.told_at.get(&node).is_some_and(is_recent) {
+            return false;
+        }
+        self.told_at.retain(|_, at| is_recent(at));
+        self.told_at.insert(node, now);
+        true
+    }
 }
 
 /// The gates of the engines whose prompts this node paces.
@@ -45,6 +59,17 @@
         self.next_due.get()
     }
 
+    /// The paces that were learned from first events, in prompt tokens per millisecond.
+    pub(super) fn learned_paces(&self) -> Vec<(UpstreamId, f64)> {
+        let gates = self.gates.borrow();
+        let learned = gates
+            .iter()
+            .filter(|(_, entry)| entry.gate.pace().updated_at().is_some());
+        learned
+            .map(|(engine, entry)| (engine.clone(), entry.gate.tokens_per_ms()))
+            .collect()
+    }
+
     fn update_next_due(&self, now: Instant) {
         let gates = self.gates.borrow();
         let due = gates.values().filter_map(|entry| entry.gate.next_due(now));
@@ -70,12 +95,8 @@
             PromptMessage::FirstEvent { upstream, .. }
             | PromptMessage::Pause { upstream, .. }
             | PromptMessage::End { upstream, .. } => upstream.clone(),
-            PromptMessage::Paced { upstream } => {
-                self.shared.paced.record_active(upstream, now);
-                return;
-            }
-            // Answers go to the sockets of traffic threads.
-            PromptMessage::Answer { .. } => return,
+            // These go to the sockets of traffic threads.
+            PromptMessage::Paced { .. } | PromptMessage::Answer { .. } => return,
         };
         let mut gates = self.prompt_gates.gates.borrow_mut();
         let Some(entry) = gates.get_mut(&upstream) else {
@@ -85,10 +106,7 @@
         let mut decided = Vec::new();
         match message {
             PromptMessage::Sent { id, ask, .. } => {
-                if gate.note_sent((sender, *id), *ask, now) {
-                    let upstream = upstream.clone();
-                    send(PromptMessage::Paced { upstream }, sender);
-                }
+                gate.note_sent((sender, *id), *ask, now);
             }
             PromptMessage::Ask { id, ask, .. } => {
                 let answer = gate.ask((sender, *id), *ask, now);
@@ -110,7 +128,15 @@
             PromptMessage::Paced { .. } | PromptMessage::Answer { .. } => {}
         }
         send_answers(&upstream, gate, decided, &send);
-        self.announce_gate(&upstream, entry, now, &send);
+        let is_asker = matches!(
+            message,
+            PromptMessage::Sent { .. } | PromptMessage::Ask { .. }
+        );
+        if is_asker && entry.must_tell(sender, now) {
+            let upstream = upstream.clone();
+            send(PromptMessage::Paced { upstream }, sender);
+        }
+        self.log_activity(&upstream, entry, now);
         drop(gates);
         self.prompt_gates.update_next_due(now);
     }
@@ -129,8 +155,8 @@
         self.prompt_gates.update_next_due(now);
     }
 
-    /// Drops the gates of engines that are no longer listed, and tells nodes which gates are active.
-    pub(crate) fn announce_prompt_gates(&self, send: impl Fn(PromptMessage, SocketAddr)) {
+    /// Drops the gates of engines that are no longer listed, and counts the active ones.
+    pub(crate) fn review_prompt_gates(&self) {
         let now = Instant::now();
         let mut gates = self.prompt_gates.gates.borrow_mut();
         if gates.is_empty() {
@@ -138,9 +164,9 @@
         }
         gates.retain(|upstream, _| self.upstreams.borrow().contains_key(upstream));
         for (upstream, entry) in gates.iter_mut() {
-            self.announce_gate(upstream, entry, now, &send);
+            self.log_activity(upstream, entry, now);
         }
-        let active = gates.values().filter(|entry| entry.announced_at.is_some());
+        let active = gates.values().filter(|entry| entry.was_active);
         self.shared.metrics.prompts.active_gates(active.count());
     }
 
@@ -154,46 +180,28 @@
         let pace = EnginePace::new(fleet.unwrap_or(INITIAL_TOKENS_PER_MS));
         let entry = EngineGate {
             gate: PromptGate::new(pace, now),
-            announced_at: None,
+            was_active: false,
+            told_at: HashMap::new(),
         };
         gates.insert(upstream.clone(), entry);
     }
 
-    /// Logs when the gate becomes active or inactive, and tells all nodes while it is active: each
-    /// sends to an engine too seldom to learn it from answers.
-    fn announce_gate(
-        &self,
-        upstream: &UpstreamId,
-        entry: &mut EngineGate,
-        now: Instant,
-        send: &impl Fn(PromptMessage, SocketAddr),
-    ) {
+    /// Logs when the gate becomes active or inactive.
+    fn log_activity(&self, upstream: &UpstreamId, entry: &mut EngineGate, now: Instant) {
         let is_active = entry.gate.is_active(now);
-        if is_active != entry.announced_at.is_some() {
-            let counts = entry.gate.pause_counts(now);
-            let event = match is_active {
-                true => Event::PacingBegun,
-                false => Event::PacingEnded,
-            };
-            log_event!(
-                self.log, event,
-                "upstream" => upstream.to_string(), "pauses" => counts.paused,
-                "streams" => counts.streams, "pace" => entry.gate.tokens_per_ms()
-            );
-        }
-        if !is_active {
-            entry.announced_at = None;
+        if std::mem::replace(&mut entry.was_active, is_active) == is_active {
             return;
         }
-        let is_due = |at| now.saturating_duration_since(at) >= ANNOUNCEMENT_INTERVAL;
-        if entry.announced_at.is_none_or(is_due) {
-            entry.announced_at = Some(now);
-            self.shared.paced.record_active(upstream, now);
-            for node in other_nodes(self) {
-                let upstream = upstream.clone();
-                send(PromptMessage::Paced { upstream }, node);
-            }
-        }
+        let counts = entry.gate.pause_counts(now);
+        let event = match is_active {
+            true => Event::PacingBegun,
+            false => Event::PacingEnded,
+        };
+        log_event!(
+            self.log, event,
+            "upstream" => upstream.to_string(), "pauses" => counts.paused,
+            "streams" => counts.streams, "pace" => entry.gate.tokens_per_ms()
+        );
     }
 }
 
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -11,7 +11,7 @@
 mod metrics;
 mod node;
 mod nodes_sockets;
-mod paced_engines;
+mod paced_services;
 mod peer_traffic;
 mod prompt_metrics;
 mod ready;
--- a/crates/relay-node/src/prompt_metrics.rs
+++ b/crates/relay-node/src/prompt_metrics.rs
@@ -28,7 +28,7 @@
         };
         let wait = meter.f64_histogram("nutmegsail.relay.prompt_wait");
         let wait = wait.with_unit("ms").with_boundaries(WAIT_MS.to_vec());
-        let gates = meter.u64_gauge("nutmegsail.relay.paced_engines");
+        let gates = meter.u64_gauge("nutmegsail.relay.paced_services");
         Self {
             asks: counter(
                 "nutmegsail.relay.prompt_asks",
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -263,6 +263,9 @@
         for (engine, update) in updates.engines {
             dispatcher.record_owner_report(&engine, &update.holdings, update.report);
         }
+        for (engine, pace) in updates.paces {
+            dispatcher.set_pace(&engine, pace.tokens_per_ms(), pace.received_at());
+        }
         drop(dispatcher);
         for copies in updates.copies {
             self.request_copies(&view, copies);
@@ -748,6 +751,7 @@
         software: call.software(),
         prompt_tokens: call.meta.prompt_tokens,
         prompt: &call.prompt,
+        longest_pause: call.route.longest_pause,
         tried,
     }
 }
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -138,7 +138,7 @@
     pub(crate) fn record_progress(&mut self) {
         self.record_contact();
         if let Some(pacing) = &mut self.pacing {
-            pacing.record_part(&self.gateway, &self.upstream.id, self.sent);
+            pacing.record_part(&self.gateway, &self.upstream.service, self.sent);
         }
         if let Some(first) = self.first {
             self.record_run(first);
--- a/crates/relay-node/src/traffic/peer_socket.rs
+++ b/crates/relay-node/src/traffic/peer_socket.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use nutmegsail_base::UpstreamId;
 use nutmegsail_quota::QuotaMessage;
 use nutmegsail_relay::PromptAnswer;
 use tokio::net::UdpSocket;
@@ -43,7 +44,6 @@
 
 /// Processes a message of the node that paces an engine's prompts.
 fn receive_prompt_message(gateway: &Gateway, message: PromptMessage, sender: SocketAddr) {
-    let paced = &gateway.shared.paced;
     match message {
         PromptMessage::Answer {
             id,
@@ -52,7 +52,7 @@
             pace,
         } => {
             if answer != PromptAnswer::Granted {
-                paced.record_active(&upstream, Instant::now());
+                record_active_gate(gateway, &upstream);
             }
             let answer = PacedAnswer {
                 answer,
@@ -60,12 +60,22 @@
             };
             gateway.prompts.receive_answer(id, upstream, answer, sender);
         }
-        PromptMessage::Paced { upstream } => paced.record_active(&upstream, Instant::now()),
+        PromptMessage::Paced { upstream } => record_active_gate(gateway, &upstream),
         // Only granting nodes are asked and told.
         _ => {}
     }
 }
 
+fn record_active_gate(gateway: &Gateway, engine: &UpstreamId) {
+    let now = Instant::now();
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    dispatcher.record_long_pause(engine, now);
+    if let Some(tracked) = dispatcher.tracked(engine) {
+        let service = &tracked.upstream.service;
+        gateway.shared.paced.record_active(service, now);
+    }
+}
+
 /// Receives the answers of other nodes, forever.
 pub(crate) async fn receive_answers(gateway: Rc<Gateway>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
--- a/crates/relay-node/src/traffic/prompt_pacing.rs
+++ b/crates/relay-node/src/traffic/prompt_pacing.rs
@@ -33,7 +33,7 @@
             return Ok(PermitResult::Taken);
         };
         let began = Instant::now();
-        if !self.shared.paced.is_paced(upstream, began) {
+        if !self.shared.paced.is_paced(&choice.upstream.service, began) {
             let permit = self.prompts.report_sent(upstream, *node, ask);
             call.prompt_permit.replace(Some(permit));
             return Ok(PermitResult::Taken);
