Grant prompts again while the first event of one is overdue

Cause: holding all prompts of an engine while one first event was overdue, and sizing events by single slow samples, refused and delayed far more than it saved. Change: that is taken back.

--- a/crates/relay/src/engine_pace.rs
+++ b/crates/relay/src/engine_pace.rs
@@ -13,12 +13,6 @@
 /// prefill is of the size of one engine step, so that its sample tells when the step began.
 const MIN_PREFILL_SHARE: f64 = 0.5;
 
-/// Weight of one sample in the present pace, which follows an engine that is slow for a moment.
-const PRESENT_WEIGHT: f64 = 0.5;
-
-/// Time after which half of a momentary slowdown is assumed to be over.
-const PRESENT_HALF_LIFE: Duration = Duration::from_millis(600);
-
 /// Lower bound on the pace in tokens per millisecond, for divisions.
 const MIN_TOKENS_PER_MS: f64 = 1e-3;
 
@@ -35,8 +29,6 @@
 #[derive(Clone, Debug)]
 pub struct EnginePace {
     tokens_per_ms: f64,
-    /// The present pace as a share of the mean one, at most 1, when it was last updated.
-    present_share: f64,
     updated_at: Option<Instant>,
 }
 
@@ -45,7 +37,6 @@
     pub fn new(tokens_per_ms: f64) -> Self {
         Self {
             tokens_per_ms: tokens_per_ms.max(MIN_TOKENS_PER_MS),
-            present_share: 1.0,
             updated_at: None,
         }
     }
@@ -61,8 +52,6 @@
         let prefill_ms = took.saturating_sub(event_time).as_secs_f64() * 1e3;
         let sample = tokens / prefill_ms.max(f64::MIN_POSITIVE);
         let ratio = (sample / self.tokens_per_ms).clamp(1.0 / MAX_SAMPLE_FACTOR, MAX_SAMPLE_FACTOR);
-        let present = self.present_share(now).powf(1.0 - PRESENT_WEIGHT);
-        self.present_share = (present * ratio.powf(PRESENT_WEIGHT)).min(1.0);
         let pace = self.tokens_per_ms * ratio.powf(SAMPLE_WEIGHT);
         self.tokens_per_ms = pace.max(MIN_TOKENS_PER_MS);
         self.updated_at = Some(now);
@@ -73,21 +62,6 @@
         self.tokens_per_ms
     }
 
-    /// Prompt tokens prefilled per millisecond at the moment: less than the mean while the last
-    /// samples were slow. An engine that shares its machine may be slow for some hundred
-    /// milliseconds.
-    pub fn present_tokens_per_ms(&self, now: Instant) -> f64 {
-        self.tokens_per_ms * self.present_share(now)
-    }
-
-    fn present_share(&self, now: Instant) -> f64 {
-        let age = self
-            .updated_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let half_lives = age.div_duration_f64(PRESENT_HALF_LIFE);
-        self.present_share.powf(0.5_f64.powf(half_lives))
-    }
-
     /// Time to prefill this many tokens.
     pub fn prefill_time(&self, tokens: f64) -> Duration {
         Duration::from_secs_f64(tokens.max(0.0) / self.tokens_per_ms / 1e3)
--- a/crates/relay/src/prompt_backlog.rs
+++ b/crates/relay/src/prompt_backlog.rs
@@ -23,13 +23,6 @@
     sent_tokens: f64,
 }
 
-impl BacklogMark {
-    /// Tokens to prefill until the prompt is done, as of when it was sent.
-    pub(crate) fn to_prefill(&self) -> f64 {
-        self.to_prefill
-    }
-}
-
 impl PromptBacklog {
     pub(crate) fn new(now: Instant) -> Self {
         Self {
--- a/crates/relay/src/prompt_bucket.rs
+++ b/crates/relay/src/prompt_bucket.rs
@@ -29,32 +29,21 @@
     pub(crate) event_tokens: f64,
     /// Time of an event without prefill.
     pub(crate) event_time: Duration,
-    /// Longest event that pacing allows.
-    pub(crate) window: Duration,
 }
 
 impl PacingLimits {
     /// Derives the limits for a tightest pause limit. `event_time` is the time of an event without
     /// prefill, if it is known.
-    pub(crate) fn new(
-        pace: &EnginePace,
-        limit: Duration,
-        event_time: Option<Duration>,
-        now: Instant,
-    ) -> Self {
-        let tokens_per_ms = pace.present_tokens_per_ms(now);
+    pub(crate) fn new(pace: &EnginePace, limit: Duration, event_time: Option<Duration>) -> Self {
         let event_time = event_time.unwrap_or(limit.mul_f64(INITIAL_EVENT_SHARE));
-        // An engine that is slow at prefill takes longer for each of its steps as well.
-        let event_time = event_time.mul_f64(pace.tokens_per_ms() / tokens_per_ms);
         let window = limit.mul_f64(PAUSE_SHARE);
         let burst = limit.mul_f64(BURST_SHARE);
         let refill_share = 1.0 - (burst + event_time).div_duration_f64(window);
         Self {
-            burst_tokens: as_ms(burst) * tokens_per_ms,
-            tokens_per_ms: refill_share.max(MIN_REFILL_SHARE) * tokens_per_ms,
-            event_tokens: as_ms(window.saturating_sub(event_time)) * tokens_per_ms,
+            burst_tokens: as_ms(burst) * pace.tokens_per_ms(),
+            tokens_per_ms: refill_share.max(MIN_REFILL_SHARE) * pace.tokens_per_ms(),
+            event_tokens: as_ms(window.saturating_sub(event_time)) * pace.tokens_per_ms(),
             event_time,
-            window,
         }
     }
 }
@@ -114,8 +103,11 @@
             return true;
         }
         let level = self.level_at(limits, pending, now);
-        // It can fall into one event with those before it.
-        in_events + tokens <= limits.event_tokens && level >= tokens.min(limits.burst_tokens)
+        match tokens <= limits.burst_tokens {
+            true => level >= tokens,
+            // Such a prompt can fall into one event with those before it.
+            false => level >= limits.burst_tokens && in_events + tokens <= limits.event_tokens,
+        }
     }
 
     /// Time until the bucket has room for `tokens`.
--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -33,9 +33,6 @@
 /// Widest spacing that one stream can contribute, as a multiple of the average.
 const MAX_SPACING_RATIO: f64 = 2.0;
 
-/// Time after which a first event is overdue, as a multiple of the expected time.
-const OVERDUE_RATIO: f64 = 1.3;
-
 /// A request that was sent to the engine.
 #[derive(Clone, Copy, Debug)]
 struct SentPrompt {
@@ -137,7 +134,10 @@
             return PromptAnswer::Granted;
         };
         let prompt = self.waiting_prompt(key, ask, &limits, now);
-        if self.queue.goes_first(&prompt, now) && self.has_room(ask.tokens, &limits, now) {
+        let pending = self.pending_tokens(now);
+        if self.queue.goes_first(&prompt, now)
+            && self.bucket.fits(ask.tokens, &limits, pending, now)
+        {
             self.grant(key, ask.tokens, ask.longest_pause_ms, now);
             return PromptAnswer::Granted;
         }
@@ -163,7 +163,6 @@
         };
         sent.is_prefilled = true;
         let sent = *sent;
-        self.assume_prefilled_before(&sent);
         self.bucket.record_prefilled(sent.tokens, now);
         let (unreported, pace) = (self.pending_tokens(now), self.pace.tokens_per_ms());
         let backlog = &self.backlog;
@@ -223,8 +222,9 @@
         }
         let mut answers = self.refuse_hopeless(now);
         while let Some(next) = self.queue.next(now).copied() {
+            let pending = self.pending_tokens(now);
             let limits = self.limits(0, now);
-            if !limits.is_none_or(|limits| self.has_room(next.tokens, &limits, now)) {
+            if !limits.is_none_or(|limits| self.bucket.fits(next.tokens, &limits, pending, now)) {
                 break;
             }
             self.grant(next.key, next.tokens, next.longest_pause_ms, now);
@@ -240,7 +240,7 @@
             return Some(now);
         };
         let pending = self.pending_tokens(now);
-        if self.has_room(next.tokens, &limits, now) {
+        if self.bucket.fits(next.tokens, &limits, pending, now) {
             return Some(now);
         }
         let tokens = f64::from(next.tokens).min(limits.burst_tokens);
@@ -280,16 +280,6 @@
         !self.is_active(now) && !is_recent && self.sent.values().all(|sent| !sent.counts(now))
     }
 
-    /// Counts prompts that were sent long before one that is prefilled as prefilled too: the reports
-    /// of their first events were lost, or their nodes are gone.
-    fn assume_prefilled_before(&mut self, prefilled: &SentPrompt) {
-        let margin = self.event_time.unwrap_or_default() * 2;
-        for sent in self.sent.values_mut() {
-            let is_earlier = sent.sent_at + margin < prefilled.sent_at;
-            sent.is_prefilled |= is_earlier;
-        }
-    }
-
     /// Updates and returns the time to a first event without prefill, at most the time of an event.
     /// An engine may send the first event after fewer steps than later ones.
     fn update_first_event_time(
@@ -405,25 +395,7 @@
         let all = sent.chain(waiting).chain([longest_pause_ms]);
         let tightest_ms = all.filter(|limit_ms| *limit_ms > 0).min()?;
         let limit = Duration::from_millis(u64::from(tightest_ms));
-        Some(PacingLimits::new(&self.pace, limit, self.event_time, now))
-    }
-
-    /// Whether the first event of a prompt is overdue, so that the engine is slow at the moment. One
-    /// that stays away for longer than a pause is assumed to be lost.
-    fn has_overdue_prompt(&self, limits: &PacingLimits, now: Instant) -> bool {
-        let pending = self.sent.values().filter(|sent| !sent.is_prefilled);
-        let mut delays = pending.filter_map(|sent| {
-            let prefill = self.pace.prefill_time(sent.mark.to_prefill());
-            let expected = (prefill + limits.event_time).mul_f64(OVERDUE_RATIO);
-            now.checked_duration_since(sent.sent_at + expected)
-        });
-        delays.any(|delay| delay < limits.window)
-    }
-
-    /// Whether the engine has room for a prompt.
-    fn has_room(&self, tokens: u32, limits: &PacingLimits, now: Instant) -> bool {
-        let pending = self.pending_tokens(now);
-        self.bucket.fits(tokens, limits, pending, now) && !self.has_overdue_prompt(limits, now)
+        Some(PacingLimits::new(&self.pace, limit, self.event_time))
     }
 
     /// Tokens of prompts that were sent and are not known to be prefilled.
