Choose the issuers of slots again for changed nodes only

A change in the list of nodes hashed every node for every upstream that has an issuer. With the engines whose prompts may be paced these are up to 750 upstreams and 360 nodes, at each node that starts.

--- a/crates/relay-node/src/control/slots.rs
+++ b/crates/relay-node/src/control/slots.rs
@@ -7,9 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{NodeRecord, SlotAnswer, SlotGate, Upstream};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{SlotAnswer, SlotGate, SlotIssuers, Upstream};
 
 use super::control_state::ControlState;
 use crate::traffic_message::{SlotAskId, SlotMessage};
@@ -28,11 +27,8 @@
 pub(crate) struct Slots {
     /// The gates of upstreams for which other nodes ask this one.
     gates: RefCell<Gates>,
-    /// The slot issuer of each plain or rate-limited upstream: the node that grants its slots and
-    /// turns.
-    issuers: RefCell<Arc<HashMap<UpstreamId, SocketAddr>>>,
-    /// The nodes from which `issuers` was computed.
-    nodes_hashed: RefCell<HashMap<NodeId, NodeRecord>>,
+    /// The nodes that grant the slots, turns and prompts of upstreams.
+    issuers: RefCell<SlotIssuers>,
 }
 
 impl ControlState {
@@ -45,13 +41,9 @@
     /// would refuse requests that can wait for one.
     pub(crate) fn slot_issuers(&self) -> Arc<HashMap<UpstreamId, SocketAddr>> {
         let upstreams = self.upstreams.borrow();
-        let nodes = self.nodes.borrow();
-        let slots = &self.slots;
-        let have_nodes_changed = *slots.nodes_hashed.borrow() != *nodes;
-        if have_nodes_changed {
-            slots.nodes_hashed.borrow_mut().clone_from(&nodes);
-        }
-        let previous = Arc::clone(&slots.issuers.borrow());
+        let mut issuers = self.slots.issuers.borrow_mut();
+        issuers.set_nodes(&self.nodes.borrow());
+        issuers.retain(|upstream| upstreams.contains_key(upstream));
         let limits = self.shared.limits();
         let table = self.table.borrow();
         let paced = table.as_ref().map(|table| table.paced_services());
@@ -64,20 +56,10 @@
         });
         let own_address = self.settings.nodes_address;
         let found = gated.map(|upstream| {
-            // In a large fleet, hashing every node for every upstream at each change in the store
-            // would cost more than the slots are worth.
-            let known = previous
-                .get(&upstream.id)
-                .filter(|_| !have_nodes_changed)
-                .copied();
-            let node = || slot_node(upstream, nodes.values()).map(|node| node.address);
-            let issuer = known.or_else(node).unwrap_or(own_address);
+            let issuer = issuers.issuer(upstream).unwrap_or(own_address);
             (upstream.id.clone(), issuer)
         });
-        let found = Arc::new(found.collect());
-        drop(limits);
-        slots.issuers.replace(Arc::clone(&found));
-        found
+        Arc::new(found.collect())
     }
 
     fn is_plain(&self, upstream: &Upstream) -> bool {
@@ -198,16 +180,3 @@
         send(answer, node);
     }
 }
-
-/// The node with the highest hash in the upstream's failure domain, or in any other if that one has
-/// no nodes.
-fn slot_node<'a>(
-    upstream: &Upstream,
-    nodes: impl Iterator<Item = &'a NodeRecord>,
-) -> Option<&'a NodeRecord> {
-    nodes.max_by_key(|node| {
-        let is_local = node.failure_domain == upstream.failure_domain;
-        let seed = xxh3_64_with_seed(upstream.id.as_bytes(), 0);
-        (is_local, xxh3_64_with_seed(node.node.as_bytes(), seed))
-    })
-}
