--- a/crates/relay-node/src/control/prompt_gates.rs
+++ b/crates/relay-node/src/control/prompt_gates.rs
@@ -109,7 +109,7 @@
             }
             PromptMessage::Paced { .. } | PromptMessage::Answer { .. } => {}
         }
-        send_answers(&upstream, gate, decided, &send);
+        send_answers(&upstream, gate, decided, now, &send);
         self.announce_gate(&upstream, entry, now, &send);
         drop(gates);
         self.prompt_gates.update_next_due(now);
@@ -122,7 +122,7 @@
         for (upstream, entry) in gates.iter_mut() {
             if entry.gate.next_due(now).is_some_and(|due| due <= now) {
                 let decided = entry.gate.grant_due(now);
-                send_answers(upstream, &entry.gate, decided, &send);
+                send_answers(upstream, &entry.gate, decided, now, &send);
             }
         }
         drop(gates);
@@ -201,15 +201,20 @@
     upstream: &UpstreamId,
     gate: &PromptGate<PromptKey>,
     decided: Vec<(PromptKey, PromptAnswer)>,
+    now: Instant,
     send: &impl Fn(PromptMessage, SocketAddr),
 ) {
     let pace = (gate.tokens_per_ms() * 1e3) as u32;
+    let updated_at = gate.pace().updated_at();
+    let age = updated_at.map(|at| now.saturating_duration_since(at));
+    let pace_age_ms = age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
     for ((node, id), answer) in decided {
         let answer = PromptMessage::Answer {
             id,
             upstream: upstream.clone(),
             answer,
             pace,
+            pace_age_ms,
         };
         send(answer, node);
     }
--- a/crates/relay-node/src/prompt_metrics.rs
+++ b/crates/relay-node/src/prompt_metrics.rs
@@ -49,13 +49,7 @@
 
     /// Counts a prompt for which a gate was asked; no answer came if `answer` is `None`.
     pub(crate) fn asked(&self, answer: Option<PromptAnswer>, wait: Duration) {
-        let answer = match answer {
-            Some(PromptAnswer::Granted) => "granted",
-            Some(PromptAnswer::Queued) => "queued",
-            Some(PromptAnswer::Busy { .. }) => "busy",
-            Some(PromptAnswer::Refused { .. }) => "refused",
-            None => "no_answer",
-        };
+        let answer = answer.map_or("no_answer", answer_name);
         self.asks.add(1, &[KeyValue::new("answer", answer)]);
         self.wait.record(wait.as_secs_f64() * 1_000.0, &[]);
     }
@@ -70,3 +64,13 @@
         self.long_pauses.add(1, &[]);
     }
 }
+
+/// The name of an answer in metrics and the log.
+pub(crate) fn answer_name(answer: PromptAnswer) -> &'static str {
+    match answer {
+        PromptAnswer::Granted => "granted",
+        PromptAnswer::Queued => "queued",
+        PromptAnswer::Busy { .. } => "busy",
+        PromptAnswer::Refused { .. } => "refused",
+    }
+}
--- a/crates/relay-node/src/traffic/peer_socket.rs
+++ b/crates/relay-node/src/traffic/peer_socket.rs
@@ -50,6 +50,7 @@
             upstream,
             answer,
             pace,
+            pace_age_ms,
         } => {
             if answer != PromptAnswer::Granted {
                 paced.record_active(&upstream, Instant::now());
@@ -57,6 +58,7 @@
             let answer = PacedAnswer {
                 answer,
                 tokens_per_s: pace,
+                pace_age_ms,
             };
             gateway.prompts.receive_answer(id, upstream, answer, sender);
         }
--- a/crates/relay-node/src/traffic/prompt_client.rs
+++ b/crates/relay-node/src/traffic/prompt_client.rs
@@ -24,17 +24,19 @@
 /// request is still queued, unless it has ended meanwhile or lost its queue.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// An answer and the engine's pace in prompt tokens per second.
+/// An answer, and the engine's pace that it is based on.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PacedAnswer {
     pub(super) answer: PromptAnswer,
     pub(super) tokens_per_s: u32,
+    /// Age of the last sample of the pace, if there was one.
+    pub(super) pace_age_ms: Option<u32>,
 }
 
 /// The result of asking whether a prompt may be sent.
 pub(super) enum PromptOutcome {
     /// It may be sent.
-    Granted(PromptPermit),
+    Granted(PromptPermit, PacedAnswer),
     /// The granting node does not answer. It is told that the prompt is sent.
     NoAnswer(PromptPermit),
     /// It may not be sent now.
@@ -180,7 +182,7 @@
                 }
             };
             match answer.answer {
-                PromptAnswer::Granted => return PromptOutcome::Granted(permit),
+                PromptAnswer::Granted => return PromptOutcome::Granted(permit, answer),
                 PromptAnswer::Queued => is_answered = true,
                 PromptAnswer::Busy { .. } | PromptAnswer::Refused { .. } => {
                     permit.reports_end = false;
--- a/crates/relay-node/src/traffic/prompt_pacing.rs
+++ b/crates/relay-node/src/traffic/prompt_pacing.rs
@@ -10,6 +10,7 @@
 use super::plain_slot::PermitResult;
 use super::prompt_client::{PacedAnswer, PromptOutcome, whole_millis};
 use super::refuse::RefusalReason;
+use crate::prompt_metrics::answer_name;
 
 /// Waits from which a request that was held back is logged.
 const LOGGED_WAIT: Duration = Duration::from_millis(50);
@@ -41,13 +42,14 @@
         let outcome = self.prompts.ask(upstream, *node, ask).await;
         let waited = began.elapsed();
         let (answer, permit) = match outcome {
-            PromptOutcome::Granted(permit) => (Some(PromptAnswer::Granted), Ok(permit)),
+            PromptOutcome::Granted(permit, answer) => (Some(answer), Ok(permit)),
             PromptOutcome::NoAnswer(permit) => (None, Ok(permit)),
-            PromptOutcome::Rejected(rejected) => (Some(rejected.answer), Err(rejected)),
+            PromptOutcome::Rejected(rejected) => (Some(rejected), Err(rejected)),
         };
-        self.shared.metrics.prompts.asked(answer, waited);
+        let decision = answer.map(|answer| answer.answer);
+        self.shared.metrics.prompts.asked(decision, waited);
         if waited > LOGGED_WAIT || permit.is_err() {
-            self.log_held_back(call, choice, ask, waited, permit.as_ref().err());
+            self.log_held_back(call, choice, ask, waited, answer);
         }
         match permit {
             Ok(permit) => {
@@ -87,19 +89,20 @@
         choice: &Choice,
         ask: PromptAsk,
         waited: Duration,
-        rejected: Option<&PacedAnswer>,
+        answer: Option<PacedAnswer>,
     ) {
-        let answer = rejected.map(|rejected| rejected.answer);
-        let wait = answer.map(expected_wait);
+        let decision = answer.map(|answer| answer.answer);
+        let wait = decision.map(expected_wait);
         log_event!(
             self.log, Event::PromptHeldBack,
             "request" => call.id.to_string(), "upstream" => choice.upstream.id.to_string(),
             "tokens" => ask.tokens, "priority" => ask.priority, "due_ms" => ask.due_in_ms,
             "wait_limit_ms" => ask.wait_limit_ms, "may_queue" => ask.may_queue,
             "waited_ms" => waited.as_millis(),
-            "answer" => answer.map(|answer| format!("{answer:?}")),
+            "answer" => decision.map_or("no_answer", answer_name),
             "expected_wait_ms" => wait.map(|wait| wait.as_millis()),
-            "pace" => rejected.map(|rejected| rejected.tokens_per_s)
+            "pace" => answer.map(|answer| answer.tokens_per_s),
+            "pace_age_ms" => answer.and_then(|answer| answer.pace_age_ms)
         );
     }
 }
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -106,6 +106,8 @@
         answer: PromptAnswer,
         /// The engine's pace in prompt tokens per second.
         pace: u32,
+        /// Age of the last sample of the pace in milliseconds, if there was one.
+        pace_age_ms: Option<u32>,
     },
     /// The gate of the engine is active: nodes ask before they send.
     Paced { upstream: UpstreamId },
