--- a/crates/relay/tests/common/engine_fleet.rs
+++ b/crates/relay/tests/common/engine_fleet.rs
@@ -2,35 +2,26 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{ServiceName, UpstreamId};
+use nutmegsail_base::ServiceName;
 use nutmegsail_relay::{
-    ChooseError, CopyScope, DispatchRequest, Dispatcher, EngineDemand, EngineLoadSample,
-    LoadReport, ModelRef, PromptPrefix, SoftwareRule, VersionRule,
+    ChooseError, CopyScope, DispatchRequest, Dispatcher, EngineLoadSample, LoadReport, ModelRef,
+    PromptPrefix, SoftwareRule, VersionRule,
 };
 use rand::{RngExt as _, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::common::{engine, holdings, list};
+use crate::fleet_engine::{Call, FleetEngine, LONGEST_PAUSE, SETTLE_MS, STEP_MS, STEPS_PER_EVENT};
 
 const ENGINES: usize = 60;
 const NODES: usize = 63;
 const ADAPTERS: usize = 10_000;
-const ADAPTER_SLOTS: usize = 14;
-/// Speeds of the engines relative to [`TOKENS_PER_MS`], a third each.
-const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
-const TOKENS_PER_MS: f64 = 19.1;
 const STREAMS_PER_S: f64 = 363.0;
 const LOAD_MS: f64 = 288.0;
-const STEP_MS: f64 = 8.87;
-const STEPS_PER_EVENT: f64 = 4.0;
-const CHUNK_TOKENS: f64 = 2_048.0;
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 const OBJECTIVE_MS: f64 = 1_000.0;
-/// Time until which loads and demand settle, which isn't counted.
-const SETTLE_MS: f64 = 10_000.0;
 const END_MS: f64 = 50_000.0;
 const REPORT_INTERVAL_MS: f64 = 100.0;
 
@@ -59,15 +50,6 @@
     pub load_by_speed: [f64; 3],
 }
 
-#[derive(Clone, Debug)]
-struct Call {
-    node: usize,
-    model: ModelRef,
-    tokens: u64,
-    arrived_ms: f64,
-    may_load: bool,
-}
-
 #[derive(Debug)]
 enum Step {
     Arrival,
@@ -78,108 +60,6 @@
     End(usize, Call, f64),
 }
 
-struct FleetEngine {
-    id: UpstreamId,
-    tokens_per_ms: f64,
-    adapters: Vec<(ModelRef, f64)>,
-    loading: Vec<ModelRef>,
-    /// Requests in flight for each adapter.
-    running: HashMap<ModelRef, u32>,
-    in_flight: u32,
-    pending_tokens: u64,
-    busy_since_ms: f64,
-    free_at_ms: f64,
-    loads_free_at_ms: f64,
-    demand: EngineDemand,
-    holdings_version: u64,
-    tokens_counted: u64,
-    /// Times at which running answers paused for too long.
-    long_pauses_ms: Vec<f64>,
-    report: Option<LoadReport>,
-}
-
-impl FleetEngine {
-    fn new(index: usize) -> Self {
-        Self {
-            id: format!("e{index}").as_str().into(),
-            tokens_per_ms: TOKENS_PER_MS * SPEEDS[index % 3],
-            adapters: Vec::new(),
-            loading: Vec::new(),
-            running: HashMap::new(),
-            in_flight: 0,
-            pending_tokens: 0,
-            busy_since_ms: 0.0,
-            free_at_ms: 0.0,
-            loads_free_at_ms: 0.0,
-            demand: EngineDemand::default(),
-            holdings_version: 0,
-            tokens_counted: 0,
-            long_pauses_ms: Vec::new(),
-            report: None,
-        }
-    }
-
-    fn holds(&self, model: &ModelRef) -> bool {
-        self.adapters.iter().any(|(held, _)| held == model)
-    }
-
-    fn is_unused(&self, model: &ModelRef) -> bool {
-        self.running.get(model).copied().unwrap_or(0) == 0
-    }
-
-    fn free_slots(&self) -> usize {
-        let unused = self.adapters.iter();
-        let unused = unused.filter(|(held, _)| self.is_unused(held)).count();
-        (ADAPTER_SLOTS + unused).saturating_sub(self.adapters.len() + self.loading.len())
-    }
-
-    /// Makes room for one adapter by evicting the one that was unused for longest.
-    fn make_room(&mut self) {
-        if self.adapters.len() + self.loading.len() < ADAPTER_SLOTS {
-            return;
-        }
-        let unused = self.adapters.iter().enumerate();
-        let unused = unused.filter(|(_, (held, _))| self.is_unused(held));
-        let oldest = unused.min_by(|(_, a), (_, b)| a.1.total_cmp(&b.1));
-        if let Some((index, _)) = oldest {
-            self.adapters.swap_remove(index);
-            self.holdings_version += 1;
-        }
-    }
-
-    /// Queues a prompt; returns when its first event is sent.
-    fn prefill(&mut self, call: &Call, at_ms: f64) -> f64 {
-        if self.free_at_ms <= at_ms {
-            (self.busy_since_ms, self.free_at_ms) = (at_ms, at_ms);
-        }
-        self.free_at_ms += call.tokens as f64 / self.tokens_per_ms;
-        let steps_ms = STEPS_PER_EVENT * STEP_MS;
-        let limit_ms = LONGEST_PAUSE.as_secs_f64() * 1_000.0 - steps_ms;
-        let full_chunks_ms = STEPS_PER_EVENT * CHUNK_TOKENS / self.tokens_per_ms;
-        if full_chunks_ms > limit_ms && self.free_at_ms - self.busy_since_ms > limit_ms {
-            self.long_pauses_ms.push(self.free_at_ms);
-        }
-        if at_ms >= SETTLE_MS {
-            self.tokens_counted += call.tokens;
-        }
-        self.pending_tokens += call.tokens;
-        self.in_flight += 1;
-        *self.running.entry(call.model.clone()).or_default() += 1;
-        let held = self.adapters.iter_mut();
-        if let Some((_, used_ms)) = held.into_iter().find(|(held, _)| *held == call.model) {
-            *used_ms = at_ms;
-        }
-        self.free_at_ms + 2.0 * STEP_MS
-    }
-
-    fn end(&mut self, model: &ModelRef) {
-        self.in_flight -= 1;
-        if let Some(count) = self.running.get_mut(model) {
-            *count -= 1;
-        }
-    }
-}
-
 /// A node, with the version of each engine's holdings and report that its dispatcher knows.
 struct Node {
     dispatcher: Dispatcher,
--- a/crates/relay/tests/engine_speeds.rs
+++ b/crates/relay/tests/engine_speeds.rs
@@ -5,6 +5,8 @@
 mod common;
 #[path = "common/engine_fleet.rs"]
 mod engine_fleet;
+#[path = "common/fleet_engine.rs"]
+mod fleet_engine;
 
 use std::time::{Duration, Instant};
 
