--- a/crates/relay/src/shed_queue.rs
+++ b/crates/relay/src/shed_queue.rs
@@ -1,5 +1,6 @@
 //! Requests that wait for scarce capacity, and which of them to refuse.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -24,8 +25,8 @@
 struct Waiting<K> {
     key: K,
     work: WaitingWork,
-    /// Whether it is not shed for its size.
-    is_exempt: bool,
+    /// Whether it is among the largest of its priority.
+    is_large: bool,
 }
 
 /// Requests that wait for one resource, in the order that costs callers least.
@@ -71,13 +72,8 @@
     }
 }
 
-/// A request to be planned, and its position in the queue.
-#[derive(Clone, Copy)]
-struct Ranked<'a> {
-    at: usize,
-    work: &'a WaitingWork,
-    is_exempt: bool,
-}
+/// A request to be planned, with its position in the queue.
+type Ranked<'a> = (usize, &'a WaitingWork);
 
 /// What becomes of the waiting requests if none is added; entries are positions in the queue.
 struct Plan {
@@ -87,6 +83,17 @@
     hopeless: Vec<usize>,
 }
 
+impl Plan {
+    fn is_on_time(&self, at: usize) -> bool {
+        self.urgent.is_on_time(at) || self.routine.is_on_time(at)
+    }
+
+    fn is_all_on_time(&self) -> bool {
+        let has_late = self.urgent.has_late() || self.routine.has_late();
+        self.hopeless.is_empty() && !has_late
+    }
+}
+
 impl<K: Copy + Eq> ShedQueue<K> {
     /// Adds a request, or replaces what is known of it.
     pub fn push(&mut self, key: K, work: WaitingWork) {
@@ -94,11 +101,11 @@
             known.work = work;
             return;
         }
-        let is_exempt = self.sizes.record(work.priority, work.work_ms);
+        let is_large = self.sizes.record(work.priority, work.work_ms);
         self.waiting.push(Waiting {
             key,
             work,
-            is_exempt,
+            is_large,
         });
     }
 
@@ -139,7 +146,12 @@
     pub fn pop_next(&mut self, now: Instant) -> Option<(K, WaitingWork)> {
         let next = self.next_position(now)?;
         let priorities = self.live_priorities(now);
-        let Waiting { key, work, .. } = self.waiting.remove(next);
+        let Waiting {
+            key,
+            work,
+            is_large,
+        } = self.waiting.remove(next);
+        self.sizes.record_grant(work.priority, is_large);
         self.floor.record_grant(work.priority, &priorities);
         Some((key, work))
     }
@@ -147,7 +159,7 @@
     /// Removes requests that cannot be served before their callers give up. `rate` is the work in
     /// ms that is done per ms.
     ///
-    /// Requests that may get one of the grants kept for their priority stay.
+    /// Requests stay that may get one of the grants kept for their priority or for large requests.
     pub fn refuse_hopeless(&mut self, now: Instant, rate: f64) -> Vec<(K, Refusal)> {
         let rate = rate.max(MIN_RATE);
         let plan = self.plan(&self.live(now), now, rate);
@@ -155,6 +167,14 @@
         let priorities = self.live_priorities(now);
         let mut refused: BTreeSet<usize> = plan.hopeless.into_iter().collect();
         for priority in &priorities {
+            let mut large = self.fitting_large(*priority, now, rate);
+            large.retain(|at| refused.contains(at));
+            large.sort_by_key(|at| {
+                let work = &self.waiting[*at].work;
+                (work.is_late(now), Reverse(work.expires_at))
+            });
+            large.truncate(self.sizes.owed(*priority));
+            refused.retain(|at| !large.contains(at));
             let one = grants_for_one(*priority, &priorities);
             if one == u32::MAX {
                 continue;
@@ -201,18 +221,55 @@
 
     fn next_position(&self, now: Instant) -> Option<usize> {
         let mut live = self.live(now);
-        if let Some(priority) = self.floor.due(&self.live_priorities(now)) {
+        let of_all = self.plan(&live, now, 1.0);
+        let mut of_floor = None;
+        if let Some(priority) = self.floor.due(&self.live_priorities(now))
+            && !of_all.is_all_on_time()
+        {
             live.retain(|at| self.waiting[*at].work.priority == priority);
+            of_floor = Some(self.plan(&live, now, 1.0));
         }
-        let plan = self.plan(&live, now, 1.0);
+        let plan = of_floor.as_ref().unwrap_or(&of_all);
         let hopeless = |is_urgent| {
             let mut hopeless = plan.hopeless.iter().copied();
             hopeless.find(|at| self.waiting[*at].work.is_urgent() == is_urgent)
         };
         let urgent = plan.urgent.next().or_else(|| hopeless(true));
-        urgent
-            .or_else(|| plan.routine.next())
-            .or_else(|| hopeless(false))
+        let routine = || plan.routine.next().or_else(|| hopeless(false));
+        let next = urgent.or_else(routine)?;
+        Some(self.owed_large(next, &of_all, now).unwrap_or(next))
+    }
+
+    /// The large request that goes in place of the one at `next`, which has the same priority.
+    ///
+    /// It is one that could be on time and is not planned to be. If all are late, it is one that
+    /// cannot be served before its caller gives up.
+    fn owed_large(&self, next: usize, plan: &Plan, now: Instant) -> Option<usize> {
+        let next = &self.waiting[next];
+        let priority = next.work.priority;
+        if next.is_large || self.sizes.owed(priority) == 0 {
+            return None;
+        }
+        let mut fitting = self.fitting_large(priority, now, 1.0);
+        // No late request goes before one that can be on time.
+        fitting.retain(|at| match self.waiting[*at].work.is_late(now) {
+            true => next.work.is_late(now) && plan.hopeless.contains(at),
+            false => !plan.is_on_time(*at),
+        });
+        fitting.into_iter().min_by_key(|at| {
+            let work = &self.waiting[*at].work;
+            (work.is_late(now), work.latest_start)
+        })
+    }
+
+    /// Positions of the large requests that can be served before their callers give up, if nothing
+    /// else goes first.
+    fn fitting_large(&self, priority: u8, now: Instant, rate: f64) -> Vec<usize> {
+        let is_fitting = |at: &usize| {
+            let Waiting { work, is_large, .. } = &self.waiting[*at];
+            *is_large && work.priority == priority && work.expiry_ms(now, rate) >= 0.0
+        };
+        (0..self.waiting.len()).filter(is_fitting).collect()
     }
 
     /// Positions of the requests whose callers still wait.
@@ -239,32 +296,12 @@
         now: Instant,
         rate: f64,
     ) -> Plan {
-        let ranked = positions
-            .iter()
-            .filter_map(|at| match self.waiting.get(*at) {
-                Some(Waiting {
-                    work, is_exempt, ..
-                }) => Some(Ranked {
-                    at: *at,
-                    work,
-                    is_exempt: *is_exempt,
-                }),
-                None => added.map(|work| Ranked {
-                    at: *at,
-                    work,
-                    is_exempt: false,
-                }),
-            });
+        let work_at = |at: usize| self.waiting.get(at).map(|known| &known.work).or(added);
+        let ranked = positions.iter().filter_map(|at| Some((*at, work_at(*at)?)));
         let mut ranked: Vec<Ranked<'_>> = ranked.collect();
-        ranked.sort_by(|a, b| {
-            let groups = a.work.group(now).cmp(&b.work.group(now));
-            groups
-                .then_with(|| b.is_exempt.cmp(&a.is_exempt))
-                .then_with(|| shed_order(a.work, b.work, now))
-        });
-        let (urgent, routine): (Vec<_>, Vec<_>) = ranked
-            .into_iter()
-            .partition(|ranked| ranked.work.is_urgent());
+        ranked.sort_by(|(_, a), (_, b)| shed_order(a, b, now));
+        let (urgent, routine): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|(_, work)| work.is_urgent());
         let mut hopeless = Vec::new();
         let urgent = schedule(&urgent, 0.0, now, rate, &mut hopeless);
         let routine = schedule(&routine, urgent.end_ms(), now, rate, &mut hopeless);
@@ -287,24 +324,20 @@
 ) -> ShedSchedule {
     let mut schedule = ShedSchedule::after(offset_ms);
     let (mut late, on_time): (Vec<Ranked<'_>>, Vec<Ranked<'_>>) =
-        ranked.iter().partition(|ranked| ranked.work.is_late(now));
-    for ranked in on_time {
-        let work = ranked.work;
+        ranked.iter().partition(|(_, work)| work.is_late(now));
+    for (at, work) in on_time {
         let latest_ms = work.on_time_ms(now).min(work.expiry_ms(now, rate));
-        if !schedule.add(ranked.at, latest_ms, work.work_ms / rate, false) {
-            late.push(ranked);
+        if !schedule.add(at, latest_ms, work.work_ms / rate, false) {
+            late.push((at, work));
         }
     }
-    late.sort_by(|a, b| {
-        let value = |ranked: &Ranked<'_>| ranked.work.late_value_per_ms();
-        let priorities = a.work.priority.cmp(&b.work.priority);
-        priorities
-            .then_with(|| b.is_exempt.cmp(&a.is_exempt))
-            .then_with(|| value(b).total_cmp(&value(a)))
+    late.sort_by(|(_, a), (_, b)| {
+        let value = |work: &WaitingWork| work.late_value_per_ms();
+        let priorities = a.priority.cmp(&b.priority);
+        priorities.then_with(|| value(b).total_cmp(&value(a)))
     });
-    for Ranked { at, work, .. } in late {
-        let latest_ms = work.expiry_ms(now, rate);
-        if !schedule.add(at, latest_ms, work.work_ms / rate, true) {
+    for (at, work) in late {
+        if !schedule.add(at, work.expiry_ms(now, rate), work.work_ms / rate, true) {
             hopeless.push(at);
         }
     }
--- a/crates/relay/src/shed_schedule.rs
+++ b/crates/relay/src/shed_schedule.rs
@@ -7,14 +7,24 @@
     deadline_ms: f64,
     work_ms: f64,
     is_late: bool,
-    /// Start in ms from now, when served in order of deadlines.
+    /// Start in ms from now, when served in the order of the schedule.
     start_ms: f64,
     /// Least slack of this entry and all after it.
     slack_after_ms: f64,
 }
 
-/// Requests that one resource can start before their deadlines if it serves them in order of their
-/// deadlines. Serving by deadline meets all of them whenever any order does.
+impl Entry {
+    fn done_by_ms(&self) -> f64 {
+        self.deadline_ms + self.work_ms
+    }
+}
+
+/// Rounding of times to nanoseconds must not make a request late, in ms.
+const TOLERANCE_MS: f64 = 1e-3;
+
+/// Requests that one resource can start before their deadlines if it serves them in the order in
+/// which they have to be done. That order meets all deadlines whenever any order does; the order of
+/// latest starts does not.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ShedSchedule {
     entries: Vec<Entry>,
@@ -39,7 +49,7 @@
     ) -> bool {
         let at = self
             .entries
-            .partition_point(|entry| entry.deadline_ms <= deadline_ms);
+            .partition_point(|entry| entry.done_by_ms() <= deadline_ms + work_ms);
         let start_ms = match at
             .checked_sub(1)
             .and_then(|before| self.entries.get(before))
@@ -48,7 +58,8 @@
             None => self.offset_ms,
         };
         let delays = self.entries.get(at).map(|after| after.slack_after_ms);
-        if start_ms > deadline_ms || delays.is_some_and(|slack_ms| slack_ms < work_ms) {
+        let delays_others = delays.is_some_and(|slack_ms| slack_ms + TOLERANCE_MS < work_ms);
+        if start_ms > deadline_ms + TOLERANCE_MS || delays_others {
             return false;
         }
         let entry = Entry {
@@ -82,7 +93,7 @@
         let mut slacks_ms = passed
             .iter()
             .map(|entry| entry.deadline_ms - entry.start_ms);
-        match slacks_ms.all(|slack_ms| slack_ms >= on_time.work_ms) {
+        match slacks_ms.all(|slack_ms| slack_ms + TOLERANCE_MS >= on_time.work_ms) {
             true => Some(on_time.index),
             false => Some(first.index),
         }
@@ -101,6 +112,17 @@
         Some(self.offset_ms + before.sum::<f64>())
     }
 
+    /// Whether the request `index` can be on time.
+    pub(crate) fn is_on_time(&self, index: usize) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|entry| entry.index == index && !entry.is_late)
+    }
+
+    /// Whether a request of the schedule cannot be on time.
+    pub(crate) fn has_late(&self) -> bool {
+        self.entries.iter().any(|entry| entry.is_late)
+    }
+
     /// When all requests of the schedule are done, in ms from now.
     pub(crate) fn end_ms(&self) -> f64 {
         let works = self.entries.iter().map(|entry| entry.work_ms);
