Shed slot requests by the value of late answers where operators set it

The slot gate could not tell requests whose delay costs little from others. Values outside 0 to 1 and priorities outside 0 to 255 are settings errors (NS7001).

--- a/crates/relay-node/src/control/slots.rs
+++ b/crates/relay-node/src/control/slots.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -76,6 +77,14 @@
         found
     }
 
+    fn new_gate(&self, slots: u32) -> SlotGate<(SocketAddr, SlotAskId)> {
+        let gate = SlotGate::new(slots);
+        match &self.settings.shedding {
+            Some(shedding) => gate.with_late_worth(shedding.worths()),
+            None => gate,
+        }
+    }
+
     fn is_plain(&self, upstream: &Upstream) -> bool {
         let service = self.service(&upstream.service);
         service.is_some_and(|service| service.engine.is_none())
@@ -133,17 +142,13 @@
                     gates.retain(|_, gate| !gate.is_idle());
                 }
                 let gate = gates.entry(upstream.clone());
-                let gate = gate.or_insert_with(|| SlotGate::new(slots));
+                let gate = gate.or_insert_with(|| self.new_gate(slots));
                 gate.set_slots(slots);
                 gate.set_rate(per_s, now);
                 gate.set_brittle(is_brittle, now);
                 let answer = gate.ask((sender, id), ask, now);
-                let answer = SlotMessage::Answer {
-                    id,
-                    upstream,
-                    answer,
-                };
-                send(answer, sender);
+                let answers = iter::once(((sender, id), answer)).chain(gate.take_refused());
+                send_answers(&upstream, answers, &send);
             }
             SlotMessage::Release {
                 id,
@@ -167,7 +172,7 @@
                 };
                 if self.shared.is_brittle(&known.service) {
                     let gate = gates.entry(upstream);
-                    let gate = gate.or_insert_with(|| SlotGate::new(known.slots));
+                    let gate = gate.or_insert_with(|| self.new_gate(known.slots));
                     gate.set_slots(known.slots);
                     gate.set_brittle(true, now);
                     for id in ids {
@@ -182,7 +187,7 @@
 
 fn send_answers(
     upstream: &UpstreamId,
-    answers: Vec<((SocketAddr, SlotAskId), SlotAnswer)>,
+    answers: impl IntoIterator<Item = ((SocketAddr, SlotAskId), SlotAnswer)>,
     send: &impl Fn(SlotMessage, SocketAddr),
 ) {
     for ((node, id), answer) in answers {
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -29,4 +29,6 @@
     OrderAnswer, OrderStep, SendMeta, UpstreamCall, UpstreamNotice, Verdict,
 };
 pub use node::{RelayNode, RelayNodeError};
-pub use settings::{BoundSettings, RelaySettings, RelaySettingsError, StoreSettings};
+pub use settings::{
+    BoundSettings, RelaySettings, RelaySettingsError, SheddingSettings, StoreSettings,
+};
--- a/crates/relay-node/src/settings.rs
+++ b/crates/relay-node/src/settings.rs
@@ -1,11 +1,12 @@
 //! A node's settings, in TOML.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use nutmegsail_base::{FailureDomain, NodeId, ResultCode};
 use nutmegsail_quota::QuotaBounds;
-use nutmegsail_relay::AccessRules;
+use nutmegsail_relay::{AccessRules, LateWorth};
 use nutmegsail_telemetry::LogSettings;
 use serde::Deserialize;
 use thiserror::Error;
@@ -60,6 +61,9 @@
     /// Times and ratios agreed between operators and the platform.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Load shedding by the value of late answers. If it is left out, it does not count.
+    #[serde(default)]
+    pub shedding: Option<SheddingSettings>,
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
@@ -73,6 +77,46 @@
     pub address: SocketAddr,
 }
 
+/// Settings of load shedding.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SheddingSettings {
+    /// Value of a late answer as a fraction of one on time, by priority. It is 0.5 for priorities
+    /// that are not listed.
+    pub late_worth: BTreeMap<String, f64>,
+}
+
+impl SheddingSettings {
+    /// The values with their priorities.
+    ///
+    /// ```
+    /// use nutmegsail_relay_node::SheddingSettings;
+    /// let late_worth = [("0".to_owned(), 0.2)].into_iter().collect();
+    /// assert_eq!(SheddingSettings { late_worth }.worths().of(0), 0.2);
+    /// ```
+    pub fn worths(&self) -> LateWorth {
+        let known = self.late_worth.iter();
+        known
+            .filter_map(|(priority, worth)| Some((priority.parse().ok()?, *worth)))
+            .collect()
+    }
+
+    fn faults(&self) -> impl Iterator<Item = String> {
+        self.late_worth.iter().filter_map(|(priority, worth)| {
+            // `parse` also takes "+1" and "01", which would name one priority twice.
+            let parsed = priority.parse::<u8>();
+            let is_priority = parsed.is_ok_and(|parsed| parsed.to_string() == *priority);
+            match (is_priority, (0.0..=1.0).contains(worth)) {
+                (false, _) => Some(format!(
+                    "shedding.late_worth.{priority}: write a priority from 0 to 255"
+                )),
+                (true, false) => Some(format!("shedding.late_worth.{priority}: write 0 to 1")),
+                (true, true) => None,
+            }
+        })
+    }
+}
+
 /// Times and ratios that operators have agreed on with the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -205,7 +249,11 @@
             ),
         ];
         let failed = checks.iter().filter(|(holds, _)| !holds);
-        failed.map(|(_, problem)| (*problem).to_owned()).collect()
+        let shedding = self.shedding.iter().flat_map(SheddingSettings::faults);
+        failed
+            .map(|(_, problem)| (*problem).to_owned())
+            .chain(shedding)
+            .collect()
     }
 }
 
--- a/crates/relay-node/tests/settings.rs
+++ b/crates/relay-node/tests/settings.rs
@@ -34,8 +34,30 @@
     "quota_slack_tokens"
 )]
 #[case::odd_ratio("retry_ratio = 0.2", "retry_ratio = -1", "bounds.retry_ratio")]
+#[case::odd_worth(
+    "# late_worth = { \"0\" = 0.2",
+    "late_worth = { \"0\" = 1.5",
+    "shedding.late_worth.0: write 0 to 1"
+)]
+#[case::negative_worth(
+    "# late_worth = { \"0\" = 0.2",
+    "late_worth = { \"0\" = -0.1",
+    "late_worth.0"
+)]
+#[case::worth_is_no_number(
+    "# late_worth = { \"0\" = 0.2",
+    "late_worth = { \"0\" = nan",
+    "late_worth.0"
+)]
+#[case::odd_priority(
+    "# late_worth = { \"0\"",
+    "late_worth = { \"256\"",
+    "shedding.late_worth.256: write a priority"
+)]
+#[case::priority_twice("# late_worth = { \"0\"", "late_worth = { \"01\"", "late_worth.01")]
 fn an_error_names_the_faulty_key(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
     let text = EXAMPLE.replacen(from, to, 1);
+    let text = text.replacen("# [shedding]", "[shedding]", 1);
     assert_ne!(text, EXAMPLE);
     let error = RelaySettings::parse(&text).unwrap_err().to_string();
     assert!(error.starts_with("NS7001"), "{error}");
@@ -53,3 +75,22 @@
         "{error}"
     );
 }
+
+/// Guards against shedding that is on without a setting, and against values that are not passed on.
+#[test]
+fn late_answers_have_a_value_only_if_the_operators_set_one() {
+    assert_eq!(RelaySettings::parse(EXAMPLE).unwrap().shedding, None);
+    let text =
+        EXAMPLE
+            .replacen("# [shedding]", "[shedding]", 1)
+            .replacen("# late_worth", "late_worth", 1);
+    let worths = RelaySettings::parse(&text)
+        .unwrap()
+        .shedding
+        .unwrap()
+        .worths();
+    assert_eq!((worths.of(0), worths.of(1), worths.of(2)), (0.2, 0.5, 0.5));
+    let text = EXAMPLE.replacen("# [shedding]", "[shedding]", 1);
+    let neutral = RelaySettings::parse(&text).unwrap().shedding.unwrap();
+    assert_eq!(neutral.worths().of(7), 0.5);
+}
--- a/crates/relay/src/rate_bucket.rs
+++ b/crates/relay/src/rate_bucket.rs
@@ -68,6 +68,11 @@
         Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
     }
 
+    /// Time between two requests at this rate.
+    pub(crate) fn interval(&self) -> Duration {
+        Duration::try_from_secs_f64(1.0 / self.per_s).unwrap_or(Duration::MAX)
+    }
+
     fn capacity(&self) -> f64 {
         (self.per_s * BURST_PERIOD.as_secs_f64()).max(1.0)
     }
--- a/crates/relay/src/slot_gate.rs
+++ b/crates/relay/src/slot_gate.rs
@@ -7,9 +7,8 @@
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
-use crate::{ConcurrencyLimit, RateBucket};
+use crate::slot_shedding::SlotShedding;
+use crate::{ConcurrencyLimit, LateWorth, RateBucket, SlotAnswer, SlotEnd, SlotRequest};
 
 /// Requests granted beyond the upstream's slots, as a share of the slots. They keep a slot busy
 /// while the message that it is free is on its way.
@@ -50,48 +49,6 @@
 /// elsewhere or return later.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(500);
 
-/// A request for a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SlotRequest {
-    /// How much longer an answer is in time, in milliseconds; 0 for a request that is already late.
-    pub due_in_ms: u32,
-    /// How long the caller waits, in milliseconds.
-    pub wait_limit_ms: u32,
-    /// Whether to queue the request if no slot is free.
-    pub may_queue: bool,
-    /// Priority; 0 is the most urgent.
-    pub priority: u8,
-}
-
-/// The decision on a request for a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SlotAnswer {
-    /// The request may be sent.
-    Granted,
-    /// The request was queued; another answer follows.
-    Queued,
-    /// No slot is free, and the request was not to be queued. In the queue it would wait about this
-    /// long.
-    Busy {
-        /// Expected wait in milliseconds.
-        wait_ms: u32,
-    },
-    /// The request cannot be served. A caller that returns after this time can expect a free slot.
-    Refused {
-        /// Time until then in milliseconds.
-        wait_ms: u32,
-    },
-}
-
-/// How a request at a brittle upstream ended, other than with its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SlotEnd {
-    /// The upstream refused it for want of room.
-    Refused,
-    /// Nobody waits for it any more, but the upstream may still run it.
-    Abandoned,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct GrantedSlot {
     since: Instant,
@@ -131,6 +88,8 @@
     /// Set while the upstream is brittle.
     brittle: Option<ConcurrencyLimit>,
     queue: Vec<QueuedRequest<K>>,
+    /// Takes the place of `queue` where operators have set the value of late answers.
+    shedding: Option<SlotShedding<K>>,
     first_asked_at: Option<Instant>,
     /// Until when nothing is granted, as other nodes renew slots that this gate does not know.
     grants_nothing_until: Option<Instant>,
@@ -149,6 +108,7 @@
             rate: None,
             brittle: None,
             queue: Vec::new(),
+            shedding: None,
             first_asked_at: None,
             grants_nothing_until: None,
             hold_time: INITIAL_RUN_TIME,
@@ -156,6 +116,28 @@
         }
     }
 
+    /// Lets the gate shed the requests whose delay costs callers least, by these values of late
+    /// answers.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use nutmegsail_relay::{LateWorth, SlotAnswer, SlotGate, SlotRequest};
+    /// let now = Instant::now();
+    /// let mut gate = SlotGate::new(1).with_late_worth(LateWorth::default());
+    /// let ask = SlotRequest { due_in_ms: 300, wait_limit_ms: 3_000, may_queue: true, priority: 1 };
+    /// assert_eq!(gate.ask("a", ask, now), SlotAnswer::Granted);
+    /// assert_eq!(gate.ask("b", ask, now), SlotAnswer::Granted);
+    /// assert_eq!(gate.ask("routine", ask, now), SlotAnswer::Queued);
+    /// let urgent = SlotRequest { priority: 0, ..ask };
+    /// assert_eq!(gate.ask("urgent", urgent, now), SlotAnswer::Queued);
+    /// assert_eq!(gate.release(&"a", None, now), [("urgent", SlotAnswer::Granted)]);
+    /// ```
+    #[must_use]
+    pub fn with_late_worth(mut self, worth: LateWorth) -> Self {
+        self.shedding = Some(SlotShedding::new(worth));
+        self
+    }
+
     /// Sets how many requests the upstream runs at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
@@ -211,7 +193,7 @@
                 self.release(key, None, now)
             }
             SlotEnd::Abandoned => {
-                self.queue.retain(|queued| queued.key != *key);
+                self.remove_queued(key);
                 if let Some(slot) = self.granted.get_mut(key) {
                     slot.until = slot.until.min(now + ABANDONED_RUN_TIME);
                 }
@@ -227,7 +209,7 @@
 
     /// Whether no request holds a slot or waits.
     pub fn is_idle(&self) -> bool {
-        self.granted.is_empty() && self.queue.is_empty()
+        self.granted.is_empty() && self.is_queue_empty()
     }
 
     /// Grants a slot, queues the request or turns it away.
@@ -238,15 +220,20 @@
         if self.granted.contains_key(&key) {
             return SlotAnswer::Granted;
         }
-        if self.queue.iter().any(|queued| queued.key == key) {
+        let mut sheds = self.shedding.iter();
+        if self.queue.iter().any(|queued| queued.key == key) || sheds.any(|s| s.contains(&key)) {
             return SlotAnswer::Queued;
         }
-        if self.queue.is_empty() && self.take_capacity(now) {
+        if self.is_queue_empty() && self.take_capacity(now) {
             self.grant(key, now);
             return SlotAnswer::Granted;
         }
         let in_time = Duration::from_millis(u64::from(ask.due_in_ms));
         let latest_start = now + in_time.saturating_sub(self.run_time.mul_f64(RESERVED_RUN_TIMES));
+        let (work, first_wait) = (self.work_of_one(), self.wait_behind(0, now));
+        if let Some(shedding) = &mut self.shedding {
+            return shedding.ask(key, ask, latest_start, work, first_wait, now);
+        }
         let wait_in_time = self.wait_behind(self.ahead_of(ask.priority, latest_start), now);
         let is_late = in_time.is_zero() || now + wait_in_time > latest_start;
         let wait = match is_late {
@@ -271,6 +258,13 @@
         SlotAnswer::Queued
     }
 
+    /// The refusals of queued requests that the last [`ask`](Self::ask) left no room for. There are
+    /// none unless the gate sheds load by the value of late answers.
+    pub fn take_refused(&mut self) -> Vec<(K, SlotAnswer)> {
+        let shedding = self.shedding.as_mut();
+        shedding.map_or_else(Vec::new, SlotShedding::take_refused)
+    }
+
     /// Records that a request ended after `took` at the upstream, or that it no longer waits.
     /// Returns the decisions on queued requests.
     pub fn release(
@@ -279,7 +273,7 @@
         took: Option<Duration>,
         now: Instant,
     ) -> Vec<(K, SlotAnswer)> {
-        self.queue.retain(|queued| queued.key != *key);
+        self.remove_queued(key);
         if let (Some(slot), Some(took)) = (self.granted.remove(key), took) {
             let held = now.saturating_duration_since(slot.since);
             update_average(&mut self.hold_time, held);
@@ -292,6 +286,9 @@
     pub fn grant_due(&mut self, now: Instant) -> Vec<(K, SlotAnswer)> {
         self.drop_expired_slots(now);
         let mut answers = Vec::new();
+        if let Some(shedding) = &mut self.shedding {
+            answers = shedding.refuse_hopeless(now);
+        }
         while self.has_capacity(now) {
             let Some(next) = self.take_next(now, &mut answers) else {
                 break;
@@ -306,6 +303,9 @@
     /// Removes the next request from the queue and refuses those whose callers have stopped
     /// waiting.
     fn take_next(&mut self, now: Instant, answers: &mut Vec<(K, SlotAnswer)>) -> Option<K> {
+        if let Some(shedding) = &mut self.shedding {
+            return shedding.pop_next(now);
+        }
         let expired = self.queue.extract_if(.., |queued| queued.expires_at <= now);
         answers.extend(expired.map(|expired| (expired.key, SlotAnswer::Refused { wait_ms: 0 })));
         // A request that became late while queued is served after those that can still be in time.
@@ -321,6 +321,25 @@
         Some(next)
     }
 
+    fn is_queue_empty(&self) -> bool {
+        let shedding = self.shedding.as_ref();
+        self.queue.is_empty() && shedding.is_none_or(SlotShedding::is_empty)
+    }
+
+    fn remove_queued(&mut self, key: &K) {
+        self.queue.retain(|queued| queued.key != *key);
+        if let Some(shedding) = &mut self.shedding {
+            shedding.remove(key);
+        }
+    }
+
+    /// The part of the upstream's time that one request takes.
+    fn work_of_one(&self) -> Duration {
+        let of_slots = self.hold_time.div_f64(self.limit() as f64);
+        let rate = self.rate.as_ref();
+        rate.map_or(of_slots, |rate| rate.interval().max(of_slots))
+    }
+
     fn grant(&mut self, key: K, now: Instant) {
         let until = now + SLOT_TIMEOUT;
         self.granted.insert(key, GrantedSlot { since: now, until });
