--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -14,6 +14,7 @@
 mod placement_sim;
 mod quota_sim;
 mod report;
+mod shed_sim;
 mod sim;
 mod stream_sim;
 mod studies;
--- a/crates/measure/src/studies/mod.rs
+++ b/crates/measure/src/studies/mod.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod quotas;
 mod retries;
+mod shedding;
 mod steady;
 mod stream_versions;
 mod weights_turned;
@@ -37,6 +38,7 @@
     limits::STUDY,
     brittle::STUDY,
     new_connections::STUDY,
+    shedding::STUDY,
     stream_versions::STUDY,
     capacity::STUDY,
 ];
