--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -158,7 +158,6 @@
 pub use shed_order::{WaitingWork, shed_order};
 pub use shed_queue::{Refusal, ShedQueue};
 pub use slot_gate::SlotGate;
-pub use slot_gate::{SlotAnswer, SlotEnd, SlotGate, SlotRequest};
 pub use slot_issuers::SlotIssuers;
 pub use slot_request::{SlotAnswer, SlotEnd, SlotRequest};
 pub use software_rule::SoftwareRule;
