Break off answers that upstreams send without end

Cause: the deadline of an answer counted only while its upstream sent nothing, and not at all while its caller read nothing, as the body is not read on then. So a caller that reads slowly or stopped reading kept the upstream's connection for as long as both stayed. An event of a resumable stream is held back until it is complete, whatever its length, and informational answers were read until the deadline.

Change: the deadline also counts while data arrives, and a write that waits for the caller fails at the answer's deadline. An incomplete event over 1 MiB and more than 64 informational answers count as a broken answer.

--- a/crates/http-pool/src/connection.rs
+++ b/crates/http-pool/src/connection.rs
@@ -1,6 +1,8 @@
 //! One connection with the task that drives it.
 
 use std::io::ErrorKind;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,9 +10,10 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
@@ -22,6 +25,10 @@
 /// How long a kept connection may take to note that its last answer has ended.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// How many informational answers may come before the answer. A server sends a few, and one every
+/// some seconds while it works; one that sends them without end would be read until the deadline.
+const MAX_INFORMATIONAL: usize = 64;
+
 /// A request that was given to a connection and came to nothing.
 pub(crate) enum Failed {
     /// No byte of it was written; here it is again.
@@ -109,12 +116,29 @@
     /// as [`Failed::Unsent`].
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failed> {
-        let sent = self.sender.try_send_request(request).await;
+        let too_many = limit_informational(&mut request);
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(request) => sent,
+            () = too_many.notified() => return Err(Failed::MaybeSent),
+        };
         sent.map_err(|mut error| match error.take_message() {
             Some(request) => Failed::Unsent(Box::new(request)),
             None => Failed::MaybeSent,
         })
     }
 }
+
+/// Returns what is notified once more than [`MAX_INFORMATIONAL`] informational answers to `request`
+/// have arrived.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let (notified, count) = (Arc::clone(&too_many), AtomicUsize::new(0));
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+            notified.notify_one();
+        }
+    });
+    too_many
+}
--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -8,7 +8,7 @@
 use nutmegsail_base::ResultCode;
 use nutmegsail_relay::EventScanner;
 use thiserror::Error;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use super::answer_end::Completeness;
 use super::received_body::{Received, ReceivedBody};
@@ -78,6 +78,10 @@
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match self.received.poll(cx) {
+            // Also while there is always more to read, as an upstream may send without end.
+            Poll::Ready(Received::Data(_)) if self.deadline_timer.as_mut().poll(cx).is_ready() => {
+                self.cut(AnswerCut::TimedOut)
+            }
             Poll::Ready(Received::Data(data)) => {
                 self.scan(&data);
                 // A body of known length is not polled again after its last byte.
@@ -128,6 +132,17 @@
     }
 }
 
+impl AnswerBody {
+    /// When it is cut if it has not ended; none if this node produced it.
+    pub(super) fn deadline(&self) -> Option<Instant> {
+        match self {
+            Self::Own(_) => None,
+            Self::Forwarded(forwarded) => Some(forwarded.deadline_timer.deadline()),
+            Self::Resumable(resumable) => Some(resumable.deadline()),
+        }
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = AnswerCut;
--- a/crates/relay-node/src/traffic/caller_socket.rs
+++ b/crates/relay-node/src/traffic/caller_socket.rs
@@ -1,7 +1,8 @@
 //! A caller's socket.
 
 use std::cell::Cell;
-use std::io::{self, IoSlice};
+use std::future::Future as _;
+use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -9,30 +10,67 @@
 use nutmegsail_http_pool::set_reset_on_close;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// The answer that a connection carries.
+#[derive(Debug, Default)]
+pub(super) struct AnswerInProgress {
+    /// Whether its end is that of the connection.
+    pub(super) ends_connection: Cell<bool>,
+    /// When it is cut if it has not ended; none for one that this node produced.
+    pub(super) deadline: Cell<Option<Instant>>,
+}
 
 /// A caller's socket. If it is closed early during an answer that ends with the connection, the
 /// connection is reset, also when the process is killed: closed in order, the answer would look
 /// whole.
+///
+/// A write that waits for the caller fails at the answer's deadline. A body is not read on while a
+/// write waits, so a caller that reads nothing would keep the upstream's connection for ever.
 pub(super) struct CallerSocket {
     stream: TcpStream,
-    ends_answer: Rc<Cell<bool>>,
+    answer: Rc<AnswerInProgress>,
     is_reset_on_close: bool,
+    /// Fires at the deadline of the answer whose write waits.
+    write_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerSocket {
-    /// `ends_answer` says whether an answer has begun whose end is that of the connection.
-    pub(super) fn new(stream: TcpStream, ends_answer: Rc<Cell<bool>>) -> Self {
+    pub(super) fn new(stream: TcpStream, answer: Rc<AnswerInProgress>) -> Self {
         Self {
             stream,
-            ends_answer,
+            answer,
             is_reset_on_close: false,
+            write_timer: None,
+        }
+    }
+
+    /// Fails a write that waits if the answer's deadline has passed.
+    fn limit_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let deadline = self.answer.deadline.get();
+        let (Poll::Pending, Some(deadline)) = (&written, deadline) else {
+            return written;
+        };
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        if timer.deadline() != deadline {
+            timer.as_mut().reset(deadline);
         }
+        timer
+            .as_mut()
+            .poll(cx)
+            .map(|()| Err(ErrorKind::TimedOut.into()))
     }
 
     /// Before the first byte of such an answer is written, lets the connection be reset when it is
     /// closed.
     fn prepare_write(&mut self) -> io::Result<()> {
-        if self.ends_answer.get() && !self.is_reset_on_close {
+        if self.answer.ends_connection.get() && !self.is_reset_on_close {
             set_reset_on_close(&self.stream, true)?;
             self.is_reset_on_close = true;
         }
@@ -57,7 +95,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.limit_write(cx, written)
     }
 
     fn poll_write_vectored(
@@ -66,7 +105,8 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.limit_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -81,7 +121,7 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
         if std::mem::take(&mut self.is_reset_on_close) {
-            self.ends_answer.set(false);
+            self.answer.ends_connection.set(false);
             set_reset_on_close(&self.stream, false)?;
         }
         Poll::Ready(Ok(()))
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -28,7 +28,7 @@
 use super::admission::QuotaTokens;
 use super::answer_body::AnswerBody;
 use super::call::{Call, has_received_events};
-use super::caller_socket::CallerSocket;
+use super::caller_socket::{AnswerInProgress, CallerSocket};
 use super::forward::ForwardedFrom;
 use super::forward_header::{self, ForwardHeader};
 use super::gateway::Gateway;
@@ -114,14 +114,17 @@
         .map(|table| table.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.header_bytes);
-    let ends_answer = Rc::new(Cell::new(false));
-    let socket = CallerSocket::new(stream, Rc::clone(&ends_answer));
+    let in_progress = Rc::new(AnswerInProgress::default());
+    let socket = CallerSocket::new(stream, Rc::clone(&in_progress));
     let service = service_fn(|request| {
-        let (gateway, ends_answer) = (Rc::clone(&gateway), Rc::clone(&ends_answer));
+        let (gateway, in_progress) = (Rc::clone(&gateway), Rc::clone(&in_progress));
         let version = request.version();
+        in_progress.deadline.set(None);
         async move {
             let answer = gateway.answer(request, origin).await;
-            ends_answer.set(ends_with_connection(&answer, version));
+            let ends_connection = ends_with_connection(&answer, version);
+            in_progress.ends_connection.set(ends_connection);
+            in_progress.deadline.set(answer.body().deadline());
             Ok::<_, Infallible>(answer)
         }
     });
--- a/crates/relay-node/src/traffic/resumable_body.rs
+++ b/crates/relay-node/src/traffic/resumable_body.rs
@@ -90,6 +90,10 @@
                     return self.cut(AnswerCut::TimedOut);
                 }
                 Poll::Ready(Some(Err(cut))) => return self.cut(cut),
+                // Also while there is always more to read, as an upstream may send without end.
+                Poll::Ready(Some(Ok(_))) if self.deadline_timer.as_mut().poll(cx).is_ready() => {
+                    return self.cut(AnswerCut::TimedOut);
+                }
                 Poll::Ready(Some(Ok(events))) if events.is_empty() => {}
                 Poll::Ready(Some(Ok(events))) => {
                     return Poll::Ready(Some(Ok(Frame::data(events.into()))));
@@ -124,9 +128,12 @@
                     .reset(Instant::now() + MAX_SILENCE);
                 // Repeated events mean that the upstream started the stream again from the
                 // beginning.
-                self.events
-                    .push(&bytes)
-                    .map_or(PollResult::Broken(AnswerCut::Upstream), PollResult::Events)
+                match self.events.push(&bytes) {
+                    Ok(events) if !events.is_empty() || !self.events.is_too_long() => {
+                        PollResult::Events(events)
+                    }
+                    _ => PollResult::Broken(AnswerCut::Upstream),
+                }
             }
             Poll::Ready(Received::Broken) => PollResult::Broken(AnswerCut::Upstream),
             Poll::Ready(Received::End) => match received.end(self.events.is_inside_event()) {
@@ -189,6 +196,10 @@
         Poll::Ready(Some(Err(cut)))
     }
 
+    pub(super) fn deadline(&self) -> Instant {
+        self.deadline_timer.deadline()
+    }
+
     pub(crate) fn is_ended(&self) -> bool {
         matches!(self.state, State::Ended)
     }
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -36,6 +36,10 @@
     is_resumed: bool,
 }
 
+/// The longest event that is held back until it is complete. Events of engines have some hundred
+/// bytes; an upstream that never ends one would fill the memory.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// The byte order mark that a stream may begin with.
 const BYTE_ORDER_MARK: &[u8] = b"\xEF\xBB\xBF";
 
@@ -98,6 +102,21 @@
         self.events.is_inside_event()
     }
 
+    /// Whether the incomplete event is longer than [`MAX_EVENT_BYTES`]. The stream then has to be
+    /// broken off.
+    ///
+    /// ```
+    /// use nutmegsail_relay::{EventSplitter, MAX_EVENT_BYTES};
+    /// let mut events = EventSplitter::default();
+    /// events.push(b"data: a").unwrap();
+    /// assert!(!events.is_too_long());
+    /// events.push(&vec![b'a'; MAX_EVENT_BYTES]).unwrap();
+    /// assert!(events.is_too_long());
+    /// ```
+    pub fn is_too_long(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether the stream can be resumed. An event without an id would be sent again.
     ///
     /// ```
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -96,7 +96,7 @@
 pub use engine_demand::{EngineDemand, EngineLoadSample, WantedCopies};
 pub use era_watch::{EraRise, EraUpdate, EraWatch, TextVersion};
 pub use event_scanner::{EventScanner, ScannedEvent};
-pub use event_splitter::{EventOutOfOrder, EventSplitter};
+pub use event_splitter::{EventOutOfOrder, EventSplitter, MAX_EVENT_BYTES};
 pub use forward_peers::{ForwardPeers, Peer, PeerAnswer};
 pub use health::{Health, Outcome};
 pub use holdings::{HeldAdapter, HeldModel, Holdings};
