--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -20,12 +20,14 @@
 use super::change_log::ChangeLog;
 use super::engine::{OwnedEngine, PendingLoad};
 use super::engine_load::HostReport;
+use super::engine_paces::EnginePaces;
 use super::eras::Eras;
 use super::joined_nodes::JoinedNodes;
 use super::lending::Lending;
 use super::model_demand::ModelDemand;
 use super::origin_writes::OriginWrites;
 use super::owner_record::OwnerWait;
+use super::prompt_gates::PromptGates;
 use super::returning_nodes::ReturningNodes;
 use super::served_software::ServedSoftware;
 use super::slots::Slots;
@@ -136,8 +138,12 @@
     pub(crate) origin_writes: OriginWrites,
     /// The lenders of the teams' quotas.
     pub(crate) lending: Lending,
+    /// The paces of engines.
+    pub(crate) engine_paces: EnginePaces,
     /// The upstream slots that this node grants.
     pub(crate) slots: Slots,
+    /// The engines whose prompts this node paces.
+    pub(crate) prompt_gates: PromptGates,
     /// The id of the machine's current boot, since which the clock counts.
     pub(crate) boot: Arc<str>,
     started: Instant,
@@ -194,7 +200,9 @@
             served: ServedSoftware::default(),
             origin_writes: OriginWrites::default(),
             lending: Lending::default(),
+            engine_paces: EnginePaces::default(),
             slots: Slots::default(),
+            prompt_gates: PromptGates::default(),
             boot: boot_id(),
             started: Instant::now(),
             view_number: Cell::new(0),
--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -19,12 +19,13 @@
 use nutmegsail_telemetry::{Event, log_event};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
 use super::brittle_gossip::{BrittleGossip, all_announcements};
 use super::control_state::ControlState;
 use super::engine::OwnedEngine;
 use super::engine_load::{EngineLoad, load_excluding, room};
+use super::engine_paces::PaceBatch;
 use super::leaving_gossip::LeavingGossip;
 use super::limit_gossip::LimitGossip;
 use super::load_aggregator::{LoadAggregator, LoadBatch};
@@ -125,6 +126,8 @@
     Brittle { updates: Vec<BrittleUpdate> },
     /// A node has started: its record in the store, encoded as there.
     Joined { record: Vec<u8> },
+    /// Paces of engines, from the nodes that run their gates.
+    EnginePaces { from: NodeId, batch: PaceBatch },
 }
 
 impl Message {
@@ -143,6 +146,7 @@
             Self::Era { .. } | Self::EraQuery { .. } => "era",
             Self::Brittle { .. } => "brittle",
             Self::Joined { .. } => "joined",
+            Self::EnginePaces { .. } => "engine_paces",
         }
     }
 }
@@ -187,7 +191,9 @@
                 restart_checks.start_due(&control);
                 send_era_messages(&control, &socket);
                 grant_turns(&control, &socket);
+                control.review_prompt_gates();
                 send_joined(&control, &socket);
+                send_paces(&control, &socket);
                 control.publish_joined();
                 send_streams(&control, &socket);
             }
@@ -197,6 +203,7 @@
             _ = queries.tick(), if control.must_query_suspects.get() => {
                 send_queries(&control, &socket);
             }
+            () = until(control.prompt_gates.next_due()) => grant_prompts(&control, &socket),
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
                     handle_datagram(&control, &socket, &mut aggregator, &buffer[..length], sender);
@@ -296,6 +303,7 @@
         owned.others_in_flight(model) + own_usage.models.get(model).copied().unwrap_or(0)
     };
     let mut demand = owned.demand.borrow_mut();
+    demand.set_pace(control.known_pace(&owned.id));
     let copies = demand.copies_wanted(engine, in_flight, Instant::now());
     let requests = copies.into_iter().map(|wanted| CopyRequest {
         service: upstream.service.clone(),
@@ -406,6 +414,20 @@
     control.grant_due_turns(|message, to| send(control, socket, &traffic(message), to));
 }
 
+/// Completes at `due`, or never.
+async fn until(due: Option<Instant>) {
+    match due {
+        Some(due) => sleep_until(due.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Grants the prompts that are due.
+fn grant_prompts(control: &ControlState, socket: &UdpSocket) {
+    let traffic = |message| Message::Traffic(TrafficMessage::Prompts(message));
+    control.grant_due_prompts(|message, to| send(control, socket, &traffic(message), to));
+}
+
 /// Announces this node to all others, after its start.
 fn send_joined(control: &ControlState, socket: &UdpSocket) {
     let others = other_nodes(control);
@@ -420,6 +442,15 @@
     }
 }
 
+/// Sends the paces of engines that are due.
+fn send_paces(control: &ControlState, socket: &UdpSocket) {
+    for (batch, address) in control.next_pace_messages(Instant::now()) {
+        let from = control.settings.node.clone();
+        let message = Message::EnginePaces { from, batch };
+        send(control, socket, &message, address);
+    }
+}
+
 /// Sends streams to nodes that should keep them and were not sent them when they began.
 fn send_streams(control: &ControlState, socket: &UdpSocket) {
     let (shared, own) = (&control.shared, control.own_node());
@@ -529,6 +560,11 @@
             let send = |message, to| send(control, socket, &traffic(message), to);
             control.handle_slot_message(message, sender, send);
         }
+        Ok(Message::Traffic(TrafficMessage::Prompts(message))) => {
+            let traffic = |message| Message::Traffic(TrafficMessage::Prompts(message));
+            let send = |message, to| send(control, socket, &traffic(message), to);
+            control.handle_prompt_message(&message, sender, send);
+        }
         Ok(Message::Traffic(TrafficMessage::Forward(ForwardMessage::Ask(services)))) => {
             let answer = ForwardMessage::Answer(control.answer_forward_ask(services));
             let answer = Message::Traffic(TrafficMessage::Forward(answer));
@@ -568,6 +604,10 @@
             Ok(record) => control.record_joined(record),
             Err(error) => log_undecodable(control, sender, &error),
         },
+        Ok(Message::EnginePaces { from, batch }) => {
+            control.apply_paces(&batch, Instant::now());
+            control.record_contact(from);
+        }
         Ok(Message::SuspectsQuery { from }) => {
             control.record_contact(from);
             let updates = all_announcements(control);
--- a/crates/relay-node/src/control/slots.rs
+++ b/crates/relay-node/src/control/slots.rs
@@ -3,13 +3,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::{NodeId, UpstreamId};
-use nutmegsail_relay::{NodeRecord, SlotAnswer, SlotGate, Upstream};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use nutmegsail_base::UpstreamId;
+use nutmegsail_relay::{SlotAnswer, SlotGate, SlotIssuers, Upstream};
 
 use super::control_state::ControlState;
 use crate::traffic_message::{SlotAskId, SlotMessage};
@@ -28,16 +28,13 @@
 pub(crate) struct Slots {
     /// The gates of upstreams for which other nodes ask this one.
     gates: RefCell<Gates>,
-    /// The slot issuer of each plain or rate-limited upstream: the node that grants its slots and
-    /// turns.
-    issuers: RefCell<Arc<HashMap<UpstreamId, SocketAddr>>>,
-    /// The nodes from which `issuers` was computed.
-    nodes_hashed: RefCell<HashMap<NodeId, NodeRecord>>,
+    /// The nodes that grant the slots, turns and prompts of upstreams.
+    issuers: RefCell<SlotIssuers>,
 }
 
 impl ControlState {
-    /// The slot issuer of each plain or rate-limited upstream: the node that grants its slots and
-    /// turns.
+    /// The slot issuer of each plain or rate-limited upstream, and of each engine whose prompts may
+    /// be paced: the node that grants its slots, turns and prompts.
     ///
     /// Issuers are chosen by hash, so nodes with the same list of nodes choose alike without a
     /// message. While their lists differ, two nodes may grant the same slots, and the upstream
@@ -45,35 +42,33 @@
     /// would refuse requests that can wait for one.
     pub(crate) fn slot_issuers(&self) -> Arc<HashMap<UpstreamId, SocketAddr>> {
         let upstreams = self.upstreams.borrow();
-        let nodes = self.nodes.borrow();
-        let slots = &self.slots;
-        let have_nodes_changed = *slots.nodes_hashed.borrow() != *nodes;
-        if have_nodes_changed {
-            slots.nodes_hashed.borrow_mut().clone_from(&nodes);
-        }
-        let previous = Arc::clone(&slots.issuers.borrow());
+        let mut issuers = self.slots.issuers.borrow_mut();
+        issuers.set_nodes(&self.nodes.borrow());
+        issuers.retain(|upstream| upstreams.contains_key(upstream));
         let limits = self.shared.limits();
+        let table = self.table.borrow();
+        let paced = table.as_ref().map(|table| table.paced_services());
+        let is_paced = |service| paced.as_ref().is_some_and(|paced| paced.contains(service));
         let gated = upstreams.values().filter(|upstream| {
             let is_limited = limits.per_s(&upstream.id).is_some();
             let is_gated = is_limited || self.shared.is_brittle(&upstream.service);
+            let is_gated = is_gated || is_paced(&upstream.service);
             upstream.takes_work() && (is_gated || self.is_plain(upstream))
         });
         let own_address = self.settings.nodes_address;
         let found = gated.map(|upstream| {
-            // In a large fleet, hashing every node for every upstream at each change in the store
-            // would cost more than the slots are worth.
-            let known = previous
-                .get(&upstream.id)
-                .filter(|_| !have_nodes_changed)
-                .copied();
-            let node = || slot_node(upstream, nodes.values()).map(|node| node.address);
-            let issuer = known.or_else(node).unwrap_or(own_address);
+            let issuer = issuers.issuer(upstream).unwrap_or(own_address);
             (upstream.id.clone(), issuer)
         });
-        let found = Arc::new(found.collect());
-        drop(limits);
-        slots.issuers.replace(Arc::clone(&found));
-        found
+        Arc::new(found.collect())
+    }
+
+    fn new_gate(&self, slots: u32) -> SlotGate<(SocketAddr, SlotAskId)> {
+        let gate = SlotGate::new(slots);
+        match &self.settings.shedding {
+            Some(shedding) => gate.with_late_worth(shedding.worths()),
+            None => gate,
+        }
     }
 
     fn is_plain(&self, upstream: &Upstream) -> bool {
@@ -133,17 +128,13 @@
                     gates.retain(|_, gate| !gate.is_idle());
                 }
                 let gate = gates.entry(upstream.clone());
-                let gate = gate.or_insert_with(|| SlotGate::new(slots));
+                let gate = gate.or_insert_with(|| self.new_gate(slots));
                 gate.set_slots(slots);
                 gate.set_rate(per_s, now);
                 gate.set_brittle(is_brittle, now);
                 let answer = gate.ask((sender, id), ask, now);
-                let answer = SlotMessage::Answer {
-                    id,
-                    upstream,
-                    answer,
-                };
-                send(answer, sender);
+                let answers = iter::once(((sender, id), answer)).chain(gate.take_refused());
+                send_answers(&upstream, answers, &send);
             }
             SlotMessage::Release {
                 id,
@@ -167,7 +158,7 @@
                 };
                 if self.shared.is_brittle(&known.service) {
                     let gate = gates.entry(upstream);
-                    let gate = gate.or_insert_with(|| SlotGate::new(known.slots));
+                    let gate = gate.or_insert_with(|| self.new_gate(known.slots));
                     gate.set_slots(known.slots);
                     gate.set_brittle(true, now);
                     for id in ids {
@@ -182,7 +173,7 @@
 
 fn send_answers(
     upstream: &UpstreamId,
-    answers: Vec<((SocketAddr, SlotAskId), SlotAnswer)>,
+    answers: impl IntoIterator<Item = ((SocketAddr, SlotAskId), SlotAnswer)>,
     send: &impl Fn(SlotMessage, SocketAddr),
 ) {
     for ((node, id), answer) in answers {
@@ -194,16 +185,3 @@
         send(answer, node);
     }
 }
-
-/// The node with the highest hash in the upstream's failure domain, or in any other if that one has
-/// no nodes.
-fn slot_node<'a>(
-    upstream: &Upstream,
-    nodes: impl Iterator<Item = &'a NodeRecord>,
-) -> Option<&'a NodeRecord> {
-    nodes.max_by_key(|node| {
-        let is_local = node.failure_domain == upstream.failure_domain;
-        let seed = xxh3_64_with_seed(upstream.id.as_bytes(), 0);
-        (is_local, xxh3_64_with_seed(node.node.as_bytes(), seed))
-    })
-}
--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -11,7 +11,9 @@
 mod metrics;
 mod node;
 mod nodes_sockets;
+mod paced_services;
 mod peer_traffic;
+mod prompt_metrics;
 mod ready;
 mod settings;
 mod shared;
@@ -29,4 +31,6 @@
     OrderAnswer, OrderStep, SendMeta, UpstreamCall, UpstreamNotice, Verdict,
 };
 pub use node::{RelayNode, RelayNodeError};
-pub use settings::{BoundSettings, RelaySettings, RelaySettingsError, StoreSettings};
+pub use settings::{
+    BoundSettings, RelaySettings, RelaySettingsError, SheddingSettings, StoreSettings,
+};
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -10,16 +10,17 @@
 use derive_more::Display;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    AccessRules, BrittleServices, DomainContacts, Holdings, HoldingsReport, LoadCandidate,
-    LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer, RateLimits, RouteTable,
-    StoreAnswer, StreamKey, Suspects, Upstream, UpstreamNotices, UpstreamReach, Versions,
-    WantedCopies,
+    AccessRules, BrittleServices, DomainContacts, Holdings, HoldingsReport, KnownPace,
+    LoadCandidate, LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer, RateLimits,
+    RouteTable, StoreAnswer, StreamKey, Suspects, Upstream, UpstreamNotices, UpstreamReach,
+    Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::clock::boot_time;
 use crate::metrics::RelayMetrics;
+use crate::paced_services::PacedServices;
 use crate::stream_origins::{KnownStreams, StreamSoftware};
 
 /// The largest number of load requests queued for the control thread. A caller's request waits for
@@ -53,7 +54,8 @@
     pub(crate) load_times: LoadTimes,
     /// The nodes that lend teams' quotas, nearest first.
     pub(crate) lenders: Arc<[SocketAddr]>,
-    /// The node that issues the slots of each plain upstream.
+    /// The node that issues the slots of each plain upstream, and paces the prompts of each engine
+    /// that streams with a longest pause go to.
     pub(crate) slot_issuers: Arc<HashMap<UpstreamId, SocketAddr>>,
     /// The other nodes that accept forwarded requests.
     pub(crate) peers: Arc<[Peer]>,
@@ -245,6 +247,8 @@
     pub(crate) domains: DomainContacts,
     /// The copies that owners ask for.
     pub(crate) copies: Vec<CopyRequest>,
+    /// The newest pace of each engine.
+    pub(crate) paces: HashMap<UpstreamId, KnownPace>,
 }
 
 /// Updates for the traffic thread from engines' owners and failure domains.
@@ -271,6 +275,11 @@
         self.lock().copies.extend(copies);
     }
 
+    /// Records the pace of an engine.
+    pub(crate) fn put_pace(&self, engine: &UpstreamId, pace: KnownPace) {
+        self.lock().paces.insert(engine.clone(), pace);
+    }
+
     pub(crate) fn put(&self, update: EngineUpdate) {
         let mut waiting = self.lock();
         let older = waiting.engines.remove(&update.engine);
@@ -322,6 +331,7 @@
     notices: Mutex<UpstreamNotices>,
     reach: Mutex<UpstreamReach>,
     brittle: Mutex<BrittleServices>,
+    pub(crate) paced: PacedServices,
     pub(crate) streams: Mutex<KnownStreams>,
     /// Notified when streams wait to be written to the store.
     pub(crate) streams_to_write: Notify,
@@ -358,6 +368,7 @@
             notices: Mutex::default(),
             reach: Mutex::default(),
             brittle: Mutex::new(BrittleServices::starting(Instant::now())),
+            paced: PacedServices::default(),
             streams: Mutex::default(),
             streams_to_write: Notify::new(),
             origin_reads,
--- a/crates/relay/src/engine_demand.rs
+++ b/crates/relay/src/engine_demand.rs
@@ -5,8 +5,8 @@
 
 use nutmegsail_base::FailureDomain;
 
-use crate::tracked::PROMPT_TOKEN_MS;
-use crate::{CopyScope, Demand, HeldModel, Holdings, ModelRef};
+use crate::engine_speed::INITIAL_PROMPT_TOKEN_MS;
+use crate::{CopyScope, Demand, HeldModel, Holdings, KnownPace, ModelRef};
 
 /// Half-life of demand. It is long enough to cover several requests for a popular adapter, and
 /// short enough that a copy is loaded within a second or two of a shift in demand.
@@ -20,6 +20,14 @@
 /// else, and the adapter's own callers queue.
 const URGENT_THRESHOLD: f64 = 0.8;
 
+/// Fraction of an engine's prompt processing, over all adapters, from which its busiest adapter gets a
+/// further copy. Only used where the engine's own pace is known: by a common pace, a third of the
+/// engines would seem busy that are not.
+const BUSY_ENGINE_SHARE: f64 = 0.4;
+
+/// Smallest fraction of an engine for which such a copy is worth its load.
+const BUSY_ADAPTER_SHARE: f64 = 0.08;
+
 /// Requests per second for one adapter from a failure domain above which the domain gets its own
 /// copy. A load costs about a third of what a request is worth, and pays off within some seconds.
 const DOMAIN_COPY_REQUESTS_PER_S: f64 = 2.0;
@@ -66,6 +74,8 @@
     tokens: Demand,
     requests: HashMap<FailureDomain, Demand>,
     ordered: HashMap<ModelRef, Instant>,
+    /// The engine's own pace.
+    pace: Option<KnownPace>,
 }
 
 impl Default for EngineDemand {
@@ -74,6 +84,7 @@
             tokens: Demand::new(DEMAND_HALF_LIFE),
             requests: HashMap::new(),
             ordered: HashMap::new(),
+            pace: None,
         }
     }
 }
@@ -94,6 +105,11 @@
         demand.add(model, requests, now);
     }
 
+    /// Updates the engine's own pace, by which an adapter's share of the engine is measured.
+    pub fn set_pace(&mut self, pace: Option<KnownPace>) {
+        self.pace = pace;
+    }
+
     /// Returns the adapters that need further copies now, and records these as ordered. `in_flight`
     /// gives the number of requests in flight for an adapter at the engine.
     pub fn copies_wanted(
@@ -119,9 +135,39 @@
                 wanted.push(copies);
             }
         }
+        if self.ordered.is_empty() {
+            wanted.extend(self.busy_engine_copy(engine.holdings, now));
+        }
         wanted
     }
 
+    /// A further copy of the busiest adapter, if the adapters together use much of the engine.
+    ///
+    /// Several adapters that each need less than [`COPY_THRESHOLD`] would otherwise stay together at
+    /// one engine for as long as they are busy, while other engines have time.
+    fn busy_engine_copy(&mut self, holdings: &Holdings, now: Instant) -> Option<WantedCopies> {
+        let token_ms = self.pace.and_then(|pace| pace.token_ms(now))?;
+        let adapters = holdings.models.iter().flat_map(HeldModel::adapter_refs);
+        let shares = adapters.map(|model| {
+            let share = self.tokens.rate_per_s(&model, now) * token_ms / 1_000.0;
+            (share, model)
+        });
+        let shares: Vec<(f64, ModelRef)> = shares.collect();
+        let total: f64 = shares.iter().map(|(share, _)| share).sum();
+        let busiest = shares.into_iter().max_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (share, model) = busiest?;
+        if total < BUSY_ENGINE_SHARE || share < BUSY_ADAPTER_SHARE {
+            return None;
+        }
+        self.ordered.insert(model.clone(), now);
+        Some(WantedCopies {
+            model,
+            place: CopyScope::Anywhere,
+            copies: 1,
+            is_urgent: false,
+        })
+    }
+
     fn needed_copies(
         &self,
         engine: EngineLoadSample<'_>,
@@ -129,7 +175,9 @@
         in_flight: u32,
         now: Instant,
     ) -> Option<WantedCopies> {
-        let prompt_share = self.tokens.rate_per_s(model, now) * PROMPT_TOKEN_MS / 1_000.0;
+        let own_token_ms = self.pace.and_then(|pace| pace.token_ms(now));
+        let token_ms = own_token_ms.unwrap_or(INITIAL_PROMPT_TOKEN_MS);
+        let prompt_share = self.tokens.rate_per_s(model, now) * token_ms / 1_000.0;
         let slot_share = f64::from(in_flight) / f64::from(engine.slots.max(1));
         let used_share = prompt_share.max(slot_share);
         let copies = (used_share / COPY_THRESHOLD).ceil() as usize;
