Spread loads of adapters over engines by the square of their pace

Cause: engines whose expected waits differ by less than 1.2 load times rank by a hash that knows no speed, so slow engines held as many adapters as fast ones, and a third of their streams had a pause over the limit. Change: the hash is weighted by the square of an engine's pace over the median; engines within a fifth of the median count as equal and keep their order.

--- a/crates/relay-node/src/control/loader.rs
+++ b/crates/relay-node/src/control/loader.rs
@@ -160,12 +160,17 @@
         let min_ms = min_ms.fold(f64::INFINITY, f64::min);
         let load = self.control.load_times.get().expected(0.0);
         let step_ms = load.as_secs_f64() * 1_000.0 * WAIT_STEP_LOADS;
-        engines.sort_by_cached_key(|candidate| {
+        let ranked = engines.into_iter().map(|candidate| {
             let steps = ((candidate.cost_ms - min_ms) / step_ms) as u64;
             let hash = xxh3_64(format!("{model} {}", candidate.engine).as_bytes());
-            (steps, hash)
+            (steps, candidate.rank(hash), candidate)
         });
-        engines
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
+        ranked
+            .into_iter()
+            .map(|(_, _, candidate)| candidate)
+            .collect()
     }
 
     /// Whether this node owns the engine or can reach its owner.
--- a/crates/relay/src/copies.rs
+++ b/crates/relay/src/copies.rs
@@ -36,6 +36,44 @@
     pub cost_ms: f64,
     /// Whether the engine dropped the adapter recently and can restore it from host memory.
     pub is_recent: bool,
+    /// The engine's share of the loads among engines with about the same cost; 1 for an engine of
+    /// usual speed.
+    pub weight: f64,
+}
+
+impl LoadCandidate {
+    /// Rank among engines with about the same cost, the least first, for a hash of the adapter and
+    /// the engine. Each engine comes first for a part of the adapters that is proportional to its
+    /// weight.
+    ///
+    /// ```
+    /// # use nutmegsail_relay::LoadCandidate;
+    /// let engine = |weight| LoadCandidate {
+    ///     engine: "i-1".into(),
+    ///     cost_ms: 0.0,
+    ///     is_recent: false,
+    ///     weight,
+    /// };
+    /// assert!(engine(1.0).rank(7) < engine(1.0).rank(u64::MAX / 2));
+    /// assert!(engine(2.0).rank(u64::MAX / 2) < engine(1.0).rank(u64::MAX / 2));
+    /// ```
+    pub fn rank(&self, hash: u64) -> f64 {
+        let uniform = hash as f64 / (u64::MAX as f64 + 1.0);
+        -(-uniform).ln_1p() / self.weight
+    }
+}
+
+/// Deviation from the median pace up to which an engine counts as of usual speed. Learned paces of
+/// equal engines differ by less.
+const USUAL_PACE_DEVIATION: f64 = 0.2;
+
+/// Weight of an engine in the choice of where an adapter is loaded, for its pace as a multiple of
+/// the median. The square, as at a slow engine a prompt also pauses those that run for longer.
+fn load_weight(relative_pace: f64) -> f64 {
+    match (relative_pace - 1.0).abs() <= USUAL_PACE_DEVIATION {
+        true => 1.0,
+        false => relative_pace * relative_pace,
+    }
 }
 
 /// Cost of a load in another failure domain, in milliseconds of expected wait: more than that of
@@ -148,11 +186,15 @@
         now: Instant,
     ) -> Vec<LoadCandidate> {
         let engines = self.load_engines(service, model, version, software, scope, now);
+        let median_token_ms = median_token_ms(&engines, now);
         let engines = engines.into_iter().map(|tracked| {
             let candidate = self.load_candidate(tracked, model, version, now);
             let cost_ms = candidate.cost_ms + usage_cost_ms(tracked, model, now);
+            let token_ms = tracked.own_token_ms(now);
+            let relative_pace = median_token_ms.zip(token_ms).map(|(all, own)| all / own);
             LoadCandidate {
                 cost_ms,
+                weight: relative_pace.map_or(1.0, load_weight),
                 ..candidate
             }
         });
@@ -200,6 +242,7 @@
             engine: tracked.upstream.id.clone(),
             cost_ms,
             is_recent,
+            weight: 1.0,
         };
         // An engine that is already loading the adapter has it soonest and at no further cost.
         if tracked.loading(now).contains(&model.digest()) {
@@ -262,6 +305,17 @@
     f64::from(tracked.running(now)) * request_ms
 }
 
+/// The median time per prompt token of the engines whose pace is known.
+fn median_token_ms(engines: &[&Tracked], now: Instant) -> Option<f64> {
+    let known = engines
+        .iter()
+        .filter_map(|tracked| tracked.own_token_ms(now));
+    let mut known: Vec<f64> = known.collect();
+    let middle = known.len().checked_sub(1)? / 2;
+    let (_, median, _) = known.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
+
 /// The engines for which `is_preferred` holds, or all if there are none.
 fn preferred(engines: Vec<&Tracked>, is_preferred: impl Fn(&Tracked) -> bool) -> Vec<&Tracked> {
     match engines.iter().any(|tracked| is_preferred(tracked)) {
