--- a/crates/measure/src/shed_sim/run.rs
+++ b/crates/measure/src/shed_sim/run.rs
@@ -12,7 +12,7 @@
 
 const LENGTH_MS: f64 = 10_000.0;
 
-/// Engines per node, as in the deployments of `docs/work/hard-load.md`.
+/// Engines per node, as in the deployments of `docs/plans/hard-load.md`.
 const ENGINES_PER_NODE: f64 = 0.75;
 
 /// Prompt tokens that an engine prefills per ms. One engine in three is 1.3 times as fast.
--- a/crates/relay-node/src/control/prompt_gates.rs
+++ b/crates/relay-node/src/control/prompt_gates.rs
@@ -12,7 +12,8 @@
 use super::control_state::ControlState;
 use crate::traffic_message::{PromptId, PromptMessage};
 
-/// How often a node that asks is told that the gate is active. It keeps that in mind for 10 s.
+/// Shortest time between two notices to one node that the gate is active. The node asks for 10 s
+/// after each.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Prompt tokens per ms that an engine prefills, as long as nothing is known of the fleet.
@@ -26,21 +27,21 @@
 #[derive(Debug)]
 struct EngineGate {
     gate: PromptGate<PromptKey>,
-    /// Whether it was active at the last look.
+    /// Whether it was active at the last check.
     was_active: bool,
-    /// When each node was last told that the gate is active.
-    told_at: HashMap<SocketAddr, Instant>,
+    /// When each node was last notified that the gate is active.
+    notified_at: HashMap<SocketAddr, Instant>,
 }
 
 impl EngineGate {
-    /// Whether the gate is active and `node` has to be told so.
-    fn must_tell(&mut self, node: SocketAddr, now: Instant) -> bool {
+    /// Whether the gate is active and `node` has to be notified.
+    fn must_notify(&mut self, node: SocketAddr, now: Instant) -> bool {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < ANNOUNCEMENT_INTERVAL;
-        if !self.gate.is_active(now) || self.told_at.get(&node).is_some_and(is_recent) {
+        if !self.gate.is_active(now) || self.notified_at.get(&node).is_some_and(is_recent) {
             return false;
         }
-        self.told_at.retain(|_, at| is_recent(at));
-        self.told_at.insert(node, now);
+        self.notified_at.retain(|_, at| is_recent(at));
+        self.notified_at.insert(node, now);
         true
     }
 }
@@ -132,7 +133,7 @@
             message,
             PromptMessage::Sent { .. } | PromptMessage::Ask { .. }
         );
-        if is_asker && entry.must_tell(sender, now) {
+        if is_asker && entry.must_notify(sender, now) {
             let upstream = upstream.clone();
             send(PromptMessage::Paced { upstream }, sender);
         }
@@ -181,7 +182,7 @@
         let entry = EngineGate {
             gate: PromptGate::new(pace, now),
             was_active: false,
-            told_at: HashMap::new(),
+            notified_at: HashMap::new(),
         };
         gates.insert(upstream.clone(), entry);
     }
--- a/crates/relay-node/src/paced_services.rs
+++ b/crates/relay-node/src/paced_services.rs
@@ -11,11 +11,11 @@
 /// before they send.
 const PACED_PERIOD: Duration = Duration::from_secs(10);
 
-/// Services with engines whose gates are active as far as this node was told, and the fleet-wide
+/// Services with engines whose gates are known to be active, and the fleet-wide
 /// pace. Both threads read and write it.
 ///
 /// One active gate makes a node ask all gates of the service: a node of a large fleet sends to one
-/// engine too seldom to be told by its gate in time.
+/// engine too seldom to be notified by its gate in time.
 #[derive(Debug, Default)]
 pub(crate) struct PacedServices {
     /// When a gate of each service was last known to be active.
--- a/crates/relay-node/src/traffic/caller_socket.rs
+++ b/crates/relay-node/src/traffic/caller_socket.rs
@@ -26,7 +26,7 @@
 /// whole.
 ///
 /// A write that waits for the caller fails at the answer's deadline. A body is not read on while a
-/// write waits, so a caller that reads nothing would keep the upstream's connection for ever.
+/// write waits, so a caller that reads nothing would keep the upstream's connection open without end.
 pub(super) struct CallerSocket {
     stream: TcpStream,
     answer: Rc<AnswerInProgress>,
--- a/crates/relay-node/src/traffic/peer_socket.rs
+++ b/crates/relay-node/src/traffic/peer_socket.rs
@@ -63,7 +63,7 @@
             gateway.prompts.receive_answer(id, upstream, answer, sender);
         }
         PromptMessage::Paced { upstream } => record_active_gate(gateway, &upstream),
-        // Only granting nodes are asked and told.
+        // The other messages are for granting nodes.
         _ => {}
     }
 }
--- a/crates/relay-node/src/traffic/prompt_client.rs
+++ b/crates/relay-node/src/traffic/prompt_client.rs
@@ -37,7 +37,7 @@
 pub(super) enum PromptOutcome {
     /// It may be sent.
     Granted(PromptPermit, PacedAnswer),
-    /// The granting node does not answer. It is told that the prompt is sent.
+    /// The granting node does not answer. The send is reported to it.
     NoAnswer(PromptPermit),
     /// It may not be sent now.
     Rejected(PacedAnswer),
--- a/crates/relay-node/src/traffic/prompt_pacing.rs
+++ b/crates/relay-node/src/traffic/prompt_pacing.rs
@@ -17,7 +17,7 @@
 
 impl Gateway {
     /// Takes a permit to send the prompt of `call` to the engine of `choice`. Streams without a
-    /// longest pause need none, and an engine whose gate is not known to be active is only told.
+    /// longest pause need none, and an engine whose gate is not known to be active only gets a report.
     pub(super) async fn take_prompt_permit(
         &self,
         call: &Call,
@@ -107,7 +107,7 @@
     }
 }
 
-/// What the gate of the chosen engine is told of `call`; `None` if its prompt is not paced.
+/// The request to the gate of the chosen engine; `None` if the prompt of `call` is not paced.
 fn prompt_ask(call: &Call, choice: &Choice, may_queue: bool) -> Option<PromptAsk> {
     let longest_pause = call.route.longest_pause?;
     call.meta.model.as_ref()?;
--- a/crates/relay-node/src/traffic/stream_pacing.rs
+++ b/crates/relay-node/src/traffic/stream_pacing.rs
@@ -63,7 +63,7 @@
 }
 
 impl Drop for StreamPacing {
-    /// Reports the lower decile of the pauses: prompts that are prefilled between two events part
+    /// Reports the lower decile of the pauses: prompts that are prefilled between two events lengthen
     /// them.
     fn drop(&mut self) {
         if self.pauses.len() >= MIN_PAUSES {
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -128,7 +128,7 @@
         id: PromptId,
         upstream: UpstreamId,
         /// The usual time between two of its events without prefill, in milliseconds, if it had
-        /// enough events to tell.
+        /// enough events.
         spacing_ms: Option<u32>,
     },
 }
--- a/crates/relay/src/engine_pace.rs
+++ b/crates/relay/src/engine_pace.rs
@@ -10,7 +10,7 @@
 const MAX_SAMPLE_FACTOR: f64 = 3.0;
 
 /// Shortest expected prefill that is a sample, as a share of the time of an event. A shorter
-/// prefill is of the size of one engine step, so that its sample tells when the step began.
+/// prefill is of the size of one engine step, so that its sample depends on when the step began.
 const MIN_PREFILL_SHARE: f64 = 0.5;
 
 /// Lower bound on the pace in tokens per millisecond, for divisions.
--- a/crates/relay/src/prompt_gate.rs
+++ b/crates/relay/src/prompt_gate.rs
@@ -199,7 +199,7 @@
     }
 
     /// Records the usual time between two events of a stream. Prompts that are prefilled between
-    /// two events part them, so that the lower decile of a stream's times tells more than the mean.
+    /// two events lengthen that time, so the lower decile of a stream's times is a better sample than the mean.
     pub fn record_spacing(&mut self, spacing: Duration, now: Instant) {
         let Some(limits) = self.limits(0, now) else {
             return;
--- a/crates/relay/tests/engine_speeds.rs
+++ b/crates/relay/tests/engine_speeds.rs
@@ -1,4 +1,4 @@
-//! Engines of different speeds: what nodes do with the paces that they are told.
+//! Engines of different speeds: what nodes do with the paces that they receive.
 
 #![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
 
@@ -69,7 +69,7 @@
     assert!(slow <= mean * 1.3 && fast <= mean * 1.3, "{known:?}");
 }
 
-// Guards against a pace that one node is told and that changes what is expected of other engines.
+// Guards against a pace that one node receives and that changes what is expected of other engines.
 #[test]
 fn pace_counts_for_its_engine_only_and_for_30_s() {
     let now = Instant::now();
