--- a/crates/relay/tests/slot_shedding.rs
+++ b/crates/relay/tests/slot_shedding.rs
@@ -68,7 +68,7 @@
         matches!(refused[..], [(3, SlotAnswer::Refused { wait_ms })] if wait_ms > 0),
         "{refused:?}"
     );
-    // It is told once, and its own caller learns it with the answer to its request.
+    // The refusal is returned once; the request's own caller gets it as the answer.
     assert_eq!(gate.take_refused(), []);
     let answer = gate.ask(8, short, now);
     assert!(matches!(answer, SlotAnswer::Refused { .. }), "{answer:?}");
