Review: a preempted stream is cut while its node is being stopped

A script with three nodes and stand-ins of the store, model servers and clients. A stream that may be resumed runs at the last server of its software version and is preempted for 2.5 s after its node got SIGTERM. The node gives the stream up after 2 s of silence and cuts the client's answer, though the server goes on.

--- /dev/null
+++ b/review/standins/src/server.rs
@@ -0,0 +1,218 @@
+//! A stand-in for a server. How it treats clients' requests is given by each case.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::http::{Connection, Request};
+use crate::store::Store;
+
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Answers a client's request; false if the connection is to be closed.
+pub type Handler = dyn Fn(&Server, &Request, &mut Connection) -> bool + Send + Sync;
+
+#[derive(Clone)]
+pub struct Server {
+    pub id: &'static str,
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    service: &'static str,
+    zone: String,
+    software: &'static str,
+    slots: u32,
+    is_engine: bool,
+    adapters: Mutex<Vec<String>>,
+    seq: AtomicU64,
+    beats: AtomicU64,
+    /// Lines that all its answers bear.
+    own_headers: Mutex<String>,
+    is_cut_from_store: AtomicBool,
+    handler: Box<Handler>,
+    /// Each client request that reached it: when, its id, and its line.
+    seen: Mutex<Vec<(Instant, String, String)>>,
+    store: Store,
+}
+
+pub struct ServerOptions {
+    pub id: &'static str,
+    pub service: &'static str,
+    pub zone: String,
+    pub software: &'static str,
+    pub slots: u32,
+    /// The adapters of the model `base`; none if it is no model server.
+    pub adapters: Option<Vec<&'static str>>,
+}
+
+impl Server {
+    pub fn start(store: &Store, options: ServerOptions, handler: Box<Handler>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let adapters = options.adapters.clone().unwrap_or_default();
+        let server = Self {
+            id: options.id,
+            address: listener.local_addr().unwrap(),
+            inner: Arc::new(Inner {
+                service: options.service,
+                zone: options.zone,
+                software: options.software,
+                slots: options.slots,
+                is_engine: options.adapters.is_some(),
+                adapters: Mutex::new(adapters.into_iter().map(str::to_owned).collect()),
+                seq: AtomicU64::new(0),
+                beats: AtomicU64::new(0),
+                own_headers: Mutex::default(),
+                is_cut_from_store: AtomicBool::new(false),
+                handler,
+                seen: Mutex::default(),
+                store: store.clone(),
+            }),
+        };
+        let accepting = server.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = accepting.clone();
+                std::thread::spawn(move || server.serve(Connection::new(stream)));
+            }
+        });
+        server.beat();
+        let beating = server.clone();
+        std::thread::spawn(move || beating.keep_beating());
+        server
+    }
+
+    /// Writes its entry each heartbeat. The platform removes it after three intervals of silence.
+    fn keep_beating(&self) {
+        let mut last = Instant::now();
+        loop {
+            std::thread::sleep(HEARTBEAT / 12);
+            let is_cut = self.inner.is_cut_from_store.load(Ordering::SeqCst);
+            let is_away = is_cut || self.inner.store.is_down();
+            if !is_away && last.elapsed() >= HEARTBEAT {
+                self.beat();
+                last = Instant::now();
+            } else if is_cut && last.elapsed() >= HEARTBEAT * 3 {
+                let key = format!("servers/{}", self.id);
+                if !self.inner.store.keys(&key).is_empty() {
+                    self.inner.store.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn beat(&self) {
+        let inner = &self.inner;
+        let beats = inner.beats.fetch_add(1, Ordering::SeqCst) + 1;
+        let models = match inner.is_engine {
+            true => format!(",\"stage\":\"colocated\",\"models\":{}", self.models()),
+            false => String::new(),
+        };
+        let entry = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
+             \"slots\":{},\"state\":\"ready\",\"coldLeftMs\":0,\"born\":1700000000000,\"seq\":{beats}{models}}}",
+            inner.service, self.address, inner.zone, inner.software, inner.slots
+        );
+        inner.store.put(&format!("servers/{}", self.id), &entry);
+    }
+
+    fn models(&self) -> String {
+        let adapters = self.inner.adapters.lock().unwrap();
+        let listed: Vec<String> = adapters.iter().map(|name| format!("\"{name}@1\"")).collect();
+        format!("[{{\"name\":\"base\",\"version\":1,\"adapters\":[{}]}}]", listed.join(","))
+    }
+
+    /// Partitions it from the store, or heals the partition.
+    pub fn cut_from_store(&self, is_cut: bool) {
+        self.inner.is_cut_from_store.store(is_cut, Ordering::SeqCst);
+    }
+
+    /// What all its answers say from now on; each line ends with CRLF.
+    pub fn say(&self, headers: &str) {
+        *self.inner.own_headers.lock().unwrap() = headers.to_owned();
+    }
+
+    pub fn own_headers(&self) -> String {
+        self.inner.own_headers.lock().unwrap().clone()
+    }
+
+    /// The headers of an answer to `request`.
+    pub fn sealed(&self, request: &Request) -> String {
+        let id = request.header("x-nutmegsail-request-id").unwrap_or_default();
+        format!(
+            "X-Nutmegsail-Request-Id: {id}\r\nX-Nutmegsail-Server-Seal: seal-{}\r\n\
+             X-Nutmegsail-Weight-Versions: 1\r\n{}",
+            self.id,
+            self.own_headers()
+        )
+    }
+
+    pub fn seen(&self) -> Vec<(Instant, String, String)> {
+        self.inner.seen.lock().unwrap().clone()
+    }
+
+    fn holds(&self, request: &Request) -> bool {
+        let model = request.header("x-nutmegsail-model");
+        let adapter = model.and_then(|model| model.split_once('/'));
+        adapter.is_none_or(|(_, adapter)| {
+            self.inner.adapters.lock().unwrap().iter().any(|held| held == adapter)
+        })
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.request() {
+            if !self.handle(&request, &mut connection) {
+                return;
+            }
+        }
+    }
+
+    fn handle(&self, request: &Request, connection: &mut Connection) -> bool {
+        let own = self.own_headers();
+        let instance = format!("X-Nutmegsail-Instance-Id: {}\r\n", self.id);
+        let target = request.header("x-nutmegsail-target-instance");
+        if target.is_some_and(|target| target != self.id) {
+            return connection.answer(421, &instance, "").is_ok();
+        }
+        match (request.method.as_str(), request.path()) {
+            ("GET", "/healthz") => connection.answer(200, &format!("{instance}{own}"), "").is_ok(),
+            ("GET", "/-/report") => {
+                let (seq, models) = (self.inner.seq.load(Ordering::SeqCst), self.models());
+                let report = format!(
+                    "{{\"stage\":\"colocated\",\"models\":{models},\"busy\":false,\"seq\":{seq},\
+                     \"born\":1700000000000,\"queued\":0,\"inFlight\":0,\"kvUsed\":0,\
+                     \"kvTotal\":90000,\"handles\":0,\"coming\":[]}}"
+                );
+                let json = format!("Content-Type: application/json\r\n{own}");
+                connection.answer(200, &json, &report).is_ok()
+            }
+            ("POST", "/-/order") => {
+                let order = String::from_utf8_lossy(&request.body).into_owned();
+                let order = crate::json::Json::parse(&order).unwrap_or(crate::json::Json::Null);
+                let adapter = order.get("adapter").text().to_owned();
+                let mut adapters = self.inner.adapters.lock().unwrap();
+                match order.get("op").text() {
+                    "load" if !adapters.contains(&adapter) => adapters.push(adapter),
+                    "unload" => adapters.retain(|held| *held != adapter),
+                    _ => {}
+                }
+                drop(adapters);
+                self.inner.seq.fetch_add(1, Ordering::SeqCst);
+                connection.answer(202, &own, "{}").is_ok()
+            }
+            _ => {
+                let id = request.header("x-nutmegsail-request-id").unwrap_or_default();
+                let line = format!("{} {}", request.method, request.target);
+                let mut seen = self.inner.seen.lock().unwrap();
+                seen.push((Instant::now(), id.to_owned(), line));
+                drop(seen);
+                if !self.holds(request) {
+                    return connection.answer(421, &format!("{instance}{own}"), "").is_ok();
+                }
+                (self.inner.handler)(self, request, connection)
+            }
+        }
+    }
+}
