Review: a node that was cut off from the store orders at once at servers it takes back

A script with two nodes and stand-ins of the store, model servers and clients. One node is cut off from the store for 12 s; the other takes its servers over, gives orders and is stopped. The first then claims the servers as their last owner and orders without a wait.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,7 @@
 //! The cases.
 
+mod issuers;
+mod owners;
 mod silence;
 
 use crate::Outcome;
@@ -7,6 +9,8 @@
 
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Outcome {
     match case {
+        "owners" => owners::play(record, has_trouble),
+        "issuers" => issuers::play(record, has_trouble),
         "silence" => silence::play(record, has_trouble),
         _ => Outcome::CouldNotRun(format!("there is no case {case}")),
     }
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -35,6 +35,8 @@
     handler: Box<Handler>,
     /// Each client request that reached it: when, its id, and its line.
     seen: Mutex<Vec<(Instant, String, String)>>,
+    /// Each order that reached it.
+    orders: Mutex<Vec<(Instant, String)>>,
     store: Store,
 }
 
@@ -68,6 +70,7 @@
                 is_cut_from_store: AtomicBool::new(false),
                 handler,
                 seen: Mutex::default(),
+                orders: Mutex::default(),
                 store: store.clone(),
             }),
         };
@@ -153,6 +156,10 @@
         self.inner.seen.lock().unwrap().clone()
     }
 
+    pub fn orders(&self) -> Vec<(Instant, String)> {
+        self.inner.orders.lock().unwrap().clone()
+    }
+
     fn holds(&self, request: &Request) -> bool {
         let model = request.header("x-nutmegsail-model");
         let adapter = model.and_then(|model| model.split_once('/'));
@@ -190,6 +197,7 @@
             }
             ("POST", "/-/order") => {
                 let order = String::from_utf8_lossy(&request.body).into_owned();
+                self.inner.orders.lock().unwrap().push((Instant::now(), order.clone()));
                 let order = crate::json::Json::parse(&order).unwrap_or(crate::json::Json::Null);
                 let adapter = order.get("adapter").text().to_owned();
                 let mut adapters = self.inner.adapters.lock().unwrap();
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -27,6 +27,10 @@
     granted: u64,
     is_down: bool,
     turned_away: HashSet<usize>,
+    /// Nodes whose calls get no answer.
+    cut_off: HashSet<usize>,
+    /// How often each node has renewed its lease.
+    renewals: HashMap<usize, usize>,
 }
 
 impl State {
@@ -112,7 +116,18 @@
                 std::thread::spawn(move || {
                     let mut connection = Connection::new(stream);
                     while let Ok(Some(request)) = connection.request() {
-                        let (status, body) = store.handle(node, &request);
+                        // What is sent on a path that is cut does not arrive, and its connection stays silent.
+                        let is_lost = store.is_cut_off(node);
+                        let (status, body) = match is_lost {
+                            true => (0, String::new()),
+                            false => store.handle(node, &request),
+                        };
+                        while is_lost || store.is_cut_off(node) {
+                            std::thread::sleep(Duration::from_millis(50));
+                            if is_lost && !store.is_cut_off(node) {
+                                return;
+                            }
+                        }
                         let json = "Content-Type: application/json\r\n";
                         if connection.answer(status, json, &body).is_err() {
                             return;
@@ -162,6 +177,26 @@
         self.state.1.notify_all();
     }
 
+    /// Leaves a node's calls unanswered and undone, or serves it again.
+    pub fn cut_off(&self, node: usize, is_cut: bool) {
+        let mut state = self.state.0.lock().unwrap();
+        match is_cut {
+            true => state.cut_off.insert(node),
+            false => state.cut_off.remove(&node),
+        };
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// How often a node has renewed its lease.
+    pub fn renewals(&self, node: usize) -> usize {
+        self.state.0.lock().unwrap().renewals.get(&node).copied().unwrap_or(0)
+    }
+
+    fn is_cut_off(&self, node: usize) -> bool {
+        self.state.0.lock().unwrap().cut_off.contains(&node)
+    }
+
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
         let keys = state.items.keys().filter(|key| key.starts_with(prefix));
@@ -222,7 +257,9 @@
                     true => {
                         let (end, ttl) = state.leases.get_mut(&lease).unwrap();
                         *end = Instant::now() + *ttl;
-                        (200, format!("{{\"ttlMs\":{}}}", ttl.as_millis()))
+                        let answer = format!("{{\"ttlMs\":{}}}", ttl.as_millis());
+                        *state.renewals.entry(node).or_default() += 1;
+                        (200, answer)
                     }
                     false => (404, "{}".to_owned()),
                 }
