Review: add a script that shows which bookings are lost with a removed server

Three nodes and stand-ins of the store, plain servers and clients. A node that the store had turned away sends bookings to a server for over 2 s after its entry was removed, until the server ends with them.

--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,8 +1,9 @@
 //! The cases.
 
-mod issuers;
 mod owners;
+mod removed;
 mod silence;
+mod storm;
 
 use crate::Outcome;
 use crate::record::Record;
@@ -10,7 +11,8 @@
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Outcome {
     match case {
         "owners" => owners::play(record, has_trouble),
-        "issuers" => issuers::play(record, has_trouble),
+        "storm" => storm::play(record, has_trouble),
+        "removed" => removed::play(record, has_trouble),
         "silence" => silence::play(record, has_trouble),
         _ => Outcome::CouldNotRun(format!("there is no case {case}")),
     }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -165,10 +165,29 @@
     reply
 }
 
+/// Sends `text` on a connection that may be kept, and reads the answer, up to `limit`.
+pub fn exchange(connection: &mut Connection, text: &str, limit: Duration) -> Reply {
+    let began = Instant::now();
+    let mut reply = Reply::default();
+    if let Err(error) = try_exchange(connection, text, began + limit, &mut reply) {
+        reply.why = error.to_string();
+    }
+    reply.took = began.elapsed();
+    reply
+}
+
 fn try_send(address: SocketAddr, text: &str, until: Instant, reply: &mut Reply) -> io::Result<()> {
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(Duration::from_millis(100)))?;
-    let mut connection = Connection::new(stream);
+    try_exchange(&mut Connection::new(stream), text, until, reply)
+}
+
+fn try_exchange(
+    connection: &mut Connection,
+    text: &str,
+    until: Instant,
+    reply: &mut Reply,
+) -> io::Result<()> {
+    connection.stream.set_read_timeout(Some(Duration::from_millis(100)))?;
     connection.write(text)?;
     let mut last = Instant::now();
     let mut is_head_read = false;
@@ -191,6 +210,7 @@
                 reply.body = received;
             }
             if reply.is_whole {
+                connection.buffer.clear();
                 return Ok(());
             }
         }
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -1,9 +1,10 @@
 //! A node, started as the deploy file says, with settings as the platform fills them in.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::send;
@@ -30,10 +31,20 @@
     folder
 }
 
+/// Ports that are free for TCP and UDP, outside the range from which the kernel takes those of connections.
 fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    let listeners: Vec<TcpListener> = listeners.collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 18_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let mut found = Vec::new();
+    while found.len() < count {
+        let place = std::process::id().wrapping_mul(97) + NEXT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + place % COUNT) as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            found.push(address);
+        }
+    }
+    found
 }
 
 impl Node {
@@ -91,6 +102,15 @@
         let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
+    /// Its resident memory.
+    pub fn memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
+        let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_024
+    }
+
     /// The lines of its log that contain `text`.
     pub fn logged(&self, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -1,8 +1,9 @@
 //! A stand-in for a server. How it treats clients' requests is given by each case.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Request};
@@ -29,9 +30,9 @@
     adapters: Mutex<Vec<String>>,
     seq: AtomicU64,
     beats: AtomicU64,
-    /// Lines that all its answers bear.
-    own_headers: Mutex<String>,
-    is_cut_from_store: AtomicBool,
+    /// Whether its entry is no longer written.
+    is_unlisted: AtomicBool,
+    is_gone: AtomicBool,
     handler: Box<Handler>,
     /// Each client request that reached it: when, its id, and its line.
     seen: Mutex<Vec<(Instant, String, String)>>,
@@ -66,8 +67,8 @@
                 adapters: Mutex::new(adapters.into_iter().map(str::to_owned).collect()),
                 seq: AtomicU64::new(0),
                 beats: AtomicU64::new(0),
-                own_headers: Mutex::default(),
-                is_cut_from_store: AtomicBool::new(false),
+                is_unlisted: AtomicBool::new(false),
+                is_gone: AtomicBool::new(false),
                 handler,
                 seen: Mutex::default(),
                 orders: Mutex::default(),
@@ -75,37 +76,51 @@
             }),
         };
         let accepting = server.clone();
-        std::thread::spawn(move || {
+        thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.is_gone() {
+                    return;
+                }
                 let server = accepting.clone();
-                std::thread::spawn(move || server.serve(Connection::new(stream)));
+                thread::spawn(move || server.serve(Connection::new(stream)));
             }
         });
         server.beat();
         let beating = server.clone();
-        std::thread::spawn(move || beating.keep_beating());
+        thread::spawn(move || beating.keep_beating());
         server
     }
 
-    /// Writes its entry each heartbeat. The platform removes it after three intervals of silence.
+    /// Writes its entry each heartbeat, as long as the store takes it.
     fn keep_beating(&self) {
         let mut last = Instant::now();
-        loop {
-            std::thread::sleep(HEARTBEAT / 12);
-            let is_cut = self.inner.is_cut_from_store.load(Ordering::SeqCst);
-            let is_away = is_cut || self.inner.store.is_down();
-            if !is_away && last.elapsed() >= HEARTBEAT {
+        while !self.inner.is_unlisted.load(Ordering::SeqCst) {
+            thread::sleep(HEARTBEAT / 12);
+            if last.elapsed() >= HEARTBEAT {
                 self.beat();
                 last = Instant::now();
-            } else if is_cut && last.elapsed() >= HEARTBEAT * 3 {
-                let key = format!("servers/{}", self.id);
-                if !self.inner.store.keys(&key).is_empty() {
-                    self.inner.store.remove(&key);
-                }
             }
         }
     }
 
+    /// Has its entry removed, without having said that it leaves.
+    pub fn leave(&self) {
+        self.inner.is_unlisted.store(true, Ordering::SeqCst);
+        thread::sleep(HEARTBEAT / 6);
+        self.inner.store.remove(&format!("servers/{}", self.id));
+    }
+
+    /// Ends it, with all that it runs.
+    pub fn exit(&self) {
+        self.inner.is_gone.store(true, Ordering::SeqCst);
+        // Lets the loop that accepts connections see it.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    pub fn is_gone(&self) -> bool {
+        self.inner.is_gone.load(Ordering::SeqCst)
+    }
+
     fn beat(&self) {
         let inner = &self.inner;
         let beats = inner.beats.fetch_add(1, Ordering::SeqCst) + 1;
@@ -127,28 +142,13 @@
         format!("[{{\"name\":\"base\",\"version\":1,\"adapters\":[{}]}}]", listed.join(","))
     }
 
-    /// Partitions it from the store, or heals the partition.
-    pub fn cut_from_store(&self, is_cut: bool) {
-        self.inner.is_cut_from_store.store(is_cut, Ordering::SeqCst);
-    }
-
-    /// What all its answers say from now on; each line ends with CRLF.
-    pub fn say(&self, headers: &str) {
-        *self.inner.own_headers.lock().unwrap() = headers.to_owned();
-    }
-
-    pub fn own_headers(&self) -> String {
-        self.inner.own_headers.lock().unwrap().clone()
-    }
-
     /// The headers of an answer to `request`.
     pub fn sealed(&self, request: &Request) -> String {
         let id = request.header("x-nutmegsail-request-id").unwrap_or_default();
         format!(
             "X-Nutmegsail-Request-Id: {id}\r\nX-Nutmegsail-Server-Seal: seal-{}\r\n\
-             X-Nutmegsail-Weight-Versions: 1\r\n{}",
-            self.id,
-            self.own_headers()
+             X-Nutmegsail-Weight-Versions: 1\r\n",
+            self.id
         )
     }
 
@@ -156,6 +156,11 @@
         self.inner.seen.lock().unwrap().clone()
     }
 
+    /// Whether the request with this id has reached it.
+    pub fn has_seen(&self, id: &str) -> bool {
+        self.inner.seen.lock().unwrap().iter().rev().any(|(_, known, _)| known == id)
+    }
+
     pub fn orders(&self) -> Vec<(Instant, String)> {
         self.inner.orders.lock().unwrap().clone()
     }
@@ -170,21 +175,20 @@
 
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.request() {
-            if !self.handle(&request, &mut connection) {
+            if self.is_gone() || !self.handle(&request, &mut connection) {
                 return;
             }
         }
     }
 
     fn handle(&self, request: &Request, connection: &mut Connection) -> bool {
-        let own = self.own_headers();
         let instance = format!("X-Nutmegsail-Instance-Id: {}\r\n", self.id);
         let target = request.header("x-nutmegsail-target-instance");
         if target.is_some_and(|target| target != self.id) {
             return connection.answer(421, &instance, "").is_ok();
         }
         match (request.method.as_str(), request.path()) {
-            ("GET", "/healthz") => connection.answer(200, &format!("{instance}{own}"), "").is_ok(),
+            ("GET", "/healthz") => connection.answer(200, &instance, "").is_ok(),
             ("GET", "/-/report") => {
                 let (seq, models) = (self.inner.seq.load(Ordering::SeqCst), self.models());
                 let report = format!(
@@ -192,8 +196,8 @@
                      \"born\":1700000000000,\"queued\":0,\"inFlight\":0,\"kvUsed\":0,\
                      \"kvTotal\":90000,\"handles\":0,\"coming\":[]}}"
                 );
-                let json = format!("Content-Type: application/json\r\n{own}");
-                connection.answer(200, &json, &report).is_ok()
+                let json = "Content-Type: application/json\r\n";
+                connection.answer(200, json, &report).is_ok()
             }
             ("POST", "/-/order") => {
                 let order = String::from_utf8_lossy(&request.body).into_owned();
@@ -208,7 +212,7 @@
                 }
                 drop(adapters);
                 self.inner.seq.fetch_add(1, Ordering::SeqCst);
-                connection.answer(202, &own, "{}").is_ok()
+                connection.answer(202, "", "{}").is_ok()
             }
             _ => {
                 let id = request.header("x-nutmegsail-request-id").unwrap_or_default();
@@ -217,7 +221,7 @@
                 seen.push((Instant::now(), id.to_owned(), line));
                 drop(seen);
                 if !self.holds(request) {
-                    return connection.answer(421, &format!("{instance}{own}"), "").is_ok();
+                    return connection.answer(421, &instance, "").is_ok();
                 }
                 (self.inner.handler)(self, request, connection)
             }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -9,6 +9,9 @@
 use crate::http::{Connection, Request};
 use crate::json::{Json, from_base64, to_base64};
 
+/// The number of changes that are kept, those of well over `historyS` in these cases.
+const MAX_EVENTS: usize = 2_000;
+
 struct Item {
     value: Vec<u8>,
     revision: u64,
@@ -25,7 +28,6 @@
     /// When each lease ends, and its length.
     leases: HashMap<u64, (Instant, Duration)>,
     granted: u64,
-    is_down: bool,
     turned_away: HashSet<usize>,
     /// Nodes whose calls get no answer.
     cut_off: HashSet<usize>,
@@ -50,6 +52,10 @@
         self.items.insert(key.to_owned(), item);
         let event = self.item(key);
         self.events.push((key.to_owned(), revision, event));
+        // The history is short, so that the stand-in stays small.
+        if self.events.len() > MAX_EVENTS {
+            self.events.drain(..MAX_EVENTS / 2);
+        }
     }
 
     fn remove(&mut self, key: &str) {
@@ -156,16 +162,6 @@
         self.state.1.notify_all();
     }
 
-    /// While it is down it answers 503 to everybody, and leases run out.
-    pub fn set_down(&self, is_down: bool) {
-        self.state.0.lock().unwrap().is_down = is_down;
-        self.state.1.notify_all();
-    }
-
-    pub fn is_down(&self) -> bool {
-        self.state.0.lock().unwrap().is_down
-    }
-
     /// Answers 503 to one node, or serves it again.
     pub fn turn_away(&self, node: usize, is_turned_away: bool) {
         let mut state = self.state.0.lock().unwrap();
@@ -197,14 +193,8 @@
         self.state.0.lock().unwrap().cut_off.contains(&node)
     }
 
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.state.0.lock().unwrap();
-        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
-        keys.cloned().collect()
-    }
-
     fn is_refusing(state: &State, node: usize) -> bool {
-        state.is_down || state.turned_away.contains(&node)
+        state.turned_away.contains(&node)
     }
 
     fn handle(&self, node: usize, request: &Request) -> (u16, String) {
