--- a/review/standins/src/cases/storm.rs
+++ b/review/standins/src/cases/storm.rs
@@ -35,6 +35,10 @@
 const FIRST_EVENT: Duration = Duration::from_millis(500);
 const EVENTS: u32 = 10;
 
+/// How many clients each node has, and the time between their first requests, so that they do not act together.
+const CALLERS: u32 = 12;
+const STAGGER: Duration = Duration::from_millis(67);
+
 /// A configuration with as many further routes as fit.
 fn big_configuration(version: u64) -> String {
     let mut routes = String::new();
@@ -118,11 +122,14 @@
     let tallies: Vec<Arc<Tally>> = nodes.iter().map(|_| Arc::default()).collect();
     let mut callers = Vec::new();
     for (place, node) in nodes.iter().enumerate() {
-        for caller in 0..8 {
+        for caller in 0..CALLERS {
             let (address, name) = (node.callers, format!("{}-{caller}", node.name));
             let (tally, is_over) = (Arc::clone(&tallies[place]), Arc::clone(&is_over));
             let server = server.clone();
-            callers.push(thread::spawn(move || call(address, &name, &server, &tally, &is_over)));
+            callers.push(thread::spawn(move || {
+                thread::sleep(STAGGER * caller);
+                call(address, &name, &server, &tally, &is_over);
+            }));
         }
     }
     let began = Instant::now();
