--- a/review/standins/src/cases/owners.rs
+++ b/review/standins/src/cases/owners.rs
@@ -30,21 +30,33 @@
 pub fn play(record: &Record, has_trouble: bool) -> Outcome {
     let store = Store::start();
     store.put("op/config", &configuration());
-    let engines: Vec<Server> = ["i-eng-1", "i-eng-2", "i-eng-3", "i-eng-4"].into_iter().map(|id| {
-        let options = ServerOptions {
-            id, service: "spa-scribe", zone: ZONES[2].to_owned(), software: "v1", slots: 64,
-            adapters: Some(vec!["a1"]),
-        };
-        let handler = |server: &Server, request: &Request, connection: &mut Connection| {
-            thread::sleep(Duration::from_millis(80));
-            let event = "id: 1\ndata: word\n\n";
-            let json = format!("Content-Type: text/event-stream\r\n{}", server.sealed(request));
-            connection.answer(200, &json, event).is_ok()
-        };
-        Server::start(&store, options, Box::new(handler))
-    }).collect();
+    let engines: Vec<Server> = ["i-eng-1", "i-eng-2", "i-eng-3", "i-eng-4"]
+        .into_iter()
+        .map(|id| {
+            let options = ServerOptions {
+                id,
+                service: "spa-scribe",
+                zone: ZONES[2].to_owned(),
+                software: "v1",
+                slots: 64,
+                adapters: Some(vec!["a1"]),
+            };
+            let handler = |server: &Server, request: &Request, connection: &mut Connection| {
+                thread::sleep(Duration::from_millis(80));
+                let event = "id: 1\ndata: word\n\n";
+                let json = format!(
+                    "Content-Type: text/event-stream\r\n{}",
+                    server.sealed(request)
+                );
+                connection.answer(200, &json, event).is_ok()
+            };
+            Server::start(&store, options, Box::new(handler))
+        })
+        .collect();
     let zones = &ZONES[..2];
-    let nodes: Vec<Node> = (0..2).map(|number| Node::start(&store, number, zones[number], zones)).collect();
+    let nodes: Vec<Node> = (0..2)
+        .map(|number| Node::start(&store, number, zones[number], zones))
+        .collect();
     if !nodes.iter().all(Node::until_ready) {
         return Outcome::CouldNotRun("the nodes did not become ready".to_owned());
     }
@@ -54,13 +66,21 @@
     let mut callers = Vec::new();
     for node in &nodes {
         for _ in 0..6 {
-            let (address, is_over, count) = (node.callers, Arc::clone(&is_over), Arc::clone(&count));
+            let (address, is_over, count) =
+                (node.callers, Arc::clone(&is_over), Arc::clone(&count));
             let statuses = Arc::clone(&statuses);
             callers.push(thread::spawn(move || {
                 while !is_over.load(Ordering::SeqCst) {
                     let number = count.fetch_add(1, Ordering::SeqCst);
                     let headers = model(&format!("a{number}"), 400, 20);
-                    let text = request("POST", "/note/7", &format!("n{number}"), 6_000, &headers, "prompt");
+                    let text = request(
+                        "POST",
+                        "/note/7",
+                        &format!("n{number}"),
+                        6_000,
+                        &headers,
+                        "prompt",
+                    );
                     let reply = send(address, &text, Duration::from_secs(6));
                     *statuses.lock().unwrap().entry(reply.status).or_insert(0) += 1;
                     thread::sleep(Duration::from_millis(500));
@@ -99,7 +119,11 @@
     }
     record.note(format!("answers by status: {:?}", statuses.lock().unwrap()));
     for node in &nodes {
-        for line in node.logged("EngineOwned").iter().chain(&node.logged("EngineReleased")) {
+        for line in node
+            .logged("EngineOwned")
+            .iter()
+            .chain(&node.logged("EngineReleased"))
+        {
             record.note(format!("{} logs {line}", node.name));
         }
     }
@@ -113,7 +137,10 @@
         let mut last: Option<(Instant, String, u64)> = None;
         for (at, body) in engine.orders() {
             let order = Json::parse(&body).unwrap_or(Json::Null);
-            let (holder, fence) = (order.get("holder").text().to_owned(), order.get("fence").number());
+            let (holder, fence) = (
+                order.get("holder").text().to_owned(),
+                order.get("fence").number(),
+            );
             record.note_at(at, format!("{} gets an order: {body}", engine.id));
             if at >= healed_at && at < healed_at + THAW {
                 continue;
@@ -122,7 +149,11 @@
                 && *known != holder
             {
                 let gap = at.duration_since(*before);
-                let text = format!("{}: {holder} orders {} ms after {known}", engine.id, gap.as_millis());
+                let text = format!(
+                    "{}: {holder} orders {} ms after {known}",
+                    engine.id,
+                    gap.as_millis()
+                );
                 record.note_at(at, text.clone());
                 if shortest.as_ref().is_none_or(|(known, _)| gap < *known) {
                     shortest = Some((gap, text));
@@ -132,7 +163,9 @@
         }
     }
     match shortest {
-        Some((gap, text)) if gap < LEASE => Outcome::Broken(format!("ONE: {text}; 3,000 ms are to lie between")),
+        Some((gap, text)) if gap < LEASE => {
+            Outcome::Broken(format!("ONE: {text}; 3,000 ms are to lie between"))
+        }
         Some((_, text)) => Outcome::Held(text),
         None => Outcome::Held("no two holders ordered at one server".to_owned()),
     }
--- a/review/standins/src/cases/removed.rs
+++ b/review/standins/src/cases/removed.rs
@@ -46,7 +46,10 @@
             };
             let handler = |server: &Server, request: &Request, connection: &mut Connection| {
                 thread::sleep(WORK);
-                !server.is_gone() && connection.answer(200, &server.sealed(request), "booked").is_ok()
+                !server.is_gone()
+                    && connection
+                        .answer(200, &server.sealed(request), "booked")
+                        .is_ok()
             };
             Server::start(&store, options, Box::new(handler))
         })
@@ -62,7 +65,8 @@
     let mut callers = Vec::new();
     for (place, node) in nodes.iter().enumerate() {
         for caller in 0..4 {
-            let (address, is_over, replies) = (node.callers, Arc::clone(&is_over), Arc::clone(&replies));
+            let (address, is_over, replies) =
+                (node.callers, Arc::clone(&is_over), Arc::clone(&replies));
             callers.push(thread::spawn(move || {
                 let mut number = 0;
                 while !is_over.load(Ordering::SeqCst) {
@@ -92,7 +96,11 @@
     let leaving = &servers[0];
     leaving.leave();
     let removed = Instant::now();
-    record.note(format!("the entry of {} is removed; it serves on for {} ms", leaving.id, SERVES_ON.as_millis()));
+    record.note(format!(
+        "the entry of {} is removed; it serves on for {} ms",
+        leaving.id,
+        SERVES_ON.as_millis()
+    ));
     thread::sleep(SERVES_ON);
     leaving.exit();
     let gone = Instant::now();
@@ -106,7 +114,10 @@
     for (at, id, _) in leaving.seen() {
         if at >= removed {
             let ms = at.duration_since(removed).as_millis();
-            record.note_at(at, format!("{id} reaches {} {ms} ms after the removal", leaving.id));
+            record.note_at(
+                at,
+                format!("{id} reaches {} {ms} ms after the removal", leaving.id),
+            );
         }
         late += usize::from(at > removed + DRAIN && at > in_touch_from);
     }
@@ -114,7 +125,10 @@
     for (sent, id, reply) in replies.lock().unwrap().iter() {
         *statuses.entry(reply.status).or_insert(0) += 1;
         if reply.status != 200 && *sent > removed {
-            record.note_at(*sent + reply.took, format!("the client of {id} gets {}: {}", reply.status, reply.body));
+            record.note_at(
+                *sent + reply.took,
+                format!("the client of {id} gets {}: {}", reply.status, reply.body),
+            );
             lost += usize::from(reply.status == 502 && *sent < gone);
         }
     }
@@ -124,6 +138,8 @@
             "DRAIN: {late} bookings reached the server later than 2,000 ms after the removal of its entry, sent on by \
              a machine in touch; {lost} bookings were lost with it"
         )),
-        false => Outcome::Held(format!("no booking reached the server too late; {lost} were lost with it")),
+        false => Outcome::Held(format!(
+            "no booking reached the server too late; {lost} were lost with it"
+        )),
     }
 }
--- a/review/standins/src/cases/silence.rs
+++ b/review/standins/src/cases/silence.rs
@@ -29,11 +29,17 @@
 
 impl Memory {
     fn enter(&self, number: u64, priority: u32, tokens: u32) {
-        self.requests.lock().unwrap().push((number, priority, tokens));
+        self.requests
+            .lock()
+            .unwrap()
+            .push((number, priority, tokens));
     }
 
     fn leave(&self, number: u64) {
-        self.requests.lock().unwrap().retain(|(known, ..)| *known != number);
+        self.requests
+            .lock()
+            .unwrap()
+            .retain(|(known, ..)| *known != number);
         self.changed.notify_all();
     }
 
@@ -66,8 +72,14 @@
 }
 
 /// A model server that preempts, and writes an event every 40 ms to each stream that has memory.
-fn engine(store: &Store, record: &Arc<Record>, id: &'static str, software: &'static str, zone: &str,
-    adapters: Vec<&'static str>) -> Server {
+fn engine(
+    store: &Store,
+    record: &Arc<Record>,
+    id: &'static str,
+    software: &'static str,
+    zone: &str,
+    adapters: Vec<&'static str>,
+) -> Server {
     let (memory, count) = (Memory::default(), Mutex::new(0_u64));
     let record = Arc::clone(record);
     let options = ServerOptions {
@@ -79,34 +91,58 @@
         adapters: Some(adapters),
     };
     let handler = move |server: &Server, request: &Request, connection: &mut Connection| {
-        let name = request.header("x-nutmegsail-request-id").unwrap_or_default().to_owned();
-        let usage = request.header("x-nutmegsail-token-usage").unwrap_or_default();
-        let mut usage = usage.split(',').map(|number| number.parse::<u32>().unwrap_or(0));
+        let name = request
+            .header("x-nutmegsail-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        let usage = request
+            .header("x-nutmegsail-token-usage")
+            .unwrap_or_default();
+        let mut usage = usage
+            .split(',')
+            .map(|number| number.parse::<u32>().unwrap_or(0));
         let (read, out) = (usage.next().unwrap_or(0), usage.next().unwrap_or(0));
         let priority = request.header("x-nutmegsail-request-priority");
         let priority = priority.and_then(|text| text.parse().ok()).unwrap_or(5);
-        let after = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let number = {
             let mut count = count.lock().unwrap();
             *count += 1;
             *count
         };
-        record.note(format!("{id} ({software}) begins {name}, priority {priority}, after event {after}"));
+        record.note(format!(
+            "{id} ({software}) begins {name}, priority {priority}, after event {after}"
+        ));
         memory.enter(number, priority, read + out);
-        let ended = tell(server, request, connection, &record, after..out / 2, || memory.wait(number));
+        let ended = tell(server, request, connection, &record, after..out / 2, || {
+            memory.wait(number)
+        });
         memory.leave(number);
         match ended {
             Ok(()) => record.note(format!("{id} has written the whole answer to {name}")),
-            Err(_) => record.note(format!("{id}: the node has closed the connection of {name}")),
+            Err(_) => record.note(format!(
+                "{id}: the node has closed the connection of {name}"
+            )),
         }
         ended.is_ok()
     };
     Server::start(store, options, Box::new(handler))
 }
 
-fn tell(server: &Server, request: &Request, connection: &mut Connection, record: &Record,
-    events: std::ops::Range<u32>, wait: impl Fn() -> Duration) -> std::io::Result<()> {
-    let name = request.header("x-nutmegsail-request-id").unwrap_or_default();
+fn tell(
+    server: &Server,
+    request: &Request,
+    connection: &mut Connection,
+    record: &Record,
+    events: std::ops::Range<u32>,
+    wait: impl Fn() -> Duration,
+) -> std::io::Result<()> {
+    let name = request
+        .header("x-nutmegsail-request-id")
+        .unwrap_or_default();
     wait();
     connection.write(&format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{}\r\n",
@@ -116,7 +152,10 @@
         let waited = wait();
         if waited > EVENT_TIME {
             let ms = waited.as_millis();
-            record.note(format!("{}: {name} goes on, it was preempted for {ms} ms", server.id));
+            record.note(format!(
+                "{}: {name} goes on, it was preempted for {ms} ms",
+                server.id
+            ));
         }
         connection.chunk(&format!("id: {}\ndata: word\n\n", event + 1))?;
         thread::sleep(EVENT_TIME);
@@ -142,7 +181,14 @@
     }
     thread::sleep(Duration::from_secs(8));
     let callers = nodes[0].callers;
-    let text = request("POST", "/summary/7", "summary-1", 15_000, &model("a1", 1_460, 172), "prompt");
+    let text = request(
+        "POST",
+        "/summary/7",
+        "summary-1",
+        15_000,
+        &model("a1", 1_460, 172),
+        "prompt",
+    );
     record.note("summary-1 is sent to the first node");
     let streaming = thread::spawn(move || send(callers, &text, Duration::from_secs(15)));
     thread::sleep(Duration::from_millis(800));
@@ -154,10 +200,20 @@
         for number in 1..=2 {
             let callers = nodes[number].callers;
             let id = format!("contract-{number}");
-            let text = request("POST", "/contract/7", &id, 10_000, &model("a2", 646, 126), "prompt");
+            let text = request(
+                "POST",
+                "/contract/7",
+                &id,
+                10_000,
+                &model("a2", 646, 126),
+                "prompt",
+            );
             record.note(format!("{id} is sent to another node"));
             let id = id.clone();
-            urgent.push((id, thread::spawn(move || send(callers, &text, Duration::from_secs(10)))));
+            urgent.push((
+                id,
+                thread::spawn(move || send(callers, &text, Duration::from_secs(10))),
+            ));
         }
     }
     let reply = streaming.join().unwrap();
@@ -169,10 +225,17 @@
     for (id, sent) in urgent {
         let reply = sent.join().unwrap();
         let events = reply.body.matches("data:").count();
-        record.note(format!("{id}: status {}, {events} events, whole: {}", reply.status, reply.is_whole));
+        record.note(format!(
+            "{id}: status {}, {events} events, whole: {}",
+            reply.status, reply.is_whole
+        ));
     }
     thread::sleep(Duration::from_millis(500));
-    for line in nodes[0].logged("AnswerCut").iter().chain(&nodes[0].logged("AnswerNotResumed")) {
+    for line in nodes[0]
+        .logged("AnswerCut")
+        .iter()
+        .chain(&nodes[0].logged("AnswerNotResumed"))
+    {
         record.note(format!("the first node logs {line}"));
     }
     if reply.status == 0 && !reply.is_whole && reply.body.is_empty() {
--- a/review/standins/src/cases/storm.rs
+++ b/review/standins/src/cases/storm.rs
@@ -18,7 +18,7 @@
 use crate::store::Store;
 
 /// `limits.memoryMb` of a node.
-const MEMORY_MB: u64 = 260;
+pub(super) const MEMORY_MB: u64 = 260;
 
 /// The largest value that the store takes.
 const VALUE_BYTES: usize = 1_048_576;
@@ -60,25 +60,57 @@
 
 /// What became of the requests of one node's clients.
 #[derive(Default)]
-struct Tally {
+pub(super) struct Tally {
     whole: AtomicUsize,
     /// Passed on to the server, and the connection was closed without any answer.
     unanswered: Mutex<Vec<(Instant, String)>>,
     other: Mutex<BTreeMap<u16, usize>>,
 }
 
+impl Tally {
+    /// Writes it down; returns how many requests got no answer.
+    pub(super) fn note(&self, record: &Record, node: &str) -> usize {
+        let unanswered = self.unanswered.lock().unwrap();
+        record.note(format!(
+            "{node}: {} requests answered whole, {} closed without an answer, others by status: {:?}",
+            self.whole.load(Ordering::SeqCst), unanswered.len(), self.other.lock().unwrap()
+        ));
+        for (at, id) in unanswered.iter() {
+            let text =
+                "had been passed on to the server; its connection is closed without an answer";
+            record.note_at(*at, format!("{id} {text}"));
+        }
+        unanswered.len()
+    }
+}
+
 /// Sends one request after the other on a kept connection.
-fn call(address: SocketAddr, name: &str, server: &Server, tally: &Tally, is_over: &AtomicBool) {
+pub(super) fn call(
+    address: SocketAddr,
+    name: &str,
+    servers: &[Server],
+    tally: &Tally,
+    is_over: &AtomicBool,
+) {
     let mut kept: Option<Connection> = None;
     let mut number = 0;
     while !is_over.load(Ordering::SeqCst) {
         number += 1;
         let id = format!("{name}-{number}");
-        let text = request("POST", "/contract/7", &id, 10_000, &model("a1", 646, 126), "prompt");
+        let text = request(
+            "POST",
+            "/contract/7",
+            &id,
+            10_000,
+            &model("a1", 646, 126),
+            "prompt",
+        );
         let text = text.replace("Connection: close\r\n", "");
         let opened: io::Result<Connection> = match kept.take() {
             Some(connection) => Ok(connection),
-            None => TcpStream::connect_timeout(&address, Duration::from_secs(1)).map(Connection::new),
+            None => {
+                TcpStream::connect_timeout(&address, Duration::from_secs(1)).map(Connection::new)
+            }
         };
         let Ok(mut connection) = opened else {
             thread::sleep(Duration::from_millis(200));
@@ -88,7 +120,10 @@
         if reply.is_whole && reply.status == 200 {
             tally.whole.fetch_add(1, Ordering::SeqCst);
             kept = (reply.header("connection") != Some("close")).then_some(connection);
-        } else if reply.status == 0 && number > 1 && server.has_seen(&id) {
+        } else if reply.status == 0
+            && number > 1
+            && servers.iter().any(|server| server.has_seen(&id))
+        {
             tally.unanswered.lock().unwrap().push((Instant::now(), id));
         } else {
             *tally.other.lock().unwrap().entry(reply.status).or_default() += 1;
@@ -100,7 +135,10 @@
 pub fn play(record: &Record, has_trouble: bool) -> Outcome {
     let store = Store::start();
     let first = big_configuration(100);
-    record.note(format!("each configuration has {} bytes, {VALUE_BYTES} are allowed", first.len()));
+    record.note(format!(
+        "each configuration has {} bytes, {VALUE_BYTES} are allowed",
+        first.len()
+    ));
     store.put("op/config", &first);
     let options = ServerOptions {
         id: "i-scribe-1",
@@ -128,7 +166,7 @@
             let server = server.clone();
             callers.push(thread::spawn(move || {
                 thread::sleep(STAGGER * caller);
-                call(address, &name, &server, &tally, &is_over);
+                call(address, &name, &[server], &tally, &is_over);
             }));
         }
     }
@@ -152,14 +190,23 @@
                 node.signal("KILL");
                 killed.push(place);
                 record.note(format!(
-                    "the platform kills {}: it has {memory_mb} MB, after {} configurations", node.name, version - 100
+                    "the platform kills {}: it has {memory_mb} MB, after {} configurations",
+                    node.name,
+                    version - 100
                 ));
             }
         }
         if noted.elapsed() >= Duration::from_secs(5) {
             noted = Instant::now();
-            let used: Vec<String> = nodes.iter().map(|node| format!("{} MB", node.memory_mb())).collect();
-            record.note(format!("{} configurations, nodes use {}", version - 100, used.join(", ")));
+            let used: Vec<String> = nodes
+                .iter()
+                .map(|node| format!("{} MB", node.memory_mb()))
+                .collect();
+            record.note(format!(
+                "{} configurations, nodes use {}",
+                version - 100,
+                used.join(", ")
+            ));
         }
         thread::sleep(Duration::from_millis(20));
     }
@@ -169,26 +216,22 @@
     }
     let mut most = 0;
     for (node, tally) in nodes.iter().zip(&tallies) {
-        let unanswered = tally.unanswered.lock().unwrap();
-        record.note(format!(
-            "{}: {} requests answered whole, {} closed without an answer, others by status: {:?}",
-            node.name, tally.whole.load(Ordering::SeqCst), unanswered.len(), tally.other.lock().unwrap()
-        ));
-        for (at, id) in unanswered.iter() {
-            record.note_at(*at, format!("{id} had been passed on to the server; its connection is closed without an answer"));
-        }
-        most = most.max(unanswered.len());
+        most = most.max(tally.note(record, &node.name));
     }
     match most > 3 {
         true => Outcome::Broken(format!(
             "LOST: {} processes ended by themselves, over their memory; up to {most} requests of kept connections at \
-             one machine had been passed on to a sound server and got no answer, 3 are allowed", killed.len()
+             one machine had been passed on to a sound server and got no answer, 3 are allowed",
+            killed.len()
+        )),
+        false => Outcome::Held(format!(
+            "{} processes over their memory, {most} requests without an answer",
+            killed.len()
         )),
-        false => Outcome::Held(format!("{} processes over their memory, {most} requests without an answer", killed.len())),
     }
 }
 
-fn tell(server: &Server, request: &Request, connection: &mut Connection) -> bool {
+pub(super) fn tell(server: &Server, request: &Request, connection: &mut Connection) -> bool {
     let mut told = || -> io::Result<()> {
         thread::sleep(FIRST_EVENT);
         connection.write(&format!(
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -41,7 +41,9 @@
     let (mut bytes, raw) = (Vec::new(), text.as_bytes());
     let mut at = 0;
     while at < raw.len() {
-        let code = text.get(at + 1..at + 3).and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        let code = text
+            .get(at + 1..at + 3)
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
         match code.filter(|_| raw[at] == b'%') {
             Some(code) => {
                 bytes.push(code);
@@ -65,7 +67,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<bool> {
@@ -84,7 +89,8 @@
                 let mut lines = text.split("\r\n");
                 let first = lines.next().unwrap_or_default().to_owned();
                 let headers = lines.filter_map(|line| line.split_once(':'));
-                let headers = headers.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
+                let headers =
+                    headers.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
                 return Ok(Some((first, headers.collect())));
             }
             if !self.fill()? {
@@ -187,14 +193,20 @@
     until: Instant,
     reply: &mut Reply,
 ) -> io::Result<()> {
-    connection.stream.set_read_timeout(Some(Duration::from_millis(100)))?;
+    connection
+        .stream
+        .set_read_timeout(Some(Duration::from_millis(100)))?;
     connection.write(text)?;
     let mut last = Instant::now();
     let mut is_head_read = false;
     loop {
         if !is_head_read && connection.buffer.windows(4).any(|four| four == b"\r\n\r\n") {
             let (line, headers) = connection.head()?.unwrap_or_default();
-            reply.status = line.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+            reply.status = line
+                .split(' ')
+                .nth(1)
+                .and_then(|code| code.parse().ok())
+                .unwrap_or(0);
             reply.headers = headers;
             is_head_read = true;
             last = Instant::now();
@@ -241,13 +253,18 @@
 }
 
 fn is_timeout(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
 }
 
 fn unchunk(mut text: &str) -> (String, bool) {
     let mut body = String::new();
     while let Some((size, rest)) = text.split_once("\r\n") {
-        let Ok(size) = usize::from_str_radix(size, 16) else { break };
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            break;
+        };
         if size == 0 {
             return (body, rest.starts_with("\r\n"));
         }
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -15,7 +15,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Self> {
-        let mut parser = Parser { text: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            text: text.as_bytes(),
+            at: 0,
+        };
         parser.value()
     }
 
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -76,7 +76,13 @@
             .stderr(output)
             .spawn();
         let process = process.expect("target/release/nutmegsaild is built");
-        Self { name, callers, ready, process, log }
+        Self {
+            name,
+            callers,
+            ready,
+            process,
+            log,
+        }
     }
 
     /// Waits until it is ready for callers; false if that takes too long.
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -138,13 +138,21 @@
 
     fn models(&self) -> String {
         let adapters = self.inner.adapters.lock().unwrap();
-        let listed: Vec<String> = adapters.iter().map(|name| format!("\"{name}@1\"")).collect();
-        format!("[{{\"name\":\"base\",\"version\":1,\"adapters\":[{}]}}]", listed.join(","))
+        let listed: Vec<String> = adapters
+            .iter()
+            .map(|name| format!("\"{name}@1\""))
+            .collect();
+        format!(
+            "[{{\"name\":\"base\",\"version\":1,\"adapters\":[{}]}}]",
+            listed.join(",")
+        )
     }
 
     /// The headers of an answer to `request`.
     pub fn sealed(&self, request: &Request) -> String {
-        let id = request.header("x-nutmegsail-request-id").unwrap_or_default();
+        let id = request
+            .header("x-nutmegsail-request-id")
+            .unwrap_or_default();
         format!(
             "X-Nutmegsail-Request-Id: {id}\r\nX-Nutmegsail-Server-Seal: seal-{}\r\n\
              X-Nutmegsail-Weight-Versions: 1\r\n",
@@ -158,7 +166,13 @@
 
     /// Whether the request with this id has reached it.
     pub fn has_seen(&self, id: &str) -> bool {
-        self.inner.seen.lock().unwrap().iter().rev().any(|(_, known, _)| known == id)
+        self.inner
+            .seen
+            .lock()
+            .unwrap()
+            .iter()
+            .rev()
+            .any(|(_, known, _)| known == id)
     }
 
     pub fn orders(&self) -> Vec<(Instant, String)> {
@@ -169,7 +183,12 @@
         let model = request.header("x-nutmegsail-model");
         let adapter = model.and_then(|model| model.split_once('/'));
         adapter.is_none_or(|(_, adapter)| {
-            self.inner.adapters.lock().unwrap().iter().any(|held| held == adapter)
+            self.inner
+                .adapters
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|held| held == adapter)
         })
     }
 
@@ -201,7 +220,11 @@
             }
             ("POST", "/-/order") => {
                 let order = String::from_utf8_lossy(&request.body).into_owned();
-                self.inner.orders.lock().unwrap().push((Instant::now(), order.clone()));
+                self.inner
+                    .orders
+                    .lock()
+                    .unwrap()
+                    .push((Instant::now(), order.clone()));
                 let order = crate::json::Json::parse(&order).unwrap_or(crate::json::Json::Null);
                 let adapter = order.get("adapter").text().to_owned();
                 let mut adapters = self.inner.adapters.lock().unwrap();
@@ -215,7 +238,9 @@
                 connection.answer(202, "", "{}").is_ok()
             }
             _ => {
-                let id = request.header("x-nutmegsail-request-id").unwrap_or_default();
+                let id = request
+                    .header("x-nutmegsail-request-id")
+                    .unwrap_or_default();
                 let line = format!("{} {}", request.method, request.target);
                 let mut seen = self.inner.seen.lock().unwrap();
                 seen.push((Instant::now(), id.to_owned(), line));
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -48,7 +48,12 @@
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.items.insert(key.to_owned(), item);
         let event = self.item(key);
         self.events.push((key.to_owned(), revision, event));
@@ -79,7 +84,9 @@
     }
 
     fn has_lease(&self, lease: u64) -> bool {
-        self.leases.get(&lease).is_some_and(|(end, _)| Instant::now() < *end)
+        self.leases
+            .get(&lease)
+            .is_some_and(|(end, _)| Instant::now() < *end)
     }
 }
 
@@ -186,7 +193,14 @@
 
     /// How often a node has renewed its lease.
     pub fn renewals(&self, node: usize) -> usize {
-        self.state.0.lock().unwrap().renewals.get(&node).copied().unwrap_or(0)
+        self.state
+            .0
+            .lock()
+            .unwrap()
+            .renewals
+            .get(&node)
+            .copied()
+            .unwrap_or(0)
     }
 
     fn is_cut_off(&self, node: usize) -> bool {
@@ -212,14 +226,20 @@
             ("GET", "/-/kv-range") => {
                 let (prefix, after) = (request.argument("pathPrefix"), request.argument("after"));
                 let keys = state.items.keys();
-                let keys: Vec<&String> =
-                    keys.filter(|key| key.starts_with(&prefix) && **key > after).collect();
+                let keys: Vec<&String> = keys
+                    .filter(|key| key.starts_with(&prefix) && **key > after)
+                    .collect();
                 let has_more = keys.len() > 500;
                 let items = keys.into_iter().take(500).map(|key| state.item(key));
                 let items: Vec<String> = items.collect();
                 let revision = state.revision;
                 let items = items.join(",");
-                (200, format!("{{\"items\":[{items}],\"hasMore\":{has_more},\"currentRev\":{revision}}}"))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{items}],\"hasMore\":{has_more},\"currentRev\":{revision}}}"
+                    ),
+                )
             }
             ("GET", "/-/kv-key") => {
                 let key = request.argument("key");
@@ -282,14 +302,19 @@
             if Self::is_refusing(&state, node) {
                 return (503, "{}".to_owned());
             }
-            let from = state.events.partition_point(|(_, revision, _)| *revision <= after);
+            let from = state
+                .events
+                .partition_point(|(_, revision, _)| *revision <= after);
             let events = state.events[from..].iter();
             let events = events.filter(|(key, ..)| key.starts_with(&prefix));
             let events: Vec<&str> = events.map(|(_, _, event)| event.as_str()).collect();
             let now = Instant::now();
             if !events.is_empty() || now >= until {
                 let (events, revision) = (events.join(","), state.revision);
-                return (200, format!("{{\"events\":[{events}],\"currentRev\":{revision}}}"));
+                return (
+                    200,
+                    format!("{{\"events\":[{events}],\"currentRev\":{revision}}}"),
+                );
             }
             state = self.state.1.wait_timeout(state, until - now).unwrap().0;
         }
@@ -314,7 +339,11 @@
         return (404, "{}".to_owned());
     }
     let removes = txn.get("remove").list();
-    if !puts.is_empty() || removes.iter().any(|key| state.items.contains_key(key.text())) {
+    if !puts.is_empty()
+        || removes
+            .iter()
+            .any(|key| state.items.contains_key(key.text()))
+    {
         state.revision += 1;
     }
     for put in puts {
