--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Request};
+use crate::json::Json;
 use crate::store::Store;
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -179,6 +180,35 @@
         self.inner.orders.lock().unwrap().clone()
     }
 
+    /// Carries an order out at once; returns the status of the answer.
+    fn order(&self, request: &Request) -> u16 {
+        let text = String::from_utf8_lossy(&request.body).into_owned();
+        let order = Json::parse(&text).unwrap_or(Json::Null);
+        self.inner
+            .orders
+            .lock()
+            .unwrap()
+            .push((Instant::now(), text));
+        if order.get("holder").text().is_empty() || *order.get("fence") == Json::Null {
+            return 400;
+        }
+        let mut adapters = self.inner.adapters.lock().unwrap();
+        let seq = self.inner.seq.load(Ordering::SeqCst);
+        if *order.get("expected") != Json::Null && order.get("expected").number() != seq {
+            return 409;
+        }
+        let adapter = order.get("adapter").text().to_owned();
+        let is_held = adapters.contains(&adapter);
+        match (order.get("op").text(), is_held) {
+            ("load", true) | ("unload", false) => return 200,
+            ("load", false) => adapters.push(adapter),
+            ("unload", true) => adapters.retain(|held| *held != adapter),
+            _ => return 400,
+        }
+        self.inner.seq.fetch_add(1, Ordering::SeqCst);
+        202
+    }
+
     fn holds(&self, request: &Request) -> bool {
         let model = request.header("x-nutmegsail-model");
         let adapter = model.and_then(|model| model.split_once('/'));
@@ -218,25 +248,7 @@
                 let json = "Content-Type: application/json\r\n";
                 connection.answer(200, json, &report).is_ok()
             }
-            ("POST", "/-/order") => {
-                let order = String::from_utf8_lossy(&request.body).into_owned();
-                self.inner
-                    .orders
-                    .lock()
-                    .unwrap()
-                    .push((Instant::now(), order.clone()));
-                let order = crate::json::Json::parse(&order).unwrap_or(crate::json::Json::Null);
-                let adapter = order.get("adapter").text().to_owned();
-                let mut adapters = self.inner.adapters.lock().unwrap();
-                match order.get("op").text() {
-                    "load" if !adapters.contains(&adapter) => adapters.push(adapter),
-                    "unload" => adapters.retain(|held| *held != adapter),
-                    _ => {}
-                }
-                drop(adapters);
-                self.inner.seq.fetch_add(1, Ordering::SeqCst);
-                connection.answer(202, "", "{}").is_ok()
-            }
+            ("POST", "/-/order") => connection.answer(self.order(request), "", "{}").is_ok(),
             _ => {
                 let id = request
                     .header("x-nutmegsail-request-id")
