Log which connection a send used, and the status of its answer

The first hypothesis of the incident (a refusal that counts for another send) shows in a log only if two sends of one request can be told to have used one connection, the second (a status that promises "not run" from an upstream that ran it) only if the answer's status is there. RequestEnded has both now, SendRefused the connection; connections of a pool are numbered for it. No decision changes.

--- a/crates/http-pool/src/connection.rs
+++ b/crates/http-pool/src/connection.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::{OpenError, Remote, prepare_socket};
+use crate::{ConnectionId, OpenError, Remote, prepare_socket};
 
 /// The largest read from a connection, in bytes, and with it all that is buffered of an answer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -39,6 +39,7 @@
 
 /// An open connection. Dropping it closes the socket at once, also in the midst of an answer.
 pub(crate) struct Connection {
+    pub(crate) id: ConnectionId,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     /// When the last answer on it ended.
@@ -64,6 +65,7 @@
 impl Connection {
     pub(crate) async fn open(
         address: &str,
+        id: ConnectionId,
         connect_timeout: Duration,
         permit: OwnedSemaphorePermit,
     ) -> Result<Self, OpenError> {
@@ -80,6 +82,7 @@
         let opened = timeout(connect_timeout, open).await;
         let (sender, driver) = opened.unwrap_or(Err(OpenError::Silent))?;
         Ok(Self {
+            id,
             sender,
             driver: tokio::spawn(async move {
                 // A failure reaches whoever waits for the answer; nobody else needs it.
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -6,12 +6,14 @@
 //! Start at [`Pool`].
 
 mod connection;
+mod connection_id;
 mod framing;
 mod pool;
 mod pooled_body;
 mod send_error;
 mod socket;
 
+pub use connection_id::ConnectionId;
 pub use framing::{Framing, ends_with_connection};
 pub use pool::{Pool, PoolSettings};
 pub use pooled_body::PooledBody;
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -1,6 +1,7 @@
 //! The pool of connections.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{Connection, Failed};
-use crate::{Framing, OpenError, PooledBody, SendError};
+use crate::{ConnectionId, Framing, OpenError, PooledBody, SendError};
 
 /// How a [`Pool`] keeps connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,6 +65,7 @@
 pub(crate) struct Shared {
     settings: PoolSettings,
     hosts: Mutex<HashMap<Arc<str>, Host>>,
+    next_connection: AtomicU64,
 }
 
 /// The connections of one address.
@@ -91,7 +93,11 @@
     pub fn new(settings: PoolSettings) -> Self {
         let hosts = Mutex::default();
         Self {
-            shared: Arc::new(Shared { settings, hosts }),
+            shared: Arc::new(Shared {
+                settings,
+                hosts,
+                next_connection: AtomicU64::default(),
+            }),
         }
     }
 
@@ -164,7 +170,8 @@
     async fn connect(&self, address: &str) -> Result<Connection, OpenError> {
         let permit = self.shared.permit(address)?;
         let connect_timeout = self.shared.settings.connect_timeout;
-        Connection::open(address, connect_timeout, permit).await
+        let id = ConnectionId(self.shared.next_connection.fetch_add(1, Ordering::Relaxed));
+        Connection::open(address, id, connect_timeout, permit).await
     }
 
     async fn send_on(
--- a/crates/http-pool/src/pooled_body.rs
+++ b/crates/http-pool/src/pooled_body.rs
@@ -9,7 +9,7 @@
 
 use crate::connection::Connection;
 use crate::pool::Home;
-use crate::{Framing, SendError};
+use crate::{ConnectionId, Framing, SendError};
 
 /// The body of an answer as it arrives. Nothing is read ahead beyond one read of the connection.
 ///
@@ -18,6 +18,7 @@
 pub struct PooledBody {
     body: Incoming,
     framing: Framing,
+    connection_id: ConnectionId,
     connection: Option<Connection>,
     home: Home,
 }
@@ -32,6 +33,7 @@
         let mut this = Self {
             body,
             framing,
+            connection_id: connection.id,
             connection: Some(connection),
             home,
         };
@@ -46,6 +48,11 @@
         self.framing
     }
 
+    /// The connection that it arrives on.
+    pub fn connection_id(&self) -> ConnectionId {
+        self.connection_id
+    }
+
     /// Gives the connection back, if it can carry another request.
     fn release(&mut self) {
         if let Some(connection) = self.connection.take()
--- a/crates/relay-node/src/traffic/in_flight.rs
+++ b/crates/relay-node/src/traffic/in_flight.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::StatusCode;
 use nutmegsail_base::{RequestId, ResultCode, TeamName};
+use nutmegsail_http_pool::ConnectionId;
 use nutmegsail_relay::{
     BrokenRequest, Choice, ModelRef, Outcome, RequestTraits, STARTUP_PERIOD, SlotEnd, StreamKey,
     Upstream,
@@ -28,6 +30,8 @@
     pending_prompt_tokens: u64,
     expected_ms: f64,
     sent: Instant,
+    /// The connection and status of the answer.
+    answered: Option<(ConnectionId, StatusCode)>,
     /// When the first part of the answer's body arrived.
     first: Option<Instant>,
     /// Whether the outcome was recorded for the upstream. A failure is recorded with the answer's
@@ -82,6 +86,7 @@
             pending_prompt_tokens,
             expected_ms: choice.expected_ms,
             sent: now,
+            answered: None,
             first: None,
             has_outcome: false,
             is_ended: false,
@@ -110,6 +115,12 @@
         reach.record_contact(&self.upstream.service, Instant::now());
     }
 
+    /// Records that the head of the answer arrived.
+    pub(super) fn record_head(&mut self, connection: ConnectionId, status: StatusCode) {
+        self.answered = Some((connection, status));
+        self.record_contact();
+    }
+
     /// The upstream that it was sent to.
     pub(super) fn upstream(&self) -> &Upstream {
         &self.upstream
@@ -309,6 +320,8 @@
             "first_ms" => first.map(|first| first.as_millis()),
             "took_ms" => self.sent.elapsed().as_millis(), "is_settled" => self.has_outcome,
             "tokens" => self.pending_prompt_tokens,
+            "status" => self.answered.map(|(_, status)| status.as_u16()),
+            "connection" => self.answered.map(|(connection, _)| connection.to_string()),
             "forwarded_by" => self.forwarded.as_ref().map(|guard| guard.from.to_string()),
             "framing" => self.body.map(|body| body.framing.to_string()),
             "end" => self.body.map(|body| body.end.to_string()),
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Response, StatusCode, Version, header};
-use nutmegsail_http_pool::{Framing, OpenError, PooledBody, SendError};
+use nutmegsail_http_pool::{ConnectionId, Framing, OpenError, PooledBody, SendError};
 use nutmegsail_relay::{CallKind, Choice, HeldAdapter};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep_until;
@@ -126,7 +126,8 @@
         mut in_flight: InFlight,
         answer: Response<PooledBody>,
     ) -> SendOutcome {
-        in_flight.record_contact();
+        let connection = answer.body().connection_id();
+        in_flight.record_head(connection, answer.status());
         let meta = self.dialect.read_answer(answer.status(), answer.headers());
         self.record_upstream_notice(call, &choice.upstream, &meta);
         self.crash_watch
@@ -141,7 +142,7 @@
             return SendOutcome::Lost;
         }
         if meta.verdict != Verdict::Answered {
-            self.log_refused(call, choice, meta.verdict);
+            self.log_refused(call, choice, meta.verdict, connection);
         }
         match meta.verdict {
             Verdict::Full => {
@@ -180,7 +181,13 @@
         );
     }
 
-    fn log_refused(&self, call: &Call, choice: &Choice, verdict: Verdict) {
+    fn log_refused(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        verdict: Verdict,
+        connection: ConnectionId,
+    ) {
         let now = Instant::now();
         let dispatcher = self.dispatcher.borrow();
         let tracked = dispatcher.tracked(&choice.upstream.id);
@@ -188,7 +195,7 @@
         log_event!(
             self.log, Event::SendRefused,
             "request" => call.id.to_string(), "upstream" => choice.upstream.id.to_string(),
-            "verdict" => format!("{verdict:?}"), "age_ms" => call.began.elapsed().as_millis(),
+            "verdict" => format!("{verdict:?}"), "connection" => connection.to_string(), "age_ms" => call.began.elapsed().as_millis(),
             "model" => call.meta.model.as_ref().map(ToString::to_string),
             "version" => choice.version, "holdings_age_ms" => reported_age.map(|age| age.as_millis())
         );
