Send a request again on another connection than the one that carried it

Callers' streams that must run once ran twice. Cause: an answer is told from others by the id of its request, and an engine that answered 421 gets the same request again, mostly on the same connection, as the pool takes the one used last. If the engine answers the first send twice, the second 421 passes for the answer to the second send, which runs; the node sends a third time.

A connection now remembers the last 16 requests that it carried, by what their answers echo, and carries none of them again. So an answer with a request's id on a connection belongs to the one send there. The rule is in the pool and holds for forwarded requests, which are calls of their own. The late 421 then meets another request, whose id it doesn't have, and is dropped with its connection as before.

Cost: a new connection for each request that is sent again to the same engine, unless another one is idle.

--- a/crates/http-pool/src/connection.rs
+++ b/crates/http-pool/src/connection.rs
@@ -1,5 +1,6 @@
 //! One connection with the task that drives it.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,7 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::{ConnectionId, OpenError, Remote, prepare_socket};
+use crate::{AnswerId, ConnectionId, OpenError, Remote, prepare_socket};
 
 /// The largest read from a connection, in bytes, and with it all that is buffered of an answer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -29,6 +30,10 @@
 /// some seconds while it works; one that sends them without end would be read until the deadline.
 const MAX_INFORMATIONAL: usize = 64;
 
+/// How many requests of a connection are remembered. An answer that comes twice comes the second
+/// time where the answer to the next request is expected, or a few requests later.
+const REMEMBERED_REQUESTS: usize = 16;
+
 /// A request that was given to a connection and came to nothing.
 pub(crate) enum Failed {
     /// No byte of it was written; here it is again.
@@ -46,6 +51,8 @@
     pub(crate) idle_since: Instant,
     /// How long it may be kept without use, as the other end last said; none if it did not say.
     pub(crate) keep_for: Option<Duration>,
+    /// What the answers to the last requests echo.
+    carried: VecDeque<AnswerId>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -90,6 +97,7 @@
             }),
             idle_since: Instant::now(),
             keep_for: None,
+            carried: VecDeque::new(),
             _permit: permit,
         })
     }
@@ -99,6 +107,19 @@
         self.sender.is_closed()
     }
 
+    /// Whether an answer to an earlier request could pass for one that echoes `id`.
+    pub(crate) fn has_carried(&self, id: AnswerId) -> bool {
+        self.carried.contains(&id)
+    }
+
+    /// Records a request whose answer echoes `id`.
+    pub(crate) fn record_carried(&mut self, id: AnswerId) {
+        if self.carried.len() == REMEMBERED_REQUESTS {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(id);
+    }
+
     /// Whether a kept connection can carry the next request.
     ///
     /// Its driver may still be about to note that the last answer has ended; that takes one turn of
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -11,6 +11,7 @@
 mod pool;
 mod pooled_body;
 mod send_error;
+mod send_options;
 mod socket;
 
 pub use connection_id::ConnectionId;
@@ -18,4 +19,5 @@
 pub use pool::{Pool, PoolSettings};
 pub use pooled_body::PooledBody;
 pub use send_error::{OpenError, SendError};
+pub use send_options::{AnswerId, SendOptions};
 pub use socket::{Remote, prepare_socket, set_reset_on_close};
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{Connection, Failed};
-use crate::{ConnectionId, Framing, OpenError, PooledBody, SendError};
+use crate::{ConnectionId, Framing, OpenError, PooledBody, SendError, SendOptions};
 
 /// How a [`Pool`] keeps connections.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -114,23 +114,36 @@
         address: &str,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.send_after(address, request, Duration::MAX).await
+        self.send_with(address, request, &SendOptions::default())
+            .await
     }
 
-    /// Sends `request` like [`send`](Self::send), on a kept connection only if that was last used
-    /// within `max_idle`.
+    /// Sends `request` like [`send`](Self::send), on a connection that `options` allow.
     ///
-    /// The other end may drop an idle connection unseen, and then what is sent on it is lost. A
-    /// request that must not be sent twice takes a connection that was used a moment ago.
+    /// ```no_run
+    /// # async fn example() -> Result<(), nutmegsail_http_pool::SendError> {
+    /// use std::time::Duration;
+    /// use nutmegsail_http_pool::{AnswerId, Pool, PoolSettings, SendOptions};
+    ///
+    /// let pool = Pool::new(PoolSettings::default());
+    /// let options = SendOptions {
+    ///     max_idle: Duration::from_secs(3),
+    ///     answer_id: Some(AnswerId::of(b"booking-7")),
+    /// };
+    /// let request = http::Request::post("/bookings").body(Default::default()).unwrap();
+    /// pool.send_with("127.0.0.1:7000", request, &options).await?;
+    /// # Ok(())
+    /// # }
+    /// ```
     ///
     /// # Errors
     ///
     /// As [`send`](Self::send).
-    pub async fn send_after(
+    pub async fn send_with(
         &self,
         address: &str,
         mut request: Request<Full<Bytes>>,
-        max_idle: Duration,
+        options: &SendOptions,
     ) -> Result<Response<PooledBody>, SendError> {
         if let Ok(host) = address.parse() {
             request
@@ -138,18 +151,18 @@
                 .entry(http::header::HOST)
                 .or_insert(host);
         }
-        while let Some(mut connection) = self.shared.take_idle(address, max_idle) {
+        while let Some(mut connection) = self.shared.take_idle(address, options) {
             if !connection.is_usable().await {
                 continue;
             }
-            match self.send_on(connection, address, request).await {
+            match self.send_on(connection, address, request, options).await {
                 Ok(answer) => return Ok(answer),
                 Err(Failed::Unsent(unsent)) => request = *unsent,
                 Err(Failed::MaybeSent) => return Err(SendError::Broken),
             }
         }
         let connection = self.connect(address).await?;
-        let answer = self.send_on(connection, address, request).await;
+        let answer = self.send_on(connection, address, request, options).await;
         answer.map_err(|failed| match failed {
             Failed::Unsent(_) => SendError::NotSent(OpenError::Refused),
             Failed::MaybeSent => SendError::Broken,
@@ -179,7 +192,11 @@
         mut connection: Connection,
         address: &str,
         request: Request<Full<Bytes>>,
+        options: &SendOptions,
     ) -> Result<Response<PooledBody>, Failed> {
+        if let Some(id) = options.answer_id {
+            connection.record_carried(id);
+        }
         let method = request.method().clone();
         let answer = connection.send(request).await?;
         let framing = Framing::of(&method, answer.status(), answer.headers());
@@ -193,13 +210,16 @@
 }
 
 impl Shared {
-    fn take_idle(&self, address: &str, max_idle: Duration) -> Option<Connection> {
+    fn take_idle(&self, address: &str, options: &SendOptions) -> Option<Connection> {
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let host = hosts.get_mut(address)?;
         host.drop_unusable(&self.settings);
         // The one used last is the least likely to have been closed meanwhile.
-        host.idle
-            .pop_if(|kept| kept.idle_since.elapsed() <= max_idle)
+        let chosen = host.idle.iter().rposition(|kept| {
+            let has_carried = options.answer_id.is_some_and(|id| kept.has_carried(id));
+            !has_carried && kept.idle_since.elapsed() <= options.max_idle
+        })?;
+        Some(host.idle.remove(chosen))
     }
 
     fn permit(&self, address: &str) -> Result<OwnedSemaphorePermit, OpenError> {
--- a/crates/http-pool/tests/once.rs
+++ b/crates/http-pool/tests/once.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
-use nutmegsail_http_pool::{OpenError, Pool, PoolSettings, PooledBody, SendError};
+use nutmegsail_http_pool::{
+    AnswerId, OpenError, Pool, PoolSettings, PooledBody, SendError, SendOptions,
+};
 use scripted_server::{ScriptedServer, SeenRequest, Turn, answer};
 use tokio::net::TcpListener;
 
@@ -52,6 +54,28 @@
     assert_eq!(lines, ["GET /1", "GET /confirm", "GET /2"]);
 }
 
+// Guards against a second answer to a request that passes for the answer to the same request, sent again.
+#[tokio::test]
+async fn a_connection_carries_a_request_of_one_id_once() {
+    let ok_and_hang = Turn::AnswerAndHang(answer(200, "", "ok"));
+    let server = ScriptedServer::start([ok(), ok_and_hang, ok()]).await;
+    let pool = Pool::new(PoolSettings::default());
+    let mut connections = Vec::new();
+    for id in ["r1", "r2", "r1"] {
+        let options = SendOptions {
+            answer_id: Some(AnswerId::of(id.as_bytes())),
+            ..SendOptions::default()
+        };
+        let sending = pool.send_with(&server.address, get("/1"), &options);
+        let answer = sending.await.unwrap();
+        connections.push(answer.body().connection_id());
+        whole(answer).await.unwrap();
+    }
+    assert_eq!(connections[0], connections[1]);
+    assert_ne!(connections[1], connections[2]);
+    assert_eq!((server.seen().len(), server.connections()), (3, 2));
+}
+
 /// A service closes connections that it finds idle. The next request finds the closed connection
 /// before a byte was written, so it goes out on a fresh one and the caller sees nothing of it.
 #[tokio::test]
--- a/crates/relay-node/src/control/orders.rs
+++ b/crates/relay-node/src/control/orders.rs
@@ -6,6 +6,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use nutmegsail_base::UpstreamId;
+use nutmegsail_http_pool::SendOptions;
 use nutmegsail_relay::{LoadSource, ModelRef, OrderPermit, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::timeout;
@@ -46,7 +47,11 @@
         max_idle: Duration,
     ) -> Option<Response<Bytes>> {
         let exchange = async {
-            let sending = self.pool.send_after(address, request, max_idle);
+            let options = SendOptions {
+                max_idle,
+                ..SendOptions::default()
+            };
+            let sending = self.pool.send_with(address, request, &options);
             let answer = sending.await.ok()?;
             let (head, body) = answer.into_parts();
             let body = Limited::new(body, BODY_LIMIT_BYTES);
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Response, StatusCode, Version, header};
-use nutmegsail_http_pool::{ConnectionId, Framing, OpenError, PooledBody, SendError};
+use nutmegsail_http_pool::{
+    AnswerId, ConnectionId, Framing, OpenError, PooledBody, SendError, SendOptions,
+};
 use nutmegsail_relay::{CallKind, Choice, HeldAdapter};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep_until;
@@ -83,11 +85,15 @@
             .record_prompt(&upstream.id, &call.prompt, now);
         let address = upstream.address.to_string();
         let head_timeout = head_timeout(call, has_alternative, remaining);
-        let max_idle = match call.route.kind.may_retry() {
-            true => Duration::MAX,
-            false => NON_RETRYABLE_MAX_IDLE,
+        let request_id = call.meta.request_id.as_ref();
+        let options = SendOptions {
+            max_idle: match call.route.kind.may_retry() {
+                true => Duration::MAX,
+                false => NON_RETRYABLE_MAX_IDLE,
+            },
+            answer_id: request_id.map(|id| AnswerId::of(id.as_bytes())),
         };
-        let sending = self.pool.send_after(&address, request, max_idle);
+        let sending = self.pool.send_with(&address, request, &options);
         let answer = match tokio::time::timeout(head_timeout, sending).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::NotSent(why))) => {
