Answer 502 for a failure that ran and has a status of requests that did not

Callers' once-only requests could run twice. Cause: 408, 429 and 503 promise callers that a request has not run, and they send it again; an upstream may answer so without the mark "not executed" after it ran the request, and the node passed the status on.

Such an answer now counts as lost: the caller gets NS3002 (502, may have run), the upstream a failure, and SendLost says why. Requests that may be repeated get the answer as before. Which statuses promise so is said by the dialect.

--- a/crates/relay-node/src/dialect.rs
+++ b/crates/relay-node/src/dialect.rs
@@ -73,6 +73,8 @@
     /// Whether the answer has the upstream's signature. One without it was not produced by the
     /// upstream.
     pub is_sealed: bool,
+    /// Whether callers take the status as a statement that the request has not run.
+    pub has_not_run_status: bool,
     /// The name of the upstream that answered, if stated.
     pub upstream: Option<HeaderValue>,
     /// What the upstream states about itself.
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -170,6 +170,12 @@
             in_flight.record_broken();
             return SendOutcome::Lost;
         }
+        // The upstream has run it, or may have, and its caller would send it again.
+        if meta.has_not_run_status && !call.route.kind.may_retry() {
+            self.log_lost(call, choice, "the status wrongly says that it has not run");
+            in_flight.record_broken();
+            return SendOutcome::Lost;
+        }
         if status.is_server_error() {
             in_flight.record_broken();
             return SendOutcome::Failed(UpstreamAnswer { answer, in_flight });
