End forwarded streams whose node is suspended

Two upstreams ran one stream: a node without upstreams forwards a stream to a peer and is suspended; its caller takes the stream up at a third node, and the peer, in touch and in reach, has the first upstream run on to the deadline. Cause: a peer ends forwarded work only when the hop's connection ends, and a suspended process keeps its connections.

While a node has requests at a peer it says so there every 200 ms. A peer that hears nothing for eight rounds, 1.6 s, ends what that node forwarded and may be repeated, before callers, who leave after 2 s, can have it run elsewhere for 0.4 s. Once-only requests run on. Rounds are counted, not time, so that the peer's own pause is no silence of others.

Cost: five datagrams of some 40 bytes a second for each peer that has requests, during a cut only.

--- a/crates/relay-node/src/control/exchange.rs
+++ b/crates/relay-node/src/control/exchange.rs
@@ -573,6 +573,9 @@
         Ok(Message::Traffic(TrafficMessage::Streams(message))) => {
             handle_stream_message(control, socket, message, sender);
         }
+        Ok(Message::Traffic(TrafficMessage::Forward(ForwardMessage::Waiting(node)))) => {
+            control.shared.forwarders().record_alive(node);
+        }
         // Only traffic threads ask, and answers go to their own sockets.
         Ok(Message::Traffic(TrafficMessage::Forward(ForwardMessage::Answer(_)))) => {}
         Ok(Message::Suspects {
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -153,6 +153,7 @@
         serve(callers, Origin::Caller);
         serve(forwarded, Origin::Peer);
         spawn_local(traffic::watch_reach(Rc::clone(&gateway)));
+        spawn_local(traffic::watch_forwarders(Rc::clone(&gateway)));
         spawn_local(traffic::renew_slots(Rc::clone(&gateway)));
         spawn_local(traffic::watch_delay(Rc::clone(&gateway)));
         spawn_local(traffic::receive_answers(Rc::clone(&gateway)));
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -10,10 +10,10 @@
 use derive_more::Display;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
 use nutmegsail_relay::{
-    AccessRules, BrittleServices, DomainContacts, Holdings, HoldingsReport, KnownPace,
-    LoadCandidate, LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer, RateLimits,
-    RouteTable, StoreAnswer, StreamKey, Suspects, Upstream, UpstreamNotices, UpstreamReach,
-    Versions, WantedCopies,
+    AccessRules, BrittleServices, DomainContacts, ForwarderWatch, Holdings, HoldingsReport,
+    KnownPace, LoadCandidate, LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer,
+    RateLimits, RouteTable, StoreAnswer, StreamKey, Suspects, Upstream, UpstreamNotices,
+    UpstreamReach, Versions, WantedCopies,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -330,6 +330,7 @@
     limits: Mutex<RateLimits>,
     notices: Mutex<UpstreamNotices>,
     reach: Mutex<UpstreamReach>,
+    forwarders: Mutex<ForwarderWatch>,
     brittle: Mutex<BrittleServices>,
     pub(crate) paced: PacedServices,
     pub(crate) streams: Mutex<KnownStreams>,
@@ -367,6 +368,7 @@
             limits: Mutex::default(),
             notices: Mutex::default(),
             reach: Mutex::default(),
+            forwarders: Mutex::default(),
             brittle: Mutex::new(BrittleServices::starting(Instant::now())),
             paced: PacedServices::default(),
             streams: Mutex::default(),
@@ -435,6 +437,13 @@
         self.reach.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The nodes that wait here for answers to requests that they have forwarded.
+    pub(crate) fn forwarders(&self) -> MutexGuard<'_, ForwarderWatch> {
+        self.forwarders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The services whose upstreams fall over if they have to refuse many requests.
     pub(crate) fn brittle(&self) -> MutexGuard<'_, BrittleServices> {
         self.brittle.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay-node/src/traffic/forward.rs
+++ b/crates/relay-node/src/traffic/forward.rs
@@ -17,11 +17,13 @@
 use nutmegsail_relay::{CallKind, Peer, SoftwareVersion, StreamKey, StreamOrigin, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use super::answer_body::AnswerCut;
 use super::answer_end::BodySummary;
 use super::call::Call;
 use super::forward_header::{self, ForwardHeader};
+use super::forwarders::ForwardedCallGuard;
 use super::gateway::{Gateway, PendingRequest, SendHistory};
 use super::refuse::RefusalReason;
 use crate::shared::Shared;
@@ -54,14 +56,20 @@
     shared: Arc<Shared>,
     /// The node that forwarded it.
     pub(super) from: NodeId,
+    _call: ForwardedCallGuard,
 }
 
 impl ForwardedGuard {
-    fn new(shared: &Arc<Shared>, from: NodeId) -> Self {
+    fn new(gateway: &Gateway, request: PeerRequest, kind: CallKind) -> Self {
+        let PeerRequest { header, abandoned } = request;
+        let shared = Arc::clone(&gateway.shared);
         shared.forwarded.fetch_add(1, Ordering::Relaxed);
+        shared.forwarders().record_request(&header.from);
+        let calls = &gateway.forwarded_calls;
         Self {
-            shared: Arc::clone(shared),
-            from,
+            shared,
+            _call: calls.begin(header.from.clone(), kind, abandoned),
+            from: header.from,
         }
     }
 }
@@ -72,6 +80,13 @@
     }
 }
 
+/// A request that another node forwards.
+pub(super) struct PeerRequest {
+    pub(super) header: ForwardHeader,
+    /// Closes the connection that it came on.
+    pub(super) abandoned: CancellationToken,
+}
+
 /// What is known of a request that another node forwarded.
 pub(crate) struct ForwardedFrom {
     /// What happened to its sends at that node.
@@ -81,14 +96,14 @@
 }
 
 impl ForwardedFrom {
-    pub(super) fn new(header: &ForwardHeader, shared: &Arc<Shared>) -> Self {
+    pub(super) fn new(gateway: &Gateway, request: PeerRequest, kind: CallKind) -> Self {
         Self {
             sends: SendHistory {
-                arrived: header.arrived as usize,
-                may_have_run: header.may_have_run,
+                arrived: request.header.arrived as usize,
+                may_have_run: request.header.may_have_run,
                 ..SendHistory::default()
             },
-            guard: Rc::new(ForwardedGuard::new(shared, header.from.clone())),
+            guard: Rc::new(ForwardedGuard::new(gateway, request, kind)),
         }
     }
 }
@@ -111,7 +126,10 @@
 
 impl ForwardInFlight {
     fn begin(gateway: &Rc<Gateway>, call: &Call, peer: &Peer) -> Self {
-        gateway.forward_peers.borrow_mut().record_sent(peer);
+        let is_only = gateway.forward_peers.borrow_mut().record_sent(peer);
+        if is_only {
+            gateway.announce_waiting(peer.address);
+        }
         Self {
             gateway: Rc::clone(gateway),
             peer: peer.clone(),
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -23,6 +23,7 @@
 use super::answer_body::AnswerBody;
 use super::call::Call;
 use super::forward::{Forwarded, PeerAnswered};
+use super::forwarders::ForwardedCalls;
 use super::limits::LocalRateBuckets;
 use super::overload::Overload;
 use super::peer_socket::PeerSocket;
@@ -100,6 +101,8 @@
     pub(super) usual_timeouts: RefCell<HashMap<Arc<str>, UsualTimeout>>,
     /// The nodes that requests are forwarded to while their upstreams cannot be reached.
     pub(super) forward_peers: RefCell<ForwardPeers>,
+    /// The requests of other nodes that this one handles.
+    pub(super) forwarded_calls: ForwardedCalls,
     /// Notified when a probe may be due before the next regular check.
     pub(super) reach_suspected: Notify,
     /// Notified when a service can no longer be reached, or can be reached again.
@@ -211,6 +214,7 @@
             node: parts.node,
             failure_domain,
             forward_peers: RefCell::new(forward_peers),
+            forwarded_calls: ForwardedCalls::default(),
             reach_suspected: Notify::new(),
             reach_changed: Notify::new(),
             shared: parts.shared,
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -29,7 +29,7 @@
 use super::answer_body::AnswerBody;
 use super::call::{Call, has_received_events};
 use super::caller_socket::{AnswerInProgress, CallerSocket};
-use super::forward::ForwardedFrom;
+use super::forward::{ForwardedFrom, PeerRequest};
 use super::forward_header::{self, ForwardHeader};
 use super::gateway::Gateway;
 use super::refuse::{self, RefusalReason, RefusedWith};
@@ -116,12 +116,15 @@
     let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.header_bytes);
     let in_progress = Rc::new(AnswerInProgress::default());
     let socket = CallerSocket::new(stream, Rc::clone(&in_progress));
+    // Cancelled once the node that forwards a request falls silent.
+    let abandoned = CancellationToken::new();
     let service = service_fn(|request| {
         let (gateway, in_progress) = (Rc::clone(&gateway), Rc::clone(&in_progress));
+        let abandoned = abandoned.clone();
         let version = request.version();
         in_progress.deadline.set(None);
         async move {
-            let answer = gateway.answer(request, origin).await;
+            let answer = gateway.answer(request, origin, abandoned).await;
             let ends_connection = ends_with_connection(&answer, version);
             in_progress.ends_connection.set(ends_connection);
             in_progress.deadline.set(answer.body().deadline());
@@ -138,9 +141,10 @@
     tokio::select! {
         // The caller disconnected or broke the protocol; nobody is left to receive an error.
         _ = connection.as_mut() => return,
+        () = abandoned.cancelled() => return,
         () = close.cancelled() => connection.as_mut().graceful_shutdown(),
     }
-    let _ = connection.await;
+    let _ = abandoned.run_until_cancelled(connection).await;
 }
 
 /// Why a request is refused before routing.
@@ -180,6 +184,7 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         origin: Origin,
+        abandoned: CancellationToken,
     ) -> Response<AnswerBody> {
         let began = Instant::now();
         let (mut parts, body) = request.into_parts();
@@ -187,7 +192,8 @@
         let id = request_id(meta.as_ref().ok());
         let forwarded = match origin {
             Origin::Caller => Ok(None),
-            Origin::Peer => read_forward_header(&mut parts.headers).map(Some),
+            Origin::Peer => read_forward_header(&mut parts.headers)
+                .map(|header| Some(PeerRequest { header, abandoned })),
         };
         let read = match forwarded {
             Ok(forwarded) => self.read(parts, body, meta, forwarded, began).await,
@@ -225,13 +231,13 @@
         mut parts: Parts,
         body: Incoming,
         meta: Result<CallMeta, crate::BadHeader>,
-        forwarded: Option<ForwardHeader>,
+        forwarded: Option<PeerRequest>,
         began: Instant,
     ) -> Result<Call, EarlyRefusal> {
         let meta = meta.map_err(|bad| EarlyRefusal::new(ResultCode::BadHeader, bad.to_string()))?;
         let meta = match &forwarded {
-            Some(header) => CallMeta {
-                key: header.key,
+            Some(request) => CallMeta {
+                key: request.header.key,
                 ..meta
             },
             None => meta,
@@ -250,7 +256,7 @@
         let table = view.table.clone().unwrap_or(table);
         if forwarded
             .as_ref()
-            .is_some_and(|header| !header.may_be_handled_by(table.version))
+            .is_some_and(|request| !request.header.may_be_handled_by(table.version))
         {
             let detail = "an older configuration is in force here";
             return Err(EarlyRefusal::new(ResultCode::NoTextInForce, detail));
@@ -304,10 +310,10 @@
         let model = meta.model.as_ref();
         let prompt = model.map(|model| PromptPrefix::new(model, &meta.prompt_parts));
         let waited_before = match &forwarded {
-            Some(header) => Duration::from_millis(u64::from(header.waited_ms)),
+            Some(request) => Duration::from_millis(u64::from(request.header.waited_ms)),
             None => self.waited_before(&route.name, meta.deadline),
         };
-        let forwarded = forwarded.map(|header| ForwardedFrom::new(&header, &self.shared));
+        let forwarded = forwarded.map(|request| ForwardedFrom::new(self, request, route.kind));
         let software = origin.map(|origin| SoftwareRule::Only(origin.software));
         Ok(Call {
             route: route.clone(),
--- a/crates/relay-node/src/traffic/mod.rs
+++ b/crates/relay-node/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod crash_check;
 mod forward;
 mod forward_header;
+mod forwarders;
 mod gateway;
 mod in_flight;
 mod limits;
@@ -36,6 +37,7 @@
 
 pub(crate) use answer_end::BodySummary;
 pub(crate) use forward::MAX_FORWARDED;
+pub(crate) use forwarders::watch_forwarders;
 pub(crate) use gateway::{Gateway, GatewayParts};
 pub(crate) use listener::{Origin, serve};
 pub(crate) use overload::watch_delay;
--- a/crates/relay-node/src/traffic_message.rs
+++ b/crates/relay-node/src/traffic_message.rs
@@ -1,6 +1,6 @@
 //! Messages between the traffic thread of one node and the control thread of another.
 
-use nutmegsail_base::{ServiceName, UpstreamId};
+use nutmegsail_base::{NodeId, ServiceName, UpstreamId};
 use nutmegsail_quota::QuotaMessage;
 use nutmegsail_relay::{
     LimitUpdate, OriginRecord, PeerAnswer, PromptAnswer, PromptAsk, SlotAnswer, SlotEnd,
@@ -55,6 +55,8 @@
     Ask(Vec<ServiceName>),
     /// The answer to an `Ask`.
     Answer(PeerAnswer),
+    /// This node waits for answers to requests that it has forwarded to the receiver.
+    Waiting(NodeId),
 }
 
 /// A stream that a node keeps for another one.
--- a/crates/relay/src/forward_peers.rs
+++ b/crates/relay/src/forward_peers.rs
@@ -70,6 +70,8 @@
 pub struct ForwardPeers {
     failure_domain: FailureDomain,
     peers: HashMap<SocketAddr, KnownPeer>,
+    /// The requests of this node at each peer, whether it is still listed or not.
+    awaited: HashMap<SocketAddr, u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -86,6 +88,7 @@
         Self {
             failure_domain,
             peers: HashMap::new(),
+            awaited: HashMap::new(),
         }
     }
 
@@ -141,20 +144,34 @@
         }
     }
 
-    /// Records that a request was forwarded to a peer.
-    pub fn record_sent(&mut self, peer: &Peer) {
+    /// Records that a request was forwarded to a peer. Returns whether it has no other request of
+    /// this node.
+    pub fn record_sent(&mut self, peer: &Peer) -> bool {
+        let awaited = self.awaited.entry(peer.address).or_default();
+        *awaited += 1;
+        let is_only = *awaited == 1;
         if let Some(known) = self.peers.get_mut(&peer.address) {
             known.in_flight += 1;
         }
+        is_only
     }
 
     /// Records that a forwarded request ended.
     pub fn record_ended(&mut self, peer: &Peer) {
+        if let Some(count) = self.awaited.get_mut(&peer.address) {
+            *count = count.saturating_sub(1);
+        }
+        self.awaited.retain(|_, count| *count > 0);
         if let Some(known) = self.peers.get_mut(&peer.address) {
             known.in_flight = known.in_flight.saturating_sub(1);
         }
     }
 
+    /// The addresses of the peers that have requests of this node.
+    pub fn awaited(&self) -> impl Iterator<Item = SocketAddr> {
+        self.awaited.keys().copied()
+    }
+
     /// Selects a peer that reaches `service` and is not in `tried`: the one with the least load,
     /// of the own failure domain unless those have much more.
     pub fn choose(
