End requests of callers that left after sending more than a request

Cause: hyper reads nothing while a request is in progress and it holds bytes of the next one, so the end of the connection behind them stays unread.

A flush of the caller's socket, which hyper polls with the connection, peeks for the end and fails. A peek makes a call to the kernel only if the socket is readable.

What remains: a caller that sent so much more that bytes are left in the kernel is seen to leave only at the next write.

--- a/crates/relay-node/src/traffic/caller_socket.rs
+++ b/crates/relay-node/src/traffic/caller_socket.rs
@@ -25,6 +25,9 @@
 /// connection is reset, also when the process is killed: closed in order, the answer would look
 /// whole.
 ///
+/// A flush fails once the caller has closed the connection. hyper does not read while a request is in
+/// progress and it holds bytes of the next one, so that it would not see the close.
+///
 /// A write that waits for the caller fails at the answer's deadline. A body is not read on while a
 /// write waits, so a caller that reads nothing would keep the upstream's connection open without end.
 pub(super) struct CallerSocket {
@@ -67,6 +70,16 @@
             .map(|()| Err(ErrorKind::TimedOut.into()))
     }
 
+    /// Whether the caller has closed the connection, unless bytes that were not read come before.
+    fn is_closed(&self, cx: &mut Context<'_>) -> bool {
+        let mut byte = [0];
+        match self.stream.poll_peek(cx, &mut ReadBuf::new(&mut byte)) {
+            Poll::Ready(Ok(unread)) => unread == 0,
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
     /// Before the first byte of such an answer is written, lets the connection be reset when it is
     /// closed.
     fn prepare_write(&mut self) -> io::Result<()> {
@@ -114,6 +127,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_closed(cx) {
+            return Poll::Ready(Err(ErrorKind::ConnectionAborted.into()));
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
