Box the demo's answers

Clippy refuses an enum whose largest variant exceeds the next by 240 bytes; answers of the pool grew by the id and the memory of their connection. The node's program is not touched.

--- a/crates/nutmegsail/src/demo/callers_client.rs
+++ b/crates/nutmegsail/src/demo/callers_client.rs
@@ -26,7 +26,7 @@
 /// What came of one request.
 pub(crate) enum Reply {
     /// An answer began.
-    Answer(Response<PooledBody>),
+    Answer(Box<Response<PooledBody>>),
     /// The node refused.
     Refused(CallerRefusal),
     /// No answer came: the node is gone, or hangs. The request may have run.
@@ -68,7 +68,7 @@
             Ok(Err(_)) | Err(_) => return Reply::Lost,
         };
         if answer.status().is_success() {
-            return Reply::Answer(answer);
+            return Reply::Answer(Box::new(answer));
         }
         match read_whole(answer.into_body()).await {
             Some(body) => Reply::Refused(CallerRefusal::read(&body)),
--- a/crates/nutmegsail/src/demo/streams.rs
+++ b/crates/nutmegsail/src/demo/streams.rs
@@ -91,7 +91,7 @@
                 if self.handle.is_none() {
                     return Next::End(Outcome::Cut);
                 }
-                self.read(answer).await
+                self.read(*answer).await
             }
             Reply::Refused(refusal) => {
                 let (retry_helps, wait) = (refusal.retry_helps, refusal.wait());
@@ -134,7 +134,7 @@
         match client.send(request).await {
             Reply::Answer(answer) => {
                 self.record.resumed += 1;
-                self.read(answer).await
+                self.read(*answer).await
             }
             Reply::Refused(refusal) => self.refused_resume(refusal),
             Reply::Lost => Next::Again(PAUSE),
