--- a/crates/http-pool/src/pooled_body.rs
+++ b/crates/http-pool/src/pooled_body.rs
@@ -49,6 +49,12 @@
     }
 
     /// The connection that it arrives on.
+    ///
+    /// ```
+    /// # fn example(answer: http::Response<nutmegsail_http_pool::PooledBody>) {
+    /// println!("connection {}", answer.body().connection_id());
+    /// # }
+    /// ```
     pub fn connection_id(&self) -> ConnectionId {
         self.connection_id
     }
--- a/crates/relay/src/forward_peers.rs
+++ b/crates/relay/src/forward_peers.rs
@@ -64,7 +64,9 @@
 /// assert_eq!(peers.choose(&"desk".into(), &[], now, &mut random), None, "it was not asked yet");
 /// let answer = PeerAnswer { reachable: vec!["desk".into()], forwarded: 0, free: 9 };
 /// peers.record_answer(peer.address, answer, now);
-/// assert_eq!(peers.choose(&"desk".into(), &[], now, &mut random), Some(peer));
+/// assert_eq!(peers.choose(&"desk".into(), &[], now, &mut random), Some(peer.clone()));
+/// assert!(peers.record_sent(&peer));
+/// assert_eq!(peers.awaited().collect::<Vec<_>>(), [peer.address]);
 /// ```
 #[derive(Clone, Debug)]
 pub struct ForwardPeers {
