--- a/crates/relay-node/src/traffic/forwarders.rs
+++ b/crates/relay-node/src/traffic/forwarders.rs
@@ -15,8 +15,8 @@
 use super::gateway::Gateway;
 use crate::traffic_message::{ForwardMessage, TrafficMessage};
 
-/// How often a node says that it waits for what it has forwarded. Callers leave a silent node after
-/// two seconds.
+/// How often a node announces that it waits for what it has forwarded. Callers leave a silent node
+/// after two seconds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The requests in progress that other nodes have forwarded.
@@ -82,8 +82,8 @@
     }
 }
 
-/// Tells other nodes that this one waits for what it has forwarded to them, and ends what was
-/// forwarded by nodes that do not say so any more, forever.
+/// Announces to peers that this node waits for what it has forwarded to them, and ends what was
+/// forwarded by nodes that no longer announce it, forever.
 pub(crate) async fn watch_forwarders(gateway: Rc<Gateway>) {
     let mut rounds = interval(ROUND_INTERVAL);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -98,7 +98,7 @@
 }
 
 impl Gateway {
-    /// Tells a peer that this node waits for what it has forwarded to it.
+    /// Announces to a peer that this node waits for what it has forwarded to it.
     pub(super) fn announce_waiting(&self, peer: SocketAddr) {
         let waiting = ForwardMessage::Waiting(self.node.clone());
         self.peer_socket
--- a/crates/relay/src/forwarder_watch.rs
+++ b/crates/relay/src/forwarder_watch.rs
@@ -8,7 +8,7 @@
 const SILENT_ROUNDS: u32 = 8;
 
 /// The nodes that wait here for answers to requests that they have forwarded, by when they last
-/// said so.
+/// announced it.
 ///
 /// A node that is suspended keeps its connections open. Its callers leave it after a while and have
 /// their requests served elsewhere, so what it has forwarded must end by then. Time is counted in
@@ -29,13 +29,13 @@
 }
 
 impl ForwarderWatch {
-    /// Records that a node says that it waits for answers.
+    /// Records that a node has announced that it waits for answers.
     pub fn record_alive(&mut self, node: NodeId) {
         self.silent_rounds.insert(node, 0);
     }
 
-    /// Records a request that a node has forwarded. A node is watched only once it has said that it
-    /// waits, as one of an older build never does.
+    /// Records a request that a node has forwarded. A node is watched only once it has announced that
+    /// it waits, as one of an older build never does.
     pub fn record_request(&mut self, node: &NodeId) {
         if let Some(rounds) = self.silent_rounds.get_mut(node) {
             *rounds = 0;
