Wait for owners that a node may have missed before it orders at an engine

Cause: a node concluded from a missing owner key, and from its own record of the last owner, that no other node could have orders in transit.

Change: `OwnerHistory` records each change of an owner key, in order, and until when another node may have owned an engine, by its id, name or address. After a gap the changes since the last recorded revision are read from the store's history; if it no longer has them (NE4014), everything before the read is unknown and waited for. A claim that relies on that history is recorded only after the changes up to it were read too, as an owner may come and go between the last read and the claim. The 8 s and 14.8 s after a start that stood for such knowledge are gone; a first start still has no earlier owner.

Loads after a gap, at engines that this node owned last: 0 s before in any case; after, 0 s if the history shows no other owner, 7.4 s from the read that shows the other owner's end if there was one, and 7.4 s from the return if the history is gone. After a start: 7.4 s from the first read, before 7.4 s from each claim in the first 14.8 s.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -66,7 +66,7 @@
         .partition(|engine| has_living_last_owner(control, engine, &owners));
     let restarted = restarted
         .into_iter()
-        .filter(|engine| control.last_owner(&engine.address).as_ref() == Some(own_node));
+        .filter(|engine| control.last_owner(engine.address).as_ref() == Some(own_node));
     let restarted: Vec<UpstreamId> = restarted.map(|engine| engine.id.clone()).collect();
     let mut claims = unowned_to_claim(own_node, &nodes, &engines, &owners);
     claims.extend(restarted);
@@ -106,7 +106,7 @@
     engine: &Upstream,
     owners: &HashMap<UpstreamId, NodeId>,
 ) -> bool {
-    let last = control.last_owner(&engine.address);
+    let last = control.last_owner(engine.address);
     let is_living = |node: NodeId| {
         let nodes = control.nodes.borrow();
         let record = nodes.get(&node);
@@ -138,6 +138,16 @@
             },
         }
     }
+
+    /// Whether it relies on this node having seen all owners of the engine.
+    fn relies_on_history(&self) -> bool {
+        self.before == Revision::NONE && self.predecessor != Predecessor::Another
+    }
+
+    /// Whether an owner was found since whose orders may arrive for longer.
+    fn is_outdated(&self, control: &ControlState) -> bool {
+        predecessor(control, self.engine, self.before).outlasts(self.predecessor)
+    }
 }
 
 async fn commit_claims(
@@ -164,9 +174,7 @@
     let asked_at = boot_time();
     match control.store.commit(txn).await {
         Ok(revision) => {
-            for claim in claims {
-                record_claim(control, claim, revision, asked_at);
-            }
+            record_claims(control, claims, revision, asked_at).await;
             Ok(())
         }
         Err(error) => {
@@ -180,6 +188,27 @@
     }
 }
 
+/// Records claims that were written at `revision`.
+///
+/// Another node may have owned an engine between this node's last read of the owner keys and the
+/// claim. A claim that relied on its absence is recorded only after those changes were read and
+/// show no such owner. Otherwise the watch shows the claim as one that this node does not know of,
+/// and it is made again.
+async fn record_claims(
+    control: &ControlState,
+    claims: Vec<Claim<'_>>,
+    revision: Revision,
+    asked_at: Duration,
+) {
+    let may_be_outdated = claims.iter().any(Claim::relies_on_history);
+    let is_history_complete = may_be_outdated && control.read_past_owners().await;
+    for claim in claims {
+        if !claim.relies_on_history() || (is_history_complete && !claim.is_outdated(control)) {
+            record_claim(control, claim, revision, asked_at);
+        }
+    }
+}
+
 fn record_claim(control: &ControlState, claim: Claim, revision: Revision, asked_at: Duration) {
     let Claim {
         engine,
@@ -208,17 +237,20 @@
         owned.ownership.borrow().permit(now),
         OrderPermit::Granted { .. }
     );
+    let waits = owned.ownership.borrow().may_order_from();
+    let waits = waits.saturating_sub(now);
     control.owned.borrow_mut().insert(engine.clone(), owned);
     let owner = Owner {
         node: record.node,
         revision,
+        lease: record.lease,
         waits: record.waits,
     };
     control.owners.borrow_mut().insert(engine.clone(), owner);
     log_event!(
         control.log, Event::EngineOwned,
         "upstream" => engine.to_string(), "fence" => revision.fencing_token(),
-        "may_order" => may_order
+        "may_order" => may_order, "waits_ms" => waits.as_millis()
     );
 }
 
@@ -230,25 +262,15 @@
     }
     if before != Revision::NONE {
         let owners = control.owners.borrow();
-        let waits = owners.get(engine).and_then(|owner| owner.waits.as_ref());
-        return predecessor_of_own(control, waits);
-    }
-    match control.is_first_claim() || has_no_other_owner(control, engine) {
-        true => Predecessor::None,
-        false => Predecessor::Another,
-    }
-}
-
-/// Whether no other node can have orders in transit to the engine: this node was the last owner at
-/// its address, or there was no owner for as long as orders may be in transit.
-fn has_no_other_owner(control: &ControlState, engine: &UpstreamId) -> bool {
-    let Some(upstream) = control.upstream(engine) else {
-        return false;
-    };
-    match control.last_owner(&upstream.address) {
-        Some(node) => node == control.settings.node,
-        None => control.knows_last_owners(),
+        let of_earlier_process = owners
+            .get(engine)
+            .filter(|owner| owner.lease != control.lease.get());
+        if let Some(owner) = of_earlier_process {
+            return predecessor_of_own(control, owner.waits.as_ref());
+        }
     }
+    let other_owner_until = control.other_owner_until(engine);
+    Predecessor::after(other_owner_until, control.ownership_rules(), boot_time())
 }
 
 /// Drops engines that are no longer listed. Their owner keys expire with the lease.
--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -10,7 +10,7 @@
 use nutmegsail_base::{NodeId, ServiceName, UpstreamId};
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
-    Demand, DomainAge, DomainContacts, LoadTimes, ModelRef, NodeRecord, OrderPermit,
+    Demand, DomainAge, DomainContacts, LoadTimes, ModelRef, NodeRecord, OrderPermit, OwnerHistory,
     OwnershipRules, OwnershipWatch, RouteTable, Service, Upstream, Versions, retry_pause,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
@@ -50,9 +50,6 @@
 /// is gone for good, at one engine in seven, while the other engines take its loads.
 const CONFIRMATION_LIFETIME: Duration = Duration::from_millis(4_000);
 
-/// How long the last owner of an address is remembered; all its orders have arrived by then.
-const LAST_OWNER_LIFETIME: Duration = Duration::from_secs(20);
-
 /// The half-life of an adapter's demand, which decides what is evicted. Demand shifts within some 5
 /// s: a longer half-life keeps adapters that are no longer in demand, a shorter one forgets rarely
 /// used adapters between two of their requests.
@@ -66,6 +63,8 @@
 pub(crate) struct Owner {
     pub(crate) node: NodeId,
     pub(crate) revision: Revision,
+    /// The lease of the process that wrote the key.
+    pub(crate) lease: LeaseId,
     /// What the owner's next process has to know if the owner is still waiting for its predecessor.
     pub(crate) waits: Option<OwnerWait>,
 }
@@ -116,8 +115,8 @@
     pub(crate) change_log: ChangeLog,
     /// Nodes that read the store for others and failed to answer, and when they did.
     pub(crate) silent_readers: RefCell<HashMap<NodeId, Instant>>,
-    /// The last owner of the engine at each address, and when it was last seen as such.
-    pub(crate) last_owners: RefCell<HashMap<SocketAddr, (NodeId, Instant)>>,
+    /// Which nodes owned engines before.
+    pub(crate) owner_history: RefCell<OwnerHistory>,
     /// Whether to ask other nodes for the requests under which upstreams ended.
     pub(crate) must_query_suspects: Cell<bool>,
     /// The store's eras and the recovery after a restore.
@@ -186,7 +185,7 @@
             last_contacts: RefCell::default(),
             change_log: ChangeLog::default(),
             silent_readers: RefCell::default(),
-            last_owners: RefCell::default(),
+            owner_history: RefCell::new(OwnerHistory::new(parts.settings.node.clone())),
             must_query_suspects: Cell::new(true),
             eras: Eras::new(
                 ownership_rules(&parts.settings),
@@ -209,31 +208,9 @@
         }
     }
 
-    /// Records the owner of the engine at each address, so that the engine keeps it after a
-    /// restart.
-    pub(crate) fn record_last_owners(&self) {
-        let now = Instant::now();
-        let upstreams = self.upstreams.borrow();
-        let mut last = self.last_owners.borrow_mut();
-        for (engine, owner) in self.owners.borrow().iter() {
-            if let Some(upstream) = upstreams.get(engine) {
-                last.insert(upstream.address, (owner.node.clone(), now));
-            }
-        }
-        last.retain(|_, (_, seen)| now.duration_since(*seen) < LAST_OWNER_LIFETIME);
-    }
-
     /// The last owner of the engine at `address`.
-    pub(crate) fn last_owner(&self, address: &SocketAddr) -> Option<NodeId> {
-        let last = self.last_owners.borrow();
-        last.get(address).map(|(node, _)| node.clone())
-    }
-
-    /// Whether this node has been watching long enough to know every owner that may still have
-    /// orders in transit.
-    pub(crate) fn knows_last_owners(&self) -> bool {
-        let rules = self.ownership_rules();
-        self.started.elapsed() > (rules.confirmation + rules.hand_over) * 2
+    pub(crate) fn last_owner(&self, address: SocketAddr) -> Option<NodeId> {
+        self.owner_history.borrow().last_owner(address).cloned()
     }
 
     /// Whether no owner can have orders in transit to any engine. After the first start of the
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -84,6 +84,7 @@
         let owner = Owner {
             node: record.node.clone(),
             revision,
+            lease: record.lease,
             waits: record.waits.clone(),
         };
         self.lending.lenders.borrow_mut().insert(domain, owner);
@@ -330,6 +331,7 @@
         let owner = Owner {
             node: record.node,
             revision,
+            lease,
             waits: record.waits,
         };
         record_lender_claim(control, owner, predecessor, first_fill, asked_at);
--- a/crates/relay-node/src/control/maintenance.rs
+++ b/crates/relay-node/src/control/maintenance.rs
@@ -65,7 +65,7 @@
         write_suspects(&control).await;
         write_served(&control).await;
         hand_over_unreachable(&control).await;
-        control.record_last_owners();
+        control.prune_owner_history();
         claim(&control, &owned_by_earlier_process(&control)).await;
         let may_claim_new = started.elapsed() >= FIRST_CLAIM_AFTER;
         if may_claim_new {
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -30,6 +30,7 @@
 mod origin_writes;
 mod owner_concerns;
 mod owner_loads;
+mod owner_reads;
 mod owner_record;
 mod owners;
 mod peers;
--- a/crates/relay-node/src/control/owner_record.rs
+++ b/crates/relay-node/src/control/owner_record.rs
@@ -45,7 +45,7 @@
         let now = boot_time();
         let until = match predecessor {
             Predecessor::None => return None,
-            Predecessor::Own { waits_until } => waits_until,
+            Predecessor::Earlier { orders_end } => orders_end,
             Predecessor::Another => now + MAX_CLAIM_DELAY + rules.wait(),
         };
         (until > now).then(|| Self {
@@ -60,8 +60,8 @@
 pub(super) fn predecessor_of_own(control: &ControlState, waits: Option<&OwnerWait>) -> Predecessor {
     match waits {
         None => Predecessor::None,
-        Some(waits) if waits.boot == control.boot => Predecessor::Own {
-            waits_until: Duration::from_millis(waits.until_ms),
+        Some(waits) if waits.boot == control.boot => Predecessor::Earlier {
+            orders_end: Duration::from_millis(waits.until_ms),
         },
         Some(_) => Predecessor::Another,
     }
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -20,7 +20,7 @@
 /// The prefix of all keys that nodes write.
 const PREFIX: &str = "nutmegsail/";
 pub(crate) const NODE_PREFIX: &str = "nutmegsail/node/";
-const OWNER_PREFIX: &str = "nutmegsail/owner/";
+pub(super) const OWNER_PREFIX: &str = "nutmegsail/owner/";
 
 pub(crate) fn owner_key(engine: &UpstreamId) -> String {
     format!("{OWNER_PREFIX}{engine}")
@@ -79,6 +79,7 @@
         let owner = Owner {
             node: record.node.clone(),
             revision,
+            lease: record.lease,
             waits: record.waits.clone(),
         };
         self.0.owners.borrow_mut().insert(engine, owner);
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -72,6 +72,11 @@
             control.record_restart(&before, &upstream.id);
         }
         let upstream = control.with_own_notice(upstream);
+        let address = upstream.address;
+        control
+            .owner_history
+            .borrow_mut()
+            .record_address(&upstream.id, address);
         self.missing.borrow_mut().remove(&upstream.id);
         for started_before in self.ids_of(&upstream.name) {
             if started_before != upstream.id {
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -67,6 +67,7 @@
                     log_event!(control.log, Event::PlatformReturned, "revision" => revision.to_string());
                 }
                 control.change_log.restart(revision, read_at);
+                control.resume_owner_history(&items, revision).await;
                 dispatch_snapshot(control, watchers, &items);
                 control.shared.record_data_time(asked);
                 let error = follow_changes(control, watchers, revision, read_at).await;
@@ -175,6 +176,7 @@
     read_at: ReadAt,
 ) {
     *after = (*after).max(changes.revision);
+    control.record_owner_changes(&changes.changes, changes.revision);
     control.change_log.push(changes, read_at);
     dispatch_changes(control, watchers, &changes.changes);
     control.confirm_from_watch(read_at.asked);
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -47,15 +47,54 @@
 pub enum Predecessor {
     /// No orders can be in flight.
     None,
-    /// Only those that an earlier process of this node was waiting out when it owned the engine.
-    Own {
-        /// When that wait ends.
-        waits_until: Duration,
+    /// Those of earlier owners, the last of which is known.
+    Earlier {
+        /// When all of them have arrived, and `hand_over` has passed.
+        orders_end: Duration,
     },
-    /// Those of another owner.
+    /// Those of another owner until the claim.
     Another,
 }
 
+impl Predecessor {
+    /// The predecessor of a claim on an engine that another node may have owned until
+    /// `other_owner_until`, if at all.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use nutmegsail_relay::{OwnershipRules, Predecessor};
+    /// let seconds = Duration::from_secs;
+    /// let rules = OwnershipRules { hand_over: seconds(3), confirmation: seconds(4) };
+    /// let after = |other| Predecessor::after(other, rules, seconds(20));
+    /// assert_eq!(after(None), Predecessor::None);
+    /// assert_eq!(after(Some(seconds(9))), Predecessor::None);
+    /// let orders_end = Duration::from_millis(22_400);
+    /// assert_eq!(after(Some(seconds(15))), Predecessor::Earlier { orders_end });
+    /// ```
+    pub fn after(
+        other_owner_until: Option<Duration>,
+        rules: OwnershipRules,
+        now: Duration,
+    ) -> Self {
+        let orders_end = other_owner_until.map(|until| until + rules.wait());
+        match orders_end.filter(|end| *end > now) {
+            None => Self::None,
+            Some(orders_end) => Self::Earlier { orders_end },
+        }
+    }
+
+    /// Whether its orders may arrive for longer than those of `other`.
+    pub fn outlasts(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::None, _) | (_, Self::Another) => false,
+            (Self::Another, _) | (Self::Earlier { .. }, Self::None) => true,
+            (Self::Earlier { orders_end }, Self::Earlier { orders_end: known }) => {
+                orders_end > known
+            }
+        }
+    }
+}
+
 /// Ownership of one engine by this node.
 ///
 /// The store can delete a key without its holder noticing, and an owner can be paused between any
@@ -88,7 +127,7 @@
     ) -> Self {
         let may_order_from = match predecessor {
             Predecessor::None => now,
-            Predecessor::Own { waits_until } => waits_until.min(now + rules.wait()),
+            Predecessor::Earlier { orders_end } => orders_end.min(now + rules.wait()),
             Predecessor::Another => now + rules.wait(),
         };
         Self {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// The name of the process `id`.
+    ///
+    /// ```
+    /// use nutmegsail_relay::Upstream;
+    /// assert_eq!(Upstream::name_of(&"engine-1@1700".into()), "engine-1");
+    /// assert_eq!(Upstream::name_of(&"engine-1".into()), "engine-1");
+    /// ```
+    pub fn name_of(id: &UpstreamId) -> &str {
+        let id = id.as_str();
+        id.rsplit_once('@').map_or(id, |(name, _)| name)
+    }
+
     /// Whether `id` is a later process under the same name. Requests to this upstream may then reach
     /// that process.
     ///
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -129,11 +129,13 @@
         let is_restarted = self.owned.is_none() && self.lost.is_none();
         let is_settled = self.watch.is_settled(now);
         let predecessor = match previous_owner.filter(|_| is_restarted && is_settled) {
-            Some(Owner { waits_until, .. }) => Predecessor::Own { waits_until },
+            Some(Owner { waits_until, .. }) => Predecessor::Earlier {
+                orders_end: waits_until,
+            },
             None => Predecessor::Another,
         };
         let waits_until = match predecessor {
-            Predecessor::Own { waits_until } => waits_until,
+            Predecessor::Earlier { orders_end } => orders_end,
             _ => now + RULES.wait(),
         };
         let claim = store.claim(own_index, waits_until);
