Drop a removed upstream at once if it was listed after the store's return

Cause: an entry that disappeared within 2.3 s after a failed call to the store was taken for one that had expired meanwhile, and its upstream was used for 2.3 s more, counted from the removal. That the entry had been there after the return, so that its removal was no leftover of the outage, was not considered.

Change: `LapsedEntries` decides by what reads have shown. Only an entry that is missing from the first read after a failed call may have expired; one that a read showed is gone when it is removed. During a second outage nothing is dropped. NE3036 logs what is dropped.

--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -1,13 +1,13 @@
 //! Watches the list of upstreams.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::UpstreamId;
-use nutmegsail_relay::{EntryFault, Upstream, UpstreamList};
+use nutmegsail_relay::{EntryFault, LapsedEntries, Upstream, UpstreamList};
 use nutmegsail_store::{Change, Item, Revision};
 use nutmegsail_telemetry::{Event, log_event};
 use tokio::task::spawn_local;
@@ -15,10 +15,7 @@
 
 use super::control_state::ControlState;
 use super::watch::Watcher;
-
-/// How long an upstream is kept whose entry disappeared around an outage of the store. Entries
-/// expire while the store is unavailable, and return within some 2 s if the upstream is alive.
-const RETURN_TIME: Duration = Duration::from_millis(2_300);
+use crate::clock::boot_time;
 
 /// The number of unusable entries that are remembered, so that each is logged once.
 const MAX_REJECTED: usize = 256;
@@ -29,10 +26,8 @@
     listing: RefCell<UpstreamList>,
     /// The revisions of unusable entries, by key.
     rejected: RefCell<HashMap<Arc<str>, Revision>>,
-    /// When the store last failed to answer.
-    store_failed_at: Cell<Option<Instant>>,
-    /// Upstreams whose entries disappeared around an outage, and when they are dropped.
-    missing: Rc<RefCell<HashMap<UpstreamId, Instant>>>,
+    /// Upstreams whose entries may have expired during an outage of the store.
+    lapsed: Rc<RefCell<LapsedEntries>>,
 }
 
 impl UpstreamsWatcher {
@@ -41,8 +36,7 @@
             control,
             listing: RefCell::default(),
             rejected: RefCell::default(),
-            store_failed_at: Cell::new(None),
-            missing: Rc::default(),
+            lapsed: Rc::default(),
         }
     }
 
@@ -77,7 +71,7 @@
             .owner_history
             .borrow_mut()
             .record_address(&upstream.id, address);
-        self.missing.borrow_mut().remove(&upstream.id);
+        self.lapsed.borrow_mut().record_listed(&upstream.id);
         for started_before in self.ids_of(&upstream.name) {
             if started_before != upstream.id {
                 control.upstreams.borrow_mut().remove(&started_before);
@@ -117,26 +111,14 @@
         }
     }
 
-    /// Handles the removal of an entry. Around an outage of the store the entry may only have
-    /// expired.
+    /// Handles the removal of an entry, which may only have expired during an outage of the store.
     fn remove(&self, id: &UpstreamId) {
-        let store_failed_at = self.store_failed_at.get();
-        let may_have_expired = store_failed_at.is_some_and(|at| at.elapsed() < RETURN_TIME);
         let takes_work = |upstream: &Arc<Upstream>| upstream.takes_work();
         let mut upstreams = self.control.upstreams.borrow_mut();
-        if !may_have_expired || !upstreams.get(id).is_some_and(takes_work) {
+        let took_work = upstreams.get(id).is_some_and(takes_work);
+        if !took_work || !self.lapsed.borrow_mut().may_have_lapsed(id) {
             upstreams.remove(id);
-            return;
         }
-        let drop_at = Instant::now() + RETURN_TIME;
-        self.missing
-            .borrow_mut()
-            .entry(id.clone())
-            .or_insert(drop_at);
-        spawn_local(drop_missing(
-            Rc::clone(&self.control),
-            Rc::clone(&self.missing),
-        ));
     }
 
     fn name_of<'a>(&self, key: &'a str) -> Option<&'a str> {
@@ -152,20 +134,26 @@
 }
 
 /// Drops upstreams whose entries have not returned in time.
-async fn drop_missing(
-    control: Rc<ControlState>,
-    missing: Rc<RefCell<HashMap<UpstreamId, Instant>>>,
-) {
-    sleep(RETURN_TIME).await;
-    let now = Instant::now();
-    missing.borrow_mut().retain(|id, drop_at| {
-        let is_gone = *drop_at <= now;
-        if is_gone {
-            control.upstreams.borrow_mut().remove(id);
+async fn drop_lapsed(control: Rc<ControlState>, lapsed: Rc<RefCell<LapsedEntries>>) {
+    loop {
+        let time_left = lapsed.borrow().time_left(boot_time());
+        match time_left {
+            // The store failed again, and the next read starts over; or all entries returned.
+            None => return,
+            Some(Duration::ZERO) => break,
+            Some(time_left) => sleep(time_left).await,
         }
-        !is_gone
-    });
-    control.publish();
+    }
+    let expired = lapsed.borrow_mut().take_expired(boot_time());
+    for id in &expired {
+        control.upstreams.borrow_mut().remove(id);
+        log_event!(
+            control.log, Event::UpstreamEntryExpired, "upstream" => id.to_string()
+        );
+    }
+    if !expired.is_empty() {
+        control.publish();
+    }
 }
 
 impl Watcher for UpstreamsWatcher {
@@ -204,7 +192,7 @@
         let decoded = control.dialect.decode_upstream(&item.key, &item.value);
         decoded.map_or(true, |entry| {
             let known = control.upstream(&entry.upstream.id);
-            let is_missing = self.missing.borrow().contains_key(&entry.upstream.id);
+            let is_missing = self.lapsed.borrow().is_kept(&entry.upstream.id);
             let listed = control.with_own_notice(entry.upstream);
             is_missing || known.is_none_or(|known| *known != listed)
         })
@@ -223,7 +211,15 @@
         }
     }
 
+    fn on_read_end(&self) {
+        let was_interrupted = self.lapsed.borrow_mut().record_read(boot_time());
+        if was_interrupted && self.lapsed.borrow().time_left(boot_time()).is_some() {
+            let (control, lapsed) = (Rc::clone(&self.control), Rc::clone(&self.lapsed));
+            spawn_local(drop_lapsed(control, lapsed));
+        }
+    }
+
     fn on_unavailable(&self) {
-        self.store_failed_at.set(Some(Instant::now()));
+        self.lapsed.borrow_mut().record_failure(boot_time());
     }
 }
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -49,6 +49,8 @@
     }
     /// Receives changes, oldest first.
     fn on_changes(&self, changes: &[&Change]);
+    /// Called after all that one read brought was received.
+    fn on_read_end(&self) {}
     /// Called when the store does not answer.
     fn on_unavailable(&self) {}
 }
@@ -91,7 +93,7 @@
         let items: Vec<&Item> = items.iter().filter(is_match).collect();
         watcher.on_snapshot(&items);
     }
-    control.publish();
+    end_read(control, watchers);
 }
 
 fn dispatch_changes(control: &ControlState, watchers: &[Box<dyn Watcher>], changes: &[Change]) {
@@ -102,6 +104,11 @@
             watcher.on_changes(&changes);
         }
     }
+    end_read(control, watchers);
+}
+
+fn end_read(control: &ControlState, watchers: &[Box<dyn Watcher>]) {
+    watchers.iter().for_each(|watcher| watcher.on_read_end());
     control.publish();
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod holdings;
 mod idle_filter;
 mod known_pace;
+mod lapsed_entries;
 mod late_worth;
 mod load_plan;
 mod load_queue;
@@ -125,6 +126,7 @@
 pub use holdings::{HeldAdapter, HeldModel, Holdings};
 pub use idle_filter::IdleFilter;
 pub use known_pace::KnownPace;
+pub use lapsed_entries::LapsedEntries;
 pub use late_worth::LateWorth;
 pub use load_plan::{EngineCapacity, EngineContents, LoadPlan, LoadRefusal, LoadStep, plan_load};
 pub use load_queue::{
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -128,6 +128,7 @@
     3033 StreamOriginsStored Debug "Where streams began was written to the store.";
     3034 PacingBegun Info "Streams at an engine had too long pauses, so its prompts are paced.";
     3035 PacingEnded Info "The prompts of an engine are no longer paced.";
+    3036 UpstreamEntryExpired Info "The entry of an upstream did not return after an outage of the store; the upstream gets no more requests.";
     4001 PeerJoined Info "Another node was heard for the first time.";
     4002 PeerUnreachable Warning "Another node has not been heard for a while.";
     4003 PeerReturned Info "An unreachable node was heard again.";
