Let nodes that left after a restore of the store go at once

Cause, the same as with upstreams: whether a node that is missing had left was decided by a time span alone. One that was removed within 3.6 s after a restore was kept for 3.6 s more, although it had registered after the restore, and the engines assigned to it had no owner meanwhile.

Change: `ReturningNodes`, now a decision of its own with the clock passed in, keeps only nodes that have not registered since the restore, and counts their time from the restore.

Not measured at callers.

--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -11,7 +11,8 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Demand, DomainAge, DomainContacts, LoadTimes, ModelRef, NodeRecord, OrderPermit, OwnerHistory,
-    OwnershipRules, OwnershipWatch, RouteTable, Service, Upstream, Versions, retry_pause,
+    OwnershipRules, OwnershipWatch, ReturningNodes, RouteTable, Service, Upstream, Versions,
+    retry_pause,
 };
 use nutmegsail_store::{KeyValue, LeaseId, Revision};
 use slog::Logger;
@@ -28,7 +29,6 @@
 use super::origin_writes::OriginWrites;
 use super::owner_record::OwnerWait;
 use super::prompt_gates::PromptGates;
-use super::returning_nodes::ReturningNodes;
 use super::served_software::ServedSoftware;
 use super::slots::Slots;
 use super::stored_config::StoredConfig;
@@ -126,7 +126,7 @@
     /// The operators' configuration and model versions as last seen in the store.
     pub(crate) stored_config: StoredConfig,
     /// Nodes that are kept although the store does not list them.
-    pub(crate) returning_nodes: ReturningNodes,
+    pub(crate) returning_nodes: RefCell<ReturningNodes>,
     /// Nodes that announce themselves.
     pub(crate) joined: JoinedNodes,
     /// The refused traits of requests that the store keeps.
@@ -193,7 +193,7 @@
             ),
             ownership_watch: RefCell::default(),
             stored_config: StoredConfig::default(),
-            returning_nodes: ReturningNodes::default(),
+            returning_nodes: RefCell::default(),
             joined: JoinedNodes::default(),
             stored_suspects: StoredSuspects::default(),
             served: ServedSoftware::default(),
@@ -386,6 +386,14 @@
         self.load_times.set(times);
     }
 
+    /// Drops nodes that have not registered again in time after a restore of the store.
+    pub(crate) fn drop_missing_nodes(&self) {
+        let expired = self.returning_nodes.borrow_mut().take_expired(boot_time());
+        for node in expired {
+            self.nodes.borrow_mut().remove(&node);
+        }
+    }
+
     /// The upstream with this id.
     pub(crate) fn upstream(&self, id: &UpstreamId) -> Option<Arc<Upstream>> {
         self.upstreams.borrow().get(id).cloned()
--- a/crates/relay-node/src/control/eras.rs
+++ b/crates/relay-node/src/control/eras.rs
@@ -113,7 +113,7 @@
         }
         self.eras.lost_claims.borrow_mut().extend(owned);
         let was_lending = self.lose_lender_claim(now);
-        self.returning_nodes.record_restored();
+        self.returning_nodes.borrow_mut().record_restored(now);
         self.eras.is_store_call_due.set(true);
         log_event!(
             self.log, Event::StoreEraRose,
--- a/crates/relay-node/src/control/mod.rs
+++ b/crates/relay-node/src/control/mod.rs
@@ -37,7 +37,6 @@
 mod poll_loads;
 mod prompt_gates;
 mod restarts;
-mod returning_nodes;
 mod served_software;
 mod slots;
 mod store_reader;
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -16,6 +16,7 @@
 use super::owner_record::OwnerRecord;
 use super::served_software::SERVED_PREFIX;
 use super::watch::Watcher;
+use crate::clock::boot_time;
 
 /// The prefix of all keys that nodes write.
 const PREFIX: &str = "nutmegsail/";
@@ -41,7 +42,8 @@
         } else if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
             match serde_json::from_slice::<NodeRecord>(&item.value) {
                 Ok(record) => {
-                    self.0.returning_nodes.record_listed(&name.into());
+                    let returning = &self.0.returning_nodes;
+                    returning.borrow_mut().record_listed(&name.into());
                     self.0.nodes.borrow_mut().insert(name.into(), record);
                 }
                 Err(error) => self.log_unreadable(&item.key, &error),
@@ -87,8 +89,10 @@
 
     fn remove(&self, key: &str) {
         if let Some(name) = key.strip_prefix(NODE_PREFIX) {
-            if !self.0.returning_nodes.record_missing(&name.into()) {
-                self.0.nodes.borrow_mut().remove(name);
+            let node = NodeId::from(name);
+            let mut returning = self.0.returning_nodes.borrow_mut();
+            if !returning.record_missing(&node, boot_time()) {
+                self.0.nodes.borrow_mut().remove(&node);
             }
         } else if let Some(engine) = key.strip_prefix(OWNER_PREFIX) {
             let engine = UpstreamId::from(engine);
@@ -144,7 +148,13 @@
     fn on_changes(&self, changes: &[&Change]) {
         for change in changes {
             match change {
-                Change::Put(item) => self.apply(item),
+                Change::Put(item) => {
+                    if let Some(name) = item.key.strip_prefix(NODE_PREFIX) {
+                        let mut returning = self.0.returning_nodes.borrow_mut();
+                        returning.record_registered(name.into());
+                    }
+                    self.apply(item);
+                }
                 Change::Removed { key, .. } => self.remove(key),
             }
         }
