Start lenders with empty buckets after a gap, and read owners' past later

Cause: a node that took the lender's key within 8 s of the first start filled its buckets unless it had seen an earlier lender. One that came and went while the node could not read the store was missed, so tokens could exist twice.

Change: after a gap a lender is taken for not the first.

--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -44,8 +44,8 @@
     own: RefCell<Option<OwnLender>>,
     /// The configuration version whose quotas the lender uses.
     version: Cell<u64>,
-    /// Whether this failure domain ever had a lender, in which case a new one starts with empty
-    /// buckets.
+    /// Whether this failure domain ever had a lender, or may have had one that this node missed, in
+    /// which case a new one starts with empty buckets.
     had_lender: Cell<bool>,
     /// Since when this failure domain is known to have no lender.
     no_lender_since: Cell<Option<Instant>>,
@@ -62,6 +62,13 @@
     resumes_at: Option<Duration>,
 }
 
+impl Lending {
+    /// Records that a lender may have come and gone while this node did not read the store.
+    pub(crate) fn record_gap(&self) {
+        self.had_lender.set(true);
+    }
+}
+
 impl ControlState {
     /// Applies a lender's key from the store.
     pub(crate) fn apply_lender_key(&self, domain: &str, record: &OwnerRecord, revision: Revision) {
--- a/crates/relay-node/src/control/owner_reads.rs
+++ b/crates/relay-node/src/control/owner_reads.rs
@@ -26,7 +26,7 @@
         if self.read_past_owners().await {
             return;
         }
-        let is_first_read = self.owner_history.borrow().revision().is_none();
+        let is_first_read = !self.has_read_owners();
         let has_no_past = is_first_read && self.is_first_claim();
         if !is_first_read {
             log_event!(
@@ -48,6 +48,11 @@
         );
     }
 
+    /// Whether the owner keys were read since this node started.
+    pub(crate) fn has_read_owners(&self) -> bool {
+        self.owner_history.borrow().revision().is_some()
+    }
+
     /// Reads the changes of owner keys since the last recorded one. Returns whether the history is
     /// complete.
     pub(crate) async fn read_past_owners(&self) -> bool {
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -122,6 +122,9 @@
 
     fn on_snapshot(&self, items: &[&Item]) {
         self.0.eras.begin_snapshot();
+        if self.0.has_read_owners() {
+            self.0.lending.record_gap();
+        }
         let listed: HashSet<&str> = items.iter().map(|item| &*item.key).collect();
         let nodes: Vec<NodeId> = self.0.nodes.borrow().keys().cloned().collect();
         let engines: Vec<UpstreamId> = self.0.owners.borrow().keys().cloned().collect();
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -69,9 +69,9 @@
                     log_event!(control.log, Event::PlatformReturned, "revision" => revision.to_string());
                 }
                 control.change_log.restart(revision, read_at);
-                control.resume_owner_history(&items, revision).await;
                 dispatch_snapshot(control, watchers, &items);
                 control.shared.record_data_time(asked);
+                control.resume_owner_history(&items, revision).await;
                 let error = follow_changes(control, watchers, revision, read_at).await;
                 log_unavailable(control, &error);
                 is_unavailable = true;
--- a/crates/relay/src/owner_history.rs
+++ b/crates/relay/src/owner_history.rs
@@ -88,11 +88,6 @@
         self.revision
     }
 
-    /// Whether no owner can have been missed since the whole system started.
-    pub fn is_complete(&self) -> bool {
-        self.revision.is_some() && self.unknown_until.is_none()
-    }
-
     /// Starts over from the owner keys listed at `revision`, as earlier changes are unknown: until
     /// `unknown_until`, any node may have owned any engine; `None` if no node has run before. The
     /// engines whose key still has the revision of this node's claim, according to `is_own_claim`,
--- a/crates/relay/tests/owner_history.rs
+++ b/crates/relay/tests/owner_history.rs
@@ -44,7 +44,6 @@
 fn any_node_may_own_an_engine_before_the_first_read() {
     let history = OwnerHistory::new(OWN.into());
     assert_eq!(until(&history, "engine-1", 30), Some(at(30)));
-    assert!(!history.is_complete());
 }
 
 // Guards against waiting for owners at the first start of the whole system, when there was none.
@@ -53,7 +52,6 @@
     let mut history = OwnerHistory::new(OWN.into());
     history.restart([], revision(10), None, |_, _| false);
     assert_eq!(until(&history, "engine-1", 30), None);
-    assert!(history.is_complete());
 }
 
 // Guards against missing another owner of the same engine, under an earlier id or at the same address.
