Keep upstreams whose entries expire just after the store's return

Cause: the change before took an entry that the first read after an outage showed for proof that it had not expired. The store may remove entries for their silence just after its return, before their upstreams write again; all of them would have been dropped until they did. Found by reading, not seen.

Change: only a write that a later read shows is such proof. An entry without one that is missing within the time to return is kept until the end of that time, which is counted from the store's return.

--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -116,7 +116,7 @@
         let takes_work = |upstream: &Arc<Upstream>| upstream.takes_work();
         let mut upstreams = self.control.upstreams.borrow_mut();
         let took_work = upstreams.get(id).is_some_and(takes_work);
-        if !took_work || !self.lapsed.borrow_mut().may_have_lapsed(id) {
+        if !took_work || !self.lapsed.borrow_mut().may_have_lapsed(id, boot_time()) {
             upstreams.remove(id);
         }
     }
@@ -138,7 +138,7 @@
     loop {
         let time_left = lapsed.borrow().time_left(boot_time());
         match time_left {
-            // The store failed again, and the next read starts over; or all entries returned.
+            // The store failed again, and the next read starts over.
             None => return,
             Some(Duration::ZERO) => break,
             Some(time_left) => sleep(time_left).await,
@@ -192,7 +192,10 @@
         let decoded = control.dialect.decode_upstream(&item.key, &item.value);
         decoded.map_or(true, |entry| {
             let known = control.upstream(&entry.upstream.id);
-            let is_missing = self.lapsed.borrow().is_kept(&entry.upstream.id);
+            let id = &entry.upstream.id;
+            let lapsed = self.lapsed.borrow();
+            let is_missing = lapsed.is_kept(id) || lapsed.awaits_write(id, boot_time());
+            drop(lapsed);
             let listed = control.with_own_notice(entry.upstream);
             is_missing || known.is_none_or(|known| *known != listed)
         })
@@ -201,7 +204,13 @@
     fn on_changes(&self, changes: &[&Change]) {
         for change in changes {
             match change {
-                Change::Put(item) => self.apply(item),
+                Change::Put(item) => {
+                    self.apply(item);
+                    let name = self.name_of(&item.key).unwrap_or_default();
+                    for id in self.ids_of(name) {
+                        self.lapsed.borrow_mut().record_written(&id);
+                    }
+                }
                 Change::Removed { key, .. } => {
                     if let Some(name) = self.name_of(key) {
                         self.remove_named(name);
@@ -212,8 +221,7 @@
     }
 
     fn on_read_end(&self) {
-        let was_interrupted = self.lapsed.borrow_mut().record_read(boot_time());
-        if was_interrupted && self.lapsed.borrow().time_left(boot_time()).is_some() {
+        if self.lapsed.borrow_mut().record_read(boot_time()) {
             let (control, lapsed) = (Rc::clone(&self.control), Rc::clone(&self.lapsed));
             spawn_local(drop_lapsed(control, lapsed));
         }
--- a/crates/relay/src/lapsed_entries.rs
+++ b/crates/relay/src/lapsed_entries.rs
@@ -19,36 +19,41 @@
 /// Upstreams whose entries may have expired while the store could not be read.
 ///
 /// Entries expire while the store is unavailable and return soon after it does. An entry that is
-/// missing from the first read after a failed call may be such a one, so its upstream is kept for a
-/// while. One that a read showed and a later one does not was removed.
+/// missing then may be such a one, so its upstream is kept for a while, counted from the store's
+/// return. One that was written after the return did not expire: if it is missing later, it was
+/// removed.
 ///
 /// ```
 /// use std::time::Duration;
 /// use nutmegsail_relay::LapsedEntries;
 /// let seconds = Duration::from_secs;
-/// let (gone, there) = ("plain-1".into(), "plain-2".into());
+/// let (lapsed, removed) = ("plain-1".into(), "plain-2".into());
 /// let mut entries = LapsedEntries::default();
 /// entries.record_failure(seconds(20));
-/// assert!(entries.may_have_lapsed(&gone));
+/// assert!(entries.may_have_lapsed(&lapsed, seconds(20)));
 /// entries.record_read(seconds(20));
-/// assert!(!entries.may_have_lapsed(&there));
+/// entries.record_written(&removed);
+/// assert!(!entries.may_have_lapsed(&removed, seconds(21)));
 /// assert_eq!(entries.take_expired(seconds(22)), []);
-/// assert_eq!(entries.take_expired(seconds(23)), [gone]);
+/// assert_eq!(entries.take_expired(seconds(23)), [lapsed]);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct LapsedEntries {
     /// When the last call failed, until a read succeeds.
     failed_at: Option<Duration>,
+    /// Until when entries that expired during the last interruption may return.
+    return_until: Duration,
+    /// The upstreams whose entries were written since the first read after it.
+    written: HashSet<UpstreamId>,
     /// The upstreams that are kept.
     kept: HashSet<UpstreamId>,
-    /// Until when they are kept, counted from the last interruption.
-    kept_until: Duration,
 }
 
 impl LapsedEntries {
     /// Records that the store did not answer.
     pub fn record_failure(&mut self, now: Duration) {
         self.failed_at = Some(now);
+        self.written.clear();
     }
 
     /// Records that a read was applied as a whole. Returns whether calls had failed before it.
@@ -57,17 +62,30 @@
             return false;
         };
         let by_failure = (failed_at + MAX_TIME_AFTER_FAILURE).max(now + MIN_TIME_AFTER_READ);
-        self.kept_until = by_failure.min(now + RETURN_TIME);
+        self.return_until = by_failure.min(now + RETURN_TIME);
         true
     }
 
+    /// Records that a read shows a write of an upstream's entry. The first read after a failure is no
+    /// evidence, as the write may be older than the interruption.
+    pub fn record_written(&mut self, id: &UpstreamId) {
+        if self.failed_at.is_none() {
+            self.written.insert(id.clone());
+        }
+    }
+
+    /// Whether a write of an upstream's entry would show that it did not expire.
+    pub fn awaits_write(&self, id: &UpstreamId, now: Duration) -> bool {
+        self.failed_at.is_none() && now < self.return_until && !self.written.contains(id)
+    }
+
     /// Whether the missing entry of an upstream may have expired while the store could not be read.
     /// The upstream is then kept until [`Self::take_expired`] returns it.
-    pub fn may_have_lapsed(&mut self, id: &UpstreamId) -> bool {
-        if self.failed_at.is_some() {
+    pub fn may_have_lapsed(&mut self, id: &UpstreamId, now: Duration) -> bool {
+        if self.failed_at.is_some() || self.awaits_write(id, now) {
             self.kept.insert(id.clone());
         }
-        self.is_kept(id)
+        self.kept.contains(id)
     }
 
     /// Records that an upstream is listed.
@@ -80,17 +98,19 @@
         self.kept.contains(id)
     }
 
-    /// How much longer upstreams are kept; `None` if there are none, or if the store does not answer,
-    /// so that no entry can return.
+    /// How much longer entries may return; `None` while the store does not answer.
     pub fn time_left(&self, now: Duration) -> Option<Duration> {
-        let can_expire = self.failed_at.is_none() && !self.kept.is_empty();
-        can_expire.then(|| self.kept_until.saturating_sub(now))
+        let is_read = self.failed_at.is_none();
+        is_read.then(|| self.return_until.saturating_sub(now))
     }
 
     /// Returns the upstreams whose entries have not returned in time.
     pub fn take_expired(&mut self, now: Duration) -> Vec<UpstreamId> {
         match self.time_left(now) {
-            Some(Duration::ZERO) => self.kept.drain().collect(),
+            Some(Duration::ZERO) => {
+                self.written.clear();
+                self.kept.drain().collect()
+            }
             _ => Vec::new(),
         }
     }
--- a/crates/relay/tests/lapsed_entries.rs
+++ b/crates/relay/tests/lapsed_entries.rs
@@ -18,27 +18,46 @@
 fn lapsed(failed_ms: u64, read_ms: u64) -> LapsedEntries {
     let mut entries = LapsedEntries::default();
     entries.record_failure(ms(failed_ms));
-    assert!(entries.may_have_lapsed(&id()));
+    assert!(entries.may_have_lapsed(&id(), ms(read_ms)));
     entries.record_read(ms(read_ms));
     entries
 }
 
-// Guards against keeping an upstream whose entry a read showed after an outage, and a later one does not.
+// Guards against keeping an upstream whose entry was written after an outage and then removed.
 #[test]
-fn an_entry_that_was_there_after_an_outage_is_gone_when_it_is_removed() {
+fn an_entry_that_was_written_after_an_outage_is_gone_when_it_is_removed() {
     let mut entries = LapsedEntries::default();
-    assert!(!entries.may_have_lapsed(&id()), "before any outage");
+    assert!(
+        !entries.may_have_lapsed(&id(), ms(500)),
+        "before any outage"
+    );
     entries.record_failure(ms(1_000));
     entries.record_read(ms(1_100));
-    assert!(!entries.may_have_lapsed(&id()));
+    assert!(entries.awaits_write(&id(), ms(1_200)));
+    entries.record_written(&id());
+    assert!(!entries.awaits_write(&id(), ms(1_200)));
+    assert!(!entries.may_have_lapsed(&id(), ms(1_200)));
     let mut entries = lapsed(1_000, 1_100);
     entries.record_listed(&id());
-    assert!(!entries.may_have_lapsed(&id()));
-    assert_eq!(entries.time_left(ms(1_200)), None);
+    entries.record_written(&id());
+    assert!(!entries.may_have_lapsed(&id(), ms(1_200)));
+}
+
+// Guards against dropping an upstream whose entry the store removes for its silence just after its return.
+#[test]
+fn an_entry_that_expires_just_after_the_return_is_kept() {
+    let mut entries = LapsedEntries::default();
+    entries.record_failure(ms(10_000));
+    entries.record_written(&id());
+    entries.record_read(ms(10_100));
+    assert!(entries.may_have_lapsed(&id(), ms(10_700)));
+    assert_eq!(entries.take_expired(ms(12_399)), []);
+    assert_eq!(entries.take_expired(ms(12_400)), [id()]);
+    assert!(!entries.may_have_lapsed(&id(), ms(12_400)));
 }
 
 // Guards against dropping upstreams at once whose entries expired during an outage, and against keeping them for
-// longer than a node may that has reached the store again for 3 s.
+// longer than a node may that has reached the store again for 3 s. The time is counted from the return.
 #[rstest]
 #[case::refused_calls(10_000, 10_300, 12_600)]
 #[case::long_pauses_between_calls(10_000, 11_500, 12_900)]
@@ -49,8 +68,9 @@
     #[case] kept_until_ms: u64,
 ) {
     let mut entries = lapsed(failed_ms, read_ms);
-    assert!(entries.may_have_lapsed(&id()), "its removal arrives again");
-    assert_eq!(entries.take_expired(ms(kept_until_ms - 1)), []);
+    let just_before = ms(kept_until_ms - 1);
+    assert!(entries.may_have_lapsed(&id(), just_before), "again");
+    assert_eq!(entries.take_expired(just_before), []);
     assert!(entries.is_kept(&id()));
     assert_eq!(entries.take_expired(ms(kept_until_ms)), [id()]);
     assert!(!entries.is_kept(&id()));
@@ -61,6 +81,7 @@
 fn a_second_outage_extends_the_time() {
     let mut entries = lapsed(10_000, 10_100);
     entries.record_failure(ms(11_000));
+    assert_eq!(entries.time_left(ms(19_000)), None);
     assert_eq!(entries.take_expired(ms(19_000)), []);
     entries.record_read(ms(19_000));
     assert_eq!(entries.take_expired(ms(19_900)), []);
