Rely on the owners seen for a claim of this process that is made again

Cause: a claim that got no answer shows up as one of an earlier process of the node and is made again, under the wait that its record names. That wait was computed before an owner which came and went until the claim was written.

Change: a key that this process wrote itself, by its lease, is judged by the owners that the node has seen, and only after the changes up to it were read.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -106,13 +106,16 @@
     engine: &Upstream,
     owners: &HashMap<UpstreamId, NodeId>,
 ) -> bool {
+    if owners.contains_key(&engine.id) {
+        return false;
+    }
     let last = control.last_owner(engine.address);
     let is_living = |node: NodeId| {
         let nodes = control.nodes.borrow();
         let record = nodes.get(&node);
         record.is_some_and(|record| record.reaches(&engine.service))
     };
-    !owners.contains_key(&engine.id) && last.is_some_and(is_living)
+    last.is_some_and(is_living)
 }
 
 /// A claim that replaces the owner key at revision `before`.
@@ -120,17 +123,21 @@
     engine: &'a UpstreamId,
     before: Revision,
     predecessor: Predecessor,
+    /// Whether the predecessor follows from the owners that this node has seen.
+    relies_on_history: bool,
     record: OwnerRecord,
 }
 
 impl<'a> Claim<'a> {
     fn new(control: &ControlState, engine: &'a UpstreamId, before: Revision) -> Self {
-        let predecessor = predecessor(control, engine, before);
+        let recorded = recorded_predecessor(control, engine, before);
+        let predecessor = recorded.unwrap_or_else(|| last_other_owner(control, engine));
         let rules = control.ownership_rules();
         Self {
             engine,
             before,
             predecessor,
+            relies_on_history: recorded.is_none(),
             record: OwnerRecord {
                 node: control.settings.node.clone(),
                 lease: control.lease.get(),
@@ -139,14 +146,9 @@
         }
     }
 
-    /// Whether it relies on this node having seen all owners of the engine.
-    fn relies_on_history(&self) -> bool {
-        self.before == Revision::NONE && self.predecessor != Predecessor::Another
-    }
-
     /// Whether an owner was found since whose orders may arrive for longer.
     fn is_outdated(&self, control: &ControlState) -> bool {
-        predecessor(control, self.engine, self.before).outlasts(self.predecessor)
+        last_other_owner(control, self.engine).outlasts(self.predecessor)
     }
 }
 
@@ -200,10 +202,10 @@
     revision: Revision,
     asked_at: Duration,
 ) {
-    let may_be_outdated = claims.iter().any(Claim::relies_on_history);
+    let may_be_outdated = claims.iter().any(|claim| claim.relies_on_history);
     let is_history_complete = may_be_outdated && control.read_past_owners().await;
     for claim in claims {
-        if !claim.relies_on_history() || (is_history_complete && !claim.is_outdated(control)) {
+        if !claim.relies_on_history || (is_history_complete && !claim.is_outdated(control)) {
             record_claim(control, claim, revision, asked_at);
         }
     }
@@ -255,20 +257,23 @@
 }
 
 /// Who may still have orders in transit to an engine whose owner key at revision `before` is
-/// replaced.
-fn predecessor(control: &ControlState, engine: &UpstreamId, before: Revision) -> Predecessor {
+/// replaced, if that does not depend on the owners that this node has seen.
+fn recorded_predecessor(
+    control: &ControlState,
+    engine: &UpstreamId,
+    before: Revision,
+) -> Option<Predecessor> {
     if !control.eras.is_settled() {
-        return Predecessor::Another;
-    }
-    if before != Revision::NONE {
-        let owners = control.owners.borrow();
-        let of_earlier_process = owners
-            .get(engine)
-            .filter(|owner| owner.lease != control.lease.get());
-        if let Some(owner) = of_earlier_process {
-            return predecessor_of_own(control, owner.waits.as_ref());
-        }
+        return Some(Predecessor::Another);
     }
+    let owners = control.owners.borrow();
+    let owner = owners.get(engine).filter(|_| before != Revision::NONE)?;
+    let is_of_earlier_process = owner.lease != control.lease.get();
+    is_of_earlier_process.then(|| predecessor_of_own(control, owner.waits.as_ref()))
+}
+
+/// Who may still have orders in transit to an engine, by the owners that this node has seen.
+fn last_other_owner(control: &ControlState, engine: &UpstreamId) -> Predecessor {
     let other_owner_until = control.other_owner_until(engine);
     Predecessor::after(other_owner_until, control.ownership_rules(), boot_time())
 }
