--- a/crates/relay/tests/owner_history.rs
+++ b/crates/relay/tests/owner_history.rs
@@ -43,7 +43,7 @@
     OtherOwner::Until(at(number))
 }
 
-// Guards against concluding from a history that has not begun that nobody owned an engine.
+// Guards against concluding from an empty history that an engine had no owner.
 #[test]
 fn any_node_may_own_an_engine_before_the_first_read() {
     let history = OwnerHistory::new(OWN.into());
