Record writes of entries only while they may prove a return

Cause, found by reading the change once more: each relevant write of an entry searched all upstreams by name and was recorded, also when no outage was near, so the record of ids grew with every restart until the next failed call.

Change: the write is recorded where the entry is applied, by its own id, and only within the time to return. What is decided does not change.

--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -71,7 +71,10 @@
             .owner_history
             .borrow_mut()
             .record_address(&upstream.id, address);
-        self.lapsed.borrow_mut().record_listed(&upstream.id);
+        let mut lapsed = self.lapsed.borrow_mut();
+        lapsed.record_listed(&upstream.id);
+        lapsed.record_written(&upstream.id, boot_time());
+        drop(lapsed);
         for started_before in self.ids_of(&upstream.name) {
             if started_before != upstream.id {
                 control.upstreams.borrow_mut().remove(&started_before);
@@ -204,13 +207,7 @@
     fn on_changes(&self, changes: &[&Change]) {
         for change in changes {
             match change {
-                Change::Put(item) => {
-                    self.apply(item);
-                    let name = self.name_of(&item.key).unwrap_or_default();
-                    for id in self.ids_of(name) {
-                        self.lapsed.borrow_mut().record_written(&id);
-                    }
-                }
+                Change::Put(item) => self.apply(item),
                 Change::Removed { key, .. } => {
                     if let Some(name) = self.name_of(key) {
                         self.remove_named(name);
--- a/crates/relay/src/lapsed_entries.rs
+++ b/crates/relay/src/lapsed_entries.rs
@@ -32,7 +32,7 @@
 /// entries.record_failure(seconds(20));
 /// assert!(entries.may_have_lapsed(&lapsed, seconds(20)));
 /// entries.record_read(seconds(20));
-/// entries.record_written(&removed);
+/// entries.record_written(&removed, seconds(20));
 /// assert!(!entries.may_have_lapsed(&removed, seconds(21)));
 /// assert_eq!(entries.take_expired(seconds(22)), []);
 /// assert_eq!(entries.take_expired(seconds(23)), [lapsed]);
@@ -43,7 +43,7 @@
     failed_at: Option<Duration>,
     /// Until when entries that expired during the last interruption may return.
     return_until: Duration,
-    /// The upstreams whose entries were written since the first read after it.
+    /// The upstreams whose entries were written since the first read after it, until `return_until`.
     written: HashSet<UpstreamId>,
     /// The upstreams that are kept.
     kept: HashSet<UpstreamId>,
@@ -68,8 +68,8 @@
 
     /// Records that a read shows a write of an upstream's entry. The first read after a failure is no
     /// evidence, as the write may be older than the interruption.
-    pub fn record_written(&mut self, id: &UpstreamId) {
-        if self.failed_at.is_none() {
+    pub fn record_written(&mut self, id: &UpstreamId, now: Duration) {
+        if self.awaits_write(id, now) {
             self.written.insert(id.clone());
         }
     }
--- a/crates/relay/tests/lapsed_entries.rs
+++ b/crates/relay/tests/lapsed_entries.rs
@@ -34,12 +34,12 @@
     entries.record_failure(ms(1_000));
     entries.record_read(ms(1_100));
     assert!(entries.awaits_write(&id(), ms(1_200)));
-    entries.record_written(&id());
+    entries.record_written(&id(), ms(1_200));
     assert!(!entries.awaits_write(&id(), ms(1_200)));
     assert!(!entries.may_have_lapsed(&id(), ms(1_200)));
     let mut entries = lapsed(1_000, 1_100);
     entries.record_listed(&id());
-    entries.record_written(&id());
+    entries.record_written(&id(), ms(1_200));
     assert!(!entries.may_have_lapsed(&id(), ms(1_200)));
 }
 
@@ -48,7 +48,7 @@
 fn an_entry_that_expires_just_after_the_return_is_kept() {
     let mut entries = LapsedEntries::default();
     entries.record_failure(ms(10_000));
-    entries.record_written(&id());
+    entries.record_written(&id(), ms(10_100));
     entries.record_read(ms(10_100));
     assert!(entries.may_have_lapsed(&id(), ms(10_700)));
     assert_eq!(entries.take_expired(ms(12_399)), []);
