Remove owner keys and compare predecessors by one piece of code each

release_replaced built the same transaction as the hand-over of engines that a node does not reach; both call remove_owner_keys, with as many keys a call as before. Predecessor::outlasts was the derived order written by hand.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -160,7 +160,7 @@
 
     /// Whether an owner was found since whose orders may arrive for longer.
     fn is_outdated(&self, control: &ControlState) -> bool {
-        last_other_owner(control, self.engine).outlasts(self.predecessor)
+        last_other_owner(control, self.engine) > self.predecessor
     }
 }
 
@@ -300,19 +300,26 @@
             .collect()
     };
     for replaced in replaced.chunks(CLAIMS_PER_TXN) {
-        let mut txn = Txn::default();
-        for (engine, revision) in replaced {
-            let key: Arc<str> = owner_key(engine).into();
-            txn.expects.push(Condition {
-                key: Arc::clone(&key),
-                revision: *revision,
-            });
-            txn.removes.push(key);
-        }
-        // If this fails, the keys are removed at the next check.
-        if control.store.commit(txn).await.is_ok() {
-            let mut owners = control.owners.borrow_mut();
-            owners.retain(|engine, _| !replaced.iter().any(|(removed, _)| removed == engine));
+        remove_owner_keys(control, replaced).await;
+    }
+}
+
+/// Removes this node's owner keys of `engines`, at these revisions. If that fails, they are removed at
+/// the next check.
+pub(super) async fn remove_owner_keys(control: &ControlState, engines: &[(UpstreamId, Revision)]) {
+    let mut txn = Txn::default();
+    for (engine, revision) in engines {
+        let key: Arc<str> = owner_key(engine).into();
+        txn.expects.push(Condition {
+            key: Arc::clone(&key),
+            revision: *revision,
+        });
+        txn.removes.push(key);
+    }
+    if control.store.commit(txn).await.is_ok() {
+        let mut owners = control.owners.borrow_mut();
+        for (engine, _) in engines {
+            owners.remove(engine);
         }
     }
 }
--- a/crates/relay-node/src/control/maintenance.rs
+++ b/crates/relay-node/src/control/maintenance.rs
@@ -12,13 +12,14 @@
 
 use super::base_models::read_uncertain;
 use super::claims::{
-    claim, drop_unlisted, owned_by_earlier_process, release_replaced, unowned_engines,
+    claim, drop_unlisted, owned_by_earlier_process, release_replaced, remove_owner_keys,
+    unowned_engines,
 };
 use super::confirmation::renew_confirmations;
 use super::control_state::ControlState;
 use super::eras::write_settled_era;
 use super::lending::claim_lender;
-use super::owners::{NODE_PREFIX, disown, owner_key, to_json};
+use super::owners::{NODE_PREFIX, disown, to_json};
 use super::served_software::write_served;
 use super::suspect_store::write_suspects;
 use crate::clock::boot_time;
@@ -198,25 +199,10 @@
             return;
         }
     }
-    for (engine, revision) in owned_of_services(control, &out_of_reach) {
-        disown(
-            control,
-            &engine,
-            "no upstream of its service can be reached",
-        );
-        let key: Arc<str> = owner_key(&engine).into();
-        let txn = Txn {
-            expects: vec![Condition {
-                key: Arc::clone(&key),
-                revision,
-            }],
-            removes: vec![key],
-            ..Txn::default()
-        };
-        // If this fails, the key is removed at the next check.
-        if control.store.commit(txn).await.is_ok() {
-            control.owners.borrow_mut().remove(&engine);
-        }
+    for owned in owned_of_services(control, &out_of_reach) {
+        let (engine, _) = &owned;
+        disown(control, engine, "no upstream of its service can be reached");
+        remove_owner_keys(control, &[owned]).await;
     }
 }
 
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -44,8 +44,8 @@
     },
 }
 
-/// Whose orders may be in flight to an engine when it is claimed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whose orders may be in flight to an engine when it is claimed. Ordered by how long they may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Predecessor {
     /// No orders can be in flight.
     None,
@@ -82,17 +82,6 @@
             OtherOwner::Now => Self::Another,
         }
     }
-
-    /// Whether its orders may arrive for longer than those of `other`.
-    pub fn outlasts(self, other: Self) -> bool {
-        match (self, other) {
-            (Self::None, _) | (_, Self::Another) => false,
-            (Self::Another, _) | (Self::Earlier { .. }, Self::None) => true,
-            (Self::Earlier { orders_end }, Self::Earlier { orders_end: known }) => {
-                orders_end > known
-            }
-        }
-    }
 }
 
 /// Ownership of one engine by this node.
