Keep the last claim on each engine in the store instead of reading its history

After the store had discarded its history, a node counted every engine as maybe owned by another node until then. The history can't prove that an engine had no owner.

Each claim now replaces a lasting record of the last claim on the engine's name, in the same transaction and only if that record is the one that the claimant has read. A node that missed an owner cannot take the engine before it has read of it; an engine without a record had no owner; an own record says what the claimant itself had to wait for. The reads after a gap and after each claim go, and with them the loop of claims while the store takes writes and refuses reads. Records, and owner keys of engines that are gone, are removed 20 s after the end.

Owner keys without a record are of an earlier release; as long as there are some, engines are waited for after a gap as before.

The stand-in store refuses transactions of more than 32 entries.

--- a/crates/relay-node/src/control/claims.rs
+++ b/crates/relay-node/src/control/claims.rs
@@ -14,12 +14,16 @@
 
 use super::control_state::{ControlState, Owner};
 use super::engine::OwnedEngine;
-use super::owner_record::{OwnerRecord, OwnerWait, predecessor_of_own};
+use super::last_claims::LastClaimRecord;
+use super::owner_record::{OwnerRecord, OwnerWait};
 use super::owners::{owner_key, to_json};
 use crate::clock::boot_time;
 
-/// Claims per transaction. Each takes two entries, and the store accepts 32.
-const CLAIMS_PER_TXN: usize = 15;
+/// Claims per transaction. Each takes four entries, and the store accepts 32.
+const CLAIMS_PER_TXN: usize = 8;
+
+/// Owner keys that one transaction removes. Each takes two entries.
+const REMOVALS_PER_TXN: usize = 16;
 
 /// Writes claims to the store.
 pub(crate) async fn claim(control: &ControlState, claims: &[(UpstreamId, Revision)]) {
@@ -123,44 +127,45 @@
     engine: &'a UpstreamId,
     before: Revision,
     predecessor: Predecessor,
-    /// Whether the predecessor follows from the owners that this node has seen.
-    relies_on_history: bool,
-    record: OwnerRecord,
+    record: LastClaimRecord,
 }
 
 impl<'a> Claim<'a> {
     fn new(control: &ControlState, engine: &'a UpstreamId, before: Revision) -> Self {
-        let recorded = recorded_predecessor(control, engine, before);
-        let predecessor = recorded.unwrap_or_else(|| last_other_owner(control, engine));
+        let predecessor = match control.eras.is_settled() {
+            true => control.predecessor(engine),
+            false => Predecessor::Another,
+        };
         let rules = control.ownership_rules();
         Self {
             engine,
             before,
             predecessor,
-            relies_on_history: recorded.is_none(),
-            record: OwnerRecord {
-                node: control.settings.node.clone(),
-                lease: control.lease.get(),
-                waits: OwnerWait::for_successor(control, predecessor, rules),
+            record: LastClaimRecord {
+                engine: engine.clone(),
+                address: control.upstream(engine).map(|upstream| upstream.address),
+                owner: OwnerRecord {
+                    node: control.settings.node.clone(),
+                    lease: control.lease.get(),
+                    waits: OwnerWait::for_successor(control, predecessor, rules),
+                },
             },
         }
     }
 
-    /// Records this node as the owner that the store shows.
-    fn record_owner(&self, control: &ControlState, revision: Revision) {
-        let owner = Owner {
-            node: self.record.node.clone(),
-            revision,
-            lease: self.record.lease,
-            waits: self.record.waits.clone(),
-        };
-        let mut owners = control.owners.borrow_mut();
-        owners.insert(self.engine.clone(), owner);
-    }
-
-    /// Whether an owner was found since whose orders may arrive for longer.
-    fn is_outdated(&self, control: &ControlState) -> bool {
-        last_other_owner(control, self.engine) > self.predecessor
+    /// Adds the claim to `txn`.
+    fn write_in(&self, control: &ControlState, txn: &mut Txn) {
+        let key: Arc<str> = owner_key(self.engine).into();
+        txn.expects.push(Condition {
+            key: Arc::clone(&key),
+            revision: self.before,
+        });
+        txn.puts.push(Put {
+            key,
+            value: to_json(&self.record.owner),
+            lease: self.record.owner.lease,
+        });
+        self.record.replace_in(control, txn);
     }
 }
 
@@ -174,21 +179,14 @@
     let claims: Vec<Claim> = claims.collect();
     let mut txn = Txn::default();
     for claim in &claims {
-        let key: Arc<str> = owner_key(claim.engine).into();
-        txn.expects.push(Condition {
-            key: Arc::clone(&key),
-            revision: claim.before,
-        });
-        txn.puts.push(Put {
-            key,
-            value: to_json(&claim.record),
-            lease: claim.record.lease,
-        });
+        claim.write_in(control, &mut txn);
     }
     let asked_at = boot_time();
     match control.store.commit(txn).await {
         Ok(revision) => {
-            record_claims(control, claims, revision, asked_at).await;
+            for claim in claims {
+                record_claim(control, claim, revision, asked_at);
+            }
             Ok(())
         }
         Err(error) => {
@@ -202,31 +200,17 @@
     }
 }
 
-/// Records claims that were written at `revision`.
-///
-/// Another node may have owned an engine between this node's last read of the owner keys and the
-/// claim. A claim that relied on its absence is recorded only after those changes were read and
-/// show no such owner. Otherwise it is made again, with what its successor has to wait for.
-async fn record_claims(
-    control: &ControlState,
-    claims: Vec<Claim<'_>>,
-    revision: Revision,
-    asked_at: Duration,
-) {
-    let may_be_outdated = claims.iter().any(|claim| claim.relies_on_history);
-    let is_history_complete = may_be_outdated && control.read_past_owners().await;
-    for claim in claims {
-        let is_sound = is_history_complete && !claim.is_outdated(control);
-        match is_sound || !claim.relies_on_history {
-            true => record_claim(control, &claim, revision, asked_at),
-            false => claim.record_owner(control, revision),
-        }
-    }
-}
-
-fn record_claim(control: &ControlState, claim: &Claim<'_>, revision: Revision, asked_at: Duration) {
-    claim.record_owner(control, revision);
-    let (engine, predecessor) = (claim.engine, claim.predecessor);
+fn record_claim(control: &ControlState, claim: Claim, revision: Revision, asked_at: Duration) {
+    let Claim {
+        engine,
+        predecessor,
+        record,
+        ..
+    } = claim;
+    control.record_engine_claim(&record, *revision);
+    let mut history = control.owner_history.borrow_mut();
+    history.record_stored(Upstream::name_of(engine), *revision);
+    drop(history);
     let rules = control.ownership_rules();
     let now = boot_time();
     let taken = Ownership::claimed(*revision, predecessor, rules, asked_at, now);
@@ -251,6 +235,8 @@
     let waits = owned.ownership.borrow().may_order_from();
     let waits = waits.saturating_sub(now);
     control.owned.borrow_mut().insert(engine.clone(), owned);
+    let owner = Owner::new(record.owner, revision);
+    control.owners.borrow_mut().insert(engine.clone(), owner);
     log_event!(
         control.log, Event::EngineOwned,
         "upstream" => engine.to_string(), "fence" => revision.fencing_token(),
@@ -258,28 +244,6 @@
     );
 }
 
-/// Who may still have orders in transit to an engine whose owner key at revision `before` is
-/// replaced, if that does not depend on the owners that this node has seen.
-fn recorded_predecessor(
-    control: &ControlState,
-    engine: &UpstreamId,
-    before: Revision,
-) -> Option<Predecessor> {
-    if !control.eras.is_settled() {
-        return Some(Predecessor::Another);
-    }
-    let owners = control.owners.borrow();
-    let owner = owners.get(engine).filter(|_| before != Revision::NONE)?;
-    let is_of_earlier_process = owner.lease != control.lease.get();
-    is_of_earlier_process.then(|| predecessor_of_own(control, owner.waits.as_ref()))
-}
-
-/// Who may still have orders in transit to an engine, by the owners that this node has seen.
-fn last_other_owner(control: &ControlState, engine: &UpstreamId) -> Predecessor {
-    let other_owner = control.other_owner(engine);
-    Predecessor::after(other_owner, control.ownership_rules(), boot_time())
-}
-
 /// Removes this node's owner keys of engines that have restarted, as no order is sent to their
 /// earlier process. Another node that takes the engine would wait for this one as long as the key is
 /// there.
@@ -299,7 +263,7 @@
             .map(|(engine, owner)| (engine.clone(), owner.revision))
             .collect()
     };
-    for replaced in replaced.chunks(CLAIMS_PER_TXN) {
+    for replaced in replaced.chunks(REMOVALS_PER_TXN) {
         remove_owner_keys(control, replaced).await;
     }
 }
@@ -307,16 +271,10 @@
 /// Removes this node's owner keys of `engines`, at these revisions. If that fails, they are removed at
 /// the next check.
 pub(super) async fn remove_owner_keys(control: &ControlState, engines: &[(UpstreamId, Revision)]) {
-    let mut txn = Txn::default();
-    for (engine, revision) in engines {
-        let key: Arc<str> = owner_key(engine).into();
-        txn.expects.push(Condition {
-            key: Arc::clone(&key),
-            revision: *revision,
-        });
-        txn.removes.push(key);
-    }
-    if control.store.commit(txn).await.is_ok() {
+    let keys = engines
+        .iter()
+        .map(|(engine, revision)| (owner_key(engine), *revision));
+    if control.remove_keys(keys).await {
         let mut owners = control.owners.borrow_mut();
         for (engine, _) in engines {
             owners.remove(engine);
--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -27,7 +27,7 @@
 use super::lending::Lending;
 use super::model_demand::ModelDemand;
 use super::origin_writes::OriginWrites;
-use super::owner_record::OwnerWait;
+use super::owner_record::{OwnerRecord, OwnerWait};
 use super::prompt_gates::PromptGates;
 use super::served_software::ServedSoftware;
 use super::slots::Slots;
@@ -69,6 +69,18 @@
     pub(crate) waits: Option<OwnerWait>,
 }
 
+impl Owner {
+    /// The owner that wrote `record` at `revision`.
+    pub(crate) fn new(record: OwnerRecord, revision: Revision) -> Self {
+        Self {
+            node: record.node,
+            revision,
+            lease: record.lease,
+            waits: record.waits,
+        }
+    }
+}
+
 /// The control thread's state.
 pub(crate) struct ControlState {
     pub(crate) settings: RelaySettings,
@@ -115,7 +127,7 @@
     pub(crate) change_log: ChangeLog,
     /// Nodes that read the store for others and failed to answer, and when they did.
     pub(crate) silent_readers: RefCell<HashMap<NodeId, Instant>>,
-    /// Which nodes owned engines before.
+    /// Which node claimed each engine last.
     pub(crate) owner_history: RefCell<OwnerHistory>,
     /// Whether to ask other nodes for the requests under which upstreams ended.
     pub(crate) must_query_suspects: Cell<bool>,
@@ -185,7 +197,10 @@
             last_contacts: RefCell::default(),
             change_log: ChangeLog::default(),
             silent_readers: RefCell::default(),
-            owner_history: RefCell::new(OwnerHistory::new(parts.settings.node.clone())),
+            owner_history: RefCell::new(OwnerHistory::new(
+                parts.settings.node.clone(),
+                ownership_rules(&parts.settings),
+            )),
             must_query_suspects: Cell::new(true),
             eras: Eras::new(
                 ownership_rules(&parts.settings),
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -47,6 +47,8 @@
     /// Whether this failure domain ever had a lender, or may have had one that this node missed, in
     /// which case a new one starts with empty buckets.
     had_lender: Cell<bool>,
+    /// Whether all keys were read since this node started.
+    has_read: Cell<bool>,
     /// Since when this failure domain is known to have no lender.
     no_lender_since: Cell<Option<Instant>>,
 }
@@ -63,9 +65,11 @@
 }
 
 impl Lending {
-    /// Records that a lender may have come and gone while this node did not read the store.
-    pub(crate) fn record_gap(&self) {
-        self.had_lender.set(true);
+    /// Records that all keys were read. A lender may have come and gone since the last time.
+    pub(crate) fn record_all_read(&self) {
+        if self.has_read.replace(true) {
+            self.had_lender.set(true);
+        }
     }
 }
 
@@ -88,12 +92,7 @@
                 own.is_key_seen = true;
             }
         }
-        let owner = Owner {
-            node: record.node.clone(),
-            revision,
-            lease: record.lease,
-            waits: record.waits.clone(),
-        };
+        let owner = Owner::new(record.clone(), revision);
         self.lending.lenders.borrow_mut().insert(domain, owner);
     }
 
@@ -335,12 +334,7 @@
     // If the claim was written despite an error, the watch shows it as one of an earlier process of
     // this node, and it is made again.
     if let Ok(revision) = control.store.commit(txn).await {
-        let owner = Owner {
-            node: record.node,
-            revision,
-            lease,
-            waits: record.waits,
-        };
+        let owner = Owner::new(record, revision);
         record_lender_claim(control, owner, predecessor, first_fill, asked_at);
     }
 }
--- a/crates/relay-node/src/control/maintenance.rs
+++ b/crates/relay-node/src/control/maintenance.rs
@@ -18,6 +18,7 @@
 use super::confirmation::renew_confirmations;
 use super::control_state::ControlState;
 use super::eras::write_settled_era;
+use super::last_claims::remove_unused_claims;
 use super::lending::claim_lender;
 use super::owners::{NODE_PREFIX, disown, to_json};
 use super::served_software::write_served;
@@ -68,7 +69,6 @@
         write_suspects(&control).await;
         write_served(&control).await;
         hand_over_unreachable(&control).await;
-        control.prune_owner_history();
         claim(&control, &owned_by_earlier_process(&control)).await;
         let may_claim_new = started.elapsed() >= FIRST_CLAIM_AFTER;
         if may_claim_new {
@@ -80,6 +80,7 @@
         renew_confirmations(&control).await;
         drop_unlisted(&control);
         release_replaced(&control).await;
+        remove_unused_claims(&control).await;
         read_uncertain(&control).await;
     }
 }
--- a/crates/relay-node/src/control/owners.rs
+++ b/crates/relay-node/src/control/owners.rs
@@ -12,6 +12,7 @@
 
 use super::control_state::{ControlState, Owner};
 use super::eras::SETTLED_ERA_KEY;
+use super::last_claims::{LAST_CLAIM_PREFIX, LastClaimRecord};
 use super::lending::LENDER_PREFIX;
 use super::owner_record::OwnerRecord;
 use super::served_software::SERVED_PREFIX;
@@ -53,6 +54,8 @@
                 Ok(record) => self.apply_owner(engine.into(), &record, item.revision),
                 Err(error) => self.log_unreadable(&item.key, &error),
             }
+        } else if let Some(name) = item.key.strip_prefix(LAST_CLAIM_PREFIX) {
+            self.0.apply_last_claim(name, item);
         } else if item.key.starts_with(StoredSuspect::KEY_PREFIX) {
             self.0.apply_stored_suspect(item);
         } else if let Some(service) = item.key.strip_prefix(SERVED_PREFIX) {
@@ -78,12 +81,13 @@
             self.0
                 .drop_lost_claim(&engine, "another node has claimed it");
         }
-        let owner = Owner {
-            node: record.node.clone(),
-            revision,
-            lease: record.lease,
-            waits: record.waits.clone(),
+        let claim = LastClaimRecord {
+            address: self.0.upstream(&engine).map(|upstream| upstream.address),
+            engine: engine.clone(),
+            owner: record.clone(),
         };
+        self.0.record_engine_claim(&claim, *revision);
+        let owner = Owner::new(record.clone(), revision);
         self.0.owners.borrow_mut().insert(engine, owner);
     }
 
@@ -97,7 +101,12 @@
         } else if let Some(engine) = key.strip_prefix(OWNER_PREFIX) {
             let engine = UpstreamId::from(engine);
             self.0.owners.borrow_mut().remove(&engine);
+            let mut history = self.0.owner_history.borrow_mut();
+            history.record_end(&engine, boot_time());
+            drop(history);
             disown(&self.0, &engine, "the key was removed");
+        } else if let Some(name) = key.strip_prefix(LAST_CLAIM_PREFIX) {
+            self.0.owner_history.borrow_mut().record_unstored(name);
         } else if key.starts_with(StoredSuspect::KEY_PREFIX) {
             self.0.remove_stored_suspect(key);
         } else if let Some(service) = key.strip_prefix(SERVED_PREFIX) {
@@ -122,14 +131,13 @@
 
     fn on_snapshot(&self, items: &[&Item]) {
         self.0.eras.begin_snapshot();
-        if self.0.has_read_owners() {
-            self.0.lending.record_gap();
-        }
+        self.0.lending.record_all_read();
         let listed: HashSet<&str> = items.iter().map(|item| &*item.key).collect();
         let nodes: Vec<NodeId> = self.0.nodes.borrow().keys().cloned().collect();
         let engines: Vec<UpstreamId> = self.0.owners.borrow().keys().cloned().collect();
         let known = nodes.iter().map(|node| format!("{NODE_PREFIX}{node}"));
         let known = known.chain(engines.iter().map(owner_key));
+        let known = known.chain(self.0.last_claim_keys());
         let known = known.chain(self.0.lender_keys());
         let known = known.chain(self.0.stored_suspect_keys());
         let known = known.chain(self.0.served.keys());
@@ -141,6 +149,9 @@
         for item in items {
             self.apply(item);
         }
+        let is_listed = |engine: &UpstreamId| listed.contains(&*owner_key(engine));
+        let mut history = self.0.owner_history.borrow_mut();
+        history.record_all_read(is_listed, boot_time());
     }
 
     fn on_unavailable(&self) {
--- a/crates/relay-node/src/control/upstreams_watch.rs
+++ b/crates/relay-node/src/control/upstreams_watch.rs
@@ -66,11 +66,6 @@
             control.record_restart(&before, &upstream.id);
         }
         let upstream = control.with_own_notice(upstream);
-        let address = upstream.address;
-        control
-            .owner_history
-            .borrow_mut()
-            .record_address(&upstream.id, address);
         let mut lapsed = self.lapsed.borrow_mut();
         lapsed.record_listed(&upstream.id);
         lapsed.record_written(&upstream.id, boot_time());
--- a/crates/relay-node/src/control/watch.rs
+++ b/crates/relay-node/src/control/watch.rs
@@ -71,7 +71,6 @@
                 control.change_log.restart(revision, read_at);
                 dispatch_snapshot(control, watchers, &items);
                 control.shared.record_data_time(asked);
-                control.resume_owner_history(&items, revision).await;
                 let error = follow_changes(control, watchers, revision, read_at).await;
                 log_unavailable(control, &error);
                 is_unavailable = true;
@@ -183,7 +182,6 @@
     read_at: ReadAt,
 ) {
     *after = (*after).max(changes.revision);
-    control.record_owner_changes(&changes.changes, changes.revision);
     control.change_log.push(changes, read_at);
     dispatch_changes(control, watchers, &changes.changes);
     control.confirm_from_watch(read_at.asked);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -141,7 +141,7 @@
 pub use origin_batches::{OriginBatches, origin_write_interval};
 pub use origin_search::{OriginRecord, OriginSearch, OriginVerdict, StoreAnswer};
 pub use overload::OverloadGate;
-pub use owner_history::{OtherOwner, OwnerChange, OwnerHistory};
+pub use owner_history::{EngineClaim, OwnerHistory, UnusedClaim};
 pub use ownership::{OrderPermit, Ownership, OwnershipRules, Predecessor};
 pub use ownership_watch::{ConcernChange, OwnersNow, OwnershipConcern, OwnershipWatch};
 pub use pace_filter::{PaceFilter, decode_pace, encode_pace};
--- a/crates/relay/src/ownership.rs
+++ b/crates/relay/src/ownership.rs
@@ -4,8 +4,6 @@
 
 use nutmegsail_base::StoreNumber;
 
-use crate::OtherOwner;
-
 /// Time limits of ownership, measured on a clock that also advances while the machine is suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnershipRules {
@@ -22,6 +20,13 @@
     pub fn wait(self) -> Duration {
         self.confirmation + self.hand_over + ORDER_TRANSIT
     }
+
+    /// The predecessor of a claim on an engine that another node owned until `ended_at`.
+    pub(crate) fn earlier_until(self, ended_at: Duration) -> Predecessor {
+        Predecessor::Earlier {
+            orders_end: ended_at + self.wait(),
+        }
+    }
 }
 
 /// Allowance for an order's way to the engine, which takes a few milliseconds on a healthy network.
@@ -59,27 +64,21 @@
 }
 
 impl Predecessor {
-    /// The predecessor of a claim on an engine that another node may have owned.
+    /// The same, or `None` if all orders of earlier owners have arrived at `now`.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use nutmegsail_relay::{OtherOwner, OwnershipRules, Predecessor};
+    /// use nutmegsail_relay::Predecessor;
     /// let seconds = Duration::from_secs;
-    /// let rules = OwnershipRules { hand_over: seconds(3), confirmation: seconds(4) };
-    /// let after = |other| Predecessor::after(other, rules, seconds(20));
-    /// assert_eq!(after(OtherOwner::Never), Predecessor::None);
-    /// assert_eq!(after(OtherOwner::Until(seconds(9))), Predecessor::None);
-    /// let orders_end = Duration::from_millis(22_400);
-    /// assert_eq!(after(OtherOwner::Until(seconds(15))), Predecessor::Earlier { orders_end });
-    /// assert_eq!(after(OtherOwner::Now), Predecessor::Another);
+    /// let earlier = Predecessor::Earlier { orders_end: seconds(20) };
+    /// assert_eq!(earlier.unless_arrived(seconds(19)), earlier);
+    /// assert_eq!(earlier.unless_arrived(seconds(20)), Predecessor::None);
+    /// assert_eq!(Predecessor::Another.unless_arrived(seconds(20)), Predecessor::Another);
     /// ```
-    pub fn after(other_owner: OtherOwner, rules: OwnershipRules, now: Duration) -> Self {
-        match other_owner {
-            OtherOwner::Until(until) if until + rules.wait() > now => Self::Earlier {
-                orders_end: until + rules.wait(),
-            },
-            OtherOwner::Never | OtherOwner::Until(_) => Self::None,
-            OtherOwner::Now => Self::Another,
+    pub fn unless_arrived(self, now: Duration) -> Self {
+        match self {
+            Self::Earlier { orders_end } if orders_end <= now => Self::None,
+            _ => self,
         }
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -142,7 +142,6 @@
     4011 LenderReleased Info "The node no longer lends its failure domain's part of the quotas.";
     4012 NodeRecordRestored Warning "The store had lost this node's record; it was written again.";
     4013 ForwarderSilent Warning "A node that forwards requests here fell silent; those that may be repeated were ended.";
-    4014 OwnerHistoryIncomplete Warning "The store no longer has all changes of engine owners; engines without an owner are taken after a wait.";
     5001 TextInForce Info "A generation of the operators' text is in force on the node.";
     5002 TextSeen Info "A newer generation of the operators' text was heard of.";
     5003 OlderTextIgnored Warning "The platform showed an older generation than the one in force.";
