Keep streams at three nodes while the store cannot be read

Cause: while the store is away a stream's origin is sent to two keepers out of a list of nodes that is as old as the last read, so one of them may have ended. If the node at which the stream began ends too, nobody knows it.

Three nodes of the failure domain keep a stream now while the store cannot be read, and are registrars where there are no others; three were asked already. The new test failed with two.

--- a/crates/relay-node/src/stream_origins.rs
+++ b/crates/relay-node/src/stream_origins.rs
@@ -16,7 +16,7 @@
 
 /// How old the node's copy of the store may be for a list with one version to be relied on where
 /// streams begin. The streams of later ones are sent to keepers.
-pub(crate) const MAX_COPY_AGE: Duration = Duration::from_secs(3);
+const MAX_COPY_AGE: Duration = Duration::from_secs(3);
 
 /// Streams per datagram, at some 40 bytes each.
 const STREAMS_PER_DATAGRAM: usize = 30;
@@ -81,7 +81,20 @@
     /// Whether keepers are sent a stream of this origin: a node that resumes it could not determine by
     /// the list in the store where it began.
     fn is_kept(&self, origin: &StreamOrigin) -> bool {
-        !self.is_sole(origin) || self.is_store_failing() || self.data_age() > MAX_COPY_AGE
+        !self.is_sole(origin) || self.is_store_lost()
+    }
+
+    /// Whether the store cannot be read, so that the node's copy of it may be outdated.
+    pub(crate) fn is_store_lost(&self) -> bool {
+        self.is_store_failing() || self.data_age() > MAX_COPY_AGE
+    }
+
+    /// How many nodes are notified of a stream.
+    fn notified(&self) -> KeeperCounts {
+        match self.is_store_lost() {
+            true => KeeperCounts::NOTIFIED_WITHOUT_STORE,
+            false => KeeperCounts::NOTIFIED,
+        }
     }
 
     /// Whether the list in the store, as this node last read it, names this origin alone.
@@ -116,7 +129,7 @@
     pub(crate) fn untold_streams(&self, own: OwnNode<'_>) -> Vec<(StreamMessage, SocketAddr)> {
         let services = self.streams().origins.untold_services();
         let untold = services.into_iter().flat_map(|service| {
-            let is_sole_kept = self.is_store_failing() || self.data_age() > MAX_COPY_AGE;
+            let is_sole_kept = self.is_store_lost();
             let view = self.view.load();
             let software = view.software.get(&service);
             let has_sole = software.is_some_and(|software| software.sole.is_some());
@@ -190,6 +203,7 @@
     ) -> Vec<(StreamMessage, SocketAddr)> {
         let view = self.view.load();
         let own_place = (own.node, own.failure_domain);
+        let counts = self.notified();
         let mut by_keeper = StreamsByKeeper::default();
         for (key, origin) in streams {
             let stream = KeptStream {
@@ -197,7 +211,7 @@
                 key,
                 origin,
             };
-            for keeper in stream_keepers(&key, own_place, &view.peers, KeeperCounts::NOTIFIED) {
+            for keeper in stream_keepers(&key, own_place, &view.peers, counts) {
                 by_keeper.add(keeper, &stream);
             }
             if stream.is_written {
--- a/crates/relay-node/src/traffic/stream_origin.rs
+++ b/crates/relay-node/src/traffic/stream_origin.rs
@@ -19,7 +19,7 @@
 use super::gateway::Gateway;
 use super::refuse::RefusalReason;
 use crate::shared::OriginRead;
-use crate::stream_origins::{MAX_COPY_AGE, OwnNode};
+use crate::stream_origins::OwnNode;
 use crate::traffic_message::{StreamMessage, TrafficMessage};
 
 /// How long keepers may take to answer. One that is gone never does.
@@ -278,8 +278,7 @@
         if self.shared.origin_reads.try_send(read).is_err() {
             return StoreAnswer::Unavailable;
         }
-        let is_lost = self.shared.is_store_failing() || self.shared.data_age() > MAX_COPY_AGE;
-        let limit = match is_lost {
+        let limit = match self.shared.is_store_lost() {
             true => LOST_STORE_TIMEOUT,
             false => STORE_TIMEOUT.min(resumed.remaining / 2),
         };
--- a/crates/relay/src/stream_keepers.rs
+++ b/crates/relay/src/stream_keepers.rs
@@ -32,6 +32,13 @@
         other_domains: 0,
     };
 
+    /// The nodes that are notified while the store cannot be read: its list may hold a node that has
+    /// ended, and the stream cannot be found in the store.
+    pub const NOTIFIED_WITHOUT_STORE: Self = Self {
+        own_domain: 3,
+        other_domains: 0,
+    };
+
     /// The nodes that are queried for a stream: one more of the own domain, as a node that was notified
     /// may be gone, or was not listed where the stream began.
     pub const QUERIED: Self = Self {
@@ -78,7 +85,7 @@
             true => counts.own_domain,
             false => counts.other_domains,
         };
-        ranked_registrars(key, nodes).into_iter().take(count)
+        first_keepers(key, nodes, count)
     });
     keepers.flatten().collect()
 }
@@ -112,12 +119,18 @@
     let others = peers.iter().filter(|peer| peer.node != *own_node);
     let near = others.filter(|peer| peer.failure_domain == *own_domain);
     let nodes = near.map(|peer| (&peer.node, false));
-    let ranked = ranked_registrars(key, nodes.chain([(own_node, true)]).collect());
-    ranked.into_iter().take(count).any(|is_own| is_own)
+    let mut keepers = first_keepers(key, nodes.chain([(own_node, true)]).collect(), count);
+    keepers.any(|is_own| is_own)
 }
 
-/// The registrars among the nodes of a failure domain, the first keeper of a stream first.
-fn ranked_registrars<T>(key: &StreamKey, nodes: Vec<(&NodeId, T)>) -> Vec<T> {
+/// The first `count` keepers of a stream: those of the registrars of a failure domain, of which there
+/// are as many if the domain has so many nodes.
+fn first_keepers<T>(
+    key: &StreamKey,
+    nodes: Vec<(&NodeId, T)>,
+    count: usize,
+) -> impl Iterator<Item = T> {
+    let registrars = MIN_REGISTRARS.max(count);
     let mut nodes: Vec<(u64, &NodeId, T)> = nodes
         .into_iter()
         .map(|(node, item)| (xxh3_64(node.as_str().as_bytes()), node, item))
@@ -126,13 +139,11 @@
     let mut ranked: Vec<(u64, T)> = nodes
         .into_iter()
         .enumerate()
-        .filter(|(index, (hash, ..))| {
-            *index < MIN_REGISTRARS || *hash < u64::MAX / NODES_PER_REGISTRAR
-        })
+        .filter(|(index, (hash, ..))| *index < registrars || *hash < u64::MAX / NODES_PER_REGISTRAR)
         .map(|(_, (_, node, item))| (rank(key, node), item))
         .collect();
     ranked.sort_by_key(|(rank, _)| Reverse(*rank));
-    ranked.into_iter().map(|(_, item)| item).collect()
+    ranked.into_iter().map(|(_, item)| item).take(count)
 }
 
 fn rank(key: &StreamKey, node: &NodeId) -> u64 {
--- a/crates/relay/tests/stream_keepers.rs
+++ b/crates/relay/tests/stream_keepers.rs
@@ -101,3 +101,17 @@
     let keepers: BTreeSet<String> = (0..3_000).flat_map(keep).collect();
     assert!((150..=250).contains(&keepers.len()), "{}", keepers.len());
 }
+
+// Guards against streams whose only keeper has ended: while the store cannot be read, its list still names that node, and the
+// node at which the streams began may end too.
+#[test]
+fn streams_have_a_keeper_left_although_a_listed_node_has_ended() {
+    let names = BTreeSet::from([1, 2, 3]);
+    let nodes = nodes(&names, 1);
+    let (ended, notifier, left) = (&nodes[0], &nodes[1], &nodes[2]);
+    let counts = KeeperCounts::NOTIFIED_WITHOUT_STORE;
+    for stream in 0..200 {
+        let keepers = stream_keepers(&key(stream), own(notifier), &nodes, counts);
+        assert!(keepers.contains(&left), "{ended:?} alone keeps {stream}");
+    }
+}
