--- a/crates/relay-node/src/control/control_state.rs
+++ b/crates/relay-node/src/control/control_state.rs
@@ -228,12 +228,11 @@
         self.owner_history.borrow().last_owner(address).cloned()
     }
 
-    /// Whether no owner can have orders in transit to any engine. After the first start of the
-    /// system callers come only after 10 s, and the key of an owner that ended before expires with
-    /// its lease, which is longer than the hand-over time.
-    pub(crate) fn is_first_claim(&self) -> bool {
-        const FIRST_CLAIM_TIME: Duration = Duration::from_secs(8);
-        let is_first = self.settings.is_first_start && self.started.elapsed() < FIRST_CLAIM_TIME;
+    /// Whether the system was started for the first time so lately that it has served no callers, who
+    /// come after 10 s.
+    pub(crate) fn is_new_system(&self) -> bool {
+        const NEW_SYSTEM_TIME: Duration = Duration::from_secs(8);
+        let is_first = self.settings.is_first_start && self.started.elapsed() < NEW_SYSTEM_TIME;
         is_first && !self.eras.watch.borrow().has_risen()
     }
 
--- a/crates/relay-node/src/control/last_claims.rs
+++ b/crates/relay-node/src/control/last_claims.rs
@@ -24,12 +24,14 @@
 /// How long the last claim on an engine is kept after its end, unless the hand-over takes longer.
 const LAST_CLAIM_LIFETIME: Duration = Duration::from_secs(20);
 
-/// Unused claims that one transaction removes. Each takes up to four entries, and the store accepts 32.
+/// Unused claims that one transaction removes. Each takes up to four entries, for its record and its
+/// owner key, and the store accepts 32.
 const REMOVALS_PER_TXN: usize = 8;
 
 /// The stored value of the last claim on an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct LastClaimRecord {
+    /// The process that was claimed. The record's key has its name, which later processes share.
     pub(super) engine: UpstreamId,
     pub(super) address: Option<SocketAddr>,
     #[serde(flatten)]
@@ -73,7 +75,7 @@
         }
     }
 
-    /// Records a claim on an engine that the store shows.
+    /// Records a claim on an engine, of which the store shows the owner key or the last claim.
     pub(super) fn record_engine_claim(&self, record: &LastClaimRecord, revision: StoreNumber) {
         let owner = &record.owner;
         let predecessor = match owner.node == self.settings.node {
@@ -121,7 +123,8 @@
         self.store.commit(txn).await.is_ok()
     }
 
-    /// Whether this node removes an unused claim: its own, or, of all nodes, one of a node that is gone.
+    /// Whether this node removes an unused claim: one of its own, or, if it is the first of all nodes, one
+    /// of a node that is gone.
     fn removes(&self, unused: &UnusedClaim) -> bool {
         let nodes = self.nodes.borrow();
         let own_node = &self.settings.node;
--- a/crates/relay-node/src/control/lending.rs
+++ b/crates/relay-node/src/control/lending.rs
@@ -376,7 +376,7 @@
 /// Buckets start full only if no earlier lender can have filled them.
 fn first_fill(control: &ControlState, before: Revision) -> InitialFill {
     let had_lender = control.lending.had_lender.get();
-    match before == Revision::NONE && control.is_first_claim() && !had_lender {
+    match before == Revision::NONE && control.is_new_system() && !had_lender {
         true => InitialFill::Full,
         false => InitialFill::Empty,
     }
