Reject answers that leave the end of their body uncertain

Callers saw: an answer of 200 with the upstream's signature and a body that was not the upstream's. One in chunks whose Transfer-Encoding was spoilt (`chunke`, `chunked;q=1`, a byte that is no text, nothing) came with the lines of its chunks in the body. One with a length of 3 beside its chunks came as complete after three bytes. One with `5x` beside its chunks closed the caller's connection without an answer. A length that was stated twice (`5, 5`) was passed on so, which no sender may do, and one that is no number was passed on in answers to HEAD.

Cause: hyper's client takes any transfer coding but a last `chunked` for none and reads until the connection ends; it takes `gzip, chunked` for chunks and a length beside chunks for a field like others. The node then removed Transfer-Encoding, as it concerns one connection, and framed the rest anew. Framing::of guessed in the same way.

Change: the pool, through which every answer is read, checks the fields that frame an answer before anyone sees it (RFC 9112, 6.1 and 6.3; RFC 9110, 8.6). Only `chunked` by itself under an HTTP/1.1 head without a length, one length, or neither, is certain; anything else is SendError::Malformed, and the connection is closed. The same is said where hyper cannot parse a head, which was logged as a broken connection. What follows is as for a connection that broke: an idempotent request goes to another upstream, others get 502 of the node, a stream that is resumed is broken off. A length stated twice is passed on once.

tests/framing.rs said that `chunked, gzip` ends with its connection and that `gzip, chunked` and chunks beside a length are chunks. These cases are malformed now, for every method and status, so the table is stricter by them.

--- a/crates/http-pool/src/connection.rs
+++ b/crates/http-pool/src/connection.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::{AnswerId, ConnectionId, OpenError, Remote, prepare_socket};
+use crate::{AnswerId, ConnectionId, MalformedAnswer, OpenError, Remote, prepare_socket};
 
 /// The largest read from a connection, in bytes, and with it all that is buffered of an answer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -40,6 +40,8 @@
     Unsent(Box<Request<Full<Bytes>>>),
     /// Bytes may have been written.
     MaybeSent,
+    /// Its answer is malformed.
+    Malformed(MalformedAnswer),
 }
 
 /// An open connection. Dropping it closes the socket at once, also in the midst of an answer.
@@ -149,6 +151,7 @@
         };
         sent.map_err(|mut error| match error.take_message() {
             Some(request) => Failed::Unsent(Box::new(request)),
+            None if error.error().is_parse() => Failed::Malformed(MalformedAnswer::Head),
             None => Failed::MaybeSent,
         })
     }
--- a/crates/http-pool/src/framing.rs
+++ b/crates/http-pool/src/framing.rs
@@ -1,18 +1,24 @@
 //! How the body of an answer is delimited.
 
 use derive_more::Display;
-use http::{HeaderMap, Method, Response, StatusCode, Version, header};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
 use http_body::Body;
 
+use crate::MalformedAnswer;
+
+/// The only transfer coding that is read. A client accepts others only if it asks for them.
+const CHUNKED: &str = "chunked";
+
 /// How the body of an answer is delimited.
 ///
 /// ```
-/// use http::{HeaderMap, Method, StatusCode};
+/// use http::{Method, Response};
 /// use nutmegsail_http_pool::Framing;
-/// let headers = HeaderMap::new();
-/// let framing = Framing::of(&Method::GET, StatusCode::OK, &headers);
+/// let answer = Response::new(());
+/// let framing = Framing::of(&Method::GET, &answer)?;
 /// assert_eq!(framing, Framing::Close);
 /// assert_eq!(framing.to_string(), "close");
+/// # Ok::<(), nutmegsail_http_pool::MalformedAnswer>(())
 /// ```
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "snake_case")]
@@ -28,38 +34,94 @@
 }
 
 impl Framing {
-    /// The framing of an answer to a request with `method`.
+    /// The framing of `answer`, to a request with `method`.
     ///
     /// ```
-    /// use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-    /// use nutmegsail_http_pool::Framing;
-    /// let mut headers = HeaderMap::new();
-    /// headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("800"));
-    /// assert_eq!(Framing::of(&Method::GET, StatusCode::OK, &headers), Framing::Length);
-    /// assert_eq!(Framing::of(&Method::HEAD, StatusCode::OK, &headers), Framing::NoBody);
+    /// use http::{Method, Response, header};
+    /// use nutmegsail_http_pool::{Framing, MalformedAnswer};
+    /// let answer = |length| Response::builder().header(header::CONTENT_LENGTH, length).body(());
+    /// let sound = answer("800")?;
+    /// assert_eq!(Framing::of(&Method::GET, &sound), Ok(Framing::Length));
+    /// assert_eq!(Framing::of(&Method::HEAD, &sound), Ok(Framing::NoBody));
+    /// let malformed = Framing::of(&Method::GET, &answer("8x0")?);
+    /// assert_eq!(malformed, Err(MalformedAnswer::ContentLength));
+    /// # Ok::<(), http::Error>(())
     /// ```
-    pub fn of(method: &Method, status: StatusCode, headers: &HeaderMap) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// If the head leaves uncertain where the body ends, or states that the body has a coding that
+    /// is not removed. A head without a body is checked too, as its fields are passed on.
+    pub fn of<B>(method: &Method, answer: &Response<B>) -> Result<Self, MalformedAnswer> {
+        let (status, headers) = (answer.status(), answer.headers());
+        let length = stated_length(headers)?;
+        let is_chunked = is_chunked(headers)?;
+        if is_chunked && (length.is_some() || answer.version() == Version::HTTP_10) {
+            return Err(MalformedAnswer::TransferCoding);
+        }
         let has_no_body = method == Method::HEAD
             || status.is_informational()
             || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        if has_no_body {
-            return Self::NoBody;
-        }
-        let encodings = headers.get_all(header::TRANSFER_ENCODING);
-        if let Some(last) = encodings.iter().next_back() {
-            let last = last.to_str().unwrap_or_default().rsplit(',').next();
-            let is_chunked = last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"));
-            return if is_chunked {
-                Self::Chunked
-            } else {
-                Self::Close
-            };
-        }
-        match headers.contains_key(header::CONTENT_LENGTH) {
-            true => Self::Length,
-            false => Self::Close,
+        Ok(match (is_chunked, length) {
+            _ if has_no_body => Self::NoBody,
+            (true, _) => Self::Chunked,
+            (false, Some(_)) => Self::Length,
+            (false, None) => Self::Close,
+        })
+    }
+}
+
+/// Whether the body is in chunks.
+fn is_chunked(headers: &HeaderMap) -> Result<bool, MalformedAnswer> {
+    let mut stated = headers.get_all(header::TRANSFER_ENCODING).iter().peekable();
+    if stated.peek().is_none() {
+        return Ok(false);
+    }
+    let mut codings = Vec::new();
+    for value in stated {
+        let text = value.to_str();
+        let text = text.map_err(|_| MalformedAnswer::TransferCoding)?;
+        codings.extend(text.split(',').map(str::trim));
+    }
+    let last = codings.pop().unwrap_or_default();
+    // Elements of a list may be empty.
+    let is_only = codings.iter().all(|coding| coding.is_empty());
+    match is_only && last.eq_ignore_ascii_case(CHUNKED) {
+        true => Ok(true),
+        false => Err(MalformedAnswer::TransferCoding),
+    }
+}
+
+/// The length that the head states. It may be repeated, but no other may be stated.
+fn stated_length(headers: &HeaderMap) -> Result<Option<u64>, MalformedAnswer> {
+    let mut length = None;
+    for value in headers.get_all(header::CONTENT_LENGTH) {
+        let text = value.to_str();
+        let text = text.map_err(|_| MalformedAnswer::ContentLength)?;
+        for element in text.split(',') {
+            let number = parse_length(element.trim()).ok_or(MalformedAnswer::ContentLength)?;
+            if length.replace(number).is_some_and(|other| other != number) {
+                return Err(MalformedAnswer::ContentLength);
+            }
         }
     }
+    Ok(length)
+}
+
+/// `u64::from_str` accepts a sign.
+fn parse_length(text: &str) -> Option<u64> {
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    text.parse().ok().filter(|_| is_number)
+}
+
+/// States a length that was repeated once only, as it must not be passed on otherwise.
+pub(crate) fn unite_lengths(headers: &mut HeaderMap) {
+    let mut stated = headers.get_all(header::CONTENT_LENGTH).iter();
+    let is_one_number = |value: &HeaderValue| value.as_bytes().iter().all(u8::is_ascii_digit);
+    let is_united = stated.next().is_none_or(is_one_number) && stated.next().is_none();
+    if !is_united && let Ok(Some(length)) = stated_length(headers) {
+        headers.insert(header::CONTENT_LENGTH, length.into());
+    }
 }
 
 /// Whether a server ends `answer`, to a request of version `request`, with the connection.
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod connection_id;
 mod framing;
+mod malformed_answer;
 mod pool;
 mod pooled_body;
 mod send_error;
@@ -16,6 +17,7 @@
 
 pub use connection_id::ConnectionId;
 pub use framing::{Framing, ends_with_connection};
+pub use malformed_answer::MalformedAnswer;
 pub use pool::{Pool, PoolSettings};
 pub use pooled_body::PooledBody;
 pub use send_error::{OpenError, SendError};
--- a/crates/http-pool/src/pool.rs
+++ b/crates/http-pool/src/pool.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{Connection, Failed};
+use crate::framing::unite_lengths;
 use crate::{ConnectionId, Framing, OpenError, PooledBody, SendError, SendOptions};
 
 /// How a [`Pool`] keeps connections.
@@ -108,7 +109,8 @@
     ///
     /// # Errors
     ///
-    /// See [`SendError`]: only [`SendError::Broken`] may have reached the other end.
+    /// See [`SendError`]: after [`SendError::Broken`] and [`SendError::Malformed`], the request may
+    /// have reached the other end.
     pub async fn send(
         &self,
         address: &str,
@@ -159,6 +161,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(Failed::Unsent(unsent)) => request = *unsent,
                 Err(Failed::MaybeSent) => return Err(SendError::Broken),
+                Err(Failed::Malformed(why)) => return Err(SendError::Malformed(why)),
             }
         }
         let connection = self.connect(address).await?;
@@ -166,6 +169,7 @@
         answer.map_err(|failed| match failed {
             Failed::Unsent(_) => SendError::NotSent(OpenError::Refused),
             Failed::MaybeSent => SendError::Broken,
+            Failed::Malformed(why) => SendError::Malformed(why),
         })
     }
 
@@ -198,8 +202,9 @@
             connection.record_carried(id);
         }
         let method = request.method().clone();
-        let answer = connection.send(request).await?;
-        let framing = Framing::of(&method, answer.status(), answer.headers());
+        let mut answer = connection.send(request).await?;
+        let framing = Framing::of(&method, &answer).map_err(Failed::Malformed)?;
+        unite_lengths(answer.headers_mut());
         connection.keep_for = stated_keep_alive(answer.headers());
         let home = Home {
             shared: Arc::downgrade(&self.shared),
--- a/crates/http-pool/src/send_error.rs
+++ b/crates/http-pool/src/send_error.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use crate::MalformedAnswer;
+
 /// Why no connection could be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum OpenError {
@@ -37,4 +39,7 @@
     /// The connection broke after bytes may have been sent.
     #[error("the connection broke after bytes may have been sent")]
     Broken,
+    /// The answer is malformed; its connection was closed. The request may have been carried out.
+    #[error("the answer is malformed, as {_0}")]
+    Malformed(MalformedAnswer),
 }
--- a/crates/http-pool/tests/framing.rs
+++ b/crates/http-pool/tests/framing.rs
@@ -2,20 +2,38 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
 
-use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use nutmegsail_http_pool::Framing;
+use http::{HeaderName, HeaderValue, Method, Response, Version};
+use nutmegsail_http_pool::MalformedAnswer::{ContentLength, TransferCoding};
+use nutmegsail_http_pool::{Framing, MalformedAnswer};
 use rstest::rstest;
 
+fn framing(
+    method: &str,
+    version: Version,
+    status: u16,
+    lines: &[&'static str],
+) -> Result<Framing, MalformedAnswer> {
+    let mut answer = Response::builder().status(status).version(version);
+    for line in lines {
+        let (name, value) = line.split_once(':').unwrap();
+        let name: HeaderName = name.parse().unwrap();
+        answer = answer.header(name, HeaderValue::from_static(value.trim()));
+    }
+    let method = Method::from_bytes(method.as_bytes()).unwrap();
+    Framing::of(&method, &answer.body(()).unwrap())
+}
+
 #[rstest]
 #[case::length("GET", 200, &["content-length: 8"], Framing::Length)]
+#[case::length_twice("GET", 200, &["content-length: 8, 8"], Framing::Length)]
+#[case::length_in_two_lines("GET", 200, &["content-length: 8", "content-length: 8"], Framing::Length)]
 #[case::chunks("POST", 200, &["transfer-encoding: chunked"], Framing::Chunked)]
-#[case::chunks_go_before_a_length("POST", 200, &["content-length: 8", "transfer-encoding: chunked"], Framing::Chunked)]
-#[case::chunks_last("POST", 200, &["transfer-encoding: gzip, Chunked"], Framing::Chunked)]
-#[case::chunks_last_in_a_second_header("POST", 200, &["transfer-encoding: gzip", "transfer-encoding: chunked"], Framing::Chunked)]
-#[case::another_encoding_last("POST", 200, &["transfer-encoding: chunked, gzip"], Framing::Close)]
+#[case::chunks_in_upper_case("POST", 200, &["transfer-encoding: CHUNKED"], Framing::Chunked)]
+#[case::chunks_after_empty_elements("POST", 200, &["transfer-encoding: , ,chunked"], Framing::Chunked)]
 #[case::neither("POST", 200, &[], Framing::Close)]
 #[case::an_error_with_neither("POST", 500, &[], Framing::Close)]
 #[case::head("HEAD", 200, &["content-length: 8"], Framing::NoBody)]
+#[case::head_in_chunks("HEAD", 200, &["transfer-encoding: chunked"], Framing::NoBody)]
 #[case::no_content("DELETE", 204, &[], Framing::NoBody)]
 #[case::not_modified("GET", 304, &["content-length: 8"], Framing::NoBody)]
 fn the_framing_follows_from_the_head(
@@ -24,13 +42,44 @@
     #[case] lines: &[&'static str],
     #[case] expected: Framing,
 ) {
-    let mut headers = HeaderMap::new();
-    for line in lines {
-        let (name, value) = line.split_once(": ").unwrap();
-        let name: header::HeaderName = name.parse().unwrap();
-        headers.append(name, HeaderValue::from_static(value));
-    }
-    let method = Method::from_bytes(method.as_bytes()).unwrap();
-    let status = StatusCode::from_u16(status).unwrap();
-    assert_eq!(Framing::of(&method, status, &headers), expected);
+    let framing = framing(method, Version::HTTP_11, status, lines);
+    assert_eq!(framing, Ok(expected));
+}
+
+// Guards against a body whose end is guessed, or that is passed on with a coding that nobody removed.
+#[rstest]
+#[case::chunks_and_a_length(&["content-length: 8", "transfer-encoding: chunked"], TransferCoding)]
+#[case::another_coding_before(&["transfer-encoding: gzip, Chunked"], TransferCoding)]
+#[case::another_coding_in_a_line_before(&["transfer-encoding: gzip", "transfer-encoding: chunked"], TransferCoding)]
+#[case::another_coding_last(&["transfer-encoding: chunked, gzip"], TransferCoding)]
+#[case::an_unknown_coding(&["transfer-encoding: chunke"], TransferCoding)]
+#[case::identity(&["transfer-encoding: identity"], TransferCoding)]
+#[case::chunks_twice(&["transfer-encoding: chunked, chunked"], TransferCoding)]
+#[case::a_parameter(&["transfer-encoding: chunked;q=1"], TransferCoding)]
+#[case::an_empty_element_last(&["transfer-encoding: chunked,"], TransferCoding)]
+#[case::no_coding(&["transfer-encoding:"], TransferCoding)]
+#[case::no_number(&["content-length: 8x"], ContentLength)]
+#[case::a_sign(&["content-length: +8"], ContentLength)]
+#[case::an_empty_length(&["content-length:"], ContentLength)]
+#[case::an_empty_element(&["content-length: 8,"], ContentLength)]
+#[case::two_lengths(&["content-length: 8, 9"], ContentLength)]
+#[case::two_lengths_in_two_lines(&["content-length: 8", "content-length: 9"], ContentLength)]
+#[case::too_large_a_length(&["content-length: 18446744073709551616"], ContentLength)]
+#[case::no_number_before_chunks(&["content-length: 8x", "transfer-encoding: chunked"], ContentLength)]
+fn a_head_that_leaves_the_end_uncertain_is_malformed(
+    #[values("GET", "HEAD")] method: &str,
+    #[values(200, 204, 304, 500)] status: u16,
+    #[case] lines: &[&'static str],
+    #[case] expected: MalformedAnswer,
+) {
+    let framing = framing(method, Version::HTTP_11, status, lines);
+    assert_eq!(framing, Err(expected));
+}
+
+// Guards against chunks under a head of a version that has none.
+#[test]
+fn chunks_under_an_http_1_0_head_are_malformed() {
+    let chunks = ["transfer-encoding: chunked"];
+    let framing = framing("GET", Version::HTTP_10, 200, &chunks);
+    assert_eq!(framing, Err(TransferCoding));
 }
--- a/crates/http-pool/tests/random_faults.rs
+++ b/crates/http-pool/tests/random_faults.rs
@@ -114,6 +114,7 @@
                 Ok(()) => 1..=1,
                 Err(SendError::NotSent(_) | SendError::AtLimit) => 0..=0,
                 Err(SendError::Broken) => 0..=1,
+                Err(SendError::Malformed(_)) => 1..=1,
             };
             prop_assert!(
                 allowed.contains(&outcome.arrived),
--- a/crates/http-pool/tests/scripted_server/mod.rs
+++ b/crates/http-pool/tests/scripted_server/mod.rs
@@ -2,9 +2,12 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     reason = "not every crate that includes this uses all of it"
 )]
 
+mod malformed;
+
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,6 +17,8 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+pub use malformed::Malformed;
+
 /// What the server does with one request.
 pub enum Turn {
     /// Writes these bytes and waits for the next request on the connection.
--- a/crates/relay-node/src/traffic/forward.rs
+++ b/crates/relay-node/src/traffic/forward.rs
@@ -367,7 +367,7 @@
                 self.record_not_taken(call, peer);
                 return ForwardOutcome::NotTaken;
             }
-            Ok(Err(SendError::Broken)) | Err(_) => {
+            Ok(Err(SendError::Broken | SendError::Malformed(_))) | Err(_) => {
                 in_flight.outcome = "lost";
                 return ForwardOutcome::Lost;
             }
--- a/crates/relay-node/src/traffic/send.rs
+++ b/crates/relay-node/src/traffic/send.rs
@@ -108,8 +108,8 @@
                 self.log_not_sent(call, choice, OpenError::AtLimit);
                 return SendOutcome::NotArrived;
             }
-            Ok(Err(SendError::Broken)) => {
-                self.log_lost(call, choice, "the connection broke");
+            Ok(Err(why @ (SendError::Broken | SendError::Malformed(_)))) => {
+                self.log_lost(call, choice, &why.to_string());
                 in_flight.record_disconnected();
                 return SendOutcome::Lost;
             }
--- a/crates/store/src/http_call.rs
+++ b/crates/store/src/http_call.rs
@@ -53,7 +53,7 @@
                 .await
                 .map_err(|error| match error {
                     SendError::NotSent(_) | SendError::AtLimit => CallError::NotSent,
-                    SendError::Broken => CallError::NoAnswer,
+                    SendError::Broken | SendError::Malformed(_) => CallError::NoAnswer,
                 })?;
             let (head, body) = answer.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES)
--- a/crates/upstream/src/refusal.rs
+++ b/crates/upstream/src/refusal.rs
@@ -39,7 +39,7 @@
     match error {
         SendError::NotSent(_) => UpstreamError::Unreachable,
         SendError::AtLimit => UpstreamError::Full,
-        SendError::Broken => UpstreamError::Broken,
+        SendError::Broken | SendError::Malformed(_) => UpstreamError::Broken,
     }
 }
 
