Reject answers whose status belongs to no final answer

Callers saw: an upstream's 600 or 999, with its signature and as a complete answer, though no class has these statuses (RFC 9110, 15: a recipient treats them as 5xx); and 101, without having asked for another protocol, after which their connection is of no use.

Cause: http's StatusCode reaches from 100 to 999, and hyper's client ends an exchange with 101 whatever the request asked for. The node compared nothing but single statuses. 000 and 099 do not parse, and were rejected before: callers got 502.

Change: the pool takes only 200 to 599 for the status of an answer. Anything else is SendError::Malformed.

--- a/crates/http-pool/src/framing.rs
+++ b/crates/http-pool/src/framing.rs
@@ -1,11 +1,16 @@
 //! How the body of an answer is delimited.
 
+use std::ops::RangeInclusive;
+
 use derive_more::Display;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
 use http_body::Body;
 
 use crate::MalformedAnswer;
 
+/// The statuses of final answers. `http` has names for 600 to 999 too, but no class has them.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The only transfer coding that is read. A client accepts others only if it asks for them.
 const CHUNKED: &str = "chunked";
 
@@ -50,17 +55,19 @@
     ///
     /// # Errors
     ///
-    /// If the head leaves uncertain where the body ends, or states that the body has a coding that
-    /// is not removed. A head without a body is checked too, as its fields are passed on.
+    /// If the status is none of a final answer, or the head leaves uncertain where the body ends, or
+    /// states that the body has a coding that is not removed. A head without a body is checked too, as its fields are passed on.
     pub fn of<B>(method: &Method, answer: &Response<B>) -> Result<Self, MalformedAnswer> {
         let (status, headers) = (answer.status(), answer.headers());
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Err(MalformedAnswer::Status);
+        }
         let length = stated_length(headers)?;
         let is_chunked = is_chunked(headers)?;
         if is_chunked && (length.is_some() || answer.version() == Version::HTTP_10) {
             return Err(MalformedAnswer::TransferCoding);
         }
         let has_no_body = method == Method::HEAD
-            || status.is_informational()
             || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         Ok(match (is_chunked, length) {
             _ if has_no_body => Self::NoBody,
--- a/crates/http-pool/src/malformed_answer.rs
+++ b/crates/http-pool/src/malformed_answer.rs
@@ -9,6 +9,9 @@
     /// Its status line, or a line of its head that should be a field.
     #[error("its head cannot be parsed")]
     Head,
+    /// A status of no known class, or 101, as no request asks for another protocol.
+    #[error("its status is none that an answer may have")]
+    Status,
     /// A length that is no number, or several numbers.
     #[error("its content length is not one number")]
     ContentLength,
--- a/crates/http-pool/tests/framing.rs
+++ b/crates/http-pool/tests/framing.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
 
 use http::{HeaderName, HeaderValue, Method, Response, Version};
-use nutmegsail_http_pool::MalformedAnswer::{ContentLength, TransferCoding};
+use nutmegsail_http_pool::MalformedAnswer::{ContentLength, Status, TransferCoding};
 use nutmegsail_http_pool::{Framing, MalformedAnswer};
 use rstest::rstest;
 
@@ -83,3 +83,19 @@
     let framing = framing("GET", Version::HTTP_10, 200, &chunks);
     assert_eq!(framing, Err(TransferCoding));
 }
+
+// Guards against passing on a status that no caller can understand, or a switch to a protocol that nobody asked for.
+#[rstest]
+fn a_status_of_no_final_answer_is_malformed(
+    #[values("GET", "HEAD")] method: &str,
+    #[values(100, 101, 199, 600, 999)] status: u16,
+) {
+    let framing = framing(method, Version::HTTP_11, status, &["content-length: 8"]);
+    assert_eq!(framing, Err(Status));
+}
+
+#[rstest]
+fn a_status_of_a_final_answer_is_sound(#[values(200, 226, 308, 418, 499, 503, 599)] status: u16) {
+    let framing = framing("GET", Version::HTTP_11, status, &["content-length: 8"]);
+    assert_eq!(framing, Ok(Framing::Length));
+}
--- a/crates/http-pool/tests/scripted_server/malformed.rs
+++ b/crates/http-pool/tests/scripted_server/malformed.rs
@@ -11,6 +11,7 @@
     TwoLengths,
     NoField,
     BlankInName,
+    Status(&'static str),
 }
 
 impl Malformed {
@@ -18,6 +19,10 @@
     pub fn answer(self, headers: &str, body: &str) -> Vec<u8> {
         let length = body.len();
         let chunks = format!("{length:x}\r\n{body}\r\n0\r\n\r\n");
+        let status = match self {
+            Self::Status(status) => status,
+            _ => "200",
+        };
         let (lines, body) = match self {
             Self::UnknownCoding => ("transfer-encoding: chunke\r\n".to_owned(), chunks),
             Self::UnknownCodingFirst => ("transfer-encoding: gzip, chunked\r\n".to_owned(), chunks),
@@ -32,11 +37,12 @@
                 format!("spoilt\r\ncontent-length: {length}\r\n"),
                 body.to_owned(),
             ),
+            Self::Status(_) => (format!("content-length: {length}\r\n"), body.to_owned()),
             Self::BlankInName => (
                 format!("x note: 1\r\ncontent-length: {length}\r\n"),
                 body.to_owned(),
             ),
         };
-        format!("HTTP/1.1 200 OK\r\n{headers}{lines}\r\n{body}").into_bytes()
+        format!("HTTP/1.1 {status} OK\r\n{headers}{lines}\r\n{body}").into_bytes()
     }
 }
--- a/crates/upstream/tests/malformed_answers.rs
+++ b/crates/upstream/tests/malformed_answers.rs
@@ -39,7 +39,10 @@
         Malformed::NoNumber,
         Malformed::TwoLengths,
         Malformed::NoField,
-        Malformed::BlankInName
+        Malformed::BlankInName,
+        Malformed::Status("000"),
+        Malformed::Status("101"),
+        Malformed::Status("600")
     )]
     malformed: Malformed,
 ) {
