Reject heads whose lines end in different ways

Callers saw: an answer of 200 with the upstream's signature whose body began with the fields of its own head (`Content-Length: 5` and an empty line before `whole`), and one of length 1 that was complete after a carriage return.

Cause: a line feed got into a head whose lines end in CR LF, at the beginning of a field's name or at the end of a value. hyper's client takes a line feed by itself for a line end, line by line (RFC 9112, 2.2, allows a recipient to), so that a line feed and the CR LF behind it are the end of the head. The fields that follow, the length among them, became the body.

Change: the socket under a pooled connection scans each head as it is read, and fails once one line ends in another way than the first. Such an answer is SendError::Malformed. Heads whose lines all end in line feeds are read as before. The scan ends with the head; bodies pass it unread. hyper has no setting for it, and sees the bytes only after it would have to decide.

--- a/crates/http-pool/src/connection.rs
+++ b/crates/http-pool/src/connection.rs
@@ -1,9 +1,10 @@
 //! One connection with the task that drives it.
 
 use std::collections::VecDeque;
-use std::io::ErrorKind;
+use std::error::Error as _;
+use std::io::{self, ErrorKind};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::answer_stream::AnswerStream;
 use crate::{AnswerId, ConnectionId, MalformedAnswer, OpenError, Remote, prepare_socket};
 
 /// The largest read from a connection, in bytes, and with it all that is buffered of an answer.
@@ -49,6 +51,8 @@
     pub(crate) id: ConnectionId,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Set before each request; see [`AnswerStream`].
+    expects_answer: Arc<AtomicBool>,
     /// When the last answer on it ended.
     pub(crate) idle_since: Instant,
     /// How long it may be kept without use, as the other end last said; none if it did not say.
@@ -78,13 +82,17 @@
         connect_timeout: Duration,
         permit: OwnedSemaphorePermit,
     ) -> Result<Self, OpenError> {
+        let expects_answer = Arc::new(AtomicBool::default());
         let open = async {
             let stream = TcpStream::connect(address).await;
             let stream = stream.map_err(|error| open_error(error.kind()))?;
             prepare_socket(&stream, Remote::Server);
             http1::Builder::new()
                 .max_buf_size(READ_BUFFER_BYTES)
-                .handshake(TokioIo::new(stream))
+                .handshake(TokioIo::new(AnswerStream::new(
+                    stream,
+                    Arc::clone(&expects_answer),
+                )))
                 .await
                 .map_err(|_| OpenError::Silent)
         };
@@ -97,6 +105,7 @@
                 // A failure reaches whoever waits for the answer; nobody else needs it.
                 let _ = driver.await;
             }),
+            expects_answer,
             idle_since: Instant::now(),
             keep_for: None,
             carried: VecDeque::new(),
@@ -145,18 +154,27 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failed> {
         let too_many = limit_informational(&mut request);
+        self.expects_answer.store(true, Ordering::Relaxed);
         let sent = tokio::select! {
             sent = self.sender.try_send_request(request) => sent,
             () = too_many.notified() => return Err(Failed::MaybeSent),
         };
         sent.map_err(|mut error| match error.take_message() {
             Some(request) => Failed::Unsent(Box::new(request)),
-            None if error.error().is_parse() => Failed::Malformed(MalformedAnswer::Head),
-            None => Failed::MaybeSent,
+            None => malformed_by(error.error()).map_or(Failed::MaybeSent, Failed::Malformed),
         })
     }
 }
 
+/// What makes the answer malformed, if that is why hyper has none.
+fn malformed_by(error: &hyper::Error) -> Option<MalformedAnswer> {
+    if error.is_parse() {
+        return Some(MalformedAnswer::Head);
+    }
+    let error = error.source()?.downcast_ref::<io::Error>()?;
+    error.get_ref()?.downcast_ref().copied()
+}
+
 /// Returns what is notified once more than [`MAX_INFORMATIONAL`] informational answers to `request`
 /// have arrived.
 fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
--- a/crates/http-pool/src/lib.rs
+++ b/crates/http-pool/src/lib.rs
@@ -5,9 +5,11 @@
 //! makes one wait for a connection, and knows nothing about what the requests mean.
 //! Start at [`Pool`].
 
+mod answer_stream;
 mod connection;
 mod connection_id;
 mod framing;
+mod head_lines;
 mod malformed_answer;
 mod pool;
 mod pooled_body;
--- a/crates/http-pool/src/malformed_answer.rs
+++ b/crates/http-pool/src/malformed_answer.rs
@@ -9,6 +9,10 @@
     /// Its status line, or a line of its head that should be a field.
     #[error("its head cannot be parsed")]
     Head,
+    /// Lines of its head that end with a line feed, and others that end with a carriage return before
+    /// it.
+    #[error("the lines of its head end in different ways")]
+    LineEnds,
     /// A status of no known class, or 101, as no request asks for another protocol.
     #[error("its status is none that an answer may have")]
     Status,
--- a/crates/http-pool/tests/scripted_server/malformed.rs
+++ b/crates/http-pool/tests/scripted_server/malformed.rs
@@ -12,6 +12,8 @@
     NoField,
     BlankInName,
     Status(&'static str),
+    /// A line feed before the field that frames the body.
+    LineFeed,
 }
 
 impl Malformed {
@@ -37,6 +39,7 @@
                 format!("spoilt\r\ncontent-length: {length}\r\n"),
                 body.to_owned(),
             ),
+            Self::LineFeed => (format!("\ncontent-length: {length}\r\n"), body.to_owned()),
             Self::Status(_) => (format!("content-length: {length}\r\n"), body.to_owned()),
             Self::BlankInName => (
                 format!("x note: 1\r\ncontent-length: {length}\r\n"),
--- a/crates/store/tests/malformed_answers.rs
+++ b/crates/store/tests/malformed_answers.rs
@@ -30,7 +30,8 @@
         Malformed::BlankInName,
         Malformed::Status("000"),
         Malformed::Status("101"),
-        Malformed::Status("600")
+        Malformed::Status("600"),
+        Malformed::LineFeed
     )]
     malformed: Malformed,
 ) {
