Scale the stages of a shutdown with its grace period

Callers saw: at a node with a grace period of 2 s, requests taken in its last second, passed on, and cut without an answer when the process ended, those among them that may not be repeated.

Cause: a node that shuts down accepted requests for 3 s however long it may take, while it closes idle connections after half of the grace period and exits half a second before its end.

Change: ShutdownSchedule derives all stages from the grace period; requests are accepted for 3 s or three eighths of it, whichever is less. With the 8 s of the users' deployments all stages stay as they were.

Tests: platform/tests/planned_stop.rs stops a node in calm while callers send on, on kept and on new connections, with answers that take a twentieth and a fifth of the grace period.

--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -48,13 +48,6 @@
     Control(std::io::Error),
 }
 
-/// How long a node that shuts down keeps working as before, until the platform stops sending
-/// callers: it needs two readiness checks, one a second.
-const ROTATION_REMOVAL_TIME: Duration = Duration::from_millis(3_200);
-
-/// The last part of the grace period, left for the process to exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
 /// How often a node that shuts down checks whether its connections are closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -66,7 +59,6 @@
     stop_control: CancellationToken,
     control: JoinHandle<()>,
     callers_address: SocketAddr,
-    grace: Duration,
     log: Logger,
 }
 
@@ -118,7 +110,6 @@
             },
         };
         let stop_control = CancellationToken::new();
-        let grace = settings.bounds.grace();
         let peer_socket = UdpSocket::bind((settings.nodes_address.ip(), 0)).await;
         let peer_socket = peer_socket.map_err(|problem| RelayNodeError::Listen {
             address: settings.nodes_address,
@@ -178,7 +169,6 @@
             stop_control,
             control,
             callers_address,
-            grace,
             log,
         })
     }
@@ -189,17 +179,20 @@
     }
 
     /// Shuts down in order: reports not ready, closes connections without a request, waits for
-    /// requests in progress, and then releases the engines and the lease.
+    /// requests in progress, and then releases the engines and the lease. [`ShutdownSchedule`] says
+    /// when.
+    ///
+    /// [`ShutdownSchedule`]: nutmegsail_relay::ShutdownSchedule
     pub async fn shutdown(self) {
         let began = Instant::now();
+        let schedule = self.gateway.shutdown;
         log_event!(self.log, Event::NodeLeaving, "connections" => self.gateway.connections());
         self.shared.record_leaving();
         self.gateway.leaving_since.set(Some(began));
-        sleep(ROTATION_REMOVAL_TIME.min(self.grace / 2)).await;
+        sleep(schedule.close_idle).await;
         self.close.cancel();
-        let limit = self.grace.saturating_sub(EXIT_MARGIN);
         while self.gateway.connections() > 0 {
-            if began.elapsed() >= limit {
+            if began.elapsed() >= schedule.end {
                 log_event!(
                     self.log, Event::DrainTimedOut,
                     "connections" => self.gateway.connections()
@@ -209,7 +202,7 @@
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         self.stop_control.cancel();
-        while !self.control.is_finished() && began.elapsed() < limit {
+        while !self.control.is_finished() && began.elapsed() < schedule.end {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         log_event!(self.log, Event::NodeStopped);
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -12,7 +12,8 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, ChooseError as NoChoice, CrashWatch, DispatchRequest, Dispatcher, ForwardPeers,
-    LoadPurpose, RetryBudget, RetryBudgetRules, Suspicion, UsualTimeout, jittered_retry_after,
+    LoadPurpose, RetryBudget, RetryBudgetRules, ShutdownSchedule, Suspicion, UsualTimeout,
+    jittered_retry_after,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -110,6 +111,7 @@
     pub(crate) log: Logger,
     /// When the node began to shut down.
     pub(crate) leaving_since: Cell<Option<Instant>>,
+    pub(crate) shutdown: ShutdownSchedule,
     /// Whether callers' new connections are served.
     pub(super) overload: Overload,
     /// Number of requests waiting for a base model.
@@ -225,6 +227,7 @@
             local_rate_buckets: RefCell::default(),
             applied_limits: Cell::new(0),
             applied_notices: Cell::new(0),
+            shutdown: ShutdownSchedule::within(parts.bounds.grace()),
             bounds: parts.bounds,
             quotas: Rc::new(QuotaClient::new(Rc::clone(&peer_socket))),
             slots: Rc::new(SlotClient::new(Rc::clone(&peer_socket))),
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -47,14 +47,6 @@
 /// The smallest read buffer that hyper accepts, for configurations that allow less.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
-/// How long a node that shuts down still accepts new requests. The platform stops sending callers
-/// after two readiness checks, one a second. Answers to later requests might not end within the
-/// grace period.
-const LEAVING_ACCEPT_TIME: Duration = Duration::from_millis(3_000);
-
-/// Retry-After at a node that shuts down: almost at once, as another node takes the request.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// Who sends the requests of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -242,11 +234,7 @@
             },
             None => meta,
         };
-        if self.has_stopped_accepting(began) {
-            return Err(
-                EarlyRefusal::new(ResultCode::NodeLeaving, "").retry_after(LEAVING_RETRY_AFTER)
-            );
-        }
+        self.check_accepting()?;
         let table = self.refresh_view().table.clone().ok_or_else(|| {
             EarlyRefusal::new(ResultCode::NoTextInForce, "").retry_after(Duration::from_millis(500))
         })?;
@@ -338,9 +326,14 @@
         })
     }
 
-    fn has_stopped_accepting(&self, now: Instant) -> bool {
+    /// Refuses a request that arrives late in a shutdown, as its answer might not end within the
+    /// grace period.
+    fn check_accepting(&self) -> Result<(), EarlyRefusal> {
         let since = self.leaving_since.get();
-        since.is_some_and(|since| now.duration_since(since) > LEAVING_ACCEPT_TIME)
+        match since.is_some_and(|since| since.elapsed() > self.shutdown.accept) {
+            true => Err(RefusalReason::leaving().into()),
+            false => Ok(()),
+        }
     }
 }
 
--- a/crates/relay-node/src/traffic/refuse.rs
+++ b/crates/relay-node/src/traffic/refuse.rs
@@ -10,6 +10,9 @@
 
 use super::answer_body::AnswerBody;
 
+/// Retry-After at a node that shuts down: almost at once, as another node takes the request.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Why a request is refused, and when its caller may retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RefusalReason {
@@ -31,6 +34,11 @@
             retry_after: Some(wait),
         }
     }
+
+    /// The node shuts down, and the answer might not end before the process does.
+    pub(crate) fn leaving() -> Self {
+        Self::retry_in(ResultCode::NodeLeaving, LEAVING_RETRY_AFTER)
+    }
 }
 
 /// The code of a refusal, attached to its answer.
