Refuse requests whose body comes late in a shutdown

Callers saw: a request that may not be repeated, whose head reached a node as it began to shut down and whose body came 2 s later, was passed on and cut without an answer at the end of the grace period.

Cause: whether a node that shuts down still accepts a request was decided when its head arrived. A body may take up to the configured read time, 3 s, on top of that.

Change: it is decided again when the body is complete. Nothing was sent then, so the caller gets 503, which is true, and another node takes it.

Test: a_request_whose_body_comes_late_is_refused; before, the connection closed without a byte.

--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -239,6 +239,7 @@
             EarlyRefusal::new(ResultCode::NoTextInForce, "").retry_after(Duration::from_millis(500))
         })?;
         let body = read_body(body, &table).await?;
+        self.check_accepting()?;
         // The configuration may have changed while the body was received.
         let view = self.refresh_view();
         let table = view.table.clone().unwrap_or(table);
