Limit what all streams together hold of incomplete events

What happened: an engine that never ends an event made a node hold up to 1 MiB for each resumable stream that it answered, and as many streams as it had. 120 of them let the node's memory grow by 185 MB. The smallest nodes have 120 MB, and with such a node the requests of all its callers end.

Cause: a stream that may be resumed holds back the part of an event that has not ended, up to a limit for each stream; nothing limited the sum.

Change: the streams of a traffic thread share 8 MiB for incomplete events (HeldEvents). Once that is used up, a stream that holds more than 64 KiB is broken off like one whose event is too long, and resumed elsewhere if it may be. Events of engines have some hundred bytes and always fit. A stream that is resumed frees what it held.

--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -12,8 +12,8 @@
 use nutmegsail_http_pool::{Pool, PoolSettings};
 use nutmegsail_relay::{
     Choice, ChooseError as NoChoice, CrashWatch, DispatchRequest, Dispatcher, ForwardPeers,
-    LoadPurpose, RetryBudget, RetryBudgetRules, ShutdownSchedule, Suspicion, UsualTimeout,
-    jittered_retry_after,
+    HeldEvents, LoadPurpose, RetryBudget, RetryBudgetRules, ShutdownSchedule, Suspicion,
+    UsualTimeout, jittered_retry_after,
 };
 use nutmegsail_request::{AfterFailure, Dispatched, Queued, Refusal, Request, Uncertain};
 use nutmegsail_telemetry::{Event, log_event};
@@ -120,6 +120,8 @@
     pub(super) key_waiters: Cell<usize>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     applied_view: Cell<u64>,
+    /// What streams hold of incomplete events.
+    pub(super) held_events: HeldEvents,
     /// Streams whose software version is being sought.
     pub(super) streams_sought: Rc<RefCell<StreamSearches>>,
 }
@@ -241,6 +243,7 @@
             key_waiters: Cell::new(0),
             retry_budgets: RefCell::default(),
             applied_view: Cell::new(0),
+            held_events: HeldEvents::default(),
             streams_sought: Rc::default(),
         }
     }
--- a/crates/relay-node/src/traffic/resumable_body.rs
+++ b/crates/relay-node/src/traffic/resumable_body.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body::Frame;
 use nutmegsail_http_pool::Framing;
-use nutmegsail_relay::EventSplitter;
+use nutmegsail_relay::{EventSplitter, HeldEvent};
 use tokio::time::{Instant, Sleep};
 
 use super::answer_body::AnswerCut;
@@ -34,6 +34,7 @@
 pub(crate) struct ResumableBody {
     state: State,
     events: EventSplitter,
+    held: HeldEvent,
     resumption: Option<Resumption>,
     /// Whether the caller has a head that promises an end other than that of the connection.
     is_delimited: bool,
@@ -62,6 +63,7 @@
             is_delimited: received.framing() != Framing::Close,
             state: State::Reading(Box::new(received)),
             events: EventSplitter::after(resumption.caller_last_id()),
+            held: resumption.hold_events(),
             resumption: Some(resumption),
             deadline_timer,
             silence_timer: Box::pin(tokio::time::sleep(MAX_SILENCE)),
@@ -128,10 +130,11 @@
                     .reset(Instant::now() + MAX_SILENCE);
                 // Repeated events mean that the upstream started the stream again from the
                 // beginning.
-                match self.events.push(&bytes) {
-                    Ok(events) if !events.is_empty() || !self.events.is_too_long() => {
-                        PollResult::Events(events)
-                    }
+                let pushed = self.events.push(&bytes);
+                let fits = self.held.resize(self.events.held_bytes());
+                let may_hold = fits && !self.events.is_too_long();
+                match pushed {
+                    Ok(events) if may_hold || !events.is_empty() => PollResult::Events(events),
                     _ => PollResult::Broken(AnswerCut::Upstream),
                 }
             }
@@ -164,6 +167,7 @@
             received.record_broken(self.events.is_inside_event());
         }
         self.events.begin_resumed();
+        self.held.resize(0);
         self.state = State::Resuming(Box::pin(resumption.resume_after(self.events.last_id())));
         true
     }
--- a/crates/relay-node/src/traffic/resume.rs
+++ b/crates/relay-node/src/traffic/resume.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use http::StatusCode;
 use nutmegsail_base::ResultCode;
-use nutmegsail_relay::{SoftwareRule, Upstream};
+use nutmegsail_relay::{HeldEvent, SoftwareRule, Upstream};
 use nutmegsail_telemetry::{Event, log_event};
 
 use super::call::Call;
@@ -186,6 +186,11 @@
         self.call.last_event_id()
     }
 
+    /// The account of what the stream holds of an incomplete event.
+    pub(super) fn hold_events(&self) -> HeldEvent {
+        self.gateway.held_events.hold()
+    }
+
     /// Whether an attempt is left to resume the stream.
     pub(crate) fn has_attempts_left(&self) -> bool {
         self.sends.may_have_run < self.call.route.max_attempts
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -117,6 +117,18 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
+    /// The number of bytes that are held back.
+    ///
+    /// ```
+    /// use nutmegsail_relay::EventSplitter;
+    /// let mut events = EventSplitter::default();
+    /// events.push(b"id: 1\ndata: a\n\nid: 2").unwrap();
+    /// assert_eq!(events.held_bytes(), 5);
+    /// ```
+    pub fn held_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether the stream can be resumed. An event without an id would be sent again.
     ///
     /// ```
@@ -134,7 +146,7 @@
     /// Discards an incomplete event whose remainder will not arrive, as another upstream resumes the
     /// stream.
     pub fn begin_resumed(&mut self) {
-        self.partial.clear();
+        self.partial = Vec::new();
         self.events = EventScanner::default();
         self.is_resumed = true;
     }
