Reject answers that state no end on a connection that is kept

Callers saw: an answer whose field Transfer-Encoding or Content-Length had got another name (`Transfer-Encodinh: chunked`), with the lines of its chunks in the body, or of an unknown end.

Cause: a head without these fields ends its body with the connection (RFC 9112, 6.3), and a name that is spoilt into another name is a sound field. The head contradicted itself all the same: it said that its connection stays open (`Keep-Alive`, or `Connection: keep-alive`), for which the body must state its end (9.3).

Change: such a head is malformed, unless it also says that the connection closes.

Two sound answers, with `Connection: close`, and with `Keep-Alive` beside it, pass with and without.

--- a/crates/http-pool/src/framing.rs
+++ b/crates/http-pool/src/framing.rs
@@ -56,7 +56,8 @@
     /// # Errors
     ///
     /// If the status is none of a final answer, or the head leaves uncertain where the body ends, or
-    /// states that the body has a coding that is not removed. A head without a body is checked too, as its fields are passed on.
+    /// states that the body has a coding that is not removed. A head without a body is checked too,
+    /// as its fields are passed on.
     pub fn of<B>(method: &Method, answer: &Response<B>) -> Result<Self, MalformedAnswer> {
         let (status, headers) = (answer.status(), answer.headers());
         if !FINAL_STATUSES.contains(&status.as_u16()) {
@@ -69,13 +70,29 @@
         }
         let has_no_body = method == Method::HEAD
             || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        Ok(match (is_chunked, length) {
-            _ if has_no_body => Self::NoBody,
-            (true, _) => Self::Chunked,
-            (false, Some(_)) => Self::Length,
-            (false, None) => Self::Close,
-        })
+        match (is_chunked, length) {
+            _ if has_no_body => Ok(Self::NoBody),
+            (true, _) => Ok(Self::Chunked),
+            (false, Some(_)) => Ok(Self::Length),
+            (false, None) if states_that_connection_is_kept(headers) => {
+                Err(MalformedAnswer::NoFraming)
+            }
+            (false, None) => Ok(Self::Close),
+        }
+    }
+}
+
+/// Whether the head says that the connection stays open after the answer.
+fn states_that_connection_is_kept(headers: &HeaderMap) -> bool {
+    let options = headers.get_all(header::CONNECTION).iter();
+    let options = options.filter_map(|value| value.to_str().ok());
+    let options = options.flat_map(|value| value.split(',').map(str::trim));
+    let (mut is_kept, mut is_closed) = (headers.contains_key("keep-alive"), false);
+    for option in options {
+        is_kept |= option.eq_ignore_ascii_case("keep-alive");
+        is_closed |= option.eq_ignore_ascii_case("close");
     }
+    is_kept && !is_closed
 }
 
 /// Whether the body is in chunks.
--- a/crates/http-pool/src/head_lines.rs
+++ b/crates/http-pool/src/head_lines.rs
@@ -58,7 +58,7 @@
 
     fn end_line(&mut self) -> Result<(), MalformedAnswer> {
         let (line_end, is_empty) = match self.last_byte {
-            b'\r' if self.line_bytes > 0 => (LineEnd::CrLf, self.line_bytes == 1),
+            b'\r' => (LineEnd::CrLf, self.line_bytes == 1),
             _ => (LineEnd::Lf, self.line_bytes == 0),
         };
         if *self.line_end.get_or_insert(line_end) != line_end {
--- a/crates/http-pool/src/malformed_answer.rs
+++ b/crates/http-pool/src/malformed_answer.rs
@@ -23,4 +23,7 @@
     /// length or an HTTP/1.0 head.
     #[error("its transfer coding is unknown or contradicts the head")]
     TransferCoding,
+    /// Neither a length nor chunks, in an answer after which the connection is said to stay open.
+    #[error("it states no end of its body, and that its connection is kept")]
+    NoFraming,
 }
--- a/crates/http-pool/tests/framing.rs
+++ b/crates/http-pool/tests/framing.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that has nothing fails")]
 
 use http::{HeaderName, HeaderValue, Method, Response, Version};
-use nutmegsail_http_pool::MalformedAnswer::{ContentLength, Status, TransferCoding};
+use nutmegsail_http_pool::MalformedAnswer::{ContentLength, NoFraming, Status, TransferCoding};
 use nutmegsail_http_pool::{Framing, MalformedAnswer};
 use rstest::rstest;
 
@@ -31,6 +31,10 @@
 #[case::chunks_in_upper_case("POST", 200, &["transfer-encoding: CHUNKED"], Framing::Chunked)]
 #[case::chunks_after_empty_elements("POST", 200, &["transfer-encoding: , ,chunked"], Framing::Chunked)]
 #[case::neither("POST", 200, &[], Framing::Close)]
+#[case::neither_and_a_closed_connection("POST", 200, &["connection: close"], Framing::Close)]
+#[case::neither_and_a_time_before_the_connection_closes("POST", 200, &["keep-alive: timeout=5", "connection: Close"], Framing::Close)]
+#[case::length_and_a_kept_connection("POST", 200, &["keep-alive: timeout=5", "content-length: 8"], Framing::Length)]
+#[case::no_body_and_a_kept_connection("GET", 304, &["keep-alive: timeout=5"], Framing::NoBody)]
 #[case::an_error_with_neither("POST", 500, &[], Framing::Close)]
 #[case::head("HEAD", 200, &["content-length: 8"], Framing::NoBody)]
 #[case::head_in_chunks("HEAD", 200, &["transfer-encoding: chunked"], Framing::NoBody)]
@@ -99,3 +103,17 @@
     let framing = framing("GET", Version::HTTP_11, status, &["content-length: 8"]);
     assert_eq!(framing, Ok(Framing::Length));
 }
+
+// Guards against a body whose end is that of a connection which stays open: the field that framed it was lost.
+#[rstest]
+#[case::a_time(&["keep-alive: timeout=5"])]
+#[case::an_option(&["connection: x-hop, Keep-Alive"])]
+#[case::similar_names(&["keep-alive: timeout=5", "content-lengtj: 8", "transfer-encodinh: chunked"])]
+fn no_end_of_the_body_on_a_kept_connection_is_malformed(
+    #[values(Version::HTTP_10, Version::HTTP_11)] version: Version,
+    #[values(200, 404, 500)] status: u16,
+    #[case] lines: &[&'static str],
+) {
+    let framing = framing("POST", version, status, lines);
+    assert_eq!(framing, Err(NoFraming));
+}
--- a/crates/http-pool/tests/scripted_server/malformed.rs
+++ b/crates/http-pool/tests/scripted_server/malformed.rs
@@ -12,6 +12,8 @@
     NoField,
     BlankInName,
     Status(&'static str),
+    /// The field that frames the body has another name, and the connection is said to stay open.
+    NoFraming,
     /// A line feed before the field that frames the body.
     LineFeed,
 }
@@ -40,6 +42,10 @@
                 body.to_owned(),
             ),
             Self::LineFeed => (format!("\ncontent-length: {length}\r\n"), body.to_owned()),
+            Self::NoFraming => (
+                "keep-alive: timeout=5\r\ntransfer-encodinh: chunked\r\n".to_owned(),
+                chunks,
+            ),
             Self::Status(_) => (format!("content-length: {length}\r\n"), body.to_owned()),
             Self::BlankInName => (
                 format!("x note: 1\r\ncontent-length: {length}\r\n"),
--- a/crates/relay-node/src/traffic/gateway.rs
+++ b/crates/relay-node/src/traffic/gateway.rs
@@ -111,6 +111,7 @@
     pub(crate) log: Logger,
     /// When the node began to shut down.
     pub(crate) leaving_since: Cell<Option<Instant>>,
+    /// The stages of a shutdown, once it has begun.
     pub(crate) shutdown: ShutdownSchedule,
     /// Whether callers' new connections are served.
     pub(super) overload: Overload,
--- a/crates/store/tests/malformed_answers.rs
+++ b/crates/store/tests/malformed_answers.rs
@@ -31,7 +31,8 @@
         Malformed::Status("000"),
         Malformed::Status("101"),
         Malformed::Status("600"),
-        Malformed::LineFeed
+        Malformed::LineFeed,
+        Malformed::NoFraming
     )]
     malformed: Malformed,
 ) {
