Check all malformed answers by one loop and one list

Cause: the tests of malformed answers repeated themselves.

Tests only: each answer is checked as before, and 26 cases of two tests are 13 turns of a loop in each, which print the answer that they are at. Two comments use the usual terms.

--- a/crates/http-pool/tests/framing.rs
+++ b/crates/http-pool/tests/framing.rs
@@ -50,7 +50,7 @@
     assert_eq!(framing, Ok(expected));
 }
 
-// Guards against a body whose end is guessed, or that is passed on with a coding that nobody removed.
+// Guards against a body whose end is guessed, or that is passed on with a transfer coding that was not removed.
 #[rstest]
 #[case::chunks_and_a_length(&["content-length: 8", "transfer-encoding: chunked"], TransferCoding)]
 #[case::another_coding_before(&["transfer-encoding: gzip, Chunked"], TransferCoding)]
@@ -88,7 +88,7 @@
     assert_eq!(framing, Err(TransferCoding));
 }
 
-// Guards against passing on a status that no caller can understand, or a switch to a protocol that nobody asked for.
+// Guards against passing on a status that no caller can understand, or an unrequested switch of protocols.
 #[rstest]
 fn a_status_of_no_final_answer_is_malformed(
     #[values("GET", "HEAD")] method: &str,
--- a/crates/http-pool/tests/scripted_server/malformed.rs
+++ b/crates/http-pool/tests/scripted_server/malformed.rs
@@ -19,6 +19,22 @@
 }
 
 impl Malformed {
+    pub const ALL: [Self; 13] = [
+        Self::UnknownCoding,
+        Self::UnknownCodingFirst,
+        Self::ChunksTwice,
+        Self::ChunksAndLength,
+        Self::NoNumber,
+        Self::TwoLengths,
+        Self::NoField,
+        Self::BlankInName,
+        Self::Status("000"),
+        Self::Status("101"),
+        Self::Status("600"),
+        Self::NoFraming,
+        Self::LineFeed,
+    ];
+
     /// The bytes of an answer with further headers (each ending in `\r\n`) and a body.
     pub fn answer(self, headers: &str, body: &str) -> Vec<u8> {
         let length = body.len();
--- a/crates/http-pool/tests/scripted_server/mod.rs
+++ b/crates/http-pool/tests/scripted_server/mod.rs
@@ -2,11 +2,10 @@
 
 #![allow(
     dead_code,
-    unused_imports,
     reason = "not every crate that includes this uses all of it"
 )]
 
-mod malformed;
+pub mod malformed;
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,8 +16,6 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-pub use malformed::Malformed;
-
 /// What the server does with one request.
 pub enum Turn {
     /// Writes these bytes and waits for the next request on the connection.
--- a/crates/store/tests/malformed_answers.rs
+++ b/crates/store/tests/malformed_answers.rs
@@ -4,8 +4,8 @@
 mod scripted_server;
 
 use nutmegsail_store::{HttpKeyValue, KeyValue, KeyValueError, PlatformSettings, Revision, Txn};
-use rstest::rstest;
-use scripted_server::{Malformed, ScriptedServer, Turn};
+use scripted_server::malformed::Malformed;
+use scripted_server::{ScriptedServer, Turn};
 
 async fn store(malformed: Malformed, body: &str) -> (ScriptedServer, HttpKeyValue) {
     let turn = Turn::AnswerAndClose(malformed.answer("", body));
@@ -16,26 +16,15 @@
 
 // Guards against reading the framing of an answer as its body, and against a write that counts as done or as not sent though
 // its answer says neither.
-#[rstest]
 #[tokio::test]
-async fn a_malformed_answer_is_none(
-    #[values(
-        Malformed::UnknownCoding,
-        Malformed::UnknownCodingFirst,
-        Malformed::ChunksTwice,
-        Malformed::ChunksAndLength,
-        Malformed::NoNumber,
-        Malformed::TwoLengths,
-        Malformed::NoField,
-        Malformed::BlankInName,
-        Malformed::Status("000"),
-        Malformed::Status("101"),
-        Malformed::Status("600"),
-        Malformed::LineFeed,
-        Malformed::NoFraming
-    )]
-    malformed: Malformed,
-) {
+async fn a_malformed_answer_is_none() {
+    for malformed in Malformed::ALL {
+        println!("{malformed:?}");
+        check(malformed).await;
+    }
+}
+
+async fn check(malformed: Malformed) {
     let item = r#"{"key":"k","value":"{}","revision":3,"lease":9}"#;
     let (_server, reading) = store(malformed, item).await;
     let read = reading.get("k").await;
--- a/crates/upstream/tests/malformed_answers.rs
+++ b/crates/upstream/tests/malformed_answers.rs
@@ -11,8 +11,8 @@
     Engine, EngineRequest, HttpEngine, HttpPlainService, PlainRequest, PlainService, UpstreamError,
     UpstreamSettings,
 };
-use rstest::rstest;
-use scripted_server::{Malformed, ScriptedServer, Turn};
+use scripted_server::malformed::Malformed;
+use scripted_server::{ScriptedServer, Turn};
 
 const STREAM: &str =
     "id: 1\ndata: {\"text\":\"a\"}\n\nevent: end\ndata: {\"count\":1,\"reason\":\"stop\"}\n\n";
@@ -28,26 +28,15 @@
 
 // Guards against an answer of the own interface whose body is another than the upstream's, or that is recorded as the
 // answer to a call which runs once.
-#[rstest]
 #[tokio::test]
-async fn a_malformed_answer_is_a_broken_one(
-    #[values(
-        Malformed::UnknownCoding,
-        Malformed::UnknownCodingFirst,
-        Malformed::ChunksTwice,
-        Malformed::ChunksAndLength,
-        Malformed::NoNumber,
-        Malformed::TwoLengths,
-        Malformed::NoField,
-        Malformed::BlankInName,
-        Malformed::Status("000"),
-        Malformed::Status("101"),
-        Malformed::Status("600"),
-        Malformed::LineFeed,
-        Malformed::NoFraming
-    )]
-    malformed: Malformed,
-) {
+async fn a_malformed_answer_is_a_broken_one() {
+    for malformed in Malformed::ALL {
+        println!("{malformed:?}");
+        check(malformed).await;
+    }
+}
+
+async fn check(malformed: Malformed) {
     let deadline = Duration::from_secs(30);
     let plain = HttpPlainService::new(UpstreamSettings::default());
     let (called, upstream) = server(malformed, "x-request-id: r1\r\n", "done").await;
