Add limits on what connections and requests hold

Cause: nothing in a process sums up what its callers' connections hold: heads, bodies that arrive or wait, answers that nobody reads. Each listener reads a body whole, up to the configured limit, whatever the others hold.

Change: a crate that keeps the sum. Its pure ledger decides how many connections each listener may have open and how many bytes all of them may hold, and which connections end when there is no room: unfinished requests that hold the most for longest, then idle connections, never a request that was sent whole. A body is copied into one buffer as it arrives, as a piece of a byte would keep the buffer into which it was read, and is counted until its last clone is dropped. Result code NS2009 is for requests without room. Nothing uses it yet.

Result: its unit tests, one of them with random steps.

--- a/crates/base/src/result_code.rs
+++ b/crates/base/src/result_code.rs
@@ -69,6 +69,7 @@
     2006 QuotaSpent 429 true "The team has asked for more than its quota; the request did not run.";
     2007 QuotaUnknown 503 true "No node that lends the team's quota could be asked; the request did not run.";
     2008 ForwardLimit 503 true "The node handles as many requests of other nodes as it can; the request did not run.";
+    2009 NoRoom 503 true "The node has no room for the request's body; the request did not run.";
     3001 NoUpstream 503 true "No upstream of the service can be reached.";
     3002 UpstreamFailed 502 false "The upstream failed after the request had been sent.";
     3003 UpstreamRefused 503 true "Every upstream that was asked refused the request.";
--- /dev/null
+++ b/crates/intake/src/lib.rs
@@ -0,0 +1,30 @@
+//! Limits on what connections and their requests hold.
+//!
+//! Decides how many connections each listener of the process may have open, how many bytes all of
+//! them may hold, and which connections end when there is no room. It is told when connections open,
+//! what they hold and whether their callers keep them waiting. It never ends a request that its
+//! caller has sent whole.
+//!
+//! [`Ledger`] has the decisions; [`Intake`] shares them between threads.
+
+mod body;
+mod charge;
+mod connection_limits;
+mod connection_use;
+mod door;
+mod holding;
+mod intake;
+mod ledger;
+mod linger;
+mod process_limits;
+
+pub use body::{BodyError, BodyLimits, collect_body, discard_ready};
+pub use charge::Charge;
+pub use connection_limits::ConnectionLimits;
+pub use connection_use::{AnswerInUse, CONNECTION_BYTES, ConnectionUse};
+pub use door::Door;
+pub use holding::Holding;
+pub use intake::{Intake, IntakeObserver, IntakeUse};
+pub use ledger::{Admission, Evictions, Growth, HolderId, HolderUse, Ledger, LedgerLimits};
+pub use linger::linger;
+pub use process_limits::{LimitSettings, ProcessLimits};
