--- a/crates/intake/src/connection_limits.rs
+++ b/crates/intake/src/connection_limits.rs
@@ -16,7 +16,7 @@
 /// ```
 /// use nutmegsail_intake::{ConnectionLimits, Door};
 /// let limits = ConnectionLimits::within(4_096);
-/// assert_eq!(limits.of(Door::Callers), 2_346);
+/// assert_eq!(limits.of(Door::Callers), 2_106);
 /// let all: usize = Door::ALL.iter().map(|door| limits.of(*door)).sum();
 /// assert!(all < 4_096 * 3 / 4);
 /// ```
@@ -32,7 +32,7 @@
     pub fn within(descriptors: usize) -> Self {
         let sockets = descriptors - descriptors / FILES_DIVISOR;
         Self {
-            callers: (sockets * 5 / 8).max(1),
+            callers: (sockets / 16 * 9).max(1),
             nodes: (sockets / 8).max(1),
             pages: (sockets / 16).clamp(1, MAX_PAGES),
         }
--- a/crates/intake/src/ledger.rs
+++ b/crates/intake/src/ledger.rs
@@ -15,7 +15,7 @@
 const SMALL_RESERVE_DIVISOR: usize = 8;
 
 /// The fraction of a door's connections that may be open beyond its limit, while others end.
-const ENDING_DIVISOR: usize = 16;
+const ENDING_DIVISOR: usize = 8;
 
 /// Identifies a connection.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -17,6 +17,7 @@
 mod ledger;
 mod linger;
 mod process_limits;
+mod room_tally;
 
 pub use body::{BodyError, BodyLimits, collect_body, discard_ready};
 pub use charge::Charge;
@@ -28,3 +29,4 @@
 pub use ledger::{Admission, Evictions, Growth, HolderId, HolderUse, Ledger, LedgerLimits};
 pub use linger::linger;
 pub use process_limits::{LimitSettings, ProcessLimits};
+pub use room_tally::{RoomSummary, RoomTally};
--- a/crates/intake/src/linger.rs
+++ b/crates/intake/src/linger.rs
@@ -5,17 +5,14 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// How long the rest of a request is read after its refusal.
-const LINGER: Duration = Duration::from_secs(1);
-
 /// The most bytes that are read then.
 const LINGER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Reads and drops what a client still sends after the last answer, for a short time.
+/// Reads and drops what a client still sends after the last answer, for `longest` at most.
 ///
 /// A socket that is closed with unread bytes resets the connection, and the reset can overtake the
 /// answer.
-pub async fn linger(stream: &TcpStream) {
+pub async fn linger(stream: &TcpStream, longest: Duration) {
     let mut left = LINGER_BYTES;
     let discarding = async {
         while left > 0 && stream.readable().await.is_ok() {
@@ -29,5 +26,5 @@
             }
         }
     };
-    let _ = timeout(LINGER, discarding).await;
+    let _ = timeout(longest, discarding).await;
 }
--- a/crates/intake/src/process_limits.rs
+++ b/crates/intake/src/process_limits.rs
@@ -18,6 +18,12 @@
 /// The smallest number of descriptors with which a node can serve.
 const MIN_DESCRIPTORS: usize = 64;
 
+/// The number of descriptors if the operating system does not tell.
+const DEFAULT_DESCRIPTORS: u64 = 1_024;
+
+/// More descriptors than a node ever needs.
+const MAX_DESCRIPTORS: usize = 1 << 20;
+
 /// The fraction of the memory that connections and requests may hold. The rest is for the node's own
 /// state, for what the allocator wastes, and for what the kernel buffers.
 const HELD_DIVISOR: usize = 3;
@@ -84,12 +90,12 @@
         let memory = settings.memory_mb.map(|mb| (mb * MB as f64) as u64);
         let memory = memory.unwrap_or_else(detected_memory_bytes);
         let resource = getrlimit(Resource::RLIMIT_NOFILE);
-        let descriptors = resource.map_or(MIN_DESCRIPTORS, |(soft, _)| {
-            usize::try_from(soft).unwrap_or(usize::MAX)
-        });
+        let descriptors = resource.map_or(DEFAULT_DESCRIPTORS, |(soft, _)| soft);
+        let descriptors = usize::try_from(descriptors).unwrap_or(MAX_DESCRIPTORS);
+        let descriptors = settings.descriptors.unwrap_or(descriptors);
         Self {
             memory_bytes: usize::try_from(memory).unwrap_or(usize::MAX),
-            descriptors: settings.descriptors.unwrap_or(descriptors),
+            descriptors: descriptors.min(MAX_DESCRIPTORS),
         }
     }
 
