Bound what callers hold of the relay's memory and descriptors

What callers saw: a node that received many large bodies at once ended, and with it every request that it had in hand.

Cause: the listener read each body whole, up to the configured limit, before it knew the route or the key; nothing bounded the sum, and small chunks kept the buffers into which they were read. A head could take as long as a connection may idle. Connections were bounded by the descriptors alone, which left none for upstreams.

Change: connections of callers and of forwarding nodes are admitted by one intake, whose limits come from the process's memory and descriptors ([limits] in the settings, filled in by the deployment). What the head already says (length, route, key) is refused before the body is read; route and key are checked again after it. A head has to arrive within the read timeout. No request is read while the answer before it waits for its caller. A request without room gets 503, NS2009, not run, on a connection that closes after the rest of the request was read for a moment. Metrics, and event NE1013 once a second.

Handled before, the tests are kept: answers that nobody reads, single large requests, refused bodies that never run.

--- a/crates/relay-node/src/lib.rs
+++ b/crates/relay-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod peer_traffic;
 mod prompt_metrics;
 mod ready;
+mod room;
 mod settings;
 mod shared;
 mod stream_origins;
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use nutmegsail_base::{ResultCode, StoreEra};
 use nutmegsail_http_pool::OpenError;
+use nutmegsail_intake::{Door, HolderUse, IntakeUse};
 use nutmegsail_relay::{ModelRef, OriginVerdict, OwnershipConcern};
 use nutmegsail_store::KeyValueError;
 use nutmegsail_telemetry::{CountStoreCalls, Event, StoreCall, log_event};
@@ -39,6 +40,11 @@
     not_sent: Counter<u64>,
     forwards: Counter<u64>,
     closed_unread: Counter<u64>,
+    evicted: Counter<u64>,
+    turned_away: Counter<u64>,
+    held_bytes: Gauge<u64>,
+    held_bytes_limit: Gauge<u64>,
+    door_connections: Gauge<u64>,
     origin_searches: Counter<u64>,
     kept_streams: Gauge<u64>,
     first_event: Histogram<f64>,
@@ -116,6 +122,26 @@
                 "nutmegsail.relay.closed_unread",
                 "Callers' connections that were closed unread, as the node was overloaded.",
             ),
+            evicted: counter(
+                "nutmegsail.relay.evicted_connections",
+                "Connections that were ended so that others have room, by listener and use.",
+            ),
+            turned_away: counter(
+                "nutmegsail.relay.turned_away_connections",
+                "New connections that were closed unread, as there was no room, by listener.",
+            ),
+            held_bytes: gauge(
+                "nutmegsail.relay.held_bytes",
+                "What connections and their requests hold.",
+            ),
+            held_bytes_limit: gauge(
+                "nutmegsail.relay.held_bytes_limit",
+                "The most that connections and their requests may hold.",
+            ),
+            door_connections: gauge(
+                "nutmegsail.relay.open_connections",
+                "Open connections, by listener.",
+            ),
             origin_searches: counter(
                 "nutmegsail.relay.stream_origin_searches",
                 "Streams that callers resumed, by whether it was known where they began.",
@@ -282,6 +308,27 @@
         self.closed_unread.add(1, &[]);
     }
 
+    /// Counts a connection that ends so that others have room.
+    pub(crate) fn record_evicted(&self, door: Door, ended_use: HolderUse) {
+        let ended_use = KeyValue::new("use", ended_use.to_string());
+        self.evicted.add(1, &[listener(door), ended_use]);
+    }
+
+    /// Counts a connection that was closed unread for want of room.
+    pub(crate) fn record_turned_away(&self, door: Door) {
+        self.turned_away.add(1, &[listener(door)]);
+    }
+
+    /// Records what connections hold.
+    pub(crate) fn room(&self, room: &IntakeUse) {
+        self.held_bytes.record(room.held_bytes as u64, &[]);
+        self.held_bytes_limit.record(room.limit_bytes as u64, &[]);
+        for (door, connections) in room.connections {
+            self.door_connections
+                .record(connections as u64, &[listener(door)]);
+        }
+    }
+
     /// Counts a stream that a caller resumes, by whether it is known where it began.
     pub(crate) fn record_origin_search(&self, verdict: &OriginVerdict) {
         let result = match verdict {
@@ -374,6 +421,10 @@
     }
 }
 
+fn listener(door: Door) -> KeyValue {
+    KeyValue::new("listener", door.to_string())
+}
+
 fn base_model(model: &ModelRef) -> KeyValue {
     KeyValue::new("model", model.model.to_string())
 }
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -6,7 +6,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use nutmegsail_base::ResultCode;
+use nutmegsail_base::{Clock, ResultCode, SystemClock};
+use nutmegsail_intake::{Intake, ProcessLimits};
 use nutmegsail_store::KeyValue;
 use nutmegsail_telemetry::{CountedStore, Event, MetricsPage, TelemetryError, log_event};
 use slog::Logger;
@@ -19,6 +20,7 @@
 use crate::control::{self, ControlParts};
 use crate::metrics::{RelayMetrics, StoreCalls};
 use crate::nodes_sockets::NodesSockets;
+use crate::room::RoomReports;
 use crate::shared::{ControlRequests, Shared};
 use crate::traffic::{self, Gateway, GatewayParts, Origin, PeerSocket};
 use crate::{Dialect, RelaySettings, ready};
@@ -101,7 +103,8 @@
         let nodes = listener.into_std().map_err(RelayNodeError::Control)?;
         let page = MetricsPage::new().map_err(RelayNodeError::Metrics)?;
         let metrics = RelayMetrics::new(&page.meter());
-        let (shared, requests) = Shared::new(metrics.clone(), settings.bounds.access());
+        let intake = intake(&settings, &metrics, &log);
+        let (shared, requests) = Shared::new(metrics.clone(), settings.bounds.access(), intake);
         let store = CountedStore {
             inner: store,
             metrics: StoreCalls {
@@ -124,6 +127,7 @@
             bounds: settings.bounds,
             log: log.clone(),
         }));
+        let (nodes_address, forward_address) = (settings.nodes_address, settings.forward_address);
         let parts = ControlThread {
             settings,
             store: Arc::new(store),
@@ -160,7 +164,9 @@
         log_event!(
             log, Event::NodeReady,
             "callers" => callers_address.to_string(), "ready" => ready_address.to_string(),
-            "metrics" => metrics_address.map(|address| address.to_string())
+            "metrics" => metrics_address.map(|address| address.to_string()),
+            "nodes" => nodes_address.to_string(),
+            "forwarded" => forward_address.map(|address| address.to_string())
         );
         Ok(Self {
             gateway,
@@ -209,6 +215,18 @@
     }
 }
 
+/// The limits on what connections hold, within those of the process.
+fn intake(settings: &RelaySettings, metrics: &RelayMetrics, log: &Logger) -> Intake {
+    let limits = ProcessLimits::detect(&settings.limits);
+    log_event!(
+        log, Event::SettingsRead,
+        "memory_bytes" => limits.memory_bytes, "descriptors" => limits.descriptors
+    );
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let reports = RoomReports::new(metrics.clone(), log.clone(), Arc::clone(&clock));
+    Intake::new(limits.ledger(), clock, Arc::new(reports))
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, RelayNodeError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|problem| RelayNodeError::Listen { address, problem })
--- a/crates/relay-node/src/settings.rs
+++ b/crates/relay-node/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::{FailureDomain, NodeId, ResultCode};
+use nutmegsail_intake::LimitSettings;
 use nutmegsail_quota::QuotaBounds;
 use nutmegsail_relay::{AccessRules, LateWorth};
 use nutmegsail_telemetry::LogSettings;
@@ -61,6 +62,9 @@
     /// Times and ratios agreed between operators and the platform.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Load shedding by the value of late answers. If it is left out, it does not count.
     #[serde(default)]
     pub shedding: Option<SheddingSettings>,
@@ -253,6 +257,7 @@
         failed
             .map(|(_, problem)| (*problem).to_owned())
             .chain(shedding)
+            .chain(self.limits.faults())
             .collect()
     }
 }
--- a/crates/relay-node/src/shared.rs
+++ b/crates/relay-node/src/shared.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use derive_more::Display;
 use nutmegsail_base::{FailureDomain, ServiceName, UpstreamId};
+use nutmegsail_intake::Intake;
 use nutmegsail_relay::{
     AccessRules, BrittleServices, DomainContacts, ForwarderWatch, Holdings, HoldingsReport,
     KnownPace, LoadCandidate, LoadPurpose, LoadReport, LoadTimes, ModelDigest, ModelRef, Peer,
@@ -343,6 +344,8 @@
     pub(crate) metrics: RelayMetrics,
     /// Number of open caller connections.
     pub(crate) connections: AtomicUsize,
+    /// Admits connections to all listeners.
+    pub(crate) intake: Intake,
     /// When the store last answered, in milliseconds of [`boot_time`].
     pub(crate) store_answered_ms: AtomicU64,
     /// When the store read behind the newest view was sent, in milliseconds of [`boot_time`]; 0
@@ -354,7 +357,11 @@
 }
 
 impl Shared {
-    pub(crate) fn new(metrics: RelayMetrics, access: AccessRules) -> (Arc<Self>, ControlRequests) {
+    pub(crate) fn new(
+        metrics: RelayMetrics,
+        access: AccessRules,
+        intake: Intake,
+    ) -> (Arc<Self>, ControlRequests) {
         let (load_requests, loads) = mpsc::channel(LOAD_QUEUE_LIMIT);
         let (origin_reads, reads) = mpsc::channel(ORIGIN_READ_QUEUE_LIMIT);
         let shared = Self {
@@ -378,6 +385,7 @@
             load_requests,
             metrics,
             connections: AtomicUsize::new(0),
+            intake,
             store_answered_ms: AtomicU64::new(0),
             data_asked_ms: AtomicU64::new(0),
             is_store_failing: AtomicBool::new(false),
@@ -408,6 +416,7 @@
         self.metrics.kept_streams(self.streams().origins.count());
         self.metrics
             .asked(self.connections.load(Ordering::Relaxed), age);
+        self.metrics.room(&self.intake.current_use());
     }
 
     /// The traits of requests under which upstreams crashed.
--- a/crates/relay-node/src/traffic/answer_body.rs
+++ b/crates/relay-node/src/traffic/answer_body.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use nutmegsail_base::ResultCode;
+use nutmegsail_intake::AnswerInUse;
 use nutmegsail_relay::EventScanner;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep};
@@ -132,6 +133,41 @@
     }
 }
 
+/// The body of an answer, and the connection that it is sent on.
+pub(super) struct SentAnswer {
+    body: AnswerBody,
+    _in_use: AnswerInUse,
+}
+
+impl SentAnswer {
+    pub(super) fn new(body: AnswerBody, in_use: AnswerInUse) -> Self {
+        Self {
+            body,
+            _in_use: in_use,
+        }
+    }
+}
+
+impl Body for SentAnswer {
+    type Data = Bytes;
+    type Error = AnswerCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl AnswerBody {
     /// When it is cut if it has not ended; none if this node produced it.
     pub(super) fn deadline(&self) -> Option<Instant> {
--- a/crates/relay-node/src/traffic/forward.rs
+++ b/crates/relay-node/src/traffic/forward.rs
@@ -470,5 +470,6 @@
             | ResultCode::KeysStale
             | ResultCode::QuotaUnknown
             | ResultCode::BadHeader
+            | ResultCode::NoRoom
     )
 }
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -3,30 +3,35 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::{Remote, ends_with_connection, prepare_socket};
+use nutmegsail_intake::{
+    BodyError, BodyLimits, CONNECTION_BYTES, ConnectionUse, Door, Holding, collect_body,
+    discard_ready, linger,
+};
 use nutmegsail_relay::{
     Caller, PromptPrefix, RequestContent, RequestDigest, RequestTraits, Route, RouteTable,
     SoftwareRule, StreamKey,
 };
 use nutmegsail_request::{Refusal, Request as RequestState};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::ACCEPT_PAUSE;
 use super::admission::QuotaTokens;
-use super::answer_body::AnswerBody;
+use super::answer_body::{AnswerBody, SentAnswer};
 use super::call::{Call, has_received_events};
 use super::caller_socket::{AnswerInProgress, CallerSocket};
 use super::forward::{ForwardedFrom, PeerRequest};
@@ -47,6 +52,24 @@
 /// The smallest read buffer that hyper accepts, for configurations that allow less.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// How long a head may take to arrive while no configuration is known.
+const DEFAULT_READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a caller may keep the write of an answer waiting that this node produced.
+const OWN_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a connection that has to end may take to send a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long the rest of a request is read after its refusal, so that its caller gets the answer.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// The same for a connection that ends so that others have room.
+const EVICTED_LINGER: Duration = Duration::from_millis(250);
+
+/// Retry-After when there is no room for a body. Other nodes may have room.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Who sends the requests of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -63,6 +86,13 @@
             Self::Peer => Remote::Server,
         }
     }
+
+    fn door(self) -> Door {
+        match self {
+            Self::Caller => Door::Callers,
+            Self::Peer => Door::Nodes,
+        }
+    }
 }
 
 /// Accepts connections until the task is dropped. `close` closes those that have no request.
@@ -76,13 +106,17 @@
         match listener.accept().await {
             Ok(_) if origin == Origin::Caller && !gateway.serves_connection() => {}
             Ok((stream, _)) => {
+                let intake = &gateway.shared.intake;
+                let Some(holding) = intake.admit(origin.door(), CONNECTION_BYTES).await else {
+                    continue;
+                };
                 let (gateway, close) = (Rc::clone(&gateway), close.clone());
                 let accepted_at = boot_time();
                 tokio::task::spawn_local(async move {
                     if origin == Origin::Caller {
                         gateway.record_delay(accepted_at);
                     }
-                    serve_connection(stream, origin, gateway, close).await;
+                    serve_connection(stream, holding, origin, gateway, close).await;
                 });
             }
             // Out of file descriptors for a moment; the connection waits in the kernel's queue.
@@ -93,6 +127,7 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    holding: Arc<Holding>,
     origin: Origin,
     gateway: Rc<Gateway>,
     close: CancellationToken,
@@ -106,37 +141,83 @@
         .map(|table| table.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.header_bytes);
+    let head_timeout = limits.map_or(DEFAULT_READ_TIMEOUT, |limits| limits.read_timeout);
     let in_progress = Rc::new(AnswerInProgress::default());
-    let socket = CallerSocket::new(stream, Rc::clone(&in_progress));
+    let connection_use = Arc::new(ConnectionUse::new(holding));
+    let socket = CallerSocket::new(
+        stream,
+        Rc::clone(&in_progress),
+        Arc::clone(&connection_use),
+        head_timeout,
+    );
     // Cancelled once the node that forwards a request falls silent.
     let abandoned = CancellationToken::new();
     let service = service_fn(|request| {
         let (gateway, in_progress) = (Rc::clone(&gateway), Rc::clone(&in_progress));
-        let abandoned = abandoned.clone();
+        let (connection, abandoned) = (Arc::clone(&connection_use), abandoned.clone());
         let version = request.version();
         in_progress.deadline.set(None);
         async move {
-            let answer = gateway.answer(request, origin, abandoned).await;
+            let in_use = connection.answer_in_use();
+            let answer = gateway
+                .answer(request, origin, &connection, abandoned)
+                .await;
             let ends_connection = ends_with_connection(&answer, version);
             in_progress.ends_connection.set(ends_connection);
-            in_progress.deadline.set(answer.body().deadline());
-            Ok::<_, Infallible>(answer)
+            let own_deadline = tokio::time::Instant::now() + OWN_ANSWER_TIMEOUT;
+            let deadline = answer.body().deadline().unwrap_or(own_deadline);
+            in_progress.deadline.set(Some(deadline));
+            Ok::<_, Infallible>(answer.map(|body| SentAnswer::new(body, in_use)))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timer starts when the answer before ends, so it also limits idle time.
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // The caller disconnected or broke the protocol; nobody is left to receive an error.
-        _ = connection.as_mut() => return,
-        () = abandoned.cancelled() => return,
-        () = close.cancelled() => connection.as_mut().graceful_shutdown(),
+    let (mut is_closing, mut is_evicted) = (false, false);
+    loop {
+        tokio::select! {
+            // An error means that the caller disconnected or broke the protocol; nobody is left to
+            // receive an answer.
+            _ = &mut connection => break,
+            () = abandoned.cancelled() => return,
+            () = close.cancelled(), if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            () = connection_use.holding().evicted(), if !is_evicted => {
+                if !connection_use.is_in_body() {
+                    return;
+                }
+                is_evicted = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            () = sleep(REFUSAL_TIMEOUT), if is_evicted => return,
+        }
     }
-    let _ = abandoned.run_until_cancelled(connection).await;
+    if connection_use.has_unread_body() {
+        let stream = connection.into_parts().io.into_inner().into_stream();
+        let longest = match is_evicted {
+            true => EVICTED_LINGER,
+            false => LINGER,
+        };
+        tokio::select! {
+            () = linger(&stream, longest) => {}
+            () = connection_use.holding().evicted(), if !is_evicted => {}
+        }
+    }
+}
+
+/// A request whose body was not read yet.
+struct Head {
+    parts: Parts,
+    meta: Result<CallMeta, crate::BadHeader>,
+    /// Set if another node forwarded it.
+    forwarded: Option<PeerRequest>,
+    /// When it was read.
+    began: Instant,
 }
 
 /// Why a request is refused before routing.
@@ -176,10 +257,12 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         origin: Origin,
+        connection: &ConnectionUse,
         abandoned: CancellationToken,
     ) -> Response<AnswerBody> {
         let began = Instant::now();
-        let (mut parts, body) = request.into_parts();
+        let (mut parts, mut body) = request.into_parts();
+        connection.begin_request(!body.is_end_stream());
         let meta = self.dialect.read_call(&mut parts.headers);
         let id = request_id(meta.as_ref().ok());
         let forwarded = match origin {
@@ -188,9 +271,27 @@
                 .map(|header| Some(PeerRequest { header, abandoned })),
         };
         let read = match forwarded {
-            Ok(forwarded) => self.read(parts, body, meta, forwarded, began).await,
+            Ok(forwarded) => {
+                let head = Head {
+                    parts,
+                    meta,
+                    forwarded,
+                    began,
+                };
+                self.read(head, &mut body, connection.holding()).await
+            }
             Err(early_refusal) => Err(early_refusal),
         };
+        let has_unread_body = read.is_err() && !discard_ready(&mut body);
+        drop(body);
+        let read = match has_unread_body {
+            true => {
+                connection.record_unread_body();
+                read
+            }
+            false if connection.begin_answer() => read,
+            false => Err(no_room()),
+        };
         let mut answer = match read {
             Ok(call) => self.handle(&Rc::new(call)).await,
             Err(early_refusal) => {
@@ -210,22 +311,27 @@
         if let (Origin::Peer, Some(RefusedWith(code))) = (origin, refused_with) {
             forward_header::write_refused_with(answer.headers_mut(), code);
         }
-        if self.leaving_since.get().is_some() || self.is_overloaded() {
+        if has_unread_body || self.leaving_since.get().is_some() || self.is_overloaded() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(header::CONNECTION, close);
         }
         answer
     }
 
-    /// Reads the whole request and finds its route and caller.
+    /// Reads the whole request and finds its route and caller. A request whose head says that it has to
+    /// be refused is refused before its body is read.
     async fn read(
         &self,
-        mut parts: Parts,
-        body: Incoming,
-        meta: Result<CallMeta, crate::BadHeader>,
-        forwarded: Option<PeerRequest>,
-        began: Instant,
+        head: Head,
+        body: &mut Incoming,
+        holding: &Arc<Holding>,
     ) -> Result<Call, EarlyRefusal> {
+        let Head {
+            mut parts,
+            meta,
+            forwarded,
+            began,
+        } = head;
         let meta = meta.map_err(|bad| EarlyRefusal::new(ResultCode::BadHeader, bad.to_string()))?;
         let meta = match &forwarded {
             Some(request) => CallMeta {
@@ -235,32 +341,15 @@
             None => meta,
         };
         self.check_accepting()?;
-        let table = self.refresh_view().table.clone().ok_or_else(|| {
-            EarlyRefusal::new(ResultCode::NoTextInForce, "").retry_after(Duration::from_millis(500))
-        })?;
-        let body = read_body(body, &table).await?;
-        self.check_accepting()?;
-        // The configuration may have changed while the body was received.
-        let view = self.refresh_view();
-        let table = view.table.clone().unwrap_or(table);
-        if forwarded
-            .as_ref()
-            .is_some_and(|request| !request.header.may_be_handled_by(table.version))
-        {
-            let detail = "an older configuration is in force here";
-            return Err(EarlyRefusal::new(ResultCode::NoTextInForce, detail));
+        let (table, mut route, mut caller) = self.check_head(&parts, &meta, &forwarded).await?;
+        let has_body = !body.is_end_stream();
+        let body = read_body(body, holding, &table).await?;
+        if has_body {
+            self.check_accepting()?;
+            // The configuration may have changed while the body was received.
+            (_, route, caller) = self.check_head(&parts, &meta, &forwarded).await?;
         }
         let host = host(&parts);
-        let route = table.route(host, parts.uri.path()).ok_or_else(|| {
-            EarlyRefusal::new(ResultCode::UnknownPath, "no route leads from here")
-        })?;
-        let caller = self
-            .identify_caller(route, &meta.key)
-            .await
-            .map_err(|denied| {
-                self.log_denied(&request_id(Some(&meta)), route, &meta.key, denied);
-                EarlyRefusal::from(RefusalReason::from(denied))
-            })?;
         let digest = RequestDigest::of(&RequestContent {
             method: parts.method.as_str(),
             host,
@@ -273,12 +362,12 @@
         let deadline_at = began + wait_limit.min(route.timeout);
         let origin = forward_header::take_stream_origin(&mut parts.headers);
         let origin = origin.filter(|_| forwarded.is_some());
-        let stream = stream_key(route, &caller, &meta, &id);
+        let stream = stream_key(&route, &caller, &meta, &id);
         let resumed = stream.map(|key| ResumedStream {
             request: &id,
             resumes: meta.resumes.as_ref(),
             key,
-            route,
+            route: &route,
             service: route.service(key.draw()).clone(),
             remaining: deadline_at.saturating_duration_since(Instant::now()),
         });
@@ -305,7 +394,7 @@
         let forwarded = forwarded.map(|request| ForwardedFrom::new(self, request, route.kind));
         let software = origin.map(|origin| SoftwareRule::Only(origin.software));
         Ok(Call {
-            route: route.clone(),
+            route,
             parts,
             body,
             meta,
@@ -327,6 +416,35 @@
         })
     }
 
+    /// Finds the route and the caller of a request by its head.
+    async fn check_head(
+        &self,
+        parts: &Parts,
+        meta: &CallMeta,
+        forwarded: &Option<PeerRequest>,
+    ) -> Result<(Arc<RouteTable>, Arc<Route>, Caller), EarlyRefusal> {
+        let table = self.refresh_view().table.clone().ok_or_else(|| {
+            EarlyRefusal::new(ResultCode::NoTextInForce, "").retry_after(Duration::from_millis(500))
+        })?;
+        if forwarded
+            .as_ref()
+            .is_some_and(|request| !request.header.may_be_handled_by(table.version))
+        {
+            let detail = "an older configuration is in force here";
+            return Err(EarlyRefusal::new(ResultCode::NoTextInForce, detail));
+        }
+        let route = table.route(host(parts), parts.uri.path()).ok_or_else(|| {
+            EarlyRefusal::new(ResultCode::UnknownPath, "no route leads from here")
+        })?;
+        let route = Arc::clone(route);
+        let caller = self.identify_caller(&route, &meta.key).await;
+        let caller = caller.map_err(|denied| {
+            self.log_denied(&request_id(Some(meta)), &route, &meta.key, denied);
+            EarlyRefusal::from(RefusalReason::from(denied))
+        })?;
+        Ok((table, route, caller))
+    }
+
     /// Refuses a request that arrives late in a shutdown, as its answer might not end within the
     /// grace period.
     fn check_accepting(&self) -> Result<(), EarlyRefusal> {
@@ -361,21 +479,30 @@
     }
 }
 
-async fn read_body(body: Incoming, table: &RouteTable) -> Result<Bytes, EarlyRefusal> {
-    let limit = table.limits.body_bytes;
-    let collecting = Limited::new(body, limit).collect();
-    match tokio::time::timeout(table.limits.read_timeout, collecting).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let detail = format!("{limit} bytes are allowed");
-            Err(EarlyRefusal::new(ResultCode::BodyTooLarge, detail))
-        }
-        Ok(Err(error)) => Err(EarlyRefusal::new(
-            ResultCode::MalformedBody,
-            error.to_string(),
-        )),
-        Err(_) => Err(EarlyRefusal::new(ResultCode::SenderStalled, "")),
-    }
+async fn read_body(
+    body: &mut Incoming,
+    holding: &Arc<Holding>,
+    table: &RouteTable,
+) -> Result<Bytes, EarlyRefusal> {
+    let limits = BodyLimits {
+        bytes: table.limits.body_bytes,
+        whole: table.limits.read_timeout,
+        gap: table.limits.read_timeout,
+    };
+    collect_body(body, holding, &limits).await.map_err(|error| {
+        let code = match error {
+            BodyError::TooLarge { .. } => ResultCode::BodyTooLarge,
+            BodyError::Malformed(_) => ResultCode::MalformedBody,
+            BodyError::Stalled => ResultCode::SenderStalled,
+            BodyError::NoRoom => return no_room(),
+        };
+        EarlyRefusal::new(code, error.to_string())
+    })
+}
+
+/// The refusal of a request that there is no room for.
+fn no_room() -> EarlyRefusal {
+    EarlyRefusal::new(ResultCode::NoRoom, "").retry_after(NO_ROOM_RETRY_AFTER)
 }
 
 /// The stream of a request, if callers may resume it.
