Bound the connections to the readiness and metrics pages

Cause: the pages accepted any number of connections, which could stay open for ever with an unfinished head, and took all descriptors of the process.

--- a/crates/relay-node/src/ready.rs
+++ b/crates/relay-node/src/ready.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -10,7 +11,9 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use nutmegsail_http_pool::{Remote, prepare_socket};
+use nutmegsail_intake::{Door, HolderUse, Intake};
 use nutmegsail_telemetry::{Event, MetricsPage, log_event};
 use slog::Logger;
 use tokio::net::TcpListener;
@@ -24,6 +27,15 @@
 /// The content type of the Prometheus text format.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
+/// How long a connection may be idle, and a head may take to arrive.
+const PAGE_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The largest head of a request.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+/// What a connection holds: its buffers, and a page that is not read.
+const PAGE_BYTES: usize = 128 * 1024;
+
 /// Serves the readiness page until the task is dropped.
 pub(crate) async fn serve(
     listener: TcpListener,
@@ -32,6 +44,7 @@
     log: Logger,
 ) {
     let was_ready = AtomicBool::new(false);
+    let intake = shared.intake.clone();
     let answer = move |path: &str| {
         if path != dialect.ready_path() {
             return with_status(StatusCode::NOT_FOUND);
@@ -50,11 +63,12 @@
             Some(_) => StatusCode::SERVICE_UNAVAILABLE,
         })
     };
-    serve_pages(listener, answer).await;
+    serve_pages(listener, intake, answer).await;
 }
 
 /// Serves the metrics page until the task is dropped.
 pub(crate) async fn serve_metrics(listener: TcpListener, page: MetricsPage, shared: Arc<Shared>) {
+    let intake = shared.intake.clone();
     let answer = move |path: &str| {
         if path != METRICS_PATH {
             return with_status(StatusCode::NOT_FOUND);
@@ -68,7 +82,7 @@
         answer.headers_mut().insert(CONTENT_TYPE, text_type);
         answer
     };
-    serve_pages(listener, answer).await;
+    serve_pages(listener, intake, answer).await;
 }
 
 fn with_status(status: StatusCode) -> Response<Full<Bytes>> {
@@ -79,6 +93,7 @@
 
 async fn serve_pages(
     listener: TcpListener,
+    intake: Intake,
     answer: impl Fn(&str) -> Response<Full<Bytes>> + Send + Sync + 'static,
 ) {
     let answer = Arc::new(answer);
@@ -88,16 +103,28 @@
             tokio::time::sleep(crate::traffic::ACCEPT_PAUSE).await;
             continue;
         };
+        let Some(holding) = intake.admit(Door::Pages, PAGE_BYTES).await else {
+            continue;
+        };
+        // The oldest ones give way, whatever they do.
+        holding.set_use(HolderUse::Unfinished);
+        prepare_socket(&stream, Remote::Caller);
         let answer = Arc::clone(&answer);
         let service = service_fn(move |request: Request<Incoming>| {
             let answer = answer(request.uri().path());
             async move { Ok::<_, Infallible>(answer) }
         });
         tokio::spawn(async move {
-            // An error means that the client disconnected.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(PAGE_IDLE_TIMEOUT)
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                // An error means that the client disconnected.
+                _ = connection => {}
+                () = holding.evicted() => {}
+            }
         });
     }
 }
