Bound the connections and bodies of requests between nodes

Cause: the listener for other nodes accepted any number of connections, heads of 400 KB, and bodies of 64 KiB that could take for ever.

Change: its connections share the limit of the listener for forwarded requests; heads of 64 KiB, bodies within 5 s, idle connections for 60 s, which is longer than nodes keep theirs.

--- a/crates/relay-node/src/control/peers.rs
+++ b/crates/relay-node/src/control/peers.rs
@@ -7,17 +7,19 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::UpstreamId;
 use nutmegsail_http_pool::{Remote, prepare_socket};
+use nutmegsail_intake::{BodyLimits, CONNECTION_BYTES, Door, HolderUse, Holding, collect_body};
 use nutmegsail_relay::Holdings;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -36,6 +38,15 @@
 /// The largest accepted request body, in bytes.
 const BODY_LIMIT_BYTES: usize = 64 * 1024;
 
+/// How long the body of a request may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The largest head of a request. Paths name changes that the sender has.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// How long a connection may be idle, and a head may take to arrive. Other nodes close theirs earlier.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Asks an engine's owner to load an adapter into it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OwnerLoadRequest {
@@ -79,27 +90,41 @@
             tokio::time::sleep(crate::traffic::ACCEPT_PAUSE).await;
             continue;
         };
+        let intake = &loader.control.shared.intake;
+        let Some(holding) = intake.admit(Door::Nodes, CONNECTION_BYTES).await else {
+            continue;
+        };
         prepare_socket(&stream, Remote::Server);
         let loader = Rc::clone(&loader);
-        let service = service_fn(move |request| answer(Rc::clone(&loader), request));
+        let held = Arc::clone(&holding);
+        let service =
+            service_fn(move |request| answer(Rc::clone(&loader), Arc::clone(&held), request));
         spawn_local(async move {
-            // An error means that the other node went away; it will ask again on another
-            // connection.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                // An error means that the other node went away; it will ask again on another
+                // connection.
+                _ = connection => {}
+                () = holding.evicted() => {}
+            }
         });
     }
 }
 
 async fn answer(
     loader: Rc<Loader>,
+    holding: Arc<Holding>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
+    holding.set_use(HolderUse::InProgress);
     let mut answer = Response::new(Full::default());
     let path = request.uri().path();
     let body = match path == LOADS_PATH {
-        true => load(&loader, request).await,
+        true => load(&loader, &holding, request).await,
         false if path.starts_with(CHANGES_PATH) => loader.control.serve_changes(path).await,
         false => Err(StatusCode::NOT_FOUND),
     };
@@ -107,14 +132,24 @@
         Ok(body) => *answer.body_mut() = Full::new(body),
         Err(status) => *answer.status_mut() = status,
     }
+    holding.set_use(HolderUse::Idle);
     Ok(answer)
 }
 
-async fn load(loader: &Loader, request: Request<Incoming>) -> Result<Bytes, StatusCode> {
-    let body = Limited::new(request.into_body(), BODY_LIMIT_BYTES);
-    let body = body.collect().await.map_err(|_| StatusCode::BAD_REQUEST)?;
+async fn load(
+    loader: &Loader,
+    holding: &Arc<Holding>,
+    request: Request<Incoming>,
+) -> Result<Bytes, StatusCode> {
+    let limits = BodyLimits {
+        bytes: BODY_LIMIT_BYTES,
+        whole: BODY_TIMEOUT,
+        gap: BODY_TIMEOUT,
+    };
+    let body = collect_body(&mut request.into_body(), holding, &limits).await;
+    let body = body.map_err(|_| StatusCode::BAD_REQUEST)?;
     let load_request: OwnerLoadRequest =
-        serde_json::from_slice(&body.to_bytes()).map_err(|_| StatusCode::BAD_REQUEST)?;
+        serde_json::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
     loader.control.add_demand(&load_request.wanted.model, 1.0);
     let loaded = match loader.control.owned(&load_request.engine) {
         Some(engine) => {
