Limit what the kernel buffers for a connection

Cause: left to itself, the kernel lets the buffers of a connection grow to megabytes, which count as memory of the machine: of an answer that its caller does not read, on both sides of the node.

Change: 128 KiB in each direction (the kernel doubles it) on all connections.

The kernel's buffers are not measured by a test.

--- a/crates/http-pool/src/socket.rs
+++ b/crates/http-pool/src/socket.rs
@@ -55,7 +55,11 @@
     SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
 }
 
-/// Lets small writes out at once and makes a silent peer show as a broken connection.
+/// What the kernel may buffer in each direction. Left to itself, it lets the buffers of a connection
+/// grow to megabytes.
+const SOCKET_BUFFER_BYTES: usize = 128 * 1024;
+
+/// Lets small writes out at once, limits what the kernel buffers, and makes a silent peer show as a broken connection.
 pub fn prepare_socket(stream: &TcpStream, remote: Remote) {
     let timeouts = match remote {
         Remote::Server => SERVER_TIMEOUTS,
@@ -67,6 +71,8 @@
         .with_interval(timeouts.probe_interval);
     // A socket without these options works; only a silent peer is noticed later.
     let _ = socket.set_tcp_nodelay(true);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER_BYTES);
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
     let _ = socket.set_tcp_user_timeout(Some(timeouts.user_timeout));
     let _ = socket.set_tcp_keepalive(&probes);
 }
