Bound what callers hold of the own interface's memory and descriptors

Cause: as in the relay: bodies were bounded each, not together, and connections by a number that does not depend on the descriptors of the process.

Change: both listeners admit connections by one intake, with [front.limits]; bodies are collected by the same code as in the relay. Gauges held_bytes, held_bytes_limit and open_connections.

--- a/crates/front/src/callers_service.rs
+++ b/crates/front/src/callers_service.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use nutmegsail_base::{AdapterRef, RequestId, ResultCode};
+use nutmegsail_intake::ConnectionUse;
 use nutmegsail_request::{Accepted, AnswerHandle, Refusal, Request};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
@@ -42,13 +43,17 @@
         &self,
         id: &RequestId,
         peer: IpAddr,
+        connection: &ConnectionUse,
         request: HttpRequest<Incoming>,
     ) -> Response<AnswerBody> {
         let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let accepted = Request::accept(id.clone());
         let path = request.uri().path().to_owned();
         let reply = match Route::find(request.method(), &path) {
-            Ok(route) => self.follow(route, accepted, peer, request).await,
+            Ok(route) => {
+                self.follow(route, accepted, peer, connection, request)
+                    .await
+            }
             Err(fault) => return refuse_route(fault, accepted, id),
         };
         let mut response = reply.unwrap_or_else(|refusal| {
@@ -70,6 +75,7 @@
         route: Route<'_>,
         accepted: Request<Accepted>,
         peer: IpAddr,
+        connection: &ConnectionUse,
         request: HttpRequest<Incoming>,
     ) -> Reply {
         let id = accepted.id().clone();
@@ -78,6 +84,7 @@
             settings: &self.settings,
             id: &id,
             peer,
+            connection,
             began: Instant::now(),
         };
         match route {
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -8,18 +8,19 @@
 
 use futures_util::FutureExt;
 use http::{Request as HttpRequest, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::ends_with_connection;
+use nutmegsail_intake::{ConnectionUse, Door, Holding};
 use nutmegsail_request::{Refusal, Request};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::FrontSettings;
@@ -42,14 +43,22 @@
 }
 
 impl Audience {
+    pub fn door(&self) -> Door {
+        match self {
+            Self::Callers(_) => Door::Callers,
+            Self::Operators(_) => Door::Pages,
+        }
+    }
+
     async fn answer(
         &self,
         id: &RequestId,
         peer: IpAddr,
+        connection: &ConnectionUse,
         request: HttpRequest<Incoming>,
     ) -> Response<AnswerBody> {
         match self {
-            Self::Callers(service) => service.answer(id, peer, request).await,
+            Self::Callers(service) => service.answer(id, peer, connection, request).await,
             Self::Operators(service) => {
                 let uri = request.uri();
                 let (path, query) = (uri.path(), uri.query());
@@ -71,7 +80,8 @@
 
 impl Connection {
     /// Serves `stream` until it ends. A request in progress is always finished.
-    pub async fn serve(self, stream: TcpStream, peer: IpAddr) {
+    pub async fn serve(self, stream: TcpStream, peer: IpAddr, holding: Arc<Holding>) {
+        let connection_use = Arc::new(ConnectionUse::new(holding));
         let activity = Activity::default();
         let timeouts = SocketTimeouts {
             header: self.settings.header_timeout(),
@@ -79,15 +89,23 @@
             write: self.settings.write_timeout(),
         };
         let max_header_bytes = self.settings.max_header_bytes;
-        let io = WatchedIo::new(stream, activity.clone(), timeouts, max_header_bytes);
+        let io = WatchedIo::new(
+            stream,
+            activity.clone(),
+            Arc::clone(&connection_use),
+            timeouts,
+            max_header_bytes,
+        );
         let this = &self;
         let service = service_fn(|request| {
-            let activity = activity.clone();
-            async move { Ok::<_, Infallible>(this.answer(request, peer, activity).await) }
+            let (activity, connection_use) = (activity.clone(), Arc::clone(&connection_use));
+            async move {
+                Ok::<_, Infallible>(this.answer(request, peer, activity, &connection_use).await)
+            }
         });
         let builder = http_builder(&self.settings);
         let mut connection = builder.serve_connection(TokioIo::new(io), service);
-        let mut is_stopping = false;
+        let (mut is_stopping, mut is_evicted) = (false, false);
         let served = loop {
             tokio::select! {
                 served = &mut connection => break served,
@@ -98,6 +116,14 @@
                         std::pin::Pin::new(&mut connection).graceful_shutdown();
                     }
                 }
+                () = connection_use.holding().evicted(), if !is_evicted => {
+                    if !connection_use.is_in_body() {
+                        return;
+                    }
+                    is_evicted = true;
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
+                }
+                () = sleep(self.settings.linger()), if is_evicted => return,
             }
         };
         let io = connection.into_parts().io.into_inner();
@@ -113,21 +139,24 @@
         request: HttpRequest<Incoming>,
         peer: IpAddr,
         activity: Activity,
+        connection_use: &Arc<ConnectionUse>,
     ) -> Response<CountedBody> {
         let in_progress = activity.begin();
+        let in_use = connection_use.answer_in_use();
+        connection_use.begin_request(!request.body().is_end_stream());
         let version = request.version();
         let id = new_request_id(request.headers());
         let mut response = if activity.take_two_framings() {
             refuse_two_framings(&id)
         } else {
-            self.guarded(&id, peer, request).await
+            self.guarded(&id, peer, connection_use, request).await
         };
         echo_request(response.headers_mut(), &id);
         activity.set_ends_answer(ends_with_connection(&response, version));
         if self.stop.is_cancelled() {
             close_after(response.headers_mut());
         }
-        response.map(|body| CountedBody::new(body, in_progress))
+        response.map(|body| CountedBody::new(body, in_progress, in_use))
     }
 
     /// Turns a panic, such as a broken assertion, into the refusal of this one request.
@@ -135,9 +164,10 @@
         &self,
         id: &RequestId,
         peer: IpAddr,
+        connection: &ConnectionUse,
         request: HttpRequest<Incoming>,
     ) -> Response<AnswerBody> {
-        let answering = AssertUnwindSafe(self.audience.answer(id, peer, request));
+        let answering = AssertUnwindSafe(self.audience.answer(id, peer, connection, request));
         answering.catch_unwind().await.unwrap_or_else(|_| {
             log_event!(self.log, Event::TaskFailed, "task" => "request",
                 "request" => id.as_str());
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::ResultCode;
+use nutmegsail_intake::{CONNECTION_BYTES, Door, Intake, IntakeUse};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use tokio::io::AsyncWriteExt;
@@ -19,6 +20,7 @@
 use crate::connection::{Audience, Connection};
 use crate::operators_service::OperatorsService;
 use crate::request_fault::RequestFault;
+use crate::room;
 use crate::watched_io::closing_error;
 use crate::{FrontError, FrontSettings, Handler};
 
@@ -33,6 +35,7 @@
     callers: Listener,
     operators: Listener,
     is_leaving: Arc<AtomicBool>,
+    intake: Intake,
     stop_accepting_after: Duration,
     log: Logger,
 }
@@ -76,12 +79,20 @@
             log: log.clone(),
         }));
         let operators = Audience::Operators(Arc::new(OperatorsService { handler }));
-        let callers = Listener::bind(settings.callers_address, callers, &settings, &log)?;
-        let operators = Listener::bind(settings.operators_address, operators, &settings, &log)?;
+        let intake = room::intake(&settings, &log);
+        let callers = Listener::bind(settings.callers_address, callers, &settings, &intake, &log)?;
+        let operators = Listener::bind(
+            settings.operators_address,
+            operators,
+            &settings,
+            &intake,
+            &log,
+        )?;
         Ok(Self {
             callers,
             operators,
             is_leaving,
+            intake,
             stop_accepting_after: settings.stop_accepting_after(),
             log,
         })
@@ -97,6 +108,11 @@
         self.operators.address
     }
 
+    /// What the connections to both listeners hold.
+    pub fn current_use(&self) -> IntakeUse {
+        self.intake.current_use()
+    }
+
     /// Leaves without cutting an answer, and says whether everything was finished within `grace`.
     ///
     /// `/readyz` fails at once and answers carry `Connection: close`. After
@@ -143,6 +159,7 @@
         address: SocketAddr,
         audience: Audience,
         settings: &Arc<FrontSettings>,
+        intake: &Intake,
         log: &Logger,
     ) -> Result<Self, FrontError> {
         let bind_error = |cause| FrontError::Bind { address, cause };
@@ -154,6 +171,7 @@
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
         };
+        let door = audience.door();
         let connection = Connection {
             audience,
             settings: Arc::clone(settings),
@@ -162,6 +180,8 @@
         };
         let accepting = Accepting {
             socket,
+            door,
+            intake: intake.clone(),
             connection,
             connections: listener.connections.clone(),
         };
@@ -191,6 +211,8 @@
 
 struct Accepting {
     socket: TcpListener,
+    door: Door,
+    intake: Intake,
     connection: Connection,
     connections: TaskTracker,
 }
@@ -212,8 +234,15 @@
                 self.connections.spawn(refuse(stream, settings.linger()));
                 continue;
             };
+            let holding = tokio::select! {
+                holding = self.intake.admit(self.door, CONNECTION_BYTES) => holding,
+                () = self.connection.stop.cancelled() => return,
+            };
+            let Some(holding) = holding else {
+                continue;
+            };
             let _ = stream.set_nodelay(true);
-            let serving = self.connection.clone().serve(stream, peer.ip());
+            let serving = self.connection.clone().serve(stream, peer.ip(), holding);
             self.connections.spawn(async move {
                 serving.await;
                 drop(place);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,6 +27,7 @@
 mod request_head;
 mod request_reader;
 mod response;
+mod room;
 mod route;
 mod service_path;
 mod settings;
--- a/crates/front/src/request_reader.rs
+++ b/crates/front/src/request_reader.rs
@@ -9,9 +9,10 @@
 use hyper::body::Incoming;
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_config::{AdapterLookup, InForce, Service, ServiceKind};
+use nutmegsail_intake::{BodyLimits, ConnectionUse};
 use tokio::time::Instant;
 
-use crate::body_reader::BodyReader;
+use crate::body_reader::read_body;
 use crate::call_choice::Terms;
 use crate::generation_body::GenerationBody;
 use crate::request_fault::RequestFault;
@@ -26,6 +27,7 @@
     pub settings: &'a FrontSettings,
     pub id: &'a RequestId,
     pub peer: IpAddr,
+    pub connection: &'a ConnectionUse,
     /// When the request's head had come.
     pub began: Instant,
 }
@@ -122,13 +124,12 @@
         request: HttpRequest<Incoming>,
     ) -> Result<Bytes, RequestFault> {
         let limit = in_force.deployment.limits.body_bytes;
-        let reader = BodyReader {
-            max_bytes: limit.min(self.settings.max_body_bytes),
+        let limits = BodyLimits {
+            bytes: limit.min(self.settings.max_body_bytes),
             gap: self.settings.body_timeout(),
             whole: self.settings.whole_body_timeout(),
         };
-        let (head, body) = request.into_parts();
-        reader.read(&head.headers, body).await
+        read_body(self.connection, &limits, request.into_body()).await
     }
 }
 
--- a/crates/front/src/response.rs
+++ b/crates/front/src/response.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use nutmegsail_base::RequestId;
+use nutmegsail_intake::AnswerInUse;
 use nutmegsail_request::Refusal;
 use thiserror::Error;
 
@@ -31,13 +32,15 @@
 pub(crate) struct CountedBody {
     body: AnswerBody,
     _in_progress: InProgress,
+    _in_use: AnswerInUse,
 }
 
 impl CountedBody {
-    pub fn new(body: AnswerBody, in_progress: InProgress) -> Self {
+    pub fn new(body: AnswerBody, in_progress: InProgress, in_use: AnswerInUse) -> Self {
         Self {
             body,
             _in_progress: in_progress,
+            _in_use: in_use,
         }
     }
 }
--- /dev/null
+++ b/crates/front/src/room.rs
@@ -0,0 +1,62 @@
+//! Log lines of connections that end for want of room.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use nutmegsail_base::{Clock, SystemClock};
+use nutmegsail_intake::{
+    Door, HolderUse, Intake, IntakeObserver, ProcessLimits, RoomSummary, RoomTally,
+};
+use nutmegsail_telemetry::{Event, log_event};
+use slog::Logger;
+
+use crate::FrontSettings;
+
+/// Logs the connections that end or are turned away for want of room.
+struct RoomLog {
+    log: Logger,
+    clock: Arc<dyn Clock>,
+    tally: Mutex<RoomTally>,
+}
+
+impl RoomLog {
+    fn tally(&self) -> MutexGuard<'_, RoomTally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn log(&self, door: Door, summary: Option<RoomSummary>) {
+        if let Some(summary) = summary {
+            log_event!(
+                self.log, Event::RoomExhausted,
+                "listener" => door.to_string(), "idle" => summary.idle,
+                "unfinished" => summary.unfinished, "turned_away" => summary.turned_away,
+                "bytes" => summary.bytes
+            );
+        }
+    }
+}
+
+impl IntakeObserver for RoomLog {
+    fn evicted(&self, door: Door, ended_use: HolderUse, bytes: usize) {
+        let now = self.clock.now();
+        let summary = self.tally().record_evicted(ended_use, bytes, now);
+        self.log(door, summary);
+    }
+
+    fn turned_away(&self, door: Door) {
+        let now = self.clock.now();
+        let summary = self.tally().record_turned_away(now);
+        self.log(door, summary);
+    }
+}
+
+/// The limits on what connections to both listeners hold.
+pub(crate) fn intake(settings: &FrontSettings, log: &Logger) -> Intake {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let observer = RoomLog {
+        log: log.clone(),
+        clock: Arc::clone(&clock),
+        tally: Mutex::default(),
+    };
+    let limits = ProcessLimits::detect(&settings.limits).ledger();
+    Intake::new(limits, clock, Arc::new(observer))
+}
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use nutmegsail_intake::LimitSettings;
 use serde::{Deserialize, Serialize};
 
 use crate::FrontError;
@@ -18,7 +19,7 @@
 /// settings.validate()?;
 /// # Ok::<(), nutmegsail_front::FrontError>(())
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FrontSettings {
     /// Where callers connect.
@@ -53,6 +54,8 @@
     pub max_connections: usize,
     /// After "not ready", how long new connections are still taken: the balancer needs that time.
     pub stop_accepting_after_ms: u64,
+    /// What the process may use.
+    pub limits: LimitSettings,
 }
 
 impl Default for FrontSettings {
@@ -74,6 +77,7 @@
             linger_ms: 1_000,
             max_connections: 4_096,
             stop_accepting_after_ms: 5_000,
+            limits: LimitSettings::default(),
         }
     }
 }
@@ -131,6 +135,7 @@
                 faults.push(format!("`{name}` is {size}; it must be at least {least}"));
             }
         }
+        faults.extend(self.limits.faults());
         if faults.is_empty() {
             return Ok(());
         }
--- a/crates/front/src/watched_io.rs
+++ b/crates/front/src/watched_io.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
 use nutmegsail_base::ResultCode;
 use nutmegsail_http_pool::set_reset_on_close;
+use nutmegsail_intake::ConnectionUse;
 use nutmegsail_request::Request;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -36,6 +38,7 @@
 pub(crate) struct WatchedIo {
     stream: TcpStream,
     activity: Activity,
+    connection_use: Arc<ConnectionUse>,
     timeouts: SocketTimeouts,
     requests_seen: usize,
     read_state: ReadState,
@@ -65,12 +68,14 @@
     pub fn new(
         stream: TcpStream,
         activity: Activity,
+        connection_use: Arc<ConnectionUse>,
         timeouts: SocketTimeouts,
         max_header_bytes: usize,
     ) -> Self {
         Self {
             stream,
             activity,
+            connection_use,
             timeouts,
             requests_seen: 0,
             read_state: ReadState::Idle,
@@ -148,7 +153,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        match Pin::new(&mut self.stream).poll_write(context, bytes) {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.connection_use.set_write_blocked(written.is_pending());
+        match written {
             Poll::Ready(written) => {
                 self.write_timer = None;
                 Poll::Ready(written)
@@ -188,8 +195,12 @@
         if polled.is_pending() {
             return self.poll_silence(context);
         }
+        let bytes = buffer.filled().len() - before;
+        if bytes > 0 {
+            self.connection_use.record_read(bytes);
+        }
         let is_head = self.read_state != ReadState::InRequest;
-        if is_head && buffer.filled().len() > before {
+        if is_head && bytes > 0 {
             self.enter(ReadState::InHead);
             let max_bytes = self.max_header_bytes;
             if self.head_scan.take(&buffer.filled()[before..], max_bytes) {
--- a/crates/front/tests/front/main.rs
+++ b/crates/front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod connections;
+mod crowds;
 mod plain_calls;
 mod shutdown;
 mod streams;
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -1,10 +1,11 @@
 //! Measurements that are read now and then, not when something happens.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use nutmegsail_config::InForce;
+use nutmegsail_front::Front;
 use nutmegsail_telemetry::{Direction, Metrics};
 use nutmegsail_wire::{Link, MessageKind, TrafficCount};
 use tokio_util::sync::CancellationToken;
@@ -23,6 +24,8 @@
     pub(crate) in_force: Arc<ArcSwapOption<InForce>>,
     /// The link to other nodes.
     pub(crate) link: Arc<Link>,
+    /// The listeners.
+    pub(crate) front: Weak<Front>,
 }
 
 impl Gauges {
@@ -42,6 +45,14 @@
         if let Some(text) = self.in_force.load().as_ref() {
             self.metrics.generation(text.generation.0);
         }
+        if let Some(front) = self.front.upgrade() {
+            let room = front.current_use();
+            self.metrics.room(room.held_bytes, room.limit_bytes);
+            for (door, connections) in room.connections {
+                let listener = door.to_string();
+                self.metrics.open_connections(&listener, connections);
+            }
+        }
         for (kind, told) in MessageKind::ALL.into_iter().zip(told) {
             for (direction, told) in DIRECTIONS.into_iter().zip(told) {
                 let count = match direction {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -66,7 +66,7 @@
 /// A running node. Its actors run on a thread of their own; its callers are served on the runtime
 /// that [`Node::start`] was called in.
 pub struct Node {
-    front: Front,
+    front: Arc<Front>,
     control: Control,
     link: Arc<Link>,
     is_leaving: Arc<AtomicBool>,
@@ -109,12 +109,6 @@
             log: log.clone(),
         };
         let control = start_control(parts, stop_control.clone()).await?;
-        let gauges = Gauges {
-            metrics: outside.measures.metrics.clone(),
-            in_force: Arc::clone(&in_force),
-            link: Arc::clone(&link),
-        };
-        tokio::spawn(gauges.run(stop_control.clone()));
         let is_leaving = Arc::new(AtomicBool::new(false));
         let drain = CancellationToken::new();
         let once_only = TaskTracker::new();
@@ -125,7 +119,7 @@
         let plain_calls = plain_calls(&control, &outside, ticket, once_only.clone());
         take_forwards(&control, plain_calls.clone()).await;
         let serving = Serving {
-            in_force,
+            in_force: Arc::clone(&in_force),
             is_leaving: Arc::clone(&is_leaving),
             drain: drain.clone(),
             generations: generations(&control, &outside),
@@ -136,6 +130,14 @@
             measures: outside.measures.clone(),
         };
         let front = Front::bind(settings.front.clone(), Arc::new(serving), log.clone()).await?;
+        let front = Arc::new(front);
+        let gauges = Gauges {
+            metrics: outside.measures.metrics.clone(),
+            in_force,
+            link: Arc::clone(&link),
+            front: Arc::downgrade(&front),
+        };
+        tokio::spawn(gauges.run(stop_control.clone()));
         let limit = Duration::from_millis(settings.control.shutdown_limit_ms);
         let shutdown_limit = (!limit.is_zero()).then_some(limit);
         let node = Self {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -78,6 +78,9 @@
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     claims: Counter<u64>,
+    held_bytes: Gauge<u64>,
+    held_bytes_limit: Gauge<u64>,
+    open_connections: Gauge<u64>,
 }
 
 impl Metrics {
@@ -123,6 +126,18 @@
                 "nutmegsail.claims",
                 "Claims of calls that run once, by result.",
             ),
+            held_bytes: gauge(
+                "nutmegsail.held_bytes",
+                "What connections and their requests hold.",
+            ),
+            held_bytes_limit: gauge(
+                "nutmegsail.held_bytes_limit",
+                "The most that connections and their requests may hold.",
+            ),
+            open_connections: gauge(
+                "nutmegsail.open_connections",
+                "Open connections, by listener.",
+            ),
         }
     }
 
@@ -182,6 +197,19 @@
         self.generation.record(generation, &[]);
     }
 
+    /// Connections and their requests hold so many bytes, and may hold so many.
+    pub fn room(&self, held_bytes: usize, limit_bytes: usize) {
+        self.held_bytes.record(held_bytes as u64, &[]);
+        self.held_bytes_limit.record(limit_bytes as u64, &[]);
+    }
+
+    /// A listener has so many open connections.
+    pub fn open_connections(&self, listener: &str, connections: usize) {
+        let listener = KeyValue::new("listener", listener.to_owned());
+        self.open_connections
+            .record(connections as u64, &[listener]);
+    }
+
     /// The key-value service was called. `code` says why it failed, if it did.
     pub fn store_called(&self, call: StoreCall, code: Option<ResultCode>) {
         let result = code.map_or_else(|| "ok".to_owned(), |code| code.to_string());
