Report requests that are refused for want of room

Cause: a body that can't grow is refused without an eviction, so that the log did not show it; only its result code was counted.

Change: such refusals are in the log line RoomExhausted, one a second.

--- a/crates/front/src/room.rs
+++ b/crates/front/src/room.rs
@@ -28,7 +28,7 @@
             log_event!(
                 self.log, Event::RoomExhausted,
                 "listener" => door.to_string(), "idle" => summary.idle,
-                "unfinished" => summary.unfinished, "turned_away" => summary.turned_away,
+                "unfinished" => summary.unfinished, "refused" => summary.refused, "turned_away" => summary.turned_away,
                 "bytes" => summary.bytes
             );
         }
@@ -42,6 +42,12 @@
         self.log(door, summary);
     }
 
+    fn refused(&self, door: Door) {
+        let now = self.clock.now();
+        let summary = self.tally().record_refused(now);
+        self.log(door, summary);
+    }
+
     fn turned_away(&self, door: Door) {
         let now = self.clock.now();
         let summary = self.tally().record_turned_away(now);
--- a/crates/front/tests/front/crowds.rs
+++ b/crates/front/tests/front/crowds.rs
@@ -27,7 +27,9 @@
 }
 
 async fn open(front: &Front, text: &str) -> TcpStream {
-    let mut socket = TcpStream::connect(front.callers_address()).await.unwrap();
+    let mut socket = TcpStream::connect(front.callers_address())
+        .await
+        .expect("the node answers");
     // The node may have closed it.
     let _ = socket.write_all(text.as_bytes()).await;
     socket
@@ -36,7 +38,10 @@
 async fn assert_ready(front: &Front) {
     let mut socket = open(front, "GET /readyz HTTP/1.1\r\nhost: node\r\n\r\n").await;
     let mut head = [0; 12];
-    socket.read_exact(&mut head).await.unwrap();
+    socket
+        .read_exact(&mut head)
+        .await
+        .expect("the node answers");
     assert_eq!(&head, b"HTTP/1.1 200");
 }
 
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -16,6 +16,9 @@
     /// A connection at `door` that held `bytes` ends, so that others have room.
     fn evicted(&self, door: Door, ended_use: HolderUse, bytes: usize);
 
+    /// A request on a connection at `door` is refused, as there is no room for its body.
+    fn refused(&self, door: Door);
+
     /// A new connection at `door` is closed unread, as all others have requests in progress.
     fn turned_away(&self, door: Door);
 }
@@ -44,6 +47,7 @@
 /// struct Silent;
 /// impl IntakeObserver for Silent {
 ///     fn evicted(&self, _: Door, _: HolderUse, _: usize) {}
+///     fn refused(&self, _: Door) {}
 ///     fn turned_away(&self, _: Door) {}
 /// }
 ///
@@ -190,7 +194,12 @@
             match self.try_grow(id, bytes) {
                 Growth::Granted => return true,
                 Growth::Wait => freed.await,
-                Growth::Refused => return false,
+                Growth::Refused => {
+                    let door = self.lock().ledger.door(id);
+                    door.into_iter()
+                        .for_each(|door| self.observer.refused(door));
+                    return false;
+                }
             }
         }
     }
--- a/crates/intake/src/room_tally.rs
+++ b/crates/intake/src/room_tally.rs
@@ -14,6 +14,8 @@
     pub idle: u64,
     /// Connections with an unfinished request that ended.
     pub unfinished: u64,
+    /// Requests without room for their bodies.
+    pub refused: u64,
     /// New connections that were closed unread.
     pub turned_away: u64,
     /// What the connections held that ended.
@@ -53,6 +55,12 @@
         self.take_due(now)
     }
 
+    /// Records a request that was refused. Returns the summary if one is due.
+    pub fn record_refused(&mut self, now: Instant) -> Option<RoomSummary> {
+        self.summary.refused += 1;
+        self.take_due(now)
+    }
+
     /// Records a connection that was closed unread. Returns the summary if one is due.
     pub fn record_turned_away(&mut self, now: Instant) -> Option<RoomSummary> {
         self.summary.turned_away += 1;
--- a/crates/intake/tests/bodies.rs
+++ b/crates/intake/tests/bodies.rs
@@ -32,6 +32,8 @@
         }
     }
 
+    fn refused(&self, _: Door) {}
+
     fn turned_away(&self, _: Door) {}
 }
 
--- a/crates/relay-node/src/room.rs
+++ b/crates/relay-node/src/room.rs
@@ -36,7 +36,7 @@
             log_event!(
                 self.log, Event::RoomExhausted,
                 "listener" => door.to_string(), "idle" => summary.idle,
-                "unfinished" => summary.unfinished, "turned_away" => summary.turned_away,
+                "unfinished" => summary.unfinished, "refused" => summary.refused, "turned_away" => summary.turned_away,
                 "bytes" => summary.bytes
             );
         }
@@ -52,6 +52,12 @@
         self.log(door, summary);
     }
 
+    /// The request counts under its result code.
+    fn refused(&self, door: Door) {
+        let summary = self.tally().record_refused(self.clock.now());
+        self.log(door, summary);
+    }
+
     fn turned_away(&self, door: Door) {
         self.metrics.record_turned_away(door);
         let summary = self.tally().record_turned_away(self.clock.now());
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -75,7 +75,7 @@
     1010 LinesLeftOut Warning "Log lines of one kind were left out, as there were too many in a second.";
     1011 ReadinessChanged Info "The node's answer to readiness checks changed.";
     1012 OverloadChanged Warning "The node began or ceased to close callers' new connections unread, as it is overloaded.";
-    1013 RoomExhausted Warning "Connections were ended, or closed unread, as the node had no room for all that they hold.";
+    1013 RoomExhausted Warning "Requests were refused, or connections ended or closed unread, as there was no room for all that they hold.";
     2001 RequestRefused Info "A request was refused and did not run.";
     2002 RequestEnded Info "A request ended.";
     2003 AnswerCut Warning "An answer broke off before its end.";
