Name the parts of the intake by usual terms

`Door`, `Holder` and `Holding` become `ListenerKind`, `Account` and `ConnectionAccount`, as a connection's holding read like an engine's holdings.

--- a/crates/front/src/body_reader.rs
+++ b/crates/front/src/body_reader.rs
@@ -17,7 +17,7 @@
     limits: &BodyLimits,
     mut body: Incoming,
 ) -> Result<Bytes, RequestFault> {
-    let read = collect_body(&mut body, connection.holding(), limits).await;
+    let read = collect_body(&mut body, connection.account(), limits).await;
     let bytes = read.map_err(|error| RequestFault::new(code_of(&error), error.to_string()))?;
     match connection.begin_answer() {
         true => Ok(bytes),
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::ends_with_connection;
-use nutmegsail_intake::{ConnectionUse, Door, Holding};
+use nutmegsail_intake::{ConnectionAccount, ConnectionUse, ListenerKind};
 use nutmegsail_request::{Refusal, Request};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
@@ -43,10 +43,10 @@
 }
 
 impl Audience {
-    pub fn door(&self) -> Door {
+    pub fn listener_kind(&self) -> ListenerKind {
         match self {
-            Self::Callers(_) => Door::Callers,
-            Self::Operators(_) => Door::Pages,
+            Self::Callers(_) => ListenerKind::Callers,
+            Self::Operators(_) => ListenerKind::Pages,
         }
     }
 
@@ -80,8 +80,8 @@
 
 impl Connection {
     /// Serves `stream` until it ends. A request in progress is always finished.
-    pub async fn serve(self, stream: TcpStream, peer: IpAddr, holding: Arc<Holding>) {
-        let connection_use = Arc::new(ConnectionUse::new(holding));
+    pub async fn serve(self, stream: TcpStream, peer: IpAddr, account: Arc<ConnectionAccount>) {
+        let connection_use = Arc::new(ConnectionUse::new(account));
         let activity = Activity::default();
         let timeouts = SocketTimeouts {
             header: self.settings.header_timeout(),
@@ -116,7 +116,7 @@
                         std::pin::Pin::new(&mut connection).graceful_shutdown();
                     }
                 }
-                () = connection_use.holding().evicted(), if !is_evicted => {
+                () = connection_use.account().evicted(), if !is_evicted => {
                     if !connection_use.is_in_body() {
                         return;
                     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nutmegsail_base::ResultCode;
-use nutmegsail_intake::{CONNECTION_BYTES, Door, Intake, IntakeUse};
+use nutmegsail_intake::{CONNECTION_BYTES, Intake, IntakeUse, ListenerKind};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 use tokio::io::AsyncWriteExt;
@@ -171,7 +171,7 @@
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
         };
-        let door = audience.door();
+        let listener_kind = audience.listener_kind();
         let connection = Connection {
             audience,
             settings: Arc::clone(settings),
@@ -180,7 +180,7 @@
         };
         let accepting = Accepting {
             socket,
-            door,
+            listener_kind,
             intake: intake.clone(),
             connection,
             connections: listener.connections.clone(),
@@ -211,7 +211,7 @@
 
 struct Accepting {
     socket: TcpListener,
-    door: Door,
+    listener_kind: ListenerKind,
     intake: Intake,
     connection: Connection,
     connections: TaskTracker,
@@ -234,15 +234,15 @@
                 self.connections.spawn(refuse(stream, settings.linger()));
                 continue;
             };
-            let holding = tokio::select! {
-                holding = self.intake.admit(self.door, CONNECTION_BYTES) => holding,
+            let account = tokio::select! {
+                account = self.intake.admit(self.listener_kind, CONNECTION_BYTES) => account,
                 () = self.connection.stop.cancelled() => return,
             };
-            let Some(holding) = holding else {
+            let Some(account) = account else {
                 continue;
             };
             let _ = stream.set_nodelay(true);
-            let serving = self.connection.clone().serve(stream, peer.ip(), holding);
+            let serving = self.connection.clone().serve(stream, peer.ip(), account);
             self.connections.spawn(async move {
                 serving.await;
                 drop(place);
--- a/crates/front/src/room.rs
+++ b/crates/front/src/room.rs
@@ -4,7 +4,7 @@
 
 use nutmegsail_base::{Clock, SystemClock};
 use nutmegsail_intake::{
-    Door, HolderUse, Intake, IntakeObserver, ProcessLimits, RoomSummary, RoomTally,
+    CurrentUse, Intake, IntakeObserver, ListenerKind, ProcessLimits, RoomSummary, RoomTally,
 };
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
@@ -23,11 +23,11 @@
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn log(&self, door: Door, summary: Option<RoomSummary>) {
+    fn log(&self, listener: ListenerKind, summary: Option<RoomSummary>) {
         if let Some(summary) = summary {
             log_event!(
                 self.log, Event::RoomExhausted,
-                "listener" => door.to_string(), "idle" => summary.idle,
+                "listener" => listener.to_string(), "idle" => summary.idle,
                 "unfinished" => summary.unfinished, "refused" => summary.refused, "turned_away" => summary.turned_away,
                 "bytes" => summary.bytes
             );
@@ -36,22 +36,22 @@
 }
 
 impl IntakeObserver for RoomLog {
-    fn evicted(&self, door: Door, ended_use: HolderUse, bytes: usize) {
+    fn evicted(&self, listener: ListenerKind, ended_use: CurrentUse, bytes: usize) {
         let now = self.clock.now();
         let summary = self.tally().record_evicted(ended_use, bytes, now);
-        self.log(door, summary);
+        self.log(listener, summary);
     }
 
-    fn refused(&self, door: Door) {
+    fn refused(&self, listener: ListenerKind) {
         let now = self.clock.now();
         let summary = self.tally().record_refused(now);
-        self.log(door, summary);
+        self.log(listener, summary);
     }
 
-    fn turned_away(&self, door: Door) {
+    fn turned_away(&self, listener: ListenerKind) {
         let now = self.clock.now();
         let summary = self.tally().record_turned_away(now);
-        self.log(door, summary);
+        self.log(listener, summary);
     }
 }
 
--- a/crates/front/tests/front/crowds.rs
+++ b/crates/front/tests/front/crowds.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use nutmegsail_front::{Front, FrontSettings};
-use nutmegsail_intake::{Door, LimitSettings};
+use nutmegsail_intake::{LimitSettings, ListenerKind};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -80,7 +80,7 @@
     assert_ready(&front).await;
     let callers = front.current_use().connections.into_iter();
     let callers: usize = callers
-        .filter(|(door, _)| *door == Door::Callers)
+        .filter(|(listener, _)| *listener == ListenerKind::Callers)
         .map(|(_, open)| open)
         .sum();
     assert!(callers < DESCRIPTORS * 3 / 4, "{callers} connections");
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
-use crate::{Charge, Holding};
+use crate::{Charge, ConnectionAccount};
 
 /// The first buffer of a body that does not announce a shorter length.
 const FIRST_BYTES: usize = 16 * 1024;
@@ -49,7 +49,7 @@
     NoRoom,
 }
 
-/// Reads `body` into one buffer, which `holding` accounts for until the last clone of the result is
+/// Reads `body` into one buffer, which `account` accounts for until the last clone of the result is
 /// dropped.
 ///
 /// Each piece is copied as it arrives: a piece of a byte would otherwise keep the whole buffer into
@@ -60,7 +60,7 @@
 /// [`BodyError`]; nothing of the body is kept then, and it was not read to its end.
 pub async fn collect_body<B>(
     body: &mut B,
-    holding: &Arc<Holding>,
+    account: &Arc<ConnectionAccount>,
     limits: &BodyLimits,
 ) -> Result<Bytes, BodyError>
 where
@@ -76,14 +76,14 @@
     let mut buffer = BodyBuffer {
         bytes: Vec::new(),
         most: expected.unwrap_or(limit_bytes),
-        charge: Charge::empty(holding),
+        charge: Charge::empty(account),
     };
     let until = Instant::now() + limits.whole;
     loop {
         let gap_until = until.min(Instant::now() + limits.gap);
         let next = tokio::select! {
             biased;
-            () = holding.evicted() => return Err(BodyError::NoRoom),
+            () = account.evicted() => return Err(BodyError::NoRoom),
             next = timeout_at(gap_until, body.frame()) => next,
         };
         let frame = match next {
--- a/crates/intake/src/charge.rs
+++ b/crates/intake/src/charge.rs
@@ -2,19 +2,19 @@
 
 use std::sync::Arc;
 
-use crate::Holding;
+use crate::ConnectionAccount;
 
 /// Bytes that a connection holds, such as a body, until this is dropped.
 pub struct Charge {
-    holding: Arc<Holding>,
+    account: Arc<ConnectionAccount>,
     bytes: usize,
 }
 
 impl Charge {
     /// A charge of nothing yet.
-    pub fn empty(holding: &Arc<Holding>) -> Self {
+    pub fn empty(account: &Arc<ConnectionAccount>) -> Self {
         Self {
-            holding: Arc::clone(holding),
+            account: Arc::clone(account),
             bytes: 0,
         }
     }
@@ -27,14 +27,14 @@
     /// Records `bytes` that are held already.
     pub fn add(&mut self, bytes: usize) {
         if bytes > 0 {
-            self.holding.charge(bytes);
+            self.account.charge(bytes);
             self.bytes += bytes;
         }
     }
 
     /// Waits for room for `bytes` more; false if there is none.
     pub async fn grow(&mut self, bytes: usize) -> bool {
-        let is_granted = self.holding.grow(bytes).await;
+        let is_granted = self.account.grow(bytes).await;
         if is_granted {
             self.bytes += bytes;
         }
@@ -45,12 +45,12 @@
     pub fn shrink(&mut self, bytes: usize) {
         let bytes = bytes.min(self.bytes);
         self.bytes -= bytes;
-        self.holding.release(bytes);
+        self.account.release(bytes);
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        self.holding.release(self.bytes);
+        self.account.release(self.bytes);
     }
 }
--- a/crates/intake/src/holding.rs
+++ b/crates/intake/src/connection_account.rs
@@ -5,17 +5,17 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::intake::Shared;
-use crate::{HolderId, HolderUse};
+use crate::{AccountId, CurrentUse};
 
 /// What one connection and its request hold. All of it is released when this is dropped.
-pub struct Holding {
+pub struct ConnectionAccount {
     shared: Arc<Shared>,
-    id: HolderId,
+    id: AccountId,
     evicted: CancellationToken,
 }
 
-impl Holding {
-    pub(crate) fn new(shared: Arc<Shared>, id: HolderId, evicted: CancellationToken) -> Self {
+impl ConnectionAccount {
+    pub(crate) fn new(shared: Arc<Shared>, id: AccountId, evicted: CancellationToken) -> Self {
         Self {
             shared,
             id,
@@ -24,7 +24,7 @@
     }
 
     /// Records what the connection is used for from now on.
-    pub fn set_use(&self, new_use: HolderUse) {
+    pub fn set_use(&self, new_use: CurrentUse) {
         self.shared.set_use(self.id, new_use);
     }
 
@@ -55,7 +55,7 @@
     }
 }
 
-impl Drop for Holding {
+impl Drop for ConnectionAccount {
     fn drop(&mut self) {
         self.shared.close(self.id);
     }
--- a/crates/intake/src/connection_limits.rs
+++ b/crates/intake/src/connection_limits.rs
@@ -1,6 +1,6 @@
 //! How many connections may be open.
 
-use crate::Door;
+use crate::ListenerKind;
 
 /// The fraction of the descriptors that is left to files and to what the runtime opens.
 const FILES_DIVISOR: usize = 12;
@@ -8,16 +8,16 @@
 /// The most connections to pages. Those that wait for their clients give way to new ones.
 const MAX_PAGES: usize = 32;
 
-/// How many connections each door may have open.
+/// How many connections each listener may have open.
 ///
 /// What they leave of the process's descriptors is for files and for connections to upstreams, the
 /// store and other nodes.
 ///
 /// ```
-/// use nutmegsail_intake::{ConnectionLimits, Door};
+/// use nutmegsail_intake::{ConnectionLimits, ListenerKind};
 /// let limits = ConnectionLimits::within(4_096);
-/// assert_eq!(limits.of(Door::Callers), 2_106);
-/// let all: usize = Door::ALL.iter().map(|door| limits.of(*door)).sum();
+/// assert_eq!(limits.of(ListenerKind::Callers), 2_106);
+/// let all: usize = ListenerKind::ALL.iter().map(|listener| limits.of(*listener)).sum();
 /// assert!(all < 4_096 * 3 / 4);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,12 +38,12 @@
         }
     }
 
-    /// How many connections `door` may have open.
-    pub fn of(&self, door: Door) -> usize {
-        match door {
-            Door::Callers => self.callers,
-            Door::Nodes => self.nodes,
-            Door::Pages => self.pages,
+    /// How many connections `listener` may have open.
+    pub fn of(&self, listener: ListenerKind) -> usize {
+        match listener {
+            ListenerKind::Callers => self.callers,
+            ListenerKind::Nodes => self.nodes,
+            ListenerKind::Pages => self.pages,
         }
     }
 }
--- a/crates/intake/src/connection_use.rs
+++ b/crates/intake/src/connection_use.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use crate::{Charge, HolderUse, Holding};
+use crate::{Charge, ConnectionAccount, CurrentUse};
 
 /// What a connection holds by itself: its task, and the buffers that the HTTP library keeps.
 pub const CONNECTION_BYTES: usize = 16 * 1024;
@@ -28,7 +28,7 @@
 
 /// What a connection is used for, as its socket and its service see it.
 pub struct ConnectionUse {
-    holding: Arc<Holding>,
+    account: Arc<ConnectionAccount>,
     state: Mutex<State>,
 }
 
@@ -45,36 +45,36 @@
 }
 
 impl State {
-    fn current_use(&self) -> HolderUse {
+    fn current_use(&self) -> CurrentUse {
         let keeps_waiting = self.unread_answer.bytes() > 0 || self.early_bytes.bytes() > 0;
         match self.phase {
-            _ if keeps_waiting => HolderUse::Unfinished,
-            Phase::Idle => HolderUse::Idle,
-            Phase::Head | Phase::Body => HolderUse::Unfinished,
-            Phase::Answer => HolderUse::InProgress,
+            _ if keeps_waiting => CurrentUse::Unfinished,
+            Phase::Idle => CurrentUse::Idle,
+            Phase::Head | Phase::Body => CurrentUse::Unfinished,
+            Phase::Answer => CurrentUse::InProgress,
         }
     }
 }
 
 impl ConnectionUse {
     /// The use of a connection that has no request yet.
-    pub fn new(holding: Arc<Holding>) -> Self {
+    pub fn new(account: Arc<ConnectionAccount>) -> Self {
         let state = State {
             phase: Phase::Idle,
-            request: Charge::empty(&holding),
-            unread_answer: Charge::empty(&holding),
-            early_bytes: Charge::empty(&holding),
+            request: Charge::empty(&account),
+            unread_answer: Charge::empty(&account),
+            early_bytes: Charge::empty(&account),
             has_unread_body: false,
         };
         Self {
-            holding,
+            account,
             state: Mutex::new(state),
         }
     }
 
     /// What the connection holds.
-    pub fn holding(&self) -> &Arc<Holding> {
-        &self.holding
+    pub fn account(&self) -> &Arc<ConnectionAccount> {
+        &self.account
     }
 
     /// Whether the next bytes belong to the head of a request.
@@ -146,7 +146,7 @@
     #[must_use]
     pub fn begin_answer(&self) -> bool {
         self.update(|state| state.phase = Phase::Answer);
-        !self.holding.is_evicted()
+        !self.account.is_evicted()
     }
 
     /// The request is refused, and its body was not read to its end.
@@ -178,7 +178,7 @@
         change(&mut state);
         let use_now = state.current_use();
         if use_before != use_now {
-            self.holding.set_use(use_now);
+            self.account.set_use(use_now);
         }
     }
 
@@ -196,7 +196,7 @@
 impl Drop for ConnectionUse {
     /// A body may outlast its connection; nothing more can be freed by ending it.
     fn drop(&mut self) {
-        self.holding.set_use(HolderUse::InProgress);
+        self.account.set_use(CurrentUse::InProgress);
     }
 }
 
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -8,19 +8,20 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Admission, Door, Evictions, Growth, HolderId, HolderUse, Holding, Ledger, LedgerLimits,
+    AccountId, Admission, ConnectionAccount, CurrentUse, Evictions, Growth, Ledger, LedgerLimits,
+    ListenerKind,
 };
 
 /// Is called when there is no room.
 pub trait IntakeObserver: Send + Sync {
-    /// A connection at `door` that held `bytes` ends, so that others have room.
-    fn evicted(&self, door: Door, ended_use: HolderUse, bytes: usize);
+    /// A connection at `listener` that held `bytes` ends, so that others have room.
+    fn evicted(&self, listener: ListenerKind, ended_use: CurrentUse, bytes: usize);
 
-    /// A request on a connection at `door` is refused, as there is no room for its body.
-    fn refused(&self, door: Door);
+    /// A request on a connection at `listener` is refused, as there is no room for its body.
+    fn refused(&self, listener: ListenerKind);
 
-    /// A new connection at `door` is closed unread, as all others have requests in progress.
-    fn turned_away(&self, door: Door);
+    /// A new connection at `listener` is closed unread, as all others have requests in progress.
+    fn turned_away(&self, listener: ListenerKind);
 }
 
 /// What all connections hold.
@@ -30,32 +31,32 @@
     pub held_bytes: usize,
     /// The most bytes that they may hold.
     pub limit_bytes: usize,
-    /// How many of them are open at each door.
-    pub connections: [(Door, usize); Door::ALL.len()],
+    /// How many of them are open at each listener.
+    pub connections: [(ListenerKind, usize); ListenerKind::ALL.len()],
 }
 
-/// Admits connections to all doors of a process, within its memory and its descriptors.
+/// Admits connections to all listeners of a process, within its memory and its descriptors.
 ///
 /// ```
 /// # async fn example() {
 /// use std::sync::Arc;
 /// use nutmegsail_base::SystemClock;
 /// use nutmegsail_intake::{
-///     Door, HolderUse, Intake, IntakeObserver, LimitSettings, ProcessLimits,
+///     ListenerKind, CurrentUse, Intake, IntakeObserver, LimitSettings, ProcessLimits,
 /// };
 ///
 /// struct Silent;
 /// impl IntakeObserver for Silent {
-///     fn evicted(&self, _: Door, _: HolderUse, _: usize) {}
-///     fn refused(&self, _: Door) {}
-///     fn turned_away(&self, _: Door) {}
+///     fn evicted(&self, _: ListenerKind, _: CurrentUse, _: usize) {}
+///     fn refused(&self, _: ListenerKind) {}
+///     fn turned_away(&self, _: ListenerKind) {}
 /// }
 ///
 /// let limits = ProcessLimits::detect(&LimitSettings::default()).ledger();
 /// let intake = Intake::new(limits, Arc::new(SystemClock), Arc::new(Silent));
-/// let holding = intake.admit(Door::Callers, 16 * 1024).await.expect("room for a connection");
+/// let account = intake.admit(ListenerKind::Callers, 16 * 1024).await.expect("room for a connection");
 /// assert_eq!(intake.current_use().held_bytes, 16 * 1024);
-/// drop(holding);
+/// drop(account);
 /// assert_eq!(intake.current_use().held_bytes, 0);
 /// # }
 /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(example());
@@ -76,7 +77,7 @@
 struct State {
     ledger: Ledger,
     /// Cancelled when the connection has to end.
-    evictions: HashMap<HolderId, CancellationToken>,
+    evictions: HashMap<AccountId, CancellationToken>,
 }
 
 impl std::fmt::Debug for Intake {
@@ -108,18 +109,22 @@
 
     /// Admits a connection that holds `bytes` by itself, once there is room. Returns `None` if it has
     /// to be closed.
-    pub async fn admit(&self, door: Door, bytes: usize) -> Option<Arc<Holding>> {
+    pub async fn admit(
+        &self,
+        listener: ListenerKind,
+        bytes: usize,
+    ) -> Option<Arc<ConnectionAccount>> {
         loop {
             let freed = self.shared.freed.notified();
             let evicted = CancellationToken::new();
-            match self.shared.open(door, bytes, &evicted) {
+            match self.shared.open(listener, bytes, &evicted) {
                 Admission::Opened(id) => {
-                    let holding = Holding::new(Arc::clone(&self.shared), id, evicted);
-                    return Some(Arc::new(holding));
+                    let account = ConnectionAccount::new(Arc::clone(&self.shared), id, evicted);
+                    return Some(Arc::new(account));
                 }
                 Admission::Wait => freed.await,
                 Admission::Full => {
-                    self.shared.observer.turned_away(door);
+                    self.shared.observer.turned_away(listener);
                     return None;
                 }
             }
@@ -133,7 +138,8 @@
         IntakeUse {
             held_bytes: ledger.held_bytes(),
             limit_bytes: ledger.limits().bytes,
-            connections: Door::ALL.map(|door| (door, ledger.open_connections(door))),
+            connections: ListenerKind::ALL
+                .map(|listener| (listener, ledger.open_connections(listener))),
         }
     }
 }
@@ -149,22 +155,22 @@
             return;
         }
         let ended = evictions.iter().filter_map(|id| {
-            let (ended_use, bytes) = state.ledger.holder(*id)?;
-            let door = state.ledger.door(*id)?;
-            Some((state.evictions.get(id)?.clone(), door, ended_use, bytes))
+            let (ended_use, bytes) = state.ledger.account(*id)?;
+            let listener = state.ledger.listener(*id)?;
+            Some((state.evictions.get(id)?.clone(), listener, ended_use, bytes))
         });
         let ended: Vec<_> = ended.collect();
         drop(state);
-        for (evicted, door, ended_use, bytes) in ended {
+        for (evicted, listener, ended_use, bytes) in ended {
             evicted.cancel();
-            self.observer.evicted(door, ended_use, bytes);
+            self.observer.evicted(listener, ended_use, bytes);
         }
     }
 
-    fn open(&self, door: Door, bytes: usize, evicted: &CancellationToken) -> Admission {
+    fn open(&self, listener: ListenerKind, bytes: usize, evicted: &CancellationToken) -> Admission {
         let now = self.clock.now();
         let mut state = self.lock();
-        let (admission, evictions) = state.ledger.open(door, bytes, now);
+        let (admission, evictions) = state.ledger.open(listener, bytes, now);
         if let Admission::Opened(id) = admission {
             state.evictions.insert(id, evicted.clone());
         }
@@ -172,7 +178,7 @@
         admission
     }
 
-    fn try_grow(&self, id: HolderId, bytes: usize) -> Growth {
+    fn try_grow(&self, id: AccountId, bytes: usize) -> Growth {
         let now = self.clock.now();
         let mut state = self.lock();
         let (growth, evictions) = state.ledger.grow(id, bytes, now);
@@ -180,7 +186,7 @@
         growth
     }
 
-    pub(crate) fn charge(&self, id: HolderId, bytes: usize) {
+    pub(crate) fn charge(&self, id: AccountId, bytes: usize) {
         let now = self.clock.now();
         let mut state = self.lock();
         let evictions = state.ledger.charge(id, bytes, now);
@@ -188,39 +194,40 @@
     }
 
     /// Waits for room for `bytes` more; false if there is none.
-    pub(crate) async fn grow(&self, id: HolderId, bytes: usize) -> bool {
+    pub(crate) async fn grow(&self, id: AccountId, bytes: usize) -> bool {
         loop {
             let freed = self.freed.notified();
             match self.try_grow(id, bytes) {
                 Growth::Granted => return true,
                 Growth::Wait => freed.await,
                 Growth::Refused => {
-                    let door = self.lock().ledger.door(id);
-                    door.into_iter()
-                        .for_each(|door| self.observer.refused(door));
+                    let listener = self.lock().ledger.listener(id);
+                    listener
+                        .into_iter()
+                        .for_each(|listener| self.observer.refused(listener));
                     return false;
                 }
             }
         }
     }
 
-    pub(crate) fn release(&self, id: HolderId, bytes: usize) {
+    pub(crate) fn release(&self, id: AccountId, bytes: usize) {
         if bytes > 0 {
             self.lock().ledger.release(id, bytes);
             self.freed.notify_waiters();
         }
     }
 
-    pub(crate) fn set_use(&self, id: HolderId, new_use: HolderUse) {
+    pub(crate) fn set_use(&self, id: AccountId, new_use: CurrentUse) {
         let now = self.clock.now();
         self.lock().ledger.set_use(id, new_use, now);
     }
 
-    pub(crate) fn is_evicted(&self, id: HolderId) -> bool {
+    pub(crate) fn is_evicted(&self, id: AccountId) -> bool {
         self.lock().ledger.is_evicted(id)
     }
 
-    pub(crate) fn close(&self, id: HolderId) {
+    pub(crate) fn close(&self, id: AccountId) {
         let mut state = self.lock();
         state.ledger.close(id);
         state.evictions.remove(&id);
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -9,24 +9,24 @@
 
 mod body;
 mod charge;
+mod connection_account;
 mod connection_limits;
 mod connection_use;
-mod door;
-mod holding;
 mod intake;
 mod ledger;
 mod linger;
+mod listener_kind;
 mod process_limits;
 mod room_tally;
 
 pub use body::{BodyError, BodyLimits, collect_body, discard_ready};
 pub use charge::Charge;
+pub use connection_account::ConnectionAccount;
 pub use connection_limits::ConnectionLimits;
 pub use connection_use::{AnswerInUse, CONNECTION_BYTES, ConnectionUse};
-pub use door::Door;
-pub use holding::Holding;
 pub use intake::{Intake, IntakeObserver, IntakeUse};
-pub use ledger::{Admission, Evictions, Growth, HolderId, HolderUse, Ledger, LedgerLimits};
+pub use ledger::{AccountId, Admission, CurrentUse, Evictions, Growth, Ledger, LedgerLimits};
 pub use linger::linger;
+pub use listener_kind::ListenerKind;
 pub use process_limits::{LimitSettings, ProcessLimits};
 pub use room_tally::{RoomSummary, RoomTally};
--- a/crates/intake/src/door.rs
+++ b/crates/intake/src/listener_kind.rs
@@ -4,7 +4,7 @@
 
 /// A listener, or several for the same kind of client.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum Door {
+pub enum ListenerKind {
     /// Callers.
     #[display("callers")]
     Callers,
@@ -16,7 +16,7 @@
     Pages,
 }
 
-impl Door {
-    /// All doors.
+impl ListenerKind {
+    /// All listeners.
     pub const ALL: [Self; 3] = [Self::Callers, Self::Nodes, Self::Pages];
 }
--- a/crates/intake/src/room_tally.rs
+++ b/crates/intake/src/room_tally.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::HolderUse;
+use crate::CurrentUse;
 
 /// The time between two summaries.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -26,10 +26,10 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use nutmegsail_intake::{HolderUse, RoomTally};
+/// use nutmegsail_intake::{CurrentUse, RoomTally};
 /// let (mut tally, start) = (RoomTally::default(), Instant::now());
-/// assert!(tally.record_evicted(HolderUse::Idle, 100, start).is_some());
-/// assert_eq!(tally.record_evicted(HolderUse::Unfinished, 200, start), None);
+/// assert!(tally.record_evicted(CurrentUse::Idle, 100, start).is_some());
+/// assert_eq!(tally.record_evicted(CurrentUse::Unfinished, 200, start), None);
 /// let summary = tally.record_turned_away(start + Duration::from_secs(1)).unwrap();
 /// assert_eq!((summary.idle, summary.unfinished, summary.turned_away), (0, 1, 1));
 /// ```
@@ -43,13 +43,13 @@
     /// Records a connection that ended. Returns the summary if one is due.
     pub fn record_evicted(
         &mut self,
-        ended_use: HolderUse,
+        ended_use: CurrentUse,
         bytes: usize,
         now: Instant,
     ) -> Option<RoomSummary> {
         match ended_use {
-            HolderUse::Idle => self.summary.idle += 1,
-            HolderUse::Unfinished | HolderUse::InProgress => self.summary.unfinished += 1,
+            CurrentUse::Idle => self.summary.idle += 1,
+            CurrentUse::Unfinished | CurrentUse::InProgress => self.summary.unfinished += 1,
         }
         self.summary.bytes += bytes;
         self.take_due(now)
--- a/crates/intake/tests/bodies.rs
+++ b/crates/intake/tests/bodies.rs
@@ -10,8 +10,8 @@
 use http_body::{Body, Frame, SizeHint};
 use nutmegsail_base::SystemClock;
 use nutmegsail_intake::{
-    BodyError, BodyLimits, ConnectionLimits, ConnectionUse, Door, HolderUse, Intake,
-    IntakeObserver, LedgerLimits, collect_body, discard_ready,
+    BodyError, BodyLimits, ConnectionLimits, ConnectionUse, CurrentUse, Intake, IntakeObserver,
+    LedgerLimits, ListenerKind, collect_body, discard_ready,
 };
 use rstest::rstest;
 use tokio::time::sleep;
@@ -23,18 +23,18 @@
 };
 
 #[derive(Default)]
-struct Seen(Mutex<Vec<HolderUse>>);
+struct Seen(Mutex<Vec<CurrentUse>>);
 
 impl IntakeObserver for Seen {
-    fn evicted(&self, _: Door, ended_use: HolderUse, _: usize) {
+    fn evicted(&self, _: ListenerKind, ended_use: CurrentUse, _: usize) {
         if let Ok(mut seen) = self.0.lock() {
             seen.push(ended_use);
         }
     }
 
-    fn refused(&self, _: Door) {}
+    fn refused(&self, _: ListenerKind) {}
 
-    fn turned_away(&self, _: Door) {}
+    fn turned_away(&self, _: ListenerKind) {}
 }
 
 fn intake(bytes: usize) -> (Intake, Arc<Seen>) {
@@ -48,8 +48,8 @@
 }
 
 async fn connection(intake: &Intake) -> Arc<ConnectionUse> {
-    let holding = intake.admit(Door::Callers, 0).await;
-    let connection = ConnectionUse::new(holding.expect("room for a connection"));
+    let account = intake.admit(ListenerKind::Callers, 0).await;
+    let connection = ConnectionUse::new(account.expect("room for a connection"));
     connection.record_read(1);
     connection.begin_request(true);
     Arc::new(connection)
@@ -109,7 +109,7 @@
     let connection = connection(&intake).await;
     let before = intake.current_use().held_bytes;
     let held = || intake.current_use().held_bytes - before;
-    let bytes = collect_body(&mut body, connection.holding(), &LIMITS).await;
+    let bytes = collect_body(&mut body, connection.account(), &LIMITS).await;
     let bytes = bytes.expect("a whole body");
     assert_eq!(bytes.len(), 50_000);
     assert_eq!(held(), 50_000);
@@ -133,7 +133,7 @@
     let (intake, _) = intake(1_000_000);
     let connection = connection(&intake).await;
     let before = intake.current_use().held_bytes;
-    let read = collect_body(&mut body, connection.holding(), &LIMITS).await;
+    let read = collect_body(&mut body, connection.account(), &LIMITS).await;
     assert_eq!(read, Err(reason));
     assert_eq!(intake.current_use().held_bytes, before);
 }
@@ -148,18 +148,18 @@
             ends: false,
             ..pieces(100_000, 5_000)
         };
-        collect_body(&mut body, stalled.holding(), &LIMITS).await
+        collect_body(&mut body, stalled.account(), &LIMITS).await
     };
     let later = async {
         sleep(Duration::from_millis(20)).await;
         let connection = connection(&intake).await;
-        collect_body(&mut pieces(100_000, 5_000), connection.holding(), &LIMITS).await
+        collect_body(&mut pieces(100_000, 5_000), connection.account(), &LIMITS).await
     };
     let (stalled_read, later_read) = tokio::join!(stalled_body, later);
     assert_eq!(stalled_read, Err(BodyError::NoRoom));
     assert_eq!(later_read.map(|body| body.len()), Ok(100_000));
     let seen = seen.0.lock().map(|seen| seen.clone());
-    assert_eq!(seen.ok(), Some(vec![HolderUse::Unfinished]));
+    assert_eq!(seen.ok(), Some(vec![CurrentUse::Unfinished]));
 }
 
 // Guards against callers who fill the node with answers that they do not read, or with requests behind the first.
@@ -169,17 +169,17 @@
     let (blocked, early) = (connection(&intake).await, connection(&intake).await);
     assert!(blocked.begin_answer() && early.begin_answer());
     let other = connection(&intake).await;
-    let held = collect_body(&mut pieces(100_000, 5_000), other.holding(), &LIMITS).await;
+    let held = collect_body(&mut pieces(100_000, 5_000), other.account(), &LIMITS).await;
     assert!(other.begin_answer());
     blocked.set_write_blocked(true);
     early.record_early_bytes();
-    assert!(!blocked.holding().is_evicted() && !early.holding().is_evicted());
+    assert!(!blocked.account().is_evicted() && !early.account().is_evicted());
     let third = connection(&intake).await;
     assert!(third.begin_answer());
     third.set_write_blocked(true);
-    let ended = [&blocked, &early, &third].map(|connection| connection.holding().is_evicted());
+    let ended = [&blocked, &early, &third].map(|connection| connection.account().is_evicted());
     assert!(ended.contains(&true), "{ended:?}");
-    assert!(!other.holding().is_evicted());
+    assert!(!other.account().is_evicted());
     assert!(held.is_ok());
     let seen = seen.0.lock().map(|seen| seen.len());
     assert!(seen.is_ok_and(|seen| seen > 0));
--- a/crates/node/src/gauges.rs
+++ b/crates/node/src/gauges.rs
@@ -48,8 +48,8 @@
         if let Some(front) = self.front.upgrade() {
             let room = front.current_use();
             self.metrics.room(room.held_bytes, room.limit_bytes);
-            for (door, connections) in room.connections {
-                let listener = door.to_string();
+            for (listener, connections) in room.connections {
+                let listener = listener.to_string();
                 self.metrics.open_connections(&listener, connections);
             }
         }
--- a/crates/relay-node/src/control/peers.rs
+++ b/crates/relay-node/src/control/peers.rs
@@ -19,7 +19,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_base::UpstreamId;
 use nutmegsail_http_pool::{Remote, prepare_socket};
-use nutmegsail_intake::{BodyLimits, CONNECTION_BYTES, Door, HolderUse, Holding, collect_body};
+use nutmegsail_intake::{
+    BodyLimits, CONNECTION_BYTES, ConnectionAccount, CurrentUse, ListenerKind, collect_body,
+};
 use nutmegsail_relay::Holdings;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -91,12 +93,12 @@
             continue;
         };
         let intake = &loader.control.shared.intake;
-        let Some(holding) = intake.admit(Door::Nodes, CONNECTION_BYTES).await else {
+        let Some(account) = intake.admit(ListenerKind::Nodes, CONNECTION_BYTES).await else {
             continue;
         };
         prepare_socket(&stream, Remote::Server);
         let loader = Rc::clone(&loader);
-        let held = Arc::clone(&holding);
+        let held = Arc::clone(&account);
         let service =
             service_fn(move |request| answer(Rc::clone(&loader), Arc::clone(&held), request));
         spawn_local(async move {
@@ -109,7 +111,7 @@
                 // An error means that the other node went away; it will ask again on another
                 // connection.
                 _ = connection => {}
-                () = holding.evicted() => {}
+                () = account.evicted() => {}
             }
         });
     }
@@ -117,14 +119,14 @@
 
 async fn answer(
     loader: Rc<Loader>,
-    holding: Arc<Holding>,
+    account: Arc<ConnectionAccount>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    holding.set_use(HolderUse::InProgress);
+    account.set_use(CurrentUse::InProgress);
     let mut answer = Response::new(Full::default());
     let path = request.uri().path();
     let body = match path == LOADS_PATH {
-        true => load(&loader, &holding, request).await,
+        true => load(&loader, &account, request).await,
         false if path.starts_with(CHANGES_PATH) => loader.control.serve_changes(path).await,
         false => Err(StatusCode::NOT_FOUND),
     };
@@ -132,13 +134,13 @@
         Ok(body) => *answer.body_mut() = Full::new(body),
         Err(status) => *answer.status_mut() = status,
     }
-    holding.set_use(HolderUse::Idle);
+    account.set_use(CurrentUse::Idle);
     Ok(answer)
 }
 
 async fn load(
     loader: &Loader,
-    holding: &Arc<Holding>,
+    account: &Arc<ConnectionAccount>,
     request: Request<Incoming>,
 ) -> Result<Bytes, StatusCode> {
     let limits = BodyLimits {
@@ -146,7 +148,7 @@
         whole: BODY_TIMEOUT,
         gap: BODY_TIMEOUT,
     };
-    let body = collect_body(&mut request.into_body(), holding, &limits).await;
+    let body = collect_body(&mut request.into_body(), account, &limits).await;
     let body = body.map_err(|_| StatusCode::BAD_REQUEST)?;
     let load_request: OwnerLoadRequest =
         serde_json::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
--- a/crates/relay-node/src/metrics.rs
+++ b/crates/relay-node/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use nutmegsail_base::{ResultCode, StoreEra};
 use nutmegsail_http_pool::OpenError;
-use nutmegsail_intake::{Door, HolderUse, IntakeUse};
+use nutmegsail_intake::{CurrentUse, IntakeUse, ListenerKind};
 use nutmegsail_relay::{ModelRef, OriginVerdict, OwnershipConcern};
 use nutmegsail_store::KeyValueError;
 use nutmegsail_telemetry::{CountStoreCalls, Event, StoreCall, log_event};
@@ -44,7 +44,7 @@
     turned_away: Counter<u64>,
     held_bytes: Gauge<u64>,
     held_bytes_limit: Gauge<u64>,
-    door_connections: Gauge<u64>,
+    open_connections: Gauge<u64>,
     origin_searches: Counter<u64>,
     kept_streams: Gauge<u64>,
     first_event: Histogram<f64>,
@@ -138,7 +138,7 @@
                 "nutmegsail.relay.held_bytes_limit",
                 "The most that connections and their requests may hold.",
             ),
-            door_connections: gauge(
+            open_connections: gauge(
                 "nutmegsail.relay.open_connections",
                 "Open connections, by listener.",
             ),
@@ -309,23 +309,23 @@
     }
 
     /// Counts a connection that ends so that others have room.
-    pub(crate) fn record_evicted(&self, door: Door, ended_use: HolderUse) {
+    pub(crate) fn record_evicted(&self, listener: ListenerKind, ended_use: CurrentUse) {
         let ended_use = KeyValue::new("use", ended_use.to_string());
-        self.evicted.add(1, &[listener(door), ended_use]);
+        self.evicted.add(1, &[listener_label(listener), ended_use]);
     }
 
     /// Counts a connection that was closed unread for want of room.
-    pub(crate) fn record_turned_away(&self, door: Door) {
-        self.turned_away.add(1, &[listener(door)]);
+    pub(crate) fn record_turned_away(&self, listener: ListenerKind) {
+        self.turned_away.add(1, &[listener_label(listener)]);
     }
 
     /// Records what connections hold.
     pub(crate) fn room(&self, room: &IntakeUse) {
         self.held_bytes.record(room.held_bytes as u64, &[]);
         self.held_bytes_limit.record(room.limit_bytes as u64, &[]);
-        for (door, connections) in room.connections {
-            self.door_connections
-                .record(connections as u64, &[listener(door)]);
+        for (listener, connections) in room.connections {
+            self.open_connections
+                .record(connections as u64, &[listener_label(listener)]);
         }
     }
 
@@ -421,8 +421,8 @@
     }
 }
 
-fn listener(door: Door) -> KeyValue {
-    KeyValue::new("listener", door.to_string())
+fn listener_label(listener: ListenerKind) -> KeyValue {
+    KeyValue::new("listener", listener.to_string())
 }
 
 fn base_model(model: &ModelRef) -> KeyValue {
--- a/crates/relay-node/src/ready.rs
+++ b/crates/relay-node/src/ready.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use nutmegsail_http_pool::{Remote, prepare_socket};
-use nutmegsail_intake::{Door, HolderUse, Intake};
+use nutmegsail_intake::{CurrentUse, Intake, ListenerKind};
 use nutmegsail_telemetry::{Event, MetricsPage, log_event};
 use slog::Logger;
 use tokio::net::TcpListener;
@@ -103,11 +103,11 @@
             tokio::time::sleep(crate::traffic::ACCEPT_PAUSE).await;
             continue;
         };
-        let Some(holding) = intake.admit(Door::Pages, PAGE_BYTES).await else {
+        let Some(account) = intake.admit(ListenerKind::Pages, PAGE_BYTES).await else {
             continue;
         };
         // The oldest ones give way, whatever they do.
-        holding.set_use(HolderUse::Unfinished);
+        account.set_use(CurrentUse::Unfinished);
         prepare_socket(&stream, Remote::Caller);
         let answer = Arc::clone(&answer);
         let service = service_fn(move |request: Request<Incoming>| {
@@ -123,7 +123,7 @@
             tokio::select! {
                 // An error means that the client disconnected.
                 _ = connection => {}
-                () = holding.evicted() => {}
+                () = account.evicted() => {}
             }
         });
     }
--- a/crates/relay-node/src/room.rs
+++ b/crates/relay-node/src/room.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use nutmegsail_base::Clock;
-use nutmegsail_intake::{Door, HolderUse, IntakeObserver, RoomSummary, RoomTally};
+use nutmegsail_intake::{CurrentUse, IntakeObserver, ListenerKind, RoomSummary, RoomTally};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
 
@@ -31,11 +31,11 @@
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn log(&self, door: Door, summary: Option<RoomSummary>) {
+    fn log(&self, listener: ListenerKind, summary: Option<RoomSummary>) {
         if let Some(summary) = summary {
             log_event!(
                 self.log, Event::RoomExhausted,
-                "listener" => door.to_string(), "idle" => summary.idle,
+                "listener" => listener.to_string(), "idle" => summary.idle,
                 "unfinished" => summary.unfinished, "refused" => summary.refused, "turned_away" => summary.turned_away,
                 "bytes" => summary.bytes
             );
@@ -44,23 +44,23 @@
 }
 
 impl IntakeObserver for RoomReports {
-    fn evicted(&self, door: Door, ended_use: HolderUse, bytes: usize) {
-        self.metrics.record_evicted(door, ended_use);
+    fn evicted(&self, listener: ListenerKind, ended_use: CurrentUse, bytes: usize) {
+        self.metrics.record_evicted(listener, ended_use);
         let summary = self
             .tally()
             .record_evicted(ended_use, bytes, self.clock.now());
-        self.log(door, summary);
+        self.log(listener, summary);
     }
 
     /// The request counts under its result code.
-    fn refused(&self, door: Door) {
+    fn refused(&self, listener: ListenerKind) {
         let summary = self.tally().record_refused(self.clock.now());
-        self.log(door, summary);
+        self.log(listener, summary);
     }
 
-    fn turned_away(&self, door: Door) {
-        self.metrics.record_turned_away(door);
+    fn turned_away(&self, listener: ListenerKind) {
+        self.metrics.record_turned_away(listener);
         let summary = self.tally().record_turned_away(self.clock.now());
-        self.log(door, summary);
+        self.log(listener, summary);
     }
 }
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -17,8 +17,8 @@
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::{Remote, ends_with_connection, prepare_socket};
 use nutmegsail_intake::{
-    BodyError, BodyLimits, CONNECTION_BYTES, ConnectionUse, Door, Holding, collect_body,
-    discard_ready, linger,
+    BodyError, BodyLimits, CONNECTION_BYTES, ConnectionAccount, ConnectionUse, ListenerKind,
+    collect_body, discard_ready, linger,
 };
 use nutmegsail_relay::{
     Caller, PromptPrefix, RequestContent, RequestDigest, RequestTraits, Route, RouteTable,
@@ -87,10 +87,10 @@
         }
     }
 
-    fn door(self) -> Door {
+    fn listener_kind(self) -> ListenerKind {
         match self {
-            Self::Caller => Door::Callers,
-            Self::Peer => Door::Nodes,
+            Self::Caller => ListenerKind::Callers,
+            Self::Peer => ListenerKind::Nodes,
         }
     }
 }
@@ -107,7 +107,8 @@
             Ok(_) if origin == Origin::Caller && !gateway.serves_connection() => {}
             Ok((stream, _)) => {
                 let intake = &gateway.shared.intake;
-                let Some(holding) = intake.admit(origin.door(), CONNECTION_BYTES).await else {
+                let Some(account) = intake.admit(origin.listener_kind(), CONNECTION_BYTES).await
+                else {
                     continue;
                 };
                 let (gateway, close) = (Rc::clone(&gateway), close.clone());
@@ -116,7 +117,7 @@
                     if origin == Origin::Caller {
                         gateway.record_delay(accepted_at);
                     }
-                    serve_connection(stream, holding, origin, gateway, close).await;
+                    serve_connection(stream, account, origin, gateway, close).await;
                 });
             }
             // Out of file descriptors for a moment; the connection waits in the kernel's queue.
@@ -127,7 +128,7 @@
 
 async fn serve_connection(
     stream: TcpStream,
-    holding: Arc<Holding>,
+    account: Arc<ConnectionAccount>,
     origin: Origin,
     gateway: Rc<Gateway>,
     close: CancellationToken,
@@ -143,7 +144,7 @@
     let header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.header_bytes);
     let head_timeout = limits.map_or(DEFAULT_READ_TIMEOUT, |limits| limits.read_timeout);
     let in_progress = Rc::new(AnswerInProgress::default());
-    let connection_use = Arc::new(ConnectionUse::new(holding));
+    let connection_use = Arc::new(ConnectionUse::new(account));
     let socket = CallerSocket::new(
         stream,
         Rc::clone(&in_progress),
@@ -187,7 +188,7 @@
                 is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
             }
-            () = connection_use.holding().evicted(), if !is_evicted => {
+            () = connection_use.account().evicted(), if !is_evicted => {
                 if !connection_use.is_in_body() {
                     return;
                 }
@@ -205,7 +206,7 @@
         };
         tokio::select! {
             () = linger(&stream, longest) => {}
-            () = connection_use.holding().evicted(), if !is_evicted => {}
+            () = connection_use.account().evicted(), if !is_evicted => {}
         }
     }
 }
@@ -278,7 +279,7 @@
                     forwarded,
                     began,
                 };
-                self.read(head, &mut body, connection.holding()).await
+                self.read(head, &mut body, connection.account()).await
             }
             Err(early_refusal) => Err(early_refusal),
         };
@@ -324,7 +325,7 @@
         &self,
         head: Head,
         body: &mut Incoming,
-        holding: &Arc<Holding>,
+        account: &Arc<ConnectionAccount>,
     ) -> Result<Call, EarlyRefusal> {
         let Head {
             mut parts,
@@ -343,7 +344,7 @@
         self.check_accepting()?;
         let (table, mut route, mut caller) = self.check_head(&parts, &meta, &forwarded).await?;
         let has_body = !body.is_end_stream();
-        let body = read_body(body, holding, &table).await?;
+        let body = read_body(body, account, &table).await?;
         if has_body {
             self.check_accepting()?;
             // The configuration may have changed while the body was received.
@@ -481,7 +482,7 @@
 
 async fn read_body(
     body: &mut Incoming,
-    holding: &Arc<Holding>,
+    account: &Arc<ConnectionAccount>,
     table: &RouteTable,
 ) -> Result<Bytes, EarlyRefusal> {
     let limits = BodyLimits {
@@ -489,7 +490,7 @@
         whole: table.limits.read_timeout,
         gap: table.limits.read_timeout,
     };
-    collect_body(body, holding, &limits).await.map_err(|error| {
+    collect_body(body, account, &limits).await.map_err(|error| {
         let code = match error {
             BodyError::TooLarge { .. } => ResultCode::BodyTooLarge,
             BodyError::Malformed(_) => ResultCode::MalformedBody,
