Give the errors of bodies their result codes once

Cause: the relay and the own interface each mapped the same error to result codes.

Change: `BodyError::code`, which both call. Behaviour is the same.

--- a/crates/front/src/body_reader.rs
+++ b/crates/front/src/body_reader.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
-use nutmegsail_base::ResultCode;
 use nutmegsail_intake::{BodyError, BodyLimits, ConnectionUse, collect_body};
 
 use crate::request_fault::RequestFault;
@@ -18,21 +17,9 @@
     mut body: Incoming,
 ) -> Result<Bytes, RequestFault> {
     let read = collect_body(&mut body, connection.account(), limits).await;
-    let bytes = read.map_err(|error| RequestFault::new(code_of(&error), error.to_string()))?;
-    match connection.begin_answer() {
+    let read = read.and_then(|bytes| match connection.begin_answer() {
         true => Ok(bytes),
-        false => {
-            let error = BodyError::NoRoom;
-            Err(RequestFault::new(code_of(&error), error.to_string()))
-        }
-    }
-}
-
-fn code_of(error: &BodyError) -> ResultCode {
-    match error {
-        BodyError::TooLarge { .. } => ResultCode::BodyTooLarge,
-        BodyError::Malformed(_) => ResultCode::MalformedBody,
-        BodyError::Stalled => ResultCode::SenderStalled,
-        BodyError::NoRoom => ResultCode::NoRoom,
-    }
+        false => Err(BodyError::NoRoom),
+    });
+    read.map_err(|error| RequestFault::new(error.code(), error.to_string()))
 }
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -7,6 +7,7 @@
 use futures_util::FutureExt;
 use http_body::Body;
 use http_body_util::BodyExt;
+use nutmegsail_base::ResultCode;
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
@@ -49,6 +50,18 @@
     NoRoom,
 }
 
+impl BodyError {
+    /// The numbered result code.
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::TooLarge { .. } => ResultCode::BodyTooLarge,
+            Self::Malformed(_) => ResultCode::MalformedBody,
+            Self::Stalled => ResultCode::SenderStalled,
+            Self::NoRoom => ResultCode::NoRoom,
+        }
+    }
+}
+
 /// Reads `body` into one buffer, which `account` accounts for until the last clone of the result is
 /// dropped.
 ///
--- a/crates/relay-node/src/traffic/listener.rs
+++ b/crates/relay-node/src/traffic/listener.rs
@@ -490,14 +490,10 @@
         whole: table.limits.read_timeout,
         gap: table.limits.read_timeout,
     };
-    collect_body(body, account, &limits).await.map_err(|error| {
-        let code = match error {
-            BodyError::TooLarge { .. } => ResultCode::BodyTooLarge,
-            BodyError::Malformed(_) => ResultCode::MalformedBody,
-            BodyError::Stalled => ResultCode::SenderStalled,
-            BodyError::NoRoom => return no_room(),
-        };
-        EarlyRefusal::new(code, error.to_string())
+    let read = collect_body(body, account, &limits).await;
+    read.map_err(|error| match error {
+        BodyError::NoRoom => no_room(),
+        _ => EarlyRefusal::new(error.code(), error.to_string()),
     })
 }
 
