Close the own interface's connections by the intake's linger

Cause: the loop that reads and drops what a client still sends stood twice.

The time and the number of bytes are the same; the buffer is 4 KiB instead of 8, and lives only while it is read into.

--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -14,11 +14,11 @@
 use hyper_util::rt::TokioIo;
 use nutmegsail_base::{RequestId, ResultCode};
 use nutmegsail_http_pool::ends_with_connection;
-use nutmegsail_intake::{ConnectionAccount, ConnectionUse, ListenerKind};
+use nutmegsail_intake::{self as intake, ConnectionAccount, ConnectionUse, ListenerKind};
 use nutmegsail_request::{Refusal, Request};
 use nutmegsail_telemetry::{Event, log_event};
 use slog::Logger;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -32,9 +32,6 @@
 use crate::response::{AnswerBody, CountedBody, close_after, echo_request, refusal_response};
 use crate::watched_io::{SocketTimeouts, WatchedIo, closing_error};
 
-/// Bytes of an ended connection that are read and thrown away.
-const LINGER_BYTES: usize = 16 * 1024 * 1024;
-
 /// Whom a listener serves.
 #[derive(Clone)]
 pub(crate) enum Audience {
@@ -217,15 +214,5 @@
     if stream.shutdown().await.is_err() {
         return;
     }
-    let mut scratch = [0; 8192];
-    let drain = async {
-        let mut thrown_away = 0;
-        while let Ok(bytes @ 1..) = stream.read(&mut scratch).await {
-            thrown_away += bytes;
-            if thrown_away > LINGER_BYTES {
-                return;
-            }
-        }
-    };
-    let _ = timeout(linger, drain).await;
+    intake::linger(&stream, linger).await;
 }
