Log connections that end for want of room in one place

Cause: the relay's and the own interface's observers each kept a tally and wrote the same log line.

Change: the relay's observer counts, and leaves the line to the front's `RoomLog`.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -42,4 +42,5 @@
 pub use handler::Handler;
 pub use operators_query::OperatorsQuery;
 pub use plain_call::{PlainAnswer, PlainCall};
+pub use room::RoomLog;
 pub use settings::FrontSettings;
--- a/crates/front/src/room.rs
+++ b/crates/front/src/room.rs
@@ -11,14 +11,33 @@
 
 use crate::FrontSettings;
 
-/// Logs the connections that end or are turned away for want of room.
-struct RoomLog {
+/// Logs the connections that end or are turned away for want of room, in one line a second.
+pub struct RoomLog {
     log: Logger,
     clock: Arc<dyn Clock>,
     tally: Mutex<RoomTally>,
 }
 
 impl RoomLog {
+    /// Logs to `log`.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use nutmegsail_base::SystemClock;
+    /// use nutmegsail_front::RoomLog;
+    /// use nutmegsail_intake::{IntakeObserver, ListenerKind};
+    /// use nutmegsail_telemetry::discard_logger;
+    /// let log = RoomLog::new(discard_logger(), Arc::new(SystemClock));
+    /// log.turned_away(ListenerKind::Callers);
+    /// ```
+    pub fn new(log: Logger, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            log,
+            clock,
+            tally: Mutex::default(),
+        }
+    }
+
     fn tally(&self) -> MutexGuard<'_, RoomTally> {
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -58,11 +77,7 @@
 /// The limits on what connections to both listeners hold.
 pub(crate) fn intake(settings: &FrontSettings, log: &Logger) -> Intake {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-    let observer = RoomLog {
-        log: log.clone(),
-        clock: Arc::clone(&clock),
-        tally: Mutex::default(),
-    };
+    let observer = RoomLog::new(log.clone(), Arc::clone(&clock));
     let limits = ProcessLimits::detect(&settings.limits).ledger();
     Intake::new(limits, clock, Arc::new(observer))
 }
--- a/crates/relay-node/src/node.rs
+++ b/crates/relay-node/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegsail_base::{Clock, ResultCode, SystemClock};
+use nutmegsail_front::RoomLog;
 use nutmegsail_intake::{Intake, ProcessLimits};
 use nutmegsail_store::KeyValue;
 use nutmegsail_telemetry::{CountedStore, Event, MetricsPage, TelemetryError, log_event};
@@ -223,7 +224,10 @@
         "memory_bytes" => limits.memory_bytes, "descriptors" => limits.descriptors
     );
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-    let reports = RoomReports::new(metrics.clone(), log.clone(), Arc::clone(&clock));
+    let reports = RoomReports {
+        metrics: metrics.clone(),
+        log: RoomLog::new(log.clone(), Arc::clone(&clock)),
+    };
     Intake::new(limits.ledger(), clock, Arc::new(reports))
 }
 
